--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# VENV may name an environment that already holds constraints.txt.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+PACKAGES = almondspread almondspread_platform almondspread_daemon almondspread_cli almondspread_standin
+empty =
+space = $(empty) $(empty)
+SOURCES = $(foreach package,$(PACKAGES),packages/$(package))
+export PYTHONPATH = $(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source)))
+
+.PHONY: environment demo test check format capacity
+
+environment:
+	@sh tools/prepare_environment.sh "$(VENV)"
+
+demo: environment
+	@$(PYTHON) -m almondspread_standin demo
+
+check: environment
+	$(PYTHON) -m ruff format --check packages tools
+	$(PYTHON) -m ruff check packages tools
+	$(PYTHON) -m mypy packages/almondspread/almondspread
+
+test: check
+	$(PYTHON) tools/run_tests.py
+
+format: environment
+	$(PYTHON) -m ruff format packages tools
+	$(PYTHON) -m ruff check --fix packages tools
+
+capacity: environment
+	$(PYTHON) -m almondspread_standin capacity
--- /dev/null
+++ b/packages/almondspread/almondspread/codec/__init__.py
@@ -0,0 +1,15 @@
+"""Encoding of typed values as msgpack and as JSON documents."""
+
+from almondspread.codec.converters import (
+    decode_message,
+    encode_message,
+    structure_document,
+    unstructure_value,
+)
+
+__all__ = [
+    "decode_message",
+    "encode_message",
+    "structure_document",
+    "unstructure_value",
+]
--- /dev/null
+++ b/packages/almondspread/almondspread/interfaces/workers.py
@@ -0,0 +1,97 @@
+"""The platform's agent on a worker: it runs attempts of tasks under leases.
+
+One exchange carries starts, renewals, stops and acknowledgements to a worker and
+brings back what runs and what has ended. A worker treats a repeated start of one
+attempt as the same attempt, refuses a start after its expiry or after a stop of it,
+stops an attempt whose lease lapses, and reports an end until it is acknowledged.
+"""
+
+from typing import Protocol
+
+from attrs import define
+from expression import Result
+
+from almondspread.resources.capacity import Capacity
+
+
+@define(frozen=True)
+class AttemptStart:
+    """Asks a worker to start an attempt.
+
+    ``start_before`` is UTC seconds; a start that arrives later is refused.
+    ``restart`` has the worker start a crashed attempt again in place.
+    """
+
+    attempt: str
+    size: Capacity
+    command: tuple[str, ...]
+    lease_seconds: float
+    start_before: float
+    restart: bool = False
+    checkpoint: str = ""
+
+
+@define(frozen=True)
+class AttemptEnd:
+    """An attempt that no longer runs and never will again.
+
+    ``outcome`` is ``finished``, ``failed``, ``stopped``, ``lapsed``, ``refused``.
+    """
+
+    attempt: str
+    outcome: str
+    reason: str = ""
+    run_seconds: float = 0.0
+    peak_memory_mib: int = 0
+    checkpoint: str = ""
+
+
+@define(frozen=True)
+class AttemptUsage:
+    """A running attempt and what it uses, as of some seconds ago."""
+
+    attempt: str
+    memory_mib: int
+    cpu_millis: int
+
+
+@define(frozen=True)
+class WorkerExchange:
+    """What an owner tells a worker.
+
+    ``renewals`` get ``lease_seconds`` more from the moment the worker handles them.
+    ``stops`` and ``checkpoints`` end attempts; ``acknowledged`` ends are forgotten.
+    """
+
+    starts: tuple[AttemptStart, ...] = ()
+    renewals: tuple[str, ...] = ()
+    lease_seconds: float = 0.0
+    stops: tuple[str, ...] = ()
+    checkpoints: tuple[str, ...] = ()
+    throttles: tuple[str, ...] = ()
+    acknowledged: tuple[str, ...] = ()
+
+
+@define(frozen=True)
+class WorkerReport:
+    """What a worker answers: all that runs and all ends not yet acknowledged."""
+
+    running: tuple[AttemptUsage, ...] = ()
+    ended: tuple[AttemptEnd, ...] = ()
+    leaving: bool = False
+
+
+@define(frozen=True)
+class WorkerUnreachable:
+    """No answer came; the worker may or may not have acted, also later."""
+
+    reason: str
+
+
+class WorkerGateway(Protocol):
+    """The way to the workers."""
+
+    async def exchange(
+        self, address: str, message: WorkerExchange
+    ) -> Result[WorkerReport, WorkerUnreachable]:
+        """Carry one exchange to the worker at ``address``."""
--- /dev/null
+++ b/packages/almondspread/almondspread/resources/capacity.py
@@ -0,0 +1,50 @@
+"""Amounts of processor, memory and accelerators."""
+
+from attrs import define
+
+
+@define(frozen=True)
+class Capacity:
+    """An amount of each resource of a worker.
+
+    Processor is in thousandths of a core, memory in MiB, accelerators in whole units.
+
+    >>> Capacity(2000, 512, 1).plus(Capacity(500, 0, 0))
+    Capacity(cpu_millis=2500, memory_mib=512, accelerators=1)
+    """
+
+    cpu_millis: int
+    memory_mib: int
+    accelerators: int = 0
+
+    def plus(self, other: "Capacity") -> "Capacity":
+        """Return the sum of two amounts."""
+        return Capacity(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Capacity") -> "Capacity":
+        """Return what remains of this amount without the other."""
+        return Capacity(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> "Capacity":
+        """Return ``count`` times this amount."""
+        return Capacity(
+            self.cpu_millis * count,
+            self.memory_mib * count,
+            self.accelerators * count,
+        )
+
+    def fits_in(self, other: "Capacity") -> bool:
+        """Tell whether no resource of this amount is over that of the other."""
+        return (
+            self.cpu_millis <= other.cpu_millis
+            and self.memory_mib <= other.memory_mib
+            and self.accelerators <= other.accelerators
+        )
--- /dev/null
+++ b/packages/almondspread/almondspread/testing/__init__.py
@@ -0,0 +1,6 @@
+"""Small fakes of the platform with fault switches, for tests and stand-ins."""
+
+from almondspread.testing.store import MemoryStore
+from almondspread.testing.table import MemoryTable
+
+__all__ = ["MemoryStore", "MemoryTable"]
--- /dev/null
+++ b/packages/almondspread_platform/almondspread_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Part of almondspread; see docs/ARCHITECTURE.md."""
