--- /dev/null
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -0,0 +1,161 @@
+"""One HTTP call over tornado's curl client, with typed faults."""
+
+import asyncio
+from datetime import timedelta
+
+import pycurl
+from attrs import define, field
+from expression import Error, Ok, Result
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from almondspread_platform.limits import ConnectionLimits
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+CALLER_DOMAIN_HEADER = "X-Failure-Domain"
+STATUSES_WITHOUT_BODY = (204, 304)
+REPEATABLE_METHODS = ("GET", "DELETE")
+DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+@define(frozen=True)
+class CallFault:
+    """A call that brought no whole answer.
+
+    ``not_sent`` is true only where no byte of the request can have left; where it
+    is false, the callee may or may not have acted, and may still do so later.
+    """
+
+    reason: str
+    not_sent: bool
+
+
+@define(frozen=True)
+class HttpCall:
+    """One request: ``address`` is ``IP:port``, ``path`` starts with a slash."""
+
+    method: str
+    address: str
+    path: str
+    timeout: timedelta
+    body: bytes | None = None
+    headers: dict[str, str] = field(factory=dict)
+
+
+def open_client(
+    max_connections: int, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+) -> CurlAsyncHTTPClient:
+    """Return a curl client of its own that runs ``max_connections`` calls at once."""
+    client = CurlAsyncHTTPClient(
+        force_instance=True,
+        max_clients=max_connections,
+        max_body_size=max_body_bytes,
+    )
+    assert isinstance(client, CurlAsyncHTTPClient)
+    return client
+
+
+class HttpCaller:
+    """Sends calls through one curl client and bounds how many are open.
+
+    ``caller_domain`` is the failure domain that this process runs in. A call waits
+    for its permit within its timeout. A call that is cancelled keeps its permit
+    until the transfer ends, so that the bounds hold for what is really open.
+    """
+
+    def __init__(
+        self,
+        client: CurlAsyncHTTPClient,
+        *,
+        per_address: int = 8,
+        overall: int = 64,
+        caller_domain: str = "",
+    ) -> None:
+        self._client = client
+        self._limits = ConnectionLimits(per_address, overall)
+        self._caller_domain = caller_domain
+        self._transfers: set[asyncio.Task[Result[HTTPResponse, CallFault]]] = set()
+
+    async def send(self, call: HttpCall) -> Result[HTTPResponse, CallFault]:
+        """Send one request; the answer is whole and of any HTTP status."""
+        transfer = asyncio.create_task(self._transfer(call))
+        self._transfers.add(transfer)
+        transfer.add_done_callback(self._transfers.discard)
+        return await asyncio.shield(transfer)
+
+    async def wait_idle(self) -> None:
+        """Wait until no transfer is open, as is needed before the client closes."""
+        while self._transfers:
+            await asyncio.wait(set(self._transfers))
+
+    async def _transfer(self, call: HttpCall) -> Result[HTTPResponse, CallFault]:
+        """Wait for a permit and carry the request with the time that remains."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + call.timeout.total_seconds()
+        permit = self._limits.hold_permit(call.address)
+        try:
+            async with asyncio.timeout_at(due):
+                await permit.__aenter__()
+        except TimeoutError:
+            reason = f"no free connection to {call.address} before the timeout"
+            return Error(CallFault(reason, not_sent=True))
+        try:
+            return await self._fetch(call, due - loop.time())
+        finally:
+            await permit.__aexit__(None, None, None)
+
+    async def _fetch(
+        self, call: HttpCall, seconds: float
+    ) -> Result[HTTPResponse, CallFault]:
+        """Carry one request that holds a permit."""
+        if seconds < 0.001:
+            return Error(CallFault("the timeout has passed", not_sent=True))
+        times_handed_over = 0
+
+        def guard_handing_over(*_: object) -> int:
+            """Let curl write the request to a connection, or refuse to do so again.
+
+            Where a reused connection closes without an answer, curl sends the request
+            again on a new one, although the callee may have acted on the first.
+            """
+            nonlocal times_handed_over
+            if times_handed_over and call.method not in REPEATABLE_METHODS:
+                return int(pycurl.PREREQFUNC_ABORT)
+            times_handed_over += 1
+            return int(pycurl.PREREQFUNC_OK)
+
+        def prepare(curl: pycurl.Curl) -> None:
+            """Set what the client has no argument for."""
+            curl.setopt(pycurl.PREREQFUNCTION, guard_handing_over)
+            curl.setopt(pycurl.PROXY, "")
+
+        request = HTTPRequest(
+            f"http://{call.address}{call.path}",
+            method=call.method,
+            headers={**call.headers, CALLER_DOMAIN_HEADER: self._caller_domain},
+            body=call.body,
+            connect_timeout=min(CONNECT_TIMEOUT.total_seconds(), seconds),
+            request_timeout=seconds,
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            prepare_curl_callback=prepare,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, pycurl.error, OSError, ValueError) as error:
+            reason = f"{call.method} {call.address}{call.path}: {error}"
+            return Error(CallFault(reason, not_sent=times_handed_over == 0))
+        if not _has_known_length(response):
+            reason = f"the answer of {call.address} does not tell its length"
+            return Error(CallFault(reason, not_sent=False))
+        return Ok(response)
+
+
+def _has_known_length(response: HTTPResponse) -> bool:
+    """Tell whether a cut connection would have shown in the answer."""
+    if response.code in STATUSES_WITHOUT_BODY:
+        return True
+    if "Content-Length" in response.headers:
+        return True
+    return response.headers.get("Transfer-Encoding", "").lower() == "chunked"
--- /dev/null
+++ b/packages/almondspread_platform/almondspread_platform/minions.py
@@ -0,0 +1,75 @@
+"""Requests of callers to minions over HTTP."""
+
+from datetime import timedelta
+from urllib.parse import quote
+
+from attrs import define
+from expression import Error, Ok, Result
+from tornado.httpclient import HTTPResponse
+
+from almondspread.interfaces import MinionAnswer, MinionRequest
+from almondspread_platform.caller import HttpCall, HttpCaller
+
+
+@define(frozen=True)
+class MinionFault:
+    """A request that brought no whole answer.
+
+    ``not_sent`` is true only where no byte of the request can have left, so that
+    the minion surely did not run it.
+    """
+
+    reason: str
+    not_sent: bool
+
+
+class MinionClient:
+    """Sends requests to minions, each at most once."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def call(
+        self, address: str, request: MinionRequest, timeout: timedelta
+    ) -> Result[MinionAnswer, MinionFault]:
+        """Send a request to the minion at ``address`` and return its whole answer.
+
+        An answer of any HTTP status counts as one; a body that breaks off does not.
+        """
+        if not _can_be_header(request.key) or not _can_be_header(request.traceparent):
+            reason = "the key or trace context holds letters no header can carry"
+            return Error(MinionFault(reason, not_sent=True))
+        path = "/v1/requests/" + quote(request.kind, safe="")
+        headers = _describe_headers(request)
+        call = HttpCall("POST", address, path, timeout, request.body, headers)
+        sent = await self._caller.send(call)
+        if sent.is_error():
+            return Error(MinionFault(sent.error.reason, sent.error.not_sent))
+        return Ok(_read_answer(sent.ok))
+
+
+def _can_be_header(text: str) -> bool:
+    """Tell whether a header can carry ``text`` unchanged."""
+    return text.isascii() and text.isprintable()
+
+
+def _describe_headers(request: MinionRequest) -> dict[str, str]:
+    """Return the headers that go with a request."""
+    headers = {"Content-Type": "application/octet-stream"}
+    if request.key:
+        headers["Idempotency-Key"] = request.key
+    if request.deadline:
+        headers["X-Deadline"] = f"{request.deadline:.6f}"
+    if request.traceparent:
+        headers["traceparent"] = request.traceparent
+    return headers
+
+
+def _read_answer(response: HTTPResponse) -> MinionAnswer:
+    """Return a whole HTTP response as the answer of a minion."""
+    return MinionAnswer(
+        response.code,
+        response.body,
+        response.headers.get("Content-Type", ""),
+        response.headers.get("X-Leaving", "") == "1",
+    )
--- /dev/null
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
@@ -0,0 +1,153 @@
+import asyncio
+import unittest
+from datetime import timedelta
+
+from almondspread.interfaces import MinionRequest, Write
+from almondspread_platform import HttpCaller, HttpTable, MinionClient, open_client
+
+SECOND = timedelta(seconds=1)
+BRIEF = timedelta(milliseconds=60)
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+class ScriptedServer:
+    """Reads whole requests and answers each with the next scripted bytes.
+
+    ``None`` closes the connection without an answer, ``b""`` never answers.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.connections = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._answer_next(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    async def _answer_next(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n"):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        self.requests.append(head + await reader.readexactly(length))
+        answer = self.answers.pop(0)
+        if answer is None:
+            return False
+        writer.write(answer)
+        if not answer:
+            return True
+        await writer.drain()
+        return answer == ANSWER
+
+
+class MinionClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.http = open_client(4)
+        self.caller = HttpCaller(self.http, per_address=1)
+        self.client = MinionClient(self.caller)
+
+    async def asyncTearDown(self):
+        await self.caller.wait_idle()
+        self.http.close()
+
+    async def serve(self, *answers):
+        server = ScriptedServer(*answers)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        return server
+
+    async def call(self, address, body=b"body", timeout=SECOND):
+        request = MinionRequest("route", "recalculation", body, key="k-1")
+        return await self.client.call(address, request, timeout)
+
+    async def test_whole_answer(self):
+        server = await self.serve(ANSWER)
+        answer = (await self.call(server.address)).ok
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        self.assertIn(b"Idempotency-Key: k-1", server.requests[0])
+
+    async def test_refused_connection_was_not_sent(self):
+        server = await self.serve()
+        await server.stop()
+        self.assertTrue((await self.call(server.address)).error.not_sent)
+
+    async def test_half_a_body_is_a_fault(self):
+        server = await self.serve(ANSWER[:-2])
+        self.assertFalse((await self.call(server.address)).error.not_sent)
+
+    async def test_body_without_length_is_a_fault(self):
+        server = await self.serve(b"HTTP/1.1 200 OK\r\n\r\ndone")
+        fault = (await self.call(server.address)).error
+        self.assertIn("length", fault.reason)
+        self.assertFalse(fault.not_sent)
+
+    async def test_timeout_after_sending_has_unknown_outcome(self):
+        server = await self.serve(b"")
+        outcome = await self.call(server.address, timeout=BRIEF)
+        self.assertFalse(outcome.error.not_sent)
+        self.assertEqual(len(server.requests), 1)
+
+    async def test_closed_reused_connection_is_not_sent_again(self):
+        for body in (b"body", b""):
+            with self.subTest(body=body):
+                server = await self.serve(ANSWER, None, ANSWER)
+                self.assertTrue((await self.call(server.address, body)).is_ok())
+                fault = (await self.call(server.address, body)).error
+                self.assertFalse(fault.not_sent)
+                self.assertEqual(len(server.requests), 2)
+
+    async def test_connections_are_reused(self):
+        server = await self.serve(ANSWER, ANSWER, ANSWER)
+        for _ in range(3):
+            self.assertTrue((await self.call(server.address)).is_ok())
+        self.assertEqual(server.connections, 1)
+
+    async def test_key_that_would_add_a_header_is_not_sent(self):
+        server = await self.serve()
+        request = MinionRequest("route", "lookup", b"x", key="k\r\nX-Other: 1")
+        outcome = await self.client.call(server.address, request, SECOND)
+        self.assertTrue(outcome.error.not_sent)
+        self.assertEqual(server.connections, 0)
+
+    async def test_calls_beyond_the_limit_wait_and_were_not_sent(self):
+        server = await self.serve(b"")
+        first = asyncio.create_task(self.call(server.address))
+        await asyncio.sleep(0)
+        late = await self.call(server.address, timeout=BRIEF)
+        self.assertTrue(late.error.not_sent)
+        self.assertFalse((await first).error.not_sent)
+        self.assertEqual(len(server.requests), 1)
+
+    async def test_cancelled_call_keeps_its_permit(self):
+        server = await self.serve(b"", ANSWER)
+        first = asyncio.create_task(self.call(server.address))
+        while not server.requests:
+            await asyncio.sleep(0.001)
+        first.cancel()
+        late = await self.call(server.address, timeout=BRIEF)
+        self.assertTrue(late.error.not_sent)
+
+    async def test_garbage_from_the_table_is_unavailable(self):
+        server = await self.serve(ANSWER)
+        table = HttpTable(self.caller, server.address, SECOND)
+        outcome = await table.transact([], [Write("a", b"1")])
+        self.assertIn("not a TransactAnswer", outcome.error.reason)
+
+
+if __name__ == "__main__":
+    unittest.main()
