Test the stand-ins' rules and hold objects to the platform's rates

A rate limit waits for the work before it, no longer for its own; table and object store share the rates.

--- a/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
@@ -117,11 +117,14 @@
             self.assertTrue((await self.call(server.address)).is_ok())
         self.assertEqual(server.connections, 1)
 
-    async def test_key_that_would_add_a_header_is_not_sent(self):
-        server = await self.serve()
-        request = MinionRequest("route", "lookup", b"x", key="k\r\nX-Other: 1")
-        outcome = await self.client.call(server.address, request, SECOND)
-        self.assertTrue(outcome.error.not_sent)
+    async def test_key_that_no_header_can_carry_is_not_sent(self):
+        server = await self.serve(ANSWER, ANSWER, ANSWER)
+        for key in ("k\r\nX-Other: 1", "k-\u00e5", "k\x00"):
+            with self.subTest(key=key):
+                request = MinionRequest("route", "lookup", b"x", key=key)
+                outcome = await self.client.call(server.address, request, SECOND)
+                self.assertTrue(outcome.is_error())
+                self.assertTrue(outcome.error.not_sent)
         self.assertEqual(server.connections, 0)
 
     async def test_calls_beyond_the_limit_wait_and_were_not_sent(self):
--- a/packages/almondspread_standin/almondspread_standin/platform_server/handlers.py
+++ b/packages/almondspread_standin/almondspread_standin/platform_server/handlers.py
@@ -114,14 +114,12 @@
 
     async def put(self, name: str) -> None:
         """Keep an object."""
-        self.service.counters.object_puts += 1
-        await self.service.store.put(name, self.request.body)
+        await self.service.put_object(name, self.request.body)
         self.set_status(204)
 
     async def get(self, name: str) -> None:
         """Answer with an object."""
-        self.service.counters.object_gets += 1
-        data = (await self.service.store.get(name)).ok
+        data = await self.service.get_object(name)
         if data is None:
             self.set_status(404)
             return
@@ -130,7 +128,7 @@
 
     async def delete(self, name: str) -> None:
         """Forget an object."""
-        await self.service.store.delete(name)
+        await self.service.delete_object(name)
         self.set_status(204)
 
 
--- a/packages/almondspread_standin/almondspread_standin/platform_server/rate.py
+++ b/packages/almondspread_standin/almondspread_standin/platform_server/rate.py
@@ -23,5 +23,5 @@
         now = self._clock.monotonic()
         begin = max(now, self._free_at)
         self._free_at = begin + timedelta(seconds=units / self.per_second)
-        if self._free_at > now:
-            await self._clock.sleep(self._free_at - now)
+        if begin > now:
+            await self._clock.sleep(begin - now)
--- a/packages/almondspread_standin/almondspread_standin/platform_server/service.py
+++ b/packages/almondspread_standin/almondspread_standin/platform_server/service.py
@@ -23,11 +23,15 @@
     row_reads: int = 0
     object_puts: int = 0
     object_gets: int = 0
+    object_deletes: int = 0
     list_reads: int = 0
 
 
 class PlatformService:
-    """The table, the object store and the list with their faults and rates."""
+    """The table, the object store and the list with their faults and rates.
+
+    Table and object store share the rates: a row and an object take one turn each.
+    """
 
     def __init__(
         self, clock: Clock, writes_per_second: float, reads_per_second: float
@@ -86,3 +90,22 @@
         self.counters.row_reads += reads
         await self.read_rate.take_turn(reads)
         return rows
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Keep an object once it has had its turn."""
+        await self.write_rate.take_turn(1)
+        self.counters.object_puts += 1
+        await self.store.put(name, data)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return an object, if there is one, once its read has had its turn."""
+        await self.read_rate.take_turn(1)
+        self.counters.object_gets += 1
+        data: bytes | None = (await self.store.get(name)).ok
+        return data
+
+    async def delete_object(self, name: str) -> None:
+        """Forget an object once the change has had its turn."""
+        await self.write_rate.take_turn(1)
+        self.counters.object_deletes += 1
+        await self.store.delete(name)
--- a/packages/almondspread_standin/almondspread_standin/tests/test_cell.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_cell.py
@@ -1,3 +1,5 @@
+import asyncio
+import json
 import unittest
 from datetime import timedelta
 
@@ -30,6 +32,7 @@
     Rack,
 )
 from almondspread_standin.minions import KindBehaviour
+from almondspread_standin.platform_server import PlatformFaults
 
 SECOND = timedelta(seconds=1)
 BRIEF = timedelta(milliseconds=60)
@@ -148,6 +151,36 @@
         self.assertEqual(agent.count().max_in_flight, 1)
         self.assertEqual(agent.count().max_connections, 1)
 
+    async def test_caller_keeps_to_its_connections(self):
+        caller = HttpCaller(self.http, per_address=2)
+        minions = MinionClient(caller)
+        server = self.cell.minions["route-umea-1"]
+        request = MinionRequest("route", "recalculation", b"x", key="k")
+        calls = [minions.call(server.address, request, SECOND) for _ in range(6)]
+        for answer in await asyncio.gather(*calls):
+            self.assertTrue(answer.is_ok())
+        counters = server.agent.count()
+        self.assertEqual((counters.runs, counters.max_in_flight), (6, 2))
+        self.assertEqual(counters.max_connections, 2)
+        self.assertEqual(counters.keys_run_again, 1)
+
+    async def set_faults_by_http(self, document):
+        body = json.dumps(document).encode()
+        path = f"http://{self.cell.platform_address}/faults"
+        answer = await self.http.fetch(
+            path, method="POST", body=body, raise_error=False
+        )
+        return answer.code
+
+    async def test_faults_by_http(self):
+        faults = {"lose_answers": 2, "cut_off": ["umea"]}
+        self.assertEqual(await self.set_faults_by_http(faults), 200)
+        self.assertEqual(await self.set_faults_by_http({"delay_ms": 5}), 200)
+        for wrong in ({"down": "yes"}, {"dwn": True}, ["down"]):
+            self.assertEqual(await self.set_faults_by_http(wrong), 400)
+        expected = PlatformFaults(lose_answers=2, cut_off=("umea",), delay_ms=5.0)
+        self.assertEqual(self.cell.platform.service.faults, expected)
+
     async def test_killed_minion_was_not_sent(self):
         address = self.cell.minions["route-umea-1"].address
         await self.cell.kill_minion("route-umea-1")
