Place tasks by an index of what workers have free

Cell keeps each worker within its capacity; choose_worker, choose_gang and find_impossible decide from sorted orders that skip buckets of workers with too little of the second amount. Reasons for waiting are counted from the same orders.

--- /dev/null
+++ b/packages/almondspread/almondspread/placement/__init__.py
@@ -0,0 +1,36 @@
+"""Placement: which worker each task goes to, never over any worker's capacity."""
+
+from almondspread.placement.cells import Cell, WorkerState
+from almondspread.placement.choices import (
+    choose_gang,
+    choose_worker,
+    explain_waiting,
+    find_impossible,
+    find_worker,
+)
+from almondspread.placement.errors import (
+    DuplicateWorker,
+    OverCapacity,
+    PlacementError,
+    UnknownCommitment,
+    UnknownWorker,
+)
+from almondspread.placement.values import ReasonCount, TaskRequest, Waiting
+
+__all__ = [
+    "Cell",
+    "DuplicateWorker",
+    "OverCapacity",
+    "PlacementError",
+    "ReasonCount",
+    "TaskRequest",
+    "UnknownCommitment",
+    "UnknownWorker",
+    "Waiting",
+    "WorkerState",
+    "choose_gang",
+    "choose_worker",
+    "explain_waiting",
+    "find_impossible",
+    "find_worker",
+]
--- /dev/null
+++ b/packages/almondspread/almondspread/placement/cells.py
@@ -0,0 +1,312 @@
+"""The workers of a cell and what is committed on each."""
+
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from almondspread.placement.errors import (
+    DuplicateWorker,
+    OverCapacity,
+    PlacementError,
+    UnknownCommitment,
+    UnknownWorker,
+)
+from almondspread.placement.indexes import FreeIndex
+from almondspread.placement.values import EXCLUSIONS, SPREAD_RACK, ReasonCount
+from almondspread.resources.capacity import Capacity
+
+
+@define
+class WorkerState:
+    """One worker as placement sees it; only its cell changes it.
+
+    ``exclusion`` is why it takes no new tasks, empty when it takes them. ``groups``
+    counts the committed tasks of each workload.
+    """
+
+    name: str
+    failure_domain: str
+    rack: str
+    capacity: Capacity
+    free_cpu_millis: int
+    free_memory_mib: int
+    free_accelerators: int
+    exclusion: str = ""
+    groups: dict[str, int] = field(factory=dict)
+
+    @property
+    def free(self) -> Capacity:
+        """What is not committed."""
+        return Capacity(
+            self.free_cpu_millis, self.free_memory_mib, self.free_accelerators
+        )
+
+    @property
+    def committed(self) -> Capacity:
+        """What is committed."""
+        return self.capacity.minus(self.free)
+
+    @property
+    def rack_place(self) -> str:
+        """The rack's name, which is unique only inside its failure domain."""
+        return f"{self.failure_domain}/{self.rack}"
+
+    def has_room(self, size: Capacity) -> bool:
+        """Tell whether a task of this size fits beside what is committed."""
+        return (
+            size.cpu_millis <= self.free_cpu_millis
+            and size.memory_mib <= self.free_memory_mib
+            and size.accelerators <= self.free_accelerators
+        )
+
+
+class Cell:
+    """The aggregate that keeps every worker within its capacity.
+
+    >>> cell = Cell()
+    >>> cell.add_worker("w1", "catania", "r1", Capacity(4000, 8192))
+    >>> cell.commit("w1", "booking", Capacity(1000, 2048))
+    >>> cell.worker("w1").free
+    Capacity(cpu_millis=3000, memory_mib=6144, accelerators=0)
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, WorkerState] = {}
+        self._index = FreeIndex()
+        self._racks: dict[str, set[str]] = {}
+        self._domains: dict[str, set[str]] = {}
+        self._rack_counts: dict[str, dict[str, int]] = {}
+        self._domain_counts: dict[str, dict[str, int]] = {}
+        self._rack_places: dict[str, str] = {}
+        self._exclusions: dict[str, int] = {}
+        self._cpu_capacity = 0
+        self._memory_capacity = 0
+        self._cpu_free = 0
+        self._memory_free = 0
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    @property
+    def index(self) -> FreeIndex:
+        """The workers that take new tasks, by free amounts; for reading only."""
+        return self._index
+
+    @property
+    def processor_is_scarcer(self) -> bool:
+        """Whether processor is committed to a greater part than memory."""
+        cpu_used = self._cpu_capacity - self._cpu_free
+        memory_used = self._memory_capacity - self._memory_free
+        return cpu_used * self._memory_capacity >= memory_used * self._cpu_capacity
+
+    def worker(self, name: str) -> WorkerState:
+        """Return the state of one worker; for reading only."""
+        try:
+            return self._workers[name]
+        except KeyError:
+            raise UnknownWorker(
+                f"worker {name!r} is not in the cell", "add it first"
+            ) from None
+
+    def has_worker(self, name: str) -> bool:
+        """Tell whether a worker is in the cell."""
+        return name in self._workers
+
+    def iterate_workers(self) -> Iterator[WorkerState]:
+        """Yield the state of every worker, in the order they were added."""
+        yield from self._workers.values()
+
+    def add_worker(
+        self, name: str, failure_domain: str, rack: str, capacity: Capacity
+    ) -> None:
+        """Add an empty worker that takes tasks."""
+        if name in self._workers:
+            raise DuplicateWorker(
+                f"worker {name!r} is already in the cell", "remove it first"
+            )
+        state = WorkerState(
+            name,
+            failure_domain,
+            rack,
+            capacity,
+            capacity.cpu_millis,
+            capacity.memory_mib,
+            capacity.accelerators,
+        )
+        self._workers[name] = state
+        self._rack_places[name] = state.rack_place
+        self._racks.setdefault(state.rack_place, set()).add(name)
+        self._domains.setdefault(failure_domain, set()).add(name)
+        self._enlist(state)
+
+    def remove_worker(self, name: str) -> None:
+        """Forget a worker and all that is committed on it."""
+        state = self.worker(name)
+        if not state.exclusion:
+            self._delist(state)
+        else:
+            self._count_exclusion(state.exclusion, -1)
+        for group, count in state.groups.items():
+            self._count_group(state, group, -count)
+        del self._workers[name]
+        del self._rack_places[name]
+        _discard_member(self._racks, state.rack_place, name)
+        _discard_member(self._domains, state.failure_domain, name)
+
+    def commit(self, name: str, group: str, size: Capacity) -> None:
+        """Commit one task of a workload on a worker, excluded or not."""
+        state = self.worker(name)
+        if not state.has_room(size):
+            raise OverCapacity(
+                f"worker {name!r} has {state.free} free, less than {size}",
+                "release something there or choose another worker",
+            )
+        self._change_free(state, -1, size)
+        state.groups[group] = state.groups.get(group, 0) + 1
+        self._count_group(state, group, 1)
+
+    def release(self, name: str, group: str, size: Capacity) -> None:
+        """Release one task of a workload that was committed with this size."""
+        state = self.worker(name)
+        committed = state.groups.get(group, 0)
+        if not committed or not size.fits_in(state.committed):
+            raise UnknownCommitment(
+                f"worker {name!r} holds no task of {group!r} with {size}",
+                "release what was committed, once",
+            )
+        if committed == 1:
+            del state.groups[group]
+        else:
+            state.groups[group] = committed - 1
+        self._change_free(state, 1, size)
+        self._count_group(state, group, -1)
+
+    def exclude(self, name: str, reason: str) -> None:
+        """Give a worker no new tasks, for a reason of ``EXCLUSIONS``."""
+        state = self.worker(name)
+        if reason not in EXCLUSIONS:
+            raise PlacementError(
+                f"reason {reason!r} is not known", "use one of " + ", ".join(EXCLUSIONS)
+            )
+        if state.exclusion:
+            self._count_exclusion(state.exclusion, -1)
+        else:
+            self._delist(state)
+        state.exclusion = reason
+        self._count_exclusion(reason, 1)
+
+    def include(self, name: str) -> None:
+        """Let a worker take new tasks again."""
+        state = self.worker(name)
+        if not state.exclusion:
+            return
+        self._count_exclusion(state.exclusion, -1)
+        state.exclusion = ""
+        self._enlist(state)
+
+    def count_places(self, spread: str) -> int:
+        """Return how many racks or failure domains the cell has."""
+        return len(self._racks if spread == SPREAD_RACK else self._domains)
+
+    def list_places(self, spread: str) -> dict[str, set[str]]:
+        """Return the workers of each rack or failure domain; for reading only."""
+        return self._racks if spread == SPREAD_RACK else self._domains
+
+    def list_group_counts(self, group: str, spread: str) -> dict[str, int]:
+        """Return the tasks of a workload by place, without zeros; for reading only."""
+        counts = self._rack_counts if spread == SPREAD_RACK else self._domain_counts
+        return counts.get(group, {})
+
+    def name_place(self, name: str, spread: str) -> str:
+        """Return the rack or failure domain of a worker."""
+        if spread == SPREAD_RACK:
+            return self._rack_places[name]
+        return self._workers[name].failure_domain
+
+    def list_exclusions(self) -> tuple[ReasonCount, ...]:
+        """Return how many workers take no tasks for each reason."""
+        counts = []
+        for reason in sorted(self._exclusions):
+            counts.append(ReasonCount(reason, self._exclusions[reason]))
+        return tuple(counts)
+
+    def _change_free(self, state: WorkerState, sign: int, size: Capacity) -> None:
+        """Add ``sign`` times a size to what a worker has free."""
+        cpu = sign * size.cpu_millis
+        memory = sign * size.memory_mib
+        listed = not state.exclusion
+        if listed:
+            self._index.remove(
+                state.name,
+                state.free_cpu_millis,
+                state.free_memory_mib,
+                state.free_accelerators,
+            )
+            self._cpu_free += cpu
+            self._memory_free += memory
+        state.free_cpu_millis += cpu
+        state.free_memory_mib += memory
+        state.free_accelerators += sign * size.accelerators
+        if listed:
+            self._index.add(
+                state.name,
+                state.free_cpu_millis,
+                state.free_memory_mib,
+                state.free_accelerators,
+            )
+
+    def _enlist(self, state: WorkerState) -> None:
+        """Put a worker among those that take tasks."""
+        self._index.add(
+            state.name,
+            state.free_cpu_millis,
+            state.free_memory_mib,
+            state.free_accelerators,
+        )
+        self._count_capacity(state, 1)
+
+    def _delist(self, state: WorkerState) -> None:
+        """Take a worker from those that take tasks."""
+        self._index.remove(
+            state.name,
+            state.free_cpu_millis,
+            state.free_memory_mib,
+            state.free_accelerators,
+        )
+        self._count_capacity(state, -1)
+
+    def _count_capacity(self, state: WorkerState, sign: int) -> None:
+        """Add ``sign`` times a worker to the sums over those that take tasks."""
+        self._cpu_capacity += sign * state.capacity.cpu_millis
+        self._memory_capacity += sign * state.capacity.memory_mib
+        self._cpu_free += sign * state.free_cpu_millis
+        self._memory_free += sign * state.free_memory_mib
+
+    def _count_exclusion(self, reason: str, change: int) -> None:
+        """Change the number of workers excluded for a reason."""
+        _add_count(self._exclusions, reason, change)
+
+    def _count_group(self, state: WorkerState, group: str, change: int) -> None:
+        """Change the number of a workload's tasks in the places of a worker."""
+        racks = self._rack_counts.setdefault(group, {})
+        _add_count(racks, self._rack_places[state.name], change)
+        domains = self._domain_counts.setdefault(group, {})
+        _add_count(domains, state.failure_domain, change)
+        if not domains:
+            del self._rack_counts[group], self._domain_counts[group]
+
+
+def _add_count(counts: dict[str, int], key: str, change: int) -> None:
+    """Change one count and drop it at zero."""
+    count = counts.get(key, 0) + change
+    if count:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
+
+
+def _discard_member(places: dict[str, set[str]], place: str, name: str) -> None:
+    """Take a worker out of its place and drop the place when it is empty."""
+    places[place].discard(name)
+    if not places[place]:
+        del places[place]
