--- a/packages/almondspread/almondspread/codec/__init__.py
+++ b/packages/almondspread/almondspread/codec/__init__.py
@@ -6,8 +6,10 @@
     structure_document,
     unstructure_value,
 )
+from almondspread.codec.tagged import TaggedCodec
 
 __all__ = [
+    "TaggedCodec",
     "decode_message",
     "encode_message",
     "structure_document",
--- /dev/null
+++ b/packages/almondspread/almondspread/journal/__init__.py
@@ -0,0 +1,6 @@
+"""The journal of one shard: the fence behind which its owner decides."""
+
+from almondspread.journal.journal import Journal, Superseded, Undecodable
+from almondspread.journal.rows import JournalRow, make_row_key
+
+__all__ = ["Journal", "JournalRow", "Superseded", "Undecodable", "make_row_key"]
--- /dev/null
+++ b/packages/almondspread/almondspread/journal/journal.py
@@ -0,0 +1,239 @@
+"""Group commit into a shard's journal, and its recovery after a takeover.
+
+Every row is written under two conditions: the shard's owner row is as it was when
+this owner took the shard, and the row does not exist. A superseded owner can
+therefore commit nothing. A commit whose answer is lost is sent again unchanged: the
+row then exists, and its batch tells whose it is.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from attrs import define
+from expression import Error, Ok, Result
+
+from almondspread.clock import Clock
+from almondspread.codec import decode_message, encode_message
+from almondspread.interfaces import (
+    Condition,
+    ConditionFailed,
+    ObjectStore,
+    TableService,
+    TableUnavailable,
+    Write,
+)
+from almondspread.journal.rows import (
+    JournalRow,
+    SnapshotRecord,
+    make_row_key,
+    make_snapshot_key,
+)
+
+RETRY_PAUSE = timedelta(milliseconds=200)
+SCAN_ROWS = 500
+DELETE_ROWS = 200
+
+
+@define(frozen=True)
+class Superseded:
+    """Another owner has the shard; this one must stop deciding for it."""
+
+    shard: str
+
+
+@define(frozen=True)
+class Undecodable(Exception):
+    """A row or snapshot of the shard cannot be read; nothing is overwritten."""
+
+    shard: str
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return (
+            f"shard {self.shard} is stopped: {self.place} does not decode "
+            f"({self.reason}); restore it or remove the shard's rows by hand"
+        )
+
+
+@define(frozen=True)
+class Recovery:
+    """What a journal holds: the latest snapshot and all batches after it."""
+
+    snapshot: bytes | None
+    rows: tuple[JournalRow, ...]
+
+
+class Journal:
+    """The journal of one shard under one epoch of its ownership."""
+
+    def __init__(
+        self,
+        shard: str,
+        epoch: int,
+        owner_condition: Condition,
+        table: TableService,
+        store: ObjectStore,
+        clock: Clock,
+        make_batch: Callable[[], str],
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self._owner_condition = owner_condition
+        self._table = table
+        self._store = store
+        self._clock = clock
+        self._make_batch = make_batch
+        self._next_sequence = 1
+        self._snapshot_sequence = 0
+        self._snapshot_name = ""
+        self.stalled = False
+
+    @property
+    def rows_since_snapshot(self) -> int:
+        """How many rows a takeover would read after the snapshot."""
+        return self._next_sequence - 1 - self._snapshot_sequence
+
+    async def recover(self) -> Result[Recovery, TableUnavailable]:
+        """Read the latest snapshot and the rows after it.
+
+        Raises ``Undecodable`` where one of them cannot be read.
+        """
+        record = await self._read_snapshot_record()
+        if record.is_error():
+            return Error(record.error)
+        snapshot = None
+        if record.ok is not None:
+            loaded = await self._store.get(record.ok.name)
+            if loaded.is_error():
+                return Error(loaded.error)
+            if loaded.ok is None:
+                raise Undecodable(self.shard, record.ok.name, "the object is missing")
+            snapshot = loaded.ok
+            self._snapshot_sequence = record.ok.sequence
+            self._snapshot_name = record.ok.name
+        rows = await self._read_rows(self._snapshot_sequence)
+        if rows.is_error():
+            return Error(rows.error)
+        self._next_sequence = self._snapshot_sequence + len(rows.ok) + 1
+        return Ok(Recovery(snapshot, tuple(rows.ok)))
+
+    async def commit(self, events: list[bytes]) -> Result[int, Superseded]:
+        """Commit a batch; return its sequence number.
+
+        Waits out an outage of the table service: until the row's fate is known,
+        nothing else may be decided.
+        """
+        sequence = self._next_sequence
+        key = make_row_key(self.shard, sequence)
+        row = JournalRow(self._make_batch(), self.epoch, tuple(events))
+        conditions = [self._owner_condition, Condition(key, 0)]
+        writes = [Write(key, encode_message(row))]
+        while True:
+            outcome = await self._table.transact(conditions, writes)
+            if outcome.is_ok():
+                break
+            if isinstance(outcome.error, TableUnavailable):
+                self.stalled = True
+                await self._clock.sleep(RETRY_PAUSE)
+                continue
+            if not await self._is_own_row(outcome.error, key, row.batch):
+                return Error(Superseded(self.shard))
+            break
+        self.stalled = False
+        self._next_sequence = sequence + 1
+        return Ok(sequence)
+
+    async def write_snapshot(self, data: bytes) -> Result[None, Superseded]:
+        """Store a snapshot of all committed so far and drop the rows it covers.
+
+        An outage only puts the snapshot off: the rows stay until it is recorded.
+        """
+        sequence = self._next_sequence - 1
+        name = f"snapshot/{self.shard}/{self.epoch}-{sequence}"
+        stored = await self._store.put(name, data)
+        if stored.is_error():
+            return Ok(None)
+        record = SnapshotRecord(name, sequence)
+        key = make_snapshot_key(self.shard)
+        outcome = await self._table.transact(
+            [self._owner_condition], [Write(key, encode_message(record))]
+        )
+        if outcome.is_error():
+            if isinstance(outcome.error, ConditionFailed):
+                return Error(Superseded(self.shard))
+            return Ok(None)
+        covered_from = self._snapshot_sequence + 1
+        old_name = self._snapshot_name
+        self._snapshot_sequence = sequence
+        self._snapshot_name = name
+        await self._drop_rows(covered_from, sequence)
+        if old_name:
+            await self._store.delete(old_name)
+        return Ok(None)
+
+    async def _drop_rows(self, first: int, last: int) -> None:
+        """Delete the rows that a recorded snapshot covers."""
+        for start in range(first, last + 1, DELETE_ROWS):
+            stop = min(last, start + DELETE_ROWS - 1)
+            writes = [
+                Write(make_row_key(self.shard, sequence), None)
+                for sequence in range(start, stop + 1)
+            ]
+            await self._table.transact([self._owner_condition], writes)
+
+    async def _is_own_row(self, failed: ConditionFailed, key: str, batch: str) -> bool:
+        """Tell whether a refused commit had taken effect at an earlier try."""
+        if failed.key != key:
+            return False
+        while True:
+            rows = await self._table.read([key])
+            if rows.is_ok():
+                break
+            self.stalled = True
+            await self._clock.sleep(RETRY_PAUSE)
+        if not rows.ok:
+            return False
+        return self._decode_row(key, rows.ok[0].value).batch == batch
+
+    async def _read_snapshot_record(
+        self,
+    ) -> Result[SnapshotRecord | None, TableUnavailable]:
+        """Return the record of the latest snapshot, ``None`` before the first."""
+        key = make_snapshot_key(self.shard)
+        rows = await self._table.read([key])
+        if rows.is_error():
+            return Error(rows.error)
+        if not rows.ok:
+            return Ok(None)
+        try:
+            return Ok(decode_message(rows.ok[0].value, SnapshotRecord))
+        except ValueError as error:
+            raise Undecodable(self.shard, key, str(error)) from error
+
+    async def _read_rows(
+        self, after: int
+    ) -> Result[list[JournalRow], TableUnavailable]:
+        """Return all rows after a sequence number, which must have no gap."""
+        found: list[JournalRow] = []
+        prefix = f"journal/{self.shard}/"
+        last_key = make_row_key(self.shard, after)
+        while True:
+            page = await self._table.scan(prefix, last_key, SCAN_ROWS)
+            if page.is_error():
+                return Error(page.error)
+            for row in page.ok:
+                expected = make_row_key(self.shard, after + len(found) + 1)
+                if row.key != expected:
+                    raise Undecodable(self.shard, expected, "the row is missing")
+                found.append(self._decode_row(row.key, row.value))
+                last_key = row.key
+            if len(page.ok) < SCAN_ROWS:
+                return Ok(found)
+
+    def _decode_row(self, key: str, value: bytes) -> JournalRow:
+        """Return the row that bytes hold."""
+        try:
+            return decode_message(value, JournalRow)
+        except ValueError as error:
+            raise Undecodable(self.shard, key, str(error)) from error
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/events.py
@@ -0,0 +1,91 @@
+"""Events of a scheduling shard, as its journal keeps them."""
+
+from attrs import define
+
+from almondspread.codec import TaggedCodec
+
+
+@define(frozen=True)
+class WorkloadAdded:
+    """The shard takes on some tasks of a workload.
+
+    ``document`` is the msgpack document of the resource, ``created_revision`` the
+    revision that created it, ``indices`` the tasks that this shard has of it.
+    """
+
+    workload: str
+    created_revision: int
+    document: bytes
+    indices: tuple[int, ...]
+    since: float
+
+
+@define(frozen=True)
+class WorkloadChanged:
+    """The workload was declared anew: other tasks, or another template."""
+
+    workload: str
+    document: bytes
+    indices: tuple[int, ...]
+
+
+@define(frozen=True)
+class WorkloadRemoved:
+    """The workload was cancelled: its attempts stop and no new one is bound."""
+
+    workload: str
+
+
+@define(frozen=True)
+class WorkloadForgotten:
+    """No attempt of a removed workload is left."""
+
+    workload: str
+
+
+@define(frozen=True)
+class AttemptBound:
+    """An attempt of a task is bound to a worker, at the end of its run list."""
+
+    workload: str
+    index: int
+    number: int
+    worker: str
+    cpu_millis: int
+    memory_mib: int
+    accelerators: int
+
+
+@define(frozen=True)
+class AttemptEnded:
+    """An attempt no longer runs and never will again."""
+
+    workload: str
+    index: int
+    number: int
+    outcome: str
+    reason: str = ""
+    run_seconds: float = 0.0
+    peak_memory_mib: int = 0
+    checkpoint: str = ""
+
+
+Event = (
+    WorkloadAdded
+    | WorkloadChanged
+    | WorkloadRemoved
+    | WorkloadForgotten
+    | AttemptBound
+    | AttemptEnded
+)
+
+EVENT_CODEC = TaggedCodec(
+    (
+        WorkloadAdded,
+        WorkloadChanged,
+        WorkloadRemoved,
+        WorkloadForgotten,
+        AttemptBound,
+        AttemptEnded,
+    )
+)
