--- a/packages/almondspread/almondspread/changes/cache.py
+++ b/packages/almondspread/almondspread/changes/cache.py
@@ -34,11 +34,12 @@
     """What the change log adds up to, advanced one entry after another.
 
     ``history`` keeps the latest entries in order; a watch that needs an older one
-    has expired.
+    has expired. ``spec_revision`` is the latest that changed a declaration.
     """
 
     def __init__(self, history_entries: int = HISTORY_ENTRIES) -> None:
         self.revision = 0
+        self.spec_revision = 0
         self._items: dict[tuple[str, str], Item] = {}
         self._by_kind: dict[str, dict[str, Item]] = {}
         self._history: deque[Entry] = deque(maxlen=history_entries)
@@ -93,6 +94,7 @@
         if change.part != "spec":
             self._apply_report(current, change)
             return
+        self.spec_revision = entry.revision
         if change.value is None:
             self._items.pop(key, None)
             self._by_kind.get(change.kind, {}).pop(change.name, None)
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -23,6 +23,7 @@
     choose_gang,
     choose_worker,
 )
+from almondspread.placement.values import EXCLUSIONS
 from almondspread.resources import Service
 from almondspread.scheduling.events import (
     AttemptBound,
@@ -68,6 +69,7 @@
         self._terms = terms
         self._pending: list[Event] = []
         self._known_workers: set[str] = set()
+        self._exclusions: dict[str, set[str]] = {}
 
     def set_workers(self, workers: list[Instance]) -> None:
         """Take in the platform's list of the shard's workers."""
@@ -76,10 +78,26 @@
             listed.add(worker.name)
             if worker.name not in self._known_workers:
                 self._add_worker(worker)
-            if worker.leaving:
-                self.cell.exclude(worker.name, "leaving")
+            self.set_exclusion(worker.name, "leaving", worker.leaving)
         for name in self._known_workers - listed:
-            self.cell.exclude(name, "leaving")
+            self.set_exclusion(name, "leaving", True)
+
+    def set_exclusion(self, worker: str, reason: str, applies: bool) -> None:
+        """Keep new tasks off a worker for a reason, or lift that reason."""
+        if worker not in self._known_workers:
+            return
+        reasons = self._exclusions.setdefault(worker, set())
+        if applies == (reason in reasons):
+            return
+        if applies:
+            reasons.add(reason)
+        else:
+            reasons.discard(reason)
+        for known in EXCLUSIONS:
+            if known in reasons:
+                self.cell.exclude(worker, known)
+                return
+        self.cell.include(worker)
 
     def _add_worker(self, worker: Instance) -> None:
         """Add a worker with what is bound to it already."""
@@ -254,6 +272,11 @@
         self.state.apply(event)
         self._pending.append(event)
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether events are decided that the journal does not hold yet."""
+        return bool(self._pending)
+
     def take_batch(self) -> list[Event]:
         """Return the events to commit next."""
         batch = self._pending
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -0,0 +1,147 @@
+"""Links to all other instances, their heartbeats, and the platform's list."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from expression import Error, Result
+from loguru import logger
+from tornado.tcpclient import TCPClient
+
+from almondspread.clock import Clock
+from almondspread.interfaces import Instance, InstanceList
+from almondspread.ownership import Member, Members
+from almondspread_daemon.peers import CallContext, PeerFault, PeerLink
+from almondspread_daemon.peers.messages import Accepted, Heartbeat
+
+
+class Neighbours:
+    """Keeps a link to each other instance and sends heartbeats over it."""
+
+    def __init__(
+        self,
+        own_address: str,
+        seeds: tuple[str, ...],
+        members: Members,
+        instance_list: InstanceList,
+        clock: Clock,
+        random_source: random.Random,
+        compose_heartbeat: Callable[[], Heartbeat],
+        heartbeat_interval: timedelta,
+        list_interval: timedelta,
+    ) -> None:
+        self.members = members
+        self.listed: dict[str, Instance] = {}
+        self.list_is_known = False
+        self._own_address = own_address
+        self._seeds = seeds
+        self._instance_list = instance_list
+        self._clock = clock
+        self._random = random_source
+        self._compose_heartbeat = compose_heartbeat
+        self._heartbeat_interval = heartbeat_interval
+        self._list_interval = list_interval
+        self._client = TCPClient()
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Send heartbeats and follow the list until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._send_heartbeats())
+                group.create_task(self._follow_list())
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def _send_heartbeats(self) -> None:
+        """Send one heartbeat after another over every link."""
+        for address in self._seeds:
+            self._open_link(address)
+        while True:
+            self.send_heartbeat()
+            await self._clock.sleep(self._heartbeat_interval)
+
+    def send_heartbeat(self) -> None:
+        """Send one heartbeat over every link now."""
+        self.note_all(self._compose_heartbeat())
+
+    async def _follow_list(self) -> None:
+        """Read the platform's list again and again."""
+        while True:
+            listed = await self._instance_list.list()
+            if listed.is_ok():
+                self._take_list(listed.ok)
+            await self._clock.sleep(self._list_interval)
+
+    def _take_list(self, instances: list[Instance]) -> None:
+        """Take in the platform's list."""
+        current = {instance.name: instance for instance in instances}
+        for name, instance in self.listed.items():
+            if instance.role == "entry" and name not in current:
+                logger.info("the platform's list no longer has entry {}", name)
+                self.members.mark_gone(name)
+                self._close_link(instance.address)
+        self.listed = current
+        self.list_is_known = True
+        for instance in instances:
+            if instance.role == "entry":
+                self._open_link(instance.address)
+
+    def _open_link(self, address: str) -> None:
+        """Open the link to an address, unless it is open or our own."""
+        if address == self._own_address or address in self._links:
+            return
+        link = PeerLink(address, self._clock, self._random, self._client)
+        self._links[address] = link
+        self._tasks[address] = asyncio.create_task(link.run())
+
+    def _close_link(self, address: str) -> None:
+        """Close the link to an address that is not a seed."""
+        if address in self._seeds or address not in self._links:
+            return
+        del self._links[address]
+        self._tasks.pop(address).cancel()
+
+    async def take_heartbeat(self, beat: Heartbeat, _: CallContext) -> Accepted:
+        """Take in a heartbeat of a peer."""
+        self.members.hear(
+            Member(
+                name=beat.name,
+                address=beat.address,
+                failure_domain=beat.failure_domain,
+                incarnation=beat.incarnation,
+                heard=self._clock.monotonic(),
+                ready=beat.ready,
+                leaving=beat.leaving,
+                revision=beat.revision,
+                shards=beat.shards,
+            )
+        )
+        self._open_link(beat.address)
+        return Accepted()
+
+    def list_live(self) -> list[Member]:
+        """Return the members that count as live now."""
+        return self.members.list_live(self._clock.monotonic())
+
+    def find_owner(self, shard: str) -> Member | None:
+        """Return the live member that owns a shard."""
+        return self.members.find_owner(shard, self._clock.monotonic())
+
+    def note_all(self, message: Any) -> None:
+        """Send a message without reply to every instance."""
+        for link in self._links.values():
+            link.note(message)
+
+    async def call(
+        self, address: str, message: Any, timeout: timedelta
+    ) -> Result[Any, PeerFault]:
+        """Send a message to one instance and return its reply."""
+        link = self._links.get(address)
+        if link is None:
+            return Error(PeerFault(f"no link to {address}", True))
+        return await link.call(message, timeout)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/__init__.py
@@ -0,0 +1,6 @@
+"""Streams between instances: calls with answers, and notes without."""
+
+from almondspread_daemon.peers.links import PeerFault, PeerLink
+from almondspread_daemon.peers.server import CallContext, PeerServer
+
+__all__ = ["CallContext", "PeerFault", "PeerLink", "PeerServer"]
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
@@ -0,0 +1,65 @@
+"""Frames of a peer stream: msgpack values one after another."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgpack
+from attrs import define
+from tornado.iostream import IOStream
+
+CALL = 0
+REPLY = 1
+NOTE = 2
+
+READ_BYTES = 65_536
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+
+
+@define(frozen=True)
+class Frame:
+    """One message on its way.
+
+    ``number`` ties a reply to its call and is 0 for a note. ``timeout`` is how many
+    seconds the caller still waits; ``traceparent`` carries the trace context.
+    """
+
+    kind: int
+    number: int
+    body: Any
+    timeout: float = 0.0
+    traceparent: str = ""
+
+    def encode(self) -> bytes:
+        """Return the frame as msgpack bytes."""
+        return bytes(
+            msgpack.packb(
+                [self.kind, self.number, self.body, self.timeout, self.traceparent]
+            )
+        )
+
+
+async def read_frames(stream: IOStream) -> AsyncIterator[Frame]:
+    """Yield the frames that arrive on a stream until it is closed.
+
+    Raises ``ValueError`` for bytes that are not a frame.
+    """
+    unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+    while True:
+        data = await stream.read_bytes(READ_BYTES, partial=True)
+        try:
+            unpacker.feed(data)
+            for plain in unpacker:
+                yield _parse_frame(plain)
+        except (msgpack.UnpackException, msgpack.BufferFull) as error:
+            raise ValueError(f"not a frame: {error!r}") from error
+
+
+def _parse_frame(plain: Any) -> Frame:
+    """Return the frame that a msgpack value describes."""
+    try:
+        kind, number, body, timeout, traceparent = plain
+        return Frame(
+            int(kind), int(number), body, float(timeout), str(traceparent)
+        )
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"not a frame: {error!r}") from error
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -0,0 +1,145 @@
+"""The outgoing stream to one peer: one task keeps it open and reads its replies."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from attrs import define
+from expression import Error, Ok, Result
+from loguru import logger
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from almondspread.clock import Clock
+from almondspread_daemon.peers.frames import CALL, NOTE, REPLY, Frame, read_frames
+from almondspread_daemon.peers.messages import PEER_CODEC
+from almondspread_daemon.settings import parse_address
+
+FIRST_PAUSE = timedelta(milliseconds=100)
+LAST_PAUSE = timedelta(seconds=2)
+CONNECT_TIMEOUT = timedelta(seconds=1)
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+
+
+@define(frozen=True)
+class PeerFault:
+    """A call got no reply. ``not_sent`` tells that no byte of it can have left."""
+
+    reason: str
+    not_sent: bool
+
+
+class PeerLink:
+    """The outgoing stream to the peer at one address."""
+
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        random_source: random.Random,
+        client: TCPClient,
+        get_traceparent: Callable[[], str] = lambda: "",
+    ) -> None:
+        self.address = address
+        self._clock = clock
+        self._random = random_source
+        self._client = client
+        self._get_traceparent = get_traceparent
+        self._stream: IOStream | None = None
+        self._calls: dict[int, asyncio.Future[Any]] = {}
+        self._last_number = 0
+        self.bytes_sent = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is open now."""
+        return self._stream is not None
+
+    async def run(self) -> None:
+        """Keep the stream open until cancelled."""
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                await self._connect()
+                pause = FIRST_PAUSE
+                await self._read_replies()
+            except (StreamClosedError, OSError, ValueError, TimeoutError) as error:
+                logger.debug("peer stream to {} is closed: {!r}", self.address, error)
+            finally:
+                self._drop_stream()
+            await self._clock.sleep(pause * self._random.uniform(0.5, 1.0))
+            pause = min(pause * 2, LAST_PAUSE)
+
+    async def _connect(self) -> None:
+        """Open the stream."""
+        host, port = parse_address(self.address)
+        self._stream = await self._client.connect(
+            host,
+            port,
+            timeout=CONNECT_TIMEOUT.total_seconds(),
+            max_write_buffer_size=MAX_UNSENT_BYTES,
+        )
+        self._stream.set_nodelay(True)
+
+    async def _read_replies(self) -> None:
+        """Hand each reply to the call that waits for it."""
+        assert self._stream is not None
+        async for frame in read_frames(self._stream):
+            if frame.kind != REPLY:
+                raise ValueError(f"frame of kind {frame.kind} where a reply is due")
+            # A reply that comes after its call's timeout has no one to go to.
+            future = self._calls.pop(frame.number, None)
+            if future is None or future.done():
+                continue
+            future.set_result(PEER_CODEC.from_plain(frame.body))
+
+    def _drop_stream(self) -> None:
+        """Close the stream and fail the calls that wait on it."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.close()
+        calls, self._calls = self._calls, {}
+        for future in calls.values():
+            if not future.done():
+                future.set_exception(StreamClosedError())
+
+    def note(self, message: Any) -> None:
+        """Send a message that has no reply, if the stream is open."""
+        self._write(Frame(NOTE, 0, PEER_CODEC.to_plain(message)))
+
+    async def call(self, message: Any, timeout: timedelta) -> Result[Any, PeerFault]:
+        """Send a message and return its reply."""
+        if self._stream is None:
+            return Error(PeerFault(f"no stream to {self.address}", True))
+        self._last_number += 1
+        number = self._last_number
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._calls[number] = future
+        seconds = timeout.total_seconds()
+        body = PEER_CODEC.to_plain(message)
+        frame = Frame(CALL, number, body, seconds, self._get_traceparent())
+        if not self._write(frame):
+            self._calls.pop(number, None)
+            return Error(PeerFault(f"the stream to {self.address} is closed", True))
+        try:
+            return Ok(await asyncio.wait_for(future, seconds))
+        except TimeoutError:
+            return Error(PeerFault(f"no reply from {self.address} in time", False))
+        except (StreamClosedError, ValueError) as error:
+            return Error(PeerFault(f"stream to {self.address}: {error!r}", False))
+        finally:
+            self._calls.pop(number, None)
+
+    def _write(self, frame: Frame) -> bool:
+        """Put a frame on the stream; false where none of it was."""
+        if self._stream is None:
+            return False
+        data = frame.encode()
+        try:
+            self._stream.write(data)
+        except (StreamClosedError, OSError):
+            return False
+        self.bytes_sent += len(data)
+        return True
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -0,0 +1,169 @@
+"""Messages between instances."""
+
+from attrs import define
+
+from almondspread.codec import TaggedCodec
+from almondspread.errors import Problem
+from almondspread.errors import problems as problem_kinds
+
+
+@define(frozen=True)
+class Heartbeat:
+    """Says that an instance lives, and what it owns and has in force."""
+
+    name: str
+    address: str
+    failure_domain: str
+    incarnation: str
+    ready: bool
+    leaving: bool
+    revision: int
+    shards: dict[str, int]
+
+
+@define(frozen=True)
+class EntryAnnounced:
+    """A new entry of the change log, encoded."""
+
+    entry: bytes
+
+
+@define(frozen=True)
+class FetchEntries:
+    """Asks for the entries of the change log after a revision."""
+
+    after: int
+
+
+@define(frozen=True)
+class FetchedEntries:
+    """Entries in order; empty where the answering instance has none newer."""
+
+    entries: tuple[bytes, ...]
+
+
+@define(frozen=True)
+class ShardReleased:
+    """The sender has handed a shard over and acts for it no more."""
+
+    shard: str
+    epoch: int
+
+
+@define(frozen=True)
+class FetchStatus:
+    """Asks an instance for its status document."""
+
+
+@define(frozen=True)
+class FetchTasks:
+    """Asks the owner of a shard how the tasks of a workload stand."""
+
+    shard: str
+    kind: str
+    name: str
+
+
+@define(frozen=True)
+class Document:
+    """A JSON document as msgpack bytes."""
+
+    data: bytes
+
+
+@define(frozen=True)
+class SubmitCall:
+    """A caller's non-idempotent request, on its way to the owner of its key."""
+
+    shard: str
+    service: str
+    kind: str
+    key: str
+    body: bytes
+    deadline: float
+
+
+@define(frozen=True)
+class FetchRecord:
+    """Asks the owner of a key for what is recorded of it."""
+
+    shard: str
+    service: str
+    key: str
+
+
+@define(frozen=True)
+class CallMinion:
+    """Asks the owner of some minions to pass one request to one of them."""
+
+    service: str
+    kind: str
+    key: str
+    body: bytes
+    deadline: float
+
+
+@define(frozen=True)
+class CallAnswered:
+    """The whole answer of a minion."""
+
+    status: int
+    body: bytes
+    content_type: str
+    recorded: bool = False
+
+
+@define(frozen=True)
+class Refused:
+    """A problem in place of an answer."""
+
+    code: str
+    message: str
+    remedy: str
+    not_run: bool | None = None
+    retry_after_seconds: float | None = None
+
+    def to_problem(self) -> Problem:
+        """Return the problem that the message carries."""
+        kind = _PROBLEMS.get(self.code, problem_kinds.Unavailable)
+        return kind(self.message, self.remedy, self.not_run, self.retry_after_seconds)
+
+
+@define(frozen=True)
+class Accepted:
+    """The call was carried out and has nothing more to say."""
+
+
+def refuse(problem: Problem) -> Refused:
+    """Return the message that carries a problem."""
+    return Refused(
+        problem.code,
+        problem.message,
+        problem.remedy,
+        problem.not_run,
+        problem.retry_after_seconds,
+    )
+
+
+_PROBLEMS: dict[str, type[Problem]] = {
+    kind.code: kind for kind in Problem.__subclasses__()
+}
+
+PEER_CODEC = TaggedCodec(
+    (
+        Heartbeat,
+        EntryAnnounced,
+        FetchEntries,
+        FetchedEntries,
+        ShardReleased,
+        FetchStatus,
+        FetchTasks,
+        Document,
+        SubmitCall,
+        FetchRecord,
+        CallMinion,
+        CallAnswered,
+        Refused,
+        Accepted,
+    )
+)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/server.py
@@ -0,0 +1,103 @@
+"""The listener for peers: one task for each stream, one for each call on it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from attrs import define
+from loguru import logger
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from almondspread.errors import Unavailable
+from almondspread_daemon.peers.frames import CALL, NOTE, REPLY, Frame, read_frames
+from almondspread_daemon.peers.messages import PEER_CODEC, refuse
+
+MAX_CALLS_PER_STREAM = 4_096
+
+
+@define(frozen=True)
+class CallContext:
+    """What came with a call: seconds the caller still waits, and its trace."""
+
+    timeout: float
+    traceparent: str
+
+
+Handler = Callable[[Any, CallContext], Awaitable[Any]]
+
+
+class PeerServer(TCPServer):
+    """Takes calls and notes of peers and passes them on by the type of message."""
+
+    def __init__(self, handlers: dict[type, Handler]) -> None:
+        super().__init__()
+        self._handlers = handlers
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._streams: set[IOStream] = set()
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve one stream until the peer closes it."""
+        stream.set_nodelay(True)
+        self._streams.add(stream)
+        try:
+            async for frame in read_frames(stream):
+                self._accept(stream, frame)
+        except StreamClosedError:
+            pass
+        except ValueError as error:
+            logger.warning("peer stream from {} is dropped: {}", address, error)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    def _accept(self, stream: IOStream, frame: Frame) -> None:
+        """Start a task for a call or note."""
+        if frame.kind not in (CALL, NOTE):
+            raise ValueError(f"frame of kind {frame.kind} where a call is due")
+        message = PEER_CODEC.from_plain(frame.body)
+        if len(self._tasks) > MAX_CALLS_PER_STREAM:
+            raise ValueError("too many calls at once")
+        task = asyncio.create_task(self._serve(stream, frame, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, stream: IOStream, frame: Frame, message: Any) -> None:
+        """Carry out a call and write its reply."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            reply = refuse(
+                Unavailable(
+                    f"{type(message).__name__} is not served here",
+                    "run the same version on all instances",
+                    not_run=True,
+                )
+            )
+        else:
+            context = CallContext(frame.timeout, frame.traceparent)
+            try:
+                reply = await handler(message, context)
+            except Exception:
+                logger.exception("the call {} failed", type(message).__name__)
+                reply = refuse(
+                    Unavailable(
+                        "the instance failed while it served the call",
+                        "look at the log of that instance",
+                    )
+                )
+        if frame.kind == NOTE:
+            return
+        try:
+            await stream.write(
+                Frame(REPLY, frame.number, PEER_CODEC.to_plain(reply)).encode()
+            )
+        except StreamClosedError:
+            logger.debug("a reply found its stream closed")
+
+    def close(self) -> None:
+        """Stop listening and close every stream."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.close()
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/__init__.py
@@ -0,0 +1,6 @@
+"""Shards that this instance owns, and the tasks that act for them."""
+
+from almondspread_daemon.shards.keeper import ShardKeeper, ShardRunner
+from almondspread_daemon.shards.schedule import ScheduleShard
+
+__all__ = ["ScheduleShard", "ShardKeeper", "ShardRunner"]
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -0,0 +1,262 @@
+"""The owner of a scheduling shard: decides, commits, and then tells the workers."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import msgpack
+from loguru import logger
+
+from almondspread.changes import Item, ResourceCache
+from almondspread.clock import Clock
+from almondspread.interfaces import Instance, WorkerGateway
+from almondspread.journal import Journal
+from almondspread.journal.journal import Recovery
+from almondspread.ownership import Ownership
+from almondspread.resources import Workload, describe_resource
+from almondspread.scheduling import (
+    EVENT_CODEC,
+    Scheduler,
+    ShardState,
+    assign_tasks,
+)
+from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
+from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
+from almondspread.scheduling.scheduler import DesiredWorkload
+from almondspread.scheduling.tasks import name_attempt, name_workload
+from almondspread_daemon.shards.workers import WorkerLink
+
+WORKLOAD_KINDS = ("service", "batch", "gang")
+DECIDE_INTERVAL = timedelta(milliseconds=500)
+RECOVER_PAUSE = timedelta(milliseconds=500)
+MAX_PLACEMENTS_PER_BATCH = 400
+SNAPSHOT_ROWS = 500
+
+
+class ScheduleShard:
+    """Acts for one scheduling shard under one epoch."""
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        journal: Journal,
+        previous_owner_stopped: bool,
+        terms: LeaseTerms,
+        shards: tuple[str, ...],
+        cache: ResourceCache,
+        list_workers: Callable[[str], list[Instance] | None],
+        gateway: WorkerGateway,
+        clock: Clock,
+        exchange_interval: timedelta,
+        publish: Callable[[str, dict[tuple[str, str], Any]], None],
+    ) -> None:
+        self.ownership = ownership
+        self.scheduler = Scheduler(ShardState(), terms)
+        self.recovered = False
+        self._journal = journal
+        self._leases = WorkerLeases(terms, clock.monotonic(), previous_owner_stopped)
+        self._terms = terms
+        self._shards = shards
+        self._cache = cache
+        self._list_workers = list_workers
+        self._gateway = gateway
+        self._clock = clock
+        self._exchange_interval = exchange_interval
+        self._publish = publish
+        self._links: dict[str, WorkerLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._desired: dict[str, DesiredWorkload] = {}
+        self._desired_revision = -1
+        self._wake = asyncio.Event()
+        self._stopping = False
+        self._superseded = False
+
+    def wake(self) -> None:
+        """Have the shard decide at once."""
+        self._wake.set()
+
+    async def stop(self) -> None:
+        """End after the commit under way."""
+        self._stopping = True
+        self.wake()
+
+    async def run(self) -> None:
+        """Recover the shard and act for it until stopped or superseded."""
+        try:
+            await self._recover()
+            while not self._stopping:
+                await self._wait()
+                if not await self._decide():
+                    return
+            await self._leave_snapshot()
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def _wait(self) -> None:
+        """Wait until there is something to decide, or for the usual interval."""
+        try:
+            async with asyncio.timeout(DECIDE_INTERVAL.total_seconds()):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    async def _recover(self) -> None:
+        """Rebuild the state from the latest snapshot and the rows after it."""
+        while not self._stopping:
+            recovered = await self._journal.recover()
+            if recovered.is_ok():
+                self.scheduler.state = rebuild_state(recovered.ok)
+                self.recovered = True
+                return
+            logger.warning("shard {}: {}", self.ownership.shard, recovered.error.reason)
+            await self._clock.sleep(RECOVER_PAUSE)
+
+    async def _decide(self) -> bool:
+        """Decide and commit one batch; false once another owner has the shard."""
+        self._update_workers()
+        self.scheduler.reconcile(self._list_desired(), self._clock.now().timestamp())
+        self._end_lapsed()
+        self.scheduler.place(MAX_PLACEMENTS_PER_BATCH)
+        batch = self.scheduler.take_batch()
+        if batch:
+            encoded = [EVENT_CODEC.encode(event) for event in batch]
+            committed = await self._journal.commit(encoded)
+            if committed.is_error():
+                logger.warning("shard {} has another owner", self.ownership.shard)
+                self._superseded = True
+                return False
+            self._carry_out(batch)
+        self._report_changed()
+        if self._journal.rows_since_snapshot >= SNAPSHOT_ROWS:
+            await self._leave_snapshot()
+        return True
+
+    def _carry_out(self, batch: list[Event]) -> None:
+        """Tell the workers what a committed batch means for them."""
+        self.scheduler.mark_committed(batch)
+        for event in batch:
+            if isinstance(event, AttemptBound):
+                self._wake_link(event.worker)
+                continue
+            if isinstance(event, AttemptEnded):
+                name = name_attempt(event.workload, event.index, event.number)
+                for link in self._links.values():
+                    link.settle(name)
+                continue
+            for link in self._links.values():
+                link.wake()
+
+    def _wake_link(self, worker: str) -> None:
+        """Have the next exchange with a worker happen at once."""
+        link = self._links.get(worker)
+        if link is not None:
+            link.wake()
+
+    def _update_workers(self) -> None:
+        """Follow the platform's list of the shard's workers."""
+        listed = self._list_workers(self.ownership.shard)
+        if listed is None:
+            return
+        self.scheduler.set_workers(listed)
+        for worker in listed:
+            if worker.name in self._links:
+                continue
+            self._start_link(worker)
+        for link in self._links.values():
+            self.scheduler.set_exclusion(
+                link.worker, "unreachable", link.unreachable
+            )
+
+    def _start_link(self, worker: Instance) -> None:
+        """Start the exchange with a worker."""
+        link = WorkerLink(
+            worker.name,
+            worker.address,
+            self.scheduler,
+            self._leases,
+            self._gateway,
+            self._clock,
+            self._exchange_interval,
+            lambda: not self._superseded,
+            self.wake,
+        )
+        self._links[worker.name] = link
+        self._tasks[worker.name] = asyncio.create_task(link.run())
+
+    def _end_lapsed(self) -> None:
+        """End the attempts of unreachable workers whose leases have surely lapsed."""
+        now = self._clock.monotonic()
+        for worker in list(self.scheduler.state.run_lists):
+            link = self._links.get(worker)
+            if link is not None and not link.unreachable:
+                continue
+            if now < self._leases.find_lapse(worker):
+                continue
+            for attempt in self.scheduler.state.list_attempts(worker):
+                self.scheduler.end_attempt(attempt, "lapsed")
+
+    def _list_desired(self) -> list[DesiredWorkload]:
+        """Return the workloads that have tasks in this shard."""
+        if self._desired_revision == self._cache.spec_revision:
+            return list(self._desired.values())
+        revision = self._cache.spec_revision
+        desired = {}
+        for kind in WORKLOAD_KINDS:
+            for item in self._cache.list_items(kind):
+                wanted = self._find_desired(item)
+                if wanted is not None:
+                    desired[wanted.workload] = wanted
+        self._desired = desired
+        self._desired_revision = revision
+        return list(desired.values())
+
+    def _find_desired(self, item: Item) -> DesiredWorkload | None:
+        """Return what a resource asks of this shard, ``None`` for nothing."""
+        if not isinstance(item.resource, Workload):
+            return None
+        workload = name_workload(item.kind, item.name, item.created_revision)
+        if item.resource_version <= self._desired_revision:
+            return self._desired.get(workload)
+        homes = assign_tasks(
+            item.name, item.created_revision, item.resource, self._shards
+        )
+        indices = homes.get(self.ownership.shard, ())
+        if not indices:
+            return None
+        document = msgpack.packb(describe_resource(item.resource))
+        return DesiredWorkload(workload, item.created_revision, document, indices)
+
+    def _report_changed(self) -> None:
+        """Publish the status of each workload that has changed."""
+        changed = self.scheduler.state.changed
+        reports = {}
+        for workload in changed:
+            state = self.scheduler.state.workloads.get(workload)
+            if state is None or state.removed:
+                continue
+            reports[(state.kind, state.name)] = state.report()
+        changed.clear()
+        if reports:
+            self._publish(self.ownership.shard, reports)
+
+    async def _leave_snapshot(self) -> None:
+        """Write a snapshot, so that a takeover reads few rows."""
+        # Events that are not committed yet must not get into a snapshot.
+        if not self.recovered or self.scheduler.has_pending:
+            return
+        if self._journal.rows_since_snapshot:
+            await self._journal.write_snapshot(self.scheduler.state.encode())
+
+
+def rebuild_state(recovery: Recovery) -> ShardState:
+    """Return the state that a snapshot and the rows after it add up to."""
+    state = ShardState()
+    if recovery.snapshot is not None:
+        state = ShardState.decode(recovery.snapshot)
+    for row in recovery.rows:
+        for event in row.events:
+            state.apply(EVENT_CODEC.decode(event))
+    return state
