--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -0,0 +1,235 @@
+"""The settings of one entry instance, section by section.
+
+Numbers carry their unit in the name; properties give durations as ``timedelta``.
+"""
+
+from datetime import timedelta
+from typing import Annotated
+
+from attrs import define
+
+from almondspread_daemon.settings.constraints import (
+    ADDRESS,
+    FILE,
+    NAME,
+    OPTIONAL_NAME,
+    OPTIONAL_URL,
+    SHA256,
+    URL,
+    Choice,
+    Range,
+)
+
+KIB = 1024
+MIB = 1024 * KIB
+
+Bytes = Annotated[int, Range(KIB, 64 * MIB, "bytes")]
+Count = Annotated[int, Range(1, 100_000)]
+Milliseconds = Annotated[int, Range(1, 60_000, "milliseconds")]
+Seconds = Annotated[float, Range(0.1, 86_400, "seconds")]
+Name = Annotated[str, NAME]
+File = Annotated[str, FILE]
+
+
+@define(frozen=True)
+class HttpSettings:
+    """The listener for callers and operators, and the limits of its connections."""
+
+    listen: Annotated[str, ADDRESS] = "127.0.0.1:8101"
+    max_body_bytes: Bytes = 4 * MIB
+    max_header_bytes: Bytes = 64 * KIB
+    max_connections: Count = 4_096
+    idle_timeout_seconds: Seconds = 75.0
+    certificate: File = ""
+    key: File = ""
+
+    @property
+    def idle_timeout(self) -> timedelta:
+        """How long a connection without a request stays open."""
+        return timedelta(seconds=self.idle_timeout_seconds)
+
+
+@define(frozen=True)
+class PeerSettings:
+    """The listener for other entry instances, and how their loss is noticed."""
+
+    listen: Annotated[str, ADDRESS] = "127.0.0.1:9101"
+    heartbeat_milliseconds: Milliseconds = 250
+    suspect_after_milliseconds: Milliseconds = 1_000
+    seeds: tuple[Annotated[str, ADDRESS], ...] = ()
+    certificate: File = ""
+    key: File = ""
+    authority: File = ""
+
+    @property
+    def heartbeat(self) -> timedelta:
+        """How often a heartbeat goes to each peer."""
+        return timedelta(milliseconds=self.heartbeat_milliseconds)
+
+    @property
+    def suspect_after(self) -> timedelta:
+        """How long a peer may be silent before it is suspected."""
+        return timedelta(milliseconds=self.suspect_after_milliseconds)
+
+
+@define(frozen=True)
+class PlatformSettings:
+    """Where the platform's services answer."""
+
+    table_url: Annotated[str, URL]
+    store_url: Annotated[str, URL]
+    instances_url: Annotated[str, URL]
+    timeout_milliseconds: Milliseconds = 2_000
+    poll_milliseconds: Milliseconds = 1_000
+
+    @property
+    def timeout(self) -> timedelta:
+        """How long one call to the platform may take."""
+        return timedelta(milliseconds=self.timeout_milliseconds)
+
+    @property
+    def poll(self) -> timedelta:
+        """How often the list of instances is read."""
+        return timedelta(milliseconds=self.poll_milliseconds)
+
+
+@define(frozen=True)
+class OwnershipSettings:
+    """How work is cut into shards, and the leases that protect their owners.
+
+    Shard counts are for each failure domain and must be the same on every instance.
+    ``clock_rate_bound`` is the most by which two clocks differ in rate.
+    """
+
+    schedule_shards: Annotated[int, Range(1, 1_024)] = 4
+    request_shards: Annotated[int, Range(1, 1_024)] = 8
+    instance_lease_seconds: Seconds = 3.0
+    partition_horizon_seconds: Annotated[float, Range(10, 86_400, "seconds")] = 7_200.0
+    clock_rate_bound: Annotated[float, Range(0, 0.1)] = 0.001
+
+    @property
+    def instance_lease(self) -> timedelta:
+        """How long an instance owns its shards without a renewal."""
+        return timedelta(seconds=self.instance_lease_seconds)
+
+    @property
+    def partition_horizon(self) -> timedelta:
+        """How long an owner cut off from the table service renews task leases."""
+        return timedelta(seconds=self.partition_horizon_seconds)
+
+
+@define(frozen=True)
+class SchedulingSettings:
+    """The pace of the exchange with workers and of group commits."""
+
+    task_lease_seconds: Seconds = 10.0
+    exchange_milliseconds: Milliseconds = 500
+    commit_milliseconds: Milliseconds = 15
+    start_expiry_seconds: Seconds = 5.0
+
+    @property
+    def task_lease(self) -> timedelta:
+        """How long a task runs without a renewal of its lease."""
+        return timedelta(seconds=self.task_lease_seconds)
+
+    @property
+    def exchange(self) -> timedelta:
+        """How often a worker's state and orders are exchanged."""
+        return timedelta(milliseconds=self.exchange_milliseconds)
+
+    @property
+    def commit(self) -> timedelta:
+        """How long decisions are gathered into one commit."""
+        return timedelta(milliseconds=self.commit_milliseconds)
+
+    @property
+    def start_expiry(self) -> timedelta:
+        """How long after it was sent a start request may still be obeyed."""
+        return timedelta(seconds=self.start_expiry_seconds)
+
+
+@define(frozen=True)
+class RequestSettings:
+    """Defaults for services that declare no limits, and the bounds of a stop."""
+
+    lookup_deadline_seconds: Annotated[float, Range(0.01, 60, "seconds")] = 2.0
+    call_deadline_seconds: Annotated[float, Range(0.1, 3_600, "seconds")] = 60.0
+    lookup_queue: Count = 512
+    call_queue: Count = 256
+    balancer_lag_seconds: Annotated[float, Range(0, 600, "seconds")] = 5.0
+    stop_bound_seconds: Annotated[float, Range(1, 86_400, "seconds")] = 120.0
+
+    @property
+    def lookup_deadline(self) -> timedelta:
+        """The longest deadline of a lookup."""
+        return timedelta(seconds=self.lookup_deadline_seconds)
+
+    @property
+    def call_deadline(self) -> timedelta:
+        """The longest deadline of a recalculation or reservation."""
+        return timedelta(seconds=self.call_deadline_seconds)
+
+    @property
+    def balancer_lag(self) -> timedelta:
+        """How long a balancer may still send requests to a leaving instance."""
+        return timedelta(seconds=self.balancer_lag_seconds)
+
+    @property
+    def stop_bound(self) -> timedelta:
+        """How long a graceful shutdown waits for requests under way."""
+        return timedelta(seconds=self.stop_bound_seconds)
+
+
+@define(frozen=True)
+class Token:
+    """A bearer token, known by its SHA-256, with its role and team."""
+
+    sha256: Annotated[str, SHA256]
+    role: Annotated[str, Choice(("caller", "operator", "peer", "admin"))]
+    team: Annotated[str, OPTIONAL_NAME] = ""
+
+
+@define(frozen=True)
+class TelemetrySettings:
+    """Where traces and metrics go, and what share of traces is kept."""
+
+    otlp_endpoint: Annotated[str, OPTIONAL_URL] = ""
+    trace_ratio: Annotated[float, Range(0, 1)] = 0.01
+    metrics_interval_seconds: Annotated[float, Range(1, 3_600, "seconds")] = 15.0
+
+    @property
+    def metrics_interval(self) -> timedelta:
+        """How often metrics are sent."""
+        return timedelta(seconds=self.metrics_interval_seconds)
+
+
+@define(frozen=True)
+class LogSettings:
+    """What is logged, and in which form."""
+
+    level: Annotated[str, Choice(("debug", "info", "warning", "error"))] = "info"
+    format: Annotated[str, Choice(("json", "text"))] = "json"
+
+
+@define(frozen=True)
+class Settings:
+    """All settings of one entry instance.
+
+    ``failure_domains`` lists every failure domain of the operator, the same on all
+    of its instances; ``failure_domain`` is the one that this instance is in.
+    """
+
+    name: Name
+    operator: Name
+    failure_domain: Name
+    failure_domains: tuple[Name, ...]
+    platform: PlatformSettings
+    region: Annotated[str, OPTIONAL_NAME] = ""
+    http: HttpSettings = HttpSettings()
+    peer: PeerSettings = PeerSettings()
+    ownership: OwnershipSettings = OwnershipSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
+    requests: RequestSettings = RequestSettings()
+    tokens: tuple[Token, ...] = ()
+    telemetry: TelemetrySettings = TelemetrySettings()
+    log: LogSettings = LogSettings()
