--- a/packages/almondspread/almondspread/changes/log.py
+++ b/packages/almondspread/almondspread/changes/log.py
@@ -41,7 +41,8 @@
 class ChangeLog:
     """One instance's copy of the log: follows it and appends to it.
 
-    ``announce`` is called with each entry that this instance learns of, in order.
+    ``announce`` is called with each entry that this instance learns of, in order;
+    ``push`` with each that it appended.
     """
 
     def __init__(
@@ -50,12 +51,14 @@
         clock: Clock,
         make_batch: Callable[[], str],
         announce: Callable[[Entry], None],
+        push: Callable[[Entry], None],
     ) -> None:
         self.cache = ResourceCache()
         self._table = table
         self._clock = clock
         self._make_batch = make_batch
         self._announce = announce
+        self._push = push
         self._head_version: int | None = None
         self._found_revision = 0
         self._lock = asyncio.Lock()
@@ -133,6 +136,7 @@
         if outcome.is_ok():
             self._head_version = outcome.ok
             self._apply(entry)
+            self._push(entry)
         return outcome
 
     async def _read_to_head(self, batch: str = "") -> Result[int, TableUnavailable]:
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -0,0 +1,406 @@
+"""One entry instance: its parts, how they start and how they stop."""
+
+import asyncio
+import random
+import signal
+import uuid
+from collections.abc import Coroutine
+from datetime import timedelta
+from typing import Any
+from urllib.parse import urlsplit
+
+from loguru import logger
+from tornado.httpserver import HTTPServer
+
+from almondspread.changes import ChangeLog, Item
+from almondspread.changes import Entry as LogEntry
+from almondspread.clock import Clock, SystemClock
+from almondspread.interfaces import Instance
+from almondspread.journal import Journal
+from almondspread.ownership import Members, Ownership
+from almondspread.resources import RequestService
+from almondspread.scheduling.leases import LeaseTerms
+from almondspread_daemon.following import ChangeFollower
+from almondspread_daemon.http import make_application
+from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.peers import PeerServer
+from almondspread_daemon.peers.messages import (
+    CallMinion,
+    EntryAnnounced,
+    FetchEntries,
+    FetchRecord,
+    FetchStatus,
+    FetchTasks,
+    Heartbeat,
+    SubmitCall,
+)
+from almondspread_daemon.reports import StatusReporter
+from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
+from almondspread_daemon.resources import ResourceService, documents
+from almondspread_daemon.settings import Settings, parse_address
+from almondspread_daemon.shards import ScheduleShard, ShardKeeper
+from almondspread_daemon.shards.keeper import MakeRunner
+from almondspread_daemon.shards.publisher import StatusPublisher
+from almondspread_daemon.telemetry import configure_logs
+from almondspread_platform import (
+    HttpCaller,
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTable,
+    HttpWorkerGateway,
+    MinionClient,
+    open_client,
+)
+
+MAX_CONNECTIONS = 512
+CONNECTIONS_PER_ADDRESS = 32
+MINION_SETTLE_TIME = timedelta(seconds=2)
+POOL_INTERVAL = timedelta(milliseconds=250)
+EXCHANGE_TIMEOUT = timedelta(seconds=2)
+
+
+def name_shards(kind: str, settings: Settings, count: int) -> tuple[str, ...]:
+    """Return the names of all shards of a kind, over all failure domains."""
+    names = []
+    for domain in settings.failure_domains:
+        for index in range(count):
+            names.append(f"{kind}/{domain}/{index}")
+    return tuple(names)
+
+
+class Entry:
+    """The parts of one instance, tied together."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.stopping = False
+        self.incarnation = uuid.uuid4().hex
+        self._started = False
+        self._client = open_client(MAX_CONNECTIONS)
+        caller = HttpCaller(
+            self._client,
+            per_address=CONNECTIONS_PER_ADDRESS,
+            overall=MAX_CONNECTIONS,
+            caller_domain=settings.failure_domain,
+        )
+        self._caller = caller
+        timeout = settings.platform.timeout
+        self._table = HttpTable(
+            caller, _find_host(settings.platform.table_url), timeout
+        )
+        self._store = HttpObjectStore(
+            caller, _find_host(settings.platform.store_url), timeout
+        )
+        self._gateway = HttpWorkerGateway(caller, EXCHANGE_TIMEOUT)
+        members = Members(settings.peer.suspect_after)
+        self.changes = ChangeLog(
+            self._table, clock, _make_batch, self._announce, self._push
+        )
+        self.neighbours = Neighbours(
+            settings.peer.listen,
+            settings.peer.seeds,
+            members,
+            HttpInstanceList(
+                caller, _find_host(settings.platform.instances_url), timeout
+            ),
+            clock,
+            random.Random(),
+            self._compose_heartbeat,
+            settings.peer.heartbeat,
+            settings.platform.poll,
+        )
+        self.follower = ChangeFollower(
+            self.changes,
+            self.neighbours,
+            clock,
+            settings.platform.poll,
+            self._wake_shards,
+        )
+        self.schedule_shards = name_shards(
+            "schedule", settings, settings.ownership.schedule_shards
+        )
+        request_shards = name_shards(
+            "requests", settings, settings.ownership.request_shards
+        )
+        self.keeper = ShardKeeper(
+            settings.name,
+            settings.failure_domain,
+            self.incarnation,
+            self._plan_shards(request_shards),
+            members,
+            self._table,
+            self._store,
+            clock,
+            _make_batch,
+            settings.ownership.instance_lease,
+            self.neighbours.send_heartbeat,
+        )
+        self.pools = MinionPools(
+            settings.name,
+            settings.failure_domain,
+            MinionClient(caller),
+            clock,
+            settings.requests.lookup_queue,
+            MINION_SETTLE_TIME,
+            self._list_domain_peers,
+        )
+        self.router = RequestRouter(
+            settings.failure_domain,
+            request_shards,
+            self.keeper.runners.get,
+            self.pools,
+            self.neighbours,
+            clock,
+        )
+        self.publisher = StatusPublisher(self.changes, clock, settings.name)
+        self.resources = ResourceService(self.changes, settings.name)
+        self.reporter = StatusReporter(
+            settings.name,
+            settings.failure_domain,
+            self.schedule_shards,
+            self.changes.cache,
+            self.neighbours,
+            self.keeper,
+        )
+        self.peer_server = PeerServer(
+            {
+                Heartbeat: self.neighbours.take_heartbeat,
+                EntryAnnounced: self.follower.take_announced,
+                FetchEntries: self.follower.take_fetch,
+                FetchStatus: self.reporter.take_fetch_status,
+                FetchTasks: self.reporter.take_fetch_tasks,
+                SubmitCall: self.router.take_submit,
+                FetchRecord: self.router.take_fetch,
+                CallMinion: self.router.take_call,
+            }
+        )
+        self.http_server = HTTPServer(
+            make_application(self),
+            max_body_size=settings.http.max_body_bytes,
+            max_header_size=settings.http.max_header_bytes,
+            idle_connection_timeout=settings.http.idle_timeout.total_seconds(),
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _plan_shards(self, request_shards: tuple[str, ...]) -> dict[str, MakeRunner]:
+        """Return the shards of this domain and how to act for each."""
+        plan: dict[str, MakeRunner] = {}
+        domain = self.settings.failure_domain
+        for shard in self.schedule_shards:
+            if shard.split("/")[1] == domain:
+                plan[shard] = self._make_schedule_shard
+        for shard in request_shards:
+            if shard.split("/")[1] == domain:
+                plan[shard] = self._make_key_shard
+        return plan
+
+    def _make_schedule_shard(
+        self, ownership: Ownership, journal: Journal, stopped: bool
+    ) -> ScheduleShard:
+        """Return what acts for a scheduling shard."""
+        terms = LeaseTerms(
+            length=self.settings.scheduling.task_lease,
+            horizon=self.settings.ownership.partition_horizon,
+            clock_rate_bound=self.settings.ownership.clock_rate_bound,
+        )
+        return ScheduleShard(
+            ownership,
+            journal,
+            stopped,
+            terms,
+            self.schedule_shards,
+            self.changes.cache,
+            self._list_workers,
+            self._gateway,
+            self.clock,
+            self.settings.scheduling.exchange,
+            self.publisher.publish,
+        )
+
+    def _make_key_shard(
+        self, ownership: Ownership, journal: Journal, _: bool
+    ) -> KeyShard:
+        """Return what acts for a request shard."""
+        return KeyShard(ownership, journal, self.router.call_minions, self.clock)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+        return self._started and self.follower.caught_up and not self.keeper.leaving
+
+    async def start(self) -> None:
+        """Open the listeners and start all that runs."""
+        host, port = parse_address(self.settings.peer.listen)
+        self.peer_server.listen(port, host)
+        host, port = parse_address(self.settings.http.listen)
+        self.http_server.listen(port, host)
+        for running in (
+            self.neighbours.run(),
+            self.follower.run(),
+            self.keeper.run(),
+            self.publisher.run(),
+            self._follow_minions(),
+        ):
+            self._start_task(running)
+        self._started = True
+        logger.info(
+            "entry {} serves on {} and {}",
+            self.settings.name,
+            self.settings.http.listen,
+            self.settings.peer.listen,
+        )
+
+    def _start_task(self, running: Coroutine[Any, Any, None]) -> None:
+        """Start a task that ends with the instance, and log its failure."""
+        task = asyncio.create_task(running)
+        task.add_done_callback(_log_failure)
+        self._tasks.append(task)
+
+    async def _follow_minions(self) -> None:
+        """Keep the pools in step with the list and with the other instances."""
+        while True:
+            self.pools.update(self.neighbours.listed.values())
+            self.reporter.ready = self.is_ready
+            await self.clock.sleep(POOL_INTERVAL)
+
+    async def stop(self) -> None:
+        """Stop gracefully: nothing under way is cut short, shards are handed over."""
+        logger.info("entry {} is leaving", self.settings.name)
+        self.keeper.leaving = True
+        self.neighbours.send_heartbeat()
+        await self.clock.sleep(self.settings.requests.balancer_lag)
+        self.stopping = True
+        self.follower.release_waiters()
+        self.http_server.stop()
+        await self.http_server.close_all_connections()
+        await self.keeper.hand_over_all()
+        await self.publisher.flush()
+        self.neighbours.send_heartbeat()
+        await self.close()
+
+    async def close(self) -> None:
+        """End at once, as a killed process would."""
+        self.http_server.stop()
+        self.peer_server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _announce(self, entry: LogEntry) -> None:
+        """Tell those who follow the change log of a new entry."""
+        self.follower.announce(entry)
+
+    def _push(self, entry: LogEntry) -> None:
+        """Push an own entry to the other instances."""
+        self.follower.push(entry)
+
+    def _wake_shards(self, _: LogEntry) -> None:
+        """Have the scheduling shards look at changed resources at once."""
+        for runner in self.keeper.runners.values():
+            if isinstance(runner, ScheduleShard):
+                runner.wake()
+
+    def _compose_heartbeat(self) -> Heartbeat:
+        """Return what a heartbeat tells now."""
+        return Heartbeat(
+            name=self.settings.name,
+            address=self.settings.peer.listen,
+            failure_domain=self.settings.failure_domain,
+            incarnation=self.incarnation,
+            ready=self.is_ready,
+            leaving=self.keeper.leaving,
+            revision=self.changes.cache.revision,
+            shards=self.keeper.list_epochs(),
+        )
+
+    def _list_domain_peers(self) -> list[str]:
+        """Return the live, staying instances of this failure domain."""
+        peers = []
+        for member in self.neighbours.list_live():
+            if member.failure_domain != self.settings.failure_domain:
+                continue
+            if member.ready and not member.leaving:
+                peers.append(member.name)
+        return peers
+
+    def _list_workers(self, shard: str) -> list[Instance] | None:
+        """Return the listed workers of a scheduling shard, ``None`` if unknown."""
+        if not self.neighbours.list_is_known:
+            return None
+        domain = shard.split("/")[1]
+        shards = [name for name in self.schedule_shards if name.split("/")[1] == domain]
+        workers = []
+        for instance in self.neighbours.listed.values():
+            if instance.role != "worker" or instance.failure_domain != domain:
+                continue
+            if shards[find_rack_shard(instance.rack, len(shards))] == shard:
+                workers.append(instance)
+        return workers
+
+    def describe_item(self, item: Item) -> dict[str, Any]:
+        """Return a resource as a document, with its status."""
+        members = [(self.settings.name, self.changes.cache.revision)]
+        for member in self.neighbours.members.list_all():
+            if not member.listed_gone:
+                members.append((member.name, member.revision))
+        return documents.describe_item(item, members)
+
+    def find_deadline(self, service: str, kind: str) -> float:
+        """Return the longest deadline of a kind of request, in seconds."""
+        item = self.changes.cache.find("request-service", service)
+        limits = item.resource if item else None
+        if not isinstance(limits, RequestService):
+            if kind == "lookup":
+                return self.settings.requests.lookup_deadline_seconds
+            return self.settings.requests.call_deadline_seconds
+        if kind == "lookup":
+            return limits.lookup_deadline_seconds
+        return limits.call_deadline_seconds
+
+    def traceparent(self) -> str:
+        """Return the trace context to send on."""
+        return ""
+
+
+def find_rack_shard(rack: str, count: int) -> int:
+    """Return the index of the shard that has a rack's workers."""
+    import xxhash
+
+    return int(xxhash.xxh3_64_intdigest(rack.encode()) % count)
+
+
+def _find_host(url: str) -> str:
+    """Return the ``IP:port`` of a URL."""
+    return urlsplit(url).netloc
+
+
+def _make_batch() -> str:
+    """Return a name that no other commit has."""
+    return uuid.uuid4().hex
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Log the failure of a task that should run as long as the instance."""
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.opt(exception=task.exception()).error("a task of the instance failed")
+
+
+async def run_entry(settings: Settings) -> int:
+    """Run an instance until it is told to stop; return the exit status."""
+    configure_logs(settings.log, settings.name)
+    entry = Entry(settings, SystemClock())
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    await entry.start()
+    await told.wait()
+    try:
+        async with asyncio.timeout(settings.requests.stop_bound_seconds):
+            await entry.stop()
+    except TimeoutError:
+        logger.error("the stop took longer than its bound")
+        return 1
+    return 0
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/http/__init__.py
@@ -0,0 +1,5 @@
+"""The HTTP interface of an entry instance."""
+
+from almondspread_daemon.http.application import make_application
+
+__all__ = ["make_application"]
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/http/base.py
@@ -0,0 +1,94 @@
+"""What all handlers share: problems as bodies, JSON in and out."""
+
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Ok, Result
+from loguru import logger
+from tornado.web import HTTPError, RequestHandler
+
+from almondspread.errors import InvalidInput, NotFound, Problem
+
+if TYPE_CHECKING:
+    from almondspread_daemon.entry import Entry
+
+JSON_TYPE = "application/json; charset=UTF-8"
+
+
+class EntryHandler(RequestHandler):
+    """A handler that reaches the entry and answers in JSON."""
+
+    def initialize(self, entry: "Entry") -> None:
+        """Keep the entry that the handler serves for."""
+        self.entry = entry
+
+    def set_default_headers(self) -> None:
+        """Answer in JSON unless a handler says otherwise."""
+        self.set_header("Content-Type", JSON_TYPE)
+        self.clear_header("Server")
+
+    def answer(self, document: Any, status: int = HTTPStatus.OK) -> None:
+        """Finish with a JSON document."""
+        self.set_status(status)
+        self.finish(json.dumps(document, separators=(",", ":")))
+
+    def refuse(self, problem: Problem) -> None:
+        """Finish with a problem."""
+        if problem.retry_after_seconds is not None:
+            self.set_header(
+                "Retry-After", str(max(1, round(problem.retry_after_seconds)))
+            )
+        self.set_header("Content-Type", JSON_TYPE)
+        self.answer(problem.to_document(), problem.http_status)
+
+    def read_document(self) -> Result[Any, InvalidInput]:
+        """Return the JSON document of the body."""
+        try:
+            return Ok(json.loads(self.request.body))
+        except (ValueError, RecursionError) as error:
+            return Error(
+                InvalidInput(f"the body is not JSON: {error}", "send a JSON document")
+            )
+
+    def read_number(self, name: str, default: int | None) -> Result[int | None, Any]:
+        """Return a whole number from the query."""
+        text = self.get_query_argument(name, "")
+        if not text:
+            return Ok(default)
+        if not text.isascii() or not text.isdigit() or len(text) > 18:
+            return Error(
+                InvalidInput(f"{name}={text!r} is not a whole number", "send a number")
+            )
+        return Ok(int(text))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer a failure of the handler or of tornado as a problem."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, HTTPError):
+            problem: Problem = InvalidInput(
+                error.log_message or f"HTTP status {status_code}",
+                "look at the description of the interface",
+            )
+            self.set_header("Content-Type", JSON_TYPE)
+            self.answer(problem.to_document(), status_code)
+            return
+        logger.opt(exception=error).error("{} failed", self.request.path)
+        self.answer(
+            Problem(
+                "the instance failed while it served the request",
+                "look at the log of this instance; ask before sending it again",
+            ).to_document(),
+            status_code,
+        )
+
+
+class UnknownRoute(EntryHandler):
+    """Answers every path that no other handler serves."""
+
+    def prepare(self) -> None:
+        """Refuse the request."""
+        problem = NotFound(
+            f"no route {self.request.path}", "see the interface's routes"
+        )
+        self.refuse(problem)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/http/requests.py
@@ -0,0 +1,100 @@
+"""Requests of callers to minions, and the recorded answers of their keys."""
+
+from http import HTTPStatus
+
+from expression import Error, Ok, Result
+
+from almondspread.errors import InvalidInput, NotFound, Problem
+from almondspread.interfaces import MinionRequest
+from almondspread_daemon.http.base import EntryHandler
+from almondspread_daemon.peers.messages import CallAnswered, SubmitCall
+
+IDEMPOTENT_KINDS = ("lookup", "monitor")
+KEYED_KINDS = ("recalculation", "reservation")
+MAX_KEY_LETTERS = 128
+
+
+class RequestHandler(EntryHandler):
+    """Passes a caller's request to a minion."""
+
+    async def post(self, service: str, kind: str) -> None:
+        """Answer with what the minion answered."""
+        deadline = self._read_deadline(service, kind)
+        if deadline.is_error():
+            return self.refuse(deadline.error)
+        if kind in IDEMPOTENT_KINDS:
+            return await self._look_up(service, kind, deadline.ok)
+        await self._submit(service, kind, deadline.ok)
+
+    async def _look_up(self, service: str, kind: str, deadline: float) -> None:
+        """Answer an idempotent request."""
+        request = MinionRequest(
+            service, kind, self.request.body, "", deadline, self.entry.traceparent()
+        )
+        answer = await self.entry.router.call_minions(request)
+        if answer.is_error():
+            return self.refuse(answer.error)
+        reply = answer.ok
+        self._pass_on(CallAnswered(reply.status, reply.body, reply.content_type))
+
+    async def _submit(self, service: str, kind: str, deadline: float) -> None:
+        """Answer a non-idempotent request."""
+        key = self.request.headers.get("Idempotency-Key", "")
+        if not key or len(key) > MAX_KEY_LETTERS or not key.isprintable():
+            return self.refuse(
+                InvalidInput(
+                    f"a {kind} needs the header Idempotency-Key",
+                    f"send a key of up to {MAX_KEY_LETTERS} letters, new for each "
+                    "request and the same for its retries",
+                )
+            )
+        shard = self.entry.router.find_shard(service, key)
+        message = SubmitCall(shard, service, kind, key, self.request.body, deadline)
+        outcome = await self.entry.router.submit(message)
+        if outcome.is_error():
+            return self.refuse(outcome.error)
+        self._pass_on(outcome.ok)
+
+    def _pass_on(self, answered: CallAnswered) -> None:
+        """Finish with a minion's answer."""
+        outcome = "recorded" if answered.recorded else "answered"
+        self.set_status(answered.status)
+        self.set_header("Content-Type", answered.content_type or "application/json")
+        self.set_header("X-Request-Outcome", outcome)
+        self.finish(answered.body)
+
+    def _read_deadline(self, service: str, kind: str) -> Result[float, Problem]:
+        """Return when the request is given up, in UTC seconds."""
+        if kind not in IDEMPOTENT_KINDS + KEYED_KINDS:
+            remedy = "use " + ", ".join(IDEMPOTENT_KINDS + KEYED_KINDS)
+            return Error(NotFound(f"request kind {kind!r} is not known", remedy))
+        longest = self.entry.find_deadline(service, kind)
+        text = self.request.headers.get("X-Deadline-Seconds", "")
+        try:
+            seconds = float(text) if text else longest
+        except ValueError:
+            seconds = -1.0
+        if not 0 < seconds <= longest:
+            return Error(
+                InvalidInput(
+                    f"X-Deadline-Seconds {text!r} must lie above 0 and up to "
+                    f"{longest:g}",
+                    "send such a number or leave the header out",
+                )
+            )
+        return Ok(self.entry.clock.now().timestamp() + seconds)
+
+
+class KeyHandler(EntryHandler):
+    """Answers what is recorded of an idempotency key."""
+
+    async def get(self, service: str, key: str) -> None:
+        """Answer the record."""
+        outcome = await self.entry.router.fetch(service, key)
+        if outcome.is_error():
+            return self.refuse(outcome.error)
+        self.set_status(HTTPStatus.OK)
+        self.set_header("X-Request-Outcome", "recorded")
+        self.set_header("X-Recorded-Status", str(outcome.ok.status))
+        self.set_header("Content-Type", outcome.ok.content_type)
+        self.finish(outcome.ok.body)
--- a/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
@@ -58,8 +58,6 @@
     """Return the frame that a msgpack value describes."""
     try:
         kind, number, body, timeout, traceparent = plain
-        return Frame(
-            int(kind), int(number), body, float(timeout), str(traceparent)
-        )
+        return Frame(int(kind), int(number), body, float(timeout), str(traceparent))
     except (TypeError, ValueError) as error:
         raise ValueError(f"not a frame: {error!r}") from error
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/documents.py
@@ -0,0 +1,104 @@
+"""Resources and their status as JSON documents."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from almondspread.changes import Item
+from almondspread.errors import NotFound, Problem
+from almondspread.resources import (
+    BatchJob,
+    Configuration,
+    GangJob,
+    Service,
+    describe_resource,
+)
+
+COUNTED = ("running", "waiting", "finished", "failed")
+
+
+def matches(item: Item, labels: dict[str, str]) -> bool:
+    """Tell whether a resource has all labels of a selector."""
+    own = item.resource.metadata.labels
+    for key, value in labels.items():
+        if own.get(key) != value:
+            return False
+    return True
+
+
+def refuse_missing(kind: str, name: str) -> Problem:
+    """Return the problem of a resource that does not exist."""
+    return NotFound(f"{kind}/{name} does not exist", f"list the {kind} resources")
+
+
+def describe_item(item: Item, members: Iterable[tuple[str, int]]) -> dict[str, Any]:
+    """Return a resource with its version and status.
+
+    ``members`` names the live instances and the revision in force at each.
+    """
+    return {
+        "kind": item.kind,
+        "name": item.name,
+        "resource_version": item.resource_version,
+        "document": describe_resource(item.resource),
+        "status": summarize_status(item, members),
+    }
+
+
+def summarize_status(
+    item: Item, members: Iterable[tuple[str, int]]
+) -> dict[str, Any] | None:
+    """Return the status of a resource over all shards."""
+    resource = item.resource
+    if isinstance(resource, Configuration):
+        return _summarize_configuration(item, members)
+    if not isinstance(resource, Service | BatchJob | GangJob):
+        return None
+    counts = dict.fromkeys(COUNTED, 0)
+    for report in item.reports.values():
+        for name in COUNTED:
+            counts[name] += report.get(name, 0)
+    if isinstance(resource, Service):
+        return {
+            "replicas": resource.replicas,
+            "running": counts["running"],
+            "waiting": max(0, resource.replicas - counts["running"]),
+            "ready": counts["running"] == resource.replicas,
+            "message": "",
+        }
+    known = sum(counts.values())
+    counts["waiting"] += max(0, resource.tasks - known)
+    return {
+        "tasks": resource.tasks,
+        **counts,
+        "phase": _find_phase(resource.tasks, counts),
+        "message": "",
+    }
+
+
+def _find_phase(tasks: int, counts: dict[str, int]) -> str:
+    """Return the phase of a job from the phases of its tasks."""
+    if counts["finished"] == tasks:
+        return "finished"
+    if counts["finished"] + counts["failed"] == tasks:
+        return "failed"
+    if counts["running"] or counts["finished"] or counts["failed"]:
+        return "running"
+    return "waiting"
+
+
+def _summarize_configuration(
+    item: Item, members: Iterable[tuple[str, int]]
+) -> dict[str, Any]:
+    """Return where a configuration is in force."""
+    in_force = []
+    lagging = {}
+    for name, revision in members:
+        if revision >= item.resource_version:
+            in_force.append(name)
+            continue
+        lagging[name] = f"the instance is at revision {revision}"
+    return {
+        "accepted_revision": item.resource_version,
+        "in_force": sorted(in_force),
+        "not_in_force": lagging,
+    }
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -166,9 +166,7 @@
                 continue
             self._start_link(worker)
         for link in self._links.values():
-            self.scheduler.set_exclusion(
-                link.worker, "unreachable", link.unreachable
-            )
+            self.scheduler.set_exclusion(link.worker, "unreachable", link.unreachable)
 
     def _start_link(self, worker: Instance) -> None:
         """Start the exchange with a worker."""
