--- /dev/null
+++ b/packages/almondspread_cli/almondspread_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module for each group."""
