--- a/packages/almondspread/almondspread/requests/slots.py
+++ b/packages/almondspread/almondspread/requests/slots.py
@@ -59,14 +59,20 @@
                 future.set_result(None)
                 return
 
+    @property
+    def is_queue_full(self) -> bool:
+        """Whether no more requests may wait for a slot."""
+        return len(self._waiting) >= self._queue_length
+
     async def wait(self, timeout: float) -> bool:
-        """Wait for a slot to become free; false where none did or the queue is full."""
-        if len(self._waiting) >= self._queue_length:
-            return False
+        """Wait for a slot to become free; false where none did in time."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(future)
         try:
             await asyncio.wait_for(future, timeout)
         except TimeoutError:
             return False
+        finally:
+            if future in self._waiting:
+                self._waiting.remove(future)
         return True
--- a/packages/almondspread/almondspread/scheduling/homes.py
+++ b/packages/almondspread/almondspread/scheduling/homes.py
@@ -34,3 +34,8 @@
             continue
         homes[shard] = indices
     return homes
+
+
+def find_rack_shard(rack: str, count: int) -> int:
+    """Return which of ``count`` scheduling shards has the workers of a rack."""
+    return int(xxhash.xxh3_64_intdigest(rack.encode()) % count)
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import uuid
-from collections.abc import Coroutine
 from datetime import timedelta
 from typing import Any
 from urllib.parse import urlsplit
@@ -19,7 +18,9 @@
 from almondspread.journal import Journal
 from almondspread.ownership import Members, Ownership
 from almondspread.resources import RequestService
+from almondspread.scheduling import find_rack_shard
 from almondspread.scheduling.leases import LeaseTerms
+from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.http import make_application
 from almondspread_daemon.membership import Neighbours
@@ -242,7 +243,7 @@
             self.publisher.run(),
             self._follow_minions(),
         ):
-            self._start_task(running)
+            self._tasks.append(start_task(running))
         self._started = True
         logger.info(
             "entry {} serves on {} and {}",
@@ -251,12 +252,6 @@
             self.settings.peer.listen,
         )
 
-    def _start_task(self, running: Coroutine[Any, Any, None]) -> None:
-        """Start a task that ends with the instance, and log its failure."""
-        task = asyncio.create_task(running)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
-
     async def _follow_minions(self) -> None:
         """Keep the pools in step with the list and with the other instances."""
         while True:
@@ -363,13 +358,6 @@
         return ""
 
 
-def find_rack_shard(rack: str, count: int) -> int:
-    """Return the index of the shard that has a rack's workers."""
-    import xxhash
-
-    return int(xxhash.xxh3_64_intdigest(rack.encode()) % count)
-
-
 def _find_host(url: str) -> str:
     """Return the ``IP:port`` of a URL."""
     return urlsplit(url).netloc
@@ -380,13 +368,6 @@
     return uuid.uuid4().hex
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
-    """Log the failure of a task that should run as long as the instance."""
-    if task.cancelled() or task.exception() is None:
-        return
-    logger.opt(exception=task.exception()).error("a task of the instance failed")
-
-
 async def run_entry(settings: Settings) -> int:
     """Run an instance until it is told to stop; return the exit status."""
     configure_logs(settings.log, settings.name)
--- a/packages/almondspread_daemon/almondspread_daemon/http/resources.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/resources.py
@@ -165,5 +165,5 @@
         item = self.entry.changes.cache.find(kind, name)
         if item is None:
             return self.refuse(documents.refuse_missing(kind, name))
-        tasks = await self.entry.describe_tasks(item)
+        tasks = await self.entry.reporter.describe_tasks(item)
         self.answer({"item": self.entry.describe_item(item), "tasks": tasks})
--- a/packages/almondspread_daemon/almondspread_daemon/http/status.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/status.py
@@ -33,7 +33,7 @@
 
     def get(self) -> None:
         """Answer the status document."""
-        self.answer(self.entry.describe_status())
+        self.answer(self.entry.reporter.describe_status())
 
 
 class CellHandler(EntryHandler):
@@ -41,4 +41,4 @@
 
     async def get(self) -> None:
         """Answer the status documents of all instances that reply."""
-        self.answer(await self.entry.describe_cell())
+        self.answer(await self.entry.reporter.describe_cell())
--- a/packages/almondspread_daemon/almondspread_daemon/http/watch.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/watch.py
@@ -59,7 +59,9 @@
                 revision = entry.revision
             if entries:
                 continue
-            if not await self.entry.wait_for_change(revision, BOOKMARK_INTERVAL):
+            if not await self.entry.follower.wait_for_change(
+                revision, BOOKMARK_INTERVAL
+            ):
                 if not await self._send({"type": "bookmark", "revision": revision}):
                     return
 
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -13,6 +13,7 @@
 from almondspread.clock import Clock
 from almondspread.interfaces import Instance, InstanceList
 from almondspread.ownership import Member, Members
+from almondspread_daemon.background import start_task
 from almondspread_daemon.peers import CallContext, PeerFault, PeerLink
 from almondspread_daemon.peers.messages import Accepted, Heartbeat
 
@@ -97,7 +98,7 @@
             return
         link = PeerLink(address, self._clock, self._random, self._client)
         self._links[address] = link
-        self._tasks[address] = asyncio.create_task(link.run())
+        self._tasks[address] = start_task(link.run())
 
     def _close_link(self, address: str) -> None:
         """Close the link to an address that is not a seed."""
--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -78,9 +78,9 @@
         self._stream = await self._client.connect(
             host,
             port,
-            timeout=CONNECT_TIMEOUT.total_seconds(),
-            max_write_buffer_size=MAX_UNSENT_BYTES,
+            timeout=CONNECT_TIMEOUT,
         )
+        self._stream.max_write_buffer_size = MAX_UNSENT_BYTES
         self._stream.set_nodelay(True)
 
     async def _read_replies(self) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -14,6 +14,7 @@
 from almondspread_platform import MinionClient
 
 RETRY_AFTER_SECONDS = 1.0
+LOOK_AGAIN_SECONDS = 0.1
 
 
 class MinionPools:
@@ -85,8 +86,9 @@
             minion = pool.take(self._clock.monotonic())
             if minion is not None:
                 return await self._send(pool, minion, request, left)
-            if not wait or not await pool.wait(min(left, RETRY_AFTER_SECONDS)):
+            if not wait or pool.is_queue_full:
                 return Error(self._refuse(request, "has all slots in use"))
+            await pool.wait(min(left, LOOK_AGAIN_SECONDS))
 
     async def _send(
         self, pool: SlotPool, minion: MinionSlots, request: MinionRequest, left: float
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -101,7 +101,7 @@
     ``clock_rate_bound`` is the most by which two clocks differ in rate.
     """
 
-    schedule_shards: Annotated[int, Range(1, 1_024)] = 4
+    schedule_shards: Annotated[int, Range(1, 1_024)] = 1
     request_shards: Annotated[int, Range(1, 1_024)] = 8
     instance_lease_seconds: Seconds = 3.0
     partition_horizon_seconds: Annotated[float, Range(10, 86_400, "seconds")] = 7_200.0
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -25,6 +25,7 @@
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
 from almondspread.scheduling.scheduler import DesiredWorkload
 from almondspread.scheduling.tasks import name_attempt, name_workload
+from almondspread_daemon.background import start_task
 from almondspread_daemon.shards.workers import WorkerLink
 
 WORKLOAD_KINDS = ("service", "batch", "gang")
@@ -182,7 +183,7 @@
             self.wake,
         )
         self._links[worker.name] = link
-        self._tasks[worker.name] = asyncio.create_task(link.run())
+        self._tasks[worker.name] = start_task(link.run())
 
     def _end_lapsed(self) -> None:
         """End the attempts of unreachable workers whose leases have surely lapsed."""
--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -8,6 +8,7 @@
 
 from almondspread.clock import SystemClock
 from almondspread_standin.cell import CellOptions, StandInDeployment
+from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
 
 
@@ -16,6 +17,9 @@
     """Run stand-ins for the platform, its workers and its minions."""
 
 
+main.add_command(demo)
+
+
 @main.command()
 @click.option(
     "--deployment",
--- /dev/null
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -0,0 +1,157 @@
+"""A whole deployment in one process: stand-ins and real entry instances."""
+
+import asyncio
+import socket
+from datetime import timedelta
+from typing import Any
+
+from attrs import evolve
+
+from almondspread.clock import Clock
+from almondspread_daemon.entry import Entry
+from almondspread_daemon.settings import (
+    HttpSettings,
+    OwnershipSettings,
+    PeerSettings,
+    PlatformSettings,
+    RequestSettings,
+    SchedulingSettings,
+    Settings,
+)
+from almondspread_standin.cell import CellOptions, StandInDeployment
+from almondspread_standin.deployment import Deployment
+from almondspread_standin.listening import LOOPBACK
+
+READY_TIMEOUT = timedelta(seconds=10)
+READY_PAUSE = timedelta(milliseconds=50)
+
+
+def find_free_port() -> int:
+    """Return a loopback port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+class EmbeddedCluster:
+    """Starts the entries of a deployment beside its stand-ins, on free ports.
+
+    ``adjust`` changes the settings of an entry before it starts.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        clock: Clock,
+        options: CellOptions | None = None,
+        **sections: Any,
+    ) -> None:
+        entries = []
+        for entry in deployment.entries:
+            entries.append(
+                evolve(entry, http_port=find_free_port(), peer_port=find_free_port())
+            )
+        self.deployment = evolve(deployment, entries=tuple(entries))
+        self.cell = StandInDeployment(self.deployment, clock, options)
+        self.entries: dict[str, Entry] = {}
+        self._clock = clock
+        self._sections = sections
+
+    @property
+    def urls(self) -> dict[str, str]:
+        """The address of each running entry's HTTP listener, by name."""
+        found = {}
+        for name, url in self.cell.entry_urls.items():
+            if name in self.entries:
+                found[name] = url
+        return found
+
+    async def start(self) -> None:
+        """Start everything and wait until every entry is ready."""
+        self.cell.start()
+        for planned in self.deployment.entries:
+            await self.start_entry(planned.name)
+        await self.wait_ready()
+
+    async def start_entry(self, name: str) -> Entry:
+        """Start one entry of the deployment."""
+        entry = Entry(self.make_settings(name), self._clock)
+        self.entries[name] = entry
+        await entry.start()
+        return entry
+
+    def make_settings(self, name: str) -> Settings:
+        """Return the settings of one entry, quick enough for a short run."""
+        planned = {entry.name: entry for entry in self.deployment.entries}[name]
+        platform = f"http://{self.cell.platform_address}"
+        sections: dict[str, Any] = {
+            "ownership": OwnershipSettings(
+                schedule_shards=1, request_shards=2, instance_lease_seconds=1.5
+            ),
+            "scheduling": SchedulingSettings(
+                task_lease_seconds=5.0, exchange_milliseconds=250
+            ),
+            "requests": RequestSettings(
+                balancer_lag_seconds=0.5, stop_bound_seconds=15.0
+            ),
+        }
+        sections.update(self._sections)
+        return Settings(
+            name=name,
+            operator=self.deployment.operator,
+            region=self.deployment.region,
+            failure_domain=planned.failure_domain,
+            failure_domains=tuple(
+                domain.name for domain in self.deployment.failure_domains
+            ),
+            platform=PlatformSettings(
+                table_url=platform,
+                store_url=platform,
+                instances_url=platform,
+                timeout_milliseconds=1_000,
+                poll_milliseconds=500,
+            ),
+            http=HttpSettings(listen=f"{LOOPBACK}:{planned.http_port}"),
+            peer=PeerSettings(listen=f"{LOOPBACK}:{planned.peer_port}"),
+            **sections,
+        )
+
+    async def wait_ready(self) -> None:
+        """Wait until every entry is ready and every shard has an owner."""
+        async with asyncio.timeout(READY_TIMEOUT.total_seconds()):
+            while not self._is_ready():
+                await self._clock.sleep(READY_PAUSE)
+
+    def _is_ready(self) -> bool:
+        """Tell whether all entries are ready and all shards are owned."""
+        owned = set()
+        for entry in self.entries.values():
+            if not entry.is_ready:
+                return False
+            for shard, runner in entry.keeper.runners.items():
+                if getattr(runner, "recovered", False):
+                    owned.add(shard)
+        wanted = set()
+        for entry in self.entries.values():
+            wanted.update(entry.schedule_shards)
+        return wanted <= owned
+
+    async def stop_entry(self, name: str) -> None:
+        """Stop an entry gracefully."""
+        self.cell.platform.service.instances.mark_leaving(name)
+        await self.entries[name].stop()
+        self.cell.platform.service.instances.remove(name)
+        del self.entries[name]
+
+    async def kill_entry(self, name: str) -> None:
+        """End an entry with no warning; the list tells of it after its lag."""
+        entry = self.entries.pop(name)
+        await entry.close()
+        self.cell.platform.service.instances.remove(name)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for entry in list(self.entries.values()):
+            await entry.close()
+        self.entries.clear()
+        await self.cell.stop()
--- a/packages/almondspread_standin/almondspread_standin/workers/ledger.py
+++ b/packages/almondspread_standin/almondspread_standin/workers/ledger.py
@@ -131,6 +131,14 @@
         """Return the sum of the declared sizes that run on a worker."""
         return self._committed.get(worker, Capacity(0, 0, 0))
 
+    def count_running(self, prefix: str) -> int:
+        """Return how many attempts run now whose task starts with ``prefix``."""
+        running = 0
+        for task, runs in self._runs.items():
+            if task.startswith(prefix):
+                running += len(runs)
+        return running
+
     def count(self) -> LedgerCounters:
         """Return a summary."""
         return LedgerCounters(
