--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -6,7 +6,6 @@
 import uuid
 from datetime import timedelta
 from typing import Any
-from urllib.parse import urlsplit
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
@@ -18,12 +17,17 @@
 from almondspread.journal import Journal
 from almondspread.ownership import Members, Ownership
 from almondspread.resources import RequestService
-from almondspread.scheduling import find_rack_shard
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.http import make_application
 from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.membership.directory import (
+    find_domain,
+    list_domain_peers,
+    list_shard_workers,
+    name_shards,
+)
 from almondspread_daemon.peers import PeerServer
 from almondspread_daemon.peers.messages import (
     CallMinion,
@@ -35,6 +39,7 @@
     Heartbeat,
     SubmitCall,
 )
+from almondspread_daemon.platform_access import open_platform
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
@@ -43,30 +48,9 @@
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.telemetry import configure_logs
-from almondspread_platform import (
-    HttpCaller,
-    HttpInstanceList,
-    HttpObjectStore,
-    HttpTable,
-    HttpWorkerGateway,
-    MinionClient,
-    open_client,
-)
 
-MAX_CONNECTIONS = 512
-CONNECTIONS_PER_ADDRESS = 32
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
-EXCHANGE_TIMEOUT = timedelta(seconds=2)
-
-
-def name_shards(kind: str, settings: Settings, count: int) -> tuple[str, ...]:
-    """Return the names of all shards of a kind, over all failure domains."""
-    names = []
-    for domain in settings.failure_domains:
-        for index in range(count):
-            names.append(f"{kind}/{domain}/{index}")
-    return tuple(names)
 
 
 class Entry:
@@ -78,33 +62,17 @@
         self.stopping = False
         self.incarnation = uuid.uuid4().hex
         self._started = False
-        self._client = open_client(MAX_CONNECTIONS)
-        caller = HttpCaller(
-            self._client,
-            per_address=CONNECTIONS_PER_ADDRESS,
-            overall=MAX_CONNECTIONS,
-            caller_domain=settings.failure_domain,
-        )
-        self._caller = caller
-        timeout = settings.platform.timeout
-        self._table = HttpTable(
-            caller, _find_host(settings.platform.table_url), timeout
-        )
-        self._store = HttpObjectStore(
-            caller, _find_host(settings.platform.store_url), timeout
-        )
-        self._gateway = HttpWorkerGateway(caller, EXCHANGE_TIMEOUT)
+        platform = open_platform(settings)
+        self._platform = platform
         members = Members(settings.peer.suspect_after)
         self.changes = ChangeLog(
-            self._table, clock, _make_batch, self._announce, self._push
+            platform.table, clock, _make_batch, self._announce, self._push
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
             settings.peer.seeds,
             members,
-            HttpInstanceList(
-                caller, _find_host(settings.platform.instances_url), timeout
-            ),
+            platform.instances,
             clock,
             random.Random(),
             self._compose_heartbeat,
@@ -118,20 +86,20 @@
             settings.platform.poll,
             self._wake_shards,
         )
+        ownership = settings.ownership
+        domains = settings.failure_domains
         self.schedule_shards = name_shards(
-            "schedule", settings, settings.ownership.schedule_shards
-        )
-        request_shards = name_shards(
-            "requests", settings, settings.ownership.request_shards
+            "schedule", domains, ownership.schedule_shards
         )
+        request_shards = name_shards("requests", domains, ownership.request_shards)
         self.keeper = ShardKeeper(
             settings.name,
             settings.failure_domain,
             self.incarnation,
             self._plan_shards(request_shards),
             members,
-            self._table,
-            self._store,
+            platform.table,
+            platform.store,
             clock,
             _make_batch,
             settings.ownership.instance_lease,
@@ -140,7 +108,7 @@
         self.pools = MinionPools(
             settings.name,
             settings.failure_domain,
-            MinionClient(caller),
+            platform.minions,
             clock,
             settings.requests.lookup_queue,
             MINION_SETTLE_TIME,
@@ -189,10 +157,10 @@
         plan: dict[str, MakeRunner] = {}
         domain = self.settings.failure_domain
         for shard in self.schedule_shards:
-            if shard.split("/")[1] == domain:
+            if find_domain(shard) == domain:
                 plan[shard] = self._make_schedule_shard
         for shard in request_shards:
-            if shard.split("/")[1] == domain:
+            if find_domain(shard) == domain:
                 plan[shard] = self._make_key_shard
         return plan
 
@@ -213,7 +181,7 @@
             self.schedule_shards,
             self.changes.cache,
             self._list_workers,
-            self._gateway,
+            self._platform.workers,
             self.clock,
             self.settings.scheduling.exchange,
             self.publisher.publish,
@@ -311,27 +279,15 @@
 
     def _list_domain_peers(self) -> list[str]:
         """Return the live, staying instances of this failure domain."""
-        peers = []
-        for member in self.neighbours.list_live():
-            if member.failure_domain != self.settings.failure_domain:
-                continue
-            if member.ready and not member.leaving:
-                peers.append(member.name)
-        return peers
+        live = self.neighbours.list_live()
+        return list_domain_peers(live, self.settings.failure_domain)
 
     def _list_workers(self, shard: str) -> list[Instance] | None:
         """Return the listed workers of a scheduling shard, ``None`` if unknown."""
         if not self.neighbours.list_is_known:
             return None
-        domain = shard.split("/")[1]
-        shards = [name for name in self.schedule_shards if name.split("/")[1] == domain]
-        workers = []
-        for instance in self.neighbours.listed.values():
-            if instance.role != "worker" or instance.failure_domain != domain:
-                continue
-            if shards[find_rack_shard(instance.rack, len(shards))] == shard:
-                workers.append(instance)
-        return workers
+        listed = self.neighbours.listed.values()
+        return list_shard_workers(listed, shard, self.schedule_shards)
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
@@ -358,11 +314,6 @@
         return ""
 
 
-def _find_host(url: str) -> str:
-    """Return the ``IP:port`` of a URL."""
-    return urlsplit(url).netloc
-
-
 def _make_batch() -> str:
     """Return a name that no other commit has."""
     return uuid.uuid4().hex
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/directory.py
@@ -0,0 +1,58 @@
+"""Which listed instances belong to a shard or share this failure domain."""
+
+from collections.abc import Iterable, Sequence
+
+from almondspread.interfaces import Instance
+from almondspread.ownership import Member
+from almondspread.scheduling import find_rack_shard
+
+
+def list_shard_workers(
+    listed: Iterable[Instance], shard: str, shards: Sequence[str]
+) -> list[Instance]:
+    """Return the workers of a scheduling shard, which are those of its racks.
+
+    ``shards`` names the scheduling shards of all failure domains.
+    """
+    domain = find_domain(shard)
+    local = [name for name in shards if find_domain(name) == domain]
+    workers = []
+    for instance in listed:
+        if instance.role != "worker" or instance.failure_domain != domain:
+            continue
+        if local[find_rack_shard(instance.rack, len(local))] == shard:
+            workers.append(instance)
+    return workers
+
+
+def list_domain_peers(members: Iterable[Member], failure_domain: str) -> list[str]:
+    """Return the names of the ready, staying members of a failure domain."""
+    peers = []
+    for member in members:
+        if member.failure_domain != failure_domain:
+            continue
+        if member.ready and not member.leaving:
+            peers.append(member.name)
+    return peers
+
+
+def find_domain(shard: str) -> str:
+    """Return the failure domain in a shard's name.
+
+    >>> find_domain("schedule/umea/0")
+    'umea'
+    """
+    return shard.split("/")[1]
+
+
+def name_shards(kind: str, domains: Sequence[str], count: int) -> tuple[str, ...]:
+    """Return the names of all shards of a kind, over all failure domains.
+
+    >>> name_shards("requests", ["umea", "lulea"], 1)
+    ('requests/umea/0', 'requests/lulea/0')
+    """
+    names = []
+    for domain in domains:
+        for index in range(count):
+            names.append(f"{kind}/{domain}/{index}")
+    return tuple(names)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -0,0 +1,67 @@
+"""The clients of everything that the platform gives one instance."""
+
+from datetime import timedelta
+from urllib.parse import urlsplit
+
+from attrs import define
+
+from almondspread.interfaces import (
+    InstanceList,
+    ObjectStore,
+    TableService,
+    WorkerGateway,
+)
+from almondspread_daemon.settings import Settings
+from almondspread_platform import (
+    HttpCaller,
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTable,
+    HttpWorkerGateway,
+    MinionClient,
+    open_client,
+)
+
+MAX_CONNECTIONS = 512
+CONNECTIONS_PER_ADDRESS = 32
+EXCHANGE_TIMEOUT = timedelta(seconds=2)
+
+
+@define(frozen=True)
+class PlatformAccess:
+    """The platform's services, the workers and the minions."""
+
+    table: TableService
+    store: ObjectStore
+    instances: InstanceList
+    workers: WorkerGateway
+    minions: MinionClient
+
+
+def open_platform(settings: Settings) -> PlatformAccess:
+    """Return clients for the services that the settings name."""
+    caller = HttpCaller(
+        open_client(MAX_CONNECTIONS),
+        per_address=CONNECTIONS_PER_ADDRESS,
+        overall=MAX_CONNECTIONS,
+        caller_domain=settings.failure_domain,
+    )
+    platform = settings.platform
+    return PlatformAccess(
+        table=HttpTable(caller, find_host(platform.table_url), platform.timeout),
+        store=HttpObjectStore(caller, find_host(platform.store_url), platform.timeout),
+        instances=HttpInstanceList(
+            caller, find_host(platform.instances_url), platform.timeout
+        ),
+        workers=HttpWorkerGateway(caller, EXCHANGE_TIMEOUT),
+        minions=MinionClient(caller),
+    )
+
+
+def find_host(url: str) -> str:
+    """Return the ``IP:port`` of a URL.
+
+    >>> find_host("http://127.0.0.1:7000/")
+    '127.0.0.1:7000'
+    """
+    return urlsplit(url).netloc
