--- a/packages/almondspread/almondspread/errors/problems.py
+++ b/packages/almondspread/almondspread/errors/problems.py
@@ -13,6 +13,8 @@
     ``not_run`` is true only where the system can prove that this submission did
     not run and never will, false where it ran, and ``None`` where that is unknown
     or does not apply. ``retry_after_seconds`` tells when to come back, if ever.
+    ``earlier_not_run`` says the same as ``not_run`` of the submissions that came
+    earlier under the same idempotency key.
 
     >>> from almondspread.errors import NotFound
     >>> problem = NotFound("service 'stops' does not exist", "list the services")
@@ -27,6 +29,7 @@
     remedy: str
     not_run: bool | None = None
     retry_after_seconds: float | None = None
+    earlier_not_run: bool | None = None
 
     def to_document(self) -> dict[str, Any]:
         """Return the JSON body of an answer that carries this problem."""
@@ -35,6 +38,7 @@
             "message": self.message,
             "remedy": self.remedy,
             "not_run": self.not_run,
+            "earlier_not_run": self.earlier_not_run,
         }
         if self.retry_after_seconds is not None:
             document["retry_after_seconds"] = self.retry_after_seconds
--- a/packages/almondspread/almondspread/requests/__init__.py
+++ b/packages/almondspread/almondspread/requests/__init__.py
@@ -1,8 +1,16 @@
 """Requests to minions: records of idempotency keys, slots, and admission."""
 
+from almondspread.requests.budget import RetryBudget, find_backoff
 from almondspread.requests.events import KEY_EVENT_CODEC, Answered, Dispatched
+from almondspread.requests.health import MinionHealth, eject_outlier
 from almondspread.requests.keys import KeyRecord, KeyTable, find_key_shard
-from almondspread.requests.slots import MinionSlots, SlotPool
+from almondspread.requests.queues import RequestQueue, Waiting, estimate_wait
+from almondspread.requests.slots import (
+    MinionSlots,
+    ShardSlots,
+    choose_minion,
+    find_minion_shard,
+)
 
 __all__ = [
     "KEY_EVENT_CODEC",
@@ -10,7 +18,16 @@
     "Dispatched",
     "KeyRecord",
     "KeyTable",
+    "MinionHealth",
     "MinionSlots",
-    "SlotPool",
+    "RequestQueue",
+    "RetryBudget",
+    "ShardSlots",
+    "Waiting",
+    "choose_minion",
+    "eject_outlier",
+    "estimate_wait",
+    "find_backoff",
     "find_key_shard",
+    "find_minion_shard",
 ]
--- /dev/null
+++ b/packages/almondspread/almondspread/requests/budget.py
@@ -0,0 +1,38 @@
+"""How many retries the traffic pays for."""
+
+import random
+from datetime import timedelta
+
+RETRY_SHARE = 0.1
+MOST_SAVED = 10.0
+FIRST_BACKOFF = timedelta(milliseconds=10)
+LONGEST_BACKOFF = timedelta(milliseconds=500)
+
+
+class RetryBudget:
+    """Allows one retry for every ten requests, with a few saved up.
+
+    >>> budget = RetryBudget()
+    >>> [budget.spend() for _ in range(11)].count(True)
+    10
+    """
+
+    def __init__(self) -> None:
+        self._saved = MOST_SAVED
+
+    def note_request(self) -> None:
+        """Count a request that came in."""
+        self._saved = min(MOST_SAVED, self._saved + RETRY_SHARE)
+
+    def spend(self) -> bool:
+        """Tell whether one more retry is allowed, and count it."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
+
+def find_backoff(tries: int, random_source: random.Random) -> timedelta:
+    """Return the jittered pause before the next try."""
+    longest = min(FIRST_BACKOFF * 2**tries, LONGEST_BACKOFF)
+    return longest * random_source.uniform(0.5, 1.0)
--- a/packages/almondspread/almondspread/requests/events.py
+++ b/packages/almondspread/almondspread/requests/events.py
@@ -7,7 +7,7 @@
 
 @define(frozen=True)
 class Dispatched:
-    """A non-idempotent request is about to go to a minion."""
+    """A non-idempotent request is about to go to a minion; ``at`` in UTC seconds."""
 
     service: str
     key: str
@@ -18,13 +18,18 @@
 
 @define(frozen=True)
 class Answered:
-    """A minion gave its whole answer to a dispatched request."""
+    """A minion gave its whole answer to a dispatched request.
+
+    A large body lies in the object store under ``object_name``; ``body`` is empty
+    then.
+    """
 
     service: str
     key: str
     status: int
     content_type: str
     body: bytes
+    object_name: str = ""
 
 
 @define(frozen=True)
@@ -35,4 +40,13 @@
     key: str
 
 
-KEY_EVENT_CODEC = TaggedCodec((Dispatched, Answered, NotSent))
+@define(frozen=True)
+class Forgotten:
+    """The record of a key is older than the time for which records are kept."""
+
+    service: str
+    key: str
+
+
+KeyEvent = Dispatched | Answered | NotSent | Forgotten
+KEY_EVENT_CODEC = TaggedCodec((Dispatched, Answered, NotSent, Forgotten))
--- /dev/null
+++ b/packages/almondspread/almondspread/requests/health.py
@@ -0,0 +1,94 @@
+"""How a minion has answered lately: its latency, and whether it is ejected.
+
+A minion whose requests mostly fail while those of others do not is ejected for a
+while. Afterwards it is on probation: it gets one request at a time until a few in a
+row succeed. Only a bounded share of the minions is ejected at once.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from attrs import define, field
+
+WEIGHT = 0.2
+FIRST_SECONDS = 0.01
+LEAST_SECONDS = 0.001
+LEAST_SAMPLES = 5
+EJECT_BELOW = 0.5
+OTHERS_ABOVE = 0.8
+EJECTED_SHARE = 1 / 3
+EJECTION_TIME = timedelta(seconds=5)
+LONGEST_EJECTION = timedelta(seconds=60)
+PROBATION_SUCCESSES = 3
+
+
+@define
+class MinionHealth:
+    """Moving averages of one minion's latency and success."""
+
+    seconds: dict[str, float] = field(factory=dict)
+    success_rate: float = 1.0
+    samples: int = 0
+    ejected_until: timedelta = timedelta(0)
+    ejections: int = 0
+    probation_left: int = 0
+
+    def find_seconds(self, kind: str) -> float:
+        """Return the expected latency of a kind in seconds."""
+        return max(LEAST_SECONDS, self.seconds.get(kind, FIRST_SECONDS))
+
+    def takes_another(self, in_flight: int, now: timedelta) -> bool:
+        """Tell whether ejection or probation leave room for one more request."""
+        if now < self.ejected_until:
+            return False
+        return self.probation_left == 0 or in_flight == 0
+
+    def note_success(self, kind: str, seconds: float) -> None:
+        """Take in a whole answer and how long it took."""
+        known = self.seconds.get(kind, seconds)
+        self.seconds[kind] = known + WEIGHT * (seconds - known)
+        self._note(1.0)
+        if self.probation_left:
+            self.probation_left -= 1
+            if self.probation_left == 0:
+                self.ejections = 0
+
+    def note_failure(self) -> None:
+        """Take in a request that brought no whole answer."""
+        self._note(0.0)
+
+    def _note(self, success: float) -> None:
+        """Advance the rate of success."""
+        self.samples += 1
+        self.success_rate += WEIGHT * (success - self.success_rate)
+
+    def eject(self, now: timedelta) -> None:
+        """Send nothing for a while, longer each time, and then little."""
+        pause = min(EJECTION_TIME * 2**self.ejections, LONGEST_EJECTION)
+        self.ejections = min(self.ejections + 1, 8)
+        self.ejected_until = now + pause
+        self.probation_left = PROBATION_SUCCESSES
+        self.success_rate = 1.0
+        self.samples = LEAST_SAMPLES - 2
+
+
+def eject_outlier(
+    failing: MinionHealth, others: Iterable[MinionHealth], now: timedelta
+) -> bool:
+    """Eject a minion that fails while the others do not; tell whether it was."""
+    if failing.samples < LEAST_SAMPLES or failing.success_rate >= EJECT_BELOW:
+        return False
+    rates = []
+    ejected = 0
+    for other in others:
+        if other is failing:
+            continue
+        rates.append(other.success_rate)
+        if now < other.ejected_until or other.probation_left:
+            ejected += 1
+    if not rates or sum(rates) / len(rates) < OTHERS_ABOVE:
+        return False
+    if ejected + 1 > max(1.0, (len(rates) + 1) * EJECTED_SHARE):
+        return False
+    failing.eject(now)
+    return True
--- a/packages/almondspread/almondspread/requests/keys.py
+++ b/packages/almondspread/almondspread/requests/keys.py
@@ -5,9 +5,11 @@
 import xxhash
 from attrs import define, evolve
 
-from almondspread.requests.events import Answered, Dispatched, NotSent
+from almondspread.codec import decode_message, encode_message
+from almondspread.requests.events import Dispatched, Forgotten, KeyEvent, NotSent
 
 DOMAIN_SEPARATOR = "~"
+RECORD_BYTES = 512
 
 
 @define(frozen=True)
@@ -22,6 +24,7 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    object_name: str = ""
 
     @property
     def is_answered(self) -> bool:
@@ -29,10 +32,24 @@
         return self.status != 0
 
 
+@define(frozen=True)
+class KeySnapshot:
+    """All records of a request shard at one moment."""
+
+    records: tuple[KeyRecord, ...]
+    has_forgotten: bool = False
+
+
 class KeyTable:
-    """All records of one request shard, as its journal adds them up."""
+    """All records of one request shard, as its journal adds them up.
+
+    ``size`` is about how many bytes of memory they take; ``has_forgotten`` tells
+    whether any record was ever dropped for its age.
+    """
 
     def __init__(self) -> None:
+        self.size = 0
+        self.has_forgotten = False
         self._records: dict[tuple[str, str], KeyRecord] = {}
 
     def __len__(self) -> int:
@@ -42,25 +59,70 @@
         """Return the record of a key."""
         return self._records.get((service, key))
 
-    def apply(self, event: Dispatched | Answered | NotSent) -> None:
+    def apply(self, event: KeyEvent) -> None:
         """Advance by one event."""
         place = (event.service, event.key)
         if isinstance(event, Dispatched):
-            self._records[place] = KeyRecord(
-                event.service, event.key, event.kind, event.digest, event.at
+            self._put(
+                KeyRecord(event.service, event.key, event.kind, event.digest, event.at)
             )
             return
-        if isinstance(event, NotSent):
-            self._records.pop(place, None)
+        record = self._records.get(place)
+        if record is None:
+            return
+        if isinstance(event, NotSent | Forgotten):
+            self.has_forgotten |= isinstance(event, Forgotten)
+            del self._records[place]
+            self.size -= _weigh(record)
             return
-        record = self._records[place]
-        self._records[place] = evolve(
-            record,
-            status=event.status,
-            content_type=event.content_type,
-            body=event.body,
+        if record.is_answered:
+            return
+        self._put(
+            evolve(
+                record,
+                status=event.status,
+                content_type=event.content_type,
+                body=event.body,
+                object_name=event.object_name,
+            )
+        )
+
+    def _put(self, record: KeyRecord) -> None:
+        """Keep a record in place of an earlier one of its key."""
+        place = (record.service, record.key)
+        known = self._records.get(place)
+        if known is not None:
+            self.size -= _weigh(known)
+        self._records[place] = record
+        self.size += _weigh(record)
+
+    def list_old(self, before: float, limit: int) -> list[KeyRecord]:
+        """Return records of dispatches before a UTC time, the oldest first."""
+        found: list[KeyRecord] = []
+        for record in self._records.values():
+            if record.at >= before or len(found) == limit:
+                break
+            found.append(record)
+        return found
+
+    def save(self) -> bytes:
+        """Return all records as bytes."""
+        return encode_message(
+            KeySnapshot(tuple(self._records.values()), self.has_forgotten)
         )
 
+    def load(self, data: bytes) -> None:
+        """Take in what ``save`` returned; raises ``ValueError``."""
+        snapshot = decode_message(data, KeySnapshot)
+        self.has_forgotten = snapshot.has_forgotten
+        for record in snapshot.records:
+            self._put(record)
+
+
+def _weigh(record: KeyRecord) -> int:
+    """Return about how many bytes a record takes."""
+    return RECORD_BYTES + len(record.body)
+
 
 def find_key_shard(service: str, key: str, shards: Sequence[str]) -> str:
     """Return the shard that has a key.
--- /dev/null
+++ b/packages/almondspread/almondspread/requests/kinds.py
@@ -0,0 +1,24 @@
+"""The kinds of request, and the order in which they are served and shed."""
+
+from datetime import timedelta
+
+LOOKUP = "lookup"
+RESERVATION = "reservation"
+RECALCULATION = "recalculation"
+MONITOR = "monitor"
+
+SERVING_ORDER = (LOOKUP, RESERVATION, RECALCULATION, MONITOR)
+SHEDDING_ORDER = tuple(reversed(SERVING_ORDER))
+KEYED_KINDS = (RECALCULATION, RESERVATION)
+
+LATE_LOOKUP_LIMIT = timedelta(seconds=2)
+LATE_CALL_LIMIT = timedelta(seconds=30)
+
+
+def find_late_limit(kind: str) -> timedelta:
+    """Return how long after its deadline a request may still occupy a slot.
+
+    The connection stays open that long, so that a late answer is still received;
+    then it is closed, and the minion counts as done with the request.
+    """
+    return LATE_LOOKUP_LIMIT if kind == LOOKUP else LATE_CALL_LIMIT
--- a/packages/almondspread/almondspread/requests/slots.py
+++ b/packages/almondspread/almondspread/requests/slots.py
@@ -1,78 +1,126 @@
-"""Slots of the minions that one instance owns, counted exactly."""
+"""Slots of minions, counted exactly, also for what former owners still hold.
+
+A minion belongs to one shard of minions and only the owner of that shard sends to
+it. An owner counts its own requests one by one. What an earlier owner may still have
+in flight counts as in use as well: the numbers that it reports after a planned
+hand-over, and every slot after a crash until the longest request has surely ended.
+"""
 
-import asyncio
-from collections import deque
 from datetime import timedelta
 
+import xxhash
 from attrs import define, field
 
+from almondspread.requests.health import MinionHealth
+from almondspread.requests.kinds import LOOKUP
+
+LOOKUP_SHARE = 4
+
+
+def find_minion_shard(minion: str, shards: tuple[str, ...]) -> str:
+    """Return the shard of a minion among those of its failure domain.
+
+    >>> find_minion_shard("route-umea-1", ("minions/umea/0",))
+    'minions/umea/0'
+    """
+    return shards[xxhash.xxh3_64_intdigest(minion.encode()) % len(shards)]
+
 
 @define
+class ShardSlots:
+    """What an owner knows of one shard of minions under one epoch.
+
+    ``right_until`` is the monotonic time up to which it may send. After a crash of
+    the former owner, all slots count as in use until ``lookups_until``, and those
+    that calls may take until ``calls_until``. After a planned hand-over ``held`` maps
+    minions to the slots that the former owner still has in use.
+    """
+
+    shard: str
+    epoch: int
+    right_until: timedelta = timedelta(0)
+    lookups_until: timedelta = timedelta(0)
+    calls_until: timedelta = timedelta(0)
+    held: dict[str, int] = field(factory=dict)
+    released: bool = False
+
+    def may_send(self, now: timedelta) -> bool:
+        """Tell whether the owner may send at a monotonic time."""
+        return not self.released and now < self.right_until
+
+    def count_held(self, minion: "MinionSlots", now: timedelta) -> int:
+        """Return how many slots former owners may still have in use."""
+        if now < self.lookups_until:
+            return minion.slots
+        held = self.held.get(minion.name, 0)
+        if now < self.calls_until:
+            held = max(held, minion.call_slots)
+        return held
+
+
+@define(eq=False)
 class MinionSlots:
-    """One minion: its slots, those in use, and whether it takes new requests."""
+    """One minion: its slots, those in use, and how it has answered lately."""
 
     name: str
     address: str
     slots: int
+    shard: ShardSlots
     in_flight: int = 0
+    calls_in_flight: int = 0
     leaving: bool = False
-    ready_at: timedelta = field(default=timedelta(0))
+    listed: bool = True
+    health: MinionHealth = field(factory=MinionHealth)
+
+    @property
+    def call_slots(self) -> int:
+        """How many slots requests other than lookups may take."""
+        return max(1, self.slots - self.slots // LOOKUP_SHARE)
+
+    def count_free(self, now: timedelta) -> int:
+        """Return how many slots are free."""
+        used = self.in_flight + self.shard.count_held(self, now)
+        return max(0, self.slots - used)
 
-    def has_room(self, now: timedelta) -> bool:
-        """Tell whether one more request may go to the minion."""
-        if self.leaving or now < self.ready_at:
+    def has_room(self, kind: str, now: timedelta) -> bool:
+        """Tell whether one more request of a kind may go to the minion."""
+        if self.leaving or not self.listed or not self.shard.may_send(now):
             return False
-        return self.in_flight < self.slots
+        held = self.shard.count_held(self, now)
+        if self.in_flight + held >= self.slots:
+            return False
+        if not self.health.takes_another(self.in_flight, now):
+            return False
+        if kind == LOOKUP:
+            return True
+        return self.calls_in_flight + held < self.call_slots
 
+    def take(self, kind: str) -> None:
+        """Count a request that is about to be sent."""
+        self.in_flight += 1
+        if kind != LOOKUP:
+            self.calls_in_flight += 1
 
-class SlotPool:
-    """The owned minions of one service, and requests that wait for a slot."""
+    def give_back(self, kind: str) -> None:
+        """Count a request that the minion is done with."""
+        self.in_flight -= 1
+        if kind != LOOKUP:
+            self.calls_in_flight -= 1
 
-    def __init__(self, queue_length: int) -> None:
-        self.minions: dict[str, MinionSlots] = {}
-        self._queue_length = queue_length
-        self._waiting: deque[asyncio.Future[None]] = deque()
 
-    @property
-    def free(self) -> int:
-        """How many slots are free."""
-        return sum(m.slots - m.in_flight for m in self.minions.values())
-
-    def take(self, now: timedelta) -> MinionSlots | None:
-        """Take a slot of the least loaded minion, ``None`` where all are in use."""
-        best = None
-        for minion in self.minions.values():
-            if not minion.has_room(now):
-                continue
-            if best is None or minion.in_flight < best.in_flight:
-                best = minion
-        if best is not None:
-            best.in_flight += 1
-        return best
-
-    def give_back(self, minion: MinionSlots) -> None:
-        """Return a slot once the minion is done with the request."""
-        minion.in_flight -= 1
-        while self._waiting:
-            future = self._waiting.popleft()
-            if not future.done():
-                future.set_result(None)
-                return
+def choose_minion(
+    minions: list[MinionSlots], kind: str, now: timedelta
+) -> MinionSlots | None:
+    """Return the minion that should answer soonest, ``None`` where all are full.
 
-    @property
-    def is_queue_full(self) -> bool:
-        """Whether no more requests may wait for a slot."""
-        return len(self._waiting) >= self._queue_length
-
-    async def wait(self, timeout: float) -> bool:
-        """Wait for a slot to become free; false where none did in time."""
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append(future)
-        try:
-            await asyncio.wait_for(future, timeout)
-        except TimeoutError:
-            return False
-        finally:
-            if future in self._waiting:
-                self._waiting.remove(future)
-        return True
+    A minion counts as slower the more requests it has and the longer it took lately.
+    """
+    best = None
+    best_score = 0.0
+    for minion in minions:
+        if not minion.has_room(kind, now):
+            continue
+        score = (minion.in_flight + 1) * minion.health.find_seconds(kind)
+        if best is None or score < best_score:
+            best, best_score = minion, score
+    return best
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -16,7 +16,6 @@
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
 from almondspread.ownership import Members, Ownership
-from almondspread.resources import RequestService
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
@@ -24,24 +23,21 @@
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
     find_domain,
-    list_domain_peers,
     list_shard_workers,
     name_shards,
 )
 from almondspread_daemon.peers import PeerServer
 from almondspread_daemon.peers.messages import (
-    CallMinion,
     EntryAnnounced,
     FetchEntries,
-    FetchRecord,
     FetchStatus,
     FetchTasks,
     Heartbeat,
-    SubmitCall,
 )
 from almondspread_daemon.platform_access import open_platform
 from almondspread_daemon.reports import StatusReporter
-from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
+from almondspread_daemon.requests import KeyShard, MinionShard
+from almondspread_daemon.requests.part import RequestPart
 from almondspread_daemon.resources import ResourceService, documents
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
@@ -49,8 +45,8 @@
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.telemetry import configure_logs
 
-MINION_SETTLE_TIME = timedelta(seconds=2)
-POOL_INTERVAL = timedelta(milliseconds=250)
+READY_INTERVAL = timedelta(milliseconds=250)
+CLOSE_TIMEOUT = timedelta(seconds=2)
 
 
 class Entry:
@@ -92,11 +88,16 @@
             "schedule", domains, ownership.schedule_shards
         )
         request_shards = name_shards("requests", domains, ownership.request_shards)
+        minion_shards = name_shards(
+            "minions", [settings.failure_domain], ownership.minion_shards
+        )
+        plan = self._plan_shards(request_shards, minion_shards)
+        self.planned_shards = tuple(plan)
         self.keeper = ShardKeeper(
             settings.name,
             settings.failure_domain,
             self.incarnation,
-            self._plan_shards(request_shards),
+            plan,
             members,
             platform.table,
             platform.store,
@@ -105,23 +106,20 @@
             settings.ownership.instance_lease,
             self.neighbours.send_heartbeat,
         )
-        self.pools = MinionPools(
-            settings.name,
-            settings.failure_domain,
-            platform.minions,
-            clock,
-            settings.requests.lookup_queue,
-            MINION_SETTLE_TIME,
-            self._list_domain_peers,
-        )
-        self.router = RequestRouter(
-            settings.failure_domain,
+        self.requests = RequestPart(
+            settings,
+            minion_shards,
             request_shards,
-            self.keeper.runners.get,
-            self.pools,
+            self.changes.cache,
             self.neighbours,
+            platform.minions,
+            platform.table,
+            platform.store,
+            self.keeper.runners.get,
+            self.keeper.list_epochs,
             clock,
         )
+        self.router = self.requests.router
         self.publisher = StatusPublisher(self.changes, clock, settings.name)
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
@@ -139,9 +137,7 @@
                 FetchEntries: self.follower.take_fetch,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
-                SubmitCall: self.router.take_submit,
-                FetchRecord: self.router.take_fetch,
-                CallMinion: self.router.take_call,
+                **self.requests.serving.list_handlers(),
             }
         )
         self.http_server = HTTPServer(
@@ -152,7 +148,9 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _plan_shards(self, request_shards: tuple[str, ...]) -> dict[str, MakeRunner]:
+    def _plan_shards(
+        self, request_shards: tuple[str, ...], minion_shards: tuple[str, ...]
+    ) -> dict[str, MakeRunner]:
         """Return the shards of this domain and how to act for each."""
         plan: dict[str, MakeRunner] = {}
         domain = self.settings.failure_domain
@@ -162,6 +160,8 @@
         for shard in request_shards:
             if find_domain(shard) == domain:
                 plan[shard] = self._make_key_shard
+        for shard in minion_shards:
+            plan[shard] = self._make_minion_shard
         return plan
 
     def _make_schedule_shard(
@@ -188,10 +188,16 @@
         )
 
     def _make_key_shard(
-        self, ownership: Ownership, journal: Journal, _: bool
+        self, ownership: Ownership, journal: Journal, stopped: bool
     ) -> KeyShard:
         """Return what acts for a request shard."""
-        return KeyShard(ownership, journal, self.router.call_minions, self.clock)
+        return self.requests.make_key_shard(ownership, journal, stopped)
+
+    def _make_minion_shard(
+        self, ownership: Ownership, journal: Journal, stopped: bool
+    ) -> MinionShard:
+        """Return what acts for a shard of minions."""
+        return self.requests.make_minion_shard(ownership, journal, stopped)
 
     @property
     def is_ready(self) -> bool:
@@ -209,7 +215,8 @@
             self.follower.run(),
             self.keeper.run(),
             self.publisher.run(),
-            self._follow_minions(),
+            self.requests.run(),
+            self._tell_readiness(),
         ):
             self._tasks.append(start_task(running))
         self._started = True
@@ -220,15 +227,18 @@
             self.settings.peer.listen,
         )
 
-    async def _follow_minions(self) -> None:
-        """Keep the pools in step with the list and with the other instances."""
+    async def _tell_readiness(self) -> None:
+        """Keep the reports in step with whether this instance is ready."""
         while True:
-            self.pools.update(self.neighbours.listed.values())
             self.reporter.ready = self.is_ready
-            await self.clock.sleep(POOL_INTERVAL)
+            await self.clock.sleep(READY_INTERVAL)
 
     async def stop(self) -> None:
-        """Stop gracefully: nothing under way is cut short, shards are handed over."""
+        """Stop gracefully: nothing under way is cut short, shards are handed over.
+
+        Readiness fails first, and the instance goes on to serve until the balancer
+        has seen that. Requests that wait here for a minion move to the next owner.
+        """
         logger.info("entry {} is leaving", self.settings.name)
         self.keeper.leaving = True
         self.neighbours.send_heartbeat()
@@ -236,12 +246,29 @@
         self.stopping = True
         self.follower.release_waiters()
         self.http_server.stop()
-        await self.http_server.close_all_connections()
         await self.keeper.hand_over_all()
+        self.neighbours.send_heartbeat()
+        await self.requests.drain()
+        await self._close_connections()
         await self.publisher.flush()
         self.neighbours.send_heartbeat()
         await self.close()
 
+    async def end_now(self) -> None:
+        """Answer what is left honestly, and end."""
+        logger.warning("entry {} ends with requests open", self.settings.name)
+        self.http_server.stop()
+        self.requests.give_up_all()
+        await self.close()
+
+    async def _close_connections(self) -> None:
+        """Close the callers' connections once their last answers are written."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT.total_seconds()):
+                await self.http_server.close_all_connections()
+        except TimeoutError:
+            logger.warning("some connections of callers did not close in time")
+
     async def close(self) -> None:
         """End at once, as a killed process would."""
         self.http_server.stop()
@@ -249,6 +276,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._close_connections()
 
     def _announce(self, entry: LogEntry) -> None:
         """Tell those who follow the change log of a new entry."""
@@ -277,11 +305,6 @@
             shards=self.keeper.list_epochs(),
         )
 
-    def _list_domain_peers(self) -> list[str]:
-        """Return the live, staying instances of this failure domain."""
-        live = self.neighbours.list_live()
-        return list_domain_peers(live, self.settings.failure_domain)
-
     def _list_workers(self, shard: str) -> list[Instance] | None:
         """Return the listed workers of a scheduling shard, ``None`` if unknown."""
         if not self.neighbours.list_is_known:
@@ -297,18 +320,6 @@
                 members.append((member.name, member.revision))
         return documents.describe_item(item, members)
 
-    def find_deadline(self, service: str, kind: str) -> float:
-        """Return the longest deadline of a kind of request, in seconds."""
-        item = self.changes.cache.find("request-service", service)
-        limits = item.resource if item else None
-        if not isinstance(limits, RequestService):
-            if kind == "lookup":
-                return self.settings.requests.lookup_deadline_seconds
-            return self.settings.requests.call_deadline_seconds
-        if kind == "lookup":
-            return limits.lookup_deadline_seconds
-        return limits.call_deadline_seconds
-
     def traceparent(self) -> str:
         """Return the trace context to send on."""
         return ""
@@ -324,15 +335,35 @@
     configure_logs(settings.log, settings.name)
     entry = Entry(settings, SystemClock())
     told = asyncio.Event()
+    hurried = asyncio.Event()
+
+    def take_signal() -> None:
+        """Start a graceful shutdown, and hurry it at the second signal."""
+        if told.is_set():
+            hurried.set()
+        told.set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+        loop.add_signal_handler(number, take_signal)
     await entry.start()
     await told.wait()
-    try:
-        async with asyncio.timeout(settings.requests.stop_bound_seconds):
-            await entry.stop()
-    except TimeoutError:
-        logger.error("the stop took longer than its bound")
-        return 1
+    await _stop_within_bound(entry, hurried)
     return 0
+
+
+async def _stop_within_bound(entry: Entry, hurried: asyncio.Event) -> None:
+    """Stop gracefully; end at once at the bound of a stop or at a second signal."""
+    stopping = start_task(entry.stop())
+    waiting = asyncio.create_task(hurried.wait())
+    await asyncio.wait(
+        [stopping, waiting],
+        timeout=entry.settings.requests.stop_bound_seconds,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    waiting.cancel()
+    if stopping.done():
+        return
+    stopping.cancel()
+    await asyncio.wait([stopping])
+    await entry.end_now()
--- a/packages/almondspread_daemon/almondspread_daemon/http/requests.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/requests.py
@@ -8,6 +8,7 @@
 from almondspread.interfaces import MinionRequest
 from almondspread_daemon.http.base import EntryHandler
 from almondspread_daemon.peers.messages import CallAnswered, SubmitCall
+from almondspread_daemon.requests.refusals import report_ending
 
 IDEMPOTENT_KINDS = ("lookup", "monitor")
 KEYED_KINDS = ("recalculation", "reservation")
@@ -22,9 +23,21 @@
         deadline = self._read_deadline(service, kind)
         if deadline.is_error():
             return self.refuse(deadline.error)
-        if kind in IDEMPOTENT_KINDS:
-            return await self._look_up(service, kind, deadline.ok)
-        await self._submit(service, kind, deadline.ok)
+        if self.entry.keeper.leaving:
+            # The caller's next request should go to another instance.
+            self.set_header("Connection", "close")
+        self.entry.requests.open_calls.add(self)
+        try:
+            if kind in IDEMPOTENT_KINDS:
+                return await self._look_up(service, kind, deadline.ok)
+            await self._submit(service, kind, deadline.ok)
+        finally:
+            self.entry.requests.open_calls.discard(self)
+
+    def give_up(self) -> None:
+        """Answer now, because the instance must end."""
+        if not self._finished:
+            self.refuse(report_ending())
 
     async def _look_up(self, service: str, kind: str, deadline: float) -> None:
         """Answer an idempotent request."""
@@ -32,6 +45,8 @@
             service, kind, self.request.body, "", deadline, self.entry.traceparent()
         )
         answer = await self.entry.router.call_minions(request)
+        if self._finished:
+            return
         if answer.is_error():
             return self.refuse(answer.error)
         reply = answer.ok
@@ -51,6 +66,8 @@
         shard = self.entry.router.find_shard(service, key)
         message = SubmitCall(shard, service, kind, key, self.request.body, deadline)
         outcome = await self.entry.router.submit(message)
+        if self._finished:
+            return
         if outcome.is_error():
             return self.refuse(outcome.error)
         self._pass_on(outcome.ok)
@@ -68,7 +85,7 @@
         if kind not in IDEMPOTENT_KINDS + KEYED_KINDS:
             remedy = "use " + ", ".join(IDEMPOTENT_KINDS + KEYED_KINDS)
             return Error(NotFound(f"request kind {kind!r} is not known", remedy))
-        longest = self.entry.find_deadline(service, kind)
+        longest = self.entry.requests.deadlines.find(service, kind)
         text = self.request.headers.get("X-Deadline-Seconds", "")
         try:
             seconds = float(text) if text else longest
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -138,6 +138,12 @@
         for link in self._links.values():
             link.note(message)
 
+    def note(self, address: str, message: Any) -> None:
+        """Send a message without reply to one instance, if its stream is open."""
+        link = self._links.get(address)
+        if link is not None:
+            link.note(message)
+
     async def call(
         self, address: str, message: Any, timeout: timedelta
     ) -> Result[Any, PeerFault]:
--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -9,7 +9,7 @@
 from attrs import define
 from expression import Error, Ok, Result
 from loguru import logger
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 
 from almondspread.clock import Clock
@@ -139,7 +139,7 @@
         data = frame.encode()
         try:
             self._stream.write(data)
-        except (StreamClosedError, OSError):
+        except (StreamClosedError, StreamBufferFullError, OSError):
             return False
         self.bytes_sent += len(data)
         return True
--- a/packages/almondspread_daemon/almondspread_daemon/platform_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -24,6 +24,8 @@
 
 MAX_CONNECTIONS = 512
 CONNECTIONS_PER_ADDRESS = 32
+MINION_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 EXCHANGE_TIMEOUT = timedelta(seconds=2)
 
 
@@ -46,6 +48,13 @@
         overall=MAX_CONNECTIONS,
         caller_domain=settings.failure_domain,
     )
+    # Minions have a client of their own, which a slow store cannot occupy.
+    minion_caller = HttpCaller(
+        open_client(MAX_CONNECTIONS, MAX_ANSWER_BYTES),
+        per_address=MINION_CONNECTIONS,
+        overall=MAX_CONNECTIONS,
+        caller_domain=settings.failure_domain,
+    )
     platform = settings.platform
     return PlatformAccess(
         table=HttpTable(caller, find_host(platform.table_url), platform.timeout),
@@ -54,7 +63,7 @@
             caller, find_host(platform.instances_url), platform.timeout
         ),
         workers=HttpWorkerGateway(caller, EXCHANGE_TIMEOUT),
-        minions=MinionClient(caller),
+        minions=MinionClient(minion_caller),
     )
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/__init__.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/__init__.py
@@ -1,7 +1,16 @@
 """Requests of callers: their way to a minion, and the records of their keys."""
 
 from almondspread_daemon.requests.keys import KeyShard
+from almondspread_daemon.requests.minion_shards import MinionShard, MinionTerms
 from almondspread_daemon.requests.minions import MinionPools
 from almondspread_daemon.requests.router import RequestRouter
+from almondspread_daemon.requests.serving import PeerRequests
 
-__all__ = ["KeyShard", "MinionPools", "RequestRouter"]
+__all__ = [
+    "KeyShard",
+    "MinionPools",
+    "MinionShard",
+    "MinionTerms",
+    "PeerRequests",
+    "RequestRouter",
+]
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/deadlines.py
@@ -0,0 +1,39 @@
+"""The longest deadline of each kind of request, by service."""
+
+from datetime import timedelta
+
+from almondspread.changes import ResourceCache
+from almondspread.requests.kinds import LOOKUP
+from almondspread.resources import RequestService
+from almondspread_daemon.settings import RequestSettings
+
+
+class Deadlines:
+    """Reads deadlines from the declared services, else from the settings."""
+
+    def __init__(self, settings: RequestSettings, cache: ResourceCache) -> None:
+        self._settings = settings
+        self._cache = cache
+
+    def find(self, service: str, kind: str) -> float:
+        """Return the longest deadline of a kind of request, in seconds."""
+        item = self._cache.find("request-service", service)
+        limits = item.resource if item else None
+        if not isinstance(limits, RequestService):
+            return self._find_default(kind)
+        if kind == LOOKUP:
+            return limits.lookup_deadline_seconds
+        return limits.call_deadline_seconds
+
+    def _find_default(self, kind: str) -> float:
+        """Return the longest deadline where a service declares none."""
+        if kind == LOOKUP:
+            return self._settings.lookup_deadline_seconds
+        return self._settings.call_deadline_seconds
+
+    def find_longest(self, kind: str) -> timedelta:
+        """Return the longest deadline of a kind over all services."""
+        longest = self._find_default(kind)
+        for item in self._cache.list_items("request-service"):
+            longest = max(longest, self.find(item.name, kind))
+        return timedelta(seconds=longest)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/deliveries.py
@@ -0,0 +1,77 @@
+"""Answers on their way to the records of their keys.
+
+A minion's answer to a keyed request is kept here until the owner of its key says that
+it is journalled. The owner may die or change meanwhile: the answer is then offered to
+whichever instance owns the key, so that it can be fetched later.
+"""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from attrs import define
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread_daemon.peers.messages import DeliverAnswer
+
+FIRST_PAUSE = timedelta(seconds=1)
+INTERVAL = timedelta(milliseconds=500)
+LONGEST_KEPT = timedelta(minutes=10)
+MAX_KEPT_BYTES = 32 * 1024 * 1024
+
+Offer = Callable[[DeliverAnswer], Awaitable[bool]]
+
+
+@define
+class _Kept:
+    """An answer and since when it is kept."""
+
+    answer: DeliverAnswer
+    since: timedelta
+    offer_from: timedelta
+
+
+class AnswerDeliveries:
+    """Keeps answers until they are journalled; the oldest go first when full."""
+
+    def __init__(self, offer: Offer, clock: Clock) -> None:
+        self._offer = offer
+        self._clock = clock
+        self._kept: dict[tuple[str, str], _Kept] = {}
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def keep(self, answer: DeliverAnswer, at_once: bool) -> None:
+        """Keep an answer, and offer it at once or after a first pause."""
+        now = self._clock.monotonic()
+        self.forget(answer.service, answer.key)
+        pause = timedelta(0) if at_once else FIRST_PAUSE
+        self._kept[answer.service, answer.key] = _Kept(answer, now, now + pause)
+        self._bytes += len(answer.body)
+        while self._bytes > MAX_KEPT_BYTES and len(self._kept) > 1:
+            service, key = next(iter(self._kept))
+            logger.error("the answer under key {} of {} is dropped", key, service)
+            self.forget(service, key)
+
+    def forget(self, service: str, key: str) -> None:
+        """Drop an answer that is journalled."""
+        kept = self._kept.pop((service, key), None)
+        if kept is not None:
+            self._bytes -= len(kept.answer.body)
+
+    async def run(self) -> None:
+        """Offer what is kept again and again until cancelled."""
+        while True:
+            await self.offer_all()
+            await self._clock.sleep(INTERVAL)
+
+    async def offer_all(self) -> None:
+        """Offer once each answer that is due."""
+        for place, kept in list(self._kept.items()):
+            now = self._clock.monotonic()
+            if now < kept.offer_from:
+                continue
+            if await self._offer(kept.answer) or now - kept.since > LONGEST_KEPT:
+                self.forget(*place)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
@@ -4,22 +4,48 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+from attrs import define, evolve
 from expression import Error, Ok, Result
+from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.errors import Conflict, NotFound, OutcomeUnknown, Problem, Unavailable
-from almondspread.interfaces import MinionAnswer, MinionRequest
-from almondspread.journal import Journal
+from almondspread.errors import NotFound, OutcomeUnknown, Problem, Unavailable
+from almondspread.interfaces import MinionAnswer, MinionRequest, ObjectStore
+from almondspread.journal import Journal, Undecodable
 from almondspread.ownership import Ownership
 from almondspread.requests import KEY_EVENT_CODEC, Answered, Dispatched, KeyTable
-from almondspread.requests.events import NotSent
+from almondspread.requests.events import Forgotten, KeyEvent
 from almondspread.requests.keys import KeyRecord, digest_payload
-from almondspread_daemon.peers.messages import CallAnswered, SubmitCall
+from almondspread_daemon.peers.messages import (
+    CallAnswered,
+    DeliverAnswer,
+    SubmitCall,
+)
+from almondspread_daemon.requests.dispatches import Dispatch, TakeSlot
+from almondspread_daemon.requests.refusals import (
+    refuse_conflict,
+    refuse_full_records,
+    refuse_moving,
+    report_unknown,
+)
 
 RECOVER_PAUSE = timedelta(milliseconds=500)
+STORE_PAUSE = timedelta(seconds=1)
+ANSWER_HOLD = timedelta(milliseconds=250)
+RECORDS_KEPT = timedelta(days=7)
+ROWS_BEFORE_SNAPSHOT = 200
+FORGET_AT_ONCE = 1_000
+MAX_RUNS = 2_048
+MAX_RECORD_BYTES = 32 * 1024 * 1024
+INLINE_BODY_BYTES = 16 * 1024
 
-KeyEvent = Dispatched | Answered | NotSent
-CallMinions = Callable[[MinionRequest], Awaitable[Result[MinionAnswer, Problem]]]
+
+@define(eq=False)
+class _Run:
+    """One key that is being run; ``outcome`` is for all who ask for it."""
+
+    digest: str
+    outcome: asyncio.Future[CallAnswered | Problem]
 
 
 class KeyShard:
@@ -29,26 +55,42 @@
         self,
         ownership: Ownership,
         journal: Journal,
-        call_minions: CallMinions,
+        store: ObjectStore,
+        take_slot: TakeSlot,
+        keep_answer: Callable[[DeliverAnswer], None],
+        tell_recorded: Callable[[str, str], None],
+        is_owner: Callable[[Ownership], Awaitable[bool]],
         clock: Clock,
     ) -> None:
         self.ownership = ownership
         self.records = KeyTable()
         self.recovered = False
         self._journal = journal
-        self._call_minions = call_minions
+        self._store = store
+        self._take_slot = take_slot
+        self._keep_answer = keep_answer
+        self._tell_recorded = tell_recorded
+        self._is_owner = is_owner
         self._clock = clock
         self._queue: asyncio.Queue[tuple[KeyEvent, asyncio.Future[bool]] | None] = (
             asyncio.Queue()
         )
-        self._active: dict[tuple[str, str], asyncio.Task[CallAnswered | Problem]] = {}
-        self._stopping = False
+        self._runs: dict[tuple[str, str], _Run] = {}
+        self._preparing: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping = asyncio.Event()
+        self._ended = False
+        self._snapshot: asyncio.Task[None] | None = None
 
     async def stop(self) -> None:
-        """Take no more requests, and end once those under way have."""
-        self._stopping = True
-        if self._active:
-            await asyncio.wait(list(self._active.values()))
+        """Start no more requests; those that were sent go on without this owner.
+
+        Requests that were not sent yet are refused as not run. The answers of those
+        that were sent are delivered to the next owner.
+        """
+        self._stopping.set()
+        while self._preparing:
+            await asyncio.wait(set(self._preparing))
         self._queue.put_nowait(None)
 
     async def run(self) -> None:
@@ -56,18 +98,27 @@
         try:
             await self._recover()
             while await self._commit_group():
-                pass
+                self._compact()
         finally:
-            self._stopping = True
+            self._stopping.set()
+            self._ended = True
             self._fail_queue()
+            if self._snapshot is not None:
+                self._snapshot.cancel()
 
     async def _recover(self) -> None:
-        """Rebuild the records from the journal."""
+        """Rebuild the records from the latest snapshot and the rows after it."""
         while True:
             recovered = await self._journal.recover()
             if recovered.is_ok():
                 break
             await self._clock.sleep(RECOVER_PAUSE)
+        if recovered.ok.snapshot is not None:
+            try:
+                self.records.load(recovered.ok.snapshot)
+            except ValueError as error:
+                shard = self.ownership.shard
+                raise Undecodable(shard, "its snapshot", str(error)) from error
         for row in recovered.ok.rows:
             for event in row.events:
                 self.records.apply(KEY_EVENT_CODEC.decode(event))
@@ -91,6 +142,30 @@
                 return False
         return None not in items
 
+    def _compact(self) -> None:
+        """Start a snapshot where a takeover would read many rows."""
+        if self._journal.rows_since_snapshot < ROWS_BEFORE_SNAPSHOT:
+            return
+        if self._snapshot is not None and not self._snapshot.done():
+            return
+        data = self.records.save()
+        self._snapshot = asyncio.create_task(self._write_snapshot(data))
+        before = (self._clock.now() - RECORDS_KEPT).timestamp()
+        for record in self.records.list_old(before, FORGET_AT_ONCE):
+            self._start(self._forget(record))
+
+    async def _write_snapshot(self, data: bytes) -> None:
+        """Write a snapshot beside the commits."""
+        written = await self._journal.write_snapshot(data)
+        if written.is_error():
+            logger.info("shard {} has a later owner", self.ownership.shard)
+
+    async def _forget(self, record: KeyRecord) -> None:
+        """Drop an old record, and then the body of its answer."""
+        forgotten = await self._commit(Forgotten(record.service, record.key))
+        if forgotten and record.object_name:
+            await self._store.delete(record.object_name)
+
     def _fail_queue(self) -> None:
         """Tell those who wait for a commit that none will come."""
         while not self._queue.empty():
@@ -101,123 +176,208 @@
     def _commit(self, event: KeyEvent) -> asyncio.Future[bool]:
         """Queue an event; the future tells whether it was committed."""
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._queue.put_nowait((event, future))
+        if self._ended:
+            future.set_result(False)
+        else:
+            self._queue.put_nowait((event, future))
         return future
 
-    async def submit(self, message: SubmitCall) -> CallAnswered | Problem:
-        """Answer one submission of a key: from the record, or by running it."""
-        if self._stopping or not self.recovered:
-            return Unavailable(
-                "the records of this key are moving to another instance",
-                "send the request again with the same key",
-                not_run=None,
-                retry_after_seconds=1.0,
-            )
+    def _start(self, running: Awaitable[None]) -> asyncio.Task[None]:
+        """Run something beside, and keep hold of it until it ends."""
+        task = asyncio.ensure_future(running)
+        assert isinstance(task, asyncio.Task)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def submit(
+        self, message: SubmitCall, due: timedelta
+    ) -> CallAnswered | Problem:
+        """Answer one submission of a key by ``due``: from the record, or by running."""
+        if not self.recovered or self._ended:
+            return refuse_moving()
         digest = digest_payload(message.kind, message.body)
         place = (message.service, message.key)
-        task = self._active.get(place)
-        if task is None:
+        run = self._runs.get(place)
+        if run is not None and run.digest != digest:
+            return refuse_conflict(message.key, None)
+        if run is None:
             record = self.records.find(message.service, message.key)
             if record is not None:
-                return answer_from_record(record, digest)
-            task = asyncio.create_task(self._run_once(message, digest))
-            self._active[place] = task
-            task.add_done_callback(lambda _: self._active.pop(place, None))
-            return await asyncio.shield(task)
-        return await self._join(task, message, digest)
-
-    async def _join(
-        self,
-        task: asyncio.Task[CallAnswered | Problem],
-        message: SubmitCall,
-        digest: str,
-    ) -> CallAnswered | Problem:
-        """Wait for an earlier submission of the same key."""
-        left = message.deadline - self._clock.now().timestamp()
-        await asyncio.wait([task], timeout=max(0.0, left))
-        record = self.records.find(message.service, message.key)
-        if record is not None:
-            return answer_from_record(record, digest)
-        if task.done():
-            return task.result()
-        return OutcomeUnknown(
-            "an earlier submission of this key is still being started",
-            "ask for the recorded answer under the key",
-        )
+                return await self._answer_from_record(record, digest)
+            if self._stopping.is_set():
+                return refuse_moving()
+            if len(self._runs) >= MAX_RUNS or self.records.size > MAX_RECORD_BYTES:
+                return refuse_full_records(self.ownership.shard)
+            run = self._start_run(message, digest, due)
+        left = due - self._clock.monotonic()
+        await asyncio.wait([run.outcome], timeout=max(0.0, left.total_seconds()))
+        if run.outcome.done():
+            return run.outcome.result()
+        return report_unknown(f"key {message.key!r} is still being run")
 
-    async def _run_once(
-        self, message: SubmitCall, digest: str
-    ) -> CallAnswered | Problem:
-        """Journal the dispatch, send the request, and journal its answer."""
-        now = self._clock.now().timestamp()
-        event = Dispatched(message.service, message.key, message.kind, digest, now)
-        committed = self._commit(event)
-        left = message.deadline - now
-        try:
-            dispatched = await asyncio.wait_for(asyncio.shield(committed), left)
-        except TimeoutError:
-            # Nothing is sent after this point, so the record is taken back.
-            self._commit(NotSent(message.service, message.key))
-            return _refuse_unjournalled()
-        if not dispatched:
-            return _refuse_unjournalled()
+    def _start_run(self, message: SubmitCall, digest: str, due: timedelta) -> _Run:
+        """Start to run a key for the first time."""
+        future = asyncio.get_running_loop().create_future()
+        run = _Run(digest, future)
+        place = (message.service, message.key)
+        self._runs[place] = run
+        preparing = self._start(self._run_once(message, run, due))
+        self._preparing.add(preparing)
+        preparing.add_done_callback(self._preparing.discard)
+        return run
+
+    async def _run_once(self, message: SubmitCall, run: _Run, due: timedelta) -> None:
+        """Take a slot, journal the dispatch, send, and journal the answer."""
+        place = (message.service, message.key)
+        dispatch = Dispatch(self._take_slot, self._commit, self._stopping, self._clock)
+        event = Dispatched(
+            message.service,
+            message.key,
+            message.kind,
+            run.digest,
+            self._clock.now().timestamp(),
+        )
         request = MinionRequest(
             message.service, message.kind, message.body, message.key, message.deadline
         )
-        answer = await self._call_minions(request)
-        if answer.is_error():
-            if answer.error.not_run:
-                await self._commit(NotSent(message.service, message.key))
-            return answer.error
-        reply = answer.ok
-        await self._commit(
-            Answered(
-                message.service,
-                message.key,
-                reply.status,
-                reply.content_type,
-                reply.body,
+        try:
+            outcome = await dispatch.carry_out(
+                self.ownership.shard, event, request, due, self._detach
             )
+        except Exception as error:
+            self._runs.pop(place, None)
+            logger.exception("key {} failed", message.key)
+            run.outcome.set_result(report_unknown(f"the owner failed: {error!r}"))
+            return
+        if outcome.is_error():
+            problem = outcome.error
+            if self.records.has_forgotten:
+                problem = evolve(problem, earlier_not_run=None)
+            run.outcome.set_result(problem)
+            self._detach()
+            if dispatch.withdrawn is not None:
+                # Others who ask meanwhile get the same refusal.
+                await dispatch.withdrawn
+            self._runs.pop(place, None)
+            return
+        await self._record(message, run, outcome.ok)
+
+    def _detach(self) -> None:
+        """Let the shard be handed over although this request was sent."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._preparing.discard(task)
+
+    async def _record(
+        self, message: SubmitCall, run: _Run, answer: MinionAnswer
+    ) -> None:
+        """Journal an answer; an outage holds the caller up for a moment only."""
+        place = (message.service, message.key)
+        delivery = DeliverAnswer(
+            self.ownership.shard,
+            message.service,
+            message.key,
+            answer.status,
+            answer.content_type,
+            answer.body,
         )
-        return CallAnswered(reply.status, reply.body, reply.content_type)
+        taking = self._start(self._keep_or_take(delivery))
+        await asyncio.wait([taking], timeout=ANSWER_HOLD.total_seconds())
+        run.outcome.set_result(
+            CallAnswered(answer.status, answer.body, answer.content_type)
+        )
+        await asyncio.wait([taking])
+        self._runs.pop(place, None)
 
-    def fetch(self, service: str, key: str) -> CallAnswered | Problem:
-        """Return the recorded answer of a key."""
-        record = self.records.find(service, key)
-        if record is None:
-            return NotFound(
-                f"key {key!r} of service {service!r} has no record",
-                "check the key; a request under it was not run",
-                not_run=True if self.recovered else None,
-            )
-        return answer_from_record(record, record.digest)
+    async def _keep_or_take(self, answer: DeliverAnswer) -> None:
+        """Journal an answer here, or have it delivered to a later owner."""
+        if not await self.take_answer(answer):
+            self._keep_answer(answer)
 
+    async def take_answer(self, answer: DeliverAnswer) -> bool:
+        """Journal the answer to a dispatched key; false where that must be retried."""
+        if not self.recovered or self._ended:
+            return False
+        record = self.records.find(answer.service, answer.key)
+        if record is None or record.is_answered:
+            self._tell_recorded(answer.service, answer.key)
+            return True
+        name = ""
+        body = answer.body
+        if len(body) > INLINE_BODY_BYTES:
+            name = f"answers/{answer.shard}/{record.digest}-{int(record.at * 1e6)}"
+            if not await self._store_body(name, body):
+                return False
+            body = b""
+        event = Answered(
+            answer.service, answer.key, answer.status, answer.content_type, body, name
+        )
+        if not await self._commit(event):
+            return False
+        self._tell_recorded(answer.service, answer.key)
+        return True
+
+    async def _store_body(self, name: str, body: bytes) -> bool:
+        """Put a large body into the object store, as long as this owner acts."""
+        while not self._ended:
+            stored = await self._store.put(name, body)
+            if stored.is_ok():
+                return True
+            await self._clock.sleep(STORE_PAUSE)
+        return False
 
-def answer_from_record(record: KeyRecord, digest: str) -> CallAnswered | Problem:
-    """Return what a record answers to a submission with a payload digest."""
-    if record.digest != digest:
-        return Conflict(
-            f"key {record.key!r} was used for another payload",
-            "use a new key for another request",
-            not_run=True,
+    async def fetch(self, service: str, key: str) -> CallAnswered | Problem:
+        """Return the recorded answer of a key."""
+        record = self.records.find(service, key)
+        if record is not None:
+            return await self._answer_from_record(record, record.digest)
+        if (service, key) in self._runs or not self.recovered:
+            return report_unknown(f"key {key!r} has no recorded answer yet")
+        is_sure = not self.records.has_forgotten and await self._is_owner(
+            self.ownership
         )
-    if not record.is_answered:
-        return OutcomeUnknown(
-            f"the request under key {record.key!r} was dispatched; its answer is not "
-            "known",
-            "ask for the recorded answer again later",
+        return NotFound(
+            f"key {key!r} of service {service!r} has no record",
+            "check the key, or send the request under it",
+            not_run=True if is_sure else None,
+            earlier_not_run=True if is_sure else None,
         )
-    return CallAnswered(record.status, record.body, record.content_type, recorded=True)
 
+    async def _answer_from_record(
+        self, record: KeyRecord, digest: str
+    ) -> CallAnswered | Problem:
+        """Return what a record answers to a submission with a payload digest."""
+        if record.digest != digest:
+            return refuse_conflict(record.key, False if record.is_answered else None)
+        if not record.is_answered:
+            return OutcomeUnknown(
+                f"the request under key {record.key!r} was dispatched; its answer is "
+                "not known",
+                "ask for the recorded answer again later",
+            )
+        body = await self._load_body(record)
+        if body.is_error():
+            return body.error
+        return CallAnswered(record.status, body.ok, record.content_type, recorded=True)
 
-def _refuse_unjournalled() -> Problem:
-    """Return the refusal of a request whose dispatch was not journalled."""
-    return Unavailable(
-        "the dispatch could not be recorded, so nothing was sent",
-        "send the request again with the same key",
-        not_run=True,
-        retry_after_seconds=2.0,
-    )
+    async def _load_body(self, record: KeyRecord) -> Result[bytes, Problem]:
+        """Return the whole body of a recorded answer."""
+        if not record.object_name:
+            return Ok(record.body)
+        loaded = await self._store.get(record.object_name)
+        if loaded.is_ok() and loaded.ok is not None:
+            return Ok(loaded.ok)
+        return Error(
+            Unavailable(
+                f"the request under key {record.key!r} was run; its recorded answer "
+                "cannot be read now",
+                "ask for the recorded answer again later",
+                not_run=False,
+                retry_after_seconds=2.0,
+                earlier_not_run=False,
+            )
+        )
 
 
 def settle_result(
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
@@ -0,0 +1,249 @@
+"""Owning a shard of minions: taking it over safely, and keeping the right to send.
+
+No minion checks who sends to it, so the fence lies with the owner. It may send only
+for half of an instance lease after it asked, and was told, that no later owner is
+known. A successor of an owner that crashed counts all slots as in use until the
+longest request that its predecessor could still have sent has surely ended.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from enum import Enum
+
+from attrs import define
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.interfaces import TableService
+from almondspread.ownership import Member, Ownership, make_owner_key
+from almondspread.requests import ShardSlots
+from almondspread.requests.kinds import LATE_CALL_LIMIT, LATE_LOOKUP_LIMIT
+from almondspread_daemon.peers.messages import (
+    Accepted,
+    ConfirmOwner,
+    FetchSlots,
+    SlotsInUse,
+)
+from almondspread_daemon.requests.minions import MinionPools
+
+CONFIRMS_PER_LEASE = 6
+TABLE_READ_EVERY = 2
+ASK_TIMEOUT = timedelta(milliseconds=300)
+ASK_AGAIN = timedelta(milliseconds=300)
+POLL_INTERVAL = timedelta(milliseconds=100)
+
+
+class Told(Enum):
+    """What the peers of the failure domain say to an owner's question."""
+
+    CONFIRMED = "no peer knows of a later owner"
+    DENIED = "a peer knows of a later owner"
+    SILENT = "a live peer has not replied"
+    ALONE = "no peer is live"
+
+
+AskPeer = Callable[[Member, object, timedelta], Awaitable[object | None]]
+
+
+@define(frozen=True)
+class MinionTerms:
+    """How long requests last and how long an instance counts as live."""
+
+    instance_lease: timedelta
+    longest_lookup: timedelta
+    longest_call: timedelta
+
+    @property
+    def right(self) -> timedelta:
+        """How long an owner may send after a confirmation."""
+        return self.instance_lease / 2
+
+    @property
+    def lookups_held(self) -> timedelta:
+        """How long after a crash a lookup of the former owner may still run."""
+        return self.instance_lease + self.longest_lookup + LATE_LOOKUP_LIMIT
+
+    @property
+    def calls_held(self) -> timedelta:
+        """How long after a crash any request of the former owner may still run."""
+        return self.instance_lease + self.longest_call + LATE_CALL_LIMIT
+
+
+class MinionShard:
+    """Acts for one shard of minions under one epoch."""
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        pools: MinionPools,
+        table: TableService,
+        list_peers: Callable[[], list[Member]],
+        ask_peer: AskPeer,
+        terms: MinionTerms,
+        clock: Clock,
+    ) -> None:
+        self.ownership = ownership
+        self.recovered = False
+        self.slots = ShardSlots(ownership.shard, ownership.epoch)
+        self._pools = pools
+        self._table = table
+        self._list_peers = list_peers
+        self._ask_peer = ask_peer
+        self._terms = terms
+        self._clock = clock
+        self._stopped = asyncio.Event()
+        self._cycle = 0
+        self._last_cycle = timedelta(0)
+
+    async def stop(self) -> None:
+        """Send nothing more; what is in flight is reported to the next owner."""
+        self._stopped.set()
+        self._pools.release_shard(self.slots)
+
+    async def run(self) -> None:
+        """Take the slots over, then keep the right to send until superseded."""
+        polling = None
+        try:
+            self._count_all_in_use()
+            former = self._pools.shards[self.slots.shard]
+            self._pools.take_shard(self.slots)
+            polling = asyncio.create_task(self._take_over(former))
+            self.recovered = True
+            while not self._stopped.is_set():
+                if not await self._confirm():
+                    logger.info("shard {} has a later owner", self.slots.shard)
+                    return
+                await self._pause(self._terms.instance_lease / CONFIRMS_PER_LEASE)
+        finally:
+            if polling is not None:
+                polling.cancel()
+            self._pools.release_shard(self.slots)
+
+    async def _pause(self, duration: timedelta) -> None:
+        """Wait for a duration or until stopped."""
+        try:
+            async with asyncio.timeout(duration.total_seconds()):
+                await self._stopped.wait()
+        except TimeoutError:
+            return
+
+    def _count_all_in_use(self) -> None:
+        """Count as in use what an owner that crashed may have sent.
+
+        The first owner ever has no one before it.
+        """
+        if self.ownership.epoch <= 1:
+            return
+        now = self._clock.monotonic()
+        self.slots.lookups_until = now + self._terms.lookups_held
+        self.slots.calls_until = now + self._terms.calls_held
+
+    async def _take_over(self, own: ShardSlots) -> None:
+        """Learn from the former owner what it still has in use, until it has none."""
+        former = self.ownership.epoch - 1
+        if former < 1:
+            return
+        if own.released and own.epoch in (former, self.ownership.epoch):
+            # This instance's own requests are still counted one by one.
+            self.slots.held = dict(own.held)
+            self.slots.lookups_until = own.lookups_until
+            self.slots.calls_until = own.calls_until
+            await self._clock.sleep(self._terms.calls_held)
+            self.slots.held = {}
+            return
+        while self._clock.monotonic() < self.slots.calls_until:
+            for member in self._list_peers():
+                told = await self._ask_slots(member)
+                if told is None or told.epoch != former or not told.released:
+                    continue
+                self._count_reported(told)
+                await self._follow(member)
+                return
+            await self._clock.sleep(ASK_AGAIN)
+
+    async def _ask_slots(self, member: Member) -> SlotsInUse | None:
+        """Ask one peer for the slots that it may still have in use."""
+        told = await self._ask_peer(member, FetchSlots(self.slots.shard), ASK_TIMEOUT)
+        return told if isinstance(told, SlotsInUse) else None
+
+    def _count_reported(self, told: SlotsInUse) -> None:
+        """Count what the former owner reports in place of everything."""
+        self.slots.held = dict(told.in_use)
+        self.slots.lookups_until = timedelta(0)
+        self.slots.calls_until = timedelta(0)
+        for name in told.leaving:
+            self._pools.mark_leaving(name)
+
+    async def _follow(self, member: Member) -> None:
+        """Follow the former owner's count down to nothing.
+
+        Its last report stands, as an upper bound, until the longest request that it
+        can have sent has ended.
+        """
+        end = self._clock.monotonic() + self._terms.calls_held
+        while self.slots.held and self._clock.monotonic() < end:
+            await self._clock.sleep(POLL_INTERVAL)
+            told = await self._ask_slots(member)
+            if told is not None and told.released:
+                self.slots.held = dict(told.in_use)
+        self.slots.held = {}
+
+    async def _confirm(self) -> bool:
+        """Renew the right to send; false where a later owner is known."""
+        started = self._clock.monotonic()
+        was_paused = started - self._last_cycle > self._terms.right
+        self._last_cycle = started
+        self._cycle += 1
+        told = await self._ask_peers()
+        if told is Told.DENIED:
+            return False
+        if told is not Told.CONFIRMED or self._cycle % TABLE_READ_EVERY == 0:
+            asked = self._clock.monotonic()
+            unchanged = await self._read_table()
+            if unchanged is False:
+                return False
+            if unchanged:
+                self._extend_right(asked)
+        # After a pause, hearing of no peer proves nothing yet.
+        if told is Told.ALONE and was_paused:
+            return True
+        if told is not Told.SILENT:
+            self._extend_right(started)
+        return True
+
+    def _extend_right(self, confirmed: timedelta) -> None:
+        """Allow sending for a while after a moment of sure ownership."""
+        until = confirmed + self._terms.right
+        self.slots.right_until = max(self.slots.right_until, until)
+        self._pools.grant_all()
+
+    async def _ask_peers(self) -> Told:
+        """Ask all live peers of the domain whether they know of a later owner."""
+        peers = self._list_peers()
+        if not peers:
+            return Told.ALONE
+        message = ConfirmOwner(self.slots.shard, self.slots.epoch)
+        timeout = self._terms.instance_lease / CONFIRMS_PER_LEASE
+        calls = [self._ask_peer(member, message, timeout) for member in peers]
+        told = Told.CONFIRMED
+        for reply in await asyncio.gather(*calls):
+            if reply is None:
+                told = Told.SILENT
+                continue
+            if not isinstance(reply, Accepted):
+                return Told.DENIED
+        return told
+
+    async def _read_table(self) -> bool | None:
+        """Tell whether the owner row is unchanged, ``None`` where it is not told."""
+        timeout = self._terms.instance_lease / CONFIRMS_PER_LEASE
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                rows = await self._table.read([make_owner_key(self.slots.shard)])
+        except TimeoutError:
+            return None
+        if rows.is_error():
+            return None
+        version = rows.ok[0].version if rows.ok else 0
+        return version == self.ownership.condition.version
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -1,20 +1,84 @@
-"""The minions that this instance owns, and requests to them within their slots."""
+"""Requests to the minions that this instance owns, within their slots."""
 
+import asyncio
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
+from attrs import define, field
 from expression import Error, Ok, Result
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.errors import OutcomeUnknown, Overloaded, Problem
+from almondspread.errors import Problem
 from almondspread.interfaces import Instance, MinionAnswer, MinionRequest
-from almondspread.ownership import rank_owners
-from almondspread.requests import MinionSlots, SlotPool
+from almondspread.requests import (
+    MinionSlots,
+    RequestQueue,
+    ShardSlots,
+    Waiting,
+    choose_minion,
+    eject_outlier,
+    estimate_wait,
+    find_minion_shard,
+)
+from almondspread.requests.kinds import (
+    LOOKUP,
+    SERVING_ORDER,
+    find_late_limit,
+)
+from almondspread_daemon.peers.messages import ServiceLoad, SlotsInUse
+from almondspread_daemon.requests.refusals import (
+    refuse_late,
+    refuse_overload,
+    refuse_unsent,
+    report_unknown,
+)
 from almondspread_platform import MinionClient
 
-RETRY_AFTER_SECONDS = 1.0
-LOOK_AGAIN_SECONDS = 0.1
+SERVER_ERRORS = 500
+TakeLate = Callable[[MinionAnswer], None]
+
+
+@define(eq=False)
+class ServicePool:
+    """The minions of one service in this failure domain, and its queue here."""
+
+    queue: RequestQueue
+    minions: dict[str, MinionSlots] = field(factory=dict)
+
+    def choose(self, kind: str, now: timedelta) -> MinionSlots | None:
+        """Return the best minion for one more request of a kind."""
+        return choose_minion(list(self.minions.values()), kind, now)
+
+    def find_service_seconds(self, kind: str) -> float:
+        """Return the mean time that a request of a kind takes, 0 if unknown."""
+        known = []
+        for minion in self.minions.values():
+            if kind in minion.health.seconds:
+                known.append(minion.health.seconds[kind])
+        return sum(known) / len(known) if known else 0.0
+
+    def describe_load(self, now: timedelta) -> ServiceLoad:
+        """Return how the owned minions stand."""
+        slots = free = 0
+        for minion in self.minions.values():
+            if minion.leaving or not minion.listed or not minion.shard.may_send(now):
+                continue
+            slots += minion.slots
+            if minion.has_room(LOOKUP, now):
+                free += minion.count_free(now)
+        return ServiceLoad(slots, free, len(self.queue))
+
+
+@define(eq=False)
+class Ticket:
+    """One slot of a minion, taken for one request under one ownership."""
+
+    pool: ServicePool
+    minion: MinionSlots
+    shard: ShardSlots
+    kind: str
+    is_open: bool = True
 
 
 class MinionPools:
@@ -22,111 +86,298 @@
 
     def __init__(
         self,
-        name: str,
         failure_domain: str,
+        shards: tuple[str, ...],
         client: MinionClient,
         clock: Clock,
-        queue_length: int,
-        settle_time: timedelta,
-        list_peers: Callable[[], list[str]],
+        find_bounds: Callable[[str], dict[str, int]],
+        announce_leaving: Callable[[str], None],
     ) -> None:
-        self.pools: dict[str, SlotPool] = {}
-        self._name = name
+        self.pools: dict[str, ServicePool] = {}
+        self.shards = {shard: ShardSlots(shard, 0) for shard in shards}
+        self._names = shards
         self._failure_domain = failure_domain
         self._client = client
         self._clock = clock
-        self._queue_length = queue_length
-        self._settle_time = settle_time
-        self._list_peers = list_peers
+        self._find_bounds = find_bounds
+        self._announce_leaving = announce_leaving
+        self._transfers: set[asyncio.Task[Result[MinionAnswer, Problem]]] = set()
 
     def update(self, instances: Iterable[Instance]) -> None:
-        """Follow the platform's list and the instances that share its minions."""
-        owners = [self._name, *self._list_peers()]
+        """Follow the platform's list of this failure domain's minions."""
+        listed = set()
         for instance in instances:
             if instance.role != "minion":
                 continue
             if instance.failure_domain != self._failure_domain:
                 continue
-            owned = rank_owners(f"minion/{instance.name}", owners)[0] == self._name
-            self._update_minion(instance, owned)
+            listed.add(instance.name)
+            self._update_minion(instance)
+        for service, pool in self.pools.items():
+            pool.queue.set_bounds(self._find_bounds(service))
+            for minion in list(pool.minions.values()):
+                minion.listed = minion.name in listed
+                if not minion.listed and minion.in_flight == 0:
+                    del pool.minions[minion.name]
+            self.grant(pool)
 
-    def _update_minion(self, instance: Instance, owned: bool) -> None:
-        """Add, mark or drop one minion."""
+    def _update_minion(self, instance: Instance) -> None:
+        """Add or mark one listed minion."""
         pool = self.pools.get(instance.service)
         if pool is None:
-            pool = self.pools[instance.service] = SlotPool(self._queue_length)
+            queue = RequestQueue(self._find_bounds(instance.service))
+            pool = self.pools[instance.service] = ServicePool(queue)
         known = pool.minions.get(instance.name)
-        if known is None and owned:
-            # The former owner may still have requests in flight.
-            ready_at = self._clock.monotonic() + self._settle_time
-            pool.minions[instance.name] = MinionSlots(
-                instance.name, instance.address, instance.slots, ready_at=ready_at
-            )
-            return
-        if known is None:
+        if known is None or known.address != instance.address:
+            shard = self.shards[find_minion_shard(instance.name, self._names)]
+            known = MinionSlots(instance.name, instance.address, instance.slots, shard)
+            pool.minions[instance.name] = known
+        if instance.leaving:
+            known.leaving = True
+
+    def mark_leaving(self, name: str) -> None:
+        """Send nothing more to a minion that said that it is leaving."""
+        for pool in self.pools.values():
+            if name in pool.minions:
+                pool.minions[name].leaving = True
+
+    def take_shard(self, slots: ShardSlots) -> None:
+        """Count for a shard under a new ownership."""
+        former = self.shards[slots.shard]
+        self.shards[slots.shard] = slots
+        for pool in self.pools.values():
+            for minion in pool.minions.values():
+                if minion.shard is former:
+                    minion.shard = slots
+
+    def release_shard(self, slots: ShardSlots) -> None:
+        """Send nothing more under an ownership; those waiting go elsewhere."""
+        slots.released = True
+        for pool in self.pools.values():
+            if pool.describe_load(self._clock.monotonic()).slots:
+                continue
+            while (waiting := pool.queue.pop(list(SERVING_ORDER))) is not None:
+                waiting.wake()
+
+    def report_slots(self, shard: str) -> SlotsInUse:
+        """Tell which slots of a shard may still be in use because of this instance."""
+        slots = self.shards[shard]
+        now = self._clock.monotonic()
+        in_use: dict[str, int] = {}
+        leaving = []
+        for pool in self.pools.values():
+            for minion in pool.minions.values():
+                if minion.shard is not slots:
+                    continue
+                used = minion.in_flight + slots.count_held(minion, now)
+                if used:
+                    in_use[minion.name] = used
+                if minion.leaving:
+                    leaving.append(minion.name)
+        return SlotsInUse(slots.epoch, slots.released, in_use, tuple(leaving))
+
+    def describe_loads(self) -> dict[str, ServiceLoad]:
+        """Return how the owned minions of each service stand."""
+        now = self._clock.monotonic()
+        loads = {}
+        for service, pool in self.pools.items():
+            loads[service] = pool.describe_load(now)
+        return loads
+
+    async def take(
+        self, service: str, kind: str, due: timedelta, wait: bool
+    ) -> Result[Ticket, Problem]:
+        """Take a slot; where all are in use, wait for one until ``due`` or refuse."""
+        now = self._clock.monotonic()
+        if now >= due:
+            return Error(refuse_late(service))
+        pool = self.pools.get(service)
+        if pool is None:
+            return Error(refuse_overload(service, "has no minion here"))
+        if not len(pool.queue):
+            ticket = self._take_now(pool, kind, now)
+            if ticket is not None:
+                return Ok(ticket)
+        load = pool.describe_load(now)
+        if not wait or not load.slots:
+            return Error(refuse_overload(service, "has no free slot"))
+        service_seconds = pool.find_service_seconds(kind)
+        expected = estimate_wait(pool.queue.count(kind), load.slots, service_seconds)
+        if now + expected + timedelta(seconds=service_seconds) > due:
+            reason = "cannot meet the deadline"
+            return Error(refuse_overload(service, reason, expected))
+        return await self._wait_for_slot(pool, service, Waiting(kind, due), expected)
+
+    async def _wait_for_slot(
+        self, pool: ServicePool, service: str, waiting: Waiting, expected: timedelta
+    ) -> Result[Ticket, Problem]:
+        """Wait in the queue for a slot until the deadline."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiting.wake = lambda: None if future.done() else future.set_result(None)
+        if not pool.queue.push(waiting):
+            return Error(refuse_overload(service, "has a full queue", expected))
+        left = waiting.due - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                await future
+        except TimeoutError:
+            if waiting.ticket is None:
+                return Error(refuse_late(service))
+        except asyncio.CancelledError:
+            if waiting.ticket is not None:
+                self.drop(waiting.ticket)
+            raise
+        finally:
+            pool.queue.remove(waiting)
+        if waiting.ticket is not None:
+            return Ok(waiting.ticket)
+        reason = "shed the request" if waiting.shed else "cannot meet the deadline"
+        return Error(refuse_overload(service, reason, expected))
+
+    def _take_now(self, pool: ServicePool, kind: str, now: timedelta) -> Ticket | None:
+        """Take a slot of the best minion, ``None`` where all are in use."""
+        minion = pool.choose(kind, now)
+        if minion is None:
+            return None
+        minion.take(kind)
+        return Ticket(pool, minion, minion.shard, kind)
+
+    def grant(self, pool: ServicePool) -> None:
+        """Give free slots to those that wait for one."""
+        while len(pool.queue):
+            now = self._clock.monotonic()
+            kinds = []
+            for kind in SERVING_ORDER:
+                if pool.queue.count(kind) and pool.choose(kind, now) is not None:
+                    kinds.append(kind)
+            waiting = pool.queue.pop(kinds)
+            if waiting is None:
+                return
+            needed = timedelta(seconds=pool.find_service_seconds(waiting.kind))
+            if now + needed <= waiting.due:
+                waiting.ticket = self._take_now(pool, waiting.kind, now)
+            waiting.wake()
+
+    def grant_all(self) -> None:
+        """Give free slots of every service to those that wait for one."""
+        for pool in self.pools.values():
+            self.grant(pool)
+
+    def drop(self, ticket: Ticket) -> None:
+        """Return a slot that the minion is done with, or that was never used."""
+        if not ticket.is_open:
             return
-        known.leaving = known.leaving or instance.leaving or not owned
-        if not owned and known.in_flight == 0:
-            del pool.minions[instance.name]
+        ticket.is_open = False
+        ticket.minion.give_back(ticket.kind)
+        self.grant(ticket.pool)
 
     async def call(
-        self, request: MinionRequest, wait: bool
+        self, request: MinionRequest, due: timedelta, wait: bool
     ) -> Result[MinionAnswer, Problem]:
-        """Pass a request to an owned minion of its service.
+        """Pass a request to an owned minion of its service."""
+        taken = await self.take(request.service, request.kind, due, wait)
+        if taken.is_error():
+            return Error(taken.error)
+        return await self.send(taken.ok, request, due)
 
-        Waits for a free slot until the request's deadline where ``wait`` is set.
-        """
-        pool = self.pools.get(request.service)
-        if pool is None:
-            return Error(self._refuse(request, "has no minion here"))
-        while True:
-            left = request.deadline - self._clock.now().timestamp()
-            if left <= 0:
-                return Error(self._refuse(request, "has no free slot in time"))
-            minion = pool.take(self._clock.monotonic())
-            if minion is not None:
-                return await self._send(pool, minion, request, left)
-            if not wait or pool.is_queue_full:
-                return Error(self._refuse(request, "has all slots in use"))
-            await pool.wait(min(left, LOOK_AGAIN_SECONDS))
-
-    async def _send(
-        self, pool: SlotPool, minion: MinionSlots, request: MinionRequest, left: float
+    async def send(
+        self,
+        ticket: Ticket,
+        request: MinionRequest,
+        due: timedelta,
+        take_late: TakeLate | None = None,
     ) -> Result[MinionAnswer, Problem]:
-        """Send a request that holds a slot."""
+        """Send a request that holds a slot; the slot is free once the minion is done.
+
+        Returns at ``due`` at the latest. An answer that comes after that, or after
+        the caller was cancelled, is given to ``take_late``.
+        """
+        transfer = asyncio.create_task(self._transfer(ticket, request, due))
+        self._transfers.add(transfer)
+        transfer.add_done_callback(self._transfers.discard)
+        left = due - self._clock.monotonic()
+        in_time = False
         try:
-            answer = await self._client.call(
-                minion.address, request, timedelta(seconds=left)
+            timeout = max(0.0, left.total_seconds())
+            done, _ = await asyncio.wait([transfer], timeout=timeout)
+            in_time = bool(done)
+        finally:
+            if not in_time and take_late is not None:
+                transfer.add_done_callback(_hand_over_late(take_late))
+        if in_time:
+            return transfer.result()
+        return Error(
+            report_unknown(
+                f"minion {ticket.minion.name} did not answer before the deadline"
             )
+        )
+
+    async def _transfer(
+        self, ticket: Ticket, request: MinionRequest, due: timedelta
+    ) -> Result[MinionAnswer, Problem]:
+        """Carry one request until the minion is done with it."""
+        started = self._clock.monotonic()
+        timeout = due + find_late_limit(request.kind) - started
+
+        def may_send() -> bool:
+            """Tell whether the slot is still this instance's to use in time."""
+            now = self._clock.monotonic()
+            return now < due and ticket.shard.may_send(now)
+
+        minion = ticket.minion
+        try:
+            sent = await self._client.call(minion.address, request, timeout, may_send)
         finally:
-            pool.give_back(minion)
-        if answer.is_error():
-            return Error(_explain_fault(minion, answer.error.reason, answer.error))
-        if answer.ok.leaving and not minion.leaving:
+            self.drop(ticket)
+        if sent.is_error():
+            if sent.error.not_sent and not may_send():
+                return Error(refuse_unsent(minion.name, "its owner changed"))
+            self._note_failure(ticket)
+            if sent.error.not_sent:
+                return Error(refuse_unsent(minion.name, sent.error.reason))
+            reason = f"minion {minion.name} gave no whole answer: {sent.error.reason}"
+            return Error(report_unknown(reason))
+        self._note_answer(ticket, sent.ok, started)
+        return Ok(sent.ok)
+
+    def _note_answer(
+        self, ticket: Ticket, answer: MinionAnswer, started: timedelta
+    ) -> None:
+        """Learn from a whole answer."""
+        minion = ticket.minion
+        if answer.status >= SERVER_ERRORS:
+            self._note_failure(ticket)
+        else:
+            took = self._clock.monotonic() - started
+            minion.health.note_success(ticket.kind, took.total_seconds())
+        if answer.leaving and not minion.leaving:
             logger.info("minion {} says that it is leaving", minion.name)
             minion.leaving = True
-        return Ok(answer.ok)
-
-    def _refuse(self, request: MinionRequest, reason: str) -> Problem:
-        """Return the refusal of a request that was given to no minion."""
-        return Overloaded(
-            f"service {request.service} {reason}",
-            "send the request again later",
-            not_run=True,
-            retry_after_seconds=RETRY_AFTER_SECONDS,
-        )
+            self._announce_leaving(minion.name)
 
+    def _note_failure(self, ticket: Ticket) -> None:
+        """Learn from a request that failed at its minion."""
+        health = ticket.minion.health
+        health.note_failure()
+        others = [minion.health for minion in ticket.pool.minions.values()]
+        if eject_outlier(health, others, self._clock.monotonic()):
+            logger.warning("minion {} is ejected for a while", ticket.minion.name)
 
-def _explain_fault(minion: MinionSlots, reason: str, fault: object) -> Problem:
-    """Return the problem for a request that brought no whole answer."""
-    if getattr(fault, "not_sent", False):
-        return Overloaded(
-            f"minion {minion.name} cannot be reached: {reason}",
-            "send the request again",
-            not_run=True,
-            retry_after_seconds=RETRY_AFTER_SECONDS,
-        )
-    return OutcomeUnknown(
-        f"minion {minion.name} gave no whole answer: {reason}",
-        "ask for the recorded answer under the key before sending anything again",
-    )
+    async def wait_idle(self) -> None:
+        """Wait until no minion is busy with a request sent from here."""
+        while self._transfers:
+            await asyncio.wait(set(self._transfers))
+
+
+def _hand_over_late(
+    take_late: TakeLate,
+) -> Callable[[asyncio.Task[Result[MinionAnswer, Problem]]], None]:
+    """Return what is done with a transfer that outlived its caller."""
+
+    def take(transfer: asyncio.Task[Result[MinionAnswer, Problem]]) -> None:
+        if transfer.cancelled() or transfer.exception() is not None:
+            return
+        if transfer.result().is_ok():
+            take_late(transfer.result().ok)
+
+    return take
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -0,0 +1,216 @@
+"""All that one instance does for requests, tied together."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, Protocol
+
+from almondspread.changes import ResourceCache
+from almondspread.clock import Clock
+from almondspread.interfaces import Instance, ObjectStore, TableService
+from almondspread.journal import Journal
+from almondspread.ownership import Member, Ownership, make_owner_key
+from almondspread.requests.kinds import LOOKUP, MONITOR, RECALCULATION, RESERVATION
+from almondspread.resources import RequestService
+from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.peers.messages import MinionLeaving
+from almondspread_daemon.requests.deadlines import Deadlines
+from almondspread_daemon.requests.keys import KeyShard
+from almondspread_daemon.requests.minion_shards import (
+    POLL_INTERVAL,
+    MinionShard,
+    MinionTerms,
+)
+from almondspread_daemon.requests.minions import MinionPools
+from almondspread_daemon.requests.router import RequestRouter
+from almondspread_daemon.requests.serving import PeerRequests
+from almondspread_daemon.settings import Settings
+from almondspread_platform import MinionClient
+
+LOADS_INTERVAL = timedelta(milliseconds=100)
+POOL_INTERVAL = timedelta(milliseconds=250)
+SUCCESSOR_WAIT = timedelta(seconds=3)
+POLLS_AFTER_IDLE = 4
+
+
+class OpenCall(Protocol):
+    """A caller's request that is not answered yet."""
+
+    def give_up(self) -> None:
+        """Answer it now with what can be said honestly."""
+
+
+class RequestPart:
+    """Pools, router and shards of requests of one instance."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        minion_shards: tuple[str, ...],
+        request_shards: tuple[str, ...],
+        cache: ResourceCache,
+        neighbours: Neighbours,
+        minions: MinionClient,
+        table: TableService,
+        store: ObjectStore,
+        find_runner: Callable[[str], Any],
+        list_epochs: Callable[[], dict[str, int]],
+        clock: Clock,
+    ) -> None:
+        self.open_calls: set[OpenCall] = set()
+        self.deadlines = Deadlines(settings.requests, cache)
+        self._settings = settings
+        self._neighbours = neighbours
+        self._table = table
+        self._store = store
+        self._find_runner = find_runner
+        self._list_epochs = list_epochs
+        self._clock = clock
+        self._cache = cache
+        self.pools = MinionPools(
+            settings.failure_domain,
+            minion_shards,
+            minions,
+            clock,
+            self._find_bounds,
+            lambda minion: neighbours.note_all(MinionLeaving(minion)),
+        )
+        self.router = RequestRouter(
+            settings.failure_domain,
+            request_shards,
+            find_runner,
+            self.pools,
+            neighbours,
+            clock,
+        )
+        self.serving = PeerRequests(
+            find_runner,
+            self._find_epoch,
+            self.pools,
+            self.router.loads,
+            self.router.deliveries,
+            clock,
+        )
+
+    def make_key_shard(
+        self, ownership: Ownership, journal: Journal, _: bool
+    ) -> KeyShard:
+        """Return what acts for a request shard."""
+        return KeyShard(
+            ownership,
+            journal,
+            self._store,
+            self.router.take_slot,
+            lambda answer: self.router.deliveries.keep(answer, True),
+            self.router.tell_recorded,
+            self._is_owner,
+            self._clock,
+        )
+
+    def make_minion_shard(
+        self, ownership: Ownership, _: Journal, __: bool
+    ) -> MinionShard:
+        """Return what acts for a shard of minions."""
+        terms = MinionTerms(
+            self._settings.ownership.instance_lease,
+            self.deadlines.find_longest(LOOKUP),
+            self.deadlines.find_longest(RECALCULATION),
+        )
+        return MinionShard(
+            ownership,
+            self.pools,
+            self._table,
+            self._list_peers,
+            self._ask_peer,
+            terms,
+            self._clock,
+        )
+
+    async def run(self) -> None:
+        """Follow the minions, tell loads and deliver late answers until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.router.run(self._settings.name, LOADS_INTERVAL))
+            group.create_task(self._follow_minions())
+
+    async def _follow_minions(self) -> None:
+        """Keep the pools in step with the platform's list."""
+        while True:
+            if self._neighbours.list_is_known:
+                listed: dict[str, Instance] = self._neighbours.listed
+                self.pools.update(listed.values())
+            await self._clock.sleep(POOL_INTERVAL)
+
+    async def drain(self) -> None:
+        """Wait until no request depends on this instance any more.
+
+        The shards were handed over before: requests that come now go to peers.
+        """
+        await self._wait_for_successors()
+        while self.open_calls:
+            await self._clock.sleep(POLL_INTERVAL)
+        await self.pools.wait_idle()
+        await self.router.wait_delivered(POLL_INTERVAL)
+        # The successors see that nothing is in flight before this instance ends.
+        await self._clock.sleep(POLL_INTERVAL * POLLS_AFTER_IDLE)
+
+    async def _wait_for_successors(self) -> None:
+        """Wait until the next owners of the minions have asked for their slots."""
+        end = self._clock.monotonic() + SUCCESSOR_WAIT
+        while self._clock.monotonic() < end:
+            missing = []
+            for shard, slots in self.pools.shards.items():
+                if slots.epoch and shard not in self.serving.asked_slots:
+                    missing.append(shard)
+            if not missing or not self._list_peers():
+                return
+            await self._clock.sleep(POLL_INTERVAL)
+
+    def give_up_all(self) -> None:
+        """Answer every open call at once; what was sent may still run."""
+        for call in list(self.open_calls):
+            call.give_up()
+
+    def _find_bounds(self, service: str) -> dict[str, int]:
+        """Return how many requests of each kind to a service may wait here."""
+        item = self._cache.find("request-service", service)
+        limits = item.resource if item else None
+        lookups = self._settings.requests.lookup_queue
+        calls = self._settings.requests.call_queue
+        if isinstance(limits, RequestService):
+            lookups, calls = limits.lookup_queue, limits.call_queue
+        return {
+            LOOKUP: lookups,
+            RESERVATION: calls,
+            RECALCULATION: calls,
+            MONITOR: calls,
+        }
+
+    def _find_epoch(self, shard: str) -> int:
+        """Return the highest epoch under which anyone is known to own a shard."""
+        epoch = self._list_epochs().get(shard, 0)
+        for member in self._neighbours.members.list_all():
+            epoch = max(epoch, member.shards.get(shard, 0))
+        return epoch
+
+    def _list_peers(self) -> list[Member]:
+        """Return the live members of this failure domain."""
+        domain = self._settings.failure_domain
+        peers = []
+        for member in self._neighbours.list_live():
+            if member.failure_domain == domain:
+                peers.append(member)
+        return peers
+
+    async def _ask_peer(
+        self, member: Member, message: object, timeout: timedelta
+    ) -> object | None:
+        """Return the reply of a peer, ``None`` where it did not reply."""
+        told = await self._neighbours.call(member.address, message, timeout)
+        return told.ok if told.is_ok() else None
+
+    async def _is_owner(self, ownership: Ownership) -> bool:
+        """Tell whether the table still names this instance as a shard's owner."""
+        rows = await self._table.read([make_owner_key(ownership.shard)])
+        if rows.is_error() or not rows.ok:
+            return False
+        return rows.ok[0].version == ownership.condition.version
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/refusals.py
@@ -0,0 +1,125 @@
+"""The problems that requests are answered with, and what each one proves."""
+
+from datetime import timedelta
+
+from almondspread.errors import (
+    Conflict,
+    OutcomeUnknown,
+    Overloaded,
+    Problem,
+    Unavailable,
+)
+
+RETRY_AFTER_SECONDS = 1.0
+SAME_KEY = "send the request again with the same key"
+
+
+def refuse_overload(
+    service: str, reason: str, retry_after: timedelta | None = None
+) -> Problem:
+    """Return the refusal of a request that was given to no minion."""
+    seconds = RETRY_AFTER_SECONDS
+    if retry_after is not None:
+        seconds = max(0.1, retry_after.total_seconds())
+    return Overloaded(
+        f"service {service} {reason}",
+        "send the request again later",
+        not_run=True,
+        retry_after_seconds=seconds,
+    )
+
+
+def refuse_late(service: str) -> Problem:
+    """Return the refusal of a request whose deadline passed before it was sent."""
+    return Overloaded(
+        f"the deadline of the request to {service} passed before it was sent",
+        "allow a later deadline, or send the request again later",
+        not_run=True,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_unsent(minion: str, reason: str) -> Problem:
+    """Return the refusal of a request of which no byte reached its minion."""
+    return Unavailable(
+        f"minion {minion} was not reached: {reason}",
+        "send the request again",
+        not_run=True,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def report_unknown(reason: str) -> Problem:
+    """Return the problem of a request that was sent and brought no whole answer."""
+    return OutcomeUnknown(
+        reason,
+        "ask for the recorded answer under the key before sending anything again",
+    )
+
+
+def refuse_unowned(shard: str) -> Problem:
+    """Return the refusal while a shard has no known owner."""
+    return Unavailable(
+        f"shard {shard} has no owner now; this submission was not run",
+        SAME_KEY,
+        not_run=True,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_unreachable(reason: str) -> Problem:
+    """Return the refusal of a request of which nothing was sent to its owner."""
+    return Unavailable(
+        f"the owner cannot be reached: {reason}; this submission was not run",
+        SAME_KEY,
+        not_run=True,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_moving() -> Problem:
+    """Return the refusal while the records of a key change their owner."""
+    return Unavailable(
+        "the records of this key are moving to another instance; this submission "
+        "was not run",
+        SAME_KEY,
+        not_run=True,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_unjournalled() -> Problem:
+    """Return the refusal of a request whose dispatch was not journalled."""
+    return Unavailable(
+        "the dispatch could not be recorded, so nothing was sent",
+        SAME_KEY,
+        not_run=True,
+        retry_after_seconds=2.0,
+    )
+
+
+def refuse_full_records(shard: str) -> Problem:
+    """Return the refusal of a new key where the records have no room for it."""
+    return Overloaded(
+        f"shard {shard} runs or keeps as many keys as it may",
+        "send the request again later, or raise the number of request shards",
+        not_run=True,
+        retry_after_seconds=60.0,
+    )
+
+
+def refuse_conflict(key: str, earlier_not_run: bool | None) -> Problem:
+    """Return the refusal of a key that was used for another payload."""
+    return Conflict(
+        f"key {key!r} was used for another payload",
+        "use a new key for another request",
+        not_run=True,
+        earlier_not_run=earlier_not_run,
+    )
+
+
+def report_ending() -> Problem:
+    """Return the answer to a call that is open when the instance must end."""
+    return report_unknown(
+        "the instance ends before the request was answered; it may have run"
+    )
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -1,5 +1,7 @@
 """The way of a request from its entry to the owner of a minion or of its key."""
 
+import asyncio
+import random
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -7,24 +9,46 @@
 from expression import Error, Ok, Result
 
 from almondspread.clock import Clock
-from almondspread.errors import NotFound, OutcomeUnknown, Problem, Unavailable
+from almondspread.errors import Problem
 from almondspread.interfaces import MinionAnswer, MinionRequest
 from almondspread.ownership import Member
-from almondspread.requests import find_key_shard
+from almondspread.requests import RetryBudget, find_backoff, find_key_shard
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers import CallContext
 from almondspread_daemon.peers.messages import (
+    AnswerRecorded,
     CallAnswered,
     CallMinion,
+    DeliverAnswer,
+    DropSlot,
     FetchRecord,
+    MinionLoads,
     Refused,
+    SendTaken,
+    ServiceLoad,
+    SlotTaken,
     SubmitCall,
-    refuse,
+    TakeSlot,
 )
+from almondspread_daemon.requests.deliveries import AnswerDeliveries
+from almondspread_daemon.requests.dispatches import HeldSlot
 from almondspread_daemon.requests.keys import KeyShard, settle_result
-from almondspread_daemon.requests.minions import MinionPools
+from almondspread_daemon.requests.loads import PeerLoads
+from almondspread_daemon.requests.minions import MinionPools, Ticket
+from almondspread_daemon.requests.refusals import (
+    refuse_late,
+    refuse_overload,
+    refuse_unowned,
+    refuse_unreachable,
+    report_unknown,
+)
 
 FETCH_TIMEOUT = timedelta(seconds=2)
+DELIVER_TIMEOUT = timedelta(seconds=5)
+MOST_OWNERS_ASKED = 3
+MOST_RETRIES = 2
+NO_LOAD = ServiceLoad(0, 0, 0)
+UNAVAILABLE = 503
 
 
 class RequestRouter:
@@ -39,163 +63,254 @@
         neighbours: Neighbours,
         clock: Clock,
     ) -> None:
-        self._failure_domain = failure_domain
         self._request_shards = request_shards
         self._find_runner = find_runner
         self._pools = pools
         self._neighbours = neighbours
         self._clock = clock
+        self._random = random.Random()
+        self._budget = RetryBudget()
+        self._answered_by: dict[tuple[str, str], str] = {}
+        self.loads = PeerLoads(failure_domain, self._random)
+        self.deliveries = AnswerDeliveries(self._offer_answer, clock)
+
+    def find_due(self, deadline: float) -> timedelta:
+        """Return the monotonic time of a deadline in UTC seconds."""
+        left = deadline - self._clock.now().timestamp()
+        return self._clock.monotonic() + timedelta(seconds=left)
+
+    def _order_owners(self, service: str) -> list[Member | None]:
+        """Return whom to ask for a slot of a service, the best first."""
+        pool = self._pools.pools.get(service)
+        now = self._clock.monotonic()
+        own = pool.describe_load(now) if pool else NO_LOAD
+        members = [member for member in self._neighbours.list_live() if member.ready]
+        return self.loads.order_owners(service, own, members, now)
 
     async def call_minions(
         self, request: MinionRequest
     ) -> Result[MinionAnswer, Problem]:
-        """Give a request to a minion: an own one, one of the domain, or any."""
-        answer = await self._pools.call(request, wait=False)
-        if answer.is_ok() or not answer.error.not_run:
-            return answer
-        for member in self._order_members():
-            passed = await self._pass_on(member, request)
-            if passed.is_ok() or not passed.error.not_run:
-                return passed
-        return await self._pools.call(request, wait=True)
-
-    def _order_members(self) -> list[Member]:
-        """Return the live members, those of this failure domain first."""
-        members = [member for member in self._neighbours.list_live() if member.ready]
-        members.sort(
-            key=lambda member: (
-                member.failure_domain != self._failure_domain,
-                member.name,
-            )
-        )
-        return members
+        """Give an idempotent request to a minion; retry it as the budget allows."""
+        due = self.find_due(request.deadline)
+        self._budget.note_request()
+        tries = 0
+        while True:
+            answer = await self._call_once(request, due)
+            if answer.is_ok() and answer.ok.status != UNAVAILABLE:
+                return answer
+            if answer.is_error() and answer.error.not_run is True:
+                return answer
+            pause = find_backoff(tries, self._random)
+            tries += 1
+            if tries > MOST_RETRIES or self._clock.monotonic() + pause >= due:
+                return answer
+            if not self._budget.spend():
+                return answer
+            await self._clock.sleep(pause)
+
+    async def _call_once(
+        self, request: MinionRequest, due: timedelta
+    ) -> Result[MinionAnswer, Problem]:
+        """Give a request to the first owner of minions that accepts it."""
+        refused: Problem = refuse_overload(request.service, "has no minion now")
+        for owner in self._order_owners(request.service)[:MOST_OWNERS_ASKED]:
+            if owner is None:
+                answer = await self._pools.call(request, due, wait=True)
+            else:
+                answer = await self._pass_on(owner, request, due)
+            if answer.is_ok() or answer.error.not_run is not True:
+                return answer
+            refused = answer.error
+        return Error(refused)
 
     async def _pass_on(
-        self, member: Member, request: MinionRequest
+        self, member: Member, request: MinionRequest, due: timedelta
     ) -> Result[MinionAnswer, Problem]:
         """Give a request to the minions of another instance."""
         message = CallMinion(
-            request.service, request.kind, request.key, request.body, request.deadline
+            request.service,
+            request.kind,
+            request.key,
+            request.body,
+            request.deadline,
+            wait=True,
         )
-        left = request.deadline - self._clock.now().timestamp()
-        outcome = await self._call_peer(member, message, timedelta(seconds=left))
+        self.loads.note_passed(member.name, request.service)
+        outcome = await self._call_peer(member, message, due)
         if outcome.is_error():
             return Error(outcome.error)
         answered = outcome.ok
         return Ok(MinionAnswer(answered.status, answered.body, answered.content_type))
 
+    async def take_slot(
+        self, service: str, kind: str, due: timedelta
+    ) -> Result[HeldSlot, Problem]:
+        """Set a slot aside for a keyed request, here or at a peer."""
+        refused: Problem = refuse_overload(service, "has no minion now")
+        for owner in self._order_owners(service)[:MOST_OWNERS_ASKED]:
+            if owner is None:
+                taken = await self._pools.take(service, kind, due, wait=True)
+                if taken.is_ok():
+                    return Ok(self._hold_own(taken.ok))
+                refused = taken.error
+                continue
+            self.loads.note_passed(owner.name, service)
+            message = TakeSlot(service, kind, wait=True)
+            asked = await self._call_peer(owner, message, due)
+            if asked.is_ok() and isinstance(asked.ok, SlotTaken):
+                return Ok(self._hold_at(owner, asked.ok.number))
+            if asked.is_error():
+                # No request was sent yet, so whatever went wrong it was not run.
+                refused = asked.error
+                if refused.not_run is not True:
+                    refused = refuse_unreachable(refused.message)
+        return Error(refused)
+
+    def _hold_own(self, ticket: Ticket) -> HeldSlot:
+        """Return an own slot as one that is held."""
+
+        async def send(
+            shard: str, request: MinionRequest, due: timedelta
+        ) -> Result[MinionAnswer, Problem]:
+            def take_late(answer: MinionAnswer) -> None:
+                self.deliveries.keep(_describe(shard, request, answer), True)
+
+            return await self._pools.send(ticket, request, due, take_late)
+
+        return HeldSlot(send, lambda: self._pools.drop(ticket))
+
+    def _hold_at(self, owner: Member, number: int) -> HeldSlot:
+        """Return a peer's slot as one that is held."""
+
+        async def send(
+            shard: str, request: MinionRequest, due: timedelta
+        ) -> Result[MinionAnswer, Problem]:
+            message = SendTaken(
+                number,
+                shard,
+                request.service,
+                request.kind,
+                request.key,
+                request.body,
+                request.deadline,
+            )
+            outcome = await self._call_peer(owner, message, due)
+            if outcome.is_error():
+                return Error(outcome.error)
+            answered = outcome.ok
+            self._answered_by[request.service, request.key] = owner.address
+            return Ok(
+                MinionAnswer(answered.status, answered.body, answered.content_type)
+            )
+
+        def drop() -> None:
+            self._neighbours.note(owner.address, DropSlot(number))
+
+        return HeldSlot(send, drop)
+
     async def submit(self, message: SubmitCall) -> Result[CallAnswered, Problem]:
         """Have the owner of the key answer a non-idempotent request."""
+        due = self.find_due(message.deadline)
         runner = self._find_runner(message.shard)
         if isinstance(runner, KeyShard):
-            return settle_result(await runner.submit(message))
+            return settle_result(await runner.submit(message, due))
         owner = self._neighbours.find_owner(message.shard)
         if owner is None:
-            return Error(_refuse_unowned(message.shard))
-        left = message.deadline - self._clock.now().timestamp()
-        return await self._call_peer(owner, message, timedelta(seconds=left))
+            return Error(refuse_unowned(message.shard))
+        return await self._call_peer(owner, message, due)
 
     async def fetch(self, service: str, key: str) -> Result[CallAnswered, Problem]:
         """Return what is recorded of a key, from whichever instance owns it."""
         shard = self.find_shard(service, key)
         runner = self._find_runner(shard)
         if isinstance(runner, KeyShard):
-            return settle_result(runner.fetch(service, key))
+            return settle_result(await runner.fetch(service, key))
         owner = self._neighbours.find_owner(shard)
         if owner is None:
-            return Error(_refuse_unowned(shard))
-        return await self._call_peer(
-            owner, FetchRecord(shard, service, key), FETCH_TIMEOUT
-        )
+            return Error(refuse_unowned(shard))
+        due = self._clock.monotonic() + FETCH_TIMEOUT
+        return await self._call_peer(owner, FetchRecord(shard, service, key), due)
 
     def find_shard(self, service: str, key: str) -> str:
         """Return the shard that has a key."""
         return find_key_shard(service, key, self._request_shards)
 
     async def _call_peer(
-        self, member: Member, message: Any, timeout: timedelta
-    ) -> Result[CallAnswered, Problem]:
+        self, member: Member, message: Any, due: timedelta
+    ) -> Result[Any, Problem]:
         """Call a peer and tell an answer, a refusal and silence apart."""
+        timeout = due - self._clock.monotonic()
         if timeout <= timedelta(0):
-            return Error(_refuse_late())
+            return Error(refuse_late(getattr(message, "service", "")))
         outcome = await self._neighbours.call(member.address, message, timeout)
         if outcome.is_error():
             if outcome.error.not_sent:
-                return Error(_refuse_unreachable(outcome.error.reason))
-            return Error(_lose_answer(outcome.error.reason))
+                return Error(refuse_unreachable(outcome.error.reason))
+            return Error(report_unknown(f"the answer was lost: {outcome.error.reason}"))
         if isinstance(outcome.ok, Refused):
             return Error(outcome.ok.to_problem())
         return Ok(outcome.ok)
 
-    async def take_submit(
-        self, message: SubmitCall, _: CallContext
-    ) -> CallAnswered | Refused:
-        """Answer a peer's submission, without another hop."""
-        runner = self._find_runner(message.shard)
-        if not isinstance(runner, KeyShard):
-            return refuse(_refuse_unowned(message.shard))
-        return _to_message(await runner.submit(message))
-
-    async def take_fetch(
-        self, message: FetchRecord, _: CallContext
-    ) -> CallAnswered | Refused:
-        """Answer a peer's question for a record, without another hop."""
-        runner = self._find_runner(message.shard)
-        if not isinstance(runner, KeyShard):
-            return refuse(_refuse_unowned(message.shard))
-        return _to_message(runner.fetch(message.service, message.key))
-
-    async def take_call(
-        self, message: CallMinion, _: CallContext
-    ) -> CallAnswered | Refused:
-        """Pass a peer's request to an own minion, without another hop."""
-        request = MinionRequest(
-            message.service, message.kind, message.body, message.key, message.deadline
-        )
-        answer = await self._pools.call(request, wait=False)
-        if answer.is_error():
-            return refuse(answer.error)
-        reply = answer.ok
-        return CallAnswered(reply.status, reply.body, reply.content_type)
+    async def _offer_answer(self, answer: DeliverAnswer) -> bool:
+        """Offer a kept answer to the owner of its key."""
+        runner = self._find_runner(answer.shard)
+        if isinstance(runner, KeyShard):
+            return await runner.take_answer(answer)
+        owner = self._neighbours.find_owner(answer.shard)
+        if owner is None:
+            return False
+        due = self._clock.monotonic() + DELIVER_TIMEOUT
+        told = await self._call_peer(owner, answer, due)
+        return told.is_ok()
 
+    def tell_recorded(self, service: str, key: str) -> None:
+        """Say to whoever keeps the answer under a key that it need not."""
+        self.deliveries.forget(service, key)
+        address = self._answered_by.pop((service, key), None)
+        if address is not None:
+            self._neighbours.note(address, AnswerRecorded(service, key))
 
-def _to_message(outcome: CallAnswered | Problem) -> CallAnswered | Refused:
-    """Return an outcome as a message to a peer."""
-    return refuse(outcome) if isinstance(outcome, Problem) else outcome
+    async def wait_delivered(self, poll: timedelta) -> None:
+        """Wait until no answer is kept that is not journalled."""
+        while len(self.deliveries):
+            await self._clock.sleep(poll)
 
+    def tell_loads(self, name: str) -> None:
+        """Tell the peers how the own minions stand."""
+        self._neighbours.note_all(MinionLoads(name, self._pools.describe_loads()))
 
-def _refuse_unowned(shard: str) -> Problem:
-    """Return the refusal while a shard has no known owner."""
-    return Unavailable(
-        f"shard {shard} has no owner now; this submission was not run",
-        "send the request again with the same key",
-        not_run=True,
-        retry_after_seconds=1.0,
-    )
+    async def run(self, name: str, interval: timedelta) -> None:
+        """Deliver late answers and tell loads until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.deliveries.run())
+            group.create_task(self._tell_loads_again(name, interval))
 
+    async def _tell_loads_again(self, name: str, interval: timedelta) -> None:
+        """Tell loads again and again."""
+        while True:
+            self.tell_loads(name)
+            await self._clock.sleep(interval)
 
-def _refuse_unreachable(reason: str) -> Problem:
-    """Return the refusal of a request of which nothing was sent."""
-    return Unavailable(
-        f"the owner cannot be reached: {reason}",
-        "send the request again with the same key",
-        not_run=True,
-        retry_after_seconds=1.0,
-    )
 
+def find_call_due(clock: Clock, context: CallContext, deadline: float) -> timedelta:
+    """Return until when a peer's call may act.
 
-def _refuse_late() -> Problem:
-    """Return the refusal of a request whose deadline has passed."""
-    return NotFound(
-        "the deadline has passed before the request was sent",
-        "allow a later deadline",
-        not_run=True,
-    )
+    The caller gives up when its timeout has passed or the deadline has come. Both
+    are heeded, since the call may have lain on its way for some of that time.
+    """
+    left = deadline - clock.now().timestamp()
+    return clock.monotonic() + timedelta(seconds=min(left, context.timeout))
 
 
-def _lose_answer(reason: str) -> Problem:
-    """Return the problem of a request whose answer did not arrive."""
-    return OutcomeUnknown(
-        f"the answer was lost on its way: {reason}",
-        "ask for the recorded answer under the key",
+def _describe(
+    shard: str, request: MinionRequest, answer: MinionAnswer
+) -> DeliverAnswer:
+    """Return the answer to a keyed request as it goes to the owner of its key."""
+    return DeliverAnswer(
+        shard,
+        request.service,
+        request.key,
+        answer.status,
+        answer.content_type,
+        answer.body,
     )
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/serving.py
@@ -0,0 +1,222 @@
+"""What this instance does for the requests of its peers, without another hop."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from almondspread.clock import Clock
+from almondspread.errors import Problem
+from almondspread.interfaces import MinionAnswer, MinionRequest
+from almondspread_daemon.peers import CallContext
+from almondspread_daemon.peers.messages import (
+    Accepted,
+    AnswerRecorded,
+    CallAnswered,
+    CallMinion,
+    ConfirmOwner,
+    DeliverAnswer,
+    DropSlot,
+    FetchRecord,
+    FetchSlots,
+    MinionLeaving,
+    MinionLoads,
+    Refused,
+    SendTaken,
+    SlotsInUse,
+    SlotTaken,
+    SubmitCall,
+    TakeSlot,
+    refuse,
+)
+from almondspread_daemon.requests.deliveries import AnswerDeliveries
+from almondspread_daemon.requests.keys import KeyShard
+from almondspread_daemon.requests.loads import PeerLoads
+from almondspread_daemon.requests.minions import MinionPools, Ticket
+from almondspread_daemon.requests.refusals import refuse_unowned, refuse_unsent
+from almondspread_daemon.requests.router import find_call_due
+
+SLOT_KEPT = timedelta(seconds=5)
+
+
+class PeerRequests:
+    """Serves the calls and notes of peers that are about requests."""
+
+    def __init__(
+        self,
+        find_runner: Callable[[str], Any],
+        find_epoch: Callable[[str], int],
+        pools: MinionPools,
+        loads: PeerLoads,
+        deliveries: AnswerDeliveries,
+        clock: Clock,
+    ) -> None:
+        self._find_runner = find_runner
+        self._find_epoch = find_epoch
+        self._pools = pools
+        self._loads = loads
+        self._deliveries = deliveries
+        self._clock = clock
+        self._taken: dict[int, Ticket] = {}
+        self._numbers = 0
+        self.asked_slots: set[str] = set()
+
+    def list_handlers(self) -> dict[type, Any]:
+        """Return what serves each type of message."""
+        return {
+            SubmitCall: self.take_submit,
+            FetchRecord: self.take_fetch,
+            CallMinion: self.take_call,
+            TakeSlot: self.take_slot,
+            SendTaken: self.take_send,
+            DropSlot: self.take_drop,
+            DeliverAnswer: self.take_delivery,
+            AnswerRecorded: self.take_recorded,
+            FetchSlots: self.take_fetch_slots,
+            ConfirmOwner: self.take_confirm,
+            MinionLeaving: self.take_leaving,
+            MinionLoads: self.take_loads,
+        }
+
+    async def take_submit(
+        self, message: SubmitCall, context: CallContext
+    ) -> CallAnswered | Refused:
+        """Answer a peer's submission of a key."""
+        runner = self._find_runner(message.shard)
+        if not isinstance(runner, KeyShard):
+            return refuse(refuse_unowned(message.shard))
+        due = find_call_due(self._clock, context, message.deadline)
+        return _to_message(await runner.submit(message, due))
+
+    async def take_fetch(
+        self, message: FetchRecord, _: CallContext
+    ) -> CallAnswered | Refused:
+        """Answer a peer's question for a record."""
+        runner = self._find_runner(message.shard)
+        if not isinstance(runner, KeyShard):
+            return refuse(refuse_unowned(message.shard))
+        return _to_message(await runner.fetch(message.service, message.key))
+
+    async def take_call(
+        self, message: CallMinion, context: CallContext
+    ) -> CallAnswered | Refused:
+        """Pass a peer's idempotent request to an own minion."""
+        request = MinionRequest(
+            message.service, message.kind, message.body, message.key, message.deadline
+        )
+        due = find_call_due(self._clock, context, message.deadline)
+        answer = await self._pools.call(request, due, message.wait)
+        if answer.is_error():
+            return refuse(answer.error)
+        return _to_answered(answer.ok)
+
+    async def take_slot(
+        self, message: TakeSlot, context: CallContext
+    ) -> SlotTaken | Refused:
+        """Set a slot aside for a keyed request that a peer will send."""
+        due = self._clock.monotonic() + timedelta(seconds=context.timeout)
+        taken = await self._pools.take(message.service, message.kind, due, message.wait)
+        if taken.is_error():
+            return refuse(taken.error)
+        self._numbers += 1
+        number = self._numbers
+        self._taken[number] = taken.ok
+        loop = asyncio.get_running_loop()
+        loop.call_later(SLOT_KEPT.total_seconds(), self._drop, number)
+        return SlotTaken(number)
+
+    def _drop(self, number: int) -> None:
+        """Return a slot that was set aside, unless it was used."""
+        ticket = self._taken.pop(number, None)
+        if ticket is not None:
+            self._pools.drop(ticket)
+
+    async def take_drop(self, message: DropSlot, _: CallContext) -> Accepted:
+        """Return a slot that the peer does not use."""
+        self._drop(message.number)
+        return Accepted()
+
+    async def take_send(
+        self, message: SendTaken, context: CallContext
+    ) -> CallAnswered | Refused:
+        """Send a peer's keyed request in the slot that was set aside for it."""
+        ticket = self._taken.pop(message.number, None)
+        if ticket is None:
+            return refuse(refuse_unsent("", "the slot set aside for it has expired"))
+        request = MinionRequest(
+            message.service, message.kind, message.body, message.key, message.deadline
+        )
+        due = find_call_due(self._clock, context, message.deadline)
+
+        def keep(answer: MinionAnswer, at_once: bool) -> None:
+            """Keep the answer until the owner of the key says it is recorded."""
+            self._deliveries.keep(
+                DeliverAnswer(
+                    message.shard,
+                    message.service,
+                    message.key,
+                    answer.status,
+                    answer.content_type,
+                    answer.body,
+                ),
+                at_once,
+            )
+
+        answer = await self._pools.send(
+            ticket, request, due, lambda late: keep(late, True)
+        )
+        if answer.is_error():
+            return refuse(answer.error)
+        keep(answer.ok, False)
+        return _to_answered(answer.ok)
+
+    async def take_delivery(
+        self, message: DeliverAnswer, _: CallContext
+    ) -> Accepted | Refused:
+        """Journal an answer that reached its key's owner late."""
+        runner = self._find_runner(message.shard)
+        if isinstance(runner, KeyShard) and await runner.take_answer(message):
+            return Accepted()
+        return refuse(refuse_unowned(message.shard))
+
+    async def take_recorded(self, message: AnswerRecorded, _: CallContext) -> Accepted:
+        """Keep an answer no longer."""
+        self._deliveries.forget(message.service, message.key)
+        return Accepted()
+
+    async def take_fetch_slots(
+        self, message: FetchSlots, _: CallContext
+    ) -> SlotsInUse | Refused:
+        """Tell the next owner of a shard which slots are still in use."""
+        if message.shard not in self._pools.shards:
+            return refuse(refuse_unowned(message.shard))
+        self.asked_slots.add(message.shard)
+        return self._pools.report_slots(message.shard)
+
+    async def take_confirm(
+        self, message: ConfirmOwner, _: CallContext
+    ) -> Accepted | Refused:
+        """Tell an owner whether a later one is known here."""
+        if self._find_epoch(message.shard) > message.epoch:
+            return refuse(refuse_unowned(message.shard))
+        return Accepted()
+
+    async def take_leaving(self, message: MinionLeaving, _: CallContext) -> Accepted:
+        """Send nothing more to a minion that is leaving."""
+        self._pools.mark_leaving(message.minion)
+        return Accepted()
+
+    async def take_loads(self, message: MinionLoads, _: CallContext) -> Accepted:
+        """Take in how a peer's minions stand."""
+        self._loads.hear(message, self._clock.monotonic())
+        return Accepted()
+
+
+def _to_answered(answer: MinionAnswer) -> CallAnswered:
+    """Return a minion's answer as a message to a peer."""
+    return CallAnswered(answer.status, answer.body, answer.content_type)
+
+
+def _to_message(outcome: CallAnswered | Problem) -> CallAnswered | Refused:
+    """Return an outcome as a message to a peer."""
+    return refuse(outcome) if isinstance(outcome, Problem) else outcome
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -103,6 +103,7 @@
 
     schedule_shards: Annotated[int, Range(1, 1_024)] = 1
     request_shards: Annotated[int, Range(1, 1_024)] = 8
+    minion_shards: Annotated[int, Range(1, 1_024)] = 4
     instance_lease_seconds: Seconds = 3.0
     partition_horizon_seconds: Annotated[float, Range(10, 86_400, "seconds")] = 7_200.0
     clock_rate_bound: Annotated[float, Range(0, 0.1)] = 0.001
--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -1,6 +1,7 @@
 """One HTTP call over tornado's curl client, with typed faults."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 import pycurl
@@ -30,9 +31,18 @@
     not_sent: bool
 
 
+def always_allow() -> bool:
+    """Allow every call."""
+    return True
+
+
 @define(frozen=True)
 class HttpCall:
-    """One request: ``address`` is ``IP:port``, ``path`` starts with a slash."""
+    """One request: ``address`` is ``IP:port``, ``path`` starts with a slash.
+
+    ``may_send`` is asked last thing before the first byte goes out; where it denies,
+    the call fails as not sent.
+    """
 
     method: str
     address: str
@@ -40,6 +50,7 @@
     timeout: timedelta
     body: bytes | None = None
     headers: dict[str, str] = field(factory=dict)
+    may_send: Callable[[], bool] = always_allow
 
 
 def open_client(
@@ -121,6 +132,8 @@
             nonlocal times_handed_over
             if times_handed_over and call.method not in REPEATABLE_METHODS:
                 return int(pycurl.PREREQFUNC_ABORT)
+            if not call.may_send():
+                return int(pycurl.PREREQFUNC_ABORT)
             times_handed_over += 1
             return int(pycurl.PREREQFUNC_OK)
 
--- a/packages/almondspread_platform/almondspread_platform/minions.py
+++ b/packages/almondspread_platform/almondspread_platform/minions.py
@@ -1,5 +1,6 @@
 """Requests of callers to minions over HTTP."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from urllib.parse import quote
 
@@ -8,7 +9,7 @@
 from tornado.httpclient import HTTPResponse
 
 from almondspread.interfaces import MinionAnswer, MinionRequest
-from almondspread_platform.caller import HttpCall, HttpCaller
+from almondspread_platform.caller import HttpCall, HttpCaller, always_allow
 
 
 @define(frozen=True)
@@ -30,18 +31,23 @@
         self._caller = caller
 
     async def call(
-        self, address: str, request: MinionRequest, timeout: timedelta
+        self,
+        address: str,
+        request: MinionRequest,
+        timeout: timedelta,
+        may_send: Callable[[], bool] = always_allow,
     ) -> Result[MinionAnswer, MinionFault]:
         """Send a request to the minion at ``address`` and return its whole answer.
 
         An answer of any HTTP status counts as one; a body that breaks off does not.
+        ``may_send`` is asked just before the first byte of the request leaves.
         """
         if not _can_be_header(request.key) or not _can_be_header(request.traceparent):
             reason = "the key or trace context holds letters no header can carry"
             return Error(MinionFault(reason, not_sent=True))
         path = "/v1/requests/" + quote(request.kind, safe="")
         headers = _describe_headers(request)
-        call = HttpCall("POST", address, path, timeout, request.body, headers)
+        call = HttpCall("POST", address, path, timeout, request.body, headers, may_send)
         sent = await self._caller.send(call)
         if sent.is_error():
             return Error(MinionFault(sent.error.reason, sent.error.not_sent))
--- a/packages/almondspread_standin/almondspread_standin/demo/client.py
+++ b/packages/almondspread_standin/almondspread_standin/demo/client.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
 REQUEST_TIMEOUT_SECONDS = 10.0
 
@@ -59,7 +59,7 @@
         return Answer(response.code, outcome, parsed)
 
     async def watch(self, path: str, take_line: Any) -> None:
-        """Give each line of a watch to ``take_line`` until cancelled."""
+        """Give each line of a watch to ``take_line`` until its entry ends it."""
         pending = bytearray()
 
         def take_chunk(chunk: bytes) -> None:
@@ -75,4 +75,8 @@
             streaming_callback=take_chunk,
             request_timeout=0,
         )
-        await self._client.fetch(request, raise_error=False)
+        try:
+            await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError):
+            # The entry was killed; the watch is taken up again at another.
+            return
--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -133,7 +133,7 @@
                     owned.add(shard)
         wanted = set()
         for entry in self.entries.values():
-            wanted.update(entry.schedule_shards)
+            wanted.update(entry.planned_shards)
         return wanted <= owned
 
     async def stop_entry(self, name: str) -> None:
