--- a/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -238,11 +238,11 @@
         """Return the problem that the message carries."""
         kind = _PROBLEMS.get(self.code, problem_kinds.Unavailable)
         return kind(
-            self.message,
-            self.remedy,
-            self.not_run,
-            self.retry_after_seconds,
-            self.earlier_not_run,
+            message=self.message,
+            remedy=self.remedy,
+            not_run=self.not_run,
+            retry_after_seconds=self.retry_after_seconds,
+            earlier_not_run=self.earlier_not_run,
         )
 
 
@@ -254,12 +254,12 @@
 def refuse(problem: Problem) -> Refused:
     """Return the message that carries a problem."""
     return Refused(
-        problem.code,
-        problem.message,
-        problem.remedy,
-        problem.not_run,
-        problem.retry_after_seconds,
-        problem.earlier_not_run,
+        code=problem.code,
+        message=problem.message,
+        remedy=problem.remedy,
+        not_run=problem.not_run,
+        retry_after_seconds=problem.retry_after_seconds,
+        earlier_not_run=problem.earlier_not_run,
     )
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
@@ -105,13 +105,13 @@
         """Take the slots over, then keep the right to send until superseded."""
         polling = None
         try:
-            self._count_all_in_use()
+            self.count_all_in_use()
             former = self._pools.shards[self.slots.shard]
             self._pools.take_shard(self.slots)
-            polling = asyncio.create_task(self._take_over(former))
+            polling = asyncio.create_task(self.take_over(former))
             self.recovered = True
             while not self._stopped.is_set():
-                if not await self._confirm():
+                if not await self.confirm():
                     logger.info("shard {} has a later owner", self.slots.shard)
                     return
                 await self._pause(self._terms.instance_lease / CONFIRMS_PER_LEASE)
@@ -128,7 +128,7 @@
         except TimeoutError:
             return
 
-    def _count_all_in_use(self) -> None:
+    def count_all_in_use(self) -> None:
         """Count as in use what an owner that crashed may have sent.
 
         The first owner ever has no one before it.
@@ -139,7 +139,7 @@
         self.slots.lookups_until = now + self._terms.lookups_held
         self.slots.calls_until = now + self._terms.calls_held
 
-    async def _take_over(self, own: ShardSlots) -> None:
+    async def take_over(self, own: ShardSlots) -> None:
         """Learn from the former owner what it still has in use, until it has none."""
         former = self.ownership.epoch - 1
         if former < 1:
@@ -189,7 +189,7 @@
                 self.slots.held = dict(told.in_use)
         self.slots.held = {}
 
-    async def _confirm(self) -> bool:
+    async def confirm(self) -> bool:
         """Renew the right to send; false where a later owner is known."""
         started = self._clock.monotonic()
         was_paused = started - self._last_cycle > self._terms.right
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -31,6 +31,7 @@
     refuse_late,
     refuse_overload,
     refuse_unsent,
+    refuse_without_minion,
     report_unknown,
 )
 from almondspread_platform import MinionClient
@@ -193,13 +194,15 @@
             return Error(refuse_late(service))
         pool = self.pools.get(service)
         if pool is None:
-            return Error(refuse_overload(service, "has no minion here"))
+            return Error(refuse_without_minion(service))
         if not len(pool.queue):
             ticket = self._take_now(pool, kind, now)
             if ticket is not None:
                 return Ok(ticket)
         load = pool.describe_load(now)
-        if not wait or not load.slots:
+        if not load.slots:
+            return Error(refuse_without_minion(service))
+        if not wait:
             return Error(refuse_overload(service, "has no free slot"))
         service_seconds = pool.find_service_seconds(kind)
         expected = estimate_wait(pool.queue.count(kind), load.slots, service_seconds)
@@ -231,6 +234,8 @@
             pool.queue.remove(waiting)
         if waiting.ticket is not None:
             return Ok(waiting.ticket)
+        if not pool.describe_load(self._clock.monotonic()).slots:
+            return Error(refuse_without_minion(service))
         reason = "shed the request" if waiting.shed else "cannot meet the deadline"
         return Error(refuse_overload(service, reason, expected))
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/refusals.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/refusals.py
@@ -29,6 +29,16 @@
     )
 
 
+def refuse_without_minion(service: str) -> Problem:
+    """Return the refusal while no minion of a service has an owner that may send."""
+    return Unavailable(
+        f"service {service} has no minion that can be reached now",
+        "send the request again later, or start minions of the service",
+        not_run=True,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
 def refuse_late(service: str) -> Problem:
     """Return the refusal of a request whose deadline passed before it was sent."""
     return Overloaded(
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
 
 from almondspread.clock import Clock
-from almondspread.errors import Problem
+from almondspread.errors import Problem, Unavailable
 from almondspread.interfaces import MinionAnswer, MinionRequest
 from almondspread.ownership import Member
 from almondspread.requests import RetryBudget, find_backoff, find_key_shard
@@ -37,19 +37,25 @@
 from almondspread_daemon.requests.minions import MinionPools, Ticket
 from almondspread_daemon.requests.refusals import (
     refuse_late,
-    refuse_overload,
     refuse_unowned,
     refuse_unreachable,
+    refuse_without_minion,
     report_unknown,
 )
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 DELIVER_TIMEOUT = timedelta(seconds=5)
+REPLY_MARGIN = timedelta(milliseconds=50)
+REPLY_SHARE = 0.1
+OWNER_PAUSE = timedelta(milliseconds=20)
+MOST_AWAITING_OWNER = 512
 MOST_OWNERS_ASKED = 3
 MOST_RETRIES = 2
 NO_LOAD = ServiceLoad(0, 0, 0)
 UNAVAILABLE = 503
 
+T = TypeVar("T")
+
 
 class RequestRouter:
     """Passes requests to minions and keys, here or one hop away."""
@@ -70,6 +76,7 @@
         self._clock = clock
         self._random = random.Random()
         self._budget = RetryBudget()
+        self._awaiting_owner = 0
         self._answered_by: dict[tuple[str, str], str] = {}
         self.loads = PeerLoads(failure_domain, self._random)
         self.deliveries = AnswerDeliveries(self._offer_answer, clock)
@@ -95,7 +102,9 @@
         self._budget.note_request()
         tries = 0
         while True:
-            answer = await self._call_once(request, due)
+            answer = await self._outlast_move(
+                lambda: self._call_once(request, due), due
+            )
             if answer.is_ok() and answer.ok.status != UNAVAILABLE:
                 return answer
             if answer.is_error() and answer.error.not_run is True:
@@ -108,11 +117,37 @@
                 return answer
             await self._clock.sleep(pause)
 
+    async def _outlast_move(
+        self, attempt: Callable[[], Awaitable[Result[T, Problem]]], due: timedelta
+    ) -> Result[T, Problem]:
+        """Repeat what was not run while an owner changes, until ``due``.
+
+        Such an attempt reached no minion. Only so many requests may wait like that.
+        """
+        tries = 0
+        while True:
+            outcome = await attempt()
+            if outcome.is_ok() or not isinstance(outcome.error, Unavailable):
+                return outcome
+            pause = OWNER_PAUSE + find_backoff(tries, self._random)
+            tries += 1
+            if outcome.error.not_run is not True:
+                return outcome
+            if self._clock.monotonic() + pause >= due:
+                return outcome
+            if self._awaiting_owner >= MOST_AWAITING_OWNER:
+                return outcome
+            self._awaiting_owner += 1
+            try:
+                await self._clock.sleep(pause)
+            finally:
+                self._awaiting_owner -= 1
+
     async def _call_once(
         self, request: MinionRequest, due: timedelta
     ) -> Result[MinionAnswer, Problem]:
         """Give a request to the first owner of minions that accepts it."""
-        refused: Problem = refuse_overload(request.service, "has no minion now")
+        refused: Problem = refuse_without_minion(request.service)
         for owner in self._order_owners(request.service)[:MOST_OWNERS_ASKED]:
             if owner is None:
                 answer = await self._pools.call(request, due, wait=True)
@@ -146,7 +181,15 @@
         self, service: str, kind: str, due: timedelta
     ) -> Result[HeldSlot, Problem]:
         """Set a slot aside for a keyed request, here or at a peer."""
-        refused: Problem = refuse_overload(service, "has no minion now")
+        return await self._outlast_move(
+            lambda: self._take_slot_once(service, kind, due), due
+        )
+
+    async def _take_slot_once(
+        self, service: str, kind: str, due: timedelta
+    ) -> Result[HeldSlot, Problem]:
+        """Ask the owners of minions for a slot, the best first."""
+        refused: Problem = refuse_without_minion(service)
         for owner in self._order_owners(service)[:MOST_OWNERS_ASKED]:
             if owner is None:
                 taken = await self._pools.take(service, kind, due, wait=True)
@@ -211,6 +254,12 @@
     async def submit(self, message: SubmitCall) -> Result[CallAnswered, Problem]:
         """Have the owner of the key answer a non-idempotent request."""
         due = self.find_due(message.deadline)
+        return await self._outlast_move(lambda: self._submit_once(message, due), due)
+
+    async def _submit_once(
+        self, message: SubmitCall, due: timedelta
+    ) -> Result[CallAnswered, Problem]:
+        """Give a submission to the owner of its key, here or one hop away."""
         runner = self._find_runner(message.shard)
         if isinstance(runner, KeyShard):
             return settle_result(await runner.submit(message, due))
@@ -296,10 +345,13 @@
     """Return until when a peer's call may act.
 
     The caller gives up when its timeout has passed or the deadline has come. Both
-    are heeded, since the call may have lain on its way for some of that time.
+    are heeded, since the call may have lain on its way for some of that time. The
+    reply has to arrive before that, so that a refusal is not taken for silence.
     """
     left = deadline - clock.now().timestamp()
-    return clock.monotonic() + timedelta(seconds=min(left, context.timeout))
+    seconds = min(left, context.timeout)
+    margin = min(REPLY_MARGIN.total_seconds(), seconds * REPLY_SHARE)
+    return clock.monotonic() + timedelta(seconds=seconds - margin)
 
 
 def _describe(
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -0,0 +1,176 @@
+import asyncio
+import itertools
+import unittest
+from datetime import timedelta
+
+from expression import Ok
+
+from almondspread.clock import ManualClock, SystemClock
+from almondspread.interfaces import MinionAnswer, Write
+from almondspread.journal import Journal
+from almondspread.ownership import claim_shard
+from almondspread.testing import MemoryStore, MemoryTable
+from almondspread_daemon.peers.messages import SubmitCall
+from almondspread_daemon.requests.dispatches import HeldSlot
+from almondspread_daemon.requests.keys import ROWS_BEFORE_SNAPSHOT, KeyShard
+
+SHARD = "requests/umea/0"
+LARGE = b"x" * 100_000
+
+
+class TestKeyShard(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = SystemClock()
+        self.table = MemoryTable()
+        self.store = MemoryStore()
+        self.batches = itertools.count()
+        self.answers = {}
+        self.sent = []
+        self.kept = []
+        self.running = []
+
+    async def asyncTearDown(self):
+        for task in self.running:
+            task.cancel()
+
+    async def open_shard(self, instance):
+        expected = None
+        claimed = await claim_shard(
+            self.table, self.clock, SHARD, instance, instance, expected
+        )
+        while claimed.is_error():
+            rows = await self.table.read([f"owner/{SHARD}"])
+            self.table.apply([], [Write(rows.ok[0].key, None)])
+            claimed = await claim_shard(
+                self.table, self.clock, SHARD, instance, instance, None
+            )
+        ownership = claimed.ok
+        journal = Journal(
+            SHARD,
+            ownership.epoch,
+            ownership.condition,
+            self.table,
+            self.store,
+            self.clock,
+            lambda: f"batch-{next(self.batches)}",
+        )
+        shard = KeyShard(
+            ownership,
+            journal,
+            self.store,
+            self.take_slot,
+            self.kept.append,
+            lambda service, key: None,
+            self.is_owner,
+            self.clock,
+        )
+        self.running.append(asyncio.create_task(shard.run()))
+        while not shard.recovered:
+            await asyncio.sleep(0)
+        return shard
+
+    async def is_owner(self, ownership):
+        rows = await self.table.read([f"owner/{SHARD}"])
+        return rows.ok[0].version == ownership.condition.version
+
+    async def take_slot(self, service, kind, due):
+        async def send(shard, request, due):
+            self.sent.append(request.key)
+            return Ok(MinionAnswer(200, self.answers.get(request.key, b"done")))
+
+        return Ok(HeldSlot(send, lambda: None))
+
+    async def submit(self, shard, key, body=b"body"):
+        due = self.clock.monotonic() + timedelta(seconds=10)
+        deadline = self.clock.now().timestamp() + 10
+        message = SubmitCall(SHARD, "route", "recalculation", key, body, deadline)
+        return await shard.submit(message, due)
+
+    async def test_snapshot_bounds_what_a_takeover_reads(self):
+        shard = await self.open_shard("a")
+        for number in range(ROWS_BEFORE_SNAPSHOT):
+            await self.submit(shard, f"key-{number}")
+        async with asyncio.timeout(10):
+            while f"snapshot/{SHARD}" not in self.table.rows:
+                await asyncio.sleep(0)
+        successor = await self.open_shard("b")
+        self.assertEqual(len(successor.records), len(shard.records))
+        again = await self.submit(successor, "key-3")
+        self.assertEqual((again.body, again.recorded), (b"done", True))
+        self.assertEqual(self.sent.count("key-3"), 1)
+        journal = [key for key in self.table.rows if key.startswith("journal/")]
+        self.assertLess(len(journal), 2 * ROWS_BEFORE_SNAPSHOT)
+
+    async def test_large_answer_lies_in_the_object_store(self):
+        shard = await self.open_shard("a")
+        self.answers["large"] = LARGE
+        self.assertEqual((await self.submit(shard, "large")).body, LARGE)
+        self.assertLess(shard.records.size, 10_000)
+        for row in self.table.rows.values():
+            self.assertLess(len(row.value), 10_000)
+        successor = await self.open_shard("b")
+        again = await self.submit(successor, "large")
+        self.assertEqual((again.body, again.recorded), (LARGE, True))
+        self.store.down = True
+        unread = await self.submit(successor, "large")
+        self.assertIs(unread.not_run, False)
+
+    async def test_superseded_owner_sends_nothing(self):
+        shard = await self.open_shard("a")
+        successor = await self.open_shard("b")
+        refused = await self.submit(shard, "k")
+        self.assertIs(refused.not_run, True)
+        self.assertIsNone(refused.earlier_not_run)
+        self.assertEqual(self.sent, [])
+        self.assertEqual((await self.submit(successor, "k")).body, b"done")
+        self.assertEqual(self.sent, ["k"])
+
+    async def test_answer_of_a_superseded_owner_is_delivered_on(self):
+        shard = await self.open_shard("a")
+        original = self.take_slot
+
+        async def take_slot(service, kind, due):
+            slot = (await original(service, kind, due)).ok
+
+            async def send(*arguments):
+                self.successor = await self.open_shard("b")
+                return await slot.send(*arguments)
+
+            return Ok(HeldSlot(send, slot.drop))
+
+        shard._take_slot = take_slot
+        self.assertEqual((await self.submit(shard, "k")).body, b"done")
+        unknown = await self.submit(self.successor, "k")
+        self.assertIsNone(unknown.not_run)
+        self.assertEqual(len(self.kept), 1)
+        self.assertTrue(await self.successor.take_answer(self.kept[0]))
+        again = await self.submit(self.successor, "k")
+        self.assertEqual((again.body, again.recorded), (b"done", True))
+        self.assertEqual(self.sent, ["k"])
+
+    async def test_missing_record_proves_nothing_to_a_stale_owner(self):
+        shard = await self.open_shard("a")
+        self.assertIs((await shard.fetch("route", "k")).not_run, True)
+        await self.open_shard("b")
+        self.assertIsNone((await shard.fetch("route", "k")).not_run)
+
+    async def test_deadline_passed_during_the_commit_is_never_sent(self):
+        self.clock = ManualClock()
+        shard = await self.open_shard("a")
+        self.table.down = True
+        submitting = asyncio.create_task(self.submit(shard, "k"))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.clock.advance(timedelta(seconds=11))
+        self.table.down = False
+        for _ in range(200):
+            self.clock.advance(timedelta(milliseconds=200))
+            await asyncio.sleep(0)
+        refused = await submitting
+        self.assertIs(refused.not_run, True)
+        self.assertEqual(self.sent, [])
+        self.assertEqual((await self.submit(shard, "k")).body, b"done")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_limits.py
@@ -0,0 +1,101 @@
+import asyncio
+import unittest
+
+from almondspread_daemon.requests.tests.support import ClusterCase
+
+
+class TestLimits(ClusterCase):
+    async def test_all_entries_at_once_stay_within_slots(self):
+        names = list(self.cluster.entries)
+        calls = [self.send(names[i % 3]) for i in range(90)]
+        replies = await asyncio.gather(*calls)
+        answered = [reply for reply in replies if reply.status == 200]
+        for reply in replies:
+            if reply.status != 200:
+                self.assertIs(reply.document["not_run"], True)
+        runs = sum(len(agent.runs) for agent in self.agents)
+        self.assertEqual(runs, len(answered))
+        self.assertGreater(len(answered), 45)
+        self.check_limits()
+
+    async def test_late_answer_keeps_its_slot(self):
+        self.set_faults(held=True)
+        calls = [self.send("entry-1", seconds=0.2) for _ in range(4)]
+        for reply in await asyncio.gather(*calls):
+            self.assertEqual(reply.status, 504)
+            self.assertIsNone(reply.document["not_run"])
+        self.assertEqual(self.count_in_flight(), 4)
+        refused = await self.send("entry-2", seconds=0.2)
+        self.assertIs(refused.document["not_run"], True)
+        self.assertEqual(sum(len(agent.runs) for agent in self.agents), 4)
+        self.set_faults(held=False)
+        self.assertEqual((await self.send("entry-2")).status, 200)
+        self.check_limits()
+
+    async def fill(self, seconds=5.0):
+        """Have every slot for calls taken by keyed requests that are held."""
+        self.set_faults(held=True)
+        calls = []
+        for number in range(8):
+            name = f"entry-{number % 3 + 1}"
+            running = self.send(name, "recalculation", f"held-{number}", b"x", seconds)
+            calls.append(asyncio.create_task(running))
+        await self.until(lambda: self.count_in_flight() == 2 * (self.slots - 0))
+        return calls
+
+    async def test_planned_hand_over_passes_slots_on(self):
+        calls = await self.fill()
+        leaving = "entry-1"
+        stopping = asyncio.create_task(self.cluster.entries[leaving].stop())
+        entry = self.cluster.entries[leaving]
+        await self.until(lambda: entry.stopping and not entry.keeper.runners)
+        others = self.pick_others(leaving)
+        await self.until(
+            lambda: all(
+                any(
+                    shard in self.cluster.entries[name].keeper.runners
+                    for name in others
+                )
+                for shard in entry.planned_shards
+            )
+        )
+        lookups = [self.send(name, seconds=0.3) for name in others * 6]
+        for reply in await asyncio.gather(*lookups):
+            self.assertIn(reply.status, (429, 503))
+        self.set_faults(held=False)
+        for reply in await asyncio.gather(*calls):
+            self.assertEqual(reply.status, 200, reply)
+        await stopping
+        del self.cluster.entries[leaving]
+        await self.until(self.can_send)
+        self.assertEqual((await self.send(others[0])).status, 200)
+        self.check_limits()
+
+    async def test_crash_leaves_slots_counted(self):
+        owner = self.find_owner("minions/umea/0")
+        calls = await self.fill()
+        shards = [s for s in self.cluster.entries[owner].keeper.runners if "min" in s]
+        await self.cluster.kill_entry(owner)
+        others = self.pick_others(owner)
+        await self.until(
+            lambda: all(
+                any(shard in entry.keeper.runners for entry in self.entries)
+                for shard in shards
+            )
+        )
+        lookups = [self.send(name, seconds=0.3) for name in others * 6]
+        for reply in await asyncio.gather(*lookups):
+            self.assertNotEqual(reply.status, 200)
+        self.set_faults(held=False)
+        await asyncio.gather(*calls)
+        await self.until(self.can_send)
+        answered = False
+        while not answered:
+            answered = (await self.send(others[0])).status == 200
+        self.check_limits()
+        for number in range(8):
+            self.assertLessEqual(self.count_runs(f"held-{number}"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
@@ -0,0 +1,199 @@
+import asyncio
+import unittest
+from datetime import timedelta
+
+from expression import Error, Ok
+
+from almondspread.clock import ManualClock
+from almondspread.interfaces import (
+    Condition,
+    Instance,
+    MinionAnswer,
+    MinionRequest,
+    Write,
+)
+from almondspread.ownership import Member, Ownership
+from almondspread.testing import MemoryTable
+from almondspread_daemon.peers.messages import (
+    Accepted,
+    ConfirmOwner,
+    Refused,
+    SlotsInUse,
+)
+from almondspread_daemon.requests.minion_shards import MinionShard, MinionTerms
+from almondspread_daemon.requests.minions import MinionPools
+from almondspread_platform.minions import MinionFault
+
+SHARD = "minions/umea/0"
+SECOND = timedelta(seconds=1)
+LEASE = 3 * SECOND
+DENIED = Refused("unavailable", "another owner", "ask it")
+
+
+class GatedClient:
+    """A minion that answers when told; it is sent what ``may_send`` lets through."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.sent = 0
+
+    async def call(self, address, request, timeout, may_send):
+        await self.gate.wait()
+        if not may_send():
+            return Error(MinionFault("denied", not_sent=True))
+        self.sent += 1
+        return Ok(MinionAnswer(200, b"{}"))
+
+
+class TestMinionShard(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.table.apply([], [Write(f"owner/{SHARD}", b"me")])
+        self.client = GatedClient()
+        self.peers = [Member("peer", "address", "umea", "i", timedelta(0))]
+        self.replies = {}
+        bounds = {"lookup": 4, "recalculation": 4}
+        self.pools = MinionPools(
+            "umea", (SHARD,), self.client, self.clock, lambda _: bounds, lambda _: None
+        )
+        self.pools.update(
+            [Instance("m-1", "minion", "a", "umea", service="route", slots=4)]
+        )
+
+    def make_shard(self, epoch):
+        condition = Condition(f"owner/{SHARD}", self.table.revision)
+        terms = MinionTerms(LEASE, 2 * SECOND, 60 * SECOND)
+        shard = MinionShard(
+            Ownership(SHARD, epoch, condition),
+            self.pools,
+            self.table,
+            lambda: self.peers,
+            self.ask,
+            terms,
+            self.clock,
+        )
+        shard.count_all_in_use()
+        self.pools.take_shard(shard.slots)
+        return shard
+
+    async def ask(self, member, message, timeout):
+        default = Accepted() if isinstance(message, ConfirmOwner) else None
+        return self.replies.get(type(message).__name__, default)
+
+    def take(self, kind="lookup"):
+        due = self.clock.monotonic() + SECOND
+        return self.pools.take("route", kind, due, wait=False)
+
+    def count_free(self):
+        load = self.pools.describe_loads()["route"]
+        return load.free
+
+    async def test_first_owner_sends_at_once(self):
+        shard = self.make_shard(1)
+        self.assertTrue((await self.take()).is_error())
+        self.assertTrue(await shard.confirm())
+        self.assertTrue((await self.take()).is_ok())
+
+    async def test_paused_owner_sends_nothing_after_its_right(self):
+        shard = self.make_shard(1)
+        await shard.confirm()
+        ticket = (await self.take()).ok
+        due = self.clock.monotonic() + 60 * SECOND
+        request = MinionRequest("route", "lookup", b"")
+        sending = asyncio.create_task(self.pools.send(ticket, request, due))
+        await asyncio.sleep(0)
+        self.clock.advance(LEASE / 2)
+        self.client.gate.set()
+        self.assertIs((await sending).error.not_run, True)
+        self.assertEqual(self.client.sent, 0)
+        self.assertTrue((await self.take()).is_error())
+        await shard.confirm()
+        self.assertTrue((await self.take()).is_ok())
+
+    async def test_nothing_is_sent_after_the_deadline(self):
+        shard = self.make_shard(1)
+        await shard.confirm()
+        ticket = (await self.take()).ok
+        due = self.clock.monotonic() + SECOND / 2
+        request = MinionRequest("route", "lookup", b"")
+        sending = asyncio.create_task(self.pools.send(ticket, request, due))
+        await asyncio.sleep(0)
+        self.clock.advance(SECOND / 2)
+        self.client.gate.set()
+        self.assertIs((await sending).error.not_run, True)
+        self.assertEqual(self.client.sent, 0)
+
+    async def test_later_owner_ends_the_right(self):
+        shard = self.make_shard(1)
+        self.replies["ConfirmOwner"] = DENIED
+        self.assertFalse(await shard.confirm())
+        self.replies.clear()
+        other = self.make_shard(1)
+        self.table.apply([], [Write(f"owner/{SHARD}", b"other")])
+        self.assertTrue(await other.confirm())
+        self.assertFalse(await other.confirm())
+
+    async def test_owner_goes_on_while_the_table_is_down(self):
+        shard = self.make_shard(1)
+        self.table.down = True
+        for _ in range(10):
+            self.assertTrue(await shard.confirm())
+            self.assertTrue((await self.take()).is_ok() or self.count_free() == 0)
+            self.clock.advance(LEASE / 6)
+        self.assertTrue(shard.slots.may_send(self.clock.monotonic()))
+
+    async def test_lone_owner_goes_on_but_not_straight_after_a_pause(self):
+        shard = self.make_shard(1)
+        self.table.down = True
+        self.peers = []
+        await shard.confirm()
+        self.clock.advance(LEASE)
+        await shard.confirm()
+        self.assertFalse(shard.slots.may_send(self.clock.monotonic()))
+        self.clock.advance(LEASE / 6)
+        await shard.confirm()
+        self.assertTrue(shard.slots.may_send(self.clock.monotonic()))
+
+    async def test_silent_peer_and_silent_table_end_the_right(self):
+        shard = self.make_shard(1)
+        await shard.confirm()
+        self.table.down = True
+        self.replies["ConfirmOwner"] = None
+        self.clock.advance(LEASE / 2)
+        await shard.confirm()
+        self.assertFalse(shard.slots.may_send(self.clock.monotonic()))
+
+    async def test_crash_counts_all_slots_until_the_longest_request_ended(self):
+        shard = self.make_shard(2)
+        for elapsed, free in ((0, 0), (6.9, 0), (7.1, 1), (92.9, 1), (93.1, 4)):
+            self.clock.advance(elapsed * SECOND - self.clock.monotonic())
+            await shard.confirm()
+            self.assertEqual(self.count_free(), free, elapsed)
+
+    async def test_hand_over_counts_what_is_reported(self):
+        shard = self.make_shard(2)
+        self.replies["FetchSlots"] = SlotsInUse(1, True, {"m-1": 3})
+        taking = asyncio.create_task(shard.take_over(shard.slots))
+        await asyncio.sleep(0.01)
+        await shard.confirm()
+        self.assertEqual(self.count_free(), 1)
+        self.replies["FetchSlots"] = SlotsInUse(1, True, {})
+        self.clock.advance(SECOND)
+        await taking
+        await shard.confirm()
+        self.assertEqual(self.count_free(), 4)
+
+    async def test_owner_that_has_not_released_is_not_believed(self):
+        shard = self.make_shard(3)
+        for told in (SlotsInUse(2, False, {}), SlotsInUse(1, True, {})):
+            self.replies["FetchSlots"] = told
+            taking = asyncio.create_task(shard.take_over(shard.slots))
+            await asyncio.sleep(0.01)
+            await shard.confirm()
+            self.assertEqual(self.count_free(), 0)
+            taking.cancel()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_standin/almondspread_standin/minions/agent.py
+++ b/packages/almondspread_standin/almondspread_standin/minions/agent.py
@@ -1,5 +1,6 @@
 """A minion without its transport: what it runs, and the truth about it."""
 
+import asyncio
 import hashlib
 import json
 from collections import Counter
@@ -85,10 +86,16 @@
         self.connections = 0
         self.max_connections = 0
         self._clock = clock
+        self._released = asyncio.Event()
+        self._released.set()
 
     def set_faults(self, **changes: Any) -> None:
         """Set the named fault switches and leave the others as they are."""
         self.faults = evolve(self.faults, **changes)
+        if self.faults.held:
+            self._released.clear()
+        else:
+            self._released.set()
 
     async def run(self, kind: str, key: str, body: bytes) -> bytes:
         """Run one request and return its answer, which carries the body's digest.
@@ -101,6 +108,7 @@
         if key:
             self.runs_by_key[key] += 1
         await self._clock.sleep(behaviour.service_time)
+        await self._released.wait()
         if self.faults.mode == "late":
             await self._clock.sleep(timedelta(seconds=self.faults.late_seconds))
         answer = {
--- a/packages/almondspread_standin/almondspread_standin/minions/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/minions/faults.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-MODES = ("", "close", "half", "late", "never", "refuse")
+MODES = ("", "close", "half", "late", "never", "refuse", "twice")
 
 
 @define(frozen=True)
@@ -12,13 +12,16 @@
     ``mode`` is empty for none; ``close`` runs the request and closes the connection
     without an answer, ``half`` breaks off within the body, ``late`` answers
     ``late_seconds`` after its service time, ``never`` runs the request and does not
-    answer, ``refuse`` answers with status 503 and does not run it. ``leaving`` sets
-    the header that says so; ``connection_close`` closes after each answer. Callers
-    of a failure domain in ``cut_off`` get no answer, and nothing of theirs runs.
+    answer, ``refuse`` answers with status 503 and does not run it, ``twice`` sends its
+    answer two times. While ``held`` is set, nothing that runs is answered.
+    ``leaving`` sets the header that says so; ``connection_close`` closes after each
+    answer. Callers of a failure domain in ``cut_off`` get no answer, and nothing of
+    theirs runs.
     """
 
     mode: str = field(default="")
     late_seconds: float = 1.0
+    held: bool = False
     leaving: bool = False
     connection_close: bool = False
     cut_off: tuple[str, ...] = ()
--- a/packages/almondspread_standin/almondspread_standin/minions/server.py
+++ b/packages/almondspread_standin/almondspread_standin/minions/server.py
@@ -60,6 +60,9 @@
         if mode == "half":
             await self._break_off(body)
             return
+        if mode == "twice":
+            await self._answer_twice(body)
+            return
         if mode == "never":
             await self._connection_closed.wait()
             return
@@ -73,6 +76,12 @@
         if self._agent.faults.connection_close:
             self.set_header("Connection", "close")
 
+    async def _answer_twice(self, body: bytes) -> None:
+        """Send one answer two times on the same connection."""
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        stream = self.detach()
+        await stream.write((head + body) * 2)
+
     async def _break_off(self, body: bytes) -> None:
         """Send half of an answer and close the connection."""
         self.set_header("Content-Length", str(len(body)))
