--- a/packages/almondspread/almondspread/requests/slots.py
+++ b/packages/almondspread/almondspread/requests/slots.py
@@ -75,7 +75,8 @@
     @property
     def call_slots(self) -> int:
         """How many slots requests other than lookups may take."""
-        return max(1, self.slots - self.slots // LOOKUP_SHARE)
+        kept_for_lookups = max(1, self.slots // LOOKUP_SHARE)
+        return max(1, self.slots - kept_for_lookups)
 
     def count_free(self, now: timedelta) -> int:
         """Return how many slots are free."""
--- /dev/null
+++ b/packages/almondspread/almondspread/requests/tests/test_health.py
@@ -0,0 +1,55 @@
+import unittest
+from datetime import timedelta
+
+from almondspread.requests import MinionHealth, eject_outlier
+from almondspread.requests.health import EJECTION_TIME, PROBATION_SUCCESSES
+
+NOW = timedelta(seconds=100)
+
+
+class TestHealth(unittest.TestCase):
+    def setUp(self):
+        self.all = [MinionHealth() for _ in range(6)]
+
+    def fail(self, health, times=10):
+        ejected = False
+        for _ in range(times):
+            health.note_failure()
+            ejected = ejected or eject_outlier(health, self.all, NOW)
+        return ejected
+
+    def test_one_that_fails_alone_is_ejected_and_returns_on_probation(self):
+        failing = self.all[0]
+        self.assertTrue(self.fail(failing))
+        self.assertFalse(failing.takes_another(0, NOW))
+        later = NOW + EJECTION_TIME
+        self.assertTrue(failing.takes_another(0, later))
+        self.assertFalse(failing.takes_another(1, later))
+        for _ in range(PROBATION_SUCCESSES):
+            failing.note_success("lookup", 0.01)
+        self.assertTrue(failing.takes_another(5, later))
+
+    def test_ejections_are_bounded_to_a_share(self):
+        ejected = [self.fail(health) for health in self.all[:3]]
+        self.assertEqual(ejected, [True, True, False])
+
+    def test_none_is_ejected_where_all_fail(self):
+        for _ in range(20):
+            for health in self.all:
+                health.note_failure()
+        for health in self.all:
+            self.assertFalse(eject_outlier(health, self.all, NOW))
+
+    def test_few_failures_prove_nothing(self):
+        self.assertFalse(self.fail(self.all[0], times=2))
+
+    def test_each_ejection_is_longer(self):
+        failing = self.all[0]
+        failing.eject(NOW)
+        first = failing.ejected_until
+        failing.eject(NOW)
+        self.assertGreater(failing.ejected_until, first)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_at_most_once.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_at_most_once.py
@@ -151,12 +151,10 @@
     async def test_full_slots_refuse_before_anything_is_journalled(self):
         self.set_faults(held=True)
         calls = []
-        for number in range(self.minion_count * self.slots):
+        for number in range(2):
             running = self.send("entry-1", KIND, f"fill-{number}")
             calls.append(asyncio.create_task(running))
-        await self.until(
-            lambda: self.count_in_flight() == self.minion_count * self.slots
-        )
+        await self.until(lambda: self.count_in_flight() == 2)
         reply = await self.send("entry-2", KIND, "over", seconds=0.3)
         self.assertIs(reply.document["not_run"], True)
         record = await self.fetch_record("entry-3", "over")
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -26,6 +26,7 @@
         self.batches = itertools.count()
         self.answers = {}
         self.sent = []
+        self.dropped = 0
         self.kept = []
         self.running = []
 
@@ -78,7 +79,10 @@
             self.sent.append(request.key)
             return Ok(MinionAnswer(200, self.answers.get(request.key, b"done")))
 
-        return Ok(HeldSlot(send, lambda: None))
+        return Ok(HeldSlot(send, self.count_drop))
+
+    def count_drop(self):
+        self.dropped += 1
 
     async def submit(self, shard, key, body=b"body"):
         due = self.clock.monotonic() + timedelta(seconds=10)
@@ -154,6 +158,18 @@
         await self.open_shard("b")
         self.assertIsNone((await shard.fetch("route", "k")).not_run)
 
+    async def test_slow_journal_holds_no_slot_and_nothing_is_sent_before_it(self):
+        shard = await self.open_shard("a")
+        self.table.down = True
+        submitting = asyncio.create_task(self.submit(shard, "k"))
+        async with asyncio.timeout(9):
+            while not self.dropped:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.sent, [])
+        self.table.down = False
+        self.assertEqual((await submitting).body, b"done")
+        self.assertEqual((self.sent, self.dropped), (["k"], 1))
+
     async def test_deadline_passed_during_the_commit_is_never_sent(self):
         self.clock = ManualClock()
         shard = await self.open_shard("a")
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_limits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_limits.py
@@ -5,6 +5,8 @@
 
 
 class TestLimits(ClusterCase):
+    slots = 4
+
     async def test_all_entries_at_once_stay_within_slots(self):
         names = list(self.cluster.entries)
         calls = [self.send(names[i % 3]) for i in range(90)]
@@ -20,27 +22,29 @@
 
     async def test_late_answer_keeps_its_slot(self):
         self.set_faults(held=True)
-        calls = [self.send("entry-1", seconds=0.2) for _ in range(4)]
+        calls = [self.send("entry-1", seconds=0.2) for _ in range(8)]
         for reply in await asyncio.gather(*calls):
             self.assertEqual(reply.status, 504)
             self.assertIsNone(reply.document["not_run"])
-        self.assertEqual(self.count_in_flight(), 4)
+        self.assertEqual(self.count_in_flight(), 8)
         refused = await self.send("entry-2", seconds=0.2)
         self.assertIs(refused.document["not_run"], True)
-        self.assertEqual(sum(len(agent.runs) for agent in self.agents), 4)
+        self.assertEqual(sum(len(agent.runs) for agent in self.agents), 8)
         self.set_faults(held=False)
         self.assertEqual((await self.send("entry-2")).status, 200)
         self.check_limits()
 
-    async def fill(self, seconds=5.0):
-        """Have every slot for calls taken by keyed requests that are held."""
+    async def fill(self):
+        """Have every slot taken by requests that are held; return the keyed ones."""
         self.set_faults(held=True)
         calls = []
-        for number in range(8):
+        for number in range(6):
             name = f"entry-{number % 3 + 1}"
-            running = self.send(name, "recalculation", f"held-{number}", b"x", seconds)
+            running = self.send(name, "recalculation", f"held-{number}")
             calls.append(asyncio.create_task(running))
-        await self.until(lambda: self.count_in_flight() == 2 * (self.slots - 0))
+        await self.until(lambda: self.count_in_flight() == 6)
+        self.lookups = [asyncio.create_task(self.send("entry-1")) for _ in range(2)]
+        await self.until(lambda: self.count_in_flight() == 8)
         return calls
 
     async def test_planned_hand_over_passes_slots_on(self):
@@ -65,6 +69,7 @@
         self.set_faults(held=False)
         for reply in await asyncio.gather(*calls):
             self.assertEqual(reply.status, 200, reply)
+        await asyncio.gather(*self.lookups)
         await stopping
         del self.cluster.entries[leaving]
         await self.until(self.can_send)
@@ -72,7 +77,8 @@
         self.check_limits()
 
     async def test_crash_leaves_slots_counted(self):
-        owner = self.find_owner("minions/umea/0")
+        pool = self.entries[0].requests.pools.pools["route"]
+        owner = self.find_owner(pool.minions["route-umea-1"].shard.shard)
         calls = await self.fill()
         shards = [s for s in self.cluster.entries[owner].keeper.runners if "min" in s]
         await self.cluster.kill_entry(owner)
@@ -87,13 +93,13 @@
         for reply in await asyncio.gather(*lookups):
             self.assertNotEqual(reply.status, 200)
         self.set_faults(held=False)
-        await asyncio.gather(*calls)
+        await asyncio.gather(*calls, *self.lookups)
         await self.until(self.can_send)
         answered = False
         while not answered:
             answered = (await self.send(others[0])).status == 200
         self.check_limits()
-        for number in range(8):
+        for number in range(6):
             self.assertLessEqual(self.count_runs(f"held-{number}"), 1)
 
 
--- a/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
@@ -86,6 +86,15 @@
         await server.stop()
         self.assertTrue((await self.call(server.address)).error.not_sent)
 
+    async def test_denied_call_lets_no_byte_out(self):
+        server = await self.serve(ANSWER)
+        request = MinionRequest("route", "lookup", b"")
+        for address in (server.address, server.address):
+            denied = await self.client.call(address, request, SECOND, lambda: False)
+            self.assertTrue(denied.error.not_sent)
+        self.assertEqual(server.requests, [])
+        self.assertTrue((await self.call(server.address)).is_ok())
+
     async def test_half_a_body_is_a_fault(self):
         server = await self.serve(ANSWER[:-2])
         self.assertFalse((await self.call(server.address)).error.not_sent)
