--- a/packages/almondspread_daemon/almondspread_daemon/reports.py
+++ b/packages/almondspread_daemon/almondspread_daemon/reports.py
@@ -80,7 +80,7 @@
                 {
                     "name": member.name,
                     "failure_domain": member.failure_domain,
-                    "state": "live" if member.name in live else "silent",
+                    "state": "alive" if member.name in live else "silent",
                     "revision": member.revision,
                 }
             )
