--- a/packages/almondspread_cli/almondspread_cli/client.py
+++ b/packages/almondspread_cli/almondspread_cli/client.py
@@ -21,15 +21,8 @@
 
 SILENT_STREAM_SECONDS = 60
 
-# Curl reports these before the first byte of a request is written.
-_NEVER_SENT = (
-    pycurl.E_COULDNT_RESOLVE_HOST,
-    pycurl.E_COULDNT_CONNECT,
-    pycurl.E_SSL_CONNECT_ERROR,
-    pycurl.E_PEER_FAILED_VERIFICATION,
-    pycurl.E_SSL_CACERT_BADFILE,
-    pycurl.E_URL_MALFORMAT,
-)
+# The kinds of curl trace that tell of bytes handed to the connection.
+_OUTGOING = (pycurl.INFOTYPE_HEADER_OUT, pycurl.INFOTYPE_DATA_OUT)
 _BACK_SOON = (502, 503)
 
 
@@ -71,6 +64,19 @@
         return not self.error and 200 <= self.status < 300
 
 
+class _Stream:
+    """The chunks of a stream, ``None`` at its end, and whether it was accepted."""
+
+    def __init__(self) -> None:
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.accepted = False
+
+    def take_header(self, line: str) -> None:
+        """Note the status line of the answer."""
+        if line.startswith("HTTP/"):
+            self.accepted = line.split()[1].startswith("2")
+
+
 class Client:
     """Calls the entries in turn, starting from the one that answered last."""
 
@@ -137,44 +143,50 @@
         A stream that was cut ends with ``Ok``; an address that does not answer, or
         refuses, is the error.
         """
-        chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        stream = _Stream()
         request = self._make_request(Call("GET", path))
         request.request_timeout = 0
-        request.streaming_callback = chunks.put_nowait
+        request.header_callback = stream.take_header
+        request.streaming_callback = stream.chunks.put_nowait
         request.prepare_curl_callback = _prepare_stream
         fetch = asyncio.ensure_future(self._fetch(request))
-        fetch.add_done_callback(lambda _: chunks.put_nowait(None))
+        fetch.add_done_callback(lambda _: stream.chunks.put_nowait(None))
         rest = b""
-        opened = False
-        while (chunk := await chunks.get()) is not None:
-            *lines, rest = (rest + chunk).split(b"\n")
+        while (chunk := await stream.chunks.get()) is not None:
+            rest += chunk
+            if not stream.accepted:
+                continue
+            *lines, rest = rest.split(b"\n")
             for line in lines:
                 event = _parse_event(line)
                 if event is None:
-                    rest = line
                     continue
-                opened = True
                 handle(event)
         reply = await fetch
-        if opened or reply.is_success():
+        if stream.accepted:
             return Ok(None)
         return Error(_explain(evolve(reply, body=rest), self.entry, True))
 
     async def _fetch(self, request: HTTPRequest) -> _Reply:
         """Return what came of one request."""
-        used: list[pycurl.Curl] = []
+        sent: list[bool] = []
         prepare = request.prepare_curl_callback
 
-        def prepare_and_note(curl: pycurl.Curl) -> None:
-            used.append(curl)
+        def note_sent(kind: int, data: bytes) -> None:
+            if kind in _OUTGOING and not sent:
+                sent.append(True)
+
+        def prepare_and_trace(curl: pycurl.Curl) -> None:
             prepare(curl)
+            # Tornado resets the handle before this task could ask it.
+            curl.setopt(pycurl.VERBOSE, 1)
+            curl.setopt(pycurl.DEBUGFUNCTION, note_sent)
 
-        request.prepare_curl_callback = prepare_and_note
+        request.prepare_curl_callback = prepare_and_trace
         try:
             response = await self._http.fetch(request, raise_error=False)
         except CurlError as error:
-            sent = _may_have_sent(error, used[0])
-            return _Reply(error=error.message or str(error), may_have_sent=sent)
+            return _Reply(error=error.message or str(error), may_have_sent=bool(sent))
         return _Reply(response.code, dict(response.headers), response.body or b"")
 
     def _make_request(self, call: Call) -> HTTPRequest:
@@ -209,16 +221,6 @@
     curl.setopt(pycurl.LOW_SPEED_TIME, SILENT_STREAM_SECONDS)
 
 
-def _may_have_sent(error: CurlError, curl: pycurl.Curl) -> bool:
-    """Tell whether any byte of a failed request may have left."""
-    if error.errno in _NEVER_SENT:
-        return False
-    if error.errno != pycurl.E_OPERATION_TIMEDOUT:
-        return True
-    begun = curl.getinfo(pycurl.PRETRANSFER_TIME) > 0
-    return begun or curl.getinfo(pycurl.REQUEST_SIZE) > 0
-
-
 def _may_try_next(reply: _Reply, idempotent: bool) -> bool:
     """Tell whether the same call may be sent to another address."""
     if reply.error:
--- a/packages/almondspread_cli/almondspread_cli/watching.py
+++ b/packages/almondspread_cli/almondspread_cli/watching.py
@@ -24,40 +24,55 @@
     """Which events of a watch have been handed on.
 
     Several events may share a revision, so a cut can fall between them. The watch
-    resumes after the last revision known to be whole and skips what it has had.
+    resumes after the last revision known to be whole, and what it has had of the one
+    after is skipped once.
 
     >>> progress = Progress(4)
     >>> progress.take({"type": "changed", "revision": 5, "name": "a"})
     True
-    >>> progress.resume_from
+    >>> progress.resume()
     4
     >>> progress.take({"type": "changed", "revision": 5, "name": "a"})
     False
     """
 
     def __init__(self, revision: int) -> None:
-        self.resume_from = revision
+        self._whole = revision
         self._latest = revision
         self._taken: set[str] = set()
+        self._repeated: set[str] = set()
+
+    def resume(self) -> int:
+        """Return the revision to resume from, and expect the repeats after it."""
+        self._repeated = set(self._taken)
+        return self._whole
 
     def take(self, event: Event) -> bool:
-        """Note an event; return whether it is new."""
+        """Note an event; return whether it is to be handed on."""
         revision = int(event.get("revision") or 0)
-        if revision < self._latest:
-            return revision > self.resume_from
         if revision > self._latest:
-            self.resume_from = max(self.resume_from, self._latest)
-            self._latest = revision
-            self._taken.clear()
+            self._whole = self._latest
+            self._start_revision(revision)
         if event["type"] == "bookmark":
-            self.resume_from = revision
+            if revision == self._latest:
+                self._whole = revision
+                self._start_revision(revision)
+            return False
+        if revision < self._latest:
             return True
         mark = json.dumps(event, sort_keys=True)
-        if mark in self._taken:
+        if mark in self._repeated:
+            self._repeated.remove(mark)
             return False
         self._taken.add(mark)
         return True
 
+    def _start_revision(self, revision: int) -> None:
+        """Forget the events of the revisions before."""
+        self._latest = revision
+        self._taken.clear()
+        self._repeated.clear()
+
 
 class Watch:
     """Follows changes of some kinds from a revision on, whichever entry answers."""
@@ -80,6 +95,7 @@
         self._emit = emit
         self._notify = notify
         self._expired = False
+        self._moved = False
         self._progress = Progress(0)
 
     async def run(self, revision: int | None) -> Result[None, Failure]:
@@ -90,33 +106,30 @@
                 return Error(status.error)
             revision = int(status.ok["revision"])
         self._progress = Progress(revision)
-        failures = 0
+        idle = 0
         connected = False
         while True:
+            self._moved = False
             ended = await self._follow_once()
             if self._expired:
-                listed = await self._list_again()
-                if listed.is_ok():
-                    continue
-                ended = Error(listed.error)
-            if ended.is_ok():
-                connected = True
-                failures = 0
-                self._notify_cut("the stream was cut")
-            else:
-                failures += 1
-                if not self._may_go_on(ended.error, connected, failures):
+                ended = await self._list_again()
+            elif ended.is_ok():
+                self._notify("the stream was cut; resuming at the next entry")
+            idle = 0 if self._moved else idle + 1
+            connected = connected or ended.is_ok()
+            if ended.is_error():
+                if not self._may_go_on(ended.error, connected, idle):
                     return Error(ended.error)
-                self._notify_cut(ended.error.message)
+                self._notify(f"{ended.error.message}; trying the next entry")
             self._client.move_on()
-            await self._pause(failures)
+            await self._pause(idle)
 
     async def _follow_once(self) -> Result[None, Failure]:
         """Follow one stream to its end."""
         path = make_path(
             "watch",
             **{
-                "from": self._progress.resume_from,
+                "from": self._progress.resume(),
                 "kinds": ",".join(self._kinds),
                 "selector": self._selector,
             },
@@ -132,13 +145,14 @@
         if event["type"] == "expired":
             self._expired = True
             return
-        if not self._progress.take(event) or event["type"] == "bookmark":
+        if not self._progress.take(event):
             return
+        self._moved = True
         self._emit(event)
 
     async def _list_again(self) -> Result[None, Failure]:
         """Hand on all resources as they are now, and watch on from there."""
-        resume = self._progress.resume_from
+        resume = self._progress.resume()
         self._notify(
             f"revision {resume} has expired: listing again; changes and removals "
             "between it and the list are not shown one by one"
@@ -156,20 +170,15 @@
         self._progress = Progress(revision or 0)
         return Ok(None)
 
-    def _may_go_on(self, failure: Failure, connected: bool, failures: int) -> bool:
+    def _may_go_on(self, failure: Failure, connected: bool, idle: int) -> bool:
         """Tell whether another address may still serve the watch."""
         if failure.exit_code is ExitCode.REFUSED:
             return False
-        return connected or failures < self._client.entry_count
-
-    def _notify_cut(self, reason: str) -> None:
-        """Say that the watch goes on elsewhere."""
-        resume = self._progress.resume_from
-        self._notify(f"{reason}; resuming from revision {resume}")
+        return connected or idle < self._client.entry_count
 
-    async def _pause(self, failures: int) -> None:
-        """Wait before a further round once no address has answered."""
-        rounds = failures // self._client.entry_count
+    async def _pause(self, idle: int) -> None:
+        """Wait once every address was tried without bringing an event."""
+        rounds = idle // self._client.entry_count
         if not rounds:
             return
         longest = min(FIRST_PAUSE * 2 ** min(rounds, 10), LONGEST_PAUSE)
