Escape control characters in errors and watched lines too

The test passed without the escape, since click itself strips ANSI sequences where output is no terminal. It now uses a character that click leaves alone, and was seen to fail without the escape.

--- a/packages/almondspread_cli/almondspread_cli/commands/watch.py
+++ b/packages/almondspread_cli/almondspread_cli/commands/watch.py
@@ -16,7 +16,7 @@
     selector_option,
 )
 from almondspread_cli.failures import unwrap
-from almondspread_cli.tables import summarize_status
+from almondspread_cli.tables import clean_text, summarize_status
 from almondspread_cli.watching import Watch
 
 
@@ -25,7 +25,7 @@
     status = summarize_status(event.get("status"))
     name = f"{event.get('kind')}/{event.get('name')}"
     line = f"{event.get('revision')} {event['type']} {name} {status}"
-    click.echo(line.rstrip())
+    click.echo(clean_text(line.rstrip()))
 
 
 def _print_json(event: dict[str, Any]) -> None:
--- a/packages/almondspread_cli/almondspread_cli/failures.py
+++ b/packages/almondspread_cli/almondspread_cli/failures.py
@@ -9,6 +9,8 @@
 from attrs import define
 from expression import Result
 
+from almondspread_cli.tables import clean_text
+
 T = TypeVar("T")
 
 
@@ -37,12 +39,12 @@
 
     def to_text(self) -> str:
         """Return the failure as lines for an operator."""
-        lines = [f"error: {self.code}: {self.message}"]
+        lines = [clean_text(f"error: {self.code}: {self.message}")]
         if self.current_version is not None:
             lines.append(f"current version: {self.current_version}")
         if self.retry_after_seconds is not None:
             lines.append(f"retry after: {self.retry_after_seconds:g} s")
-        lines.append(f"remedy: {self.remedy}")
+        lines.append(clean_text(f"remedy: {self.remedy}"))
         return "\n".join(lines)
 
 
--- a/packages/almondspread_cli/almondspread_cli/tests/test_client.py
+++ b/packages/almondspread_cli/almondspread_cli/tests/test_client.py
@@ -118,7 +118,7 @@
             (answer_problem(429, "overloaded", True, retry_after_seconds=2.0), 3),
             (answer_problem(503, "unavailable"), 4),
             (answer_problem(504, "outcome_unknown"), 5),
-            (answer_problem(500, "problem"), 1),
+            (answer_problem(500, "bell\x07"), 1),
             (answer_json(["no", "problem"], 418), 3),
         ]
         for answer, exit_code in cases:
@@ -127,6 +127,7 @@
             with self.subTest(exit_code=exit_code, output=result.output):
                 self.assertEqual(result.exit_code, exit_code)
                 self.assertIn("error: ", result.stderr)
+                self.assertNotIn("\x07", result.stderr)
                 self.assertIn("remedy: ", result.stderr)
 
     async def test_a_conflict_names_version_and_remedy(self):
--- a/packages/almondspread_cli/almondspread_cli/tests/test_commands.py
+++ b/packages/almondspread_cli/almondspread_cli/tests/test_commands.py
@@ -128,12 +128,12 @@
 
     async def test_describe_says_why_tasks_wait(self):
         task = {"task": 0, "state": "waiting", "worker": None, "attempt": 0}
-        task["reasons"] = {"too little memory": 24, "evil\x1b[2J": 1}
+        task["reasons"] = {"too little memory": 24, "bell\x07": 1}
         described = {"item": make_worker(4), "tasks": [task]}
         entry = self.start_entry(answer_json(described))
         result = await self.invoke([entry], "describe", "worker/w1")
         self.assertIn("too little memory (24 workers)", result.stdout)
-        self.assertNotIn("\x1b", result.stdout)
+        self.assertIn("bell? (1 workers)", result.stdout)
 
     async def test_status_fails_unless_all_are_ready(self):
         good = {"name": "umea-1", "failure_domain": "umea", "ready": True}
