--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -39,15 +39,16 @@
     Heartbeat,
     SubmitCall,
 )
-from almondspread_daemon.platform_access import open_platform
+from almondspread_daemon.platform_access import observe_platform, open_platform
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
+from almondspread_daemon.security import TokenTable
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
-from almondspread_daemon.telemetry import configure_logs
+from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
@@ -62,7 +63,9 @@
         self.stopping = False
         self.incarnation = uuid.uuid4().hex
         self._started = False
-        platform = open_platform(settings)
+        self.telemetry = Telemetry(settings)
+        self.tokens = TokenTable(settings.tokens)
+        platform = observe_platform(open_platform(settings), self.telemetry)
         self._platform = platform
         members = Members(settings.peer.suspect_after)
         self.changes = ChangeLog(
@@ -249,6 +252,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Sending what is queued may take a while; the event loop does not wait.
+        await asyncio.to_thread(self.telemetry.close)
 
     def _announce(self, entry: LogEntry) -> None:
         """Tell those who follow the change log of a new entry."""
@@ -311,7 +316,7 @@
 
     def traceparent(self) -> str:
         """Return the trace context to send on."""
-        return ""
+        return read_traceparent()
 
 
 def _make_batch() -> str:
@@ -321,8 +326,9 @@
 
 async def run_entry(settings: Settings) -> int:
     """Run an instance until it is told to stop; return the exit status."""
-    configure_logs(settings.log, settings.name)
-    entry = Entry(settings, SystemClock())
+    clock = SystemClock()
+    configure_logs(settings.log, settings.name, clock)
+    entry = Entry(settings, clock)
     told = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/almondspread_daemon/almondspread_daemon/http/application.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/application.py
@@ -5,6 +5,7 @@
 from tornado.web import Application
 
 from almondspread_daemon.http.base import UnknownRoute
+from almondspread_daemon.http.metrics import MetricsHandler
 from almondspread_daemon.http.requests import KeyHandler, RequestHandler
 from almondspread_daemon.http.resources import (
     ApplyHandler,
@@ -20,33 +21,37 @@
     StatusHandler,
 )
 from almondspread_daemon.http.watch import WatchHandler
+from almondspread_daemon.security import Access
 
 if TYPE_CHECKING:
     from almondspread_daemon.entry import Entry
 
 NAME = "([^/]+)"
 ROUTES = (
-    (f"/v1/resources/{NAME}", ListHandler),
-    (f"/v1/resources/{NAME}/{NAME}", ItemHandler),
-    ("/v1/apply", ApplyHandler),
-    ("/v1/cancel", CancelHandler),
-    ("/v1/watch", WatchHandler),
-    (f"/v1/describe/{NAME}/{NAME}", DescribeHandler),
-    (f"/v1/requests/{NAME}/{NAME}", RequestHandler),
-    (f"/v1/keys/{NAME}/{NAME}", KeyHandler),
-    ("/v1/status", StatusHandler),
-    ("/v1/cell", CellHandler),
-    ("/healthz", HealthHandler),
-    ("/readyz", ReadyHandler),
+    (f"/v1/resources/{NAME}", ListHandler, Access.OPERATE),
+    (f"/v1/resources/{NAME}/{NAME}", ItemHandler, Access.OPERATE),
+    ("/v1/apply", ApplyHandler, Access.OPERATE),
+    ("/v1/cancel", CancelHandler, Access.OPERATE),
+    ("/v1/watch", WatchHandler, Access.OPERATE),
+    (f"/v1/describe/{NAME}/{NAME}", DescribeHandler, Access.OPERATE),
+    (f"/v1/requests/{NAME}/{NAME}", RequestHandler, Access.REQUEST),
+    (f"/v1/keys/{NAME}/{NAME}", KeyHandler, Access.REQUEST),
+    ("/v1/status", StatusHandler, Access.OPERATE),
+    ("/v1/cell", CellHandler, Access.OPERATE),
+    ("/metrics", MetricsHandler, Access.OPERATE),
+    ("/healthz", HealthHandler, Access.PUBLIC),
+    ("/readyz", ReadyHandler, Access.PUBLIC),
 )
 
 
 def make_application(entry: "Entry") -> Application:
     """Return the application that serves an entry's routes."""
-    arguments = {"entry": entry}
+    rules = []
+    for path, handler, access in ROUTES:
+        rules.append((path, handler, {"entry": entry, "access": access}))
     return Application(
-        [(path, handler, arguments) for path, handler in ROUTES],
+        rules,
         default_handler_class=UnknownRoute,
-        default_handler_args=arguments,
+        default_handler_args={"entry": entry, "access": Access.OPERATE},
         log_function=lambda handler: None,
     )
--- a/packages/almondspread_daemon/almondspread_daemon/http/base.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/base.py
@@ -6,9 +6,13 @@
 
 from expression import Error, Ok, Result
 from loguru import logger
+from opentelemetry.context import attach
+from opentelemetry.trace import Span, set_span_in_context
 from tornado.web import HTTPError, RequestHandler
 
 from almondspread.errors import InvalidInput, NotFound, Problem
+from almondspread_daemon.security import Access, authorize
+from almondspread_daemon.security.access import NOBODY
 
 if TYPE_CHECKING:
     from almondspread_daemon.entry import Entry
@@ -19,9 +23,46 @@
 class EntryHandler(RequestHandler):
     """A handler that reaches the entry and answers in JSON."""
 
-    def initialize(self, entry: "Entry") -> None:
-        """Keep the entry that the handler serves for."""
+    def initialize(self, entry: "Entry", access: Access) -> None:
+        """Keep the entry that the handler serves for, and whom it is open to."""
         self.entry = entry
+        self.access = access
+        self.identity = NOBODY
+        self._arrived = entry.clock.monotonic()
+        self._span: Span | None = None
+
+    def prepare(self) -> None:
+        """Start the request's span and refuse who may not use the route."""
+        self._span = self.entry.telemetry.traces.start(
+            f"{self.request.method} {self.name_route()}",
+            self.request.headers.get("traceparent", ""),
+        )
+        attach(set_span_in_context(self._span))
+        header = self.request.headers.get("Authorization", "")
+        authorized = authorize(self.entry.tokens.identify(header), self.access)
+        if authorized.is_error():
+            return self.refuse(authorized.error)
+        self.identity = authorized.ok
+
+    def name_route(self) -> str:
+        """Return a name for the route, the same for all resources and keys."""
+        return type(self).__name__.removesuffix("Handler").lower()
+
+    def on_finish(self) -> None:
+        """Count the request and end its span."""
+        status = self.get_status()
+        attributes = {
+            "http.route": self.name_route(),
+            "http.request.method": self.request.method or "",
+            "http.response.status_code": status,
+        }
+        elapsed = self.entry.clock.monotonic() - self._arrived
+        instruments = self.entry.telemetry.instruments
+        instruments.requests.add(1, attributes)
+        instruments.request_duration.record(elapsed.total_seconds(), attributes)
+        if self._span is not None:
+            self._span.set_attribute("http.response.status_code", status)
+            self._span.end()
 
     def set_default_headers(self) -> None:
         """Answer in JSON unless a handler says otherwise."""
@@ -88,6 +129,9 @@
 
     def prepare(self) -> None:
         """Refuse the request."""
+        super().prepare()
+        if self._finished:
+            return
         problem = NotFound(
             f"no route {self.request.path}", "see the interface's routes"
         )
--- a/packages/almondspread_daemon/almondspread_daemon/platform_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from urllib.parse import urlsplit
 
-from attrs import define
+from attrs import define, evolve
 
 from almondspread.interfaces import (
     InstanceList,
@@ -12,6 +12,12 @@
     WorkerGateway,
 )
 from almondspread_daemon.settings import Settings
+from almondspread_daemon.telemetry import Telemetry
+from almondspread_daemon.telemetry.wrapping import (
+    ObservedMinions,
+    ObservedTable,
+    ObservedWorkers,
+)
 from almondspread_platform import (
     HttpCaller,
     HttpInstanceList,
@@ -35,7 +41,7 @@
     store: ObjectStore
     instances: InstanceList
     workers: WorkerGateway
-    minions: MinionClient
+    minions: MinionClient | ObservedMinions
 
 
 def open_platform(settings: Settings) -> PlatformAccess:
@@ -58,6 +64,16 @@
     )
 
 
+def observe_platform(platform: PlatformAccess, telemetry: Telemetry) -> PlatformAccess:
+    """Return the same clients with a span and counts for each call."""
+    return evolve(
+        platform,
+        table=ObservedTable(platform.table, telemetry.traces, telemetry.instruments),
+        workers=ObservedWorkers(platform.workers, telemetry.traces),
+        minions=ObservedMinions(platform.minions, telemetry.traces),
+    )
+
+
 def find_host(url: str) -> str:
     """Return the ``IP:port`` of a URL.
 
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/__init__.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/__init__.py
@@ -1,5 +1,16 @@
 """Logs, metrics and traces of an instance."""
 
+from almondspread_daemon.telemetry.instruments import Instruments
 from almondspread_daemon.telemetry.logs import configure_logs
+from almondspread_daemon.telemetry.metrics import MetricsPipeline
+from almondspread_daemon.telemetry.telemetry import Telemetry
+from almondspread_daemon.telemetry.traces import TracePipeline, read_traceparent
 
-__all__ = ["configure_logs"]
+__all__ = [
+    "Instruments",
+    "MetricsPipeline",
+    "Telemetry",
+    "TracePipeline",
+    "configure_logs",
+    "read_traceparent",
+]
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
@@ -0,0 +1,73 @@
+"""The metrics that an instance counts, with names and units as OpenTelemetry has.
+
+``almondspread.table.rows`` counts rows read and written, ``almondspread.io`` bytes to
+and from peers and the platform, workers and minions. Durations are in seconds.
+"""
+
+from attrs import define
+from opentelemetry.metrics import Counter, Histogram, Meter
+
+REQUEST_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 15, 60)
+COMMIT_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 5, 30)
+
+
+@define(frozen=True)
+class Instruments:
+    """The instruments of one instance."""
+
+    requests: Counter
+    request_duration: Histogram
+    table_rows: Counter
+    table_calls: Counter
+    io_bytes: Counter
+    commits: Counter
+    commit_duration: Histogram
+    placements: Counter
+
+    @classmethod
+    def create(cls, meter: Meter) -> "Instruments":
+        """Return the instruments of a meter."""
+        return cls(
+            requests=meter.create_counter(
+                "almondspread.requests",
+                unit="{request}",
+                description="Requests of callers by kind and outcome",
+            ),
+            request_duration=meter.create_histogram(
+                "almondspread.request.duration",
+                unit="s",
+                description="From a request's arrival to its answer",
+                explicit_bucket_boundaries_advisory=REQUEST_SECONDS,
+            ),
+            table_rows=meter.create_counter(
+                "almondspread.table.rows",
+                unit="{row}",
+                description="Rows read from and written to the table service",
+            ),
+            table_calls=meter.create_counter(
+                "almondspread.table.calls",
+                unit="{call}",
+                description="Calls to the table service by operation and outcome",
+            ),
+            io_bytes=meter.create_counter(
+                "almondspread.io",
+                unit="By",
+                description="Bytes sent and received, by the kind of other side",
+            ),
+            commits=meter.create_counter(
+                "almondspread.journal.commits",
+                unit="{commit}",
+                description="Batches committed to journals",
+            ),
+            commit_duration=meter.create_histogram(
+                "almondspread.journal.commit.duration",
+                unit="s",
+                description="From a batch's decision to its commit",
+                explicit_bucket_boundaries_advisory=COMMIT_SECONDS,
+            ),
+            placements=meter.create_counter(
+                "almondspread.placements",
+                unit="{attempt}",
+                description="Attempts bound to workers",
+            ),
+        )
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/telemetry.py
@@ -0,0 +1,42 @@
+"""All telemetry of one instance, opened and closed together."""
+
+from collections.abc import Iterable
+
+import psutil
+from opentelemetry.metrics import Observation
+
+from almondspread_daemon.settings import Settings
+from almondspread_daemon.telemetry.instruments import Instruments
+from almondspread_daemon.telemetry.metrics import MetricsPipeline
+from almondspread_daemon.telemetry.traces import TracePipeline
+
+
+class Telemetry:
+    """Metrics and traces of one instance."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.metrics = MetricsPipeline(settings)
+        self.traces = TracePipeline(settings)
+        self.instruments = Instruments.create(self.metrics.meter)
+        self._process = psutil.Process()
+        self.metrics.observe(
+            "process.cpu.time", "s", "Processor time of the process", self._read_cpu
+        )
+        self.metrics.observe(
+            "process.memory.usage", "By", "Resident memory", self._read_memory
+        )
+
+    def _read_cpu(self) -> Iterable[Observation]:
+        """Return processor time by mode."""
+        times = self._process.cpu_times()
+        yield Observation(times.user, {"cpu.mode": "user"})
+        yield Observation(times.system, {"cpu.mode": "system"})
+
+    def _read_memory(self) -> Iterable[Observation]:
+        """Return resident memory."""
+        yield Observation(self._process.memory_info().rss)
+
+    def close(self) -> None:
+        """Send what is gathered and stop."""
+        self.traces.close()
+        self.metrics.close()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/traces.py
@@ -0,0 +1,96 @@
+"""Traces: a span for each hop, with W3C context carried from hop to hop."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SpanProcessor
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span, SpanKind, Status, StatusCode
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from almondspread_daemon.settings import Settings
+from almondspread_daemon.telemetry.metrics import describe_instance
+
+TRACEPARENT = "traceparent"
+MAX_QUEUED_SPANS = 2_048
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class TracePipeline:
+    """Makes spans and sends the sampled ones where settings name an endpoint.
+
+    Spans wait in a bounded queue and are sent from a thread of their own; while the
+    endpoint is down or slow the surplus is dropped and nothing waits for it.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(settings.telemetry.trace_ratio)),
+            resource=describe_instance(settings),
+            shutdown_on_exit=False,
+        )
+        if settings.telemetry.otlp_endpoint:
+            self.add_processor(_make_otlp_processor(settings))
+        self._tracer = self._provider.get_tracer("almondspread")
+
+    def add_processor(self, processor: SpanProcessor) -> None:
+        """Have a processor see every sampled span."""
+        self._provider.add_span_processor(processor)
+
+    @contextmanager
+    def serve(self, name: str, traceparent: str) -> Iterator[Span]:
+        """Run a block as the span of a call that came in with a trace context."""
+        context = _read_context(traceparent)
+        with self._tracer.start_as_current_span(name, context, SpanKind.SERVER) as span:
+            yield span
+
+    @contextmanager
+    def call(self, name: str, target: str) -> Iterator[Span]:
+        """Run a block as the span of a call that goes out to ``target``."""
+        with self._tracer.start_as_current_span(name, kind=SpanKind.CLIENT) as span:
+            if span.is_recording():
+                span.set_attribute("server.address", target)
+            yield span
+
+    def start(self, name: str, traceparent: str) -> Span:
+        """Start the span of a call that came in; the caller ends it."""
+        context = _read_context(traceparent)
+        return self._tracer.start_span(name, context, SpanKind.SERVER)
+
+    def close(self) -> None:
+        """Send what is queued and stop."""
+        self._provider.shutdown()
+
+
+def mark_failed(span: Span, reason: str) -> None:
+    """Note in a span that its call brought no answer."""
+    span.set_status(Status(StatusCode.ERROR, reason))
+
+
+def read_traceparent() -> str:
+    """Return the W3C header for the span that is current, empty for none."""
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier)
+    return carrier.get(TRACEPARENT, "")
+
+
+def _read_context(traceparent: str) -> Context:
+    """Return the trace context of a W3C header, an empty one where it is unusable."""
+    return _PROPAGATOR.extract({TRACEPARENT: traceparent}, Context())
+
+
+def _make_otlp_processor(settings: Settings) -> SpanProcessor:
+    """Return a processor that sends spans in batches from its own thread."""
+    # Imported only where used: the exporter takes about 4 MiB.
+    from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+    from opentelemetry.sdk.trace.export import BatchSpanProcessor
+
+    exporter = OTLPSpanExporter(
+        f"{settings.telemetry.otlp_endpoint}/v1/traces", timeout=2
+    )
+    return BatchSpanProcessor(exporter, max_queue_size=MAX_QUEUED_SPANS)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/wrapping.py
@@ -0,0 +1,119 @@
+"""The platform's clients with a span and counts for each call."""
+
+from datetime import timedelta
+from typing import Any
+
+from expression import Result
+
+from almondspread.interfaces import (
+    Condition,
+    ConditionFailed,
+    MinionAnswer,
+    MinionRequest,
+    Row,
+    TableService,
+    TableUnavailable,
+    WorkerExchange,
+    WorkerGateway,
+    WorkerReport,
+    WorkerUnreachable,
+    Write,
+)
+from almondspread_daemon.telemetry.instruments import Instruments
+from almondspread_daemon.telemetry.traces import TracePipeline, mark_failed
+from almondspread_platform import MinionClient, MinionFault
+
+TABLE = "table"
+
+
+class ObservedTable:
+    """A table service whose calls are traced and counted."""
+
+    def __init__(
+        self,
+        table: TableService,
+        traces: TracePipeline,
+        instruments: Instruments,
+    ) -> None:
+        self._table = table
+        self._traces = traces
+        self._instruments = instruments
+
+    async def transact(
+        self, conditions: list[Condition], writes: list[Write]
+    ) -> Result[int, ConditionFailed | TableUnavailable]:
+        """Apply all writes if all conditions hold; return the new revision."""
+        self._count_rows("write", len(writes))
+        with self._traces.call("table transact", TABLE) as span:
+            outcome = await self._table.transact(conditions, writes)
+            self._count_call("transact", outcome, span)
+        return outcome
+
+    async def read(self, keys: list[str]) -> Result[list[Row], TableUnavailable]:
+        """Return those of the named rows that exist."""
+        self._count_rows("read", len(keys))
+        with self._traces.call("table read", TABLE) as span:
+            outcome = await self._table.read(keys)
+            self._count_call("read", outcome, span)
+        return outcome
+
+    async def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> Result[list[Row], TableUnavailable]:
+        """Return rows whose key has ``prefix`` and sorts after ``after``, in order."""
+        with self._traces.call("table scan", TABLE) as span:
+            outcome = await self._table.scan(prefix, after, limit)
+            self._count_call("scan", outcome, span)
+        if outcome.is_ok():
+            self._count_rows("read", len(outcome.ok))
+        return outcome
+
+    def _count_rows(self, operation: str, rows: int) -> None:
+        """Count rows by operation."""
+        self._instruments.table_rows.add(rows, {"db.operation.name": operation})
+
+    def _count_call(self, operation: str, outcome: Result[Any, Any], span: Any) -> None:
+        """Count a call by operation and outcome."""
+        result = "ok"
+        if outcome.is_error():
+            result = type(outcome.error).__name__
+            mark_failed(span, result)
+        self._instruments.table_calls.add(
+            1, {"db.operation.name": operation, "outcome": result}
+        )
+
+
+class ObservedWorkers:
+    """A way to the workers whose exchanges are traced."""
+
+    def __init__(self, workers: WorkerGateway, traces: TracePipeline) -> None:
+        self._workers = workers
+        self._traces = traces
+
+    async def exchange(
+        self, address: str, message: WorkerExchange
+    ) -> Result[WorkerReport, WorkerUnreachable]:
+        """Carry one exchange to the worker at ``address``."""
+        with self._traces.call("worker exchange", address) as span:
+            outcome = await self._workers.exchange(address, message)
+            if outcome.is_error():
+                mark_failed(span, outcome.error.reason)
+        return outcome
+
+
+class ObservedMinions:
+    """A client of minions whose requests are traced."""
+
+    def __init__(self, minions: MinionClient, traces: TracePipeline) -> None:
+        self._minions = minions
+        self._traces = traces
+
+    async def call(
+        self, address: str, request: MinionRequest, timeout: timedelta
+    ) -> Result[MinionAnswer, MinionFault]:
+        """Send a request to the minion at ``address`` and return its whole answer."""
+        with self._traces.call(f"minion {request.kind}", address) as span:
+            outcome = await self._minions.call(address, request, timeout)
+            if outcome.is_error():
+                mark_failed(span, outcome.error.reason)
+        return outcome
