--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -43,12 +43,13 @@
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
-from almondspread_daemon.security import TokenTable
+from almondspread_daemon.security import Credentials, TokenTable
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
+from almondspread_daemon.telemetry.gauges import register_gauges
 
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
@@ -65,6 +66,7 @@
         self._started = False
         self.telemetry = Telemetry(settings)
         self.tokens = TokenTable(settings.tokens)
+        self.credentials = Credentials(settings, clock)
         platform = observe_platform(open_platform(settings), self.telemetry)
         self._platform = platform
         members = Members(settings.peer.suspect_after)
@@ -81,6 +83,8 @@
             self._compose_heartbeat,
             settings.peer.heartbeat,
             settings.platform.poll,
+            self.telemetry.traces,
+            self.credentials.peer_client,
         )
         self.follower = ChangeFollower(
             self.changes,
@@ -145,14 +149,22 @@
                 SubmitCall: self.router.take_submit,
                 FetchRecord: self.router.take_fetch,
                 CallMinion: self.router.take_call,
-            }
+            },
+            self.telemetry.traces,
+            self.credentials.peer_server,
         )
         self.http_server = HTTPServer(
             make_application(self),
+            ssl_options=self.credentials.http,
             max_body_size=settings.http.max_body_bytes,
             max_header_size=settings.http.max_header_bytes,
             idle_connection_timeout=settings.http.idle_timeout.total_seconds(),
         )
+        register_gauges(
+            self.telemetry.metrics,
+            self.reporter.describe_status,
+            self._count_peer_bytes,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def _plan_shards(self, request_shards: tuple[str, ...]) -> dict[str, MakeRunner]:
@@ -213,6 +225,7 @@
             self.keeper.run(),
             self.publisher.run(),
             self._follow_minions(),
+            self.credentials.run(),
         ):
             self._tasks.append(start_task(running))
         self._started = True
@@ -263,6 +276,12 @@
         """Push an own entry to the other instances."""
         self.follower.push(entry)
 
+    def _count_peer_bytes(self) -> tuple[int, int]:
+        """Return how many bytes went to and came from peers."""
+        sent, received = self.neighbours.count_bytes()
+        server = self.peer_server
+        return sent + server.bytes_sent, received + server.bytes_received
+
     def _wake_shards(self, _: LogEntry) -> None:
         """Have the scheduling shards look at changed resources at once."""
         for runner in self.keeper.runners.values():
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import ssl
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -16,6 +17,7 @@
 from almondspread_daemon.background import start_task
 from almondspread_daemon.peers import CallContext, PeerFault, PeerLink
 from almondspread_daemon.peers.messages import Accepted, Heartbeat
+from almondspread_daemon.telemetry import TracePipeline
 
 
 class Neighbours:
@@ -32,6 +34,8 @@
         compose_heartbeat: Callable[[], Heartbeat],
         heartbeat_interval: timedelta,
         list_interval: timedelta,
+        traces: TracePipeline,
+        ssl_options: ssl.SSLContext | None = None,
     ) -> None:
         self.members = members
         self.listed: dict[str, Instance] = {}
@@ -44,6 +48,8 @@
         self._compose_heartbeat = compose_heartbeat
         self._heartbeat_interval = heartbeat_interval
         self._list_interval = list_interval
+        self._traces = traces
+        self._ssl_options = ssl_options
         self._client = TCPClient()
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -96,7 +102,14 @@
         """Open the link to an address, unless it is open or our own."""
         if address == self._own_address or address in self._links:
             return
-        link = PeerLink(address, self._clock, self._random, self._client)
+        link = PeerLink(
+            address,
+            self._clock,
+            self._random,
+            self._client,
+            self._traces,
+            self._ssl_options,
+        )
         self._links[address] = link
         self._tasks[address] = start_task(link.run())
 
@@ -133,6 +146,12 @@
         """Return the live member that owns a shard."""
         return self.members.find_owner(shard, self._clock.monotonic())
 
+    def count_bytes(self) -> tuple[int, int]:
+        """Return how many bytes the links sent and received."""
+        sent = sum(link.bytes_sent for link in self._links.values())
+        received = sum(link.bytes_received for link in self._links.values())
+        return sent, received
+
     def note_all(self, message: Any) -> None:
         """Send a message without reply to every instance."""
         for link in self._links.values():
--- a/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
@@ -1,6 +1,6 @@
 """Frames of a peer stream: msgpack values one after another."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import msgpack
@@ -38,14 +38,19 @@
         )
 
 
-async def read_frames(stream: IOStream) -> AsyncIterator[Frame]:
+async def read_frames(
+    stream: IOStream, count_received: Callable[[int], None]
+) -> AsyncIterator[Frame]:
     """Yield the frames that arrive on a stream until it is closed.
 
+    ``count_received`` is told the number of bytes of each piece that arrives.
+
     Raises ``ValueError`` for bytes that are not a frame.
     """
     unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
     while True:
         data = await stream.read_bytes(READ_BYTES, partial=True)
+        count_received(len(data))
         try:
             unpacker.feed(data)
             for plain in unpacker:
--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+import ssl
 from datetime import timedelta
 from typing import Any
 
@@ -16,6 +16,8 @@
 from almondspread_daemon.peers.frames import CALL, NOTE, REPLY, Frame, read_frames
 from almondspread_daemon.peers.messages import PEER_CODEC
 from almondspread_daemon.settings import parse_address
+from almondspread_daemon.telemetry import TracePipeline, read_traceparent
+from almondspread_daemon.telemetry.traces import mark_failed
 
 FIRST_PAUSE = timedelta(milliseconds=100)
 LAST_PAUSE = timedelta(seconds=2)
@@ -40,17 +42,20 @@
         clock: Clock,
         random_source: random.Random,
         client: TCPClient,
-        get_traceparent: Callable[[], str] = lambda: "",
+        traces: TracePipeline,
+        ssl_options: ssl.SSLContext | None = None,
     ) -> None:
         self.address = address
         self._clock = clock
         self._random = random_source
         self._client = client
-        self._get_traceparent = get_traceparent
+        self._traces = traces
+        self._ssl_options = ssl_options
         self._stream: IOStream | None = None
         self._calls: dict[int, asyncio.Future[Any]] = {}
         self._last_number = 0
         self.bytes_sent = 0
+        self.bytes_received = 0
 
     @property
     def is_open(self) -> bool:
@@ -78,6 +83,7 @@
         self._stream = await self._client.connect(
             host,
             port,
+            ssl_options=self._ssl_options,
             timeout=CONNECT_TIMEOUT,
         )
         self._stream.max_write_buffer_size = MAX_UNSENT_BYTES
@@ -86,7 +92,7 @@
     async def _read_replies(self) -> None:
         """Hand each reply to the call that waits for it."""
         assert self._stream is not None
-        async for frame in read_frames(self._stream):
+        async for frame in read_frames(self._stream, self._count_received):
             if frame.kind != REPLY:
                 raise ValueError(f"frame of kind {frame.kind} where a reply is due")
             # A reply that comes after its call's timeout has no one to go to.
@@ -95,6 +101,10 @@
                 continue
             future.set_result(PEER_CODEC.from_plain(frame.body))
 
+    def _count_received(self, count: int) -> None:
+        """Count bytes that came in."""
+        self.bytes_received += count
+
     def _drop_stream(self) -> None:
         """Close the stream and fail the calls that wait on it."""
         stream, self._stream = self._stream, None
@@ -111,6 +121,15 @@
 
     async def call(self, message: Any, timeout: timedelta) -> Result[Any, PeerFault]:
         """Send a message and return its reply."""
+        name = f"peer {type(message).__name__}"
+        with self._traces.call(name, self.address) as span:
+            outcome = await self._call(message, timeout)
+            if outcome.is_error():
+                mark_failed(span, outcome.error.reason)
+        return outcome
+
+    async def _call(self, message: Any, timeout: timedelta) -> Result[Any, PeerFault]:
+        """Send a message within a span and return its reply."""
         if self._stream is None:
             return Error(PeerFault(f"no stream to {self.address}", True))
         self._last_number += 1
@@ -119,7 +138,7 @@
         self._calls[number] = future
         seconds = timeout.total_seconds()
         body = PEER_CODEC.to_plain(message)
-        frame = Frame(CALL, number, body, seconds, self._get_traceparent())
+        frame = Frame(CALL, number, body, seconds, read_traceparent())
         if not self._write(frame):
             self._calls.pop(number, None)
             return Error(PeerFault(f"the stream to {self.address} is closed", True))
--- a/packages/almondspread_daemon/almondspread_daemon/peers/server.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/server.py
@@ -1,6 +1,7 @@
 """The listener for peers: one task for each stream, one for each call on it."""
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -12,6 +13,7 @@
 from almondspread.errors import Unavailable
 from almondspread_daemon.peers.frames import CALL, NOTE, REPLY, Frame, read_frames
 from almondspread_daemon.peers.messages import PEER_CODEC, refuse
+from almondspread_daemon.telemetry import TracePipeline
 
 MAX_CALLS_PER_STREAM = 4_096
 
@@ -30,8 +32,16 @@
 class PeerServer(TCPServer):
     """Takes calls and notes of peers and passes them on by the type of message."""
 
-    def __init__(self, handlers: dict[type, Handler]) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        handlers: dict[type, Handler],
+        traces: TracePipeline,
+        ssl_options: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__(ssl_options=ssl_options)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._traces = traces
         self._handlers = handlers
         self._tasks: set[asyncio.Task[None]] = set()
         self._streams: set[IOStream] = set()
@@ -41,7 +51,7 @@
         stream.set_nodelay(True)
         self._streams.add(stream)
         try:
-            async for frame in read_frames(stream):
+            async for frame in read_frames(stream, self._count_received):
                 self._accept(stream, frame)
         except StreamClosedError:
             pass
@@ -51,6 +61,10 @@
             self._streams.discard(stream)
             stream.close()
 
+    def _count_received(self, count: int) -> None:
+        """Count bytes that came in."""
+        self.bytes_received += count
+
     def _accept(self, stream: IOStream, frame: Frame) -> None:
         """Start a task for a call or note."""
         if frame.kind not in (CALL, NOTE):
@@ -74,9 +88,8 @@
                 )
             )
         else:
-            context = CallContext(frame.timeout, frame.traceparent)
             try:
-                reply = await handler(message, context)
+                reply = await self._call(handler, frame, message)
             except Exception:
                 logger.exception("the call {} failed", type(message).__name__)
                 reply = refuse(
@@ -87,13 +100,21 @@
                 )
         if frame.kind == NOTE:
             return
+        data = Frame(REPLY, frame.number, PEER_CODEC.to_plain(reply)).encode()
+        self.bytes_sent += len(data)
         try:
-            await stream.write(
-                Frame(REPLY, frame.number, PEER_CODEC.to_plain(reply)).encode()
-            )
+            await stream.write(data)
         except StreamClosedError:
             logger.debug("a reply found its stream closed")
 
+    async def _call(self, handler: Handler, frame: Frame, message: Any) -> Any:
+        """Carry out a call as a span of its trace; a note has none."""
+        context = CallContext(frame.timeout, frame.traceparent)
+        if frame.kind == NOTE:
+            return await handler(message, context)
+        with self._traces.serve(f"peer {type(message).__name__}", frame.traceparent):
+            return await handler(message, context)
+
     def close(self) -> None:
         """Stop listening and close every stream."""
         self.stop()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/gauges.py
@@ -0,0 +1,86 @@
+"""Gauges of what an instance owns, runs and exchanges, read when gathered."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from opentelemetry.metrics import Observation
+
+from almondspread_daemon.telemetry.metrics import MetricsPipeline
+
+ReadStatus = Callable[[], dict[str, Any]]
+ReadBytes = Callable[[], tuple[int, int]]
+
+
+def register_gauges(
+    metrics: MetricsPipeline, read_status: ReadStatus, read_peer_bytes: ReadBytes
+) -> None:
+    """Register the gauges of one instance.
+
+    ``read_status`` returns its status document, ``read_peer_bytes`` the bytes sent to
+    and received from peers so far.
+    """
+
+    def observe(
+        name: str,
+        unit: str,
+        description: str,
+        read: Callable[[dict[str, Any]], Iterable[Observation]],
+    ) -> None:
+        metrics.observe(name, unit, description, lambda: read(read_status()))
+
+    observe("almondspread.tasks", "{task}", "Tasks by state", list_tasks)
+    observe("almondspread.shards", "{shard}", "Owned shards", count_shards)
+    observe(
+        "almondspread.shards.stopped", "{shard}", "Shards with a fault", count_faults
+    )
+    observe("almondspread.revision", "{revision}", "In force", read_revision)
+    observe("almondspread.capacity", "1", "Capacity of workers", list_capacity)
+    observe("almondspread.peers", "{instance}", "Other instances", count_peers)
+
+    def list_bytes() -> Iterable[Observation]:
+        sent, received = read_peer_bytes()
+        yield Observation(sent, {"network.io.direction": "transmit"})
+        yield Observation(received, {"network.io.direction": "receive"})
+
+    metrics.observe("almondspread.peer.io", "By", "Bytes to and from peers", list_bytes)
+
+
+def list_tasks(status: dict[str, Any]) -> Iterable[Observation]:
+    """Return running and waiting tasks of each owned scheduling shard."""
+    for shard in status["shards"]:
+        for state in ("running", "waiting"):
+            if state not in shard:
+                continue
+            attributes = {"shard": shard["shard"], "state": state}
+            yield Observation(shard[state], attributes)
+
+
+def count_shards(status: dict[str, Any]) -> Iterable[Observation]:
+    """Return how many shards are owned."""
+    yield Observation(len(status["shards"]))
+
+
+def count_faults(status: dict[str, Any]) -> Iterable[Observation]:
+    """Return how many shards stopped with a fault."""
+    yield Observation(len(status["faults"]))
+
+
+def read_revision(status: dict[str, Any]) -> Iterable[Observation]:
+    """Return the revision in force."""
+    yield Observation(status["revision"])
+
+
+def list_capacity(status: dict[str, Any]) -> Iterable[Observation]:
+    """Return total and committed amounts of the owned workers, by resource."""
+    for section, state in (("capacity", "total"), ("committed", "committed")):
+        for resource, amount in status[section].items():
+            yield Observation(amount, {"resource": resource, "state": state})
+
+
+def count_peers(status: dict[str, Any]) -> Iterable[Observation]:
+    """Return how many other instances are alive and silent."""
+    counts = {"alive": 0, "silent": 0}
+    for peer in status["peers"]:
+        counts[peer["state"]] += 1
+    for state, count in counts.items():
+        yield Observation(count, {"state": state})
