--- a/packages/almondspread/almondspread/placement/tests/test_differential.py
+++ b/packages/almondspread/almondspread/placement/tests/test_differential.py
@@ -28,6 +28,7 @@
     Capacity(8, 8),
     Capacity(8, 16, 2),
     Capacity(6, 4, 1),
+    Capacity(7, 4),
 )
 names = st.integers(0, 11).map(lambda number: f"w{number}")
 sizes = st.builds(Capacity, st.integers(1, 9), st.integers(1, 9), st.integers(0, 3))
@@ -159,7 +160,15 @@
             if source.random() < 0.4:
                 gone = entries.pop(source.randrange(len(entries)))
                 order.remove(gone)
-        entries.sort()
+        for _ in range(3):
+            self.compare_searches(order, sorted(entries), source)
+            for _ in range(len(entries) // 2):
+                order.remove(entries.pop(source.randrange(len(entries))))
+        for entry in entries:
+            order.remove(entry)
+        self.assertFalse(order)
+
+    def compare_searches(self, order, entries, source):
         for _ in range(20):
             first, second = source.randrange(32), source.randrange(32)
             fits = [e[2] for e in entries if e[0] >= first and e[1] >= second]
@@ -167,6 +176,3 @@
             self.assertEqual(list(order.descend(first, second)), fits[::-1])
             below = len([entry for entry in entries if entry[0] < first])
             self.assertEqual(order.count_below(first), below)
-        for entry in entries:
-            order.remove(entry)
-        self.assertFalse(order)
