--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling: what runs where and when."""
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Rules by which tasks are ordered, limited, preempted, retried and estimated."""
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_quotas.py
@@ -0,0 +1,66 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspread.resources.capacity import Capacity
+from almondspread.scheduling.policies.quotas import OverQuota, TeamLedger
+
+TOTAL = Capacity(100, 200, 10)
+
+
+class TeamLedgerTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("ab"),
+                st.builds(
+                    Capacity, st.integers(0, 9), st.integers(0, 9), st.integers(0, 3)
+                ),
+                st.booleans(),
+            ),
+            max_size=40,
+        )
+    )
+    def test_equals_a_recount(self, steps):
+        ledger = TeamLedger(TOTAL)
+        quota = Capacity(20, 20, 5)
+        ledger.set_team("a", quota, 2.0)
+        held = []
+        for team, size, release in steps:
+            if release and held:
+                ledger.release(*held.pop(0))
+                continue
+            used = self.recount(held, team).plus(size)
+            allowed = team == "b" or used.fits_in(quota)
+            self.assertEqual(ledger.find_shortage(team, size) is None, allowed)
+            if not allowed:
+                with self.assertRaises(OverQuota):
+                    ledger.commit(team, size)
+                continue
+            ledger.commit(team, size)
+            held.append((team, size))
+        for team, weight in (("a", 2.0), ("b", 1.0)):
+            used = self.recount(held, team)
+            self.assertEqual(ledger.list_used(team), used)
+            parts = (used.cpu_millis / 100, used.memory_mib / 200)
+            share = max(*parts, used.accelerators / 10) / weight
+            self.assertAlmostEqual(ledger.measure_share(team), share)
+
+    def recount(self, held, team):
+        used = Capacity(0, 0, 0)
+        for owner, size in held:
+            used = used.plus(size) if owner == team else used
+        return used
+
+    def test_lowered_quota_keeps_what_is_held(self):
+        ledger = TeamLedger(TOTAL)
+        ledger.commit("a", Capacity(50, 50))
+        ledger.set_team("a", Capacity(10, 10), 1.0)
+        self.assertEqual(ledger.list_used("a"), Capacity(50, 50))
+        self.assertIsNotNone(ledger.find_shortage("a", Capacity(1, 1)))
+        self.assertIsNone(ledger.find_impossible("a", Capacity(10, 10)))
+        self.assertIsNotNone(ledger.find_impossible("a", Capacity(11, 1)))
+        ledger.restore("a", Capacity(1, 1))
+        self.assertEqual(ledger.list_used("a"), Capacity(51, 51))
