--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/security/tests/test_certificates.py
@@ -0,0 +1,103 @@
+import asyncio
+import os
+import random
+import ssl
+import tempfile
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+from tornado.tcpclient import TCPClient
+from tornado.testing import bind_unused_port
+
+from almondspread.clock import SystemClock
+from almondspread_daemon.peers import PeerLink, PeerServer
+from almondspread_daemon.peers.messages import Accepted, FetchStatus
+from almondspread_daemon.security.certificates import (
+    CertificateFiles,
+    make_reloader,
+    open_http_context,
+    open_peer_client_context,
+    open_peer_server_context,
+)
+from almondspread_daemon.security.tests.certificates import Authority
+from almondspread_daemon.settings import parse_settings
+from almondspread_daemon.telemetry import TracePipeline
+
+SETTINGS = """{"name": "e", "operator": "o", "failure_domain": "d",
+ "failure_domains": ["d"], "platform": {"table_url": "http://127.0.0.1:1",
+ "store_url": "http://127.0.0.1:1", "instances_url": "http://127.0.0.1:1"}}"""
+CALL_TIMEOUT = timedelta(seconds=5)
+
+
+class CertificateTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.authority = Authority(self.folder, "authority")
+        self.traces = TracePipeline(parse_settings(SETTINGS).ok)
+
+    def make_files(self, authority, name):
+        certificate, key = authority.issue(name)
+        return CertificateFiles(str(certificate), str(key), str(authority.file))
+
+    async def call_over_tls(self, client_context):
+        """Return the outcome of a call, once the link is open or has failed."""
+
+        async def accept(_, __):
+            return Accepted()
+
+        files = self.make_files(self.authority, "server")
+        server = PeerServer(
+            {FetchStatus: accept}, self.traces, open_peer_server_context(files)
+        )
+        listener, port = bind_unused_port()
+        server.add_socket(listener)
+        link = PeerLink(
+            f"127.0.0.1:{port}",
+            SystemClock(),
+            random.Random(1),
+            TCPClient(),
+            self.traces,
+            client_context,
+        )
+        running = asyncio.create_task(link.run())
+        try:
+            for _ in range(40):
+                outcome = await link.call(FetchStatus(), CALL_TIMEOUT)
+                if outcome.is_ok():
+                    return outcome
+                await asyncio.sleep(0.01)
+            return outcome
+        finally:
+            running.cancel()
+            server.close()
+
+    async def test_peers_of_one_authority_talk(self):
+        files = self.make_files(self.authority, "client")
+        outcome = await self.call_over_tls(open_peer_client_context(files))
+        self.assertEqual(outcome.ok, Accepted())
+
+    async def test_a_peer_of_another_authority_is_refused(self):
+        other = self.make_files(Authority(self.folder, "other"), "intruder")
+        context = open_peer_client_context(other)
+        context.load_verify_locations(cafile=str(self.authority.file))
+        outcome = await self.call_over_tls(context)
+        self.assertTrue(outcome.is_error())
+
+    async def test_a_peer_without_a_certificate_is_refused(self):
+        context = ssl.create_default_context(cafile=str(self.authority.file))
+        outcome = await self.call_over_tls(context)
+        self.assertTrue(outcome.is_error())
+
+    async def test_changed_files_are_read_again_and_bad_ones_left_out(self):
+        files = self.make_files(self.authority, "server")
+        reload = make_reloader(files, [open_http_context(files)])
+        self.assertFalse(reload())
+        self.authority.issue("server")
+        os.utime(files.certificate, ns=(1, 1))
+        self.assertTrue(reload())
+        self.assertFalse(reload())
+        Path(files.key).write_text("not a key")
+        self.assertFalse(reload())
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/logs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/logs.py
@@ -1,6 +1,7 @@
 """Structured logs on standard error: one event a line, bounded under storms."""
 
 import json
+import logging
 import sys
 from collections.abc import Callable
 from datetime import timedelta
@@ -71,10 +72,22 @@
     return json.dumps(document, default=str)
 
 
+class _LibraryHandler(logging.Handler):
+    """Passes what libraries log on, so that it is structured and bounded as well."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record of the standard library's logging."""
+        place = logger.patch(
+            lambda target: target.update(name=record.name, line=record.lineno)
+        )
+        place.opt(exception=record.exc_info).log(record.levelname, record.getMessage())
+
+
 def configure_logs(settings: LogSettings, instance: str, clock: Clock) -> None:
     """Write one line for each event, as JSON or as text."""
     logger.remove()
     logger.configure(extra={"instance": instance})
+    logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
     arguments: dict[str, Any] = {
         "level": settings.level.upper(),
         "filter": limit_repeats(clock),
