--- a/packages/almondspread_daemon/almondspread_daemon/command.py
+++ b/packages/almondspread_daemon/almondspread_daemon/command.py
@@ -53,7 +53,7 @@
     # The other commands need none of what an instance imports.
     from almondspread_daemon.entry import run_entry
 
-    sys.exit(asyncio.run(run_entry(settings)))
+    sys.exit(asyncio.run(run_entry(settings, path)))
 
 
 @main.command("check-config")
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -5,6 +5,7 @@
 import signal
 import uuid
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -44,6 +45,7 @@
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
 from almondspread_daemon.security import Credentials, TokenTable
+from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
@@ -343,8 +345,11 @@
     return uuid.uuid4().hex
 
 
-async def run_entry(settings: Settings) -> int:
-    """Run an instance until it is told to stop; return the exit status."""
+async def run_entry(settings: Settings, path: Path) -> int:
+    """Run an instance until it is told to stop; return the exit status.
+
+    ``path`` is the settings file, whose tokens are followed.
+    """
     clock = SystemClock()
     configure_logs(settings.log, settings.name, clock)
     entry = Entry(settings, clock)
@@ -353,6 +358,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     await entry.start()
+    following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
         async with asyncio.timeout(settings.requests.stop_bound_seconds):
@@ -360,4 +366,6 @@
     except TimeoutError:
         logger.error("the stop took longer than its bound")
         return 1
+    finally:
+        following.cancel()
     return 0
--- a/packages/almondspread_daemon/almondspread_daemon/tests/test_command.py
+++ b/packages/almondspread_daemon/almondspread_daemon/tests/test_command.py
@@ -57,4 +57,4 @@
         with mock.patch.dict(sys.modules, {entry.__name__: entry}):
             result = self.runner.invoke(main, ["run", "--config", str(path)])
         self.assertEqual(result.exit_code, 7)
-        entry.run_entry.assert_awaited_once_with(read_settings(path).ok)
+        entry.run_entry.assert_awaited_once_with(read_settings(path).ok, path)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -7,11 +7,14 @@
 import argparse
 import doctest
 import importlib
+import logging
 import pkgutil
 import sys
 import unittest
 from pathlib import Path
 
+from loguru import logger
+
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGES = (
     "almondspread",
@@ -108,6 +111,9 @@
 def main():
     """Run the tests and exit with 0 only when all of them passed."""
     options = parse_arguments()
+    # Tests of failures make the code log a great deal; only their verdicts count.
+    logger.remove()
+    logging.lastResort = None
     tests = collect_tests(options.package or PACKAGES, options.pattern)
     listed = read_known_red()
     suite = unittest.TestSuite(test for test in tests if test.id() not in listed)
