Bound exchanges, claims and authority, and stop one shard on broken rows

An exchange carries an expiry and the worker's incarnation, and a worker does nothing that a late one or one from before its restart asks; the lease bound now holds the bounds on clock offset and rate. Owners confirm all shards by one read a second and check their authority after each wait. Claims have identifiers, silence counts from the first sight of a record, and evidence that the previous owner stopped counts also after the claim. Handover is one transaction, told to the next owner at once; a stalled one is left to the usual takeover. A row that does not decode or follow stops its shard alone.

--- a/packages/almondspread/almondspread/interfaces/workers.py
+++ b/packages/almondspread/almondspread/interfaces/workers.py
@@ -3,12 +3,14 @@
 One exchange carries starts, renewals, stops and acknowledgements to a worker and
 brings back what runs and what has ended. A worker treats a repeated start of one
 attempt as the same attempt, refuses a start after its expiry or after a stop of it,
-stops an attempt whose lease lapses, and reports an end until it is acknowledged.
+stops an attempt whose lease lapses, and reports an end until it is acknowledged. It
+does nothing that an exchange asks after the exchange's expiry, or where the exchange
+is meant for an earlier start of the agent, whose attempts and ends it has forgotten.
 """
 
 from typing import Protocol
 
-from attrs import define
+from attrs import define, field
 from expression import Result
 
 from almondspread.resources.capacity import Capacity
@@ -35,7 +37,8 @@
 class AttemptEnd:
     """An attempt that no longer runs and never will again.
 
-    ``outcome`` is ``finished``, ``failed``, ``stopped``, ``lapsed``, ``refused``.
+    ``outcome`` is ``finished``, ``failed``, ``stopped``, ``lapsed``, ``refused``,
+    or ``lost`` where the worker restarted and has no memory of the attempt.
     """
 
     attempt: str
@@ -61,6 +64,8 @@
 
     ``renewals`` get ``lease_seconds`` more from the moment the worker handles them.
     ``stops`` and ``checkpoints`` end attempts; ``acknowledged`` ends are forgotten.
+    ``expires`` is UTC seconds by the worker's wall clock. ``incarnation`` is that of
+    the worker's latest report, empty before the first one.
     """
 
     starts: tuple[AttemptStart, ...] = ()
@@ -70,15 +75,23 @@
     checkpoints: tuple[str, ...] = ()
     throttles: tuple[str, ...] = ()
     acknowledged: tuple[str, ...] = ()
+    incarnation: str = ""
+    expires: float = field(kw_only=True)
 
 
 @define(frozen=True)
 class WorkerReport:
-    """What a worker answers: all that runs and all ends not yet acknowledged."""
+    """What a worker answers: all that runs and all ends not yet acknowledged.
+
+    ``incarnation`` differs for each start of the agent. ``refused`` tells why nothing
+    of the exchange was done, empty where it was.
+    """
 
     running: tuple[AttemptUsage, ...] = ()
     ended: tuple[AttemptEnd, ...] = ()
     leaving: bool = False
+    incarnation: str = ""
+    refused: str = ""
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/journal/journal.py
+++ b/packages/almondspread/almondspread/journal/journal.py
@@ -58,10 +58,15 @@
 
 @define(frozen=True)
 class Recovery:
-    """What a journal holds: the latest snapshot and all batches after it."""
+    """What a journal holds: the latest snapshot and all batches after it.
+
+    ``covered`` is the sequence number up to which the snapshot covers the rows.
+    """
 
     snapshot: bytes | None
     rows: tuple[JournalRow, ...]
+    snapshot_name: str = ""
+    covered: int = 0
 
 
 class Journal:
@@ -87,6 +92,7 @@
         self._next_sequence = 1
         self._snapshot_sequence = 0
         self._snapshot_name = ""
+        self._oldest_sequence = 1
         self.stalled = False
 
     @property
@@ -99,6 +105,12 @@
 
         Raises ``Undecodable`` where one of them cannot be read.
         """
+        recovered = await self._recover_once()
+        self.stalled = recovered.is_error()
+        return recovered
+
+    async def _recover_once(self) -> Result[Recovery, TableUnavailable]:
+        """Read snapshot and rows; fails as soon as one read does."""
         record = await self._read_snapshot_record()
         if record.is_error():
             return Error(record.error)
@@ -112,11 +124,22 @@
             snapshot = loaded.ok
             self._snapshot_sequence = record.ok.sequence
             self._snapshot_name = record.ok.name
+        oldest = await self._find_oldest_row()
+        if oldest.is_error():
+            return Error(oldest.error)
+        self._oldest_sequence = min(oldest.ok, self._snapshot_sequence + 1)
         rows = await self._read_rows(self._snapshot_sequence)
         if rows.is_error():
             return Error(rows.error)
         self._next_sequence = self._snapshot_sequence + len(rows.ok) + 1
-        return Ok(Recovery(snapshot, tuple(rows.ok)))
+        return Ok(
+            Recovery(
+                snapshot,
+                tuple(rows.ok),
+                self._snapshot_name,
+                self._snapshot_sequence,
+            )
+        )
 
     async def commit(self, events: list[bytes]) -> Result[int, Superseded]:
         """Commit a batch; return its sequence number.
@@ -163,24 +186,42 @@
             if isinstance(outcome.error, ConditionFailed):
                 return Error(Superseded(self.shard))
             return Ok(None)
-        covered_from = self._snapshot_sequence + 1
         old_name = self._snapshot_name
         self._snapshot_sequence = sequence
         self._snapshot_name = name
-        await self._drop_rows(covered_from, sequence)
+        await self._drop_rows(sequence)
         if old_name:
             await self._store.delete(old_name)
         return Ok(None)
 
-    async def _drop_rows(self, first: int, last: int) -> None:
-        """Delete the rows that a recorded snapshot covers."""
-        for start in range(first, last + 1, DELETE_ROWS):
+    async def _drop_rows(self, last: int) -> None:
+        """Delete the rows that a recorded snapshot covers, the oldest first.
+
+        What an earlier owner or an outage left over goes with them.
+        """
+        for start in range(self._oldest_sequence, last + 1, DELETE_ROWS):
             stop = min(last, start + DELETE_ROWS - 1)
             writes = [
                 Write(make_row_key(self.shard, sequence), None)
                 for sequence in range(start, stop + 1)
             ]
-            await self._table.transact([self._owner_condition], writes)
+            dropped = await self._table.transact([self._owner_condition], writes)
+            if dropped.is_error():
+                return
+            self._oldest_sequence = stop + 1
+
+    async def _find_oldest_row(self) -> Result[int, TableUnavailable]:
+        """Return the sequence number of the oldest row, or of the next one."""
+        page = await self._table.scan(f"journal/{self.shard}/", "", 1)
+        if page.is_error():
+            return Error(page.error)
+        if not page.ok:
+            return Ok(self._snapshot_sequence + 1)
+        key = page.ok[0].key
+        try:
+            return Ok(int(key.rpartition("/")[2]))
+        except ValueError as error:
+            raise Undecodable(self.shard, key, "not a row's key") from error
 
     async def _is_own_row(self, failed: ConditionFailed, key: str, batch: str) -> bool:
         """Tell whether a refused commit had taken effect at an earlier try."""
--- a/packages/almondspread/almondspread/ownership/members.py
+++ b/packages/almondspread/almondspread/ownership/members.py
@@ -1,16 +1,30 @@
 """What one instance knows of the others, from their heartbeats and the list."""
 
-from datetime import timedelta
+import uuid
+from datetime import datetime, timedelta
 
 from attrs import define, evolve
 
 
+def make_incarnation(started: datetime) -> str:
+    """Return a name for a process that sorts after those of earlier ones.
+
+    >>> from datetime import UTC
+    >>> first = make_incarnation(datetime(2026, 1, 1, tzinfo=UTC))
+    >>> first < make_incarnation(datetime(2026, 1, 2, tzinfo=UTC))
+    True
+    """
+    milliseconds = int(started.timestamp() * 1000)
+    return f"{milliseconds:012x}-{uuid.uuid4().hex}"
+
+
 @define(frozen=True)
 class Member:
     """Another instance as its latest heartbeat told.
 
-    ``incarnation`` differs for each process that had the name. ``heard`` is this
-    instance's monotonic time at that heartbeat. ``shards`` maps those that the
+    ``incarnation`` differs for each process that had the name, and a later one sorts
+    after an earlier one. ``heard`` is this instance's monotonic time at that
+    heartbeat. ``shards`` maps those that the
     member owns to their epochs.
     """
 
@@ -36,19 +50,41 @@
     def __init__(self, suspect_after: timedelta) -> None:
         self._suspect_after = suspect_after
         self._members: dict[str, Member] = {}
+        self._gone: set[tuple[str, str]] = set()
 
     def hear(self, member: Member) -> None:
         """Take in a heartbeat, unless it is older than what is known."""
         known = self._members.get(member.name)
-        if known is not None and known.heard > member.heard:
-            return
+        if known is not None:
+            if known.incarnation > member.incarnation or known.heard > member.heard:
+                return
         self._members[member.name] = member
 
-    def mark_gone(self, name: str) -> None:
-        """Note that the platform's list says that an instance is gone."""
+    def mark_gone(self, name: str, address: str) -> None:
+        """Note that the platform's list has no instance of a name at an address."""
         known = self._members.get(name)
-        if known is not None:
-            self._members[name] = evolve(known, listed_gone=True)
+        if known is None or known.address != address:
+            return
+        self._gone.add((name, known.incarnation))
+        self._members[name] = evolve(known, listed_gone=True)
+
+    def has_ended(
+        self, name: str, incarnation: str, address: str, now: timedelta
+    ) -> bool:
+        """Tell whether there is evidence that a process acts no more.
+
+        Either the list has it no longer and it is silent, or a later process has its
+        address, whose listener no two processes can hold. Silence alone is none.
+        """
+        known = self._members.get(name)
+        if known is None:
+            return False
+        if known.incarnation > incarnation and known.address == address:
+            return True
+        if (name, incarnation) not in self._gone:
+            return False
+        is_silent = now - known.heard > self._suspect_after
+        return known.incarnation != incarnation or is_silent
 
     def find(self, name: str) -> Member | None:
         """Return a member by name."""
--- a/packages/almondspread/almondspread/scheduling/__init__.py
+++ b/packages/almondspread/almondspread/scheduling/__init__.py
@@ -2,7 +2,15 @@
 
 from almondspread.scheduling.events import EVENT_CODEC
 from almondspread.scheduling.homes import assign_tasks, find_rack_shard
+from almondspread.scheduling.recovery import rebuild_state
 from almondspread.scheduling.scheduler import Scheduler
 from almondspread.scheduling.shard import ShardState
 
-__all__ = ["EVENT_CODEC", "Scheduler", "ShardState", "assign_tasks", "find_rack_shard"]
+__all__ = [
+    "EVENT_CODEC",
+    "Scheduler",
+    "ShardState",
+    "assign_tasks",
+    "find_rack_shard",
+    "rebuild_state",
+]
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -316,6 +316,7 @@
             lease_seconds=self._terms.length.total_seconds(),
             stops=tuple(stops),
             acknowledged=acknowledged,
+            expires=now + self._terms.delivery.total_seconds(),
         )
 
     def _compose_start(self, attempt: Attempt, now: float) -> AttemptStart:
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -52,7 +52,7 @@
         elif isinstance(event, WorkloadRemoved):
             self._remove(event)
         elif isinstance(event, WorkloadForgotten):
-            self.workloads.pop(event.workload, None)
+            self._forget(event)
             return
         self.changed.add(event.workload)
 
@@ -71,6 +71,8 @@
 
     def _add(self, event: WorkloadAdded) -> None:
         """Take on tasks of a workload."""
+        if event.workload in self.workloads:
+            raise ValueError(f"{event.workload} is taken on twice")
         kind, resource = _load_workload(event.document)
         state = WorkloadState(
             workload=event.workload,
@@ -110,6 +112,13 @@
             if task.attempt is not None:
                 task.attempt.unwanted = True
 
+    def _forget(self, event: WorkloadForgotten) -> None:
+        """Forget a workload that has no attempt left."""
+        for task in self.workloads[event.workload].tasks.values():
+            if task.attempt is not None:
+                raise ValueError(f"{event.workload} is forgotten while it runs")
+        del self.workloads[event.workload]
+
     def _bind(self, event: AttemptBound) -> None:
         """Put an attempt at the end of its worker's run list."""
         task = self.workloads[event.workload].tasks[event.index]
@@ -205,7 +214,7 @@
         if task.attempt is not None:
             size = task.attempt.size
             amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
-            attempt = [task.attempt.worker, amounts]
+            attempt = [task.attempt.worker, amounts, task.attempt.acknowledged]
         tasks.append(
             [
                 task.index,
@@ -245,11 +254,12 @@
     for index, phase, number, failures, wanted, checkpoint, waiting, bound in tasks:
         task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
         if bound is not None:
-            worker, amounts = bound
+            worker, amounts, acknowledged = bound
             name = name_attempt(workload, index, number)
             size = Capacity(*amounts)
             task.attempt = Attempt(name, workload, index, number, worker, size)
             task.attempt.unwanted = not wanted
+            task.attempt.acknowledged = acknowledged
             attempts[name] = task.attempt
         state.tasks[index] = task
     return state
--- a/packages/almondspread/almondspread/scheduling/tasks.py
+++ b/packages/almondspread/almondspread/scheduling/tasks.py
@@ -12,7 +12,7 @@
 FAILED = "failed"
 
 # Outcomes that say nothing against the task itself, so they use up no attempt.
-EXCUSED_OUTCOMES = ("stopped", "lapsed", "refused")
+EXCUSED_OUTCOMES = ("stopped", "lapsed", "refused", "lost")
 
 
 @define
@@ -20,7 +20,7 @@
     """An attempt that is bound to a worker and not known to have ended.
 
     ``acknowledged`` is set once the worker has reported it as running; ``unwanted``
-    once it has to stop. Neither is kept in the journal: both are found out again.
+    once it has to stop. Neither is in the journal's rows: both are found out again.
     """
 
     name: str
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -15,7 +15,7 @@
 from almondspread.clock import Clock, SystemClock
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
-from almondspread.ownership import Members, Ownership
+from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
 from almondspread.resources import RequestService
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
@@ -37,6 +37,7 @@
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    ShardReleased,
     SubmitCall,
 )
 from almondspread_daemon.platform_access import open_platform
@@ -60,7 +61,7 @@
         self.settings = settings
         self.clock = clock
         self.stopping = False
-        self.incarnation = uuid.uuid4().hex
+        self.incarnation = make_incarnation(clock.now())
         self._started = False
         platform = open_platform(settings)
         self._platform = platform
@@ -93,9 +94,8 @@
         )
         request_shards = name_shards("requests", domains, ownership.request_shards)
         self.keeper = ShardKeeper(
-            settings.name,
+            Claimant(settings.name, self.incarnation, settings.peer.listen),
             settings.failure_domain,
-            self.incarnation,
             self._plan_shards(request_shards),
             members,
             platform.table,
@@ -103,7 +103,9 @@
             clock,
             _make_batch,
             settings.ownership.instance_lease,
+            settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
+            self.neighbours.note_all,
         )
         self.pools = MinionPools(
             settings.name,
@@ -135,6 +137,7 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
                 FetchStatus: self.reporter.take_fetch_status,
@@ -170,8 +173,10 @@
         """Return what acts for a scheduling shard."""
         terms = LeaseTerms(
             length=self.settings.scheduling.task_lease,
+            delivery=self.settings.scheduling.start_expiry,
             horizon=self.settings.ownership.partition_horizon,
             clock_rate_bound=self.settings.ownership.clock_rate_bound,
+            clock_offset_bound=self.settings.ownership.clock_offset_bound,
         )
         return ScheduleShard(
             ownership,
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -82,10 +82,14 @@
         """Take in the platform's list."""
         current = {instance.name: instance for instance in instances}
         for name, instance in self.listed.items():
-            if instance.role == "entry" and name not in current:
-                logger.info("the platform's list no longer has entry {}", name)
-                self.members.mark_gone(name)
-                self._close_link(instance.address)
+            if instance.role != "entry":
+                continue
+            listed = current.get(name)
+            if listed is not None and listed.address == instance.address:
+                continue
+            logger.info("the platform's list no longer has entry {}", name)
+            self.members.mark_gone(name, instance.address)
+            self._close_link(instance.address)
         self.listed = current
         self.list_is_known = True
         for instance in instances:
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -98,7 +98,8 @@
     """How work is cut into shards, and the leases that protect their owners.
 
     Shard counts are for each failure domain and must be the same on every instance.
-    ``clock_rate_bound`` is the most by which two clocks differ in rate.
+    ``clock_rate_bound`` is the most by which two clocks differ in rate, and
+    ``clock_offset_bound_seconds`` the most by which two wall clocks differ.
     """
 
     schedule_shards: Annotated[int, Range(1, 1_024)] = 1
@@ -106,12 +107,18 @@
     instance_lease_seconds: Seconds = 3.0
     partition_horizon_seconds: Annotated[float, Range(10, 86_400, "seconds")] = 7_200.0
     clock_rate_bound: Annotated[float, Range(0, 0.1)] = 0.001
+    clock_offset_bound_seconds: Annotated[float, Range(0, 60, "seconds")] = 0.5
 
     @property
     def instance_lease(self) -> timedelta:
         """How long an instance owns its shards without a renewal."""
         return timedelta(seconds=self.instance_lease_seconds)
 
+    @property
+    def clock_offset_bound(self) -> timedelta:
+        """The most by which two wall clocks differ."""
+        return timedelta(seconds=self.clock_offset_bound_seconds)
+
     @property
     def partition_horizon(self) -> timedelta:
         """How long an owner cut off from the table service renews task leases."""
--- a/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
@@ -5,24 +5,33 @@
 from datetime import timedelta
 from typing import Protocol
 
+from attrs import define
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.codec import encode_message
-from almondspread.interfaces import Condition, ObjectStore, TableService, Write
+from almondspread.interfaces import ObjectStore, TableService, TableUnavailable
 from almondspread.journal import Journal, Undecodable
 from almondspread.ownership import (
+    Claimant,
     Members,
     OwnerRecord,
     Ownership,
     claim_shard,
-    make_owner_key,
     rank_owners,
     read_owner,
+    read_versions,
+    release_shards,
 )
+from almondspread_daemon.background import Waker, start_task
+from almondspread_daemon.peers import CallContext
+from almondspread_daemon.peers.messages import Accepted, ShardReleased
+from almondspread_daemon.shards.evidence import OwnerEvidence
 
 KEEP_INTERVAL = timedelta(milliseconds=200)
-RELEASED = ""
+CONFIRM_INTERVAL = timedelta(seconds=1)
+FAULT_PAUSE = timedelta(seconds=30)
+STOP_CHECK_INTERVAL = timedelta(milliseconds=20)
+STALL_BOUND = timedelta(seconds=3)
 
 
 class ShardRunner(Protocol):
@@ -38,14 +47,24 @@
 MakeRunner = Callable[[Ownership, Journal, bool], ShardRunner]
 
 
+@define
+class OwnedShard:
+    """A shard that this instance acts for, and whom it was taken from."""
+
+    ownership: Ownership
+    journal: Journal
+    runner: ShardRunner
+    previous: OwnerRecord | None
+    task: asyncio.Task[None] | None = None
+
+
 class ShardKeeper:
     """Owns those shards for which this instance ranks first among the live ones."""
 
     def __init__(
         self,
-        name: str,
+        claimant: Claimant,
         failure_domain: str,
-        incarnation: str,
         shards: dict[str, MakeRunner],
         members: Members,
         table: TableService,
@@ -53,54 +72,97 @@
         clock: Clock,
         make_batch: Callable[[], str],
         instance_lease: timedelta,
+        horizon: timedelta,
         on_change: Callable[[], None],
+        announce: Callable[[ShardReleased], None],
     ) -> None:
         self.runners: dict[str, ShardRunner] = {}
         self.ownerships: dict[str, Ownership] = {}
         self.faults: dict[str, str] = {}
         self.leaving = False
-        self._name = name
+        self._claimant = claimant
         self._failure_domain = failure_domain
-        self._incarnation = incarnation
         self._shards = shards
         self._members = members
         self._table = table
         self._store = store
         self._clock = clock
         self._make_batch = make_batch
-        self._instance_lease = instance_lease
+        self._evidence = OwnerEvidence(claimant, members, clock, instance_lease)
+        self._horizon = horizon
         self._on_change = on_change
-        self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._started = clock.monotonic()
+        self._announce = announce
+        self._owned: dict[str, OwnedShard] = {}
+        self._unsettled: set[str] = set()
+        self._retry_at: dict[str, timedelta] = {}
+        self._handovers: set[asyncio.Task[None]] = set()
+        self._handing_over: set[str] = set()
+        self._waker = Waker(clock)
 
     def list_epochs(self) -> dict[str, int]:
         """Return the epoch of each shard that this instance owns."""
         return {shard: owned.epoch for shard, owned in self.ownerships.items()}
 
     async def run(self) -> None:
-        """Take and hand over shards until cancelled."""
+        """Take, confirm and hand over shards until cancelled."""
         try:
-            while True:
-                for shard in self._shards:
-                    await self._keep(shard)
-                await self._clock.sleep(KEEP_INTERVAL)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._keep_shards())
+                group.create_task(self._confirm_shards())
         finally:
-            for task in self._tasks.values():
+            for owned in self._owned.values():
+                if owned.task is not None:
+                    owned.task.cancel()
+            for task in self._handovers:
                 task.cancel()
 
-    async def _keep(self, shard: str) -> None:
-        """Take a shard that is due to this instance, or hand over one that is not."""
-        preferred = self._find_preferred(shard)
-        if shard in self.ownerships:
-            if preferred is not None and preferred != self._name:
-                await self.hand_over(shard)
+    async def take_released(self, message: ShardReleased, _: CallContext) -> Accepted:
+        """Look at once at a shard that another instance has released."""
+        if message.shard in self._shards:
+            self._waker.wake()
+        return Accepted()
+
+    async def _keep_shards(self) -> None:
+        """Take the shards that are due here and hand over those that are not."""
+        while True:
+            self._start_handover()
+            # Each shard waits for the table by itself: a slow table delays a takeover
+            # of many shards no longer than that of one.
+            taking = [self._settle(shard) for shard in self._list_due()]
+            await asyncio.gather(*taking)
+            await self._waker.wait(KEEP_INTERVAL)
+
+    def _list_due(self) -> list[str]:
+        """Return the shards whose owner row has to be looked at."""
+        now = self._clock.monotonic()
+        due = []
+        for shard in self._shards:
+            if shard in self.ownerships or now < self._retry_at.get(shard, now):
+                continue
+            is_wanted = self._find_preferred(shard) == self._claimant.instance
+            if (is_wanted and not self.leaving) or shard in self._unsettled:
+                due.append(shard)
+        return due
+
+    def _start_handover(self) -> None:
+        """Start to hand over the shards for which another instance ranks first."""
+        moving = []
+        for shard in self._owned:
+            preferred = self._find_preferred(shard)
+            if preferred is None or preferred == self._claimant.instance:
+                continue
+            if shard in self._handing_over:
+                continue
+            moving.append(shard)
+        if not moving or self.leaving:
             return
-        if preferred == self._name and not self.leaving:
-            await self._take(shard)
+        task = start_task(self.hand_over(moving))
+        self._handovers.add(task)
+        task.add_done_callback(self._handovers.discard)
 
     def _find_preferred(self, shard: str) -> str | None:
         """Return the live instance of the domain that ranks first for a shard."""
-        candidates = [] if self.leaving else [self._name]
+        candidates = [] if self.leaving else [self._claimant.instance]
         for member in self._members.list_live(self._clock.monotonic()):
             if member.failure_domain != self._failure_domain:
                 continue
@@ -110,21 +172,61 @@
         ranked = rank_owners(shard, candidates)
         return ranked[0] if ranked else None
 
+    async def _settle(self, shard: str) -> None:
+        """Take a shard that is due here; a row that does not decode stops it."""
+        try:
+            await self._take(shard)
+        except ValueError as error:
+            self._note_fault(shard, f"the owner row of shard {shard}: {error}")
+
     async def _take(self, shard: str) -> None:
         """Claim a shard whose owner has released it or is gone."""
         read = await read_owner(self._table, shard)
         if read.is_error():
             return
-        record, _ = read.ok
-        if not self._may_claim(record):
+        record = read.ok.record
+        if self._find_preferred(shard) != self._claimant.instance:
+            await self._give_up(shard, record, read.ok.version)
+            return
+        if not self._evidence.may_claim(shard, record):
             return
         claimed = await claim_shard(
-            self._table, self._clock, shard, self._name, self._incarnation, record
+            self._table,
+            self._clock,
+            shard,
+            self._claimant,
+            record,
+            self._make_batch(),
+            self._horizon,
         )
         if claimed.is_error():
+            if isinstance(claimed.error, TableUnavailable):
+                self._unsettled.add(shard)
+            return
+        self._unsettled.discard(shard)
+        self._act_for(claimed.ok, record)
+
+    async def _give_up(
+        self, shard: str, record: OwnerRecord | None, version: int
+    ) -> None:
+        """Release a shard that a late claim of this process left to it."""
+        if record is None or record.incarnation != self._claimant.incarnation:
+            self._unsettled.discard(shard)
             return
-        ownership = claimed.ok
-        stopped = self._has_stopped(record)
+        if record.is_released:
+            self._unsettled.discard(shard)
+            return
+        left = Ownership.from_row(shard, record, version, self._clock.monotonic())
+        released = await release_shards(self._table, self._claimant, [left])
+        if released.is_ok():
+            self._unsettled.discard(shard)
+            self._announce(ShardReleased(shard, record.epoch))
+
+    def _act_for(self, ownership: Ownership, previous: OwnerRecord | None) -> None:
+        """Start to act for a shard that was claimed."""
+        shard = ownership.shard
+        if self._evidence.has_stopped(previous):
+            ownership.authority.note_previous_stopped(self._clock.monotonic())
         logger.info("took shard {} at epoch {}", shard, ownership.epoch)
         journal = Journal(
             shard,
@@ -135,77 +237,136 @@
             self._clock,
             self._make_batch,
         )
+        stopped = ownership.authority.previous_stopped_at is not None
         runner = self._shards[shard](ownership, journal, stopped)
+        owned = OwnedShard(ownership, journal, runner, previous)
+        self._owned[shard] = owned
         self.ownerships[shard] = ownership
         self.runners[shard] = runner
-        self._tasks[shard] = asyncio.create_task(self._run_shard(shard, runner))
+        self.faults.pop(shard, None)
+        owned.task = asyncio.create_task(self._run_shard(shard, owned))
         self._on_change()
 
-    def _may_claim(self, record: OwnerRecord | None) -> bool:
-        """Tell whether the recorded owner has released the shard or is gone."""
-        if record is None or record.instance == RELEASED:
-            return True
-        if record.instance == self._name:
-            return True
-        now = self._clock.monotonic()
-        member = self._members.find(record.instance)
-        if member is None:
-            # An instance that just started has not heard of the others yet.
-            return now - self._started > self._instance_lease
-        if member.incarnation != record.incarnation or member.listed_gone:
-            return True
-        return now - member.heard > self._instance_lease
-
-    def _has_stopped(self, record: OwnerRecord | None) -> bool:
-        """Tell whether the previous owner surely renews no leases any more."""
-        if record is None or record.instance in (RELEASED, self._name):
-            return True
-        member = self._members.find(record.instance)
-        if member is None:
-            return False
-        return member.incarnation != record.incarnation or member.listed_gone
-
-    async def _run_shard(self, shard: str, runner: ShardRunner) -> None:
+    async def _run_shard(self, shard: str, owned: OwnedShard) -> None:
         """Run a shard until it ends, and forget it then."""
         try:
-            await runner.run()
+            await owned.runner.run()
         except Undecodable as error:
             logger.error("{}", error)
-            self.faults[shard] = str(error)
+            self._note_fault(shard, str(error))
         except Exception as error:
             logger.exception("shard {} failed", shard)
-            self.faults[shard] = repr(error)
+            self._note_fault(shard, repr(error))
         finally:
+            owned.ownership.authority.supersede()
+            if shard not in self._handing_over:
+                self._unsettled.add(shard)
+            self._owned.pop(shard, None)
             self.ownerships.pop(shard, None)
             self.runners.pop(shard, None)
-            self._tasks.pop(shard, None)
             self._on_change()
 
-    async def hand_over(self, shard: str) -> None:
-        """Stop acting for a shard and release it to the next owner."""
-        ownership = self.ownerships.get(shard)
-        runner = self.runners.get(shard)
-        if ownership is None or runner is None:
+    def _note_fault(self, shard: str, fault: str) -> None:
+        """Show why a shard stands still, and leave it alone for a while."""
+        self.faults[shard] = fault
+        self._retry_at[shard] = self._clock.monotonic() + FAULT_PAUSE
+
+    async def _confirm_shards(self) -> None:
+        """Confirm all owned shards by one read, again and again."""
+        while True:
+            await self._clock.sleep(CONFIRM_INTERVAL)
+            self._note_evidence()
+            await self._confirm_once(list(self._owned.values()))
+
+    def _note_evidence(self) -> None:
+        """Note for each shard whose previous owner turned out to have stopped."""
+        now = self._clock.monotonic()
+        for owned in self._owned.values():
+            if self._evidence.has_stopped(owned.previous):
+                owned.ownership.authority.note_previous_stopped(now)
+
+    async def _confirm_once(self, confirmed: list[OwnedShard]) -> None:
+        """Read the owner rows of shards and stop those that were lost."""
+        if not confirmed:
             return
-        logger.info("handing over shard {} at epoch {}", shard, ownership.epoch)
-        await runner.stop()
-        task = self._tasks.get(shard)
-        if task is not None:
-            await asyncio.wait([task])
-        released = OwnerRecord(RELEASED, self._incarnation, ownership.epoch)
-        await self._table.transact(
-            [ownership.condition],
-            [Write(make_owner_key(shard), encode_message(released))],
-        )
+        began = self._clock.monotonic()
+        names = [owned.ownership.shard for owned in confirmed]
+        versions = await read_versions(self._table, names)
+        if versions.is_error():
+            return
+        for owned in confirmed:
+            ownership = owned.ownership
+            if versions.ok[ownership.shard] == ownership.condition.version:
+                ownership.authority.confirm(began)
+                continue
+            if ownership.shard in self._handing_over:
+                continue
+            logger.warning("shard {} has another owner", ownership.shard)
+            ownership.authority.supersede()
+            start_task(owned.runner.stop())
+
+    async def hand_over(self, shards: list[str]) -> None:
+        """Stop acting for shards and release each to its next owner.
+
+        Those that have stopped by the same moment are released in one transaction.
+        """
+        moving = []
+        for shard in shards:
+            owned = self._owned.get(shard)
+            if owned is None or shard in self._handing_over:
+                continue
+            logger.info("handing over shard {}", shard)
+            self._handing_over.add(shard)
+            moving.append(owned)
+        for owned in moving:
+            # One that still serves requests must not keep the others from moving.
+            start_task(owned.runner.stop())
+        began = self._clock.monotonic()
+        while moving:
+            stopped = [owned for owned in moving if owned.task and owned.task.done()]
+            moving = [owned for owned in moving if owned not in stopped]
+            await self._release(stopped)
+            if self._clock.monotonic() - began > STALL_BOUND:
+                self._abandon_stalled(moving)
+            if moving:
+                await self._clock.sleep(STOP_CHECK_INTERVAL)
+
+    def _abandon_stalled(self, moving: list[OwnedShard]) -> None:
+        """Cancel runners whose commit the table does not answer.
+
+        The commit may still land, so nothing is said of it: the shard is not released
+        and the next owner takes it once this instance is silent.
+        """
+        for owned in list(moving):
+            if not owned.journal.stalled or owned.task is None:
+                continue
+            logger.warning("shard {} stalls and is left", owned.ownership.shard)
+            owned.ownership.authority.supersede()
+            owned.task.cancel()
+            moving.remove(owned)
+            self._handing_over.discard(owned.ownership.shard)
+            self._unsettled.add(owned.ownership.shard)
+
+    async def _release(self, stopped: list[OwnedShard]) -> None:
+        """Release shards, together or else one by one, and tell the other instances."""
+        if not stopped:
+            return
+        ownerships = [owned.ownership for owned in stopped]
+        outcome = await release_shards(self._table, self._claimant, ownerships)
+        if outcome.is_error() and not isinstance(outcome.error, TableUnavailable):
+            # One of them has another owner already; the rest is still released.
+            for ownership in ownerships:
+                await release_shards(self._table, self._claimant, [ownership])
+        for ownership in ownerships:
+            self._handing_over.discard(ownership.shard)
+            if outcome.is_error():
+                self._unsettled.add(ownership.shard)
+            self._announce(ShardReleased(ownership.shard, ownership.epoch))
         self._on_change()
 
     async def hand_over_all(self) -> None:
         """Hand over every shard, for a planned stop."""
         self.leaving = True
-        for shard in list(self.ownerships):
-            await self.hand_over(shard)
-
-
-def make_fence(ownership: Ownership) -> Condition:
-    """Return the condition under which the owner's writes take effect."""
-    return ownership.condition
+        await self.hand_over(list(self._owned))
+        if self._handovers:
+            await asyncio.wait(self._handovers)
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -12,7 +12,6 @@
 from almondspread.clock import Clock
 from almondspread.interfaces import Instance, WorkerGateway
 from almondspread.journal import Journal
-from almondspread.journal.journal import Recovery
 from almondspread.ownership import Ownership
 from almondspread.resources import Workload, describe_resource
 from almondspread.scheduling import (
@@ -20,12 +19,17 @@
     Scheduler,
     ShardState,
     assign_tasks,
+    rebuild_state,
 )
 from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
 from almondspread.scheduling.scheduler import DesiredWorkload
-from almondspread.scheduling.tasks import name_attempt, name_workload
-from almondspread_daemon.background import start_task
+from almondspread.scheduling.tasks import (
+    WorkloadState,
+    name_attempt,
+    name_workload,
+)
+from almondspread_daemon.background import Waker, start_task
 from almondspread_daemon.shards.workers import WorkerLink
 
 WORKLOAD_KINDS = ("service", "batch", "gang")
@@ -56,7 +60,9 @@
         self.scheduler = Scheduler(ShardState(), terms)
         self.recovered = False
         self._journal = journal
-        self._leases = WorkerLeases(terms, clock.monotonic(), previous_owner_stopped)
+        taken_at = clock.monotonic()
+        stopped_at = taken_at if previous_owner_stopped else None
+        self._leases = WorkerLeases(terms, taken_at, stopped_at)
         self._terms = terms
         self._shards = shards
         self._cache = cache
@@ -69,13 +75,13 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._desired: dict[str, DesiredWorkload] = {}
         self._desired_revision = -1
-        self._wake = asyncio.Event()
+        self._unheard: set[str] = set()
+        self._waker = Waker(clock)
         self._stopping = False
-        self._superseded = False
 
     def wake(self) -> None:
         """Have the shard decide at once."""
-        self._wake.set()
+        self._waker.wake()
 
     async def stop(self) -> None:
         """End after the commit under way."""
@@ -87,29 +93,22 @@
         try:
             await self._recover()
             while not self._stopping:
-                await self._wait()
-                if not await self._decide():
+                await self._waker.wait(DECIDE_INTERVAL)
+                if self.ownership.authority.superseded or not await self._decide():
                     return
             await self._leave_snapshot()
         finally:
             for task in self._tasks.values():
                 task.cancel()
 
-    async def _wait(self) -> None:
-        """Wait until there is something to decide, or for the usual interval."""
-        try:
-            async with asyncio.timeout(DECIDE_INTERVAL.total_seconds()):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
-        self._wake.clear()
-
     async def _recover(self) -> None:
         """Rebuild the state from the latest snapshot and the rows after it."""
         while not self._stopping:
             recovered = await self._journal.recover()
             if recovered.is_ok():
-                self.scheduler.state = rebuild_state(recovered.ok)
+                shard = self.ownership.shard
+                self.scheduler.state = rebuild_state(shard, recovered.ok)
+                self._unheard = set(self.scheduler.state.run_lists)
                 self.recovered = True
                 return
             logger.warning("shard {}: {}", self.ownership.shard, recovered.error.reason)
@@ -127,7 +126,7 @@
             committed = await self._journal.commit(encoded)
             if committed.is_error():
                 logger.warning("shard {} has another owner", self.ownership.shard)
-                self._superseded = True
+                self.ownership.authority.supersede()
                 return False
             self._carry_out(batch)
         self._report_changed()
@@ -163,11 +162,34 @@
             return
         self.scheduler.set_workers(listed)
         for worker in listed:
-            if worker.name in self._links:
-                continue
-            self._start_link(worker)
+            self._follow_worker(worker)
         for link in self._links.values():
             self.scheduler.set_exclusion(link.worker, "unreachable", link.unreachable)
+        self._note_heard({worker.name for worker in listed})
+
+    def _follow_worker(self, worker: Instance) -> None:
+        """Start the exchange with a worker, or move it to the worker's new address."""
+        link = self._links.get(worker.name)
+        if link is None:
+            self._start_link(worker)
+            return
+        if link.address == worker.address:
+            return
+        # What ran at the old address may run on until its leases have lapsed, so the
+        # new one is asked nothing before those attempts are known to have ended.
+        self._tasks[worker.name].cancel()
+        link.unreachable = True
+        if not self.scheduler.state.list_attempts(worker.name):
+            self._start_link(worker)
+
+    def _note_heard(self, listed: set[str]) -> None:
+        """Note of which workers it is known by now what runs on them."""
+        for worker in list(self._unheard):
+            link = self._links.get(worker)
+            if worker in listed and link is not None:
+                if not link.has_reported and not link.unreachable:
+                    continue
+            self._unheard.discard(worker)
 
     def _start_link(self, worker: Instance) -> None:
         """Start the exchange with a worker."""
@@ -179,7 +201,7 @@
             self._gateway,
             self._clock,
             self._exchange_interval,
-            lambda: not self._superseded,
+            self.ownership.authority,
             self.wake,
         )
         self._links[worker.name] = link
@@ -188,6 +210,9 @@
     def _end_lapsed(self) -> None:
         """End the attempts of unreachable workers whose leases have surely lapsed."""
         now = self._clock.monotonic()
+        stopped_at = self.ownership.authority.previous_stopped_at
+        if stopped_at is not None:
+            self._leases.note_previous_stopped(stopped_at)
         for worker in list(self.scheduler.state.run_lists):
             link = self._links.get(worker)
             if link is not None and not link.unreachable:
@@ -232,15 +257,30 @@
         """Publish the status of each workload that has changed."""
         changed = self.scheduler.state.changed
         reports = {}
-        for workload in changed:
+        for workload in list(changed):
             state = self.scheduler.state.workloads.get(workload)
+            if state is not None and self._awaits_reports(state):
+                continue
+            changed.discard(workload)
             if state is None or state.removed:
                 continue
             reports[(state.kind, state.name)] = state.report()
-        changed.clear()
         if reports:
             self._publish(self.ownership.shard, reports)
 
+    def _awaits_reports(self, state: WorkloadState) -> bool:
+        """Tell whether a worker has yet to tell if it runs tasks of a workload.
+
+        After a takeover that takes one exchange; until then the reports of the
+        previous owner stand.
+        """
+        if not self._unheard:
+            return False
+        for task in state.tasks.values():
+            if task.attempt is not None and task.attempt.worker in self._unheard:
+                return True
+        return False
+
     async def _leave_snapshot(self) -> None:
         """Write a snapshot, so that a takeover reads few rows."""
         # Events that are not committed yet must not get into a snapshot.
@@ -248,14 +288,3 @@
             return
         if self._journal.rows_since_snapshot:
             await self._journal.write_snapshot(self.scheduler.state.encode())
-
-
-def rebuild_state(recovery: Recovery) -> ShardState:
-    """Return the state that a snapshot and the rows after it add up to."""
-    state = ShardState()
-    if recovery.snapshot is not None:
-        state = ShardState.decode(recovery.snapshot)
-    for row in recovery.rows:
-        for event in row.events:
-            state.apply(EVENT_CODEC.decode(event))
-    return state
--- a/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
@@ -1,21 +1,26 @@
 """The exchange with one worker: one task, for as long as the shard is owned."""
 
-import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 
+from attrs import evolve
 from loguru import logger
 
 from almondspread.clock import Clock
 from almondspread.interfaces import WorkerExchange, WorkerGateway, WorkerReport
+from almondspread.ownership import Authority
 from almondspread.scheduling import Scheduler
 from almondspread.scheduling.leases import WorkerLeases
+from almondspread_daemon.background import Waker
 
 FAILURES_BEFORE_UNREACHABLE = 3
 
 
 class WorkerLink:
-    """Carries a worker's run list to it and its report back."""
+    """Carries a worker's run list to it and its report back.
+
+    ``has_reported`` is set once the worker has told what runs on it.
+    """
 
     def __init__(
         self,
@@ -26,50 +31,48 @@
         gateway: WorkerGateway,
         clock: Clock,
         interval: timedelta,
-        may_act: Callable[[], bool],
+        authority: Authority,
         wake_owner: Callable[[], None],
     ) -> None:
         self.worker = worker
         self.address = address
         self.unreachable = False
+        self.has_reported = False
         self._scheduler = scheduler
         self._leases = leases
         self._gateway = gateway
         self._clock = clock
         self._interval = interval
-        self._may_act = may_act
+        self._authority = authority
         self._wake_owner = wake_owner
-        self._wake = asyncio.Event()
+        self._waker = Waker(clock)
+        self._incarnation = ""
         self._failures = 0
+        self._reported_ends: set[str] = set()
         self._settled: set[str] = set()
 
     def wake(self) -> None:
         """Have the next exchange happen at once."""
-        self._wake.set()
+        self._waker.wake()
 
     def settle(self, attempt: str) -> None:
-        """Acknowledge an end that the journal has committed, at the next exchange."""
-        self._settled.add(attempt)
+        """Acknowledge an end that the journal has committed, if it is reported here."""
+        if attempt in self._reported_ends:
+            self._settled.add(attempt)
 
     async def run(self) -> None:
         """Exchange with the worker until cancelled."""
         while True:
             # A process that was paused may have lost the shard in the meantime.
-            if self._may_act():
+            if self._authority.is_good(self._clock.monotonic()):
                 await self._exchange()
-            self._wake.clear()
-            try:
-                async with asyncio.timeout(self._interval.total_seconds()):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+            await self._waker.wait(self._interval)
 
     async def _exchange(self) -> None:
         """Carry out one exchange."""
-        acknowledged = tuple(self._settled)
-        message = self._scheduler.compose_exchange(
-            self.worker, self._clock.now().timestamp(), acknowledged
-        )
+        # The expiry is set before the renewal is noted: a pause between the two makes
+        # the leases seem to last longer, never shorter.
+        message = self._compose()
         self._leases.note_renewal(self.worker, self._clock.monotonic())
         outcome = await self._gateway.exchange(self.address, message)
         if outcome.is_error():
@@ -77,15 +80,36 @@
             return
         self._take_report(message, outcome.ok)
 
+    def _compose(self) -> WorkerExchange:
+        """Return what to tell the worker now: nothing before its first report."""
+        now = self._clock.now().timestamp()
+        acknowledged = tuple(self._settled)
+        message = self._scheduler.compose_exchange(self.worker, now, acknowledged)
+        if not self._incarnation:
+            return WorkerExchange(expires=message.expires)
+        return evolve(message, incarnation=self._incarnation)
+
     def _take_report(self, message: WorkerExchange, report: WorkerReport) -> None:
         """Pass a report on to the scheduler."""
         self._failures = 0
+        self.has_reported = True
         if self.unreachable:
             logger.info("worker {} answers again", self.worker)
             self.unreachable = False
             self._wake_owner()
-        self._settled.difference_update(message.acknowledged)
-        self._settled.update(self._scheduler.take_report(self.worker, report))
+        settled = self._scheduler.take_report(self.worker, report)
+        if report.incarnation != self._incarnation:
+            # What the worker was told before says nothing to this start of it.
+            self._incarnation = report.incarnation
+            self._settled.clear()
+            self._waker.wake()
+            self._wake_owner()
+        elif report.refused:
+            logger.warning("worker {} refuses: {}", self.worker, report.refused)
+        else:
+            self._settled.difference_update(message.acknowledged)
+        self._settled.update(settled)
+        self._reported_ends = {end.attempt for end in report.ended}
         if report.ended or message.starts:
             self._wake_owner()
 
--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -1,6 +1,7 @@
 """A whole deployment in one process: stand-ins and real entry instances."""
 
 import asyncio
+import random
 import socket
 from datetime import timedelta
 from typing import Any
@@ -24,13 +25,28 @@
 
 READY_TIMEOUT = timedelta(seconds=10)
 READY_PAUSE = timedelta(milliseconds=50)
+FIRST_ENTRY_PORT = 20_000
+LAST_ENTRY_PORT = 32_000
 
 
-def find_free_port() -> int:
-    """Return a loopback port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+def find_free_ports(count: int) -> list[int]:
+    """Return different loopback ports that nothing listens on.
+
+    They lie below the ports that the system gives to those that ask for any, so that
+    none of the stand-ins that start in the meantime takes one.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(FIRST_ENTRY_PORT, LAST_ENTRY_PORT)
+        if port in found:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            found.append(port)
+    return found
 
 
 class EmbeddedCluster:
@@ -47,10 +63,9 @@
         **sections: Any,
     ) -> None:
         entries = []
+        ports = iter(find_free_ports(2 * len(deployment.entries)))
         for entry in deployment.entries:
-            entries.append(
-                evolve(entry, http_port=find_free_port(), peer_port=find_free_port())
-            )
+            entries.append(evolve(entry, http_port=next(ports), peer_port=next(ports)))
         self.deployment = evolve(deployment, entries=tuple(entries))
         self.cell = StandInDeployment(self.deployment, clock, options)
         self.entries: dict[str, Entry] = {}
--- a/packages/almondspread_standin/almondspread_standin/tests/test_cell.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_cell.py
@@ -3,6 +3,8 @@
 import unittest
 from datetime import timedelta
 
+from attrs import evolve
+
 from almondspread.clock import SystemClock
 from almondspread.interfaces import (
     AttemptStart,
@@ -124,9 +126,12 @@
         gateway = HttpWorkerGateway(self.caller, BRIEF)
         self.cell.cut_off("umea")
         start = AttemptStart("t/1", Capacity(1, 1), ("serve",), 60.0, 4e9)
-        message = WorkerExchange(starts=(start,))
         near = self.cell.workers["umea-rack-1"]
         far = self.cell.workers["lulea-rack-1"]
+        asked = await gateway.exchange(near.address, WorkerExchange(expires=4e9))
+        message = WorkerExchange(
+            starts=(start,), incarnation=asked.ok.incarnation, expires=4e9
+        )
         self.assertTrue((await gateway.exchange(far.address, message)).is_error())
         self.assertEqual(far.agent.running, ())
         report = (await gateway.exchange(near.address, message)).ok
@@ -134,6 +139,8 @@
         table = HttpTable(self.caller, self.cell.platform_address, BRIEF)
         self.assertTrue((await table.transact([], [Write("a", b"1")])).is_error())
         self.cell.reconnect()
+        asked = await gateway.exchange(far.address, WorkerExchange(expires=4e9))
+        message = evolve(message, incarnation=asked.ok.incarnation)
         self.assertTrue((await gateway.exchange(far.address, message)).is_ok())
         self.assertEqual((await self.table.read(["a"])).ok, [])
         self.assertEqual(self.cell.ledger.count().double_runs, 1)
--- a/packages/almondspread_standin/almondspread_standin/workers/agent.py
+++ b/packages/almondspread_standin/almondspread_standin/workers/agent.py
@@ -1,5 +1,6 @@
 """The agent on one worker, without its transport."""
 
+import uuid
 from datetime import timedelta
 from typing import Any
 
@@ -55,6 +56,7 @@
         self._running: dict[str, RunningAttempt] = {}
         self._unacknowledged: dict[str, AttemptEnd] = {}
         self._known_ends: dict[str, _KnownEnd] = {}
+        self._incarnation = uuid.uuid4().hex
 
     @property
     def running(self) -> tuple[str, ...]:
@@ -66,6 +68,9 @@
         """Do what an owner asks and report what runs and what has ended."""
         self.settle()
         now = self._clock.monotonic()
+        refused = self._find_refusal(message)
+        if refused:
+            return self._report(now, refused)
         for attempt in message.acknowledged:
             self._unacknowledged.pop(attempt, None)
         for attempt in message.stops:
@@ -81,6 +86,15 @@
         self.settle()
         return self._report(now)
 
+    def _find_refusal(self, message: WorkerExchange) -> str:
+        """Return why nothing of an exchange is done, empty where it is."""
+        wall_time = self._clock.now().timestamp() + self.faults.clock_offset_seconds
+        if wall_time > message.expires:
+            return "the exchange came after its expiry"
+        if message.incarnation != self._incarnation:
+            return "the exchange is not for this start of the agent"
+        return ""
+
     def settle(self) -> None:
         """Let every lapse, end and restart take effect that is due by now."""
         now = self._clock.monotonic()
@@ -101,6 +115,15 @@
         for running in self._running.values():
             running.set_rate(self._find_rate(running), now)
 
+    def restart(self) -> None:
+        """Start the agent again: what ran is gone, and so is all memory of it."""
+        self.settle()
+        for running in list(self._running.values()):
+            self._remove(running)
+        self._unacknowledged.clear()
+        self._known_ends.clear()
+        self._incarnation = uuid.uuid4().hex
+
     def die(self) -> None:
         """Lose power: everything stops, and nothing is reported ever again."""
         self.settle()
@@ -137,7 +160,8 @@
         attempt = start.attempt
         if attempt in self._running or self._report_known_end(attempt):
             return
-        if self._clock.now().timestamp() > start.start_before:
+        wall_time = self._clock.now().timestamp() + self.faults.clock_offset_seconds
+        if wall_time > start.start_before:
             reason = "the start came after its expiry"
             self._record_end(AttemptEnd(attempt, "refused", reason), now)
             return
@@ -165,10 +189,15 @@
         return parsed.ok
 
     def _renew(self, attempt: str, lease_seconds: float, now: timedelta) -> None:
-        """Give a running attempt a lease from now."""
+        """Give a running attempt a lease from now; report one that is not known."""
         running = self._running.get(attempt)
         if running is not None:
             running.lease_until = now + timedelta(seconds=lease_seconds)
+            return
+        if self._report_known_end(attempt):
+            return
+        reason = "the worker restarted and does not know the attempt"
+        self._record_end(AttemptEnd(attempt, "lost", reason), now)
 
     def _stop(self, attempt: str, checkpoint: str, now: timedelta) -> None:
         """Stop an attempt; one that never started is refused from now on."""
@@ -247,14 +276,16 @@
         used = round(declared * self.faults.memory_factor)
         return min(used, declared) if running.throttled else used
 
-    def _report(self, now: timedelta) -> WorkerReport:
+    def _report(self, now: timedelta, refused: str = "") -> WorkerReport:
         """Return what runs and what has ended, and forget old ends."""
         self._forget_old_ends(now)
         usages: list[AttemptUsage] = []
         for attempt, running in self._running.items():
             usages.append(self._measure_usage(attempt, running, now))
         ended = tuple(self._unacknowledged.values())
-        return WorkerReport(tuple(usages), ended, self.faults.leaving)
+        return WorkerReport(
+            tuple(usages), ended, self.faults.leaving, self._incarnation, refused
+        )
 
     def _forget_old_ends(self, now: timedelta) -> None:
         """Forget ends so old that no start of their attempts can be on its way."""
--- a/packages/almondspread_standin/almondspread_standin/workers/tests/test_agent.py
+++ b/packages/almondspread_standin/almondspread_standin/workers/tests/test_agent.py
@@ -24,10 +24,16 @@
         start = AttemptStart(
             attempt, SIZE, command or ("serve",), LEASE_SECONDS, **fields
         )
-        return (agent or self.agent).exchange(WorkerExchange(starts=(start,)))
+        return self.tell(agent=agent, starts=(start,))
 
-    def tell(self, **fields):
-        return self.agent.exchange(WorkerExchange(**fields))
+    def tell(self, agent=None, **fields):
+        agent = agent or self.agent
+        now = self.clock.now().timestamp()
+        fields.setdefault("expires", now + 5)
+        if "incarnation" not in fields:
+            asked = agent.exchange(WorkerExchange(expires=now))
+            fields["incarnation"] = asked.incarnation
+        return agent.exchange(WorkerExchange(**fields))
 
     def advance(self, seconds):
         self.clock.advance(timedelta(seconds=seconds))
@@ -50,6 +56,44 @@
         report = self.tell(renewals=("a/1",), lease_seconds=LEASE_SECONDS)
         self.assertEqual(report.running, ())
 
+    def test_l1_exchange_is_refused_after_its_expiry(self):
+        self.start("a/1")
+        now = self.clock.now().timestamp()
+        start = AttemptStart("b/1", SIZE, ("serve",), LEASE_SECONDS, now + 60)
+        asked = {"renewals": ("a/1",), "starts": (start,), "stops": ("c/1",)}
+        self.advance(6)
+        late = self.tell(expires=now + 5, lease_seconds=LEASE_SECONDS, **asked)
+        self.assertIn("expiry", late.refused)
+        self.assertEqual(late.ended, ())
+        self.advance(4)
+        self.assertEqual(self.agent.running, ())
+        self.assertEqual(self.ledger.count().started, 1)
+
+    def test_l1_expiry_is_by_the_wall_clock_of_the_worker(self):
+        self.agent.set_faults(clock_offset_seconds=-0.5)
+        now = self.clock.now().timestamp()
+        self.advance(5.4)
+        self.assertEqual(self.tell(expires=now + 5).refused, "")
+        self.advance(0.2)
+        self.assertIn("expiry", self.tell(expires=now + 5).refused)
+
+    def test_l6_start_from_before_a_restart_is_refused(self):
+        incarnation = self.start("a/1").incarnation
+        self.tell(stops=("a/1",))
+        self.agent.restart()
+        start = AttemptStart("a/1", SIZE, ("serve",), LEASE_SECONDS, 4e9)
+        delayed = self.tell(starts=(start,), incarnation=incarnation)
+        self.assertIn("start of the agent", delayed.refused)
+        self.assertEqual(self.agent.running, ())
+
+    def test_l6_renewal_of_an_attempt_lost_in_a_restart_is_its_end(self):
+        self.start("a/1")
+        self.agent.restart()
+        report = self.tell(renewals=("a/1",), lease_seconds=LEASE_SECONDS)
+        self.assertEqual(report.ended[0].outcome, "lost")
+        self.assertEqual(self.start("a/1").running, ())
+        self.assertEqual(self.ledger.find_committed("w-1"), Capacity(0, 0))
+
     def test_expired_start_is_refused_for_good(self):
         expiry = self.clock.now().timestamp() + 5
         self.advance(5.001)
