--- a/packages/almondspread/almondspread/scheduling/events.py
+++ b/packages/almondspread/almondspread/scheduling/events.py
@@ -70,6 +70,17 @@
     checkpoint: str = ""
 
 
+@define(frozen=True)
+class ResourcesSeen:
+    """The batch follows the resources as they were declared at a revision.
+
+    An owner that knows only older ones must not compare them with the shard: it would
+    remove what was added, and bring back what was changed, since then.
+    """
+
+    revision: int
+
+
 Event = (
     WorkloadAdded
     | WorkloadChanged
@@ -77,6 +88,7 @@
     | WorkloadForgotten
     | AttemptBound
     | AttemptEnded
+    | ResourcesSeen
 )
 
 EVENT_CODEC = TaggedCodec(
@@ -87,5 +99,6 @@
         WorkloadForgotten,
         AttemptBound,
         AttemptEnded,
+        ResourcesSeen,
     )
 )
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -9,6 +9,7 @@
     AttemptBound,
     AttemptEnded,
     Event,
+    ResourcesSeen,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
@@ -31,13 +32,15 @@
     """Workloads, tasks and the run list of each worker.
 
     ``run_lists`` holds for each worker the attempts bound to it and not known to
-    have ended, in the order in which they were bound.
+    have ended, in the order in which they were bound. ``revision`` is the latest of
+    the resources that an owner has followed.
     """
 
     def __init__(self) -> None:
         self.workloads: dict[str, WorkloadState] = {}
         self.run_lists: dict[str, dict[str, Attempt]] = {}
         self.changed: set[str] = set()
+        self.revision = 0
 
     def apply(self, event: Event) -> None:
         """Advance by one event; raises ``ValueError`` for one that cannot follow."""
@@ -54,6 +57,9 @@
         elif isinstance(event, WorkloadForgotten):
             self._forget(event)
             return
+        elif isinstance(event, ResourcesSeen):
+            self.revision = max(self.revision, event.revision)
+            return
         self.changed.add(event.workload)
 
     def find_attempt(self, workload: str, index: int, number: int) -> Attempt | None:
@@ -172,14 +178,15 @@
         """Return a snapshot of the state."""
         workloads = [_encode_workload(state) for state in self.workloads.values()]
         order = [list(run_list) for run_list in self.run_lists.values()]
-        return bytes(msgpack.packb([workloads, order]))
+        return bytes(msgpack.packb([workloads, order, self.revision]))
 
     @classmethod
     def decode(cls, data: bytes) -> "ShardState":
         """Return the state that a snapshot holds; raises ``ValueError``."""
         try:
-            workloads, order = msgpack.unpackb(data)
+            workloads, order, revision = msgpack.unpackb(data)
             state = cls()
+            state.revision = revision
             attempts: dict[str, Attempt] = {}
             for plain in workloads:
                 workload = _decode_workload(plain, attempts)
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -205,6 +205,7 @@
             self.clock,
             self.settings.scheduling.exchange,
             self.publisher.publish,
+            self.settings.scheduling.commit,
         )
 
     def _make_key_shard(
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -21,7 +21,12 @@
     assign_tasks,
     rebuild_state,
 )
-from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
+from almondspread.scheduling.events import (
+    AttemptBound,
+    AttemptEnded,
+    Event,
+    ResourcesSeen,
+)
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
 from almondspread.scheduling.scheduler import DesiredWorkload
 from almondspread.scheduling.tasks import (
@@ -55,6 +60,7 @@
         clock: Clock,
         exchange_interval: timedelta,
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
+        gather_interval: timedelta = timedelta(0),
     ) -> None:
         self.ownership = ownership
         self.scheduler = Scheduler(ShardState(), terms)
@@ -71,6 +77,7 @@
         self._clock = clock
         self._exchange_interval = exchange_interval
         self._publish = publish
+        self._gather_interval = gather_interval
         self._links: dict[str, WorkerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._desired: dict[str, DesiredWorkload] = {}
@@ -94,6 +101,8 @@
             await self._recover()
             while not self._stopping:
                 await self._waker.wait(DECIDE_INTERVAL)
+                # What several workers report within moments goes into one commit.
+                await self._clock.sleep(self._gather_interval)
                 if self.ownership.authority.superseded or not await self._decide():
                     return
             await self._leave_snapshot()
@@ -117,10 +126,10 @@
     async def _decide(self) -> bool:
         """Decide and commit one batch; false once another owner has the shard."""
         self._update_workers()
-        self.scheduler.reconcile(self._list_desired(), self._clock.now().timestamp())
+        self._follow_resources()
         self._end_lapsed()
         self.scheduler.place(MAX_PLACEMENTS_PER_BATCH)
-        batch = self.scheduler.take_batch()
+        batch = self._take_batch()
         if batch:
             encoded = [EVENT_CODEC.encode(event) for event in batch]
             committed = await self._journal.commit(encoded)
@@ -129,11 +138,32 @@
                 self.ownership.authority.supersede()
                 return False
             self._carry_out(batch)
+        if len(batch) >= MAX_PLACEMENTS_PER_BATCH:
+            self.wake()
         self._report_changed()
         if self._journal.rows_since_snapshot >= SNAPSHOT_ROWS:
             await self._leave_snapshot()
         return True
 
+    def _follow_resources(self) -> None:
+        """Compare the shard with the resources, unless these are the older of both."""
+        if self._cache.spec_revision < self.scheduler.state.revision:
+            return
+        desired = self._list_desired()
+        self.scheduler.reconcile(desired, self._clock.now().timestamp())
+
+    def _take_batch(self) -> list[Event]:
+        """Return the events to commit, and the revision that workloads follow."""
+        batch = self.scheduler.take_batch()
+        for event in batch:
+            if isinstance(event, AttemptBound | AttemptEnded):
+                continue
+            seen = ResourcesSeen(self._cache.spec_revision)
+            self.scheduler.state.apply(seen)
+            batch.append(seen)
+            break
+        return batch
+
     def _carry_out(self, batch: list[Event]) -> None:
         """Tell the workers what a committed batch means for them."""
         self.scheduler.mark_committed(batch)
--- a/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
@@ -73,7 +73,8 @@
         # The expiry is set before the renewal is noted: a pause between the two makes
         # the leases seem to last longer, never shorter.
         message = self._compose()
-        self._leases.note_renewal(self.worker, self._clock.monotonic())
+        if message.renewals or message.starts:
+            self._leases.note_renewal(self.worker, self._clock.monotonic())
         outcome = await self._gateway.exchange(self.address, message)
         if outcome.is_error():
             self._note_failure(outcome.error.reason)
@@ -81,11 +82,15 @@
         self._take_report(message, outcome.ok)
 
     def _compose(self) -> WorkerExchange:
-        """Return what to tell the worker now: nothing before its first report."""
+        """Return what to tell the worker now.
+
+        Before its first report, and while it does not answer, it is only asked for a
+        report: what might still reach it would put off when its leases have lapsed.
+        """
         now = self._clock.now().timestamp()
         acknowledged = tuple(self._settled)
         message = self._scheduler.compose_exchange(self.worker, now, acknowledged)
-        if not self._incarnation:
+        if not self._incarnation or self.unreachable:
             return WorkerExchange(expires=message.expires)
         return evolve(message, incarnation=self._incarnation)
 
@@ -96,6 +101,7 @@
         if self.unreachable:
             logger.info("worker {} answers again", self.worker)
             self.unreachable = False
+            self._waker.wake()
             self._wake_owner()
         settled = self._scheduler.take_report(self.worker, report)
         if report.incarnation != self._incarnation:
