--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -9,6 +9,7 @@
     AttemptBound,
     AttemptEnded,
     Event,
+    ResourcesSeen,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
@@ -31,13 +32,15 @@
     """Workloads, tasks and the run list of each worker.
 
     ``run_lists`` holds for each worker the attempts bound to it and not known to
-    have ended, in the order in which they were bound.
+    have ended, in the order in which they were bound. ``revision`` is the latest of
+    the resources that an owner has followed.
     """
 
     def __init__(self) -> None:
         self.workloads: dict[str, WorkloadState] = {}
         self.run_lists: dict[str, dict[str, Attempt]] = {}
         self.changed: set[str] = set()
+        self.revision = 0
 
     def apply(self, event: Event) -> None:
         """Advance by one event; raises ``ValueError`` for one that cannot follow."""
@@ -52,7 +55,10 @@
         elif isinstance(event, WorkloadRemoved):
             self._remove(event)
         elif isinstance(event, WorkloadForgotten):
-            self.workloads.pop(event.workload, None)
+            self._forget(event)
+            return
+        elif isinstance(event, ResourcesSeen):
+            self.revision = max(self.revision, event.revision)
             return
         self.changed.add(event.workload)
 
@@ -71,6 +77,8 @@
 
     def _add(self, event: WorkloadAdded) -> None:
         """Take on tasks of a workload."""
+        if event.workload in self.workloads:
+            raise ValueError(f"{event.workload} is taken on twice")
         kind, resource = _load_workload(event.document)
         state = WorkloadState(
             workload=event.workload,
@@ -110,6 +118,13 @@
             if task.attempt is not None:
                 task.attempt.unwanted = True
 
+    def _forget(self, event: WorkloadForgotten) -> None:
+        """Forget a workload that has no attempt left."""
+        for task in self.workloads[event.workload].tasks.values():
+            if task.attempt is not None:
+                raise ValueError(f"{event.workload} is forgotten while it runs")
+        del self.workloads[event.workload]
+
     def _bind(self, event: AttemptBound) -> None:
         """Put an attempt at the end of its worker's run list."""
         task = self.workloads[event.workload].tasks[event.index]
@@ -163,14 +178,15 @@
         """Return a snapshot of the state."""
         workloads = [_encode_workload(state) for state in self.workloads.values()]
         order = [list(run_list) for run_list in self.run_lists.values()]
-        return bytes(msgpack.packb([workloads, order]))
+        return bytes(msgpack.packb([workloads, order, self.revision]))
 
     @classmethod
     def decode(cls, data: bytes) -> "ShardState":
         """Return the state that a snapshot holds; raises ``ValueError``."""
         try:
-            workloads, order = msgpack.unpackb(data)
+            workloads, order, revision = msgpack.unpackb(data)
             state = cls()
+            state.revision = revision
             attempts: dict[str, Attempt] = {}
             for plain in workloads:
                 workload = _decode_workload(plain, attempts)
@@ -205,7 +221,7 @@
         if task.attempt is not None:
             size = task.attempt.size
             amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
-            attempt = [task.attempt.worker, amounts]
+            attempt = [task.attempt.worker, amounts, task.attempt.acknowledged]
         tasks.append(
             [
                 task.index,
@@ -245,11 +261,12 @@
     for index, phase, number, failures, wanted, checkpoint, waiting, bound in tasks:
         task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
         if bound is not None:
-            worker, amounts = bound
+            worker, amounts, acknowledged = bound
             name = name_attempt(workload, index, number)
             size = Capacity(*amounts)
             task.attempt = Attempt(name, workload, index, number, worker, size)
             task.attempt.unwanted = not wanted
+            task.attempt.acknowledged = acknowledged
             attempts[name] = task.attempt
         state.tasks[index] = task
     return state
