Compact the change log, group its appends and settle them by reading back

Causes: an append whose entry a peer had passed on before the answer raised, and one whose answer was lost could be written a second time once a push moved the known head; a refusal could rest on an old copy; a missing row was read for ever; an entry was applied in part when one of its values could not be decoded; rows were never trimmed.

--- /dev/null
+++ b/packages/almondspread/almondspread/changes/appends.py
@@ -0,0 +1,156 @@
+"""Several callers' changes prepared as one entry."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from attrs import define, evolve, field
+from expression import Error, Ok, Result
+
+from almondspread.changes.cache import ResourceCache
+from almondspread.changes.entries import Change, Entry
+from almondspread.errors import OutcomeUnknown, Problem, Unavailable
+
+Prepare = Callable[[ResourceCache], Result[list[Change], Problem]]
+Outcome = Result[int, Problem]
+
+
+@define(eq=False)
+class Append:
+    """One caller's changes, and the future that its outcome goes to."""
+
+    author: str
+    prepare: Prepare
+    give_up: timedelta
+    settled: asyncio.Future[Outcome]
+
+    def settle(self, outcome: Outcome) -> None:
+        """Hand the caller its outcome, unless the caller has gone."""
+        if not self.settled.done():
+            self.settled.set_result(outcome)
+
+
+@define
+class Plan:
+    """What one entry on top of revision ``base`` would hold.
+
+    ``answers`` has the appends that need nothing written: their outcome depends on
+    the resources as of ``base`` and on the changes of the plan before them. The plan
+    is unsettled once a write of it got no answer.
+    """
+
+    base: int
+    author: str
+    changes: list[Change] = field(factory=list)
+    appends: list[Append] = field(factory=list)
+    answers: list[tuple[Append, Outcome]] = field(factory=list)
+    is_unsettled: bool = False
+
+
+@define
+class Commit:
+    """One group of appends on their way into an entry.
+
+    ``is_fresh`` is set once the head was read since the commit began; ``is_open``
+    while a write failed and the log was not read since.
+    """
+
+    group: list[Append]
+    batch: str
+    plan: Plan | None = None
+    is_open: bool = False
+    is_fresh: bool = False
+
+    @property
+    def give_up(self) -> timedelta:
+        """The monotonic time at which the first caller waits no longer."""
+        return min(append.give_up for append in self.group)
+
+    def find_plan(self, cache: ResourceCache) -> Plan:
+        """Return the plan on top of the present resources."""
+        if self.plan is None or self.plan.base != cache.revision:
+            self.plan = prepare_plan(cache, self.group)
+        return self.plan
+
+    def settle(self, revision: int) -> list[Append]:
+        """Hand out the outcomes of the plan; return the appends left over."""
+        assert self.plan is not None
+        served = set(self.plan.appends)
+        for append in self.plan.appends:
+            append.settle(Ok(revision))
+        for append, answer in self.plan.answers:
+            append.settle(answer)
+            served.add(append)
+        return [append for append in self.group if append not in served]
+
+    def refuse(self, reason: str) -> list[Append]:
+        """Refuse the whole group, which is given up; nobody is left over."""
+        unsettled: list[Append] = []
+        if self.plan is not None and self.plan.is_unsettled:
+            unsettled = self.plan.appends
+        for append in self.group:
+            append.settle(Error(_explain_outage(reason, append in unsettled)))
+        return []
+
+
+def prepare_plan(cache: ResourceCache, waiting: list[Append]) -> Plan:
+    """Return the plan that serves as many of the waiting appends as one entry can.
+
+    Each is prepared on top of those before it. One that changes a part of a resource
+    that the plan changes already is left out, for the next entry.
+    """
+    plan = Plan(cache.revision, waiting[0].author)
+    view = cache
+    touched: set[tuple[str, str, str]] = set()
+    for append in waiting:
+        prepared = append.prepare(view)
+        if prepared.is_error():
+            plan.answers.append((append, Error(prepared.error)))
+            continue
+        if not prepared.ok:
+            plan.answers.append((append, Ok(view.revision)))
+            continue
+        parts = {(change.kind, change.name, change.part) for change in prepared.ok}
+        if parts & touched:
+            continue
+        touched |= parts
+        changes = _mark_author(prepared.ok, append.author, plan.author)
+        plan.changes.extend(changes)
+        plan.appends.append(append)
+        if append is not waiting[-1]:
+            view = _advance(view, cache, append.author, changes)
+    return plan
+
+
+def _mark_author(changes: list[Change], author: str, entry_author: str) -> list[Change]:
+    """Return the changes with their author, where the entry names another."""
+    if author == entry_author:
+        return changes
+    return [evolve(change, author=author) for change in changes]
+
+
+def _advance(
+    view: ResourceCache, cache: ResourceCache, author: str, changes: list[Change]
+) -> ResourceCache:
+    """Return the resources as the next append of the same entry will find them."""
+    if view is cache:
+        view = cache.fork()
+    # All changes of the plan take effect at one revision.
+    view.revision = cache.revision
+    view.apply(Entry(cache.revision + 1, "", author, 0.0, tuple(changes)))
+    return view
+
+
+def _explain_outage(reason: str, unsettled: bool) -> Problem:
+    """Return the problem for an append that was given up."""
+    if unsettled:
+        return OutcomeUnknown(
+            f"the change may or may not take effect: {reason}",
+            "read the resource again when the table service answers",
+        )
+    return Unavailable(
+        f"the change was not made: {reason}",
+        "send the change again when this instance can read the change log",
+        not_run=True,
+        retry_after_seconds=5.0,
+    )
--- a/packages/almondspread/almondspread/changes/cache.py
+++ b/packages/almondspread/almondspread/changes/cache.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterator
+from itertools import islice
 from typing import Any
 
 from attrs import define, evolve, field
@@ -30,6 +31,23 @@
     reports: dict[str, Any] = field(factory=dict)
 
 
+@define(frozen=True)
+class AppliedChange:
+    """A change with the resource before and after it, ``None`` where there is none."""
+
+    change: Change
+    before: Item | None
+    after: Item | None
+
+
+@define(frozen=True)
+class AppliedEntry:
+    """An entry with those of its changes that had an effect."""
+
+    entry: Entry
+    changes: tuple[AppliedChange, ...]
+
+
 class ResourceCache:
     """What the change log adds up to, advanced one entry after another.
 
@@ -42,7 +60,7 @@
         self.spec_revision = 0
         self._items: dict[tuple[str, str], Item] = {}
         self._by_kind: dict[str, dict[str, Item]] = {}
-        self._history: deque[Entry] = deque(maxlen=history_entries)
+        self._history: deque[AppliedEntry] = deque(maxlen=history_entries)
 
     def find(self, kind: str, name: str) -> Item | None:
         """Return a resource, ``None`` where there is none of that name."""
@@ -62,71 +80,121 @@
         """The oldest revision from which a watch can be resumed."""
         if not self._history:
             return self.revision
-        return self._history[0].revision - 1
+        return self._history[0].entry.revision - 1
 
-    def list_entries_after(self, revision: int) -> list[Entry] | None:
+    def list_applied_after(self, revision: int) -> list[AppliedEntry] | None:
         """Return the entries after a revision, ``None`` where they are not kept."""
         if revision < self.oldest_revision:
             return None
-        skipped = max(0, revision - self.oldest_revision)
-        return list(self._history)[skipped:] if skipped else list(self._history)
+        return list(islice(self._history, revision - self.oldest_revision, None))
+
+    def list_entries_after(self, revision: int) -> list[Entry] | None:
+        """Return the entries as they were written, ``None`` where not kept."""
+        applied = self.list_applied_after(revision)
+        return None if applied is None else [entry.entry for entry in applied]
 
     def find_batch(self, batch: str) -> int:
         """Return the revision of the kept entry that a batch wrote, 0 for none."""
-        for entry in reversed(self._history):
-            if batch and entry.batch == batch:
-                return entry.revision
+        for applied in reversed(self._history):
+            if batch and applied.entry.batch == batch:
+                return applied.entry.revision
         return 0
 
+    def fork(self) -> "ResourceCache":
+        """Return a copy without history that can be advanced by itself."""
+        copy = ResourceCache(0)
+        copy.revision = self.revision
+        copy.spec_revision = self.spec_revision
+        copy._items = dict(self._items)
+        copy._by_kind = {kind: dict(items) for kind, items in self._by_kind.items()}
+        return copy
+
+    def replace_all(self, revision: int, spec_revision: int, items: list[Item]) -> None:
+        """Go on from the resources as of a later revision, without history.
+
+        Raises ``ValueError`` for a revision that is not later: a cache never goes
+        back.
+        """
+        if revision <= self.revision:
+            raise ValueError(f"resources of {revision} after revision {self.revision}")
+        self.revision = revision
+        self.spec_revision = spec_revision
+        self._items = {}
+        self._by_kind = {}
+        self._history.clear()
+        for item in items:
+            self._store(item)
+
     def apply(self, entry: Entry) -> None:
-        """Advance by the next entry; raises ``ValueError`` for any other entry."""
+        """Advance by the next entry, whole.
+
+        Raises ``ValueError``, and stays as it was, for an entry that is not the next
+        one or that holds a value which cannot be decoded.
+        """
         if entry.revision != self.revision + 1:
             raise ValueError(f"entry {entry.revision} after revision {self.revision}")
-        for change in entry.changes:
-            self._apply_change(entry, change)
+        decoded = [_decode_value(change) for change in entry.changes]
+        applied = []
+        for change, value in zip(entry.changes, decoded, strict=True):
+            effect = self._apply_change(entry, change, value)
+            if effect is not None:
+                applied.append(effect)
         self.revision = entry.revision
-        self._history.append(entry)
+        self._history.append(AppliedEntry(entry, tuple(applied)))
 
-    def _apply_change(self, entry: Entry, change: Change) -> None:
-        """Advance one resource by one change."""
+    def _apply_change(
+        self, entry: Entry, change: Change, value: Any
+    ) -> AppliedChange | None:
+        """Advance one resource by one change; ``None`` where it has no effect."""
         key = (change.kind, change.name)
-        current = self._items.get(key)
+        before = self._items.get(key)
         if change.part != "spec":
-            self._apply_report(current, change)
-            return
+            return self._apply_report(before, change, value)
         self.spec_revision = entry.revision
-        if change.value is None:
+        if value is None:
             self._items.pop(key, None)
             self._by_kind.get(change.kind, {}).pop(change.name, None)
-            return
-        self._store(
-            Item(
-                kind=change.kind,
-                name=change.name,
-                created_revision=current.created_revision
-                if current
-                else entry.revision,
-                resource_version=entry.revision,
-                author=entry.author,
-                resource=load_resource(change),
-                reports=current.reports if current else {},
-            )
+            return AppliedChange(change, before, None) if before else None
+        after = Item(
+            kind=change.kind,
+            name=change.name,
+            created_revision=before.created_revision if before else entry.revision,
+            resource_version=entry.revision,
+            author=change.author or entry.author,
+            resource=value,
+            reports=before.reports if before else {},
         )
+        self._store(after)
+        return AppliedChange(change, before, after)
 
-    def _apply_report(self, current: Item | None, change: Change) -> None:
+    def _apply_report(
+        self, before: Item | None, change: Change, report: Any
+    ) -> AppliedChange | None:
         """Set what one shard reports, unless the resource is gone or was replaced."""
-        if current is None or change.value is None:
-            return
-        report = change.load()
-        if report.get("created_revision", current.created_revision) != (
-            current.created_revision
-        ):
-            return
-        reports = dict(current.reports)
+        if before is None or report is None:
+            return None
+        created_revision = report.get("created_revision", before.created_revision)
+        if created_revision != before.created_revision:
+            return None
+        reports = dict(before.reports)
         reports[change.part.removeprefix("status/")] = report
-        self._store(evolve(current, reports=reports))
+        after = evolve(before, reports=reports)
+        self._store(after)
+        return AppliedChange(change, before, after)
 
     def _store(self, item: Item) -> None:
         """Keep a resource under its kind and name."""
         self._items[(item.kind, item.name)] = item
         self._by_kind.setdefault(item.kind, {})[item.name] = item
+
+
+def _decode_value(change: Change) -> Any:
+    """Return the resource or report that a change sets, ``None`` for a removal."""
+    if change.value is None:
+        return None
+    if change.part == "spec":
+        return load_resource(change)
+    report = change.load()
+    if not isinstance(report, dict):
+        raise ValueError(f"stored status of {change.kind}/{change.name} is no map")
+    return report
--- /dev/null
+++ b/packages/almondspread/almondspread/changes/compaction.py
@@ -0,0 +1,114 @@
+"""Compaction of the change log: a snapshot in the object store, old rows trimmed."""
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from almondspread.changes.cache import ResourceCache
+from almondspread.changes.entries import ENTRY_PREFIX, SNAPSHOT_KEY, make_entry_key
+from almondspread.changes.reading import ReadFault, Unreadable
+from almondspread.changes.snapshots import SnapshotRecord, encode_snapshot
+from almondspread.codec import decode_message, encode_message
+from almondspread.interfaces import (
+    Condition,
+    ConditionFailed,
+    ObjectStore,
+    TableService,
+    Write,
+)
+
+COMPACT_ENTRIES = 500
+TRIM_ROWS = 100
+
+
+class LogCompactor:
+    """Puts snapshots into the object store and trims the entries before them.
+
+    Any instance may compact at any time: the record of the snapshots is changed by
+    compare-and-set, and rows go only once a recorded snapshot covers them.
+    """
+
+    def __init__(
+        self,
+        cache: ResourceCache,
+        table: TableService,
+        store: ObjectStore,
+        make_batch: Callable[[], str],
+        entries: int = COMPACT_ENTRIES,
+    ) -> None:
+        self._cache = cache
+        self._table = table
+        self._store = store
+        self._make_batch = make_batch
+        self._entries = entries
+        self._checked_revision = 0
+        self._unsettled_names: set[str] = set()
+
+    @property
+    def is_due(self) -> bool:
+        """Whether enough entries have come since the last look at the record."""
+        return self._cache.revision - self._checked_revision >= self._entries
+
+    async def compact(self) -> Result[bool, ReadFault]:
+        """Compact if the log has grown enough; tell whether it was done."""
+        rows = await self._table.read([SNAPSHOT_KEY])
+        if rows.is_error():
+            return Error(rows.error)
+        version = 0
+        old = SnapshotRecord("", 0, "", 0)
+        if rows.ok:
+            version = rows.ok[0].version
+            try:
+                old = decode_message(rows.ok[0].value, SnapshotRecord)
+            except ValueError as error:
+                return Error(Unreadable(SNAPSHOT_KEY, str(error)))
+        self._checked_revision = max(old.next_revision, self._checked_revision)
+        if self._cache.revision - old.next_revision < self._entries:
+            return Ok(False)
+        return await self._replace_record(old, version)
+
+    async def _replace_record(
+        self, old: SnapshotRecord, version: int
+    ) -> Result[bool, ReadFault]:
+        """Store a new snapshot, record it and drop what the older one covers."""
+        revision = self._cache.revision
+        name = f"changes/snapshot/{revision}-{self._make_batch()}"
+        stored = await self._store.put(name, encode_snapshot(self._cache))
+        if stored.is_error():
+            return Error(stored.error)
+        record = SnapshotRecord(old.next_name, old.next_revision, name, revision)
+        outcome = await self._table.transact(
+            [Condition(SNAPSHOT_KEY, version)],
+            [Write(SNAPSHOT_KEY, encode_message(record))],
+        )
+        if outcome.is_error():
+            if isinstance(outcome.error, ConditionFailed):
+                await self._store.delete(name)
+                return Ok(False)
+            # The record may yet name this object, so it stays for now.
+            self._unsettled_names.add(name)
+            return Error(outcome.error)
+        self._checked_revision = revision
+        await self._drop_objects(old, record)
+        return await self._trim(record.revision)
+
+    async def _drop_objects(self, old: SnapshotRecord, new: SnapshotRecord) -> None:
+        """Delete the objects that no record names any more."""
+        names = {old.name, *self._unsettled_names} - {"", new.name, new.next_name}
+        self._unsettled_names.clear()
+        for name in sorted(names):
+            await self._store.delete(name)
+
+    async def _trim(self, revision: int) -> Result[bool, ReadFault]:
+        """Delete the entries up to a revision, oldest first."""
+        last_key = make_entry_key(revision)
+        while True:
+            page = await self._table.scan(ENTRY_PREFIX, "", TRIM_ROWS)
+            if page.is_error():
+                return Error(page.error)
+            writes = [Write(row.key, None) for row in page.ok if row.key <= last_key]
+            if not writes:
+                return Ok(True)
+            trimmed = await self._table.transact([], writes)
+            if trimmed.is_error() and not isinstance(trimmed.error, ConditionFailed):
+                return Error(trimmed.error)
--- a/packages/almondspread/almondspread/changes/entries.py
+++ b/packages/almondspread/almondspread/changes/entries.py
@@ -18,12 +18,14 @@
 
     ``part`` is ``spec``, or ``status/`` and the name of the shard that reports it.
     ``value`` is the msgpack document of that part, ``None`` where it is removed.
+    ``author`` is set where it differs from the author of the entry.
     """
 
     kind: str
     name: str
     part: str
     value: bytes | None
+    author: str = ""
 
     def load(self) -> Any:
         """Return the document that the change sets."""
--- a/packages/almondspread/almondspread/changes/log.py
+++ b/packages/almondspread/almondspread/changes/log.py
@@ -13,118 +13,202 @@
 
 from expression import Error, Ok, Result
 
+from almondspread.changes.appends import Append, Commit, Plan, Prepare
 from almondspread.changes.cache import ResourceCache
-from almondspread.changes.entries import (
-    HEAD_KEY,
-    Change,
-    Entry,
-    make_entry_key,
-)
+from almondspread.changes.compaction import COMPACT_ENTRIES, LogCompactor
+from almondspread.changes.entries import HEAD_KEY, Entry, make_entry_key
+from almondspread.changes.reading import Head, LogReader, ReadFault, Unreadable
+from almondspread.changes.snapshots import encode_snapshot, load_snapshot
 from almondspread.clock import Clock
-from almondspread.codec import decode_message, encode_message
-from almondspread.errors import OutcomeUnknown, Problem, Unavailable
+from almondspread.codec import encode_message
+from almondspread.errors import Problem
 from almondspread.interfaces import (
     Condition,
     ConditionFailed,
+    ObjectStore,
     TableService,
     TableUnavailable,
     Write,
 )
 
-READ_ENTRIES = 200
 RETRY_PAUSE = timedelta(milliseconds=100)
 APPEND_TIMEOUT = timedelta(seconds=5)
-
-Prepare = Callable[[ResourceCache], Result[list[Change], Problem]]
+MAX_GROUP = 256
 
 
 class ChangeLog:
     """One instance's copy of the log: follows it and appends to it.
 
-    ``announce`` is called with each entry that this instance learns of, in order;
-    ``push`` with each that it appended.
+    ``announce`` is called after each step that this instance learns of; ``push``
+    with each entry that it appended and the version of the head row after it.
+    ``fault`` tells which row of the log cannot be read, empty for none: this
+    instance then goes on with the resources it has, and appends nothing.
     """
 
     def __init__(
         self,
         table: TableService,
+        store: ObjectStore,
         clock: Clock,
         make_batch: Callable[[], str],
-        announce: Callable[[Entry], None],
-        push: Callable[[Entry], None],
+        announce: Callable[[], None],
+        push: Callable[[Entry, int], None],
+        compact_entries: int = COMPACT_ENTRIES,
     ) -> None:
         self.cache = ResourceCache()
+        self.fault = ""
         self._table = table
         self._clock = clock
         self._make_batch = make_batch
         self._announce = announce
         self._push = push
+        self._reader = LogReader(self.cache, table, store, announce)
+        self._compactor = LogCompactor(
+            self.cache, table, store, make_batch, compact_entries
+        )
         self._head_version: int | None = None
-        self._found_revision = 0
         self._lock = asyncio.Lock()
+        self._waiting: list[Append] = []
+        self._committing: asyncio.Task[None] | None = None
+
+    def receive(self, entry: Entry, head_version: int = 0) -> bool:
+        """Apply an entry that a peer has; tell whether it was the next one.
 
-    def receive(self, entry: Entry) -> bool:
-        """Apply an entry that a peer pushed; tell whether it was the next one."""
+        ``head_version`` is the version of the head row that the entry left, 0 where
+        it is not known.
+        """
         if entry.revision != self.cache.revision + 1:
             return False
-        self._apply(entry)
+        try:
+            self.cache.apply(entry)
+        except ValueError as error:
+            key = make_entry_key(entry.revision)
+            self.fault = Unreadable(key, str(error)).describe()
+            return False
+        self._head_version = head_version or None
+        self.fault = ""
+        self._announce()
+        return True
+
+    def receive_snapshot(self, data: bytes) -> bool:
+        """Go on from a peer's snapshot; false where it is not newer.
+
+        Raises ``ValueError`` for bytes that do not hold a snapshot.
+        """
+        if not load_snapshot(self.cache, data):
+            return False
+        self._head_version = None
+        self._announce()
         return True
 
-    async def catch_up(self) -> Result[int, TableUnavailable]:
+    def encode_snapshot(self) -> bytes:
+        """Return all resources as they stand, for a peer."""
+        return encode_snapshot(self.cache)
+
+    async def catch_up(self) -> Result[int, ReadFault]:
         """Read the log up to its head; return the revision."""
         async with self._lock:
-            return await self._read_to_head()
+            read = await self._read_to_head()
+            return read.map(lambda head: head.revision)
+
+    async def compact(self) -> Result[bool, ReadFault]:
+        """Compact the log if it has grown enough; tell whether it was done."""
+        if self.fault or not self._compactor.is_due:
+            return Ok(False)
+        return await self._compactor.compact()
 
     async def append(self, author: str, prepare: Prepare) -> Result[int, Problem]:
         """Append what ``prepare`` makes of the resources as they stand.
 
         Returns the revision of the entry, or the present revision where there was
         nothing to change. ``prepare`` may be called again when another append came
-        first.
+        first, and its changes may share an entry with those of other callers.
         """
-        async with self._lock:
-            return await self._append(author, prepare)
-
-    async def _append(self, author: str, prepare: Prepare) -> Result[int, Problem]:
-        """Append while holding the lock."""
+        future: asyncio.Future[Result[int, Problem]]
+        future = asyncio.get_running_loop().create_future()
         give_up = self._clock.monotonic() + APPEND_TIMEOUT
-        batch = self._make_batch()
-        unsettled = False
-        while True:
-            if self._head_version is None or unsettled:
-                read = await self._read_to_head(batch)
-                if read.is_error():
-                    if self._clock.monotonic() >= give_up:
-                        return Error(_explain_outage(read.error, unsettled))
-                    await self._clock.sleep(RETRY_PAUSE)
+        self._waiting.append(Append(author, prepare, give_up, future))
+        if self._committing is None or self._committing.done():
+            # A task of its own: a caller that goes away cuts no commit short.
+            self._committing = asyncio.create_task(self._commit_waiting())
+        return await future
+
+    async def _commit_waiting(self) -> None:
+        """Commit group after group until nobody waits."""
+        while self._waiting:
+            async with self._lock:
+                group = self._waiting[:MAX_GROUP]
+                del self._waiting[:MAX_GROUP]
+                try:
+                    left = await self._commit_group(group)
+                except Exception as error:
+                    for append in group:
+                        if not append.settled.done():
+                            append.settled.set_exception(error)
                     continue
-                if self._found_revision:
-                    return Ok(self._found_revision)
-            prepared = prepare(self.cache)
-            if prepared.is_error():
-                return Error(prepared.error)
-            if not prepared.ok:
-                return Ok(self.cache.revision)
-            outcome = await self._write(author, batch, prepared.ok)
+                self._waiting[:0] = left
+
+    async def _commit_group(self, group: list[Append]) -> list[Append]:
+        """Commit one entry; return the appends that are left for the next one."""
+        commit = Commit(group, self._make_batch())
+        while True:
+            if self._head_version is None or commit.is_open:
+                left = await self._read_for(commit)
+                if left is not None:
+                    return left
+                continue
+            plan = commit.find_plan(self.cache)
+            if plan.answers and not commit.is_fresh:
+                # A refusal must rest on the head of the log, not on an old copy.
+                self._head_version = None
+                continue
+            if not plan.changes:
+                return commit.settle(plan.base)
+            outcome = await self._write(commit.batch, plan)
             if outcome.is_ok():
-                return Ok(self.cache.revision)
-            unsettled = True
+                return commit.settle(plan.base + 1)
+            self._head_version = None
+            # A push may tell of a later head, so this alone calls for a read.
+            commit.is_open = True
             if isinstance(outcome.error, ConditionFailed):
                 continue
-            if self._clock.monotonic() >= give_up:
-                return Error(_explain_outage(outcome.error, unsettled))
+            plan.is_unsettled = True
+            if self._clock.monotonic() >= commit.give_up:
+                return commit.refuse(outcome.error.reason)
             await self._clock.sleep(RETRY_PAUSE)
 
+    async def _read_for(self, commit: Commit) -> list[Append] | None:
+        """Read up to the head; return the appends left over if that settles a commit.
+
+        Where the table service cannot be reached, the head stays unknown.
+        """
+        read = await self._read_to_head()
+        if read.is_error():
+            if isinstance(read.error, Unreadable):
+                return commit.refuse(self.fault)
+            if self._clock.monotonic() >= commit.give_up:
+                return commit.refuse(read.error.reason)
+            await self._clock.sleep(RETRY_PAUSE)
+            return None
+        commit.is_fresh = True
+        if commit.plan is None or not commit.is_open:
+            return None
+        commit.is_open = False
+        found = self._find_entry(commit.plan, commit.batch)
+        if found.is_error():
+            return commit.refuse(found.error)
+        return commit.settle(found.ok) if found.ok else None
+
     async def _write(
-        self, author: str, batch: str, changes: list[Change]
+        self, batch: str, plan: Plan
     ) -> Result[int, ConditionFailed | TableUnavailable]:
-        """Write one entry on top of the head that this instance knows."""
+        """Write the entry of a plan on top of the head that this instance knows."""
         entry = Entry(
-            revision=self.cache.revision + 1,
+            revision=plan.base + 1,
             batch=batch,
-            author=author,
+            author=plan.author,
             written_at=self._clock.now().timestamp(),
-            changes=tuple(changes),
+            changes=tuple(plan.changes),
         )
         outcome = await self._table.transact(
             [Condition(HEAD_KEY, self._head_version or 0)],
@@ -134,56 +218,37 @@
             ],
         )
         if outcome.is_ok():
-            self._head_version = outcome.ok
-            self._apply(entry)
-            self._push(entry)
+            # A peer that had read the entry may have passed it on already.
+            if self.cache.revision < entry.revision:
+                self.cache.apply(entry)
+                self._announce()
+            is_latest = self.cache.revision == entry.revision
+            self._head_version = outcome.ok if is_latest else None
+            self._push(entry, outcome.ok)
         return outcome
 
-    async def _read_to_head(self, batch: str = "") -> Result[int, TableUnavailable]:
-        """Apply all entries up to the head, noting the one written by ``batch``."""
-        head = await self._table.read([HEAD_KEY])
-        if head.is_error():
-            return Error(head.error)
-        if not head.ok:
-            self._head_version = 0
+    def _find_entry(self, plan: Plan, batch: str) -> Result[int, str]:
+        """Return the revision at which a tried plan took effect, 0 for never.
+
+        After a read of the head, a plan whose head has moved on can no longer take
+        effect; one that took effect is in the history, unless a snapshot replaced it.
+        """
+        if self.cache.oldest_revision > plan.base:
+            if plan.is_unsettled:
+                return Error("the log was trimmed before the change could be found")
             return Ok(0)
-        latest = int(head.ok[0].value)
-        self._found_revision = self.cache.find_batch(batch)
-        while self.cache.revision < latest:
-            first = self.cache.revision + 1
-            last = min(latest, first + READ_ENTRIES - 1)
-            keys = [make_entry_key(revision) for revision in range(first, last + 1)]
-            rows = await self._table.read(keys)
-            if rows.is_error():
-                return Error(rows.error)
-            for row in rows.ok:
-                entry = decode_message(row.value, Entry)
-                if batch and entry.batch == batch:
-                    self._found_revision = entry.revision
-                if entry.revision == self.cache.revision + 1:
-                    self._apply(entry)
-        # Pushed entries can put the cache ahead of the head row that was read.
-        if self.cache.revision == latest:
-            self._head_version = head.ok[0].version
-            return Ok(latest)
-        return await self._read_to_head(batch)
-
-    def _apply(self, entry: Entry) -> None:
-        """Advance the cache and tell those who follow it."""
-        self.cache.apply(entry)
-        self._announce(entry)
-
-
-def _explain_outage(fault: TableUnavailable, unsettled: bool) -> Problem:
-    """Return the problem for an append that was given up during an outage."""
-    if unsettled:
-        return OutcomeUnknown(
-            f"the change may or may not take effect: {fault.reason}",
-            "read the resource again when the table service answers",
-        )
-    return Unavailable(
-        f"the change was not made: {fault.reason}",
-        "send the change again when the table service answers",
-        not_run=True,
-        retry_after_seconds=5.0,
-    )
+        for entry in self.cache.list_entries_after(plan.base) or []:
+            if entry.batch == batch:
+                self._push(entry, 0)
+                return Ok(entry.revision)
+        return Ok(0)
+
+    async def _read_to_head(self) -> Result[Head, ReadFault]:
+        """Apply all entries up to the head, and note where the head is."""
+        read = await self._reader.read_to_head()
+        if read.is_ok():
+            self._head_version = read.ok.version
+            self.fault = ""
+        elif isinstance(read.error, Unreadable):
+            self.fault = read.error.describe()
+        return read
--- /dev/null
+++ b/packages/almondspread/almondspread/changes/snapshots.py
@@ -0,0 +1,100 @@
+"""All resources of one revision as bytes, for the object store and for peers."""
+
+from typing import Any
+
+import msgpack
+from attrs import define, field
+
+from almondspread.changes.cache import Item, ResourceCache
+from almondspread.changes.entries import Change, load_resource
+from almondspread.codec import decode_message, encode_message
+from almondspread.resources import describe_resource
+
+
+@define(frozen=True)
+class StoredItem:
+    """A resource with its declaring document and its reports as msgpack bytes."""
+
+    kind: str
+    name: str
+    created_revision: int
+    resource_version: int
+    author: str
+    document: bytes
+    reports: dict[str, bytes] = field(factory=dict)
+
+
+@define(frozen=True)
+class Snapshot:
+    """All resources as of a revision."""
+
+    revision: int
+    spec_revision: int
+    items: tuple[StoredItem, ...]
+
+
+@define(frozen=True)
+class SnapshotRecord:
+    """The row that names the snapshots kept in the object store.
+
+    Readers start from the older one, ``name`` at ``revision``, so that the entries
+    after it still serve watches; ``next_name`` takes its place at the next
+    compaction. A name is empty where there is no such snapshot yet.
+    """
+
+    name: str
+    revision: int
+    next_name: str
+    next_revision: int
+
+
+def encode_snapshot(cache: ResourceCache) -> bytes:
+    """Return the present resources of a cache as bytes."""
+    items = []
+    for item in cache.iterate():
+        reports = {}
+        for shard, report in item.reports.items():
+            reports[shard] = bytes(msgpack.packb(report))
+        items.append(
+            StoredItem(
+                item.kind,
+                item.name,
+                item.created_revision,
+                item.resource_version,
+                item.author,
+                bytes(msgpack.packb(describe_resource(item.resource))),
+                reports,
+            )
+        )
+    return encode_message(Snapshot(cache.revision, cache.spec_revision, tuple(items)))
+
+
+def load_snapshot(cache: ResourceCache, data: bytes) -> bool:
+    """Advance a cache to a snapshot; false where the snapshot is not newer.
+
+    Raises ``ValueError``, and leaves the cache as it was, for bytes that do not hold
+    a whole snapshot.
+    """
+    snapshot = decode_message(data, Snapshot)
+    if snapshot.revision <= cache.revision:
+        return False
+    items = [_load_item(stored) for stored in snapshot.items]
+    cache.replace_all(snapshot.revision, snapshot.spec_revision, items)
+    return True
+
+
+def _load_item(stored: StoredItem) -> Item:
+    """Return the resource that a snapshot holds."""
+    reports: dict[str, Any] = {}
+    for shard, report in stored.reports.items():
+        reports[shard] = msgpack.unpackb(report)
+    change = Change(stored.kind, stored.name, "spec", stored.document)
+    return Item(
+        stored.kind,
+        stored.name,
+        stored.created_revision,
+        stored.resource_version,
+        stored.author,
+        load_resource(change),
+        reports,
+    )
--- a/packages/almondspread/almondspread/ownership/members.py
+++ b/packages/almondspread/almondspread/ownership/members.py
@@ -11,7 +11,7 @@
 
     ``incarnation`` differs for each process that had the name. ``heard`` is this
     instance's monotonic time at that heartbeat. ``shards`` maps those that the
-    member owns to their epochs.
+    member owns to their epochs; ``fault`` tells why it cannot advance its revision.
     """
 
     name: str
@@ -23,6 +23,7 @@
     leaving: bool = False
     revision: int = 0
     shards: dict[str, int] = {}
+    fault: str = ""
     listed_gone: bool = False
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -34,6 +34,7 @@
     EntryAnnounced,
     FetchEntries,
     FetchRecord,
+    FetchSnapshot,
     FetchStatus,
     FetchTasks,
     Heartbeat,
@@ -66,7 +67,12 @@
         self._platform = platform
         members = Members(settings.peer.suspect_after)
         self.changes = ChangeLog(
-            platform.table, clock, _make_batch, self._announce, self._push
+            platform.table,
+            platform.store,
+            clock,
+            _make_batch,
+            self._announce,
+            self._push,
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
@@ -137,6 +143,7 @@
                 Heartbeat: self.neighbours.take_heartbeat,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
+                FetchSnapshot: self.follower.take_fetch_snapshot,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
                 SubmitCall: self.router.take_submit,
@@ -250,15 +257,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _announce(self, entry: LogEntry) -> None:
-        """Tell those who follow the change log of a new entry."""
-        self.follower.announce(entry)
+    def _announce(self) -> None:
+        """Tell those who follow the change log of a step."""
+        self.follower.announce()
 
-    def _push(self, entry: LogEntry) -> None:
+    def _push(self, entry: LogEntry, head_version: int) -> None:
         """Push an own entry to the other instances."""
-        self.follower.push(entry)
+        self.follower.push(entry, head_version)
 
-    def _wake_shards(self, _: LogEntry) -> None:
+    def _wake_shards(self) -> None:
         """Have the scheduling shards look at changed resources at once."""
         for runner in self.keeper.runners.values():
             if isinstance(runner, ScheduleShard):
@@ -275,6 +282,7 @@
             leaving=self.keeper.leaving,
             revision=self.changes.cache.revision,
             shards=self.keeper.list_epochs(),
+            fault=self.changes.fault,
         )
 
     def _list_domain_peers(self) -> list[str]:
--- a/packages/almondspread_daemon/almondspread_daemon/following/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/following/follower.py
@@ -1,7 +1,8 @@
 """Keeps this instance's copy of the change log current.
 
 Entries arrive by push from the instance that appended them. A gap, or a slow poll,
-is filled from the table service, and from a peer that has more while that is down.
+is filled from the table service, and from the peer that has the most while that is
+down or cut off.
 """
 
 import asyncio
@@ -10,9 +11,11 @@
 
 from loguru import logger
 
-from almondspread.changes import ChangeLog, Entry
+from almondspread.changes import ChangeLog, Entry, Unreadable
 from almondspread.clock import Clock
 from almondspread.codec import decode_message, encode_message
+from almondspread.ownership import Member
+from almondspread_daemon.following.snapshots import SnapshotExchange
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers import CallContext
 from almondspread_daemon.peers.messages import (
@@ -20,6 +23,8 @@
     EntryAnnounced,
     FetchedEntries,
     FetchEntries,
+    FetchSnapshot,
+    SnapshotPage,
 )
 
 FETCH_TIMEOUT = timedelta(seconds=2)
@@ -27,7 +32,7 @@
 
 
 class ChangeFollower:
-    """Follows the change log and tells those who wait for its next entry."""
+    """Follows the change log and tells those who wait for its next step."""
 
     def __init__(
         self,
@@ -35,14 +40,15 @@
         neighbours: Neighbours,
         clock: Clock,
         poll_interval: timedelta,
-        on_entry: Callable[[Entry], None],
+        on_change: Callable[[], None],
     ) -> None:
         self.caught_up = False
         self._changes = changes
         self._neighbours = neighbours
         self._clock = clock
         self._poll_interval = poll_interval
-        self._on_entry = on_entry
+        self._on_change = on_change
+        self._snapshots = SnapshotExchange(changes, neighbours)
         self._waiters: set[asyncio.Future[None]] = set()
         self._gap = asyncio.Event()
 
@@ -62,50 +68,83 @@
         read = await self._changes.catch_up()
         if read.is_ok():
             self.caught_up = True
+            await self._compact()
             return
-        logger.debug("the change log is read from peers: {}", read.error.reason)
+        if isinstance(read.error, Unreadable):
+            logger.error("the change log is not followed: {}", self._changes.fault)
+        while True:
+            member = self._find_most_advanced()
+            if member is None:
+                return
+            before = self._changes.cache.revision
+            await self._fetch_from(member)
+            if self._changes.cache.revision == before:
+                break
+        # What a ready peer has in force is the best that can be known now.
+        if member.ready and self._changes.cache.revision >= member.revision:
+            self.caught_up = True
+
+    def _find_most_advanced(self) -> Member | None:
+        """Return the live member with the highest revision that we may still need."""
+        best = None
         for member in self._neighbours.list_live():
             if member.revision <= self._changes.cache.revision and self.caught_up:
                 continue
-            await self._fetch_from(member.address)
-            if member.ready:
-                self.caught_up = True
+            rank = (member.revision, member.ready)
+            if best is None or rank > (best.revision, best.ready):
+                best = member
+        return best
 
-    async def _fetch_from(self, address: str) -> None:
-        """Take the entries that a peer has after our revision."""
+    async def _fetch_from(self, member: Member) -> None:
+        """Take what a peer has after our revision."""
         message = FetchEntries(self._changes.cache.revision)
-        outcome = await self._neighbours.call(address, message, FETCH_TIMEOUT)
+        outcome = await self._neighbours.call(member.address, message, FETCH_TIMEOUT)
         if outcome.is_error() or not isinstance(outcome.ok, FetchedEntries):
             return
+        if outcome.ok.snapshot_revision:
+            await self._snapshots.fetch(member.address, outcome.ok.snapshot_revision)
+            return
         for data in outcome.ok.entries:
             self._changes.receive(decode_message(data, Entry))
 
-    def announce(self, entry: Entry) -> None:
-        """Tell of an entry that this instance has just learnt of."""
-        for waiter in self._waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-        self._waiters.clear()
-        self._on_entry(entry)
+    async def _compact(self) -> None:
+        """Compact the log where it is due; an outage only puts it off."""
+        compacted = await self._changes.compact()
+        if compacted.is_error():
+            logger.info("the change log is not compacted: {}", compacted.error.reason)
 
-    def push(self, entry: Entry) -> None:
+    def announce(self) -> None:
+        """Tell of a step that this instance has just learnt of."""
+        self.release_waiters()
+        self._on_change()
+
+    def push(self, entry: Entry, head_version: int) -> None:
         """Send an entry that this instance appended to every other."""
-        self._neighbours.note_all(EntryAnnounced(encode_message(entry)))
+        message = EntryAnnounced(encode_message(entry), head_version)
+        self._neighbours.note_all(message)
 
     async def take_announced(self, message: EntryAnnounced, _: CallContext) -> Accepted:
         """Apply an entry that a peer pushed, or note that some are missing."""
         entry = decode_message(message.entry, Entry)
-        if not self._changes.receive(entry):
+        if not self._changes.receive(entry, message.head_version):
             if entry.revision > self._changes.cache.revision:
                 self._gap.set()
         return Accepted()
 
     async def take_fetch(self, message: FetchEntries, _: CallContext) -> FetchedEntries:
         """Answer a peer that asks for entries."""
-        entries = self._changes.cache.list_entries_after(message.after) or []
+        entries = self._changes.cache.list_entries_after(message.after)
+        if entries is None:
+            return FetchedEntries((), self._changes.cache.revision)
         encoded = [encode_message(entry) for entry in entries[:MAX_FETCHED_ENTRIES]]
         return FetchedEntries(tuple(encoded))
 
+    async def take_fetch_snapshot(
+        self, message: FetchSnapshot, _: CallContext
+    ) -> SnapshotPage:
+        """Answer a peer that asks for a page of a snapshot."""
+        return self._snapshots.read_page(message)
+
     async def wait_for_change(self, revision: int, timeout: timedelta) -> bool:
         """Wait until the log is past a revision; false after the timeout."""
         if self._changes.cache.revision > revision:
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/following/snapshots.py
@@ -0,0 +1,64 @@
+"""Snapshots of all resources from peer to peer, in pages of bounded size."""
+
+from datetime import timedelta
+
+from loguru import logger
+
+from almondspread.changes import ChangeLog
+from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.peers.messages import FetchSnapshot, SnapshotPage
+
+PAGE_BYTES = 1024 * 1024
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+PAGE_TIMEOUT = timedelta(seconds=5)
+
+
+class SnapshotExchange:
+    """Serves and fetches snapshots.
+
+    The one that was asked for last is held, so that its pages belong together; it is
+    dropped with its last page.
+    """
+
+    def __init__(self, changes: ChangeLog, neighbours: Neighbours) -> None:
+        self._changes = changes
+        self._neighbours = neighbours
+        self._held_revision = 0
+        self._held = b""
+
+    def read_page(self, message: FetchSnapshot) -> SnapshotPage:
+        """Return a page of the snapshot that is held, or of one made now."""
+        if message.revision != self._held_revision or not self._held:
+            if message.offset:
+                return SnapshotPage(message.revision, 0, b"")
+            self._held_revision = self._changes.cache.revision
+            self._held = self._changes.encode_snapshot()
+        page = self._held[message.offset : message.offset + PAGE_BYTES]
+        total = len(self._held)
+        if message.offset + len(page) >= total:
+            self._held = b""
+        return SnapshotPage(self._held_revision, total, page)
+
+    async def fetch(self, address: str, revision: int) -> bool:
+        """Go on from a peer's snapshot; tell whether it brought us forward."""
+        data = bytearray()
+        while True:
+            message = FetchSnapshot(revision, len(data))
+            outcome = await self._neighbours.call(address, message, PAGE_TIMEOUT)
+            if outcome.is_error() or not isinstance(outcome.ok, SnapshotPage):
+                return False
+            page = outcome.ok
+            if not page.data or page.total > MAX_SNAPSHOT_BYTES:
+                return False
+            # The first page may belong to a later snapshot than was named.
+            if data and page.revision != revision:
+                return False
+            revision = page.revision
+            data += page.data
+            if len(data) >= page.total:
+                break
+        try:
+            return self._changes.receive_snapshot(bytes(data))
+        except ValueError as error:
+            logger.error("the snapshot of {} cannot be read: {}", address, error)
+            return False
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -120,6 +120,7 @@
                 leaving=beat.leaving,
                 revision=beat.revision,
                 shards=beat.shards,
+                fault=beat.fault,
             )
         )
         self._open_link(beat.address)
--- a/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -9,7 +9,10 @@
 
 @define(frozen=True)
 class Heartbeat:
-    """Says that an instance lives, and what it owns and has in force."""
+    """Says that an instance lives, and what it owns and has in force.
+
+    ``fault`` tells why it cannot advance past its revision, empty for no fault.
+    """
 
     name: str
     address: str
@@ -19,13 +22,19 @@
     leaving: bool
     revision: int
     shards: dict[str, int]
+    fault: str = ""
 
 
 @define(frozen=True)
 class EntryAnnounced:
-    """A new entry of the change log, encoded."""
+    """A new entry of the change log, encoded.
+
+    ``head_version`` is the version of the log's head row with that entry, 0 where it
+    is not known.
+    """
 
     entry: bytes
+    head_version: int = 0
 
 
 @define(frozen=True)
@@ -37,9 +46,39 @@
 
 @define(frozen=True)
 class FetchedEntries:
-    """Entries in order; empty where the answering instance has none newer."""
+    """Entries in order; empty where the answering instance has none newer.
+
+    Where it does not keep them any more, ``snapshot_revision`` is that of a snapshot
+    to go on from, and 0 otherwise.
+    """
 
     entries: tuple[bytes, ...]
+    snapshot_revision: int = 0
+
+
+@define(frozen=True)
+class FetchSnapshot:
+    """Asks for the bytes of a snapshot of all resources from an offset on."""
+
+    revision: int
+    offset: int
+
+
+@define(frozen=True)
+class SnapshotPage:
+    """Some bytes of a snapshot of ``total`` bytes; none where it is not held."""
+
+    revision: int
+    total: int
+    data: bytes
+
+
+@define(frozen=True)
+class ReportStatuses:
+    """Status reports for the receiver to append, as encoded changes."""
+
+    author: str
+    reports: tuple[bytes, ...]
 
 
 @define(frozen=True)
@@ -155,6 +194,9 @@
         EntryAnnounced,
         FetchEntries,
         FetchedEntries,
+        FetchSnapshot,
+        SnapshotPage,
+        ReportStatuses,
         ShardReleased,
         FetchStatus,
         FetchTasks,
