--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -5,6 +5,7 @@
 import signal
 import uuid
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -40,15 +41,18 @@
     Heartbeat,
     SubmitCall,
 )
-from almondspread_daemon.platform_access import open_platform
+from almondspread_daemon.platform_access import observe_platform, open_platform
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
+from almondspread_daemon.security import Credentials, TokenTable
+from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
-from almondspread_daemon.telemetry import configure_logs
+from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
+from almondspread_daemon.telemetry.gauges import register_gauges
 
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
@@ -63,7 +67,10 @@
         self.stopping = False
         self.incarnation = uuid.uuid4().hex
         self._started = False
-        platform = open_platform(settings)
+        self.telemetry = Telemetry(settings)
+        self.tokens = TokenTable(settings.tokens)
+        self.credentials = Credentials(settings, clock)
+        platform = observe_platform(open_platform(settings), self.telemetry)
         self._platform = platform
         members = Members(settings.peer.suspect_after)
         self.changes = ChangeLog(
@@ -84,6 +91,8 @@
             self._compose_heartbeat,
             settings.peer.heartbeat,
             settings.platform.poll,
+            self.telemetry.traces,
+            self.credentials.peer_client,
         )
         self.follower = ChangeFollower(
             self.changes,
@@ -149,14 +158,22 @@
                 SubmitCall: self.router.take_submit,
                 FetchRecord: self.router.take_fetch,
                 CallMinion: self.router.take_call,
-            }
+            },
+            self.telemetry.traces,
+            self.credentials.peer_server,
         )
         self.http_server = HTTPServer(
             make_application(self),
+            ssl_options=self.credentials.http,
             max_body_size=settings.http.max_body_bytes,
             max_header_size=settings.http.max_header_bytes,
             idle_connection_timeout=settings.http.idle_timeout.total_seconds(),
         )
+        register_gauges(
+            self.telemetry.metrics,
+            self.reporter.describe_status,
+            self._count_peer_bytes,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def _plan_shards(self, request_shards: tuple[str, ...]) -> dict[str, MakeRunner]:
@@ -217,6 +234,7 @@
             self.keeper.run(),
             self.publisher.run(),
             self._follow_minions(),
+            self.credentials.run(),
         ):
             self._tasks.append(start_task(running))
         self._started = True
@@ -256,6 +274,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Sending what is queued may take a while; the event loop does not wait.
+        await asyncio.to_thread(self.telemetry.close)
 
     def _announce(self) -> None:
         """Tell those who follow the change log of a step."""
@@ -265,6 +285,12 @@
         """Push an own entry to the other instances."""
         self.follower.push(entry, head_version)
 
+    def _count_peer_bytes(self) -> tuple[int, int]:
+        """Return how many bytes went to and came from peers."""
+        sent, received = self.neighbours.count_bytes()
+        server = self.peer_server
+        return sent + server.bytes_sent, received + server.bytes_received
+
     def _wake_shards(self) -> None:
         """Have the scheduling shards look at changed resources at once."""
         for runner in self.keeper.runners.values():
@@ -319,7 +345,7 @@
 
     def traceparent(self) -> str:
         """Return the trace context to send on."""
-        return ""
+        return read_traceparent()
 
 
 def _make_batch() -> str:
@@ -327,15 +353,20 @@
     return uuid.uuid4().hex
 
 
-async def run_entry(settings: Settings) -> int:
-    """Run an instance until it is told to stop; return the exit status."""
-    configure_logs(settings.log, settings.name)
-    entry = Entry(settings, SystemClock())
+async def run_entry(settings: Settings, path: Path) -> int:
+    """Run an instance until it is told to stop; return the exit status.
+
+    ``path`` is the settings file, whose tokens are followed.
+    """
+    clock = SystemClock()
+    configure_logs(settings.log, settings.name, clock)
+    entry = Entry(settings, clock)
     told = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     await entry.start()
+    following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
         async with asyncio.timeout(settings.requests.stop_bound_seconds):
@@ -343,4 +374,6 @@
     except TimeoutError:
         logger.error("the stop took longer than its bound")
         return 1
+    finally:
+        following.cancel()
     return 0
