Name the author and the changed fields of a conflict, and check across resources

A conflict told the instance in place of the operator, and not what was changed. The author is now the identity of the token; the conflict lists who changed which fields since the caller's version as far as the log keeps it. A workload must name a team that exists or is applied beside it, a team that workloads name cannot be removed, a resource declared twice in one call is refused, and a token of one team changes workloads of that team only. The versions in an answer are those of the entry, not of a later state.

--- a/packages/almondspread_daemon/almondspread_daemon/http/resources.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/resources.py
@@ -110,7 +110,9 @@
         version = self.read_number("resource_version", None)
         if version.is_error():
             return self.refuse(version.error)
-        outcome = await self.entry.resources.delete(kind, name, version.ok)
+        outcome = await self.entry.resources.delete(
+            kind, name, version.ok, self.identity
+        )
         if outcome.is_error():
             return self.refuse(outcome.error)
         self.answer({"revision": outcome.ok})
@@ -133,7 +135,9 @@
                 )
             )
         pairs = [(item.document, item.resource_version) for item in body.ok.items]
-        outcome = await self.entry.resources.apply(pairs, body.ok.dry_run)
+        outcome = await self.entry.resources.apply(
+            pairs, body.ok.dry_run, self.identity
+        )
         if outcome.is_error():
             return self.refuse(outcome.error)
         self.answer(outcome.ok)
@@ -151,7 +155,9 @@
         selector = parse_selector(body.ok.selector)
         if selector.is_error():
             return self.refuse(selector.error)
-        outcome = await self.entry.resources.cancel(body.ok.names, selector.ok)
+        outcome = await self.entry.resources.cancel(
+            body.ok.names, selector.ok, self.identity
+        )
         if outcome.is_error():
             return self.refuse(outcome.error)
         self.answer(outcome.ok)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/conflicts.py
@@ -0,0 +1,90 @@
+"""Conflicts of operators: what is refused, and who changed what before."""
+
+from typing import Any
+
+from almondspread.changes import AppliedChange, Item, ResourceCache
+from almondspread.errors import Conflict, Problem
+from almondspread.resources import Resource, describe_resource
+
+MAX_NAMED_CHANGES = 5
+MAX_NAMED_FIELDS = 8
+
+
+def refuse_stale(cache: ResourceCache, kind: str, name: str, version: int) -> Problem:
+    """Return the conflict of a change that was made from another version.
+
+    It names the current version, and who changed what since as far as that is kept.
+    """
+    item = cache.find(kind, name)
+    told = "; ".join(_list_changes(cache, kind, name, version))
+    if item is None:
+        return Conflict(
+            f"{kind}/{name} does not exist; the change was made from version "
+            f"{version}" + (f"; since then {told}" if told else ""),
+            "apply it with version 0 to create it",
+            current_version=0,
+        )
+    if not told:
+        told = f"it was last changed by {item.author}"
+    return Conflict(
+        f"{kind}/{name} is at version {item.resource_version}; the change was made "
+        f"from version {version}; since then {told}",
+        "get the resource, make the change on that version, and apply it again",
+        current_version=item.resource_version,
+    )
+
+
+def _list_changes(
+    cache: ResourceCache, kind: str, name: str, version: int
+) -> list[str]:
+    """Return who changed what of a resource after a version, the latest changes."""
+    told = []
+    for applied in cache.list_applied_after(max(version, cache.oldest_revision)) or []:
+        entry = applied.entry
+        for effect in applied.changes:
+            change = effect.change
+            if (change.kind, change.name, change.part) != (kind, name, "spec"):
+                continue
+            author = change.author or entry.author
+            told.append(f"{author} {_name_effect(effect)} at {entry.revision}")
+    return told[-MAX_NAMED_CHANGES:]
+
+
+def _name_effect(effect: AppliedChange) -> str:
+    """Return what a change did to a resource."""
+    if effect.after is None:
+        return "removed it"
+    if effect.before is None:
+        return "created it"
+    fields = list_changed_fields(effect.before.resource, effect.after.resource)
+    if len(fields) > MAX_NAMED_FIELDS:
+        fields[MAX_NAMED_FIELDS:] = [f"{len(fields) - MAX_NAMED_FIELDS} more"]
+    return "changed " + (", ".join(fields) or "nothing")
+
+
+def list_changed_fields(before: Resource, after: Resource) -> list[str]:
+    """Return the paths of the fields that differ between two declarations."""
+    found: list[str] = []
+    _compare("", describe_resource(before), describe_resource(after), found)
+    return found
+
+
+def _compare(path: str, before: Any, after: Any, found: list[str]) -> None:
+    """Note the paths below ``path`` at which two documents differ."""
+    if before == after:
+        return
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        found.append(path)
+        return
+    for key in sorted(before.keys() | after.keys()):
+        below = f"{path}.{key}" if path else key
+        _compare(below, before.get(key), after.get(key), found)
+
+
+def refuse_team_in_use(name: str, users: list[Item]) -> Problem:
+    """Return the conflict of removing a team that workloads still name."""
+    first = f"{users[0].kind}/{users[0].name}"
+    return Conflict(
+        f"team/{name} is named by {len(users)} workloads, {first} among them",
+        "cancel these workloads or move them to another team first",
+    )
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/rules.py
@@ -0,0 +1,73 @@
+"""What holds between resources, and whose resources an operator may change."""
+
+from almondspread.changes import Item, ResourceCache
+from almondspread.errors import Forbidden, InvalidInput, Problem
+from almondspread.resources import Resource, Workload
+from almondspread_daemon.resources.conflicts import refuse_team_in_use
+from almondspread_daemon.security.access import Identity
+
+WORKLOAD_KINDS = ("service", "batch", "gang")
+
+
+def find_fault(
+    cache: ResourceCache, declared: list[tuple[str, Resource]]
+) -> Problem | None:
+    """Return what forbids to apply resources together, ``None`` for nothing.
+
+    The team of a workload must exist, or be declared beside it.
+    """
+    seen = set()
+    teams = set()
+    for kind, resource in declared:
+        key = (kind, resource.metadata.name)
+        if key in seen:
+            return InvalidInput(
+                f"{kind}/{key[1]} is declared twice", "declare each resource once"
+            )
+        seen.add(key)
+        if kind == "team":
+            teams.add(key[1])
+    for kind, resource in declared:
+        team = resource.metadata.team
+        if not isinstance(resource, Workload) or not team or team in teams:
+            continue
+        if cache.find("team", team) is None:
+            return InvalidInput(
+                f"{kind}/{resource.metadata.name} names team {team!r}, which does not "
+                "exist",
+                "apply the team before the workload or together with it",
+            )
+    return None
+
+
+def find_removal_fault(cache: ResourceCache, kind: str, name: str) -> Problem | None:
+    """Return what forbids to remove a resource, ``None`` for nothing."""
+    if kind != "team":
+        return None
+    users = []
+    for workload_kind in WORKLOAD_KINDS:
+        for item in cache.list_items(workload_kind):
+            if item.resource.metadata.team == name:
+                users.append(item)
+    return refuse_team_in_use(name, users) if users else None
+
+
+def find_team_fault(
+    identity: Identity, kind: str, name: str, item: Item | None, team: str
+) -> Problem | None:
+    """Return why an identity may not change a resource, ``None`` where it may.
+
+    A token of one team changes workloads of that team and nothing else: a team that
+    could raise its own quota would have none.
+    """
+    if not identity.team:
+        return None
+    teams = {team}
+    if item is not None:
+        teams.add(item.resource.metadata.team)
+    if kind in WORKLOAD_KINDS and all(identity.may_change(one) for one in teams):
+        return None
+    return Forbidden(
+        f"a token of team {identity.team} may not change {kind}/{name}",
+        f"name only workloads of team {identity.team}, or use a token for all teams",
+    )
--- a/packages/almondspread_daemon/almondspread_daemon/resources/service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/service.py
@@ -2,70 +2,102 @@
 
 from typing import Any
 
+from attrs import define
 from expression import Error, Ok, Result
 
 from almondspread.changes import Change, ChangeLog, ResourceCache
 from almondspread.changes.entries import declare_resource, remove_resource
-from almondspread.errors import Conflict, Problem
+from almondspread.errors import Problem
 from almondspread.resources import Resource, parse_resource
 from almondspread_daemon.resources import documents
+from almondspread_daemon.resources.conflicts import refuse_stale
+from almondspread_daemon.resources.rules import (
+    WORKLOAD_KINDS,
+    find_fault,
+    find_removal_fault,
+    find_team_fault,
+)
+from almondspread_daemon.security.access import UNGUARDED, Identity
 
-WORKLOAD_KINDS = ("service", "batch", "gang")
 
-Declared = tuple[str, Resource, int | None]
+@define(frozen=True)
+class Declared:
+    """A resource to apply and the version that it was made from.
+
+    ``version`` is ``None`` where the caller does not care.
+    """
+
+    kind: str
+    resource: Resource
+    version: int | None
+
+    @property
+    def name(self) -> str:
+        """The name of the resource."""
+        return self.resource.metadata.name
 
 
 class ResourceService:
     """Turns what operators ask for into appends to the change log."""
 
-    def __init__(self, changes: ChangeLog, author: str) -> None:
+    def __init__(self, changes: ChangeLog, instance: str) -> None:
         self._changes = changes
-        self._author = author
+        self._instance = instance
+
+    def name_author(self, identity: Identity) -> str:
+        """Return the author that the log keeps for an operator."""
+        if identity == UNGUARDED:
+            return f"{identity.name}@{self._instance}"
+        return identity.name
 
     async def apply(
-        self, items: list[tuple[dict[str, Any], int | None]], dry_run: bool
+        self,
+        items: list[tuple[dict[str, Any], int | None]],
+        dry_run: bool,
+        identity: Identity,
     ) -> Result[dict[str, Any], Problem]:
         """Apply all resources in one entry, or none of them."""
-        declared: list[Declared] = []
-        for document, version in items:
-            parsed = parse_resource(document)
-            if parsed.is_error():
-                return Error(parsed.error)
-            kind, resource = parsed.ok
-            declared.append((kind, resource, version))
-        before: dict[tuple[str, str], str] = {}
+        parsed = _parse_items(items)
+        if parsed.is_error():
+            return Error(parsed.error)
+        declared = parsed.ok
+        outcomes: list[tuple[str, int]] = []
 
         def prepare(cache: ResourceCache) -> Result[list[Change], Problem]:
             """Return the changes that the present resources still need."""
-            before.clear()
+            outcomes.clear()
+            fault = find_fault(cache, [(one.kind, one.resource) for one in declared])
+            if fault is not None:
+                return Error(fault)
             changes = []
-            for kind, resource, version in declared:
-                outcome = judge_change(cache, kind, resource, version)
+            for one in declared:
+                outcome = judge_change(cache, one, identity)
                 if outcome.is_error():
                     return Error(outcome.error)
-                before[(kind, resource.metadata.name)] = outcome.ok
+                item = cache.find(one.kind, one.name)
+                outcomes.append((outcome.ok, item.resource_version if item else 0))
                 if outcome.ok != "unchanged":
-                    changes.append(declare_resource(kind, resource))
+                    changes.append(declare_resource(one.kind, one.resource))
             return Ok([] if dry_run else changes)
 
-        appended = await self._changes.append(self._author, prepare)
+        appended = await self._changes.append(self.name_author(identity), prepare)
         if appended.is_error():
             return Error(appended.error)
         results = []
-        for (kind, name), outcome in before.items():
-            item = self._changes.cache.find(kind, name)
+        for one, (outcome, before) in zip(declared, outcomes, strict=True):
+            is_kept = dry_run or outcome == "unchanged"
             results.append(
                 {
-                    "kind": kind,
-                    "name": name,
-                    "resource_version": item.resource_version if item else 0,
+                    "kind": one.kind,
+                    "name": one.name,
+                    "resource_version": before if is_kept else appended.ok,
                     "outcome": outcome,
                 }
             )
         return Ok({"revision": appended.ok, "items": results})
 
     async def delete(
-        self, kind: str, name: str, version: int | None
+        self, kind: str, name: str, version: int | None, identity: Identity
     ) -> Result[int, Problem]:
         """Remove one resource."""
 
@@ -76,15 +108,25 @@
                 return Error(documents.refuse_missing(kind, name))
             if version is not None and item.resource_version != version:
                 return Error(refuse_stale(cache, kind, name, version))
+            team = item.resource.metadata.team
+            fault = find_team_fault(identity, kind, name, item, team)
+            fault = fault or find_removal_fault(cache, kind, name)
+            if fault is not None:
+                return Error(fault)
             return Ok([remove_resource(kind, name)])
 
-        return await self._changes.append(self._author, prepare)
+        return await self._changes.append(self.name_author(identity), prepare)
 
     async def cancel(
-        self, names: tuple[str, ...], labels: dict[str, str]
+        self, names: tuple[str, ...], labels: dict[str, str], identity: Identity
     ) -> Result[dict[str, Any], Problem]:
-        """Remove all named or selected workloads in one entry."""
+        """Remove all named or selected workloads in one entry.
+
+        A token of one team that names a workload of another is refused whole; its
+        selectors select among its own workloads only.
+        """
         cancelled: list[str] = []
+        wanted = set(names)
 
         def prepare(cache: ResourceCache) -> Result[list[Change], Problem]:
             """Return the removals of the workloads that exist now."""
@@ -94,45 +136,50 @@
                 for item in cache.list_items(kind):
                     path = f"{kind}/{item.name}"
                     selected = labels and documents.matches(item, labels)
-                    if path not in names and not selected:
+                    if path not in wanted and not selected:
+                        continue
+                    team = item.resource.metadata.team
+                    fault = find_team_fault(identity, kind, item.name, item, team)
+                    if fault is not None and path in wanted:
+                        return Error(fault)
+                    if fault is not None:
                         continue
                     cancelled.append(path)
                     changes.append(remove_resource(kind, item.name))
             return Ok(changes)
 
-        appended = await self._changes.append(self._author, prepare)
+        appended = await self._changes.append(self.name_author(identity), prepare)
         if appended.is_error():
             return Error(appended.error)
         return Ok({"revision": appended.ok, "cancelled": cancelled})
 
 
+def _parse_items(
+    items: list[tuple[dict[str, Any], int | None]],
+) -> Result[list[Declared], Problem]:
+    """Return the resources that documents declare."""
+    declared = []
+    for document, version in items:
+        parsed = parse_resource(document)
+        if parsed.is_error():
+            return Error(parsed.error)
+        declared.append(Declared(*parsed.ok, version))
+    return Ok(declared)
+
+
 def judge_change(
-    cache: ResourceCache, kind: str, resource: Resource, version: int | None
+    cache: ResourceCache, declared: Declared, identity: Identity
 ) -> Result[str, Problem]:
-    """Return ``created``, ``changed`` or ``unchanged``, or the conflict."""
-    name = resource.metadata.name
+    """Return ``created``, ``changed`` or ``unchanged``, or why it is refused."""
+    kind, name = declared.kind, declared.name
     item = cache.find(kind, name)
     current = item.resource_version if item else 0
-    if version is not None and version != current:
-        return Error(refuse_stale(cache, kind, name, version))
+    team = declared.resource.metadata.team
+    fault = find_team_fault(identity, kind, name, item, team)
+    if fault is not None:
+        return Error(fault)
+    if declared.version is not None and declared.version != current:
+        return Error(refuse_stale(cache, kind, name, declared.version))
     if item is None:
         return Ok("created")
-    return Ok("unchanged" if item.resource == resource else "changed")
-
-
-def refuse_stale(cache: ResourceCache, kind: str, name: str, version: int) -> Problem:
-    """Return the conflict of a change that was made from an older version."""
-    item = cache.find(kind, name)
-    if item is None:
-        return Conflict(
-            f"{kind}/{name} does not exist any more; the change was made from version "
-            f"{version}",
-            "apply it with version 0 to create it",
-            current_version=0,
-        )
-    return Conflict(
-        f"{kind}/{name} was changed by {item.author} at version "
-        f"{item.resource_version}; the change was made from version {version}",
-        "get the resource, make the change on that version, and apply it again",
-        current_version=item.resource_version,
-    )
+    return Ok("unchanged" if item.resource == declared.resource else "changed")
