Render each watched entry once, as of that entry, and say where changes are not in force

A line showed the status of a later state, so two instances told one entry in two ways and a client that resumed could not recognise a line it had had. Lines are now rendered once for all watches of an instance from the resource before and after the change; a resource that leaves the selection is told as deleted; unknown kinds are refused; lines are sent in batches of bounded size. A stop waits for the watches to end before it closes connections.

The status of a configuration names for each instance why it is not in force: silent, listed but never heard from, an entry it cannot read, or not yet taken in.

--- a/packages/almondspread/almondspread/changes/cache.py
+++ b/packages/almondspread/almondspread/changes/cache.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Iterator
-from itertools import islice
 from typing import Any
 
 from attrs import define, evolve, field
@@ -86,7 +85,15 @@
         """Return the entries after a revision, ``None`` where they are not kept."""
         if revision < self.oldest_revision:
             return None
-        return list(islice(self._history, revision - self.oldest_revision, None))
+        first = revision - self.oldest_revision
+        return [self._history[index] for index in range(first, len(self._history))]
+
+    def find_applied(self, revision: int) -> AppliedEntry | None:
+        """Return the entry of a revision, ``None`` where it is not kept."""
+        index = revision - self.oldest_revision - 1
+        if not 0 <= index < len(self._history):
+            return None
+        return self._history[index]
 
     def list_entries_after(self, revision: int) -> list[Entry] | None:
         """Return the entries as they were written, ``None`` where not kept."""
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -21,6 +21,7 @@
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
+from almondspread_daemon.following.watches import Watches
 from almondspread_daemon.http import make_application
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
@@ -45,6 +46,7 @@
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
+from almondspread_daemon.resources.standings import Standing, list_standings
 from almondspread_daemon.security import Credentials, TokenTable
 from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
@@ -56,6 +58,7 @@
 
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
+WATCH_END_TIMEOUT = timedelta(seconds=2)
 
 
 class Entry:
@@ -137,6 +140,7 @@
             self.neighbours,
             clock,
         )
+        self.watches = Watches()
         self.publisher = StatusPublisher(self.changes, clock, settings.name)
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
@@ -261,6 +265,7 @@
         self.stopping = True
         self.follower.release_waiters()
         self.http_server.stop()
+        await self.watches.wait_until_ended(WATCH_END_TIMEOUT)
         await self.http_server.close_all_connections()
         await self.keeper.hand_over_all()
         await self.publisher.flush()
@@ -325,11 +330,18 @@
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
-        members = [(self.settings.name, self.changes.cache.revision)]
-        for member in self.neighbours.members.list_all():
-            if not member.listed_gone:
-                members.append((member.name, member.revision))
-        return documents.describe_item(item, members)
+        neighbours = self.neighbours
+        own = Standing(
+            self.settings.name, self.changes.cache.revision, self.changes.fault
+        )
+        standings = list_standings(
+            own,
+            neighbours.members.list_all(),
+            neighbours.list_live(),
+            neighbours.listed.values(),
+            self.clock.monotonic(),
+        )
+        return documents.describe_item(item, standings)
 
     def find_deadline(self, service: str, kind: str) -> float:
         """Return the longest deadline of a kind of request, in seconds."""
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/following/watches.py
@@ -0,0 +1,38 @@
+"""The watches that this instance serves."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+
+from almondspread_daemon.following.lines import LineCache
+
+
+class Watches:
+    """Counts the watches, for a stop to wait until they have ended."""
+
+    def __init__(self) -> None:
+        self.lines = LineCache()
+        self.count = 0
+        self._ended = asyncio.Event()
+        self._ended.set()
+
+    @contextmanager
+    def track(self) -> Iterator[None]:
+        """Count a watch for as long as the block runs."""
+        self.count += 1
+        self._ended.clear()
+        try:
+            yield
+        finally:
+            self.count -= 1
+            if not self.count:
+                self._ended.set()
+
+    async def wait_until_ended(self, timeout: timedelta) -> bool:
+        """Wait until no watch is served; false after the timeout."""
+        try:
+            await asyncio.wait_for(self._ended.wait(), timeout.total_seconds())
+        except TimeoutError:
+            return False
+        return True
--- a/packages/almondspread_daemon/almondspread_daemon/http/watch.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/watch.py
@@ -1,21 +1,19 @@
 """Watches: the change log as JSON lines, from any revision that is kept."""
 
 import asyncio
-import json
 from datetime import timedelta
-from typing import Any
 
 from tornado.iostream import StreamClosedError
 
-from almondspread.changes import Change, Entry
-from almondspread.errors import Expired
+from almondspread.errors import Expired, InvalidInput
 from almondspread.resources import KINDS
+from almondspread_daemon.following.lines import Selection, encode_line
 from almondspread_daemon.http.base import EntryHandler
 from almondspread_daemon.http.resources import parse_selector
-from almondspread_daemon.resources import documents
 
 BOOKMARK_INTERVAL = timedelta(seconds=10)
 SEND_TIMEOUT = timedelta(seconds=10)
+BATCH_BYTES = 16_384
 
 
 class WatchHandler(EntryHandler):
@@ -28,9 +26,12 @@
         for result in (start, selector):
             if result.is_error():
                 return self.refuse(result.error)
-        kinds = [k for k in self.get_query_argument("kinds", "").split(",") if k]
-        self._kinds = set(kinds or KINDS)
-        self._labels = selector.ok
+        named = [k for k in self.get_query_argument("kinds", "").split(",") if k]
+        kinds = frozenset(named or KINDS)
+        if not kinds <= KINDS.keys():
+            unknown = ", ".join(sorted(kinds - KINDS.keys()))
+            remedy = "use " + ", ".join(KINDS)
+            return self.refuse(InvalidInput(f"kinds {unknown} are not known", remedy))
         cache = self.entry.changes.cache
         revision = cache.revision if start.ok is None else start.ok
         if revision < cache.oldest_revision:
@@ -42,62 +43,57 @@
                 )
             )
         self.set_header("Content-Type", "application/jsonlines")
-        await self._stream(revision)
+        is_whole = not selector.ok and kinds == KINDS.keys()
+        selection = Selection(kinds, selector.ok, is_whole)
+        with self.entry.watches.track():
+            await self._stream(revision, selection)
 
-    async def _stream(self, revision: int) -> None:
+    async def _stream(self, revision: int, selection: Selection) -> None:
         """Send what comes after a revision, again and again."""
         cache = self.entry.changes.cache
-        await self._send({"type": "bookmark", "revision": revision})
-        while not self.entry.stopping:
-            entries = cache.list_entries_after(revision)
-            if entries is None:
-                await self._send({"type": "expired", "revision": cache.oldest_revision})
-                return
-            for entry in entries:
-                if not await self._send_entry(entry):
-                    return
-                revision = entry.revision
-            if entries:
+        follower = self.entry.follower
+        is_open = await self._send(_make_bookmark(revision))
+        while is_open and not self.entry.stopping:
+            if cache.revision <= revision:
+                if not await follower.wait_for_change(revision, BOOKMARK_INTERVAL):
+                    is_open = await self._send(_make_bookmark(revision))
                 continue
-            if not await self.entry.follower.wait_for_change(
-                revision, BOOKMARK_INTERVAL
-            ):
-                if not await self._send({"type": "bookmark", "revision": revision}):
+            batch = bytearray()
+            while cache.revision > revision and len(batch) < BATCH_BYTES:
+                entry = cache.find_applied(revision + 1)
+                if entry is None:
+                    await self._send(
+                        bytes(batch) + _make_expired(cache.oldest_revision)
+                    )
                     return
+                batch += selection.choose(self.entry.watches.lines.find_lines(entry))
+                revision += 1
+            if batch:
+                is_open = await self._send(bytes(batch))
 
-    async def _send_entry(self, entry: Entry) -> bool:
-        """Send the changes of an entry that the watch asks for."""
-        for change in entry.changes:
-            if change.kind not in self._kinds:
-                continue
-            line = self._describe(entry, change)
-            if line is not None and not await self._send(line):
-                return False
-        return True
+    async def _send(self, data: bytes) -> bool:
+        """Send lines; false once the caller is gone or too slow.
 
-    def _describe(self, entry: Entry, change: Change) -> dict[str, Any] | None:
-        """Return the line for a change, ``None`` where the selector leaves it out."""
-        line: dict[str, Any] = {
-            "type": "changed",
-            "revision": entry.revision,
-            "kind": change.kind,
-            "name": change.name,
-        }
-        if change.part == "spec" and change.value is None:
-            return {**line, "type": "deleted"}
-        item = self.entry.changes.cache.find(change.kind, change.name)
-        if self._labels and (item is None or not documents.matches(item, self._labels)):
-            return None
-        status = self.entry.describe_item(item)["status"] if item else None
-        if change.part == "spec":
-            return {**line, "document": change.load(), "status": status}
-        return {**line, "type": "status", "status": status}
-
-    async def _send(self, line: dict[str, Any]) -> bool:
-        """Send one line; false once the caller is gone or too slow."""
-        self.write(json.dumps(line, separators=(",", ":")) + "\n")
+        Waiting for the caller to take them is what bounds the memory of a watch.
+        """
+        if self.request.connection is None or self._finished:
+            return False
+        self.write(data)
+        sent = self.flush()
+        if sent.done():
+            return sent.exception() is None
         try:
-            await asyncio.wait_for(self.flush(), SEND_TIMEOUT.total_seconds())
+            await asyncio.wait_for(sent, SEND_TIMEOUT.total_seconds())
         except (StreamClosedError, TimeoutError):
             return False
         return True
+
+
+def _make_bookmark(revision: int) -> bytes:
+    """Return the line that tells up to where the watch is complete."""
+    return encode_line({"type": "bookmark", "revision": revision})
+
+
+def _make_expired(oldest_revision: int) -> bytes:
+    """Return the line that tells the caller to list again."""
+    return encode_line({"type": "expired", "revision": oldest_revision})
--- a/packages/almondspread_daemon/almondspread_daemon/resources/documents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/documents.py
@@ -12,6 +12,7 @@
     Service,
     describe_resource,
 )
+from almondspread_daemon.resources.standings import Standing, explain_lag
 
 COUNTED = ("running", "waiting", "finished", "failed")
 
@@ -30,27 +31,31 @@
     return NotFound(f"{kind}/{name} does not exist", f"list the {kind} resources")
 
 
-def describe_item(item: Item, members: Iterable[tuple[str, int]]) -> dict[str, Any]:
-    """Return a resource with its version and status.
-
-    ``members`` names the live instances and the revision in force at each.
-    """
+def describe_item(item: Item, standings: Iterable[Standing]) -> dict[str, Any]:
+    """Return a resource with its version and status."""
     return {
         "kind": item.kind,
         "name": item.name,
         "resource_version": item.resource_version,
         "document": describe_resource(item.resource),
-        "status": summarize_status(item, members),
+        "status": summarize_status(item, standings),
     }
 
 
 def summarize_status(
-    item: Item, members: Iterable[tuple[str, int]]
+    item: Item, standings: Iterable[Standing]
 ) -> dict[str, Any] | None:
-    """Return the status of a resource over all shards."""
+    """Return the status of a resource, with where a configuration is in force."""
+    if isinstance(item.resource, Configuration):
+        return _summarize_configuration(item, standings)
+    return summarize_logged(item)
+
+
+def summarize_logged(item: Item) -> dict[str, Any] | None:
+    """Return the status of a resource as far as the change log tells it."""
     resource = item.resource
     if isinstance(resource, Configuration):
-        return _summarize_configuration(item, members)
+        return {"accepted_revision": item.resource_version}
     if not isinstance(resource, Service | BatchJob | GangJob):
         return None
     counts = dict.fromkeys(COUNTED, 0)
@@ -87,16 +92,16 @@
 
 
 def _summarize_configuration(
-    item: Item, members: Iterable[tuple[str, int]]
+    item: Item, standings: Iterable[Standing]
 ) -> dict[str, Any]:
-    """Return where a configuration is in force."""
+    """Return where a configuration is in force, and why it is not elsewhere."""
     in_force = []
     lagging = {}
-    for name, revision in members:
-        if revision >= item.resource_version:
-            in_force.append(name)
+    for standing in standings:
+        if standing.revision >= item.resource_version:
+            in_force.append(standing.name)
             continue
-        lagging[name] = f"the instance is at revision {revision}"
+        lagging[standing.name] = explain_lag(standing)
     return {
         "accepted_revision": item.resource_version,
         "in_force": sorted(in_force),
