--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -6,9 +6,9 @@
 from expression import Ok
 
 from almondspread.clock import ManualClock, SystemClock
-from almondspread.interfaces import MinionAnswer, Write
+from almondspread.interfaces import MinionAnswer
 from almondspread.journal import Journal
-from almondspread.ownership import claim_shard
+from almondspread.ownership import Claimant, claim_shard, read_owner
 from almondspread.testing import MemoryStore, MemoryTable
 from almondspread_daemon.peers.messages import SubmitCall
 from almondspread_daemon.requests.dispatches import HeldSlot
@@ -35,16 +35,16 @@
             task.cancel()
 
     async def open_shard(self, instance):
-        expected = None
+        read = await read_owner(self.table, SHARD)
         claimed = await claim_shard(
-            self.table, self.clock, SHARD, instance, instance, expected
+            self.table,
+            self.clock,
+            SHARD,
+            Claimant(instance, instance, "address"),
+            read.ok.record,
+            f"claim-{next(self.batches)}",
+            timedelta(hours=1),
         )
-        while claimed.is_error():
-            rows = await self.table.read([f"owner/{SHARD}"])
-            self.table.apply([], [Write(rows.ok[0].key, None)])
-            claimed = await claim_shard(
-                self.table, self.clock, SHARD, instance, instance, None
-            )
         ownership = claimed.ok
         journal = Journal(
             SHARD,
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
@@ -13,6 +13,7 @@
     Write,
 )
 from almondspread.ownership import Member, Ownership
+from almondspread.ownership.authority import Authority
 from almondspread.testing import MemoryTable
 from almondspread_daemon.peers.messages import (
     Accepted,
@@ -65,7 +66,7 @@
         condition = Condition(f"owner/{SHARD}", self.table.revision)
         terms = MinionTerms(LEASE, 2 * SECOND, 60 * SECOND)
         shard = MinionShard(
-            Ownership(SHARD, epoch, condition),
+            Ownership(SHARD, epoch, condition, Authority(LEASE, timedelta(0))),
             self.pools,
             self.table,
             lambda: self.peers,
