--- /dev/null
+++ b/packages/almondspread_standin/almondspread_standin/measures/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of requests, with entry instances as real processes."""
