--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -284,7 +284,7 @@
         await self.watches.wait_until_ended(WATCH_END_TIMEOUT)
         await self.keeper.hand_over_all()
         self.neighbours.send_heartbeat()
-        await self.requests.drain()
+        await self.requests.drain(lambda: self.peer_server.open_calls)
         await self._close_connections()
         await self.publisher.flush()
         self.neighbours.send_heartbeat()
--- a/packages/almondspread_daemon/almondspread_daemon/peers/server.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/server.py
@@ -115,6 +115,11 @@
         with self._traces.serve(f"peer {type(message).__name__}", frame.traceparent):
             return await handler(message, context)
 
+    @property
+    def open_calls(self) -> int:
+        """How many calls of peers are being served."""
+        return len(self._tasks)
+
     def close(self) -> None:
         """Stop listening and close every stream."""
         self.stop()
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
@@ -198,6 +198,8 @@
         told = await self._ask_peers()
         if told is Told.DENIED:
             return False
+        if told is Told.CONFIRMED:
+            self._extend_right(started)
         if told is not Told.CONFIRMED or self._cycle % TABLE_READ_EVERY == 0:
             asked = self._clock.monotonic()
             unchanged = await self._read_table()
@@ -206,9 +208,7 @@
             if unchanged:
                 self._extend_right(asked)
         # After a pause, hearing of no peer proves nothing yet.
-        if told is Told.ALONE and was_paused:
-            return True
-        if told is not Told.SILENT:
+        if told is Told.ALONE and not was_paused:
             self._extend_right(started)
         return True
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -37,6 +37,8 @@
 from almondspread_platform import MinionClient
 
 SERVER_ERRORS = 500
+SERVICE_MARGIN = 1.2
+WAY_BACK = timedelta(milliseconds=20)
 TakeLate = Callable[[MinionAnswer], None]
 
 
@@ -59,6 +61,13 @@
                 known.append(minion.health.seconds[kind])
         return sum(known) / len(known) if known else 0.0
 
+    def find_time_needed(self, kind: str) -> timedelta:
+        """Return how long before its deadline a request must get its slot."""
+        seconds = self.find_service_seconds(kind)
+        if not seconds:
+            return timedelta(0)
+        return timedelta(seconds=seconds * SERVICE_MARGIN) + WAY_BACK
+
     def describe_load(self, now: timedelta) -> ServiceLoad:
         """Return how the owned minions stand."""
         slots = free = 0
@@ -204,9 +213,10 @@
             return Error(refuse_without_minion(service))
         if not wait:
             return Error(refuse_overload(service, "has no free slot"))
-        service_seconds = pool.find_service_seconds(kind)
-        expected = estimate_wait(pool.queue.count(kind), load.slots, service_seconds)
-        if now + expected + timedelta(seconds=service_seconds) > due:
+        expected = estimate_wait(
+            pool.queue.count(kind), load.slots, pool.find_service_seconds(kind)
+        )
+        if now + expected + pool.find_time_needed(kind) > due:
             reason = "cannot meet the deadline"
             return Error(refuse_overload(service, reason, expected))
         return await self._wait_for_slot(pool, service, Waiting(kind, due), expected)
@@ -258,8 +268,7 @@
             waiting = pool.queue.pop(kinds)
             if waiting is None:
                 return
-            needed = timedelta(seconds=pool.find_service_seconds(waiting.kind))
-            if now + needed <= waiting.due:
+            if now + pool.find_time_needed(waiting.kind) <= waiting.due:
                 waiting.ticket = self._take_now(pool, waiting.kind, now)
             waiting.wake()
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -140,13 +140,13 @@
                 self.pools.update(listed.values())
             await self._clock.sleep(POOL_INTERVAL)
 
-    async def drain(self) -> None:
+    async def drain(self, count_peer_calls: Callable[[], int]) -> None:
         """Wait until no request depends on this instance any more.
 
         The shards were handed over before: requests that come now go to peers.
         """
         await self._wait_for_successors()
-        while self.open_calls:
+        while self.open_calls or count_peer_calls():
             await self._clock.sleep(POLL_INTERVAL)
         await self.pools.wait_idle()
         await self.router.wait_delivered(POLL_INTERVAL)
--- a/packages/almondspread_standin/almondspread_standin/measures/requests/drain.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/requests/drain.py
@@ -82,6 +82,7 @@
         "seed": seed,
         "requests": len(answers),
         "cut_short": len(cut),
+        "cut_statuses": sorted({answer.status for answer in cut}),
         "refused_not_run": len(refused),
         "exit_statuses": statuses,
         "restart_seconds": round(took.total_seconds(), 1),
--- a/packages/almondspread_standin/almondspread_standin/measures/requests/load.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/requests/load.py
@@ -131,6 +131,14 @@
     return outcomes
 
 
+async def run_warm(
+    send: Callable[[int], Awaitable[Answer]], rate: float, count: int
+) -> Outcomes:
+    """Do the same after a first second whose answers do not count."""
+    await run_load(send, rate, int(rate))
+    return await run_load(send, rate, count)
+
+
 async def run_closed(
     send: Callable[[int], Awaitable[Answer]], callers: int, seconds: float
 ) -> Outcomes:
--- a/packages/almondspread_standin/almondspread_standin/measures/requests/lookups.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/requests/lookups.py
@@ -18,7 +18,7 @@
     Caller,
     Outcomes,
     run_closed,
-    run_load,
+    run_warm,
 )
 from almondspread_standin.measures.results import print_result
 from almondspread_standin.minions import KindBehaviour
@@ -64,14 +64,14 @@
         rate = LOAD_SHARE * len(probe.good) / PROBE_SECONDS
         count = int(rate * seconds)
         parts: dict[str, Outcomes] = {}
-        parts["up"] = await run_load(ask, rate, count)
+        parts["up"] = await run_warm(ask, rate, count)
         fleet.cell.platform.set_faults(delay_ms=SLOW_STORE_MS)
-        parts["slow"] = await run_load(ask, rate, count)
+        parts["slow"] = await run_warm(ask, rate, count)
         fleet.cell.platform.set_faults(delay_ms=0.0, down=True)
-        parts["down"] = await run_load(ask, rate, count)
+        parts["down"] = await run_warm(ask, rate, count)
         fleet.cell.platform.set_faults(down=False)
         most = fleet.find_most_in_flight()
-        direct = await run_load(ask_directly, rate, count)
+        direct = await run_warm(ask_directly, rate, count)
     finally:
         await fleet.stop()
         caller.close()
