--- a/packages/almondspread/almondspread/interfaces/minions.py
+++ b/packages/almondspread/almondspread/interfaces/minions.py
@@ -8,7 +8,8 @@
     """One request of a caller as it goes to a minion.
 
     ``kind`` is ``lookup``, ``recalculation``, ``reservation`` or ``monitor``; ``key``
-    is the idempotency key, empty for a lookup; ``deadline`` is UTC seconds.
+    is the idempotency key, empty for a lookup; ``deadline`` is UTC seconds. A monitor
+    goes on after ``position``.
     """
 
     service: str
@@ -17,6 +18,7 @@
     key: str = ""
     deadline: float = 0.0
     traceparent: str = ""
+    position: int = 0
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -160,7 +160,7 @@
                 FetchSnapshot: self.follower.take_fetch_snapshot,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
-                **self.requests.serving.list_handlers(),
+                **self.requests.list_handlers(),
             },
             self.telemetry.traces,
             self.credentials.peer_server,
--- a/packages/almondspread_daemon/almondspread_daemon/http/requests.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/requests.py
@@ -1,11 +1,14 @@
 """Requests of callers to minions, and the recorded answers of their keys."""
 
+import asyncio
 from http import HTTPStatus
 
 from expression import Error, Ok, Result
+from tornado.iostream import StreamClosedError
 
 from almondspread.errors import InvalidInput, NotFound, Problem
 from almondspread.interfaces import MinionRequest
+from almondspread.requests.kinds import MONITOR
 from almondspread_daemon.http.base import EntryHandler
 from almondspread_daemon.peers.messages import CallAnswered, SubmitCall
 from almondspread_daemon.requests.refusals import report_ending
@@ -13,11 +16,15 @@
 IDEMPOTENT_KINDS = ("lookup", "monitor")
 KEYED_KINDS = ("recalculation", "reservation")
 MAX_KEY_LETTERS = 128
+MAX_POSITION_DIGITS = 18
+SEND_SECONDS = 10.0
 
 
 class RequestHandler(EntryHandler):
     """Passes a caller's request to a minion."""
 
+    _is_closed = False
+
     async def post(self, service: str, kind: str) -> None:
         """Answer with what the minion answered."""
         deadline = self._read_deadline(service, kind)
@@ -28,6 +35,8 @@
             self.set_header("Connection", "close")
         self.entry.requests.open_calls.add(self)
         try:
+            if kind == MONITOR:
+                return await self._follow(service)
             if kind in IDEMPOTENT_KINDS:
                 return await self._look_up(service, kind, deadline.ok)
             await self._submit(service, kind, deadline.ok)
@@ -52,6 +61,52 @@
         reply = answer.ok
         self._pass_on(CallAnswered(reply.status, reply.body, reply.content_type))
 
+    async def _follow(self, service: str) -> None:
+        """Answer with the lines of a monitor until the caller or instance leaves."""
+        text = self.request.headers.get("X-Position", "0")
+        if not text.isascii() or not text.isdigit() or len(text) > MAX_POSITION_DIGITS:
+            return self.refuse(
+                InvalidInput(
+                    f"X-Position {text!r} is not a whole number",
+                    "send the position of the last line, or leave the header out",
+                )
+            )
+        monitors = self.entry.requests.monitors
+        started = False
+        async for told in monitors.follow(
+            service, self.request.body, int(text), self._is_wanted
+        ):
+            if told.is_error():
+                if started or self._finished:
+                    break
+                return self.refuse(told.error)
+            if not started:
+                self.set_header("Content-Type", "application/jsonlines")
+                started = True
+            for line in told.ok:
+                self.write(line + b"\n")
+            if not await self._flush():
+                break
+        if not self._finished:
+            self.finish()
+
+    def _is_wanted(self) -> bool:
+        """Tell whether the caller is there and the instance goes on to serve."""
+        return not (self._is_closed or self._finished or self.entry.stopping)
+
+    def on_connection_close(self) -> None:
+        """Note that the caller has gone."""
+        self._is_closed = True
+
+    async def _flush(self) -> bool:
+        """Send what was written; false once the caller is gone or too slow."""
+        try:
+            async with asyncio.timeout(SEND_SECONDS):
+                await self.flush()
+        except (StreamClosedError, TimeoutError):
+            return False
+        return True
+
     async def _submit(self, service: str, kind: str, deadline: float) -> None:
         """Answer a non-idempotent request."""
         key = self.request.headers.get("Idempotency-Key", "")
--- a/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -183,6 +183,45 @@
     number: int
 
 
+@define(frozen=True)
+class OpenMonitor:
+    """Asks the owner of some minions to open a standing stream after a position."""
+
+    service: str
+    body: bytes
+    position: int
+
+
+@define(frozen=True)
+class MonitorOpened:
+    """A standing stream is open under a number."""
+
+    number: int
+
+
+@define(frozen=True)
+class FetchLines:
+    """Asks for what came on a standing stream since the last such call."""
+
+    number: int
+
+
+@define(frozen=True)
+class MonitorLines:
+    """Lines of a standing stream; ``ended`` says that no more will come."""
+
+    lines: tuple[bytes, ...]
+    position: int
+    ended: bool
+
+
+@define(frozen=True)
+class CloseMonitor:
+    """Says that a standing stream is wanted no more."""
+
+    number: int
+
+
 @define(frozen=True)
 class DeliverAnswer:
     """Brings the answer of a minion to the owner of its key."""
@@ -326,6 +365,11 @@
         SlotTaken,
         SendTaken,
         DropSlot,
+        OpenMonitor,
+        MonitorOpened,
+        FetchLines,
+        MonitorLines,
+        CloseMonitor,
         DeliverAnswer,
         AnswerRecorded,
         FetchSlots,
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import Any
 
 from attrs import define, field
 from expression import Error, Ok, Result
@@ -27,6 +28,7 @@
     find_late_limit,
 )
 from almondspread_daemon.peers.messages import ServiceLoad, SlotsInUse
+from almondspread_daemon.requests.legs import MonitorLeg
 from almondspread_daemon.requests.refusals import (
     refuse_late,
     refuse_overload,
@@ -37,6 +39,7 @@
 from almondspread_platform import MinionClient
 
 SERVER_ERRORS = 500
+CLOSE_NOTICE = timedelta(seconds=1)
 SERVICE_MARGIN = 1.2
 WAY_BACK = timedelta(milliseconds=20)
 TakeLate = Callable[[MinionAnswer], None]
@@ -111,7 +114,7 @@
         self._clock = clock
         self._find_bounds = find_bounds
         self._announce_leaving = announce_leaving
-        self._transfers: set[asyncio.Task[Result[MinionAnswer, Problem]]] = set()
+        self._transfers: set[asyncio.Task[Any]] = set()
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Follow the platform's list of this failure domain's minions."""
@@ -294,6 +297,46 @@
             return Error(taken.error)
         return await self.send(taken.ok, request, due)
 
+    async def open_leg(
+        self, request: MinionRequest, due: timedelta, leg: MonitorLeg
+    ) -> Problem | None:
+        """Open a standing stream at an own minion; return why it was not, if so."""
+        taken = await self.take(request.service, request.kind, due, wait=False)
+        if taken.is_error():
+            return taken.error
+        watching = asyncio.create_task(self._watch(taken.ok, request, due, leg))
+        self._transfers.add(watching)
+        watching.add_done_callback(self._transfers.discard)
+        return None
+
+    async def _watch(
+        self, ticket: Ticket, request: MinionRequest, due: timedelta, leg: MonitorLeg
+    ) -> None:
+        """Carry a standing stream until it ends, is cut, or its owner changes."""
+        minion = ticket.minion
+
+        def may_send() -> bool:
+            return ticket.shard.may_send(self._clock.monotonic())
+
+        def is_wanted() -> bool:
+            return leg.is_wanted and not minion.leaving and not ticket.shard.released
+
+        timeout = due - self._clock.monotonic()
+        try:
+            sent = await self._client.watch(
+                minion.address, request, timeout, may_send, leg.take_chunk, is_wanted
+            )
+            if sent.is_error() and leg.is_wanted and not ticket.shard.released:
+                self._note_failure(ticket)
+            if sent.is_ok() and sent.ok.leaving:
+                minion.leaving = True
+                self._announce_leaving(minion.name)
+        finally:
+            leg.end()
+            # The minion may take a moment to notice that the stream was closed.
+            await self._clock.sleep(CLOSE_NOTICE)
+            self.drop(ticket)
+
     async def send(
         self,
         ticket: Ticket,
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/monitors.py
@@ -0,0 +1,216 @@
+"""Standing monitors: one stream for the caller, resumed from minion to minion."""
+
+import itertools
+import random
+from collections.abc import AsyncIterator, Callable
+from datetime import timedelta
+from typing import Any
+
+from attrs import define
+from expression import Error, Ok, Result
+
+from almondspread.clock import Clock
+from almondspread.errors import Problem
+from almondspread.interfaces import MinionRequest
+from almondspread.ownership import Member
+from almondspread.requests import find_backoff
+from almondspread.requests.kinds import MONITOR
+from almondspread_daemon.peers import CallContext
+from almondspread_daemon.peers.messages import (
+    Accepted,
+    CloseMonitor,
+    FetchLines,
+    MonitorLines,
+    MonitorOpened,
+    OpenMonitor,
+    Refused,
+    refuse,
+)
+from almondspread_daemon.requests.legs import MonitorLeg
+from almondspread_daemon.requests.minions import MinionPools
+from almondspread_daemon.requests.refusals import refuse_unsent, refuse_without_minion
+
+FETCH_WAIT = timedelta(seconds=1)
+FETCH_TIMEOUT = timedelta(seconds=3)
+UNFETCHED_LIMIT = timedelta(seconds=10)
+REOPEN_LIMIT = timedelta(seconds=30)
+OPEN_TIMEOUT = timedelta(seconds=2)
+
+CallOwner = Callable[[Member, Any, timedelta], Any]
+
+
+@define(frozen=True)
+class OpenLeg:
+    """A leg here or at a peer, as its monitor fetches from it."""
+
+    fetch: Callable[[], Any]
+    close: Callable[[], None]
+
+
+class Monitors:
+    """Opens legs for the callers of this instance and for those of its peers."""
+
+    def __init__(
+        self,
+        pools: MinionPools,
+        order_owners: Callable[[str], list[Member | None]],
+        call_peer: CallOwner,
+        note_peer: Callable[[Member, Any], None],
+        find_length: Callable[[str], timedelta],
+        clock: Clock,
+    ) -> None:
+        self._pools = pools
+        self._order_owners = order_owners
+        self._call_peer = call_peer
+        self._note_peer = note_peer
+        self._find_length = find_length
+        self._clock = clock
+        self._random = random.Random()
+        self._numbers = itertools.count(1)
+        self._legs: dict[int, tuple[MonitorLeg, timedelta]] = {}
+
+    def list_handlers(self) -> dict[type, Any]:
+        """Return what serves each type of message."""
+        return {
+            OpenMonitor: self.take_open,
+            FetchLines: self.take_fetch,
+            CloseMonitor: self.take_close,
+        }
+
+    async def follow(
+        self, service: str, body: bytes, position: int, is_wanted: Callable[[], bool]
+    ) -> AsyncIterator[Result[list[bytes], Problem]]:
+        """Yield the lines after a position, from one minion after another.
+
+        A leg that breaks is resumed at the last position that was yielded, and only
+        once the earlier leg has ended. A problem is yielded where no first leg can be
+        opened, or no further one for a while; the stream ends with it, or once it is
+        wanted no more.
+        """
+        tries = 0
+        give_up = self._clock.monotonic()
+        while is_wanted():
+            opened = await self._open(service, body, position)
+            if opened.is_error():
+                if self._clock.monotonic() >= give_up:
+                    yield Error(opened.error)
+                    return
+                await self._clock.sleep(find_backoff(tries, self._random))
+                tries += 1
+                continue
+            ended = False
+            try:
+                while is_wanted() and not ended:
+                    lines, position, ended = await opened.ok.fetch(position)
+                    if lines:
+                        tries = 0
+                    yield Ok(lines)
+            finally:
+                opened.ok.close()
+            give_up = self._clock.monotonic() + REOPEN_LIMIT
+            await self._clock.sleep(find_backoff(tries, self._random))
+            tries += 1
+
+    async def _open(
+        self, service: str, body: bytes, position: int
+    ) -> Result[OpenLeg, Problem]:
+        """Open a leg at the first owner of minions that has room."""
+        refused: Problem = refuse_without_minion(service)
+        for owner in self._order_owners(service):
+            if owner is None:
+                leg = await self._open_here(service, body, position)
+                if leg.is_ok():
+                    return Ok(_wrap_own(leg.ok))
+                refused = leg.error
+                continue
+            message = OpenMonitor(service, body, position)
+            due = self._clock.monotonic() + OPEN_TIMEOUT
+            asked = await self._call_peer(owner, message, due)
+            if asked.is_ok():
+                return Ok(self._wrap_remote(owner, asked.ok.number))
+            refused = asked.error
+        return Error(refused)
+
+    async def _open_here(
+        self, service: str, body: bytes, position: int
+    ) -> Result[MonitorLeg, Problem]:
+        """Open a leg at an own minion."""
+        length = self._find_length(service)
+        due = self._clock.monotonic() + length
+        deadline = (self._clock.now() + length).timestamp()
+        request = MinionRequest(service, MONITOR, body, "", deadline, "", position)
+        leg = MonitorLeg(position)
+        opened = await self._pools.open_leg(request, due, leg)
+        if opened is not None:
+            return Error(opened)
+        return Ok(leg)
+
+    def _wrap_remote(self, owner: Member, number: int) -> OpenLeg:
+        """Return a peer's leg as one that can be fetched from."""
+
+        async def fetch(position: int) -> tuple[list[bytes], int, bool]:
+            due = self._clock.monotonic() + FETCH_TIMEOUT
+            told = await self._call_peer(owner, FetchLines(number), due)
+            if told.is_error():
+                # What the lost reply held comes again on the next leg.
+                return [], position, True
+            return list(told.ok.lines), max(position, told.ok.position), told.ok.ended
+
+        return OpenLeg(fetch, lambda: self._note_peer(owner, CloseMonitor(number)))
+
+    async def take_open(
+        self, message: OpenMonitor, _: CallContext
+    ) -> MonitorOpened | Refused:
+        """Open a leg for a peer."""
+        self._cut_unfetched()
+        leg = await self._open_here(message.service, message.body, message.position)
+        if leg.is_error():
+            return refuse(leg.error)
+        number = next(self._numbers)
+        self._legs[number] = (leg.ok, self._clock.monotonic())
+        return MonitorOpened(number)
+
+    async def take_fetch(
+        self, message: FetchLines, _: CallContext
+    ) -> MonitorLines | Refused:
+        """Give a peer the lines of its leg."""
+        found = self._legs.get(message.number)
+        if found is None:
+            return refuse(refuse_unsent("", "the monitor was closed"))
+        leg, _since = found
+        self._legs[message.number] = (leg, self._clock.monotonic())
+        lines, ended = await leg.fetch(FETCH_WAIT)
+        if ended:
+            self._legs.pop(message.number, None)
+        return MonitorLines(tuple(lines), leg.position, ended)
+
+    async def take_close(self, message: CloseMonitor, _: CallContext) -> Accepted:
+        """Close a leg that a peer wants no more."""
+        found = self._legs.pop(message.number, None)
+        if found is not None:
+            found[0].cut()
+        return Accepted()
+
+    def _cut_unfetched(self) -> None:
+        """Cut the legs whose peers have gone."""
+        now = self._clock.monotonic()
+        for number, (leg, since) in list(self._legs.items()):
+            if now - since > UNFETCHED_LIMIT:
+                leg.cut()
+                del self._legs[number]
+
+    async def run(self) -> None:
+        """Cut legs that nobody fetches from, until cancelled."""
+        while True:
+            self._cut_unfetched()
+            await self._clock.sleep(FETCH_WAIT)
+
+
+def _wrap_own(leg: MonitorLeg) -> OpenLeg:
+    """Return an own leg as one that can be fetched from."""
+
+    async def fetch(position: int) -> tuple[list[bytes], int, bool]:
+        lines, ended = await leg.fetch(FETCH_WAIT)
+        return lines, max(position, leg.position), ended
+
+    return OpenLeg(fetch, leg.cut)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -22,6 +22,7 @@
     MinionTerms,
 )
 from almondspread_daemon.requests.minions import MinionPools
+from almondspread_daemon.requests.monitors import Monitors
 from almondspread_daemon.requests.router import RequestRouter
 from almondspread_daemon.requests.serving import PeerRequests
 from almondspread_daemon.settings import Settings
@@ -83,6 +84,14 @@
             neighbours,
             clock,
         )
+        self.monitors = Monitors(
+            self.pools,
+            self.router.order_owners,
+            self.router.call_peer,
+            lambda member, message: neighbours.note(member.address, message),
+            lambda service: timedelta(seconds=self.deadlines.find(service, MONITOR)),
+            clock,
+        )
         self.serving = PeerRequests(
             find_runner,
             self._find_epoch,
@@ -92,6 +101,10 @@
             clock,
         )
 
+    def list_handlers(self) -> dict[type, Any]:
+        """Return what serves each type of message of a peer."""
+        return {**self.serving.list_handlers(), **self.monitors.list_handlers()}
+
     def make_key_shard(
         self, ownership: Ownership, journal: Journal, _: bool
     ) -> KeyShard:
@@ -130,6 +143,7 @@
         """Follow the minions, tell loads and deliver late answers until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.router.run(self._settings.name, LOADS_INTERVAL))
+            group.create_task(self.monitors.run())
             group.create_task(self._follow_minions())
 
     async def _follow_minions(self) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -86,7 +86,7 @@
         left = deadline - self._clock.now().timestamp()
         return self._clock.monotonic() + timedelta(seconds=left)
 
-    def _order_owners(self, service: str) -> list[Member | None]:
+    def order_owners(self, service: str) -> list[Member | None]:
         """Return whom to ask for a slot of a service, the best first."""
         pool = self._pools.pools.get(service)
         now = self._clock.monotonic()
@@ -148,7 +148,7 @@
     ) -> Result[MinionAnswer, Problem]:
         """Give a request to the first owner of minions that accepts it."""
         refused: Problem = refuse_without_minion(request.service)
-        for owner in self._order_owners(request.service)[:MOST_OWNERS_ASKED]:
+        for owner in self.order_owners(request.service)[:MOST_OWNERS_ASKED]:
             if owner is None:
                 answer = await self._pools.call(request, due, wait=True)
             else:
@@ -171,7 +171,7 @@
             wait=True,
         )
         self.loads.note_passed(member.name, request.service)
-        outcome = await self._call_peer(member, message, due)
+        outcome = await self.call_peer(member, message, due)
         if outcome.is_error():
             return Error(outcome.error)
         answered = outcome.ok
@@ -190,7 +190,7 @@
     ) -> Result[HeldSlot, Problem]:
         """Ask the owners of minions for a slot, the best first."""
         refused: Problem = refuse_without_minion(service)
-        for owner in self._order_owners(service)[:MOST_OWNERS_ASKED]:
+        for owner in self.order_owners(service)[:MOST_OWNERS_ASKED]:
             if owner is None:
                 taken = await self._pools.take(service, kind, due, wait=True)
                 if taken.is_ok():
@@ -199,7 +199,7 @@
                 continue
             self.loads.note_passed(owner.name, service)
             message = TakeSlot(service, kind, wait=True)
-            asked = await self._call_peer(owner, message, due)
+            asked = await self.call_peer(owner, message, due)
             if asked.is_ok() and isinstance(asked.ok, SlotTaken):
                 return Ok(self._hold_at(owner, asked.ok.number))
             if asked.is_error():
@@ -237,7 +237,7 @@
                 request.body,
                 request.deadline,
             )
-            outcome = await self._call_peer(owner, message, due)
+            outcome = await self.call_peer(owner, message, due)
             if outcome.is_error():
                 return Error(outcome.error)
             answered = outcome.ok
@@ -266,7 +266,7 @@
         owner = self._neighbours.find_owner(message.shard)
         if owner is None:
             return Error(refuse_unowned(message.shard))
-        return await self._call_peer(owner, message, due)
+        return await self.call_peer(owner, message, due)
 
     async def fetch(self, service: str, key: str) -> Result[CallAnswered, Problem]:
         """Return what is recorded of a key, from whichever instance owns it."""
@@ -278,13 +278,13 @@
         if owner is None:
             return Error(refuse_unowned(shard))
         due = self._clock.monotonic() + FETCH_TIMEOUT
-        return await self._call_peer(owner, FetchRecord(shard, service, key), due)
+        return await self.call_peer(owner, FetchRecord(shard, service, key), due)
 
     def find_shard(self, service: str, key: str) -> str:
         """Return the shard that has a key."""
         return find_key_shard(service, key, self._request_shards)
 
-    async def _call_peer(
+    async def call_peer(
         self, member: Member, message: Any, due: timedelta
     ) -> Result[Any, Problem]:
         """Call a peer and tell an answer, a refusal and silence apart."""
@@ -309,7 +309,7 @@
         if owner is None:
             return False
         due = self._clock.monotonic() + DELIVER_TIMEOUT
-        told = await self._call_peer(owner, answer, due)
+        told = await self.call_peer(owner, answer, due)
         return told.is_ok()
 
     def tell_recorded(self, service: str, key: str) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/support.py
@@ -32,6 +32,7 @@
     "lookup": KindBehaviour(BRIEF),
     "recalculation": KindBehaviour(BRIEF),
     "reservation": KindBehaviour(BRIEF),
+    "monitor": KindBehaviour(BRIEF),
 }
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/wrapping.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/wrapping.py
@@ -129,3 +129,22 @@
             if outcome.is_error():
                 mark_failed(span, outcome.error.reason)
         return outcome
+
+    async def watch(
+        self,
+        address: str,
+        request: MinionRequest,
+        timeout: timedelta,
+        may_send: Callable[[], bool],
+        take_chunk: Callable[[bytes], None],
+        is_wanted: Callable[[], bool],
+    ) -> Result[MinionAnswer, MinionFault]:
+        """Send a request whose answer is a standing stream."""
+        with self._traces.call(f"minion {request.kind}", address) as span:
+            traced = evolve(request, traceparent=read_traceparent())
+            outcome = await self._minions.watch(
+                address, traced, timeout, may_send, take_chunk, is_wanted
+            )
+            if outcome.is_error():
+                mark_failed(span, outcome.error.reason)
+        return outcome
--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -41,7 +41,8 @@
     """One request: ``address`` is ``IP:port``, ``path`` starts with a slash.
 
     ``may_send`` is asked last thing before the first byte goes out; where it denies,
-    the call fails as not sent.
+    the call fails as not sent. With ``take_chunk`` the body is handed over piece by
+    piece instead of as a whole, and the call ends soon after ``is_wanted`` denies.
     """
 
     method: str
@@ -51,6 +52,8 @@
     body: bytes | None = None
     headers: dict[str, str] = field(factory=dict)
     may_send: Callable[[], bool] = always_allow
+    take_chunk: Callable[[bytes], None] | None = None
+    is_wanted: Callable[[], bool] = always_allow
 
 
 def open_client(
@@ -141,6 +144,11 @@
             """Set what the client has no argument for."""
             curl.setopt(pycurl.PREREQFUNCTION, guard_handing_over)
             curl.setopt(pycurl.PROXY, "")
+            if call.take_chunk is not None:
+                curl.setopt(pycurl.NOPROGRESS, 0)
+                curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: not call.is_wanted())
+            else:
+                curl.setopt(pycurl.NOPROGRESS, 1)
 
         request = HTTPRequest(
             f"http://{call.address}{call.path}",
@@ -153,6 +161,7 @@
             decompress_response=False,
             allow_nonstandard_methods=True,
             prepare_curl_callback=prepare,
+            streaming_callback=call.take_chunk,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
--- a/packages/almondspread_platform/almondspread_platform/minions.py
+++ b/packages/almondspread_platform/almondspread_platform/minions.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from urllib.parse import quote
 
-from attrs import define
+from attrs import define, evolve
 from expression import Error, Ok, Result
 from tornado.httpclient import HTTPResponse
 
@@ -45,15 +45,47 @@
         if not _can_be_header(request.key) or not _can_be_header(request.traceparent):
             reason = "the key or trace context holds letters no header can carry"
             return Error(MinionFault(reason, not_sent=True))
-        path = "/v1/requests/" + quote(request.kind, safe="")
-        headers = _describe_headers(request)
-        call = HttpCall("POST", address, path, timeout, request.body, headers, may_send)
+        return await self._send(_describe_call(address, request, timeout, may_send))
+
+    async def watch(
+        self,
+        address: str,
+        request: MinionRequest,
+        timeout: timedelta,
+        may_send: Callable[[], bool],
+        take_chunk: Callable[[bytes], None],
+        is_wanted: Callable[[], bool],
+    ) -> Result[MinionAnswer, MinionFault]:
+        """Send a request whose answer is a standing stream.
+
+        Its pieces go to ``take_chunk``; the stream is closed after ``timeout`` and soon
+        after ``is_wanted`` denies. The answer that is returned has no body.
+        """
+        call = _describe_call(address, request, timeout, may_send)
+        return await self._send(
+            evolve(call, take_chunk=take_chunk, is_wanted=is_wanted)
+        )
+
+    async def _send(self, call: HttpCall) -> Result[MinionAnswer, MinionFault]:
+        """Send one call and read its answer."""
         sent = await self._caller.send(call)
         if sent.is_error():
             return Error(MinionFault(sent.error.reason, sent.error.not_sent))
         return Ok(_read_answer(sent.ok))
 
 
+def _describe_call(
+    address: str,
+    request: MinionRequest,
+    timeout: timedelta,
+    may_send: Callable[[], bool],
+) -> HttpCall:
+    """Return the HTTP call that carries a request."""
+    path = "/v1/requests/" + quote(request.kind, safe="")
+    headers = _describe_headers(request)
+    return HttpCall("POST", address, path, timeout, request.body, headers, may_send)
+
+
 def _can_be_header(text: str) -> bool:
     """Tell whether a header can carry ``text`` unchanged."""
     return text.isascii() and text.isprintable()
@@ -66,6 +98,8 @@
         headers["Idempotency-Key"] = request.key
     if request.deadline:
         headers["X-Deadline"] = f"{request.deadline:.6f}"
+    if request.position:
+        headers["X-Position"] = str(request.position)
     if request.traceparent:
         headers["traceparent"] = request.traceparent
     return headers
--- a/packages/almondspread_standin/almondspread_standin/minions/agent.py
+++ b/packages/almondspread_standin/almondspread_standin/minions/agent.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 from collections import Counter
+from collections.abc import AsyncIterator
 from datetime import timedelta
 from typing import Any
 
@@ -12,6 +13,8 @@
 from almondspread.clock import Clock
 from almondspread_standin.minions.faults import MinionFaults
 
+MONITOR_INTERVAL = timedelta(milliseconds=10)
+
 
 @define(frozen=True)
 class KindBehaviour:
@@ -81,6 +84,7 @@
         self.behaviours = dict(behaviours or DEFAULT_BEHAVIOURS)
         self.runs: list[MinionRun] = []
         self.runs_by_key: Counter[str] = Counter()
+        self.monitored_from: list[int] = []
         self.in_flight = 0
         self.max_in_flight = 0
         self.connections = 0
@@ -120,6 +124,16 @@
         }
         return json.dumps(answer).encode()
 
+    async def monitor(self, position: int) -> AsyncIterator[bytes]:
+        """Yield the lines of a standing stream after a position, without end."""
+        self.monitored_from.append(position)
+        while True:
+            await self._clock.sleep(MONITOR_INTERVAL)
+            await self._released.wait()
+            position += 1
+            line = {"position": position, "minion": self.name}
+            yield json.dumps(line).encode() + b"\n"
+
     def enter_slot(self) -> None:
         """Count a request that came in."""
         self.in_flight += 1
--- a/packages/almondspread_standin/almondspread_standin/minions/server.py
+++ b/packages/almondspread_standin/almondspread_standin/minions/server.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import HTTPError, RequestHandler
 
 from almondspread_platform.caller import CALLER_DOMAIN_HEADER
@@ -49,6 +49,9 @@
         if self._agent.faults.mode == "refuse":
             self.set_status(503)
             return
+        if kind == "monitor":
+            await self._stream()
+            return
         key = self.request.headers.get("Idempotency-Key", "")
         body = await self._agent.run(kind, key, self.request.body)
         mode = self._agent.faults.mode
@@ -76,6 +79,24 @@
         if self._agent.faults.connection_close:
             self.set_header("Connection", "close")
 
+    async def _stream(self) -> None:
+        """Send one line after another until the caller goes, or break off."""
+        position = int(self.request.headers.get("X-Position", "0"))
+        self.set_header("Content-Type", "application/jsonlines")
+        async for line in self._agent.monitor(position):
+            if self._connection_closed.is_set():
+                return
+            if self._agent.faults.mode == "close":
+                self.write(line[: len(line) // 2])
+                await self.flush()
+                self.detach().close()
+                return
+            self.write(line)
+            try:
+                await self.flush()
+            except StreamClosedError:
+                return
+
     async def _answer_twice(self, body: bytes) -> None:
         """Send one answer two times on the same connection."""
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
