--- a/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
@@ -33,19 +33,46 @@
 BEAT = 0.25 * SECOND
 
 
+class NodeClock:
+    """The clock of one process: while that is paused, none of its waits end."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.now = clock.now
+        self.monotonic = clock.monotonic
+        self.going = asyncio.Event()
+        self.going.set()
+
+    async def sleep(self, duration):
+        await self._clock.sleep(duration)
+        await self.going.wait()
+
+
 class DomainTable:
-    """The table as one instance reaches it."""
+    """The table as one instance reaches it.
+
+    The next ``delay`` transactions get no answer and take effect when they are
+    delivered from ``delayed``, if ever.
+    """
 
-    def __init__(self, table):
+    def __init__(self, table, clock):
         self.table = table
         self.cut = False
+        self.delay = 0
+        self.delayed = []
+        self._clock = clock
 
     async def _pass(self, call, *arguments):
+        await self._clock.going.wait()
         if self.cut:
             return Error(TableUnavailable("cut off"))
         return await call(*arguments)
 
     async def transact(self, conditions, writes):
+        if self.delay > 0:
+            self.delay -= 1
+            self.delayed.append((conditions, writes))
+            return Error(TableUnavailable("no answer yet"))
         return await self._pass(self.table.transact, conditions, writes)
 
     async def read(self, keys):
@@ -65,8 +92,12 @@
         self.terms = evolve(TERMS, horizon=domain.horizon)
         self.claimant = Claimant(name, f"{domain.started:04d}", address)
         self.members = Members(SUSPECT_AFTER)
-        self.table = DomainTable(domain.table)
+        self.clock = NodeClock(domain.clock)
+        self.table = DomainTable(domain.table, self.clock)
         self.cut_workers = set()
+        self.hold_exchanges = False
+        self.repeat_exchanges = False
+        self.lose_reports = False
         self.cut_peers = False
         self.cache = ResourceCache()
         self.published = []
@@ -77,7 +108,7 @@
             self.members,
             self.table,
             domain.store,
-            domain.clock,
+            self.clock,
             domain.make_batch,
             INSTANCE_LEASE,
             self.terms.horizon,
@@ -97,7 +128,7 @@
             self.cache,
             lambda _: list(self.domain.listed.values()),
             self,
-            self.domain.clock,
+            self.clock,
             0.5 * SECOND,
             lambda _, reports: self.published.append(reports),
         )
@@ -114,10 +145,19 @@
 
     async def exchange(self, address, message):
         """Carry one exchange, as the gateway to the workers."""
-        agent = self.domain.agents.get(address)
-        if agent is None or not agent.alive or address in self.cut_workers:
+        if self.hold_exchanges or self.repeat_exchanges:
+            self.domain.held.append((address, message))
+        if self.hold_exchanges or address in self.cut_workers:
             return Error(WorkerUnreachable("no answer"))
-        return Ok(agent.exchange(message))
+        report = self.domain.deliver(address, message)
+        await self.clock.going.wait()
+        if report is None or self.lose_reports:
+            return Error(WorkerUnreachable("no answer"))
+        return Ok(report)
+
+    @property
+    def is_paused(self):
+        return not self.clock.going.is_set()
 
     def beat(self, to):
         to.members.hear(
@@ -154,6 +194,7 @@
         self.batches = 0
         self.listed = {}
         self.agents = {}
+        self.held = []
         for number in range(workers):
             self.add_worker(f"w{number}", f"address-{number}")
         self.beating = asyncio.create_task(self.send_beats())
@@ -170,13 +211,20 @@
         self.nodes[name] = node
         return node
 
+    def deliver(self, address, message):
+        """Hand an exchange to a worker; ``None`` where nobody answers."""
+        agent = self.agents.get(address)
+        if agent is None or not agent.alive:
+            return None
+        return agent.exchange(message)
+
     def make_batch(self):
         self.batches += 1
         return f"batch-{self.batches}"
 
     def announce(self, message):
         for node in list(self.nodes.values()):
-            if not node.cut_peers:
+            if not node.cut_peers and not node.is_paused:
                 asyncio.ensure_future(node.keeper.take_released(message, None))
 
     async def send_beats(self):
@@ -185,6 +233,8 @@
                 for other in list(self.nodes.values()):
                     if node is other or node.cut_peers or other.cut_peers:
                         continue
+                    if node.is_paused or other.is_paused:
+                        continue
                     node.beat(other)
             await self.clock.sleep(BEAT)
 
--- a/packages/almondspread_standin/almondspread_standin/tests/test_shards.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_shards.py
@@ -81,7 +81,7 @@
         owner = await self.start()
         other = self.find_other(owner)
         writes = self.domain.table.row_writes
-        await self.run_beside(owner.keeper.hand_over_all(), 0.5)
+        await self.run_beside(owner.keeper.hand_over_all(), 0.08, step=0.02)
         self.assertIs(self.domain.find_owner(), other)
         self.assertLessEqual(self.domain.table.row_writes - writes, 4)
         await owner.kill()
@@ -89,9 +89,9 @@
         self.assertEqual(self.domain.ledger.count().started, 6)
         self.assertEqual(sum(self.domain.list_running().values()), 6)
 
-    async def run_beside(self, coroutine, seconds):
+    async def run_beside(self, coroutine, seconds, step=0.1):
         task = asyncio.ensure_future(coroutine)
-        await self.domain.run(seconds)
+        await self.domain.run(seconds, step)
         self.assertTrue(task.done())
 
     async def test_handover_during_an_outage_ends_and_releases_nothing(self):
@@ -159,6 +159,30 @@
         await self.domain.run(2)
         self.assertIsNone(owner.shard)
 
+    async def test_l3_confirmed_owner_acts_beyond_the_horizon(self):
+        await self.start("entry-1")
+        await self.domain.run(HORIZON + 30)
+        self.assertEqual(sum(self.domain.list_running().values()), 6)
+        self.assertEqual(self.domain.ledger.count().started, 6)
+
+    async def test_l1_exchange_of_a_paused_owner_is_dead_on_arrival(self):
+        """The pause falls between the owner's check and its act."""
+        owner = await self.start()
+        self.domain.declare("batch", "held", 2, ("sleep", "5"))
+        self.domain.catch_up()
+        owner.hold_exchanges = True
+        await self.domain.run(1)
+        held = list(self.domain.held)
+        self.assertTrue(any(message.starts for _, message in held))
+        await owner.kill()
+        self.domain.remove("batch", "held")
+        self.domain.catch_up()
+        await self.domain.run(30)
+        running = self.domain.list_running()
+        for address, message in held:
+            self.domain.deliver(address, message)
+        self.assertEqual(self.domain.list_running(), running)
+
     async def test_l3_owner_without_the_table_renews_up_to_the_horizon(self):
         owner = await self.start("entry-1")
         owner.table.cut = True
@@ -186,7 +210,8 @@
         self.assertGreater(lost, 0)
         agent.die()
         await owner.kill()
-        await self.domain.run(2)
+        await self.domain.run(8)
+        self.assertIsNone(other.shard.ownership.authority.previous_stopped_at)
         other.members.mark_gone(owner.name, owner.claimant.address)
         await self.domain.run(2 + LAPSE + 4)
         self.assertEqual(sum(self.domain.list_running().values()), 6)
