--- a/packages/almondspread/almondspread/ownership/members.py
+++ b/packages/almondspread/almondspread/ownership/members.py
@@ -24,8 +24,8 @@
 
     ``incarnation`` differs for each process that had the name, and a later one sorts
     after an earlier one. ``heard`` is this instance's monotonic time at that
-    heartbeat. ``shards`` maps those that the
-    member owns to their epochs.
+    heartbeat. ``shards`` maps those that the member owns to their epochs; ``fault``
+    tells why it cannot advance its revision.
     """
 
     name: str
@@ -37,6 +37,7 @@
     leaving: bool = False
     revision: int = 0
     shards: dict[str, int] = {}
+    fault: str = ""
     listed_gone: bool = False
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -5,6 +5,7 @@
 import signal
 import uuid
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -20,6 +21,7 @@
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
+from almondspread_daemon.following.watches import Watches
 from almondspread_daemon.http import make_application
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
@@ -34,6 +36,7 @@
     EntryAnnounced,
     FetchEntries,
     FetchRecord,
+    FetchSnapshot,
     FetchStatus,
     FetchTasks,
     Heartbeat,
@@ -44,7 +47,9 @@
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
+from almondspread_daemon.resources.standings import Standing, list_standings
 from almondspread_daemon.security import Credentials, TokenTable
+from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
@@ -54,6 +59,7 @@
 
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
+WATCH_END_TIMEOUT = timedelta(seconds=2)
 
 
 class Entry:
@@ -72,7 +78,12 @@
         self._platform = platform
         members = Members(settings.peer.suspect_after)
         self.changes = ChangeLog(
-            platform.table, clock, _make_batch, self._announce, self._push
+            platform.table,
+            platform.store,
+            clock,
+            _make_batch,
+            self._announce,
+            self._push,
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
@@ -131,6 +142,7 @@
             self.neighbours,
             clock,
         )
+        self.watches = Watches()
         self.publisher = StatusPublisher(self.changes, clock, settings.name)
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
@@ -147,6 +159,7 @@
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
+                FetchSnapshot: self.follower.take_fetch_snapshot,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
                 SubmitCall: self.router.take_submit,
@@ -258,6 +271,7 @@
         self.stopping = True
         self.follower.release_waiters()
         self.http_server.stop()
+        await self.watches.wait_until_ended(WATCH_END_TIMEOUT)
         await self.http_server.close_all_connections()
         await self.keeper.hand_over_all()
         await self.publisher.flush()
@@ -274,13 +288,13 @@
         # Sending what is queued may take a while; the event loop does not wait.
         await asyncio.to_thread(self.telemetry.close)
 
-    def _announce(self, entry: LogEntry) -> None:
-        """Tell those who follow the change log of a new entry."""
-        self.follower.announce(entry)
+    def _announce(self) -> None:
+        """Tell those who follow the change log of a step."""
+        self.follower.announce()
 
-    def _push(self, entry: LogEntry) -> None:
+    def _push(self, entry: LogEntry, head_version: int) -> None:
         """Push an own entry to the other instances."""
-        self.follower.push(entry)
+        self.follower.push(entry, head_version)
 
     def _count_peer_bytes(self) -> tuple[int, int]:
         """Return how many bytes went to and came from peers."""
@@ -288,7 +302,7 @@
         server = self.peer_server
         return sent + server.bytes_sent, received + server.bytes_received
 
-    def _wake_shards(self, _: LogEntry) -> None:
+    def _wake_shards(self) -> None:
         """Have the scheduling shards look at changed resources at once."""
         for runner in self.keeper.runners.values():
             if isinstance(runner, ScheduleShard):
@@ -305,6 +319,7 @@
             leaving=self.keeper.leaving,
             revision=self.changes.cache.revision,
             shards=self.keeper.list_epochs(),
+            fault=self.changes.fault,
         )
 
     def _list_domain_peers(self) -> list[str]:
@@ -321,11 +336,18 @@
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
-        members = [(self.settings.name, self.changes.cache.revision)]
-        for member in self.neighbours.members.list_all():
-            if not member.listed_gone:
-                members.append((member.name, member.revision))
-        return documents.describe_item(item, members)
+        neighbours = self.neighbours
+        own = Standing(
+            self.settings.name, self.changes.cache.revision, self.changes.fault
+        )
+        standings = list_standings(
+            own,
+            neighbours.members.list_all(),
+            neighbours.list_live(),
+            neighbours.listed.values(),
+            self.clock.monotonic(),
+        )
+        return documents.describe_item(item, standings)
 
     def find_deadline(self, service: str, kind: str) -> float:
         """Return the longest deadline of a kind of request, in seconds."""
@@ -349,8 +371,11 @@
     return uuid.uuid4().hex
 
 
-async def run_entry(settings: Settings) -> int:
-    """Run an instance until it is told to stop; return the exit status."""
+async def run_entry(settings: Settings, path: Path) -> int:
+    """Run an instance until it is told to stop; return the exit status.
+
+    ``path`` is the settings file, whose tokens are followed.
+    """
     clock = SystemClock()
     configure_logs(settings.log, settings.name, clock)
     entry = Entry(settings, clock)
@@ -359,6 +384,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     await entry.start()
+    following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
         async with asyncio.timeout(settings.requests.stop_bound_seconds):
@@ -366,4 +392,6 @@
     except TimeoutError:
         logger.error("the stop took longer than its bound")
         return 1
+    finally:
+        following.cancel()
     return 0
