Measure placement decisions beside a full scan

measure placement drives the real pass (order, quota, spread, priorities, accelerators, gangs, reasons for waiting) and a full scan by the same rules; both make the same decisions. A gang's tasks now take workers in their own order. A quota is reported as a limit, not as a count of workers.

--- a/packages/almondspread/almondspread/placement/choices.py
+++ b/packages/almondspread/almondspread/placement/choices.py
@@ -72,12 +72,14 @@
     for all; of unlike sizes the largest are placed first, which may miss a tight
     arrangement but never gives one that does not fit.
     """
-    positions = sorted(
-        range(len(requests)), key=lambda position: _measure_size(requests[position])
+    largest_first = sorted(
+        range(len(requests)),
+        key=lambda position: _measure_size(requests[position]),
+        reverse=True,
     )
     chosen: dict[int, str] = {}
     waiting = None
-    for position in reversed(positions):
+    for position in largest_first:
         request = requests[position]
         name = find_worker(cell, request, policy)
         if name is None:
--- a/packages/almondspread/almondspread/placement/tests/test_differential.py
+++ b/packages/almondspread/almondspread/placement/tests/test_differential.py
@@ -108,7 +108,7 @@
         if expected is None:
             assert outcome.error.placeable == room
             return
-        assert sorted(outcome.ok) == sorted(expected)
+        assert outcome.ok == expected
 
     @rule(request=requests)
     def judge_impossible(self, request):
--- a/packages/almondspread/almondspread/placement/values.py
+++ b/packages/almondspread/almondspread/placement/values.py
@@ -49,6 +49,7 @@
 
     A worker that lacks several resources counts under each of them. For a gang,
     ``tasks`` is its size and ``placeable`` how many of its tasks would find room.
+    ``limit`` names a limit, as a quota, that rules out the task on every worker.
 
     >>> waiting = Waiting(24, (ReasonCount(TOO_LITTLE_MEMORY, 23),
     ...                        ReasonCount(DRAINING, 1)))
@@ -60,9 +61,12 @@
     reasons: tuple[ReasonCount, ...] = field(default=())
     tasks: int = 1
     placeable: int = 0
+    limit: str = ""
 
     def to_text(self) -> str:
         """Return one line for operators."""
+        if self.limit:
+            return self.limit
         if not self.workers:
             return "the cell has no workers"
         parts = []
--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -10,6 +10,7 @@
 from almondspread_standin.cell import CellOptions, StandInDeployment
 from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
+from almondspread_standin.measures import measure
 
 
 @click.group()
@@ -18,6 +19,7 @@
 
 
 main.add_command(demo)
+main.add_command(measure)
 
 
 @main.command()
