--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -5,6 +5,7 @@
 import signal
 import uuid
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -15,11 +16,12 @@
 from almondspread.clock import Clock, SystemClock
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
-from almondspread.ownership import Members, Ownership
+from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
 from almondspread.resources import RequestService
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
+from almondspread_daemon.following.watches import Watches
 from almondspread_daemon.http import make_application
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
@@ -34,23 +36,30 @@
     EntryAnnounced,
     FetchEntries,
     FetchRecord,
+    FetchSnapshot,
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    ShardReleased,
     SubmitCall,
 )
-from almondspread_daemon.platform_access import open_platform
+from almondspread_daemon.platform_access import observe_platform, open_platform
 from almondspread_daemon.reports import StatusReporter
 from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
 from almondspread_daemon.resources import ResourceService, documents
+from almondspread_daemon.resources.standings import Standing, list_standings
+from almondspread_daemon.security import Credentials, TokenTable
+from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
-from almondspread_daemon.telemetry import configure_logs
+from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
+from almondspread_daemon.telemetry.gauges import register_gauges
 
 MINION_SETTLE_TIME = timedelta(seconds=2)
 POOL_INTERVAL = timedelta(milliseconds=250)
+WATCH_END_TIMEOUT = timedelta(seconds=2)
 
 
 class Entry:
@@ -60,13 +69,21 @@
         self.settings = settings
         self.clock = clock
         self.stopping = False
-        self.incarnation = uuid.uuid4().hex
+        self.incarnation = make_incarnation(clock.now())
         self._started = False
-        platform = open_platform(settings)
+        self.telemetry = Telemetry(settings)
+        self.tokens = TokenTable(settings.tokens)
+        self.credentials = Credentials(settings, clock)
+        platform = observe_platform(open_platform(settings), self.telemetry)
         self._platform = platform
         members = Members(settings.peer.suspect_after)
         self.changes = ChangeLog(
-            platform.table, clock, _make_batch, self._announce, self._push
+            platform.table,
+            platform.store,
+            clock,
+            _make_batch,
+            self._announce,
+            self._push,
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
@@ -78,6 +95,8 @@
             self._compose_heartbeat,
             settings.peer.heartbeat,
             settings.platform.poll,
+            self.telemetry.traces,
+            self.credentials.peer_client,
         )
         self.follower = ChangeFollower(
             self.changes,
@@ -93,9 +112,8 @@
         )
         request_shards = name_shards("requests", domains, ownership.request_shards)
         self.keeper = ShardKeeper(
-            settings.name,
+            Claimant(settings.name, self.incarnation, settings.peer.listen),
             settings.failure_domain,
-            self.incarnation,
             self._plan_shards(request_shards),
             members,
             platform.table,
@@ -103,7 +121,9 @@
             clock,
             _make_batch,
             settings.ownership.instance_lease,
+            settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
+            self.neighbours.note_all,
         )
         self.pools = MinionPools(
             settings.name,
@@ -122,6 +142,7 @@
             self.neighbours,
             clock,
         )
+        self.watches = Watches()
         self.publisher = StatusPublisher(self.changes, clock, settings.name)
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
@@ -135,21 +156,31 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
+                FetchSnapshot: self.follower.take_fetch_snapshot,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
                 SubmitCall: self.router.take_submit,
                 FetchRecord: self.router.take_fetch,
                 CallMinion: self.router.take_call,
-            }
+            },
+            self.telemetry.traces,
+            self.credentials.peer_server,
         )
         self.http_server = HTTPServer(
             make_application(self),
+            ssl_options=self.credentials.http,
             max_body_size=settings.http.max_body_bytes,
             max_header_size=settings.http.max_header_bytes,
             idle_connection_timeout=settings.http.idle_timeout.total_seconds(),
         )
+        register_gauges(
+            self.telemetry.metrics,
+            self.reporter.describe_status,
+            self._count_peer_bytes,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def _plan_shards(self, request_shards: tuple[str, ...]) -> dict[str, MakeRunner]:
@@ -170,8 +201,10 @@
         """Return what acts for a scheduling shard."""
         terms = LeaseTerms(
             length=self.settings.scheduling.task_lease,
+            delivery=self.settings.scheduling.start_expiry,
             horizon=self.settings.ownership.partition_horizon,
             clock_rate_bound=self.settings.ownership.clock_rate_bound,
+            clock_offset_bound=self.settings.ownership.clock_offset_bound,
         )
         return ScheduleShard(
             ownership,
@@ -185,6 +218,7 @@
             self.clock,
             self.settings.scheduling.exchange,
             self.publisher.publish,
+            self.settings.scheduling.commit,
         )
 
     def _make_key_shard(
@@ -210,6 +244,7 @@
             self.keeper.run(),
             self.publisher.run(),
             self._follow_minions(),
+            self.credentials.run(),
         ):
             self._tasks.append(start_task(running))
         self._started = True
@@ -236,6 +271,7 @@
         self.stopping = True
         self.follower.release_waiters()
         self.http_server.stop()
+        await self.watches.wait_until_ended(WATCH_END_TIMEOUT)
         await self.http_server.close_all_connections()
         await self.keeper.hand_over_all()
         await self.publisher.flush()
@@ -249,16 +285,24 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Sending what is queued may take a while; the event loop does not wait.
+        await asyncio.to_thread(self.telemetry.close)
 
-    def _announce(self, entry: LogEntry) -> None:
-        """Tell those who follow the change log of a new entry."""
-        self.follower.announce(entry)
+    def _announce(self) -> None:
+        """Tell those who follow the change log of a step."""
+        self.follower.announce()
 
-    def _push(self, entry: LogEntry) -> None:
+    def _push(self, entry: LogEntry, head_version: int) -> None:
         """Push an own entry to the other instances."""
-        self.follower.push(entry)
+        self.follower.push(entry, head_version)
+
+    def _count_peer_bytes(self) -> tuple[int, int]:
+        """Return how many bytes went to and came from peers."""
+        sent, received = self.neighbours.count_bytes()
+        server = self.peer_server
+        return sent + server.bytes_sent, received + server.bytes_received
 
-    def _wake_shards(self, _: LogEntry) -> None:
+    def _wake_shards(self) -> None:
         """Have the scheduling shards look at changed resources at once."""
         for runner in self.keeper.runners.values():
             if isinstance(runner, ScheduleShard):
@@ -275,6 +319,7 @@
             leaving=self.keeper.leaving,
             revision=self.changes.cache.revision,
             shards=self.keeper.list_epochs(),
+            fault=self.changes.fault,
         )
 
     def _list_domain_peers(self) -> list[str]:
@@ -291,11 +336,18 @@
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
-        members = [(self.settings.name, self.changes.cache.revision)]
-        for member in self.neighbours.members.list_all():
-            if not member.listed_gone:
-                members.append((member.name, member.revision))
-        return documents.describe_item(item, members)
+        neighbours = self.neighbours
+        own = Standing(
+            self.settings.name, self.changes.cache.revision, self.changes.fault
+        )
+        standings = list_standings(
+            own,
+            neighbours.members.list_all(),
+            neighbours.list_live(),
+            neighbours.listed.values(),
+            self.clock.monotonic(),
+        )
+        return documents.describe_item(item, standings)
 
     def find_deadline(self, service: str, kind: str) -> float:
         """Return the longest deadline of a kind of request, in seconds."""
@@ -311,7 +363,7 @@
 
     def traceparent(self) -> str:
         """Return the trace context to send on."""
-        return ""
+        return read_traceparent()
 
 
 def _make_batch() -> str:
@@ -319,15 +371,20 @@
     return uuid.uuid4().hex
 
 
-async def run_entry(settings: Settings) -> int:
-    """Run an instance until it is told to stop; return the exit status."""
-    configure_logs(settings.log, settings.name)
-    entry = Entry(settings, SystemClock())
+async def run_entry(settings: Settings, path: Path) -> int:
+    """Run an instance until it is told to stop; return the exit status.
+
+    ``path`` is the settings file, whose tokens are followed.
+    """
+    clock = SystemClock()
+    configure_logs(settings.log, settings.name, clock)
+    entry = Entry(settings, clock)
     told = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     await entry.start()
+    following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
         async with asyncio.timeout(settings.requests.stop_bound_seconds):
@@ -335,4 +392,6 @@
     except TimeoutError:
         logger.error("the stop took longer than its bound")
         return 1
+    finally:
+        following.cancel()
     return 0
