Preempt, hold for gangs, retry, quarantine and estimate

Policies as plain functions over small state: minimal victims on one worker for urgent work, holds that keep other tasks from delaying a gang, claims for the room of preempted tasks, retry budget and backoff, quarantine by the spread of failing workloads, and estimates learnt from finished attempts. decide_waiting now takes a PassState that carries them.

--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/claims.py
@@ -0,0 +1,92 @@
+"""Room that urgent tasks were given by preemption, until the victims have ended."""
+
+from datetime import datetime
+
+from attrs import define
+
+from almondspread.placement import Cell
+from almondspread.resources.capacity import Capacity
+from almondspread.scheduling.policies.backfill import GangHold
+from almondspread.scheduling.policies.preemption import Victims, choose_victims
+from almondspread.scheduling.policies.running import RunningTasks
+
+
+@define(frozen=True)
+class Preemption:
+    """Running tasks to stop so that an urgent task can start on their worker."""
+
+    workload: str
+    task: str
+    victims: Victims
+
+
+@define
+class _Claim:
+    """One urgent task's room and the tasks that make it."""
+
+    hold: GangHold
+    victims: Victims
+
+
+class ClaimBook:
+    """The urgent tasks that wait for their victims to end."""
+
+    def __init__(self) -> None:
+        self._claims: dict[str, _Claim] = {}
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def find_worker(self, task: str) -> str | None:
+        """Return where a task's room is complete, ``None`` where it is not."""
+        claim = self._claims.get(task)
+        if claim is None or not claim.hold.is_complete:
+            return None
+        return claim.victims.worker
+
+    def has_claim(self, task: str) -> bool:
+        """Tell whether tasks are being stopped for this one."""
+        return task in self._claims
+
+    def open_claim(
+        self,
+        cell: Cell,
+        running: RunningTasks,
+        task: str,
+        size: Capacity,
+        priority: int,
+        now: datetime,
+    ) -> Victims | None:
+        """Choose victims for a task and claim their room, ``None`` if there are none.
+
+        Tasks that are being stopped for another one are not chosen again.
+        """
+        stopping: set[str] = set()
+        for claim in self._claims.values():
+            stopping.update(claim.victims.tasks)
+        victims = choose_victims(cell, running, size, priority, now, stopping)
+        if victims is None:
+            return None
+        hold = GangHold(task, priority, size, {victims.worker: 1}, now)
+        hold.fill(cell)
+        self._claims[task] = _Claim(hold, victims)
+        return victims
+
+    def close_claim(self, cell: Cell, task: str) -> None:
+        """Give back the room of a task that starts or was cancelled."""
+        claim = self._claims.pop(task, None)
+        if claim is not None:
+            claim.hold.release(cell)
+
+    def refresh(self, cell: Cell, running: RunningTasks) -> None:
+        """Fill the claims; drop those whose victims ended without making room."""
+        for task, claim in list(self._claims.items()):
+            if not claim.hold.is_feasible(cell):
+                self.close_claim(cell, task)
+                continue
+            claim.hold.fill(cell)
+            if claim.hold.is_complete:
+                continue
+            if any(running.find(victim) for victim in claim.victims.tasks):
+                continue
+            self.close_claim(cell, task)
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/estimates.py
@@ -0,0 +1,115 @@
+"""Run times and memory learnt from finished attempts.
+
+Declared sizes decide what is committed; estimates decide only in what order work is
+tried, when room is expected, and which tasks are over what their kind uses. What is
+known of the workload itself comes first, then the team's ratio of actual to declared,
+then what was declared.
+"""
+
+from collections import OrderedDict, deque
+from datetime import timedelta
+
+from attrs import define, field
+
+SAMPLES_KEPT = 32
+MIN_SAMPLES = 3
+MAX_WORKLOADS = 4_096
+UPPER_QUANTILE = 0.95
+UNKNOWN_RUN_TIME = timedelta(hours=1)
+
+
+@define(frozen=True)
+class RunEstimate:
+    """The run time that is expected and one that few attempts exceed."""
+
+    expected: timedelta
+    upper: timedelta
+    samples: int
+
+
+@define
+class _Samples:
+    """The latest samples of one workload or team."""
+
+    run_seconds: deque[float] = field(factory=lambda: deque(maxlen=SAMPLES_KEPT))
+    memory_mib: deque[float] = field(factory=lambda: deque(maxlen=SAMPLES_KEPT))
+
+
+class EstimateBook:
+    """What finished attempts have shown, for a bounded number of workloads.
+
+    >>> book = EstimateBook()
+    >>> minute = timedelta(minutes=1)
+    >>> for minutes in (9, 10, 11):
+    ...     book.note_finished("nightly", "routes", minute, minutes * minute, 100, 80)
+    >>> book.estimate_run_time("nightly", "routes", minute).expected
+    datetime.timedelta(seconds=600)
+    >>> book.estimate_run_time("weekly", "routes", 2 * minute).expected
+    datetime.timedelta(seconds=1200)
+    """
+
+    def __init__(self) -> None:
+        self._workloads: OrderedDict[tuple[str, str], _Samples] = OrderedDict()
+        self._teams: dict[str, _Samples] = {}
+
+    def note_finished(
+        self,
+        workload: str,
+        team: str,
+        declared: timedelta,
+        actual: timedelta,
+        declared_mib: int,
+        peak_mib: int,
+    ) -> None:
+        """Learn from an attempt that finished; a declared time of 0 is unknown."""
+        key = (team, workload)
+        samples = self._workloads.setdefault(key, _Samples())
+        self._workloads.move_to_end(key)
+        samples.run_seconds.append(actual.total_seconds())
+        samples.memory_mib.append(peak_mib)
+        if len(self._workloads) > MAX_WORKLOADS:
+            self._workloads.popitem(last=False)
+        ratios = self._teams.setdefault(team, _Samples())
+        if declared > timedelta(0):
+            ratios.run_seconds.append(actual / declared)
+        ratios.memory_mib.append(peak_mib / declared_mib)
+
+    def estimate_run_time(
+        self, workload: str, team: str, declared: timedelta
+    ) -> RunEstimate:
+        """Return how long an attempt is expected to run."""
+        samples = self._workloads.get((team, workload))
+        if samples is not None and len(samples.run_seconds) >= MIN_SAMPLES:
+            return _estimate(samples.run_seconds, timedelta(seconds=1))
+        if declared <= timedelta(0):
+            return RunEstimate(UNKNOWN_RUN_TIME, UNKNOWN_RUN_TIME, 0)
+        ratios = self._teams.get(team)
+        if ratios is not None and len(ratios.run_seconds) >= MIN_SAMPLES:
+            return _estimate(ratios.run_seconds, declared)
+        return RunEstimate(declared, declared, 0)
+
+    def estimate_memory(self, workload: str, team: str, declared_mib: int) -> int:
+        """Return the MiB that few attempts exceed."""
+        samples = self._workloads.get((team, workload))
+        if samples is not None and len(samples.memory_mib) >= MIN_SAMPLES:
+            return round(_find_sample(samples.memory_mib, UPPER_QUANTILE))
+        ratios = self._teams.get(team)
+        if ratios is not None and len(ratios.memory_mib) >= MIN_SAMPLES:
+            upper = _find_sample(ratios.memory_mib, UPPER_QUANTILE)
+            return round(upper * declared_mib)
+        return declared_mib
+
+
+def _estimate(samples: deque[float], unit: timedelta) -> RunEstimate:
+    """Return median and upper quantile of samples in a unit."""
+    return RunEstimate(
+        _find_sample(samples, 0.5) * unit,
+        _find_sample(samples, UPPER_QUANTILE) * unit,
+        len(samples),
+    )
+
+
+def _find_sample(samples: deque[float], quantile: float) -> float:
+    """Return the sample at a quantile."""
+    ordered = sorted(samples)
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_backfill.py
@@ -0,0 +1,200 @@
+import unittest
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspread.clock import ManualClock
+from almondspread.placement import Cell
+from almondspread.resources.capacity import Capacity
+from almondspread.scheduling.policies.backfill import (
+    FIRST_HOLD_LIMIT,
+    HoldBook,
+    plan_hold,
+)
+from almondspread.scheduling.policies.ordering import WaitingQueue, WaitingWorkload
+from almondspread.scheduling.policies.passes import (
+    Deferral,
+    PassState,
+    cancel_workload,
+    decide_waiting,
+)
+from almondspread.scheduling.policies.quotas import TeamLedger
+from almondspread.scheduling.policies.running import RunningTask, RunningTasks
+
+NOW = ManualClock().now()
+WORKERS = 3
+CAPACITY = Capacity(8, 8)
+
+
+def make_gang(size, name="gang", priority=100):
+    submitted = NOW - timedelta(minutes=1)
+    return WaitingWorkload(name, "t", priority, size, submitted, gang=True)
+
+
+def run_until_gang_starts(running_sizes, gang_size, gang_tasks, backfill):
+    """Return after how many ends of running tasks the gang starts."""
+    cell = Cell()
+    for number in range(WORKERS):
+        cell.add_worker(f"w{number}", "enna", "r", CAPACITY)
+    ledger = TeamLedger(CAPACITY.times(WORKERS))
+    state = PassState(cell, ledger, WaitingQueue(), "packing")
+    for number, (worker, cpu, memory) in enumerate(running_sizes):
+        size = Capacity(cpu, memory)
+        name = f"w{worker}"
+        if not cell.worker(name).has_room(size):
+            continue
+        cell.commit(name, "old", size)
+        end = NOW + timedelta(seconds=number + 1)
+        state.running.add(
+            RunningTask(
+                f"old{number}", "old", name, size, 100, "batch", NOW, False, end
+            )
+        )
+        ledger.restore("t", size)
+    gang = make_gang(gang_size)
+    state.queue.add(gang, [f"g{task}" for task in range(gang_tasks)])
+    for step in range(len(running_sizes) + 1):
+        room = count_room(cell, state, gang_size)
+        for decision in decide_waiting(state, NOW + timedelta(seconds=step)):
+            if isinstance(decision, tuple) and decision[0].workload == "gang":
+                return step
+        if not backfill and room >= gang_tasks:
+            raise AssertionError("the gang has room and does not start")
+        if step == 0:
+            add_backfill(state.queue, backfill)
+        ended = state.running.find(f"old{step}")
+        if ended is None:
+            continue
+        cell.release(ended.worker, "old", ended.size)
+        state.running.remove(ended.name)
+    return None
+
+
+def count_room(cell, state, size):
+    """Return how many tasks fit beside the running ones, whatever is held."""
+    room = 0
+    for worker in cell.iterate_workers():
+        free = worker.capacity
+        for task in state.running.list_on(worker.name):
+            free = free.minus(task.size)
+        room += min(
+            free.cpu_millis // size.cpu_millis, free.memory_mib // size.memory_mib
+        )
+    return room
+
+
+def add_backfill(queue, sizes):
+    """Add work that is ordered before the gang and never ends."""
+    for number, (cpu, memory) in enumerate(sizes):
+        early = NOW - timedelta(minutes=2)
+        workload = WaitingWorkload(
+            f"fill{number}", "u", 100, Capacity(cpu, memory), early
+        )
+        queue.add(workload, [f"fill{number}-{task}" for task in range(6)])
+
+
+small = st.integers(1, 4)
+
+
+class BackfillTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    @given(
+        st.lists(st.tuples(st.integers(0, WORKERS - 1), small, small), max_size=9),
+        st.builds(Capacity, st.integers(2, 6), st.integers(2, 6)),
+        st.integers(1, 6),
+        st.lists(st.tuples(small, small), min_size=1, max_size=4),
+    )
+    def test_never_delays_a_gang(self, running, size, tasks, backfill):
+        alone = run_until_gang_starts(running, size, tasks, [])
+        beside = run_until_gang_starts(running, size, tasks, backfill)
+        self.assertEqual(beside, alone)
+
+    def test_other_work_starts_beside_a_hold(self):
+        cell = Cell()
+        for number in range(2):
+            cell.add_worker(f"w{number}", "enna", "r", CAPACITY)
+        state = PassState(
+            cell, TeamLedger(CAPACITY.times(2)), WaitingQueue(), "packing"
+        )
+        cell.commit("w0", "old", Capacity(6, 2))
+        end = NOW + timedelta(seconds=9)
+        state.running.add(
+            RunningTask(
+                "old", "old", "w0", Capacity(6, 2), 100, "batch", NOW, False, end
+            )
+        )
+        state.queue.add(make_gang(Capacity(6, 6)), ["g0", "g1"])
+        late = WaitingWorkload("late", "t", 100, Capacity(2, 2), NOW)
+        state.queue.add(late, ["late0", "late1"])
+        decisions = list(decide_waiting(state, NOW))
+        self.assertIsInstance(decisions[0], Deferral)
+        self.assertEqual([(p.task, p.worker) for p in decisions[1]], [("late0", "w1")])
+        self.assertIsInstance(decisions[2], Deferral)
+        cancel_workload(state, "gang")
+        self.assertEqual(cell.worker("w0").committed, Capacity(6, 2))
+        self.assertEqual(len(state.queue), 1)
+
+    def test_higher_priority_takes_held_room_and_the_hold_is_filled_again(self):
+        cell = Cell()
+        cell.add_worker("w0", "enna", "r", CAPACITY)
+        state = PassState(cell, TeamLedger(CAPACITY), WaitingQueue(), "packing")
+        cell.commit("w0", "old", Capacity(2, 2))
+        end = NOW + timedelta(seconds=9)
+        state.running.add(
+            RunningTask(
+                "old", "old", "w0", Capacity(2, 2), 100, "batch", NOW, False, end
+            )
+        )
+        state.queue.add(make_gang(CAPACITY), ["g0"])
+        list(decide_waiting(state, NOW))
+        self.assertEqual(cell.worker("w0").committed, CAPACITY)
+        for name, priority in (("low", 100), ("high", 500)):
+            early = NOW - timedelta(minutes=2)
+            work = WaitingWorkload(name, "t", priority, Capacity(2, 2), early)
+            state.queue.add(work, [f"{name}0"])
+        decisions = list(decide_waiting(state, NOW))
+        self.assertEqual(decisions[0][0].task, "high0")
+        self.assertEqual([type(decision) for decision in decisions[1:]], [Deferral] * 2)
+        self.assertEqual(cell.worker("w0").committed, CAPACITY)
+
+    def test_hold_ends_and_the_next_lasts_longer(self):
+        cell = Cell()
+        cell.add_worker("w0", "enna", "r", CAPACITY)
+        cell.commit("w0", "old", Capacity(2, 2))
+        running = RunningTasks()
+        gang = make_gang(CAPACITY)
+        holds = HoldBook()
+        self.assertIsNone(holds.open_hold(cell, running, gang, 1, NOW))
+        end = NOW + timedelta(seconds=9)
+        running.add(
+            RunningTask(
+                "old", "old", "w0", Capacity(2, 2), 100, "batch", NOW, False, end
+            )
+        )
+        self.assertIsNotNone(holds.open_hold(cell, running, gang, 1, NOW))
+        later = NOW + FIRST_HOLD_LIMIT
+        holds.refresh(cell, later)
+        self.assertEqual(len(holds), 0)
+        self.assertEqual(cell.worker("w0").committed, Capacity(2, 2))
+        self.assertIsNone(holds.open_hold(cell, running, gang, 1, later))
+        later += FIRST_HOLD_LIMIT
+        hold = holds.open_hold(cell, running, gang, 1, later)
+        self.assertEqual(hold.expires, later + 2 * FIRST_HOLD_LIMIT)
+
+    def test_plan_takes_the_room_that_comes_first(self):
+        cell = Cell()
+        running = RunningTasks()
+        for number, seconds in ((0, 30), (1, 10), (2, 20)):
+            name = f"w{number}"
+            cell.add_worker(name, "enna", "r", CAPACITY)
+            cell.commit(name, "old", CAPACITY)
+            end = NOW + timedelta(seconds=seconds)
+            running.add(
+                RunningTask(
+                    f"t{number}", "old", name, CAPACITY, 1, "batch", NOW, False, end
+                )
+            )
+        plan = plan_hold(cell, running, Capacity(4, 4), 3, NOW)
+        self.assertEqual(plan, {"w1": 2, "w2": 1})
+        self.assertIsNone(plan_hold(cell, running, Capacity(4, 4), 7, NOW))
--- a/packages/almondspread/almondspread/scheduling/policies/tests/test_passes.py
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_passes.py
@@ -4,8 +4,14 @@
 from almondspread.placement import Cell
 from almondspread.resources.capacity import Capacity
 from almondspread.scheduling.policies.ordering import WaitingQueue, WaitingWorkload
-from almondspread.scheduling.policies.passes import Deferral, decide_waiting
+from almondspread.scheduling.policies.passes import (
+    Deferral,
+    PassState,
+    cancel_workload,
+    decide_waiting,
+)
 from almondspread.scheduling.policies.quotas import TeamLedger
+from almondspread.scheduling.policies.running import RunningTask
 
 NOW = ManualClock().now()
 SIZE = Capacity(1000, 1000)
@@ -21,12 +27,11 @@
         self.cell.add_worker("w", "enna", "r", Capacity(4000, 8000))
         self.ledger = TeamLedger(Capacity(4000, 8000))
         self.queue = WaitingQueue()
+        self.state = PassState(self.cell, self.ledger, self.queue, "packing")
 
-    def decide(self):
+    def decide(self, now=NOW):
         decisions = []
-        for decision in decide_waiting(
-            self.cell, self.ledger, self.queue, NOW, "packing"
-        ):
+        for decision in decide_waiting(self.state, now):
             if isinstance(decision, Deferral):
                 decisions.append((decision.workload, decision.waiting.to_text()))
                 continue
@@ -59,3 +64,51 @@
         self.assertEqual(self.cell.worker("w").committed, Capacity(0, 0))
         self.queue.remove("g", "g4")
         self.assertEqual(self.decide(), [["g0", "g1", "g2", "g3"]])
+
+    def test_urgent_task_starts_when_its_victim_has_ended(self):
+        victim = RunningTask("v", "v", "w", SIZE.times(3), 100, "batch", NOW)
+        self.cell.commit("w", "v", victim.size)
+        self.cell.commit("w", "s", SIZE)
+        self.ledger.restore("t", victim.size)
+        self.state.running.add(victim)
+        self.queue.add(make_workload("u", priority=900), ["u0"])
+        self.queue.add(make_workload("low"), ["low0", "low1", "low2"])
+        first = next(decide_waiting(self.state, NOW))
+        self.assertEqual(first.victims.tasks, ("v",))
+        for decision in decide_waiting(self.state, NOW):
+            self.assertIsInstance(decision, Deferral)
+        self.cell.release("w", "v", victim.size)
+        self.state.running.remove("v")
+        placed = [names for names in self.decide() if isinstance(names, list)]
+        self.assertEqual(placed, [["u0"], ["low0"], ["low1"]])
+        self.assertEqual(len(self.state.claims), 0)
+
+    def test_claim_is_given_back_when_its_task_is_cancelled(self):
+        victim = RunningTask("v", "v", "w", SIZE.times(2), 100, "batch", NOW)
+        self.cell.commit("w", "v", victim.size)
+        self.cell.commit("w", "s", SIZE)
+        self.state.running.add(victim)
+        work = WaitingWorkload("u", "t", 900, SIZE.times(2), NOW)
+        self.queue.add(work, ["u0", "u1"])
+        preemption, deferral = list(decide_waiting(self.state, NOW))
+        self.assertEqual((preemption.task, deferral.workload), ("u0", "u"))
+        self.assertEqual(self.cell.worker("w").committed, Capacity(4000, 5000))
+        cancel_workload(self.state, "u")
+        self.assertEqual(self.cell.worker("w").committed, SIZE.times(3))
+
+    def test_claimed_room_counts_once_and_goes_to_nobody_else(self):
+        for name, priority in (("v0", 100), ("v1", 100)):
+            size = Capacity(1500, 1000)
+            self.cell.commit("w", name, size)
+            self.state.running.add(
+                RunningTask(name, name, "w", size, priority, "batch", NOW)
+            )
+        work = WaitingWorkload("u", "t", 900, Capacity(2500, 1000), NOW)
+        self.queue.add(work, ["u0", "u1"])
+        preemption, _ = list(decide_waiting(self.state, NOW))
+        self.assertEqual(preemption.victims.tasks, ("v0",))
+        self.cell.release("w", "v0", Capacity(1500, 1000))
+        self.state.running.remove("v0")
+        work = WaitingWorkload("x", "t", 950, Capacity(3500, 1000), NOW)
+        self.queue.add(work, ["x0"])
+        self.assertEqual(self.decide()[1:2], [["u0"]])
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_retries.py
@@ -0,0 +1,46 @@
+import random
+import unittest
+from datetime import timedelta
+
+from almondspread.scheduling.policies.retries import (
+    FIRST_BACKOFF,
+    LONGEST_BACKOFF,
+    GiveUp,
+    Retry,
+    RetryBudget,
+    choose_backoff,
+    decide_retry,
+)
+
+
+class DecideRetryTest(unittest.TestCase):
+    def test_backoff_doubles_up_to_its_bound(self):
+        source = random.Random(1)
+        for failures in (1, 2, 5, 60, 5_000):
+            longest = min(FIRST_BACKOFF * 2 ** min(failures - 1, 30), LONGEST_BACKOFF)
+            delays = {choose_backoff(failures, source) for _ in range(50)}
+            self.assertGreater(len(delays), 10)
+            self.assertLessEqual(max(delays), longest)
+            self.assertGreaterEqual(min(delays), longest / 2)
+
+    def test_gives_up_after_the_allowed_attempts(self):
+        budget = RetryBudget()
+        source = random.Random(1)
+        self.assertIsInstance(decide_retry(2, 3, budget, source), Retry)
+        self.assertEqual(decide_retry(3, 3, budget, source), GiveUp(3))
+        self.assertIsInstance(decide_retry(99, 0, budget, source), Retry)
+
+    def test_spent_budget_slows_retries_to_a_share_of_the_starts(self):
+        budget = RetryBudget()
+        source = random.Random(1)
+        while budget.spend():
+            continue
+        self.assertGreaterEqual(
+            decide_retry(1, 3, budget, source).delay, LONGEST_BACKOFF
+        )
+        quick = 0
+        for _ in range(100):
+            budget.earn()
+            delay = decide_retry(1, 3, budget, source).delay
+            quick += delay < timedelta(minutes=1)
+        self.assertIn(quick, (19, 20))
--- a/packages/almondspread_standin/almondspread_standin/measures/placement.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/placement.py
@@ -14,7 +14,7 @@
 from almondspread.resources.capacity import Capacity
 from almondspread.scheduling.policies.ordering import QueueEntry, WaitingQueue
 from almondspread.scheduling.policies.passes import (
-    Deferral,
+    PassState,
     Placement,
     decide_waiting,
 )
@@ -77,6 +77,9 @@
         self.cell = cell
         self.ledger = ledger
         self.queue = WaitingQueue()
+        self.state: PassState | None = None
+        if isinstance(cell, Cell):
+            self.state = PassState(cell, ledger, self.queue, "waiting")
         self.held: deque[tuple[str, Placement]] = deque()
         self.used = Capacity(0, 0)
         self.total = total
@@ -135,11 +138,9 @@
 def decide_with_index(replay: _Replay) -> Iterator[Placed]:
     """Yield the decisions of the real pass."""
     clock = ManualClock()
-    assert isinstance(replay.cell, Cell)
-    for decision in decide_waiting(
-        replay.cell, replay.ledger, replay.queue, clock.now(), "waiting"
-    ):
-        yield () if isinstance(decision, Deferral) else decision
+    assert replay.state is not None
+    for decision in decide_waiting(replay.state, clock.now()):
+        yield decision if isinstance(decision, tuple) else ()
 
 
 def decide_with_scan(replay: _Replay) -> Iterator[Placed]:
