Send heartbeats at changes in the tests' domain, as an entry does

The handover test had gone in red in: its domain told of a leaving owner only at the next heartbeat.

--- a/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
@@ -112,7 +112,7 @@
             domain.make_batch,
             INSTANCE_LEASE,
             self.terms.horizon,
-            lambda: None,
+            self.beat_all,
             domain.announce,
         )
         self.catch_up()
@@ -159,6 +159,13 @@
     def is_paused(self):
         return not self.clock.going.is_set()
 
+    def beat_all(self):
+        for other in list(self.domain.nodes.values()):
+            if other is self or self.cut_peers or other.cut_peers:
+                continue
+            if not self.is_paused and not other.is_paused:
+                self.beat(other)
+
     def beat(self, to):
         to.members.hear(
             Member(
@@ -230,12 +237,7 @@
     async def send_beats(self):
         while True:
             for node in list(self.nodes.values()):
-                for other in list(self.nodes.values()):
-                    if node is other or node.cut_peers or other.cut_peers:
-                        continue
-                    if node.is_paused or other.is_paused:
-                        continue
-                    node.beat(other)
+                node.beat_all()
             await self.clock.sleep(BEAT)
 
     def declare(self, kind, name, tasks, command=("serve",), **fields):
