--- a/packages/almondspread/almondspread/journal/__init__.py
+++ b/packages/almondspread/almondspread/journal/__init__.py
@@ -1,6 +1,12 @@
 """The journal of one shard: the fence behind which its owner decides."""
 
-from almondspread.journal.journal import Journal, Recovery, Superseded, Undecodable
+from almondspread.journal.journal import (
+    Journal,
+    Recovery,
+    Superseded,
+    Undecodable,
+    ignore_commit,
+)
 from almondspread.journal.rows import JournalRow, make_row_key
 
 __all__ = [
@@ -9,5 +15,6 @@
     "Recovery",
     "Superseded",
     "Undecodable",
+    "ignore_commit",
     "make_row_key",
 ]
--- a/packages/almondspread/almondspread/journal/journal.py
+++ b/packages/almondspread/almondspread/journal/journal.py
@@ -69,8 +69,15 @@
     covered: int = 0
 
 
+def ignore_commit(duration: timedelta, events: int) -> None:
+    """Take no note of a commit."""
+
+
 class Journal:
-    """The journal of one shard under one epoch of its ownership."""
+    """The journal of one shard under one epoch of its ownership.
+
+    ``observe_commit`` is told of each commit: how long it took and its events.
+    """
 
     def __init__(
         self,
@@ -81,6 +88,7 @@
         store: ObjectStore,
         clock: Clock,
         make_batch: Callable[[], str],
+        observe_commit: Callable[[timedelta, int], None] = ignore_commit,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -89,6 +97,7 @@
         self._store = store
         self._clock = clock
         self._make_batch = make_batch
+        self._observe_commit = observe_commit
         self._next_sequence = 1
         self._snapshot_sequence = 0
         self._snapshot_name = ""
@@ -147,6 +156,7 @@
         Waits out an outage of the table service: until the row's fate is known,
         nothing else may be decided.
         """
+        began = self._clock.monotonic()
         sequence = self._next_sequence
         key = make_row_key(self.shard, sequence)
         row = JournalRow(self._make_batch(), self.epoch, tuple(events))
@@ -165,6 +175,7 @@
             break
         self.stalled = False
         self._next_sequence = sequence + 1
+        self._observe_commit(self._clock.monotonic() - began, len(events))
         return Ok(sequence)
 
     async def write_snapshot(self, data: bytes) -> Result[None, Superseded]:
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -124,6 +124,7 @@
             settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
             self.neighbours.note_all,
+            self._observe_commit,
         )
         self.pools = MinionPools(
             settings.name,
@@ -221,6 +222,12 @@
             self.settings.scheduling.commit,
         )
 
+    def _observe_commit(self, duration: timedelta, _: int) -> None:
+        """Count a commit into a journal."""
+        instruments = self.telemetry.instruments
+        instruments.commits.add(1)
+        instruments.commit_duration.record(duration.total_seconds())
+
     def _make_key_shard(
         self, ownership: Ownership, journal: Journal, _: bool
     ) -> KeyShard:
--- a/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
@@ -10,7 +10,7 @@
 
 from almondspread.clock import Clock
 from almondspread.interfaces import ObjectStore, TableService, TableUnavailable
-from almondspread.journal import Journal, Undecodable
+from almondspread.journal import Journal, Undecodable, ignore_commit
 from almondspread.ownership import (
     Claimant,
     Members,
@@ -75,6 +75,7 @@
         horizon: timedelta,
         on_change: Callable[[], None],
         announce: Callable[[ShardReleased], None],
+        observe_commit: Callable[[timedelta, int], None] = ignore_commit,
     ) -> None:
         self.runners: dict[str, ShardRunner] = {}
         self.ownerships: dict[str, Ownership] = {}
@@ -92,6 +93,7 @@
         self._horizon = horizon
         self._on_change = on_change
         self._announce = announce
+        self._observe_commit = observe_commit
         self._owned: dict[str, OwnedShard] = {}
         self._unsettled: set[str] = set()
         self._retry_at: dict[str, timedelta] = {}
@@ -236,6 +238,7 @@
             self._store,
             self._clock,
             self._make_batch,
+            self._observe_commit,
         )
         stopped = ownership.authority.previous_stopped_at is not None
         runner = self._shards[shard](ownership, journal, stopped)
--- a/packages/almondspread_standin/almondspread_standin/tests/test_shard_machine.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_shard_machine.py
@@ -117,6 +117,44 @@
             other.members.mark_gone(node.name, node.claimant.address)
         self.do(self.domain.add_node, node.name)
 
+    @rule(how=st.sampled_from(("isolate", "pause", "replace")), repeat=st.booleans())
+    def take_over_from_owner(self, how, repeat):
+        """Have the shard change its owner in a way that may leave a stale one."""
+        owner = self.domain.find_owner()
+        if owner is None:
+            return
+        owner.repeat_exchanges = repeat
+        if how == "pause":
+            owner.clock.going.clear()
+        elif how == "isolate":
+            owner.cut_peers = True
+        else:
+            self.call(owner.kill())
+            self.do(self.domain.add_node, owner.name)
+        self.call(self.domain.run(5, 0.2))
+
+    @rule(kind=st.sampled_from(("service", "batch")), count=st.integers(1, 2))
+    def delay_commit_of_owner(self, kind, count):
+        """Have the owner decide something whose commit may land later."""
+        owner = self.domain.find_owner()
+        if owner is None:
+            return
+        owner.table.delay = count
+        self.declare_job(kind, 1)
+        self.call(self.domain.run(0.3))
+
+    @rule()
+    def confuse_owners(self):
+        """Cut an owner off from its peers and let both go on with the workers."""
+        owner = self.domain.find_owner()
+        if owner is None:
+            return
+        owner.cut_peers = owner.table.cut = True
+        self.call(self.domain.run(5, 0.2))
+        owner.table.cut = False
+        self.declare_job("batch", 2)
+        self.call(self.domain.run(0.5))
+
     @rule(data=st.data(), moved=st.booleans())
     def hand_over(self, data, moved):
         node = self.draw_node(data)
