--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -42,6 +42,8 @@
 RECOVER_PAUSE = timedelta(milliseconds=500)
 MAX_PLACEMENTS_PER_BATCH = 400
 SNAPSHOT_ROWS = 500
+# With fewer rows the next owner is sooner there without a snapshot.
+HANDOVER_ROWS = 100
 
 
 class ScheduleShard:
@@ -99,13 +101,15 @@
         """Recover the shard and act for it until stopped or superseded."""
         try:
             await self._recover()
+            self.wake()
             while not self._stopping:
                 await self._waker.wait(DECIDE_INTERVAL)
                 # What several workers report within moments goes into one commit.
                 await self._clock.sleep(self._gather_interval)
                 if self.ownership.authority.superseded or not await self._decide():
                     return
-            await self._leave_snapshot()
+            if self._journal.rows_since_snapshot >= HANDOVER_ROWS:
+                await self._leave_snapshot()
         finally:
             for task in self._tasks.values():
                 task.cancel()
--- a/packages/almondspread_standin/almondspread_standin/measures/command.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/command.py
@@ -2,7 +2,9 @@
 
 import click
 
+from almondspread_standin.measures.commit import measure_commit
 from almondspread_standin.measures.placement import measure_placement
+from almondspread_standin.measures.takeover import measure_takeover
 
 
 @click.group()
@@ -11,3 +13,5 @@
 
 
 measure.add_command(measure_placement)
+measure.add_command(measure_commit)
+measure.add_command(measure_takeover)
--- a/packages/almondspread_standin/almondspread_standin/workers/agent.py
+++ b/packages/almondspread_standin/almondspread_standin/workers/agent.py
@@ -41,7 +41,8 @@
 
     It runs whatever it is told to, also beyond its capacity, and leaves it to the
     ledger to record that. What is due takes effect at the moment when it was due,
-    whenever :meth:`settle` is called next.
+    whenever :meth:`settle` is called next. ``renewed_at`` is when the latest renewals
+    came, ``longest_gap`` the longest time between two of them.
     """
 
     def __init__(
@@ -51,6 +52,8 @@
         self.capacity = capacity
         self.faults = WorkerFaults()
         self.alive = True
+        self.renewed_at = clock.monotonic()
+        self.longest_gap = timedelta(0)
         self._clock = clock
         self._ledger = ledger
         self._running: dict[str, RunningAttempt] = {}
@@ -81,6 +84,9 @@
             self._start(start, now)
         for attempt in message.renewals:
             self._renew(attempt, message.lease_seconds, now)
+        if message.renewals:
+            self.longest_gap = max(self.longest_gap, now - self.renewed_at)
+            self.renewed_at = now
         for attempt in message.throttles:
             self._throttle(attempt, now)
         self.settle()
