--- a/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
@@ -263,7 +263,8 @@
 
     def catch_up(self):
         for node in self.nodes.values():
-            node.catch_up()
+            if not node.table.cut:
+                node.catch_up()
 
     async def run(self, seconds, step=0.1):
         await run_for(self.clock, seconds * SECOND, step * SECOND)
--- a/packages/almondspread_standin/almondspread_standin/tests/test_shard_machine.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_shard_machine.py
@@ -1,5 +1,6 @@
 import asyncio
 from datetime import timedelta
+from unittest import mock
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -14,6 +15,7 @@
 
 from almondspread.codec import decode_message
 from almondspread.ownership import OwnerRecord, make_owner_key
+from almondspread_daemon.shards import schedule
 from almondspread_standin.tests.shard_domain import SHARD, TERMS, Domain
 
 HORIZON = timedelta(seconds=40)
@@ -30,9 +32,13 @@
     def __init__(self):
         super().__init__()
         logger.disable("almondspread_daemon")
+        # So that snapshots take the place of rows again and again.
+        self.snapshots = mock.patch.object(schedule, "SNAPSHOT_ROWS", 3)
+        self.snapshots.start()
         self.loop = asyncio.new_event_loop()
         self.domain = self.call(self.open_domain())
         self.jobs = {}
+        self.lagging = False
         self.epoch = 0
 
     async def open_domain(self):
@@ -63,7 +69,8 @@
         declared = sum(count for _, count, _ in self.jobs.values())
         if declared + tasks <= MAX_TASKS:
             self.declare(kind, tasks, len(self.jobs) + 1)
-            self.domain.catch_up()
+            if not self.lagging:
+                self.domain.catch_up()
 
     def declare(self, kind, tasks, number):
         name = f"job-{number}-{len(self.domain.entries)}"
@@ -143,17 +150,69 @@
         self.declare_job(kind, 1)
         self.call(self.domain.run(0.3))
 
-    @rule()
-    def confuse_owners(self):
-        """Cut an owner off from its peers and let both go on with the workers."""
+    @rule(worker=st.integers(0, WORKERS - 1), seconds=st.sampled_from((1, 25, 70)))
+    def part_owner_from_the_rest(self, worker, seconds):
+        """Leave a worker to an owner that only the other workers still see go."""
         owner = self.domain.find_owner()
         if owner is None:
             return
         owner.cut_peers = owner.table.cut = True
-        self.call(self.domain.run(5, 0.2))
-        owner.table.cut = False
+        for node in self.domain.nodes.values():
+            if node is not owner:
+                node.cut_workers.add(f"address-{worker}")
         self.declare_job("batch", 2)
-        self.call(self.domain.run(0.5))
+        owner.catch_up()
+        self.call(self.domain.run(5 + seconds, 0.25))
+
+    @rule(worker=st.integers(0, WORKERS - 1), seconds=st.sampled_from((2, 5, 9)))
+    def delay_exchanges_with_worker(self, worker, seconds):
+        """Have what was sent to a worker come late, while nothing else comes."""
+        self.domain.held.clear()
+        self.cut_worker(worker, repeat=True)
+        self.call(self.domain.run(seconds, 0.25))
+        self.deliver_held()
+        self.call(self.domain.run(9, 0.25))
+        for node in self.domain.nodes.values():
+            node.repeat_exchanges = False
+
+    def cut_worker(self, worker, repeat):
+        for node in self.domain.nodes.values():
+            node.repeat_exchanges = repeat
+            node.cut_workers.add(f"address-{worker}")
+
+    def deliver_held(self):
+        held, self.domain.held = self.domain.held, []
+        for address, message in held:
+            self.domain.deliver(address, message)
+
+    @rule(worker=st.integers(0, WORKERS - 1))
+    def repeat_starts_after_restart_of_worker(self, worker):
+        """Have starts come again to a worker that has lost all memory of them."""
+        self.domain.held.clear()
+        for node in self.domain.nodes.values():
+            node.repeat_exchanges = True
+        self.declare_job("service", 3)
+        self.call(self.domain.run(1))
+        self.restart_worker(worker)
+        self.call(self.domain.run(1.5))
+        self.deliver_held()
+        for node in self.domain.nodes.values():
+            node.repeat_exchanges = False
+
+    @rule(kind=st.sampled_from(("service", "batch")))
+    def change_owner_that_knows_more(self, kind):
+        """Lose an owner that acted on resources which the next one has not seen."""
+        owner = self.domain.find_owner()
+        if owner is None or len(self.jobs) >= MAX_TASKS:
+            return
+        self.lagging = True
+        self.declare_job(kind, 1)
+        self.lagging = False
+        owner.catch_up()
+        self.call(self.domain.run(1))
+        owner.cut_peers = True
+        self.call(self.domain.run(6, 0.2))
+        self.domain.catch_up()
 
     @rule(data=st.data(), moved=st.booleans())
     def hand_over(self, data, moved):
@@ -234,15 +293,21 @@
             node.cut_workers.clear()
             node.hold_exchanges = node.repeat_exchanges = node.lose_reports = False
             node.clock.going.set()
+        self.domain.catch_up()
 
     def check_nothing_is_lost(self):
         owner = self.domain.find_owner()
         assert owner is not None, "no one owns the shard after healing"
         states = owner.shard.scheduler.state.workloads
+        running = self.domain.list_running()
         for name, (kind, tasks, revision) in self.jobs.items():
             report = states[f"{kind}/{name}:{revision}"].report()
             expected = "running" if kind == "service" else "finished"
             assert report[expected] == tasks, (name, report)
+            if kind == "service":
+                workload = f"{kind}/{name}:{revision}"
+                truth = sum(running[f"{workload}#{index}"] for index in range(tasks))
+                assert truth == tasks, (name, truth)
         assert len(states) == len(self.jobs), sorted(states)
 
     def teardown(self):
@@ -255,6 +320,7 @@
         finally:
             self.call(self.domain.close())
             self.loop.close()
+            self.snapshots.stop()
             logger.enable("almondspread_daemon")
 
 
--- a/packages/almondspread_standin/almondspread_standin/tests/test_shards.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_shards.py
@@ -65,7 +65,8 @@
         await owner.kill()
         while other.shard is None:
             await self.domain.run(0.1)
-        await self.domain.run(1)
+        # Shorter than three exchanges, after which the worker counts as unreachable.
+        await self.domain.run(0.8)
         for reports in other.published:
             for report in reports.values():
                 self.assertEqual(report["running"], 3)
