--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -17,7 +17,6 @@
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
-from almondspread.resources import RequestService
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
@@ -26,26 +25,23 @@
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
     find_domain,
-    list_domain_peers,
     list_shard_workers,
     name_shards,
 )
 from almondspread_daemon.peers import PeerServer
 from almondspread_daemon.peers.messages import (
-    CallMinion,
     EntryAnnounced,
     FetchEntries,
-    FetchRecord,
     FetchSnapshot,
     FetchStatus,
     FetchTasks,
     Heartbeat,
     ShardReleased,
-    SubmitCall,
 )
 from almondspread_daemon.platform_access import observe_platform, open_platform
 from almondspread_daemon.reports import StatusReporter
-from almondspread_daemon.requests import KeyShard, MinionPools, RequestRouter
+from almondspread_daemon.requests import KeyShard, MinionShard
+from almondspread_daemon.requests.part import RequestPart
 from almondspread_daemon.resources import ResourceService, documents
 from almondspread_daemon.resources.standings import Standing, list_standings
 from almondspread_daemon.security import Credentials, TokenTable
@@ -57,8 +53,8 @@
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
 
-MINION_SETTLE_TIME = timedelta(seconds=2)
-POOL_INTERVAL = timedelta(milliseconds=250)
+READY_INTERVAL = timedelta(milliseconds=250)
+CLOSE_TIMEOUT = timedelta(seconds=2)
 WATCH_END_TIMEOUT = timedelta(seconds=2)
 
 
@@ -111,10 +107,15 @@
             "schedule", domains, ownership.schedule_shards
         )
         request_shards = name_shards("requests", domains, ownership.request_shards)
+        minion_shards = name_shards(
+            "minions", [settings.failure_domain], ownership.minion_shards
+        )
+        plan = self._plan_shards(request_shards, minion_shards)
+        self.planned_shards = tuple(plan)
         self.keeper = ShardKeeper(
             Claimant(settings.name, self.incarnation, settings.peer.listen),
             settings.failure_domain,
-            self._plan_shards(request_shards),
+            plan,
             members,
             platform.table,
             platform.store,
@@ -126,23 +127,20 @@
             self.neighbours.note_all,
             self._observe_commit,
         )
-        self.pools = MinionPools(
-            settings.name,
-            settings.failure_domain,
-            platform.minions,
-            clock,
-            settings.requests.lookup_queue,
-            MINION_SETTLE_TIME,
-            self._list_domain_peers,
-        )
-        self.router = RequestRouter(
-            settings.failure_domain,
+        self.requests = RequestPart(
+            settings,
+            minion_shards,
             request_shards,
-            self.keeper.runners.get,
-            self.pools,
+            self.changes.cache,
             self.neighbours,
+            platform.minions,
+            platform.table,
+            platform.store,
+            self.keeper.runners.get,
+            self.keeper.list_epochs,
             clock,
         )
+        self.router = self.requests.router
         self.watches = Watches()
         self.publisher = StatusPublisher(self.changes, clock, settings.name)
         self.resources = ResourceService(self.changes, settings.name)
@@ -163,9 +161,7 @@
                 FetchSnapshot: self.follower.take_fetch_snapshot,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
-                SubmitCall: self.router.take_submit,
-                FetchRecord: self.router.take_fetch,
-                CallMinion: self.router.take_call,
+                **self.requests.serving.list_handlers(),
             },
             self.telemetry.traces,
             self.credentials.peer_server,
@@ -184,7 +180,9 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _plan_shards(self, request_shards: tuple[str, ...]) -> dict[str, MakeRunner]:
+    def _plan_shards(
+        self, request_shards: tuple[str, ...], minion_shards: tuple[str, ...]
+    ) -> dict[str, MakeRunner]:
         """Return the shards of this domain and how to act for each."""
         plan: dict[str, MakeRunner] = {}
         domain = self.settings.failure_domain
@@ -194,6 +192,8 @@
         for shard in request_shards:
             if find_domain(shard) == domain:
                 plan[shard] = self._make_key_shard
+        for shard in minion_shards:
+            plan[shard] = self._make_minion_shard
         return plan
 
     def _make_schedule_shard(
@@ -229,10 +229,16 @@
         instruments.commit_duration.record(duration.total_seconds())
 
     def _make_key_shard(
-        self, ownership: Ownership, journal: Journal, _: bool
+        self, ownership: Ownership, journal: Journal, stopped: bool
     ) -> KeyShard:
         """Return what acts for a request shard."""
-        return KeyShard(ownership, journal, self.router.call_minions, self.clock)
+        return self.requests.make_key_shard(ownership, journal, stopped)
+
+    def _make_minion_shard(
+        self, ownership: Ownership, journal: Journal, stopped: bool
+    ) -> MinionShard:
+        """Return what acts for a shard of minions."""
+        return self.requests.make_minion_shard(ownership, journal, stopped)
 
     @property
     def is_ready(self) -> bool:
@@ -250,7 +256,8 @@
             self.follower.run(),
             self.keeper.run(),
             self.publisher.run(),
-            self._follow_minions(),
+            self.requests.run(),
+            self._tell_readiness(),
             self.credentials.run(),
         ):
             self._tasks.append(start_task(running))
@@ -262,15 +269,18 @@
             self.settings.peer.listen,
         )
 
-    async def _follow_minions(self) -> None:
-        """Keep the pools in step with the list and with the other instances."""
+    async def _tell_readiness(self) -> None:
+        """Keep the reports in step with whether this instance is ready."""
         while True:
-            self.pools.update(self.neighbours.listed.values())
             self.reporter.ready = self.is_ready
-            await self.clock.sleep(POOL_INTERVAL)
+            await self.clock.sleep(READY_INTERVAL)
 
     async def stop(self) -> None:
-        """Stop gracefully: nothing under way is cut short, shards are handed over."""
+        """Stop gracefully: nothing under way is cut short, shards are handed over.
+
+        Readiness fails first, and the instance goes on to serve until the balancer
+        has seen that. Requests that wait here for a minion move to the next owner.
+        """
         logger.info("entry {} is leaving", self.settings.name)
         self.keeper.leaving = True
         self.neighbours.send_heartbeat()
@@ -279,12 +289,29 @@
         self.follower.release_waiters()
         self.http_server.stop()
         await self.watches.wait_until_ended(WATCH_END_TIMEOUT)
-        await self.http_server.close_all_connections()
         await self.keeper.hand_over_all()
+        self.neighbours.send_heartbeat()
+        await self.requests.drain()
+        await self._close_connections()
         await self.publisher.flush()
         self.neighbours.send_heartbeat()
         await self.close()
 
+    async def end_now(self) -> None:
+        """Answer what is left honestly, and end."""
+        logger.warning("entry {} ends with requests open", self.settings.name)
+        self.http_server.stop()
+        self.requests.give_up_all()
+        await self.close()
+
+    async def _close_connections(self) -> None:
+        """Close the callers' connections once their last answers are written."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT.total_seconds()):
+                await self.http_server.close_all_connections()
+        except TimeoutError:
+            logger.warning("some connections of callers did not close in time")
+
     async def close(self) -> None:
         """End at once, as a killed process would."""
         self.http_server.stop()
@@ -292,6 +319,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._close_connections()
         # Sending what is queued may take a while; the event loop does not wait.
         await asyncio.to_thread(self.telemetry.close)
 
@@ -329,11 +357,6 @@
             fault=self.changes.fault,
         )
 
-    def _list_domain_peers(self) -> list[str]:
-        """Return the live, staying instances of this failure domain."""
-        live = self.neighbours.list_live()
-        return list_domain_peers(live, self.settings.failure_domain)
-
     def _list_workers(self, shard: str) -> list[Instance] | None:
         """Return the listed workers of a scheduling shard, ``None`` if unknown."""
         if not self.neighbours.list_is_known:
@@ -356,18 +379,6 @@
         )
         return documents.describe_item(item, standings)
 
-    def find_deadline(self, service: str, kind: str) -> float:
-        """Return the longest deadline of a kind of request, in seconds."""
-        item = self.changes.cache.find("request-service", service)
-        limits = item.resource if item else None
-        if not isinstance(limits, RequestService):
-            if kind == "lookup":
-                return self.settings.requests.lookup_deadline_seconds
-            return self.settings.requests.call_deadline_seconds
-        if kind == "lookup":
-            return limits.lookup_deadline_seconds
-        return limits.call_deadline_seconds
-
     def traceparent(self) -> str:
         """Return the trace context to send on."""
         return read_traceparent()
@@ -387,18 +398,39 @@
     configure_logs(settings.log, settings.name, clock)
     entry = Entry(settings, clock)
     told = asyncio.Event()
+    hurried = asyncio.Event()
+
+    def take_signal() -> None:
+        """Start a graceful shutdown, and hurry it at the second signal."""
+        if told.is_set():
+            hurried.set()
+        told.set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+        loop.add_signal_handler(number, take_signal)
     await entry.start()
     following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
-        async with asyncio.timeout(settings.requests.stop_bound_seconds):
-            await entry.stop()
-    except TimeoutError:
-        logger.error("the stop took longer than its bound")
-        return 1
+        await _stop_within_bound(entry, hurried)
     finally:
         following.cancel()
     return 0
+
+
+async def _stop_within_bound(entry: Entry, hurried: asyncio.Event) -> None:
+    """Stop gracefully; end at once at the bound of a stop or at a second signal."""
+    stopping = start_task(entry.stop())
+    waiting = asyncio.create_task(hurried.wait())
+    await asyncio.wait(
+        [stopping, waiting],
+        timeout=entry.settings.requests.stop_bound_seconds,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    waiting.cancel()
+    if stopping.done():
+        return
+    stopping.cancel()
+    await asyncio.wait([stopping])
+    await entry.end_now()
