--- a/packages/almondspread_daemon/almondspread_daemon/http/application.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/application.py
@@ -1,10 +1,12 @@
 """The routes of an entry instance."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from tornado.routing import Rule
 from tornado.web import Application
 
 from almondspread_daemon.http.base import UnknownRoute
+from almondspread_daemon.http.bodies import BodyOverLimit, TooLargeHandler
 from almondspread_daemon.http.metrics import MetricsHandler
 from almondspread_daemon.http.requests import KeyHandler, RequestHandler
 from almondspread_daemon.http.resources import (
@@ -46,7 +48,13 @@
 
 def make_application(entry: "Entry") -> Application:
     """Return the application that serves an entry's routes."""
-    rules = []
+    rules: list[Any] = [
+        Rule(
+            BodyOverLimit(entry.settings.http.max_body_bytes),
+            TooLargeHandler,
+            {"entry": entry, "access": Access.PUBLIC},
+        )
+    ]
     for path, handler, access in ROUTES:
         rules.append((path, handler, {"entry": entry, "access": access}))
     return Application(
--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -21,6 +21,7 @@
 from almondspread_standin.cell import CellOptions, StandInDeployment
 from almondspread_standin.deployment import Deployment
 from almondspread_standin.listening import LOOPBACK
+from almondspread_standin.partitions import CuttableClient
 
 READY_TIMEOUT = timedelta(seconds=10)
 READY_PAUSE = timedelta(milliseconds=50)
@@ -56,6 +57,8 @@
         self.entries: dict[str, Entry] = {}
         self._clock = clock
         self._sections = sections
+        self._clients: dict[str, CuttableClient] = {}
+        self._cut_domain = ""
 
     @property
     def urls(self) -> dict[str, str]:
@@ -76,10 +79,35 @@
     async def start_entry(self, name: str) -> Entry:
         """Start one entry of the deployment."""
         entry = Entry(self.make_settings(name), self._clock)
+        client = CuttableClient(lambda port: self._is_cut(name, port))
+        entry.neighbours._client = client
+        self._clients[name] = client
         self.entries[name] = entry
         await entry.start()
         return entry
 
+    def cut_off(self, failure_domain: str) -> None:
+        """Cut a failure domain off from the platform and from all other domains."""
+        self._cut_domain = failure_domain
+        self.cell.cut_off(failure_domain)
+        for client in self._clients.values():
+            client.close_cut()
+
+    def reconnect(self) -> None:
+        """End the cut between failure domains."""
+        self._cut_domain = ""
+        self.cell.reconnect()
+
+    def _is_cut(self, name: str, port: int) -> bool:
+        """Tell whether an entry is cut off from the one with a peer port."""
+        domains = {}
+        ports = {}
+        for entry in self.deployment.entries:
+            domains[entry.name] = entry.failure_domain
+            ports[entry.peer_port] = entry.failure_domain
+        inside = self._cut_domain in (domains[name], ports.get(port))
+        return bool(self._cut_domain) and inside and domains[name] != ports.get(port)
+
     def make_settings(self, name: str) -> Settings:
         """Return the settings of one entry, quick enough for a short run."""
         planned = {entry.name: entry for entry in self.deployment.entries}[name]
