--- a/packages/almondspread_daemon/almondspread_daemon/http/watch.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/watch.py
@@ -19,6 +19,9 @@
 class WatchHandler(EntryHandler):
     """Streams changes until the caller goes, falls too far behind, or a stop."""
 
+    _task: asyncio.Task[None] | None = None
+    _is_gone = False
+
     async def get(self) -> None:
         """Answer one line for each change."""
         start = self.read_number("from", None)
@@ -45,8 +48,20 @@
         self.set_header("Content-Type", "application/jsonlines")
         is_whole = not selector.ok and kinds == KINDS.keys()
         selection = Selection(kinds, selector.ok, is_whole)
+        self._task = asyncio.current_task()
         with self.entry.watches.track():
-            await self._stream(revision, selection)
+            try:
+                await self._stream(revision, selection)
+            except asyncio.CancelledError:
+                if not self._is_gone:
+                    raise
+
+    def on_connection_close(self) -> None:
+        """Stop waiting for changes once the caller has gone."""
+        super().on_connection_close()
+        self._is_gone = True
+        if self._task is not None:
+            self._task.cancel()
 
     async def _stream(self, revision: int, selection: Selection) -> None:
         """Send what comes after a revision, again and again."""
--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -175,6 +175,7 @@
         """End an entry with no warning; the list tells of it after its lag."""
         entry = self.entries.pop(name)
         await entry.close()
+        await entry.http_server.close_all_connections()
         self.cell.platform.service.instances.remove(name)
 
     async def stop(self) -> None:
