Send status reports to one appender that shares entries among all instances

Each instance appended its own reports, so 48 of them raced for one head row. They now go to one hinted appender (rendezvous over the live instances) that appends the reports of all in one entry; an instance that cannot reach it appends by itself. Reports carry the epoch of their owner and a sequence, so that a late or superseded one replaces nothing newer, and bursts are spread to a bounded rate of bytes.

--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -40,6 +40,7 @@
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    ReportStatuses,
     ShardReleased,
     SubmitCall,
 )
@@ -143,7 +144,13 @@
             clock,
         )
         self.watches = Watches()
-        self.publisher = StatusPublisher(self.changes, clock, settings.name)
+        self.publisher = StatusPublisher(
+            self.changes,
+            clock,
+            settings.name,
+            self.neighbours,
+            lambda shard: self.keeper.list_epochs().get(shard, 0),
+        )
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
             settings.name,
@@ -160,6 +167,7 @@
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
                 FetchSnapshot: self.follower.take_fetch_snapshot,
+                ReportStatuses: self.publisher.take_reports,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
                 SubmitCall: self.router.take_submit,
@@ -336,18 +344,11 @@
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
-        neighbours = self.neighbours
-        own = Standing(
-            self.settings.name, self.changes.cache.revision, self.changes.fault
-        )
-        standings = list_standings(
-            own,
-            neighbours.members.list_all(),
-            neighbours.list_live(),
-            neighbours.listed.values(),
-            self.clock.monotonic(),
+        revision = self.changes.cache.revision
+        own = Standing(self.settings.name, revision, self.changes.fault)
+        return documents.describe_item(
+            item, list_standings(own, self.neighbours, self.clock)
         )
-        return documents.describe_item(item, standings)
 
     def find_deadline(self, service: str, kind: str) -> float:
         """Return the longest deadline of a kind of request, in seconds."""
--- a/packages/almondspread_daemon/almondspread_daemon/resources/standings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/standings.py
@@ -1,12 +1,9 @@
 """What each instance has in force of the change log, as far as it is known here."""
 
-from collections.abc import Iterable
-from datetime import timedelta
-
 from attrs import define
 
-from almondspread.interfaces import Instance
-from almondspread.ownership import Member
+from almondspread.clock import Clock
+from almondspread_daemon.membership import Neighbours
 
 
 @define(frozen=True)
@@ -19,16 +16,13 @@
 
 
 def list_standings(
-    own: Standing,
-    members: Iterable[Member],
-    live: Iterable[Member],
-    listed: Iterable[Instance],
-    now: timedelta,
+    own: Standing, neighbours: Neighbours, clock: Clock
 ) -> list[Standing]:
     """Return how all instances stand, as heard from them and from the list."""
+    now = clock.monotonic()
+    live_names = {member.name for member in neighbours.list_live()}
     standings = {own.name: own}
-    live_names = {member.name for member in live}
-    for member in members:
+    for member in neighbours.members.list_all():
         if member.listed_gone:
             continue
         reason = member.fault
@@ -36,7 +30,7 @@
             seconds = round((now - member.heard).total_seconds())
             reason = f"silent for {seconds} s: cut off from here, paused or dead"
         standings[member.name] = Standing(member.name, member.revision, reason)
-    for instance in listed:
+    for instance in neighbours.listed.values():
         if instance.role != "entry" or instance.name in standings:
             continue
         reason = "listed, but never heard from: starting, cut off or dead"
--- a/packages/almondspread_daemon/almondspread_daemon/shards/publisher.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/publisher.py
@@ -1,6 +1,13 @@
-"""Status reports of the owned shards, gathered and appended to the change log."""
+"""Status reports of the owned shards, gathered and appended to the change log.
+
+Every instance sends its reports to one appender, so that the reports of the whole
+cell share entries and do not race for the head of the log. Which one that is, is only
+a hint: an instance that cannot reach it appends by itself, and the order within the
+reports keeps a late one from replacing a newer.
+"""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -10,27 +17,58 @@
 from almondspread.changes import Change, ChangeLog, ResourceCache
 from almondspread.changes.entries import report_status
 from almondspread.clock import Clock
+from almondspread.codec import decode_message, encode_message
 from almondspread.errors import Problem
+from almondspread.ownership.ranking import rank_owners
+from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.peers import CallContext
+from almondspread_daemon.peers.messages import (
+    Accepted,
+    Refused,
+    ReportStatuses,
+    refuse,
+)
 
 PUBLISH_INTERVAL = timedelta(milliseconds=400)
+LONGEST_INTERVAL = timedelta(seconds=2)
+FORWARD_TIMEOUT = timedelta(seconds=8)
+BYTES_PER_SECOND = 8_192
+APPENDER = "changes/appender"
+
+Key = tuple[str, str, str]
 
 
 class StatusPublisher:
-    """Appends the latest report of each workload, many in one entry."""
+    """Has the latest report of each workload appended, many in one entry."""
 
-    def __init__(self, changes: ChangeLog, clock: Clock, author: str) -> None:
+    def __init__(
+        self,
+        changes: ChangeLog,
+        clock: Clock,
+        name: str,
+        neighbours: Neighbours,
+        find_epoch: Callable[[str], int],
+    ) -> None:
         self._changes = changes
         self._clock = clock
-        self._author = author
-        self._reports: dict[tuple[str, str, str], dict[str, Any]] = {}
+        self._name = name
+        self._neighbours = neighbours
+        self._find_epoch = find_epoch
+        self._sequence = 0
+        self._reports: dict[Key, Change] = {}
+        self._forwarded: list[ReportStatuses] = []
         self._wake = asyncio.Event()
+        self._appended: asyncio.Future[Result[int, Problem]] | None = None
 
     def publish(
         self, shard: str, reports: dict[tuple[str, str], dict[str, Any]]
     ) -> None:
         """Have reports of a shard appended soon; a later report replaces one."""
+        self._sequence += 1
+        order = [self._find_epoch(shard), self._sequence]
         for (kind, name), report in reports.items():
-            self._reports[(kind, name, shard)] = report
+            change = report_status(kind, name, shard, {**report, "order": order})
+            self._reports[(kind, name, shard)] = change
         self._wake.set()
 
     async def run(self) -> None:
@@ -38,29 +76,114 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            await self.flush()
-            await self._clock.sleep(PUBLISH_INTERVAL)
+            size = await self.flush()
+            # A burst of reports is spread out, so that following the log stays cheap.
+            pause = min(timedelta(seconds=size / BYTES_PER_SECOND), LONGEST_INTERVAL)
+            await self._clock.sleep(max(PUBLISH_INTERVAL, pause))
+
+    async def flush(self) -> int:
+        """Have all waiting reports appended, or keep them for the next try.
 
-    async def flush(self) -> None:
-        """Append all reports that are waiting, or keep them for the next try."""
+        Returns the size of the reports in bytes.
+        """
         reports, self._reports = self._reports, {}
-        if not reports:
-            return
+        if not reports and not self._forwarded:
+            return 0
+        changes = list(reports.values())
+        size = sum(len(change.value or b"") for change in changes)
+        if not await self._forward(changes):
+            size += await self._append(reports)
+        return size
+
+    async def _forward(self, changes: list[Change]) -> bool:
+        """Send reports to the appender; false where this instance has to append."""
+        if self._forwarded or not changes:
+            return False
+        address = self._find_appender()
+        if address is None:
+            return False
+        encoded = tuple(encode_message(change) for change in changes)
+        message = ReportStatuses(self._name, encoded)
+        outcome = await self._neighbours.call(address, message, FORWARD_TIMEOUT)
+        return outcome.is_ok() and isinstance(outcome.ok, Accepted)
+
+    def _find_appender(self) -> str | None:
+        """Return the address of the appender, ``None`` where it is this instance."""
+        addresses = {}
+        for member in self._neighbours.list_live():
+            if member.ready and not member.leaving and not member.fault:
+                addresses[member.name] = member.address
+        ranked = rank_owners(APPENDER, [self._name, *addresses])
+        return addresses.get(ranked[0])
+
+    async def _append(self, reports: dict[Key, Change]) -> int:
+        """Append own and forwarded reports; return the size of the forwarded."""
+        forwarded, self._forwarded = self._forwarded, []
+        waiting, self._appended = self._appended, None
+        changes = list(reports.values())
+        size = 0
+        for message in forwarded:
+            for data in message.reports:
+                changes.append(decode_message(data, Change))
+                size += len(data)
 
         def prepare(cache: ResourceCache) -> Result[list[Change], Problem]:
             """Return those reports that still say something new."""
-            changes = []
-            for (kind, name, shard), report in reports.items():
-                item = cache.find(kind, name)
-                if item is None or item.created_revision != report["created_revision"]:
-                    continue
-                if item.reports.get(shard) == report:
-                    continue
-                changes.append(report_status(kind, name, shard, report))
-            return Ok(changes)
-
-        appended = await self._changes.append(self._author, prepare)
+            return Ok(choose_reports(cache, changes))
+
+        appended = await self._changes.append(self._name, prepare)
         if appended.is_error():
             logger.warning("status reports wait: {}", appended.error.message)
             self._reports = {**reports, **self._reports}
             self._wake.set()
+        if waiting is not None and not waiting.done():
+            waiting.set_result(appended)
+        return size
+
+    async def take_reports(
+        self, message: ReportStatuses, _: CallContext
+    ) -> Accepted | Refused:
+        """Append the reports of a peer with the next own ones."""
+        for data in message.reports:
+            if not decode_message(data, Change).part.startswith("status/"):
+                raise ValueError("a peer sent a change that is no status report")
+        self._forwarded.append(message)
+        if self._appended is None:
+            self._appended = asyncio.get_running_loop().create_future()
+        waiting = self._appended
+        self._wake.set()
+        appended = await asyncio.shield(waiting)
+        if appended.is_error():
+            return refuse(appended.error)
+        return Accepted()
+
+
+def choose_reports(cache: ResourceCache, reports: list[Change]) -> list[Change]:
+    """Return the latest report of each part that says something new.
+
+    Left out are reports on resources that are gone or were replaced, and those that
+    are not later in order than what the cache holds.
+    """
+    latest: dict[Key, tuple[list[int], Change]] = {}
+    for change in reports:
+        item = cache.find(change.kind, change.name)
+        report = change.load()
+        if item is None or item.created_revision != report["created_revision"]:
+            continue
+        shard = change.part.removeprefix("status/")
+        known = item.reports.get(shard, {})
+        order = report["order"]
+        if order <= known.get("order", [0, 0]):
+            continue
+        if _drop_order(known) == _drop_order(report):
+            continue
+        key = (change.kind, change.name, shard)
+        if key in latest and order <= latest[key][0]:
+            continue
+        latest[key] = (order, change)
+    return [change for _, change in latest.values()]
+
+
+def _drop_order(report: dict[str, Any]) -> dict[str, Any]:
+    """Return a report without its order."""
+    return {name: value for name, value in report.items() if name != "order"}
