--- a/packages/almondspread_daemon/almondspread_daemon/peers/server.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/server.py
@@ -7,15 +7,17 @@
 
 from attrs import define
 from loguru import logger
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from almondspread.errors import Unavailable
+from almondspread.errors import Overloaded, Unavailable
 from almondspread_daemon.peers.frames import CALL, NOTE, REPLY, Frame, read_frames
 from almondspread_daemon.peers.messages import PEER_CODEC, refuse
 from almondspread_daemon.telemetry import TracePipeline
 
 MAX_CALLS_PER_STREAM = 4_096
+MAX_UNSENT_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_SECONDS = 1.0
 
 
 @define(frozen=True)
@@ -44,12 +46,13 @@
         self._traces = traces
         self._handlers = handlers
         self._tasks: set[asyncio.Task[None]] = set()
-        self._streams: set[IOStream] = set()
+        self._calls: dict[IOStream, int] = {}
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve one stream until the peer closes it."""
         stream.set_nodelay(True)
-        self._streams.add(stream)
+        stream.max_write_buffer_size = MAX_UNSENT_BYTES
+        self._calls[stream] = 0
         try:
             async for frame in read_frames(stream, self._count_received):
                 self._accept(stream, frame)
@@ -58,7 +61,7 @@
         except ValueError as error:
             logger.warning("peer stream from {} is dropped: {}", address, error)
         finally:
-            self._streams.discard(stream)
+            self._calls.pop(stream, None)
             stream.close()
 
     def _count_received(self, count: int) -> None:
@@ -70,11 +73,38 @@
         if frame.kind not in (CALL, NOTE):
             raise ValueError(f"frame of kind {frame.kind} where a call is due")
         message = PEER_CODEC.from_plain(frame.body)
-        if len(self._tasks) > MAX_CALLS_PER_STREAM:
-            raise ValueError("too many calls at once")
+        if self._calls[stream] >= MAX_CALLS_PER_STREAM:
+            self._refuse(stream, frame)
+            return
+        self._calls[stream] += 1
         task = asyncio.create_task(self._serve(stream, frame, message))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda done: self._note_served(stream, done))
+
+    def _note_served(self, stream: IOStream, task: asyncio.Task[None]) -> None:
+        """Make room for another call on a stream."""
+        self._tasks.discard(task)
+        if stream in self._calls:
+            self._calls[stream] -= 1
+
+    def _refuse(self, stream: IOStream, frame: Frame) -> None:
+        """Refuse one call over the bound; a note over it is lost, as any may be."""
+        if frame.kind == NOTE:
+            return
+        reply = refuse(
+            Overloaded(
+                f"more than {MAX_CALLS_PER_STREAM} calls of one peer are under way",
+                "send the request again later",
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
+        )
+        data = Frame(REPLY, frame.number, PEER_CODEC.to_plain(reply)).encode()
+        self.bytes_sent += len(data)
+        try:
+            # Not waited for: what the peer does not read closes the stream at last.
+            stream.write(data)
+        except (StreamClosedError, StreamBufferFullError):
+            stream.close()
 
     async def _serve(self, stream: IOStream, frame: Frame, message: Any) -> None:
         """Carry out a call and write its reply."""
@@ -106,6 +136,9 @@
             await stream.write(data)
         except StreamClosedError:
             logger.debug("a reply found its stream closed")
+        except StreamBufferFullError:
+            logger.warning("a peer does not read its replies; its stream is closed")
+            stream.close()
 
     async def _call(self, handler: Handler, frame: Frame, message: Any) -> Any:
         """Carry out a call as a span of its trace; a note has none."""
@@ -118,7 +151,7 @@
     def close(self) -> None:
         """Stop listening and close every stream."""
         self.stop()
-        for stream in list(self._streams):
+        for stream in list(self._calls):
             stream.close()
         for task in list(self._tasks):
             task.cancel()
