--- a/packages/almondspread/almondspread/scheduling/policies/backfill.py
+++ b/packages/almondspread/almondspread/scheduling/policies/backfill.py
@@ -1,90 +1,29 @@
-"""Holds of room for gangs, and work that starts beside them without delaying them.
+"""Work that starts beside waiting gangs without delaying them.
 
 A gang that waits gets a hold: a plan of workers where room is expected first. Free
 room there is committed to the hold as it appears, up to what the plan needs, so
-that other tasks start only in room that the gang does not wait for. A hold lasts a
-limited time; each hold that a gang loses makes its next one longer, up to a bound.
+that other tasks start only in room that the gang does not wait for. A task that is
+expected to end before the gang can start may borrow held room; it is stopped when
+the gang waits for nothing else. Plans are renewed as tasks end earlier or later
+than expected. A hold lasts a limited time; each hold that a gang loses makes its
+next one longer, up to a bound.
 """
 
-import heapq
-from collections.abc import Iterator
 from datetime import datetime, timedelta
 
-from attrs import define, field
-
 from almondspread.placement import Cell
 from almondspread.resources.capacity import Capacity
+from almondspread.resources.kinds import URGENT_PRIORITY
+from almondspread.scheduling.policies.holds import GangHold, plan_hold
 from almondspread.scheduling.policies.ordering import WaitingWorkload
 from almondspread.scheduling.policies.running import RunningTasks
 
 MAX_HOLDS = 2
-FIRST_HOLD_LIMIT = timedelta(minutes=15)
-LONGEST_HOLD_LIMIT = timedelta(hours=4)
-
-
-@define
-class GangHold:
-    """The room that one gang waits for.
-
-    ``plan`` is the number of tasks for each worker, ``held`` what is committed so
-    far there.
-    """
-
-    workload: str
-    priority: int
-    size: Capacity
-    plan: dict[str, int]
-    expires: datetime
-    held: dict[str, Capacity] = field(factory=dict)
-
-    @property
-    def group(self) -> str:
-        """The name under which the cell counts what is held."""
-        return f"hold/{self.workload}"
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether there is room for the whole gang."""
-        for worker, tasks in self.plan.items():
-            if self.held.get(worker) != self.size.times(tasks):
-                return False
-        return True
-
-    def fill(self, cell: Cell) -> None:
-        """Commit the free room that the plan still needs."""
-        for worker, tasks in self.plan.items():
-            held = self.held.get(worker, Capacity(0, 0))
-            missing = self.size.times(tasks).minus(held)
-            free = cell.worker(worker).free
-            take = Capacity(
-                min(missing.cpu_millis, free.cpu_millis),
-                min(missing.memory_mib, free.memory_mib),
-                min(missing.accelerators, free.accelerators),
-            )
-            if take == Capacity(0, 0):
-                continue
-            if worker in self.held:
-                cell.release(worker, self.group, held)
-            self.held[worker] = held.plus(take)
-            cell.commit(worker, self.group, self.held[worker])
-
-    def release(self, cell: Cell) -> None:
-        """Give back all that is held."""
-        for worker, held in self.held.items():
-            if not cell.has_worker(worker):
-                continue
-            if self.group in cell.worker(worker).groups:
-                cell.release(worker, self.group, held)
-        self.held.clear()
-
-    def is_feasible(self, cell: Cell) -> bool:
-        """Tell whether all planned workers still take tasks and keep the hold."""
-        for worker in self.plan:
-            if not cell.has_worker(worker) or cell.worker(worker).exclusion:
-                return False
-            if worker in self.held and self.group not in cell.worker(worker).groups:
-                return False
-        return True
+FIRST_HOLD_LIMIT = timedelta(hours=2)
+LONGEST_HOLD_LIMIT = timedelta(hours=8)
+PLAN_INTERVAL = timedelta(seconds=30)
+SHORTEST_LOAN = timedelta(minutes=2)
+OVERDUE_PRIORITY = URGENT_PRIORITY - 1
 
 
 class HoldBook:
@@ -94,6 +33,7 @@
         self._holds: dict[str, GangHold] = {}
         self._limits: dict[str, timedelta] = {}
         self._refused_until: dict[str, datetime] = {}
+        self._borrowers: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._holds)
@@ -112,19 +52,23 @@
     ) -> GangHold | None:
         """Plan a hold and fill it, unless there are enough holds or no such room.
 
-        A gang whose last hold ran out waits as long as that hold lasted, so that
-        others can start meanwhile.
+        A gang whose last hold ran out, or for which no room is expected, is planned
+        anew after ``PLAN_INTERVAL``, so that others get their turn.
         """
         if len(self._holds) >= MAX_HOLDS:
             return None
         name = workload.name
         if self._refused_until.get(name, now) > now:
             return None
-        plan = plan_hold(cell, running, workload.size, tasks, now)
+        others = list(self._holds.values())
+        plan = plan_hold(
+            cell, running, workload.size, tasks, now, self._borrowers, others
+        )
         if plan is None:
+            self._refused_until[name] = now + PLAN_INTERVAL
             return None
         expires = now + self._limits.get(name, FIRST_HOLD_LIMIT)
-        hold = GangHold(name, workload.priority, workload.size, plan, expires)
+        hold = GangHold(name, workload.priority, workload.size, plan, expires, now)
         hold.fill(cell)
         self._holds[name] = hold
         return hold
@@ -137,21 +81,62 @@
         self._limits.pop(workload, None)
         self._refused_until.pop(workload, None)
 
-    def refresh(self, cell: Cell, now: datetime) -> None:
-        """Fill the holds, and drop those that ran out or lost a worker."""
+    def mark_overdue(self, workload: str) -> None:
+        """Let only urgent work take the room of a gang that waited too long."""
+        hold = self._holds.get(workload)
+        if hold is not None:
+            hold.priority = max(hold.priority, OVERDUE_PRIORITY)
+
+    def refresh(self, cell: Cell, running: RunningTasks, now: datetime) -> None:
+        """Fill and renew the holds, and drop those that ran out or lost a worker."""
+        for borrower in list(self._borrowers):
+            if running.find(borrower) is None:
+                self._borrowers.discard(borrower)
         for workload, hold in list(self._holds.items()):
             if not hold.is_feasible(cell):
                 hold.release(cell)
                 del self._holds[workload]
                 continue
             hold.fill(cell)
-            if hold.expires > now or hold.is_complete:
+            if hold.is_complete:
                 continue
-            hold.release(cell)
-            del self._holds[workload]
-            limit = self._limits.get(workload, FIRST_HOLD_LIMIT)
-            self._refused_until[workload] = now + limit
-            self._limits[workload] = min(2 * limit, LONGEST_HOLD_LIMIT)
+            if hold.expires <= now:
+                self._expire(cell, hold, now)
+                continue
+            if hold.planned + PLAN_INTERVAL <= now:
+                self._renew(cell, running, hold, now)
+
+    def find_borrowable(
+        self, cell: Cell, size: Capacity, until: datetime
+    ) -> str | None:
+        """Return a worker with held room that is not needed before ``until``.
+
+        The hold is left released on that worker; ``fill`` has to follow once the
+        task is committed.
+        """
+        for hold in self._holds.values():
+            if not hold.lends or hold.is_complete or until > hold.plan.start:
+                continue
+            for worker, held in hold.held.items():
+                if not size.fits_in(cell.worker(worker).free.plus(held)):
+                    continue
+                hold.release_worker(cell, worker)
+                return worker
+        return None
+
+    def add_borrower(self, task: str) -> None:
+        """Note a task that runs in held room."""
+        self._borrowers.add(task)
+
+    def list_evictions(self, running: RunningTasks) -> list[str]:
+        """Return the borrowers that are the last that gangs wait for."""
+        evictions: list[str] = []
+        for hold in self._holds.values():
+            free = self._borrowers.difference(evictions)
+            found = _find_evictions(running, hold, free)
+            hold.lends = hold.lends and not found
+            evictions.extend(found)
+        return evictions
 
     def release_below(self, cell: Cell, priority: int) -> bool:
         """Give back the room of gangs of a lower priority; tell whether any had."""
@@ -162,56 +147,48 @@
                 any_released = True
         return any_released
 
-    def fill_below(self, cell: Cell, priority: int) -> None:
-        """Fill the holds of gangs of a lower priority again."""
+    def fill(self, cell: Cell) -> None:
+        """Fill all holds again."""
         for hold in self._holds.values():
-            if hold.priority < priority:
-                hold.fill(cell)
-
-
-def plan_hold(
-    cell: Cell, running: RunningTasks, size: Capacity, tasks: int, now: datetime
-) -> dict[str, int] | None:
-    """Return where room for a gang is expected first, as tasks for each worker.
-
-    ``None`` where ending tasks would never make room for the whole gang.
-    """
-    offers = []
-    for state in cell.iterate_workers():
-        if state.exclusion:
-            continue
-        times = _list_room_times(cell, running, state.name, size, now)
-        first = next(times, None)
-        if first is not None:
-            offers.append((first, state.name, times))
-    heapq.heapify(offers)
-    plan: dict[str, int] = {}
-    for _ in range(tasks):
-        if not offers:
-            return None
-        _, worker, times = heapq.heappop(offers)
-        plan[worker] = plan.get(worker, 0) + 1
-        following = next(times, None)
-        if following is not None:
-            heapq.heappush(offers, (following, worker, times))
-    return plan
-
-
-def _list_room_times(
-    cell: Cell, running: RunningTasks, worker: str, size: Capacity, now: datetime
-) -> Iterator[datetime]:
-    """Yield when there is room on a worker for one more task, and one more."""
-    free = cell.worker(worker).free
-    while size.fits_in(free):
-        yield now
-        free = free.minus(size)
-    ends = []
-    for task in running.list_on(worker):
-        if task.expected_end is not None:
-            ends.append((max(task.expected_end, now), task.name, task.size))
-    ends.sort(key=lambda end: end[:2])
-    for end, _, freed in ends:
-        free = free.plus(freed)
-        while size.fits_in(free):
-            yield end
-            free = free.minus(size)
+            hold.fill(cell)
+
+    def _expire(self, cell: Cell, hold: GangHold, now: datetime) -> None:
+        """Drop a hold that ran out; the gang's next one is longer."""
+        hold.release(cell)
+        del self._holds[hold.workload]
+        limit = self._limits.get(hold.workload, FIRST_HOLD_LIMIT)
+        self._refused_until[hold.workload] = now + PLAN_INTERVAL
+        self._limits[hold.workload] = min(2 * limit, LONGEST_HOLD_LIMIT)
+
+    def _renew(
+        self, cell: Cell, running: RunningTasks, hold: GangHold, now: datetime
+    ) -> None:
+        """Plan a hold anew with what is known by now."""
+        tasks = sum(hold.plan.tasks.values())
+        hold.release(cell)
+        others = [other for other in self._holds.values() if other is not hold]
+        plan = plan_hold(cell, running, hold.size, tasks, now, self._borrowers, others)
+        if plan is not None:
+            hold.plan = plan
+            hold.lends = True
+        hold.planned = now
+        hold.fill(cell)
+
+
+def _find_evictions(
+    running: RunningTasks, hold: GangHold, borrowers: set[str]
+) -> list[str]:
+    """Return the borrowers to stop so that a gang can start, if that is enough."""
+    chosen: list[str] = []
+    for worker in hold.plan.tasks:
+        missing = hold.list_missing(worker)
+        for task in running.list_on(worker):
+            if missing.fits_in(Capacity(0, 0)):
+                break
+            if task.name not in borrowers:
+                continue
+            chosen.append(task.name)
+            missing = missing.minus(task.size)
+        if not missing.fits_in(Capacity(0, 0)):
+            return []
+    return chosen
--- a/packages/almondspread/almondspread/scheduling/policies/claims.py
+++ b/packages/almondspread/almondspread/scheduling/policies/claims.py
@@ -6,7 +6,7 @@
 
 from almondspread.placement import Cell
 from almondspread.resources.capacity import Capacity
-from almondspread.scheduling.policies.backfill import GangHold
+from almondspread.scheduling.policies.holds import GangHold, HoldPlan
 from almondspread.scheduling.policies.preemption import Victims, choose_victims
 from almondspread.scheduling.policies.running import RunningTasks
 
@@ -67,7 +67,8 @@
         victims = choose_victims(cell, running, size, priority, now, stopping)
         if victims is None:
             return None
-        hold = GangHold(task, priority, size, {victims.worker: 1}, now)
+        plan = HoldPlan({victims.worker: 1}, now)
+        hold = GangHold(task, priority, size, plan, now, now)
         hold.fill(cell)
         self._claims[task] = _Claim(hold, victims)
         return victims
--- a/packages/almondspread/almondspread/scheduling/policies/ordering.py
+++ b/packages/almondspread/almondspread/scheduling/policies/ordering.py
@@ -38,6 +38,7 @@
     spread: str = "none"
     latest_start: datetime | None = None
     gang: bool = False
+    checkpointable: bool = False
 
 
 @define
@@ -125,6 +126,10 @@
         """Return what waits of a workload; for reading only."""
         return self._entries.get(name)
 
+    def is_overdue(self, workload: WaitingWorkload, now: datetime) -> bool:
+        """Tell whether a workload has waited longer than the starvation limit."""
+        return workload.submitted <= now - self._starvation_limit
+
     def iterate(
         self, now: datetime, measure_share: Callable[[str], float]
     ) -> Iterator[QueueEntry]:
--- a/packages/almondspread/almondspread/scheduling/policies/passes.py
+++ b/packages/almondspread/almondspread/scheduling/policies/passes.py
@@ -1,7 +1,7 @@
 """One pass over the waiting workloads: what starts now and what keeps waiting."""
 
-from collections.abc import Iterator
-from datetime import datetime
+from collections.abc import Callable, Iterator
+from datetime import datetime, timedelta
 
 from attrs import define, field
 
@@ -14,7 +14,7 @@
     find_worker,
 )
 from almondspread.resources.capacity import Capacity
-from almondspread.scheduling.policies.backfill import HoldBook
+from almondspread.scheduling.policies.backfill import SHORTEST_LOAN, HoldBook
 from almondspread.scheduling.policies.claims import ClaimBook, Preemption
 from almondspread.scheduling.policies.ordering import (
     QueueEntry,
@@ -24,6 +24,8 @@
 from almondspread.scheduling.policies.quotas import TeamLedger
 from almondspread.scheduling.policies.running import RunningTasks
 
+MAX_SIZES_NOTED = 32
+
 
 @define(frozen=True)
 class Placement:
@@ -37,13 +39,29 @@
 
 @define(frozen=True)
 class Deferral:
-    """A workload whose next task, or whole gang, keeps waiting."""
+    """A workload whose next task, or whole gang, keeps waiting.
+
+    ``limit`` names the quota that it is over, where that is the cause; otherwise no
+    worker, or not enough workers, had room.
+    """
 
     workload: str
-    waiting: Waiting
+    limit: str = ""
+
+
+@define(frozen=True)
+class Eviction:
+    """Running tasks to stop since a gang waits for nothing but their room."""
+
+    tasks: tuple[str, ...]
+
 
+Decision = tuple[Placement, ...] | Deferral | Preemption | Eviction
 
-Decision = tuple[Placement, ...] | Deferral | Preemption
+
+def _know_nothing(workload: WaitingWorkload) -> timedelta | None:
+    """Estimate no run time."""
+    return None
 
 
 @define
@@ -51,7 +69,9 @@
     """What a pass reads and changes.
 
     ``running`` is kept by the caller: a placed task is added before the next
-    decision is asked for, and removed when its end is known.
+    decision is asked for; one that ended is released and removed between passes.
+    ``estimate_longest`` returns a run time that few tasks of a workload exceed,
+    ``None`` for no bound.
     """
 
     cell: Cell
@@ -61,6 +81,7 @@
     running: RunningTasks = field(factory=RunningTasks)
     holds: HoldBook = field(factory=HoldBook)
     claims: ClaimBook = field(factory=ClaimBook)
+    estimate_longest: Callable[[WaitingWorkload], timedelta | None] = _know_nothing
 
 
 def decide_waiting(state: PassState, now: datetime) -> Iterator[Decision]:
@@ -71,7 +92,9 @@
     task cannot be placed is passed over. The caller may stop at any time.
     """
     state.claims.refresh(state.cell, state.running)
-    state.holds.refresh(state.cell, now)
+    state.holds.refresh(state.cell, state.running, now)
+    yield from _evict_borrowers(state)
+    too_large = _SizesTooLarge()
     for entry in state.queue.iterate(now, state.ledger.measure_share):
         workload = entry.workload
         needed = workload.size
@@ -79,12 +102,15 @@
             needed = needed.times(len(entry.tasks))
         shortage = state.ledger.find_shortage(workload.team, needed)
         if shortage is not None:
-            waiting = Waiting(len(state.cell), limit=shortage)
-            yield Deferral(workload.name, waiting)
+            if state.holds.find(workload.name) is not None:
+                state.holds.close_hold(state.cell, workload.name)
+                too_large.clear()
+            yield Deferral(workload.name, shortage)
         elif workload.gang:
             yield _decide_gang(state, entry, now)
+            too_large.clear()
         else:
-            yield from _decide_task(state, entry, now)
+            yield from _decide_task(state, entry, now, too_large)
 
 
 def cancel_workload(state: PassState, name: str) -> None:
@@ -97,26 +123,70 @@
     state.queue.remove_workload(name)
 
 
+def explain_deferral(state: PassState, deferral: Deferral) -> Waiting | None:
+    """Return why a workload waits, ``None`` when it no longer does.
+
+    Reasons are counted only when they are asked for, as the cell is now.
+    """
+    entry = state.queue.find_entry(deferral.workload)
+    if entry is None:
+        return None
+    if deferral.limit:
+        return Waiting(len(state.cell), limit=deferral.limit)
+    workload = entry.workload
+    if not workload.gang:
+        return explain_waiting(state.cell, workload.size)
+    requests = [_make_request(workload)] * len(entry.tasks)
+    chosen = choose_gang(state.cell, requests, state.policy)
+    return chosen.error if chosen.is_error() else None
+
+
+class _SizesTooLarge:
+    """Sizes for which one pass found no worker, as room only shrinks during it."""
+
+    def __init__(self) -> None:
+        self._sizes: list[Capacity] = []
+
+    def add(self, size: Capacity) -> None:
+        """Note that no worker has room for a size."""
+        if len(self._sizes) < MAX_SIZES_NOTED:
+            self._sizes.append(size)
+
+    def includes(self, size: Capacity) -> bool:
+        """Tell whether a size is at least as large as one noted."""
+        return any(noted.fits_in(size) for noted in self._sizes)
+
+    def clear(self) -> None:
+        """Forget all sizes, since room was given back."""
+        self._sizes.clear()
+
+
 def _decide_task(
-    state: PassState, entry: QueueEntry, now: datetime
+    state: PassState, entry: QueueEntry, now: datetime, too_large: _SizesTooLarge
 ) -> Iterator[Decision]:
     """Place the next task of a workload, preempt for it, or defer it."""
     workload = entry.workload
     task = entry.first_task()
-    request = TaskRequest(workload.name, workload.size, workload.spread)
+    request = _make_request(workload)
     worker = state.claims.find_worker(task)
-    if worker is None:
+    if worker is None and not too_large.includes(workload.size):
         worker = find_worker(state.cell, request, state.policy)
+        if worker is None:
+            too_large.add(workload.size)
     if worker is None:
         worker = _find_in_lower_holds(state, request, workload.priority)
+    if worker is None:
+        worker = _find_borrowable(state, workload, task, now)
     if worker is not None:
-        state.claims.close_claim(state.cell, task)
+        if state.claims.has_claim(task):
+            state.claims.close_claim(state.cell, task)
+            too_large.clear()
         placement = _place(state, workload, task, worker)
-        state.holds.fill_below(state.cell, workload.priority)
+        state.holds.fill(state.cell)
         yield (placement,)
         return
     yield from _preempt(state, entry, now)
-    yield Deferral(workload.name, explain_waiting(state.cell, workload.size))
+    yield Deferral(workload.name)
 
 
 def _find_in_lower_holds(
@@ -130,10 +200,37 @@
         return None
     worker = find_worker(state.cell, request, state.policy)
     if worker is None:
-        state.holds.fill_below(state.cell, priority)
+        state.holds.fill(state.cell)
+    return worker
+
+
+def _find_borrowable(
+    state: PassState, workload: WaitingWorkload, task: str, now: datetime
+) -> str | None:
+    """Return a worker with held room for a task that will not be in its way.
+
+    It either ends before the room is needed or can be stopped with its work saved.
+    """
+    if not state.holds:
+        return None
+    needed: timedelta | None = SHORTEST_LOAN
+    if not workload.checkpointable:
+        needed = state.estimate_longest(workload)
+    if needed is None:
+        return None
+    worker = state.holds.find_borrowable(state.cell, workload.size, now + needed)
+    if worker is not None:
+        state.holds.add_borrower(task)
     return worker
 
 
+def _evict_borrowers(state: PassState) -> Iterator[Eviction]:
+    """Yield the borrowers of held room that have to stop now."""
+    tasks = state.holds.list_evictions(state.running)
+    if tasks:
+        yield Eviction(tuple(tasks))
+
+
 def _preempt(
     state: PassState, entry: QueueEntry, now: datetime
 ) -> Iterator[Preemption]:
@@ -155,25 +252,30 @@
     workload = entry.workload
     cell = state.cell
     tasks = list(entry.tasks)
+    if state.queue.is_overdue(workload, now):
+        state.holds.mark_overdue(workload.name)
     hold = state.holds.find(workload.name)
     if hold is not None:
         hold.release(cell)
     state.holds.release_below(cell, workload.priority)
-    request = TaskRequest(workload.name, workload.size, workload.spread)
-    chosen = choose_gang(cell, [request] * len(tasks), state.policy)
+    requests = [_make_request(workload)] * len(tasks)
+    chosen = choose_gang(cell, requests, state.policy)
     if chosen.is_ok():
         state.holds.close_hold(cell, workload.name)
         placements = []
         for task, worker in zip(tasks, chosen.ok, strict=True):
             placements.append(_place(state, workload, task, worker))
-        state.holds.fill_below(cell, workload.priority)
+        state.holds.fill(cell)
         return tuple(placements)
-    if hold is not None:
-        hold.fill(cell)
-    else:
+    if hold is None:
         state.holds.open_hold(cell, state.running, workload, len(tasks), now)
-    state.holds.fill_below(cell, workload.priority)
-    return Deferral(workload.name, chosen.error)
+    state.holds.fill(cell)
+    return Deferral(workload.name)
+
+
+def _make_request(workload: WaitingWorkload) -> TaskRequest:
+    """Return what placing one task of a workload asks for."""
+    return TaskRequest(workload.name, workload.size, workload.spread)
 
 
 def _place(
--- a/packages/almondspread/almondspread/scheduling/policies/tests/test_backfill.py
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_backfill.py
@@ -9,12 +9,19 @@
 from almondspread.resources.capacity import Capacity
 from almondspread.scheduling.policies.backfill import (
     FIRST_HOLD_LIMIT,
+    OVERDUE_PRIORITY,
+    PLAN_INTERVAL,
     HoldBook,
-    plan_hold,
 )
-from almondspread.scheduling.policies.ordering import WaitingQueue, WaitingWorkload
+from almondspread.scheduling.policies.holds import GangHold, plan_hold
+from almondspread.scheduling.policies.ordering import (
+    STARVATION_LIMIT,
+    WaitingQueue,
+    WaitingWorkload,
+)
 from almondspread.scheduling.policies.passes import (
     Deferral,
+    Eviction,
     PassState,
     cancel_workload,
     decide_waiting,
@@ -45,7 +52,7 @@
         if not cell.worker(name).has_room(size):
             continue
         cell.commit(name, "old", size)
-        end = NOW + timedelta(seconds=number + 1)
+        end = NOW + timedelta(minutes=5, seconds=number)
         state.running.add(
             RunningTask(
                 f"old{number}", "old", name, size, 100, "batch", NOW, False, end
@@ -55,22 +62,56 @@
     gang = make_gang(gang_size)
     state.queue.add(gang, [f"g{task}" for task in range(gang_tasks)])
     for step in range(len(running_sizes) + 1):
+        now = NOW + timedelta(seconds=step)
         room = count_room(cell, state, gang_size)
-        for decision in decide_waiting(state, NOW + timedelta(seconds=step)):
-            if isinstance(decision, tuple) and decision[0].workload == "gang":
-                return step
+        if run_passes(state, now):
+            return step
         if not backfill and room >= gang_tasks:
             raise AssertionError("the gang has room and does not start")
         if step == 0:
             add_backfill(state.queue, backfill)
-        ended = state.running.find(f"old{step}")
-        if ended is None:
-            continue
-        cell.release(ended.worker, "old", ended.size)
-        state.running.remove(ended.name)
+        end_task(state, f"old{step}")
     return None
 
 
+def run_passes(state, now):
+    """Decide until no task is told to stop; tell whether the gang started."""
+    stopped = None
+    while stopped is None or stopped:
+        stopped = []
+        for decision in decide_waiting(state, now):
+            if isinstance(decision, Eviction):
+                stopped.extend(decision.tasks)
+            if not isinstance(decision, tuple):
+                continue
+            if decision[0].workload == "gang":
+                return True
+            for placed in decision:
+                state.running.add(
+                    RunningTask(
+                        placed.task,
+                        placed.workload,
+                        placed.worker,
+                        placed.size,
+                        100,
+                        "batch",
+                        now,
+                    )
+                )
+        for task in stopped:
+            end_task(state, task)
+    return False
+
+
+def end_task(state, name):
+    """Release a task, if it runs."""
+    ended = state.running.find(name)
+    if ended is None:
+        return
+    state.cell.release(ended.worker, ended.workload, ended.size)
+    state.running.remove(name)
+
+
 def count_room(cell, state, size):
     """Return how many tasks fit beside the running ones, whatever is held."""
     room = 0
@@ -84,12 +125,16 @@
     return room
 
 
-def add_backfill(queue, sizes):
-    """Add work that is ordered before the gang and never ends."""
-    for number, (cpu, memory) in enumerate(sizes):
-        early = NOW - timedelta(minutes=2)
+def add_backfill(queue, drawn):
+    """Add work that is ordered before the gang and never ends by itself."""
+    for number, (cpu, memory, checkpointable) in enumerate(drawn):
         workload = WaitingWorkload(
-            f"fill{number}", "u", 100, Capacity(cpu, memory), early
+            f"fill{number}",
+            "u",
+            100,
+            Capacity(cpu, memory),
+            NOW - timedelta(minutes=2),
+            checkpointable=checkpointable,
         )
         queue.add(workload, [f"fill{number}-{task}" for task in range(6)])
 
@@ -103,7 +148,7 @@
         st.lists(st.tuples(st.integers(0, WORKERS - 1), small, small), max_size=9),
         st.builds(Capacity, st.integers(2, 6), st.integers(2, 6)),
         st.integers(1, 6),
-        st.lists(st.tuples(small, small), min_size=1, max_size=4),
+        st.lists(st.tuples(small, small, st.booleans()), min_size=1, max_size=4),
     )
     def test_never_delays_a_gang(self, running, size, tasks, backfill):
         alone = run_until_gang_starts(running, size, tasks, [])
@@ -135,29 +180,94 @@
         self.assertEqual(cell.worker("w0").committed, Capacity(6, 2))
         self.assertEqual(len(state.queue), 1)
 
-    def test_higher_priority_takes_held_room_and_the_hold_is_filled_again(self):
+    def test_borrowed_room_goes_back_when_the_gang_needs_nothing_else(self):
+        cell = Cell()
+        for number in range(2):
+            cell.add_worker(f"w{number}", "enna", "r", CAPACITY)
+        lengths = {"short": timedelta(minutes=1), "long": timedelta(minutes=20)}
+        state = PassState(
+            cell,
+            TeamLedger(CAPACITY.times(2)),
+            WaitingQueue(),
+            "packing",
+            estimate_longest=lambda workload: lengths.get(workload.name),
+        )
+        cell.commit("w0", "old", CAPACITY)
+        end = NOW + timedelta(minutes=5)
+        state.running.add(
+            RunningTask("old", "old", "w0", CAPACITY, 100, "batch", NOW, False, end)
+        )
+        state.queue.add(make_gang(CAPACITY), ["g0", "g1"])
+        list(decide_waiting(state, NOW))
+        for name in ("long", "unknown", "short"):
+            work = WaitingWorkload(name, "t", 100, Capacity(8, 1), NOW)
+            state.queue.add(work, [f"{name}0"])
+        placed = []
+        for decision in decide_waiting(state, NOW):
+            if isinstance(decision, tuple):
+                placed.extend(decision)
+        self.assertEqual([(p.task, p.worker) for p in placed], [("short0", "w1")])
+        state.running.add(
+            RunningTask(
+                "short0", "short", "w1", Capacity(8, 1), 100, "batch", NOW, False, end
+            )
+        )
+        later = NOW + timedelta(seconds=10)
+        end_task(state, "old")
+        again = WaitingWorkload("short", "t", 100, Capacity(8, 1), NOW)
+        state.queue.add(again, ["short1"])
+        first, *others = list(decide_waiting(state, later))
+        self.assertEqual(first, Eviction(("short0",)))
+        self.assertEqual({type(decision) for decision in others}, {Deferral})
+        end_task(state, "short0")
+        self.assertEqual(len(next(decide_waiting(state, later))), 2)
+
+    def make_held_cell(self):
         cell = Cell()
         cell.add_worker("w0", "enna", "r", CAPACITY)
         state = PassState(cell, TeamLedger(CAPACITY), WaitingQueue(), "packing")
-        cell.commit("w0", "old", Capacity(2, 2))
+        size = Capacity(2, 2)
+        cell.commit("w0", "old", size)
         end = NOW + timedelta(seconds=9)
         state.running.add(
-            RunningTask(
-                "old", "old", "w0", Capacity(2, 2), 100, "batch", NOW, False, end
-            )
+            RunningTask("old", "old", "w0", size, 100, "batch", NOW, False, end)
         )
         state.queue.add(make_gang(CAPACITY), ["g0"])
         list(decide_waiting(state, NOW))
         self.assertEqual(cell.worker("w0").committed, CAPACITY)
         for name, priority in (("low", 100), ("high", 500)):
             early = NOW - timedelta(minutes=2)
-            work = WaitingWorkload(name, "t", priority, Capacity(2, 2), early)
+            work = WaitingWorkload(name, "u", priority, size, early)
             state.queue.add(work, [f"{name}0"])
+        return cell, state
+
+    def test_higher_priority_takes_held_room_and_the_hold_is_filled_again(self):
+        cell, state = self.make_held_cell()
         decisions = list(decide_waiting(state, NOW))
         self.assertEqual(decisions[0][0].task, "high0")
         self.assertEqual([type(decision) for decision in decisions[1:]], [Deferral] * 2)
         self.assertEqual(cell.worker("w0").committed, CAPACITY)
 
+    def test_only_urgent_work_takes_the_room_of_an_overdue_gang(self):
+        _, state = self.make_held_cell()
+        state.holds.mark_overdue("gang")
+        decisions = list(decide_waiting(state, NOW))
+        self.assertEqual([type(decision) for decision in decisions], [Deferral] * 3)
+        later = NOW + STARVATION_LIMIT
+        state.holds.close_hold(state.cell, "gang")
+        for name in ("low", "high"):
+            state.queue.remove_workload(name)
+        list(decide_waiting(state, later))
+        list(decide_waiting(state, later))
+        self.assertEqual(state.holds.find("gang").priority, OVERDUE_PRIORITY)
+
+    def test_gang_over_its_quota_holds_nothing(self):
+        cell, state = self.make_held_cell()
+        state.ledger.set_team("t", Capacity(1, 1), 1.0)
+        list(decide_waiting(state, NOW))
+        self.assertEqual(len(state.holds), 0)
+        self.assertEqual(cell.worker("w0").committed, Capacity(6, 6))
+
     def test_hold_ends_and_the_next_lasts_longer(self):
         cell = Cell()
         cell.add_worker("w0", "enna", "r", CAPACITY)
@@ -165,7 +275,8 @@
         running = RunningTasks()
         gang = make_gang(CAPACITY)
         holds = HoldBook()
-        self.assertIsNone(holds.open_hold(cell, running, gang, 1, NOW))
+        before = NOW - PLAN_INTERVAL
+        self.assertIsNone(holds.open_hold(cell, running, gang, 1, before))
         end = NOW + timedelta(seconds=9)
         running.add(
             RunningTask(
@@ -174,11 +285,11 @@
         )
         self.assertIsNotNone(holds.open_hold(cell, running, gang, 1, NOW))
         later = NOW + FIRST_HOLD_LIMIT
-        holds.refresh(cell, later)
+        holds.refresh(cell, running, later)
         self.assertEqual(len(holds), 0)
         self.assertEqual(cell.worker("w0").committed, Capacity(2, 2))
         self.assertIsNone(holds.open_hold(cell, running, gang, 1, later))
-        later += FIRST_HOLD_LIMIT
+        later += PLAN_INTERVAL
         hold = holds.open_hold(cell, running, gang, 1, later)
         self.assertEqual(hold.expires, later + 2 * FIRST_HOLD_LIMIT)
 
@@ -196,5 +307,9 @@
                 )
             )
         plan = plan_hold(cell, running, Capacity(4, 4), 3, NOW)
-        self.assertEqual(plan, {"w1": 2, "w2": 1})
+        self.assertEqual(plan.tasks, {"w1": 2, "w2": 1})
+        self.assertEqual(plan.start, NOW + timedelta(seconds=20))
         self.assertIsNone(plan_hold(cell, running, Capacity(4, 4), 7, NOW))
+        other = GangHold("other", 1, CAPACITY, plan, NOW, NOW)
+        beside = plan_hold(cell, running, Capacity(4, 4), 2, NOW, (), [other])
+        self.assertEqual(beside.tasks, {"w0": 2})
--- a/packages/almondspread/almondspread/scheduling/policies/tests/test_passes.py
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_passes.py
@@ -9,6 +9,7 @@
     PassState,
     cancel_workload,
     decide_waiting,
+    explain_deferral,
 )
 from almondspread.scheduling.policies.quotas import TeamLedger
 from almondspread.scheduling.policies.running import RunningTask
@@ -33,7 +34,8 @@
         decisions = []
         for decision in decide_waiting(self.state, now):
             if isinstance(decision, Deferral):
-                decisions.append((decision.workload, decision.waiting.to_text()))
+                waiting = explain_deferral(self.state, decision)
+                decisions.append((decision.workload, waiting.to_text()))
                 continue
             decisions.append([placement.task for placement in decision])
         return decisions
--- a/packages/almondspread_standin/almondspread_standin/measures/command.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/command.py
@@ -2,6 +2,7 @@
 
 import click
 
+from almondspread_standin.measures.packing import measure_packing
 from almondspread_standin.measures.placement import measure_placement
 
 
@@ -11,3 +12,4 @@
 
 
 measure.add_command(measure_placement)
+measure.add_command(measure_packing)
--- a/packages/almondspread_standin/almondspread_standin/measures/placement.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/placement.py
@@ -14,9 +14,11 @@
 from almondspread.resources.capacity import Capacity
 from almondspread.scheduling.policies.ordering import QueueEntry, WaitingQueue
 from almondspread.scheduling.policies.passes import (
+    Deferral,
     PassState,
     Placement,
     decide_waiting,
+    explain_deferral,
 )
 from almondspread.scheduling.policies.quotas import TeamLedger
 from almondspread.testing.naive_placement import (
@@ -140,7 +142,12 @@
     clock = ManualClock()
     assert replay.state is not None
     for decision in decide_waiting(replay.state, clock.now()):
-        yield decision if isinstance(decision, tuple) else ()
+        if isinstance(decision, tuple):
+            yield decision
+            continue
+        if isinstance(decision, Deferral):
+            explain_deferral(replay.state, decision)
+        yield ()
 
 
 def decide_with_scan(replay: _Replay) -> Iterator[Placed]:
