--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -36,6 +36,7 @@
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    ReportStatuses,
     ShardReleased,
 )
 from almondspread_daemon.platform_access import observe_platform, open_platform
@@ -125,6 +126,7 @@
             settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
             self.neighbours.note_all,
+            self._observe_commit,
         )
         self.requests = RequestPart(
             settings,
@@ -141,7 +143,13 @@
         )
         self.router = self.requests.router
         self.watches = Watches()
-        self.publisher = StatusPublisher(self.changes, clock, settings.name)
+        self.publisher = StatusPublisher(
+            self.changes,
+            clock,
+            settings.name,
+            self.neighbours,
+            lambda shard: self.keeper.list_epochs().get(shard, 0),
+        )
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
             settings.name,
@@ -158,6 +166,7 @@
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
                 FetchSnapshot: self.follower.take_fetch_snapshot,
+                ReportStatuses: self.publisher.take_reports,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
                 **self.requests.list_handlers(),
@@ -221,6 +230,12 @@
             self.settings.scheduling.commit,
         )
 
+    def _observe_commit(self, duration: timedelta, _: int) -> None:
+        """Count a commit into a journal."""
+        instruments = self.telemetry.instruments
+        instruments.commits.add(1)
+        instruments.commit_duration.record(duration.total_seconds())
+
     def _make_key_shard(
         self, ownership: Ownership, journal: Journal, stopped: bool
     ) -> KeyShard:
@@ -359,18 +374,11 @@
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
-        neighbours = self.neighbours
-        own = Standing(
-            self.settings.name, self.changes.cache.revision, self.changes.fault
-        )
-        standings = list_standings(
-            own,
-            neighbours.members.list_all(),
-            neighbours.list_live(),
-            neighbours.listed.values(),
-            self.clock.monotonic(),
+        revision = self.changes.cache.revision
+        own = Standing(self.settings.name, revision, self.changes.fault)
+        return documents.describe_item(
+            item, list_standings(own, self.neighbours, self.clock)
         )
-        return documents.describe_item(item, standings)
 
     def traceparent(self) -> str:
         """Return the trace context to send on."""
