Deliver answers of owners that are abandoned in their commit; split pools and stopping

A runner that the keeper cancels while its commit is in flight left those who wait for the commit waiting for ever, so an answer was never offered to the next owner. Seen to fail without the change: test_answer_outlives_an_owner_that_is_abandoned_in_its_commit.

--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -51,6 +51,7 @@
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
+from almondspread_daemon.stopping import stop_within_bound
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
 
@@ -414,24 +415,9 @@
     following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
-        await _stop_within_bound(entry, hurried)
+        await stop_within_bound(
+            entry.stop(), entry.end_now, hurried, settings.requests.stop_bound
+        )
     finally:
         following.cancel()
     return 0
-
-
-async def _stop_within_bound(entry: Entry, hurried: asyncio.Event) -> None:
-    """Stop gracefully; end at once at the bound of a stop or at a second signal."""
-    stopping = start_task(entry.stop())
-    waiting = asyncio.create_task(hurried.wait())
-    await asyncio.wait(
-        [stopping, waiting],
-        timeout=entry.settings.requests.stop_bound_seconds,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    waiting.cancel()
-    if stopping.done():
-        return
-    stopping.cancel()
-    await asyncio.wait([stopping])
-    await entry.end_now()
--- a/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
@@ -132,13 +132,19 @@
         pairs = [item for item in items if item is not None]
         if pairs:
             encoded = [KEY_EVENT_CODEC.encode(event) for event, _ in pairs]
-            committed = await self._journal.commit(encoded)
-            for event, future in pairs:
-                if committed.is_ok():
-                    self.records.apply(event)
-                if not future.done():
-                    future.set_result(committed.is_ok())
-            if committed.is_error():
+            is_committed = False
+            try:
+                committed = await self._journal.commit(encoded)
+                is_committed = committed.is_ok()
+            finally:
+                # Where this task is cancelled, the row may still land. Nothing was
+                # sent for it, and its answers are offered to the next owner.
+                for event, future in pairs:
+                    if is_committed:
+                        self.records.apply(event)
+                    if not future.done():
+                        future.set_result(is_committed)
+            if not is_committed:
                 return False
         return None not in items
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 from typing import Any
 
-from attrs import define, field
 from expression import Error, Ok, Result
 from loguru import logger
 
@@ -17,13 +16,11 @@
     RequestQueue,
     ShardSlots,
     Waiting,
-    choose_minion,
     eject_outlier,
     estimate_wait,
     find_minion_shard,
 )
 from almondspread.requests.kinds import (
-    LOOKUP,
     SERVING_ORDER,
     find_late_limit,
 )
@@ -36,64 +33,14 @@
     refuse_without_minion,
     report_unknown,
 )
+from almondspread_daemon.requests.service_pools import ServicePool, Ticket
 from almondspread_platform import MinionClient
 
 SERVER_ERRORS = 500
 CLOSE_NOTICE = timedelta(seconds=1)
-SERVICE_MARGIN = 1.2
-WAY_BACK = timedelta(milliseconds=20)
 TakeLate = Callable[[MinionAnswer], None]
 
 
-@define(eq=False)
-class ServicePool:
-    """The minions of one service in this failure domain, and its queue here."""
-
-    queue: RequestQueue
-    minions: dict[str, MinionSlots] = field(factory=dict)
-
-    def choose(self, kind: str, now: timedelta) -> MinionSlots | None:
-        """Return the best minion for one more request of a kind."""
-        return choose_minion(list(self.minions.values()), kind, now)
-
-    def find_service_seconds(self, kind: str) -> float:
-        """Return the mean time that a request of a kind takes, 0 if unknown."""
-        known = []
-        for minion in self.minions.values():
-            if kind in minion.health.seconds:
-                known.append(minion.health.seconds[kind])
-        return sum(known) / len(known) if known else 0.0
-
-    def find_time_needed(self, kind: str) -> timedelta:
-        """Return how long before its deadline a request must get its slot."""
-        seconds = self.find_service_seconds(kind)
-        if not seconds:
-            return timedelta(0)
-        return timedelta(seconds=seconds * SERVICE_MARGIN) + WAY_BACK
-
-    def describe_load(self, now: timedelta) -> ServiceLoad:
-        """Return how the owned minions stand."""
-        slots = free = 0
-        for minion in self.minions.values():
-            if minion.leaving or not minion.listed or not minion.shard.may_send(now):
-                continue
-            slots += minion.slots
-            if minion.has_room(LOOKUP, now):
-                free += minion.count_free(now)
-        return ServiceLoad(slots, free, len(self.queue))
-
-
-@define(eq=False)
-class Ticket:
-    """One slot of a minion, taken for one request under one ownership."""
-
-    pool: ServicePool
-    minion: MinionSlots
-    shard: ShardSlots
-    kind: str
-    is_open: bool = True
-
-
 class MinionPools:
     """Counts the slots of owned minions and passes requests on to them."""
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -34,7 +34,7 @@
 from almondspread_daemon.requests.dispatches import HeldSlot
 from almondspread_daemon.requests.keys import KeyShard, settle_result
 from almondspread_daemon.requests.loads import PeerLoads
-from almondspread_daemon.requests.minions import MinionPools, Ticket
+from almondspread_daemon.requests.minions import MinionPools
 from almondspread_daemon.requests.refusals import (
     refuse_late,
     refuse_unowned,
@@ -42,6 +42,7 @@
     refuse_without_minion,
     report_unknown,
 )
+from almondspread_daemon.requests.service_pools import Ticket
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 DELIVER_TIMEOUT = timedelta(seconds=5)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/serving.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/serving.py
@@ -32,9 +32,10 @@
 from almondspread_daemon.requests.deliveries import AnswerDeliveries
 from almondspread_daemon.requests.keys import KeyShard
 from almondspread_daemon.requests.loads import PeerLoads
-from almondspread_daemon.requests.minions import MinionPools, Ticket
+from almondspread_daemon.requests.minions import MinionPools
 from almondspread_daemon.requests.refusals import refuse_unowned, refuse_unsent
 from almondspread_daemon.requests.router import find_call_due
+from almondspread_daemon.requests.service_pools import Ticket
 
 SLOT_KEPT = timedelta(seconds=5)
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -152,6 +152,28 @@
         self.assertEqual((again.body, again.recorded), (b"done", True))
         self.assertEqual(self.sent, ["k"])
 
+    async def test_answer_outlives_an_owner_that_is_abandoned_in_its_commit(self):
+        shard = await self.open_shard("a")
+        original = self.take_slot
+
+        async def take_slot(service, kind, due):
+            slot = (await original(service, kind, due)).ok
+
+            async def send(*arguments):
+                self.table.down = True
+                return await slot.send(*arguments)
+
+            return Ok(HeldSlot(send, slot.drop))
+
+        shard._take_slot = take_slot
+        self.assertEqual((await self.submit(shard, "k")).body, b"done")
+        self.running[0].cancel()
+        await asyncio.wait([self.running[0]])
+        async with asyncio.timeout(10):
+            while not self.kept:
+                await asyncio.sleep(0)
+        self.assertEqual(self.kept[0].body, b"done")
+
     async def test_missing_record_proves_nothing_to_a_stale_owner(self):
         shard = await self.open_shard("a")
         self.assertIs((await shard.fetch("route", "k")).not_run, True)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_stopping.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_stopping.py
@@ -2,6 +2,7 @@
 import unittest
 
 from almondspread_daemon.requests.tests.support import ClusterCase
+from almondspread_daemon.stopping import stop_within_bound
 
 
 class TestStopping(ClusterCase):
@@ -52,6 +53,25 @@
         self.assertIsNone(reply.document["not_run"])
         del self.cluster.entries["entry-1"]
 
+    async def test_second_signal_ends_a_stop_that_waits(self):
+        entry = self.cluster.entries["entry-1"]
+        self.set_faults(held=True)
+        call = asyncio.create_task(self.send("entry-1", "recalculation", "slow"))
+        await self.until(lambda: self.count_runs("slow") == 1)
+        hurried = asyncio.Event()
+        bound = entry.settings.requests.stop_bound
+        stopping = asyncio.create_task(
+            stop_within_bound(entry.stop(), entry.end_now, hurried, bound)
+        )
+        await self.until(lambda: entry.stopping)
+        self.assertFalse(call.done())
+        hurried.set()
+        await stopping
+        reply = await call
+        self.assertEqual(reply.status, 504)
+        self.assertIsNone(reply.document["not_run"])
+        del self.cluster.entries["entry-1"]
+
     async def test_leaving_minion_gets_no_request_after_its_own_sign(self):
         leaving = self.agents[0]
         leaving.set_faults(leaving=True)
