--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -165,7 +165,7 @@
         register_gauges(
             self.telemetry.metrics,
             self.reporter.describe_status,
-            self._count_peer_bytes,
+            self._count_bytes,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -278,11 +278,15 @@
         """Push an own entry to the other instances."""
         self.follower.push(entry)
 
-    def _count_peer_bytes(self) -> tuple[int, int]:
-        """Return how many bytes went to and came from peers."""
+    def _count_bytes(self) -> dict[str, tuple[int, int]]:
+        """Return the bytes sent and received, by the kind of other side."""
         sent, received = self.neighbours.count_bytes()
         server = self.peer_server
-        return sent + server.bytes_sent, received + server.bytes_received
+        caller = self._platform.caller
+        return {
+            "peer": (sent + server.bytes_sent, received + server.bytes_received),
+            "platform": (caller.bytes_sent, caller.bytes_received),
+        }
 
     def _wake_shards(self, _: LogEntry) -> None:
         """Have the scheduling shards look at changed resources at once."""
--- a/packages/almondspread_daemon/almondspread_daemon/platform_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -42,6 +42,7 @@
     instances: InstanceList
     workers: WorkerGateway
     minions: MinionClient | ObservedMinions
+    caller: HttpCaller
 
 
 def open_platform(settings: Settings) -> PlatformAccess:
@@ -61,6 +62,7 @@
         ),
         workers=HttpWorkerGateway(caller, EXCHANGE_TIMEOUT),
         minions=MinionClient(caller),
+        caller=caller,
     )
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/gauges.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/gauges.py
@@ -8,16 +8,16 @@
 from almondspread_daemon.telemetry.metrics import MetricsPipeline
 
 ReadStatus = Callable[[], dict[str, Any]]
-ReadBytes = Callable[[], tuple[int, int]]
+ReadBytes = Callable[[], dict[str, tuple[int, int]]]
 
 
 def register_gauges(
-    metrics: MetricsPipeline, read_status: ReadStatus, read_peer_bytes: ReadBytes
+    metrics: MetricsPipeline, read_status: ReadStatus, read_bytes: ReadBytes
 ) -> None:
     """Register the gauges of one instance.
 
-    ``read_status`` returns its status document, ``read_peer_bytes`` the bytes sent to
-    and received from peers so far.
+    ``read_status`` returns its status document, ``read_bytes`` the bytes sent and
+    received so far, by the kind of other side.
     """
 
     def observe(
@@ -38,11 +38,12 @@
     observe("almondspread.peers", "{instance}", "Other instances", count_peers)
 
     def list_bytes() -> Iterable[Observation]:
-        sent, received = read_peer_bytes()
-        yield Observation(sent, {"network.io.direction": "transmit"})
-        yield Observation(received, {"network.io.direction": "receive"})
+        for side, counted in read_bytes().items():
+            for direction, count in zip(("transmit", "receive"), counted, strict=True):
+                attributes = {"network.io.direction": direction, "side": side}
+                yield Observation(count, attributes)
 
-    metrics.observe("almondspread.peer.io", "By", "Bytes to and from peers", list_bytes)
+    metrics.observe("almondspread.io", "By", "Bytes sent and received", list_bytes)
 
 
 def list_tasks(status: dict[str, Any]) -> Iterable[Observation]:
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
@@ -1,7 +1,6 @@
 """The metrics that an instance counts, with names and units as OpenTelemetry has.
 
-``almondspread.table.rows`` counts rows read and written, ``almondspread.io`` bytes to
-and from peers and the platform, workers and minions. Durations are in seconds.
+``almondspread.table.rows`` counts rows read and written. Durations are in seconds.
 """
 
 from attrs import define
@@ -19,7 +18,6 @@
     request_duration: Histogram
     table_rows: Counter
     table_calls: Counter
-    io_bytes: Counter
     commits: Counter
     commit_duration: Histogram
     placements: Counter
@@ -49,11 +47,6 @@
                 unit="{call}",
                 description="Calls to the table service by operation and outcome",
             ),
-            io_bytes=meter.create_counter(
-                "almondspread.io",
-                unit="By",
-                description="Bytes sent and received, by the kind of other side",
-            ),
             commits=meter.create_counter(
                 "almondspread.journal.commits",
                 unit="{commit}",
--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -71,6 +71,8 @@
         overall: int = 64,
         caller_domain: str = "",
     ) -> None:
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._client = client
         self._limits = ConnectionLimits(per_address, overall)
         self._caller_domain = caller_domain
@@ -146,12 +148,30 @@
         except (HTTPClientError, pycurl.error, OSError, ValueError) as error:
             reason = f"{call.method} {call.address}{call.path}: {error}"
             return Error(CallFault(reason, not_sent=times_handed_over == 0))
+        self.bytes_sent += _measure_request(request)
+        self.bytes_received += _measure_response(response)
         if not _has_known_length(response):
             reason = f"the answer of {call.address} does not tell its length"
             return Error(CallFault(reason, not_sent=False))
         return Ok(response)
 
 
+def _measure_request(request: HTTPRequest) -> int:
+    """Return how many bytes a request has, without what curl adds to it."""
+    size = len(request.url) + len(request.body or b"")
+    for name, value in request.headers.get_all():
+        size += len(name) + len(value) + len(": \r\n")
+    return size
+
+
+def _measure_response(response: HTTPResponse) -> int:
+    """Return how many bytes a response has in its headers and body."""
+    size = len(response.body or b"")
+    for name, value in response.headers.get_all():
+        size += len(name) + len(value) + len(": \r\n")
+    return size
+
+
 def _has_known_length(response: HTTPResponse) -> bool:
     """Tell whether a cut connection would have shown in the answer."""
     if response.code in STATUSES_WITHOUT_BODY:
