Choose listener ports outside the ephemeral range, and say why a daemon ended

Cause: with 48 daemons a probed port was taken by an outgoing connection before the daemon bound it.

--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -1,6 +1,8 @@
 """A whole deployment in one process: stand-ins and real entry instances."""
 
 import asyncio
+import itertools
+import os
 import socket
 from datetime import timedelta
 from typing import Any
@@ -26,11 +28,27 @@
 READY_PAUSE = timedelta(milliseconds=50)
 
 
+# Below the ports that the system gives to outgoing connections, which could take a
+# port between its choice and its use.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+_PORTS = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+
+
 def find_free_port() -> int:
-    """Return a loopback port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a loopback port that nothing listens on, another one at each call."""
+    if next(_PORTS) == FIRST_PORT:
+        # Processes that run side by side start their search at different ports.
+        for _ in range(os.getpid() * 97 % (LAST_PORT - FIRST_PORT)):
+            next(_PORTS)
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no port from {FIRST_PORT} to {LAST_PORT} is free")
 
 
 class EmbeddedCluster:
--- a/packages/almondspread_standin/almondspread_standin/processes.py
+++ b/packages/almondspread_standin/almondspread_standin/processes.py
@@ -123,8 +123,10 @@
     async def wait_ready(self) -> None:
         """Wait until every entry says that it is ready."""
         async with asyncio.timeout(READY_TIMEOUT.total_seconds()):
-            for url in self.urls.values():
+            for name, url in self.urls.items():
                 while await self.get_status(f"{url}/readyz") != 200:
+                    if self.processes[name].returncode is not None:
+                        raise RuntimeError(f"{name} has ended: {self.read_log(name)}")
                     await self._clock.sleep(READY_PAUSE)
 
     async def get_status(self, url: str) -> int:
@@ -190,7 +192,8 @@
     async def stop(self) -> None:
         """Kill the processes that still run, and stop the stand-ins."""
         for process in self.processes.values():
-            process.kill()
+            if process.returncode is None:
+                process.kill()
         for process in self.processes.values():
             await process.wait()
         self.processes.clear()
