--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -88,10 +88,14 @@
         """Take in the platform's list."""
         current = {instance.name: instance for instance in instances}
         for name, instance in self.listed.items():
-            if instance.role == "entry" and name not in current:
-                logger.info("the platform's list no longer has entry {}", name)
-                self.members.mark_gone(name)
-                self._close_link(instance.address)
+            if instance.role != "entry":
+                continue
+            listed = current.get(name)
+            if listed is not None and listed.address == instance.address:
+                continue
+            logger.info("the platform's list no longer has entry {}", name)
+            self.members.mark_gone(name, instance.address)
+            self._close_link(instance.address)
         self.listed = current
         self.list_is_known = True
         for instance in instances:
@@ -133,6 +137,7 @@
                 leaving=beat.leaving,
                 revision=beat.revision,
                 shards=beat.shards,
+                fault=beat.fault,
             )
         )
         self._open_link(beat.address)
@@ -157,6 +162,12 @@
         for link in self._links.values():
             link.note(message)
 
+    def note(self, address: str, message: Any) -> None:
+        """Send a message without reply to one instance, if its stream is open."""
+        link = self._links.get(address)
+        if link is not None:
+            link.note(message)
+
     async def call(
         self, address: str, message: Any, timeout: timedelta
     ) -> Result[Any, PeerFault]:
--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -1,8 +1,7 @@
 """A whole deployment in one process: stand-ins and real entry instances."""
 
 import asyncio
-import itertools
-import os
+import random
 import socket
 from datetime import timedelta
 from typing import Any
@@ -26,29 +25,28 @@
 
 READY_TIMEOUT = timedelta(seconds=10)
 READY_PAUSE = timedelta(milliseconds=50)
+FIRST_ENTRY_PORT = 20_000
+LAST_ENTRY_PORT = 32_000
 
 
-# Below the ports that the system gives to outgoing connections, which could take a
-# port between its choice and its use.
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-_PORTS = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+def find_free_ports(count: int) -> list[int]:
+    """Return different loopback ports that nothing listens on.
 
-
-def find_free_port() -> int:
-    """Return a loopback port that nothing listens on, another one at each call."""
-    if next(_PORTS) == FIRST_PORT:
-        # Processes that run side by side start their search at different ports.
-        for _ in range(os.getpid() * 97 % (LAST_PORT - FIRST_PORT)):
-            next(_PORTS)
-    for port in _PORTS:
+    They lie below the ports that the system gives to those that ask for any, so that
+    none of the stand-ins that start in the meantime takes one.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(FIRST_ENTRY_PORT, LAST_ENTRY_PORT)
+        if port in found:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
-    raise OSError(f"no port from {FIRST_PORT} to {LAST_PORT} is free")
+            found.append(port)
+    return found
 
 
 class EmbeddedCluster:
@@ -65,10 +63,9 @@
         **sections: Any,
     ) -> None:
         entries = []
+        ports = iter(find_free_ports(2 * len(deployment.entries)))
         for entry in deployment.entries:
-            entries.append(
-                evolve(entry, http_port=find_free_port(), peer_port=find_free_port())
-            )
+            entries.append(evolve(entry, http_port=next(ports), peer_port=next(ports)))
         self.deployment = evolve(deployment, entries=tuple(entries))
         self.cell = StandInDeployment(self.deployment, clock, options)
         self.entries: dict[str, Entry] = {}
@@ -151,7 +148,7 @@
                     owned.add(shard)
         wanted = set()
         for entry in self.entries.values():
-            wanted.update(entry.schedule_shards)
+            wanted.update(entry.planned_shards)
         return wanted <= owned
 
     async def stop_entry(self, name: str) -> None:
