--- a/packages/almondspread_daemon/almondspread_daemon/platform_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -44,7 +44,7 @@
     instances: InstanceList
     workers: WorkerGateway
     minions: MinionClient | ObservedMinions
-    caller: HttpCaller
+    callers: tuple[HttpCaller, ...]
 
 
 def open_platform(settings: Settings) -> PlatformAccess:
--- a/packages/almondspread_standin/almondspread_standin/processes.py
+++ b/packages/almondspread_standin/almondspread_standin/processes.py
@@ -21,7 +21,7 @@
 from almondspread.clock import Clock
 from almondspread_standin.cell import CellOptions, StandInDeployment
 from almondspread_standin.deployment import Deployment
-from almondspread_standin.embedded import find_free_port
+from almondspread_standin.embedded import find_free_ports
 from almondspread_standin.listening import LOOPBACK
 
 READY_TIMEOUT = timedelta(seconds=60)
@@ -52,10 +52,9 @@
         **sections: dict[str, Any],
     ) -> None:
         entries = []
+        ports = iter(find_free_ports(2 * len(deployment.entries)))
         for entry in deployment.entries:
-            entries.append(
-                evolve(entry, http_port=find_free_port(), peer_port=find_free_port())
-            )
+            entries.append(evolve(entry, http_port=next(ports), peer_port=next(ports)))
         self.deployment = evolve(deployment, entries=tuple(entries))
         self.cell = StandInDeployment(self.deployment, clock, options)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
