Cut the cost of control at the target size

Cause: whole heartbeats to every instance four times a second, loads of minions ten times a second, the whole instance list read every second, exchanges with idle workers twice a second, 1,024 curl handles and a megabyte buffer for each peer stream. Still over the target where the appender of status reports sits.

--- a/packages/almondspread/almondspread/ownership/members.py
+++ b/packages/almondspread/almondspread/ownership/members.py
@@ -18,14 +18,17 @@
     return f"{milliseconds:012x}-{uuid.uuid4().hex}"
 
 
+MISSED_HEARTBEATS = 3
+
+
 @define(frozen=True)
 class Member:
     """Another instance as its latest heartbeat told.
 
     ``incarnation`` differs for each process that had the name, and a later one sorts
     after an earlier one. ``heard`` is this instance's monotonic time at that
-    heartbeat. ``shards`` maps those that the member owns to their epochs; ``fault``
-    tells why it cannot advance its revision.
+    heartbeat, ``interval`` how soon it promised the next. ``shards`` maps those that
+    the member owns to their epochs; ``fault`` tells why it cannot advance its revision.
     """
 
     name: str
@@ -39,13 +42,15 @@
     shards: dict[str, int] = {}
     fault: str = ""
     listed_gone: bool = False
+    interval: timedelta = timedelta(0)
 
 
 class Members:
     """The instances that this one has heard of.
 
-    A member is live while its latest heartbeat is younger than ``suspect_after`` and
-    the platform's list does not say that it is gone.
+    A member is live while its latest heartbeat is younger than ``suspect_after``, or
+    than a few of the intervals that it promised, and the platform's list does not say
+    that it is gone.
     """
 
     def __init__(self, suspect_after: timedelta) -> None:
@@ -84,8 +89,12 @@
             return True
         if (name, incarnation) not in self._gone:
             return False
-        is_silent = now - known.heard > self._suspect_after
-        return known.incarnation != incarnation or is_silent
+        return known.incarnation != incarnation or self._is_silent(known, now)
+
+    def _is_silent(self, member: Member, now: timedelta) -> bool:
+        """Tell whether a member's next heartbeats are overdue."""
+        patience = max(self._suspect_after, member.interval * MISSED_HEARTBEATS)
+        return now - member.heard > patience
 
     def find(self, name: str) -> Member | None:
         """Return a member by name."""
@@ -99,7 +108,7 @@
         """Return the members that count as live at a monotonic time."""
         live = []
         for member in self._members.values():
-            if member.listed_gone or now - member.heard > self._suspect_after:
+            if member.listed_gone or self._is_silent(member, now):
                 continue
             live.append(member)
         return live
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -36,6 +36,7 @@
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    Pulse,
     ReportStatuses,
     ShardReleased,
 )
@@ -51,6 +52,7 @@
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
+from almondspread_daemon.shards.workers import ExchangePace
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
 
@@ -85,6 +87,7 @@
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
+            settings.failure_domain,
             settings.peer.seeds,
             members,
             platform.instances,
@@ -163,6 +166,7 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                Pulse: self.neighbours.take_pulse,
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
@@ -226,7 +230,10 @@
             self._list_workers,
             self._platform.workers,
             self.clock,
-            self.settings.scheduling.exchange,
+            ExchangePace(
+                self.settings.scheduling.exchange,
+                self.settings.scheduling.idle_exchange,
+            ),
             self.publisher.publish,
             self.settings.scheduling.commit,
         )
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/beats.py
@@ -0,0 +1,82 @@
+"""What goes out as heartbeats, and how often to whom.
+
+Instances of the same failure domain take over each other's shards, so they hear of one
+another often. Instances elsewhere only route to each other and report revisions, and
+hear less often, but at once of every change. A whole heartbeat goes out where there is
+something new; in between a short pulse says that it still holds.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from attrs import define, evolve
+
+from almondspread.clock import Clock
+from almondspread_daemon.peers.messages import Heartbeat, Pulse
+
+FAR_INTERVALS = 8
+WHOLE_EVERY = 16
+
+
+@define
+class Beat:
+    """How a link stands: when its next beat is due, and what was told last."""
+
+    due: timedelta = timedelta(0)
+    told: Heartbeat | None = None
+    pulses: int = 0
+
+
+class Beats:
+    """Decides for each link which beat it gets now, if any."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        interval: timedelta,
+        compose: Callable[[], Heartbeat],
+        is_near: Callable[[str], bool],
+    ) -> None:
+        self._clock = clock
+        self._interval = interval
+        self._compose = compose
+        self._is_near = is_near
+        self._beats: dict[str, Beat] = {}
+
+    def choose(self, addresses: list[str]) -> dict[str, Heartbeat | Pulse]:
+        """Return the beat for each address that gets one now."""
+        current = self._compose()
+        now = self._clock.monotonic()
+        chosen: dict[str, Heartbeat | Pulse] = {}
+        for address in addresses:
+            beat = self._beats.setdefault(address, Beat())
+            if beat.told is not None and not _is_news(beat.told, current):
+                if now < beat.due:
+                    continue
+            chosen[address] = self._take(beat, address, current, now)
+        return chosen
+
+    def forget(self, address: str) -> None:
+        """Have an address get a whole heartbeat next, as its stream is new."""
+        self._beats.pop(address, None)
+
+    def _take(
+        self, beat: Beat, address: str, current: Heartbeat, now: timedelta
+    ) -> Heartbeat | Pulse:
+        """Return the next beat of one link and note it."""
+        near = self._is_near(address)
+        interval = self._interval if near else self._interval * FAR_INTERVALS
+        beat.due = now + interval
+        beat.pulses += 1
+        seconds = interval.total_seconds()
+        told = beat.told
+        if told is None or _is_news(told, current) or beat.pulses >= WHOLE_EVERY:
+            beat.told = current
+            beat.pulses = 0
+            return evolve(current, interval=seconds)
+        return Pulse(current.name, current.incarnation, current.revision, seconds)
+
+
+def _is_news(told: Heartbeat, current: Heartbeat) -> bool:
+    """Tell whether a heartbeat says more than another revision."""
+    return evolve(told, revision=current.revision) != current
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from typing import Any
 
+from attrs import evolve
 from expression import Error, Result
 from loguru import logger
 from tornado.tcpclient import TCPClient
@@ -15,8 +16,9 @@
 from almondspread.interfaces import Instance, InstanceList
 from almondspread.ownership import Member, Members
 from almondspread_daemon.background import start_task
+from almondspread_daemon.membership.beats import Beats
 from almondspread_daemon.peers import CallContext, PeerFault, PeerLink
-from almondspread_daemon.peers.messages import Accepted, Heartbeat
+from almondspread_daemon.peers.messages import Accepted, Heartbeat, Pulse
 from almondspread_daemon.telemetry import TracePipeline
 
 
@@ -26,6 +28,7 @@
     def __init__(
         self,
         own_address: str,
+        failure_domain: str,
         seeds: tuple[str, ...],
         members: Members,
         instance_list: InstanceList,
@@ -45,12 +48,14 @@
         self._instance_list = instance_list
         self._clock = clock
         self._random = random_source
-        self._compose_heartbeat = compose_heartbeat
+        self._beats = Beats(clock, heartbeat_interval, compose_heartbeat, self._is_near)
+        self._failure_domain = failure_domain
         self._heartbeat_interval = heartbeat_interval
         self._list_interval = list_interval
         self._traces = traces
         self._ssl_options = ssl_options
         self._client = TCPClient()
+        self._domains: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -73,8 +78,10 @@
             await self._clock.sleep(self._heartbeat_interval)
 
     def send_heartbeat(self) -> None:
-        """Send one heartbeat over every link now."""
-        self.note_all(self._compose_heartbeat())
+        """Send a heartbeat over each link where one is due or has news."""
+        opened = [address for address, link in self._links.items() if link.is_open]
+        for address, beat in self._beats.choose(opened).items():
+            self._links[address].note(beat)
 
     async def _follow_list(self) -> None:
         """Read the platform's list again and again."""
@@ -114,6 +121,7 @@
             self._traces,
             self._ssl_options,
         )
+        link.on_open = lambda: self._beats.forget(address)
         self._links[address] = link
         self._tasks[address] = start_task(link.run())
 
@@ -138,11 +146,32 @@
                 revision=beat.revision,
                 shards=beat.shards,
                 fault=beat.fault,
+                interval=timedelta(seconds=beat.interval),
             )
         )
+        self._domains[beat.address] = beat.failure_domain
         self._open_link(beat.address)
         return Accepted()
 
+    async def take_pulse(self, pulse: Pulse, _: CallContext) -> Accepted:
+        """Take in that a peer's latest heartbeat still holds."""
+        known = self.members.find(pulse.name)
+        if known is not None and known.incarnation == pulse.incarnation:
+            self.members.hear(
+                evolve(
+                    known,
+                    heard=self._clock.monotonic(),
+                    revision=pulse.revision,
+                    interval=timedelta(seconds=pulse.interval),
+                )
+            )
+        return Accepted()
+
+    def _is_near(self, address: str) -> bool:
+        """Tell whether an instance may be in this failure domain."""
+        domain = self._domains.get(address, self._failure_domain)
+        return domain == self._failure_domain
+
     def list_live(self) -> list[Member]:
         """Return the members that count as live now."""
         return self.members.list_live(self._clock.monotonic())
@@ -162,6 +191,18 @@
         for link in self._links.values():
             link.note(message)
 
+    def note_near(self, message: Any) -> None:
+        """Send a message without reply to every instance of this failure domain."""
+        for address, link in self._links.items():
+            if self._is_near(address):
+                link.note(message)
+
+    def note_far(self, message: Any) -> None:
+        """Send a message without reply to every instance of other domains."""
+        for address, link in self._links.items():
+            if not self._is_near(address):
+                link.note(message)
+
     def note(self, address: str, message: Any) -> None:
         """Send a message without reply to one instance, if its stream is open."""
         link = self._links.get(address)
--- a/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/frames.py
@@ -12,6 +12,7 @@
 NOTE = 2
 
 READ_BYTES = 65_536
+UNPACKER_BYTES = 4_096
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 
@@ -47,7 +48,10 @@
 
     Raises ``ValueError`` for bytes that are not a frame.
     """
-    unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+    # By default each unpacker holds a buffer of a megabyte.
+    unpacker = msgpack.Unpacker(
+        read_size=UNPACKER_BYTES, max_buffer_size=MAX_FRAME_BYTES
+    )
     while True:
         data = await stream.read_bytes(READ_BYTES, partial=True)
         count_received(len(data))
--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import ssl
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -56,6 +57,7 @@
         self._last_number = 0
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.on_open: Callable[[], None] = lambda: None
 
     @property
     def is_open(self) -> bool:
@@ -88,6 +90,7 @@
         )
         self._stream.max_write_buffer_size = MAX_UNSENT_BYTES
         self._stream.set_nodelay(True)
+        self.on_open()
 
     async def _read_replies(self) -> None:
         """Hand each reply to the call that waits for it."""
--- a/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -23,6 +23,20 @@
     revision: int
     shards: dict[str, int]
     fault: str = ""
+    interval: float = 0.0
+
+
+@define(frozen=True)
+class Pulse:
+    """Says that an instance lives and that its latest heartbeat still holds.
+
+    ``interval`` is in how many seconds the next one comes.
+    """
+
+    name: str
+    incarnation: str
+    revision: int
+    interval: float
 
 
 @define(frozen=True)
@@ -309,6 +323,7 @@
 PEER_CODEC = TaggedCodec(
     (
         Heartbeat,
+        Pulse,
         EntryAnnounced,
         FetchEntries,
         FetchedEntries,
--- a/packages/almondspread_daemon/almondspread_daemon/platform_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -28,7 +28,9 @@
     open_client,
 )
 
-MAX_CONNECTIONS = 512
+# The curl client makes all its handles at once, each of some ten kilobytes.
+MAX_PLATFORM_CALLS = 64
+MAX_MINION_CALLS = 128
 CONNECTIONS_PER_ADDRESS = 32
 MINION_CONNECTIONS = 64
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -50,16 +52,16 @@
 def open_platform(settings: Settings) -> PlatformAccess:
     """Return clients for the services that the settings name."""
     caller = HttpCaller(
-        open_client(MAX_CONNECTIONS),
+        open_client(MAX_PLATFORM_CALLS),
         per_address=CONNECTIONS_PER_ADDRESS,
-        overall=MAX_CONNECTIONS,
+        overall=MAX_PLATFORM_CALLS,
         caller_domain=settings.failure_domain,
     )
     # Minions have a client of their own, which a slow store cannot occupy.
     minion_caller = HttpCaller(
-        open_client(MAX_CONNECTIONS, MAX_ANSWER_BYTES),
+        open_client(MAX_MINION_CALLS, MAX_ANSWER_BYTES),
         per_address=MINION_CONNECTIONS,
-        overall=MAX_CONNECTIONS,
+        overall=MAX_MINION_CALLS,
         caller_domain=settings.failure_domain,
     )
     platform = settings.platform
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -24,10 +24,10 @@
 from almondspread_daemon.requests.minions import MinionPools
 from almondspread_daemon.requests.router import RequestRouter
 from almondspread_daemon.requests.serving import PeerRequests
+from almondspread_daemon.requests.telling import LoadTeller
 from almondspread_daemon.settings import Settings
 from almondspread_platform import MinionClient
 
-LOADS_INTERVAL = timedelta(milliseconds=100)
 POOL_INTERVAL = timedelta(milliseconds=250)
 SUCCESSOR_WAIT = timedelta(seconds=3)
 POLLS_AFTER_IDLE = 4
@@ -83,6 +83,7 @@
             neighbours,
             clock,
         )
+        self._teller = LoadTeller(settings.name, neighbours, clock)
         self.serving = PeerRequests(
             find_runner,
             self._find_epoch,
@@ -129,7 +130,8 @@
     async def run(self) -> None:
         """Follow the minions, tell loads and deliver late answers until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.router.run(self._settings.name, LOADS_INTERVAL))
+            group.create_task(self.router.deliveries.run())
+            group.create_task(self._teller.run(self.pools.describe_loads))
             group.create_task(self._follow_minions())
 
     async def _follow_minions(self) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -1,6 +1,5 @@
 """The way of a request from its entry to the owner of a minion or of its key."""
 
-import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -22,7 +21,6 @@
     DeliverAnswer,
     DropSlot,
     FetchRecord,
-    MinionLoads,
     Refused,
     SendTaken,
     ServiceLoad,
@@ -324,22 +322,6 @@
         while len(self.deliveries):
             await self._clock.sleep(poll)
 
-    def tell_loads(self, name: str) -> None:
-        """Tell the peers how the own minions stand."""
-        self._neighbours.note_all(MinionLoads(name, self._pools.describe_loads()))
-
-    async def run(self, name: str, interval: timedelta) -> None:
-        """Deliver late answers and tell loads until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.deliveries.run())
-            group.create_task(self._tell_loads_again(name, interval))
-
-    async def _tell_loads_again(self, name: str, interval: timedelta) -> None:
-        """Tell loads again and again."""
-        while True:
-            self.tell_loads(name)
-            await self._clock.sleep(interval)
-
 
 def find_call_due(clock: Clock, context: CallContext, deadline: float) -> timedelta:
     """Return until when a peer's call may act.
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/telling.py
@@ -0,0 +1,47 @@
+"""How often the loads of the owned minions are told, and to whom."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from almondspread.clock import Clock
+from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.peers.messages import MinionLoads, ServiceLoad
+
+NEAR_INTERVAL = timedelta(milliseconds=100)
+REPEAT_INTERVAL = timedelta(seconds=1)
+
+
+class LoadTeller:
+    """Tells peers of this failure domain of changes at once, and others now and then.
+
+    Most requests stay in their domain; another one is asked only where the own is
+    full, for which a load of a second ago is good enough. An instance whose minions
+    are idle, or that has none, says little.
+    """
+
+    def __init__(self, name: str, neighbours: Neighbours, clock: Clock) -> None:
+        self._name = name
+        self._neighbours = neighbours
+        self._clock = clock
+        self._told: dict[str, ServiceLoad] = {}
+        self._repeat_due = timedelta(0)
+
+    async def run(self, describe_loads: Callable[[], dict[str, ServiceLoad]]) -> None:
+        """Tell loads until cancelled."""
+        while True:
+            self.tell(describe_loads())
+            await self._clock.sleep(NEAR_INTERVAL)
+
+    def tell(self, loads: dict[str, ServiceLoad]) -> None:
+        """Tell the loads to whom they are due."""
+        now = self._clock.monotonic()
+        due = now >= self._repeat_due
+        changed = loads != self._told
+        if not changed and not (due and loads):
+            return
+        message = MinionLoads(self._name, loads)
+        self._neighbours.note_near(message)
+        self._told = loads
+        if due:
+            self._neighbours.note_far(message)
+            self._repeat_due = now + REPEAT_INTERVAL
--- a/packages/almondspread_daemon/almondspread_daemon/settings/rules.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/rules.py
@@ -110,10 +110,11 @@
 def _check_task_lease(settings: Settings) -> list[Fault]:
     """Refuse a task lease that two lost exchanges would let lapse."""
     scheduling = settings.scheduling
-    shortest = 3 * scheduling.exchange.total_seconds()
+    longest = max(scheduling.exchange, scheduling.idle_exchange)
+    shortest = 3 * longest.total_seconds()
     if scheduling.task_lease_seconds >= shortest:
         return []
-    allowed = "allowed is at least three times scheduling.exchange_milliseconds"
+    allowed = "allowed is at least three times the longer exchange interval"
     shown = f"{scheduling.task_lease_seconds:g}"
     remedy = f"set {shortest:g} or more"
     return [Fault("scheduling.task_lease_seconds", shown, allowed, remedy)]
@@ -146,7 +147,11 @@
         _check_suspicion,
     ),
     Rule(
-        ("scheduling.task_lease_seconds", "scheduling.exchange_milliseconds"),
+        (
+            "scheduling.task_lease_seconds",
+            "scheduling.exchange_milliseconds",
+            "scheduling.idle_exchange_milliseconds",
+        ),
         _check_task_lease,
     ),
     Rule(("tokens",), _check_tokens),
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -54,8 +54,8 @@
     """The listener for other entry instances, and how their loss is noticed."""
 
     listen: Annotated[str, ADDRESS] = "127.0.0.1:9101"
-    heartbeat_milliseconds: Milliseconds = 250
-    suspect_after_milliseconds: Milliseconds = 1_000
+    heartbeat_milliseconds: Milliseconds = 500
+    suspect_after_milliseconds: Milliseconds = 1_500
     seeds: tuple[Annotated[str, ADDRESS], ...] = ()
     certificate: File = ""
     key: File = ""
@@ -132,6 +132,7 @@
 
     task_lease_seconds: Seconds = 10.0
     exchange_milliseconds: Milliseconds = 500
+    idle_exchange_milliseconds: Milliseconds = 2_500
     commit_milliseconds: Milliseconds = 15
     start_expiry_seconds: Seconds = 5.0
 
@@ -145,6 +146,11 @@
         """How often a worker's state and orders are exchanged."""
         return timedelta(milliseconds=self.exchange_milliseconds)
 
+    @property
+    def idle_exchange(self) -> timedelta:
+        """How often that is while no work waits for room."""
+        return timedelta(milliseconds=self.idle_exchange_milliseconds)
+
     @property
     def commit(self) -> timedelta:
         """How long decisions are gathered into one commit."""
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -35,7 +35,7 @@
     name_workload,
 )
 from almondspread_daemon.background import Waker, start_task
-from almondspread_daemon.shards.workers import WorkerLink
+from almondspread_daemon.shards.workers import ExchangePace, WorkerLink
 
 WORKLOAD_KINDS = ("service", "batch", "gang")
 DECIDE_INTERVAL = timedelta(milliseconds=500)
@@ -60,7 +60,7 @@
         list_workers: Callable[[str], list[Instance] | None],
         gateway: WorkerGateway,
         clock: Clock,
-        exchange_interval: timedelta,
+        pace: ExchangePace,
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
         gather_interval: timedelta = timedelta(0),
     ) -> None:
@@ -77,7 +77,7 @@
         self._list_workers = list_workers
         self._gateway = gateway
         self._clock = clock
-        self._exchange_interval = exchange_interval
+        self._pace = pace
         self._publish = publish
         self._gather_interval = gather_interval
         self._links: dict[str, WorkerLink] = {}
@@ -234,7 +234,7 @@
             self._leases,
             self._gateway,
             self._clock,
-            self._exchange_interval,
+            self._pace,
             self.ownership.authority,
             self.wake,
         )
--- a/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from attrs import evolve
+from attrs import define, evolve
 from loguru import logger
 
 from almondspread.clock import Clock
@@ -16,6 +16,14 @@
 FAILURES_BEFORE_UNREACHABLE = 3
 
 
+@define(frozen=True)
+class ExchangePace:
+    """How often a worker is exchanged with, while work waits for room and else."""
+
+    busy: timedelta
+    idle: timedelta
+
+
 class WorkerLink:
     """Carries a worker's run list to it and its report back.
 
@@ -30,7 +38,7 @@
         leases: WorkerLeases,
         gateway: WorkerGateway,
         clock: Clock,
-        interval: timedelta,
+        pace: ExchangePace,
         authority: Authority,
         wake_owner: Callable[[], None],
     ) -> None:
@@ -42,7 +50,7 @@
         self._leases = leases
         self._gateway = gateway
         self._clock = clock
-        self._interval = interval
+        self._pace = pace
         self._authority = authority
         self._wake_owner = wake_owner
         self._waker = Waker(clock)
@@ -66,7 +74,17 @@
             # A process that was paused may have lost the shard in the meantime.
             if self._authority.is_good(self._clock.monotonic()):
                 await self._exchange()
-            await self._waker.wait(self._interval)
+            await self._waker.wait(self._find_pause())
+
+    def _find_pause(self) -> timedelta:
+        """Return how long to wait for the next exchange, if nothing wakes it.
+
+        While work waits for room, or the worker does not answer, its reports are
+        wanted soon; else they only have to renew the leases in time.
+        """
+        if self._failures or not self.has_reported or self._scheduler.reasons:
+            return self._pace.busy
+        return self._pace.idle
 
     async def _exchange(self) -> None:
         """Carry out one exchange."""
--- a/packages/almondspread_standin/almondspread_standin/measures/control.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/control.py
@@ -44,6 +44,7 @@
 @click.option("--instances", default=8, show_default=True)
 @click.option("--failure-domains", default=3, show_default=True)
 @click.option("--workers", default=24, show_default=True)
+@click.option("--schedule-shards", default=1, show_default=True, help="A domain.")
 @click.option("--starts-per-second", default=120, show_default=True)
 @click.option("--seconds", default=15.0, show_default=True, help="Of each phase.")
 @click.option("--seed", default=1, show_default=True)
@@ -56,6 +57,7 @@
     instances: int,
     failure_domains: int,
     workers: int,
+    schedule_shards: int,
     starts_per_second: int,
     seconds: float,
     seed: int,
@@ -65,7 +67,8 @@
     deployment = make_deployment(
         failure_domains=failure_domains, workers=workers, entries=instances
     )
-    cluster = ProcessCluster(deployment, clock)
+    ownership = {"schedule_shards": schedule_shards}
+    cluster = ProcessCluster(deployment, clock, ownership=ownership)
     try:
         await cluster.start()
         await clock.sleep(SETTLE_TIME)
@@ -81,6 +84,7 @@
         return {
             "instances": instances,
             "workers": workers,
+            "schedule_shards": schedule_shards,
             "idle": idle,
             "loaded": loaded,
             "target": {
--- a/packages/almondspread_standin/almondspread_standin/measures/takeover.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/takeover.py
@@ -77,6 +77,7 @@
         "scheduling": SchedulingSettings(
             task_lease_seconds=TASK_LEASE_SECONDS,
             exchange_milliseconds=EXCHANGE_MILLISECONDS,
+            idle_exchange_milliseconds=EXCHANGE_MILLISECONDS,
         ),
     }
     with tempfile.TemporaryDirectory() as directory:
