--- a/packages/almondspread_standin/almondspread_standin/measures/command.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/command.py
@@ -3,6 +3,7 @@
 import click
 
 from almondspread_standin.measures.commit import measure_commit
+from almondspread_standin.measures.control import measure_control
 from almondspread_standin.measures.packing import measure_packing
 from almondspread_standin.measures.placement import measure_placement
 from almondspread_standin.measures.requests.drain import measure_drain
@@ -21,6 +22,7 @@
 measure.add_command(measure_overload)
 measure.add_command(measure_once)
 measure.add_command(measure_drain)
+measure.add_command(measure_control)
 measure.add_command(measure_placement)
 measure.add_command(measure_packing)
 measure.add_command(measure_commit)
