--- a/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
@@ -25,6 +25,7 @@
     FetchSlots,
     SlotsInUse,
 )
+from almondspread_daemon.requests.idle_slots import is_idle
 from almondspread_daemon.requests.minions import MinionPools
 
 CONFIRMS_PER_LEASE = 6
@@ -160,6 +161,9 @@
                 self._count_reported(told)
                 await self._follow(member)
                 return
+            if await is_idle(self._table, self.slots.shard, former):
+                self._count_reported(SlotsInUse(former, True, {}))
+                return
             await self._clock.sleep(ASK_AGAIN)
 
     async def _ask_slots(self, member: Member) -> SlotsInUse | None:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -15,6 +15,7 @@
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers.messages import MinionLeaving
 from almondspread_daemon.requests.deadlines import Deadlines
+from almondspread_daemon.requests.idle_slots import note_idle
 from almondspread_daemon.requests.keys import KeyShard
 from almondspread_daemon.requests.minion_shards import (
     POLL_INTERVAL,
@@ -164,9 +165,19 @@
             await self._clock.sleep(POLL_INTERVAL)
         await self.pools.wait_idle()
         await self.router.wait_delivered(POLL_INTERVAL)
+        await note_idle(self._table, self._list_idle())
         # The successors see that nothing is in flight before this instance ends.
         await self._clock.sleep(POLL_INTERVAL * POLLS_AFTER_IDLE)
 
+    def _list_idle(self) -> dict[str, int]:
+        """Return the epochs of those shards that have no slot in use any more."""
+        idle = {}
+        for shard in self.pools.shards:
+            told = self.pools.report_slots(shard)
+            if told.epoch and told.released and not told.in_use:
+                idle[shard] = told.epoch
+        return idle
+
     async def _wait_for_successors(self) -> None:
         """Wait until the next owners of the minions have asked for their slots."""
         end = self._clock.monotonic() + SUCCESSOR_WAIT
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
@@ -21,6 +21,7 @@
     Refused,
     SlotsInUse,
 )
+from almondspread_daemon.requests.idle_slots import note_idle
 from almondspread_daemon.requests.minion_shards import MinionShard, MinionTerms
 from almondspread_daemon.requests.minions import MinionPools
 from almondspread_platform.minions import MinionFault
@@ -185,6 +186,16 @@
         await shard.confirm()
         self.assertEqual(self.count_free(), 4)
 
+    async def test_note_of_a_gone_owner_frees_all_slots(self):
+        await note_idle(self.table, {SHARD: 4})
+        for epoch, free in ((6, 0), (5, 4)):
+            shard = self.make_shard(epoch)
+            taking = asyncio.create_task(shard.take_over(shard.slots))
+            await asyncio.sleep(0.01)
+            await shard.confirm()
+            self.assertEqual(self.count_free(), free)
+            taking.cancel()
+
     async def test_owner_that_has_not_released_is_not_believed(self):
         shard = self.make_shard(3)
         for told in (SlotsInUse(2, False, {}), SlotsInUse(1, True, {})):
