--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -7,6 +7,7 @@
 import click
 
 from almondspread.clock import SystemClock
+from almondspread_standin.capacity import capacity
 from almondspread_standin.cell import CellOptions, StandInDeployment
 from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
@@ -19,6 +20,7 @@
 
 
 main.add_command(demo)
+main.add_command(capacity)
 main.add_command(measure)
 
 
