Measure configuration in force, watches and the table cost of status reports

measure config runs the entries of each failure domain in one process whose peers can be cut off; measure watches runs daemons of their own; measure reports runs the publishers on a simulated clock, beside each instance appending by itself.

--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -10,6 +10,8 @@
 from almondspread_standin.cell import CellOptions, StandInDeployment
 from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
+from almondspread_standin.measures import measure
+from almondspread_standin.measures.command import host
 
 
 @click.group()
@@ -18,6 +20,8 @@
 
 
 main.add_command(demo)
+main.add_command(measure)
+main.add_command(host)
 
 
 @main.command()
