--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/policies/backfill.py
@@ -0,0 +1,194 @@
+"""Work that starts beside waiting gangs without delaying them.
+
+A gang that waits gets a hold: a plan of workers where room is expected first. Free
+room there is committed to the hold as it appears, up to what the plan needs, so
+that other tasks start only in room that the gang does not wait for. A task that is
+expected to end before the gang can start may borrow held room; it is stopped when
+the gang waits for nothing else. Plans are renewed as tasks end earlier or later
+than expected. A hold lasts a limited time; each hold that a gang loses makes its
+next one longer, up to a bound.
+"""
+
+from datetime import datetime, timedelta
+
+from almondspread.placement import Cell
+from almondspread.resources.capacity import Capacity
+from almondspread.resources.kinds import URGENT_PRIORITY
+from almondspread.scheduling.policies.holds import GangHold, plan_hold
+from almondspread.scheduling.policies.ordering import WaitingWorkload
+from almondspread.scheduling.policies.running import RunningTasks
+
+MAX_HOLDS = 2
+FIRST_HOLD_LIMIT = timedelta(hours=2)
+LONGEST_HOLD_LIMIT = timedelta(hours=8)
+PLAN_INTERVAL = timedelta(seconds=30)
+SHORTEST_LOAN = timedelta(minutes=2)
+OVERDUE_PRIORITY = URGENT_PRIORITY - 1
+
+
+class HoldBook:
+    """The holds of a shard, at most ``MAX_HOLDS`` at once."""
+
+    def __init__(self) -> None:
+        self._holds: dict[str, GangHold] = {}
+        self._limits: dict[str, timedelta] = {}
+        self._refused_until: dict[str, datetime] = {}
+        self._borrowers: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._holds)
+
+    def find(self, workload: str) -> GangHold | None:
+        """Return the hold of a gang, if it has one."""
+        return self._holds.get(workload)
+
+    def open_hold(
+        self,
+        cell: Cell,
+        running: RunningTasks,
+        workload: WaitingWorkload,
+        tasks: int,
+        now: datetime,
+    ) -> GangHold | None:
+        """Plan a hold and fill it, unless there are enough holds or no such room.
+
+        A gang whose last hold ran out, or for which no room is expected, is planned
+        anew after ``PLAN_INTERVAL``, so that others get their turn.
+        """
+        if len(self._holds) >= MAX_HOLDS:
+            return None
+        name = workload.name
+        if self._refused_until.get(name, now) > now:
+            return None
+        others = list(self._holds.values())
+        plan = plan_hold(
+            cell, running, workload.size, tasks, now, self._borrowers, others
+        )
+        if plan is None:
+            self._refused_until[name] = now + PLAN_INTERVAL
+            return None
+        expires = now + self._limits.get(name, FIRST_HOLD_LIMIT)
+        hold = GangHold(name, workload.priority, workload.size, plan, expires, now)
+        hold.fill(cell)
+        self._holds[name] = hold
+        return hold
+
+    def close_hold(self, cell: Cell, workload: str) -> None:
+        """Give a hold back for good: its gang starts or was cancelled."""
+        hold = self._holds.pop(workload, None)
+        if hold is not None:
+            hold.release(cell)
+        self._limits.pop(workload, None)
+        self._refused_until.pop(workload, None)
+
+    def mark_overdue(self, workload: str) -> None:
+        """Let only urgent work take the room of a gang that waited too long."""
+        hold = self._holds.get(workload)
+        if hold is not None:
+            hold.priority = max(hold.priority, OVERDUE_PRIORITY)
+
+    def refresh(self, cell: Cell, running: RunningTasks, now: datetime) -> None:
+        """Fill and renew the holds, and drop those that ran out or lost a worker."""
+        for borrower in list(self._borrowers):
+            if running.find(borrower) is None:
+                self._borrowers.discard(borrower)
+        for workload, hold in list(self._holds.items()):
+            if not hold.is_feasible(cell):
+                hold.release(cell)
+                del self._holds[workload]
+                continue
+            hold.fill(cell)
+            if hold.is_complete:
+                continue
+            if hold.expires <= now:
+                self._expire(cell, hold, now)
+                continue
+            if hold.planned + PLAN_INTERVAL <= now:
+                self._renew(cell, running, hold, now)
+
+    def find_borrowable(
+        self, cell: Cell, size: Capacity, until: datetime
+    ) -> str | None:
+        """Return a worker with held room that is not needed before ``until``.
+
+        The hold is left released on that worker; ``fill`` has to follow once the
+        task is committed.
+        """
+        for hold in self._holds.values():
+            if not hold.lends or hold.is_complete or until > hold.plan.start:
+                continue
+            for worker, held in hold.held.items():
+                if not size.fits_in(cell.worker(worker).free.plus(held)):
+                    continue
+                hold.release_worker(cell, worker)
+                return worker
+        return None
+
+    def add_borrower(self, task: str) -> None:
+        """Note a task that runs in held room."""
+        self._borrowers.add(task)
+
+    def list_evictions(self, running: RunningTasks) -> list[str]:
+        """Return the borrowers that are the last that gangs wait for."""
+        evictions: list[str] = []
+        for hold in self._holds.values():
+            free = self._borrowers.difference(evictions)
+            found = _find_evictions(running, hold, free)
+            hold.lends = hold.lends and not found
+            evictions.extend(found)
+        return evictions
+
+    def release_below(self, cell: Cell, priority: int) -> bool:
+        """Give back the room of gangs of a lower priority; tell whether any had."""
+        any_released = False
+        for hold in self._holds.values():
+            if hold.priority < priority:
+                hold.release(cell)
+                any_released = True
+        return any_released
+
+    def fill(self, cell: Cell) -> None:
+        """Fill all holds again."""
+        for hold in self._holds.values():
+            hold.fill(cell)
+
+    def _expire(self, cell: Cell, hold: GangHold, now: datetime) -> None:
+        """Drop a hold that ran out; the gang's next one is longer."""
+        hold.release(cell)
+        del self._holds[hold.workload]
+        limit = self._limits.get(hold.workload, FIRST_HOLD_LIMIT)
+        self._refused_until[hold.workload] = now + PLAN_INTERVAL
+        self._limits[hold.workload] = min(2 * limit, LONGEST_HOLD_LIMIT)
+
+    def _renew(
+        self, cell: Cell, running: RunningTasks, hold: GangHold, now: datetime
+    ) -> None:
+        """Plan a hold anew with what is known by now."""
+        tasks = sum(hold.plan.tasks.values())
+        hold.release(cell)
+        others = [other for other in self._holds.values() if other is not hold]
+        plan = plan_hold(cell, running, hold.size, tasks, now, self._borrowers, others)
+        if plan is not None:
+            hold.plan = plan
+            hold.lends = True
+        hold.planned = now
+        hold.fill(cell)
+
+
+def _find_evictions(
+    running: RunningTasks, hold: GangHold, borrowers: set[str]
+) -> list[str]:
+    """Return the borrowers to stop so that a gang can start, if that is enough."""
+    chosen: list[str] = []
+    for worker in hold.plan.tasks:
+        missing = hold.list_missing(worker)
+        for task in running.list_on(worker):
+            if missing.fits_in(Capacity(0, 0)):
+                break
+            if task.name not in borrowers:
+                continue
+            chosen.append(task.name)
+            missing = missing.minus(task.size)
+        if not missing.fits_in(Capacity(0, 0)):
+            return []
+    return chosen
--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -11,7 +11,7 @@
 from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
 from almondspread_standin.measures import measure
-from almondspread_standin.measures.command import host
+from almondspread_standin.measures.operations import host
 
 
 @click.group()
--- a/packages/almondspread_standin/almondspread_standin/measures/__init__.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/__init__.py
@@ -1,4 +1,4 @@
-"""Measurements on real instances; each prints one JSON object as its last line."""
+"""Measurements of the decisions and daemons, each beside its naive version."""
 
 from almondspread_standin.measures.command import measure
 
--- a/packages/almondspread_standin/almondspread_standin/measures/watches.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/watches.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from attrs import define, field
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from almondspread.clock import Clock, SystemClock
 from almondspread_standin.measures.fleet import Fleet
@@ -35,6 +36,7 @@
         self._clock = clock
         self._sent: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._client: CurlAsyncHTTPClient | None = None
         self.revisions: list[int] = []
 
     def _now(self) -> float:
@@ -43,7 +45,7 @@
 
     async def open(self) -> bool:
         """Open all watches; tell whether all of them began."""
-        client = open_watch_client(len(self.watchers))
+        self._client = client = open_watch_client(len(self.watchers))
         urls = [node.url for node in self._fleet.nodes]
         for watcher in self.watchers:
             stream = WatchStream(
@@ -109,6 +111,8 @@
         """Close the watches."""
         for task in self._tasks:
             task.cancel()
+        if self._client is not None:
+            self._client.close()
 
 
 def find_percentile(values: list[float], percent: float) -> float:
