--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -12,6 +12,7 @@
 from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
 from almondspread_standin.measures import measure
+from almondspread_standin.measures.operations import host
 
 
 @click.group()
@@ -22,6 +23,7 @@
 main.add_command(demo)
 main.add_command(capacity)
 main.add_command(measure)
+main.add_command(host)
 
 
 @main.command()
--- a/packages/almondspread_standin/almondspread_standin/measures/command.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/command.py
@@ -4,6 +4,11 @@
 
 from almondspread_standin.measures.commit import measure_commit
 from almondspread_standin.measures.control import measure_control
+from almondspread_standin.measures.operations import (
+    measure_config,
+    measure_status_reports,
+    measure_watch_load,
+)
 from almondspread_standin.measures.packing import measure_packing
 from almondspread_standin.measures.placement import measure_placement
 from almondspread_standin.measures.requests.drain import measure_drain
@@ -27,3 +32,6 @@
 measure.add_command(measure_packing)
 measure.add_command(measure_commit)
 measure.add_command(measure_takeover)
+measure.add_command(measure_config)
+measure.add_command(measure_watch_load)
+measure.add_command(measure_status_reports)
