--- a/packages/almondspread_daemon/almondspread_daemon/command.py
+++ b/packages/almondspread_daemon/almondspread_daemon/command.py
@@ -8,6 +8,7 @@
 import click
 
 from almondspread_daemon.settings import Settings, make_schema, read_settings
+from almondspread_daemon.settings.page import render_settings_page
 
 EXIT_INVALID_SETTINGS = 2
 
@@ -71,8 +72,12 @@
 
 
 @main.command()
-def schema() -> None:
+@click.option("--page", is_flag=True, help="Print the operators' page instead.")
+def schema(page: bool) -> None:
     """Print the JSON Schema of the settings, for editors and other checks."""
+    if page:
+        click.echo(render_settings_page(), nl=False)
+        return
     click.echo(json.dumps(make_schema(), indent=2))
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from loguru import logger
-from tornado.httpserver import HTTPServer
 
 from almondspread.changes import ChangeLog, Item
 from almondspread.changes import Entry as LogEntry
@@ -22,6 +21,7 @@
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.following.watches import Watches
 from almondspread_daemon.http import make_application
+from almondspread_daemon.http.server import make_server
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
     find_domain,
@@ -180,12 +180,8 @@
             self.telemetry.traces,
             self.credentials.peer_server,
         )
-        self.http_server = HTTPServer(
-            make_application(self),
-            ssl_options=self.credentials.http,
-            max_body_size=settings.http.max_body_bytes,
-            max_header_size=settings.http.max_header_bytes,
-            idle_connection_timeout=settings.http.idle_timeout.total_seconds(),
+        self.http_server = make_server(
+            make_application(self), settings.http, self.credentials.http
         )
         register_gauges(
             self.telemetry.metrics,
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/http/server.py
@@ -0,0 +1,50 @@
+"""The HTTP listener with its limits against slow or too many clients."""
+
+import ssl
+from typing import Any
+
+from loguru import logger
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.web import Application
+
+from almondspread_daemon.settings import HttpSettings
+
+
+class LimitedServer(HTTPServer):
+    """A server that closes connections beyond a limit as soon as they come."""
+
+    max_connections = 0
+    _open = 0
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a connection, unless there are too many already."""
+        if self._open >= self.max_connections:
+            logger.warning("a connection of {} is over the limit", address)
+            stream.close()
+            return
+        self._open += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        """Count a connection that is closed."""
+        self._open -= 1
+        super().on_close(server_conn)
+
+
+def make_server(
+    application: Application, settings: HttpSettings, context: ssl.SSLContext | None
+) -> LimitedServer:
+    """Return the server of an application under the limits of the settings."""
+    idle_seconds = settings.idle_timeout.total_seconds()
+    server = LimitedServer(
+        application,
+        ssl_options=context,
+        max_body_size=settings.max_body_bytes,
+        max_header_size=settings.max_header_bytes,
+        idle_connection_timeout=idle_seconds,
+        body_timeout=idle_seconds,
+    )
+    assert isinstance(server, LimitedServer)
+    server.max_connections = settings.max_connections
+    return server
