--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -36,6 +36,8 @@
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    Pulse,
+    ReportStatuses,
     ShardReleased,
 )
 from almondspread_daemon.platform_access import observe_platform, open_platform
@@ -50,11 +52,14 @@
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
+from almondspread_daemon.shards.workers import ExchangePace
+from almondspread_daemon.stopping import stop_within_bound
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
 
 READY_INTERVAL = timedelta(milliseconds=250)
 CLOSE_TIMEOUT = timedelta(seconds=2)
+SIDES = ("platform", "minion")
 WATCH_END_TIMEOUT = timedelta(seconds=2)
 
 
@@ -83,6 +88,7 @@
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
+            settings.failure_domain,
             settings.peer.seeds,
             members,
             platform.instances,
@@ -142,7 +148,13 @@
         )
         self.router = self.requests.router
         self.watches = Watches()
-        self.publisher = StatusPublisher(self.changes, clock, settings.name)
+        self.publisher = StatusPublisher(
+            self.changes,
+            clock,
+            settings.name,
+            self.neighbours,
+            lambda shard: self.keeper.list_epochs().get(shard, 0),
+        )
         self.resources = ResourceService(self.changes, settings.name)
         self.reporter = StatusReporter(
             settings.name,
@@ -155,13 +167,15 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                Pulse: self.neighbours.take_pulse,
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
                 FetchSnapshot: self.follower.take_fetch_snapshot,
+                ReportStatuses: self.publisher.take_reports,
                 FetchStatus: self.reporter.take_fetch_status,
                 FetchTasks: self.reporter.take_fetch_tasks,
-                **self.requests.serving.list_handlers(),
+                **self.requests.list_handlers(),
             },
             self.telemetry.traces,
             self.credentials.peer_server,
@@ -176,7 +190,7 @@
         register_gauges(
             self.telemetry.metrics,
             self.reporter.describe_status,
-            self._count_peer_bytes,
+            self._count_bytes,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -217,7 +231,10 @@
             self._list_workers,
             self._platform.workers,
             self.clock,
-            self.settings.scheduling.exchange,
+            ExchangePace(
+                self.settings.scheduling.exchange,
+                self.settings.scheduling.idle_exchange,
+            ),
             self.publisher.publish,
             self.settings.scheduling.commit,
         )
@@ -291,7 +308,7 @@
         await self.watches.wait_until_ended(WATCH_END_TIMEOUT)
         await self.keeper.hand_over_all()
         self.neighbours.send_heartbeat()
-        await self.requests.drain()
+        await self.requests.drain(lambda: self.peer_server.open_calls)
         await self._close_connections()
         await self.publisher.flush()
         self.neighbours.send_heartbeat()
@@ -331,11 +348,14 @@
         """Push an own entry to the other instances."""
         self.follower.push(entry, head_version)
 
-    def _count_peer_bytes(self) -> tuple[int, int]:
-        """Return how many bytes went to and came from peers."""
+    def _count_bytes(self) -> dict[str, tuple[int, int]]:
+        """Return the bytes sent and received, by the kind of other side."""
         sent, received = self.neighbours.count_bytes()
         server = self.peer_server
-        return sent + server.bytes_sent, received + server.bytes_received
+        counted = {"peer": (sent + server.bytes_sent, received + server.bytes_received)}
+        for side, caller in zip(SIDES, self._platform.callers, strict=True):
+            counted[side] = (caller.bytes_sent, caller.bytes_received)
+        return counted
 
     def _wake_shards(self) -> None:
         """Have the scheduling shards look at changed resources at once."""
@@ -366,18 +386,11 @@
 
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
-        neighbours = self.neighbours
-        own = Standing(
-            self.settings.name, self.changes.cache.revision, self.changes.fault
-        )
-        standings = list_standings(
-            own,
-            neighbours.members.list_all(),
-            neighbours.list_live(),
-            neighbours.listed.values(),
-            self.clock.monotonic(),
+        revision = self.changes.cache.revision
+        own = Standing(self.settings.name, revision, self.changes.fault)
+        return documents.describe_item(
+            item, list_standings(own, self.neighbours, self.clock)
         )
-        return documents.describe_item(item, standings)
 
     def traceparent(self) -> str:
         """Return the trace context to send on."""
@@ -413,24 +426,9 @@
     following = start_task(follow_tokens(path, entry.tokens, clock))
     await told.wait()
     try:
-        await _stop_within_bound(entry, hurried)
+        await stop_within_bound(
+            entry.stop(), entry.end_now, hurried, settings.requests.stop_bound
+        )
     finally:
         following.cancel()
     return 0
-
-
-async def _stop_within_bound(entry: Entry, hurried: asyncio.Event) -> None:
-    """Stop gracefully; end at once at the bound of a stop or at a second signal."""
-    stopping = start_task(entry.stop())
-    waiting = asyncio.create_task(hurried.wait())
-    await asyncio.wait(
-        [stopping, waiting],
-        timeout=entry.settings.requests.stop_bound_seconds,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    waiting.cancel()
-    if stopping.done():
-        return
-    stopping.cancel()
-    await asyncio.wait([stopping])
-    await entry.end_now()
--- a/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -23,6 +23,20 @@
     revision: int
     shards: dict[str, int]
     fault: str = ""
+    interval: float = 0.0
+
+
+@define(frozen=True)
+class Pulse:
+    """Says that an instance lives and that its latest heartbeat still holds.
+
+    ``interval`` is in how many seconds the next one comes.
+    """
+
+    name: str
+    incarnation: str
+    revision: int
+    interval: float
 
 
 @define(frozen=True)
@@ -183,6 +197,45 @@
     number: int
 
 
+@define(frozen=True)
+class OpenMonitor:
+    """Asks the owner of some minions to open a standing stream after a position."""
+
+    service: str
+    body: bytes
+    position: int
+
+
+@define(frozen=True)
+class MonitorOpened:
+    """A standing stream is open under a number."""
+
+    number: int
+
+
+@define(frozen=True)
+class FetchLines:
+    """Asks for what came on a standing stream since the last such call."""
+
+    number: int
+
+
+@define(frozen=True)
+class MonitorLines:
+    """Lines of a standing stream; ``ended`` says that no more will come."""
+
+    lines: tuple[bytes, ...]
+    position: int
+    ended: bool
+
+
+@define(frozen=True)
+class CloseMonitor:
+    """Says that a standing stream is wanted no more."""
+
+    number: int
+
+
 @define(frozen=True)
 class DeliverAnswer:
     """Brings the answer of a minion to the owner of its key."""
@@ -309,6 +362,7 @@
 PEER_CODEC = TaggedCodec(
     (
         Heartbeat,
+        Pulse,
         EntryAnnounced,
         FetchEntries,
         FetchedEntries,
@@ -326,6 +380,11 @@
         SlotTaken,
         SendTaken,
         DropSlot,
+        OpenMonitor,
+        MonitorOpened,
+        FetchLines,
+        MonitorLines,
+        CloseMonitor,
         DeliverAnswer,
         AnswerRecorded,
         FetchSlots,
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
@@ -25,6 +25,7 @@
     FetchSlots,
     SlotsInUse,
 )
+from almondspread_daemon.requests.idle_slots import is_idle
 from almondspread_daemon.requests.minions import MinionPools
 
 CONFIRMS_PER_LEASE = 6
@@ -160,6 +161,9 @@
                 self._count_reported(told)
                 await self._follow(member)
                 return
+            if await is_idle(self._table, self.slots.shard, former):
+                self._count_reported(SlotsInUse(former, True, {}))
+                return
             await self._clock.sleep(ASK_AGAIN)
 
     async def _ask_slots(self, member: Member) -> SlotsInUse | None:
@@ -198,6 +202,8 @@
         told = await self._ask_peers()
         if told is Told.DENIED:
             return False
+        if told is Told.CONFIRMED:
+            self._extend_right(started)
         if told is not Told.CONFIRMED or self._cycle % TABLE_READ_EVERY == 0:
             asked = self._clock.monotonic()
             unchanged = await self._read_table()
@@ -206,9 +212,7 @@
             if unchanged:
                 self._extend_right(asked)
         # After a pause, hearing of no peer proves nothing yet.
-        if told is Told.ALONE and was_paused:
-            return True
-        if told is not Told.SILENT:
+        if told is Told.ALONE and not was_paused:
             self._extend_right(started)
         return True
 
--- a/packages/almondspread_standin/almondspread_standin/measures/command.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/command.py
@@ -3,7 +3,13 @@
 import click
 
 from almondspread_standin.measures.commit import measure_commit
+from almondspread_standin.measures.control import measure_control
+from almondspread_standin.measures.packing import measure_packing
 from almondspread_standin.measures.placement import measure_placement
+from almondspread_standin.measures.requests.drain import measure_drain
+from almondspread_standin.measures.requests.lookups import measure_lookups
+from almondspread_standin.measures.requests.once import measure_once
+from almondspread_standin.measures.requests.overload import measure_overload
 from almondspread_standin.measures.takeover import measure_takeover
 
 
@@ -12,6 +18,12 @@
     """Measure one part; the last line is one JSON object."""
 
 
+measure.add_command(measure_lookups)
+measure.add_command(measure_overload)
+measure.add_command(measure_once)
+measure.add_command(measure_drain)
+measure.add_command(measure_control)
 measure.add_command(measure_placement)
+measure.add_command(measure_packing)
 measure.add_command(measure_commit)
 measure.add_command(measure_takeover)
