--- a/packages/almondspread_standin/almondspread_standin/measures/config.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/config.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from attrs import define, field
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from almondspread.clock import Clock, SystemClock
 from almondspread_standin.measures.fleet import Fleet, Node
@@ -51,7 +50,6 @@
         self._latest: dict[tuple[str, str], int] = {}
         self._streams: list[WatchStream] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._client: CurlAsyncHTTPClient | None = None
 
     def _now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -59,7 +57,7 @@
 
     async def start(self) -> None:
         """Open a watch at every instance."""
-        self._client = client = open_watch_client(len(self._fleet.nodes))
+        client = open_watch_client(len(self._fleet.nodes))
         for node in self._fleet.nodes:
             stream = WatchStream(
                 client, [node.url], "kinds=configuration", 0, self._make_taker(node)
@@ -76,8 +74,6 @@
         """Close the watches."""
         for task in self._tasks:
             task.cancel()
-        if self._client is not None:
-            self._client.close()
 
     def _make_taker(self, node: Node) -> Any:
         """Return what notes the lines of one instance."""
--- a/packages/almondspread_standin/almondspread_standin/measures/fleet.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/fleet.py
@@ -23,7 +23,7 @@
 CALL_TIMEOUT_SECONDS = 20.0
 LOG_LETTERS = 600
 NO_ANSWER = 599
-MIB = 1024 * 1024
+BYTES_A_MEGABYTE = 10**6
 WORKER_CAPACITY = {"cpu_millis": 16_000, "memory_mib": 32_768}
 
 
@@ -257,10 +257,12 @@
             found.append(f"{path.name}: {path.read_text()[-LOG_LETTERS:]}")
         return "\n".join(found)
 
-    def read_resident_mib(self, node: Node) -> float:
-        """Return the resident memory of a daemon."""
+    def read_resident_mb(self, node: Node) -> float:
+        """Return the resident memory of a daemon in 10**6 bytes."""
         assert node.process is not None
-        return float(psutil.Process(node.process.pid).memory_info().rss / MIB)
+        return float(
+            psutil.Process(node.process.pid).memory_info().rss / BYTES_A_MEGABYTE
+        )
 
     def kill(self, node: Node) -> None:
         """Kill a daemon with no warning."""
--- a/packages/almondspread_standin/almondspread_standin/measures/operations.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/operations.py
@@ -1,15 +1,14 @@
 """Measurements of what operators see: configuration, watches and reports."""
 
 import asyncio
-import json
 from pathlib import Path
-from typing import Any
 
 import click
 
 from almondspread_standin.measures.config import measure_configuration
 from almondspread_standin.measures.hosting import host_entries, load_settings
 from almondspread_standin.measures.reports import measure_reports
+from almondspread_standin.measures.results import print_result
 from almondspread_standin.measures.watches import measure_watches
 
 
@@ -52,11 +51,6 @@
     print_result(asyncio.run(running))
 
 
-def print_result(result: dict[str, Any]) -> None:
-    """Print what was measured as one JSON object on one line."""
-    click.echo(json.dumps(result))
-
-
 @click.command()
 @click.option(
     "--settings", "paths", multiple=True, required=True, type=click.Path(path_type=Path)
--- a/packages/almondspread_standin/almondspread_standin/measures/watches.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/watches.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from attrs import define, field
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from almondspread.clock import Clock, SystemClock
 from almondspread_standin.measures.fleet import Fleet
+from almondspread_standin.measures.results import find_quantile
 from almondspread_standin.measures.streams import (
     WatchStream,
     open_watch_client,
@@ -36,7 +36,6 @@
         self._clock = clock
         self._sent: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._client: CurlAsyncHTTPClient | None = None
         self.revisions: list[int] = []
 
     def _now(self) -> float:
@@ -45,7 +44,7 @@
 
     async def open(self) -> bool:
         """Open all watches; tell whether all of them began."""
-        self._client = client = open_watch_client(len(self.watchers))
+        client = open_watch_client(len(self.watchers))
         urls = [node.url for node in self._fleet.nodes]
         for watcher in self.watchers:
             stream = WatchStream(
@@ -111,19 +110,6 @@
         """Close the watches."""
         for task in self._tasks:
             task.cancel()
-        if self._client is not None:
-            self._client.close()
-
-
-def find_percentile(values: list[float], percent: float) -> float:
-    """Return the value that so many per cent of all values do not exceed.
-
-    >>> find_percentile([1.0, 2.0, 3.0, 4.0], 50)
-    2.0
-    """
-    ordered = sorted(values)
-    index = max(0, -(-len(ordered) * percent // 100) - 1)
-    return ordered[int(index)]
 
 
 async def measure_watches(
@@ -137,7 +123,7 @@
     first, second = fleet.nodes
     try:
         await fleet.start()
-        idle_mib = fleet.read_resident_mib(first)
+        idle_mb = fleet.read_resident_mb(first)
         if not await load.open():
             raise TimeoutError("the watches did not open")
         cpu_before = await read_cpu(fleet, first.url)
@@ -146,7 +132,7 @@
         settled = await load.settle()
         cpu_seconds = await read_cpu(fleet, first.url) - cpu_before
         lags = list(load.lags)
-        resident_mib = fleet.read_resident_mib(first)
+        resident_mb = fleet.read_resident_mb(first)
         fleet.kill(first)
         await load.send(second.url, changes, pause)
         reopened = await load.wait_open()
@@ -157,12 +143,12 @@
             "seed": seed,
             "changes": len(load.revisions),
             "lines": len(load.lags),
-            "lag_p50_ms": round(find_percentile(lags, 50) * 1000, 1),
-            "lag_p99_ms": round(find_percentile(lags, 99) * 1000, 1),
+            "lag_p50_ms": round(find_quantile(lags, 0.5) * 1000, 1),
+            "lag_p99_ms": round(find_quantile(lags, 0.99) * 1000, 1),
             "lag_max_ms": round(max(lags) * 1000, 1),
             "cpu_ms_per_change": round(cpu_seconds / changes * 1000, 1),
-            "resident_mb": round(resident_mib, 1),
-            "resident_idle_mb": round(idle_mib, 1),
+            "resident_mb": round(resident_mb, 1),
+            "resident_idle_mb": round(idle_mb, 1),
             "missed": missed,
             "doubled": doubled,
             "out_of_order": disordered,
