--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -128,11 +128,12 @@
 
 @define(frozen=True)
 class SchedulingSettings:
-    """The pace of the exchange with workers, and the leases of tasks."""
+    """The pace of the exchange with workers and of group commits."""
 
     task_lease_seconds: Seconds = 10.0
     exchange_milliseconds: Milliseconds = 500
     idle_exchange_milliseconds: Milliseconds = 2_500
+    commit_milliseconds: Milliseconds = 15
     start_expiry_seconds: Seconds = 5.0
 
     @property
@@ -150,6 +151,11 @@
         """How often that is while no work waits for room."""
         return timedelta(milliseconds=self.idle_exchange_milliseconds)
 
+    @property
+    def commit(self) -> timedelta:
+        """How long decisions are gathered into one commit."""
+        return timedelta(milliseconds=self.commit_milliseconds)
+
     @property
     def start_expiry(self) -> timedelta:
         """How long after it was sent a start request may still be obeyed."""
