--- a/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
@@ -30,6 +30,7 @@
 )
 
 RECOVER_PAUSE = timedelta(milliseconds=500)
+RUNS_POLL = timedelta(milliseconds=50)
 STORE_PAUSE = timedelta(seconds=1)
 ANSWER_HOLD = timedelta(milliseconds=250)
 RECORDS_KEPT = timedelta(days=7)
@@ -60,6 +61,7 @@
         keep_answer: Callable[[DeliverAnswer], None],
         tell_recorded: Callable[[str, str], None],
         is_owner: Callable[[Ownership], Awaitable[bool]],
+        has_successor: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self.ownership = ownership
@@ -71,6 +73,7 @@
         self._keep_answer = keep_answer
         self._tell_recorded = tell_recorded
         self._is_owner = is_owner
+        self._has_successor = has_successor
         self._clock = clock
         self._queue: asyncio.Queue[tuple[KeyEvent, asyncio.Future[bool]] | None] = (
             asyncio.Queue()
@@ -86,11 +89,14 @@
         """Start no more requests; those that were sent go on without this owner.
 
         Requests that were not sent yet are refused as not run. The answers of those
-        that were sent are delivered to the next owner.
+        that were sent are delivered to the next owner; where none is there to take
+        them, they are journalled here first.
         """
         self._stopping.set()
         while self._preparing:
             await asyncio.wait(set(self._preparing))
+        while self._runs and not self._has_successor() and not self._ended:
+            await self._clock.sleep(RUNS_POLL)
         self._queue.put_nowait(None)
 
     async def run(self) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
+from loguru import logger
+
 from almondspread.changes import ResourceCache
 from almondspread.clock import Clock
 from almondspread.interfaces import Instance, ObjectStore, TableService
@@ -32,6 +34,7 @@
 LOADS_INTERVAL = timedelta(milliseconds=100)
 POOL_INTERVAL = timedelta(milliseconds=250)
 SUCCESSOR_WAIT = timedelta(seconds=3)
+DELIVERY_WAIT = timedelta(seconds=20)
 POLLS_AFTER_IDLE = 4
 
 
@@ -118,6 +121,7 @@
             lambda answer: self.router.deliveries.keep(answer, True),
             self.router.tell_recorded,
             self._is_owner,
+            lambda: bool(self._list_peers()),
             self._clock,
         )
 
@@ -164,11 +168,23 @@
         while self.open_calls or count_peer_calls():
             await self._clock.sleep(POLL_INTERVAL)
         await self.pools.wait_idle()
-        await self.router.wait_delivered(POLL_INTERVAL)
+        await self._wait_delivered()
         await note_idle(self._table, self._list_idle())
         # The successors see that nothing is in flight before this instance ends.
         await self._clock.sleep(POLL_INTERVAL * POLLS_AFTER_IDLE)
 
+    async def _wait_delivered(self) -> None:
+        """Wait for a while until no answer is kept that is not journalled."""
+        end = self._clock.monotonic() + DELIVERY_WAIT
+        while len(self.router.deliveries):
+            if self._clock.monotonic() >= end:
+                logger.error(
+                    "{} answers could not be recorded; their keys stay unknown",
+                    len(self.router.deliveries),
+                )
+                return
+            await self._clock.sleep(POLL_INTERVAL)
+
     def _list_idle(self) -> dict[str, int]:
         """Return the epochs of those shards that have no slot in use any more."""
         idle = {}
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -320,11 +320,6 @@
         if address is not None:
             self._neighbours.note(address, AnswerRecorded(service, key))
 
-    async def wait_delivered(self, poll: timedelta) -> None:
-        """Wait until no answer is kept that is not journalled."""
-        while len(self.deliveries):
-            await self._clock.sleep(poll)
-
     def tell_loads(self, name: str) -> None:
         """Tell the peers how the own minions stand."""
         self._neighbours.note_all(MinionLoads(name, self._pools.describe_loads()))
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -27,6 +27,7 @@
         self.answers = {}
         self.sent = []
         self.dropped = 0
+        self.has_successor = True
         self.kept = []
         self.running = []
 
@@ -63,6 +64,7 @@
             self.kept.append,
             lambda service, key: None,
             self.is_owner,
+            lambda: self.has_successor,
             self.clock,
         )
         self.running.append(asyncio.create_task(shard.run()))
@@ -174,6 +176,34 @@
                 await asyncio.sleep(0)
         self.assertEqual(self.kept[0].body, b"done")
 
+    async def test_owner_without_successor_journals_what_it_sent_before_it_stops(self):
+        shard = await self.open_shard("a")
+        self.has_successor = False
+        original = self.take_slot
+        sent, gate = asyncio.Event(), asyncio.Event()
+
+        async def take_slot(service, kind, due):
+            slot = (await original(service, kind, due)).ok
+
+            async def send(*arguments):
+                sent.set()
+                await gate.wait()
+                return await slot.send(*arguments)
+
+            return Ok(HeldSlot(send, slot.drop))
+
+        shard._take_slot = take_slot
+        submitting = asyncio.create_task(self.submit(shard, "k"))
+        await sent.wait()
+        stopping = asyncio.create_task(shard.stop())
+        await asyncio.sleep(0)
+        gate.set()
+        await stopping
+        self.assertEqual((await submitting).body, b"done")
+        again = await self.submit(await self.open_shard("b"), "k")
+        self.assertEqual((again.body, again.recorded), (b"done", True))
+        self.assertEqual(self.kept, [])
+
     async def test_missing_record_proves_nothing_to_a_stale_owner(self):
         shard = await self.open_shard("a")
         self.assertIs((await shard.fetch("route", "k")).not_run, True)
