--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -36,6 +36,7 @@
     FetchStatus,
     FetchTasks,
     Heartbeat,
+    Pulse,
     ReportStatuses,
     ShardReleased,
 )
@@ -51,12 +52,14 @@
 from almondspread_daemon.shards import ScheduleShard, ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
+from almondspread_daemon.shards.workers import ExchangePace
 from almondspread_daemon.stopping import stop_within_bound
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
 
 READY_INTERVAL = timedelta(milliseconds=250)
 CLOSE_TIMEOUT = timedelta(seconds=2)
+SIDES = ("platform", "minion")
 WATCH_END_TIMEOUT = timedelta(seconds=2)
 
 
@@ -85,6 +88,7 @@
         )
         self.neighbours = Neighbours(
             settings.peer.listen,
+            settings.failure_domain,
             settings.peer.seeds,
             members,
             platform.instances,
@@ -163,6 +167,7 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                Pulse: self.neighbours.take_pulse,
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
@@ -185,7 +190,7 @@
         register_gauges(
             self.telemetry.metrics,
             self.reporter.describe_status,
-            self._count_peer_bytes,
+            self._count_bytes,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -226,7 +231,10 @@
             self._list_workers,
             self._platform.workers,
             self.clock,
-            self.settings.scheduling.exchange,
+            ExchangePace(
+                self.settings.scheduling.exchange,
+                self.settings.scheduling.idle_exchange,
+            ),
             self.publisher.publish,
             self.settings.scheduling.commit,
         )
@@ -340,11 +348,14 @@
         """Push an own entry to the other instances."""
         self.follower.push(entry, head_version)
 
-    def _count_peer_bytes(self) -> tuple[int, int]:
-        """Return how many bytes went to and came from peers."""
+    def _count_bytes(self) -> dict[str, tuple[int, int]]:
+        """Return the bytes sent and received, by the kind of other side."""
         sent, received = self.neighbours.count_bytes()
         server = self.peer_server
-        return sent + server.bytes_sent, received + server.bytes_received
+        counted = {"peer": (sent + server.bytes_sent, received + server.bytes_received)}
+        for side, caller in zip(SIDES, self._platform.callers, strict=True):
+            counted[side] = (caller.bytes_sent, caller.bytes_received)
+        return counted
 
     def _wake_shards(self) -> None:
         """Have the scheduling shards look at changed resources at once."""
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -28,10 +28,10 @@
 from almondspread_daemon.requests.monitors import Monitors
 from almondspread_daemon.requests.router import RequestRouter
 from almondspread_daemon.requests.serving import PeerRequests
+from almondspread_daemon.requests.telling import LoadTeller
 from almondspread_daemon.settings import Settings
 from almondspread_platform import MinionClient
 
-LOADS_INTERVAL = timedelta(milliseconds=100)
 POOL_INTERVAL = timedelta(milliseconds=250)
 SUCCESSOR_WAIT = timedelta(seconds=3)
 DELIVERY_WAIT = timedelta(seconds=20)
@@ -96,6 +96,7 @@
             lambda service: timedelta(seconds=self.deadlines.find(service, MONITOR)),
             clock,
         )
+        self._teller = LoadTeller(settings.name, neighbours, clock)
         self.serving = PeerRequests(
             find_runner,
             self._find_epoch,
@@ -147,7 +148,8 @@
     async def run(self) -> None:
         """Follow the minions, tell loads and deliver late answers until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.router.run(self._settings.name, LOADS_INTERVAL))
+            group.create_task(self.router.deliveries.run())
+            group.create_task(self._teller.run(self.pools.describe_loads))
             group.create_task(self.monitors.run())
             group.create_task(self._follow_minions())
 
--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -7,10 +7,12 @@
 import click
 
 from almondspread.clock import SystemClock
+from almondspread_standin.capacity import capacity
 from almondspread_standin.cell import CellOptions, StandInDeployment
 from almondspread_standin.demo import demo
 from almondspread_standin.deployment import Deployment, read_deployment
 from almondspread_standin.measures import measure
+from almondspread_standin.measures.operations import host
 
 
 @click.group()
@@ -19,7 +21,9 @@
 
 
 main.add_command(demo)
+main.add_command(capacity)
 main.add_command(measure)
+main.add_command(host)
 
 
 @main.command()
