--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -318,11 +318,6 @@
         if address is not None:
             self._neighbours.note(address, AnswerRecorded(service, key))
 
-    async def wait_delivered(self, poll: timedelta) -> None:
-        """Wait until no answer is kept that is not journalled."""
-        while len(self.deliveries):
-            await self._clock.sleep(poll)
-
 
 def find_call_due(clock: Clock, context: CallContext, deadline: float) -> timedelta:
     """Return until when a peer's call may act.
