--- a/packages/almondspread/almondspread/scheduling/policies/claims.py
+++ b/packages/almondspread/almondspread/scheduling/policies/claims.py
@@ -1,6 +1,6 @@
 """Room that urgent tasks were given by preemption, until the victims have ended."""
 
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from attrs import define
 
@@ -10,6 +10,8 @@
 from almondspread.scheduling.policies.preemption import Victims, choose_victims
 from almondspread.scheduling.policies.running import RunningTasks
 
+SEARCH_INTERVAL = timedelta(milliseconds=250)
+
 
 @define(frozen=True)
 class Preemption:
@@ -33,6 +35,7 @@
 
     def __init__(self) -> None:
         self._claims: dict[str, _Claim] = {}
+        self._refused_until: dict[tuple[Capacity, int], datetime] = {}
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -59,13 +62,19 @@
     ) -> Victims | None:
         """Choose victims for a task and claim their room, ``None`` if there are none.
 
-        Tasks that are being stopped for another one are not chosen again.
+        Tasks that are being stopped for another one are not chosen again. Where no
+        victims were found for a size and priority, the cell is searched for them
+        again only after ``SEARCH_INTERVAL``.
         """
+        wanted = (size, priority)
+        if self._refused_until.get(wanted, now) > now:
+            return None
         stopping: set[str] = set()
         for claim in self._claims.values():
             stopping.update(claim.victims.tasks)
         victims = choose_victims(cell, running, size, priority, now, stopping)
         if victims is None:
+            self._refused_until[wanted] = now + SEARCH_INTERVAL
             return None
         plan = HoldPlan({victims.worker: 1}, now)
         hold = GangHold(task, priority, size, plan, now, now)
@@ -79,8 +88,11 @@
         if claim is not None:
             claim.hold.release(cell)
 
-    def refresh(self, cell: Cell, running: RunningTasks) -> None:
+    def refresh(self, cell: Cell, running: RunningTasks, now: datetime) -> None:
         """Fill the claims; drop those whose victims ended without making room."""
+        for wanted, until in list(self._refused_until.items()):
+            if until <= now:
+                del self._refused_until[wanted]
         for task, claim in list(self._claims.items()):
             if not claim.hold.is_feasible(cell):
                 self.close_claim(cell, task)
--- a/packages/almondspread/almondspread/scheduling/policies/passes.py
+++ b/packages/almondspread/almondspread/scheduling/policies/passes.py
@@ -91,7 +91,7 @@
     before it is yielded; a gang's tasks are yielded together. A workload whose next
     task cannot be placed is passed over. The caller may stop at any time.
     """
-    state.claims.refresh(state.cell, state.running)
+    state.claims.refresh(state.cell, state.running, now)
     state.holds.refresh(state.cell, state.running, now)
     yield from _evict_borrowers(state)
     too_large = _SizesTooLarge()
--- a/packages/almondspread/almondspread/scheduling/policies/preemption.py
+++ b/packages/almondspread/almondspread/scheduling/policies/preemption.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Container
 from datetime import datetime, timedelta
+from operator import itemgetter
 
 from attrs import define
 
@@ -29,17 +30,9 @@
 class PreemptionCost:
     """What stopping some tasks costs, compared field by field."""
 
-    services: int = 0
-    gang_tasks: int = 0
-    lost_cpu_seconds: float = 0.0
-
-    def plus(self, other: "PreemptionCost") -> "PreemptionCost":
-        """Return the cost of both."""
-        return PreemptionCost(
-            self.services + other.services,
-            self.gang_tasks + other.gang_tasks,
-            self.lost_cpu_seconds + other.lost_cpu_seconds,
-        )
+    services: int
+    gang_tasks: int
+    lost_cpu_seconds: float
 
 
 @define(frozen=True)
@@ -51,18 +44,6 @@
     cost: PreemptionCost
 
 
-def measure_cost(task: RunningTask, now: datetime) -> PreemptionCost:
-    """Return what stopping one task costs."""
-    lost = max(now - task.saved, timedelta(0))
-    if task.checkpointable:
-        lost = min(lost, CHECKPOINT_TIME)
-    return PreemptionCost(
-        int(task.kind == SERVICE),
-        int(task.kind == GANG),
-        lost.total_seconds() * task.size.cpu_millis / 1_000,
-    )
-
-
 def choose_victims(
     cell: Cell,
     running: RunningTasks,
@@ -88,38 +69,68 @@
         for task in running.list_on(worker):
             if task.priority < priority and task.name not in spared:
                 candidates.append(task)
-        victims = _choose_on_worker(state, candidates, size, now)
-        if victims is None:
+        if not _make_room(state, candidates, size):
             continue
+        victims = _choose_on_worker(state, candidates, size, now)
         if best is None or (victims.cost, worker) < (best.cost, best.worker):
             best = victims
     return best
 
 
+def _make_room(state: WorkerState, tasks: list[RunningTask], size: Capacity) -> bool:
+    """Tell whether a size would fit on a worker without the given tasks."""
+    cpu = state.free_cpu_millis
+    memory = state.free_memory_mib
+    accelerators = state.free_accelerators
+    for task in tasks:
+        cpu += task.size.cpu_millis
+        memory += task.size.memory_mib
+        accelerators += task.size.accelerators
+    return (
+        cpu >= size.cpu_millis
+        and memory >= size.memory_mib
+        and accelerators >= size.accelerators
+    )
+
+
 def _choose_on_worker(
     state: WorkerState, candidates: list[RunningTask], size: Capacity, now: datetime
-) -> Victims | None:
-    """Return a set of victims on one worker of which none could be spared."""
+) -> Victims:
+    """Return victims on one worker, cheapest first and none that could be spared."""
     priced = []
     for task in candidates:
-        priced.append((measure_cost(task, now), task.name, task))
-    priced.sort(key=lambda item: item[:2])
-    free = state.free
-    taken = []
-    for item in priced:
-        if size.fits_in(free):
+        priced.append((_measure_cost(task, now), task.name, task))
+    priced.sort(key=itemgetter(0, 1))
+    taken: list[RunningTask] = []
+    for _, _, task in priced:
+        if _make_room(state, taken, size):
             break
-        taken.append(item)
-        free = free.plus(item[2].size)
-    if not size.fits_in(free):
-        return None
-    cost = PreemptionCost()
-    names = []
-    for item in reversed(taken):
-        without = free.minus(item[2].size)
-        if size.fits_in(without):
-            free = without
-            continue
-        cost = cost.plus(item[0])
-        names.append(item[1])
-    return Victims(state.name, tuple(reversed(names)), cost)
+        taken.append(task)
+    for task in reversed(list(taken)):
+        others = [other for other in taken if other is not task]
+        if _make_room(state, others, size):
+            taken = others
+    services = gang_tasks = 0
+    lost = 0.0
+    for task in taken:
+        cost = _measure_cost(task, now)
+        services += cost[0]
+        gang_tasks += cost[1]
+        lost += cost[2]
+    names = tuple(task.name for task in taken)
+    return Victims(state.name, names, PreemptionCost(services, gang_tasks, lost))
+
+
+def _measure_cost(task: RunningTask, now: datetime) -> tuple[int, int, float]:
+    """Return the fields of a ``PreemptionCost`` for one task.
+
+    A plain tuple, as this is asked for every running task of the cell.
+    """
+    lost = (now - task.saved).total_seconds()
+    if task.checkpointable:
+        lost = min(lost, CHECKPOINT_TIME.total_seconds())
+    return (
+        int(task.kind == SERVICE),
+        int(task.kind == GANG),
+        max(lost, 0.0) * task.size.cpu_millis / 1_000,
+    )
--- a/packages/almondspread/almondspread/scheduling/policies/tests/test_passes.py
+++ b/packages/almondspread/almondspread/scheduling/policies/tests/test_passes.py
@@ -3,6 +3,7 @@
 from almondspread.clock import ManualClock
 from almondspread.placement import Cell
 from almondspread.resources.capacity import Capacity
+from almondspread.scheduling.policies.claims import SEARCH_INTERVAL
 from almondspread.scheduling.policies.ordering import WaitingQueue, WaitingWorkload
 from almondspread.scheduling.policies.passes import (
     Deferral,
@@ -114,3 +115,13 @@
         work = WaitingWorkload("x", "t", 950, Capacity(3500, 1000), NOW)
         self.queue.add(work, ["x0"])
         self.assertEqual(self.decide()[1:2], [["u0"]])
+
+    def test_search_without_victims_is_repeated_only_after_a_while(self):
+        self.cell.commit("w", "s", SIZE.times(4))
+        self.queue.add(make_workload("u", priority=900), ["u0"])
+        self.assertEqual(len(list(decide_waiting(self.state, NOW))), 1)
+        victim = RunningTask("s", "s", "w", SIZE.times(4), 100, "batch", NOW)
+        self.state.running.add(victim)
+        self.assertEqual(len(list(decide_waiting(self.state, NOW))), 1)
+        later = NOW + SEARCH_INTERVAL
+        self.assertEqual(next(decide_waiting(self.state, later)).task, "u0")
