Start daemon processes for all measurements by one piece of code

Three measures had each written it: the processes, their settings and their calls. DaemonProcesses holds them; what is special to scheduling and to requests stays with those. measure control runs as before.

--- a/packages/almondspread_standin/almondspread_standin/measures/control.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/control.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+import tempfile
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 import click
@@ -10,9 +12,10 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from almondspread.clock import SystemClock
+from almondspread_daemon.settings import OwnershipSettings, SchedulingSettings
 from almondspread_standin.deployment.scaling import make_deployment
+from almondspread_standin.measures.daemons import DaemonCluster
 from almondspread_standin.measures.results import print_result
-from almondspread_standin.processes import ProcessCluster
 
 SETTLE_TIME = timedelta(seconds=5)
 JOB_INTERVAL = timedelta(seconds=1)
@@ -67,8 +70,28 @@
     deployment = make_deployment(
         failure_domains=failure_domains, workers=workers, entries=instances
     )
-    ownership = {"schedule_shards": schedule_shards}
-    cluster = ProcessCluster(deployment, clock, ownership=ownership)
+    with tempfile.TemporaryDirectory() as directory:
+        cluster = DaemonCluster(
+            deployment,
+            clock,
+            Path(directory),
+            ownership=OwnershipSettings(schedule_shards=schedule_shards),
+            scheduling=SchedulingSettings(),
+        )
+        figures = await _run_phases(cluster, starts_per_second, seconds, seed)
+    sizes = {
+        "instances": instances,
+        "workers": workers,
+        "schedule_shards": schedule_shards,
+    }
+    return {**sizes, **figures}
+
+
+async def _run_phases(
+    cluster: DaemonCluster, starts_per_second: int, seconds: float, seed: int
+) -> dict[str, Any]:
+    """Start a deployment and return the figures of both phases."""
+    clock = SystemClock()
     try:
         await cluster.start()
         await clock.sleep(SETTLE_TIME)
@@ -82,9 +105,6 @@
         load.cancel()
         truth = cluster.cell.ledger.count()
         return {
-            "instances": instances,
-            "workers": workers,
-            "schedule_shards": schedule_shards,
             "idle": idle,
             "loaded": loaded,
             "target": {
@@ -102,14 +122,14 @@
 
 
 async def _submit_jobs(
-    cluster: ProcessCluster, tasks: int, random_source: random.Random
+    cluster: DaemonCluster, tasks: int, random_source: random.Random
 ) -> None:
     """Submit a job of so many short tasks again and again, and drop old ones."""
     clock = SystemClock()
     number = 0
     while True:
         started = clock.monotonic()
-        url = random_source.choice(list(cluster.urls.values()))
+        name = random_source.choice(list(cluster.processes))
         document = {
             "kind": "batch",
             "metadata": {"name": f"load-{number}"},
@@ -120,16 +140,16 @@
                 "command": ["sleep", str(TASK_SECONDS)],
             },
         }
-        await cluster.post(f"{url}/v1/apply", {"items": [{"document": document}]})
+        await cluster.fetch(name, "/v1/apply", {"items": [{"document": document}]})
         old = number - 2 * TASK_SECONDS - 4
         if old >= 0:
-            await cluster.post(f"{url}/v1/cancel", {"names": [f"batch/load-{old}"]})
+            await cluster.fetch(name, "/v1/cancel", {"names": [f"batch/load-{old}"]})
         number += 1
         spent = clock.monotonic() - started
         await clock.sleep(JOB_INTERVAL - spent)
 
 
-async def _measure_phase(cluster: ProcessCluster, phase: timedelta) -> dict[str, Any]:
+async def _measure_phase(cluster: DaemonCluster, phase: timedelta) -> dict[str, Any]:
     """Return the costs over one phase."""
     clock = SystemClock()
     before = await _take_samples(cluster)
@@ -178,13 +198,13 @@
     )
 
 
-async def _take_samples(cluster: ProcessCluster) -> dict[str, Sample]:
+async def _take_samples(cluster: DaemonCluster) -> dict[str, Sample]:
     """Return a sample of each instance."""
     samples = {}
-    for name, url in cluster.urls.items():
-        response = await cluster.http.fetch(f"{url}/metrics")
+    for name in cluster.processes:
+        text = await cluster.fetch_text(name, "/metrics")
         usage = cluster.read_usage(name)
-        io_bytes = _sum_metric(response.body.decode(), "almondspread_io")
+        io_bytes = _sum_metric(text, "almondspread_io")
         samples[name] = Sample(usage.cpu_seconds, usage.resident_mib, io_bytes)
     return samples
 
--- a/packages/almondspread_standin/almondspread_standin/measures/requests/fleet.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/requests/fleet.py
@@ -1,25 +1,17 @@
 """Entry daemons in processes of their own, beside stand-in minions in this one."""
 
 import asyncio
-import json
-import signal
-import sys
 import tempfile
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
-from tornado.httpclient import HTTPClientError, HTTPRequest
-
 from almondspread.clock import SystemClock
-from almondspread.codec import unstructure_value
 from almondspread.resources import Capacity
 from almondspread_daemon.settings import (
-    LogSettings,
     OwnershipSettings,
     RequestSettings,
 )
-from almondspread_platform import open_client
 from almondspread_standin.cell import CellOptions
 from almondspread_standin.deployment import Deployment
 from almondspread_standin.deployment.layout import (
@@ -28,19 +20,17 @@
     MinionGroup,
     Rack,
 )
-from almondspread_standin.embedded import EmbeddedCluster
 from almondspread_standin.minions import KindBehaviour, MinionAgent
+from almondspread_standin.processes import DaemonProcesses
 
 DOMAINS = ("umea", "lulea", "skelleftea")
 SERVICE = "route"
-READY_SECONDS = 30.0
-STOP_SECONDS = 90.0
-PAUSE = timedelta(milliseconds=50)
+SETTLE_TIME = timedelta(seconds=2)
 BALANCER_LAG_SECONDS = 1.0
 
 
-class EntryFleet:
-    """Starts, stops, pauses and kills entries; ``agents`` hold the minions' truth."""
+class EntryFleet(DaemonProcesses):
+    """Daemon processes behind a balancer; ``agents`` hold the minions' truth."""
 
     def __init__(
         self,
@@ -50,24 +40,18 @@
         requests: RequestSettings,
         directory: Path,
     ) -> None:
-        deployment = make_deployment(entries, minions)
-        self._clock = SystemClock()
-        self._planned = EmbeddedCluster(
-            deployment,
-            self._clock,
+        super().__init__(
+            make_deployment(entries, minions),
+            SystemClock(),
+            directory,
             CellOptions(behaviours=behaviours),
-            log=LogSettings(level="error", format="text"),
             ownership=OwnershipSettings(
                 schedule_shards=1, request_shards=4, instance_lease_seconds=3.0
             ),
             requests=requests,
         )
-        self.cell = self._planned.cell
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.agents: list[MinionAgent] = []
         self._balanced: set[str] = set()
-        self._directory = directory
-        self._client = open_client(64)
 
     @property
     def urls(self) -> list[str]:
@@ -81,87 +65,35 @@
 
     async def start(self) -> None:
         """Start everything and wait until all entries route to all minions."""
-        self.cell.start()
+        await super().start()
         for server in self.cell.minions.values():
             self.agents.append(server.agent)
-        for planned in self._planned.deployment.entries:
-            await self.start_entry(planned.name)
-        async with asyncio.timeout(READY_SECONDS):
-            for name in list(self.processes):
-                await self.wait_ready(name)
-        await self._clock.sleep(timedelta(seconds=2))
-
-    async def start_entry(self, name: str) -> None:
-        """Start the process of one entry."""
-        path = self._directory / f"{name}.json"
-        settings = self._planned.make_settings(name)
-        path.write_text(json.dumps(unstructure_value(settings)))
-        for planned in self._planned.deployment.entries:
-            if planned.name == name:
-                instance = planned.describe_instance("127.0.0.1")
-                self.cell.platform.service.instances.add(instance)
-        self.processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "almondspread_daemon.command",
-            "run",
-            "--config",
-            str(path),
-        )
+        await self._clock.sleep(SETTLE_TIME)
 
     async def wait_ready(self, name: str) -> None:
-        """Wait until an entry is ready."""
-        url = self.cell.entry_urls[name] + "/readyz"
-        while True:
-            try:
-                answer = await self._client.fetch(HTTPRequest(url), raise_error=False)
-                if answer.code == 200:
-                    self._balanced.add(name)
-                    return
-            except (HTTPClientError, OSError):
-                pass
-            await self._clock.sleep(PAUSE)
+        """Wait until an entry is ready, and have the balancer send to it."""
+        await super().wait_ready(name)
+        self._balanced.add(name)
 
     async def terminate(self, name: str) -> int:
-        """Stop an entry gracefully and return its exit status."""
-        self.cell.platform.service.instances.mark_leaving(name)
-        process = self.processes[name]
-        process.terminate()
-        # The balancer goes on to send here until it has seen the readiness fail.
+        """Stop an entry gracefully and return its exit status.
+
+        The balancer goes on to send there until it has seen the readiness fail.
+        """
+        stopping = asyncio.create_task(super().terminate(name))
         await self._clock.sleep(timedelta(seconds=BALANCER_LAG_SECONDS / 2))
         self._balanced.discard(name)
-        del self.processes[name]
-        status = await asyncio.wait_for(process.wait(), STOP_SECONDS)
-        self.cell.platform.service.instances.remove(name)
-        return status
+        return await stopping
 
     async def kill(self, name: str) -> None:
         """End an entry with no warning."""
-        process = self.processes.pop(name)
         self._balanced.discard(name)
-        process.kill()
-        await process.wait()
-        self.cell.platform.service.instances.remove(name)
-
-    async def pause(self, name: str, duration: timedelta) -> None:
-        """Have an entry stand still for a while."""
-        process = self.processes[name]
-        process.send_signal(signal.SIGSTOP)
-        await self._clock.sleep(duration)
-        process.send_signal(signal.SIGCONT)
+        await super().kill(name)
 
     def find_most_in_flight(self) -> int:
         """Return the most requests that any minion ever had at once."""
         return max(agent.max_in_flight for agent in self.agents)
 
-    async def stop(self) -> None:
-        """End everything that was started."""
-        for process in self.processes.values():
-            process.kill()
-            await process.wait()
-        self._client.close()
-        await self.cell.stop()
-
 
 def make_deployment(entries: int, minions: int) -> Deployment:
     """Return three failure domains with entries and minions spread over them."""
--- a/packages/almondspread_standin/almondspread_standin/processes.py
+++ b/packages/almondspread_standin/almondspread_standin/processes.py
@@ -1,33 +1,35 @@
-"""A deployment whose entries are real daemon processes, for measurements.
+"""A deployment whose entries are real daemons in processes of their own.
 
-The stand-ins run in the calling process. Every child is started here and ended by
-its process id; there are never more than the deployment has entries.
+The stand-ins run in the calling process. Every child is started here and ended by its
+process id; there are never more of them than the deployment has entries.
 """
 
 import asyncio
 import json
 import signal
 import sys
-import tempfile
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 import psutil
-from attrs import define, evolve
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from attrs import define
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from almondspread.clock import Clock
-from almondspread_standin.cell import CellOptions, StandInDeployment
+from almondspread.codec import unstructure_value
+from almondspread_daemon.settings import LogSettings
+from almondspread_platform import open_client
+from almondspread_standin.cell import CellOptions
 from almondspread_standin.deployment import Deployment
-from almondspread_standin.embedded import find_free_ports
+from almondspread_standin.embedded import EmbeddedCluster
 from almondspread_standin.listening import LOOPBACK
 
-READY_TIMEOUT = timedelta(seconds=60)
-READY_PAUSE = timedelta(milliseconds=100)
-STOP_TIMEOUT = timedelta(seconds=30)
-MAX_HTTP_CALLS = 64
+READY_SECONDS = 60.0
+READY_PAUSE = timedelta(milliseconds=50)
+STOP_SECONDS = 90.0
+CALL_SECONDS = 10.0
+MAX_CALLS = 64
 
 
 @define(frozen=True)
@@ -38,125 +40,86 @@
     resident_mib: float
 
 
-class ProcessCluster:
-    """Runs the entries of a deployment as processes beside its stand-ins.
+class DaemonProcesses:
+    """Stand-ins in this process, and one daemon process for each entry.
 
-    ``sections`` are sections of the settings document that replace the defaults.
+    ``sections`` are sections of the settings that replace the defaults of an embedded
+    deployment. Settings files are written into ``directory``.
     """
 
     def __init__(
         self,
         deployment: Deployment,
         clock: Clock,
+        directory: Path,
         options: CellOptions | None = None,
-        **sections: dict[str, Any],
+        **sections: Any,
     ) -> None:
-        entries = []
-        ports = iter(find_free_ports(2 * len(deployment.entries)))
-        for entry in deployment.entries:
-            entries.append(evolve(entry, http_port=next(ports), peer_port=next(ports)))
-        self.deployment = evolve(deployment, entries=tuple(entries))
-        self.cell = StandInDeployment(self.deployment, clock, options)
+        log = LogSettings(level="error", format="text")
+        self._planned = EmbeddedCluster(deployment, clock, options, log=log, **sections)
+        self.deployment = self._planned.deployment
+        self.cell = self._planned.cell
         self.processes: dict[str, asyncio.subprocess.Process] = {}
-        self.http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_HTTP_CALLS)
         self._clock = clock
-        self._sections = sections
-        self._folder = tempfile.TemporaryDirectory()
-
-    @property
-    def urls(self) -> dict[str, str]:
-        """The address of each running entry's HTTP listener, by name."""
-        found = {}
-        for name, url in self.cell.entry_urls.items():
-            if name in self.processes:
-                found[name] = url
-        return found
+        self._directory = directory
+        self._client = open_client(MAX_CALLS)
 
     async def start(self) -> None:
-        """Start everything and wait until every entry is ready."""
+        """Start everything and wait until all daemons are ready."""
         self.cell.start()
         for entry in self.deployment.entries:
             await self.start_entry(entry.name)
-        await self.wait_ready()
+        async with asyncio.timeout(READY_SECONDS):
+            for name in list(self.processes):
+                await self.wait_ready(name)
 
     async def start_entry(self, name: str) -> None:
-        """Start the process of one entry."""
-        path = Path(self._folder.name) / f"{name}.json"
-        path.write_text(json.dumps(self.make_settings(name)))
-        log = (Path(self._folder.name) / f"{name}.log").open("ab")
-        with log:
-            self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "almondspread_daemon.command",
-                "run",
-                "--config",
-                str(path),
-                stdout=log,
-                stderr=log,
-            )
-
-    def make_settings(self, name: str) -> dict[str, Any]:
-        """Return the settings document of one entry."""
-        planned = {entry.name: entry for entry in self.deployment.entries}[name]
-        platform = f"http://{self.cell.platform_address}"
-        document: dict[str, Any] = {
-            "name": name,
-            "operator": self.deployment.operator,
-            "region": self.deployment.region,
-            "failure_domain": planned.failure_domain,
-            "failure_domains": [
-                domain.name for domain in self.deployment.failure_domains
-            ],
-            "platform": {
-                "table_url": platform,
-                "store_url": platform,
-                "instances_url": platform,
-            },
-            "http": {"listen": f"{LOOPBACK}:{planned.http_port}"},
-            "peer": {"listen": f"{LOOPBACK}:{planned.peer_port}"},
-        }
-        document.update(self._sections)
-        return document
-
-    async def wait_ready(self) -> None:
-        """Wait until every entry says that it is ready."""
-        async with asyncio.timeout(READY_TIMEOUT.total_seconds()):
-            for name, url in self.urls.items():
-                while await self.get_status(f"{url}/readyz") != 200:
-                    if self.processes[name].returncode is not None:
-                        raise RuntimeError(f"{name} has ended: {self.read_log(name)}")
-                    await self._clock.sleep(READY_PAUSE)
-
-    async def get_status(self, url: str) -> int:
-        """Return the HTTP status of a GET, 599 for no answer."""
-        try:
-            response = await self.http.fetch(HTTPRequest(url), raise_error=False)
-        except HTTPClientError as error:
-            return error.code
-        return int(response.code)
-
-    async def get_document(self, url: str) -> Any:
-        """Return the JSON document of a GET, ``None`` for no answer."""
+        """Start the daemon of one entry, and have the platform list it."""
+        path = self._directory / f"{name}.json"
+        settings = self._planned.make_settings(name)
+        path.write_text(json.dumps(unstructure_value(settings)))
+        for entry in self.deployment.entries:
+            if entry.name == name:
+                instance = entry.describe_instance(LOOPBACK)
+                self.cell.platform.service.instances.add(instance)
+        command = ("-m", "almondspread_daemon.command", "run", "--config", str(path))
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable, *command
+        )
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a daemon says that it is ready; raises if it has ended."""
+        while await self.fetch_text(name, "/readyz") == "":
+            if self.processes[name].returncode is not None:
+                raise RuntimeError(f"the daemon of {name} has ended")
+            await self._clock.sleep(READY_PAUSE)
+
+    async def fetch(self, name: str, path: str, document: Any = None) -> Any:
+        """Return the JSON answer of a daemon, ``None`` where there is none."""
+        method = "GET" if document is None else "POST"
+        answer = await self._call(name, method, path, document)
+        return None if answer is None else json.loads(answer)
+
+    async def fetch_text(self, name: str, path: str) -> str:
+        """Return the text that a daemon answers, empty where there is none."""
+        answer = await self._call(name, "GET", path, None)
+        return "" if answer is None else answer.decode()
+
+    async def _call(
+        self, name: str, method: str, path: str, document: Any
+    ) -> bytes | None:
+        """Return the body of an answer with status 200."""
+        request = HTTPRequest(
+            self.cell.entry_urls[name] + path,
+            method=method,
+            body=None if document is None else json.dumps(document),
+            request_timeout=CALL_SECONDS,
+        )
         try:
-            response = await self.http.fetch(HTTPRequest(url), raise_error=False)
-        except HTTPClientError:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError):
             return None
-        if response.code != 200:
-            return None
-        return json.loads(response.body)
-
-    async def post(self, url: str, document: Any) -> tuple[int, Any]:
-        """Return the status and JSON document that a POST is answered with."""
-        request = HTTPRequest(url, method="POST", body=json.dumps(document))
-        try:
-            response = await self.http.fetch(request, raise_error=False)
-        except HTTPClientError as error:
-            return error.code, None
-        try:
-            return int(response.code), json.loads(response.body or b"null")
-        except ValueError:
-            return int(response.code), None
+        return bytes(response.body) if response.code == 200 else None
 
     def read_usage(self, name: str) -> ProcessUsage:
         """Return what the process of an entry has used."""
@@ -165,36 +128,36 @@
         resident = process.memory_info().rss / (1024 * 1024)
         return ProcessUsage(times.user + times.system, resident)
 
-    def signal_entry(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to the process of an entry."""
-        self.processes[name].send_signal(number)
+    async def pause(self, name: str, duration: timedelta) -> None:
+        """Have a daemon stand still for a while."""
+        process = self.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        await self._clock.sleep(duration)
+        process.send_signal(signal.SIGCONT)
 
-    async def kill_entry(self, name: str) -> None:
-        """Kill the process of an entry; the list tells of it after its lag."""
+    async def kill(self, name: str) -> None:
+        """End a daemon with no warning; the list tells of it after its lag."""
         process = self.processes.pop(name)
         process.kill()
-        await process.wait()
         self.cell.platform.service.instances.remove(name)
+        await process.wait()
 
-    async def stop_entry(self, name: str) -> int:
-        """Have an entry stop gracefully; return its exit status."""
+    async def terminate(self, name: str) -> int:
+        """Stop a daemon gracefully and return its exit status."""
         process = self.processes.pop(name)
-        process.send_signal(signal.SIGTERM)
-        status = await process.wait()
+        self.cell.platform.service.instances.mark_leaving(name)
+        process.terminate()
+        status = await asyncio.wait_for(process.wait(), STOP_SECONDS)
         self.cell.platform.service.instances.remove(name)
         return status
 
-    def read_log(self, name: str) -> str:
-        """Return what an entry has logged."""
-        return (Path(self._folder.name) / f"{name}.log").read_text()
-
     async def stop(self) -> None:
-        """Kill the processes that still run, and stop the stand-ins."""
+        """End all that was started."""
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
         for process in self.processes.values():
             await process.wait()
         self.processes.clear()
+        self._client.close()
         await self.cell.stop()
-        self._folder.cleanup()
