Decide by what has changed and keep the waiting work in order

Every pass walked over all workloads and tasks, so that a shard without any change still paid for all it held. The state now keeps counts and the ready tasks of each workload, the backlog follows single changes, a size that found no worker is not looked for again until room appears, and resources are followed by their log entries. Cancelled workloads leave the queue at once; their removal is decided in batches.

A workload whose tasks in a shard were all taken away could not get any back, as the shard had removed it; it now stays known.

The wave test fails without the bound on removals in a pass, the test on cancelled work without taking it from the queue, the differential test when a count is not taken back.

--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/backlog.py
@@ -0,0 +1,100 @@
+"""The waiting tasks of a shard, kept in step with its state and in order."""
+
+from collections.abc import Iterator
+from datetime import UTC, datetime, timedelta
+
+from almondspread.resources import Service
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.policies.ordering import (
+    QueueEntry,
+    WaitingQueue,
+    WaitingWorkload,
+)
+from almondspread.scheduling.tasks import WorkloadState
+
+
+class Backlog:
+    """Follows the changes of the state, so that no pass walks over all tasks.
+
+    ``cancelled`` names the workloads whose removal is not decided yet; they are not
+    placed any more.
+    """
+
+    def __init__(self, decisions: Decisions) -> None:
+        self.cancelled: dict[str, None] = {}
+        self._decisions = decisions
+        self._queue = WaitingQueue()
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def cancel(self, workload: str) -> None:
+        """Place no more tasks of a workload; its removal is decided later."""
+        self.cancelled[workload] = None
+        self._queue.remove_workload(workload)
+
+    def follow(self) -> bool:
+        """Bring the queue in step with the state; true where something was added."""
+        state = self._decisions.state
+        before = len(self._queue)
+        added = False
+        for name in state.touched:
+            self._queue.remove_workload(name)
+            workload = state.workloads.get(name)
+            if workload is None or workload.removed or name in self.cancelled:
+                continue
+            if workload.ready:
+                tasks = [str(index) for index in workload.ready]
+                self._queue.add(describe_waiting(workload), tasks)
+                added = True
+        for name, index in state.touched_tasks:
+            if name not in state.touched:
+                added = self._follow_task(name, index) or added
+        state.touched.clear()
+        state.touched_tasks.clear()
+        return added or len(self._queue) > before
+
+    def _follow_task(self, name: str, index: int) -> bool:
+        """Bring one task in step; true where it was added."""
+        workload = self._decisions.state.workloads.get(name)
+        if workload is None or workload.removed or name in self.cancelled:
+            return False
+        if index not in workload.ready:
+            self._queue.remove(name, str(index))
+            return False
+        entry = self._queue.find_entry(name)
+        described = entry.workload if entry else describe_waiting(workload)
+        self._queue.add(described, (str(index),))
+        return True
+
+    def remove(self, workload: str, index: int) -> None:
+        """Take a task that was just bound out of the queue."""
+        self._queue.remove(workload, str(index))
+
+    def has(self, workload: str) -> bool:
+        """Tell whether a workload has tasks that wait."""
+        return self._queue.find_entry(workload) is not None
+
+    def iterate(self, now: datetime) -> Iterator[QueueEntry]:
+        """Yield the waiting workloads in order while their tasks are removed."""
+        return self._queue.iterate(now, self._decisions.teams.measure_share)
+
+
+def describe_waiting(state: WorkloadState) -> WaitingWorkload:
+    """Return what the order and placement of a workload's tasks depend on."""
+    resource = state.resource
+    submitted = datetime.fromtimestamp(state.since, UTC)
+    latest_start = None
+    if not isinstance(resource, Service) and resource.deadline_seconds:
+        seconds = resource.deadline_seconds - resource.template.run_seconds
+        latest_start = submitted + timedelta(seconds=seconds)
+    return WaitingWorkload(
+        name=state.workload,
+        team=state.team,
+        priority=resource.priority,
+        size=resource.template.size,
+        submitted=submitted,
+        spread=resource.spread if isinstance(resource, Service) else "none",
+        latest_start=latest_start,
+        gang=state.is_gang,
+    )
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -0,0 +1,165 @@
+"""What a shard has decided: its state, its cell, and events not yet committed.
+
+Every decision is an event. It is applied to the state at once, so that the next
+decision counts with it, but nothing is told to a worker before the journal has
+committed the batch that holds it.
+"""
+
+from almondspread.interfaces import AttemptEnd, Instance
+from almondspread.placement import Cell
+from almondspread.placement.values import EXCLUSIONS
+from almondspread.resources import Capacity
+from almondspread.scheduling.events import (
+    AttemptBound,
+    AttemptEnded,
+    AttemptEvicted,
+    Event,
+)
+from almondspread.scheduling.policies.quotas import TeamLedger
+from almondspread.scheduling.shard import ShardState
+from almondspread.scheduling.tasks import Attempt, Task, WorkloadState, name_attempt
+
+
+class Decisions:
+    """Keeps state, cell and teams in step while events are decided.
+
+    ``openings`` grows whenever room may have appeared for a task that found none.
+    ``ended_at`` names the worker of each attempt whose end is not yet committed.
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        self.state = state
+        self.cell = Cell()
+        self.teams = TeamLedger(Capacity(0, 0, 0))
+        self.openings = 0
+        self.ended_at: dict[str, str] = {}
+        self._pending: list[Event] = []
+        self._exclusions: dict[str, set[str]] = {}
+        self._total = Capacity(0, 0, 0)
+
+    def adopt(self, state: ShardState) -> None:
+        """Go on from a recovered state, before any worker is known."""
+        self.state = state
+        for workload in state.workloads.values():
+            for task in workload.tasks.values():
+                if task.attempt is not None:
+                    self.teams.restore(workload.team, task.attempt.size)
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether events are decided that the journal does not hold yet."""
+        return bool(self._pending)
+
+    def take_batch(self) -> list[Event]:
+        """Return the events to commit next."""
+        batch = self._pending
+        self._pending = []
+        return batch
+
+    def decide(self, event: Event) -> None:
+        """Apply an event and keep it for the journal."""
+        self.state.apply(event)
+        self._pending.append(event)
+
+    def add_worker(self, worker: Instance) -> None:
+        """Add a worker with what is bound to it already."""
+        self.cell.add_worker(
+            worker.name, worker.failure_domain, worker.rack, worker.capacity
+        )
+        for attempt in self.state.list_attempts(worker.name):
+            self.cell.commit(worker.name, attempt.workload, attempt.size)
+        self._total = self._total.plus(worker.capacity)
+        self.teams.set_total(self._total)
+        self.openings += 1
+
+    def set_exclusion(self, worker: str, reason: str, applies: bool) -> None:
+        """Keep new tasks off a worker for a reason, or lift that reason."""
+        if not self.cell.has_worker(worker):
+            return
+        reasons = self._exclusions.setdefault(worker, set())
+        if applies == (reason in reasons):
+            return
+        if applies:
+            reasons.add(reason)
+        else:
+            reasons.discard(reason)
+        for known in EXCLUSIONS:
+            if known in reasons:
+                self.cell.exclude(worker, known)
+                return
+        self.cell.include(worker)
+        self.openings += 1
+
+    def has_exclusion(self, worker: str, reason: str) -> bool:
+        """Tell whether a worker takes no tasks for a reason."""
+        return reason in self._exclusions.get(worker, ())
+
+    def bind(self, state: WorkloadState, task: Task, worker: str) -> None:
+        """Bind the next attempt of a task to a worker."""
+        size = state.resource.template.size
+        self.decide(
+            AttemptBound(
+                state.workload,
+                task.index,
+                task.number + 1,
+                worker,
+                size.cpu_millis,
+                size.memory_mib,
+                size.accelerators,
+            )
+        )
+        self.cell.commit(worker, state.workload, size)
+        self.teams.restore(state.team, size)
+        if task.attempt is not None:
+            task.attempt.committed = False
+
+    def end(
+        self,
+        attempt: Attempt,
+        outcome: str,
+        end: AttemptEnd | None = None,
+        retry_at: float = 0.0,
+    ) -> None:
+        """Decide that an attempt has ended and free what it held."""
+        state = self.state.workloads[attempt.workload]
+        told = end or AttemptEnd(attempt.name, outcome)
+        self.ended_at[attempt.name] = attempt.worker
+        self.decide(
+            AttemptEnded(
+                attempt.workload,
+                attempt.index,
+                attempt.number,
+                outcome,
+                told.reason,
+                told.run_seconds,
+                told.peak_memory_mib,
+                told.checkpoint,
+                retry_at,
+            )
+        )
+        if self.cell.has_worker(attempt.worker):
+            self.cell.release(attempt.worker, attempt.workload, attempt.size)
+        self.teams.release(state.team, attempt.size)
+        self.openings += 1
+
+    def evict(self, attempt: Attempt, mode: str) -> None:
+        """Have an attempt give up its place."""
+        if attempt.eviction or attempt.unwanted:
+            return
+        self.decide(
+            AttemptEvicted(attempt.workload, attempt.index, attempt.number, mode)
+        )
+
+    def mark_committed(self, batch: list[Event]) -> None:
+        """Allow the attempts that a committed batch bound to be started."""
+        for event in batch:
+            if not isinstance(event, AttemptBound):
+                continue
+            attempt = self.state.find_attempt(event.workload, event.index, event.number)
+            if attempt is not None:
+                attempt.committed = True
+
+    def take_ended(self, event: AttemptEnded) -> tuple[str, str]:
+        """Return the attempt whose end is committed now, and its worker."""
+        name = name_attempt(event.workload, event.index, event.number)
+        return name, self.ended_at.pop(name, "")
--- a/packages/almondspread/almondspread/scheduling/events.py
+++ b/packages/almondspread/almondspread/scheduling/events.py
@@ -68,6 +68,34 @@
     run_seconds: float = 0.0
     peak_memory_mib: int = 0
     checkpoint: str = ""
+    retry_at: float = 0.0
+
+
+@define(frozen=True)
+class AttemptEvicted:
+    """An attempt has to give up its place; ``mode`` is ``stop`` or ``checkpoint``."""
+
+    workload: str
+    index: int
+    number: int
+    mode: str
+
+
+@define(frozen=True)
+class TaskReplaced:
+    """A task of a service gets a replacement, which starts before the task stops."""
+
+    workload: str
+    index: int
+    replacement: int
+
+
+@define(frozen=True)
+class TaskRetired:
+    """A task is not wanted any more: its replacement runs, or it is not needed."""
+
+    workload: str
+    index: int
 
 
 Event = (
@@ -77,6 +105,9 @@
     | WorkloadForgotten
     | AttemptBound
     | AttemptEnded
+    | AttemptEvicted
+    | TaskReplaced
+    | TaskRetired
 )
 
 EVENT_CODEC = TaggedCodec(
@@ -87,5 +118,8 @@
         WorkloadForgotten,
         AttemptBound,
         AttemptEnded,
+        AttemptEvicted,
+        TaskReplaced,
+        TaskRetired,
     )
 )
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -3,12 +3,17 @@
 from typing import Any
 
 import msgpack
+from sortedcontainers import SortedSet
 
 from almondspread.resources import Capacity, Workload, parse_resource
+from almondspread.resources.kinds import MAX_TASKS
 from almondspread.scheduling.events import (
     AttemptBound,
     AttemptEnded,
+    AttemptEvicted,
     Event,
+    TaskReplaced,
+    TaskRetired,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
@@ -23,6 +28,7 @@
     Attempt,
     Task,
     WorkloadState,
+    find_replica,
     name_attempt,
 )
 
@@ -31,13 +37,21 @@
     """Workloads, tasks and the run list of each worker.
 
     ``run_lists`` holds for each worker the attempts bound to it and not known to
-    have ended, in the order in which they were bound.
+    have ended, in the order in which they were bound. ``changed`` names the workloads
+    that changed since the last report; ``touched`` those that changed as a whole, and
+    ``touched_tasks`` single tasks that changed, since the queue was last brought in
+    step. ``ended_removed`` names removed workloads without an attempt, ``delayed`` the
+    tasks that wait for their next try, in the order of time.
     """
 
     def __init__(self) -> None:
         self.workloads: dict[str, WorkloadState] = {}
         self.run_lists: dict[str, dict[str, Attempt]] = {}
         self.changed: set[str] = set()
+        self.touched: set[str] = set()
+        self.touched_tasks: set[tuple[str, int]] = set()
+        self.ended_removed: set[str] = set()
+        self.delayed: SortedSet[tuple[float, str, int]] = SortedSet()
 
     def apply(self, event: Event) -> None:
         """Advance by one event; raises ``ValueError`` for one that cannot follow."""
@@ -51,10 +65,31 @@
             self._change(event)
         elif isinstance(event, WorkloadRemoved):
             self._remove(event)
+        elif isinstance(event, AttemptEvicted):
+            self._evict(event)
+        elif isinstance(event, TaskReplaced):
+            self._replace(event)
+        elif isinstance(event, TaskRetired):
+            self._retire(event)
         elif isinstance(event, WorkloadForgotten):
             self.workloads.pop(event.workload, None)
-            return
+            self.ended_removed.discard(event.workload)
         self.changed.add(event.workload)
+        if isinstance(event, AttemptBound | AttemptEnded | AttemptEvicted):
+            self.touched_tasks.add((event.workload, event.index))
+        else:
+            self.touched.add(event.workload)
+
+    def release_delayed(self, now: float) -> None:
+        """Let the tasks be placed whose next try is due."""
+        while self.delayed and self.delayed[0][0] <= now:
+            _, workload, index = self.delayed.pop(0)
+            state = self.workloads.get(workload)
+            task = state.tasks.get(index) if state else None
+            if state is None or task is None or task.retry_at > now:
+                continue
+            state.make_ready(task)
+            self.touched_tasks.add((workload, index))
 
     def find_attempt(self, workload: str, index: int, number: int) -> Attempt | None:
         """Return an attempt that is not known to have ended."""
@@ -82,7 +117,7 @@
             since=event.since,
         )
         for index in event.indices:
-            state.tasks[index] = Task(index, waiting_since=event.since)
+            state.add_task(Task(index, waiting_since=event.since))
         self.workloads[event.workload] = state
 
     def _change(self, event: WorkloadChanged) -> None:
@@ -92,27 +127,71 @@
         state.document = event.document
         wanted = set(event.indices)
         for index, task in list(state.tasks.items()):
-            task.wanted = index in wanted
-            if task.attempt is not None:
-                task.attempt.unwanted = not task.wanted
-            elif not task.wanted:
-                del state.tasks[index]
+            self._want(state, task, find_replica(index) in wanted)
+        kept = {find_replica(index) for index in state.tasks}
         for index in event.indices:
-            if index not in state.tasks:
-                state.tasks[index] = Task(index, waiting_since=state.since)
+            if index not in kept:
+                state.add_task(Task(index, waiting_since=state.since))
+
+    def _want(self, state: WorkloadState, task: Task, wanted: bool) -> None:
+        """Keep a task, or have it stop and be forgotten."""
+        if not wanted and task.attempt is None:
+            state.drop_task(task.index)
+            return
+        state.change_task(task, wanted=wanted)
+        if task.attempt is not None:
+            task.attempt.unwanted = not wanted
 
     def _remove(self, event: WorkloadRemoved) -> None:
         """Have all attempts of a workload stop."""
         state = self.workloads[event.workload]
         state.removed = True
         for task in state.tasks.values():
-            task.wanted = False
+            state.change_task(task, wanted=False)
             if task.attempt is not None:
                 task.attempt.unwanted = True
+        self.note_removed(state)
+
+    def note_removed(self, state: WorkloadState) -> None:
+        """Note that a removed workload can be forgotten once nothing runs."""
+        if state.removed and not state.attempts:
+            self.ended_removed.add(state.workload)
+
+    def _evict(self, event: AttemptEvicted) -> None:
+        """Have an attempt give up its place."""
+        attempt = self.find_attempt(event.workload, event.index, event.number)
+        if attempt is not None:
+            attempt.eviction = event.mode
+
+    def _replace(self, event: TaskReplaced) -> None:
+        """Add the task that is to take over from another."""
+        state = self.workloads[event.workload]
+        state.tasks[event.index].replacement = event.replacement
+        state.add_task(Task(event.replacement, waiting_since=state.since, standby=True))
+
+    def _retire(self, event: TaskRetired) -> None:
+        """Have a task stop; its replacement, if it has one, stands in for it."""
+        state = self.workloads[event.workload]
+        task = state.tasks[event.index]
+        self._promote(state, task)
+        replaced = state.tasks.get(event.index - MAX_TASKS)
+        if replaced is not None:
+            replaced.replacement = -1
+        self._want(state, task, False)
+
+    def _promote(self, state: WorkloadState, task: Task) -> bool:
+        """Let the replacement of a task stand in for it; false without one."""
+        replacement = state.tasks.get(task.replacement)
+        if replacement is None:
+            return False
+        task.replacement = -1
+        state.change_task(replacement, standby=False)
+        return True
 
     def _bind(self, event: AttemptBound) -> None:
         """Put an attempt at the end of its worker's run list."""
-        task = self.workloads[event.workload].tasks[event.index]
+        state = self.workloads[event.workload]
+        task = state.tasks[event.index]
         if task.attempt is not None or event.number != task.number + 1:
             raise ValueError(
                 f"attempt {event.number} of {event.workload}#{event.index} bound "
@@ -126,9 +205,7 @@
             worker=event.worker,
             size=Capacity(event.cpu_millis, event.memory_mib, event.accelerators),
         )
-        task.number = event.number
-        task.phase = BOUND
-        task.attempt = attempt
+        state.change_task(task, number=event.number, phase=BOUND, attempt=attempt)
         self.run_lists.setdefault(event.worker, {})[attempt.name] = attempt
 
     def _end(self, event: AttemptEnded) -> None:
@@ -144,19 +221,30 @@
             del self.run_lists[attempt.worker]
         state = self.workloads[event.workload]
         task = state.tasks[event.index]
-        task.attempt = None
-        task.checkpoint = event.checkpoint or task.checkpoint
-        task.phase = self._settle(state, task, event.outcome)
+        replaced = self._promote(state, task)
+        state.change_task(
+            task,
+            attempt=None,
+            checkpoint=event.checkpoint or task.checkpoint,
+            phase=self._settle(state, task, event.outcome),
+            retry_at=event.retry_at,
+            wanted=task.wanted and not replaced,
+        )
+        if event.retry_at and task.wanted and task.phase == WAITING:
+            self.delayed.add((event.retry_at, event.workload, event.index))
         if not task.wanted and not state.removed:
-            del state.tasks[event.index]
+            state.drop_task(event.index)
+        self.note_removed(state)
 
     def _settle(self, state: WorkloadState, task: Task, outcome: str) -> str:
         """Return the phase of a task whose attempt ended."""
-        if state.is_service or outcome in EXCUSED_OUTCOMES:
+        if outcome in EXCUSED_OUTCOMES:
             return WAITING
-        if outcome == "finished":
+        if outcome == "finished" and not state.is_service:
             return FINISHED
         task.failures += 1
+        if state.is_service:
+            return WAITING
         return FAILED if task.failures >= state.allowed_attempts else WAITING
 
     def encode(self) -> bytes:
@@ -183,6 +271,11 @@
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise ValueError(f"not a snapshot of a shard: {error!r}") from error
         state.changed = set(state.workloads)
+        state.touched = set(state.workloads)
+        for workload in state.workloads.values():
+            state.note_removed(workload)
+            for task in workload.delayed.values():
+                state.delayed.add((task.retry_at, workload.workload, task.index))
         return state
 
 
@@ -205,7 +298,7 @@
         if task.attempt is not None:
             size = task.attempt.size
             amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
-            attempt = [task.attempt.worker, amounts]
+            attempt = [task.attempt.worker, amounts, task.attempt.eviction]
         tasks.append(
             [
                 task.index,
@@ -216,6 +309,9 @@
                 task.checkpoint,
                 task.waiting_since,
                 attempt,
+                task.retry_at,
+                task.replacement,
+                task.standby,
             ]
         )
     return [
@@ -242,14 +338,22 @@
         since=since,
         removed=removed,
     )
-    for index, phase, number, failures, wanted, checkpoint, waiting, bound in tasks:
-        task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
-        if bound is not None:
-            worker, amounts = bound
-            name = name_attempt(workload, index, number)
-            size = Capacity(*amounts)
-            task.attempt = Attempt(name, workload, index, number, worker, size)
-            task.attempt.unwanted = not wanted
-            attempts[name] = task.attempt
-        state.tasks[index] = task
+    for encoded in tasks:
+        state.add_task(_decode_task(workload, encoded, attempts))
     return state
+
+
+def _decode_task(workload: str, plain: list[Any], attempts: dict[str, Attempt]) -> Task:
+    """Return a task from plain values, noting its attempt by name."""
+    index, phase, number, failures, wanted, checkpoint, waiting, bound, *later = plain
+    task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
+    task.retry_at, task.replacement, task.standby = later
+    if bound is None:
+        return task
+    worker, amounts, eviction = bound
+    name = name_attempt(workload, index, number)
+    task.attempt = Attempt(name, workload, index, number, worker, Capacity(*amounts))
+    task.attempt.unwanted = not wanted
+    task.attempt.eviction = eviction
+    attempts[name] = task.attempt
+    return task
--- a/packages/almondspread/almondspread/scheduling/tasks.py
+++ b/packages/almondspread/almondspread/scheduling/tasks.py
@@ -5,22 +5,34 @@
 from attrs import define, field
 
 from almondspread.resources import BatchJob, Capacity, GangJob, Service, Workload
+from almondspread.resources.kinds import MAX_TASKS
 
 WAITING = "waiting"
 BOUND = "bound"
 FINISHED = "finished"
 FAILED = "failed"
 
+# How an attempt that is evicted ends: at once, or after writing a checkpoint.
+STOP = "stop"
+CHECKPOINT = "checkpoint"
+
 # Outcomes that say nothing against the task itself, so they use up no attempt.
 EXCUSED_OUTCOMES = ("stopped", "lapsed", "refused")
 
 
+def _make_counts() -> dict[str, int]:
+    """Return a count of zero for each phase."""
+    return {WAITING: 0, BOUND: 0, FINISHED: 0, FAILED: 0}
+
+
 @define
 class Attempt:
     """An attempt that is bound to a worker and not known to have ended.
 
     ``acknowledged`` is set once the worker has reported it as running; ``unwanted``
     once it has to stop. Neither is kept in the journal: both are found out again.
+    ``eviction`` is ``stop`` or ``checkpoint`` once it has to give up its place; its
+    task then waits again, and the end uses up no attempt.
     """
 
     name: str
@@ -32,11 +44,17 @@
     acknowledged: bool = False
     unwanted: bool = False
     committed: bool = True
+    eviction: str = ""
 
 
 @define
 class Task:
-    """One task of a workload and how it stands."""
+    """One task of a workload and how it stands.
+
+    ``retry_at`` is UTC seconds before which it is not tried again. ``replacement`` is
+    the index of the task that is to take over from it, and that one is ``standby``
+    until it does.
+    """
 
     index: int
     phase: str = WAITING
@@ -46,11 +64,19 @@
     wanted: bool = True
     checkpoint: str = ""
     waiting_since: float = 0.0
+    retry_at: float = 0.0
+    replacement: int = -1
+    standby: bool = False
 
 
 @define
 class WorkloadState:
-    """A workload's tasks in this shard."""
+    """A workload's tasks in this shard, with the counts that reports need.
+
+    ``ready`` holds the tasks that may be placed now, ``delayed`` those that wait for
+    their next try. Both and all counts are kept by the methods below; nothing else
+    may change a task that is counted.
+    """
 
     workload: str
     created_revision: int
@@ -61,6 +87,11 @@
     since: float
     removed: bool = False
     tasks: dict[int, Task] = field(factory=dict)
+    ready: dict[int, Task] = field(factory=dict)
+    delayed: dict[int, Task] = field(factory=dict)
+    attempts: int = 0
+    running: int = 0
+    counts: dict[str, int] = field(factory=_make_counts)
 
     @property
     def is_service(self) -> bool:
@@ -72,6 +103,11 @@
         """Whether its tasks start together or not at all."""
         return isinstance(self.resource, GangJob)
 
+    @property
+    def team(self) -> str:
+        """The team whose quota its tasks use."""
+        return self.resource.metadata.team
+
     @property
     def allowed_attempts(self) -> int:
         """How many failures of one task are accepted before it is given up."""
@@ -79,27 +115,67 @@
             return self.resource.attempts
         return 0
 
-    def count_phases(self) -> dict[str, int]:
-        """Return how many wanted tasks are in each phase."""
-        counts = {WAITING: 0, BOUND: 0, FINISHED: 0, FAILED: 0}
-        for task in self.tasks.values():
-            if not task.wanted:
-                continue
-            counts[task.phase] += 1
-        return counts
+    def add_task(self, task: Task) -> None:
+        """Take on a task."""
+        self.tasks[task.index] = task
+        self._count(task, 1)
+
+    def drop_task(self, index: int) -> None:
+        """Forget a task."""
+        self._count(self.tasks.pop(index), -1)
+
+    def change_task(self, task: Task, **changes: Any) -> None:
+        """Set fields of a task and keep the counts in step."""
+        self._count(task, -1)
+        for name, value in changes.items():
+            setattr(task, name, value)
+        self._count(task, 1)
+
+    def acknowledge(self, task: Task, attempt: Attempt) -> None:
+        """Note that the worker runs a task's attempt."""
+        self._count(task, -1)
+        attempt.acknowledged = True
+        self._count(task, 1)
+
+    def make_ready(self, task: Task) -> None:
+        """Let a delayed task be placed from now on."""
+        if self.delayed.pop(task.index, None) is not None:
+            task.retry_at = 0.0
+            self.ready[task.index] = task
+
+    def _count(self, task: Task, sign: int) -> None:
+        """Add a task to the counts, or take it out of them."""
+        if task.attempt is not None:
+            self.attempts += sign
+        if not task.wanted:
+            return
+        if task.phase == WAITING:
+            self._list_waiting(task, sign)
+        if task.standby:
+            return
+        self.counts[task.phase] += sign
+        if task.attempt is not None and task.attempt.acknowledged:
+            self.running += sign
+
+    def _list_waiting(self, task: Task, sign: int) -> None:
+        """Put a waiting task where placement finds it, or take it from there."""
+        if sign < 0:
+            self.ready.pop(task.index, None)
+            self.delayed.pop(task.index, None)
+        elif task.retry_at:
+            self.delayed[task.index] = task
+        else:
+            self.ready[task.index] = task
 
     def report(self) -> dict[str, Any]:
         """Return the status document that the shard reports of the workload."""
-        counts = self.count_phases()
-        running = 0
-        for task in self.tasks.values():
-            if task.attempt is not None and task.attempt.acknowledged:
-                running += 1
+        counts = self.counts
+        starting = counts[BOUND] - min(self.running, counts[BOUND])
         return {
             "created_revision": self.created_revision,
             "tasks": sum(counts.values()),
-            "running": running,
-            "waiting": counts[WAITING] + counts[BOUND] - min(running, counts[BOUND]),
+            "running": self.running,
+            "waiting": counts[WAITING] + starting,
             "finished": counts[FINISHED],
             "failed": counts[FAILED],
         }
@@ -119,6 +195,23 @@
     return f"{workload}#{index}/{number}"
 
 
+def find_replica(index: int) -> int:
+    """Return which of a workload's declared tasks the task of an index stands for.
+
+    The replacement of a task has an index of its own, so that no index ever runs
+    twice at once.
+
+    >>> find_replica(3), find_replica(next_index(3))
+    (3, 3)
+    """
+    return index % MAX_TASKS
+
+
+def next_index(index: int) -> int:
+    """Return the index of the replacement of a task."""
+    return index + MAX_TASKS
+
+
 def parse_attempt(name: str) -> tuple[str, int, int]:
     """Return the workload, index and number in an attempt's name."""
     task, _, number = name.rpartition("/")
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/tests/shards.py
@@ -0,0 +1,143 @@
+"""A scheduler over a few workers, and a naive recount of what it keeps."""
+
+import msgpack
+
+from almondspread.clock import ManualClock
+from almondspread.interfaces import (
+    AttemptEnd,
+    AttemptUsage,
+    Instance,
+    WorkerReport,
+)
+from almondspread.resources import (
+    BatchJob,
+    Capacity,
+    GangJob,
+    Metadata,
+    Service,
+    TaskTemplate,
+    describe_resource,
+)
+from almondspread.scheduling import Scheduler, ShardState
+from almondspread.scheduling.leases import LeaseTerms
+from almondspread.scheduling.scheduler import DesiredWorkload
+from almondspread.scheduling.tasks import WAITING, name_workload
+
+WORKER = Capacity(4_000, 4_096, 1)
+TASK = Capacity(1_000, 512)
+KINDS = {"service": Service, "batch": BatchJob, "gang": GangJob}
+
+
+def make_desired(kind, name, tasks, size=TASK, **fields):
+    """Return what the shard is asked for by one resource with ``tasks`` tasks."""
+    checkpointable = fields.pop("checkpointable", False)
+    team = fields.pop("team", "")
+    template = TaskTemplate(
+        size.cpu_millis,
+        size.memory_mib,
+        size.accelerators,
+        ("serve",),
+        checkpointable=checkpointable,
+    )
+    resource = KINDS[kind](Metadata(name, team), tasks, template, **fields)
+    document = msgpack.packb(describe_resource(resource))
+    workload = name_workload(kind, name, 1)
+    return DesiredWorkload(workload, 1, document, tuple(range(tasks)))
+
+
+class Shard:
+    """A scheduler, its clock and workers that do as they are told at once."""
+
+    def __init__(self, workers=3, capacity=WORKER, state=None):
+        self.clock = ManualClock()
+        self.workers = []
+        for number in range(workers):
+            self.workers.append(
+                Instance(
+                    f"w{number}", "worker", "", "umea", f"r{number}", capacity=capacity
+                )
+            )
+        self.scheduler = Scheduler(ShardState(), LeaseTerms(), self.clock)
+        if state is not None:
+            self.scheduler.adopt(state)
+        self.scheduler.set_workers(self.workers)
+
+    @property
+    def state(self):
+        """The state of the shard."""
+        return self.scheduler.state
+
+    def declare(self, *desired):
+        """Declare workloads, beside those that are known."""
+        for item in desired:
+            self.scheduler.declare(item, self.clock.now().timestamp())
+
+    def decide(self, limit=100):
+        """Run one pass and commit it; return its events."""
+        self.scheduler.remove_cancelled()
+        self.scheduler.place(limit)
+        batch = self.scheduler.decisions.take_batch()
+        self.scheduler.decisions.mark_committed(batch)
+        return batch
+
+    def list_attempts(self):
+        """Return all attempts not known to have ended."""
+        found = []
+        for worker in self.workers:
+            found.extend(self.state.list_attempts(worker.name))
+        return found
+
+    def list_places(self, workload):
+        """Return the worker of each task of a workload that has one."""
+        places = {}
+        for task in self.state.workloads[workload].tasks.values():
+            if task.attempt is not None:
+                places[task.index] = task.attempt.worker
+        return places
+
+    def report_running(self):
+        """Have every worker report what is committed there as running."""
+        for attempt in self.list_attempts():
+            if attempt.committed:
+                usage = AttemptUsage(attempt.name, 0, 0)
+                self.scheduler.take_report(attempt.worker, WorkerReport((usage,)))
+
+    def report_end(self, attempt, outcome="finished", **fields):
+        """Have a worker report the end of one attempt."""
+        end = AttemptEnd(attempt.name, outcome, **fields)
+        self.scheduler.take_report(attempt.worker, WorkerReport((), (end,)))
+
+    def obey_stops(self):
+        """Have the workers end all that they are told to end."""
+        now = self.clock.now().timestamp()
+        for worker in self.workers:
+            message = self.scheduler.compose_exchange(worker.name, now, ())
+            for name in message.stops:
+                self._end_named(worker.name, AttemptEnd(name, "stopped"))
+            for name in message.checkpoints:
+                end = AttemptEnd(name, "stopped", checkpoint="half")
+                self._end_named(worker.name, end)
+
+    def _end_named(self, worker, end):
+        """Report one end from a worker."""
+        self.scheduler.take_report(worker, WorkerReport((), (end,)))
+
+
+def recount(state):
+    """Return counts, running, attempts and waiting tasks of a workload, by a scan."""
+    counts = dict.fromkeys(state.counts, 0)
+    running = attempts = 0
+    waiting = set()
+    for task in state.tasks.values():
+        if task.attempt is not None:
+            attempts += 1
+        if not task.wanted:
+            continue
+        if task.phase == WAITING:
+            waiting.add(task.index)
+        if task.standby:
+            continue
+        counts[task.phase] += 1
+        if task.attempt is not None and task.attempt.acknowledged:
+            running += 1
+    return counts, running, attempts, waiting
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -24,7 +24,7 @@
 from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
 from almondspread.scheduling.scheduler import DesiredWorkload
-from almondspread.scheduling.tasks import name_attempt, name_workload
+from almondspread.scheduling.tasks import name_workload
 from almondspread_daemon.background import start_task
 from almondspread_daemon.shards.workers import WorkerLink
 
@@ -53,7 +53,7 @@
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
     ) -> None:
         self.ownership = ownership
-        self.scheduler = Scheduler(ShardState(), terms)
+        self.scheduler = Scheduler(ShardState(), terms, clock)
         self.recovered = False
         self._journal = journal
         self._leases = WorkerLeases(terms, clock.monotonic(), previous_owner_stopped)
@@ -67,8 +67,8 @@
         self._publish = publish
         self._links: dict[str, WorkerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._desired: dict[str, DesiredWorkload] = {}
-        self._desired_revision = -1
+        self._known: dict[tuple[str, str], str] = {}
+        self._followed_revision = -1
         self._wake = asyncio.Event()
         self._stopping = False
         self._superseded = False
@@ -109,7 +109,7 @@
         while not self._stopping:
             recovered = await self._journal.recover()
             if recovered.is_ok():
-                self.scheduler.state = rebuild_state(recovered.ok)
+                self.scheduler.adopt(rebuild_state(recovered.ok))
                 self.recovered = True
                 return
             logger.warning("shard {}: {}", self.ownership.shard, recovered.error.reason)
@@ -118,10 +118,13 @@
     async def _decide(self) -> bool:
         """Decide and commit one batch; false once another owner has the shard."""
         self._update_workers()
-        self.scheduler.reconcile(self._list_desired(), self._clock.now().timestamp())
+        self._follow_resources()
         self._end_lapsed()
-        self.scheduler.place(MAX_PLACEMENTS_PER_BATCH)
-        batch = self.scheduler.take_batch()
+        more = self.scheduler.remove_cancelled()
+        more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
+        if more:
+            self.wake()
+        batch = self.scheduler.decisions.take_batch()
         if batch:
             encoded = [EVENT_CODEC.encode(event) for event in batch]
             committed = await self._journal.commit(encoded)
@@ -137,18 +140,22 @@
 
     def _carry_out(self, batch: list[Event]) -> None:
         """Tell the workers what a committed batch means for them."""
-        self.scheduler.mark_committed(batch)
+        decisions = self.scheduler.decisions
+        decisions.mark_committed(batch)
+        wake_all = False
         for event in batch:
             if isinstance(event, AttemptBound):
                 self._wake_link(event.worker)
                 continue
             if isinstance(event, AttemptEnded):
-                name = name_attempt(event.workload, event.index, event.number)
-                for link in self._links.values():
+                name, worker = decisions.take_ended(event)
+                link = self._links.get(worker)
+                if link is not None:
                     link.settle(name)
                 continue
-            for link in self._links.values():
-                link.wake()
+            wake_all = True
+        for link in self._links.values() if wake_all else ():
+            link.wake()
 
     def _wake_link(self, worker: str) -> None:
         """Have the next exchange with a worker happen at once."""
@@ -195,35 +202,62 @@
             if now < self._leases.find_lapse(worker):
                 continue
             for attempt in self.scheduler.state.list_attempts(worker):
-                self.scheduler.end_attempt(attempt, "lapsed")
+                self.scheduler.end_lapsed(attempt)
 
-    def _list_desired(self) -> list[DesiredWorkload]:
-        """Return the workloads that have tasks in this shard."""
-        if self._desired_revision == self._cache.spec_revision:
-            return list(self._desired.values())
-        revision = self._cache.spec_revision
-        desired = {}
+    def _follow_resources(self) -> None:
+        """Take in the resources that changed since the last pass."""
+        if self._followed_revision >= self._cache.spec_revision:
+            return
+        entries = None
+        if self._followed_revision >= 0:
+            entries = self._cache.list_entries_after(self._followed_revision)
+        self._followed_revision = self._cache.revision
+        if entries is None:
+            self._follow_all()
+            return
+        changed = set()
+        for entry in entries:
+            for change in entry.changes:
+                if change.part == "spec" and change.kind in WORKLOAD_KINDS:
+                    changed.add((change.kind, change.name))
+        for kind, name in sorted(changed):
+            self._follow_workload(kind, name)
+
+    def _follow_all(self) -> None:
+        """Compare all workloads with what the shard holds."""
+        desired = []
+        self._known.clear()
         for kind in WORKLOAD_KINDS:
             for item in self._cache.list_items(kind):
                 wanted = self._find_desired(item)
-                if wanted is not None:
-                    desired[wanted.workload] = wanted
-        self._desired = desired
-        self._desired_revision = revision
-        return list(desired.values())
+                if wanted is None:
+                    continue
+                desired.append(wanted)
+                self._known[(item.kind, item.name)] = wanted.workload
+        self.scheduler.reconcile(desired, self._clock.now().timestamp())
+
+    def _follow_workload(self, kind: str, name: str) -> None:
+        """Take in a workload that was declared, changed or removed."""
+        item = self._cache.find(kind, name)
+        wanted = self._find_desired(item) if item is not None else None
+        known = self._known.pop((kind, name), None)
+        if known is not None and (wanted is None or wanted.workload != known):
+            self.scheduler.cancel(known)
+        if wanted is not None:
+            self._known[(kind, name)] = wanted.workload
+            self.scheduler.declare(wanted, self._clock.now().timestamp())
 
     def _find_desired(self, item: Item) -> DesiredWorkload | None:
         """Return what a resource asks of this shard, ``None`` for nothing."""
         if not isinstance(item.resource, Workload):
             return None
         workload = name_workload(item.kind, item.name, item.created_revision)
-        if item.resource_version <= self._desired_revision:
-            return self._desired.get(workload)
         homes = assign_tasks(
             item.name, item.created_revision, item.resource, self._shards
         )
         indices = homes.get(self.ownership.shard, ())
-        if not indices:
+        # A workload whose tasks here are all gone may get some again.
+        if not indices and workload not in self.scheduler.state.workloads:
             return None
         document = msgpack.packb(describe_resource(item.resource))
         return DesiredWorkload(workload, item.created_revision, document, indices)
@@ -244,7 +278,7 @@
     async def _leave_snapshot(self) -> None:
         """Write a snapshot, so that a takeover reads few rows."""
         # Events that are not committed yet must not get into a snapshot.
-        if not self.recovered or self.scheduler.has_pending:
+        if not self.recovered or self.scheduler.decisions.has_pending:
             return
         if self._journal.rows_since_snapshot:
             await self._journal.write_snapshot(self.scheduler.state.encode())
