Drain workers and go by the configured policy

A drained or leaving worker kept its tasks until it was gone, and the configured policy was never read. A replica of a service now gets a replacement under an index of its own, so that no task ever runs twice, and stops once that one runs; a task that can write a checkpoint goes on elsewhere; others may finish within ten minutes. Evictions, replacements and retirements are events, so that a takeover goes on with them.

--- a/packages/almondspread/almondspread/scheduling/decisions.py
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -72,6 +72,13 @@
         self.teams.set_total(self._total)
         self.openings += 1
 
+    def remove_worker(self, worker: str) -> None:
+        """Forget a worker to which nothing is bound."""
+        self._total = self._total.minus(self.cell.worker(worker).capacity)
+        self.teams.set_total(self._total)
+        self.cell.remove_worker(worker)
+        self._exclusions.pop(worker, None)
+
     def set_exclusion(self, worker: str, reason: str, applies: bool) -> None:
         """Keep new tasks off a worker for a reason, or lift that reason."""
         if not self.cell.has_worker(worker):
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/draining.py
@@ -0,0 +1,89 @@
+"""Moving tasks off workers that are drained or that leave.
+
+A replica of a service stops only once its replacement runs elsewhere. A task that
+can write a checkpoint does so and goes on elsewhere. Any other may finish within
+``DRAIN_GRACE``. What is left after that is stopped; of a service one replica at a
+time, and the next only when that one runs elsewhere.
+"""
+
+from datetime import datetime, timedelta
+
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.events import TaskReplaced, TaskRetired
+from almondspread.scheduling.tasks import (
+    CHECKPOINT,
+    STOP,
+    Attempt,
+    WorkloadState,
+    next_index,
+)
+
+DRAIN_GRACE = timedelta(minutes=10)
+DRAINING_REASONS = ("draining", "leaving")
+
+
+class Drainer:
+    """Knows since when each worker is to be emptied."""
+
+    def __init__(self, decisions: Decisions) -> None:
+        self._decisions = decisions
+        self._since: dict[str, datetime] = {}
+
+    def move(self, now: datetime) -> None:
+        """Decide the next moves off the workers that are to be emptied."""
+        for worker in self._decisions.cell.iterate_workers():
+            if worker.exclusion not in DRAINING_REASONS:
+                if worker.name in self._since:
+                    self._undo(worker.name)
+                continue
+            since = self._since.setdefault(worker.name, now)
+            for attempt in self._decisions.state.list_attempts(worker.name):
+                self._move(attempt, now - since >= DRAIN_GRACE)
+
+    def _move(self, attempt: Attempt, overdue: bool) -> None:
+        """Decide the next move of one attempt."""
+        if attempt.unwanted or attempt.eviction:
+            return
+        state = self._decisions.state.workloads[attempt.workload]
+        if state.is_service:
+            self._move_replica(state, attempt, overdue)
+            return
+        if state.resource.template.checkpointable:
+            self._decisions.evict(attempt, CHECKPOINT)
+        elif overdue or not attempt.acknowledged:
+            self._decisions.evict(attempt, STOP)
+
+    def _move_replica(
+        self, state: WorkloadState, attempt: Attempt, overdue: bool
+    ) -> None:
+        """Have a replica of a service replaced before it stops."""
+        task = state.tasks[attempt.index]
+        if not attempt.acknowledged or task.standby:
+            self._decisions.evict(attempt, STOP)
+            return
+        if overdue and not _has_eviction(state):
+            self._decisions.evict(attempt, STOP)
+            return
+        if task.replacement < 0:
+            self._decisions.decide(
+                TaskReplaced(state.workload, task.index, next_index(task.index))
+            )
+
+    def _undo(self, worker: str) -> None:
+        """Give up replacements that do not run yet; the worker keeps its tasks."""
+        del self._since[worker]
+        for attempt in self._decisions.state.list_attempts(worker):
+            state = self._decisions.state.workloads[attempt.workload]
+            task = state.tasks[attempt.index]
+            if task.replacement >= 0:
+                self._decisions.decide(TaskRetired(state.workload, task.replacement))
+
+
+def _has_eviction(state: WorkloadState) -> bool:
+    """Tell whether another replica is on its way from one worker to another."""
+    for task in state.tasks.values():
+        if task.standby:
+            continue
+        if task.attempt is None or task.attempt.eviction:
+            return True
+    return False
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -12,7 +12,9 @@
 from almondspread.placement import Waiting
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.draining import Drainer
 from almondspread.scheduling.events import (
+    TaskRetired,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
@@ -21,8 +23,9 @@
 from almondspread.scheduling.exchanges import compose_exchange
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread.scheduling.placing import Placer
+from almondspread.scheduling.rules import CellRules
 from almondspread.scheduling.shard import ShardState
-from almondspread.scheduling.tasks import Attempt, parse_attempt
+from almondspread.scheduling.tasks import Attempt, parse_attempt, previous_index
 
 MAX_TASKS_REMOVED_PER_PASS = 2_000
 
@@ -50,7 +53,10 @@
         self._clock = clock
         self._backlog = Backlog(self.decisions)
         self.placer = Placer(self.decisions, self._backlog)
+        self._drainer = Drainer(self.decisions)
         self._throttled: set[str] = set()
+        self._drained: frozenset[str] = frozenset()
+        self._leaving: set[str] = set()
 
     @property
     def state(self) -> ShardState:
@@ -73,12 +79,35 @@
             listed.add(worker.name)
             if not self.cell.has_worker(worker.name):
                 self.decisions.add_worker(worker)
-            self.set_exclusion(worker.name, "leaving", worker.leaving)
-        if len(listed) == len(self.cell):
-            return
-        for known in self.cell.iterate_workers():
-            if known.name not in listed:
+                self.set_exclusion(
+                    worker.name, "draining", worker.name in self._drained
+                )
+            leaving = worker.leaving or worker.name in self._leaving
+            self.set_exclusion(worker.name, "leaving", leaving)
+        if len(listed) < len(self.cell):
+            self._leave_unlisted(listed)
+
+    def _leave_unlisted(self, listed: set[str]) -> None:
+        """Empty the workers that the list no longer has, and forget empty ones."""
+        for known in list(self.cell.iterate_workers()):
+            if known.name in listed:
+                continue
+            if self.state.list_attempts(known.name):
                 self.set_exclusion(known.name, "leaving", True)
+                continue
+            self.decisions.remove_worker(known.name)
+            self._leaving.discard(known.name)
+
+    def set_rules(self, rules: CellRules) -> None:
+        """Go by what operators have set for the cell."""
+        self.placer.policy = rules.policy
+        self._drained = rules.drained
+        for worker in self.cell.iterate_workers():
+            self.set_exclusion(worker.name, "draining", worker.name in rules.drained)
+
+    def move_drained(self) -> None:
+        """Decide the next moves off the workers that are drained or leave."""
+        self._drainer.move(self._clock.now())
 
     def set_exclusion(self, worker: str, reason: str, applies: bool) -> None:
         """Keep new tasks off a worker for a reason, or lift that reason."""
@@ -142,6 +171,8 @@
 
     def take_report(self, worker: str, report: WorkerReport) -> list[str]:
         """Take in a worker's report; return the ends that need no further record."""
+        if report.leaving != (worker in self._leaving):
+            self._note_leaving(worker, report.leaving)
         for usage in report.running:
             attempt = self._find(usage.attempt)
             if attempt is None or attempt.acknowledged:
@@ -153,11 +184,23 @@
                 settled.append(end.attempt)
         return settled
 
+    def _note_leaving(self, worker: str, leaving: bool) -> None:
+        """Note that a worker itself says whether it leaves."""
+        if leaving:
+            self._leaving.add(worker)
+            self.set_exclusion(worker, "leaving", True)
+        else:
+            self._leaving.discard(worker)
+
     def _acknowledge(self, attempt: Attempt) -> None:
         """Note that a worker runs an attempt."""
         state = self.state.workloads[attempt.workload]
-        state.acknowledge(state.tasks[attempt.index], attempt)
+        task = state.tasks[attempt.index]
+        state.acknowledge(task, attempt)
         self.state.changed.add(attempt.workload)
+        replaced = previous_index(attempt.index)
+        if task.standby and replaced in state.tasks:
+            self.decisions.decide(TaskRetired(attempt.workload, replaced))
 
     def _record_end(self, worker: str, end: AttemptEnd) -> bool:
         """Decide that an attempt has ended; false where that was known."""
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -6,7 +6,6 @@
 from sortedcontainers import SortedSet
 
 from almondspread.resources import Capacity, Workload, parse_resource
-from almondspread.resources.kinds import MAX_TASKS
 from almondspread.scheduling.events import (
     AttemptBound,
     AttemptEnded,
@@ -30,6 +29,7 @@
     WorkloadState,
     find_replica,
     name_attempt,
+    previous_index,
 )
 
 
@@ -174,7 +174,7 @@
         state = self.workloads[event.workload]
         task = state.tasks[event.index]
         self._promote(state, task)
-        replaced = state.tasks.get(event.index - MAX_TASKS)
+        replaced = state.tasks.get(previous_index(event.index))
         if replaced is not None:
             replaced.replacement = -1
         self._want(state, task, False)
--- a/packages/almondspread/almondspread/scheduling/tasks.py
+++ b/packages/almondspread/almondspread/scheduling/tasks.py
@@ -212,6 +212,11 @@
     return index + MAX_TASKS
 
 
+def previous_index(index: int) -> int:
+    """Return the index of the task that one with this index replaces."""
+    return index - MAX_TASKS
+
+
 def parse_attempt(name: str) -> tuple[str, int, int]:
     """Return the workload, index and number in an attempt's name."""
     task, _, number = name.rpartition("/")
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/tests/test_draining.py
@@ -0,0 +1,135 @@
+import unittest
+
+from almondspread.interfaces import WorkerReport
+from almondspread.scheduling import ShardState
+from almondspread.scheduling.draining import DRAIN_GRACE
+from almondspread.scheduling.rules import CellRules
+from almondspread.scheduling.tests.shards import Shard, make_desired
+
+
+class DrainTest(unittest.TestCase):
+    def setUp(self):
+        self.shard = Shard()
+
+    def start(self, *desired):
+        self.shard.declare(*desired)
+        self.shard.decide()
+        self.shard.report_running()
+
+    def drain(self, *workers):
+        self.shard.scheduler.set_rules(CellRules(drained=frozenset(workers)))
+        self.decide()
+
+    def decide(self):
+        self.shard.scheduler.move_drained()
+        return self.shard.decide()
+
+    def count_on(self, worker):
+        return len(self.shard.state.list_attempts(worker))
+
+    def find_status(self, workload):
+        return self.shard.state.workloads[workload].report()
+
+    def test_a_replica_stops_only_once_its_replacement_runs(self):
+        self.start(make_desired("service", "s", 3))
+        self.drain("w0")
+        self.shard.obey_stops()
+        self.assertEqual(self.count_on("w0"), 1)
+        self.assertEqual(len(self.shard.list_attempts()), 4)
+        self.assertEqual(self.find_status("service/s:1")["running"], 3)
+        self.shard.report_running()
+        self.decide()
+        self.shard.obey_stops()
+        self.decide()
+        self.assertEqual(self.count_on("w0"), 0)
+        status = self.find_status("service/s:1")
+        self.assertEqual((status["tasks"], status["running"]), (3, 3))
+
+    def test_a_takeover_goes_on_with_a_replacement(self):
+        self.start(make_desired("service", "s", 3))
+        self.drain("w0")
+        state = ShardState.decode(self.shard.state.encode())
+        self.shard = Shard(state=state)
+        self.drain("w0")
+        self.assertEqual(len(self.shard.list_attempts()), 4)
+        self.assertEqual(self.find_status("service/s:1")["tasks"], 3)
+        self.shard.report_running()
+        self.decide()
+        self.shard.obey_stops()
+        self.assertEqual(self.count_on("w0"), 0)
+        self.assertEqual(self.find_status("service/s:1")["running"], 3)
+
+    def test_undrain_gives_up_replacements(self):
+        self.start(make_desired("service", "s", 3))
+        self.drain("w0")
+        self.drain()
+        self.shard.obey_stops()
+        self.decide()
+        self.assertEqual(self.count_on("w0"), 1)
+        self.assertEqual(len(self.shard.list_attempts()), 3)
+
+    def test_the_end_of_a_replaced_task_leaves_its_replacement(self):
+        self.start(make_desired("service", "s", 3))
+        self.drain("w0")
+        self.shard.report_end(self.shard.state.list_attempts("w0")[0], "lapsed")
+        self.decide()
+        self.assertEqual(len(self.shard.list_attempts()), 3)
+        self.shard.report_running()
+        self.decide()
+        status = self.find_status("service/s:1")
+        self.assertEqual((status["tasks"], status["running"]), (3, 3))
+
+    def test_a_task_that_can_goes_on_from_a_checkpoint(self):
+        self.start(make_desired("batch", "b", 3, checkpointable=True))
+        drained = self.shard.list_places("batch/b:1")[0]
+        self.drain(drained)
+        self.shard.obey_stops()
+        self.decide()
+        self.assertEqual(self.count_on(drained), 0)
+        task = self.shard.state.workloads["batch/b:1"].tasks[0]
+        self.assertEqual((task.checkpoint, task.failures, task.number), ("half", 0, 2))
+
+    def test_other_batch_work_may_finish_within_the_grace(self):
+        self.start(make_desired("batch", "b", 1))
+        drained = self.shard.list_places("batch/b:1")[0]
+        self.drain(drained)
+        self.shard.obey_stops()
+        self.assertEqual(self.count_on(drained), 1)
+        self.shard.clock.advance(DRAIN_GRACE)
+        self.decide()
+        self.shard.obey_stops()
+        self.assertEqual(self.count_on(drained), 0)
+
+    def test_without_room_replicas_stop_one_at_a_time_after_the_grace(self):
+        self.shard = Shard(workers=1)
+        self.start(make_desired("service", "s", 3))
+        self.drain("w0")
+        self.assertEqual(self.count_on("w0"), 3)
+        self.shard.clock.advance(DRAIN_GRACE)
+        self.decide()
+        evicted = [a for a in self.shard.list_attempts() if a.eviction]
+        self.assertEqual(len(evicted), 1)
+
+    def test_a_worker_that_says_it_leaves_gets_nothing_new(self):
+        report = WorkerReport(leaving=True)
+        self.shard.scheduler.take_report("w0", report)
+        self.shard.scheduler.set_workers(self.shard.workers)
+        self.start(make_desired("batch", "b", 12))
+        self.assertEqual(self.count_on("w0"), 0)
+        self.assertEqual(len(self.shard.list_attempts()), 8)
+
+    def test_a_worker_gone_from_the_list_is_forgotten_once_empty(self):
+        self.start(make_desired("service", "s", 3))
+        rest = self.shard.workers[1:]
+        self.shard.scheduler.set_workers(rest)
+        self.decide()
+        self.assertEqual(self.count_on("w0"), 1)
+        self.shard.report_end(self.shard.state.list_attempts("w0")[0], "lapsed")
+        self.shard.scheduler.set_workers(rest)
+        self.assertEqual(len(self.shard.scheduler.cell), 2)
+        self.shard.scheduler.set_workers(self.shard.workers)
+        self.assertEqual(self.shard.scheduler.cell.worker("w0").exclusion, "")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -23,6 +23,7 @@
 )
 from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
+from almondspread.scheduling.rules import read_rules
 from almondspread.scheduling.scheduler import DesiredWorkload
 from almondspread.scheduling.tasks import name_workload
 from almondspread_daemon.background import start_task
@@ -120,6 +121,7 @@
         self._update_workers()
         self._follow_resources()
         self._end_lapsed()
+        self.scheduler.move_drained()
         more = self.scheduler.remove_cancelled()
         more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
         if more:
@@ -173,9 +175,17 @@
             if worker.name in self._links:
                 continue
             self._start_link(worker)
-        for link in self._links.values():
+        for link in list(self._links.values()):
+            if not self.scheduler.cell.has_worker(link.worker):
+                self._stop_link(link.worker)
+                continue
             self.scheduler.set_exclusion(link.worker, "unreachable", link.unreachable)
 
+    def _stop_link(self, worker: str) -> None:
+        """Stop the exchange with a worker that is gone for good."""
+        del self._links[worker]
+        self._tasks.pop(worker).cancel()
+
     def _start_link(self, worker: Instance) -> None:
         """Start the exchange with a worker."""
         link = WorkerLink(
@@ -212,6 +222,7 @@
         if self._followed_revision >= 0:
             entries = self._cache.list_entries_after(self._followed_revision)
         self._followed_revision = self._cache.revision
+        self.scheduler.set_rules(read_rules(self._cache))
         if entries is None:
             self._follow_all()
             return
--- /dev/null
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
@@ -0,0 +1,127 @@
+"""Scheduling decisions that cross processes: real entries beside the stand-ins."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from almondspread.clock import SystemClock
+from almondspread.resources import Capacity
+from almondspread_standin.demo.client import DemoClient
+from almondspread_standin.deployment import Deployment, Entry, FailureDomain, Rack
+from almondspread_standin.embedded import EmbeddedCluster
+
+PATIENCE = timedelta(seconds=15)
+PAUSE = timedelta(milliseconds=20)
+WORKER = Capacity(4_000, 4_096)
+
+
+def plan_deployment(domains=("umea", "lulea"), workers=2):
+    """Return failure domains with one rack and one entry each."""
+    planned = []
+    entries = []
+    for name in domains:
+        planned.append(FailureDomain(name, (Rack(f"{name}-rack", workers, WORKER),)))
+        entries.append(Entry(f"entry-{name}", name, 1, 2))
+    return Deployment("operator", "region", tuple(planned), tuple(entries))
+
+
+def make_document(kind, name, count, cpu=1_000, memory=512, command=("serve",), **more):
+    """Return the document that declares a workload."""
+    template = {"cpu_millis": cpu, "memory_mib": memory, "command": list(command)}
+    template.update(more.pop("template", {}))
+    counted = "replicas" if kind == "service" else "tasks"
+    metadata = {"name": name, **more.pop("metadata", {})}
+    document = {"kind": kind, "metadata": metadata, counted: count}
+    return {**document, "template": template, **more}
+
+
+class SchedulingCase(unittest.IsolatedAsyncioTestCase):
+    """A cluster of two failure domains, and a client of its entries."""
+
+    async def asyncSetUp(self):
+        self.clock = SystemClock()
+        self.cluster = EmbeddedCluster(plan_deployment(), self.clock)
+        await self.cluster.start()
+        self.client = DemoClient(self.cluster.urls)
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+        counted = self.cluster.cell.ledger.count()
+        self.assertEqual((counted.double_runs, counted.over_commitments), (0, 0))
+
+    async def apply(self, *documents):
+        items = [{"document": document} for document in documents]
+        return await self.client.call("POST", "/v1/apply", {"items": items})
+
+    async def await_true(self, is_true):
+        async with asyncio.timeout(PATIENCE.total_seconds()):
+            while not is_true():
+                await self.clock.sleep(PAUSE)
+
+    async def await_status(self, name, is_wanted):
+        async with asyncio.timeout(PATIENCE.total_seconds()):
+            while True:
+                answer = await self.client.call("GET", f"/v1/resources/{name}")
+                status = answer.document["status"] or {}
+                if is_wanted(status):
+                    return status
+                await self.clock.sleep(PAUSE)
+
+    def count_running(self, prefix):
+        return self.cluster.cell.ledger.count_running(prefix)
+
+    def list_on(self, worker):
+        return self.cluster.cell.workers[worker].agent.running
+
+
+class DrainTest(SchedulingCase):
+    async def test_drain_moves_a_service_without_a_gap(self):
+        await self.apply(make_document("service", "s", 4))
+        await self.await_status("service/s", lambda status: status["ready"])
+        drained = next(name for name in self.cluster.cell.workers if self.list_on(name))
+        lowest = 4
+        await self.apply(
+            {"kind": "worker", "metadata": {"name": drained}, "drain": True}
+        )
+        async with asyncio.timeout(PATIENCE.total_seconds()):
+            while self.list_on(drained):
+                lowest = min(lowest, self.count_running("service/s:"))
+                await self.clock.sleep(PAUSE)
+        lowest = min(lowest, self.count_running("service/s:"))
+        self.assertEqual(lowest, 4)
+        await self.await_true(lambda: self.count_running("service/s:") == 4)
+        await self.apply(
+            {"kind": "worker", "metadata": {"name": drained}, "drain": False},
+            make_document("batch", "b", 12),
+        )
+        await self.await_true(lambda: self.list_on(drained))
+
+    async def test_a_leaving_worker_is_emptied(self):
+        await self.apply(make_document("service", "s", 4))
+        await self.await_status("service/s", lambda status: status["ready"])
+        leaving = next(name for name in self.cluster.cell.workers if self.list_on(name))
+        self.cluster.cell.announce_leaving(leaving)
+        await self.await_true(lambda: not self.list_on(leaving))
+        await self.await_status("service/s", lambda status: status["ready"])
+
+
+class PolicyTest(SchedulingCase):
+    async def test_the_configured_policy_is_in_force(self):
+        await self.apply(
+            {"kind": "configuration", "metadata": {"name": "cell"}, "policy": "packing"}
+        )
+        await self.apply(make_document("batch", "packed", 8, cpu=400))
+        await self.await_true(lambda: self.count_running("batch/packed:") == 8)
+        used = [name for name in self.cluster.cell.workers if self.list_on(name)]
+        self.assertEqual(len(used), 2)
+        await self.apply(
+            {"kind": "configuration", "metadata": {"name": "cell"}, "policy": "waiting"}
+        )
+        await self.apply(make_document("batch", "spread", 8, cpu=400))
+        await self.await_true(lambda: self.count_running("batch/spread:") == 8)
+        used = [name for name in self.cluster.cell.workers if self.list_on(name)]
+        self.assertEqual(len(used), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
