Refuse work that can never run and say why the rest waits

An entry that knows the workers of the list refuses a workload whose task fits no empty worker, or that alone is over its team's quota, with the reason and the remedy. Where the cell or a quota changes later, the shard reports the workload as impossible. The status of a workload says for each shard why its tasks wait, in counts of workers for each cause; it is reported again when the causes change, not with every number. A worker listed with another capacity is emptied before it counts with that one.

--- a/packages/almondspread/almondspread/scheduling/__init__.py
+++ b/packages/almondspread/almondspread/scheduling/__init__.py
@@ -1,8 +1,17 @@
 """The scheduling shard: its workloads, tasks, run lists and decisions."""
 
+from almondspread.scheduling.admission import admit_workload, list_capacities
 from almondspread.scheduling.events import EVENT_CODEC
 from almondspread.scheduling.homes import assign_tasks, find_rack_shard
 from almondspread.scheduling.scheduler import Scheduler
 from almondspread.scheduling.shard import ShardState
 
-__all__ = ["EVENT_CODEC", "Scheduler", "ShardState", "assign_tasks", "find_rack_shard"]
+__all__ = [
+    "EVENT_CODEC",
+    "Scheduler",
+    "ShardState",
+    "admit_workload",
+    "assign_tasks",
+    "find_rack_shard",
+    "list_capacities",
+]
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/messages.py
@@ -0,0 +1,32 @@
+"""What operators read of a workload that waits."""
+
+from datetime import UTC, datetime
+
+from almondspread.placement import Waiting
+from almondspread.scheduling.tasks import WorkloadState
+
+
+def explain_waiting_work(
+    state: WorkloadState, waiting: Waiting | None, impossible: str
+) -> str:
+    """Return why tasks of a workload wait, empty where none does."""
+    parts = []
+    if impossible and state.ready:
+        parts.append(impossible)
+    elif waiting is not None and state.ready:
+        parts.append(f"{len(state.ready)} tasks wait: {waiting.to_text()}")
+    if state.delayed:
+        first = min(task.retry_at for task in state.delayed.values())
+        moment = datetime.fromtimestamp(first, UTC).strftime("%H:%M:%S")
+        parts.append(
+            f"{len(state.delayed)} tasks failed and wait for their next try, the "
+            f"first at {moment} UTC"
+        )
+    return "; ".join(parts)
+
+
+def list_causes(waiting: Waiting | None) -> tuple[str, ...]:
+    """Return the causes of waiting without their counts."""
+    if waiting is None:
+        return ()
+    return tuple(count.reason for count in waiting.reasons)
--- a/packages/almondspread/almondspread/scheduling/placing.py
+++ b/packages/almondspread/almondspread/scheduling/placing.py
@@ -13,6 +13,7 @@
 from almondspread.resources import Capacity
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.messages import list_causes
 from almondspread.scheduling.policies.ordering import QueueEntry, WaitingWorkload
 from almondspread.scheduling.tasks import FINISHED, WorkloadState
 
@@ -75,12 +76,12 @@
         refused = self._check_quota(waiting, 1)
         refused = refused or self._failed.get((waiting.size, 1))
         if refused is not None:
-            self.reasons[waiting.name] = refused
+            self._note(waiting.name, refused)
             return None
         chosen = choose_worker(self._decisions.cell, _request(waiting), self.policy)
         if chosen.is_error():
             self._failed[(waiting.size, 1)] = chosen.error
-            self.reasons[waiting.name] = chosen.error
+            self._note(waiting.name, chosen.error)
             return None
         return chosen.ok
 
@@ -94,13 +95,13 @@
         refused = self._check_quota(waiting, count)
         refused = refused or self._failed.get((waiting.size, count))
         if refused is not None:
-            self.reasons[waiting.name] = refused
+            self._note(waiting.name, refused)
             return 0
         requests = [_request(waiting)] * count
         chosen = choose_gang(self._decisions.cell, requests, self.policy)
         if chosen.is_error():
             self._failed[(waiting.size, count)] = chosen.error
-            self.reasons[waiting.name] = chosen.error
+            self._note(waiting.name, chosen.error)
             return 0
         for task, worker in zip(list(entry.tasks), chosen.ok, strict=True):
             self._bind(state, int(task), worker)
@@ -115,6 +116,13 @@
         workers = len(self._decisions.cell)
         return Waiting(workers, (ReasonCount(shortage, workers),), tasks=count)
 
+    def _note(self, workload: str, waiting: Waiting) -> None:
+        """Remember why a workload waits; other causes than before are reported."""
+        known = self.reasons.get(workload)
+        self.reasons[workload] = waiting
+        if known is None or list_causes(known) != list_causes(waiting):
+            self._decisions.state.changed.add(workload)
+
     def _bind(self, state: WorkloadState, index: int, worker: str) -> None:
         """Bind a task and take it out of the queue."""
         self._decisions.bind(state, state.tasks[index], worker)
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -1,5 +1,7 @@
 """Decisions of the owner of a scheduling shard, one pass after another."""
 
+from typing import Any
+
 from attrs import define
 
 from almondspread.clock import Clock
@@ -10,6 +12,8 @@
     WorkerReport,
 )
 from almondspread.placement import Waiting
+from almondspread.resources import Capacity
+from almondspread.scheduling.admission import explain_impossible
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
 from almondspread.scheduling.draining import Drainer
@@ -22,10 +26,16 @@
 )
 from almondspread.scheduling.exchanges import compose_exchange
 from almondspread.scheduling.leases import LeaseTerms
+from almondspread.scheduling.messages import explain_waiting_work
 from almondspread.scheduling.placing import Placer
 from almondspread.scheduling.rules import CellRules
 from almondspread.scheduling.shard import ShardState
-from almondspread.scheduling.tasks import Attempt, parse_attempt, previous_index
+from almondspread.scheduling.tasks import (
+    Attempt,
+    WorkloadState,
+    parse_attempt,
+    previous_index,
+)
 
 MAX_TASKS_REMOVED_PER_PASS = 2_000
 
@@ -57,6 +67,8 @@
         self._throttled: set[str] = set()
         self._drained: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
+        self._capacities: frozenset[Capacity] = frozenset()
+        self._rules = CellRules()
 
     @property
     def state(self) -> ShardState:
@@ -77,16 +89,25 @@
         listed = set()
         for worker in workers:
             listed.add(worker.name)
-            if not self.cell.has_worker(worker.name):
-                self.decisions.add_worker(worker)
-                self.set_exclusion(
-                    worker.name, "draining", worker.name in self._drained
-                )
-            leaving = worker.leaving or worker.name in self._leaving
-            self.set_exclusion(worker.name, "leaving", leaving)
+            self._take_worker(worker)
         if len(listed) < len(self.cell):
             self._leave_unlisted(listed)
 
+    def _take_worker(self, worker: Instance) -> None:
+        """Take in one line of the list."""
+        name = worker.name
+        known = self.cell.has_worker(name)
+        resized = known and self.cell.worker(name).capacity != worker.capacity
+        if resized and not self.state.list_attempts(name):
+            self.decisions.remove_worker(name)
+            known = resized = False
+        if not known:
+            self.decisions.add_worker(worker)
+            self.set_exclusion(name, "draining", name in self._drained)
+        # A worker of another capacity is emptied before it counts with that.
+        leaving = worker.leaving or resized or name in self._leaving
+        self.set_exclusion(name, "leaving", leaving)
+
     def _leave_unlisted(self, listed: set[str]) -> None:
         """Empty the workers that the list no longer has, and forget empty ones."""
         for known in list(self.cell.iterate_workers()):
@@ -102,9 +123,35 @@
         """Go by what operators have set for the cell."""
         self.placer.policy = rules.policy
         self._drained = rules.drained
+        if rules.teams != self._rules.teams:
+            self._report_waiting()
+        self._rules = rules
         for worker in self.cell.iterate_workers():
             self.set_exclusion(worker.name, "draining", worker.name in rules.drained)
 
+    def set_capacities(self, capacities: frozenset[Capacity]) -> None:
+        """Note which capacities the workers of the whole cell have."""
+        if capacities != self._capacities:
+            self._capacities = capacities
+            self._report_waiting()
+
+    def _report_waiting(self) -> None:
+        """Have all waiting workloads reported anew: some may be impossible now."""
+        self.state.changed.update(self.placer.reasons)
+
+    def describe_workload(self, state: WorkloadState) -> dict[str, Any]:
+        """Return the status document that the shard reports of a workload."""
+        report = state.report()
+        impossible = ""
+        if state.ready:
+            team = self._rules.teams.get(state.team)
+            quota = team.quota if team else None
+            impossible = explain_impossible(state.resource, self._capacities, quota)
+        waiting = self.placer.reasons.get(state.workload)
+        report["impossible"] = bool(impossible)
+        report["message"] = explain_waiting_work(state, waiting, impossible)
+        return report
+
     def move_drained(self) -> None:
         """Decide the next moves off the workers that are drained or leave."""
         self._drainer.move(self._clock.now())
--- a/packages/almondspread/almondspread/scheduling/tests/test_draining.py
+++ b/packages/almondspread/almondspread/scheduling/tests/test_draining.py
@@ -1,6 +1,9 @@
 import unittest
 
+from attrs import evolve
+
 from almondspread.interfaces import WorkerReport
+from almondspread.resources import Capacity
 from almondspread.scheduling import ShardState
 from almondspread.scheduling.draining import DRAIN_GRACE
 from almondspread.scheduling.rules import CellRules
@@ -130,6 +133,18 @@
         self.shard.scheduler.set_workers(self.shard.workers)
         self.assertEqual(self.shard.scheduler.cell.worker("w0").exclusion, "")
 
+    def test_a_worker_of_another_capacity_counts_with_it_once_empty(self):
+        self.start(make_desired("batch", "b", 1))
+        worker = self.shard.list_places("batch/b:1")[0]
+        smaller = Capacity(500, 512)
+        self.shard.workers = [evolve(w, capacity=smaller) for w in self.shard.workers]
+        self.shard.scheduler.set_workers(self.shard.workers)
+        self.assertEqual(self.shard.scheduler.cell.worker(worker).exclusion, "leaving")
+        self.shard.report_end(self.shard.list_attempts()[0])
+        self.shard.scheduler.set_workers(self.shard.workers)
+        for known in self.shard.scheduler.cell.iterate_workers():
+            self.assertEqual((known.capacity, known.exclusion), (smaller, ""))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -16,7 +16,8 @@
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
 from almondspread.ownership import Members, Ownership
-from almondspread.resources import RequestService
+from almondspread.resources import Capacity, RequestService
+from almondspread.scheduling import list_capacities
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
@@ -64,6 +65,8 @@
         self.stopping = False
         self.incarnation = uuid.uuid4().hex
         self._started = False
+        self._capacities_listed: dict[str, Instance] = {}
+        self._capacities: frozenset[Capacity] = frozenset()
         self.telemetry = Telemetry(settings)
         self.tokens = TokenTable(settings.tokens)
         self.credentials = Credentials(settings, clock)
@@ -130,7 +133,9 @@
             clock,
         )
         self.publisher = StatusPublisher(self.changes, clock, settings.name)
-        self.resources = ResourceService(self.changes, settings.name)
+        self.resources = ResourceService(
+            self.changes, settings.name, self._list_capacities
+        )
         self.reporter = StatusReporter(
             settings.name,
             settings.failure_domain,
@@ -196,6 +201,7 @@
             self.schedule_shards,
             self.changes.cache,
             self._list_workers,
+            self._list_capacities,
             self._platform.workers,
             self.clock,
             self.settings.scheduling.exchange,
@@ -313,6 +319,14 @@
         listed = self.neighbours.listed.values()
         return list_shard_workers(listed, shard, self.schedule_shards)
 
+    def _list_capacities(self) -> frozenset[Capacity]:
+        """Return the distinct capacities of all workers in the list."""
+        listed = self.neighbours.listed
+        if listed is not self._capacities_listed:
+            self._capacities_listed = listed
+            self._capacities = list_capacities(listed.values())
+        return self._capacities
+
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
         members = [(self.settings.name, self.changes.cache.revision)]
--- a/packages/almondspread_daemon/almondspread_daemon/resources/documents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/documents.py
@@ -63,24 +63,40 @@
             "running": counts["running"],
             "waiting": max(0, resource.replicas - counts["running"]),
             "ready": counts["running"] == resource.replicas,
-            "message": "",
+            "message": join_messages(item),
         }
     known = sum(counts.values())
     counts["waiting"] += max(0, resource.tasks - known)
     return {
         "tasks": resource.tasks,
         **counts,
-        "phase": _find_phase(resource.tasks, counts),
-        "message": "",
+        "phase": _find_phase(item, resource.tasks, counts),
+        "message": join_messages(item),
     }
 
 
-def _find_phase(tasks: int, counts: dict[str, int]) -> str:
+def join_messages(item: Item) -> str:
+    """Return why tasks of a workload wait, for each shard that says so."""
+    by_text: dict[str, list[str]] = {}
+    for shard in sorted(item.reports):
+        text = item.reports[shard].get("message", "")
+        if text:
+            by_text.setdefault(text, []).append(shard.partition("/")[2])
+    parts = []
+    for text, shards in by_text.items():
+        parts.append(f"{', '.join(shards)}: {text}")
+    return "; ".join(parts)
+
+
+def _find_phase(item: Item, tasks: int, counts: dict[str, int]) -> str:
     """Return the phase of a job from the phases of its tasks."""
     if counts["finished"] == tasks:
         return "finished"
     if counts["finished"] + counts["failed"] == tasks:
         return "failed"
+    for report in item.reports.values():
+        if report.get("impossible"):
+            return "impossible"
     if counts["running"] or counts["finished"] or counts["failed"]:
         return "running"
     return "waiting"
--- a/packages/almondspread_daemon/almondspread_daemon/resources/service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/service.py
@@ -1,5 +1,6 @@
 """Apply, delete and cancel: what operators ask, as changes in the log."""
 
+from collections.abc import Callable
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -7,7 +8,8 @@
 from almondspread.changes import Change, ChangeLog, ResourceCache
 from almondspread.changes.entries import declare_resource, remove_resource
 from almondspread.errors import Conflict, Problem
-from almondspread.resources import Resource, parse_resource
+from almondspread.resources import Capacity, Resource, Team, Workload, parse_resource
+from almondspread.scheduling import admit_workload
 from almondspread_daemon.resources import documents
 
 WORKLOAD_KINDS = ("service", "batch", "gang")
@@ -18,9 +20,15 @@
 class ResourceService:
     """Turns what operators ask for into appends to the change log."""
 
-    def __init__(self, changes: ChangeLog, author: str) -> None:
+    def __init__(
+        self,
+        changes: ChangeLog,
+        author: str,
+        list_capacities: Callable[[], frozenset[Capacity]] = frozenset,
+    ) -> None:
         self._changes = changes
         self._author = author
+        self._list_capacities = list_capacities
 
     async def apply(
         self, items: list[tuple[dict[str, Any], int | None]], dry_run: bool
@@ -44,8 +52,12 @@
                 if outcome.is_error():
                     return Error(outcome.error)
                 before[(kind, resource.metadata.name)] = outcome.ok
-                if outcome.ok != "unchanged":
-                    changes.append(declare_resource(kind, resource))
+                if outcome.ok == "unchanged":
+                    continue
+                admitted = self._admit(cache, resource, declared)
+                if admitted.is_error():
+                    return Error(admitted.error)
+                changes.append(declare_resource(kind, resource))
             return Ok([] if dry_run else changes)
 
         appended = await self._changes.append(self._author, prepare)
@@ -64,6 +76,16 @@
             )
         return Ok({"revision": appended.ok, "items": results})
 
+    def _admit(
+        self, cache: ResourceCache, resource: Resource, declared: list[Declared]
+    ) -> Result[None, Problem]:
+        """Refuse a workload that the workers and quotas of the cell cannot run."""
+        if not isinstance(resource, Workload):
+            return Ok(None)
+        quota = find_quota(cache, resource.metadata.team, declared)
+        admitted = admit_workload(resource, self._list_capacities(), quota)
+        return Error(admitted.error) if admitted.is_error() else Ok(None)
+
     async def delete(
         self, kind: str, name: str, version: int | None
     ) -> Result[int, Problem]:
@@ -106,6 +128,19 @@
         return Ok({"revision": appended.ok, "cancelled": cancelled})
 
 
+def find_quota(
+    cache: ResourceCache, team: str, declared: list[Declared]
+) -> Capacity | None:
+    """Return a team's quota, as declared beside a workload or before it."""
+    for _, resource, _ in declared:
+        if isinstance(resource, Team) and resource.metadata.name == team:
+            return resource.quota
+    item = cache.find("team", team)
+    if item is None or not isinstance(item.resource, Team):
+        return None
+    return item.resource.quota
+
+
 def judge_change(
     cache: ResourceCache, kind: str, resource: Resource, version: int | None
 ) -> Result[str, Problem]:
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -14,7 +14,7 @@
 from almondspread.journal import Journal
 from almondspread.journal.journal import Recovery
 from almondspread.ownership import Ownership
-from almondspread.resources import Workload, describe_resource
+from almondspread.resources import Capacity, Workload, describe_resource
 from almondspread.scheduling import (
     EVENT_CODEC,
     Scheduler,
@@ -48,6 +48,7 @@
         shards: tuple[str, ...],
         cache: ResourceCache,
         list_workers: Callable[[str], list[Instance] | None],
+        list_cell: Callable[[], frozenset[Capacity]],
         gateway: WorkerGateway,
         clock: Clock,
         exchange_interval: timedelta,
@@ -62,6 +63,7 @@
         self._shards = shards
         self._cache = cache
         self._list_workers = list_workers
+        self._list_cell = list_cell
         self._gateway = gateway
         self._clock = clock
         self._exchange_interval = exchange_interval
@@ -171,6 +173,7 @@
         if listed is None:
             return
         self.scheduler.set_workers(listed)
+        self.scheduler.set_capacities(self._list_cell())
         for worker in listed:
             if worker.name in self._links:
                 continue
@@ -281,7 +284,8 @@
             state = self.scheduler.state.workloads.get(workload)
             if state is None or state.removed:
                 continue
-            reports[(state.kind, state.name)] = state.report()
+            report = self.scheduler.describe_workload(state)
+            reports[(state.kind, state.name)] = report
         changed.clear()
         if reports:
             self._publish(self.ownership.shard, reports)
--- a/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
@@ -4,6 +4,8 @@
 import unittest
 from datetime import timedelta
 
+from attrs import evolve
+
 from almondspread.clock import SystemClock
 from almondspread.resources import Capacity
 from almondspread_standin.demo.client import DemoClient
@@ -123,5 +125,46 @@
         self.assertEqual(len(used), 4)
 
 
+class WaitingTest(SchedulingCase):
+    async def test_work_that_fits_no_worker_is_refused_with_the_remedy(self):
+        answer = await self.apply(
+            make_document("batch", "small", 1), make_document("batch", "big", 1, 4_001)
+        )
+        self.assertEqual(answer.status, 400)
+        self.assertIn("the largest has 4000", answer.document["message"])
+        self.assertIn("smaller size", answer.document["remedy"])
+        self.assertTrue(answer.document["not_run"])
+        listed = await self.client.call("GET", "/v1/resources/batch")
+        self.assertEqual(listed.document["items"], [])
+
+    async def test_waiting_work_says_why_at_every_entry(self):
+        await self.apply(make_document("batch", "b", 20))
+        status = await self.await_status(
+            "batch/b", lambda status: "umea" in status["message"]
+        )
+        self.assertIn("0 of 2 workers fit: 2 too little processor", status["message"])
+        for _ in self.cluster.entries:
+            answer = await self.client.call("GET", "/v1/describe/batch/b")
+            tasks = answer.document["tasks"]
+            waiting = [task for task in tasks if task["state"] == "waiting"]
+            self.assertEqual((len(tasks), len(waiting)), (20, 4))
+            for task in waiting:
+                self.assertEqual(task["reasons"], {"too little processor": 2})
+
+    async def test_work_is_impossible_once_the_cell_lost_its_workers(self):
+        await self.apply(make_document("batch", "fill", 16))
+        await self.await_true(lambda: self.count_running("batch/fill:") == 16)
+        await self.apply(make_document("batch", "b", 2, 4_000))
+        await self.await_status("batch/b", lambda status: status["message"])
+        capacity = Capacity(2_000, 2_048)
+        instances = self.cluster.cell.platform.service.instances
+        for name in self.cluster.cell.workers:
+            instances.add(evolve(instances.find(name), capacity=capacity))
+        status = await self.await_status(
+            "batch/b", lambda status: status["phase"] == "impossible"
+        )
+        self.assertIn("the largest has 2000", status["message"])
+
+
 if __name__ == "__main__":
     unittest.main()
