Keep team quotas over the whole cell by grants to shards

Quotas were declared and never held. Waiting work of one priority goes by the teams' weighted shares within a shard.

--- a/packages/almondspread/almondspread/resources/capacity.py
+++ b/packages/almondspread/almondspread/resources/capacity.py
@@ -41,6 +41,22 @@
             self.accelerators * count,
         )
 
+    def take_smaller(self, other: "Capacity") -> "Capacity":
+        """Return the smaller of two amounts of each resource."""
+        return Capacity(
+            min(self.cpu_millis, other.cpu_millis),
+            min(self.memory_mib, other.memory_mib),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def take_larger(self, other: "Capacity") -> "Capacity":
+        """Return the larger of two amounts of each resource."""
+        return Capacity(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mib, other.memory_mib),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits_in(self, other: "Capacity") -> bool:
         """Tell whether no resource of this amount is over that of the other."""
         return (
--- a/packages/almondspread/almondspread/scheduling/backlog.py
+++ b/packages/almondspread/almondspread/scheduling/backlog.py
@@ -24,6 +24,7 @@
         self.cancelled: dict[str, None] = {}
         self._decisions = decisions
         self._queue = WaitingQueue()
+        self._names: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -46,6 +47,7 @@
             if workload.ready:
                 tasks = [str(index) for index in workload.ready]
                 self._queue.add(describe_waiting(workload), tasks)
+                self._names.add(name)
                 added = True
         for name, index in state.touched_tasks:
             if name not in state.touched:
@@ -65,6 +67,7 @@
         entry = self._queue.find_entry(name)
         described = entry.workload if entry else describe_waiting(workload)
         self._queue.add(described, (str(index),))
+        self._names.add(name)
         return True
 
     def remove(self, workload: str, index: int) -> None:
@@ -75,6 +78,17 @@
         """Tell whether a workload has tasks that wait."""
         return self._queue.find_entry(workload) is not None
 
+    def list_entries(self) -> list[QueueEntry]:
+        """Return what waits of each workload, in no stated order."""
+        entries = []
+        for name in list(self._names):
+            entry = self._queue.find_entry(name)
+            if entry is None:
+                self._names.discard(name)
+                continue
+            entries.append(entry)
+        return entries
+
     def iterate(self, now: datetime) -> Iterator[QueueEntry]:
         """Yield the waiting workloads in order while their tasks are removed."""
         return self._queue.iterate(now, self._decisions.teams.measure_share)
--- a/packages/almondspread/almondspread/scheduling/decisions.py
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -5,6 +5,8 @@
 committed the batch that holds it.
 """
 
+from attrs import define
+
 from almondspread.interfaces import AttemptEnd, Instance
 from almondspread.placement import Cell
 from almondspread.placement.values import EXCLUSIONS
@@ -20,11 +22,19 @@
 from almondspread.scheduling.tasks import Attempt, Task, WorkloadState, name_attempt
 
 
+@define(frozen=True)
+class UncommittedEnd:
+    """Where an attempt ran whose end the journal does not hold yet."""
+
+    worker: str
+    team: str
+    size: Capacity
+
+
 class Decisions:
     """Keeps state, cell and teams in step while events are decided.
 
     ``openings`` grows whenever room may have appeared for a task that found none.
-    ``ended_at`` names the worker of each attempt whose end is not yet committed.
     """
 
     def __init__(self, state: ShardState) -> None:
@@ -32,7 +42,8 @@
         self.cell = Cell()
         self.teams = TeamLedger(Capacity(0, 0, 0))
         self.openings = 0
-        self.ended_at: dict[str, str] = {}
+        self._ended: dict[str, UncommittedEnd] = {}
+        self._ending: dict[str, Capacity] = {}
         self._pending: list[Event] = []
         self._exclusions: dict[str, set[str]] = {}
         self._total = Capacity(0, 0, 0)
@@ -130,7 +141,10 @@
         """Decide that an attempt has ended and free what it held."""
         state = self.state.workloads[attempt.workload]
         told = end or AttemptEnd(attempt.name, outcome)
-        self.ended_at[attempt.name] = attempt.worker
+        ended = UncommittedEnd(attempt.worker, state.team, attempt.size)
+        self._ended[attempt.name] = ended
+        ending = self._ending.get(state.team, Capacity(0, 0, 0))
+        self._ending[state.team] = ending.plus(attempt.size)
         self.decide(
             AttemptEnded(
                 attempt.workload,
@@ -169,4 +183,12 @@
     def take_ended(self, event: AttemptEnded) -> tuple[str, str]:
         """Return the attempt whose end is committed now, and its worker."""
         name = name_attempt(event.workload, event.index, event.number)
-        return name, self.ended_at.pop(name, "")
+        ended = self._ended.pop(name)
+        self._ending[ended.team] = self._ending[ended.team].minus(ended.size)
+        return name, ended.worker
+
+    def list_held(self, team: str) -> Capacity:
+        """Return what a team holds, with what is freed but not yet committed."""
+        used = self.teams.list_used(team)
+        ending = self._ending.get(team)
+        return used.plus(ending) if ending is not None else used
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/grants.py
@@ -0,0 +1,261 @@
+"""Shares of a team's quota that are granted to scheduling shards.
+
+One table row for each team says how much of its quota each shard may commit. The sum
+of the grants is only raised within the quota, by compare-and-set, and a shard places
+within its own grant; so the sum over all shards keeps to the quota, with no message
+between their owners. A shard lowers what it goes by before it writes a lower grant,
+and raises it after the higher grant is known to be written.
+"""
+
+import random
+from datetime import timedelta
+
+from attrs import define, field
+
+from almondspread.clock import Clock
+from almondspread.codec import decode_message, encode_message
+from almondspread.interfaces import (
+    Condition,
+    Row,
+    TableService,
+    Write,
+)
+from almondspread.resources import Capacity
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.rules import TeamRule
+
+# How long a grant stays unused before it is returned.
+RETURN_AFTER = timedelta(seconds=2)
+# How long a shard whose ask was not met waits before it asks again, at most.
+ASK_AGAIN = timedelta(seconds=2)
+NOTHING = Capacity(0, 0, 0)
+
+
+@define(frozen=True)
+class GrantRow:
+    """The grants of one team; ``revision`` is that of the quota last gone by."""
+
+    revision: int = 0
+    grants: dict[str, Capacity] = field(factory=dict)
+
+    def sum_others(self, shard: str) -> Capacity:
+        """Return what all other shards are granted."""
+        total = NOTHING
+        for name, granted in self.grants.items():
+            if name != shard:
+                total = total.plus(granted)
+        return total
+
+
+@define(frozen=True)
+class Need:
+    """What a shard holds of a team, wants to hold, and the least that would help."""
+
+    wanted: Capacity
+    least: Capacity = NOTHING
+
+
+@define
+class Holding:
+    """What a shard knows of its grant of one team.
+
+    ``limit`` is what it goes by. ``certain`` is unset after a write that is not known
+    to have taken effect: it still may, until a later write is known to have done so.
+    """
+
+    limit: Capacity = NOTHING
+    version: int = -1
+    row: GrantRow = GrantRow()
+    certain: bool = True
+    unused_since: timedelta | None = None
+    ask_after: timedelta = timedelta(0)
+
+
+def make_grant_key(team: str) -> str:
+    """Return the key of the row that holds a team's grants."""
+    return f"quota/{team}"
+
+
+def change_grant(
+    row: GrantRow, shard: str, wanted: Capacity, rule: TeamRule
+) -> GrantRow:
+    """Return the row after a shard asked for a grant.
+
+    A grant is lowered as asked and raised as far as the quota allows. Who knows only
+    an older quota than the row went by raises nothing.
+
+    >>> row = GrantRow(1, {"a": Capacity(600, 10)})
+    >>> rule = TeamRule(Capacity(1000, 100), 1.0, 1)
+    >>> change_grant(row, "b", Capacity(500, 10), rule).grants["b"]
+    Capacity(cpu_millis=400, memory_mib=10, accelerators=0)
+    """
+    current = row.grants.get(shard, NOTHING)
+    free = NOTHING
+    if rule.revision >= row.revision:
+        free = rule.quota.minus(row.sum_others(shard))
+    granted = Capacity(
+        _change_amount(current.cpu_millis, wanted.cpu_millis, free.cpu_millis),
+        _change_amount(current.memory_mib, wanted.memory_mib, free.memory_mib),
+        _change_amount(current.accelerators, wanted.accelerators, free.accelerators),
+    )
+    grants = dict(row.grants)
+    grants[shard] = granted
+    if granted == NOTHING:
+        del grants[shard]
+    return GrantRow(max(row.revision, rule.revision), grants)
+
+
+def _change_amount(current: int, wanted: int, free: int) -> int:
+    """Return one amount of a grant after it was asked for."""
+    if wanted <= current:
+        return wanted
+    return max(current, min(wanted, free))
+
+
+class TeamGrants:
+    """The grants of one shard under one epoch of its ownership."""
+
+    def __init__(
+        self,
+        shard: str,
+        owner_condition: Condition,
+        table: TableService,
+        clock: Clock,
+        random_source: random.Random,
+        decisions: Decisions,
+    ) -> None:
+        self._shard = shard
+        self._owner_condition = owner_condition
+        self._table = table
+        self._clock = clock
+        self._random = random_source
+        self._decisions = decisions
+        self._rules: dict[str, TeamRule] = {}
+        self._holdings: dict[str, Holding] = {}
+        self._dropped: set[str] = set()
+        self.faults: dict[str, str] = {}
+
+    def set_rules(self, teams: dict[str, TeamRule]) -> None:
+        """Go by the declared teams; one that is not declared has no limit."""
+        for team in self._rules.keys() - teams.keys():
+            del self._holdings[team]
+            self._dropped.add(team)
+            self._decisions.teams.remove_team(team)
+        self._rules = teams
+        for team in teams:
+            if team not in self._holdings:
+                self._holdings[team] = Holding(certain=team not in self._dropped)
+            self._enforce(team, self._holdings[team].limit)
+
+    def _enforce(self, team: str, limit: Capacity) -> None:
+        """Go by a limit from now on."""
+        holding = self._holdings[team]
+        raised = not limit.fits_in(holding.limit)
+        holding.limit = limit
+        self._decisions.teams.set_team(team, limit, self._rules[team].weight)
+        if raised:
+            self._decisions.openings += 1
+
+    async def settle(self, needs: dict[str, Need]) -> bool:
+        """Ask for what is needed and return what is not; true if a limit rose."""
+        opened = self._decisions.openings
+        teams = [team for team in self._rules if self._is_due(team, needs.get(team))]
+        if not teams or not await self._read(teams):
+            return False
+        for team in teams:
+            if team in self._rules and team not in self.faults:
+                await self._change(team, needs.get(team))
+        return self._decisions.openings != opened
+
+    def _is_due(self, team: str, need: Need | None) -> bool:
+        """Tell whether a grant is to be changed now."""
+        holding = self._holdings[team]
+        if holding.version < 0 or not holding.certain:
+            return True
+        now = self._clock.monotonic()
+        target = self._find_target(team, need)
+        if not target.fits_in(holding.limit):
+            holding.unused_since = None
+            return now >= holding.ask_after
+        if target == holding.limit:
+            holding.unused_since = None
+            return False
+        if holding.unused_since is None:
+            holding.unused_since = now
+        return now - holding.unused_since >= RETURN_AFTER
+
+    def _find_target(self, team: str, need: Need | None) -> Capacity:
+        """Return the grant that the shard would have: never less than it holds."""
+        held = self._decisions.list_held(team)
+        return held.take_larger(need.wanted) if need else held
+
+    async def _read(self, teams: list[str]) -> bool:
+        """Read the rows of teams; false while the table cannot be reached."""
+        rows = await self._table.read([make_grant_key(team) for team in teams])
+        if rows.is_error():
+            return False
+        found = {row.key: row for row in rows.ok}
+        for team in teams:
+            if team in self._holdings:
+                self._take_row(team, found.get(make_grant_key(team)))
+        return True
+
+    def _take_row(self, team: str, row: Row | None) -> None:
+        """Take in the row of a team; one that does not decode is left alone."""
+        holding = self._holdings[team]
+        self.faults.pop(team, None)
+        try:
+            decoded = decode_message(row.value, GrantRow) if row else GrantRow()
+        except ValueError as error:
+            self.faults[team] = f"row {make_grant_key(team)} does not decode: {error}"
+            return
+        first = holding.version < 0
+        holding.version = row.version if row else 0
+        holding.row = decoded
+        if first and holding.certain:
+            # No write of an earlier owner can take effect after the claim.
+            self._enforce(team, decoded.grants.get(self._shard, NOTHING))
+
+    async def _change(self, team: str, need: Need | None) -> None:
+        """Write the grant of one team as it is needed."""
+        holding = self._holdings[team]
+        target = self._find_target(team, need)
+        if need is not None and not target.fits_in(holding.limit):
+            target = self._avoid_remainder(team, need, target)
+        changed = change_grant(holding.row, self._shard, target, self._rules[team])
+        if changed == holding.row and holding.certain:
+            return
+        granted = changed.grants.get(self._shard, NOTHING)
+        self._enforce(team, holding.limit.take_smaller(granted))
+        outcome = await self._table.transact(
+            [
+                self._owner_condition,
+                Condition(make_grant_key(team), holding.version),
+            ],
+            [Write(make_grant_key(team), encode_message(changed))],
+        )
+        if self._holdings.get(team) is not holding:
+            return
+        if outcome.is_error():
+            holding.certain = False
+            return
+        holding.version = outcome.ok
+        holding.row = changed
+        holding.certain = True
+        holding.unused_since = None
+        self._enforce(team, granted)
+
+    def _avoid_remainder(self, team: str, need: Need, target: Capacity) -> Capacity:
+        """Ask for nothing, and return what is unused, where the rest helps no task.
+
+        Otherwise two shards could each keep a part that suffices for neither.
+        """
+        holding = self._holdings[team]
+        asked = change_grant(holding.row, self._shard, target, self._rules[team])
+        granted = asked.grants.get(self._shard, NOTHING)
+        pause = ASK_AGAIN * self._random.uniform(0.2, 1.0)
+        holding.ask_after = self._clock.monotonic() + pause
+        held = self._decisions.list_held(team)
+        if held.plus(need.least).fits_in(granted):
+            return target
+        return held
--- a/packages/almondspread/almondspread/scheduling/placing.py
+++ b/packages/almondspread/almondspread/scheduling/placing.py
@@ -25,12 +25,14 @@
     """Places tasks and remembers what found no place.
 
     A size that found no worker finds none until room appears, so it is not looked
-    for again before. ``reasons`` says for each workload why its tasks wait.
+    for again before. ``reasons`` says for each workload why its tasks wait,
+    ``short_of_quota`` whether the latest pass found a team at its limit.
     """
 
     def __init__(self, decisions: Decisions, backlog: Backlog) -> None:
         self.policy = POLICY_WAITING
         self.reasons: dict[str, Waiting] = {}
+        self.short_of_quota = False
         self._decisions = decisions
         self._backlog = backlog
         self._stuck_at = -1
@@ -47,6 +49,7 @@
         if not added and self._stuck_at == openings:
             return False
         placed = 0
+        self.short_of_quota = False
         for entry in self._backlog.iterate(now):
             if placed >= limit:
                 self._stuck_at = -1
@@ -113,6 +116,7 @@
         shortage = self._decisions.teams.find_shortage(waiting.team, size)
         if shortage is None:
             return None
+        self.short_of_quota = True
         workers = len(self._decisions.cell)
         return Waiting(workers, (ReasonCount(shortage, workers),), tasks=count)
 
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from almondspread.scheduling.admission import explain_impossible
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.demand import measure_needs
 from almondspread.scheduling.draining import Drainer
 from almondspread.scheduling.events import (
     TaskRetired,
@@ -25,6 +26,7 @@
     WorkloadRemoved,
 )
 from almondspread.scheduling.exchanges import compose_exchange
+from almondspread.scheduling.grants import Need, TeamGrants
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread.scheduling.messages import explain_waiting_work
 from almondspread.scheduling.placing import Placer
@@ -64,6 +66,7 @@
         self._backlog = Backlog(self.decisions)
         self.placer = Placer(self.decisions, self._backlog)
         self._drainer = Drainer(self.decisions)
+        self.grants: TeamGrants | None = None
         self._throttled: set[str] = set()
         self._drained: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
@@ -126,9 +129,15 @@
         if rules.teams != self._rules.teams:
             self._report_waiting()
         self._rules = rules
+        if self.grants is not None:
+            self.grants.set_rules(rules.teams)
         for worker in self.cell.iterate_workers():
             self.set_exclusion(worker.name, "draining", worker.name in rules.drained)
 
+    def measure_needs(self) -> dict[str, Need]:
+        """Return which grants of quota would help the waiting work."""
+        return measure_needs(self.decisions, self._backlog)
+
     def set_capacities(self, capacities: frozenset[Capacity]) -> None:
         """Note which capacities the workers of the whole cell have."""
         if capacities != self._capacities:
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -196,6 +196,7 @@
         return ScheduleShard(
             ownership,
             journal,
+            self._platform.table,
             stopped,
             terms,
             self.schedule_shards,
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -1,6 +1,7 @@
 """The owner of a scheduling shard: decides, commits, and then tells the workers."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -10,7 +11,7 @@
 
 from almondspread.changes import Item, ResourceCache
 from almondspread.clock import Clock
-from almondspread.interfaces import Instance, WorkerGateway
+from almondspread.interfaces import Instance, TableService, WorkerGateway
 from almondspread.journal import Journal
 from almondspread.journal.journal import Recovery
 from almondspread.ownership import Ownership
@@ -22,6 +23,7 @@
     assign_tasks,
 )
 from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
+from almondspread.scheduling.grants import TeamGrants
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
 from almondspread.scheduling.rules import read_rules
 from almondspread.scheduling.scheduler import DesiredWorkload
@@ -34,6 +36,8 @@
 RECOVER_PAUSE = timedelta(milliseconds=500)
 MAX_PLACEMENTS_PER_BATCH = 400
 SNAPSHOT_ROWS = 500
+GRANT_INTERVAL = timedelta(seconds=1)
+GRANT_PAUSE = timedelta(milliseconds=50)
 
 
 class ScheduleShard:
@@ -43,6 +47,7 @@
         self,
         ownership: Ownership,
         journal: Journal,
+        table: TableService,
         previous_owner_stopped: bool,
         terms: LeaseTerms,
         shards: tuple[str, ...],
@@ -56,6 +61,18 @@
     ) -> None:
         self.ownership = ownership
         self.scheduler = Scheduler(ShardState(), terms, clock)
+        self._grants = TeamGrants(
+            ownership.shard,
+            ownership.condition,
+            table,
+            clock,
+            random.Random(),
+            self.scheduler.decisions,
+        )
+        self.scheduler.grants = self._grants
+        self._grants_wake = asyncio.Event()
+        self._grants_task: asyncio.Task[None] | None = None
+        self._grant_faults: dict[str, str] = {}
         self.recovered = False
         self._journal = journal
         self._leases = WorkerLeases(terms, clock.monotonic(), previous_owner_stopped)
@@ -89,6 +106,7 @@
         """Recover the shard and act for it until stopped or superseded."""
         try:
             await self._recover()
+            self._grants_task = start_task(self._keep_grants())
             while not self._stopping:
                 await self._wait()
                 if not await self._decide():
@@ -97,6 +115,8 @@
         finally:
             for task in self._tasks.values():
                 task.cancel()
+            if self._grants_task is not None:
+                self._grants_task.cancel()
 
     async def _wait(self) -> None:
         """Wait until there is something to decide, or for the usual interval."""
@@ -107,6 +127,22 @@
             pass
         self._wake.clear()
 
+    async def _keep_grants(self) -> None:
+        """Hold the grants of team quotas that the waiting work needs."""
+        while True:
+            if await self._grants.settle(self.scheduler.measure_needs()):
+                self.wake()
+            if self._grants.faults != self._grant_faults:
+                self._grant_faults = dict(self._grants.faults)
+                logger.error("no quota is granted here for: {}", self._grant_faults)
+            await self._clock.sleep(GRANT_PAUSE)
+            try:
+                async with asyncio.timeout(GRANT_INTERVAL.total_seconds()):
+                    await self._grants_wake.wait()
+            except TimeoutError:
+                continue
+            self._grants_wake.clear()
+
     async def _recover(self) -> None:
         """Rebuild the state from the latest snapshot and the rows after it."""
         while not self._stopping:
@@ -128,6 +164,8 @@
         more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
         if more:
             self.wake()
+        if self.scheduler.placer.short_of_quota:
+            self._grants_wake.set()
         batch = self.scheduler.decisions.take_batch()
         if batch:
             encoded = [EVENT_CODEC.encode(event) for event in batch]
--- a/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
@@ -166,5 +166,25 @@
         self.assertIn("the largest has 2000", status["message"])
 
 
+class QuotaTest(SchedulingCase):
+    async def test_a_team_keeps_to_its_quota_over_all_failure_domains(self):
+        team = {"kind": "team", "metadata": {"name": "t"}}
+        job = make_document(
+            "batch", "b", 24, command=("sleep", "0.2"), metadata={"team": "t"}
+        )
+        await self.apply({**team, "cpu_millis": 3_000, "memory_mib": 9_000}, job)
+        most = 0
+        async with asyncio.timeout(PATIENCE.total_seconds()):
+            while self.count_finished() < 24:
+                most = max(most, self.count_running("batch/b:"))
+                await self.clock.sleep(PAUSE)
+        self.assertEqual(most, 3)
+        await self.await_status("batch/b", lambda status: status["finished"] == 24)
+
+    def count_finished(self):
+        counted = self.cluster.cell.ledger.count()
+        return counted.started - counted.running
+
+
 if __name__ == "__main__":
     unittest.main()
