--- a/packages/almondspread/almondspread/scheduling/__init__.py
+++ b/packages/almondspread/almondspread/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from almondspread.scheduling.admission import admit_workload, list_capacities
 from almondspread.scheduling.events import EVENT_CODEC
 from almondspread.scheduling.homes import assign_tasks, find_rack_shard
+from almondspread.scheduling.recovery import rebuild_state
 from almondspread.scheduling.scheduler import Scheduler
 from almondspread.scheduling.shard import ShardState
 
@@ -14,4 +15,5 @@
     "assign_tasks",
     "find_rack_shard",
     "list_capacities",
+    "rebuild_state",
 ]
--- a/packages/almondspread/almondspread/scheduling/decisions.py
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -38,7 +38,6 @@
     """
 
     def __init__(self, state: ShardState) -> None:
-        self.state = state
         self.cell = Cell()
         self.teams = TeamLedger(Capacity(0, 0, 0))
         self.openings = 0
@@ -47,6 +46,7 @@
         self._pending: list[Event] = []
         self._exclusions: dict[str, set[str]] = {}
         self._total = Capacity(0, 0, 0)
+        self.adopt(state)
 
     def adopt(self, state: ShardState) -> None:
         """Go on from a recovered state, before any worker is known."""
--- a/packages/almondspread/almondspread/scheduling/events.py
+++ b/packages/almondspread/almondspread/scheduling/events.py
@@ -98,6 +98,17 @@
     index: int
 
 
+@define(frozen=True)
+class ResourcesSeen:
+    """The batch follows the resources as they were declared at a revision.
+
+    An owner that knows only older ones must not compare them with the shard: it would
+    remove what was added, and bring back what was changed, since then.
+    """
+
+    revision: int
+
+
 Event = (
     WorkloadAdded
     | WorkloadChanged
@@ -108,6 +119,7 @@
     | AttemptEvicted
     | TaskReplaced
     | TaskRetired
+    | ResourcesSeen
 )
 
 EVENT_CODEC = TaggedCodec(
@@ -121,5 +133,6 @@
         AttemptEvicted,
         TaskReplaced,
         TaskRetired,
+        ResourcesSeen,
     )
 )
--- a/packages/almondspread/almondspread/scheduling/exchanges.py
+++ b/packages/almondspread/almondspread/scheduling/exchanges.py
@@ -56,6 +56,7 @@
         checkpoints=tuple(checkpoints),
         throttles=tuple(throttles),
         acknowledged=acknowledged,
+        expires=now + terms.delivery.total_seconds(),
     )
 
 
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -11,6 +11,7 @@
     AttemptEnded,
     AttemptEvicted,
     Event,
+    ResourcesSeen,
     TaskReplaced,
     TaskRetired,
     WorkloadAdded,
@@ -37,8 +38,9 @@
     """Workloads, tasks and the run list of each worker.
 
     ``run_lists`` holds for each worker the attempts bound to it and not known to
-    have ended, in the order in which they were bound. ``changed`` names the workloads
-    that changed since the last report; ``touched`` those that changed as a whole, and
+    have ended, in the order in which they were bound. ``revision`` is the latest of
+    the resources that an owner has followed. ``changed`` names the workloads that
+    changed since the last report; ``touched`` those that changed as a whole, and
     ``touched_tasks`` single tasks that changed, since the queue was last brought in
     step. ``ended_removed`` names removed workloads without an attempt, ``delayed`` the
     tasks that wait for their next try, in the order of time.
@@ -52,6 +54,7 @@
         self.touched_tasks: set[tuple[str, int]] = set()
         self.ended_removed: set[str] = set()
         self.delayed: SortedSet[tuple[float, str, int]] = SortedSet()
+        self.revision = 0
 
     def apply(self, event: Event) -> None:
         """Advance by one event; raises ``ValueError`` for one that cannot follow."""
@@ -72,8 +75,11 @@
         elif isinstance(event, TaskRetired):
             self._retire(event)
         elif isinstance(event, WorkloadForgotten):
-            self.workloads.pop(event.workload, None)
-            self.ended_removed.discard(event.workload)
+            self._forget(event)
+            return
+        elif isinstance(event, ResourcesSeen):
+            self.revision = max(self.revision, event.revision)
+            return
         self.changed.add(event.workload)
         if isinstance(event, AttemptBound | AttemptEnded | AttemptEvicted):
             self.touched_tasks.add((event.workload, event.index))
@@ -106,6 +112,8 @@
 
     def _add(self, event: WorkloadAdded) -> None:
         """Take on tasks of a workload."""
+        if event.workload in self.workloads:
+            raise ValueError(f"{event.workload} is taken on twice")
         kind, resource = _load_workload(event.document)
         state = WorkloadState(
             workload=event.workload,
@@ -188,6 +196,13 @@
         state.change_task(replacement, standby=False)
         return True
 
+    def _forget(self, event: WorkloadForgotten) -> None:
+        """Forget a workload that has no attempt left."""
+        if self.workloads[event.workload].attempts:
+            raise ValueError(f"{event.workload} is forgotten while it runs")
+        del self.workloads[event.workload]
+        self.ended_removed.discard(event.workload)
+
     def _bind(self, event: AttemptBound) -> None:
         """Put an attempt at the end of its worker's run list."""
         state = self.workloads[event.workload]
@@ -251,14 +266,15 @@
         """Return a snapshot of the state."""
         workloads = [_encode_workload(state) for state in self.workloads.values()]
         order = [list(run_list) for run_list in self.run_lists.values()]
-        return bytes(msgpack.packb([workloads, order]))
+        return bytes(msgpack.packb([workloads, order, self.revision]))
 
     @classmethod
     def decode(cls, data: bytes) -> "ShardState":
         """Return the state that a snapshot holds; raises ``ValueError``."""
         try:
-            workloads, order = msgpack.unpackb(data)
+            workloads, order, revision = msgpack.unpackb(data)
             state = cls()
+            state.revision = revision
             attempts: dict[str, Attempt] = {}
             for plain in workloads:
                 workload = _decode_workload(plain, attempts)
@@ -298,7 +314,12 @@
         if task.attempt is not None:
             size = task.attempt.size
             amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
-            attempt = [task.attempt.worker, amounts, task.attempt.eviction]
+            attempt = [
+                task.attempt.worker,
+                amounts,
+                task.attempt.acknowledged,
+                task.attempt.eviction,
+            ]
         tasks.append(
             [
                 task.index,
@@ -350,10 +371,11 @@
     task.retry_at, task.replacement, task.standby = later
     if bound is None:
         return task
-    worker, amounts, eviction = bound
+    worker, amounts, acknowledged, eviction = bound
     name = name_attempt(workload, index, number)
     task.attempt = Attempt(name, workload, index, number, worker, Capacity(*amounts))
     task.attempt.unwanted = not wanted
+    task.attempt.acknowledged = acknowledged
     task.attempt.eviction = eviction
     attempts[name] = task.attempt
     return task
--- a/packages/almondspread/almondspread/scheduling/tasks.py
+++ b/packages/almondspread/almondspread/scheduling/tasks.py
@@ -17,7 +17,7 @@
 CHECKPOINT = "checkpoint"
 
 # Outcomes that say nothing against the task itself, so they use up no attempt.
-EXCUSED_OUTCOMES = ("stopped", "lapsed", "refused")
+EXCUSED_OUTCOMES = ("stopped", "lapsed", "refused", "lost")
 
 
 def _make_counts() -> dict[str, int]:
@@ -30,7 +30,7 @@
     """An attempt that is bound to a worker and not known to have ended.
 
     ``acknowledged`` is set once the worker has reported it as running; ``unwanted``
-    once it has to stop. Neither is kept in the journal: both are found out again.
+    once it has to stop. Neither is in the journal's rows: both are found out again.
     ``eviction`` is ``stop`` or ``checkpoint`` once it has to give up its place; its
     task then waits again, and the end uses up no attempt.
     """
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/following.py
@@ -0,0 +1,94 @@
+"""What the resources ask of one scheduling shard, followed change by change."""
+
+import msgpack
+
+from almondspread.changes import Item, ResourceCache
+from almondspread.clock import Clock
+from almondspread.resources import Workload, describe_resource
+from almondspread.scheduling import Scheduler, assign_tasks
+from almondspread.scheduling.rules import read_rules
+from almondspread.scheduling.scheduler import DesiredWorkload
+from almondspread.scheduling.tasks import name_workload
+
+WORKLOAD_KINDS = ("service", "batch", "gang")
+
+
+class ResourceFollower:
+    """Takes the changed resources in, and all of them where that is not known."""
+
+    def __init__(
+        self,
+        shard: str,
+        shards: tuple[str, ...],
+        cache: ResourceCache,
+        scheduler: Scheduler,
+        clock: Clock,
+    ) -> None:
+        self._shard = shard
+        self._shards = shards
+        self._cache = cache
+        self._scheduler = scheduler
+        self._clock = clock
+        self._known: dict[tuple[str, str], str] = {}
+        self._followed_revision = -1
+
+    def follow(self) -> None:
+        """Take in what changed, unless the resources are older than the shard."""
+        if self._cache.spec_revision < self._scheduler.state.revision:
+            return
+        if self._followed_revision >= self._cache.spec_revision:
+            return
+        entries = None
+        if self._followed_revision >= 0:
+            entries = self._cache.list_entries_after(self._followed_revision)
+        self._followed_revision = self._cache.revision
+        self._scheduler.set_rules(read_rules(self._cache))
+        if entries is None:
+            self._follow_all()
+            return
+        changed = set()
+        for entry in entries:
+            for change in entry.changes:
+                if change.part == "spec" and change.kind in WORKLOAD_KINDS:
+                    changed.add((change.kind, change.name))
+        for kind, name in sorted(changed):
+            self._follow_workload(kind, name)
+
+    def _follow_all(self) -> None:
+        """Compare all workloads with what the shard holds."""
+        desired = []
+        self._known.clear()
+        for kind in WORKLOAD_KINDS:
+            for item in self._cache.list_items(kind):
+                wanted = self._find_desired(item)
+                if wanted is None:
+                    continue
+                desired.append(wanted)
+                self._known[(item.kind, item.name)] = wanted.workload
+        self._scheduler.reconcile(desired, self._clock.now().timestamp())
+
+    def _follow_workload(self, kind: str, name: str) -> None:
+        """Take in a workload that was declared, changed or removed."""
+        item = self._cache.find(kind, name)
+        wanted = self._find_desired(item) if item is not None else None
+        known = self._known.pop((kind, name), None)
+        if known is not None and (wanted is None or wanted.workload != known):
+            self._scheduler.cancel(known)
+        if wanted is not None:
+            self._known[(kind, name)] = wanted.workload
+            self._scheduler.declare(wanted, self._clock.now().timestamp())
+
+    def _find_desired(self, item: Item) -> DesiredWorkload | None:
+        """Return what a resource asks of this shard, ``None`` for nothing."""
+        if not isinstance(item.resource, Workload):
+            return None
+        workload = name_workload(item.kind, item.name, item.created_revision)
+        homes = assign_tasks(
+            item.name, item.created_revision, item.resource, self._shards
+        )
+        indices = homes.get(self._shard, ())
+        # A workload whose tasks here are all gone may get some again.
+        if not indices and workload not in self._scheduler.state.workloads:
+            return None
+        document = msgpack.packb(describe_resource(item.resource))
+        return DesiredWorkload(workload, item.created_revision, document, indices)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/quotas.py
@@ -0,0 +1,47 @@
+"""The task that holds the grants of team quotas for one scheduling shard."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.scheduling import Scheduler
+from almondspread.scheduling.grants import TeamGrants
+from almondspread_daemon.background import Waker
+
+GRANT_INTERVAL = timedelta(seconds=1)
+GRANT_PAUSE = timedelta(milliseconds=50)
+
+
+class GrantKeeper:
+    """Asks for the quota that waiting work needs and returns what is not used."""
+
+    def __init__(
+        self,
+        grants: TeamGrants,
+        scheduler: Scheduler,
+        clock: Clock,
+        wake_owner: Callable[[], None],
+    ) -> None:
+        self._grants = grants
+        self._scheduler = scheduler
+        self._clock = clock
+        self._wake_owner = wake_owner
+        self._waker = Waker(clock)
+        self._faults: dict[str, str] = {}
+
+    def wake(self) -> None:
+        """Have grants asked for at once."""
+        self._waker.wake()
+
+    async def run(self) -> None:
+        """Hold the grants until cancelled."""
+        while True:
+            if await self._grants.settle(self._scheduler.measure_needs()):
+                self._wake_owner()
+            if self._grants.faults != self._faults:
+                self._faults = dict(self._grants.faults)
+                logger.error("no quota is granted here for: {}", self._faults)
+            await self._clock.sleep(GRANT_PAUSE)
+            await self._waker.wait(GRANT_INTERVAL)
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -6,38 +6,42 @@
 from datetime import timedelta
 from typing import Any
 
-import msgpack
 from loguru import logger
 
-from almondspread.changes import Item, ResourceCache
+from almondspread.changes import ResourceCache
 from almondspread.clock import Clock
 from almondspread.interfaces import Instance, TableService, WorkerGateway
 from almondspread.journal import Journal
-from almondspread.journal.journal import Recovery
 from almondspread.ownership import Ownership
-from almondspread.resources import Capacity, Workload, describe_resource
+from almondspread.resources import Capacity
 from almondspread.scheduling import (
     EVENT_CODEC,
     Scheduler,
     ShardState,
-    assign_tasks,
+    rebuild_state,
+)
+from almondspread.scheduling.events import (
+    AttemptBound,
+    AttemptEnded,
+    Event,
+    ResourcesSeen,
+    WorkloadAdded,
+    WorkloadChanged,
+    WorkloadRemoved,
 )
-from almondspread.scheduling.events import AttemptBound, AttemptEnded, Event
 from almondspread.scheduling.grants import TeamGrants
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
-from almondspread.scheduling.rules import read_rules
-from almondspread.scheduling.scheduler import DesiredWorkload
-from almondspread.scheduling.tasks import name_workload
-from almondspread_daemon.background import start_task
+from almondspread.scheduling.tasks import WorkloadState
+from almondspread_daemon.background import Waker, start_task
+from almondspread_daemon.shards.following import ResourceFollower
+from almondspread_daemon.shards.quotas import GrantKeeper
 from almondspread_daemon.shards.workers import WorkerLink
 
-WORKLOAD_KINDS = ("service", "batch", "gang")
 DECIDE_INTERVAL = timedelta(milliseconds=500)
 RECOVER_PAUSE = timedelta(milliseconds=500)
 MAX_PLACEMENTS_PER_BATCH = 400
 SNAPSHOT_ROWS = 500
-GRANT_INTERVAL = timedelta(seconds=1)
-GRANT_PAUSE = timedelta(milliseconds=50)
+FOLLOWING_EVENTS = (WorkloadAdded, WorkloadChanged, WorkloadRemoved)
 
 
 class ScheduleShard:
@@ -53,49 +57,53 @@
         shards: tuple[str, ...],
         cache: ResourceCache,
         list_workers: Callable[[str], list[Instance] | None],
-        list_cell: Callable[[], frozenset[Capacity]],
+        list_capacities: Callable[[], frozenset[Capacity]],
         gateway: WorkerGateway,
         clock: Clock,
         exchange_interval: timedelta,
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
+        gather_interval: timedelta = timedelta(0),
     ) -> None:
         self.ownership = ownership
         self.scheduler = Scheduler(ShardState(), terms, clock)
-        self._grants = TeamGrants(
-            ownership.shard,
-            ownership.condition,
-            table,
-            clock,
-            random.Random(),
-            self.scheduler.decisions,
-        )
-        self.scheduler.grants = self._grants
-        self._grants_wake = asyncio.Event()
-        self._grants_task: asyncio.Task[None] | None = None
-        self._grant_faults: dict[str, str] = {}
         self.recovered = False
         self._journal = journal
-        self._leases = WorkerLeases(terms, clock.monotonic(), previous_owner_stopped)
+        taken_at = clock.monotonic()
+        stopped_at = taken_at if previous_owner_stopped else None
+        self._leases = WorkerLeases(terms, taken_at, stopped_at)
         self._terms = terms
-        self._shards = shards
         self._cache = cache
         self._list_workers = list_workers
-        self._list_cell = list_cell
+        self._list_capacities = list_capacities
         self._gateway = gateway
         self._clock = clock
         self._exchange_interval = exchange_interval
         self._publish = publish
+        self._gather_interval = gather_interval
         self._links: dict[str, WorkerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._known: dict[tuple[str, str], str] = {}
-        self._followed_revision = -1
-        self._wake = asyncio.Event()
+        self._grants_task: asyncio.Task[None] | None = None
+        self._unheard: set[str] = set()
+        self._waker = Waker(clock)
         self._stopping = False
-        self._superseded = False
+        self._follower = ResourceFollower(
+            ownership.shard, shards, cache, self.scheduler, clock
+        )
+        self.scheduler.grants = TeamGrants(
+            ownership.shard,
+            ownership.condition,
+            table,
+            clock,
+            random.Random(),
+            self.scheduler.decisions,
+        )
+        self._grants = GrantKeeper(
+            self.scheduler.grants, self.scheduler, clock, self.wake
+        )
 
     def wake(self) -> None:
         """Have the shard decide at once."""
-        self._wake.set()
+        self._waker.wake()
 
     async def stop(self) -> None:
         """End after the commit under way."""
@@ -106,10 +114,12 @@
         """Recover the shard and act for it until stopped or superseded."""
         try:
             await self._recover()
-            self._grants_task = start_task(self._keep_grants())
+            self._grants_task = start_task(self._grants.run())
             while not self._stopping:
-                await self._wait()
-                if not await self._decide():
+                await self._waker.wait(DECIDE_INTERVAL)
+                # What several workers report within moments goes into one commit.
+                await self._clock.sleep(self._gather_interval)
+                if self.ownership.authority.superseded or not await self._decide():
                     return
             await self._leave_snapshot()
         finally:
@@ -118,37 +128,14 @@
             if self._grants_task is not None:
                 self._grants_task.cancel()
 
-    async def _wait(self) -> None:
-        """Wait until there is something to decide, or for the usual interval."""
-        try:
-            async with asyncio.timeout(DECIDE_INTERVAL.total_seconds()):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
-        self._wake.clear()
-
-    async def _keep_grants(self) -> None:
-        """Hold the grants of team quotas that the waiting work needs."""
-        while True:
-            if await self._grants.settle(self.scheduler.measure_needs()):
-                self.wake()
-            if self._grants.faults != self._grant_faults:
-                self._grant_faults = dict(self._grants.faults)
-                logger.error("no quota is granted here for: {}", self._grant_faults)
-            await self._clock.sleep(GRANT_PAUSE)
-            try:
-                async with asyncio.timeout(GRANT_INTERVAL.total_seconds()):
-                    await self._grants_wake.wait()
-            except TimeoutError:
-                continue
-            self._grants_wake.clear()
-
     async def _recover(self) -> None:
         """Rebuild the state from the latest snapshot and the rows after it."""
         while not self._stopping:
             recovered = await self._journal.recover()
             if recovered.is_ok():
-                self.scheduler.adopt(rebuild_state(recovered.ok))
+                shard = self.ownership.shard
+                self.scheduler.adopt(rebuild_state(shard, recovered.ok))
+                self._unheard = set(self.scheduler.state.run_lists)
                 self.recovered = True
                 return
             logger.warning("shard {}: {}", self.ownership.shard, recovered.error.reason)
@@ -157,29 +144,41 @@
     async def _decide(self) -> bool:
         """Decide and commit one batch; false once another owner has the shard."""
         self._update_workers()
-        self._follow_resources()
+        self._follower.follow()
         self._end_lapsed()
         self.scheduler.move_drained()
         more = self.scheduler.remove_cancelled()
         more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
-        if more:
-            self.wake()
         if self.scheduler.placer.short_of_quota:
-            self._grants_wake.set()
-        batch = self.scheduler.decisions.take_batch()
+            self._grants.wake()
+        batch = self._take_batch()
         if batch:
             encoded = [EVENT_CODEC.encode(event) for event in batch]
             committed = await self._journal.commit(encoded)
             if committed.is_error():
                 logger.warning("shard {} has another owner", self.ownership.shard)
-                self._superseded = True
+                self.ownership.authority.supersede()
                 return False
             self._carry_out(batch)
+        if more:
+            self.wake()
         self._report_changed()
         if self._journal.rows_since_snapshot >= SNAPSHOT_ROWS:
             await self._leave_snapshot()
         return True
 
+    def _take_batch(self) -> list[Event]:
+        """Return the events to commit, and the revision that workloads follow."""
+        batch = self.scheduler.decisions.take_batch()
+        for event in batch:
+            if not isinstance(event, FOLLOWING_EVENTS):
+                continue
+            seen = ResourcesSeen(self._cache.spec_revision)
+            self.scheduler.state.apply(seen)
+            batch.append(seen)
+            break
+        return batch
+
     def _carry_out(self, batch: list[Event]) -> None:
         """Tell the workers what a committed batch means for them."""
         decisions = self.scheduler.decisions
@@ -211,22 +210,45 @@
         if listed is None:
             return
         self.scheduler.set_workers(listed)
-        self.scheduler.set_capacities(self._list_cell())
+        self.scheduler.set_capacities(self._list_capacities())
         for worker in listed:
-            if worker.name in self._links:
-                continue
-            self._start_link(worker)
+            self._follow_worker(worker)
         for link in list(self._links.values()):
             if not self.scheduler.cell.has_worker(link.worker):
                 self._stop_link(link.worker)
                 continue
             self.scheduler.set_exclusion(link.worker, "unreachable", link.unreachable)
+        self._note_heard({worker.name for worker in listed})
 
     def _stop_link(self, worker: str) -> None:
         """Stop the exchange with a worker that is gone for good."""
         del self._links[worker]
         self._tasks.pop(worker).cancel()
 
+    def _follow_worker(self, worker: Instance) -> None:
+        """Start the exchange with a worker, or move it to the worker's new address."""
+        link = self._links.get(worker.name)
+        if link is None:
+            self._start_link(worker)
+            return
+        if link.address == worker.address:
+            return
+        # What ran at the old address may run on until its leases have lapsed, so the
+        # new one is asked nothing before those attempts are known to have ended.
+        self._tasks[worker.name].cancel()
+        link.unreachable = True
+        if not self.scheduler.state.list_attempts(worker.name):
+            self._start_link(worker)
+
+    def _note_heard(self, listed: set[str]) -> None:
+        """Note of which workers it is known by now what runs on them."""
+        for worker in list(self._unheard):
+            link = self._links.get(worker)
+            if worker in listed and link is not None:
+                if not link.has_reported and not link.unreachable:
+                    continue
+            self._unheard.discard(worker)
+
     def _start_link(self, worker: Instance) -> None:
         """Start the exchange with a worker."""
         link = WorkerLink(
@@ -237,7 +259,7 @@
             self._gateway,
             self._clock,
             self._exchange_interval,
-            lambda: not self._superseded,
+            self.ownership.authority,
             self.wake,
         )
         self._links[worker.name] = link
@@ -246,6 +268,9 @@
     def _end_lapsed(self) -> None:
         """End the attempts of unreachable workers whose leases have surely lapsed."""
         now = self._clock.monotonic()
+        stopped_at = self.ownership.authority.previous_stopped_at
+        if stopped_at is not None:
+            self._leases.note_previous_stopped(stopped_at)
         for worker in list(self.scheduler.state.run_lists):
             link = self._links.get(worker)
             if link is not None and not link.unreachable:
@@ -255,79 +280,35 @@
             for attempt in self.scheduler.state.list_attempts(worker):
                 self.scheduler.end_lapsed(attempt)
 
-    def _follow_resources(self) -> None:
-        """Take in the resources that changed since the last pass."""
-        if self._followed_revision >= self._cache.spec_revision:
-            return
-        entries = None
-        if self._followed_revision >= 0:
-            entries = self._cache.list_entries_after(self._followed_revision)
-        self._followed_revision = self._cache.revision
-        self.scheduler.set_rules(read_rules(self._cache))
-        if entries is None:
-            self._follow_all()
-            return
-        changed = set()
-        for entry in entries:
-            for change in entry.changes:
-                if change.part == "spec" and change.kind in WORKLOAD_KINDS:
-                    changed.add((change.kind, change.name))
-        for kind, name in sorted(changed):
-            self._follow_workload(kind, name)
-
-    def _follow_all(self) -> None:
-        """Compare all workloads with what the shard holds."""
-        desired = []
-        self._known.clear()
-        for kind in WORKLOAD_KINDS:
-            for item in self._cache.list_items(kind):
-                wanted = self._find_desired(item)
-                if wanted is None:
-                    continue
-                desired.append(wanted)
-                self._known[(item.kind, item.name)] = wanted.workload
-        self.scheduler.reconcile(desired, self._clock.now().timestamp())
-
-    def _follow_workload(self, kind: str, name: str) -> None:
-        """Take in a workload that was declared, changed or removed."""
-        item = self._cache.find(kind, name)
-        wanted = self._find_desired(item) if item is not None else None
-        known = self._known.pop((kind, name), None)
-        if known is not None and (wanted is None or wanted.workload != known):
-            self.scheduler.cancel(known)
-        if wanted is not None:
-            self._known[(kind, name)] = wanted.workload
-            self.scheduler.declare(wanted, self._clock.now().timestamp())
-
-    def _find_desired(self, item: Item) -> DesiredWorkload | None:
-        """Return what a resource asks of this shard, ``None`` for nothing."""
-        if not isinstance(item.resource, Workload):
-            return None
-        workload = name_workload(item.kind, item.name, item.created_revision)
-        homes = assign_tasks(
-            item.name, item.created_revision, item.resource, self._shards
-        )
-        indices = homes.get(self.ownership.shard, ())
-        # A workload whose tasks here are all gone may get some again.
-        if not indices and workload not in self.scheduler.state.workloads:
-            return None
-        document = msgpack.packb(describe_resource(item.resource))
-        return DesiredWorkload(workload, item.created_revision, document, indices)
-
     def _report_changed(self) -> None:
         """Publish the status of each workload that has changed."""
         changed = self.scheduler.state.changed
         reports = {}
-        for workload in changed:
+        for workload in list(changed):
             state = self.scheduler.state.workloads.get(workload)
+            if state is not None and self._awaits_reports(state):
+                continue
+            changed.discard(workload)
             if state is None or state.removed:
                 continue
             report = self.scheduler.describe_workload(state)
             reports[(state.kind, state.name)] = report
-        changed.clear()
         if reports:
             self._publish(self.ownership.shard, reports)
 
+    def _awaits_reports(self, state: WorkloadState) -> bool:
+        """Tell whether a worker has yet to tell if it runs tasks of a workload.
+
+        After a takeover that takes one exchange; until then the reports of the
+        previous owner stand.
+        """
+        if not self._unheard:
+            return False
+        for task in state.tasks.values():
+            if task.attempt is not None and task.attempt.worker in self._unheard:
+                return True
+        return False
+
     async def _leave_snapshot(self) -> None:
         """Write a snapshot, so that a takeover reads few rows."""
         # Events that are not committed yet must not get into a snapshot.
@@ -335,14 +316,3 @@
             return
         if self._journal.rows_since_snapshot:
             await self._journal.write_snapshot(self.scheduler.state.encode())
-
-
-def rebuild_state(recovery: Recovery) -> ShardState:
-    """Return the state that a snapshot and the rows after it add up to."""
-    state = ShardState()
-    if recovery.snapshot is not None:
-        state = ShardState.decode(recovery.snapshot)
-    for row in recovery.rows:
-        for event in row.events:
-            state.apply(EVENT_CODEC.decode(event))
-    return state
