Move waiting tasks to shards with room, with exactly one place at any time

Tasks went round all shards whatever room there was, so that a task that needs an accelerator waited for ever in a domain without any. Shards tell one another of their roomiest workers. A gang that fits no shard when empty is refused with that reason.

--- a/packages/almondspread/almondspread/interfaces/workers.py
+++ b/packages/almondspread/almondspread/interfaces/workers.py
@@ -51,11 +51,15 @@
 
 @define(frozen=True)
 class AttemptUsage:
-    """A running attempt and what it uses, as of some seconds ago."""
+    """A running attempt and what it uses, as of some seconds ago.
+
+    ``restarts`` counts how often the worker has started it again in place.
+    """
 
     attempt: str
     memory_mib: int
     cpu_millis: int
+    restarts: int = 0
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/journal/__init__.py
+++ b/packages/almondspread/almondspread/journal/__init__.py
@@ -1,11 +1,20 @@
 """The journal of one shard: the fence behind which its owner decides."""
 
-from almondspread.journal.journal import Journal, Recovery, Superseded, Undecodable
+from almondspread.journal.journal import (
+    Beside,
+    Journal,
+    Outdated,
+    Recovery,
+    Superseded,
+    Undecodable,
+)
 from almondspread.journal.rows import JournalRow, make_row_key
 
 __all__ = [
+    "Beside",
     "Journal",
     "JournalRow",
+    "Outdated",
     "Recovery",
     "Superseded",
     "Undecodable",
--- a/packages/almondspread/almondspread/journal/journal.py
+++ b/packages/almondspread/almondspread/journal/journal.py
@@ -41,6 +41,13 @@
     shard: str
 
 
+@define(frozen=True)
+class Outdated:
+    """A row that the batch was conditional on has changed; nothing was committed."""
+
+    key: str
+
+
 @define(frozen=True)
 class Undecodable(Exception):
     """A row or snapshot of the shard cannot be read; nothing is overwritten."""
@@ -56,6 +63,14 @@
         )
 
 
+@define(frozen=True)
+class Beside:
+    """Conditions and writes on rows outside the journal, for one commit."""
+
+    conditions: tuple[Condition, ...] = ()
+    writes: tuple[Write, ...] = ()
+
+
 @define(frozen=True)
 class Recovery:
     """What a journal holds: the latest snapshot and all batches after it.
@@ -141,17 +156,25 @@
             )
         )
 
-    async def commit(self, events: list[bytes]) -> Result[int, Superseded]:
+    async def commit(
+        self, events: list[bytes], beside: Beside | None = None
+    ) -> Result[int, Superseded | Outdated]:
         """Commit a batch; return its sequence number.
 
         Waits out an outage of the table service: until the row's fate is known,
-        nothing else may be decided.
+        nothing else may be decided. ``beside`` names other rows that are checked and
+        written in the same transaction.
         """
+        beside = beside or Beside()
         sequence = self._next_sequence
         key = make_row_key(self.shard, sequence)
         row = JournalRow(self._make_batch(), self.epoch, tuple(events))
-        conditions = [self._owner_condition, Condition(key, 0)]
-        writes = [Write(key, encode_message(row))]
+        conditions = [
+            self._owner_condition,
+            Condition(key, 0),
+            *beside.conditions,
+        ]
+        writes = [Write(key, encode_message(row)), *beside.writes]
         while True:
             outcome = await self._table.transact(conditions, writes)
             if outcome.is_ok():
@@ -160,8 +183,14 @@
                 self.stalled = True
                 await self._clock.sleep(RETRY_PAUSE)
                 continue
-            if not await self._is_own_row(outcome.error, key, row.batch):
+            failed = outcome.error.key
+            if failed == self._owner_condition.key:
                 return Error(Superseded(self.shard))
+            if not await self._has_own_row(key, row.batch):
+                self.stalled = False
+                if failed == key:
+                    return Error(Superseded(self.shard))
+                return Error(Outdated(failed))
             break
         self.stalled = False
         self._next_sequence = sequence + 1
@@ -223,10 +252,8 @@
         except ValueError as error:
             raise Undecodable(self.shard, key, "not a row's key") from error
 
-    async def _is_own_row(self, failed: ConditionFailed, key: str, batch: str) -> bool:
+    async def _has_own_row(self, key: str, batch: str) -> bool:
         """Tell whether a refused commit had taken effect at an earlier try."""
-        if failed.key != key:
-            return False
         while True:
             rows = await self._table.read([key])
             if rows.is_ok():
--- a/packages/almondspread/almondspread/scheduling/__init__.py
+++ b/packages/almondspread/almondspread/scheduling/__init__.py
@@ -1,6 +1,10 @@
 """The scheduling shard: its workloads, tasks, run lists and decisions."""
 
-from almondspread.scheduling.admission import admit_workload, list_capacities
+from almondspread.scheduling.admission import (
+    CellCapacities,
+    admit_workload,
+    gather_capacities,
+)
 from almondspread.scheduling.events import EVENT_CODEC
 from almondspread.scheduling.homes import assign_tasks, find_rack_shard
 from almondspread.scheduling.recovery import rebuild_state
@@ -8,12 +12,13 @@
 from almondspread.scheduling.shard import ShardState
 
 __all__ = [
+    "CellCapacities",
     "EVENT_CODEC",
     "Scheduler",
     "ShardState",
     "admit_workload",
     "assign_tasks",
     "find_rack_shard",
-    "list_capacities",
+    "gather_capacities",
     "rebuild_state",
 ]
--- a/packages/almondspread/almondspread/scheduling/admission.py
+++ b/packages/almondspread/almondspread/scheduling/admission.py
@@ -1,39 +1,70 @@
 """Which workloads the cell can never run, however long they wait."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
+from attrs import define, field
 from expression import Error, Ok, Result
 
 from almondspread.errors import InvalidInput
 from almondspread.interfaces import Instance
 from almondspread.resources import Capacity, GangJob, Workload
+from almondspread.scheduling.overflow import count_fitting
 
 
-def list_capacities(instances: Iterable[Instance]) -> frozenset[Capacity]:
-    """Return the distinct capacities of the listed workers that stay."""
-    found = set()
-    for instance in instances:
-        if instance.role == "worker" and not instance.leaving:
-            found.add(instance.capacity)
-    return frozenset(found)
+@define(frozen=True)
+class CellCapacities:
+    """What all workers that stay have when empty, for each scheduling shard."""
+
+    by_shard: dict[str, tuple[Capacity, ...]] = field(factory=dict)
+    distinct: frozenset[Capacity] = frozenset()
+
+    def count_gang_room(self, size: Capacity) -> int:
+        """Return how many tasks of a size the best shard holds when empty."""
+        most = 0
+        for capacities in self.by_shard.values():
+            most = max(most, count_fitting(size, capacities))
+        return most
+
+
+def gather_capacities(
+    workers: Mapping[str, Iterable[Instance]],
+) -> CellCapacities:
+    """Return the capacities of the listed workers of each shard that stay."""
+    by_shard = {}
+    distinct = set()
+    for shard, listed in workers.items():
+        capacities = []
+        for worker in listed:
+            if not worker.leaving:
+                capacities.append(worker.capacity)
+        by_shard[shard] = tuple(capacities)
+        distinct.update(capacities)
+    return CellCapacities(by_shard, frozenset(distinct))
 
 
 def explain_impossible(
-    resource: Workload, capacities: Collection[Capacity], quota: Capacity | None
+    resource: Workload, cell: CellCapacities, quota: Capacity | None
 ) -> str:
     """Return why a workload can never run, empty where it can.
 
-    ``capacities`` are those of all workers of the cell; while none is known nothing
-    is ruled out. ``quota`` is that of the workload's team, if it has one.
+    While no worker of the cell is known nothing is ruled out. A gang runs in one
+    shard. ``quota`` is that of the workload's team, if it has one.
 
     >>> from almondspread.resources import BatchJob, Metadata, TaskTemplate
     >>> job = BatchJob(Metadata("render"), 4, TaskTemplate(9_000, 64))
-    >>> explain_impossible(job, {Capacity(4_000, 8_192)}, None)
+    >>> worker = Instance("w", "worker", "", "umea", capacity=Capacity(4_000, 8_192))
+    >>> explain_impossible(job, gather_capacities({"a": [worker]}), None)
     'a task of 9000 cpu_millis fits no worker: the largest has 4000'
     """
     size = resource.template.size
-    if capacities and not _fits_any(size, capacities):
-        return _name_shortage(size, capacities)
+    if cell.distinct and not _fits_any(size, cell.distinct):
+        return _name_shortage(size, cell.distinct)
+    if cell.distinct and isinstance(resource, GangJob):
+        room = cell.count_gang_room(size)
+        if room < resource.tasks:
+            return (
+                f"{resource.tasks} tasks start together, and no shard holds {room + 1}"
+            )
     if quota is None:
         return ""
     least = size
@@ -67,10 +98,10 @@
 
 
 def admit_workload(
-    resource: Workload, capacities: Collection[Capacity], quota: Capacity | None
+    resource: Workload, cell: CellCapacities, quota: Capacity | None
 ) -> Result[None, InvalidInput]:
     """Accept a workload, or refuse one that can never run."""
-    reason = explain_impossible(resource, capacities, quota)
+    reason = explain_impossible(resource, cell, quota)
     if not reason:
         return Ok(None)
     return Error(
--- a/packages/almondspread/almondspread/scheduling/events.py
+++ b/packages/almondspread/almondspread/scheduling/events.py
@@ -98,6 +98,37 @@
     index: int
 
 
+@define(frozen=True)
+class MovedTask:
+    """A task without an attempt, as it goes from one shard to another."""
+
+    index: int
+    number: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    waiting_since: float = 0.0
+    retry_at: float = 0.0
+
+
+@define(frozen=True)
+class TasksSent:
+    """Tasks of a workload have left the shard; a transfer row holds them now."""
+
+    workload: str
+    indices: tuple[int, ...]
+
+
+@define(frozen=True)
+class TasksReceived:
+    """Tasks of a workload have come from a transfer row, which is gone since."""
+
+    workload: str
+    created_revision: int
+    document: bytes
+    since: float
+    tasks: tuple[MovedTask, ...]
+
+
 @define(frozen=True)
 class ResourcesSeen:
     """The batch follows the resources as they were declared at a revision.
@@ -119,6 +150,8 @@
     | AttemptEvicted
     | TaskReplaced
     | TaskRetired
+    | TasksSent
+    | TasksReceived
     | ResourcesSeen
 )
 
@@ -133,6 +166,8 @@
         AttemptEvicted,
         TaskReplaced,
         TaskRetired,
+        TasksSent,
+        TasksReceived,
         ResourcesSeen,
     )
 )
--- a/packages/almondspread/almondspread/scheduling/messages.py
+++ b/packages/almondspread/almondspread/scheduling/messages.py
@@ -5,6 +5,8 @@
 from almondspread.placement import Waiting
 from almondspread.scheduling.tasks import WorkloadState
 
+QUOTA_PREFIX = "over team quota"
+
 
 def explain_waiting_work(
     state: WorkloadState, waiting: Waiting | None, impossible: str
@@ -25,6 +27,14 @@
     return "; ".join(parts)
 
 
+def is_short_of_room(waiting: Waiting) -> bool:
+    """Tell whether work waits for room on workers, not for its team's quota."""
+    for count in waiting.reasons:
+        if count.reason.startswith(QUOTA_PREFIX):
+            return False
+    return True
+
+
 def list_causes(waiting: Waiting | None) -> tuple[str, ...]:
     """Return the causes of waiting without their counts."""
     if waiting is None:
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -12,8 +12,7 @@
     WorkerReport,
 )
 from almondspread.placement import Waiting
-from almondspread.resources import Capacity
-from almondspread.scheduling.admission import explain_impossible
+from almondspread.scheduling.admission import CellCapacities, explain_impossible
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
 from almondspread.scheduling.demand import measure_needs
@@ -28,8 +27,9 @@
 from almondspread.scheduling.exchanges import compose_exchange
 from almondspread.scheduling.grants import Need, TeamGrants
 from almondspread.scheduling.leases import LeaseTerms
-from almondspread.scheduling.messages import explain_waiting_work
+from almondspread.scheduling.messages import explain_waiting_work, is_short_of_room
 from almondspread.scheduling.placing import Placer
+from almondspread.scheduling.policies.ordering import QueueEntry
 from almondspread.scheduling.rules import CellRules
 from almondspread.scheduling.shard import ShardState
 from almondspread.scheduling.tasks import (
@@ -70,7 +70,7 @@
         self._throttled: set[str] = set()
         self._drained: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
-        self._capacities: frozenset[Capacity] = frozenset()
+        self._capacities = CellCapacities()
         self._rules = CellRules()
 
     @property
@@ -138,7 +138,21 @@
         """Return which grants of quota would help the waiting work."""
         return measure_needs(self.decisions, self._backlog)
 
-    def set_capacities(self, capacities: frozenset[Capacity]) -> None:
+    def count_waiting(self) -> int:
+        """Return how many tasks wait for a worker."""
+        return len(self._backlog)
+
+    def list_blocked(self) -> list[tuple[QueueEntry, WorkloadState]]:
+        """Return the waiting workloads that found no room, not those over a quota."""
+        blocked = []
+        for entry in self._backlog.list_entries():
+            waiting = self.placer.reasons.get(entry.workload.name)
+            if waiting is not None and is_short_of_room(waiting):
+                state = self.state.workloads[entry.workload.name]
+                blocked.append((entry, state))
+        return blocked
+
+    def set_capacities(self, capacities: CellCapacities) -> None:
         """Note which capacities the workers of the whole cell have."""
         if capacities != self._capacities:
             self._capacities = capacities
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -1,24 +1,33 @@
 """The state of a scheduling shard: what its journal adds up to."""
 
+from collections.abc import Callable
 from typing import Any
 
 import msgpack
 from sortedcontainers import SortedSet
 
-from almondspread.resources import Capacity, Workload, parse_resource
+from almondspread.resources import Capacity
 from almondspread.scheduling.events import (
     AttemptBound,
     AttemptEnded,
     AttemptEvicted,
     Event,
+    MovedTask,
     ResourcesSeen,
     TaskReplaced,
     TaskRetired,
+    TasksReceived,
+    TasksSent,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
     WorkloadRemoved,
 )
+from almondspread.scheduling.snapshots import (
+    decode_workload,
+    encode_workload,
+    load_workload,
+)
 from almondspread.scheduling.tasks import (
     BOUND,
     EXCUSED_OUTCOMES,
@@ -55,31 +64,28 @@
         self.ended_removed: set[str] = set()
         self.delayed: SortedSet[tuple[float, str, int]] = SortedSet()
         self.revision = 0
+        self._steps: dict[type, Callable[[Any], None]] = {
+            WorkloadAdded: self._add,
+            WorkloadChanged: self._change,
+            WorkloadRemoved: self._remove,
+            WorkloadForgotten: self._forget,
+            AttemptBound: self._bind,
+            AttemptEnded: self._end,
+            AttemptEvicted: self._evict,
+            TaskReplaced: self._replace,
+            TaskRetired: self._retire,
+            TasksSent: self._send,
+            TasksReceived: self._receive,
+        }
 
     def apply(self, event: Event) -> None:
         """Advance by one event; raises ``ValueError`` for one that cannot follow."""
-        if isinstance(event, AttemptBound):
-            self._bind(event)
-        elif isinstance(event, AttemptEnded):
-            self._end(event)
-        elif isinstance(event, WorkloadAdded):
-            self._add(event)
-        elif isinstance(event, WorkloadChanged):
-            self._change(event)
-        elif isinstance(event, WorkloadRemoved):
-            self._remove(event)
-        elif isinstance(event, AttemptEvicted):
-            self._evict(event)
-        elif isinstance(event, TaskReplaced):
-            self._replace(event)
-        elif isinstance(event, TaskRetired):
-            self._retire(event)
-        elif isinstance(event, WorkloadForgotten):
-            self._forget(event)
-            return
-        elif isinstance(event, ResourcesSeen):
+        if isinstance(event, ResourcesSeen):
             self.revision = max(self.revision, event.revision)
             return
+        self._steps[type(event)](event)
+        if isinstance(event, WorkloadForgotten):
+            return
         self.changed.add(event.workload)
         if isinstance(event, AttemptBound | AttemptEnded | AttemptEvicted):
             self.touched_tasks.add((event.workload, event.index))
@@ -114,7 +120,7 @@
         """Take on tasks of a workload."""
         if event.workload in self.workloads:
             raise ValueError(f"{event.workload} is taken on twice")
-        kind, resource = _load_workload(event.document)
+        kind, resource = load_workload(event.document)
         state = WorkloadState(
             workload=event.workload,
             created_revision=event.created_revision,
@@ -131,15 +137,69 @@
     def _change(self, event: WorkloadChanged) -> None:
         """Take on another declaration; attempts that run keep their size."""
         state = self.workloads[event.workload]
-        _, state.resource = _load_workload(event.document)
+        _, state.resource = load_workload(event.document)
         state.document = event.document
-        wanted = set(event.indices)
+        wanted = set()
+        for index in state.guests.union(event.indices):
+            if index < state.resource.task_count and index not in state.away:
+                wanted.add(index)
         for index, task in list(state.tasks.items()):
             self._want(state, task, find_replica(index) in wanted)
         kept = {find_replica(index) for index in state.tasks}
+        for index in sorted(wanted - kept):
+            state.add_task(Task(index, waiting_since=state.since))
+
+    def _send(self, event: TasksSent) -> None:
+        """Give up tasks that have no attempt."""
+        state = self.workloads[event.workload]
         for index in event.indices:
-            if index not in kept:
-                state.add_task(Task(index, waiting_since=state.since))
+            if state.tasks[index].attempt is not None:
+                raise ValueError(f"{event.workload}#{index} is sent while it runs")
+            state.drop_task(index)
+            replica = find_replica(index)
+            if replica in state.guests:
+                state.guests.discard(replica)
+            else:
+                state.away.add(replica)
+
+    def _receive(self, event: TasksReceived) -> None:
+        """Take over tasks from another shard."""
+        state = self.workloads.get(event.workload)
+        if state is None:
+            self._add(
+                WorkloadAdded(
+                    event.workload,
+                    event.created_revision,
+                    event.document,
+                    (),
+                    event.since,
+                )
+            )
+            state = self.workloads[event.workload]
+        for moved in event.tasks:
+            replica = find_replica(moved.index)
+            if replica in state.away:
+                state.away.discard(replica)
+            else:
+                state.guests.add(replica)
+            if state.removed or replica >= state.resource.task_count:
+                continue
+            self._restore(state, moved)
+
+    def _restore(self, state: WorkloadState, moved: MovedTask) -> None:
+        """Go on with a task that was moved here."""
+        state.add_task(
+            Task(
+                moved.index,
+                number=moved.number,
+                failures=moved.failures,
+                checkpoint=moved.checkpoint,
+                waiting_since=moved.waiting_since,
+                retry_at=moved.retry_at,
+            )
+        )
+        if moved.retry_at:
+            self.delayed.add((moved.retry_at, state.workload, moved.index))
 
     def _want(self, state: WorkloadState, task: Task, wanted: bool) -> None:
         """Keep a task, or have it stop and be forgotten."""
@@ -264,7 +324,7 @@
 
     def encode(self) -> bytes:
         """Return a snapshot of the state."""
-        workloads = [_encode_workload(state) for state in self.workloads.values()]
+        workloads = [encode_workload(state) for state in self.workloads.values()]
         order = [list(run_list) for run_list in self.run_lists.values()]
         return bytes(msgpack.packb([workloads, order, self.revision]))
 
@@ -277,7 +337,7 @@
             state.revision = revision
             attempts: dict[str, Attempt] = {}
             for plain in workloads:
-                workload = _decode_workload(plain, attempts)
+                workload = decode_workload(plain, attempts)
                 state.workloads[workload.workload] = workload
             for names in order:
                 for name in names:
@@ -293,89 +353,3 @@
             for task in workload.delayed.values():
                 state.delayed.add((task.retry_at, workload.workload, task.index))
         return state
-
-
-def _load_workload(document: bytes) -> tuple[str, Workload]:
-    """Return the kind and resource that a journal's document declares."""
-    parsed = parse_resource(msgpack.unpackb(document))
-    if parsed.is_error():
-        raise ValueError(parsed.error.message)
-    kind, resource = parsed.ok
-    if not isinstance(resource, Workload):
-        raise ValueError(f"a {kind} is not a workload")
-    return kind, resource
-
-
-def _encode_workload(state: WorkloadState) -> list[Any]:
-    """Return a workload as plain values."""
-    tasks = []
-    for task in state.tasks.values():
-        attempt = None
-        if task.attempt is not None:
-            size = task.attempt.size
-            amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
-            attempt = [
-                task.attempt.worker,
-                amounts,
-                task.attempt.acknowledged,
-                task.attempt.eviction,
-            ]
-        tasks.append(
-            [
-                task.index,
-                task.phase,
-                task.number,
-                task.failures,
-                task.wanted,
-                task.checkpoint,
-                task.waiting_since,
-                attempt,
-                task.retry_at,
-                task.replacement,
-                task.standby,
-            ]
-        )
-    return [
-        state.workload,
-        state.created_revision,
-        state.document,
-        state.since,
-        state.removed,
-        tasks,
-    ]
-
-
-def _decode_workload(plain: list[Any], attempts: dict[str, Attempt]) -> WorkloadState:
-    """Return a workload from plain values, noting its attempts by name."""
-    workload, created_revision, document, since, removed, tasks = plain
-    kind, resource = _load_workload(document)
-    state = WorkloadState(
-        workload=workload,
-        created_revision=created_revision,
-        kind=kind,
-        name=resource.metadata.name,
-        resource=resource,
-        document=document,
-        since=since,
-        removed=removed,
-    )
-    for encoded in tasks:
-        state.add_task(_decode_task(workload, encoded, attempts))
-    return state
-
-
-def _decode_task(workload: str, plain: list[Any], attempts: dict[str, Attempt]) -> Task:
-    """Return a task from plain values, noting its attempt by name."""
-    index, phase, number, failures, wanted, checkpoint, waiting, bound, *later = plain
-    task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
-    task.retry_at, task.replacement, task.standby = later
-    if bound is None:
-        return task
-    worker, amounts, acknowledged, eviction = bound
-    name = name_attempt(workload, index, number)
-    task.attempt = Attempt(name, workload, index, number, worker, Capacity(*amounts))
-    task.attempt.unwanted = not wanted
-    task.attempt.acknowledged = acknowledged
-    task.attempt.eviction = eviction
-    attempts[name] = task.attempt
-    return task
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/snapshots.py
@@ -0,0 +1,103 @@
+"""Workloads of a shard as a snapshot keeps them."""
+
+from typing import Any
+
+import msgpack
+
+from almondspread.resources import Capacity, Workload, parse_resource
+from almondspread.scheduling.tasks import (
+    Attempt,
+    Task,
+    WorkloadState,
+    name_attempt,
+)
+
+
+def load_workload(document: bytes) -> tuple[str, Workload]:
+    """Return the kind and resource that a journal's document declares."""
+    parsed = parse_resource(msgpack.unpackb(document))
+    if parsed.is_error():
+        raise ValueError(parsed.error.message)
+    kind, resource = parsed.ok
+    if not isinstance(resource, Workload):
+        raise ValueError(f"a {kind} is not a workload")
+    return kind, resource
+
+
+def encode_workload(state: WorkloadState) -> list[Any]:
+    """Return a workload as plain values."""
+    tasks = []
+    for task in state.tasks.values():
+        attempt = None
+        if task.attempt is not None:
+            size = task.attempt.size
+            amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
+            attempt = [
+                task.attempt.worker,
+                amounts,
+                task.attempt.acknowledged,
+                task.attempt.eviction,
+            ]
+        tasks.append(
+            [
+                task.index,
+                task.phase,
+                task.number,
+                task.failures,
+                task.wanted,
+                task.checkpoint,
+                task.waiting_since,
+                attempt,
+                task.retry_at,
+                task.replacement,
+                task.standby,
+            ]
+        )
+    return [
+        state.workload,
+        state.created_revision,
+        state.document,
+        state.since,
+        state.removed,
+        sorted(state.away),
+        sorted(state.guests),
+        tasks,
+    ]
+
+
+def decode_workload(plain: list[Any], attempts: dict[str, Attempt]) -> WorkloadState:
+    """Return a workload from plain values, noting its attempts by name."""
+    workload, created_revision, document, since, removed, away, guests, tasks = plain
+    kind, resource = load_workload(document)
+    state = WorkloadState(
+        workload=workload,
+        created_revision=created_revision,
+        kind=kind,
+        name=resource.metadata.name,
+        resource=resource,
+        document=document,
+        since=since,
+        removed=removed,
+        away=set(away),
+        guests=set(guests),
+    )
+    for encoded in tasks:
+        state.add_task(_decode_task(workload, encoded, attempts))
+    return state
+
+
+def _decode_task(workload: str, plain: list[Any], attempts: dict[str, Attempt]) -> Task:
+    """Return a task from plain values, noting its attempt by name."""
+    index, phase, number, failures, wanted, checkpoint, waiting, bound, *later = plain
+    task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
+    task.retry_at, task.replacement, task.standby = later
+    if bound is None:
+        return task
+    worker, amounts, acknowledged, eviction = bound
+    name = name_attempt(workload, index, number)
+    task.attempt = Attempt(name, workload, index, number, worker, Capacity(*amounts))
+    task.attempt.unwanted = not wanted
+    task.attempt.acknowledged = acknowledged
+    task.attempt.eviction = eviction
+    attempts[name] = task.attempt
+    return task
--- a/packages/almondspread/almondspread/scheduling/tasks.py
+++ b/packages/almondspread/almondspread/scheduling/tasks.py
@@ -73,9 +73,10 @@
 class WorkloadState:
     """A workload's tasks in this shard, with the counts that reports need.
 
-    ``ready`` holds the tasks that may be placed now, ``delayed`` those that wait for
-    their next try. Both and all counts are kept by the methods below; nothing else
-    may change a task that is counted.
+    ``away`` names the tasks of this shard that another one has taken over, ``guests``
+    those that this one has taken over. ``ready`` holds the tasks that may be placed
+    now, ``delayed`` those that wait for their next try. The counts are kept by the
+    methods below; nothing else may change a task that is counted.
     """
 
     workload: str
@@ -86,6 +87,8 @@
     document: bytes
     since: float
     removed: bool = False
+    away: set[int] = field(factory=set)
+    guests: set[int] = field(factory=set)
     tasks: dict[int, Task] = field(factory=dict)
     ready: dict[int, Task] = field(factory=dict)
     delayed: dict[int, Task] = field(factory=dict)
--- a/packages/almondspread/almondspread/scheduling/tests/test_admission.py
+++ b/packages/almondspread/almondspread/scheduling/tests/test_admission.py
@@ -5,7 +5,7 @@
 
 from almondspread.interfaces import Instance
 from almondspread.resources import BatchJob, Capacity, GangJob, Metadata, TaskTemplate
-from almondspread.scheduling import admit_workload, list_capacities
+from almondspread.scheduling import admit_workload, gather_capacities
 from almondspread.scheduling.rules import CellRules, TeamRule
 from almondspread.scheduling.tests.shards import Shard, make_desired
 
@@ -17,20 +17,29 @@
     return kind(Metadata("j", "t"), tasks, template)
 
 
+def make_cell(*capacities):
+    workers = []
+    for number, capacity in enumerate(capacities):
+        workers.append(Instance(f"w{number}", "worker", "", "d", "r", False, capacity))
+    return gather_capacities({"schedule/d/0": workers})
+
+
 class AdmissionTest(unittest.TestCase):
     @settings(derandomize=True, deadline=None, database=None)
     @given(SIZES, st.sets(SIZES, min_size=1, max_size=4))
     def test_refused_just_when_no_empty_worker_has_room(self, size, capacities):
         fits = any(size.fits_in(capacity) for capacity in capacities)
-        admitted = admit_workload(make_job(size), capacities, None)
+        admitted = admit_workload(make_job(size), make_cell(*capacities), None)
         self.assertEqual(admitted.is_ok(), fits)
 
     def test_a_cell_that_is_not_known_refuses_nothing(self):
-        self.assertTrue(admit_workload(make_job(Capacity(9, 9)), (), None).is_ok())
+        self.assertTrue(
+            admit_workload(make_job(Capacity(9, 9)), make_cell(), None).is_ok()
+        )
 
     def test_a_gang_must_fit_the_quota_whole(self):
         quota = Capacity(3, 3)
-        cell = {Capacity(4, 4)}
+        cell = make_cell(Capacity(4, 4))
         size = Capacity(1, 1)
         self.assertTrue(admit_workload(make_job(size, tasks=9), cell, quota).is_ok())
         gang = make_job(size, GangJob, 4)
@@ -45,8 +54,20 @@
             instances.append(
                 Instance(f"w{number}", "worker", "", "d", "r", leaving, capacity)
             )
-        instances.append(Instance("e", "entry", "", "d"))
-        self.assertEqual(list_capacities(instances), {Capacity(1, 1)})
+        cell = gather_capacities({"schedule/d/0": instances})
+        self.assertEqual(cell.distinct, {Capacity(1, 1)})
+        self.assertEqual(cell.by_shard, {"schedule/d/0": (Capacity(1, 1),)})
+
+    def test_a_gang_must_fit_one_shard(self):
+        workers = [
+            Instance(f"w{n}", "worker", "", "d", "r", False, Capacity(4, 4))
+            for n in range(3)
+        ]
+        cell = gather_capacities({"a": workers[:1], "b": workers[1:]})
+        size = Capacity(2, 1)
+        self.assertTrue(admit_workload(make_job(size, GangJob, 4), cell, None).is_ok())
+        problem = admit_workload(make_job(size, GangJob, 5), cell, None).error
+        self.assertIn("no shard holds 5", problem.message)
 
 
 class ImpossibleTest(unittest.TestCase):
@@ -56,7 +77,7 @@
 
     def test_a_change_of_the_cell_makes_work_impossible_and_possible(self):
         shard = Shard()
-        shard.scheduler.set_capacities(frozenset({Capacity(9_000, 9_000)}))
+        shard.scheduler.set_capacities(make_cell(Capacity(9_000, 9_000)))
         shard.declare(make_desired("batch", "b", 1, Capacity(8_000, 512)))
         shard.decide()
         report = self.describe(shard)
@@ -66,12 +87,12 @@
             "1 tasks wait: 0 of 3 workers fit: 3 too little processor",
         )
         shard.state.changed.clear()
-        shard.scheduler.set_capacities(frozenset({Capacity(4_000, 4_096)}))
+        shard.scheduler.set_capacities(make_cell(Capacity(4_000, 4_096)))
         self.assertEqual(shard.state.changed, {"batch/b:1"})
         report = self.describe(shard)
         self.assertTrue(report["impossible"])
         self.assertIn("8000 cpu_millis fits no worker", report["message"])
-        shard.scheduler.set_capacities(frozenset({Capacity(9_000, 9_000)}))
+        shard.scheduler.set_capacities(make_cell(Capacity(9_000, 9_000)))
         self.assertFalse(self.describe(shard)["impossible"])
 
     def test_a_lowered_quota_makes_work_impossible(self):
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -17,9 +17,10 @@
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
-from almondspread.resources import Capacity, RequestService
-from almondspread.scheduling import list_capacities
+from almondspread.resources import RequestService
+from almondspread.scheduling import CellCapacities, gather_capacities
 from almondspread.scheduling.leases import LeaseTerms
+from almondspread.scheduling.overflow import ShardRoom
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.following.watches import Watches
@@ -31,8 +32,9 @@
     list_shard_workers,
     name_shards,
 )
-from almondspread_daemon.peers import PeerServer
+from almondspread_daemon.peers import CallContext, PeerServer
 from almondspread_daemon.peers.messages import (
+    Accepted,
     CallMinion,
     EntryAnnounced,
     FetchEntries,
@@ -52,7 +54,12 @@
 from almondspread_daemon.security import Credentials, TokenTable
 from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
-from almondspread_daemon.shards import ScheduleShard, ShardKeeper
+from almondspread_daemon.shards import (
+    CellView,
+    RoomBoard,
+    ScheduleShard,
+    ShardKeeper,
+)
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
@@ -72,8 +79,9 @@
         self.stopping = False
         self.incarnation = make_incarnation(clock.now())
         self._started = False
+        self._rooms = RoomBoard(clock)
         self._capacities_listed: dict[str, Instance] = {}
-        self._capacities: frozenset[Capacity] = frozenset()
+        self._capacities = CellCapacities()
         self.telemetry = Telemetry(settings)
         self.tokens = TokenTable(settings.tokens)
         self.credentials = Credentials(settings, clock)
@@ -161,6 +169,7 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                ShardRoom: self._take_room,
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
                 FetchEntries: self.follower.take_fetch,
@@ -220,11 +229,12 @@
             self.schedule_shards,
             self.changes.cache,
             self._list_workers,
-            self._list_capacities,
             self._platform.workers,
             self.clock,
             self.settings.scheduling.exchange,
+            CellView(self._rooms, self._list_capacities, self._tell_room),
             self.publisher.publish,
+            _make_batch,
             self.settings.scheduling.commit,
         )
 
@@ -341,14 +351,29 @@
         listed = self.neighbours.listed.values()
         return list_shard_workers(listed, shard, self.schedule_shards)
 
-    def _list_capacities(self) -> frozenset[Capacity]:
-        """Return the distinct capacities of all workers in the list."""
+    def _list_capacities(self) -> CellCapacities:
+        """Return the capacities of all workers in the list."""
         listed = self.neighbours.listed
         if listed is not self._capacities_listed:
+            workers = {}
+            for shard in self.schedule_shards:
+                workers[shard] = list_shard_workers(
+                    listed.values(), shard, self.schedule_shards
+                )
             self._capacities_listed = listed
-            self._capacities = list_capacities(listed.values())
+            self._capacities = gather_capacities(workers)
         return self._capacities
 
+    def _tell_room(self, room: ShardRoom) -> None:
+        """Tell all instances what a shard of this one has room for."""
+        self._rooms.note(room)
+        self.neighbours.note_all(room)
+
+    async def _take_room(self, room: ShardRoom, _: CallContext) -> Accepted:
+        """Take in what a shard of another instance has room for."""
+        self._rooms.note(room)
+        return Accepted()
+
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
         neighbours = self.neighbours
--- a/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/messages.py
@@ -5,6 +5,7 @@
 from almondspread.codec import TaggedCodec
 from almondspread.errors import Problem
 from almondspread.errors import problems as problem_kinds
+from almondspread.scheduling.overflow import ShardRoom
 
 
 @define(frozen=True)
@@ -191,6 +192,7 @@
 PEER_CODEC = TaggedCodec(
     (
         Heartbeat,
+        ShardRoom,
         EntryAnnounced,
         FetchEntries,
         FetchedEntries,
--- a/packages/almondspread_daemon/almondspread_daemon/reports.py
+++ b/packages/almondspread_daemon/almondspread_daemon/reports.py
@@ -118,7 +118,7 @@
             item.name, item.created_revision, item.resource, self._schedule_shards
         )
         tasks: list[dict[str, Any]] = []
-        for shard in homes:
+        for shard in sorted({*homes, *item.reports}):
             message = FetchTasks(shard, item.kind, item.name)
             tasks.extend(await self._find_tasks(message, item.created_revision))
         tasks.sort(key=lambda task: task["task"])
--- a/packages/almondspread_daemon/almondspread_daemon/resources/rules.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/rules.py
@@ -3,7 +3,7 @@
 from almondspread.changes import Item, ResourceCache
 from almondspread.errors import Forbidden, InvalidInput, Problem
 from almondspread.resources import Capacity, Resource, Team, Workload
-from almondspread.scheduling import admit_workload
+from almondspread.scheduling import CellCapacities, admit_workload
 from almondspread_daemon.resources.conflicts import refuse_team_in_use
 from almondspread_daemon.security.access import Identity
 
@@ -45,7 +45,7 @@
     cache: ResourceCache,
     declared: list[tuple[str, Resource]],
     resource: Resource,
-    capacities: frozenset[Capacity],
+    capacities: CellCapacities,
 ) -> Problem | None:
     """Return why the workers or the team's quota can never run a workload."""
     if not isinstance(resource, Workload):
--- a/packages/almondspread_daemon/almondspread_daemon/resources/service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/service.py
@@ -9,7 +9,8 @@
 from almondspread.changes import Change, ChangeLog, ResourceCache
 from almondspread.changes.entries import declare_resource, remove_resource
 from almondspread.errors import Problem
-from almondspread.resources import Capacity, Resource, parse_resource
+from almondspread.resources import Resource, parse_resource
+from almondspread.scheduling import CellCapacities
 from almondspread_daemon.resources import documents
 from almondspread_daemon.resources.conflicts import refuse_stale
 from almondspread_daemon.resources.rules import (
@@ -46,7 +47,7 @@
         self,
         changes: ChangeLog,
         instance: str,
-        list_capacities: Callable[[], frozenset[Capacity]] = frozenset,
+        list_capacities: Callable[[], CellCapacities] = CellCapacities,
     ) -> None:
         self._changes = changes
         self._instance = instance
--- a/packages/almondspread_daemon/almondspread_daemon/shards/__init__.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/__init__.py
@@ -2,5 +2,6 @@
 
 from almondspread_daemon.shards.keeper import ShardKeeper, ShardRunner
 from almondspread_daemon.shards.schedule import ScheduleShard
+from almondspread_daemon.shards.transfers import CellView, RoomBoard
 
-__all__ = ["ScheduleShard", "ShardKeeper", "ShardRunner"]
+__all__ = ["CellView", "RoomBoard", "ScheduleShard", "ShardKeeper", "ShardRunner"]
--- a/packages/almondspread_daemon/almondspread_daemon/shards/following.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/following.py
@@ -78,6 +78,15 @@
             self._known[(kind, name)] = wanted.workload
             self._scheduler.declare(wanted, self._clock.now().timestamp())
 
+    def check(self, workload: str) -> None:
+        """Compare a workload that came from another shard with the resources."""
+        state = self._scheduler.state.workloads[workload]
+        item = self._cache.find(state.kind, state.name)
+        if item is None or item.created_revision != state.created_revision:
+            self._scheduler.cancel(workload)
+            return
+        self._follow_workload(state.kind, state.name)
+
     def _find_desired(self, item: Item) -> DesiredWorkload | None:
         """Return what a resource asks of this shard, ``None`` for nothing."""
         if not isinstance(item.resource, Workload):
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -6,14 +6,14 @@
 from datetime import timedelta
 from typing import Any
 
+from expression import Result
 from loguru import logger
 
 from almondspread.changes import ResourceCache
 from almondspread.clock import Clock
 from almondspread.interfaces import Instance, TableService, WorkerGateway
-from almondspread.journal import Journal
+from almondspread.journal import Beside, Journal, Outdated, Superseded
 from almondspread.ownership import Ownership
-from almondspread.resources import Capacity
 from almondspread.scheduling import (
     EVENT_CODEC,
     Scheduler,
@@ -32,9 +32,11 @@
 from almondspread.scheduling.grants import TeamGrants
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
 from almondspread.scheduling.tasks import WorkloadState
+from almondspread.scheduling.transfers import receive_transfer
 from almondspread_daemon.background import Waker, start_task
 from almondspread_daemon.shards.following import ResourceFollower
 from almondspread_daemon.shards.quotas import GrantKeeper
+from almondspread_daemon.shards.transfers import CellView, TransferKeeper
 from almondspread_daemon.shards.workers import WorkerLink
 
 DECIDE_INTERVAL = timedelta(milliseconds=500)
@@ -57,11 +59,12 @@
         shards: tuple[str, ...],
         cache: ResourceCache,
         list_workers: Callable[[str], list[Instance] | None],
-        list_capacities: Callable[[], frozenset[Capacity]],
         gateway: WorkerGateway,
         clock: Clock,
         exchange_interval: timedelta,
+        view: CellView,
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
+        make_name: Callable[[], str],
         gather_interval: timedelta = timedelta(0),
     ) -> None:
         self.ownership = ownership
@@ -74,7 +77,7 @@
         self._terms = terms
         self._cache = cache
         self._list_workers = list_workers
-        self._list_capacities = list_capacities
+        self._view = view
         self._gateway = gateway
         self._clock = clock
         self._exchange_interval = exchange_interval
@@ -82,7 +85,7 @@
         self._gather_interval = gather_interval
         self._links: dict[str, WorkerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._grants_task: asyncio.Task[None] | None = None
+        self._helpers: list[asyncio.Task[None]] = []
         self._unheard: set[str] = set()
         self._waker = Waker(clock)
         self._stopping = False
@@ -100,6 +103,16 @@
         self._grants = GrantKeeper(
             self.scheduler.grants, self.scheduler, clock, self.wake
         )
+        self._transfers = TransferKeeper(
+            ownership.shard,
+            self.scheduler,
+            table,
+            cache,
+            view,
+            clock,
+            make_name,
+            self.wake,
+        )
 
     def wake(self) -> None:
         """Have the shard decide at once."""
@@ -114,7 +127,8 @@
         """Recover the shard and act for it until stopped or superseded."""
         try:
             await self._recover()
-            self._grants_task = start_task(self._grants.run())
+            self._helpers.append(start_task(self._grants.run()))
+            self._helpers.append(start_task(self._transfers.run()))
             while not self._stopping:
                 await self._waker.wait(DECIDE_INTERVAL)
                 # What several workers report within moments goes into one commit.
@@ -123,10 +137,8 @@
                     return
             await self._leave_snapshot()
         finally:
-            for task in self._tasks.values():
+            for task in (*self._tasks.values(), *self._helpers):
                 task.cancel()
-            if self._grants_task is not None:
-                self._grants_task.cancel()
 
     async def _recover(self) -> None:
         """Rebuild the state from the latest snapshot and the rows after it."""
@@ -151,15 +163,15 @@
         more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
         if self.scheduler.placer.short_of_quota:
             self._grants.wake()
+        writes = self._transfers.send()
         batch = self._take_batch()
         if batch:
-            encoded = [EVENT_CODEC.encode(event) for event in batch]
-            committed = await self._journal.commit(encoded)
+            committed = await self._commit(batch, Beside(writes=tuple(writes)))
             if committed.is_error():
-                logger.warning("shard {} has another owner", self.ownership.shard)
-                self.ownership.authority.supersede()
                 return False
             self._carry_out(batch)
+        if not await self._receive():
+            return False
         if more:
             self.wake()
         self._report_changed()
@@ -167,6 +179,37 @@
             await self._leave_snapshot()
         return True
 
+    async def _commit(
+        self, batch: list[Event], beside: Beside
+    ) -> Result[int, Superseded | Outdated]:
+        """Commit a batch; after another owner's claim, act no more."""
+        encoded = [EVENT_CODEC.encode(event) for event in batch]
+        committed = await self._journal.commit(encoded, beside)
+        if committed.is_error() and isinstance(committed.error, Superseded):
+            logger.warning("shard {} has another owner", self.ownership.shard)
+            self.ownership.authority.supersede()
+        return committed
+
+    async def _receive(self) -> bool:
+        """Take tasks over from transfer rows; false once another owner has the shard.
+
+        The tasks are there only once the commit that ends the row has taken effect.
+        """
+        incoming, self._transfers.incoming = self._transfers.incoming, {}
+        for row, transfer in incoming.values():
+            seen = ResourcesSeen(self._cache.spec_revision)
+            batch: list[Event] = [transfer.content, seen]
+            committed = await self._commit(batch, receive_transfer(row))
+            if committed.is_error():
+                if isinstance(committed.error, Superseded):
+                    return False
+                continue
+            for event in batch:
+                self.scheduler.state.apply(event)
+            self._follower.check(transfer.content.workload)
+            self.wake()
+        return True
+
     def _take_batch(self) -> list[Event]:
         """Return the events to commit, and the revision that workloads follow."""
         batch = self.scheduler.decisions.take_batch()
@@ -210,7 +253,8 @@
         if listed is None:
             return
         self.scheduler.set_workers(listed)
-        self.scheduler.set_capacities(self._list_capacities())
+        capacities = self._view.list_capacities()
+        self.scheduler.set_capacities(capacities)
         for worker in listed:
             self._follow_worker(worker)
         for link in list(self._links.values()):
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/transfers.py
@@ -0,0 +1,168 @@
+"""Transfers of one shard: what it takes over, what it sends, what it tells of room."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from attrs import define, field
+from loguru import logger
+
+from almondspread.changes import ResourceCache
+from almondspread.clock import Clock
+from almondspread.interfaces import Row, TableService, Write
+from almondspread.scheduling import CellCapacities, Scheduler
+from almondspread.scheduling.overflow import Overflow, ShardRoom, describe_room
+from almondspread.scheduling.transfers import (
+    TRANSFER_PREFIX,
+    Transfer,
+    compose_transfer,
+    is_due,
+    read_transfer,
+    send_transfer,
+)
+
+SCAN_INTERVAL = timedelta(seconds=1)
+SCANS_PER_TELLING = 2
+MAX_ROWS = 200
+ROOM_LIFETIME = timedelta(seconds=6)
+
+
+@define(frozen=True)
+class _Told:
+    """What a shard told of its room, and when that was heard."""
+
+    room: ShardRoom
+    heard: timedelta
+
+
+@define
+class RoomBoard:
+    """What all scheduling shards told lately of their room."""
+
+    _clock: Clock
+    _told: dict[str, _Told] = field(factory=dict)
+
+    def note(self, room: ShardRoom) -> None:
+        """Take in what a shard tells."""
+        self._told[room.shard] = _Told(room, self._clock.monotonic())
+
+    def list_rooms(self) -> dict[str, ShardRoom]:
+        """Return what is young enough to go by."""
+        now = self._clock.monotonic()
+        rooms = {}
+        for shard, told in self._told.items():
+            if now - told.heard <= ROOM_LIFETIME:
+                rooms[shard] = told.room
+        return rooms
+
+
+@define(frozen=True)
+class CellView:
+    """What a shard may ask its instance about the other shards.
+
+    ``list_capacities`` returns the capacities of all workers of each shard,
+    ``tell_room`` passes on what this one has.
+    """
+
+    board: RoomBoard
+    list_capacities: Callable[[], CellCapacities]
+    tell_room: Callable[[ShardRoom], None]
+
+
+class TransferKeeper:
+    """Finds the transfers of one shard; the shard's owner carries them out."""
+
+    def __init__(
+        self,
+        shard: str,
+        scheduler: Scheduler,
+        table: TableService,
+        cache: ResourceCache,
+        view: CellView,
+        clock: Clock,
+        make_name: Callable[[], str],
+        wake_owner: Callable[[], None],
+    ) -> None:
+        self.incoming: dict[str, tuple[Row, Transfer]] = {}
+        self._shard = shard
+        self._scheduler = scheduler
+        self._table = table
+        self._cache = cache
+        self._view = view
+        self._clock = clock
+        self._make_name = make_name
+        self._wake_owner = wake_owner
+        self._overflow = Overflow(shard)
+        self._looked = clock.monotonic()
+        self._broken: set[str] = set()
+
+    async def run(self) -> None:
+        """Look for transfers and tell of the room here until cancelled."""
+        while True:
+            self._tell_room()
+            for _ in range(SCANS_PER_TELLING):
+                rows = await self._table.scan(TRANSFER_PREFIX, "", MAX_ROWS)
+                if rows.is_ok():
+                    self._take_rows(rows.ok)
+                await self._clock.sleep(SCAN_INTERVAL)
+
+    def _tell_room(self) -> None:
+        """Tell the other shards what there is room for here."""
+        cell = self._scheduler.cell
+        waiting = self._scheduler.count_waiting()
+        self._view.tell_room(describe_room(self._shard, cell, waiting))
+
+    def _take_rows(self, rows: list[Row]) -> None:
+        """Note the rows whose tasks this shard should take over."""
+        self.incoming = {}
+        for row in rows:
+            transfer = self._read(row)
+            if transfer is None:
+                continue
+            if not is_due(transfer, self._shard, self._clock.now().timestamp()):
+                continue
+            # A workload that is not known yet could not be told from a removed one.
+            if transfer.content.created_revision <= self._cache.revision:
+                self.incoming[row.key] = (row, transfer)
+        if self.incoming:
+            self._wake_owner()
+
+    def _read(self, row: Row) -> Transfer | None:
+        """Return the transfer of a row; one that does not decode is left alone."""
+        try:
+            return read_transfer(row)
+        except ValueError as error:
+            if row.key not in self._broken:
+                self._broken.add(row.key)
+                logger.error(
+                    "{} does not decode ({}); restore or remove the row by hand",
+                    row.key,
+                    error,
+                )
+            return None
+
+    def send(self) -> list[Write]:
+        """Decide which waiting tasks go; return the rows to write with the batch."""
+        now = self._clock.monotonic()
+        if now - self._looked < SCAN_INTERVAL:
+            return []
+        self._looked = now
+        moves = self._overflow.choose_moves(
+            self._scheduler.list_blocked(),
+            self._view.board.list_rooms(),
+            self._view.list_capacities().by_shard,
+            self._clock.now(),
+        )
+        writes = []
+        for move in moves:
+            state = self._scheduler.state.workloads[move.workload]
+            transfer = compose_transfer(
+                state,
+                move,
+                self._shard,
+                self._make_name(),
+                self._clock.now().timestamp(),
+            )
+            event, write = send_transfer(transfer)
+            self._scheduler.decisions.decide(event)
+            writes.append(write)
+        return writes
--- a/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
@@ -13,9 +13,15 @@
 from almondspread.interfaces import Instance, TableUnavailable, WorkerUnreachable
 from almondspread.ownership import Claimant, Member, Members
 from almondspread.resources import Capacity, parse_resource
+from almondspread.scheduling import CellCapacities
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread.testing import MemoryStore, MemoryTable, run_for
-from almondspread_daemon.shards import ScheduleShard, ShardKeeper
+from almondspread_daemon.shards import (
+    CellView,
+    RoomBoard,
+    ScheduleShard,
+    ShardKeeper,
+)
 from almondspread_standin.workers import Ledger, WorkerAgent
 
 SECOND = timedelta(seconds=1)
@@ -97,11 +103,12 @@
             (SHARD,),
             self.cache,
             lambda _: list(self.domain.listed.values()),
-            lambda: frozenset((CAPACITY,)),
             self,
             self.domain.clock,
             0.5 * SECOND,
+            CellView(RoomBoard(self.domain.clock), CellCapacities, lambda _: None),
             lambda _, reports: self.published.append(reports),
+            self.domain.make_batch,
         )
 
     @property
--- a/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
@@ -15,14 +15,15 @@
 PATIENCE = timedelta(seconds=15)
 PAUSE = timedelta(milliseconds=20)
 WORKER = Capacity(4_000, 4_096)
+DOMAINS = ("umea", "lulea")
 
 
-def plan_deployment(domains=("umea", "lulea"), workers=2):
-    """Return failure domains with one rack and one entry each."""
+def plan_deployment(workers=(2, 2), capacities=(WORKER, WORKER)):
+    """Return two failure domains with one rack and one entry each."""
     planned = []
     entries = []
-    for name in domains:
-        planned.append(FailureDomain(name, (Rack(f"{name}-rack", workers, WORKER),)))
+    for name, count, capacity in zip(DOMAINS, workers, capacities, strict=True):
+        planned.append(FailureDomain(name, (Rack(f"{name}-rack", count, capacity),)))
         entries.append(Entry(f"entry-{name}", name, 1, 2))
     return Deployment("operator", "region", tuple(planned), tuple(entries))
 
@@ -40,9 +41,11 @@
 class SchedulingCase(unittest.IsolatedAsyncioTestCase):
     """A cluster of two failure domains, and a client of its entries."""
 
+    deployment = plan_deployment()
+
     async def asyncSetUp(self):
         self.clock = SystemClock()
-        self.cluster = EmbeddedCluster(plan_deployment(), self.clock)
+        self.cluster = EmbeddedCluster(self.deployment, self.clock)
         await self.cluster.start()
         self.client = DemoClient(self.cluster.urls)
 
@@ -186,5 +189,31 @@
         return counted.started - counted.running
 
 
+class OverflowTest(SchedulingCase):
+    rare = Capacity(4_000, 4_096, 2)
+    deployment = plan_deployment((1, 3), (WORKER, rare))
+
+    async def test_waiting_tasks_go_where_there_is_room(self):
+        await self.apply(make_document("batch", "b", 16))
+        self.cluster.cell.platform.set_faults(lose_answers=5)
+        await self.await_true(lambda: self.count_running("batch/b:") == 16)
+        status = await self.await_status(
+            "batch/b", lambda status: status["running"] == 16
+        )
+        self.assertEqual(status["waiting"], 0)
+        answer = await self.client.call("GET", "/v1/describe/batch/b")
+        self.assertEqual(len(answer.document["tasks"]), 16)
+        await self.client.call("POST", "/v1/cancel", {"names": ["batch/b"]})
+        await self.await_true(lambda: not self.count_running("batch/b:"))
+
+    async def test_tasks_with_accelerators_find_the_domain_that_has_them(self):
+        await self.apply(
+            make_document("batch", "b", 6, 500, template={"accelerators": 1}),
+            make_document("gang", "g", 8),
+        )
+        await self.await_true(lambda: self.count_running("batch/b:") == 6)
+        await self.await_true(lambda: self.count_running("gang/g:") == 8)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread_standin/almondspread_standin/workers/agent.py
+++ b/packages/almondspread_standin/almondspread_standin/workers/agent.py
@@ -149,6 +149,7 @@
             self._end(running, "finished", "", due)
             return
         if running.start.restart:
+            running.restarts += 1
             running.done = timedelta(0)
             running.since = due + RESTART_DELAY
             running.program = self._choose_program(running.start, running.program)
@@ -303,7 +304,8 @@
         if age < self.faults.usage_lag_seconds:
             return AttemptUsage(attempt, 0, 0)
         cpu = round(running.start.size.cpu_millis * running.rate)
-        return AttemptUsage(attempt, self._measure_memory(running), cpu)
+        memory = self._measure_memory(running)
+        return AttemptUsage(attempt, memory, cpu, running.restarts)
 
 
 def write_checkpoint(progress: timedelta) -> str:
--- a/packages/almondspread_standin/almondspread_standin/workers/attempts.py
+++ b/packages/almondspread_standin/almondspread_standin/workers/attempts.py
@@ -27,6 +27,7 @@
     done: timedelta = timedelta(0)
     rate: float = 1.0
     throttled: bool = False
+    restarts: int = 0
 
     def find_progress(self, now: timedelta) -> timedelta:
         """Return how much of its run time the attempt has behind it."""
