Preempt, hold room for gangs, retry, quarantine and act on usage

The policies were plain functions that nothing called. The owner's pass is now theirs: urgent work has the cheapest victims end, with a checkpoint where they can, and starts in the room that is kept for it once their ends are known; a gang's room is held for a limited time and backfill leaves it alone. Evictions are events, so that the next owner goes on with them, and use up no attempt. A gang that loses a task, or of which one is preempted or drained, stops whole and starts together again; one that lost a task for good starts no other. A failed task waits a growing, jittered pause that a takeover keeps. Workers that fail what others run are quarantined within a share of the cell that all owners divide alike. A task over its memory is throttled; where the worker is nearly full the worst offender ends, with a checkpoint where it can; a replica that crashed five times in place is tried elsewhere later. Run times learnt from finished attempts decide where a gang's room is expected. Within a pass, a size and priority that found no room are not looked for again.

End to end two urgent tasks of a whole worker each start at a full cluster and all 16 others finish; a worker that crashes everything is quarantined and 48 tasks finish.

--- a/packages/almondspread/almondspread/scheduling/backlog.py
+++ b/packages/almondspread/almondspread/scheduling/backlog.py
@@ -1,8 +1,8 @@
 """The waiting tasks of a shard, kept in step with its state and in order."""
 
-from collections.abc import Iterator
 from datetime import UTC, datetime, timedelta
 
+from almondspread.placement.values import POLICY_WAITING
 from almondspread.resources import Service
 from almondspread.scheduling.decisions import Decisions
 from almondspread.scheduling.policies.ordering import (
@@ -10,21 +10,29 @@
     WaitingQueue,
     WaitingWorkload,
 )
-from almondspread.scheduling.tasks import WorkloadState
+from almondspread.scheduling.policies.passes import PassState, cancel_workload
+from almondspread.scheduling.tasks import FINISHED, WorkloadState, name_task
 
 
 class Backlog:
     """Follows the changes of the state, so that no pass walks over all tasks.
 
     ``cancelled`` names the workloads whose removal is not decided yet; they are not
-    placed any more.
+    placed any more. ``passing`` is what a pass over the waiting work goes by.
     """
 
     def __init__(self, decisions: Decisions) -> None:
         self.cancelled: dict[str, None] = {}
         self._decisions = decisions
         self._queue = WaitingQueue()
-        self._names: set[str] = set()
+        self.passing = PassState(
+            decisions.cell,
+            decisions.teams,
+            self._queue,
+            POLICY_WAITING,
+            decisions.running,
+        )
+        self._names: dict[str, None] = {}
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -32,7 +40,7 @@
     def cancel(self, workload: str) -> None:
         """Place no more tasks of a workload; its removal is decided later."""
         self.cancelled[workload] = None
-        self._queue.remove_workload(workload)
+        cancel_workload(self.passing, workload)
 
     def follow(self) -> bool:
         """Bring the queue in step with the state; true where something was added."""
@@ -40,14 +48,16 @@
         before = len(self._queue)
         added = False
         for name in state.touched:
-            self._queue.remove_workload(name)
+            cancel_workload(self.passing, name)
             workload = state.workloads.get(name)
             if workload is None or workload.removed or name in self.cancelled:
                 continue
+            if workload.is_gang and not _is_startable(workload):
+                continue
             if workload.ready:
-                tasks = [str(index) for index in workload.ready]
+                tasks = [name_task(name, index) for index in workload.ready]
                 self._queue.add(describe_waiting(workload), tasks)
-                self._names.add(name)
+                self._names[name] = None
                 added = True
         for name, index in state.touched_tasks:
             if name not in state.touched:
@@ -61,18 +71,27 @@
         workload = self._decisions.state.workloads.get(name)
         if workload is None or workload.removed or name in self.cancelled:
             return False
+        if workload.is_gang:
+            return self._follow_gang(workload)
         if index not in workload.ready:
-            self._queue.remove(name, str(index))
+            self._queue.remove(name, name_task(name, index))
             return False
         entry = self._queue.find_entry(name)
         described = entry.workload if entry else describe_waiting(workload)
-        self._queue.add(described, (str(index),))
-        self._names.add(name)
+        self._queue.add(described, (name_task(name, index),))
+        self._names[name] = None
         return True
 
-    def remove(self, workload: str, index: int) -> None:
-        """Take a task that was just bound out of the queue."""
-        self._queue.remove(workload, str(index))
+    def _follow_gang(self, workload: WorkloadState) -> bool:
+        """Have a gang wait once all its unfinished tasks do; true where it now does."""
+        if not _is_startable(workload):
+            cancel_workload(self.passing, workload.workload)
+            return False
+        name = workload.workload
+        tasks = [name_task(name, index) for index in workload.ready]
+        self._queue.add(describe_waiting(workload), tasks)
+        self._names[name] = None
+        return True
 
     def has(self, workload: str) -> bool:
         """Tell whether a workload has tasks that wait."""
@@ -84,14 +103,16 @@
         for name in list(self._names):
             entry = self._queue.find_entry(name)
             if entry is None:
-                self._names.discard(name)
+                del self._names[name]
                 continue
             entries.append(entry)
         return entries
 
-    def iterate(self, now: datetime) -> Iterator[QueueEntry]:
-        """Yield the waiting workloads in order while their tasks are removed."""
-        return self._queue.iterate(now, self._decisions.teams.measure_share)
+
+def _is_startable(gang: WorkloadState) -> bool:
+    """Tell whether all unfinished tasks of a gang may be placed."""
+    waiting = len(gang.ready)
+    return waiting > 0 and waiting + gang.counts[FINISHED] == len(gang.tasks)
 
 
 def describe_waiting(state: WorkloadState) -> WaitingWorkload:
--- a/packages/almondspread/almondspread/scheduling/decisions.py
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -5,8 +5,11 @@
 committed the batch that holds it.
 """
 
+from datetime import timedelta
+
 from attrs import define
 
+from almondspread.clock import Clock
 from almondspread.interfaces import AttemptEnd, Instance
 from almondspread.placement import Cell
 from almondspread.placement.values import EXCLUSIONS
@@ -17,9 +20,18 @@
     AttemptEvicted,
     Event,
 )
+from almondspread.scheduling.policies.estimates import EstimateBook
 from almondspread.scheduling.policies.quotas import TeamLedger
+from almondspread.scheduling.policies.running import RunningTask, RunningTasks
 from almondspread.scheduling.shard import ShardState
-from almondspread.scheduling.tasks import Attempt, Task, WorkloadState, name_attempt
+from almondspread.scheduling.tasks import (
+    CHECKPOINT,
+    STOP,
+    Attempt,
+    Task,
+    WorkloadState,
+    name_attempt,
+)
 
 
 @define(frozen=True)
@@ -37,7 +49,10 @@
     ``openings`` grows whenever room may have appeared for a task that found none.
     """
 
-    def __init__(self, state: ShardState) -> None:
+    def __init__(self, state: ShardState, clock: Clock) -> None:
+        self.running = RunningTasks()
+        self.estimates = EstimateBook()
+        self._clock = clock
         self.cell = Cell()
         self.teams = TeamLedger(Capacity(0, 0, 0))
         self.openings = 0
@@ -55,6 +70,7 @@
             for task in workload.tasks.values():
                 if task.attempt is not None:
                     self.teams.restore(workload.team, task.attempt.size)
+                    self._note_running(workload, task.attempt)
 
     @property
     def has_pending(self) -> bool:
@@ -113,7 +129,10 @@
         return reason in self._exclusions.get(worker, ())
 
     def bind(self, state: WorkloadState, task: Task, worker: str) -> None:
-        """Bind the next attempt of a task to a worker."""
+        """Bind the next attempt of a task to a worker.
+
+        The pass that chose the worker has committed the room and the quota.
+        """
         size = state.resource.template.size
         self.decide(
             AttemptBound(
@@ -126,10 +145,34 @@
                 size.accelerators,
             )
         )
-        self.cell.commit(worker, state.workload, size)
-        self.teams.restore(state.team, size)
         if task.attempt is not None:
             task.attempt.committed = False
+            self._note_running(state, task.attempt)
+
+    def _note_running(self, state: WorkloadState, attempt: Attempt) -> None:
+        """Note what preemption and holds go by of an attempt."""
+        now = self._clock.now()
+        template = state.resource.template
+        expected_end = None
+        if not state.is_service:
+            declared = timedelta(seconds=template.run_seconds)
+            estimate = self.estimates.estimate_run_time(
+                state.path, state.team, declared
+            )
+            expected_end = now + estimate.upper
+        self.running.add(
+            RunningTask(
+                attempt.name,
+                state.workload,
+                attempt.worker,
+                attempt.size,
+                state.resource.priority,
+                state.kind,
+                now,
+                template.checkpointable,
+                expected_end,
+            )
+        )
 
     def end(
         self,
@@ -161,7 +204,23 @@
         if self.cell.has_worker(attempt.worker):
             self.cell.release(attempt.worker, attempt.workload, attempt.size)
         self.teams.release(state.team, attempt.size)
+        self.running.remove(attempt.name)
         self.openings += 1
+        if state.is_gang and outcome != "finished" and not attempt.eviction:
+            self._end_gang(state)
+
+    def _end_gang(self, state: WorkloadState) -> None:
+        """Stop what runs of a gang that lost a task: it starts together again."""
+        mode = STOP
+        if state.resource.template.checkpointable:
+            mode = CHECKPOINT
+        for task in state.tasks.values():
+            attempt = task.attempt
+            if attempt is None or attempt.eviction or attempt.unwanted:
+                continue
+            self.decide(
+                AttemptEvicted(attempt.workload, attempt.index, attempt.number, mode)
+            )
 
     def evict(self, attempt: Attempt, mode: str) -> None:
         """Have an attempt give up its place."""
@@ -170,6 +229,9 @@
         self.decide(
             AttemptEvicted(attempt.workload, attempt.index, attempt.number, mode)
         )
+        state = self.state.workloads[attempt.workload]
+        if state.is_gang:
+            self._end_gang(state)
 
     def mark_committed(self, batch: list[Event]) -> None:
         """Allow the attempts that a committed batch bound to be started."""
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/failures.py
@@ -0,0 +1,123 @@
+"""What a shard makes of attempts that fail: retries, quarantine, estimates."""
+
+import random
+from collections.abc import Mapping
+from datetime import datetime, timedelta
+
+from almondspread.interfaces import AttemptEnd
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.policies.quarantine import FailureLedger
+from almondspread.scheduling.policies.retries import (
+    Retry,
+    RetryBudget,
+    decide_retry,
+)
+from almondspread.scheduling.tasks import Attempt, WorkloadState
+
+REVIEW_INTERVAL = timedelta(seconds=1)
+# A start that was refused is tried again after about so long.
+REFUSED_PAUSE = timedelta(seconds=1)
+
+
+class FailureBook:
+    """Decides when failed tasks are tried again and which workers are quarantined."""
+
+    def __init__(self, decisions: Decisions, source: random.Random) -> None:
+        self._decisions = decisions
+        self._source = source
+        self._budgets: dict[str, RetryBudget] = {}
+        self._ledger = FailureLedger()
+        self._reviewed: datetime | None = None
+
+    def note_start(self, state: WorkloadState, attempt: Attempt) -> None:
+        """Count a start, which earns its team a part of a quick retry."""
+        if attempt.number == 1:
+            self._find_budget(state.team).earn()
+
+    def note_end(
+        self, state: WorkloadState, attempt: Attempt, end: AttemptEnd, now: datetime
+    ) -> float:
+        """Learn from an end; return when its task may be tried again, 0 for now."""
+        if end.outcome in ("finished", "failed"):
+            failed = end.outcome == "failed"
+            self._ledger.note_end(attempt.worker, attempt.workload, failed, now)
+        if end.outcome == "finished":
+            self._learn(state, attempt, end)
+        if end.outcome == "failed":
+            return self._choose_retry(state, attempt, now)
+        if end.outcome == "refused":
+            pause = REFUSED_PAUSE * self._source.uniform(0.5, 1.5)
+            return (now + pause).timestamp()
+        return 0.0
+
+    def note_crash(self, attempt: Attempt, now: datetime) -> None:
+        """Note that a worker starts an attempt again and again."""
+        self._ledger.note_end(attempt.worker, attempt.workload, True, now)
+
+    def _learn(self, state: WorkloadState, attempt: Attempt, end: AttemptEnd) -> None:
+        """Learn run time and memory from an attempt that finished."""
+        template = state.resource.template
+        self._decisions.estimates.note_finished(
+            state.path,
+            state.team,
+            timedelta(seconds=template.run_seconds),
+            timedelta(seconds=end.run_seconds),
+            attempt.size.memory_mib,
+            end.peak_memory_mib,
+        )
+
+    def _choose_retry(
+        self, state: WorkloadState, attempt: Attempt, now: datetime
+    ) -> float:
+        """Return when a failed task is tried again, 0 where it is given up."""
+        failures = state.tasks[attempt.index].failures + 1
+        decided = decide_retry(
+            failures,
+            state.allowed_attempts,
+            self._find_budget(state.team),
+            self._source,
+        )
+        if not isinstance(decided, Retry):
+            return 0.0
+        return (now + decided.delay).timestamp()
+
+    def _find_budget(self, team: str) -> RetryBudget:
+        """Return the retry budget of a team."""
+        return self._budgets.setdefault(team, RetryBudget())
+
+    def review(self, allowed: int, now: datetime) -> None:
+        """Quarantine workers, at most ``allowed`` at once, or let them out."""
+        if self._reviewed is not None and now - self._reviewed < REVIEW_INTERVAL:
+            return
+        self._reviewed = now
+        for change in self._ledger.review(allowed, 1.0, now):
+            self._decisions.set_exclusion(
+                change.worker, "quarantined", change.quarantined
+            )
+
+    def forget_worker(self, worker: str) -> None:
+        """Forget a worker that is gone."""
+        self._ledger.forget_worker(worker)
+
+
+def divide_allowance(counts: Mapping[str, int], share: float, shard: str) -> int:
+    """Return how many workers a shard may quarantine, of a share of the cell's.
+
+    Every owner divides alike: whole workers by the size of each shard, and what is
+    left over to the largest remainders. The parts add up to the share of the whole.
+
+    >>> counts = {"a": 8, "b": 8, "c": 8}
+    >>> [divide_allowance(counts, 0.1, shard) for shard in counts]
+    [1, 1, 0]
+    """
+    total = int(sum(counts.values()) * share)
+    remainders = []
+    parts = {}
+    for name, count in counts.items():
+        parts[name] = int(count * share)
+        remainders.append((parts[name] - count * share, name))
+    remainders.sort()
+    left = total - sum(parts.values())
+    for _, name in remainders[:left]:
+        parts[name] += 1
+    return parts.get(shard, 0)
--- a/packages/almondspread/almondspread/scheduling/messages.py
+++ b/packages/almondspread/almondspread/scheduling/messages.py
@@ -5,8 +5,6 @@
 from almondspread.placement import Waiting
 from almondspread.scheduling.tasks import WorkloadState
 
-QUOTA_PREFIX = "over team quota"
-
 
 def explain_waiting_work(
     state: WorkloadState, waiting: Waiting | None, impossible: str
@@ -29,14 +27,13 @@
 
 def is_short_of_room(waiting: Waiting) -> bool:
     """Tell whether work waits for room on workers, not for its team's quota."""
-    for count in waiting.reasons:
-        if count.reason.startswith(QUOTA_PREFIX):
-            return False
-    return True
+    return not waiting.limit
 
 
 def list_causes(waiting: Waiting | None) -> tuple[str, ...]:
     """Return the causes of waiting without their counts."""
     if waiting is None:
         return ()
+    if waiting.limit:
+        return (waiting.limit,)
     return tuple(count.reason for count in waiting.reasons)
--- a/packages/almondspread/almondspread/scheduling/placing.py
+++ b/packages/almondspread/almondspread/scheduling/placing.py
@@ -1,140 +1,97 @@
-"""Binding waiting tasks to workers, in the order of the backlog."""
+"""Carrying out a pass over the waiting work: binds, evictions, and reasons."""
 
-from datetime import datetime
+from datetime import datetime, timedelta
 
-from almondspread.placement import (
-    ReasonCount,
-    TaskRequest,
-    Waiting,
-    choose_gang,
-    choose_worker,
-)
-from almondspread.placement.values import POLICY_WAITING
-from almondspread.resources import Capacity
+from almondspread.placement import Waiting
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
 from almondspread.scheduling.messages import list_causes
-from almondspread.scheduling.policies.ordering import QueueEntry, WaitingWorkload
-from almondspread.scheduling.tasks import FINISHED, WorkloadState
+from almondspread.scheduling.policies.claims import Preemption
+from almondspread.scheduling.policies.passes import (
+    Deferral,
+    Placement,
+    decide_waiting,
+)
+from almondspread.scheduling.tasks import CHECKPOINT, STOP, parse_attempt, parse_task
 
-# A workload gives way after so many tasks, so that teams of one priority share room.
-TASKS_PER_TURN = 16
+# Holds run out by time, so while there are any a pass is due after so long.
+LONGEST_REST = timedelta(seconds=5)
 
 
 class Placer:
-    """Places tasks and remembers what found no place.
+    """Turns the decisions of a pass into events.
 
-    A size that found no worker finds none until room appears, so it is not looked
-    for again before. ``reasons`` says for each workload why its tasks wait,
-    ``short_of_quota`` whether the latest pass found a team at its limit.
+    ``reasons`` says for each workload why its tasks wait, ``short_of_quota`` whether
+    the latest pass found a team at its limit. No pass is made while nothing changed
+    that could let a waiting task start.
     """
 
     def __init__(self, decisions: Decisions, backlog: Backlog) -> None:
-        self.policy = POLICY_WAITING
         self.reasons: dict[str, Waiting] = {}
         self.short_of_quota = False
         self._decisions = decisions
         self._backlog = backlog
         self._stuck_at = -1
-        self._failed_at = -1
-        self._failed: dict[tuple[Capacity, int], Waiting] = {}
+        self._passed: datetime | None = None
+
+    def set_policy(self, policy: str) -> None:
+        """Place by a policy from now on."""
+        self._backlog.passing.policy = policy
 
     def place(self, limit: int, now: datetime) -> bool:
         """Bind about ``limit`` tasks; true where more may follow at once."""
         added = self._backlog.follow()
         openings = self._decisions.openings
-        if openings != self._failed_at:
-            self._failed.clear()
-            self._failed_at = openings
-        if not added and self._stuck_at == openings:
+        rested = self._passed is not None and now - self._passed >= LONGEST_REST
+        rested = rested and len(self._backlog.passing.holds) > 0
+        if not added and self._stuck_at == openings and not rested:
             return False
-        placed = 0
+        if not len(self._backlog):
+            self._stuck_at = openings
+            return False
+        if limit <= 0:
+            return True
+        self._passed = now
+        self._stuck_at = -1
         self.short_of_quota = False
-        for entry in self._backlog.iterate(now):
+        placed = 0
+        for decision in decide_waiting(self._backlog.passing, now):
+            if isinstance(decision, Deferral):
+                self._note(decision)
+            elif isinstance(decision, Preemption):
+                self._preempt(decision)
+            else:
+                placed += self._bind(decision)
             if placed >= limit:
-                self._stuck_at = -1
                 return True
-            placed += self._place_entry(entry, limit - placed)
         self._stuck_at = openings
         return False
 
-    def _place_entry(self, entry: QueueEntry, limit: int) -> int:
-        """Bind some tasks of a workload; return how many."""
-        state = self._decisions.state.workloads[entry.workload.name]
-        if entry.workload.gang:
-            return self._place_gang(state, entry)
-        waiting = entry.workload
-        placed = 0
-        while entry.tasks and placed < min(limit, TASKS_PER_TURN):
-            index = int(entry.first_task())
-            worker = self._find_worker(waiting)
-            if worker is None:
-                return placed
-            self._bind(state, index, worker)
-            placed += 1
-        return placed
-
-    def _find_worker(self, waiting: WaitingWorkload) -> str | None:
-        """Return a worker for one task, or note why there is none."""
-        refused = self._check_quota(waiting, 1)
-        refused = refused or self._failed.get((waiting.size, 1))
-        if refused is not None:
-            self._note(waiting.name, refused)
-            return None
-        chosen = choose_worker(self._decisions.cell, _request(waiting), self.policy)
-        if chosen.is_error():
-            self._failed[(waiting.size, 1)] = chosen.error
-            self._note(waiting.name, chosen.error)
-            return None
-        return chosen.ok
-
-    def _place_gang(self, state: WorkloadState, entry: QueueEntry) -> int:
-        """Bind all unfinished tasks of a gang, or none."""
-        waiting = entry.workload
-        count = len(entry.tasks)
-        finished = state.counts[FINISHED]
-        if count + finished < len(state.tasks):
-            return 0
-        refused = self._check_quota(waiting, count)
-        refused = refused or self._failed.get((waiting.size, count))
-        if refused is not None:
-            self._note(waiting.name, refused)
-            return 0
-        requests = [_request(waiting)] * count
-        chosen = choose_gang(self._decisions.cell, requests, self.policy)
-        if chosen.is_error():
-            self._failed[(waiting.size, count)] = chosen.error
-            self._note(waiting.name, chosen.error)
-            return 0
-        for task, worker in zip(list(entry.tasks), chosen.ok, strict=True):
-            self._bind(state, int(task), worker)
-        return count
-
-    def _check_quota(self, waiting: WaitingWorkload, count: int) -> Waiting | None:
-        """Return why a team may not hold ``count`` more tasks, if it may not."""
-        size = waiting.size if count == 1 else waiting.size.times(count)
-        shortage = self._decisions.teams.find_shortage(waiting.team, size)
-        if shortage is None:
-            return None
-        self.short_of_quota = True
-        workers = len(self._decisions.cell)
-        return Waiting(workers, (ReasonCount(shortage, workers),), tasks=count)
-
-    def _note(self, workload: str, waiting: Waiting) -> None:
+    def _note(self, deferral: Deferral) -> None:
         """Remember why a workload waits; other causes than before are reported."""
-        known = self.reasons.get(workload)
-        self.reasons[workload] = waiting
-        if known is None or list_causes(known) != list_causes(waiting):
-            self._decisions.state.changed.add(workload)
-
-    def _bind(self, state: WorkloadState, index: int, worker: str) -> None:
-        """Bind a task and take it out of the queue."""
-        self._decisions.bind(state, state.tasks[index], worker)
-        self._backlog.remove(state.workload, index)
-        if self.reasons and not self._backlog.has(state.workload):
-            self.reasons.pop(state.workload, None)
-
-
-def _request(waiting: WaitingWorkload) -> TaskRequest:
-    """Return what placing one task of a workload asks for."""
-    return TaskRequest(waiting.name, waiting.size, waiting.spread)
+        known = self.reasons.get(deferral.workload)
+        self.reasons[deferral.workload] = deferral.waiting
+        if deferral.waiting.limit:
+            self.short_of_quota = True
+        if known is None or list_causes(known) != list_causes(deferral.waiting):
+            self._decisions.state.changed.add(deferral.workload)
+
+    def _preempt(self, preemption: Preemption) -> None:
+        """Have the victims of a preemption give up their places."""
+        for name in preemption.victims.tasks:
+            attempt = self._decisions.state.find_attempt(*parse_attempt(name))
+            if attempt is None:
+                continue
+            state = self._decisions.state.workloads[attempt.workload]
+            can_save = state.resource.template.checkpointable
+            self._decisions.evict(attempt, CHECKPOINT if can_save else STOP)
+
+    def _bind(self, placements: tuple[Placement, ...]) -> int:
+        """Bind the tasks that were placed together; return how many."""
+        for placement in placements:
+            name, index = parse_task(placement.task)
+            state = self._decisions.state.workloads[name]
+            self._decisions.bind(state, state.tasks[index], placement.worker)
+            if self.reasons and not self._backlog.has(name):
+                self.reasons.pop(name, None)
+        return len(placements)
--- a/packages/almondspread/almondspread/scheduling/policies/passes.py
+++ b/packages/almondspread/almondspread/scheduling/policies/passes.py
@@ -14,6 +14,7 @@
     find_worker,
 )
 from almondspread.resources.capacity import Capacity
+from almondspread.resources.kinds import URGENT_PRIORITY
 from almondspread.scheduling.policies.backfill import HoldBook
 from almondspread.scheduling.policies.claims import ClaimBook, Preemption
 from almondspread.scheduling.policies.ordering import (
@@ -72,8 +73,12 @@
     """
     state.claims.refresh(state.cell, state.running)
     state.holds.refresh(state.cell, now)
+    refused: dict[tuple[Capacity, int], Waiting] = {}
     for entry in state.queue.iterate(now, state.ledger.measure_share):
         workload = entry.workload
+        known = refused.get((workload.size, workload.priority))
+        if known is not None and _has_own_chance(state, entry):
+            known = None
         needed = workload.size
         if workload.gang:
             needed = needed.times(len(entry.tasks))
@@ -82,9 +87,24 @@
             waiting = Waiting(len(state.cell), limit=shortage)
             yield Deferral(workload.name, waiting)
         elif workload.gang:
+            # A hold that was given back may leave room for what found none before.
+            refused.clear()
             yield _decide_gang(state, entry, now)
+        elif known is not None:
+            yield Deferral(workload.name, known)
         else:
-            yield from _decide_task(state, entry, now)
+            for decision in _decide_task(state, entry, now):
+                if isinstance(decision, Deferral):
+                    refused[(workload.size, workload.priority)] = decision.waiting
+                yield decision
+
+
+def _has_own_chance(state: PassState, entry: QueueEntry) -> bool:
+    """Tell whether a workload may start though another of its size found no room."""
+    workload = entry.workload
+    if workload.gang or workload.priority >= URGENT_PRIORITY:
+        return True
+    return state.claims.find_worker(entry.first_task()) is not None
 
 
 def cancel_workload(state: PassState, name: str) -> None:
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -1,8 +1,9 @@
 """Decisions of the owner of a scheduling shard, one pass after another."""
 
+import random
 from typing import Any
 
-from attrs import define
+from attrs import define, evolve
 
 from almondspread.clock import Clock
 from almondspread.interfaces import (
@@ -25,6 +26,7 @@
     WorkloadRemoved,
 )
 from almondspread.scheduling.exchanges import compose_exchange
+from almondspread.scheduling.failures import FailureBook, divide_allowance
 from almondspread.scheduling.grants import Need, TeamGrants
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread.scheduling.messages import explain_waiting_work, is_short_of_room
@@ -38,6 +40,7 @@
     parse_attempt,
     previous_index,
 )
+from almondspread.scheduling.usage import UsageBook
 
 MAX_TASKS_REMOVED_PER_PASS = 2_000
 
@@ -58,16 +61,25 @@
     A pass costs what has changed since the last one, not what the shard holds.
     """
 
-    def __init__(self, state: ShardState, terms: LeaseTerms, clock: Clock) -> None:
-        self.decisions = Decisions(state)
+    def __init__(
+        self,
+        state: ShardState,
+        terms: LeaseTerms,
+        clock: Clock,
+        source: random.Random,
+        shard: str = "",
+    ) -> None:
+        self.decisions = Decisions(state, clock)
         self.cell = self.decisions.cell
+        self._shard = shard
         self._terms = terms
         self._clock = clock
         self._backlog = Backlog(self.decisions)
         self.placer = Placer(self.decisions, self._backlog)
         self._drainer = Drainer(self.decisions)
         self.grants: TeamGrants | None = None
-        self._throttled: set[str] = set()
+        self._failures = FailureBook(self.decisions, source)
+        self._usage = UsageBook(self.decisions, self._failures)
         self._drained: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
         self._capacities = CellCapacities()
@@ -120,11 +132,12 @@
                 self.set_exclusion(known.name, "leaving", True)
                 continue
             self.decisions.remove_worker(known.name)
+            self._failures.forget_worker(known.name)
             self._leaving.discard(known.name)
 
     def set_rules(self, rules: CellRules) -> None:
         """Go by what operators have set for the cell."""
-        self.placer.policy = rules.policy
+        self.placer.set_policy(rules.policy)
         self._drained = rules.drained
         if rules.teams != self._rules.teams:
             self._report_waiting()
@@ -175,6 +188,14 @@
         report["message"] = explain_waiting_work(state, waiting, impossible)
         return report
 
+    def review_workers(self) -> None:
+        """Quarantine workers that fail what others run, or let them out."""
+        counts = {}
+        for shard, capacities in self._capacities.by_shard.items():
+            counts[shard] = len(capacities)
+        allowed = divide_allowance(counts, self._rules.quarantine_share, self._shard)
+        self._failures.review(allowed, self._clock.now())
+
     def move_drained(self) -> None:
         """Decide the next moves off the workers that are drained or leave."""
         self._drainer.move(self._clock.now())
@@ -243,11 +264,15 @@
         """Take in a worker's report; return the ends that need no further record."""
         if report.leaving != (worker in self._leaving):
             self._note_leaving(worker, report.leaving)
+        known = {}
         for usage in report.running:
             attempt = self._find(usage.attempt)
-            if attempt is None or attempt.acknowledged:
+            if attempt is None:
                 continue
-            self._acknowledge(attempt)
+            known[usage.attempt] = attempt
+            if not attempt.acknowledged:
+                self._acknowledge(attempt)
+        self._usage.take(worker, report, known, self._clock.now())
         settled = []
         for end in report.ended:
             if not self._record_end(worker, end):
@@ -267,6 +292,7 @@
         state = self.state.workloads[attempt.workload]
         task = state.tasks[attempt.index]
         state.acknowledge(task, attempt)
+        self._failures.note_start(state, attempt)
         self.state.changed.add(attempt.workload)
         replaced = previous_index(attempt.index)
         if task.standby and replaced in state.tasks:
@@ -277,11 +303,18 @@
         attempt = self._find(end.attempt)
         if attempt is None or attempt.worker != worker:
             return False
-        self.decisions.end(attempt, end.outcome, end)
+        cause = self._usage.forget(attempt.name)
+        if cause and end.outcome == "stopped":
+            # It had to end for what it did itself, so that counts as a failure.
+            end = evolve(end, outcome="failed", reason=cause)
+        state = self.state.workloads[attempt.workload]
+        retry_at = self._failures.note_end(state, attempt, end, self._clock.now())
+        self.decisions.end(attempt, end.outcome, end, retry_at)
         return True
 
     def end_lapsed(self, attempt: Attempt) -> None:
         """Decide that an attempt has ended because its lease has surely lapsed."""
+        self._usage.forget(attempt.name)
         self.decisions.end(attempt, "lapsed")
 
     def _find(self, name: str) -> Attempt | None:
@@ -296,5 +329,5 @@
     ) -> WorkerExchange:
         """Return what to tell a worker now; ``now`` is UTC seconds."""
         return compose_exchange(
-            self.state, self._terms, worker, now, acknowledged, self._throttled
+            self.state, self._terms, worker, now, acknowledged, self._usage.throttled
         )
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -1,6 +1,7 @@
 """The state of a scheduling shard: what its journal adds up to."""
 
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 import msgpack
@@ -42,6 +43,9 @@
     previous_index,
 )
 
+# A replica that ran so long starts again without counting its earlier failures.
+HEALTHY_RUN = timedelta(minutes=10)
+
 
 class ShardState:
     """Workloads, tasks and the run list of each worker.
@@ -301,26 +305,43 @@
             task,
             attempt=None,
             checkpoint=event.checkpoint or task.checkpoint,
-            phase=self._settle(state, task, event.outcome),
+            phase=self._settle(state, task, event),
             retry_at=event.retry_at,
             wanted=task.wanted and not replaced,
         )
+        if self._is_given_up(state):
+            self._give_up_gang(state)
         if event.retry_at and task.wanted and task.phase == WAITING:
             self.delayed.add((event.retry_at, event.workload, event.index))
         if not task.wanted and not state.removed:
             state.drop_task(event.index)
         self.note_removed(state)
 
-    def _settle(self, state: WorkloadState, task: Task, outcome: str) -> str:
+    def _settle(self, state: WorkloadState, task: Task, event: AttemptEnded) -> str:
         """Return the phase of a task whose attempt ended."""
-        if outcome in EXCUSED_OUTCOMES:
-            return WAITING
-        if outcome == "finished" and not state.is_service:
+        if event.outcome in EXCUSED_OUTCOMES:
+            return FAILED if self._is_given_up(state) else WAITING
+        if event.outcome == "finished" and not state.is_service:
             return FINISHED
-        task.failures += 1
         if state.is_service:
+            if event.run_seconds >= HEALTHY_RUN.total_seconds():
+                task.failures = 0
+            task.failures += 1
             return WAITING
-        return FAILED if task.failures >= state.allowed_attempts else WAITING
+        task.failures += 1
+        if task.failures >= state.allowed_attempts or self._is_given_up(state):
+            return FAILED
+        return WAITING
+
+    def _is_given_up(self, state: WorkloadState) -> bool:
+        """Tell whether a gang has lost a task for good."""
+        return state.is_gang and state.counts[FAILED] > 0
+
+    def _give_up_gang(self, state: WorkloadState) -> None:
+        """Let no waiting task of a gang start that has lost one for good."""
+        for task in list(state.tasks.values()):
+            if task.phase == WAITING:
+                state.change_task(task, phase=FAILED)
 
     def encode(self) -> bytes:
         """Return a snapshot of the state."""
--- a/packages/almondspread/almondspread/scheduling/tasks.py
+++ b/packages/almondspread/almondspread/scheduling/tasks.py
@@ -106,6 +106,11 @@
         """Whether its tasks start together or not at all."""
         return isinstance(self.resource, GangJob)
 
+    @property
+    def path(self) -> str:
+        """Kind and name, which a later workload may have again."""
+        return f"{self.kind}/{self.name}"
+
     @property
     def team(self) -> str:
         """The team whose quota its tasks use."""
@@ -220,6 +225,17 @@
     return index - MAX_TASKS
 
 
+def name_task(workload: str, index: int) -> str:
+    """Return the name of a task, which its attempts share."""
+    return f"{workload}#{index}"
+
+
+def parse_task(name: str) -> tuple[str, int]:
+    """Return the workload and index in a task's name."""
+    workload, _, index = name.rpartition("#")
+    return workload, int(index)
+
+
 def parse_attempt(name: str) -> tuple[str, int, int]:
     """Return the workload, index and number in an attempt's name."""
     task, _, number = name.rpartition("/")
--- a/packages/almondspread/almondspread/scheduling/tests/shards.py
+++ b/packages/almondspread/almondspread/scheduling/tests/shards.py
@@ -1,5 +1,7 @@
 """A scheduler over a few workers, and a naive recount of what it keeps."""
 
+import random
+
 import msgpack
 
 from almondspread.clock import ManualClock
@@ -57,7 +59,9 @@
                     f"w{number}", "worker", "", "umea", f"r{number}", capacity=capacity
                 )
             )
-        self.scheduler = Scheduler(ShardState(), LeaseTerms(), self.clock)
+        self.scheduler = Scheduler(
+            ShardState(), LeaseTerms(), self.clock, random.Random(1), "schedule/umea/0"
+        )
         if state is not None:
             self.scheduler.adopt(state)
         self.scheduler.set_workers(self.workers)
@@ -74,6 +78,7 @@
 
     def decide(self, limit=100):
         """Run one pass and commit it; return its events."""
+        self.scheduler.review_workers()
         self.scheduler.remove_cancelled()
         self.scheduler.place(limit)
         batch = self.scheduler.decisions.take_batch()
--- a/packages/almondspread/almondspread/scheduling/tests/test_grants.py
+++ b/packages/almondspread/almondspread/scheduling/tests/test_grants.py
@@ -73,7 +73,7 @@
         self.table = SlowTable(table)
         self.key = f"owner/{self.shard}"
         version = table.apply([], [Write(self.key, b"")]).ok
-        self.decisions = Decisions(ShardState())
+        self.decisions = Decisions(ShardState(), clock)
         self.used = used
         self.wanted = 0
         for _ in range(used):
--- a/packages/almondspread/almondspread/scheduling/tests/test_recovery.py
+++ b/packages/almondspread/almondspread/scheduling/tests/test_recovery.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 import unittest
 
 import msgpack
@@ -40,7 +41,7 @@
 
 
 def make_scheduler(state):
-    return Scheduler(state, LeaseTerms(), ManualClock())
+    return Scheduler(state, LeaseTerms(), ManualClock(), random.Random(1))
 
 
 class Stopped(Exception):
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/usage.py
@@ -0,0 +1,86 @@
+"""Acting on what attempts really use, before their neighbours suffer."""
+
+from datetime import datetime
+
+from almondspread.interfaces import AttemptUsage, WorkerReport
+from almondspread.resources import Capacity
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.failures import FailureBook
+from almondspread.scheduling.tasks import CHECKPOINT, STOP, Attempt
+
+# With so much of its memory really used, a worker has its worst offender stopped.
+FULL_MEMORY_SHARE = 0.9
+# An attempt that was started again in place so often goes elsewhere.
+CRASH_LOOP_RESTARTS = 5
+
+
+class UsageBook:
+    """Throttles and evicts attempts by the usage that workers report.
+
+    An attempt over its declared memory is throttled. Where the worker's memory is
+    nearly full it ends, the one furthest over first, with a checkpoint where it can;
+    that end counts as a failure. ``evicted`` says why each one had to end.
+    """
+
+    def __init__(self, decisions: Decisions, failures: FailureBook) -> None:
+        self.throttled: set[str] = set()
+        self.evicted: dict[str, str] = {}
+        self._decisions = decisions
+        self._failures = failures
+
+    def forget(self, attempt: str) -> str:
+        """Forget an attempt that ended; return why it had to, if it had to."""
+        self.throttled.discard(attempt)
+        return self.evicted.pop(attempt, "")
+
+    def take(
+        self,
+        worker: str,
+        report: WorkerReport,
+        known: dict[str, Attempt],
+        now: datetime,
+    ) -> None:
+        """Take in the usage of the attempts that run on a worker."""
+        used = 0
+        offenders = []
+        for usage in report.running:
+            used += usage.memory_mib
+            attempt = known.get(usage.attempt)
+            if attempt is None or attempt.unwanted or attempt.eviction:
+                continue
+            if usage.restarts >= CRASH_LOOP_RESTARTS:
+                self._end_crash_loop(attempt, usage, now)
+                continue
+            over = usage.memory_mib - attempt.size.memory_mib
+            if over > 0:
+                self.throttled.add(attempt.name)
+                offenders.append((over, attempt.name, attempt))
+        if not offenders or not self._decisions.cell.has_worker(worker):
+            return
+        capacity = self._decisions.cell.worker(worker).capacity
+        self._relieve(capacity, used, offenders)
+
+    def _relieve(
+        self,
+        capacity: Capacity,
+        used: int,
+        offenders: list[tuple[int, str, Attempt]],
+    ) -> None:
+        """End the attempts furthest over until the worker's memory is not full."""
+        offenders.sort(reverse=True)
+        for over, name, attempt in offenders:
+            if used <= capacity.memory_mib * FULL_MEMORY_SHARE:
+                return
+            used -= over + attempt.size.memory_mib
+            self.evicted[name] = f"{over} MiB over its declared memory"
+            state = self._decisions.state.workloads[attempt.workload]
+            can_save = state.resource.template.checkpointable
+            self._decisions.evict(attempt, CHECKPOINT if can_save else STOP)
+
+    def _end_crash_loop(
+        self, attempt: Attempt, usage: AttemptUsage, now: datetime
+    ) -> None:
+        """Have an attempt that crashes again and again be tried elsewhere, later."""
+        self.evicted[attempt.name] = f"it crashed {usage.restarts} times in place"
+        self._failures.note_crash(attempt, now)
+        self._decisions.evict(attempt, STOP)
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -68,7 +68,9 @@
         gather_interval: timedelta = timedelta(0),
     ) -> None:
         self.ownership = ownership
-        self.scheduler = Scheduler(ShardState(), terms, clock)
+        self.scheduler = Scheduler(
+            ShardState(), terms, clock, random.Random(), ownership.shard
+        )
         self.recovered = False
         self._journal = journal
         taken_at = clock.monotonic()
@@ -159,6 +161,7 @@
         self._follower.follow()
         self._end_lapsed()
         self.scheduler.move_drained()
+        self.scheduler.review_workers()
         more = self.scheduler.remove_cancelled()
         more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
         if self.scheduler.placer.short_of_quota:
--- a/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
@@ -189,6 +189,54 @@
         return counted.started - counted.running
 
 
+class PressureTest(SchedulingCase):
+    async def test_urgent_work_starts_at_a_full_cluster(self):
+        saved = {"checkpointable": True, "run_seconds": 3.0}
+        command = ("sleep", "3")
+        await self.apply(
+            make_document("batch", "b", 16, command=command, template=saved)
+        )
+        await self.await_true(lambda: self.count_running("batch/b:") == 16)
+        await self.apply(
+            make_document("batch", "u", 2, 4_000, command=("serve",), priority=900)
+        )
+        await self.await_true(lambda: self.count_running("batch/u:") == 2)
+        status = await self.await_status(
+            "batch/b", lambda status: status["finished"] == 16
+        )
+        self.assertEqual(status["failed"], 0)
+
+    async def test_a_worker_that_fails_everything_is_quarantined(self):
+        await self.apply(
+            {
+                "kind": "configuration",
+                "metadata": {"name": "cell"},
+                "quarantine_share": 0.5,
+            }
+        )
+        bad = next(iter(self.cluster.cell.workers))
+        self.cluster.cell.workers[bad].agent.set_faults(crash_all=True)
+        jobs = []
+        for number in range(6):
+            name = f"b{number}"
+            command = ("sleep", "0.1")
+            jobs.append(make_document("batch", name, 8, command=command, attempts=20))
+        await self.apply(*jobs)
+        await self.await_true(lambda: self.find_exclusion(bad) == "quarantined")
+        for number in range(6):
+            await self.await_status(
+                f"batch/b{number}", lambda status: status["finished"] == 8
+            )
+
+    def find_exclusion(self, worker):
+        for entry in self.cluster.entries.values():
+            for runner in entry.keeper.runners.values():
+                cell = getattr(getattr(runner, "scheduler", None), "cell", None)
+                if cell is not None and cell.has_worker(worker):
+                    return cell.worker(worker).exclusion
+        return ""
+
+
 class OverflowTest(SchedulingCase):
     rare = Capacity(4_000, 4_096, 2)
     deployment = plan_deployment((1, 3), (WORKER, rare))
