--- a/packages/almondspread_daemon/almondspread_daemon/reports.py
+++ b/packages/almondspread_daemon/almondspread_daemon/reports.py
@@ -149,6 +149,8 @@
         reasons = {}
         for count in waiting.reasons if waiting else ():
             reasons[count.reason] = count.workers
+        if waiting is not None and waiting.limit:
+            reasons[waiting.limit] = waiting.workers
         return _describe_tasks(state, reasons)
 
     async def take_fetch_status(self, _: FetchStatus, __: CallContext) -> Document:
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/wrapping.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/wrapping.py
@@ -1,8 +1,10 @@
 """The platform's clients with a span and counts for each call."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
+from attrs import evolve
 from expression import Result
 
 from almondspread.interfaces import (
@@ -20,8 +22,13 @@
     Write,
 )
 from almondspread_daemon.telemetry.instruments import Instruments
-from almondspread_daemon.telemetry.traces import TracePipeline, mark_failed
+from almondspread_daemon.telemetry.traces import (
+    TracePipeline,
+    mark_failed,
+    read_traceparent,
+)
 from almondspread_platform import MinionClient, MinionFault
+from almondspread_platform.caller import always_allow
 
 TABLE = "table"
 
@@ -109,11 +116,16 @@
         self._traces = traces
 
     async def call(
-        self, address: str, request: MinionRequest, timeout: timedelta
+        self,
+        address: str,
+        request: MinionRequest,
+        timeout: timedelta,
+        may_send: Callable[[], bool] = always_allow,
     ) -> Result[MinionAnswer, MinionFault]:
         """Send a request to the minion at ``address`` and return its whole answer."""
         with self._traces.call(f"minion {request.kind}", address) as span:
-            outcome = await self._minions.call(address, request, timeout)
+            traced = evolve(request, traceparent=read_traceparent())
+            outcome = await self._minions.call(address, traced, timeout, may_send)
             if outcome.is_error():
                 mark_failed(span, outcome.error.reason)
         return outcome
