Look after the shards of a failure domain that is gone

The replicas of a domain that is gone for good stayed with its shards, which only its own entries could own.

Tests were seen to fail without the candidates of other domains (end to end: workers and entry of one of two domains killed, 6 of 6 replicas ran again), without the waiting time and when a worker in between did not start it anew.

--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -56,6 +56,7 @@
     ScheduleShard,
     ShardKeeper,
 )
+from almondspread_daemon.shards.adoption import DomainWatch
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
@@ -76,6 +77,9 @@
         self.incarnation = make_incarnation(clock.now())
         self._started = False
         self._rooms = RoomBoard(clock)
+        self._domains = DomainWatch(
+            settings.failure_domains, clock, settings.ownership.domain_gone
+        )
         self._capacities_listed: dict[str, Instance] = {}
         self._capacities = CellCapacities()
         self.telemetry = Telemetry(settings)
@@ -136,6 +140,8 @@
             settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
             self.neighbours.note_all,
+            self._plan_adopted(),
+            self._is_domain_gone,
         )
         self.requests = RequestPart(
             settings,
@@ -209,6 +215,20 @@
             plan[shard] = self._make_minion_shard
         return plan
 
+    def _plan_adopted(self) -> dict[str, MakeRunner]:
+        """Return the scheduling shards of other domains, in case one is gone."""
+        plan: dict[str, MakeRunner] = {}
+        for shard in self.schedule_shards:
+            if find_domain(shard) != self.settings.failure_domain:
+                plan[shard] = self._make_schedule_shard
+        return plan
+
+    def _is_domain_gone(self, domain: str) -> bool:
+        """Tell whether the platform's list has long had nothing of a domain."""
+        if self.neighbours.list_is_known:
+            self._domains.update(self.neighbours.listed)
+        return self._domains.is_gone(domain)
+
     def _make_schedule_shard(
         self, ownership: Ownership, journal: Journal, stopped: bool
     ) -> ScheduleShard:
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -109,6 +109,12 @@
     partition_horizon_seconds: Annotated[float, Range(10, 86_400, "seconds")] = 7_200.0
     clock_rate_bound: Annotated[float, Range(0, 0.1)] = 0.001
     clock_offset_bound_seconds: Annotated[float, Range(0, 60, "seconds")] = 0.5
+    domain_gone_seconds: Annotated[float, Range(1, 86_400, "seconds")] = 300.0
+
+    @property
+    def domain_gone(self) -> timedelta:
+        """How long the list has nothing of a domain before others act for it."""
+        return timedelta(seconds=self.domain_gone_seconds)
 
     @property
     def instance_lease(self) -> timedelta:
--- a/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
@@ -23,6 +23,7 @@
     release_shards,
 )
 from almondspread_daemon.background import Waker, start_task
+from almondspread_daemon.membership.directory import find_domain
 from almondspread_daemon.peers import CallContext
 from almondspread_daemon.peers.messages import Accepted, ShardReleased
 from almondspread_daemon.shards.evidence import OwnerEvidence
@@ -75,6 +76,8 @@
         horizon: timedelta,
         on_change: Callable[[], None],
         announce: Callable[[ShardReleased], None],
+        adopted: dict[str, MakeRunner] | None = None,
+        is_gone: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self.runners: dict[str, ShardRunner] = {}
         self.ownerships: dict[str, Ownership] = {}
@@ -82,7 +85,9 @@
         self.leaving = False
         self._claimant = claimant
         self._failure_domain = failure_domain
-        self._shards = shards
+        self._shards = {**shards, **(adopted or {})}
+        self._adopted = frozenset(adopted or {})
+        self._is_gone = is_gone
         self._members = members
         self._table = table
         self._store = store
@@ -161,16 +166,31 @@
         task.add_done_callback(self._handovers.discard)
 
     def _find_preferred(self, shard: str) -> str | None:
-        """Return the live instance of the domain that ranks first for a shard."""
-        candidates = [] if self.leaving else [self._claimant.instance]
+        """Return the live instance that ranks first for a shard.
+
+        It is one of the shard's failure domain, or of any other while that is gone.
+        """
+        domain = self._failure_domain
+        if shard in self._adopted:
+            domain = find_domain(shard)
+        candidates = self._list_candidates(domain)
+        if not candidates and self._is_gone(domain):
+            candidates = self._list_candidates(None)
+        ranked = rank_owners(shard, candidates)
+        return ranked[0] if ranked else None
+
+    def _list_candidates(self, domain: str | None) -> list[str]:
+        """Return the live instances of a domain, or of all, that may own shards."""
+        candidates = []
+        if not self.leaving and domain in (None, self._failure_domain):
+            candidates.append(self._claimant.instance)
         for member in self._members.list_live(self._clock.monotonic()):
-            if member.failure_domain != self._failure_domain:
+            if domain is not None and member.failure_domain != domain:
                 continue
             if member.leaving or not member.ready:
                 continue
             candidates.append(member.name)
-        ranked = rank_owners(shard, candidates)
-        return ranked[0] if ranked else None
+        return candidates
 
     async def _settle(self, shard: str) -> None:
         """Take a shard that is due here; a row that does not decode stops it."""
--- a/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/test_scheduling.py
@@ -8,11 +8,12 @@
 
 from almondspread.clock import SystemClock
 from almondspread.resources import Capacity
+from almondspread_daemon.settings import OwnershipSettings
 from almondspread_standin.demo.client import DemoClient
 from almondspread_standin.deployment import Deployment, Entry, FailureDomain, Rack
 from almondspread_standin.embedded import EmbeddedCluster
 
-PATIENCE = timedelta(seconds=15)
+PATIENCE = timedelta(seconds=30)
 PAUSE = timedelta(milliseconds=20)
 WORKER = Capacity(4_000, 4_096)
 DOMAINS = ("umea", "lulea")
@@ -42,10 +43,12 @@
     """A cluster of two failure domains, and a client of its entries."""
 
     deployment = plan_deployment()
+    ownership = None
 
     async def asyncSetUp(self):
         self.clock = SystemClock()
-        self.cluster = EmbeddedCluster(self.deployment, self.clock)
+        sections = {"ownership": self.ownership} if self.ownership else {}
+        self.cluster = EmbeddedCluster(self.deployment, self.clock, **sections)
         await self.cluster.start()
         self.client = DemoClient(self.cluster.urls)
 
@@ -237,6 +240,28 @@
         return ""
 
 
+class LostDomainTest(SchedulingCase):
+    deployment = plan_deployment((2, 2))
+    ownership = OwnershipSettings(
+        schedule_shards=1,
+        request_shards=1,
+        instance_lease_seconds=1.0,
+        domain_gone_seconds=1.0,
+    )
+
+    async def test_replicas_of_a_domain_gone_for_good_run_in_another(self):
+        await self.apply(make_document("service", "s", 6))
+        await self.await_status("service/s", lambda status: status["ready"])
+        self.client.urls.pop("entry-lulea")
+        for name in list(self.cluster.cell.workers):
+            if name.startswith("lulea"):
+                await self.cluster.cell.kill_worker(name)
+        await self.cluster.kill_entry("entry-lulea")
+        self.assertLess(self.count_running("service/s:"), 6)
+        await self.await_true(lambda: self.count_running("service/s:") == 6)
+        await self.await_status("service/s", lambda status: status["ready"])
+
+
 class OverflowTest(SchedulingCase):
     rare = Capacity(4_000, 4_096, 2)
     deployment = plan_deployment((1, 3), (WORKER, rare))
