--- a/packages/almondspread/almondspread/journal/__init__.py
+++ b/packages/almondspread/almondspread/journal/__init__.py
@@ -7,6 +7,7 @@
     Recovery,
     Superseded,
     Undecodable,
+    ignore_commit,
 )
 from almondspread.journal.rows import JournalRow, make_row_key
 
@@ -18,5 +19,6 @@
     "Recovery",
     "Superseded",
     "Undecodable",
+    "ignore_commit",
     "make_row_key",
 ]
--- a/packages/almondspread/almondspread/scheduling/backlog.py
+++ b/packages/almondspread/almondspread/scheduling/backlog.py
@@ -31,12 +31,26 @@
             self._queue,
             POLICY_WAITING,
             decisions.running,
+            estimate_longest=self._estimate_longest,
         )
         self._names: dict[str, None] = {}
 
     def __len__(self) -> int:
         return len(self._queue)
 
+    def _estimate_longest(self, waiting: WaitingWorkload) -> timedelta | None:
+        """Return a run time that few tasks exceed, ``None`` where none is known."""
+        state = self._decisions.state.workloads.get(waiting.name)
+        if state is None or state.is_service:
+            return None
+        declared = timedelta(seconds=state.resource.template.run_seconds)
+        estimate = self._decisions.estimates.estimate_run_time(
+            state.path, state.team, declared
+        )
+        if not declared and not estimate.samples:
+            return None
+        return estimate.upper
+
     def cancel(self, workload: str) -> None:
         """Place no more tasks of a workload; its removal is decided later."""
         self.cancelled[workload] = None
@@ -132,4 +146,5 @@
         spread=resource.spread if isinstance(resource, Service) else "none",
         latest_start=latest_start,
         gang=state.is_gang,
+        checkpointable=resource.template.checkpointable,
     )
--- a/packages/almondspread/almondspread/scheduling/decisions.py
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -31,6 +31,7 @@
     Task,
     WorkloadState,
     name_attempt,
+    name_task,
 )
 
 
@@ -162,7 +163,7 @@
             expected_end = now + estimate.upper
         self.running.add(
             RunningTask(
-                attempt.name,
+                name_task(attempt.workload, attempt.index),
                 state.workload,
                 attempt.worker,
                 attempt.size,
@@ -204,7 +205,7 @@
         if self.cell.has_worker(attempt.worker):
             self.cell.release(attempt.worker, attempt.workload, attempt.size)
         self.teams.release(state.team, attempt.size)
-        self.running.remove(attempt.name)
+        self.running.remove(name_task(attempt.workload, attempt.index))
         self.openings += 1
         if state.is_gang and outcome != "finished" and not attempt.eviction:
             self._end_gang(state)
--- a/packages/almondspread/almondspread/scheduling/messages.py
+++ b/packages/almondspread/almondspread/scheduling/messages.py
@@ -23,17 +23,3 @@
             f"first at {moment} UTC"
         )
     return "; ".join(parts)
-
-
-def is_short_of_room(waiting: Waiting) -> bool:
-    """Tell whether work waits for room on workers, not for its team's quota."""
-    return not waiting.limit
-
-
-def list_causes(waiting: Waiting | None) -> tuple[str, ...]:
-    """Return the causes of waiting without their counts."""
-    if waiting is None:
-        return ()
-    if waiting.limit:
-        return (waiting.limit,)
-    return tuple(count.reason for count in waiting.reasons)
--- a/packages/almondspread/almondspread/scheduling/placing.py
+++ b/packages/almondspread/almondspread/scheduling/placing.py
@@ -8,14 +8,15 @@
 from almondspread.resources.kinds import URGENT_PRIORITY
 from almondspread.scheduling.backlog import Backlog
 from almondspread.scheduling.decisions import Decisions
-from almondspread.scheduling.messages import list_causes
 from almondspread.scheduling.policies.claims import Preemption
 from almondspread.scheduling.policies.passes import (
     Deferral,
+    Eviction,
     Placement,
     decide_waiting,
+    explain_deferral,
 )
-from almondspread.scheduling.tasks import CHECKPOINT, STOP, parse_attempt, parse_task
+from almondspread.scheduling.tasks import CHECKPOINT, STOP, parse_task
 
 # Holds run out by time, so while a gang waits a pass is due after so long.
 LONGEST_REST = timedelta(seconds=5)
@@ -24,13 +25,13 @@
 class Placer:
     """Turns the decisions of a pass into events.
 
-    ``reasons`` says for each workload why its tasks wait, ``short_of_quota`` whether
-    the latest pass found a team at its limit. No pass is made while nothing changed
-    that could let a waiting task start, and one ends once the room is used up.
+    ``short_of_quota`` says whether the latest pass found a team at its limit. No pass
+    is made while nothing changed that could let a waiting task start, and one ends
+    once the room is used up.
     """
 
     def __init__(self, decisions: Decisions, backlog: Backlog) -> None:
-        self.reasons: dict[str, Waiting] = {}
+        self._deferrals: dict[str, Deferral] = {}
         self.short_of_quota = False
         self._decisions = decisions
         self._backlog = backlog
@@ -76,7 +77,9 @@
                     self._stuck_at = openings
                     return False
             elif isinstance(decision, Preemption):
-                self._preempt(decision)
+                self._evict(decision.victims.tasks)
+            elif isinstance(decision, Eviction):
+                self._evict(decision.tasks)
             else:
                 placed += self._bind(decision)
             if placed >= limit:
@@ -103,27 +106,44 @@
         return find_worker(self._decisions.cell, request, POLICY_WAITING) is None
 
     def _note(self, deferral: Deferral) -> None:
-        """Remember why a workload waits; other causes than before are reported."""
-        known = self.reasons.get(deferral.workload)
+        """Remember why a workload waits; another cause than before is reported."""
+        known = self._deferrals.get(deferral.workload)
         state = self._decisions.state.workloads[deferral.workload]
         size = state.resource.template.size
         self._least = size.take_smaller(self._least) if self._least else size
         self._has_gangs = self._has_gangs or state.is_gang
-        self.reasons[deferral.workload] = deferral.waiting
-        if deferral.waiting.limit:
+        self._deferrals[deferral.workload] = deferral
+        if deferral.limit:
             self.short_of_quota = True
-        if known is None or list_causes(known) != list_causes(deferral.waiting):
+        if known != deferral:
             self._decisions.state.changed.add(deferral.workload)
 
-    def _preempt(self, preemption: Preemption) -> None:
-        """Have the victims of a preemption give up their places."""
-        for name in preemption.victims.tasks:
-            attempt = self._decisions.state.find_attempt(*parse_attempt(name))
-            if attempt is None:
+    def explain(self, workload: str) -> Waiting | None:
+        """Return why tasks of a workload wait as things are now, if they do."""
+        deferral = self._deferrals.get(workload)
+        if deferral is None:
+            return None
+        return explain_deferral(self._backlog.passing, deferral)
+
+    def is_short_of_room(self, workload: str) -> bool:
+        """Tell whether a workload found no room, rather than being over a quota."""
+        deferral = self._deferrals.get(workload)
+        return deferral is not None and not deferral.limit
+
+    def list_deferred(self) -> list[str]:
+        """Return the workloads that wait."""
+        return list(self._deferrals)
+
+    def _evict(self, tasks: tuple[str, ...]) -> None:
+        """Have running tasks give up their places."""
+        for name in tasks:
+            workload, index = parse_task(name)
+            state = self._decisions.state.workloads.get(workload)
+            task = state.tasks.get(index) if state else None
+            if state is None or task is None or task.attempt is None:
                 continue
-            state = self._decisions.state.workloads[attempt.workload]
             can_save = state.resource.template.checkpointable
-            self._decisions.evict(attempt, CHECKPOINT if can_save else STOP)
+            self._decisions.evict(task.attempt, CHECKPOINT if can_save else STOP)
 
     def _bind(self, placements: tuple[Placement, ...]) -> int:
         """Bind the tasks that were placed together; return how many."""
@@ -131,6 +151,6 @@
             name, index = parse_task(placement.task)
             state = self._decisions.state.workloads[name]
             self._decisions.bind(state, state.tasks[index], placement.worker)
-            if self.reasons and not self._backlog.has(name):
-                self.reasons.pop(name, None)
+            if self._deferrals and not self._backlog.has(name):
+                self._deferrals.pop(name, None)
         return len(placements)
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -29,7 +29,7 @@
 from almondspread.scheduling.failures import FailureBook, divide_allowance
 from almondspread.scheduling.grants import Need, TeamGrants
 from almondspread.scheduling.leases import LeaseTerms
-from almondspread.scheduling.messages import explain_waiting_work, is_short_of_room
+from almondspread.scheduling.messages import explain_waiting_work
 from almondspread.scheduling.placing import Placer
 from almondspread.scheduling.policies.backfill import HoldBook
 from almondspread.scheduling.policies.ordering import QueueEntry
@@ -91,10 +91,9 @@
         """The shard's state with all that is decided."""
         return self.decisions.state
 
-    @property
-    def reasons(self) -> dict[str, Waiting]:
-        """Why the tasks of a workload wait, for those that found no place."""
-        return self.placer.reasons
+    def explain(self, workload: str) -> Waiting | None:
+        """Return why tasks of a workload wait for a worker, if they do."""
+        return self.placer.explain(workload)
 
     @property
     def holds(self) -> HoldBook:
@@ -165,8 +164,7 @@
         """Return the waiting workloads that found no room, not those over a quota."""
         blocked = []
         for entry in self._backlog.list_entries():
-            waiting = self.placer.reasons.get(entry.workload.name)
-            if waiting is not None and is_short_of_room(waiting):
+            if self.placer.is_short_of_room(entry.workload.name):
                 state = self.state.workloads[entry.workload.name]
                 blocked.append((entry, state))
         return blocked
@@ -179,7 +177,7 @@
 
     def _report_waiting(self) -> None:
         """Have all waiting workloads reported anew: some may be impossible now."""
-        self.state.changed.update(self.placer.reasons)
+        self.state.changed.update(self.placer.list_deferred())
 
     def describe_workload(self, state: WorkloadState) -> dict[str, Any]:
         """Return the status document that the shard reports of a workload."""
@@ -189,7 +187,7 @@
             team = self._rules.teams.get(state.team)
             quota = team.quota if team else None
             impossible = explain_impossible(state.resource, self._capacities, quota)
-        waiting = self.placer.reasons.get(state.workload)
+        waiting = self.placer.explain(state.workload)
         report["impossible"] = bool(impossible)
         report["message"] = explain_waiting_work(state, waiting, impossible)
         return report
--- a/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/keeper.py
@@ -10,7 +10,7 @@
 
 from almondspread.clock import Clock
 from almondspread.interfaces import ObjectStore, TableService, TableUnavailable
-from almondspread.journal import Journal, Undecodable
+from almondspread.journal import Journal, Undecodable, ignore_commit
 from almondspread.ownership import (
     Claimant,
     Members,
@@ -78,6 +78,7 @@
         announce: Callable[[ShardReleased], None],
         adopted: dict[str, MakeRunner] | None = None,
         is_gone: Callable[[str], bool] = lambda _: False,
+        observe_commit: Callable[[timedelta, int], None] = ignore_commit,
     ) -> None:
         self.runners: dict[str, ShardRunner] = {}
         self.ownerships: dict[str, Ownership] = {}
@@ -97,6 +98,7 @@
         self._horizon = horizon
         self._on_change = on_change
         self._announce = announce
+        self._observe_commit = observe_commit
         self._owned: dict[str, OwnedShard] = {}
         self._unsettled: set[str] = set()
         self._retry_at: dict[str, timedelta] = {}
@@ -256,6 +258,7 @@
             self._store,
             self._clock,
             self._make_batch,
+            self._observe_commit,
         )
         stopped = ownership.authority.previous_stopped_at is not None
         runner = self._shards[shard](ownership, journal, stopped)
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -44,6 +44,8 @@
 MAX_PLACEMENTS_PER_BATCH = 400
 SNAPSHOT_ROWS = 500
 FOLLOWING_EVENTS = (WorkloadAdded, WorkloadChanged, WorkloadRemoved)
+# With fewer rows the next owner is sooner there without a snapshot.
+HANDOVER_ROWS = 100
 
 
 class ScheduleShard:
@@ -131,13 +133,15 @@
             await self._recover()
             self._helpers.append(start_task(self._grants.run()))
             self._helpers.append(start_task(self._transfers.run()))
+            self.wake()
             while not self._stopping:
                 await self._waker.wait(DECIDE_INTERVAL)
                 # What several workers report within moments goes into one commit.
                 await self._clock.sleep(self._gather_interval)
                 if self.ownership.authority.superseded or not await self._decide():
                     return
-            await self._leave_snapshot()
+            if self._journal.rows_since_snapshot >= HANDOVER_ROWS:
+                await self._leave_snapshot()
         finally:
             for task in (*self._tasks.values(), *self._helpers):
                 task.cancel()
