--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -15,6 +15,7 @@
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers.messages import MinionLeaving
 from almondspread_daemon.requests.deadlines import Deadlines
+from almondspread_daemon.requests.idle_slots import note_idle
 from almondspread_daemon.requests.keys import KeyShard
 from almondspread_daemon.requests.minion_shards import (
     POLL_INTERVAL,
@@ -22,12 +23,13 @@
     MinionTerms,
 )
 from almondspread_daemon.requests.minions import MinionPools
+from almondspread_daemon.requests.monitors import Monitors
 from almondspread_daemon.requests.router import RequestRouter
 from almondspread_daemon.requests.serving import PeerRequests
+from almondspread_daemon.requests.telling import LoadTeller
 from almondspread_daemon.settings import Settings
 from almondspread_platform import MinionClient
 
-LOADS_INTERVAL = timedelta(milliseconds=100)
 POOL_INTERVAL = timedelta(milliseconds=250)
 SUCCESSOR_WAIT = timedelta(seconds=3)
 POLLS_AFTER_IDLE = 4
@@ -83,6 +85,15 @@
             neighbours,
             clock,
         )
+        self.monitors = Monitors(
+            self.pools,
+            self.router.order_owners,
+            self.router.call_peer,
+            lambda member, message: neighbours.note(member.address, message),
+            lambda service: timedelta(seconds=self.deadlines.find(service, MONITOR)),
+            clock,
+        )
+        self._teller = LoadTeller(settings.name, neighbours, clock)
         self.serving = PeerRequests(
             find_runner,
             self._find_epoch,
@@ -92,6 +103,10 @@
             clock,
         )
 
+    def list_handlers(self) -> dict[type, Any]:
+        """Return what serves each type of message of a peer."""
+        return {**self.serving.list_handlers(), **self.monitors.list_handlers()}
+
     def make_key_shard(
         self, ownership: Ownership, journal: Journal, _: bool
     ) -> KeyShard:
@@ -129,7 +144,9 @@
     async def run(self) -> None:
         """Follow the minions, tell loads and deliver late answers until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.router.run(self._settings.name, LOADS_INTERVAL))
+            group.create_task(self.router.deliveries.run())
+            group.create_task(self._teller.run(self.pools.describe_loads))
+            group.create_task(self.monitors.run())
             group.create_task(self._follow_minions())
 
     async def _follow_minions(self) -> None:
@@ -140,19 +157,29 @@
                 self.pools.update(listed.values())
             await self._clock.sleep(POOL_INTERVAL)
 
-    async def drain(self) -> None:
+    async def drain(self, count_peer_calls: Callable[[], int]) -> None:
         """Wait until no request depends on this instance any more.
 
         The shards were handed over before: requests that come now go to peers.
         """
         await self._wait_for_successors()
-        while self.open_calls:
+        while self.open_calls or count_peer_calls():
             await self._clock.sleep(POLL_INTERVAL)
         await self.pools.wait_idle()
         await self.router.wait_delivered(POLL_INTERVAL)
+        await note_idle(self._table, self._list_idle())
         # The successors see that nothing is in flight before this instance ends.
         await self._clock.sleep(POLL_INTERVAL * POLLS_AFTER_IDLE)
 
+    def _list_idle(self) -> dict[str, int]:
+        """Return the epochs of those shards that have no slot in use any more."""
+        idle = {}
+        for shard in self.pools.shards:
+            told = self.pools.report_slots(shard)
+            if told.epoch and told.released and not told.in_use:
+                idle[shard] = told.epoch
+        return idle
+
     async def _wait_for_successors(self) -> None:
         """Wait until the next owners of the minions have asked for their slots."""
         end = self._clock.monotonic() + SUCCESSOR_WAIT
