--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -128,13 +128,19 @@
 
 @define(frozen=True)
 class SchedulingSettings:
-    """The pace of the exchange with workers, and the leases of tasks."""
+    """The pace of the exchange with workers and of commits, and task leases."""
 
     task_lease_seconds: Seconds = 10.0
     exchange_milliseconds: Milliseconds = 500
     idle_exchange_milliseconds: Milliseconds = 2_500
+    commit_milliseconds: Milliseconds = 15
     start_expiry_seconds: Seconds = 5.0
 
+    @property
+    def commit(self) -> timedelta:
+        """How long decisions are gathered into one commit."""
+        return timedelta(milliseconds=self.commit_milliseconds)
+
     @property
     def task_lease(self) -> timedelta:
         """How long a task runs without a renewal of its lease."""
--- a/packages/almondspread_standin/almondspread_standin/demo/client.py
+++ b/packages/almondspread_standin/almondspread_standin/demo/client.py
@@ -5,7 +5,9 @@
 
 from attrs import define
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPRequest
+
+from almondspread_standin.following import follow_to_end
 
 REQUEST_TIMEOUT_SECONDS = 10.0
 
@@ -75,8 +77,5 @@
             streaming_callback=take_chunk,
             request_timeout=0,
         )
-        try:
-            await self._client.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError):
-            # The entry was killed; the watch is taken up again at another.
-            return
+        # An entry that was killed cuts the watch; it is taken up again at another.
+        await follow_to_end(self._client, request)
--- a/packages/almondspread_standin/almondspread_standin/measures/streams.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/streams.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPRequest
+
+from almondspread_standin.following import follow_to_end
 
 CONNECT_TIMEOUT_SECONDS = 20.0
 
@@ -53,10 +55,8 @@
                 connect_timeout=CONNECT_TIMEOUT_SECONDS,
                 request_timeout=0,
             )
-            try:
-                await self._client.fetch(request)
-            except HTTPClientError as error:
-                self.expired += error.code == HTTPStatus.GONE
+            status = await follow_to_end(self._client, request)
+            self.expired += status == HTTPStatus.GONE
             self.is_open = False
             self.cuts += 1
             turn += 1
