--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -136,11 +136,6 @@
     commit_milliseconds: Milliseconds = 15
     start_expiry_seconds: Seconds = 5.0
 
-    @property
-    def commit(self) -> timedelta:
-        """How long decisions are gathered into one commit."""
-        return timedelta(milliseconds=self.commit_milliseconds)
-
     @property
     def task_lease(self) -> timedelta:
         """How long a task runs without a renewal of its lease."""
