--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import ssl
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -22,6 +23,7 @@
 FIRST_PAUSE = timedelta(milliseconds=100)
 LAST_PAUSE = timedelta(seconds=2)
 CONNECT_TIMEOUT = timedelta(seconds=1)
+NO_GRACE = timedelta(0)
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
 
@@ -56,6 +58,7 @@
         self._last_number = 0
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.on_open: Callable[[], None] = lambda: None
 
     @property
     def is_open(self) -> bool:
@@ -88,6 +91,7 @@
         )
         self._stream.max_write_buffer_size = MAX_UNSENT_BYTES
         self._stream.set_nodelay(True)
+        self.on_open()
 
     async def _read_replies(self) -> None:
         """Hand each reply to the call that waits for it."""
@@ -119,16 +123,24 @@
         """Send a message that has no reply, if the stream is open."""
         self._write(Frame(NOTE, 0, PEER_CODEC.to_plain(message)))
 
-    async def call(self, message: Any, timeout: timedelta) -> Result[Any, PeerFault]:
-        """Send a message and return its reply."""
+    async def call(
+        self, message: Any, timeout: timedelta, grace: timedelta = NO_GRACE
+    ) -> Result[Any, PeerFault]:
+        """Send a message and return its reply.
+
+        The peer is told to reply within ``timeout``; its reply is still taken for
+        ``grace`` longer, so that one sent in time is not lost to a slow way back.
+        """
         name = f"peer {type(message).__name__}"
         with self._traces.call(name, self.address) as span:
-            outcome = await self._call(message, timeout)
+            outcome = await self._call(message, timeout, grace)
             if outcome.is_error():
                 mark_failed(span, outcome.error.reason)
         return outcome
 
-    async def _call(self, message: Any, timeout: timedelta) -> Result[Any, PeerFault]:
+    async def _call(
+        self, message: Any, timeout: timedelta, grace: timedelta
+    ) -> Result[Any, PeerFault]:
         """Send a message within a span and return its reply."""
         if self._stream is None:
             return Error(PeerFault(f"no stream to {self.address}", True))
@@ -143,7 +155,8 @@
             self._calls.pop(number, None)
             return Error(PeerFault(f"the stream to {self.address} is closed", True))
         try:
-            return Ok(await asyncio.wait_for(future, seconds))
+            waited = seconds + grace.total_seconds()
+            return Ok(await asyncio.wait_for(future, waited))
         except TimeoutError:
             return Error(PeerFault(f"no reply from {self.address} in time", False))
         except (StreamClosedError, ValueError) as error:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import Any
 
-from attrs import define, field
 from expression import Error, Ok, Result
 from loguru import logger
 
@@ -16,17 +16,16 @@
     RequestQueue,
     ShardSlots,
     Waiting,
-    choose_minion,
     eject_outlier,
     estimate_wait,
     find_minion_shard,
 )
 from almondspread.requests.kinds import (
-    LOOKUP,
     SERVING_ORDER,
     find_late_limit,
 )
 from almondspread_daemon.peers.messages import ServiceLoad, SlotsInUse
+from almondspread_daemon.requests.legs import MonitorLeg
 from almondspread_daemon.requests.refusals import (
     refuse_late,
     refuse_overload,
@@ -34,54 +33,14 @@
     refuse_without_minion,
     report_unknown,
 )
+from almondspread_daemon.requests.service_pools import ServicePool, Ticket
 from almondspread_platform import MinionClient
 
 SERVER_ERRORS = 500
+CLOSE_NOTICE = timedelta(seconds=1)
 TakeLate = Callable[[MinionAnswer], None]
 
 
-@define(eq=False)
-class ServicePool:
-    """The minions of one service in this failure domain, and its queue here."""
-
-    queue: RequestQueue
-    minions: dict[str, MinionSlots] = field(factory=dict)
-
-    def choose(self, kind: str, now: timedelta) -> MinionSlots | None:
-        """Return the best minion for one more request of a kind."""
-        return choose_minion(list(self.minions.values()), kind, now)
-
-    def find_service_seconds(self, kind: str) -> float:
-        """Return the mean time that a request of a kind takes, 0 if unknown."""
-        known = []
-        for minion in self.minions.values():
-            if kind in minion.health.seconds:
-                known.append(minion.health.seconds[kind])
-        return sum(known) / len(known) if known else 0.0
-
-    def describe_load(self, now: timedelta) -> ServiceLoad:
-        """Return how the owned minions stand."""
-        slots = free = 0
-        for minion in self.minions.values():
-            if minion.leaving or not minion.listed or not minion.shard.may_send(now):
-                continue
-            slots += minion.slots
-            if minion.has_room(LOOKUP, now):
-                free += minion.count_free(now)
-        return ServiceLoad(slots, free, len(self.queue))
-
-
-@define(eq=False)
-class Ticket:
-    """One slot of a minion, taken for one request under one ownership."""
-
-    pool: ServicePool
-    minion: MinionSlots
-    shard: ShardSlots
-    kind: str
-    is_open: bool = True
-
-
 class MinionPools:
     """Counts the slots of owned minions and passes requests on to them."""
 
@@ -102,7 +61,7 @@
         self._clock = clock
         self._find_bounds = find_bounds
         self._announce_leaving = announce_leaving
-        self._transfers: set[asyncio.Task[Result[MinionAnswer, Problem]]] = set()
+        self._transfers: set[asyncio.Task[Any]] = set()
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Follow the platform's list of this failure domain's minions."""
@@ -204,9 +163,10 @@
             return Error(refuse_without_minion(service))
         if not wait:
             return Error(refuse_overload(service, "has no free slot"))
-        service_seconds = pool.find_service_seconds(kind)
-        expected = estimate_wait(pool.queue.count(kind), load.slots, service_seconds)
-        if now + expected + timedelta(seconds=service_seconds) > due:
+        expected = estimate_wait(
+            pool.queue.count(kind), load.slots, pool.find_service_seconds(kind)
+        )
+        if now + expected + pool.find_time_needed(kind) > due:
             reason = "cannot meet the deadline"
             return Error(refuse_overload(service, reason, expected))
         return await self._wait_for_slot(pool, service, Waiting(kind, due), expected)
@@ -258,8 +218,7 @@
             waiting = pool.queue.pop(kinds)
             if waiting is None:
                 return
-            needed = timedelta(seconds=pool.find_service_seconds(waiting.kind))
-            if now + needed <= waiting.due:
+            if now + pool.find_time_needed(waiting.kind) <= waiting.due:
                 waiting.ticket = self._take_now(pool, waiting.kind, now)
             waiting.wake()
 
@@ -285,6 +244,46 @@
             return Error(taken.error)
         return await self.send(taken.ok, request, due)
 
+    async def open_leg(
+        self, request: MinionRequest, due: timedelta, leg: MonitorLeg
+    ) -> Problem | None:
+        """Open a standing stream at an own minion; return why it was not, if so."""
+        taken = await self.take(request.service, request.kind, due, wait=False)
+        if taken.is_error():
+            return taken.error
+        watching = asyncio.create_task(self._watch(taken.ok, request, due, leg))
+        self._transfers.add(watching)
+        watching.add_done_callback(self._transfers.discard)
+        return None
+
+    async def _watch(
+        self, ticket: Ticket, request: MinionRequest, due: timedelta, leg: MonitorLeg
+    ) -> None:
+        """Carry a standing stream until it ends, is cut, or its owner changes."""
+        minion = ticket.minion
+
+        def may_send() -> bool:
+            return ticket.shard.may_send(self._clock.monotonic())
+
+        def is_wanted() -> bool:
+            return leg.is_wanted and not minion.leaving and not ticket.shard.released
+
+        timeout = due - self._clock.monotonic()
+        try:
+            sent = await self._client.watch(
+                minion.address, request, timeout, may_send, leg.take_chunk, is_wanted
+            )
+            if sent.is_error() and leg.is_wanted and not ticket.shard.released:
+                self._note_failure(ticket)
+            if sent.is_ok() and sent.ok.leaving:
+                minion.leaving = True
+                self._announce_leaving(minion.name)
+        finally:
+            leg.end()
+            # The minion may take a moment to notice that the stream was closed.
+            await self._clock.sleep(CLOSE_NOTICE)
+            self.drop(ticket)
+
     async def send(
         self,
         ticket: Ticket,
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -37,7 +37,7 @@
 from almondspread_daemon.shards.following import ResourceFollower
 from almondspread_daemon.shards.quotas import GrantKeeper
 from almondspread_daemon.shards.transfers import CellView, TransferKeeper
-from almondspread_daemon.shards.workers import WorkerLink
+from almondspread_daemon.shards.workers import ExchangePace, WorkerLink
 
 DECIDE_INTERVAL = timedelta(milliseconds=500)
 RECOVER_PAUSE = timedelta(milliseconds=500)
@@ -63,7 +63,7 @@
         list_workers: Callable[[str], list[Instance] | None],
         gateway: WorkerGateway,
         clock: Clock,
-        exchange_interval: timedelta,
+        pace: ExchangePace,
         view: CellView,
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
         make_name: Callable[[], str],
@@ -84,7 +84,7 @@
         self._view = view
         self._gateway = gateway
         self._clock = clock
-        self._exchange_interval = exchange_interval
+        self._pace = pace
         self._publish = publish
         self._gather_interval = gather_interval
         self._links: dict[str, WorkerLink] = {}
@@ -309,7 +309,7 @@
             self._leases,
             self._gateway,
             self._clock,
-            self._exchange_interval,
+            self._pace,
             self.ownership.authority,
             self.wake,
         )
--- a/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from attrs import evolve
+from attrs import define, evolve
 from loguru import logger
 
 from almondspread.clock import Clock
@@ -16,6 +16,14 @@
 FAILURES_BEFORE_UNREACHABLE = 3
 
 
+@define(frozen=True)
+class ExchangePace:
+    """How often a worker is exchanged with, while work waits for room and else."""
+
+    busy: timedelta
+    idle: timedelta
+
+
 class WorkerLink:
     """Carries a worker's run list to it and its report back.
 
@@ -30,7 +38,7 @@
         leases: WorkerLeases,
         gateway: WorkerGateway,
         clock: Clock,
-        interval: timedelta,
+        pace: ExchangePace,
         authority: Authority,
         wake_owner: Callable[[], None],
     ) -> None:
@@ -42,7 +50,7 @@
         self._leases = leases
         self._gateway = gateway
         self._clock = clock
-        self._interval = interval
+        self._pace = pace
         self._authority = authority
         self._wake_owner = wake_owner
         self._waker = Waker(clock)
@@ -66,7 +74,17 @@
             # A process that was paused may have lost the shard in the meantime.
             if self._authority.is_good(self._clock.monotonic()):
                 await self._exchange()
-            await self._waker.wait(self._interval)
+            await self._waker.wait(self._find_pause())
+
+    def _find_pause(self) -> timedelta:
+        """Return how long to wait for the next exchange, if nothing wakes it.
+
+        While work waits for room, or the worker does not answer, its reports are
+        wanted soon; else they only have to renew the leases in time.
+        """
+        if self._failures or not self.has_reported or self._scheduler.count_waiting():
+            return self._pace.busy
+        return self._pace.idle
 
     async def _exchange(self) -> None:
         """Carry out one exchange."""
@@ -91,19 +109,16 @@
         acknowledged = tuple(self._settled)
         message = self._scheduler.compose_exchange(self.worker, now, acknowledged)
         if not self._incarnation or self.unreachable:
-            return WorkerExchange(expires=message.expires)
+            return WorkerExchange(
+                incarnation=self._incarnation, expires=message.expires
+            )
         return evolve(message, incarnation=self._incarnation)
 
     def _take_report(self, message: WorkerExchange, report: WorkerReport) -> None:
         """Pass a report on to the scheduler."""
-        self._failures = 0
         self.has_reported = True
-        if self.unreachable:
-            logger.info("worker {} answers again", self.worker)
-            self.unreachable = False
-            self._waker.wake()
-            self._wake_owner()
         settled = self._scheduler.take_report(self.worker, report)
+        self._reported_ends = {end.attempt for end in report.ended}
         if report.incarnation != self._incarnation:
             # What the worker was told before says nothing to this start of it.
             self._incarnation = report.incarnation
@@ -111,16 +126,28 @@
             self._waker.wake()
             self._wake_owner()
         elif report.refused:
-            logger.warning("worker {} refuses: {}", self.worker, report.refused)
+            # Its clock is off: it starts and renews nothing, as if it were away.
+            self._note_failure(report.refused)
+            return
         else:
             self._settled.difference_update(message.acknowledged)
         self._settled.update(settled)
-        self._reported_ends = {end.attempt for end in report.ended}
+        self._note_answer()
         if report.ended or message.starts:
             self._wake_owner()
 
+    def _note_answer(self) -> None:
+        """Note that the worker does what it is asked."""
+        self._failures = 0
+        if not self.unreachable:
+            return
+        logger.info("worker {} answers again", self.worker)
+        self.unreachable = False
+        self._waker.wake()
+        self._wake_owner()
+
     def _note_failure(self, reason: str) -> None:
-        """Count an exchange without an answer."""
+        """Count an exchange without an answer, or one that was refused."""
         self._failures += 1
         if self._failures == FAILURES_BEFORE_UNREACHABLE:
             logger.warning("worker {} does not answer: {}", self.worker, reason)
--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -41,7 +41,8 @@
     """One request: ``address`` is ``IP:port``, ``path`` starts with a slash.
 
     ``may_send`` is asked last thing before the first byte goes out; where it denies,
-    the call fails as not sent.
+    the call fails as not sent. With ``take_chunk`` the body is handed over piece by
+    piece instead of as a whole, and the call ends soon after ``is_wanted`` denies.
     """
 
     method: str
@@ -51,6 +52,8 @@
     body: bytes | None = None
     headers: dict[str, str] = field(factory=dict)
     may_send: Callable[[], bool] = always_allow
+    take_chunk: Callable[[bytes], None] | None = None
+    is_wanted: Callable[[], bool] = always_allow
 
 
 def open_client(
@@ -82,6 +85,8 @@
         overall: int = 64,
         caller_domain: str = "",
     ) -> None:
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._client = client
         self._limits = ConnectionLimits(per_address, overall)
         self._caller_domain = caller_domain
@@ -141,6 +146,11 @@
             """Set what the client has no argument for."""
             curl.setopt(pycurl.PREREQFUNCTION, guard_handing_over)
             curl.setopt(pycurl.PROXY, "")
+            if call.take_chunk is not None:
+                curl.setopt(pycurl.NOPROGRESS, 0)
+                curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: not call.is_wanted())
+            else:
+                curl.setopt(pycurl.NOPROGRESS, 1)
 
         request = HTTPRequest(
             f"http://{call.address}{call.path}",
@@ -153,18 +163,37 @@
             decompress_response=False,
             allow_nonstandard_methods=True,
             prepare_curl_callback=prepare,
+            streaming_callback=call.take_chunk,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
         except (HTTPClientError, pycurl.error, OSError, ValueError) as error:
             reason = f"{call.method} {call.address}{call.path}: {error}"
             return Error(CallFault(reason, not_sent=times_handed_over == 0))
+        self.bytes_sent += _measure_request(request)
+        self.bytes_received += _measure_response(response)
         if not _has_known_length(response):
             reason = f"the answer of {call.address} does not tell its length"
             return Error(CallFault(reason, not_sent=False))
         return Ok(response)
 
 
+def _measure_request(request: HTTPRequest) -> int:
+    """Return how many bytes a request has, without what curl adds to it."""
+    size = len(request.url) + len(request.body or b"")
+    for name, value in request.headers.get_all():
+        size += len(name) + len(value) + len(": \r\n")
+    return size
+
+
+def _measure_response(response: HTTPResponse) -> int:
+    """Return how many bytes a response has in its headers and body."""
+    size = len(response.body or b"")
+    for name, value in response.headers.get_all():
+        size += len(name) + len(value) + len(": \r\n")
+    return size
+
+
 def _has_known_length(response: HTTPResponse) -> bool:
     """Tell whether a cut connection would have shown in the answer."""
     if response.code in STATUSES_WITHOUT_BODY:
--- a/packages/almondspread_standin/almondspread_standin/measures/recovery.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/recovery.py
@@ -8,7 +8,7 @@
 
 import msgpack
 
-from almondspread.clock import SystemClock
+from almondspread.clock import ManualClock, SystemClock
 from almondspread.interfaces import Condition, Instance, Write
 from almondspread.journal import Journal
 from almondspread.resources import Capacity
@@ -33,8 +33,10 @@
     """A shard whose tasks end and are followed by waiting ones, row after row."""
 
     def __init__(self, running: int, waiting: int, seed: int) -> None:
-        self.scheduler = Scheduler(ShardState(), LeaseTerms())
         self._random = random.Random(seed)
+        self.scheduler = Scheduler(
+            ShardState(), LeaseTerms(), ManualClock(), self._random
+        )
         capacity = TASK_SIZE.times(running // WORKERS)
         workers = []
         for number in range(WORKERS):
@@ -74,9 +76,9 @@
         ):
             attempt = self._random.choice(self.scheduler.state.list_attempts(worker))
             # An excused end lets the task wait again, so that the size stays.
-            self.scheduler.end_attempt(attempt, "stopped")
+            self.scheduler.decisions.end(attempt, "stopped")
         self.scheduler.place(PLACEMENTS_PER_ROW)
-        batch = self.scheduler.take_batch()
+        batch = self.scheduler.decisions.take_batch()
         return [EVENT_CODEC.encode(event) for event in batch]
 
 
@@ -128,7 +130,8 @@
         # The same history once more, with the snapshot that compaction leaves.
         cell.platform.service.table.rows.clear()
         journal = take_over(3)
-        await journal.commit(history_start())
+        # A row in place of those that the snapshot covers; it is never read.
+        await journal.commit([])
         await journal.write_snapshot(covered)
         for events in tail:
             await journal.commit(events)
@@ -144,8 +147,3 @@
         await caller.wait_idle()
         client.close()
         await cell.stop()
-
-
-def history_start() -> list[bytes]:
-    """Return the events of a row that the snapshot covers; they are never read."""
-    return []
--- a/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
@@ -22,6 +22,7 @@
     ScheduleShard,
     ShardKeeper,
 )
+from almondspread_daemon.shards.workers import ExchangePace
 from almondspread_standin.workers import Ledger, WorkerAgent
 
 SECOND = timedelta(seconds=1)
@@ -136,7 +137,7 @@
             lambda _: list(self.domain.listed.values()),
             self,
             self.clock,
-            0.5 * SECOND,
+            ExchangePace(0.5 * SECOND, 0.5 * SECOND),
             CellView(RoomBoard(self.domain.clock), CellCapacities, lambda _: None),
             lambda _, reports: self.published.append(reports),
             self.domain.make_batch,
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -113,7 +113,7 @@
     options = parse_arguments()
     # Tests of failures make the code log a great deal; only their verdicts count.
     logger.remove()
-    logging.lastResort = None
+    logging.getLogger().addHandler(logging.NullHandler())
     tests = collect_tests(options.package or PACKAGES, options.pattern)
     listed = read_known_red()
     suite = unittest.TestSuite(test for test in tests if test.id() not in listed)
