--- a/packages/almondspread/almondspread/journal/__init__.py
+++ b/packages/almondspread/almondspread/journal/__init__.py
@@ -1,7 +1,9 @@
 """The journal of one shard: the fence behind which its owner decides."""
 
 from almondspread.journal.journal import (
+    Beside,
     Journal,
+    Outdated,
     Recovery,
     Superseded,
     Undecodable,
@@ -10,8 +12,10 @@
 from almondspread.journal.rows import JournalRow, make_row_key
 
 __all__ = [
+    "Beside",
     "Journal",
     "JournalRow",
+    "Outdated",
     "Recovery",
     "Superseded",
     "Undecodable",
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/admission.py
@@ -0,0 +1,112 @@
+"""Which workloads the cell can never run, however long they wait."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from almondspread.errors import InvalidInput
+from almondspread.interfaces import Instance
+from almondspread.resources import Capacity, GangJob, Workload
+from almondspread.scheduling.overflow import count_fitting
+
+
+@define(frozen=True)
+class CellCapacities:
+    """What all workers that stay have when empty, for each scheduling shard."""
+
+    by_shard: dict[str, tuple[Capacity, ...]] = field(factory=dict)
+    distinct: frozenset[Capacity] = frozenset()
+
+    def count_gang_room(self, size: Capacity) -> int:
+        """Return how many tasks of a size the best shard holds when empty."""
+        most = 0
+        for capacities in self.by_shard.values():
+            most = max(most, count_fitting(size, capacities))
+        return most
+
+
+def gather_capacities(
+    workers: Mapping[str, Iterable[Instance]],
+) -> CellCapacities:
+    """Return the capacities of the listed workers of each shard that stay."""
+    by_shard = {}
+    distinct = set()
+    for shard, listed in workers.items():
+        capacities = []
+        for worker in listed:
+            if not worker.leaving:
+                capacities.append(worker.capacity)
+        by_shard[shard] = tuple(capacities)
+        distinct.update(capacities)
+    return CellCapacities(by_shard, frozenset(distinct))
+
+
+def explain_impossible(
+    resource: Workload, cell: CellCapacities, quota: Capacity | None
+) -> str:
+    """Return why a workload can never run, empty where it can.
+
+    While no worker of the cell is known nothing is ruled out. A gang runs in one
+    shard. ``quota`` is that of the workload's team, if it has one.
+
+    >>> from almondspread.resources import BatchJob, Metadata, TaskTemplate
+    >>> job = BatchJob(Metadata("render"), 4, TaskTemplate(9_000, 64))
+    >>> worker = Instance("w", "worker", "", "umea", capacity=Capacity(4_000, 8_192))
+    >>> explain_impossible(job, gather_capacities({"a": [worker]}), None)
+    'a task of 9000 cpu_millis fits no worker: the largest has 4000'
+    """
+    size = resource.template.size
+    if cell.distinct and not _fits_any(size, cell.distinct):
+        return _name_shortage(size, cell.distinct)
+    if cell.distinct and isinstance(resource, GangJob):
+        room = cell.count_gang_room(size)
+        if room < resource.tasks:
+            return (
+                f"{resource.tasks} tasks start together, and no shard holds {room + 1}"
+            )
+    if quota is None:
+        return ""
+    least = size
+    if isinstance(resource, GangJob):
+        least = size.times(resource.tasks)
+    if least.fits_in(quota):
+        return ""
+    what = "the gang" if isinstance(resource, GangJob) else "one task"
+    return f"{what} alone is over the quota of team {resource.metadata.team}"
+
+
+def _fits_any(size: Capacity, capacities: Collection[Capacity]) -> bool:
+    """Tell whether a size fits an empty worker."""
+    for capacity in capacities:
+        if size.fits_in(capacity):
+            return True
+    return False
+
+
+def _name_shortage(size: Capacity, capacities: Collection[Capacity]) -> str:
+    """Return which resource no worker has enough of, or that none has all."""
+    for name in ("cpu_millis", "memory_mib", "accelerators"):
+        asked = getattr(size, name)
+        largest = max(getattr(capacity, name) for capacity in capacities)
+        if asked > largest:
+            return f"a task of {asked} {name} fits no worker: the largest has {largest}"
+    return (
+        f"no worker has {size.cpu_millis} cpu_millis, {size.memory_mib} memory_mib "
+        f"and {size.accelerators} accelerators together"
+    )
+
+
+def admit_workload(
+    resource: Workload, cell: CellCapacities, quota: Capacity | None
+) -> Result[None, InvalidInput]:
+    """Accept a workload, or refuse one that can never run."""
+    reason = explain_impossible(resource, cell, quota)
+    if not reason:
+        return Ok(None)
+    return Error(
+        InvalidInput(
+            f"{resource.metadata.name} can never run: {reason}",
+            "declare a smaller size, or have a larger worker or quota first",
+        )
+    )
--- a/packages/almondspread/almondspread/scheduling/events.py
+++ b/packages/almondspread/almondspread/scheduling/events.py
@@ -68,6 +68,65 @@
     run_seconds: float = 0.0
     peak_memory_mib: int = 0
     checkpoint: str = ""
+    retry_at: float = 0.0
+
+
+@define(frozen=True)
+class AttemptEvicted:
+    """An attempt has to give up its place; ``mode`` is ``stop`` or ``checkpoint``."""
+
+    workload: str
+    index: int
+    number: int
+    mode: str
+
+
+@define(frozen=True)
+class TaskReplaced:
+    """A task of a service gets a replacement, which starts before the task stops."""
+
+    workload: str
+    index: int
+    replacement: int
+
+
+@define(frozen=True)
+class TaskRetired:
+    """A task is not wanted any more: its replacement runs, or it is not needed."""
+
+    workload: str
+    index: int
+
+
+@define(frozen=True)
+class MovedTask:
+    """A task without an attempt, as it goes from one shard to another."""
+
+    index: int
+    number: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    waiting_since: float = 0.0
+    retry_at: float = 0.0
+
+
+@define(frozen=True)
+class TasksSent:
+    """Tasks of a workload have left the shard; a transfer row holds them now."""
+
+    workload: str
+    indices: tuple[int, ...]
+
+
+@define(frozen=True)
+class TasksReceived:
+    """Tasks of a workload have come from a transfer row, which is gone since."""
+
+    workload: str
+    created_revision: int
+    document: bytes
+    since: float
+    tasks: tuple[MovedTask, ...]
 
 
 @define(frozen=True)
@@ -88,6 +147,11 @@
     | WorkloadForgotten
     | AttemptBound
     | AttemptEnded
+    | AttemptEvicted
+    | TaskReplaced
+    | TaskRetired
+    | TasksSent
+    | TasksReceived
     | ResourcesSeen
 )
 
@@ -99,6 +163,11 @@
         WorkloadForgotten,
         AttemptBound,
         AttemptEnded,
+        AttemptEvicted,
+        TaskReplaced,
+        TaskRetired,
+        TasksSent,
+        TasksReceived,
         ResourcesSeen,
     )
 )
--- /dev/null
+++ b/packages/almondspread/almondspread/scheduling/placing.py
@@ -0,0 +1,156 @@
+"""Carrying out a pass over the waiting work: binds, evictions, and reasons."""
+
+from datetime import datetime, timedelta
+
+from almondspread.placement import TaskRequest, Waiting, find_worker
+from almondspread.placement.values import POLICY_WAITING
+from almondspread.resources import Capacity
+from almondspread.resources.kinds import URGENT_PRIORITY
+from almondspread.scheduling.backlog import Backlog
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.policies.claims import Preemption
+from almondspread.scheduling.policies.passes import (
+    Deferral,
+    Eviction,
+    Placement,
+    decide_waiting,
+    explain_deferral,
+)
+from almondspread.scheduling.tasks import CHECKPOINT, STOP, parse_task
+
+# Holds run out by time, so while a gang waits a pass is due after so long.
+LONGEST_REST = timedelta(seconds=5)
+
+
+class Placer:
+    """Turns the decisions of a pass into events.
+
+    ``short_of_quota`` says whether the latest pass found a team at its limit. No pass
+    is made while nothing changed that could let a waiting task start, and one ends
+    once the room is used up.
+    """
+
+    def __init__(self, decisions: Decisions, backlog: Backlog) -> None:
+        self._deferrals: dict[str, Deferral] = {}
+        self.short_of_quota = False
+        self._decisions = decisions
+        self._backlog = backlog
+        self._stuck_at = -1
+        self._passed: datetime | None = None
+        self._least: Capacity | None = None
+        self._has_seen_all = False
+        self._has_gangs = False
+
+    def set_policy(self, policy: str) -> None:
+        """Place by a policy from now on."""
+        self._backlog.passing.policy = policy
+
+    def place(self, limit: int, now: datetime) -> bool:
+        """Bind about ``limit`` tasks; true where more may follow at once."""
+        added = self._backlog.follow()
+        openings = self._decisions.openings
+        rested = self._passed is not None and now - self._passed >= LONGEST_REST
+        rested = rested and self._has_gangs
+        if not added and self._stuck_at == openings and not rested:
+            return False
+        if not len(self._backlog):
+            self._stuck_at = openings
+            return False
+        if limit <= 0:
+            return True
+        self._passed = now
+        self._stuck_at = -1
+        self.short_of_quota = False
+        placed = 0
+        if added:
+            self._least = None
+            self._has_seen_all = self._has_gangs = False
+        may_stop = self._has_seen_all and not self._keeps_room()
+        looked_at = -1
+        for decision in decide_waiting(self._backlog.passing, now):
+            if isinstance(decision, Deferral):
+                self._note(decision)
+                if not may_stop or looked_at == placed:
+                    continue
+                looked_at = placed
+                if self._is_exhausted(decision):
+                    self._stuck_at = openings
+                    return False
+            elif isinstance(decision, Preemption):
+                self._evict(decision.victims.tasks)
+            elif isinstance(decision, Eviction):
+                self._evict(decision.tasks)
+            else:
+                placed += self._bind(decision)
+            if placed >= limit:
+                return True
+        self._stuck_at = openings
+        self._has_seen_all = True
+        return False
+
+    def _keeps_room(self) -> bool:
+        """Tell whether room is kept, or to be kept, for a gang or for urgent work."""
+        return self._has_gangs or len(self._backlog.passing.claims) > 0
+
+    def _is_exhausted(self, deferral: Deferral) -> bool:
+        """Tell whether no waiting work can find room any more.
+
+        The least of what waits in each resource is known from a pass to the end since
+        which nothing was added. Urgent work is looked at in any case, as it
+        preempts.
+        """
+        state = self._decisions.state.workloads[deferral.workload]
+        if self._least is None or state.resource.priority >= URGENT_PRIORITY:
+            return False
+        request = TaskRequest("", self._least)
+        return find_worker(self._decisions.cell, request, POLICY_WAITING) is None
+
+    def _note(self, deferral: Deferral) -> None:
+        """Remember why a workload waits; another cause than before is reported."""
+        known = self._deferrals.get(deferral.workload)
+        state = self._decisions.state.workloads[deferral.workload]
+        size = state.resource.template.size
+        self._least = size.take_smaller(self._least) if self._least else size
+        self._has_gangs = self._has_gangs or state.is_gang
+        self._deferrals[deferral.workload] = deferral
+        if deferral.limit:
+            self.short_of_quota = True
+        if known != deferral:
+            self._decisions.state.changed.add(deferral.workload)
+
+    def explain(self, workload: str) -> Waiting | None:
+        """Return why tasks of a workload wait as things are now, if they do."""
+        deferral = self._deferrals.get(workload)
+        if deferral is None:
+            return None
+        return explain_deferral(self._backlog.passing, deferral)
+
+    def is_short_of_room(self, workload: str) -> bool:
+        """Tell whether a workload found no room, rather than being over a quota."""
+        deferral = self._deferrals.get(workload)
+        return deferral is not None and not deferral.limit
+
+    def list_deferred(self) -> list[str]:
+        """Return the workloads that wait."""
+        return list(self._deferrals)
+
+    def _evict(self, tasks: tuple[str, ...]) -> None:
+        """Have running tasks give up their places."""
+        for name in tasks:
+            workload, index = parse_task(name)
+            state = self._decisions.state.workloads.get(workload)
+            task = state.tasks.get(index) if state else None
+            if state is None or task is None or task.attempt is None:
+                continue
+            can_save = state.resource.template.checkpointable
+            self._decisions.evict(task.attempt, CHECKPOINT if can_save else STOP)
+
+    def _bind(self, placements: tuple[Placement, ...]) -> int:
+        """Bind the tasks that were placed together; return how many."""
+        for placement in placements:
+            name, index = parse_task(placement.task)
+            state = self._decisions.state.workloads[name]
+            self._decisions.bind(state, state.tasks[index], placement.worker)
+            if self._deferrals and not self._backlog.has(name):
+                self._deferrals.pop(name, None)
+        return len(placements)
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -1,51 +1,49 @@
-"""Decisions of the owner of a scheduling shard.
+"""Decisions of the owner of a scheduling shard, one pass after another."""
 
-Every decision is an event. It is applied to the state at once, so that the next
-decision counts with it, but nothing is told to a worker before the journal has
-committed the batch that holds it.
-"""
+import random
+from typing import Any
 
-from datetime import timedelta
-
-from attrs import define
+from attrs import define, evolve
 
+from almondspread.clock import Clock
 from almondspread.interfaces import (
     AttemptEnd,
-    AttemptStart,
     Instance,
     WorkerExchange,
     WorkerReport,
 )
-from almondspread.placement import (
-    Cell,
-    TaskRequest,
-    Waiting,
-    choose_gang,
-    choose_worker,
-)
-from almondspread.placement.values import EXCLUSIONS
-from almondspread.resources import Service
+from almondspread.placement import Waiting
+from almondspread.scheduling.admission import CellCapacities, explain_impossible
+from almondspread.scheduling.backlog import Backlog
+from almondspread.scheduling.decisions import Decisions
+from almondspread.scheduling.demand import measure_needs
+from almondspread.scheduling.draining import Drainer
 from almondspread.scheduling.events import (
-    AttemptBound,
-    AttemptEnded,
-    Event,
+    TaskRetired,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
     WorkloadRemoved,
 )
+from almondspread.scheduling.exchanges import compose_exchange
+from almondspread.scheduling.failures import FailureBook, divide_allowance
+from almondspread.scheduling.grants import Need, TeamGrants
 from almondspread.scheduling.leases import LeaseTerms
+from almondspread.scheduling.messages import explain_waiting_work
+from almondspread.scheduling.placing import Placer
+from almondspread.scheduling.policies.backfill import HoldBook
+from almondspread.scheduling.policies.ordering import QueueEntry
+from almondspread.scheduling.rules import CellRules
 from almondspread.scheduling.shard import ShardState
 from almondspread.scheduling.tasks import (
-    WAITING,
     Attempt,
-    Task,
     WorkloadState,
     parse_attempt,
+    previous_index,
 )
+from almondspread.scheduling.usage import UsageBook
 
-START_EXPIRY = timedelta(seconds=10)
-MAX_STARTS_PER_EXCHANGE = 200
+MAX_TASKS_REMOVED_PER_PASS = 2_000
 
 
 @define(frozen=True)
@@ -59,206 +57,269 @@
 
 
 class Scheduler:
-    """Turns resources, reports of workers and free capacity into events."""
-
-    def __init__(self, state: ShardState, terms: LeaseTerms) -> None:
-        self.state = state
-        self.cell = Cell()
-        self.policy = "waiting"
-        self.reasons: dict[str, Waiting] = {}
+    """Turns resources, reports of workers and free capacity into events.
+
+    A pass costs what has changed since the last one, not what the shard holds.
+    """
+
+    def __init__(
+        self,
+        state: ShardState,
+        terms: LeaseTerms,
+        clock: Clock,
+        source: random.Random,
+        shard: str = "",
+    ) -> None:
+        self.decisions = Decisions(state, clock)
+        self.cell = self.decisions.cell
+        self._shard = shard
         self._terms = terms
-        self._pending: list[Event] = []
-        self._known_workers: set[str] = set()
-        self._exclusions: dict[str, set[str]] = {}
+        self._clock = clock
+        self._backlog = Backlog(self.decisions)
+        self.placer = Placer(self.decisions, self._backlog)
+        self._drainer = Drainer(self.decisions)
+        self.grants: TeamGrants | None = None
+        self._failures = FailureBook(self.decisions, source)
+        self._usage = UsageBook(self.decisions, self._failures)
+        self._drained: frozenset[str] = frozenset()
+        self._leaving: set[str] = set()
+        self._capacities = CellCapacities()
+        self._rules = CellRules()
+
+    @property
+    def state(self) -> ShardState:
+        """The shard's state with all that is decided."""
+        return self.decisions.state
+
+    def explain(self, workload: str) -> Waiting | None:
+        """Return why tasks of a workload wait for a worker, if they do."""
+        return self.placer.explain(workload)
+
+    @property
+    def holds(self) -> HoldBook:
+        """The room that is kept for gangs; for reading only."""
+        return self._backlog.passing.holds
+
+    def adopt(self, state: ShardState) -> None:
+        """Go on from a recovered state, before any worker is known."""
+        self.decisions.adopt(state)
 
     def set_workers(self, workers: list[Instance]) -> None:
         """Take in the platform's list of the shard's workers."""
         listed = set()
         for worker in workers:
             listed.add(worker.name)
-            if worker.name not in self._known_workers:
-                self._add_worker(worker)
-            self.set_exclusion(worker.name, "leaving", worker.leaving)
-        for name in self._known_workers - listed:
-            self.set_exclusion(name, "leaving", True)
+            self._take_worker(worker)
+        if len(listed) < len(self.cell):
+            self._leave_unlisted(listed)
+
+    def _take_worker(self, worker: Instance) -> None:
+        """Take in one line of the list."""
+        name = worker.name
+        known = self.cell.has_worker(name)
+        resized = known and self.cell.worker(name).capacity != worker.capacity
+        if resized and not self.state.list_attempts(name):
+            self.decisions.remove_worker(name)
+            known = resized = False
+        if not known:
+            self.decisions.add_worker(worker)
+            self.set_exclusion(name, "draining", name in self._drained)
+        # A worker of another capacity is emptied before it counts with that.
+        leaving = worker.leaving or resized or name in self._leaving
+        self.set_exclusion(name, "leaving", leaving)
+
+    def _leave_unlisted(self, listed: set[str]) -> None:
+        """Empty the workers that the list no longer has, and forget empty ones."""
+        for known in list(self.cell.iterate_workers()):
+            if known.name in listed:
+                continue
+            if self.state.list_attempts(known.name):
+                self.set_exclusion(known.name, "leaving", True)
+                continue
+            self.decisions.remove_worker(known.name)
+            self._failures.forget_worker(known.name)
+            self._leaving.discard(known.name)
+
+    def set_rules(self, rules: CellRules) -> None:
+        """Go by what operators have set for the cell."""
+        self.placer.set_policy(rules.policy)
+        self._drained = rules.drained
+        if rules.teams != self._rules.teams:
+            self._report_waiting()
+        self._rules = rules
+        if self.grants is not None:
+            self.grants.set_rules(rules.teams)
+        for worker in self.cell.iterate_workers():
+            self.set_exclusion(worker.name, "draining", worker.name in rules.drained)
+
+    def measure_needs(self) -> dict[str, Need]:
+        """Return which grants of quota would help the waiting work."""
+        return measure_needs(self.decisions, self._backlog)
+
+    def count_waiting(self) -> int:
+        """Return how many tasks wait for a worker."""
+        return len(self._backlog)
+
+    def list_blocked(self) -> list[tuple[QueueEntry, WorkloadState]]:
+        """Return the waiting workloads that found no room, not those over a quota."""
+        blocked = []
+        for entry in self._backlog.list_entries():
+            if self.placer.is_short_of_room(entry.workload.name):
+                state = self.state.workloads[entry.workload.name]
+                blocked.append((entry, state))
+        return blocked
+
+    def set_capacities(self, capacities: CellCapacities) -> None:
+        """Note which capacities the workers of the whole cell have."""
+        if capacities != self._capacities:
+            self._capacities = capacities
+            self._report_waiting()
+
+    def _report_waiting(self) -> None:
+        """Have all waiting workloads reported anew: some may be impossible now."""
+        self.state.changed.update(self.placer.list_deferred())
+
+    def describe_workload(self, state: WorkloadState) -> dict[str, Any]:
+        """Return the status document that the shard reports of a workload."""
+        report = state.report()
+        impossible = ""
+        if state.ready:
+            team = self._rules.teams.get(state.team)
+            quota = team.quota if team else None
+            impossible = explain_impossible(state.resource, self._capacities, quota)
+        waiting = self.placer.explain(state.workload)
+        report["impossible"] = bool(impossible)
+        report["message"] = explain_waiting_work(state, waiting, impossible)
+        return report
+
+    def review_workers(self) -> None:
+        """Quarantine workers that fail what others run, or let them out."""
+        counts = {}
+        for shard, capacities in self._capacities.by_shard.items():
+            counts[shard] = len(capacities)
+        allowed = divide_allowance(counts, self._rules.quarantine_share, self._shard)
+        self._failures.review(allowed, self._clock.now())
+
+    def move_drained(self) -> None:
+        """Decide the next moves off the workers that are drained or leave."""
+        self._drainer.move(self._clock.now())
 
     def set_exclusion(self, worker: str, reason: str, applies: bool) -> None:
         """Keep new tasks off a worker for a reason, or lift that reason."""
-        if worker not in self._known_workers:
-            return
-        reasons = self._exclusions.setdefault(worker, set())
-        if applies == (reason in reasons):
-            return
-        if applies:
-            reasons.add(reason)
-        else:
-            reasons.discard(reason)
-        for known in EXCLUSIONS:
-            if known in reasons:
-                self.cell.exclude(worker, known)
-                return
-        self.cell.include(worker)
-
-    def _add_worker(self, worker: Instance) -> None:
-        """Add a worker with what is bound to it already."""
-        self._known_workers.add(worker.name)
-        self.cell.add_worker(
-            worker.name, worker.failure_domain, worker.rack, worker.capacity
-        )
-        for attempt in self.state.list_attempts(worker.name):
-            self.cell.commit(worker.name, attempt.workload, attempt.size)
+        self.decisions.set_exclusion(worker, reason, applies)
 
     def reconcile(self, desired: list[DesiredWorkload], now: float) -> None:
         """Decide what changes so that the shard has just the desired workloads."""
-        wanted = {item.workload: item for item in desired}
-        for workload, state in list(self.state.workloads.items()):
+        wanted = {item.workload for item in desired}
+        for workload, state in self.state.workloads.items():
             if workload not in wanted and not state.removed:
-                self._decide(WorkloadRemoved(workload))
+                self.cancel(workload)
         for item in desired:
-            known = self.state.workloads.get(item.workload)
-            if known is None:
-                self._decide(
-                    WorkloadAdded(
-                        item.workload,
-                        item.created_revision,
-                        item.document,
-                        item.indices,
-                        now,
-                    )
-                )
-                continue
-            if known.document != item.document:
-                self._decide(
-                    WorkloadChanged(item.workload, item.document, item.indices)
+            self.declare(item, now)
+
+    def declare(self, item: DesiredWorkload, now: float) -> None:
+        """Take on a workload, or another declaration of one that is known."""
+        known = self.state.workloads.get(item.workload)
+        if known is None:
+            self.decisions.decide(
+                WorkloadAdded(
+                    item.workload,
+                    item.created_revision,
+                    item.document,
+                    item.indices,
+                    now,
                 )
-        self._forget_removed()
-
-    def _forget_removed(self) -> None:
-        """Forget removed workloads that have no attempt left."""
-        for workload, state in list(self.state.workloads.items()):
-            if not state.removed:
-                continue
-            if any(task.attempt is not None for task in state.tasks.values()):
-                continue
-            self._decide(WorkloadForgotten(workload))
-
-    def place(self, limit: int) -> None:
-        """Bind waiting tasks to workers, at most about ``limit`` of them."""
-        self.reasons = {}
-        placed = 0
-        for state in self._order_workloads():
-            if placed >= limit:
-                return
-            if state.is_gang:
-                placed += self._place_gang(state)
-                continue
-            placed += self._place_tasks(state, limit - placed)
+            )
+            return
+        if known.document != item.document:
+            self.decisions.decide(
+                WorkloadChanged(item.workload, item.document, item.indices)
+            )
 
-    def _order_workloads(self) -> list[WorkloadState]:
-        """Return the workloads with waiting tasks, the most urgent first."""
-        waiting = []
-        for state in self.state.workloads.values():
-            if state.removed:
-                continue
-            if any(task.phase == WAITING for task in state.tasks.values()):
-                waiting.append(state)
-        waiting.sort(key=lambda state: (-state.resource.priority, state.since))
-        return waiting
-
-    def _place_tasks(self, state: WorkloadState, limit: int) -> int:
-        """Bind tasks one by one until one finds no worker."""
-        placed = 0
-        for task in list(state.tasks.values()):
-            if task.phase != WAITING or placed >= limit:
-                continue
-            chosen = choose_worker(self.cell, self._request(state), self.policy)
-            if chosen.is_error():
-                self.reasons[state.workload] = chosen.error
-                break
-            self._bind(state, task, chosen.ok)
-            placed += 1
-        return placed
-
-    def _place_gang(self, state: WorkloadState) -> int:
-        """Bind all tasks of a gang, or none."""
-        waiting = [task for task in state.tasks.values() if task.phase == WAITING]
-        if len(waiting) < len(state.tasks):
-            return 0
-        requests = [self._request(state)] * len(waiting)
-        chosen = choose_gang(self.cell, requests, self.policy)
-        if chosen.is_error():
-            self.reasons[state.workload] = chosen.error
-            return 0
-        for task, worker in zip(waiting, chosen.ok, strict=True):
-            self._bind(state, task, worker)
-        return len(waiting)
-
-    def _request(self, state: WorkloadState) -> TaskRequest:
-        """Return what placing one task of a workload asks for."""
-        resource = state.resource
-        spread = resource.spread if isinstance(resource, Service) else "none"
-        return TaskRequest(state.workload, resource.template.size, spread)
-
-    def _bind(self, state: WorkloadState, task: Task, worker: str) -> None:
-        """Bind the next attempt of a task to a worker."""
-        size = state.resource.template.size
-        self._decide(
-            AttemptBound(
-                state.workload,
-                task.index,
-                task.number + 1,
-                worker,
-                size.cpu_millis,
-                size.memory_mib,
-                size.accelerators,
+    def cancel(self, workload: str) -> None:
+        """Have a workload removed; the removal itself is decided by a later pass."""
+        state = self.state.workloads.get(workload)
+        if state is not None and not state.removed:
+            self._backlog.cancel(workload)
+
+    def remove_cancelled(self, limit: int = MAX_TASKS_REMOVED_PER_PASS) -> bool:
+        """Decide removals of about ``limit`` tasks; true where some are left."""
+        cancelled = self._backlog.cancelled
+        count = 0
+        while cancelled and count < limit:
+            workload = next(iter(cancelled))
+            del cancelled[workload]
+            count += 1 + len(self.state.workloads[workload].tasks)
+            self.decisions.decide(WorkloadRemoved(workload))
+        while self.state.ended_removed and count < limit:
+            count += 1
+            self.decisions.decide(
+                WorkloadForgotten(next(iter(self.state.ended_removed)))
             )
-        )
-        self.cell.commit(worker, state.workload, size)
-        attempt = self.state.workloads[state.workload].tasks[task.index].attempt
-        if attempt is not None:
-            attempt.committed = False
+        return bool(cancelled or self.state.ended_removed)
+
+    def place(self, limit: int) -> bool:
+        """Bind about ``limit`` waiting tasks; true where more may follow at once."""
+        now = self._clock.now()
+        self.state.release_delayed(now.timestamp())
+        return self.placer.place(limit, now)
 
     def take_report(self, worker: str, report: WorkerReport) -> list[str]:
         """Take in a worker's report; return the ends that need no further record."""
+        if report.leaving != (worker in self._leaving):
+            self._note_leaving(worker, report.leaving)
+        known = {}
         for usage in report.running:
             attempt = self._find(usage.attempt)
-            if attempt is None or attempt.acknowledged:
+            if attempt is None:
                 continue
-            attempt.acknowledged = True
-            self.state.changed.add(attempt.workload)
+            known[usage.attempt] = attempt
+            if not attempt.acknowledged:
+                self._acknowledge(attempt)
+        self._usage.take(worker, report, known, self._clock.now())
         settled = []
         for end in report.ended:
             if not self._record_end(worker, end):
                 settled.append(end.attempt)
         return settled
 
+    def _note_leaving(self, worker: str, leaving: bool) -> None:
+        """Note that a worker itself says whether it leaves."""
+        if leaving:
+            self._leaving.add(worker)
+            self.set_exclusion(worker, "leaving", True)
+        else:
+            self._leaving.discard(worker)
+
+    def _acknowledge(self, attempt: Attempt) -> None:
+        """Note that a worker runs an attempt."""
+        state = self.state.workloads[attempt.workload]
+        task = state.tasks[attempt.index]
+        state.acknowledge(task, attempt)
+        self._failures.note_start(state, attempt)
+        self.state.changed.add(attempt.workload)
+        replaced = previous_index(attempt.index)
+        if task.standby and replaced in state.tasks:
+            self.decisions.decide(TaskRetired(attempt.workload, replaced))
+
     def _record_end(self, worker: str, end: AttemptEnd) -> bool:
         """Decide that an attempt has ended; false where that was known."""
         attempt = self._find(end.attempt)
         if attempt is None or attempt.worker != worker:
             return False
-        self.end_attempt(attempt, end.outcome, end)
+        cause = self._usage.forget(attempt.name)
+        if cause and end.outcome == "stopped":
+            # It had to end for what it did itself, so that counts as a failure.
+            end = evolve(end, outcome="failed", reason=cause)
+        state = self.state.workloads[attempt.workload]
+        retry_at = self._failures.note_end(state, attempt, end, self._clock.now())
+        self.decisions.end(attempt, end.outcome, end, retry_at)
         return True
 
-    def end_attempt(
-        self, attempt: Attempt, outcome: str, end: AttemptEnd | None = None
-    ) -> None:
-        """Decide that an attempt has ended and free what it held."""
-        event = AttemptEnded(attempt.workload, attempt.index, attempt.number, outcome)
-        if end is not None:
-            event = AttemptEnded(
-                attempt.workload,
-                attempt.index,
-                attempt.number,
-                outcome,
-                end.reason,
-                end.run_seconds,
-                end.peak_memory_mib,
-                end.checkpoint,
-            )
-        self._decide(event)
-        if attempt.worker in self._known_workers:
-            self.cell.release(attempt.worker, attempt.workload, attempt.size)
+    def end_lapsed(self, attempt: Attempt) -> None:
+        """Decide that an attempt has ended because its lease has surely lapsed."""
+        self._usage.forget(attempt.name)
+        self.decisions.end(attempt, "lapsed")
 
     def _find(self, name: str) -> Attempt | None:
         """Return the attempt that a worker names, unless it is not known."""
@@ -267,67 +328,10 @@
         except ValueError:
             return None
 
-    def _decide(self, event: Event) -> None:
-        """Apply an event and keep it for the journal."""
-        self.state.apply(event)
-        self._pending.append(event)
-
-    @property
-    def has_pending(self) -> bool:
-        """Whether events are decided that the journal does not hold yet."""
-        return bool(self._pending)
-
-    def take_batch(self) -> list[Event]:
-        """Return the events to commit next."""
-        batch = self._pending
-        self._pending = []
-        return batch
-
-    def mark_committed(self, batch: list[Event]) -> None:
-        """Allow the attempts that a committed batch bound to be started."""
-        for event in batch:
-            if not isinstance(event, AttemptBound):
-                continue
-            attempt = self.state.find_attempt(event.workload, event.index, event.number)
-            if attempt is not None:
-                attempt.committed = True
-
     def compose_exchange(
         self, worker: str, now: float, acknowledged: tuple[str, ...]
     ) -> WorkerExchange:
         """Return what to tell a worker now; ``now`` is UTC seconds."""
-        starts: list[AttemptStart] = []
-        renewals: list[str] = []
-        stops: list[str] = []
-        for attempt in self.state.list_attempts(worker):
-            if not attempt.committed:
-                continue
-            if attempt.unwanted:
-                stops.append(attempt.name)
-                continue
-            if attempt.acknowledged:
-                renewals.append(attempt.name)
-                continue
-            if len(starts) < MAX_STARTS_PER_EXCHANGE:
-                starts.append(self._compose_start(attempt, now))
-        return WorkerExchange(
-            starts=tuple(starts),
-            renewals=tuple(renewals),
-            lease_seconds=self._terms.length.total_seconds(),
-            stops=tuple(stops),
-            acknowledged=acknowledged,
-            expires=now + self._terms.delivery.total_seconds(),
-        )
-
-    def _compose_start(self, attempt: Attempt, now: float) -> AttemptStart:
-        """Return the start of an attempt."""
-        state = self.state.workloads[attempt.workload]
-        return AttemptStart(
-            attempt=attempt.name,
-            size=attempt.size,
-            command=state.resource.template.command,
-            lease_seconds=self._terms.length.total_seconds(),
-            start_before=now + START_EXPIRY.total_seconds(),
-            restart=isinstance(state.resource, Service),
-            checkpoint=state.tasks[attempt.index].checkpoint,
+        return compose_exchange(
+            self.state, self._terms, worker, now, acknowledged, self._usage.throttled
         )
--- a/packages/almondspread/almondspread/scheduling/shard.py
+++ b/packages/almondspread/almondspread/scheduling/shard.py
@@ -1,20 +1,34 @@
 """The state of a scheduling shard: what its journal adds up to."""
 
+from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 import msgpack
+from sortedcontainers import SortedSet
 
-from almondspread.resources import Capacity, Workload, parse_resource
+from almondspread.resources import Capacity
 from almondspread.scheduling.events import (
     AttemptBound,
     AttemptEnded,
+    AttemptEvicted,
     Event,
+    MovedTask,
     ResourcesSeen,
+    TaskReplaced,
+    TaskRetired,
+    TasksReceived,
+    TasksSent,
     WorkloadAdded,
     WorkloadChanged,
     WorkloadForgotten,
     WorkloadRemoved,
 )
+from almondspread.scheduling.snapshots import (
+    decode_workload,
+    encode_workload,
+    load_workload,
+)
 from almondspread.scheduling.tasks import (
     BOUND,
     EXCUSED_OUTCOMES,
@@ -24,43 +38,74 @@
     Attempt,
     Task,
     WorkloadState,
+    find_replica,
     name_attempt,
+    previous_index,
 )
 
+# A replica that ran so long starts again without counting its earlier failures.
+HEALTHY_RUN = timedelta(minutes=10)
+
 
 class ShardState:
     """Workloads, tasks and the run list of each worker.
 
     ``run_lists`` holds for each worker the attempts bound to it and not known to
     have ended, in the order in which they were bound. ``revision`` is the latest of
-    the resources that an owner has followed.
+    the resources that an owner has followed. ``changed`` names the workloads that
+    changed since the last report; ``touched`` those that changed as a whole, and
+    ``touched_tasks`` single tasks that changed, since the queue was last brought in
+    step. ``ended_removed`` names removed workloads without an attempt, ``delayed`` the
+    tasks that wait for their next try, in the order of time.
     """
 
     def __init__(self) -> None:
         self.workloads: dict[str, WorkloadState] = {}
         self.run_lists: dict[str, dict[str, Attempt]] = {}
         self.changed: set[str] = set()
+        self.touched: set[str] = set()
+        self.touched_tasks: set[tuple[str, int]] = set()
+        self.ended_removed: set[str] = set()
+        self.delayed: SortedSet[tuple[float, str, int]] = SortedSet()
         self.revision = 0
+        self._steps: dict[type, Callable[[Any], None]] = {
+            WorkloadAdded: self._add,
+            WorkloadChanged: self._change,
+            WorkloadRemoved: self._remove,
+            WorkloadForgotten: self._forget,
+            AttemptBound: self._bind,
+            AttemptEnded: self._end,
+            AttemptEvicted: self._evict,
+            TaskReplaced: self._replace,
+            TaskRetired: self._retire,
+            TasksSent: self._send,
+            TasksReceived: self._receive,
+        }
 
     def apply(self, event: Event) -> None:
         """Advance by one event; raises ``ValueError`` for one that cannot follow."""
-        if isinstance(event, AttemptBound):
-            self._bind(event)
-        elif isinstance(event, AttemptEnded):
-            self._end(event)
-        elif isinstance(event, WorkloadAdded):
-            self._add(event)
-        elif isinstance(event, WorkloadChanged):
-            self._change(event)
-        elif isinstance(event, WorkloadRemoved):
-            self._remove(event)
-        elif isinstance(event, WorkloadForgotten):
-            self._forget(event)
-            return
-        elif isinstance(event, ResourcesSeen):
+        if isinstance(event, ResourcesSeen):
             self.revision = max(self.revision, event.revision)
             return
+        self._steps[type(event)](event)
+        if isinstance(event, WorkloadForgotten):
+            return
         self.changed.add(event.workload)
+        if isinstance(event, AttemptBound | AttemptEnded | AttemptEvicted):
+            self.touched_tasks.add((event.workload, event.index))
+        else:
+            self.touched.add(event.workload)
+
+    def release_delayed(self, now: float) -> None:
+        """Let the tasks be placed whose next try is due."""
+        while self.delayed and self.delayed[0][0] <= now:
+            _, workload, index = self.delayed.pop(0)
+            state = self.workloads.get(workload)
+            task = state.tasks.get(index) if state else None
+            if state is None or task is None or task.retry_at > now:
+                continue
+            state.make_ready(task)
+            self.touched_tasks.add((workload, index))
 
     def find_attempt(self, workload: str, index: int, number: int) -> Attempt | None:
         """Return an attempt that is not known to have ended."""
@@ -79,7 +124,7 @@
         """Take on tasks of a workload."""
         if event.workload in self.workloads:
             raise ValueError(f"{event.workload} is taken on twice")
-        kind, resource = _load_workload(event.document)
+        kind, resource = load_workload(event.document)
         state = WorkloadState(
             workload=event.workload,
             created_revision=event.created_revision,
@@ -90,44 +135,142 @@
             since=event.since,
         )
         for index in event.indices:
-            state.tasks[index] = Task(index, waiting_since=event.since)
+            state.add_task(Task(index, waiting_since=event.since))
         self.workloads[event.workload] = state
 
     def _change(self, event: WorkloadChanged) -> None:
         """Take on another declaration; attempts that run keep their size."""
         state = self.workloads[event.workload]
-        _, state.resource = _load_workload(event.document)
+        _, state.resource = load_workload(event.document)
         state.document = event.document
-        wanted = set(event.indices)
+        wanted = set()
+        for index in state.guests.union(event.indices):
+            if index < state.resource.task_count and index not in state.away:
+                wanted.add(index)
         for index, task in list(state.tasks.items()):
-            task.wanted = index in wanted
-            if task.attempt is not None:
-                task.attempt.unwanted = not task.wanted
-            elif not task.wanted:
-                del state.tasks[index]
+            self._want(state, task, find_replica(index) in wanted)
+        kept = {find_replica(index) for index in state.tasks}
+        for index in sorted(wanted - kept):
+            state.add_task(Task(index, waiting_since=state.since))
+
+    def _send(self, event: TasksSent) -> None:
+        """Give up tasks that have no attempt."""
+        state = self.workloads[event.workload]
         for index in event.indices:
-            if index not in state.tasks:
-                state.tasks[index] = Task(index, waiting_since=state.since)
+            if state.tasks[index].attempt is not None:
+                raise ValueError(f"{event.workload}#{index} is sent while it runs")
+            state.drop_task(index)
+            replica = find_replica(index)
+            if replica in state.guests:
+                state.guests.discard(replica)
+            else:
+                state.away.add(replica)
+
+    def _receive(self, event: TasksReceived) -> None:
+        """Take over tasks from another shard."""
+        state = self.workloads.get(event.workload)
+        if state is None:
+            self._add(
+                WorkloadAdded(
+                    event.workload,
+                    event.created_revision,
+                    event.document,
+                    (),
+                    event.since,
+                )
+            )
+            state = self.workloads[event.workload]
+        for moved in event.tasks:
+            replica = find_replica(moved.index)
+            if replica in state.away:
+                state.away.discard(replica)
+            else:
+                state.guests.add(replica)
+            if state.removed or replica >= state.resource.task_count:
+                continue
+            self._restore(state, moved)
+
+    def _restore(self, state: WorkloadState, moved: MovedTask) -> None:
+        """Go on with a task that was moved here."""
+        state.add_task(
+            Task(
+                moved.index,
+                number=moved.number,
+                failures=moved.failures,
+                checkpoint=moved.checkpoint,
+                waiting_since=moved.waiting_since,
+                retry_at=moved.retry_at,
+            )
+        )
+        if moved.retry_at:
+            self.delayed.add((moved.retry_at, state.workload, moved.index))
+
+    def _want(self, state: WorkloadState, task: Task, wanted: bool) -> None:
+        """Keep a task, or have it stop and be forgotten."""
+        if not wanted and task.attempt is None:
+            state.drop_task(task.index)
+            return
+        state.change_task(task, wanted=wanted)
+        if task.attempt is not None:
+            task.attempt.unwanted = not wanted
 
     def _remove(self, event: WorkloadRemoved) -> None:
         """Have all attempts of a workload stop."""
         state = self.workloads[event.workload]
         state.removed = True
         for task in state.tasks.values():
-            task.wanted = False
+            state.change_task(task, wanted=False)
             if task.attempt is not None:
                 task.attempt.unwanted = True
+        self.note_removed(state)
+
+    def note_removed(self, state: WorkloadState) -> None:
+        """Note that a removed workload can be forgotten once nothing runs."""
+        if state.removed and not state.attempts:
+            self.ended_removed.add(state.workload)
+
+    def _evict(self, event: AttemptEvicted) -> None:
+        """Have an attempt give up its place."""
+        attempt = self.find_attempt(event.workload, event.index, event.number)
+        if attempt is not None:
+            attempt.eviction = event.mode
+
+    def _replace(self, event: TaskReplaced) -> None:
+        """Add the task that is to take over from another."""
+        state = self.workloads[event.workload]
+        state.tasks[event.index].replacement = event.replacement
+        state.add_task(Task(event.replacement, waiting_since=state.since, standby=True))
+
+    def _retire(self, event: TaskRetired) -> None:
+        """Have a task stop; its replacement, if it has one, stands in for it."""
+        state = self.workloads[event.workload]
+        task = state.tasks[event.index]
+        self._promote(state, task)
+        replaced = state.tasks.get(previous_index(event.index))
+        if replaced is not None:
+            replaced.replacement = -1
+        self._want(state, task, False)
+
+    def _promote(self, state: WorkloadState, task: Task) -> bool:
+        """Let the replacement of a task stand in for it; false without one."""
+        replacement = state.tasks.get(task.replacement)
+        if replacement is None:
+            return False
+        task.replacement = -1
+        state.change_task(replacement, standby=False)
+        return True
 
     def _forget(self, event: WorkloadForgotten) -> None:
         """Forget a workload that has no attempt left."""
-        for task in self.workloads[event.workload].tasks.values():
-            if task.attempt is not None:
-                raise ValueError(f"{event.workload} is forgotten while it runs")
+        if self.workloads[event.workload].attempts:
+            raise ValueError(f"{event.workload} is forgotten while it runs")
         del self.workloads[event.workload]
+        self.ended_removed.discard(event.workload)
 
     def _bind(self, event: AttemptBound) -> None:
         """Put an attempt at the end of its worker's run list."""
-        task = self.workloads[event.workload].tasks[event.index]
+        state = self.workloads[event.workload]
+        task = state.tasks[event.index]
         if task.attempt is not None or event.number != task.number + 1:
             raise ValueError(
                 f"attempt {event.number} of {event.workload}#{event.index} bound "
@@ -141,9 +284,7 @@
             worker=event.worker,
             size=Capacity(event.cpu_millis, event.memory_mib, event.accelerators),
         )
-        task.number = event.number
-        task.phase = BOUND
-        task.attempt = attempt
+        state.change_task(task, number=event.number, phase=BOUND, attempt=attempt)
         self.run_lists.setdefault(event.worker, {})[attempt.name] = attempt
 
     def _end(self, event: AttemptEnded) -> None:
@@ -159,24 +300,52 @@
             del self.run_lists[attempt.worker]
         state = self.workloads[event.workload]
         task = state.tasks[event.index]
-        task.attempt = None
-        task.checkpoint = event.checkpoint or task.checkpoint
-        task.phase = self._settle(state, task, event.outcome)
+        replaced = self._promote(state, task)
+        state.change_task(
+            task,
+            attempt=None,
+            checkpoint=event.checkpoint or task.checkpoint,
+            phase=self._settle(state, task, event),
+            retry_at=event.retry_at,
+            wanted=task.wanted and not replaced,
+        )
+        if self._is_given_up(state):
+            self._give_up_gang(state)
+        if event.retry_at and task.wanted and task.phase == WAITING:
+            self.delayed.add((event.retry_at, event.workload, event.index))
         if not task.wanted and not state.removed:
-            del state.tasks[event.index]
+            state.drop_task(event.index)
+        self.note_removed(state)
 
-    def _settle(self, state: WorkloadState, task: Task, outcome: str) -> str:
+    def _settle(self, state: WorkloadState, task: Task, event: AttemptEnded) -> str:
         """Return the phase of a task whose attempt ended."""
-        if state.is_service or outcome in EXCUSED_OUTCOMES:
-            return WAITING
-        if outcome == "finished":
+        if event.outcome in EXCUSED_OUTCOMES:
+            return FAILED if self._is_given_up(state) else WAITING
+        if event.outcome == "finished" and not state.is_service:
             return FINISHED
+        if state.is_service:
+            if event.run_seconds >= HEALTHY_RUN.total_seconds():
+                task.failures = 0
+            task.failures += 1
+            return WAITING
         task.failures += 1
-        return FAILED if task.failures >= state.allowed_attempts else WAITING
+        if task.failures >= state.allowed_attempts or self._is_given_up(state):
+            return FAILED
+        return WAITING
+
+    def _is_given_up(self, state: WorkloadState) -> bool:
+        """Tell whether a gang has lost a task for good."""
+        return state.is_gang and state.counts[FAILED] > 0
+
+    def _give_up_gang(self, state: WorkloadState) -> None:
+        """Let no waiting task of a gang start that has lost one for good."""
+        for task in list(state.tasks.values()):
+            if task.phase == WAITING:
+                state.change_task(task, phase=FAILED)
 
     def encode(self) -> bytes:
         """Return a snapshot of the state."""
-        workloads = [_encode_workload(state) for state in self.workloads.values()]
+        workloads = [encode_workload(state) for state in self.workloads.values()]
         order = [list(run_list) for run_list in self.run_lists.values()]
         return bytes(msgpack.packb([workloads, order, self.revision]))
 
@@ -189,7 +358,7 @@
             state.revision = revision
             attempts: dict[str, Attempt] = {}
             for plain in workloads:
-                workload = _decode_workload(plain, attempts)
+                workload = decode_workload(plain, attempts)
                 state.workloads[workload.workload] = workload
             for names in order:
                 for name in names:
@@ -199,74 +368,9 @@
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise ValueError(f"not a snapshot of a shard: {error!r}") from error
         state.changed = set(state.workloads)
+        state.touched = set(state.workloads)
+        for workload in state.workloads.values():
+            state.note_removed(workload)
+            for task in workload.delayed.values():
+                state.delayed.add((task.retry_at, workload.workload, task.index))
         return state
-
-
-def _load_workload(document: bytes) -> tuple[str, Workload]:
-    """Return the kind and resource that a journal's document declares."""
-    parsed = parse_resource(msgpack.unpackb(document))
-    if parsed.is_error():
-        raise ValueError(parsed.error.message)
-    kind, resource = parsed.ok
-    if not isinstance(resource, Workload):
-        raise ValueError(f"a {kind} is not a workload")
-    return kind, resource
-
-
-def _encode_workload(state: WorkloadState) -> list[Any]:
-    """Return a workload as plain values."""
-    tasks = []
-    for task in state.tasks.values():
-        attempt = None
-        if task.attempt is not None:
-            size = task.attempt.size
-            amounts = [size.cpu_millis, size.memory_mib, size.accelerators]
-            attempt = [task.attempt.worker, amounts, task.attempt.acknowledged]
-        tasks.append(
-            [
-                task.index,
-                task.phase,
-                task.number,
-                task.failures,
-                task.wanted,
-                task.checkpoint,
-                task.waiting_since,
-                attempt,
-            ]
-        )
-    return [
-        state.workload,
-        state.created_revision,
-        state.document,
-        state.since,
-        state.removed,
-        tasks,
-    ]
-
-
-def _decode_workload(plain: list[Any], attempts: dict[str, Attempt]) -> WorkloadState:
-    """Return a workload from plain values, noting its attempts by name."""
-    workload, created_revision, document, since, removed, tasks = plain
-    kind, resource = _load_workload(document)
-    state = WorkloadState(
-        workload=workload,
-        created_revision=created_revision,
-        kind=kind,
-        name=resource.metadata.name,
-        resource=resource,
-        document=document,
-        since=since,
-        removed=removed,
-    )
-    for index, phase, number, failures, wanted, checkpoint, waiting, bound in tasks:
-        task = Task(index, phase, number, failures, None, wanted, checkpoint, waiting)
-        if bound is not None:
-            worker, amounts, acknowledged = bound
-            name = name_attempt(workload, index, number)
-            size = Capacity(*amounts)
-            task.attempt = Attempt(name, workload, index, number, worker, size)
-            task.attempt.unwanted = not wanted
-            task.attempt.acknowledged = acknowledged
-            attempts[name] = task.attempt
-        state.tasks[index] = task
-    return state
--- a/packages/almondspread/almondspread/scheduling/tests/test_recovery.py
+++ b/packages/almondspread/almondspread/scheduling/tests/test_recovery.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 import unittest
 
 import msgpack
@@ -39,6 +40,10 @@
     )
 
 
+def make_scheduler(state):
+    return Scheduler(state, LeaseTerms(), ManualClock(), random.Random(1))
+
+
 class Stopped(Exception):
     """The writer was ended at this call to the platform."""
 
@@ -77,7 +82,7 @@
         self.table, self.store = MemoryTable(), MemoryStore()
         self.events = []
         self.epoch = 0
-        self.take_over(Scheduler(ShardState(), LeaseTerms()))
+        self.take_over(make_scheduler(ShardState()))
 
     def take_over(self, scheduler):
         self.epoch += 1
@@ -112,9 +117,10 @@
         for worker in list(self.scheduler.state.run_lists):
             attempts.extend(self.scheduler.state.list_attempts(worker))
         for attempt in attempts[:ended]:
-            self.scheduler.end_attempt(attempt, outcome)
+            self.scheduler.decisions.end(attempt, outcome)
+        self.scheduler.remove_cancelled()
         self.scheduler.place(5)
-        batch = self.scheduler.take_batch()
+        batch = self.scheduler.decisions.take_batch()
         if not batch:
             return
         encoded = [EVENT_CODEC.encode(event) for event in batch]
@@ -130,8 +136,8 @@
             asyncio.run(journal.write_snapshot(self.scheduler.state.encode()))
         except Stopped:
             pass
-        self.take_over(Scheduler(ShardState(), LeaseTerms()))
-        self.take_over(Scheduler(self.recover(), LeaseTerms()))
+        self.take_over(make_scheduler(ShardState()))
+        self.take_over(make_scheduler(self.recover()))
         asyncio.run(self.journal.recover())
 
     def replay(self):
@@ -161,7 +167,7 @@
                 history.step(*arguments)
             else:
                 history.snapshot(*arguments)
-        history.take_over(Scheduler(ShardState(), LeaseTerms()))
+        history.take_over(make_scheduler(ShardState()))
         self.assertEqual(history.recover().encode(), history.replay().encode())
 
     def test_j4_row_that_cannot_follow_is_named(self):
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -16,7 +16,9 @@
 from almondspread.interfaces import Instance
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
+from almondspread.scheduling import CellCapacities, gather_capacities
 from almondspread.scheduling.leases import LeaseTerms
+from almondspread.scheduling.overflow import ShardRoom
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.following.watches import Watches
@@ -28,8 +30,9 @@
     list_shard_workers,
     name_shards,
 )
-from almondspread_daemon.peers import PeerServer
+from almondspread_daemon.peers import CallContext, PeerServer
 from almondspread_daemon.peers.messages import (
+    Accepted,
     EntryAnnounced,
     FetchEntries,
     FetchSnapshot,
@@ -49,7 +52,13 @@
 from almondspread_daemon.security import Credentials, TokenTable
 from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
-from almondspread_daemon.shards import ScheduleShard, ShardKeeper
+from almondspread_daemon.shards import (
+    CellView,
+    RoomBoard,
+    ScheduleShard,
+    ShardKeeper,
+)
+from almondspread_daemon.shards.adoption import DomainWatch
 from almondspread_daemon.shards.keeper import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.shards.workers import ExchangePace
@@ -72,6 +81,12 @@
         self.stopping = False
         self.incarnation = make_incarnation(clock.now())
         self._started = False
+        self._rooms = RoomBoard(clock)
+        self._domains = DomainWatch(
+            settings.failure_domains, clock, settings.ownership.domain_gone
+        )
+        self._capacities_listed: dict[str, Instance] = {}
+        self._capacities = CellCapacities()
         self.telemetry = Telemetry(settings)
         self.tokens = TokenTable(settings.tokens)
         self.credentials = Credentials(settings, clock)
@@ -131,6 +146,8 @@
             settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
             self.neighbours.note_all,
+            self._plan_adopted(),
+            self._is_domain_gone,
             self._observe_commit,
         )
         self.requests = RequestPart(
@@ -155,7 +172,9 @@
             self.neighbours,
             lambda shard: self.keeper.list_epochs().get(shard, 0),
         )
-        self.resources = ResourceService(self.changes, settings.name)
+        self.resources = ResourceService(
+            self.changes, settings.name, self._list_capacities
+        )
         self.reporter = StatusReporter(
             settings.name,
             settings.failure_domain,
@@ -167,6 +186,7 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
+                ShardRoom: self._take_room,
                 Pulse: self.neighbours.take_pulse,
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
@@ -206,6 +226,20 @@
             plan[shard] = self._make_minion_shard
         return plan
 
+    def _plan_adopted(self) -> dict[str, MakeRunner]:
+        """Return the scheduling shards of other domains, in case one is gone."""
+        plan: dict[str, MakeRunner] = {}
+        for shard in self.schedule_shards:
+            if find_domain(shard) != self.settings.failure_domain:
+                plan[shard] = self._make_schedule_shard
+        return plan
+
+    def _is_domain_gone(self, domain: str) -> bool:
+        """Tell whether the platform's list has long had nothing of a domain."""
+        if self.neighbours.list_is_known:
+            self._domains.update(self.neighbours.listed)
+        return self._domains.is_gone(domain)
+
     def _make_schedule_shard(
         self, ownership: Ownership, journal: Journal, stopped: bool
     ) -> ScheduleShard:
@@ -220,6 +254,7 @@
         return ScheduleShard(
             ownership,
             journal,
+            self._platform.table,
             stopped,
             terms,
             self.schedule_shards,
@@ -231,7 +266,9 @@
                 self.settings.scheduling.exchange,
                 self.settings.scheduling.idle_exchange,
             ),
+            CellView(self._rooms, self._list_capacities, self._tell_room),
             self.publisher.publish,
+            _make_batch,
             self.settings.scheduling.commit,
         )
 
@@ -380,6 +417,29 @@
         listed = self.neighbours.listed.values()
         return list_shard_workers(listed, shard, self.schedule_shards)
 
+    def _list_capacities(self) -> CellCapacities:
+        """Return the capacities of all workers in the list."""
+        listed = self.neighbours.listed
+        if listed is not self._capacities_listed:
+            workers = {}
+            for shard in self.schedule_shards:
+                workers[shard] = list_shard_workers(
+                    listed.values(), shard, self.schedule_shards
+                )
+            self._capacities_listed = listed
+            self._capacities = gather_capacities(workers)
+        return self._capacities
+
+    def _tell_room(self, room: ShardRoom) -> None:
+        """Tell all instances what a shard of this one has room for."""
+        self._rooms.note(room)
+        self.neighbours.note_all(room)
+
+    async def _take_room(self, room: ShardRoom, _: CallContext) -> Accepted:
+        """Take in what a shard of another instance has room for."""
+        self._rooms.note(room)
+        return Accepted()
+
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
         revision = self.changes.cache.revision
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -18,6 +18,7 @@
 from almondspread_daemon.background import start_task
 from almondspread_daemon.membership.beats import Beats
 from almondspread_daemon.peers import CallContext, PeerFault, PeerLink
+from almondspread_daemon.peers.links import NO_GRACE
 from almondspread_daemon.peers.messages import Accepted, Heartbeat, Pulse
 from almondspread_daemon.telemetry import TracePipeline
 
@@ -210,10 +211,14 @@
             link.note(message)
 
     async def call(
-        self, address: str, message: Any, timeout: timedelta
+        self,
+        address: str,
+        message: Any,
+        timeout: timedelta,
+        grace: timedelta = NO_GRACE,
     ) -> Result[Any, PeerFault]:
         """Send a message to one instance and return its reply."""
         link = self._links.get(address)
         if link is None:
             return Error(PeerFault(f"no link to {address}", True))
-        return await link.call(message, timeout)
+        return await link.call(message, timeout, grace)
--- a/packages/almondspread_daemon/almondspread_daemon/reports.py
+++ b/packages/almondspread_daemon/almondspread_daemon/reports.py
@@ -118,7 +118,7 @@
             item.name, item.created_revision, item.resource, self._schedule_shards
         )
         tasks: list[dict[str, Any]] = []
-        for shard in homes:
+        for shard in sorted({*homes, *item.reports}):
             message = FetchTasks(shard, item.kind, item.name)
             tasks.extend(await self._find_tasks(message, item.created_revision))
         tasks.sort(key=lambda task: task["task"])
@@ -145,10 +145,12 @@
         state = runner.scheduler.state.workloads.get(workload)
         if state is None:
             return []
-        waiting = runner.scheduler.reasons.get(workload)
+        waiting = runner.scheduler.explain(workload)
         reasons = {}
         for count in waiting.reasons if waiting else ():
             reasons[count.reason] = count.workers
+        if waiting is not None and waiting.limit:
+            reasons[waiting.limit] = waiting.workers
         return _describe_tasks(state, reasons)
 
     async def take_fetch_status(self, _: FetchStatus, __: CallContext) -> Document:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -45,6 +45,7 @@
 FETCH_TIMEOUT = timedelta(seconds=2)
 DELIVER_TIMEOUT = timedelta(seconds=5)
 REPLY_MARGIN = timedelta(milliseconds=50)
+REPLY_GRACE = timedelta(milliseconds=250)
 REPLY_SHARE = 0.1
 OWNER_PAUSE = timedelta(milliseconds=20)
 MOST_AWAITING_OWNER = 512
@@ -290,7 +291,11 @@
         timeout = due - self._clock.monotonic()
         if timeout <= timedelta(0):
             return Error(refuse_late(getattr(message, "service", "")))
-        outcome = await self._neighbours.call(member.address, message, timeout)
+        # A peer that refuses just before the deadline has said something that is
+        # certain; giving up on it would turn that into an unknown outcome.
+        outcome = await self._neighbours.call(
+            member.address, message, timeout, REPLY_GRACE
+        )
         if outcome.is_error():
             if outcome.error.not_sent:
                 return Error(refuse_unreachable(outcome.error.reason))
--- a/packages/almondspread_daemon/almondspread_daemon/resources/rules.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/rules.py
@@ -2,7 +2,8 @@
 
 from almondspread.changes import Item, ResourceCache
 from almondspread.errors import Forbidden, InvalidInput, Problem
-from almondspread.resources import Resource, Workload
+from almondspread.resources import Capacity, Resource, Team, Workload
+from almondspread.scheduling import CellCapacities, admit_workload
 from almondspread_daemon.resources.conflicts import refuse_team_in_use
 from almondspread_daemon.security.access import Identity
 
@@ -40,6 +41,33 @@
     return None
 
 
+def find_room_fault(
+    cache: ResourceCache,
+    declared: list[tuple[str, Resource]],
+    resource: Resource,
+    capacities: CellCapacities,
+) -> Problem | None:
+    """Return why the workers or the team's quota can never run a workload."""
+    if not isinstance(resource, Workload):
+        return None
+    quota = find_quota(cache, resource.metadata.team, declared)
+    admitted = admit_workload(resource, capacities, quota)
+    return admitted.error if admitted.is_error() else None
+
+
+def find_quota(
+    cache: ResourceCache, team: str, declared: list[tuple[str, Resource]]
+) -> Capacity | None:
+    """Return a team's quota, as declared beside a workload or before it."""
+    for _, resource in declared:
+        if isinstance(resource, Team) and resource.metadata.name == team:
+            return resource.quota
+    item = cache.find("team", team)
+    if item is None or not isinstance(item.resource, Team):
+        return None
+    return item.resource.quota
+
+
 def find_removal_fault(cache: ResourceCache, kind: str, name: str) -> Problem | None:
     """Return what forbids to remove a resource, ``None`` for nothing."""
     if kind != "team":
--- a/packages/almondspread_daemon/almondspread_daemon/resources/service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/resources/service.py
@@ -1,5 +1,6 @@
 """Apply, delete and cancel: what operators ask, as changes in the log."""
 
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define
@@ -9,12 +10,14 @@
 from almondspread.changes.entries import declare_resource, remove_resource
 from almondspread.errors import Problem
 from almondspread.resources import Resource, parse_resource
+from almondspread.scheduling import CellCapacities
 from almondspread_daemon.resources import documents
 from almondspread_daemon.resources.conflicts import refuse_stale
 from almondspread_daemon.resources.rules import (
     WORKLOAD_KINDS,
     find_fault,
     find_removal_fault,
+    find_room_fault,
     find_team_fault,
 )
 from almondspread_daemon.security.access import UNGUARDED, Identity
@@ -40,9 +43,15 @@
 class ResourceService:
     """Turns what operators ask for into appends to the change log."""
 
-    def __init__(self, changes: ChangeLog, instance: str) -> None:
+    def __init__(
+        self,
+        changes: ChangeLog,
+        instance: str,
+        list_capacities: Callable[[], CellCapacities] = CellCapacities,
+    ) -> None:
         self._changes = changes
         self._instance = instance
+        self._list_capacities = list_capacities
 
     def name_author(self, identity: Identity) -> str:
         """Return the author that the log keeps for an operator."""
@@ -66,9 +75,11 @@
         def prepare(cache: ResourceCache) -> Result[list[Change], Problem]:
             """Return the changes that the present resources still need."""
             outcomes.clear()
-            fault = find_fault(cache, [(one.kind, one.resource) for one in declared])
+            resources = [(one.kind, one.resource) for one in declared]
+            fault = find_fault(cache, resources)
             if fault is not None:
                 return Error(fault)
+            capacities = self._list_capacities()
             changes = []
             for one in declared:
                 outcome = judge_change(cache, one, identity)
@@ -76,8 +87,12 @@
                     return Error(outcome.error)
                 item = cache.find(one.kind, one.name)
                 outcomes.append((outcome.ok, item.resource_version if item else 0))
-                if outcome.ok != "unchanged":
-                    changes.append(declare_resource(one.kind, one.resource))
+                if outcome.ok == "unchanged":
+                    continue
+                fault = find_room_fault(cache, resources, one.resource, capacities)
+                if fault is not None:
+                    return Error(fault)
+                changes.append(declare_resource(one.kind, one.resource))
             return Ok([] if dry_run else changes)
 
         appended = await self._changes.append(self.name_author(identity), prepare)
--- a/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/schedule.py
@@ -1,24 +1,23 @@
 """The owner of a scheduling shard: decides, commits, and then tells the workers."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
-import msgpack
+from expression import Result
 from loguru import logger
 
-from almondspread.changes import Item, ResourceCache
+from almondspread.changes import ResourceCache
 from almondspread.clock import Clock
-from almondspread.interfaces import Instance, WorkerGateway
-from almondspread.journal import Journal
+from almondspread.interfaces import Instance, TableService, WorkerGateway
+from almondspread.journal import Beside, Journal, Outdated, Superseded
 from almondspread.ownership import Ownership
-from almondspread.resources import Workload, describe_resource
 from almondspread.scheduling import (
     EVENT_CODEC,
     Scheduler,
     ShardState,
-    assign_tasks,
     rebuild_state,
 )
 from almondspread.scheduling.events import (
@@ -26,22 +25,25 @@
     AttemptEnded,
     Event,
     ResourcesSeen,
+    WorkloadAdded,
+    WorkloadChanged,
+    WorkloadRemoved,
 )
+from almondspread.scheduling.grants import TeamGrants
 from almondspread.scheduling.leases import LeaseTerms, WorkerLeases
-from almondspread.scheduling.scheduler import DesiredWorkload
-from almondspread.scheduling.tasks import (
-    WorkloadState,
-    name_attempt,
-    name_workload,
-)
+from almondspread.scheduling.tasks import WorkloadState
+from almondspread.scheduling.transfers import receive_transfer
 from almondspread_daemon.background import Waker, start_task
+from almondspread_daemon.shards.following import ResourceFollower
+from almondspread_daemon.shards.quotas import GrantKeeper
+from almondspread_daemon.shards.transfers import CellView, TransferKeeper
 from almondspread_daemon.shards.workers import ExchangePace, WorkerLink
 
-WORKLOAD_KINDS = ("service", "batch", "gang")
 DECIDE_INTERVAL = timedelta(milliseconds=500)
 RECOVER_PAUSE = timedelta(milliseconds=500)
 MAX_PLACEMENTS_PER_BATCH = 400
 SNAPSHOT_ROWS = 500
+FOLLOWING_EVENTS = (WorkloadAdded, WorkloadChanged, WorkloadRemoved)
 # With fewer rows the next owner is sooner there without a snapshot.
 HANDOVER_ROWS = 100
 
@@ -53,6 +55,7 @@
         self,
         ownership: Ownership,
         journal: Journal,
+        table: TableService,
         previous_owner_stopped: bool,
         terms: LeaseTerms,
         shards: tuple[str, ...],
@@ -61,20 +64,24 @@
         gateway: WorkerGateway,
         clock: Clock,
         pace: ExchangePace,
+        view: CellView,
         publish: Callable[[str, dict[tuple[str, str], Any]], None],
+        make_name: Callable[[], str],
         gather_interval: timedelta = timedelta(0),
     ) -> None:
         self.ownership = ownership
-        self.scheduler = Scheduler(ShardState(), terms)
+        self.scheduler = Scheduler(
+            ShardState(), terms, clock, random.Random(), ownership.shard
+        )
         self.recovered = False
         self._journal = journal
         taken_at = clock.monotonic()
         stopped_at = taken_at if previous_owner_stopped else None
         self._leases = WorkerLeases(terms, taken_at, stopped_at)
         self._terms = terms
-        self._shards = shards
         self._cache = cache
         self._list_workers = list_workers
+        self._view = view
         self._gateway = gateway
         self._clock = clock
         self._pace = pace
@@ -82,11 +89,34 @@
         self._gather_interval = gather_interval
         self._links: dict[str, WorkerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._desired: dict[str, DesiredWorkload] = {}
-        self._desired_revision = -1
+        self._helpers: list[asyncio.Task[None]] = []
         self._unheard: set[str] = set()
         self._waker = Waker(clock)
         self._stopping = False
+        self._follower = ResourceFollower(
+            ownership.shard, shards, cache, self.scheduler, clock
+        )
+        self.scheduler.grants = TeamGrants(
+            ownership.shard,
+            ownership.condition,
+            table,
+            clock,
+            random.Random(),
+            self.scheduler.decisions,
+        )
+        self._grants = GrantKeeper(
+            self.scheduler.grants, self.scheduler, clock, self.wake
+        )
+        self._transfers = TransferKeeper(
+            ownership.shard,
+            self.scheduler,
+            table,
+            cache,
+            view,
+            clock,
+            make_name,
+            self.wake,
+        )
 
     def wake(self) -> None:
         """Have the shard decide at once."""
@@ -101,6 +131,8 @@
         """Recover the shard and act for it until stopped or superseded."""
         try:
             await self._recover()
+            self._helpers.append(start_task(self._grants.run()))
+            self._helpers.append(start_task(self._transfers.run()))
             self.wake()
             while not self._stopping:
                 await self._waker.wait(DECIDE_INTERVAL)
@@ -111,7 +143,7 @@
             if self._journal.rows_since_snapshot >= HANDOVER_ROWS:
                 await self._leave_snapshot()
         finally:
-            for task in self._tasks.values():
+            for task in (*self._tasks.values(), *self._helpers):
                 task.cancel()
 
     async def _recover(self) -> None:
@@ -120,7 +152,7 @@
             recovered = await self._journal.recover()
             if recovered.is_ok():
                 shard = self.ownership.shard
-                self.scheduler.state = rebuild_state(shard, recovered.ok)
+                self.scheduler.adopt(rebuild_state(shard, recovered.ok))
                 self._unheard = set(self.scheduler.state.run_lists)
                 self.recovered = True
                 return
@@ -130,37 +162,66 @@
     async def _decide(self) -> bool:
         """Decide and commit one batch; false once another owner has the shard."""
         self._update_workers()
-        self._follow_resources()
+        self._follower.follow()
         self._end_lapsed()
-        self.scheduler.place(MAX_PLACEMENTS_PER_BATCH)
+        self.scheduler.move_drained()
+        self.scheduler.review_workers()
+        more = self.scheduler.remove_cancelled()
+        more = self.scheduler.place(MAX_PLACEMENTS_PER_BATCH) or more
+        if self.scheduler.placer.short_of_quota:
+            self._grants.wake()
+        writes = self._transfers.send()
         batch = self._take_batch()
         if batch:
-            encoded = [EVENT_CODEC.encode(event) for event in batch]
-            committed = await self._journal.commit(encoded)
+            committed = await self._commit(batch, Beside(writes=tuple(writes)))
             if committed.is_error():
-                logger.warning("shard {} has another owner", self.ownership.shard)
-                self.ownership.authority.supersede()
                 return False
             self._carry_out(batch)
-        if len(batch) >= MAX_PLACEMENTS_PER_BATCH:
+        if not await self._receive():
+            return False
+        if more:
             self.wake()
         self._report_changed()
         if self._journal.rows_since_snapshot >= SNAPSHOT_ROWS:
             await self._leave_snapshot()
         return True
 
-    def _follow_resources(self) -> None:
-        """Compare the shard with the resources, unless these are the older of both."""
-        if self._cache.spec_revision < self.scheduler.state.revision:
-            return
-        desired = self._list_desired()
-        self.scheduler.reconcile(desired, self._clock.now().timestamp())
+    async def _commit(
+        self, batch: list[Event], beside: Beside
+    ) -> Result[int, Superseded | Outdated]:
+        """Commit a batch; after another owner's claim, act no more."""
+        encoded = [EVENT_CODEC.encode(event) for event in batch]
+        committed = await self._journal.commit(encoded, beside)
+        if committed.is_error() and isinstance(committed.error, Superseded):
+            logger.warning("shard {} has another owner", self.ownership.shard)
+            self.ownership.authority.supersede()
+        return committed
+
+    async def _receive(self) -> bool:
+        """Take tasks over from transfer rows; false once another owner has the shard.
+
+        The tasks are there only once the commit that ends the row has taken effect.
+        """
+        incoming, self._transfers.incoming = self._transfers.incoming, {}
+        for row, transfer in incoming.values():
+            seen = ResourcesSeen(self._cache.spec_revision)
+            batch: list[Event] = [transfer.content, seen]
+            committed = await self._commit(batch, receive_transfer(row))
+            if committed.is_error():
+                if isinstance(committed.error, Superseded):
+                    return False
+                continue
+            for event in batch:
+                self.scheduler.state.apply(event)
+            self._follower.check(transfer.content.workload)
+            self.wake()
+        return True
 
     def _take_batch(self) -> list[Event]:
         """Return the events to commit, and the revision that workloads follow."""
-        batch = self.scheduler.take_batch()
+        batch = self.scheduler.decisions.take_batch()
         for event in batch:
-            if isinstance(event, AttemptBound | AttemptEnded):
+            if not isinstance(event, FOLLOWING_EVENTS):
                 continue
             seen = ResourcesSeen(self._cache.spec_revision)
             self.scheduler.state.apply(seen)
@@ -170,18 +231,22 @@
 
     def _carry_out(self, batch: list[Event]) -> None:
         """Tell the workers what a committed batch means for them."""
-        self.scheduler.mark_committed(batch)
+        decisions = self.scheduler.decisions
+        decisions.mark_committed(batch)
+        wake_all = False
         for event in batch:
             if isinstance(event, AttemptBound):
                 self._wake_link(event.worker)
                 continue
             if isinstance(event, AttemptEnded):
-                name = name_attempt(event.workload, event.index, event.number)
-                for link in self._links.values():
+                name, worker = decisions.take_ended(event)
+                link = self._links.get(worker)
+                if link is not None:
                     link.settle(name)
                 continue
-            for link in self._links.values():
-                link.wake()
+            wake_all = True
+        for link in self._links.values() if wake_all else ():
+            link.wake()
 
     def _wake_link(self, worker: str) -> None:
         """Have the next exchange with a worker happen at once."""
@@ -195,12 +260,22 @@
         if listed is None:
             return
         self.scheduler.set_workers(listed)
+        capacities = self._view.list_capacities()
+        self.scheduler.set_capacities(capacities)
         for worker in listed:
             self._follow_worker(worker)
-        for link in self._links.values():
+        for link in list(self._links.values()):
+            if not self.scheduler.cell.has_worker(link.worker):
+                self._stop_link(link.worker)
+                continue
             self.scheduler.set_exclusion(link.worker, "unreachable", link.unreachable)
         self._note_heard({worker.name for worker in listed})
 
+    def _stop_link(self, worker: str) -> None:
+        """Stop the exchange with a worker that is gone for good."""
+        del self._links[worker]
+        self._tasks.pop(worker).cancel()
+
     def _follow_worker(self, worker: Instance) -> None:
         """Start the exchange with a worker, or move it to the worker's new address."""
         link = self._links.get(worker.name)
@@ -254,38 +329,7 @@
             if now < self._leases.find_lapse(worker):
                 continue
             for attempt in self.scheduler.state.list_attempts(worker):
-                self.scheduler.end_attempt(attempt, "lapsed")
-
-    def _list_desired(self) -> list[DesiredWorkload]:
-        """Return the workloads that have tasks in this shard."""
-        if self._desired_revision == self._cache.spec_revision:
-            return list(self._desired.values())
-        revision = self._cache.spec_revision
-        desired = {}
-        for kind in WORKLOAD_KINDS:
-            for item in self._cache.list_items(kind):
-                wanted = self._find_desired(item)
-                if wanted is not None:
-                    desired[wanted.workload] = wanted
-        self._desired = desired
-        self._desired_revision = revision
-        return list(desired.values())
-
-    def _find_desired(self, item: Item) -> DesiredWorkload | None:
-        """Return what a resource asks of this shard, ``None`` for nothing."""
-        if not isinstance(item.resource, Workload):
-            return None
-        workload = name_workload(item.kind, item.name, item.created_revision)
-        if item.resource_version <= self._desired_revision:
-            return self._desired.get(workload)
-        homes = assign_tasks(
-            item.name, item.created_revision, item.resource, self._shards
-        )
-        indices = homes.get(self.ownership.shard, ())
-        if not indices:
-            return None
-        document = msgpack.packb(describe_resource(item.resource))
-        return DesiredWorkload(workload, item.created_revision, document, indices)
+                self.scheduler.end_lapsed(attempt)
 
     def _report_changed(self) -> None:
         """Publish the status of each workload that has changed."""
@@ -298,7 +342,8 @@
             changed.discard(workload)
             if state is None or state.removed:
                 continue
-            reports[(state.kind, state.name)] = state.report()
+            report = self.scheduler.describe_workload(state)
+            reports[(state.kind, state.name)] = report
         if reports:
             self._publish(self.ownership.shard, reports)
 
@@ -318,7 +363,7 @@
     async def _leave_snapshot(self) -> None:
         """Write a snapshot, so that a takeover reads few rows."""
         # Events that are not committed yet must not get into a snapshot.
-        if not self.recovered or self.scheduler.has_pending:
+        if not self.recovered or self.scheduler.decisions.has_pending:
             return
         if self._journal.rows_since_snapshot:
             await self._journal.write_snapshot(self.scheduler.state.encode())
--- a/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/workers.py
@@ -82,7 +82,7 @@
         While work waits for room, or the worker does not answer, its reports are
         wanted soon; else they only have to renew the leases in time.
         """
-        if self._failures or not self.has_reported or self._scheduler.reasons:
+        if self._failures or not self.has_reported or self._scheduler.count_waiting():
             return self._pace.busy
         return self._pace.idle
 
--- a/packages/almondspread_standin/almondspread_standin/measures/recovery.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/recovery.py
@@ -8,7 +8,7 @@
 
 import msgpack
 
-from almondspread.clock import SystemClock
+from almondspread.clock import ManualClock, SystemClock
 from almondspread.interfaces import Condition, Instance, Write
 from almondspread.journal import Journal
 from almondspread.resources import Capacity
@@ -33,8 +33,10 @@
     """A shard whose tasks end and are followed by waiting ones, row after row."""
 
     def __init__(self, running: int, waiting: int, seed: int) -> None:
-        self.scheduler = Scheduler(ShardState(), LeaseTerms())
         self._random = random.Random(seed)
+        self.scheduler = Scheduler(
+            ShardState(), LeaseTerms(), ManualClock(), self._random
+        )
         capacity = TASK_SIZE.times(running // WORKERS)
         workers = []
         for number in range(WORKERS):
@@ -74,9 +76,9 @@
         ):
             attempt = self._random.choice(self.scheduler.state.list_attempts(worker))
             # An excused end lets the task wait again, so that the size stays.
-            self.scheduler.end_attempt(attempt, "stopped")
+            self.scheduler.decisions.end(attempt, "stopped")
         self.scheduler.place(PLACEMENTS_PER_ROW)
-        batch = self.scheduler.take_batch()
+        batch = self.scheduler.decisions.take_batch()
         return [EVENT_CODEC.encode(event) for event in batch]
 
 
--- a/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
+++ b/packages/almondspread_standin/almondspread_standin/tests/shard_domain.py
@@ -13,9 +13,15 @@
 from almondspread.interfaces import Instance, TableUnavailable, WorkerUnreachable
 from almondspread.ownership import Claimant, Member, Members
 from almondspread.resources import Capacity, parse_resource
+from almondspread.scheduling import CellCapacities
 from almondspread.scheduling.leases import LeaseTerms
 from almondspread.testing import MemoryStore, MemoryTable, run_for
-from almondspread_daemon.shards import ScheduleShard, ShardKeeper
+from almondspread_daemon.shards import (
+    CellView,
+    RoomBoard,
+    ScheduleShard,
+    ShardKeeper,
+)
 from almondspread_daemon.shards.workers import ExchangePace
 from almondspread_standin.workers import Ledger, WorkerAgent
 
@@ -123,6 +129,7 @@
         return ScheduleShard(
             ownership,
             journal,
+            self.table,
             stopped,
             self.terms,
             (SHARD,),
@@ -131,7 +138,9 @@
             self,
             self.clock,
             ExchangePace(0.5 * SECOND, 0.5 * SECOND),
+            CellView(RoomBoard(self.domain.clock), CellCapacities, lambda _: None),
             lambda _, reports: self.published.append(reports),
+            self.domain.make_batch,
         )
 
     @property
