--- a/packages/almondspread_standin/almondspread_standin/embedded.py
+++ b/packages/almondspread_standin/almondspread_standin/embedded.py
@@ -24,6 +24,7 @@
 from almondspread_standin.listening import LOOPBACK
 from almondspread_standin.partitions import CuttableClient
 
+SHORT_POLL = timedelta(milliseconds=500)
 READY_TIMEOUT = timedelta(seconds=10)
 READY_PAUSE = timedelta(milliseconds=50)
 FIRST_ENTRY_PORT = 20_000
@@ -53,7 +54,8 @@
 class EmbeddedCluster:
     """Starts the entries of a deployment beside its stand-ins, on free ports.
 
-    ``adjust`` changes the settings of an entry before it starts.
+    ``sections`` are sections of the settings that replace those for short runs, and
+    ``poll`` is how often the platform's list and the change log are looked at.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         deployment: Deployment,
         clock: Clock,
         options: CellOptions | None = None,
+        poll: timedelta = SHORT_POLL,
         **sections: Any,
     ) -> None:
         entries = []
@@ -71,6 +74,7 @@
         self.cell = StandInDeployment(self.deployment, clock, options)
         self.entries: dict[str, Entry] = {}
         self._clock = clock
+        self._poll = poll
         self._sections = sections
         self._clients: dict[str, CuttableClient] = {}
         self._cut_domain = ""
@@ -154,7 +158,7 @@
                 store_url=platform,
                 instances_url=platform,
                 timeout_milliseconds=1_000,
-                poll_milliseconds=500,
+                poll_milliseconds=round(self._poll / timedelta(milliseconds=1)),
             ),
             http=HttpSettings(listen=f"{LOOPBACK}:{planned.http_port}"),
             peer=PeerSettings(listen=f"{LOOPBACK}:{planned.peer_port}"),
--- a/packages/almondspread_standin/almondspread_standin/measures/control.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/control.py
@@ -18,6 +18,7 @@
 from almondspread_standin.measures.results import print_result
 
 SETTLE_TIME = timedelta(seconds=5)
+DEFAULT_POLL = timedelta(seconds=1)
 JOB_INTERVAL = timedelta(seconds=1)
 TASK_SECONDS = 3
 TARGET_CORE_PERCENT = 3.2
@@ -75,6 +76,7 @@
             deployment,
             clock,
             Path(directory),
+            poll=DEFAULT_POLL,
             ownership=OwnershipSettings(schedule_shards=schedule_shards),
             scheduling=SchedulingSettings(),
         )
--- a/packages/almondspread_standin/almondspread_standin/processes.py
+++ b/packages/almondspread_standin/almondspread_standin/processes.py
@@ -22,7 +22,7 @@
 from almondspread_platform import open_client
 from almondspread_standin.cell import CellOptions
 from almondspread_standin.deployment import Deployment
-from almondspread_standin.embedded import EmbeddedCluster
+from almondspread_standin.embedded import SHORT_POLL, EmbeddedCluster
 from almondspread_standin.listening import LOOPBACK
 
 READY_SECONDS = 60.0
@@ -53,10 +53,13 @@
         clock: Clock,
         directory: Path,
         options: CellOptions | None = None,
+        poll: timedelta = SHORT_POLL,
         **sections: Any,
     ) -> None:
         log = LogSettings(level="error", format="text")
-        self._planned = EmbeddedCluster(deployment, clock, options, log=log, **sections)
+        self._planned = EmbeddedCluster(
+            deployment, clock, options, poll, log=log, **sections
+        )
         self.deployment = self._planned.deployment
         self.cell = self._planned.cell
         self.processes: dict[str, asyncio.subprocess.Process] = {}
