--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -13,11 +13,8 @@
 from almondspread.changes import ChangeLog, Item
 from almondspread.changes import Entry as LogEntry
 from almondspread.clock import Clock, SystemClock
-from almondspread.interfaces import Instance
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
-from almondspread.scheduling import CellCapacities, gather_capacities
-from almondspread.scheduling.leases import LeaseTerms
 from almondspread.scheduling.overflow import ShardRoom
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
@@ -27,12 +24,10 @@
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
     find_domain,
-    list_shard_workers,
     name_shards,
 )
-from almondspread_daemon.peers import CallContext, PeerServer
+from almondspread_daemon.peers import PeerServer
 from almondspread_daemon.peers.messages import (
-    Accepted,
     EntryAnnounced,
     FetchEntries,
     FetchSnapshot,
@@ -52,16 +47,10 @@
 from almondspread_daemon.security import Credentials, TokenTable
 from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings, parse_address
-from almondspread_daemon.shards import (
-    CellView,
-    RoomBoard,
-    ScheduleShard,
-    ShardKeeper,
-)
-from almondspread_daemon.shards.adoption import DomainWatch
+from almondspread_daemon.shards import ShardKeeper
 from almondspread_daemon.shards.keeper import MakeRunner
+from almondspread_daemon.shards.part import SchedulePart, wake_shards
 from almondspread_daemon.shards.publisher import StatusPublisher
-from almondspread_daemon.shards.workers import ExchangePace
 from almondspread_daemon.stopping import stop_within_bound
 from almondspread_daemon.telemetry import Telemetry, configure_logs, read_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
@@ -81,12 +70,6 @@
         self.stopping = False
         self.incarnation = make_incarnation(clock.now())
         self._started = False
-        self._rooms = RoomBoard(clock)
-        self._domains = DomainWatch(
-            settings.failure_domains, clock, settings.ownership.domain_gone
-        )
-        self._capacities_listed: dict[str, Instance] = {}
-        self._capacities = CellCapacities()
         self.telemetry = Telemetry(settings)
         self.tokens = TokenTable(settings.tokens)
         self.credentials = Credentials(settings, clock)
@@ -120,14 +103,22 @@
             self.neighbours,
             clock,
             settings.platform.poll,
-            self._wake_shards,
+            lambda: wake_shards(self.keeper.runners),
+        )
+        self.schedule = SchedulePart(
+            settings,
+            platform.table,
+            platform.workers,
+            self.changes.cache,
+            self.neighbours,
+            self._publish,
+            _make_batch,
+            clock,
         )
         ownership = settings.ownership
-        domains = settings.failure_domains
-        self.schedule_shards = name_shards(
-            "schedule", domains, ownership.schedule_shards
+        request_shards = name_shards(
+            "requests", settings.failure_domains, ownership.request_shards
         )
-        request_shards = name_shards("requests", domains, ownership.request_shards)
         minion_shards = name_shards(
             "minions", [settings.failure_domain], ownership.minion_shards
         )
@@ -146,8 +137,8 @@
             settings.ownership.partition_horizon,
             self.neighbours.send_heartbeat,
             self.neighbours.note_all,
-            self._plan_adopted(),
-            self._is_domain_gone,
+            self.schedule.plan_adopted(),
+            self.schedule.is_domain_gone,
             self._observe_commit,
         )
         self.requests = RequestPart(
@@ -173,12 +164,12 @@
             lambda shard: self.keeper.list_epochs().get(shard, 0),
         )
         self.resources = ResourceService(
-            self.changes, settings.name, self._list_capacities
+            self.changes, settings.name, self.schedule.list_capacities
         )
         self.reporter = StatusReporter(
             settings.name,
             settings.failure_domain,
-            self.schedule_shards,
+            self.schedule.shards,
             self.changes.cache,
             self.neighbours,
             self.keeper,
@@ -186,7 +177,7 @@
         self.peer_server = PeerServer(
             {
                 Heartbeat: self.neighbours.take_heartbeat,
-                ShardRoom: self._take_room,
+                ShardRoom: self.schedule.take_room,
                 Pulse: self.neighbours.take_pulse,
                 ShardReleased: self.keeper.take_released,
                 EntryAnnounced: self.follower.take_announced,
@@ -214,64 +205,14 @@
         self, request_shards: tuple[str, ...], minion_shards: tuple[str, ...]
     ) -> dict[str, MakeRunner]:
         """Return the shards of this domain and how to act for each."""
-        plan: dict[str, MakeRunner] = {}
-        domain = self.settings.failure_domain
-        for shard in self.schedule_shards:
-            if find_domain(shard) == domain:
-                plan[shard] = self._make_schedule_shard
+        plan = self.schedule.plan_shards()
         for shard in request_shards:
-            if find_domain(shard) == domain:
+            if find_domain(shard) == self.settings.failure_domain:
                 plan[shard] = self._make_key_shard
         for shard in minion_shards:
             plan[shard] = self._make_minion_shard
         return plan
 
-    def _plan_adopted(self) -> dict[str, MakeRunner]:
-        """Return the scheduling shards of other domains, in case one is gone."""
-        plan: dict[str, MakeRunner] = {}
-        for shard in self.schedule_shards:
-            if find_domain(shard) != self.settings.failure_domain:
-                plan[shard] = self._make_schedule_shard
-        return plan
-
-    def _is_domain_gone(self, domain: str) -> bool:
-        """Tell whether the platform's list has long had nothing of a domain."""
-        if self.neighbours.list_is_known:
-            self._domains.update(self.neighbours.listed)
-        return self._domains.is_gone(domain)
-
-    def _make_schedule_shard(
-        self, ownership: Ownership, journal: Journal, stopped: bool
-    ) -> ScheduleShard:
-        """Return what acts for a scheduling shard."""
-        terms = LeaseTerms(
-            length=self.settings.scheduling.task_lease,
-            delivery=self.settings.scheduling.start_expiry,
-            horizon=self.settings.ownership.partition_horizon,
-            clock_rate_bound=self.settings.ownership.clock_rate_bound,
-            clock_offset_bound=self.settings.ownership.clock_offset_bound,
-        )
-        return ScheduleShard(
-            ownership,
-            journal,
-            self._platform.table,
-            stopped,
-            terms,
-            self.schedule_shards,
-            self.changes.cache,
-            self._list_workers,
-            self._platform.workers,
-            self.clock,
-            ExchangePace(
-                self.settings.scheduling.exchange,
-                self.settings.scheduling.idle_exchange,
-            ),
-            CellView(self._rooms, self._list_capacities, self._tell_room),
-            self.publisher.publish,
-            _make_batch,
-            self.settings.scheduling.commit,
-        )
-
     def _observe_commit(self, duration: timedelta, _: int) -> None:
         """Count a commit into a journal."""
         instruments = self.telemetry.instruments
@@ -381,6 +322,10 @@
         """Push an own entry to the other instances."""
         self.follower.push(entry, head_version)
 
+    def _publish(self, shard: str, reports: dict[tuple[str, str], Any]) -> None:
+        """Publish the reports of a shard."""
+        self.publisher.publish(shard, reports)
+
     def _count_bytes(self) -> dict[str, tuple[int, int]]:
         """Return the bytes sent and received, by the kind of other side."""
         sent, received = self.neighbours.count_bytes()
@@ -390,12 +335,6 @@
             counted[side] = (caller.bytes_sent, caller.bytes_received)
         return counted
 
-    def _wake_shards(self) -> None:
-        """Have the scheduling shards look at changed resources at once."""
-        for runner in self.keeper.runners.values():
-            if isinstance(runner, ScheduleShard):
-                runner.wake()
-
     def _compose_heartbeat(self) -> Heartbeat:
         """Return what a heartbeat tells now."""
         return Heartbeat(
@@ -410,36 +349,6 @@
             fault=self.changes.fault,
         )
 
-    def _list_workers(self, shard: str) -> list[Instance] | None:
-        """Return the listed workers of a scheduling shard, ``None`` if unknown."""
-        if not self.neighbours.list_is_known:
-            return None
-        listed = self.neighbours.listed.values()
-        return list_shard_workers(listed, shard, self.schedule_shards)
-
-    def _list_capacities(self) -> CellCapacities:
-        """Return the capacities of all workers in the list."""
-        listed = self.neighbours.listed
-        if listed is not self._capacities_listed:
-            workers = {}
-            for shard in self.schedule_shards:
-                workers[shard] = list_shard_workers(
-                    listed.values(), shard, self.schedule_shards
-                )
-            self._capacities_listed = listed
-            self._capacities = gather_capacities(workers)
-        return self._capacities
-
-    def _tell_room(self, room: ShardRoom) -> None:
-        """Tell all instances what a shard of this one has room for."""
-        self._rooms.note(room)
-        self.neighbours.note_all(room)
-
-    async def _take_room(self, room: ShardRoom, _: CallContext) -> Accepted:
-        """Take in what a shard of another instance has room for."""
-        self._rooms.note(room)
-        return Accepted()
-
     def describe_item(self, item: Item) -> dict[str, Any]:
         """Return a resource as a document, with its status."""
         revision = self.changes.cache.revision
--- a/packages/almondspread_daemon/almondspread_daemon/http/requests.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/requests.py
@@ -10,7 +10,7 @@
 from almondspread.interfaces import MinionRequest
 from almondspread.requests.kinds import MONITOR
 from almondspread_daemon.http.base import EntryHandler
-from almondspread_daemon.peers.messages import CallAnswered, SubmitCall
+from almondspread_daemon.peers.request_messages import CallAnswered, SubmitCall
 from almondspread_daemon.requests.refusals import report_ending
 
 IDEMPOTENT_KINDS = ("lookup", "monitor")
--- a/packages/almondspread_daemon/almondspread_daemon/requests/deliveries.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/deliveries.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread_daemon.peers.messages import DeliverAnswer
+from almondspread_daemon.peers.request_messages import DeliverAnswer
 
 FIRST_PAUSE = timedelta(seconds=1)
 INTERVAL = timedelta(milliseconds=500)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/keys.py
@@ -16,7 +16,7 @@
 from almondspread.requests import KEY_EVENT_CODEC, Answered, Dispatched, KeyTable
 from almondspread.requests.events import Forgotten, KeyEvent
 from almondspread.requests.keys import KeyRecord, digest_payload
-from almondspread_daemon.peers.messages import (
+from almondspread_daemon.peers.request_messages import (
     CallAnswered,
     DeliverAnswer,
     SubmitCall,
@@ -390,12 +390,3 @@
                 earlier_not_run=False,
             )
         )
-
-
-def settle_result(
-    outcome: CallAnswered | Problem,
-) -> Result[CallAnswered, Problem]:
-    """Return an outcome as a result."""
-    if isinstance(outcome, Problem):
-        return Error(outcome)
-    return Ok(outcome)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/loads.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/loads.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve
 
 from almondspread.ownership import Member
-from almondspread_daemon.peers.messages import MinionLoads, ServiceLoad
+from almondspread_daemon.peers.request_messages import MinionLoads, ServiceLoad
 
 LOADS_KEPT = timedelta(seconds=3)
 OWN_NAME = ""
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_shards.py
@@ -19,8 +19,8 @@
 from almondspread.ownership import Member, Ownership, make_owner_key
 from almondspread.requests import ShardSlots
 from almondspread.requests.kinds import LATE_CALL_LIMIT, LATE_LOOKUP_LIMIT
-from almondspread_daemon.peers.messages import (
-    Accepted,
+from almondspread_daemon.peers.messages import Accepted
+from almondspread_daemon.peers.request_messages import (
     ConfirmOwner,
     FetchSlots,
     SlotsInUse,
--- a/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minions.py
@@ -24,7 +24,7 @@
     SERVING_ORDER,
     find_late_limit,
 )
-from almondspread_daemon.peers.messages import ServiceLoad, SlotsInUse
+from almondspread_daemon.peers.request_messages import ServiceLoad, SlotsInUse
 from almondspread_daemon.requests.legs import MonitorLeg
 from almondspread_daemon.requests.refusals import (
     refuse_late,
--- a/packages/almondspread_daemon/almondspread_daemon/requests/monitors.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/monitors.py
@@ -16,15 +16,13 @@
 from almondspread.requests import find_backoff
 from almondspread.requests.kinds import MONITOR
 from almondspread_daemon.peers import CallContext
-from almondspread_daemon.peers.messages import (
-    Accepted,
+from almondspread_daemon.peers.messages import Accepted, Refused, refuse
+from almondspread_daemon.peers.request_messages import (
     CloseMonitor,
     FetchLines,
     MonitorLines,
     MonitorOpened,
     OpenMonitor,
-    Refused,
-    refuse,
 )
 from almondspread_daemon.requests.legs import MonitorLeg
 from almondspread_daemon.requests.minions import MinionPools
--- a/packages/almondspread_daemon/almondspread_daemon/requests/part.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/part.py
@@ -15,7 +15,7 @@
 from almondspread.requests.kinds import LOOKUP, MONITOR, RECALCULATION, RESERVATION
 from almondspread.resources import RequestService
 from almondspread_daemon.membership import Neighbours
-from almondspread_daemon.peers.messages import MinionLeaving
+from almondspread_daemon.peers.request_messages import MinionLeaving
 from almondspread_daemon.requests.deadlines import Deadlines
 from almondspread_daemon.requests.idle_slots import note_idle
 from almondspread_daemon.requests.keys import KeyShard
--- a/packages/almondspread_daemon/almondspread_daemon/requests/refusals.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/refusals.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from expression import Error, Ok, Result
+
 from almondspread.errors import (
     Conflict,
     OutcomeUnknown,
@@ -9,6 +11,7 @@
     Problem,
     Unavailable,
 )
+from almondspread_daemon.peers.request_messages import CallAnswered
 
 RETRY_AFTER_SECONDS = 1.0
 SAME_KEY = "send the request again with the same key"
@@ -133,3 +136,12 @@
     return report_unknown(
         "the instance ends before the request was answered; it may have run"
     )
+
+
+def settle_result(
+    outcome: CallAnswered | Problem,
+) -> Result[CallAnswered, Problem]:
+    """Return an outcome as a result."""
+    if isinstance(outcome, Problem):
+        return Error(outcome)
+    return Ok(outcome)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -14,14 +14,14 @@
 from almondspread.requests import RetryBudget, find_backoff, find_key_shard
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers import CallContext
-from almondspread_daemon.peers.messages import (
+from almondspread_daemon.peers.messages import Refused
+from almondspread_daemon.peers.request_messages import (
     AnswerRecorded,
     CallAnswered,
     CallMinion,
     DeliverAnswer,
     DropSlot,
     FetchRecord,
-    Refused,
     SendTaken,
     ServiceLoad,
     SlotTaken,
@@ -30,7 +30,7 @@
 )
 from almondspread_daemon.requests.deliveries import AnswerDeliveries
 from almondspread_daemon.requests.dispatches import HeldSlot
-from almondspread_daemon.requests.keys import KeyShard, settle_result
+from almondspread_daemon.requests.keys import KeyShard
 from almondspread_daemon.requests.loads import PeerLoads
 from almondspread_daemon.requests.minions import MinionPools
 from almondspread_daemon.requests.refusals import (
@@ -39,6 +39,7 @@
     refuse_unreachable,
     refuse_without_minion,
     report_unknown,
+    settle_result,
 )
 from almondspread_daemon.requests.service_pools import Ticket
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/service_pools.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/service_pools.py
@@ -11,7 +11,7 @@
     choose_minion,
 )
 from almondspread.requests.kinds import LOOKUP
-from almondspread_daemon.peers.messages import ServiceLoad
+from almondspread_daemon.peers.request_messages import ServiceLoad
 
 SERVICE_MARGIN = 1.2
 WAY_BACK = timedelta(milliseconds=20)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/serving.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/serving.py
@@ -9,8 +9,8 @@
 from almondspread.errors import Problem
 from almondspread.interfaces import MinionAnswer, MinionRequest
 from almondspread_daemon.peers import CallContext
-from almondspread_daemon.peers.messages import (
-    Accepted,
+from almondspread_daemon.peers.messages import Accepted, Refused, refuse
+from almondspread_daemon.peers.request_messages import (
     AnswerRecorded,
     CallAnswered,
     CallMinion,
@@ -21,13 +21,11 @@
     FetchSlots,
     MinionLeaving,
     MinionLoads,
-    Refused,
     SendTaken,
     SlotsInUse,
     SlotTaken,
     SubmitCall,
     TakeSlot,
-    refuse,
 )
 from almondspread_daemon.requests.deliveries import AnswerDeliveries
 from almondspread_daemon.requests.keys import KeyShard
--- a/packages/almondspread_daemon/almondspread_daemon/requests/telling.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/telling.py
@@ -5,7 +5,7 @@
 
 from almondspread.clock import Clock
 from almondspread_daemon.membership import Neighbours
-from almondspread_daemon.peers.messages import MinionLoads, ServiceLoad
+from almondspread_daemon.peers.request_messages import MinionLoads, ServiceLoad
 
 NEAR_INTERVAL = timedelta(milliseconds=100)
 REPEAT_INTERVAL = timedelta(seconds=1)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -10,7 +10,7 @@
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, claim_shard, read_owner
 from almondspread.testing import MemoryStore, MemoryTable
-from almondspread_daemon.peers.messages import SubmitCall
+from almondspread_daemon.peers.request_messages import SubmitCall
 from almondspread_daemon.requests.dispatches import HeldSlot
 from almondspread_daemon.requests.keys import ROWS_BEFORE_SNAPSHOT, KeyShard
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
@@ -15,12 +15,8 @@
 from almondspread.ownership import Member, Ownership
 from almondspread.ownership.authority import Authority
 from almondspread.testing import MemoryTable
-from almondspread_daemon.peers.messages import (
-    Accepted,
-    ConfirmOwner,
-    Refused,
-    SlotsInUse,
-)
+from almondspread_daemon.peers.messages import Accepted, Refused
+from almondspread_daemon.peers.request_messages import ConfirmOwner, SlotsInUse
 from almondspread_daemon.requests.idle_slots import note_idle
 from almondspread_daemon.requests.minion_shards import MinionShard, MinionTerms
 from almondspread_daemon.requests.minions import MinionPools
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/part.py
@@ -0,0 +1,150 @@
+"""The scheduling side of an instance: its shards, their workers, and their room."""
+
+from collections.abc import Callable
+from typing import Any
+
+from almondspread.changes import ResourceCache
+from almondspread.clock import Clock
+from almondspread.interfaces import Instance, TableService, WorkerGateway
+from almondspread.journal import Journal
+from almondspread.ownership import Ownership
+from almondspread.scheduling import CellCapacities, gather_capacities
+from almondspread.scheduling.leases import LeaseTerms
+from almondspread.scheduling.overflow import ShardRoom
+from almondspread_daemon.membership import Neighbours
+from almondspread_daemon.membership.directory import (
+    find_domain,
+    list_shard_workers,
+    name_shards,
+)
+from almondspread_daemon.peers import CallContext
+from almondspread_daemon.peers.messages import Accepted
+from almondspread_daemon.settings import Settings
+from almondspread_daemon.shards.adoption import DomainWatch
+from almondspread_daemon.shards.keeper import MakeRunner, ShardRunner
+from almondspread_daemon.shards.schedule import ScheduleShard
+from almondspread_daemon.shards.transfers import CellView, RoomBoard
+from almondspread_daemon.shards.workers import ExchangePace
+
+
+class SchedulePart:
+    """Makes what acts for scheduling shards, and tells them of the cell."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        table: TableService,
+        workers: WorkerGateway,
+        cache: ResourceCache,
+        neighbours: Neighbours,
+        publish: Callable[[str, dict[tuple[str, str], Any]], None],
+        make_batch: Callable[[], str],
+        clock: Clock,
+    ) -> None:
+        self.shards = name_shards(
+            "schedule", settings.failure_domains, settings.ownership.schedule_shards
+        )
+        self._settings = settings
+        self._table = table
+        self._workers = workers
+        self._cache = cache
+        self._neighbours = neighbours
+        self._publish = publish
+        self._make_batch = make_batch
+        self._clock = clock
+        self._rooms = RoomBoard(clock)
+        self._domains = DomainWatch(
+            settings.failure_domains, clock, settings.ownership.domain_gone
+        )
+        self._capacities_listed: dict[str, Instance] = {}
+        self._capacities = CellCapacities()
+
+    def plan_shards(self) -> dict[str, MakeRunner]:
+        """Return the scheduling shards of this domain and how to act for each."""
+        return self._plan(True)
+
+    def plan_adopted(self) -> dict[str, MakeRunner]:
+        """Return the scheduling shards of other domains, in case one is gone."""
+        return self._plan(False)
+
+    def _plan(self, own: bool) -> dict[str, MakeRunner]:
+        """Return the shards of this domain, or those of all others."""
+        plan: dict[str, MakeRunner] = {}
+        for shard in self.shards:
+            if (find_domain(shard) == self._settings.failure_domain) == own:
+                plan[shard] = self.make_shard
+        return plan
+
+    def is_domain_gone(self, domain: str) -> bool:
+        """Tell whether the platform's list has long had nothing of a domain."""
+        if self._neighbours.list_is_known:
+            self._domains.update(self._neighbours.listed)
+        return self._domains.is_gone(domain)
+
+    def make_shard(
+        self, ownership: Ownership, journal: Journal, stopped: bool
+    ) -> ScheduleShard:
+        """Return what acts for a scheduling shard."""
+        scheduling = self._settings.scheduling
+        return ScheduleShard(
+            ownership,
+            journal,
+            self._table,
+            stopped,
+            self._make_terms(),
+            self.shards,
+            self._cache,
+            self._list_workers,
+            self._workers,
+            self._clock,
+            ExchangePace(scheduling.exchange, scheduling.idle_exchange),
+            CellView(self._rooms, self.list_capacities, self._tell_room),
+            self._publish,
+            self._make_batch,
+            scheduling.commit,
+        )
+
+    def _make_terms(self) -> LeaseTerms:
+        """Return how leases of attempts are granted."""
+        ownership = self._settings.ownership
+        return LeaseTerms(
+            length=self._settings.scheduling.task_lease,
+            delivery=self._settings.scheduling.start_expiry,
+            horizon=ownership.partition_horizon,
+            clock_rate_bound=ownership.clock_rate_bound,
+            clock_offset_bound=ownership.clock_offset_bound,
+        )
+
+    def _list_workers(self, shard: str) -> list[Instance] | None:
+        """Return the listed workers of a scheduling shard, ``None`` if unknown."""
+        if not self._neighbours.list_is_known:
+            return None
+        return list_shard_workers(self._neighbours.listed.values(), shard, self.shards)
+
+    def list_capacities(self) -> CellCapacities:
+        """Return the capacities of all workers in the list."""
+        listed = self._neighbours.listed
+        if listed is not self._capacities_listed:
+            workers = {}
+            for shard in self.shards:
+                workers[shard] = list_shard_workers(listed.values(), shard, self.shards)
+            self._capacities_listed = listed
+            self._capacities = gather_capacities(workers)
+        return self._capacities
+
+    def _tell_room(self, room: ShardRoom) -> None:
+        """Tell all instances what a shard of this one has room for."""
+        self._rooms.note(room)
+        self._neighbours.note_all(room)
+
+    async def take_room(self, room: ShardRoom, _: CallContext) -> Accepted:
+        """Take in what a shard of another instance has room for."""
+        self._rooms.note(room)
+        return Accepted()
+
+
+def wake_shards(runners: dict[str, ShardRunner]) -> None:
+    """Have the scheduling shards look at changed resources at once."""
+    for runner in runners.values():
+        if isinstance(runner, ScheduleShard):
+            runner.wake()
--- a/packages/almondspread_daemon/almondspread_daemon/shards/publisher.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/publisher.py
@@ -22,12 +22,7 @@
 from almondspread.ownership.ranking import rank_owners
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers import CallContext
-from almondspread_daemon.peers.messages import (
-    Accepted,
-    Refused,
-    ReportStatuses,
-    refuse,
-)
+from almondspread_daemon.peers.messages import Accepted, Refused, ReportStatuses, refuse
 
 PUBLISH_INTERVAL = timedelta(milliseconds=400)
 LONGEST_INTERVAL = timedelta(seconds=2)
