--- a/packages/almondspread_cli/almondspread_cli/commands/request.py
+++ b/packages/almondspread_cli/almondspread_cli/commands/request.py
@@ -35,9 +35,8 @@
 @click.option(
     "--deadline",
     type=click.FloatRange(min=0.0, min_open=True),
-    default=2.0,
-    show_default=True,
-    help="Seconds within which the answer is wanted.",
+    default=None,
+    help="Seconds within which the answer is wanted; the service's longest if left out.",
 )
 @pass_context
 def request(
@@ -47,7 +46,7 @@
     body: str,
     body_file: BinaryIO | None,
     key: str,
-    deadline: float,
+    deadline: float | None,
 ) -> None:
     """Send one request to SERVICE and print the answer's body.
 
@@ -69,7 +68,9 @@
     if body and body_file:
         raise refuse_usage("--body and --body-file are both given", "give only one")
     payload = body_file.read() if body_file else body.encode()
-    headers = {"X-Deadline-Seconds": f"{deadline:g}"}
+    headers = {}
+    if deadline is not None:
+        headers["X-Deadline-Seconds"] = f"{deadline:g}"
     if key:
         headers["Idempotency-Key"] = key
     path = make_path("requests", service, kind)
