--- a/packages/almondspread_cli/almondspread_cli/commands/request.py
+++ b/packages/almondspread_cli/almondspread_cli/commands/request.py
@@ -36,7 +36,7 @@
     "--deadline",
     type=click.FloatRange(min=0.0, min_open=True),
     default=None,
-    help="Seconds within which the answer is wanted; the service's longest if left out.",
+    help="Seconds for the answer; the service's longest if left out.",
 )
 @pass_context
 def request(
