--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -14,6 +14,7 @@
 from almondspread.requests import RetryBudget, find_backoff, find_key_shard
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.peers import CallContext
+from almondspread_daemon.peers.links import NO_GRACE
 from almondspread_daemon.peers.messages import Refused
 from almondspread_daemon.peers.request_messages import (
     AnswerRecorded,
@@ -181,9 +182,15 @@
     async def take_slot(
         self, service: str, kind: str, due: timedelta
     ) -> Result[HeldSlot, Problem]:
-        """Set a slot aside for a keyed request, here or at a peer."""
+        """Set a slot aside for a keyed request, here or at a peer.
+
+        Gives up a little before ``due``: whoever waits for the request until then
+        has to hear that it was not run.
+        """
+        left = due - self._clock.monotonic()
+        early = due - find_margin(left.total_seconds())
         return await self._outlast_move(
-            lambda: self._take_slot_once(service, kind, due), due
+            lambda: self._take_slot_once(service, kind, early), early
         )
 
     async def _take_slot_once(
@@ -200,7 +207,8 @@
                 continue
             self.loads.note_passed(owner.name, service)
             message = TakeSlot(service, kind, wait=True)
-            asked = await self.call_peer(owner, message, due)
+            # Nothing was sent yet, so silence needs no second look.
+            asked = await self.call_peer(owner, message, due, NO_GRACE)
             if asked.is_ok() and isinstance(asked.ok, SlotTaken):
                 return Ok(self._hold_at(owner, asked.ok.number))
             if asked.is_error():
@@ -286,7 +294,11 @@
         return find_key_shard(service, key, self._request_shards)
 
     async def call_peer(
-        self, member: Member, message: Any, due: timedelta
+        self,
+        member: Member,
+        message: Any,
+        due: timedelta,
+        grace: timedelta = REPLY_GRACE,
     ) -> Result[Any, Problem]:
         """Call a peer and tell an answer, a refusal and silence apart."""
         timeout = due - self._clock.monotonic()
@@ -294,9 +306,7 @@
             return Error(refuse_late(getattr(message, "service", "")))
         # A peer that refuses just before the deadline has said something that is
         # certain; giving up on it would turn that into an unknown outcome.
-        outcome = await self._neighbours.call(
-            member.address, message, timeout, REPLY_GRACE
-        )
+        outcome = await self._neighbours.call(member.address, message, timeout, grace)
         if outcome.is_error():
             if outcome.error.not_sent:
                 return Error(refuse_unreachable(outcome.error.reason))
@@ -334,8 +344,13 @@
     """
     left = deadline - clock.now().timestamp()
     seconds = min(left, context.timeout)
-    margin = min(REPLY_MARGIN.total_seconds(), seconds * REPLY_SHARE)
-    return clock.monotonic() + timedelta(seconds=seconds - margin)
+    return clock.monotonic() + timedelta(seconds=seconds) - find_margin(seconds)
+
+
+def find_margin(seconds: float) -> timedelta:
+    """Return how long before the end of some seconds a verdict has to be ready."""
+    share = max(0.0, seconds * REPLY_SHARE)
+    return min(REPLY_MARGIN, timedelta(seconds=share))
 
 
 def _describe(
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_router.py
@@ -0,0 +1,45 @@
+import unittest
+from datetime import timedelta
+from types import SimpleNamespace
+
+from expression import Error
+
+from almondspread.clock import ManualClock
+from almondspread.ownership import Member
+from almondspread_daemon.peers import PeerFault
+from almondspread_daemon.peers.request_messages import MinionLoads, ServiceLoad
+from almondspread_daemon.requests.router import RequestRouter
+
+DUE = timedelta(seconds=10)
+
+
+class SilentNeighbours:
+    """One live peer, which uses up all the time that a call leaves it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.member = Member(
+            "peer", "127.0.0.1:1", "umea", "1", clock.monotonic(), ready=True
+        )
+
+    def list_live(self):
+        return [self.member]
+
+    async def call(self, address, message, timeout, grace):
+        self.clock.advance(timeout + grace)
+        return Error(PeerFault("no reply", not_sent=False))
+
+
+class TakeSlotTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_silent_owner_leaves_time_to_say_that_nothing_was_run(self):
+        clock = ManualClock()
+        pools = SimpleNamespace(pools={})
+        router = RequestRouter(
+            "umea", (), lambda _: None, pools, SilentNeighbours(clock), clock
+        )
+        loads = {"route": ServiceLoad(8, 1, 0)}
+        router.loads.hear(MinionLoads("peer", loads), clock.monotonic())
+        taken = await router.take_slot("route", "recalculation", DUE)
+        self.assertIs(taken.error.not_run, True)
+        # The submission that waits until the deadline must hear of it before.
+        self.assertLess(clock.monotonic(), DUE)
