--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -114,6 +114,7 @@
     # Tests of failures make the code log a great deal; only their verdicts count.
     logger.remove()
     logging.getLogger().addHandler(logging.NullHandler())
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     tests = collect_tests(options.package or PACKAGES, options.pattern)
     listed = read_known_red()
     suite = unittest.TestSuite(test for test in tests if test.id() not in listed)
