Drop what nothing calls

A listing of definitions without a caller showed one function, three durations of the settings, two methods and a counter that never counted.

--- a/packages/almondspread/almondspread/changes/cache.py
+++ b/packages/almondspread/almondspread/changes/cache.py
@@ -100,13 +100,6 @@
         applied = self.list_applied_after(revision)
         return None if applied is None else [entry.entry for entry in applied]
 
-    def find_batch(self, batch: str) -> int:
-        """Return the revision of the kept entry that a batch wrote, 0 for none."""
-        for applied in reversed(self._history):
-            if batch and applied.entry.batch == batch:
-                return applied.entry.revision
-        return 0
-
     def fork(self) -> "ResourceCache":
         """Return a copy without history that can be advanced by itself."""
         copy = ResourceCache(0)
--- a/packages/almondspread/almondspread/scheduling/decisions.py
+++ b/packages/almondspread/almondspread/scheduling/decisions.py
@@ -125,10 +125,6 @@
         self.cell.include(worker)
         self.openings += 1
 
-    def has_exclusion(self, worker: str, reason: str) -> bool:
-        """Tell whether a worker takes no tasks for a reason."""
-        return reason in self._exclusions.get(worker, ())
-
     def bind(self, state: WorkloadState, task: Task, worker: str) -> None:
         """Bind the next attempt of a task to a worker.
 
--- a/packages/almondspread_daemon/almondspread_daemon/membership/directory.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/directory.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Sequence
 
 from almondspread.interfaces import Instance
-from almondspread.ownership import Member
 from almondspread.scheduling import find_rack_shard
 
 
@@ -25,17 +24,6 @@
     return workers
 
 
-def list_domain_peers(members: Iterable[Member], failure_domain: str) -> list[str]:
-    """Return the names of the ready, staying members of a failure domain."""
-    peers = []
-    for member in members:
-        if member.failure_domain != failure_domain:
-            continue
-        if member.ready and not member.leaving:
-            peers.append(member.name)
-    return peers
-
-
 def find_domain(shard: str) -> str:
     """Return the failure domain in a shard's name.
 
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -179,16 +179,6 @@
     balancer_lag_seconds: Annotated[float, Range(0, 600, "seconds")] = 5.0
     stop_bound_seconds: Annotated[float, Range(1, 86_400, "seconds")] = 120.0
 
-    @property
-    def lookup_deadline(self) -> timedelta:
-        """The longest deadline of a lookup."""
-        return timedelta(seconds=self.lookup_deadline_seconds)
-
-    @property
-    def call_deadline(self) -> timedelta:
-        """The longest deadline of a recalculation or reservation."""
-        return timedelta(seconds=self.call_deadline_seconds)
-
     @property
     def balancer_lag(self) -> timedelta:
         """How long a balancer may still send requests to a leaving instance."""
@@ -217,11 +207,6 @@
     trace_ratio: Annotated[float, Range(0, 1)] = 0.01
     metrics_interval_seconds: Annotated[float, Range(1, 3_600, "seconds")] = 15.0
 
-    @property
-    def metrics_interval(self) -> timedelta:
-        """How often metrics are sent."""
-        return timedelta(seconds=self.metrics_interval_seconds)
-
 
 @define(frozen=True)
 class LogSettings:
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
@@ -20,7 +20,6 @@
     table_calls: Counter
     commits: Counter
     commit_duration: Histogram
-    placements: Counter
 
     @classmethod
     def create(cls, meter: Meter) -> "Instruments":
@@ -58,9 +57,4 @@
                 description="From a batch's decision to its commit",
                 explicit_bucket_boundaries_advisory=COMMIT_SECONDS,
             ),
-            placements=meter.create_counter(
-                "almondspread.placements",
-                unit="{attempt}",
-                description="Attempts bound to workers",
-            ),
         )
