--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -0,0 +1,51 @@
+"""Who leads the cell: the rules of the leader's row in the store."""
+
+from datetime import timedelta
+
+from attrs import define
+
+LEADER_LEASE = timedelta(seconds=2)
+# How far two readings of the store's clock may be apart.
+CLOCK_SLACK = timedelta(milliseconds=200)
+# Without the store, a leader goes on with what it knows for so long.
+LEADER_GRACE = timedelta(seconds=8)
+# Upstreams' clocks may be this much slow, so that leases last longer.
+SLOW_CLOCK = 1.02
+
+
+@define(frozen=True)
+class LeaderRow:
+    """The leader that the store names.
+
+    ``renewed`` is seconds of the store's steady clock. ``renewal`` numbers the writes
+    of one incarnation. ``released`` is set by a leader that has stepped down.
+    """
+
+    epoch: int
+    instance: str
+    incarnation: str
+    address: str
+    renewed: float
+    renewal: int = 0
+    released: bool = False
+
+
+def is_expired(row: LeaderRow | None, store_time: timedelta) -> bool:
+    """Tell whether another instance may claim the leadership.
+
+    >>> row = LeaderRow(1, "entry-1", "a", "10.0.0.1:7000", renewed=10.0)
+    >>> is_expired(row, timedelta(seconds=11)), is_expired(row, timedelta(seconds=13))
+    (False, True)
+    """
+    if row is None or row.released:
+        return True
+    age = store_time - timedelta(seconds=row.renewed)
+    return age > LEADER_LEASE + CLOCK_SLACK
+
+
+def measure_inherited_wait(longest_hold: timedelta) -> timedelta:
+    """Return how long after a takeover a run of an earlier leader may still live.
+
+    The earlier leader may have renewed leases for its grace after its own lease.
+    """
+    return LEADER_GRACE + longest_hold * SLOW_CLOCK + CLOCK_SLACK
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/ledger.py
@@ -0,0 +1,94 @@
+"""The runs that are not known to have ended, and the upstreams they are bound to."""
+
+from datetime import timedelta
+
+from attrs import define, field
+
+from almondspread.jobs.messages import RunSighting, UpstreamEntry
+from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.upstreams import Upstream
+
+# The run numbers of one epoch stay below those of the next.
+RUNS_PER_EPOCH = 10_000_000
+
+
+@define(eq=False)
+class RunLedger:
+    """Binds runs to upstreams, and frees their room once they have surely ended."""
+
+    epoch: int
+    upstreams: dict[str, Upstream] = field(factory=dict)
+    runs: dict[tuple[TaskId, int], Run] = field(factory=dict)
+    _last_number: int = 0
+
+    def next_number(self) -> int:
+        """Return a run number above all that this and earlier leaders have used."""
+        self._last_number += 1
+        return self.epoch * RUNS_PER_EPOCH + self._last_number
+
+    def add(
+        self, progress: StepProgress, index: int, upstream: Upstream, run: Run
+    ) -> None:
+        """Bind a run of a task to an upstream."""
+        progress.add_run(run)
+        self.runs[run.task, run.number] = run
+        upstream.bind(run.task, run.number, progress.step.claim)
+
+    def adopt(
+        self,
+        progress: StepProgress,
+        upstream: Upstream,
+        sighting: RunSighting,
+        now: timedelta,
+    ) -> Run:
+        """Bind a run that an earlier leader started."""
+        run = Run(
+            sighting.task,
+            sighting.run,
+            upstream.name,
+            RunPhase.RUNNING,
+            started=now,
+            changed=now,
+        )
+        self.add(progress, sighting.task.index, upstream, run)
+        return run
+
+    def drop(self, progress: StepProgress, run: Run) -> None:
+        """Forget a run that has surely ended or never started."""
+        self.runs.pop((run.task, run.number), None)
+        progress.drop_run(run)
+        upstream = self.upstreams.get(run.upstream)
+        if upstream is not None:
+            upstream.release(run.task, run.number)
+
+    def list_runs(self, upstream: str) -> list[Run]:
+        """Return the runs that are bound to an upstream."""
+        found = self.upstreams.get(upstream)
+        if found is None:
+            return []
+        return [self.runs[key] for key in found.bound if key in self.runs]
+
+    def refresh(self, entries: list[UpstreamEntry]) -> tuple[list[str], list[str]]:
+        """Take the newest list; return the names that are new and those replaced.
+
+        An upstream is replaced where another incarnation has its address.
+        """
+        added = []
+        listed = {entry.name for entry in entries}
+        addresses = {entry.address: entry.name for entry in entries}
+        for entry in entries:
+            known = self.upstreams.get(entry.name)
+            if known is not None:
+                known.update(entry)
+                continue
+            self.upstreams[entry.name] = Upstream(entry)
+            added.append(entry.name)
+        replaced = []
+        for name, upstream in self.upstreams.items():
+            if name in listed:
+                continue
+            upstream.listed = False
+            if upstream.entry.address in addresses:
+                replaced.append(name)
+        return added, replaced
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -0,0 +1,241 @@
+"""What the job scheduler asks of the platform, as typed messages and protocols."""
+
+from datetime import timedelta
+from typing import Protocol
+
+from attrs import define
+from expression import Result
+
+from almondspread.jobs.configuration import Configuration
+from almondspread.jobs.messages import RunEnd, RunSighting, UpstreamEntry
+from almondspread.jobs.submissions import TaskId
+
+
+@define(frozen=True)
+class RowName:
+    """Names a row; rows of one ``part`` can change in one transaction."""
+
+    table: str
+    part: str
+    key: str
+
+
+@define(frozen=True)
+class StoredRow:
+    """A row as it was read; ``value`` is ``None`` where a change dropped it."""
+
+    name: RowName
+    value: bytes | None
+    version: int
+
+
+@define(frozen=True)
+class RowPut:
+    """Sets one row."""
+
+    name: RowName
+    value: bytes
+
+
+@define(frozen=True)
+class RowCondition:
+    """Holds while a row is at ``version``, which is 0 for a row that is not there."""
+
+    name: RowName
+    version: int
+
+
+@define(frozen=True)
+class Transaction:
+    """Changes that take effect together, if all conditions hold."""
+
+    conditions: tuple[RowCondition, ...] = ()
+    puts: tuple[RowPut, ...] = ()
+    removals: tuple[RowName, ...] = ()
+
+
+@define(frozen=True)
+class Committed:
+    """A transaction took effect: its version, and the store's steady clock."""
+
+    version: int
+    store_time: timedelta
+
+
+@define(frozen=True)
+class ConditionsFailed:
+    """A transaction did nothing; ``rows`` are those of its conditions as they are."""
+
+    rows: tuple[StoredRow, ...]
+
+
+@define(frozen=True)
+class StoreUnavailable:
+    """The store gave no answer of use.
+
+    Where ``not_done`` is true it has done nothing; else it may yet do what was asked.
+    """
+
+    reason: str
+    not_done: bool
+
+
+@define(frozen=True)
+class HistoryGone:
+    """The store no longer has the changes that were asked for; read all rows anew."""
+
+
+@define(frozen=True)
+class RowsPage:
+    """Rows of one moment; where ``has_more``, read on from after the last key."""
+
+    rows: tuple[StoredRow, ...]
+    has_more: bool
+    version: int
+    store_time: timedelta
+
+
+@define(frozen=True)
+class Changes:
+    """What changed, up to ``version``."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+class RecordStore(Protocol):
+    """The transactional store of the platform."""
+
+    async def transact(
+        self, transaction: Transaction, timeout: timedelta
+    ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
+        """Apply a transaction whole or not at all."""
+
+    async def read(
+        self, table: str, part: str, start: str, end: str, timeout: timedelta
+    ) -> Result[RowsPage, StoreUnavailable]:
+        """Return rows of one part in order of their keys, ``end`` excluded.
+
+        An empty ``start`` or ``end`` sets no bound.
+        """
+
+    async def follow(
+        self, table: str, after: int, wait: timedelta, timeout: timedelta
+    ) -> Result[Changes, HistoryGone | StoreUnavailable]:
+        """Return the changes of a table after a version, as soon as there are any."""
+
+
+class CellDirectory(Protocol):
+    """What operators and upstreams publish."""
+
+    async def list_upstreams(
+        self, timeout: timedelta
+    ) -> Result[list[UpstreamEntry], StoreUnavailable]:
+        """Return the upstreams that are registered now."""
+
+    async def read_configuration(
+        self, timeout: timedelta
+    ) -> Result[Configuration | None, StoreUnavailable]:
+        """Return the newest configuration, ``None`` where there is none yet."""
+
+    async def wait_for_change(
+        self, wait: timedelta, timeout: timedelta
+    ) -> Result[bool, HistoryGone | StoreUnavailable]:
+        """Return true as soon as operators have published something new."""
+
+
+@define(frozen=True)
+class CallFailed:
+    """A call brought no answer of use.
+
+    ``not_done`` is true only where the callee has surely done nothing. ``fenced``
+    tells that it has seen a higher epoch, ``replaced`` that another incarnation
+    answered.
+    """
+
+    reason: str
+    not_done: bool
+    fenced: bool = False
+    replaced: bool = False
+
+
+@define(frozen=True)
+class HoldCall:
+    """Renews the lease of all runs until ``until`` of the upstream's clock, if given.
+
+    Forgets the ends up to ``acknowledged``, and waits for a further end.
+    """
+
+    epoch: int
+    acknowledged: int
+    until: timedelta | None
+    wait: timedelta
+
+
+@define(frozen=True)
+class HoldAnswer:
+    """What an upstream runs, the ends not acknowledged yet, and its steady clock."""
+
+    clock: timedelta
+    running: tuple[RunSighting, ...]
+    ends: tuple[RunEnd, ...]
+
+
+@define(frozen=True)
+class StartCall:
+    """Starts a run, unless the upstream's clock has passed ``until``."""
+
+    epoch: int
+    task: TaskId
+    run: int
+    payload: str
+    until: timedelta
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class UpstreamClient(Protocol):
+    """Calls to one upstream, meant for the incarnation ``upstream`` only."""
+
+    async def hold(
+        self, address: str, upstream: str, call: HoldCall
+    ) -> Result[HoldAnswer, CallFailed]:
+        """Renew leases, and see what runs and what has ended."""
+
+    async def start(
+        self, address: str, upstream: str, call: StartCall
+    ) -> Result[None, CallFailed]:
+        """Start a run; repeating it changes nothing."""
+
+    async def stop(
+        self, address: str, upstream: str, epoch: int, task: TaskId, run: int
+    ) -> Result[None, CallFailed]:
+        """Stop a run, or keep it from ever starting."""
+
+    async def pace(
+        self,
+        address: str,
+        upstream: str,
+        epoch: int,
+        task: TaskId,
+        run: int,
+        percent: int,
+    ) -> Result[None, CallFailed]:
+        """Let a run work at a share of its speed."""
+
+
+@define(frozen=True)
+class Advice:
+    """Tickets by upstream, and how long they hold."""
+
+    tickets: dict[str, str]
+    validity: timedelta
+
+
+class AdviceClient(Protocol):
+    """The service that knows which upstreams may run a step."""
+
+    async def ask(
+        self, job: str, occurrence: int, step: int, upstreams: tuple[str, ...]
+    ) -> Result[Advice, CallFailed]:
+        """Return which of the upstreams may run a step."""
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -0,0 +1,121 @@
+"""What the leader believes of one upstream, and what it has bound to it."""
+
+from collections import deque
+from datetime import timedelta
+
+from attrs import define, field
+
+from almondspread.jobs.messages import UpstreamEntry
+from almondspread.jobs.submissions import TaskId
+from almondspread.resources.capacity import Capacity
+
+FAILURE_WINDOW = timedelta(seconds=4)
+# A single job's fault must not discredit an upstream.
+FAILURES_TO_SUSPECT = 3
+JOBS_TO_SUSPECT = 2
+FIRST_SUSPENSION = timedelta(seconds=2)
+LAST_SUSPENSION = timedelta(seconds=8)
+
+
+@define(eq=False)
+class Upstream:
+    """One incarnation of an upstream.
+
+    ``known`` is set once it has reported under this leader's epoch, ``recorded`` once
+    the store names it as one that may run tasks. ``lapse_at`` is
+    when its leases have surely run out, while it does not answer. No run may be bound
+    to it that does not fit beside everything that may still run there.
+    """
+
+    entry: UpstreamEntry
+    known: bool = False
+    recorded: bool = False
+    listed: bool = True
+    lapse_at: timedelta | None = None
+    ends_seen: int = 0
+    suspended_until: timedelta = timedelta(0)
+    suspension: timedelta = FIRST_SUSPENSION
+    free: Capacity = field(init=False)
+    bound: dict[tuple[TaskId, int], Capacity] = field(factory=dict)
+    _step_counts: dict[tuple[str, int, int], int] = field(factory=dict)
+    _outcomes: deque[tuple[timedelta, str, bool]] = field(factory=deque)
+
+    def __attrs_post_init__(self) -> None:
+        self.free = self.entry.capacity
+
+    @property
+    def name(self) -> str:
+        """The name of the incarnation."""
+        return self.entry.name
+
+    @property
+    def rack(self) -> str:
+        """The label of its rack, the last of its labels."""
+        return self.entry.labels[-1] if self.entry.labels else ""
+
+    def update(self, entry: UpstreamEntry) -> None:
+        """Take its newest entry."""
+        if entry.capacity != self.entry.capacity:
+            used = self.entry.capacity.minus(self.free)
+            self.free = entry.capacity.minus(used)
+        self.entry = entry
+        self.listed = True
+
+    def is_usable(self, now: timedelta) -> bool:
+        """Tell whether new runs may be bound to it."""
+        if not (self.known and self.listed and self.recorded):
+            return False
+        if self.entry.draining:
+            return False
+        return self.lapse_at is None and now >= self.suspended_until
+
+    def bind(self, task: TaskId, run: int, claim: Capacity) -> None:
+        """Count a run against the capacity."""
+        self.bound[task, run] = claim
+        self.free = self.free.minus(claim)
+        key = (task.job, task.occurrence, task.step)
+        self._step_counts[key] = self._step_counts.get(key, 0) + 1
+
+    def release(self, task: TaskId, run: int) -> None:
+        """Give back what a run that has ended took."""
+        claim = self.bound.pop((task, run), None)
+        if claim is None:
+            return
+        self.free = self.free.plus(claim)
+        key = (task.job, task.occurrence, task.step)
+        left = self._step_counts.get(key, 0) - 1
+        if left > 0:
+            self._step_counts[key] = left
+        else:
+            self._step_counts.pop(key, None)
+
+    def count_step(self, key: tuple[str, int, int]) -> int:
+        """Return how many runs of a step are bound to it."""
+        return self._step_counts.get(key, 0)
+
+    def note_outcome(self, job: str, failed: bool, now: timedelta) -> bool:
+        """Count an end; return true where it suspends the upstream.
+
+        An upstream on which runs of unlike jobs fail, and few succeed, gets no new
+        runs for a while, and longer each time.
+        """
+        self._outcomes.append((now, job, failed))
+        while self._outcomes and now - self._outcomes[0][0] > FAILURE_WINDOW:
+            self._outcomes.popleft()
+        if not failed:
+            self.suspension = FIRST_SUSPENSION
+            return False
+        failing_jobs = {name for _, name, bad in self._outcomes if bad}
+        failures = sum(bad for _, _, bad in self._outcomes)
+        if failures < FAILURES_TO_SUSPECT or len(failing_jobs) < JOBS_TO_SUSPECT:
+            return False
+        if 2 * failures <= len(self._outcomes):
+            return False
+        self.suspend(now)
+        return True
+
+    def suspend(self, now: timedelta) -> None:
+        """Keep new runs away for a while."""
+        self.suspended_until = now + self.suspension
+        self.suspension = min(self.suspension * 2, LAST_SUSPENSION)
+        self._outcomes.clear()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
@@ -0,0 +1,44 @@
+"""The states of jobs as this instance last heard them from the leader."""
+
+from attrs import define, field
+
+from almondspread.jobs.progress import TERMINAL_STATES, JobState
+from almondspread.jobs.scheduler import Announcement
+
+
+@define(eq=False)
+class JobBoard:
+    """States by job. ``is_current`` while a leader keeps it up to date."""
+
+    is_current: bool = False
+    waits: dict[str, float] = field(factory=dict)
+    _states: dict[str, Announcement] = field(factory=dict)
+    _queued: dict[str, set[str]] = field(factory=dict)
+
+    def replace(self, states: tuple[Announcement, ...]) -> None:
+        """Take the states of all jobs; ones that have ended stay as they are."""
+        for name, known in list(self._states.items()):
+            if JobState(known.state) not in TERMINAL_STATES:
+                del self._states[name]
+        self._queued.clear()
+        self.update(states)
+        self.is_current = True
+
+    def update(self, states: tuple[Announcement, ...]) -> None:
+        """Take states that have changed."""
+        for state in states:
+            self._states[state.job] = state
+            queued = self._queued.setdefault(state.queue, set())
+            if state.state == JobState.QUEUED:
+                queued.add(state.job)
+            else:
+                queued.discard(state.job)
+
+    def read(self, job: str) -> JobState | None:
+        """Return the state of a job, ``None`` where it is not known."""
+        known = self._states.get(job)
+        return JobState(known.state) if known is not None else None
+
+    def count_queued(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return len(self._queued.get(queue, ()))
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -0,0 +1,234 @@
+"""What callers ask of jobs: submit, read, cancel, and count those that wait."""
+
+import math
+from collections.abc import Callable
+from datetime import timedelta
+
+from expression import Error, Ok, Result
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.codec import encode_message
+from almondspread.errors import (
+    NotFound,
+    OutcomeUnknown,
+    Problem,
+    Unavailable,
+)
+from almondspread.jobs.admission import decide_admission
+from almondspread.jobs.configuration import Configuration, Queue
+from almondspread.jobs.ports import (
+    ConditionsFailed,
+    RowCondition,
+    RowName,
+    RowPut,
+    StoredRow,
+    StoreUnavailable,
+    Transaction,
+)
+from almondspread.jobs.progress import TERMINAL_STATES, JobRecord, JobState
+from almondspread.jobs.submissions import Submission, check_submission
+from almondspread_daemon.jobs.board import JobBoard
+from almondspread_daemon.jobs.rows import (
+    CancelRow,
+    encode_submission,
+    name_cancel,
+    name_job,
+    name_progress,
+    read_row,
+)
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.store_clock import StoreClock
+
+STORE_RETRY_AFTER = timedelta(seconds=1)
+RETRY_PAUSE = timedelta(milliseconds=50)
+# The caller should hear that the outcome is unknown before it gives up.
+ANSWER_MARGIN = timedelta(milliseconds=150)
+
+
+class JobDesk:
+    """Serves callers' requests about jobs at this instance."""
+
+    def __init__(
+        self,
+        store: StoreAccess,
+        store_clock: StoreClock,
+        clock: Clock,
+        board: JobBoard,
+        announce_cancel: Callable[[str], None],
+    ) -> None:
+        self.configuration: Configuration | None = None
+        self._store = store
+        self._store_clock = store_clock
+        self._clock = clock
+        self._board = board
+        self._announce_cancel = announce_cancel
+
+    def find_queue(self, host: str, path: str) -> Result[Queue, Problem]:
+        """Return the queue that a request is for."""
+        if self.configuration is None:
+            return Error(
+                Unavailable(
+                    "this instance has no configuration yet",
+                    "send the request again",
+                    not_run=True,
+                    retry_after_seconds=STORE_RETRY_AFTER.total_seconds(),
+                )
+            )
+        queue = self.configuration.find_queue(host, path)
+        if queue is None:
+            return Error(NotFound("no queue has this host and path", "check both"))
+        return Ok(queue)
+
+    async def submit(
+        self, queue: Queue, submission: Submission, timeout: timedelta
+    ) -> Result[JobState, Problem]:
+        """Store a job, once however often it is submitted; then it will run."""
+        checked = check_submission(submission)
+        if checked.is_error():
+            return Error(checked.error)
+        known = self._board.read(submission.job)
+        if known is not None:
+            return Ok(known)
+        wait = self._board.waits.get(queue.name, 0.0)
+        admission = decide_admission(queue, submission, timedelta(seconds=wait))
+        if admission is not None:
+            self._log(submission.job, "refused", wait=wait)
+            return Error(admission)
+        return await self._store_submission(submission, timeout)
+
+    async def _store_submission(
+        self, submission: Submission, timeout: timedelta
+    ) -> Result[JobState, Problem]:
+        """Write the submission's row, again where it is not known to be written."""
+        due = self._clock.monotonic() + timeout - ANSWER_MARGIN
+        value = encode_submission(submission, self._store_clock.now())
+        name = name_job(submission.job)
+        transaction = Transaction((RowCondition(name, 0),), (RowPut(name, value),))
+        surely_not_stored = True
+        while True:
+            outcome = await self._store.transact(transaction)
+            if outcome.is_ok():
+                self._log(submission.job, "accepted", version=outcome.ok.version)
+                return Ok(JobState.QUEUED)
+            failure = outcome.error
+            if isinstance(failure, ConditionsFailed):
+                self._log(submission.job, "accepted", reason="stored before")
+                return Ok(JobState.QUEUED)
+            surely_not_stored = surely_not_stored and failure.not_done
+            if surely_not_stored:
+                self._log(submission.job, "refused", reason=failure.reason)
+                return Error(_report_store_away(failure))
+            if self._clock.monotonic() + RETRY_PAUSE >= due:
+                self._log(submission.job, "unknown", reason=failure.reason)
+                return Error(
+                    OutcomeUnknown(
+                        "the job may or may not have been stored",
+                        "submit it again under the same id",
+                    )
+                )
+            await self._clock.sleep(RETRY_PAUSE)
+
+    async def read_state(self, job: str) -> Result[JobState, Problem]:
+        """Return the state of a job."""
+        known = self._board.read(job)
+        if known is not None and (self._board.is_current or known in TERMINAL_STATES):
+            return Ok(known)
+        stored = await self._read_stored_state(job)
+        if stored.is_error() and known is not None:
+            return Ok(known)
+        return stored
+
+    async def _read_stored_state(self, job: str) -> Result[JobState, Problem]:
+        """Return the state of a job by the store's rows."""
+        for name in (name_cancel(job), name_progress(job)):
+            row = await self._read_one(name)
+            if row.is_error():
+                return Error(_report_store_away(row.error))
+            if row.ok is None:
+                continue
+            if name == name_cancel(job):
+                return Ok(JobState.CANCELLED)
+            record = read_row(row.ok, JobRecord)
+            if record is not None:
+                return Ok(JobState(record.state))
+        row = await self._read_one(name_job(job))
+        if row.is_error():
+            return Error(_report_store_away(row.error))
+        if row.ok is None:
+            self._log(job, "not found")
+            return Error(_report_gone(job))
+        return Ok(JobState.QUEUED)
+
+    async def cancel(self, job: str) -> Result[JobState, Problem]:
+        """Cancel a job for good."""
+        known = self._board.read(job)
+        if known in TERMINAL_STATES:
+            assert known is not None
+            return Ok(known)
+        if known is None:
+            stored = await self._read_stored_state(job)
+            if stored.is_error():
+                return Error(stored.error)
+        value = encode_message(CancelRow(job))
+        outcome = await self._store.transact(
+            Transaction(puts=(RowPut(name_cancel(job), value),))
+        )
+        if outcome.is_error():
+            self._log(job, "cancel not stored", reason=str(outcome.error))
+            return Error(_report_cancel_unknown())
+        self._log(job, "cancelled", version=outcome.ok.version)
+        self._announce_cancel(job)
+        return Ok(JobState.CANCELLED)
+
+    def count_queued(self, queue: Queue) -> Result[int, Problem]:
+        """Return how many accepted jobs of a queue have not begun."""
+        if not self._board.is_current:
+            return Error(
+                Unavailable(
+                    "this instance does not hear from the leader",
+                    "ask again later",
+                    retry_after_seconds=math.ceil(STORE_RETRY_AFTER.total_seconds()),
+                )
+            )
+        return Ok(self._board.count_queued(queue.name))
+
+    async def _read_one(
+        self, name: RowName
+    ) -> Result[StoredRow | None, StoreUnavailable]:
+        """Return one row, ``None`` where it is not there."""
+        # No key of the product's has a byte below the blank.
+        page = await self._store.read(
+            name.table, name.part, name.key, name.key + "\x01"
+        )
+        if page.is_error():
+            return Error(page.error)
+        self._store_clock.observe(page.ok.store_time)
+        return Ok(page.ok.rows[0] if page.ok.rows else None)
+
+    def _log(self, job: str, outcome: str, **inputs: object) -> None:
+        """Log what was decided on a request."""
+        version = self.configuration.version if self.configuration else None
+        logger.info(
+            "request", job=job, outcome=outcome, configuration=version, **inputs
+        )
+
+
+def _report_store_away(failure: StoreUnavailable) -> Problem:
+    """Return the problem of a store that does not answer."""
+    return Unavailable(
+        f"the platform's store is not available: {failure.reason}",
+        "send the request again",
+        not_run=True,
+        retry_after_seconds=STORE_RETRY_AFTER.total_seconds(),
+    )
+
+
+def _report_gone(job: str) -> Problem:
+    """Return the problem of a job that does not exist."""
+    return NotFound(f"there is no job {job}", "submit it")
+
+
+def _report_cancel_unknown() -> Problem:
+    """Return the problem of a cancellation that may not have been stored."""
+    return OutcomeUnknown("the job may or may not be cancelled", "cancel it again")
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -0,0 +1,379 @@
+"""One instance: follows the leader of the cell, or leads it."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from loguru import logger
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from almondspread.clock import Clock
+from almondspread.codec import encode_message
+from almondspread.jobs.configuration import Configuration
+from almondspread.jobs.leases import LeaderRow, is_expired
+from almondspread.jobs.messages import ExecutorReport
+from almondspread.jobs.ports import (
+    AdviceClient,
+    HistoryGone,
+    RowCondition,
+    RowPut,
+    Transaction,
+    UpstreamClient,
+)
+from almondspread_daemon.jobs.board import JobBoard
+from almondspread_daemon.jobs.callers import JobDesk
+from almondspread_daemon.jobs.executor import Executor
+from almondspread_daemon.jobs.leader import LeaderSession
+from almondspread_daemon.jobs.links import (
+    Beat,
+    Hello,
+    JobCancelled,
+    Leaving,
+    Link,
+    QueueLoads,
+    StatesChanged,
+    Welcome,
+)
+from almondspread_daemon.jobs.members import Member
+from almondspread_daemon.jobs.rows import CELL, CELL_PART, LEADER, read_leader
+from almondspread_daemon.jobs.settings import JobSettings
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.settings import parse_address
+
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+LEADER_SILENCE = timedelta(milliseconds=1_600)
+BEAT_INTERVAL = timedelta(milliseconds=500)
+POLL_PAUSE = timedelta(milliseconds=150)
+STORE_PAUSE = timedelta(milliseconds=300)
+CONFIGURATION_WAIT = timedelta(seconds=20)
+# Instances that find the leader gone at the same time do not all claim at once.
+CLAIM_JITTER = timedelta(milliseconds=120)
+
+
+class JobInstance:
+    """Ties together what one instance does for callers and for the leader."""
+
+    def __init__(
+        self,
+        settings: JobSettings,
+        incarnation: str,
+        store: StoreAccess,
+        upstreams: UpstreamClient,
+        advice: AdviceClient,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.board = JobBoard()
+        self.store_clock = StoreClock(clock)
+        self.desk = JobDesk(
+            store, self.store_clock, clock, self.board, self._announce_cancel
+        )
+        self._incarnation = incarnation
+        self._store = store
+        self._clock = clock
+        self._random = random_source
+        self._executor = Executor(upstreams, advice, clock, settings.lease)
+        self._session: LeaderSession | None = None
+        self._link: Link | None = None
+        self._listener = LinkServer(self._serve_link)
+        self._stopping = False
+        self._checking: asyncio.Task[None] | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.desk.configuration is not None and not self._stopping
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this instance is about to end."""
+        return self._stopping
+
+    async def run(self) -> None:
+        """Work until cancelled; raises what no task of it can go on after."""
+        host, port = parse_address(self.settings.peer_address)
+        self._listener.listen(port, host)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_configuration())
+            group.create_task(self._take_part())
+
+    async def stop(self) -> None:
+        """Hand over what this instance does for others."""
+        self._stopping = True
+        if self._session is not None:
+            await self._session.release()
+        if self._link is not None:
+            self._link.send(Leaving())
+
+    def close(self) -> None:
+        """End all work."""
+        self._listener.stop()
+        if self._link is not None:
+            self._link.close()
+        self._executor.close()
+
+    # Configuration
+
+    async def _follow_configuration(self) -> None:
+        """Put each new configuration in force; an older one never comes back."""
+        while True:
+            read = await self._store.read_configuration()
+            if read.is_error():
+                logger.warning("configuration not read", reason=read.error.reason)
+                await self._clock.sleep(STORE_PAUSE)
+                continue
+            if read.ok is not None:
+                self._configure(read.ok)
+            await self._await_change()
+
+    async def _await_change(self) -> None:
+        """Wait until operators have published something new."""
+        while True:
+            changed = await self._store.wait_for_change(CONFIGURATION_WAIT)
+            if changed.is_ok():
+                if changed.ok:
+                    return
+                continue
+            if not isinstance(changed.error, HistoryGone):
+                logger.warning("configuration feed cut", reason=changed.error.reason)
+                await self._clock.sleep(STORE_PAUSE)
+            return
+
+    def _configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force, unless it is not newer."""
+        current = self.desk.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        logger.info(
+            "configuration in force",
+            version=configuration.version,
+            queues=len(configuration.queues),
+        )
+        self.desk.configuration = configuration
+        if self._session is not None:
+            self._session.configure(configuration)
+
+    # Leading and following
+
+    async def _take_part(self) -> None:
+        """Follow the leader, or lead where there is none."""
+        while not self._stopping:
+            row, version = await self._read_leader()
+            if version < 0 or self.desk.configuration is None:
+                await self._pause(POLL_PAUSE)
+                continue
+            if is_expired(row, self.store_clock.now()):
+                await self._pause(CLAIM_JITTER * self._random.random())
+                await self._claim(row, version)
+                continue
+            assert row is not None
+            if row.instance == self.settings.instance:
+                # An earlier life of this instance led; its lease must run out.
+                await self._pause(POLL_PAUSE)
+                continue
+            await self._follow(row)
+            await self._pause(POLL_PAUSE)
+
+    async def _pause(self, duration: timedelta) -> None:
+        """Wait a little."""
+        await self._clock.sleep(duration)
+
+    async def _read_leader(self) -> tuple[LeaderRow | None, int]:
+        """Return the leader's row and version, the version -1 without an answer."""
+        page = await self._store.read(CELL, CELL_PART, LEADER.key, LEADER.key + "\x01")
+        if page.is_error():
+            logger.warning("leader not read", reason=page.error.reason)
+            return None, -1
+        self.store_clock.observe(page.ok.store_time)
+        return read_leader(page.ok.rows)
+
+    async def _claim(self, row: LeaderRow | None, version: int) -> None:
+        """Try to become the leader, and lead while that lasts."""
+        assert self.desk.configuration is not None
+        claim = LeaderRow(
+            (row.epoch if row is not None else 0) + 1,
+            self.settings.instance,
+            self._incarnation,
+            self.settings.peer_address,
+            self.store_clock.now().total_seconds(),
+        )
+        outcome = await self._store.transact(
+            Transaction(
+                (RowCondition(LEADER, version),),
+                (RowPut(LEADER, encode_message(claim)),),
+            )
+        )
+        if outcome.is_error():
+            logger.info("claim refused", epoch=claim.epoch)
+            return
+        self.store_clock.observe(outcome.ok.store_time)
+        session = LeaderSession(
+            claim,
+            outcome.ok.version,
+            self.settings,
+            self.desk.configuration,
+            self._store,
+            self.store_clock,
+            self._clock,
+        )
+        await self._lead(session)
+
+    async def _lead(self, session: LeaderSession) -> None:
+        """Lead, with this instance as the first member."""
+        member = Member(
+            self.settings.instance,
+            self.settings.failure_domain,
+            self.settings.cores,
+            self._take_message,
+            self._clock.monotonic(),
+        )
+
+        def report(message: ExecutorReport) -> None:
+            session.take_message(member, message)
+
+        self._session = session
+        self._executor.attach(report)
+        session.add_member(member)
+        try:
+            await session.run()
+        except* Exception as errors:
+            # A fault of this process must not keep another from leading.
+            logger.opt(exception=True).error("leadership failed", reason=str(errors))
+        finally:
+            self._session = None
+            self.board.is_current = False
+            self._executor.detach()
+
+    async def _serve_link(self, link: Link) -> None:
+        """Take on an instance that has connected, if this one leads."""
+        async for message in link.messages():
+            session = self._session
+            if not isinstance(message, Hello) or session is None:
+                return
+            if not session.is_loaded:
+                return
+            member = Member(
+                message.instance,
+                message.failure_domain,
+                message.cores,
+                link.send,
+                self._clock.monotonic(),
+            )
+            await session.serve_member(member, link)
+            return
+
+    async def _follow(self, row: LeaderRow) -> None:
+        """Work for the leader while it shows signs of life."""
+        host, port = parse_address(row.address)
+        try:
+            stream = await TCPClient().connect(host, port, timeout=CONNECT_TIMEOUT)
+        except (OSError, TimeoutError, StreamClosedError) as error:
+            logger.info("leader not reached", leader=row.instance, reason=str(error))
+            return
+        link = Link(stream)
+        link.send(
+            Hello(
+                self.settings.instance,
+                self._incarnation,
+                self.settings.failure_domain,
+                self.settings.cores,
+            )
+        )
+        follower = _Follower(link, self._clock.monotonic())
+        watchdog = asyncio.create_task(self._watch_leader(follower))
+        try:
+            async for message in link.messages():
+                follower.heard = self._clock.monotonic()
+                if isinstance(message, Welcome):
+                    logger.info("following", leader=row.instance, epoch=message.epoch)
+                    self._link = link
+                    self._executor.attach(link.send)
+                    continue
+                self._take_message(message)
+        finally:
+            watchdog.cancel()
+            link.close()
+            if self._link is link:
+                logger.warning("leader lost", leader=row.instance, epoch=row.epoch)
+                self._link = None
+                self.board.is_current = False
+                self._executor.detach()
+
+    async def _watch_leader(self, follower: "_Follower") -> None:
+        """Send signs of life, and close the link to a silent leader."""
+        while True:
+            follower.link.send(Beat())
+            silent = self._clock.monotonic() - follower.heard
+            if silent > LEADER_SILENCE:
+                logger.warning("leader silent", seconds=silent.total_seconds())
+                follower.link.close()
+                return
+            await self._clock.sleep(BEAT_INTERVAL)
+
+    def _take_message(self, message: object) -> None:
+        """Take one message of the leader."""
+        match message:
+            case StatesChanged(whole=True):
+                self.board.replace(message.states)
+            case StatesChanged():
+                self.board.update(message.states)
+            case QueueLoads():
+                self.board.waits = message.waits
+            case Beat():
+                if not message.lease_holds:
+                    self._check_leader()
+            case _:
+                self._executor.carry_out(message)  # type: ignore[arg-type]
+
+    def _check_leader(self) -> None:
+        """See whether the store, which the leader cannot reach, names another."""
+        if self._link is not None and self._checking is None:
+            self._checking = asyncio.create_task(self._leave_expired_leader())
+
+    async def _leave_expired_leader(self) -> None:
+        """Leave a leader whose lease has expired, where the store is there."""
+        link = self._link
+        row, version = await self._read_leader()
+        self._checking = None
+        if (
+            version >= 0
+            and link is not None
+            and is_expired(row, self.store_clock.now())
+        ):
+            link.close()
+
+    def _announce_cancel(self, job: str) -> None:
+        """Tell the leader of a cancellation, which it also reads from the store."""
+        if self._link is not None:
+            self._link.send(JobCancelled(job))
+        elif self._session is not None:
+            self._session.cancel_job(job)
+
+
+class _Follower:
+    """A link to the leader, and when the leader was last heard."""
+
+    def __init__(self, link: Link, heard: timedelta) -> None:
+        self.link = link
+        self.heard = heard
+
+
+class LinkServer(TCPServer):
+    """Listens for other instances."""
+
+    def __init__(self, serve: Callable[[Link], Awaitable[None]]) -> None:
+        super().__init__()
+        self._serve = serve
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        """Serve one stream until it closes."""
+        link = Link(stream)
+        try:
+            await self._serve(link)
+        finally:
+            link.close()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -0,0 +1,166 @@
+"""Streams of typed messages between the leader and the other instances."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from attrs import define
+from loguru import logger
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from almondspread.codec import TaggedCodec
+from almondspread.jobs.messages import (
+    AcknowledgeEnds,
+    AskPermits,
+    EpochFenced,
+    PaceRun,
+    PermitsAnswered,
+    StartRun,
+    StartSettled,
+    StopRun,
+    StopSettled,
+    UnwatchUpstream,
+    UpstreamReport,
+    UpstreamSilent,
+    WatchUpstream,
+)
+from almondspread.jobs.scheduler import Announcement
+from almondspread_daemon.peers.frames import NOTE, Frame, read_frames
+
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+
+@define(frozen=True)
+class Hello:
+    """Introduces an instance to the leader."""
+
+    instance: str
+    incarnation: str
+    failure_domain: str
+    cores: float
+
+
+@define(frozen=True)
+class Welcome:
+    """The leader takes an instance on, under its epoch."""
+
+    epoch: int
+
+
+@define(frozen=True)
+class Beat:
+    """A sign of life; the leader's tells whether its lease holds."""
+
+    lease_holds: bool = True
+
+
+@define(frozen=True)
+class Leaving:
+    """The sender is about to stop."""
+
+
+@define(frozen=True)
+class StatesChanged:
+    """States of jobs; all that there are where ``whole``."""
+
+    states: tuple[Announcement, ...]
+    whole: bool = False
+
+
+@define(frozen=True)
+class QueueLoads:
+    """Seconds by queue until a job that is accepted now would begin."""
+
+    waits: dict[str, float]
+
+
+@define(frozen=True)
+class JobCancelled:
+    """A caller has cancelled a job; it is stored."""
+
+    job: str
+
+
+LINK_CODEC = TaggedCodec(
+    (
+        AcknowledgeEnds,
+        AskPermits,
+        Beat,
+        EpochFenced,
+        Hello,
+        JobCancelled,
+        Leaving,
+        PaceRun,
+        PermitsAnswered,
+        QueueLoads,
+        StartRun,
+        StartSettled,
+        StatesChanged,
+        StopRun,
+        StopSettled,
+        UnwatchUpstream,
+        UpstreamReport,
+        UpstreamSilent,
+        WatchUpstream,
+        Welcome,
+    )
+)
+
+
+class Link:
+    """One stream; what is sent in one turn of the event loop leaves in one write."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._unsent: list[bytes] = []
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = MAX_UNSENT_BYTES
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is open."""
+        return not self._stream.closed()
+
+    def send(self, message: object) -> None:
+        """Send a message, unless the stream is closed."""
+        if self._stream.closed():
+            return
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        frame = Frame(NOTE, 0, LINK_CODEC.to_plain(message))
+        self._unsent.append(frame.encode())
+
+    def _flush(self) -> None:
+        """Write what has gathered."""
+        data = b"".join(self._unsent)
+        self._unsent.clear()
+        try:
+            self._stream.write(data)
+            self.bytes_sent += len(data)
+        except StreamClosedError:
+            return
+        except StreamBufferFullError:
+            logger.warning("link closed", reason="the peer does not read")
+            self._stream.close()
+
+    async def messages(self) -> AsyncIterator[object]:
+        """Yield the messages that arrive until the stream is closed."""
+        try:
+            async for frame in read_frames(self._stream, self._count_received):
+                yield LINK_CODEC.from_plain(frame.body)
+        except StreamClosedError:
+            return
+        except ValueError as error:
+            logger.error("link closed", reason=str(error))
+            self._stream.close()
+
+    def _count_received(self, count: int) -> None:
+        """Count bytes that came in."""
+        self.bytes_received += count
+
+    def close(self) -> None:
+        """Write what has gathered and close the stream."""
+        if self._unsent and not self._stream.closed():
+            self._flush()
+        self._stream.close()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
@@ -0,0 +1,97 @@
+"""Reads what the store keeps of the cell, as a new leader needs it."""
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from almondspread.jobs.ports import StoredRow, StoreUnavailable
+from almondspread.jobs.progress import JobRecord
+from almondspread_daemon.jobs.rows import (
+    CANCEL_PREFIX,
+    CELL,
+    CELL_PART,
+    PROGRESS,
+    SUBMISSIONS,
+    WATCHED,
+    CancelRow,
+    SubmissionRow,
+    WatchedRow,
+    list_parts,
+    read_progress,
+    read_row,
+)
+from almondspread_daemon.jobs.store_access import StoreAccess
+
+# The smallest key after another one.
+NEXT_KEY_SUFFIX = "\x00"
+
+
+@define(eq=False)
+class StoredCell:
+    """All rows of the cell. ``version`` is the oldest at which any were read."""
+
+    store: StoreAccess
+    version: int = 0
+    submissions: dict[str, SubmissionRow] = field(factory=dict)
+    cancelled: list[str] = field(factory=list)
+    records: dict[str, JobRecord] = field(factory=dict)
+    watched: tuple[str, ...] = ()
+    submission_rows: tuple[StoredRow, ...] = ()
+
+    async def load(self) -> Result[None, StoreUnavailable]:
+        """Read everything."""
+        submissions = await self.load_submissions()
+        if submissions.is_error():
+            return Error(submissions.error)
+        progress = await self._read_all(PROGRESS, CELL_PART)
+        if progress.is_error():
+            return Error(progress.error)
+        self.records = read_progress(tuple(progress.ok))
+        cell = await self._read_all(CELL, CELL_PART)
+        if cell.is_error():
+            return Error(cell.error)
+        for row in cell.ok:
+            if row.name != WATCHED:
+                continue
+            watched = read_row(row, WatchedRow)
+            if watched is not None:
+                self.watched = watched.upstreams
+        return Ok(None)
+
+    async def load_submissions(self) -> Result[None, StoreUnavailable]:
+        """Read the submissions and cancellations."""
+        rows: list[StoredRow] = []
+        versions: list[int] = []
+        for part in list_parts():
+            found = await self._read_all(SUBMISSIONS, part, versions)
+            if found.is_error():
+                return Error(found.error)
+            rows.extend(found.ok)
+        self.version = min(versions)
+        self.submission_rows = tuple(rows)
+        for row in rows:
+            if row.name.key.startswith(CANCEL_PREFIX):
+                cancel = read_row(row, CancelRow)
+                if cancel is not None:
+                    self.cancelled.append(cancel.job)
+                continue
+            submission = read_row(row, SubmissionRow)
+            if submission is not None:
+                self.submissions[submission.job] = submission
+        return Ok(None)
+
+    async def _read_all(
+        self, table: str, part: str, versions: list[int] | None = None
+    ) -> Result[list[StoredRow], StoreUnavailable]:
+        """Read one part to its end; note the versions at which it was read."""
+        rows: list[StoredRow] = []
+        start = ""
+        while True:
+            page = await self.store.read(table, part, start)
+            if page.is_error():
+                return Error(page.error)
+            rows.extend(page.ok.rows)
+            if versions is not None:
+                versions.append(page.ok.version)
+            if not page.ok.has_more or not page.ok.rows:
+                return Ok(rows)
+            start = page.ok.rows[-1].name.key + NEXT_KEY_SUFFIX
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -0,0 +1,221 @@
+"""The product's own rows in the store: their names and their values."""
+
+from datetime import UTC, datetime, timedelta
+from typing import TypeVar
+
+from attrs import define
+from loguru import logger
+
+from almondspread.codec import decode_message, encode_message
+from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.ports import RowName, StoredRow
+from almondspread.jobs.progress import JobRecord
+from almondspread.jobs.submissions import Repetition, Step, Submission
+from almondspread.resources.capacity import Capacity
+
+T = TypeVar("T")
+
+# Submissions spread over parts, since one part takes one transaction after another.
+SUBMISSION_PARTS = 4
+CELL_PART = "cell"
+SUBMISSIONS = "submissions"
+CELL = "cell"
+PROGRESS = "progress"
+LEADER = RowName(CELL, CELL_PART, "leader")
+WATCHED = RowName(CELL, CELL_PART, "watched")
+JOB_PREFIX = "job/"
+CANCEL_PREFIX = "cancel/"
+
+
+@define(frozen=True)
+class StepRow:
+    """A step as it is stored; times are milliseconds."""
+
+    count: int
+    cpu_millis: int
+    memory_mib: int
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    spread_limit: int = 0
+    duplicates: bool = False
+    lasting: bool = False
+    image: str = ""
+    latency_target_ms: int = 0
+    opportunistic: bool = False
+    unavailable_limit: int = 0
+
+
+@define(frozen=True)
+class SubmissionRow:
+    """A submission as it is stored; ``accepted`` is seconds of the store's clock.
+
+    Times are milliseconds, the first occurrence's since 1970.
+    """
+
+    job: str
+    queue: str
+    payload: str
+    accepted: float
+    steps: tuple[StepRow, ...]
+    first_ms: int = 0
+    interval_ms: int = 0
+    occurrences: int = 0
+
+
+@define(frozen=True)
+class CancelRow:
+    """Marks a job as cancelled."""
+
+    job: str
+
+
+@define(frozen=True)
+class WatchedRow:
+    """The upstreams on which runs may have been started."""
+
+    upstreams: tuple[str, ...] = ()
+
+
+def choose_part(job: str) -> str:
+    """Return the part that holds the rows of a job."""
+    return f"p{sum(job.encode()) % SUBMISSION_PARTS}"
+
+
+def list_parts() -> list[str]:
+    """Return all parts that hold submissions."""
+    return [f"p{number}" for number in range(SUBMISSION_PARTS)]
+
+
+def name_job(job: str) -> RowName:
+    """Return the row of a job's submission."""
+    return RowName(SUBMISSIONS, choose_part(job), JOB_PREFIX + job)
+
+
+def name_cancel(job: str) -> RowName:
+    """Return the row that marks a job as cancelled."""
+    return RowName(SUBMISSIONS, choose_part(job), CANCEL_PREFIX + job)
+
+
+def name_progress(job: str) -> RowName:
+    """Return the row of a job's progress."""
+    return RowName(PROGRESS, CELL_PART, job)
+
+
+def encode_submission(submission: Submission, accepted: timedelta) -> bytes:
+    """Return a submission's row."""
+    steps = []
+    for step in submission.steps:
+        steps.append(
+            StepRow(
+                step.count,
+                step.size.cpu_millis,
+                step.size.memory_mib,
+                step.size.accelerators,
+                _to_ms(step.estimate),
+                step.after,
+                step.checkpointing,
+                step.gang,
+                step.same_rack,
+                step.required_label,
+                step.preferred_rack,
+                step.spread_limit,
+                step.duplicates,
+                step.lasting,
+                step.image,
+                _to_ms(step.latency_target),
+                step.opportunistic,
+                step.unavailable_limit,
+            )
+        )
+    row = SubmissionRow(
+        submission.job,
+        submission.queue,
+        submission.payload,
+        accepted.total_seconds(),
+        tuple(steps),
+    )
+    repetition = submission.repetition
+    if repetition is not None:
+        row = SubmissionRow(
+            row.job,
+            row.queue,
+            row.payload,
+            row.accepted,
+            row.steps,
+            round(repetition.first.timestamp() * 1000),
+            _to_ms(repetition.interval),
+            repetition.count,
+        )
+    return encode_message(row)
+
+
+def decode_submission(row: SubmissionRow) -> Submission:
+    """Return the submission that a row holds."""
+    steps = []
+    for step in row.steps:
+        steps.append(
+            Step(
+                step.count,
+                Capacity(step.cpu_millis, step.memory_mib, step.accelerators),
+                timedelta(milliseconds=step.estimate_ms),
+                step.after,
+                step.checkpointing,
+                step.gang,
+                step.same_rack,
+                step.required_label,
+                step.preferred_rack,
+                step.spread_limit,
+                step.duplicates,
+                step.lasting,
+                step.image,
+                timedelta(milliseconds=step.latency_target_ms),
+                step.opportunistic,
+                step.unavailable_limit,
+            )
+        )
+    repetition = None
+    if row.occurrences:
+        first = datetime.fromtimestamp(row.first_ms / 1000, UTC)
+        interval = timedelta(milliseconds=row.interval_ms)
+        repetition = Repetition(first, interval, row.occurrences)
+    return Submission(row.job, row.queue, row.payload, tuple(steps), repetition)
+
+
+def read_row(row: StoredRow, kind: type[T]) -> T | None:
+    """Return a row's value; ``None`` for a dropped row, or one that cannot be read."""
+    if row.value is None:
+        return None
+    try:
+        return decode_message(row.value, kind)
+    except ValueError as error:
+        logger.error("row left out", row=str(row.name), reason=str(error))
+        return None
+
+
+def read_leader(rows: tuple[StoredRow, ...]) -> tuple[LeaderRow | None, int]:
+    """Return the leader's row among others, and its version."""
+    for row in rows:
+        if row.name == LEADER:
+            return read_row(row, LeaderRow), row.version
+    return None, 0
+
+
+def read_progress(rows: tuple[StoredRow, ...]) -> dict[str, JobRecord]:
+    """Return the progress rows by job."""
+    records = {}
+    for row in rows:
+        record = read_row(row, JobRecord)
+        if record is not None:
+            records[record.job] = record
+    return records
+
+
+def _to_ms(duration: timedelta) -> int:
+    """Return whole milliseconds."""
+    return round(duration / timedelta(milliseconds=1))
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -0,0 +1,30 @@
+"""What an instance needs to know to run jobs."""
+
+from datetime import timedelta
+
+from attrs import define
+
+
+@define(frozen=True)
+class JobSettings:
+    """Identity, addresses and time limits of one instance.
+
+    ``lease`` is how long runs live without being held; ``longest_hold`` the most that
+    an upstream grants. ``grace`` is the time between SIGTERM and SIGKILL.
+    """
+
+    instance: str
+    failure_domain: str
+    caller_address: str
+    readiness_address: str
+    peer_address: str
+    cores: float
+    longest_hold: timedelta
+    stop_timeout: timedelta
+    status_retention: timedelta
+    grace: timedelta
+
+    @property
+    def lease(self) -> timedelta:
+        """How long runs live without being held."""
+        return self.longest_hold
