--- a/packages/almondspread/almondspread/codec/tagged.py
+++ b/packages/almondspread/almondspread/codec/tagged.py
@@ -1,5 +1,6 @@
 """Messages of several types in one stream or row, told apart by a tag."""
 
+from datetime import timedelta
 from typing import Any
 
 import msgpack
@@ -9,6 +10,8 @@
 class TaggedCodec:
     """Encodes values of a fixed set of attrs types with the name of their type.
 
+    Durations become seconds.
+
     >>> from attrs import define
     >>> @define(frozen=True)
     ... class Ping:
@@ -23,6 +26,10 @@
         self._converter = Converter(detailed_validation=False, omit_if_default=True)
         self._converter.register_unstructure_hook(bytes, lambda value: value)
         self._converter.register_structure_hook(bytes, lambda value, _: bytes(value))
+        self._converter.register_unstructure_hook(timedelta, timedelta.total_seconds)
+        self._converter.register_structure_hook(
+            timedelta, lambda value, _: timedelta(seconds=value)
+        )
 
     def to_plain(self, value: Any) -> list[Any]:
         """Return a value as its tag and its fields."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -485,6 +485,13 @@
         if answer.tickets is None:
             return
         expires = now + answer.validity - PERMIT_MARGIN
+        logger.info(
+            "permits granted",
+            job=answer.job,
+            step=answer.step,
+            upstreams=len(answer.tickets),
+            validity=answer.validity.total_seconds(),
+        )
         progress.permits = Permits(answer.tickets, expires)
 
     def _ask_permits(
@@ -505,6 +512,13 @@
         if not names:
             return False
         progress.permits_asked = now
+        logger.info(
+            "permits asked",
+            job=progress.job.submission.job,
+            step=progress.number,
+            waiting=len(progress.waiting),
+            upstreams=len(names),
+        )
         self._orders.append(AskPermits(*progress.key, names))
         return True
 
