--- a/packages/almondspread/almondspread/codec/converters.py
+++ b/packages/almondspread/almondspread/codec/converters.py
@@ -100,7 +100,7 @@
     Raises ``ValueError`` for bytes that do not hold such a value.
     """
     try:
-        return _lenient.structure(msgpack.unpackb(data), kind)
+        return _lenient.structure(msgpack.unpackb(data, strict_map_key=False), kind)
     except Exception as error:
         raise ValueError(f"not a {kind.__name__}: {error}") from error
 
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -0,0 +1,65 @@
+import unittest
+from datetime import UTC, datetime, timedelta
+
+from almondspread.codec import encode_message
+from almondspread.jobs.ports import StoredRow
+from almondspread.jobs.progress import JobRecord, StepRecord
+from almondspread.jobs.submissions import Repetition, Step, Submission
+from almondspread.resources.capacity import Capacity
+from almondspread_daemon.jobs.rows import (
+    SubmissionRow,
+    decode_submission,
+    encode_submission,
+    name_job,
+    name_progress,
+    read_progress,
+    read_row,
+)
+
+SIZE = Capacity(500, 256, 1)
+
+
+class RowsTest(unittest.TestCase):
+    def test_progress_with_failures_and_checkpoints_is_read_back(self):
+        record = JobRecord(
+            "j", "q", "running", (StepRecord(0, 1, b"\x05", {3: [7, 9]}, {4: "c"}),)
+        )
+        row = StoredRow(name_progress("j"), encode_message(record), 3)
+        self.assertEqual(read_progress((row,)), {"j": record})
+
+    def test_submission_is_read_back(self):
+        step = Step(
+            3,
+            SIZE,
+            estimate=timedelta(milliseconds=900),
+            after=(0,),
+            checkpointing=True,
+            gang=True,
+            same_rack=True,
+            required_label="a",
+            preferred_rack="r1-1",
+            spread_limit=2,
+            duplicates=True,
+            lasting=True,
+            image="i",
+            latency_target=timedelta(milliseconds=40),
+            opportunistic=True,
+            unavailable_limit=1,
+        )
+        first = datetime(2026, 4, 2, 12, tzinfo=UTC)
+        repetition = Repetition(first, timedelta(seconds=2), 4)
+        submission = Submission("j", "q", "text", (Step(1, SIZE), step), repetition)
+        value = encode_submission(submission, timedelta(seconds=5))
+        row = read_row(StoredRow(name_job("j"), value, 1), SubmissionRow)
+        self.assertEqual(decode_submission(row), submission)
+        self.assertEqual(row.accepted, 5.0)
+
+    def test_foreign_bytes_are_left_out(self):
+        for value in (b"", b"\xc1", b"{}", encode_message(JobRecord("j", "q", "x"))[:-1]):
+            with self.subTest(value=value):
+                row = StoredRow(name_progress("j"), value, 1)
+                self.assertEqual(read_progress((row,)), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
