--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-LEADER_LEASE = timedelta(seconds=2)
+LEADER_LEASE = timedelta(milliseconds=1_600)
 # How far two readings of the store's clock may be apart.
 CLOCK_SLACK = timedelta(milliseconds=200)
 # Without the store, a leader goes on with what it knows for so long.
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -49,6 +49,7 @@
     phase: RunPhase
     started: timedelta
     changed: timedelta
+    seen: timedelta = timedelta(0)
     percent: int = 0
     figure: int = 0
     pace: int = 100
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -292,6 +292,7 @@
             self._confirm(run, now)
         if sighting.percent != run.percent:
             run.changed = now
+        run.seen = now
         run.percent = sighting.percent
         run.figure = sighting.figure
         run.at_work = sighting.percent >= 100 and progress.step.lasting
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -16,6 +16,8 @@
 GAIN_FACTOR = 2.5
 ESTIMATE_FACTOR = 1.5
 RESTART_COST = timedelta(seconds=1)
+# Without fresh news of a run, its progress cannot be judged.
+SIGHTING_AGE = timedelta(milliseconds=1_200)
 LASTING_PATIENCE = timedelta(seconds=6)
 MAX_STRAGGLERS_AT_ONCE = 4
 
@@ -26,6 +28,8 @@
     for run in scheduler.ledger.runs.values():
         if run.phase is not RunPhase.RUNNING or now - run.started < MIN_RUN_TIME:
             continue
+        if now - run.seen > SIGHTING_AGE:
+            continue
         job = scheduler.jobs[run.task.job]
         progress = job.steps[run.task.occurrence, run.task.step]
         if progress.step.gang or not _is_straggling(progress, run, now):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -1,5 +1,6 @@
 """What callers ask of jobs: submit, read, cancel, and count those that wait."""
 
+import asyncio
 import math
 from collections.abc import Callable
 from datetime import timedelta
@@ -42,8 +43,10 @@
 
 STORE_RETRY_AFTER = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=50)
+# A caller that hears early that the outcome is unknown can still try elsewhere.
+MAX_STORING_TIME = timedelta(milliseconds=1_200)
 # The caller should hear that the outcome is unknown before it gives up.
-ANSWER_MARGIN = timedelta(milliseconds=150)
+ANSWER_MARGIN = timedelta(milliseconds=200)
 
 
 class JobDesk:
@@ -95,13 +98,22 @@
         if admission is not None:
             self._log(submission.job, "refused", wait=wait)
             return Error(admission)
-        return await self._store_submission(submission, timeout)
+        if self._store.is_lost:
+            failure = StoreUnavailable("it has not answered for a while", True)
+            self._log(submission.job, "refused", reason=failure.reason)
+            return Error(_report_store_away(failure))
+        seconds = min(timeout - ANSWER_MARGIN, MAX_STORING_TIME).total_seconds()
+        try:
+            async with asyncio.timeout(seconds):
+                return await self._store_submission(submission)
+        except TimeoutError:
+            self._log(submission.job, "unknown", reason="the store does not answer")
+            return Error(_report_unknown())
 
     async def _store_submission(
-        self, submission: Submission, timeout: timedelta
+        self, submission: Submission
     ) -> Result[JobState, Problem]:
         """Write the submission's row, again where it is not known to be written."""
-        due = self._clock.monotonic() + timeout - ANSWER_MARGIN
         value = encode_submission(submission, self._store_clock.now())
         name = name_job(submission.job)
         transaction = Transaction((RowCondition(name, 0),), (RowPut(name, value),))
@@ -119,14 +131,6 @@
             if surely_not_stored:
                 self._log(submission.job, "refused", reason=failure.reason)
                 return Error(_report_store_away(failure))
-            if self._clock.monotonic() + RETRY_PAUSE >= due:
-                self._log(submission.job, "unknown", reason=failure.reason)
-                return Error(
-                    OutcomeUnknown(
-                        "the job may or may not have been stored",
-                        "submit it again under the same id",
-                    )
-                )
             await self._clock.sleep(RETRY_PAUSE)
 
     async def read_state(self, job: str) -> Result[JobState, Problem]:
@@ -229,6 +233,13 @@
     return NotFound(f"there is no job {job}", "submit it")
 
 
+def _report_unknown() -> Problem:
+    """Return the problem of a job that may have been stored."""
+    return OutcomeUnknown(
+        "the job may or may not have been stored", "submit it again under the same id"
+    )
+
+
 def _report_cancel_unknown() -> Problem:
     """Return the problem of a cancellation that may not have been stored."""
     return OutcomeUnknown("the job may or may not be cancelled", "cancel it again")
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -45,9 +45,9 @@
 from almondspread_daemon.settings import parse_address
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
-LEADER_SILENCE = timedelta(milliseconds=1_600)
-BEAT_INTERVAL = timedelta(milliseconds=500)
-POLL_PAUSE = timedelta(milliseconds=150)
+LEADER_SILENCE = timedelta(milliseconds=1_200)
+BEAT_INTERVAL = timedelta(milliseconds=300)
+POLL_PAUSE = timedelta(milliseconds=100)
 STORE_PAUSE = timedelta(milliseconds=300)
 CONFIGURATION_WAIT = timedelta(seconds=20)
 # Instances that find the leader gone at the same time do not all claim at once.
@@ -82,12 +82,15 @@
         self._link: Link | None = None
         self._listener = LinkServer(self._serve_link)
         self._stopping = False
+        self._left = ("", -1)
         self._checking: asyncio.Task[None] | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.desk.configuration is not None and not self._stopping
+        if self.desk.configuration is None or self._stopping:
+            return False
+        return not self._store.is_lost
 
     @property
     def is_stopping(self) -> bool:
@@ -172,13 +175,20 @@
                 await self._claim(row, version)
                 continue
             assert row is not None
-            if row.instance == self.settings.instance:
-                # An earlier life of this instance led; its lease must run out.
+            earlier_self = row.instance == self.settings.instance
+            if earlier_self or (row.incarnation, row.renewal) == self._left:
+                # Nothing is heard from this leader; its lease must run out.
                 await self._pause(POLL_PAUSE)
                 continue
             await self._follow(row)
+            self._left = (row.incarnation, await self._read_renewal())
             await self._pause(POLL_PAUSE)
 
+    async def _read_renewal(self) -> int:
+        """Return the latest renewal of the leader's row, -1 without an answer."""
+        row, _ = await self._read_leader()
+        return row.renewal if row is not None else -1
+
     async def _pause(self, duration: timedelta) -> None:
         """Wait a little."""
         await self._clock.sleep(duration)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -65,15 +65,15 @@
 from almondspread_daemon.jobs.store_clock import StoreClock
 
 COMMIT_INTERVAL = timedelta(milliseconds=50)
-RENEW_INTERVAL = timedelta(milliseconds=500)
+RENEW_INTERVAL = timedelta(milliseconds=400)
 DIRECTORY_INTERVAL = timedelta(milliseconds=500)
 FEED_WAIT = timedelta(seconds=10)
 STORE_PAUSE = timedelta(milliseconds=200)
 # Decisions wait this long for more events, so that one pass serves them all.
 GATHER_TIME = timedelta(milliseconds=4)
 IDLE_PASS_INTERVAL = timedelta(milliseconds=100)
-BEAT_INTERVAL = timedelta(milliseconds=500)
-MEMBER_SILENCE = timedelta(milliseconds=1_800)
+BEAT_INTERVAL = timedelta(milliseconds=300)
+MEMBER_SILENCE = timedelta(milliseconds=1_400)
 # One transaction also holds the leader's row and that of the watched upstreams.
 MAX_RECORDS_PER_COMMIT = 90
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -29,6 +29,8 @@
 MAX_TIMEOUT = timedelta(milliseconds=1_600)
 # A timeout of this many usual answer times tells a lost answer from a slow one.
 TIMEOUT_FACTOR = 6
+# A single lost answer does not make the store count as lost.
+LOSS_PATIENCE = timedelta(milliseconds=600)
 SMOOTHING = 0.2
 
 
@@ -66,6 +68,13 @@
         self._times = AnswerTimes()
         self._lost_since: timedelta | None = None
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store has answered nothing for a while."""
+        if self._lost_since is None:
+            return False
+        return self._clock.monotonic() - self._lost_since > LOSS_PATIENCE
+
     async def transact(
         self, transaction: Transaction
     ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -55,7 +55,12 @@
         self.assertEqual(row.accepted, 5.0)
 
     def test_foreign_bytes_are_left_out(self):
-        for value in (b"", b"\xc1", b"{}", encode_message(JobRecord("j", "q", "x"))[:-1]):
+        for value in (
+            b"",
+            b"\xc1",
+            b"{}",
+            encode_message(JobRecord("j", "q", "x"))[:-1],
+        ):
             with self.subTest(value=value):
                 row = StoredRow(name_progress("j"), value, 1)
                 self.assertEqual(read_progress((row,)), {})
