Go on while the store refuses some parts, and ask inherited upstreams by evidence

Cause: with a third of the store's parts refused, submissions of these parts were refused, a new leader could not load, and after a takeover jobs waited 18 s for upstreams that were long gone. Submissions now go to the next part, a leader loads missing parts later, the watched row names just those upstreams that may run tasks, and no end is acknowledged beyond one that was not taken.

--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -8,7 +8,11 @@
 # How far two readings of the store's clock may be apart.
 CLOCK_SLACK = timedelta(milliseconds=200)
 # Without the store, a leader goes on with what it knows for so long.
-LEADER_GRACE = timedelta(seconds=8)
+LEADER_GRACE = timedelta(seconds=6)
+# Without a leader, an executor goes on holding leases for so long.
+EXECUTOR_GRACE = timedelta(seconds=3)
+# A closed link is noticed this late at the most.
+LINK_SILENCE = timedelta(milliseconds=1_600)
 # Upstreams' clocks may be this much slow, so that leases last longer.
 SLOW_CLOCK = 1.02
 
@@ -43,9 +47,17 @@
     return age > LEADER_LEASE + CLOCK_SLACK
 
 
-def measure_inherited_wait(longest_hold: timedelta) -> timedelta:
-    """Return how long after a takeover a run of an earlier leader may still live.
+def measure_abandoned_hold(lease: timedelta) -> timedelta:
+    """Return how long runs may live whose executor is no longer heard.
 
-    The earlier leader may have renewed leases for its grace after its own lease.
+    It may not know yet that it is cut off, and then goes on for its grace.
     """
-    return LEADER_GRACE + longest_hold * SLOW_CLOCK + CLOCK_SLACK
+    return LINK_SILENCE + EXECUTOR_GRACE + lease * SLOW_CLOCK + CLOCK_SLACK
+
+
+def measure_inherited_hold(lease: timedelta) -> timedelta:
+    """Return how long after a claim runs of an earlier leader may live unseen.
+
+    The earlier leader may work on for its grace, and its executors for theirs.
+    """
+    return LEADER_GRACE + measure_abandoned_hold(lease)
--- a/packages/almondspread/almondspread/jobs/ledger.py
+++ b/packages/almondspread/almondspread/jobs/ledger.py
@@ -69,6 +69,17 @@
             return []
         return [self.runs[key] for key in found.bound if key in self.runs]
 
+    def list_watched(self, unseen: set[str]) -> list[UpstreamEntry]:
+        """Return the upstreams that run tasks, or may be given any."""
+        watched = []
+        for name, upstream in self.upstreams.items():
+            open_to_runs = upstream.listed and not upstream.entry.draining
+            if upstream.lapse_at is not None:
+                open_to_runs = False
+            if upstream.bound or open_to_runs or name in unseen:
+                watched.append(upstream.entry)
+        return watched
+
     def refresh(self, entries: list[UpstreamEntry]) -> tuple[list[str], list[str]]:
         """Take the newest list; return the names that are new and those replaced.
 
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -125,11 +125,13 @@
 
     ``running`` is complete where it is given and ``None`` where it was left out.
     ``number`` counts the questions to this upstream, in the order they were asked.
+    ``ends`` are all those numbered above ``after``.
     """
 
     upstream: str
     epoch: int
     number: int
+    after: int = 0
     ends: tuple[RunEnd, ...] = ()
     running: tuple[RunSighting, ...] | None = None
 
--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -74,10 +74,12 @@
     """The store gave no answer of use.
 
     Where ``not_done`` is true it has done nothing; else it may yet do what was asked.
+    ``refused`` tells that it has answered, and with a refusal.
     """
 
     reason: str
     not_done: bool
+    refused: bool = False
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -35,6 +35,7 @@
     UpstreamOrder,
     UpstreamReport,
     UpstreamSilent,
+    WatchUpstream,
 )
 from almondspread.jobs.ordering import rank_step
 from almondspread.jobs.pacing import choose_paces
@@ -79,17 +80,34 @@
     ends: dict[str, int]
 
 
+@define(frozen=True)
+class Load:
+    """How much waits for room, and how full the usable upstreams are.
+
+    Processor amounts are thousandths of a core.
+    """
+
+    waiting_steps: int
+    unseen_upstreams: int
+    waiting_tasks: int
+    without_permits: int
+    used_millis: int
+    usable_millis: int
+
+
 @define(eq=False)
 class Scheduler:
     """All jobs and upstreams of the cell, as the leader of one epoch sees them.
 
-    Jobs of earlier epochs wait while an upstream that may run their tasks has not
-    reported, until ``inherited_after`` at the latest.
+    Jobs of earlier epochs wait while an upstream that may run their tasks is unseen:
+    it has not reported yet, and its leases have not run out, which they surely have at
+    ``inherited_until``. While some jobs are not loaded, ``is_complete`` is false.
     """
 
     epoch: int
     configuration: Configuration
-    inherited_after: timedelta = timedelta(0)
+    inherited_until: timedelta = timedelta(0)
+    is_complete: bool = True
     jobs: dict[str, JobProgress] = field(factory=dict)
     ledger: RunLedger = field(init=False)
     unseen: set[str] = field(factory=set)
@@ -208,11 +226,29 @@
         for name in replaced:
             self._lose_upstream(name, now, "replaced")
         for name, upstream in list(self.ledger.upstreams.items()):
-            if upstream.listed or upstream.bound or not upstream.known:
+            if upstream.listed or upstream.bound or name in self.unseen:
                 continue
             self._forget_upstream(name)
         return added
 
+    def inherit_upstreams(self, entries: list[UpstreamEntry]) -> None:
+        """Take the upstreams on which an earlier leader may have started runs."""
+        for entry in entries:
+            upstream = Upstream(entry, listed=False)
+            self.ledger.upstreams[entry.name] = upstream
+            self.unseen.add(entry.name)
+
+    def abandon_upstreams(self, names: set[str], until: timedelta) -> None:
+        """Note that an executor is no longer heard, and holds leases for a while."""
+        for name in names:
+            upstream = self.ledger.upstreams.get(name)
+            if upstream is not None:
+                upstream.abandoned_until = until
+
+    def list_watched(self) -> list[UpstreamEntry]:
+        """Return the upstreams that the next leader must ask for their runs."""
+        return self.ledger.list_watched(self.unseen)
+
     def _lose_upstream(self, name: str, now: timedelta, reason: str) -> None:
         """Take all runs of an upstream as ended, since none can be left."""
         runs = self.ledger.list_runs(name)
@@ -252,13 +288,25 @@
                 lapse_in=silence.lapse_in.total_seconds(),
                 runs=len(upstream.bound),
             )
-        upstream.lapse_at = now + silence.lapse_in
+        upstream.lapse_at = max(now + silence.lapse_in, upstream.abandoned_until)
+        if upstream.name in self.unseen:
+            upstream.lapse_at = max(upstream.lapse_at, self.inherited_until)
 
     def observe_report(self, report: UpstreamReport, now: timedelta) -> None:
         """Take what an upstream has answered."""
         upstream = self.ledger.upstreams.get(report.upstream)
         if upstream is None or report.epoch != self.epoch:
             return
+        if not self.is_complete and self._names_unknown_job(report):
+            # Neither the room nor the ends can be told yet; it is reported again.
+            return
+        if report.after > upstream.ends_seen:
+            # Ends in between were not taken, so that none may be acknowledged.
+            if self.is_complete:
+                self._orders.append(
+                    WatchUpstream(upstream.name, upstream.entry.address, self.epoch)
+                )
+            return
         if upstream.lapse_at is not None:
             logger.info("upstream answers again", upstream=upstream.name)
             upstream.lapse_at = None
@@ -278,6 +326,11 @@
             logger.info("upstream known", upstream=upstream.name, epoch=self.epoch)
         self._pace(upstream, now)
 
+    def _names_unknown_job(self, report: UpstreamReport) -> bool:
+        """Tell whether a report is about a job that is not loaded."""
+        rows: list[RunSighting | RunEnd] = [*report.ends, *(report.running or ())]
+        return any(row.task.job not in self.jobs for row in rows)
+
     def _note_sighting(
         self, sighting: RunSighting, upstream: Upstream, now: timedelta
     ) -> None:
@@ -335,11 +388,9 @@
                 )
 
     def record_upstreams(self, names: frozenset[str]) -> None:
-        """Let upstreams run tasks now that the store names them."""
-        for name in names:
-            upstream = self.ledger.upstreams.get(name)
-            if upstream is not None:
-                upstream.recorded = True
+        """Let those upstreams run tasks that the store names as watched."""
+        for name, upstream in self.ledger.upstreams.items():
+            upstream.recorded = name in names
 
     def forget_stop_answers(self, name: str) -> None:
         """Stop anew what was being stopped, since another executor takes over."""
@@ -411,6 +462,26 @@
         run.stop_asked = now
         self._orders.append(StopRun(run.upstream, run.task, run.number))
 
+    def _replace(self, run: Run, now: timedelta) -> None:
+        """Have a straggling run's task run elsewhere, beside it where it may."""
+        progress = self._find_step(run)
+        logger.info(
+            "straggler replaced",
+            job=run.task.job,
+            task=str(run.task),
+            run=run.number,
+            upstream=run.upstream,
+            percent=run.percent,
+            ran=(now - run.started).total_seconds(),
+            copied=progress.step.duplicates,
+        )
+        progress.avoided.setdefault(run.task.index, set()).add(run.upstream)
+        if progress.step.duplicates:
+            progress.waiting[run.task.index] = None
+            self._line_up(progress)
+        else:
+            self._stop(run, now)
+
     def settle_stop(self, settled: StopSettled, now: timedelta) -> None:
         """Take the answer to a stop; its run ends in a later report."""
         run = self.ledger.runs.get((settled.task, settled.run))
@@ -534,7 +605,7 @@
         self._expire(now)
         self._place(now, ask_slots)
         for run in choose_stragglers(self, now):
-            self._stop(run, now)
+            self._replace(run, now)
         for run in choose_evacuations(self, now):
             self._stop(run, now)
         orders, self._orders = self._orders, []
@@ -569,10 +640,12 @@
             self._open.values(),
             key=lambda progress: rank_step(progress, self.configuration, now),
         )
-        blocked = bool(self.unseen) and now < self.inherited_after
+        blocked = bool(self.unseen) or not self.is_complete
         serving = self._list_serving()
         for progress in steps:
-            if now < progress.not_before or (blocked and progress.job.inherited):
+            if now < progress.not_before:
+                continue
+            if blocked and progress.job.inherited and not progress.step.duplicates:
                 continue
             if progress.step.gang and len(progress.waiting) < progress.step.count:
                 continue
@@ -653,6 +726,24 @@
             waits[queue.name] = estimate_wait(self, queue, now).total_seconds()
         return waits
 
+    def measure_load(self, now: timedelta) -> Load:
+        """Return how much waits and how full the upstreams are."""
+        tasks = 0
+        without_permits = 0
+        for progress in self._open.values():
+            tasks += len(progress.waiting)
+            permits = progress.permits
+            without_permits += permits is None or permits.expires <= now
+        used = 0
+        usable = 0
+        for upstream in self.ledger.upstreams.values():
+            if upstream.is_usable(now):
+                usable += upstream.entry.capacity.cpu_millis
+                used += upstream.entry.capacity.cpu_millis - upstream.free.cpu_millis
+        return Load(
+            len(self._open), len(self.unseen), tasks, without_permits, used, usable
+        )
+
     # What the leader stores and tells
 
     def take_changes(self, limit: int) -> Checkpointed:
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -3,8 +3,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
 
 if TYPE_CHECKING:
@@ -23,30 +21,30 @@
 
 
 def choose_stragglers(scheduler: "Scheduler", now: timedelta) -> list[Run]:
-    """Return the runs to stop because their upstream is slow or stands still."""
+    """Return the runs that should be replaced by ones elsewhere.
+
+    These are runs whose upstream is slow or stands still, and of tasks that may run
+    twice also those whose upstream does not answer.
+    """
     chosen: list[Run] = []
     for run in scheduler.ledger.runs.values():
-        if run.phase is not RunPhase.RUNNING or now - run.started < MIN_RUN_TIME:
-            continue
-        if now - run.seen > SIGHTING_AGE:
+        if run.phase is not RunPhase.RUNNING:
             continue
         job = scheduler.jobs[run.task.job]
         progress = job.steps[run.task.occurrence, run.task.step]
-        if progress.step.gang or not _is_straggling(progress, run, now):
+        if progress.step.gang or len(progress.runs[run.task.index]) > 1:
             continue
         upstream = scheduler.ledger.upstreams.get(run.upstream)
-        if upstream is not None and now >= upstream.suspended_until:
+        if upstream is None:
+            continue
+        if upstream.lapse_at is not None:
+            if progress.step.duplicates and run.task.index not in progress.waiting:
+                chosen.append(run)
+            continue
+        if now - run.seen > SIGHTING_AGE or not _is_straggling(progress, run, now):
+            continue
+        if now >= upstream.suspended_until:
             upstream.suspend(now)
-        logger.info(
-            "straggler stopped",
-            job=run.task.job,
-            task=str(run.task),
-            run=run.number,
-            upstream=run.upstream,
-            percent=run.percent,
-            ran=(now - run.started).total_seconds(),
-        )
-        progress.avoided.setdefault(run.task.index, set()).add(run.upstream)
         chosen.append(run)
         if len(chosen) >= MAX_STRAGGLERS_AT_ONCE:
             break
@@ -62,9 +60,9 @@
             and run.pace == 100
             and (now - max(run.changed, run.started) > LASTING_PATIENCE)
         )
-    if run.pace < 100 or step.opportunistic:
-        return False
     elapsed = now - run.started
+    if run.pace < 100 or step.opportunistic or elapsed < MIN_RUN_TIME:
+        return False
     afresh = step.estimate * ESTIMATE_FACTOR + RESTART_COST
     if elapsed < afresh:
         return False
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -22,9 +22,10 @@
     """One incarnation of an upstream.
 
     ``known`` is set once it has reported under this leader's epoch, ``recorded`` once
-    the store names it as one that may run tasks. ``lapse_at`` is
-    when its leases have surely run out, while it does not answer. No run may be bound
-    to it that does not fit beside everything that may still run there.
+    the store names it as one that may run tasks. ``lapse_at`` is when its leases have
+    surely run out, while it does not answer; until ``abandoned_until`` an executor
+    that is not heard may renew them. No run may be bound to it that does not fit
+    beside everything that may still run there.
     """
 
     entry: UpstreamEntry
@@ -32,6 +33,7 @@
     recorded: bool = False
     listed: bool = True
     lapse_at: timedelta | None = None
+    abandoned_until: timedelta = timedelta(0)
     ends_seen: int = 0
     suspended_until: timedelta = timedelta(0)
     suspension: timedelta = FIRST_SUSPENSION
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -33,6 +33,7 @@
 from almondspread_daemon.jobs.rows import (
     CancelRow,
     encode_submission,
+    list_parts,
     name_cancel,
     name_job,
     name_progress,
@@ -46,7 +47,8 @@
 # A caller that hears early that the outcome is unknown can still try elsewhere.
 MAX_STORING_TIME = timedelta(milliseconds=1_200)
 # The caller should hear that the outcome is unknown before it gives up.
-ANSWER_MARGIN = timedelta(milliseconds=200)
+ANSWER_MARGIN = timedelta(milliseconds=50)
+MIN_STORING_TIME = timedelta(milliseconds=50)
 
 
 class JobDesk:
@@ -100,11 +102,13 @@
             return Error(admission)
         if self._store.is_lost:
             failure = StoreUnavailable("it has not answered for a while", True)
-            self._log(submission.job, "refused", reason=failure.reason)
-            return Error(_report_store_away(failure))
-        seconds = min(timeout - ANSWER_MARGIN, MAX_STORING_TIME).total_seconds()
+            return Error(self._refuse(submission.job, failure))
+        time_left = min(timeout - ANSWER_MARGIN, MAX_STORING_TIME)
+        if time_left < MIN_STORING_TIME:
+            failure = StoreUnavailable("the caller leaves it too little time", True)
+            return Error(self._refuse(submission.job, failure))
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(time_left.total_seconds()):
                 return await self._store_submission(submission)
         except TimeoutError:
             self._log(submission.job, "unknown", reason="the store does not answer")
@@ -113,25 +117,33 @@
     async def _store_submission(
         self, submission: Submission
     ) -> Result[JobState, Problem]:
-        """Write the submission's row, again where it is not known to be written."""
+        """Write the submission's row into the first part that takes it.
+
+        Once a write may have been done, only the same part is tried again.
+        """
         value = encode_submission(submission, self._store_clock.now())
-        name = name_job(submission.job)
-        transaction = Transaction((RowCondition(name, 0),), (RowPut(name, value),))
-        surely_not_stored = True
-        while True:
-            outcome = await self._store.transact(transaction)
-            if outcome.is_ok():
-                self._log(submission.job, "accepted", version=outcome.ok.version)
-                return Ok(JobState.QUEUED)
-            failure = outcome.error
-            if isinstance(failure, ConditionsFailed):
-                self._log(submission.job, "accepted", reason="stored before")
-                return Ok(JobState.QUEUED)
-            surely_not_stored = surely_not_stored and failure.not_done
-            if surely_not_stored:
-                self._log(submission.job, "refused", reason=failure.reason)
-                return Error(_report_store_away(failure))
-            await self._clock.sleep(RETRY_PAUSE)
+        failure = StoreUnavailable("no part takes the job", not_done=True)
+        for part in list_parts(submission.job):
+            name = name_job(submission.job, part)
+            transaction = Transaction((RowCondition(name, 0),), (RowPut(name, value),))
+            while True:
+                outcome = await self._store.transact(transaction)
+                if outcome.is_ok():
+                    self._log(submission.job, "accepted", version=outcome.ok.version)
+                    return Ok(JobState.QUEUED)
+                if isinstance(outcome.error, ConditionsFailed):
+                    self._log(submission.job, "accepted", reason="stored before")
+                    return Ok(JobState.QUEUED)
+                failure = outcome.error
+                if failure.not_done:
+                    break
+                await self._clock.sleep(RETRY_PAUSE)
+        return Error(self._refuse(submission.job, failure))
+
+    def _refuse(self, job: str, failure: StoreUnavailable) -> Problem:
+        """Return the problem of a job that has surely not been stored."""
+        self._log(job, "refused", reason=failure.reason)
+        return _report_store_away(failure)
 
     async def read_state(self, job: str) -> Result[JobState, Problem]:
         """Return the state of a job."""
@@ -145,24 +157,41 @@
 
     async def _read_stored_state(self, job: str) -> Result[JobState, Problem]:
         """Return the state of a job by the store's rows."""
-        for name in (name_cancel(job), name_progress(job)):
-            row = await self._read_one(name)
-            if row.is_error():
-                return Error(_report_store_away(row.error))
-            if row.ok is None:
-                continue
-            if name == name_cancel(job):
-                return Ok(JobState.CANCELLED)
-            record = read_row(row.ok, JobRecord)
-            if record is not None:
-                return Ok(JobState(record.state))
-        row = await self._read_one(name_job(job))
+        state = None
+        row = await self._read_one(name_progress(job))
         if row.is_error():
             return Error(_report_store_away(row.error))
-        if row.ok is None:
+        if row.ok is not None:
+            record = read_row(row.ok, JobRecord)
+            state = JobState(record.state) if record is not None else JobState.QUEUED
+        if state in TERMINAL_STATES:
+            assert state is not None
+            return Ok(state)
+        for part in list_parts(job):
+            found = await self._read_part(job, part)
+            if found.is_error():
+                return Error(_report_store_away(found.error))
+            if found.ok is JobState.CANCELLED:
+                return Ok(found.ok)
+            state = state or found.ok
+        if state is None:
             self._log(job, "not found")
             return Error(_report_gone(job))
-        return Ok(JobState.QUEUED)
+        return Ok(state)
+
+    async def _read_part(
+        self, job: str, part: str
+    ) -> Result[JobState | None, StoreUnavailable]:
+        """Return what one part says of a job."""
+        cancel = await self._read_one(name_cancel(job, part))
+        if cancel.is_error():
+            return Error(cancel.error)
+        if cancel.ok is not None:
+            return Ok(JobState.CANCELLED)
+        row = await self._read_one(name_job(job, part))
+        if row.is_error():
+            return Error(row.error)
+        return Ok(JobState.QUEUED if row.ok is not None else None)
 
     async def cancel(self, job: str) -> Result[JobState, Problem]:
         """Cancel a job for good."""
@@ -175,15 +204,17 @@
             if stored.is_error():
                 return Error(stored.error)
         value = encode_message(CancelRow(job))
-        outcome = await self._store.transact(
-            Transaction(puts=(RowPut(name_cancel(job), value),))
-        )
-        if outcome.is_error():
-            self._log(job, "cancel not stored", reason=str(outcome.error))
-            return Error(_report_cancel_unknown())
-        self._log(job, "cancelled", version=outcome.ok.version)
-        self._announce_cancel(job)
-        return Ok(JobState.CANCELLED)
+        failure = ""
+        for part in list_parts(job):
+            put = RowPut(name_cancel(job, part), value)
+            outcome = await self._store.transact(Transaction(puts=(put,)))
+            if outcome.is_ok():
+                self._log(job, "cancelled", version=outcome.ok.version)
+                self._announce_cancel(job)
+                return Ok(JobState.CANCELLED)
+            failure = str(outcome.error)
+        self._log(job, "cancel not stored", reason=failure)
+        return Error(_report_cancel_unknown())
 
     def count_queued(self, queue: Queue) -> Result[int, Problem]:
         """Return how many accepted jobs of a queue have not begun."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.jobs.leases import LEADER_GRACE, SLOW_CLOCK
+from almondspread.jobs.leases import EXECUTOR_GRACE, SLOW_CLOCK
 from almondspread.jobs.messages import (
     FENCED,
     REFUSED,
@@ -167,7 +167,8 @@
         now = self._clock.monotonic()
         self._answered = now
         self._clock_reading = (answer.clock, now)
-        ends = tuple(end for end in answer.ends if end.number > self._forwarded)
+        after = self._forwarded
+        ends = tuple(end for end in answer.ends if end.number > after)
         for end in ends:
             self._forwarded = max(self._forwarded, end.number)
         full = (
@@ -180,7 +181,9 @@
             return
         running = answer.running if full else None
         self._report(
-            UpstreamReport(self.watch.upstream, self.watch.epoch, number, ends, running)
+            UpstreamReport(
+                self.watch.upstream, self.watch.epoch, number, after, ends, running
+            )
         )
 
     def _take_failure(self, failure: CallFailed) -> bool:
@@ -279,7 +282,7 @@
 class Executor:
     """The upstreams that this instance looks after for the leader.
 
-    Without a leader it goes on holding leases for the leader's grace, so that running
+    Without a leader it goes on holding leases for a while, so that running
     work outlives a change of leader.
     """
 
@@ -315,7 +318,7 @@
 
     async def _expire(self) -> None:
         """Stop holding leases when no leader has come in time."""
-        await self._clock.sleep(LEADER_GRACE)
+        await self._clock.sleep(EXECUTOR_GRACE)
         logger.warning("leases given up", upstreams=len(self._agents))
         self.close()
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -104,6 +104,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follow_configuration())
             group.create_task(self._take_part())
+            group.create_task(self._store.probe())
 
     async def stop(self) -> None:
         """Hand over what this instance does for others."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -12,7 +12,8 @@
     LEADER_GRACE,
     LEADER_LEASE,
     LeaderRow,
-    measure_inherited_wait,
+    measure_abandoned_hold,
+    measure_inherited_hold,
 )
 from almondspread.jobs.messages import (
     AskPermits,
@@ -35,6 +36,7 @@
     StoredRow,
     Transaction,
 )
+from almondspread.jobs.progress import JobRecord
 from almondspread.jobs.scheduler import Scheduler
 from almondspread_daemon.jobs.links import (
     Beat,
@@ -54,8 +56,9 @@
     WATCHED,
     CancelRow,
     SubmissionRow,
-    WatchedRow,
     decode_submission,
+    encode_watched,
+    list_parts,
     name_progress,
     read_leader,
     read_row,
@@ -68,11 +71,14 @@
 RENEW_INTERVAL = timedelta(milliseconds=400)
 DIRECTORY_INTERVAL = timedelta(milliseconds=500)
 FEED_WAIT = timedelta(seconds=10)
+# A refusal that is older says nothing of the store now.
+REFUSAL_AGE = timedelta(seconds=1)
 STORE_PAUSE = timedelta(milliseconds=200)
 # Decisions wait this long for more events, so that one pass serves them all.
 GATHER_TIME = timedelta(milliseconds=4)
 IDLE_PASS_INTERVAL = timedelta(milliseconds=100)
 BEAT_INTERVAL = timedelta(milliseconds=300)
+LOAD_INTERVAL = timedelta(seconds=1)
 MEMBER_SILENCE = timedelta(milliseconds=1_400)
 # One transaction also holds the leader's row and that of the watched upstreams.
 MAX_RECORDS_PER_COMMIT = 90
@@ -94,6 +100,7 @@
         now = clock.monotonic()
         self.row = row
         self._version = version
+        self._claim_version = version
         self._settings = settings
         self._store = store
         self._store_clock = store_clock
@@ -102,13 +109,16 @@
         self._scheduler = Scheduler(
             row.epoch,
             configuration,
-            now + measure_inherited_wait(settings.longest_hold),
+            now + measure_inherited_hold(settings.lease),
         )
         self._members = Members()
         self._dirty = asyncio.Event()
         self._commit_wanted = asyncio.Event()
         self._watched_stored: frozenset[str] = frozenset()
+        self._missing_parts: list[str] = []
+        self._records: dict[str, JobRecord] = {}
         self._ended = asyncio.Event()
+        self._refused_at: timedelta | None = None
         self._feed_version = version
         self.is_loaded = False
 
@@ -124,6 +134,8 @@
                 group.create_task(self._follow_submissions()),
                 group.create_task(self._follow_upstreams()),
                 group.create_task(self._decide()),
+                group.create_task(self._log_load()),
+                group.create_task(self._load_missing_parts()),
                 group.create_task(self._beat()),
             ]
             await self._ended.wait()
@@ -153,6 +165,16 @@
         self._scheduler.cancel_job(job, self._clock.monotonic())
         self._dirty.set()
 
+    @property
+    def _is_refused(self) -> bool:
+        """Whether the store refuses the part of the leader's row, but is there.
+
+        Then no other instance can claim the leadership either.
+        """
+        return self._refused_at is not None and (
+            self._clock.monotonic() - self._refused_at < REFUSAL_AGE
+        )
+
     @property
     def lease_holds(self) -> bool:
         """Whether the store has confirmed the leadership recently enough."""
@@ -175,21 +197,14 @@
 
     def _take_cell(self, cell: StoredCell) -> None:
         """Take over all jobs, and the upstreams that may run their tasks."""
-        now, wall = self._clock.monotonic(), self._clock.now()
-        for row in cell.submissions.values():
-            accepted = self._store_clock.to_local(timedelta(seconds=row.accepted))
-            self._scheduler.accept_job(
-                decode_submission(row),
-                accepted,
-                wall,
-                record=cell.records.get(row.job),
-                inherited=True,
-            )
-        for job in cell.cancelled:
-            self._scheduler.cancel_job(job, now)
-        if self._scheduler.jobs:
-            self._scheduler.unseen.update(cell.watched)
-        self._watched_stored = frozenset(cell.watched)
+        self._records = cell.records
+        self._take_rows(cell.submission_rows)
+        if self._scheduler.jobs or cell.missing_parts:
+            self._scheduler.inherit_upstreams(cell.watched)
+        self._missing_parts = cell.missing_parts
+        self._scheduler.is_complete = not cell.missing_parts
+        for entry in cell.watched:
+            self._assign(entry.name)
         self._feed_version = cell.version
         self.is_loaded = True
         states = StatesChanged(tuple(self._scheduler.announce_all()), whole=True)
@@ -200,9 +215,36 @@
             epoch=self.row.epoch,
             jobs=len(self._scheduler.jobs),
             watched=len(cell.watched),
+            missing_parts=len(cell.missing_parts),
             version=cell.version,
         )
 
+    async def _load_missing_parts(self) -> None:
+        """Read the parts that were missing at the takeover, as soon as they are there.
+
+        Upstreams then report anew, since ends of jobs that were not known before
+        could not be noted.
+        """
+        while self._missing_parts:
+            await self._clock.sleep(STORE_PAUSE)
+            cell = StoredCell(self._store)
+            loaded = await cell.load_submissions(self._missing_parts)
+            if loaded.is_error():
+                continue
+            self._take_rows(cell.submission_rows)
+            self._missing_parts = cell.missing_parts
+        logger.info("cell complete", jobs=len(self._scheduler.jobs))
+        self._scheduler.is_complete = True
+        for name in self._scheduler.ledger.upstreams:
+            self._watch_again(name)
+
+    def _watch_again(self, name: str) -> None:
+        """Have an upstream's executor report everything anew."""
+        upstream = self._scheduler.ledger.upstreams[name]
+        member = self._members.find(name)
+        if member is not None:
+            member.send(WatchUpstream(name, upstream.entry.address, self.row.epoch))
+
     # Members
 
     async def serve_member(self, member: Member, link: Link) -> None:
@@ -231,11 +273,17 @@
 
     def _drop_member(self, member: Member) -> None:
         """Give an instance's upstreams to others."""
+        if self._members.members.get(member.instance) is not member:
+            return
         orphans = self._members.remove(member)
-        if orphans or not member.leaving:
-            logger.warning(
-                "member lost", member=member.instance, upstreams=len(orphans)
-            )
+        logger.warning(
+            "member lost",
+            member=member.instance,
+            upstreams=len(orphans),
+            leaving=member.leaving,
+        )
+        held = measure_abandoned_hold(self._settings.lease)
+        self._scheduler.abandon_upstreams(orphans, self._clock.monotonic() + held)
         for name in orphans:
             self._assign(name)
 
@@ -374,6 +422,23 @@
         if isinstance(order, UnwatchUpstream):
             self._members.forget(order.upstream)
 
+    async def _log_load(self) -> None:
+        """Log how much waits and how full the upstreams are."""
+        while True:
+            load = self._scheduler.measure_load(self._clock.monotonic())
+            logger.info(
+                "load",
+                epoch=self.row.epoch,
+                waiting_steps=load.waiting_steps,
+                unseen_upstreams=load.unseen_upstreams,
+                waiting_tasks=load.waiting_tasks,
+                without_permits=load.without_permits,
+                used_millis=load.used_millis,
+                usable_millis=load.usable_millis,
+                question_slots=self._members.count_question_slots(),
+            )
+            await self._clock.sleep(LOAD_INTERVAL)
+
     # The store
 
     async def _commit(self) -> None:
@@ -392,7 +457,8 @@
     async def _commit_once(self, released: bool = False) -> bool:
         """Store what has changed; false where the store did not take it."""
         changes = self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT)
-        watched = frozenset(self._scheduler.ledger.upstreams)
+        watched_entries = self._scheduler.list_watched()
+        watched = frozenset(entry.name for entry in watched_entries)
         sent = self._clock.monotonic()
         self.row = LeaderRow(
             self.row.epoch,
@@ -405,14 +471,14 @@
         )
         puts = [RowPut(LEADER, encode_message(self.row))]
         if watched != self._watched_stored:
-            value = encode_message(WatchedRow(tuple(sorted(watched))))
-            puts.append(RowPut(WATCHED, value))
+            puts.append(RowPut(WATCHED, encode_watched(watched_entries)))
         for record in changes.records:
             puts.append(RowPut(name_progress(record.job), encode_message(record)))
         outcome = await self._store.transact(
             Transaction((RowCondition(LEADER, self._version),), tuple(puts))
         )
         if outcome.is_ok():
+            self._refused_at = None
             self._version = outcome.ok.version
             self._store_clock.observe(outcome.ok.store_time)
             self._lease_until = sent + LEADER_LEASE
@@ -425,6 +491,8 @@
         if isinstance(outcome.error, ConditionsFailed):
             self._resolve_conflict(outcome.error.rows)
         else:
+            refused = outcome.error.refused
+            self._refused_at = self._clock.monotonic() if refused else None
             logger.warning("commit failed", reason=outcome.error.reason)
         return False
 
@@ -443,7 +511,7 @@
             changes = await self._store.follow(
                 SUBMISSIONS, self._feed_version, FEED_WAIT
             )
-            if changes.is_ok() and not self.lease_holds:
+            if changes.is_ok() and not (self.lease_holds or self._is_refused):
                 # The next leader may have placed the tasks of these jobs already.
                 await self._clock.sleep(STORE_PAUSE)
                 continue
@@ -461,8 +529,8 @@
         """Read all submissions where the store has forgotten what changed."""
         logger.warning("feed lost its history", version=self._feed_version)
         cell = StoredCell(self._store)
-        loaded = await cell.load_submissions()
-        if loaded.is_error():
+        loaded = await cell.load_submissions(list_parts())
+        if loaded.is_error() or cell.missing_parts:
             await self._clock.sleep(STORE_PAUSE)
             return
         self._take_rows(cell.submission_rows)
@@ -485,7 +553,11 @@
                 timedelta(seconds=submission.accepted)
             )
             self._scheduler.accept_job(
-                decode_submission(submission), min(accepted, now), wall
+                decode_submission(submission),
+                min(accepted, now),
+                wall,
+                record=self._records.get(submission.job),
+                inherited=row.version <= self._claim_version,
             )
         for job in cancelled:
             self._scheduler.cancel_job(job, now)
@@ -498,9 +570,10 @@
             listed = await self._store.list_upstreams()
             if listed.is_ok():
                 now = self._clock.monotonic()
-                for name in self._scheduler.list_upstreams(listed.ok, now):
+                added = self._scheduler.list_upstreams(listed.ok, now)
+                for name in added:
                     self._assign(name)
-                if frozenset(self._scheduler.ledger.upstreams) != self._watched_stored:
+                if added:
                     self._commit_wanted.set()
                 self._rebalance()
                 self._dirty.set()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 from expression import Error, Ok, Result
 
+from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import StoredRow, StoreUnavailable
 from almondspread.jobs.progress import JobRecord
 from almondspread_daemon.jobs.rows import (
@@ -15,6 +16,7 @@
     CancelRow,
     SubmissionRow,
     WatchedRow,
+    decode_watched,
     list_parts,
     read_progress,
     read_row,
@@ -27,19 +29,23 @@
 
 @define(eq=False)
 class StoredCell:
-    """All rows of the cell. ``version`` is the oldest at which any were read."""
+    """All rows of the cell. ``version`` is the oldest at which any were read.
+
+    ``missing_parts`` are parts of the submissions that the store does not give now.
+    """
 
     store: StoreAccess
     version: int = 0
+    missing_parts: list[str] = field(factory=list)
     submissions: dict[str, SubmissionRow] = field(factory=dict)
     cancelled: list[str] = field(factory=list)
     records: dict[str, JobRecord] = field(factory=dict)
-    watched: tuple[str, ...] = ()
+    watched: list[UpstreamEntry] = field(factory=list)
     submission_rows: tuple[StoredRow, ...] = ()
 
     async def load(self) -> Result[None, StoreUnavailable]:
         """Read everything."""
-        submissions = await self.load_submissions()
+        submissions = await self.load_submissions(list_parts())
         if submissions.is_error():
             return Error(submissions.error)
         progress = await self._read_all(PROGRESS, CELL_PART)
@@ -54,18 +60,26 @@
                 continue
             watched = read_row(row, WatchedRow)
             if watched is not None:
-                self.watched = watched.upstreams
+                self.watched = decode_watched(watched)
         return Ok(None)
 
-    async def load_submissions(self) -> Result[None, StoreUnavailable]:
-        """Read the submissions and cancellations."""
+    async def load_submissions(
+        self, parts: list[str]
+    ) -> Result[None, StoreUnavailable]:
+        """Read the submissions and cancellations, as far as there are any to be had.
+
+        Fails only where the store gives none of the parts.
+        """
         rows: list[StoredRow] = []
         versions: list[int] = []
-        for part in list_parts():
+        for part in parts:
             found = await self._read_all(SUBMISSIONS, part, versions)
             if found.is_error():
-                return Error(found.error)
+                self.missing_parts.append(part)
+                continue
             rows.extend(found.ok)
+        if not versions:
+            return Error(StoreUnavailable("no part of the submissions is given", True))
         self.version = min(versions)
         self.submission_rows = tuple(rows)
         for row in rows:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -8,6 +8,7 @@
 
 from almondspread.codec import decode_message, encode_message
 from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import RowName, StoredRow
 from almondspread.jobs.progress import JobRecord
 from almondspread.jobs.submissions import Repetition, Step, Submission
@@ -75,31 +76,70 @@
     job: str
 
 
+@define(frozen=True)
+class WatchedUpstream:
+    """An upstream on which runs may have been started."""
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+
+
 @define(frozen=True)
 class WatchedRow:
-    """The upstreams on which runs may have been started."""
+    """The upstreams that the next leader must ask for their runs."""
+
+    upstreams: tuple[WatchedUpstream, ...] = ()
 
-    upstreams: tuple[str, ...] = ()
 
+def encode_watched(entries: list[UpstreamEntry]) -> bytes:
+    """Return the row of the watched upstreams."""
+    upstreams = []
+    for entry in entries:
+        upstreams.append(
+            WatchedUpstream(
+                entry.name, entry.service, entry.address, entry.failure_domain
+            )
+        )
+    return encode_message(WatchedRow(tuple(upstreams)))
+
+
+def decode_watched(row: WatchedRow) -> list[UpstreamEntry]:
+    """Return the entries of watched upstreams, whose capacity is not known."""
+    entries = []
+    for upstream in row.upstreams:
+        entries.append(
+            UpstreamEntry(
+                upstream.name,
+                upstream.service,
+                upstream.address,
+                upstream.failure_domain,
+                Capacity(0, 0, 0),
+            )
+        )
+    return entries
 
-def choose_part(job: str) -> str:
-    """Return the part that holds the rows of a job."""
-    return f"p{sum(job.encode()) % SUBMISSION_PARTS}"
 
+def list_parts(job: str = "") -> list[str]:
+    """Return all parts that hold submissions, those first in which a job belongs.
 
-def list_parts() -> list[str]:
-    """Return all parts that hold submissions."""
-    return [f"p{number}" for number in range(SUBMISSION_PARTS)]
+    Where the store refuses a part, the job's rows go into the next one.
+    """
+    first = sum(job.encode())
+    return [
+        f"p{(first + number) % SUBMISSION_PARTS}" for number in range(SUBMISSION_PARTS)
+    ]
 
 
-def name_job(job: str) -> RowName:
+def name_job(job: str, part: str) -> RowName:
     """Return the row of a job's submission."""
-    return RowName(SUBMISSIONS, choose_part(job), JOB_PREFIX + job)
+    return RowName(SUBMISSIONS, part, JOB_PREFIX + job)
 
 
-def name_cancel(job: str) -> RowName:
+def name_cancel(job: str, part: str) -> RowName:
     """Return the row that marks a job as cancelled."""
-    return RowName(SUBMISSIONS, choose_part(job), CANCEL_PREFIX + job)
+    return RowName(SUBMISSIONS, part, CANCEL_PREFIX + job)
 
 
 def name_progress(job: str) -> RowName:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -4,6 +4,9 @@
 
 from attrs import define
 
+# Longer leases keep the tasks of a crashed upstream waiting.
+MAX_LEASE = timedelta(seconds=6)
+
 
 @define(frozen=True)
 class JobSettings:
@@ -27,4 +30,4 @@
     @property
     def lease(self) -> timedelta:
         """How long runs live without being held."""
-        return self.longest_hold
+        return min(self.longest_hold, MAX_LEASE)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -29,8 +29,10 @@
 MAX_TIMEOUT = timedelta(milliseconds=1_600)
 # A timeout of this many usual answer times tells a lost answer from a slow one.
 TIMEOUT_FACTOR = 6
-# A single lost answer does not make the store count as lost.
-LOSS_PATIENCE = timedelta(milliseconds=600)
+# A refusal, or a single lost answer, does not make the store count as lost.
+PROBE_INTERVAL = timedelta(milliseconds=200)
+PROBED_TABLE = "probes"
+LOSS_PATIENCE = timedelta(milliseconds=100)
 SMOOTHING = 0.2
 
 
@@ -75,6 +77,13 @@
             return False
         return self._clock.monotonic() - self._lost_since > LOSS_PATIENCE
 
+    async def probe(self) -> None:
+        """Ask the store for signs of life while it counts as lost."""
+        while True:
+            await self._clock.sleep(PROBE_INTERVAL)
+            if self._lost_since is not None:
+                await self.read(PROBED_TABLE, "")
+
     async def transact(
         self, transaction: Transaction
     ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
@@ -126,6 +135,8 @@
             self._times.note_answer(taken)
             self._note_reached()
             return outcome
+        if outcome.error.refused:
+            return outcome
         if taken >= self._times.timeout:
             self._times.note_timeout()
         self._note_lost(str(outcome.error))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -50,7 +50,7 @@
         repetition = Repetition(first, timedelta(seconds=2), 4)
         submission = Submission("j", "q", "text", (Step(1, SIZE), step), repetition)
         value = encode_submission(submission, timedelta(seconds=5))
-        row = read_row(StoredRow(name_job("j"), value, 1), SubmissionRow)
+        row = read_row(StoredRow(name_job("j", "p0"), value, 1), SubmissionRow)
         self.assertEqual(decode_submission(row), submission)
         self.assertEqual(row.accepted, 5.0)
 
