--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -121,6 +121,11 @@
         An empty ``start`` or ``end`` sets no bound.
         """
 
+    async def list_parts(
+        self, table: str, timeout: timedelta
+    ) -> Result[list[str], StoreUnavailable]:
+        """Return all parts of a table."""
+
     async def follow(
         self, table: str, after: int, wait: timedelta, timeout: timedelta
     ) -> Result[Changes, HistoryGone | StoreUnavailable]:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -113,6 +113,7 @@
     unseen: set[str] = field(factory=set)
     _services: dict[str, str] = field(factory=dict)
     _open: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
+    _cancelled_early: set[str] = field(factory=set)
     _repeating: set[str] = field(factory=set)
     _orders: list[UpstreamOrder | AskPermits] = field(factory=list)
     _changed: set[str] = field(factory=set)
@@ -154,11 +155,18 @@
         if submission.repetition is not None:
             self._repeating.add(submission.job)
         self._conclude(job, accepted)
+        if submission.job in self._cancelled_early:
+            self._cancelled_early.discard(submission.job)
+            self.cancel_job(submission.job, accepted)
 
     def cancel_job(self, name: str, now: timedelta) -> None:
         """Cancel a job for good; the stops of its runs follow at once."""
         job = self.jobs.get(name)
-        if job is None or job.ended is not None:
+        if job is None:
+            # The submission was stored elsewhere and is not heard of yet.
+            self._cancelled_early.add(name)
+            return
+        if job.ended is not None:
             return
         logger.info("job cancelled", job=name, runs=len(job.list_runs()))
         self._end_job(job, JobState.CANCELLED, now)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
@@ -8,9 +8,13 @@
 
 @define(eq=False)
 class JobBoard:
-    """States by job. ``is_current`` while a leader keeps it up to date."""
+    """States by job. ``is_current`` while a leader keeps it up to date.
+
+    Where it ``knows_all``, a job that is not on it does not exist.
+    """
 
     is_current: bool = False
+    knows_all: bool = False
     waits: dict[str, float] = field(factory=dict)
     _states: dict[str, Announcement] = field(factory=dict)
     _queued: dict[str, set[str]] = field(factory=dict)
@@ -23,6 +27,12 @@
         self._queued.clear()
         self.update(states)
         self.is_current = True
+        self.knows_all = False
+
+    def lose_leader(self) -> None:
+        """Note that nothing keeps the states up to date any more."""
+        self.is_current = False
+        self.knows_all = False
 
     def update(self, states: tuple[Announcement, ...]) -> None:
         """Take states that have changed."""
@@ -34,6 +44,11 @@
             else:
                 queued.discard(state.job)
 
+    def add(self, job: str, queue: str) -> None:
+        """Note a job that has just been accepted here."""
+        if job not in self._states:
+            self.update((Announcement(job, queue, JobState.QUEUED),))
+
     def read(self, job: str) -> JobState | None:
         """Return the state of a job, ``None`` where it is not known."""
         known = self._states.get(job)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -1,7 +1,6 @@
 """What callers ask of jobs: submit, read, cancel, and count those that wait."""
 
 import asyncio
-import math
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -19,13 +18,9 @@
 from almondspread.jobs.admission import decide_admission
 from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.jobs.ports import (
-    ConditionsFailed,
-    RowCondition,
     RowName,
-    RowPut,
     StoredRow,
     StoreUnavailable,
-    Transaction,
 )
 from almondspread.jobs.progress import TERMINAL_STATES, JobRecord, JobState
 from almondspread.jobs.submissions import Submission, check_submission
@@ -33,7 +28,6 @@
 from almondspread_daemon.jobs.rows import (
     CancelRow,
     encode_submission,
-    list_parts,
     name_cancel,
     name_job,
     name_progress,
@@ -41,11 +35,12 @@
 )
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.jobs.writing import RowWriter
 
 STORE_RETRY_AFTER = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=50)
 # A caller that hears early that the outcome is unknown can still try elsewhere.
-MAX_STORING_TIME = timedelta(milliseconds=1_200)
+MAX_STORING_TIME = timedelta(milliseconds=2_600)
 # The caller should hear that the outcome is unknown before it gives up.
 ANSWER_MARGIN = timedelta(milliseconds=50)
 MIN_STORING_TIME = timedelta(milliseconds=50)
@@ -57,6 +52,7 @@
     def __init__(
         self,
         store: StoreAccess,
+        writer: RowWriter,
         store_clock: StoreClock,
         clock: Clock,
         board: JobBoard,
@@ -64,6 +60,7 @@
     ) -> None:
         self.configuration: Configuration | None = None
         self._store = store
+        self._writer = writer
         self._store_clock = store_clock
         self._clock = clock
         self._board = board
@@ -107,38 +104,18 @@
         if time_left < MIN_STORING_TIME:
             failure = StoreUnavailable("the caller leaves it too little time", True)
             return Error(self._refuse(submission.job, failure))
+        value = encode_submission(submission, self._store_clock.now())
         try:
             async with asyncio.timeout(time_left.total_seconds()):
-                return await self._store_submission(submission)
+                written = await self._writer.write(name_job(submission.job), value)
         except TimeoutError:
             self._log(submission.job, "unknown", reason="the store does not answer")
             return Error(_report_unknown())
-
-    async def _store_submission(
-        self, submission: Submission
-    ) -> Result[JobState, Problem]:
-        """Write the submission's row into the first part that takes it.
-
-        Once a write may have been done, only the same part is tried again.
-        """
-        value = encode_submission(submission, self._store_clock.now())
-        failure = StoreUnavailable("no part takes the job", not_done=True)
-        for part in list_parts(submission.job):
-            name = name_job(submission.job, part)
-            transaction = Transaction((RowCondition(name, 0),), (RowPut(name, value),))
-            while True:
-                outcome = await self._store.transact(transaction)
-                if outcome.is_ok():
-                    self._log(submission.job, "accepted", version=outcome.ok.version)
-                    return Ok(JobState.QUEUED)
-                if isinstance(outcome.error, ConditionsFailed):
-                    self._log(submission.job, "accepted", reason="stored before")
-                    return Ok(JobState.QUEUED)
-                failure = outcome.error
-                if failure.not_done:
-                    break
-                await self._clock.sleep(RETRY_PAUSE)
-        return Error(self._refuse(submission.job, failure))
+        if written.is_error():
+            return Error(self._refuse(submission.job, written.error))
+        self._log(submission.job, "accepted", version=written.ok)
+        self._board.add(submission.job, queue.name)
+        return Ok(JobState.QUEUED)
 
     def _refuse(self, job: str, failure: StoreUnavailable) -> Problem:
         """Return the problem of a job that has surely not been stored."""
@@ -150,82 +127,42 @@
         known = self._board.read(job)
         if known is not None and (self._board.is_current or known in TERMINAL_STATES):
             return Ok(known)
-        stored = await self._read_stored_state(job)
-        if stored.is_error() and known is not None:
-            return Ok(known)
-        return stored
-
-    async def _read_stored_state(self, job: str) -> Result[JobState, Problem]:
-        """Return the state of a job by the store's rows."""
-        state = None
+        if known is None and self._board.knows_all:
+            self._log(job, "not found")
+            return Error(NotFound(f"there is no job {job}", "submit it"))
         row = await self._read_one(name_progress(job))
-        if row.is_error():
-            return Error(_report_store_away(row.error))
-        if row.ok is not None:
+        record = None
+        if row.is_ok() and row.ok is not None:
             record = read_row(row.ok, JobRecord)
-            state = JobState(record.state) if record is not None else JobState.QUEUED
-        if state in TERMINAL_STATES:
-            assert state is not None
-            return Ok(state)
-        for part in list_parts(job):
-            found = await self._read_part(job, part)
-            if found.is_error():
-                return Error(_report_store_away(found.error))
-            if found.ok is JobState.CANCELLED:
-                return Ok(found.ok)
-            state = state or found.ok
-        if state is None:
-            self._log(job, "not found")
-            return Error(_report_gone(job))
-        return Ok(state)
-
-    async def _read_part(
-        self, job: str, part: str
-    ) -> Result[JobState | None, StoreUnavailable]:
-        """Return what one part says of a job."""
-        cancel = await self._read_one(name_cancel(job, part))
-        if cancel.is_error():
-            return Error(cancel.error)
-        if cancel.ok is not None:
-            return Ok(JobState.CANCELLED)
-        row = await self._read_one(name_job(job, part))
-        if row.is_error():
-            return Error(row.error)
-        return Ok(JobState.QUEUED if row.ok is not None else None)
+        if record is not None:
+            return Ok(JobState(record.state))
+        if known is not None:
+            return Ok(known)
+        return Error(_report_unheard())
 
     async def cancel(self, job: str) -> Result[JobState, Problem]:
-        """Cancel a job for good."""
+        """Cancel a job for good, also one whose submission is not known here yet."""
         known = self._board.read(job)
-        if known in TERMINAL_STATES:
-            assert known is not None
+        if known is not None and known in TERMINAL_STATES:
             return Ok(known)
-        if known is None:
-            stored = await self._read_stored_state(job)
-            if stored.is_error():
-                return Error(stored.error)
         value = encode_message(CancelRow(job))
-        failure = ""
-        for part in list_parts(job):
-            put = RowPut(name_cancel(job, part), value)
-            outcome = await self._store.transact(Transaction(puts=(put,)))
-            if outcome.is_ok():
-                self._log(job, "cancelled", version=outcome.ok.version)
-                self._announce_cancel(job)
-                return Ok(JobState.CANCELLED)
-            failure = str(outcome.error)
-        self._log(job, "cancel not stored", reason=failure)
-        return Error(_report_cancel_unknown())
+        try:
+            async with asyncio.timeout(MAX_STORING_TIME.total_seconds()):
+                written = await self._writer.write(name_cancel(job), value)
+        except TimeoutError:
+            self._log(job, "cancel unknown", reason="the store does not answer")
+            return Error(_report_cancel_unknown())
+        if written.is_error():
+            self._log(job, "cancel refused", reason=written.error.reason)
+            return Error(_report_store_away(written.error))
+        self._log(job, "cancelled", version=written.ok)
+        self._announce_cancel(job)
+        return Ok(JobState.CANCELLED)
 
     def count_queued(self, queue: Queue) -> Result[int, Problem]:
         """Return how many accepted jobs of a queue have not begun."""
         if not self._board.is_current:
-            return Error(
-                Unavailable(
-                    "this instance does not hear from the leader",
-                    "ask again later",
-                    retry_after_seconds=math.ceil(STORE_RETRY_AFTER.total_seconds()),
-                )
-            )
+            return Error(_report_unheard())
         return Ok(self._board.count_queued(queue.name))
 
     async def _read_one(
@@ -259,9 +196,13 @@
     )
 
 
-def _report_gone(job: str) -> Problem:
-    """Return the problem of a job that does not exist."""
-    return NotFound(f"there is no job {job}", "submit it")
+def _report_unheard() -> Problem:
+    """Return the problem of an instance that does not hear from the leader."""
+    return Unavailable(
+        "this instance does not hear from the leader",
+        "ask again, also another instance",
+        retry_after_seconds=STORE_RETRY_AFTER.total_seconds(),
+    )
 
 
 def _report_unknown() -> Problem:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -42,6 +42,7 @@
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.jobs.writing import RowWriter
 from almondspread_daemon.settings import parse_address
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
@@ -70,8 +71,14 @@
         self.settings = settings
         self.board = JobBoard()
         self.store_clock = StoreClock(clock)
+        self._writer = RowWriter(store, clock, settings.instance)
         self.desk = JobDesk(
-            store, self.store_clock, clock, self.board, self._announce_cancel
+            store,
+            self._writer,
+            self.store_clock,
+            clock,
+            self.board,
+            self._announce_cancel,
         )
         self._incarnation = incarnation
         self._store = store
@@ -105,6 +112,7 @@
             group.create_task(self._follow_configuration())
             group.create_task(self._take_part())
             group.create_task(self._store.probe())
+            group.create_task(self._writer.run())
 
     async def stop(self) -> None:
         """Hand over what this instance does for others."""
@@ -257,7 +265,7 @@
             logger.opt(exception=True).error("leadership failed", reason=str(errors))
         finally:
             self._session = None
-            self.board.is_current = False
+            self.board.lose_leader()
             self._executor.detach()
 
     async def _serve_link(self, link: Link) -> None:
@@ -312,7 +320,7 @@
             if self._link is link:
                 logger.warning("leader lost", leader=row.instance, epoch=row.epoch)
                 self._link = None
-                self.board.is_current = False
+                self.board.lose_leader()
                 self._executor.detach()
 
     async def _watch_leader(self, follower: "_Follower") -> None:
@@ -336,6 +344,7 @@
             case QueueLoads():
                 self.board.waits = message.waits
             case Beat():
+                self.board.knows_all = message.knows_all
                 if not message.lease_holds:
                     self._check_leader()
             case _:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -58,7 +58,6 @@
     SubmissionRow,
     decode_submission,
     encode_watched,
-    list_parts,
     name_progress,
     read_leader,
     read_row,
@@ -70,7 +69,8 @@
 COMMIT_INTERVAL = timedelta(milliseconds=50)
 RENEW_INTERVAL = timedelta(milliseconds=400)
 DIRECTORY_INTERVAL = timedelta(milliseconds=500)
-FEED_WAIT = timedelta(seconds=10)
+FEED_WAIT = timedelta(seconds=1)
+FEED_MARGIN = timedelta(milliseconds=500)
 # A refusal that is older says nothing of the store now.
 REFUSAL_AGE = timedelta(seconds=1)
 STORE_PAUSE = timedelta(milliseconds=200)
@@ -118,6 +118,7 @@
         self._missing_parts: list[str] = []
         self._records: dict[str, JobRecord] = {}
         self._ended = asyncio.Event()
+        self._feed_heard = now
         self._refused_at: timedelta | None = None
         self._feed_version = version
         self.is_loaded = False
@@ -155,6 +156,11 @@
         await self._commit_once(released=True)
         self.end("released")
 
+    def _knows_all(self, now: timedelta) -> bool:
+        """Whether every job that has been stored for a while is known here."""
+        fresh = now - self._feed_heard < FEED_WAIT + FEED_MARGIN
+        return self.is_loaded and self._scheduler.is_complete and fresh
+
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self._scheduler.configure(configuration)
@@ -205,7 +211,8 @@
         self._scheduler.is_complete = not cell.missing_parts
         for entry in cell.watched:
             self._assign(entry.name)
-        self._feed_version = cell.version
+        # All that is stored later than the claim comes by the feed.
+        self._feed_version = self._claim_version
         self.is_loaded = True
         states = StatesChanged(tuple(self._scheduler.announce_all()), whole=True)
         for member in self._members.members.values():
@@ -369,11 +376,12 @@
             now = self._clock.monotonic()
             for member in list(self._members.members.values()):
                 if member.instance == self.row.instance:
+                    member.send(Beat(True, self._knows_all(now)))
                     continue
                 if now - member.heard > MEMBER_SILENCE:
                     self._drop_member(member)
                     continue
-                member.send(Beat(self.lease_holds))
+                member.send(Beat(self.lease_holds, self._knows_all(now)))
                 member.send(QueueLoads(self._scheduler.estimate_waits(now)))
             if now > self._lease_until + LEADER_GRACE:
                 self.end("the store has not confirmed the epoch")
@@ -517,6 +525,7 @@
                 continue
             if changes.is_ok():
                 self._take_rows(changes.ok.rows)
+                self._feed_heard = self._clock.monotonic()
                 self._feed_version = max(self._feed_version, changes.ok.version)
                 continue
             if isinstance(changes.error, HistoryGone):
@@ -529,12 +538,12 @@
         """Read all submissions where the store has forgotten what changed."""
         logger.warning("feed lost its history", version=self._feed_version)
         cell = StoredCell(self._store)
-        loaded = await cell.load_submissions(list_parts())
+        loaded = await cell.load_submissions()
         if loaded.is_error() or cell.missing_parts:
             await self._clock.sleep(STORE_PAUSE)
             return
         self._take_rows(cell.submission_rows)
-        self._feed_version = cell.version
+        self._feed_version = max(cell.version, self._claim_version)
 
     def _take_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take rows of submissions and cancellations."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -48,9 +48,13 @@
 
 @define(frozen=True)
 class Beat:
-    """A sign of life; the leader's tells whether its lease holds."""
+    """A sign of life; the leader's tells whether its lease holds.
+
+    ``knows_all`` tells that it knows every job that was stored a while ago.
+    """
 
     lease_holds: bool = True
+    knows_all: bool = True
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
@@ -1,5 +1,7 @@
 """Reads what the store keeps of the cell, as a new leader needs it."""
 
+import asyncio
+
 from attrs import define, field
 from expression import Error, Ok, Result
 
@@ -17,7 +19,6 @@
     SubmissionRow,
     WatchedRow,
     decode_watched,
-    list_parts,
     read_progress,
     read_row,
 )
@@ -45,7 +46,7 @@
 
     async def load(self) -> Result[None, StoreUnavailable]:
         """Read everything."""
-        submissions = await self.load_submissions(list_parts())
+        submissions = await self.load_submissions()
         if submissions.is_error():
             return Error(submissions.error)
         progress = await self._read_all(PROGRESS, CELL_PART)
@@ -64,23 +65,28 @@
         return Ok(None)
 
     async def load_submissions(
-        self, parts: list[str]
+        self, parts: list[str] | None = None
     ) -> Result[None, StoreUnavailable]:
-        """Read the submissions and cancellations, as far as there are any to be had.
+        """Read the submissions and cancellations of some parts, or of all.
 
-        Fails only where the store gives none of the parts.
+        Parts that the store does not give become the missing ones.
         """
+        if parts is None:
+            listed = await self.store.list_parts(SUBMISSIONS)
+            if listed.is_error():
+                return Error(listed.error)
+            parts = listed.ok
         rows: list[StoredRow] = []
         versions: list[int] = []
-        for part in parts:
-            found = await self._read_all(SUBMISSIONS, part, versions)
+        answers = await asyncio.gather(
+            *(self._read_all(SUBMISSIONS, part, versions) for part in parts)
+        )
+        for part, found in zip(parts, answers, strict=True):
             if found.is_error():
                 self.missing_parts.append(part)
                 continue
             rows.extend(found.ok)
-        if not versions:
-            return Error(StoreUnavailable("no part of the submissions is given", True))
-        self.version = min(versions)
+        self.version = min(versions, default=0)
         self.submission_rows = tuple(rows)
         for row in rows:
             if row.name.key.startswith(CANCEL_PREFIX):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -16,8 +16,8 @@
 
 T = TypeVar("T")
 
-# Submissions spread over parts, since one part takes one transaction after another.
-SUBMISSION_PARTS = 4
+# Where the store refuses one part it may still take another.
+PARTS_PER_INSTANCE = 4
 CELL_PART = "cell"
 SUBMISSIONS = "submissions"
 CELL = "cell"
@@ -121,25 +121,22 @@
     return entries
 
 
-def list_parts(job: str = "") -> list[str]:
-    """Return all parts that hold submissions, those first in which a job belongs.
+def list_parts(instance: str) -> list[str]:
+    """Return the parts into which an instance writes, the usual one first.
 
-    Where the store refuses a part, the job's rows go into the next one.
+    Each instance has parts of its own, so that none waits for the writes of others.
     """
-    first = sum(job.encode())
-    return [
-        f"p{(first + number) % SUBMISSION_PARTS}" for number in range(SUBMISSION_PARTS)
-    ]
+    return [f"{instance}/{number}" for number in range(PARTS_PER_INSTANCE)]
 
 
-def name_job(job: str, part: str) -> RowName:
-    """Return the row of a job's submission."""
-    return RowName(SUBMISSIONS, part, JOB_PREFIX + job)
+def name_job(job: str) -> str:
+    """Return the key of a job's submission."""
+    return JOB_PREFIX + job
 
 
-def name_cancel(job: str, part: str) -> RowName:
-    """Return the row that marks a job as cancelled."""
-    return RowName(SUBMISSIONS, part, CANCEL_PREFIX + job)
+def name_cancel(job: str) -> str:
+    """Return the key of the row that marks a job as cancelled."""
+    return CANCEL_PREFIX + job
 
 
 def name_progress(job: str) -> RowName:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -32,7 +32,8 @@
 # A refusal, or a single lost answer, does not make the store count as lost.
 PROBE_INTERVAL = timedelta(milliseconds=200)
 PROBED_TABLE = "probes"
-LOSS_PATIENCE = timedelta(milliseconds=100)
+LOSS_PATIENCE = timedelta(milliseconds=500)
+RETRY_PAUSE = timedelta(milliseconds=50)
 SMOOTHING = 0.2
 
 
@@ -100,6 +101,10 @@
             lambda timeout: self._store.read(table, part, start, end, timeout)
         )
 
+    async def list_parts(self, table: str) -> Result[list[str], StoreUnavailable]:
+        """Return all parts of a table."""
+        return await self._time(lambda timeout: self._store.list_parts(table, timeout))
+
     async def follow(
         self, table: str, after: int, wait: timedelta
     ) -> Result[Changes, HistoryGone | StoreUnavailable]:
@@ -130,16 +135,16 @@
         sent = self._clock.monotonic()
         outcome = await call(self._times.timeout)
         taken = self._clock.monotonic() - sent
-        failed = outcome.is_error() and isinstance(outcome.error, StoreUnavailable)
-        if not failed:
+        failure = outcome.error if outcome.is_error() else None
+        if not isinstance(failure, StoreUnavailable):
             self._times.note_answer(taken)
             self._note_reached()
             return outcome
-        if outcome.error.refused:
+        if failure.refused:
             return outcome
         if taken >= self._times.timeout:
             self._times.note_timeout()
-        self._note_lost(str(outcome.error))
+        self._note_lost(failure.reason)
         return outcome
 
     def _note_reached(self) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -2,11 +2,12 @@
 from datetime import UTC, datetime, timedelta
 
 from almondspread.codec import encode_message
-from almondspread.jobs.ports import StoredRow
+from almondspread.jobs.ports import RowName, StoredRow
 from almondspread.jobs.progress import JobRecord, StepRecord
 from almondspread.jobs.submissions import Repetition, Step, Submission
 from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.rows import (
+    SUBMISSIONS,
     SubmissionRow,
     decode_submission,
     encode_submission,
@@ -50,7 +51,10 @@
         repetition = Repetition(first, timedelta(seconds=2), 4)
         submission = Submission("j", "q", "text", (Step(1, SIZE), step), repetition)
         value = encode_submission(submission, timedelta(seconds=5))
-        row = read_row(StoredRow(name_job("j", "p0"), value, 1), SubmissionRow)
+        row = read_row(
+            StoredRow(RowName(SUBMISSIONS, "entry-1/0", name_job("j")), value, 1),
+            SubmissionRow,
+        )
         self.assertEqual(decode_submission(row), submission)
         self.assertEqual(row.accepted, 5.0)
 
