--- a/packages/almondspread/almondspread/jobs/ledger.py
+++ b/packages/almondspread/almondspread/jobs/ledger.py
@@ -69,7 +69,7 @@
             return []
         return [self.runs[key] for key in found.bound if key in self.runs]
 
-    def list_watched(self, unseen: set[str]) -> list[UpstreamEntry]:
+    def list_watched(self, unseen: set[str]) -> list[Upstream]:
         """Return the upstreams that run tasks, or may be given any."""
         watched = []
         for name, upstream in self.upstreams.items():
@@ -77,7 +77,7 @@
             if upstream.lapse_at is not None:
                 open_to_runs = False
             if upstream.bound or open_to_runs or name in unseen:
-                watched.append(upstream.entry)
+                watched.append(upstream)
         return watched
 
     def refresh(self, entries: list[UpstreamEntry]) -> tuple[list[str], list[str]]:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -100,13 +100,12 @@
     """All jobs and upstreams of the cell, as the leader of one epoch sees them.
 
     Jobs of earlier epochs wait while an upstream that may run their tasks is unseen:
-    it has not reported yet, and its leases have not run out, which they surely have at
-    ``inherited_until``. While some jobs are not loaded, ``is_complete`` is false.
+    it has not reported yet, and its leases have not run out. While some jobs are not
+    loaded, ``is_complete`` is false.
     """
 
     epoch: int
     configuration: Configuration
-    inherited_until: timedelta = timedelta(0)
     is_complete: bool = True
     jobs: dict[str, JobProgress] = field(factory=dict)
     ledger: RunLedger = field(init=False)
@@ -239,12 +238,15 @@
             self._forget_upstream(name)
         return added
 
-    def inherit_upstreams(self, entries: list[UpstreamEntry]) -> None:
-        """Take the upstreams on which an earlier leader may have started runs."""
-        for entry in entries:
-            upstream = Upstream(entry, listed=False)
-            self.ledger.upstreams[entry.name] = upstream
-            self.unseen.add(entry.name)
+    def inherit_upstream(self, entry: UpstreamEntry, lapse: timedelta) -> None:
+        """Take an upstream on which an earlier leader may have started runs.
+
+        Until it reports, its leases run out at ``lapse``.
+        """
+        upstream = Upstream(entry, listed=False)
+        upstream.abandoned_until = lapse
+        self.ledger.upstreams[entry.name] = upstream
+        self.unseen.add(entry.name)
 
     def abandon_upstreams(self, names: set[str], until: timedelta) -> None:
         """Note that an executor is no longer heard, and holds leases for a while."""
@@ -253,7 +255,7 @@
             if upstream is not None:
                 upstream.abandoned_until = until
 
-    def list_watched(self) -> list[UpstreamEntry]:
+    def list_watched(self) -> list[Upstream]:
         """Return the upstreams that the next leader must ask for their runs."""
         return self.ledger.list_watched(self.unseen)
 
@@ -297,8 +299,6 @@
                 runs=len(upstream.bound),
             )
         upstream.lapse_at = max(now + silence.lapse_in, upstream.abandoned_until)
-        if upstream.name in self.unseen:
-            upstream.lapse_at = max(upstream.lapse_at, self.inherited_until)
 
     def observe_report(self, report: UpstreamReport, now: timedelta) -> None:
         """Take what an upstream has answered."""
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -0,0 +1,392 @@
+import unittest
+from datetime import timedelta
+
+from almondspread.jobs.messages import (
+    FAILED,
+    AcknowledgeEnds,
+    RunEnd,
+    RunSighting,
+    StartRun,
+    StopRun,
+    UpstreamReport,
+)
+from almondspread.jobs.progress import JobState
+from almondspread.jobs.submissions import Step, Submission, TaskId
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.fake_cell import (
+    QUEUE,
+    SERVICE,
+    FakeCell,
+    make_configuration,
+)
+
+SECOND = timedelta(seconds=1)
+CORE = Capacity(1_000, 1_000)
+
+
+def make_job(name, *steps):
+    return Submission(name, QUEUE, "payload", steps)
+
+
+def make_step(count=1, **fields):
+    return Step(
+        count, fields.pop("size", CORE), fields.pop("estimate", SECOND), **fields
+    )
+
+
+class CellTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = FakeCell()
+
+    def add_upstreams(self, count, cpu_millis=4_000):
+        for number in range(count):
+            self.cell.add_upstream(f"u{number}", cpu_millis)
+
+    def tearDown(self):
+        self.assertEqual(self.cell.history.violations, [])
+
+    def assert_completed(self, *jobs):
+        for job in jobs:
+            self.assertEqual(self.cell.read_state(job), JobState.COMPLETED)
+
+
+class OrderTest(CellTest):
+    def test_steps_run_one_after_another_to_the_end(self):
+        self.add_upstreams(2)
+        self.cell.submit(make_job("j", make_step(4), make_step(3, after=(0,))))
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.read_state("j"), JobState.RUNNING)
+        self.cell.run_for(4 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 7)
+
+    def test_more_work_than_room_never_exceeds_the_capacity(self):
+        self.add_upstreams(2, 2_500)
+        for number in range(12):
+            self.cell.submit(make_job(f"j{number}", make_step(3)))
+        self.cell.run_for(30 * SECOND)
+        self.assert_completed(*(f"j{number}" for number in range(12)))
+
+    def test_label_and_spread_limit_are_kept(self):
+        self.add_upstreams(4, 8_000)
+        self.cell.submit(make_job("j", make_step(4, spread_limit=1)))
+        self.cell.submit(make_job("k", make_step(3, required_label="r1")))
+        self.cell.step()
+        self.cell.step()
+        self.cell.step()
+        for upstream in self.cell.upstreams.values():
+            jobs = [task.job for task in upstream.runs]
+            self.assertLessEqual(jobs.count("j"), 1)
+            if upstream.name in ("u0", "u2"):
+                self.assertNotIn("k", jobs)
+
+    def test_urgent_queue_goes_first(self):
+        urgent = make_configuration(priority=0).queues[QUEUE]
+        self.cell.configuration.queues["slow"] = type(urgent)(
+            "slow", "a.example", "/s/", SERVICE, 2, 3, 1.5, SECOND
+        )
+        self.add_upstreams(1, 1_000)
+        self.cell.submit(Submission("late", "slow", "", (make_step(),)))
+        self.cell.submit(make_job("first", make_step()))
+        self.cell.run_for(timedelta(milliseconds=500))
+        self.assertEqual(self.cell.read_state("first"), JobState.RUNNING)
+        self.assertEqual(self.cell.read_state("late"), JobState.QUEUED)
+
+    def test_starts_carry_tickets_where_the_queue_asks_advice(self):
+        self.cell = FakeCell(configuration=make_configuration(advice=True))
+        self.add_upstreams(1)
+        seen = []
+        self.cell.hold_back = lambda order: bool(seen.append(order))
+        self.cell.submit(make_job("j", make_step(2)))
+        self.cell.run_for(2 * SECOND)
+        starts = [order for order in seen if isinstance(order, StartRun)]
+        self.assertEqual([start.ticket for start in starts], ["ticket", "ticket"])
+        self.assert_completed("j")
+
+
+class FailureTest(CellTest):
+    def test_job_fails_once_its_attempts_are_used_up(self):
+        self.cell = FakeCell(configuration=make_configuration(max_attempts=2))
+        self.add_upstreams(3)
+        task = TaskId("j", 0, 0, 0)
+        for upstream in self.cell.upstreams.values():
+            upstream.failing.add(task)
+        self.cell.submit(make_job("j", make_step(2)))
+        self.cell.run_for(6 * SECOND)
+        self.assertEqual(self.cell.read_state("j"), JobState.FAILED)
+        self.assertEqual(self.cell.history.starts, 3)
+
+    def test_failed_attempts_are_not_counted_twice_after_a_takeover(self):
+        self.cell = FakeCell(configuration=make_configuration(max_attempts=2))
+        self.add_upstreams(1)
+        task = TaskId("j", 0, 0, 0)
+        self.cell.upstreams["u0"].failing.add(task)
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(timedelta(milliseconds=1_500))
+        end = self.cell.upstreams["u0"].ends or [RunEnd(1, task, 1, FAILED)]
+        self.cell.take_over()
+        progress = self.cell.scheduler.jobs["j"].steps[0, 0]
+        before = progress.count_failures()
+        for _ in range(2):
+            progress.note_end(
+                RunEnd(9, task, next(iter(progress.failed_runs[0])), FAILED)
+            )
+        self.assertEqual(before, 1)
+        self.assertEqual(progress.count_failures(), 1)
+        self.assertTrue(end)
+
+    def test_unanswered_start_that_ran_is_found_in_a_report(self):
+        self.add_upstreams(1)
+        self.cell.lose_answer = lambda order: isinstance(order, StartRun)
+        self.cell.submit(make_job("j", make_step(2)))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 2)
+
+    def test_start_that_arrives_late_cannot_run_beside_its_successor(self):
+        self.add_upstreams(2)
+        self.cell.hold_back = lambda order: (
+            isinstance(order, StartRun) and not self.cell.held
+        )
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(timedelta(milliseconds=1_200))
+        epoch, order = self.cell.held[0]
+        self.cell.carry_out(epoch, order)
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("j")
+
+    def test_crashed_upstream_is_replaced_by_its_next_incarnation(self):
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step(estimate=3 * SECOND)))
+        self.cell.upstreams["u0"].durations[TaskId("j", 0, 0, 0)] = 3 * SECOND
+        self.cell.run_for(SECOND)
+        self.cell.upstreams.pop("u0").crash()
+        self.cell.add_upstream("u0-again")
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
+    def test_silent_upstream_keeps_its_tasks_until_the_leases_have_run_out(self):
+        self.add_upstreams(2)
+        durations = {TaskId("j", 0, 0, 0): 30 * SECOND}
+        for upstream in self.cell.upstreams.values():
+            upstream.durations = durations
+        self.cell.submit(make_job("j", make_step(estimate=30 * SECOND)))
+        self.cell.run_for(SECOND)
+        (busy,) = [each for each in self.cell.upstreams.values() if each.runs]
+        self.cell.silent.add(busy.name)
+        self.cell.run_for(5 * SECOND)
+        self.assertEqual(self.cell.history.starts, 1)
+        self.cell.run_for(3 * SECOND)
+        self.assertEqual(self.cell.history.starts, 2)
+
+    def test_task_that_may_run_twice_is_copied_from_a_silent_upstream(self):
+        self.add_upstreams(2)
+        self.cell.submit(make_job("j", make_step(duplicates=True)))
+        self.cell.run_for(timedelta(milliseconds=400))
+        (busy,) = [each for each in self.cell.upstreams.values() if each.runs]
+        self.cell.silent.add(busy.name)
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
+    def test_upstream_that_fails_everything_gets_no_more_for_a_while(self):
+        self.add_upstreams(2, 3_000)
+        for number in range(6):
+            self.cell.submit(make_job(f"j{number}", make_step()))
+            self.cell.upstreams["u0"].failing.add(TaskId(f"j{number}", 0, 0, 0))
+        self.cell.run_for(8 * SECOND)
+        self.assert_completed(*(f"j{number}" for number in range(6)))
+
+    def test_draining_upstream_gets_no_new_runs(self):
+        self.add_upstreams(2)
+        self.cell.step()
+        self.cell.draining.add("u0")
+        self.cell.step()
+        self.cell.submit(make_job("j", make_step(3)))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.upstreams["u0"].ends, [])
+
+
+class CancelTest(CellTest):
+    def test_cancelled_job_is_stopped_and_stays_cancelled(self):
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step(3)))
+        self.cell.run_for(timedelta(milliseconds=400))
+        self.cell.scheduler.cancel_job("j", self.cell.now)
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.upstreams["u0"].runs, {})
+        self.assertEqual(self.cell.read_state("j"), JobState.CANCELLED)
+        self.cell.take_over()
+        self.assertEqual(self.cell.read_state("j"), JobState.CANCELLED)
+
+    def test_cancellation_that_is_heard_before_its_job_holds(self):
+        self.add_upstreams(1)
+        self.cell.scheduler.cancel_job("j", self.cell.now)
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.read_state("j"), JobState.CANCELLED)
+        self.assertEqual(self.cell.history.starts, 0)
+
+
+class TakeoverTest(CellTest):
+    def test_running_tasks_are_adopted_and_done_ones_stay_done(self):
+        self.add_upstreams(2)
+        self.cell.submit(make_job("j", make_step(6), make_step(2, after=(0,))))
+        self.cell.run_for(timedelta(milliseconds=700))
+        self.cell.take_over()
+        self.cell.run_for(5 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 8)
+
+    def test_inherited_task_waits_for_an_upstream_that_may_run_it(self):
+        self.add_upstreams(2)
+        self.cell.submit(make_job("j", make_step(estimate=9 * SECOND)))
+        for upstream in self.cell.upstreams.values():
+            upstream.durations[TaskId("j", 0, 0, 0)] = 9 * SECOND
+        self.cell.run_for(timedelta(milliseconds=500))
+        (busy,) = [each for each in self.cell.upstreams.values() if each.runs]
+        self.cell.silent.add(busy.name)
+        self.cell.take_over()
+        self.cell.run_for(4 * SECOND)
+        self.assertEqual(self.cell.history.starts, 1)
+        self.cell.silent.clear()
+        self.cell.run_for(6 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 1)
+
+    def test_job_of_the_new_epoch_does_not_wait_for_silent_upstreams(self):
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.cell.submit(make_job("old", make_step()))
+        self.cell.silent.add("u0")
+        self.cell.take_over()
+        self.cell.submit(make_job("new", make_step()))
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("new")
+        self.assertEqual(self.cell.read_state("old"), JobState.QUEUED)
+        self.cell.run_for(16 * SECOND)
+        self.assert_completed("old")
+
+    def test_orders_of_a_superseded_leader_are_fenced(self):
+        self.add_upstreams(1)
+        self.cell.step()
+        self.cell.hold_back = lambda order: isinstance(order, StartRun)
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(timedelta(milliseconds=300))
+        self.cell.hold_back = lambda _: False
+        self.cell.take_over()
+        self.cell.run_for(timedelta(milliseconds=300))
+        for epoch, order in self.cell.held:
+            self.cell.carry_out(epoch, order)
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 1)
+
+
+class StoredEndsTest(CellTest):
+    """Replays how acknowledged ends were lost with a third of the store away."""
+
+    def observe(self, ends=(), running=None, after=0, number=1):
+        report = UpstreamReport("u0", 1, number, after, ends, running)
+        self.cell.scheduler.observe_report(report, self.cell.now)
+
+    def list_acknowledged(self):
+        self.cell.commit()
+        orders = self.cell.scheduler.schedule(self.cell.now, None, 0)
+        return [each.number for each in orders if isinstance(each, AcknowledgeEnds)]
+
+    def test_end_of_a_job_that_is_not_loaded_is_not_acknowledged(self):
+        self.add_upstreams(1)
+        self.cell.list_upstreams()
+        scheduler = self.cell.scheduler
+        scheduler.is_complete = False
+        missing = RunEnd(1, TaskId("missing", 0, 0, 0), 5, "done")
+        self.observe((missing,), ())
+        self.observe((RunEnd(2, TaskId("other", 0, 0, 0), 6, "done"),), after=1)
+        scheduler.is_complete = True
+        self.cell.submit(make_job("missing", make_step()))
+        self.cell.submit(make_job("other", make_step()))
+        self.observe((RunEnd(3, TaskId("other", 0, 0, 0), 7, "done"),), after=2)
+        self.assertEqual(self.list_acknowledged(), [])
+        self.observe((missing,), (), after=0)
+        self.assertEqual(self.cell.read_state("missing"), JobState.COMPLETED)
+        self.assertEqual(self.list_acknowledged(), [1])
+
+    def test_upstream_with_runs_of_jobs_not_loaded_is_not_used(self):
+        self.add_upstreams(1)
+        self.cell.list_upstreams()
+        self.cell.scheduler.is_complete = False
+        self.observe((), (RunSighting(TaskId("missing", 0, 0, 0), 5),))
+        self.assertFalse(self.cell.scheduler.ledger.upstreams["u0"].known)
+
+    def test_ends_are_not_acknowledged_before_they_are_stored(self):
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(timedelta(milliseconds=600))
+        self.cell.store_is_up = False
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(len(self.cell.upstreams["u0"].ends), 1)
+        self.cell.store_is_up = True
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.upstreams["u0"].ends, [])
+
+
+class GangTest(CellTest):
+    def test_gang_starts_whole_with_one_run_number(self):
+        self.add_upstreams(2, 2_000)
+        self.cell.submit(make_job("j", make_step(4, gang=True)))
+        self.cell.run_for(timedelta(milliseconds=400))
+        numbers = set()
+        for upstream in self.cell.upstreams.values():
+            numbers.update(run.number for run in upstream.runs.values())
+        self.assertEqual(len(numbers), 1)
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
+    def test_gang_without_room_for_all_does_not_start(self):
+        self.add_upstreams(1, 3_000)
+        self.cell.submit(make_job("j", make_step(4, gang=True)))
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.history.starts, 0)
+
+    def test_one_lost_member_stops_the_others_before_the_next_try(self):
+        self.add_upstreams(2, 2_000)
+        self.cell.hold_back = lambda order: (
+            isinstance(order, StartRun) and order.task.index == 3 and not self.cell.held
+        )
+        self.cell.submit(make_job("j", make_step(4, gang=True, estimate=5 * SECOND)))
+        durations = {TaskId("j", 0, 0, index): 5 * SECOND for index in range(4)}
+        for upstream in self.cell.upstreams.values():
+            upstream.durations = durations
+        self.cell.run_for(10 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 7)
+
+
+class LastingTest(CellTest):
+    def test_lasting_task_is_started_again_however_it_ends(self):
+        self.add_upstreams(1)
+        task = TaskId("j", 0, 0, 0)
+        self.cell.upstreams["u0"].failing.add(task)
+        self.cell.submit(make_job("j", make_step(lasting=True)))
+        self.cell.run_for(8 * SECOND)
+        self.assertEqual(self.cell.read_state("j"), JobState.RUNNING)
+        self.assertGreater(self.cell.history.starts, 3)
+
+    def test_stop_that_is_not_answered_is_sent_again(self):
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step(lasting=True)))
+        self.cell.upstreams["u0"].durations[TaskId("j", 0, 0, 0)] = 60 * SECOND
+        self.cell.run_for(timedelta(milliseconds=500))
+        lost = []
+        self.cell.hold_back = lambda order: (
+            isinstance(order, StopRun) and len(lost) < 2 and not lost.append(order)
+        )
+        self.cell.scheduler.cancel_job("j", self.cell.now)
+        self.cell.run_for(4 * SECOND)
+        self.assertEqual(self.cell.upstreams["u0"].runs, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
@@ -0,0 +1,211 @@
+import unittest
+from datetime import timedelta
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from almondspread.jobs.messages import StartRun, StopRun
+from almondspread.jobs.progress import JobState
+from almondspread.jobs.submissions import Step, Submission, TaskId
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.fake_cell import QUEUE, FakeCell
+
+MAX_JOBS = 8
+MAX_UPSTREAMS = 5
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """Drives one cell through losses, late orders, crashes and changes of leader."""
+
+    def __init__(self):
+        super().__init__()
+        self.cell = FakeCell()
+        self.next_upstream = 0
+        self.lost_answers = 0
+        self.held_orders = 0
+        self.cell.lose_answer = self.take_lost_answer
+        self.cell.hold_back = self.take_held_order
+        for _ in range(3):
+            self.add_upstream(3_000)
+        self.cell.run_for(timedelta(milliseconds=300))
+
+    def take_lost_answer(self, _):
+        self.lost_answers -= 1
+        return self.lost_answers >= 0
+
+    def take_held_order(self, order):
+        if not isinstance(order, StartRun | StopRun):
+            return False
+        self.held_orders -= 1
+        return self.held_orders >= 0
+
+    def add_upstream(self, cpu_millis):
+        self.cell.add_upstream(f"u{self.next_upstream}", cpu_millis)
+        self.next_upstream += 1
+
+    @rule(
+        counts=st.lists(st.integers(1, 4), min_size=1, max_size=3),
+        cpu_millis=st.sampled_from((500, 1_000, 2_500)),
+        gang=st.booleans(),
+        duplicates=st.booleans(),
+        seconds=st.sampled_from((0.3, 1.0, 4.0)),
+    )
+    def submit(self, counts, cpu_millis, gang, duplicates, seconds):
+        number = len(self.cell.history.submissions)
+        if number >= MAX_JOBS:
+            return
+        job = f"j{number}"
+        # A gang of the largest tasks would never find room for all at once.
+        cpu_millis = min(cpu_millis, 1_000) if gang else cpu_millis
+        estimate = timedelta(seconds=seconds)
+        steps = []
+        for step, count in enumerate(counts):
+            after = (step - 1,) if step else ()
+            size = Capacity(cpu_millis, 100)
+            steps.append(
+                Step(
+                    count,
+                    size,
+                    estimate,
+                    after,
+                    gang=gang and not duplicates,
+                    duplicates=duplicates,
+                )
+            )
+            for index in range(count):
+                for upstream in self.cell.upstreams.values():
+                    upstream.durations[TaskId(job, 0, step, index)] = estimate
+        self.cell.submit(Submission(job, QUEUE, "", tuple(steps)))
+
+    @rule(tenths=st.integers(1, 30))
+    def wait(self, tenths):
+        self.cell.run_for(timedelta(milliseconds=100 * tenths))
+
+    @rule(count=st.integers(1, 6))
+    def lose_answers(self, count):
+        self.lost_answers = count
+
+    @rule(count=st.integers(1, 4))
+    def hold_back_orders(self, count):
+        self.held_orders = count
+
+    @precondition(lambda self: self.cell.held)
+    @rule()
+    def carry_out_late(self):
+        epoch, order = self.cell.held.pop(0)
+        upstream = self.cell.upstreams.get(order.upstream)
+        if upstream is None or order.upstream in self.cell.silent:
+            return
+        if isinstance(order, StopRun):
+            upstream.stop(epoch, order.task, order.run, self.cell.now)
+            return
+        until = self.cell.now + timedelta(seconds=1)
+        upstream.start(epoch, order.task, order.run, until, self.cell.now)
+
+    @rule(data=st.data())
+    def silence(self, data):
+        self.cell.silent.add(data.draw(st.sampled_from(sorted(self.cell.upstreams))))
+
+    @rule()
+    def hear_again(self):
+        self.cell.silent.clear()
+
+    @rule(data=st.data())
+    def crash(self, data):
+        name = data.draw(st.sampled_from(sorted(self.cell.upstreams)))
+        # The next incarnation has the address of the one that crashed.
+        upstreams = {}
+        for each, upstream in list(self.cell.upstreams.items()):
+            if each != name:
+                upstreams[each] = upstream
+                continue
+            upstream.crash()
+            self.cell.silent.discard(each)
+            self.add_upstream(3_000)
+            added = self.cell.upstreams[f"u{self.next_upstream - 1}"]
+            added.durations = upstream.durations
+            upstreams[added.name] = added
+        self.cell.upstreams = upstreams
+
+    @rule()
+    def change_leader(self):
+        self.cell.take_over()
+
+    @rule()
+    def change_leader_without_a_commit(self):
+        self.cell.store_is_up = False
+        self.cell.run_for(timedelta(milliseconds=300))
+        self.cell.take_over()
+        self.cell.store_is_up = True
+
+    @rule()
+    def lose_store(self):
+        self.cell.store_is_up = not self.cell.store_is_up
+
+    @precondition(lambda self: self.cell.history.submissions)
+    @rule(data=st.data())
+    def cancel(self, data):
+        job = data.draw(st.sampled_from(sorted(self.cell.history.submissions)))
+        self.cell.scheduler.cancel_job(job, self.cell.now)
+
+    @invariant()
+    def nothing_is_violated(self):
+        assert self.cell.history.violations == []
+
+    @invariant()
+    def completed_jobs_are_done(self):
+        for job, submission in self.cell.history.submissions.items():
+            if self.cell.read_state(job) is not JobState.COMPLETED:
+                continue
+            for number, step in enumerate(submission.steps):
+                indexes = (0,) if step.gang else range(step.count)
+                done = [TaskId(job, 0, number, index) for index in indexes]
+                if step.gang:
+                    done = [
+                        TaskId(job, 0, number, index)
+                        for index in range(step.count)
+                        if TaskId(job, 0, number, index) in self.cell.history.done
+                    ]
+                    assert done
+                for task in done:
+                    assert task in self.cell.history.done, task
+
+    def teardown(self):
+        """Once all is well again, every job comes to its end."""
+        self.cell.silent.clear()
+        self.cell.store_is_up = True
+        self.lost_answers = self.held_orders = 0
+        self.cell.held.clear()
+        self.cell.run_for(timedelta(seconds=80))
+        assert self.cell.history.violations == []
+        for job in self.cell.history.submissions:
+            assert self.cell.read_state(job) in (
+                JobState.COMPLETED,
+                JobState.CANCELLED,
+            ), job
+
+
+class SchedulerMachineTest(unittest.TestCase):
+    def test_no_protection_is_ever_broken(self):
+        run_state_machine_as_test(
+            SchedulerMachine,
+            settings=settings(
+                max_examples=120,
+                stateful_step_count=25,
+                deadline=None,
+                phases=(Phase.explicit, Phase.generate),
+                derandomize=True,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -0,0 +1,250 @@
+"""A scheduler with fake upstreams, whose orders a test carries out or holds back."""
+
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+
+from attrs import define, field
+
+from almondspread.jobs.configuration import AdviceCost, Configuration, Queue, Service
+from almondspread.jobs.messages import (
+    FENCED,
+    REFUSED,
+    STARTED,
+    UNKNOWN,
+    AcknowledgeEnds,
+    AskPermits,
+    PermitsAnswered,
+    StartRun,
+    StartSettled,
+    StopRun,
+    StopSettled,
+    UpstreamEntry,
+    UpstreamOrder,
+    UpstreamReport,
+    UpstreamSilent,
+)
+from almondspread.jobs.progress import JobRecord, JobState
+from almondspread.jobs.scheduler import Scheduler
+from almondspread.jobs.submissions import Submission
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.fake_upstream import FakeUpstream, History
+
+SERVICE = "service"
+QUEUE = "queue"
+WALL = datetime(2026, 1, 1, tzinfo=UTC)
+LEASE = timedelta(seconds=6)
+START_EXPIRY = timedelta(seconds=2)
+MAX_RECORDS = 90
+Order = UpstreamOrder | AskPermits
+
+
+def make_configuration(
+    max_attempts: int = 3, advice: bool = False, priority: int = 0
+) -> Configuration:
+    """Return a configuration with one queue and one service."""
+    cost = AdviceCost(timedelta(0), timedelta(0), timedelta(seconds=2))
+    queue = Queue(
+        QUEUE,
+        "a.example",
+        "/q/",
+        SERVICE,
+        priority,
+        max_attempts,
+        1.5,
+        timedelta(milliseconds=250),
+        advice=cost if advice else None,
+    )
+    return Configuration(1, {QUEUE: queue}, {SERVICE: Service(SERVICE)})
+
+
+def make_entry(
+    upstream: FakeUpstream, number: int, draining: bool = False
+) -> UpstreamEntry:
+    """Return the entry under which a fake upstream is listed."""
+    return UpstreamEntry(
+        upstream.name,
+        SERVICE,
+        f"10.0.0.{number}:80",
+        "zone",
+        upstream.capacity,
+        ("a", f"r{number % 2}"),
+        draining,
+    )
+
+
+@define(eq=False)
+class FakeCell:
+    """One leader's scheduler and all upstreams; ``now`` moves by hand.
+
+    ``silent`` names upstreams that answer nothing. ``lose_answer`` tells for an order
+    whether it is carried out without an answer, ``hold_back`` whether it is kept in
+    ``held`` and carried out later.
+    """
+
+    history: History = field(factory=History)
+    upstreams: dict[str, FakeUpstream] = field(factory=dict)
+    scheduler: Scheduler = field(init=False)
+    configuration: Configuration = field(factory=make_configuration)
+    now: timedelta = timedelta(seconds=100)
+    silent: set[str] = field(factory=set)
+    draining: set[str] = field(factory=set)
+    records: dict[str, JobRecord] = field(factory=dict)
+    held: list[tuple[int, Order]] = field(factory=list)
+    lose_answer: Callable[[Order], bool] = lambda _: False
+    hold_back: Callable[[Order], bool] = lambda _: False
+    store_is_up: bool = True
+    _acknowledged: dict[str, int] = field(factory=dict)
+    _forwarded: dict[str, int] = field(factory=dict)
+    _questions: dict[str, int] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.scheduler = Scheduler(1, self.configuration)
+
+    def add_upstream(self, name: str, cpu_millis: int = 4_000) -> FakeUpstream:
+        """Add an upstream with a memory of a MiB for each thousandth of a core."""
+        upstream = FakeUpstream(name, Capacity(cpu_millis, cpu_millis, 0), self.history)
+        self.upstreams[name] = upstream
+        return upstream
+
+    def submit(self, submission: Submission) -> None:
+        """Have a job accepted."""
+        self.history.submissions[submission.job] = submission
+        self.scheduler.accept_job(submission, self.now, WALL + self.now)
+
+    def list_upstreams(self) -> None:
+        """Show the scheduler all upstreams."""
+        entries = []
+        for number, upstream in enumerate(self.upstreams.values()):
+            entries.append(make_entry(upstream, number, upstream.name in self.draining))
+        self.scheduler.list_upstreams(entries, self.now)
+
+    def look(self, name: str) -> None:
+        """Hold one upstream and report what it answers."""
+        upstream = self.upstreams[name]
+        epoch = self.scheduler.epoch
+        upstream.advance(self.now)
+        if name in self.silent:
+            lapse_in = upstream.lease_until - self.now + timedelta(milliseconds=300)
+            self.scheduler.observe_silence(
+                UpstreamSilent(name, epoch, max(timedelta(0), lapse_in)), self.now
+            )
+            return
+        self._questions[name] = self._questions.get(name, 0) + 1
+        answer = upstream.hold(
+            epoch, self._acknowledged.get(name, 0), self.now + LEASE, self.now
+        )
+        if answer is None:
+            return
+        after = self._forwarded.get(name, 0)
+        ends = tuple(end for end in answer.ends if end.number > after)
+        for end in ends:
+            self._forwarded[name] = end.number
+        self.scheduler.observe_report(
+            UpstreamReport(
+                name, epoch, self._questions[name], after, ends, answer.running
+            ),
+            self.now,
+        )
+
+    def step(self, duration: timedelta = timedelta(milliseconds=100)) -> None:
+        """Move the time on: look at all upstreams, decide, and carry out the orders."""
+        self.now += duration
+        self.list_upstreams()
+        for name in list(self.upstreams):
+            self.look(name)
+        self.commit()
+        for order in self.scheduler.schedule(self.now, WALL + self.now, 16):
+            if self.hold_back(order):
+                self.held.append((self.scheduler.epoch, order))
+                if isinstance(order, StartRun):
+                    self._settle(order, UNKNOWN, "")
+                continue
+            self.carry_out(self.scheduler.epoch, order)
+
+    def run_for(self, duration: timedelta) -> None:
+        """Step until a duration has passed."""
+        end = self.now + duration
+        while self.now < end:
+            self.step()
+
+    def commit(self) -> None:
+        """Store what has changed, if the store takes it."""
+        changes = self.scheduler.take_changes(MAX_RECORDS)
+        if not self.store_is_up:
+            self.scheduler.return_changes(changes)
+            return
+        for record in changes.records:
+            self.records[record.job] = record
+        names = frozenset(each.name for each in self.scheduler.list_watched())
+        self.scheduler.record_upstreams(names)
+        self.scheduler.confirm_changes(changes)
+
+    def carry_out(self, epoch: int, order: Order) -> None:
+        """Carry out one order, also one of a superseded leader."""
+        if isinstance(order, AskPermits):
+            tickets = {name: "ticket" for name in order.upstreams}
+            self.scheduler.grant_permits(
+                PermitsAnswered(
+                    order.job,
+                    order.occurrence,
+                    order.step,
+                    tickets,
+                    timedelta(seconds=2),
+                ),
+                self.now,
+            )
+            return
+        upstream = self.upstreams.get(order.upstream)
+        if isinstance(order, AcknowledgeEnds):
+            self._acknowledged[order.upstream] = order.number
+        if upstream is None or not isinstance(order, StartRun | StopRun):
+            return
+        unreachable = order.upstream in self.silent
+        if isinstance(order, StartRun):
+            reason = ""
+            if not unreachable:
+                until = self.now + START_EXPIRY
+                reason = upstream.start(epoch, order.task, order.run, until, self.now)
+            if unreachable or self.lose_answer(order):
+                self._settle(order, UNKNOWN, "")
+            elif reason == "fence":
+                self._settle(order, FENCED, reason)
+            else:
+                self._settle(order, REFUSED if reason else STARTED, reason)
+            return
+        if not unreachable:
+            upstream.stop(epoch, order.task, order.run, self.now)
+        answered = not unreachable and not self.lose_answer(order)
+        number = self._questions.get(order.upstream, 0) + 1
+        self.scheduler.settle_stop(
+            StopSettled(order.upstream, order.task, order.run, answered, number),
+            self.now,
+        )
+
+    def _settle(self, order: StartRun, outcome: str, reason: str) -> None:
+        """Tell the scheduler what came of a start."""
+        self.scheduler.settle_start(
+            StartSettled(order.upstream, order.task, order.run, outcome, reason),
+            self.now,
+        )
+
+    def take_over(self, *, lapse_in: timedelta = timedelta(seconds=16)) -> None:
+        """Have a new leader start from what is stored."""
+        watched = self.scheduler.list_watched()
+        self.scheduler = Scheduler(self.scheduler.epoch + 1, self.configuration)
+        self._acknowledged.clear()
+        self._forwarded.clear()
+        for submission in self.history.submissions.values():
+            self.scheduler.accept_job(
+                submission,
+                self.now,
+                WALL + self.now,
+                record=self.records.get(submission.job),
+                inherited=True,
+            )
+        for upstream in watched:
+            self.scheduler.inherit_upstream(upstream.entry, self.now + lapse_in)
+
+    def read_state(self, job: str) -> JobState:
+        """Return the state of a job."""
+        return self.scheduler.jobs[job].state
--- /dev/null
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -0,0 +1,211 @@
+"""An upstream for tests: it fences, numbers ends, keeps leases, and notes faults.
+
+It starts whatever it is told to, as a real one that does not guard its capacity, and
+records in ``violations`` what no leader may ever cause.
+"""
+
+from datetime import timedelta
+
+from attrs import define, field
+
+from almondspread.jobs.messages import (
+    ALONE,
+    BROKEN,
+    DONE,
+    LAPSED,
+    STOPPED,
+    RunEnd,
+    RunSighting,
+)
+from almondspread.jobs.ports import HoldAnswer
+from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.resources.capacity import Capacity
+
+
+GANG_TIMEOUT = timedelta(seconds=3)
+
+
+@define(eq=False)
+class GangRun:
+    """One run of a gang: who is there, since when all are, and whether it broke."""
+
+    present: set[int] = field(factory=set)
+    whole_since: timedelta | None = None
+    broken: bool = False
+
+
+@define(eq=False)
+class FakeRun:
+    """A run that is under way."""
+
+    task: TaskId
+    number: int
+    started: timedelta
+    duration: timedelta
+
+
+@define(eq=False)
+class History:
+    """What all upstreams of a test have seen together.
+
+    ``forgotten`` are done tasks whose ends nobody had acknowledged in a crash, so that
+    they may run once more.
+    """
+
+    submissions: dict[str, Submission] = field(factory=dict)
+    running: dict[TaskId, int] = field(factory=dict)
+    done: set[TaskId] = field(factory=set)
+    forgotten: set[TaskId] = field(factory=set)
+    gangs: dict[tuple[str, int, int, int], GangRun] = field(factory=dict)
+    starts: int = 0
+    violations: list[str] = field(factory=list)
+
+    def find_gang(self, task: TaskId, number: int) -> GangRun | None:
+        """Return the gang's run that a run belongs to, ``None`` for other tasks."""
+        if not self.submissions[task.job].steps[task.step].gang:
+            return None
+        key = (task.job, task.occurrence, task.step, number)
+        return self.gangs.setdefault(key, GangRun())
+
+    def find_claim(self, task: TaskId) -> Capacity:
+        """Return the room that a task takes."""
+        return self.submissions[task.job].steps[task.step].claim
+
+
+@define(eq=False)
+class FakeUpstream:
+    """One incarnation; times are those of its own steady clock."""
+
+    name: str
+    capacity: Capacity
+    history: History
+    durations: dict[TaskId, timedelta] = field(factory=dict)
+    failing: set[TaskId] = field(factory=set)
+    epoch: int = 0
+    lease_until: timedelta = timedelta(0)
+    runs: dict[TaskId, FakeRun] = field(factory=dict)
+    ends: list[RunEnd] = field(factory=list)
+    _last_end: int = 0
+    _highest: dict[TaskId, int] = field(factory=dict)
+
+    def start(
+        self, epoch: int, task: TaskId, number: int, until: timedelta, now: timedelta
+    ) -> str:
+        """Start a run; return an empty text, or why it is refused."""
+        self.advance(now)
+        if epoch < self.epoch:
+            return "fence"
+        self.epoch = epoch
+        if task in self.runs and self.runs[task].number == number:
+            return ""
+        if number <= self._highest.get(task, 0):
+            return "old"
+        if until <= now:
+            return "late"
+        self.lease_until = max(self.lease_until, until)
+        self._highest[task] = number
+        self._check_start(task)
+        duration = self.durations.get(task, timedelta(seconds=1))
+        self.runs[task] = FakeRun(task, number, now, duration)
+        gang = self.history.find_gang(task, number)
+        if gang is not None:
+            gang.present.add(task.index)
+            size = self.history.submissions[task.job].steps[task.step].count
+            if len(gang.present) == size and gang.whole_since is None:
+                gang.whole_since = now
+        return ""
+
+    def _check_start(self, task: TaskId) -> None:
+        """Note a start that must not be."""
+        history = self.history
+        history.starts += 1
+        step = history.submissions[task.job].steps[task.step]
+        if history.running.get(task, 0) and not step.duplicates:
+            history.violations.append(f"{task} runs twice")
+        known = task in history.done and task not in history.forgotten
+        if known and not step.duplicates:
+            history.violations.append(f"{task} started again after it was done")
+        for earlier in step.after:
+            for index in range(history.submissions[task.job].steps[earlier].count):
+                needed = TaskId(task.job, task.occurrence, earlier, index)
+                if needed not in history.done:
+                    history.violations.append(f"{task} started before {needed}")
+        used = history.find_claim(task)
+        for other in self.runs:
+            used = used.plus(history.find_claim(other))
+        if not used.fits_in(self.capacity):
+            history.violations.append(f"{self.name} is over its capacity")
+        history.running[task] = history.running.get(task, 0) + 1
+
+    def stop(self, epoch: int, task: TaskId, number: int, now: timedelta) -> str:
+        """Stop a run, or keep it from ever starting."""
+        self.advance(now)
+        if epoch < self.epoch:
+            return "fence"
+        self.epoch = epoch
+        self._highest[task] = max(self._highest.get(task, 0), number)
+        run = self.runs.get(task)
+        if run is not None and run.number <= number:
+            self._end(run, STOPPED)
+        return ""
+
+    def hold(
+        self, epoch: int, acknowledged: int, until: timedelta | None, now: timedelta
+    ) -> HoldAnswer | None:
+        """Renew the lease and tell what runs; ``None`` for a superseded epoch."""
+        self.advance(now)
+        if epoch < self.epoch:
+            return None
+        self.epoch = epoch
+        if until is not None:
+            self.lease_until = max(self.lease_until, until)
+        self.ends = [end for end in self.ends if end.number > acknowledged]
+        running = []
+        for run in self.runs.values():
+            percent = int(100 * min(1.0, (now - run.started) / run.duration))
+            running.append(RunSighting(run.task, run.number, "", percent))
+        return HoldAnswer(now, tuple(running), tuple(self.ends))
+
+    def advance(self, now: timedelta) -> None:
+        """End the runs whose work is done, or whose lease has run out."""
+        for run in list(self.runs.values()):
+            gang = self.history.find_gang(run.task, run.number)
+            since = run.started if gang is None else gang.whole_since
+            if gang is not None and gang.broken:
+                self._end(run, BROKEN)
+            elif since is not None and since + run.duration <= min(
+                now, self.lease_until
+            ):
+                self._end(run, "failed" if run.task in self.failing else DONE)
+            elif self.lease_until <= now:
+                self._end(run, LAPSED)
+            elif since is None and now - run.started > GANG_TIMEOUT:
+                self._end(run, ALONE)
+
+    def crash(self) -> None:
+        """Lose everything that runs, and all memory."""
+        for run in list(self.runs.values()):
+            self.history.running[run.task] -= 1
+            self._break_gang(run)
+        for end in self.ends:
+            if end.outcome == DONE:
+                self.history.forgotten.add(end.task)
+        self.runs.clear()
+        self.ends.clear()
+
+    def _end(self, run: FakeRun, outcome: str) -> None:
+        """Note the end of a run."""
+        del self.runs[run.task]
+        self.history.running[run.task] -= 1
+        if outcome == DONE:
+            self.history.done.add(run.task)
+        else:
+            self._break_gang(run)
+        self._last_end += 1
+        self.ends.append(RunEnd(self._last_end, run.task, run.number, outcome))
+
+    def _break_gang(self, run: FakeRun) -> None:
+        """Have the other members of a gang's run end as well."""
+        gang = self.history.find_gang(run.task, run.number)
+        if gang is not None:
+            gang.broken = True
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -1,6 +1,7 @@
 """One instance's time as the leader: from its claim to the loss of its epoch."""
 
 import asyncio
+import math
 from datetime import timedelta
 
 from loguru import logger
@@ -56,7 +57,9 @@
     WATCHED,
     CancelRow,
     SubmissionRow,
+    WatchedUpstream,
     decode_submission,
+    decode_watched,
     encode_watched,
     name_progress,
     read_leader,
@@ -109,12 +112,11 @@
         self._scheduler = Scheduler(
             row.epoch,
             configuration,
-            now + measure_inherited_hold(settings.lease),
         )
         self._members = Members()
         self._dirty = asyncio.Event()
         self._commit_wanted = asyncio.Event()
-        self._watched_stored: frozenset[str] = frozenset()
+        self._watched_stored: tuple[WatchedUpstream, ...] = ()
         self._missing_parts: list[str] = []
         self._records: dict[str, JobRecord] = {}
         self._ended = asyncio.Event()
@@ -206,7 +208,7 @@
         self._records = cell.records
         self._take_rows(cell.submission_rows)
         if self._scheduler.jobs or cell.missing_parts:
-            self._scheduler.inherit_upstreams(cell.watched)
+            self._inherit_upstreams(cell.watched)
         self._missing_parts = cell.missing_parts
         self._scheduler.is_complete = not cell.missing_parts
         for entry in cell.watched:
@@ -226,6 +228,36 @@
             version=cell.version,
         )
 
+    def _inherit_upstreams(self, watched: tuple[WatchedUpstream, ...]) -> None:
+        """Take over the upstreams on which an earlier leader may have started runs."""
+        held = measure_inherited_hold(self._settings.lease)
+        for upstream in watched:
+            lapse = self._clock.monotonic() + held
+            if upstream.lapse:
+                known = timedelta(seconds=upstream.lapse)
+                lapse = min(lapse, self._store_clock.to_local(known))
+            self._scheduler.inherit_upstream(decode_watched(upstream), lapse)
+
+    def _describe_watched(self) -> tuple[WatchedUpstream, ...]:
+        """Return the upstreams that the next leader must ask for their runs."""
+        watched = []
+        for upstream in self._scheduler.list_watched():
+            lapse = 0.0
+            if upstream.lapse_at is not None:
+                lapse = self._store_clock.from_local(upstream.lapse_at).total_seconds()
+            entry = upstream.entry
+            watched.append(
+                WatchedUpstream(
+                    entry.name,
+                    entry.service,
+                    entry.address,
+                    entry.failure_domain,
+                    # Small shifts of the clock must not change the row.
+                    math.ceil(lapse),
+                )
+            )
+        return tuple(sorted(watched, key=lambda upstream: upstream.name))
+
     async def _load_missing_parts(self) -> None:
         """Read the parts that were missing at the takeover, as soon as they are there.
 
@@ -465,8 +497,7 @@
     async def _commit_once(self, released: bool = False) -> bool:
         """Store what has changed; false where the store did not take it."""
         changes = self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT)
-        watched_entries = self._scheduler.list_watched()
-        watched = frozenset(entry.name for entry in watched_entries)
+        watched = self._describe_watched()
         sent = self._clock.monotonic()
         self.row = LeaderRow(
             self.row.epoch,
@@ -479,7 +510,7 @@
         )
         puts = [RowPut(LEADER, encode_message(self.row))]
         if watched != self._watched_stored:
-            puts.append(RowPut(WATCHED, encode_watched(watched_entries)))
+            puts.append(RowPut(WATCHED, encode_watched(watched)))
         for record in changes.records:
             puts.append(RowPut(name_progress(record.job), encode_message(record)))
         outcome = await self._store.transact(
@@ -491,7 +522,8 @@
             self._store_clock.observe(outcome.ok.store_time)
             self._lease_until = sent + LEADER_LEASE
             self._watched_stored = watched
-            self._scheduler.record_upstreams(watched)
+            names = frozenset(upstream.name for upstream in watched)
+            self._scheduler.record_upstreams(names)
             self._scheduler.confirm_changes(changes)
             self._dirty.set()
             return True
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
@@ -5,7 +5,6 @@
 from attrs import define, field
 from expression import Error, Ok, Result
 
-from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import StoredRow, StoreUnavailable
 from almondspread.jobs.progress import JobRecord
 from almondspread_daemon.jobs.rows import (
@@ -18,7 +17,7 @@
     CancelRow,
     SubmissionRow,
     WatchedRow,
-    decode_watched,
+    WatchedUpstream,
     read_progress,
     read_row,
 )
@@ -41,7 +40,7 @@
     submissions: dict[str, SubmissionRow] = field(factory=dict)
     cancelled: list[str] = field(factory=list)
     records: dict[str, JobRecord] = field(factory=dict)
-    watched: list[UpstreamEntry] = field(factory=list)
+    watched: tuple[WatchedUpstream, ...] = ()
     submission_rows: tuple[StoredRow, ...] = ()
 
     async def load(self) -> Result[None, StoreUnavailable]:
@@ -61,7 +60,7 @@
                 continue
             watched = read_row(row, WatchedRow)
             if watched is not None:
-                self.watched = decode_watched(watched)
+                self.watched = watched.upstreams
         return Ok(None)
 
     async def load_submissions(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -78,12 +78,17 @@
 
 @define(frozen=True)
 class WatchedUpstream:
-    """An upstream on which runs may have been started."""
+    """An upstream on which runs may have been started.
+
+    Where it did not answer, ``lapse`` is when its leases have surely run out, in
+    seconds of the store's clock.
+    """
 
     name: str
     service: str
     address: str
     failure_domain: str
+    lapse: float = 0.0
 
 
 @define(frozen=True)
@@ -93,32 +98,20 @@
     upstreams: tuple[WatchedUpstream, ...] = ()
 
 
-def encode_watched(entries: list[UpstreamEntry]) -> bytes:
+def encode_watched(watched: tuple[WatchedUpstream, ...]) -> bytes:
     """Return the row of the watched upstreams."""
-    upstreams = []
-    for entry in entries:
-        upstreams.append(
-            WatchedUpstream(
-                entry.name, entry.service, entry.address, entry.failure_domain
-            )
-        )
-    return encode_message(WatchedRow(tuple(upstreams)))
-
-
-def decode_watched(row: WatchedRow) -> list[UpstreamEntry]:
-    """Return the entries of watched upstreams, whose capacity is not known."""
-    entries = []
-    for upstream in row.upstreams:
-        entries.append(
-            UpstreamEntry(
-                upstream.name,
-                upstream.service,
-                upstream.address,
-                upstream.failure_domain,
-                Capacity(0, 0, 0),
-            )
-        )
-    return entries
+    return encode_message(WatchedRow(watched))
+
+
+def decode_watched(upstream: WatchedUpstream) -> UpstreamEntry:
+    """Return the entry of a watched upstream, whose capacity is not known."""
+    return UpstreamEntry(
+        upstream.name,
+        upstream.service,
+        upstream.address,
+        upstream.failure_domain,
+        Capacity(0, 0, 0),
+    )
 
 
 def list_parts(instance: str) -> list[str]:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_clock.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_clock.py
@@ -25,3 +25,7 @@
     def to_local(self, store_time: timedelta) -> timedelta:
         """Return the monotonic time of this instance at a time of the store."""
         return store_time - self._offset
+
+    def from_local(self, local_time: timedelta) -> timedelta:
+        """Return the store's time at a monotonic time of this instance."""
+        return local_time + self._offset
