--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -0,0 +1,121 @@
+"""Which member looks after which upstream, and what follows when that changes."""
+
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.jobs.leases import measure_abandoned_hold
+from almondspread.jobs.messages import (
+    AskPermits,
+    UnwatchUpstream,
+    UpstreamOrder,
+    WatchUpstream,
+)
+from almondspread.jobs.scheduler import Scheduler
+from almondspread_daemon.jobs.members import Member, Members
+from almondspread_daemon.jobs.settings import JobSettings
+
+
+class Assignments:
+    """Spreads the upstreams over the members, and sends members their orders."""
+
+    def __init__(
+        self, scheduler: Scheduler, settings: JobSettings, clock: Clock
+    ) -> None:
+        self.members = Members()
+        self._scheduler = scheduler
+        self._settings = settings
+        self._clock = clock
+
+    def add_member(self, member: Member) -> None:
+        """Take on an instance, and give it its share of the upstreams."""
+        superseded = self.members.members.get(member.instance)
+        if superseded is not None:
+            self.drop_member(superseded)
+        logger.info(
+            "member joined", member=member.instance, epoch=self._scheduler.epoch
+        )
+        self.members.add(member)
+        self.rebalance()
+
+    def drop_member(self, member: Member) -> None:
+        """Give an instance's upstreams to others."""
+        if self.members.members.get(member.instance) is not member:
+            return
+        orphans = self.members.remove(member)
+        logger.warning(
+            "member lost",
+            member=member.instance,
+            upstreams=len(orphans),
+            leaving=member.leaving,
+        )
+        held = measure_abandoned_hold(self._settings.lease)
+        self._scheduler.abandon_upstreams(orphans, self._clock.monotonic() + held)
+        for name in orphans:
+            self.assign(name)
+
+    def empty_member(self, member: Member) -> None:
+        """Move all upstreams off an instance that is about to leave."""
+        member.leaving = True
+        for name in list(member.upstreams):
+            owner = self.members.find(name)
+            self.assign(name)
+            if owner is not None and self.members.find(name) is not owner:
+                owner.send(UnwatchUpstream(name))
+
+    def assign(self, name: str) -> None:
+        """Have a member look after an upstream."""
+        upstream = self._scheduler.ledger.upstreams.get(name)
+        if upstream is None:
+            return
+        member = self.members.assign(name, upstream.entry.failure_domain)
+        if member is not None:
+            self._watch(name, member)
+
+    def watch_again(self) -> None:
+        """Have everything that upstreams hold reported anew."""
+        for name in self._scheduler.ledger.upstreams:
+            member = self.members.find(name)
+            if member is not None:
+                self._watch(name, member)
+
+    def rebalance(self) -> None:
+        """Move upstreams to members that are nearer or have fewer."""
+        upstreams = self._scheduler.ledger.upstreams
+        for name in upstreams:
+            if self.members.find(name) is None:
+                self.assign(name)
+        owners = {name: self.members.find(name) for name in upstreams}
+        domains = [
+            (name, upstream.entry.failure_domain)
+            for name, upstream in upstreams.items()
+        ]
+        for name, member in self.members.choose_moves(domains):
+            owner = owners[name]
+            if owner is not None:
+                owner.send(UnwatchUpstream(name))
+            self._watch(name, member)
+
+    def _watch(self, name: str, member: Member) -> None:
+        """Tell a member to look after an upstream."""
+        self._scheduler.forget_stop_answers(name)
+        address = self._scheduler.ledger.upstreams[name].entry.address
+        member.send(WatchUpstream(name, address, self._scheduler.epoch))
+
+    def send_order(self, order: UpstreamOrder | AskPermits) -> None:
+        """Send an order to the member that carries it out."""
+        if isinstance(order, AskPermits):
+            adviser = self.members.choose_adviser()
+            if adviser is not None:
+                adviser.questions += 1
+                adviser.send(order)
+            return
+        member = self.members.find(order.upstream)
+        if member is not None:
+            member.send(order)
+        if isinstance(order, UnwatchUpstream):
+            self.members.forget(order.upstream)
+
+    def broadcast(self, message: object) -> None:
+        """Send a message to all members."""
+        for member in self.members.members.values():
+            member.send(message)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -0,0 +1,157 @@
+"""Stores what the leader decides; each commit also renews its lease."""
+
+import math
+from datetime import timedelta
+
+from attrs import evolve
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.codec import encode_message
+from almondspread.jobs.leases import LEADER_GRACE, LEADER_LEASE, LeaderRow
+from almondspread.jobs.ports import (
+    ConditionsFailed,
+    RowCondition,
+    RowPut,
+    StoredRow,
+    Transaction,
+)
+from almondspread.jobs.scheduler import Changes, Scheduler
+from almondspread_daemon.jobs.rows import (
+    LEADER,
+    WATCHED,
+    WatchedUpstream,
+    encode_watched,
+    name_progress,
+    read_leader,
+)
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.store_clock import StoreClock
+
+# A refusal that is older says nothing of the store now.
+REFUSAL_AGE = timedelta(seconds=1)
+# One transaction also holds the leader's row and that of the watched upstreams.
+MAX_RECORDS_PER_COMMIT = 90
+
+
+class Committer:
+    """Writes under the condition that the leader's row is still its own."""
+
+    def __init__(
+        self,
+        row: LeaderRow,
+        version: int,
+        scheduler: Scheduler,
+        store: StoreAccess,
+        store_clock: StoreClock,
+        clock: Clock,
+    ) -> None:
+        self.row = row
+        self.is_superseded = False
+        self._version = version
+        self._scheduler = scheduler
+        self._store = store
+        self._store_clock = store_clock
+        self._clock = clock
+        self._lease_until = clock.monotonic() + LEADER_LEASE
+        self._refused_at: timedelta | None = None
+        self._watched: tuple[WatchedUpstream, ...] | None = None
+
+    @property
+    def lease_holds(self) -> bool:
+        """Whether the store has confirmed the leadership recently enough."""
+        return self._clock.monotonic() < self._lease_until
+
+    @property
+    def may_take_jobs(self) -> bool:
+        """Whether no other instance can have taken jobs that are stored now.
+
+        Without a lease this still holds where the store is there but refuses the part
+        of the leader's row, since nobody can claim the leadership then.
+        """
+        return self.lease_holds or self._is_refused
+
+    @property
+    def is_grace_over(self) -> bool:
+        """Whether the leader has gone on without the store for too long."""
+        if self._is_refused:
+            return False
+        return self._clock.monotonic() > self._lease_until + LEADER_GRACE
+
+    @property
+    def _is_refused(self) -> bool:
+        """Whether the store has just refused a commit."""
+        if self._refused_at is None:
+            return False
+        return self._clock.monotonic() - self._refused_at < REFUSAL_AGE
+
+    async def commit(self, *, released: bool = False) -> bool:
+        """Store what has changed; false where the store did not take it."""
+        changes = self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT)
+        watched = self._describe_watched()
+        sent = self._clock.monotonic()
+        self.row = evolve(
+            self.row,
+            renewed=self._store_clock.now().total_seconds(),
+            renewal=self.row.renewal + 1,
+            released=released,
+        )
+        transaction = self._make_transaction(changes, watched)
+        outcome = await self._store.transact(transaction)
+        if outcome.is_ok():
+            self._refused_at = None
+            self._version = outcome.ok.version
+            self._store_clock.observe(outcome.ok.store_time)
+            self._lease_until = sent + LEADER_LEASE
+            self._watched = watched
+            names = frozenset(upstream.name for upstream in watched)
+            self._scheduler.record_upstreams(names)
+            self._scheduler.confirm_changes(changes)
+            return True
+        self._scheduler.return_changes(changes)
+        if isinstance(outcome.error, ConditionsFailed):
+            self._resolve_conflict(outcome.error.rows)
+            return False
+        refused = outcome.error.refused
+        self._refused_at = self._clock.monotonic() if refused else None
+        logger.warning("commit failed", reason=outcome.error.reason)
+        return False
+
+    def _make_transaction(
+        self, changes: Changes, watched: tuple[WatchedUpstream, ...]
+    ) -> Transaction:
+        """Return the transaction that renews the lease and stores the changes."""
+        puts = [RowPut(LEADER, encode_message(self.row))]
+        if watched != self._watched:
+            puts.append(RowPut(WATCHED, encode_watched(watched)))
+        for record in changes.records:
+            puts.append(RowPut(name_progress(record.job), encode_message(record)))
+        return Transaction((RowCondition(LEADER, self._version),), tuple(puts))
+
+    def _resolve_conflict(self, rows: tuple[StoredRow, ...]) -> None:
+        """Tell a superseded epoch from an own write whose answer was lost."""
+        stored, version = read_leader(rows)
+        if stored is not None and stored.incarnation == self.row.incarnation:
+            self._version = version
+            return
+        self.is_superseded = True
+
+    def _describe_watched(self) -> tuple[WatchedUpstream, ...]:
+        """Return the upstreams that the next leader must ask for their runs."""
+        watched = []
+        for upstream in self._scheduler.list_watched():
+            lapse = 0.0
+            if upstream.lapse_at is not None:
+                lapse = self._store_clock.from_local(upstream.lapse_at).total_seconds()
+            entry = upstream.entry
+            watched.append(
+                WatchedUpstream(
+                    entry.name,
+                    entry.service,
+                    entry.address,
+                    entry.failure_domain,
+                    # Small shifts of the clock must not change the row.
+                    math.ceil(lapse),
+                )
+            )
+        return tuple(sorted(watched, key=lambda upstream: upstream.name))
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -0,0 +1,179 @@
+"""Brings the stored jobs and cancellations to the scheduler."""
+
+from datetime import timedelta
+
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.jobs.leases import measure_inherited_hold
+from almondspread.jobs.ports import HistoryGone, StoredRow
+from almondspread.jobs.progress import JobRecord
+from almondspread.jobs.scheduler import Scheduler
+from almondspread_daemon.jobs.commits import Committer
+from almondspread_daemon.jobs.loading import StoredCell
+from almondspread_daemon.jobs.rows import (
+    CANCEL_PREFIX,
+    SUBMISSIONS,
+    CancelRow,
+    SubmissionRow,
+    decode_submission,
+    decode_watched,
+    read_row,
+)
+from almondspread_daemon.jobs.settings import JobSettings
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.store_clock import StoreClock
+
+FEED_WAIT = timedelta(seconds=1)
+FEED_MARGIN = timedelta(milliseconds=500)
+STORE_PAUSE = timedelta(milliseconds=200)
+
+
+class JobIntake:
+    """Loads what the cell has at a takeover, and follows what is stored later.
+
+    Jobs stored up to ``claim_version`` are inherited: an earlier leader may have
+    started their tasks.
+    """
+
+    def __init__(
+        self,
+        claim_version: int,
+        scheduler: Scheduler,
+        committer: Committer,
+        settings: JobSettings,
+        store: StoreAccess,
+        store_clock: StoreClock,
+        clock: Clock,
+    ) -> None:
+        self.is_loaded = False
+        self._claim_version = claim_version
+        self._version = claim_version
+        self._scheduler = scheduler
+        self._committer = committer
+        self._settings = settings
+        self._store = store
+        self._store_clock = store_clock
+        self._clock = clock
+        self._records: dict[str, JobRecord] = {}
+        self._missing_parts: list[str] = []
+        self._heard = clock.monotonic()
+
+    def knows_all(self) -> bool:
+        """Tell whether every job that has been stored for a while is known here."""
+        fresh = self._clock.monotonic() - self._heard < FEED_WAIT + FEED_MARGIN
+        return self.is_loaded and self._scheduler.is_complete and fresh
+
+    async def load(self) -> bool:
+        """Load the cell; false where the lease runs out before the store answers."""
+        while True:
+            cell = StoredCell(self._store)
+            loaded = await cell.load()
+            if loaded.is_ok():
+                self._take_cell(cell)
+                return True
+            logger.warning("cell not loaded", reason=loaded.error.reason)
+            if not self._committer.lease_holds:
+                return False
+            await self._clock.sleep(STORE_PAUSE)
+
+    def _take_cell(self, cell: StoredCell) -> None:
+        """Take over all jobs, and the upstreams that may run their tasks."""
+        self._records = cell.records
+        self.take_rows(cell.submission_rows)
+        if self._scheduler.jobs or cell.missing_parts:
+            self._inherit_upstreams(cell)
+        self._missing_parts = cell.missing_parts
+        self._scheduler.is_complete = not cell.missing_parts
+        self.is_loaded = True
+        logger.info(
+            "leadership taken",
+            epoch=self._scheduler.epoch,
+            jobs=len(self._scheduler.jobs),
+            watched=len(cell.watched),
+            missing_parts=len(cell.missing_parts),
+            version=cell.version,
+        )
+
+    def _inherit_upstreams(self, cell: StoredCell) -> None:
+        """Take over the upstreams on which an earlier leader may have started runs."""
+        held = measure_inherited_hold(self._settings.lease)
+        for upstream in cell.watched:
+            lapse = self._clock.monotonic() + held
+            if upstream.lapse:
+                known = timedelta(seconds=upstream.lapse)
+                lapse = min(lapse, self._store_clock.to_local(known))
+            self._scheduler.inherit_upstream(decode_watched(upstream), lapse)
+
+    async def load_missing_parts(self) -> None:
+        """Read the parts that were missing at the takeover, once they are there."""
+        while self._missing_parts:
+            await self._clock.sleep(STORE_PAUSE)
+            cell = StoredCell(self._store)
+            loaded = await cell.load_submissions(self._missing_parts)
+            if loaded.is_error():
+                continue
+            self.take_rows(cell.submission_rows)
+            self._missing_parts = cell.missing_parts
+        logger.info("cell complete", jobs=len(self._scheduler.jobs))
+        self._scheduler.is_complete = True
+
+    async def follow(self) -> bool:
+        """Take on what is stored next; return whether anything was."""
+        changes = await self._store.follow(SUBMISSIONS, self._version, FEED_WAIT)
+        if changes.is_error():
+            if isinstance(changes.error, HistoryGone):
+                return await self._reload()
+            logger.warning("feed interrupted", reason=changes.error.reason)
+            await self._clock.sleep(STORE_PAUSE)
+            return False
+        if not self._committer.may_take_jobs:
+            # The next leader may have placed the tasks of these jobs already.
+            await self._clock.sleep(STORE_PAUSE)
+            return False
+        self.take_rows(changes.ok.rows)
+        self._heard = self._clock.monotonic()
+        self._version = max(self._version, changes.ok.version)
+        return bool(changes.ok.rows)
+
+    async def _reload(self) -> bool:
+        """Read all submissions where the store has forgotten what changed."""
+        logger.warning("feed lost its history", version=self._version)
+        cell = StoredCell(self._store)
+        loaded = await cell.load_submissions()
+        if loaded.is_error() or cell.missing_parts:
+            await self._clock.sleep(STORE_PAUSE)
+            return False
+        if not self._committer.may_take_jobs:
+            await self._clock.sleep(STORE_PAUSE)
+            return False
+        self.take_rows(cell.submission_rows)
+        self._heard = self._clock.monotonic()
+        self._version = max(cell.version, self._claim_version)
+        return True
+
+    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take rows of submissions and cancellations."""
+        now, wall = self._clock.monotonic(), self._clock.now()
+        cancelled = []
+        for row in rows:
+            if row.name.key.startswith(CANCEL_PREFIX):
+                cancel = read_row(row, CancelRow)
+                if cancel is not None:
+                    cancelled.append(cancel.job)
+                continue
+            submission = read_row(row, SubmissionRow)
+            if submission is None:
+                continue
+            accepted = self._store_clock.to_local(
+                timedelta(seconds=submission.accepted)
+            )
+            self._scheduler.accept_job(
+                decode_submission(submission),
+                min(accepted, now),
+                wall,
+                record=self._records.get(submission.job),
+                inherited=row.version <= self._claim_version,
+            )
+        for job in cancelled:
+            self._scheduler.cancel_job(job, now)
