Claim at once where the leader's process has ended; Retry-After grows with an outage

Cause: a killed leader cost the 1.8 s of its lease. A refused connection, or another incarnation at its address, shows that it has ended; fencing keeps a wrong guess harmless, and jobs accepted within the old lease count as inherited.

--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -34,6 +34,13 @@
     released: bool = False
 
 
+def find_lease_end(row: LeaderRow | None) -> timedelta:
+    """Return the store's time from which on a leader surely takes no new jobs."""
+    if row is None or row.released:
+        return timedelta(0)
+    return timedelta(seconds=row.renewed) + LEADER_LEASE + CLOCK_SLACK
+
+
 def is_expired(row: LeaderRow | None, store_time: timedelta) -> bool:
     """Tell whether another instance may claim the leadership.
 
@@ -41,10 +48,7 @@
     >>> is_expired(row, timedelta(seconds=11)), is_expired(row, timedelta(seconds=13))
     (False, True)
     """
-    if row is None or row.released:
-        return True
-    age = store_time - timedelta(seconds=row.renewed)
-    return age > LEADER_LEASE + CLOCK_SLACK
+    return store_time > find_lease_end(row)
 
 
 def measure_abandoned_hold(lease: timedelta) -> timedelta:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -120,7 +120,7 @@
     def _refuse(self, job: str, failure: StoreUnavailable) -> Problem:
         """Return the problem of a job that has surely not been stored."""
         self._log(job, "refused", reason=failure.reason)
-        return _report_store_away(failure)
+        return _report_store_away(failure, self._store.suggest_return())
 
     async def read_state(self, job: str) -> Result[JobState, Problem]:
         """Return the state of a job."""
@@ -154,7 +154,9 @@
             return Error(_report_cancel_unknown())
         if written.is_error():
             self._log(job, "cancel refused", reason=written.error.reason)
-            return Error(_report_store_away(written.error))
+            return Error(
+                _report_store_away(written.error, self._store.suggest_return())
+            )
         self._log(job, "cancelled", version=written.ok)
         self._announce_cancel(job)
         return Ok(JobState.CANCELLED)
@@ -186,13 +188,13 @@
         )
 
 
-def _report_store_away(failure: StoreUnavailable) -> Problem:
+def _report_store_away(failure: StoreUnavailable, back_in: timedelta) -> Problem:
     """Return the problem of a store that does not answer."""
     return Unavailable(
         f"the platform's store is not available: {failure.reason}",
         "send the request again",
         not_run=True,
-        retry_after_seconds=STORE_RETRY_AFTER.total_seconds(),
+        retry_after_seconds=back_in.total_seconds(),
     )
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -13,7 +13,7 @@
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.leases import LeaderRow, is_expired
+from almondspread.jobs.leases import LeaderRow, find_lease_end, is_expired
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
     AdviceClient,
@@ -33,6 +33,7 @@
     JobCancelled,
     Leaving,
     Link,
+    NotLeading,
     QueueLoads,
     StatesChanged,
     Welcome,
@@ -90,6 +91,7 @@
         self._listener = LinkServer(self._serve_link)
         self._stopping = False
         self._left = ("", -1)
+        self._gone: set[str] = set()
         self._checking: asyncio.Task[None] | None = None
 
     @property
@@ -179,13 +181,15 @@
             if version < 0 or self.desk.configuration is None:
                 await self._pause(POLL_PAUSE)
                 continue
+            if row is not None and self._is_gone(row):
+                await self._claim(row, version)
+                continue
             if is_expired(row, self.store_clock.now()):
                 await self._pause(CLAIM_JITTER * self._random.random())
                 await self._claim(row, version)
                 continue
             assert row is not None
-            earlier_self = row.instance == self.settings.instance
-            if earlier_self or (row.incarnation, row.renewal) == self._left:
+            if (row.incarnation, row.renewal) == self._left:
                 # Nothing is heard from this leader; its lease must run out.
                 await self._pause(POLL_PAUSE)
                 continue
@@ -193,6 +197,13 @@
             self._left = (row.incarnation, await self._read_renewal())
             await self._pause(POLL_PAUSE)
 
+    def _is_gone(self, row: LeaderRow) -> bool:
+        """Tell whether the process that leads has surely ended."""
+        if row.incarnation in self._gone:
+            return True
+        own = row.instance == self.settings.instance
+        return own and row.incarnation != self._incarnation
+
     async def _read_renewal(self) -> int:
         """Return the latest renewal of the leader's row, -1 without an answer."""
         row, _ = await self._read_leader()
@@ -234,6 +245,7 @@
         session = LeaderSession(
             claim,
             outcome.ok.version,
+            find_lease_end(row),
             self.settings,
             self.desk.configuration,
             self._store,
@@ -272,9 +284,10 @@
         """Take on an instance that has connected, if this one leads."""
         async for message in link.messages():
             session = self._session
-            if not isinstance(message, Hello) or session is None:
+            if not isinstance(message, Hello):
                 return
-            if not session.is_loaded:
+            if session is None or not session.is_loaded:
+                link.send(NotLeading(self._incarnation))
                 return
             member = Member(
                 message.instance,
@@ -293,6 +306,9 @@
             stream = await TCPClient().connect(host, port, timeout=CONNECT_TIMEOUT)
         except (OSError, TimeoutError, StreamClosedError) as error:
             logger.info("leader not reached", leader=row.instance, reason=str(error))
+            if isinstance(error, ConnectionRefusedError):
+                # Nothing listens there. Fencing keeps a wrong guess harmless.
+                self._gone.add(row.incarnation)
             return
         link = Link(stream)
         link.send(
@@ -308,6 +324,10 @@
         try:
             async for message in link.messages():
                 follower.heard = self._clock.monotonic()
+                if isinstance(message, NotLeading):
+                    if message.incarnation != row.incarnation:
+                        self._gone.add(row.incarnation)
+                    break
                 if isinstance(message, Welcome):
                     logger.info("following", leader=row.instance, epoch=message.epoch)
                     self._link = link
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -32,13 +32,14 @@
 class JobIntake:
     """Loads what the cell has at a takeover, and follows what is stored later.
 
-    Jobs stored up to ``claim_version`` are inherited: an earlier leader may have
-    started their tasks.
+    Jobs stored up to ``claim_version``, or accepted before ``lease_end`` of the store's
+    clock, are inherited: an earlier leader may have started their tasks.
     """
 
     def __init__(
         self,
         claim_version: int,
+        lease_end: timedelta,
         scheduler: Scheduler,
         committer: Committer,
         settings: JobSettings,
@@ -48,6 +49,7 @@
     ) -> None:
         self.is_loaded = False
         self._claim_version = claim_version
+        self._lease_end = lease_end
         self._version = claim_version
         self._scheduler = scheduler
         self._committer = committer
@@ -165,15 +167,14 @@
             submission = read_row(row, SubmissionRow)
             if submission is None:
                 continue
-            accepted = self._store_clock.to_local(
-                timedelta(seconds=submission.accepted)
-            )
+            stored = timedelta(seconds=submission.accepted)
+            inherited = row.version <= self._claim_version or stored <= self._lease_end
             self._scheduler.accept_job(
                 decode_submission(submission),
-                min(accepted, now),
+                min(self._store_clock.to_local(stored), now),
                 wall,
                 record=self._records.get(submission.job),
-                inherited=row.version <= self._claim_version,
+                inherited=inherited,
             )
         for job in cancelled:
             self._scheduler.cancel_job(job, now)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -53,6 +53,7 @@
         self,
         row: LeaderRow,
         version: int,
+        lease_end: timedelta,
         settings: JobSettings,
         configuration: Configuration,
         store: StoreAccess,
@@ -69,6 +70,7 @@
         )
         self._intake = JobIntake(
             version,
+            lease_end,
             self._scheduler,
             self._committer,
             settings,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -46,6 +46,13 @@
     epoch: int
 
 
+@define(frozen=True)
+class NotLeading:
+    """The instance that was taken for the leader is not; ``incarnation`` is its own."""
+
+    incarnation: str
+
+
 @define(frozen=True)
 class Beat:
     """A sign of life; the leader's tells whether its lease holds.
@@ -93,6 +100,7 @@
         Hello,
         JobCancelled,
         Leaving,
+        NotLeading,
         PaceRun,
         PermitsAnswered,
         QueueLoads,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -32,6 +32,8 @@
 # A refusal, or a single lost answer, does not make the store count as lost.
 PROBE_INTERVAL = timedelta(milliseconds=200)
 PROBED_TABLE = "probes"
+MIN_RETURN = timedelta(seconds=1)
+MAX_RETURN = timedelta(seconds=3)
 LOSS_PATIENCE = timedelta(milliseconds=500)
 RETRY_PAUSE = timedelta(milliseconds=50)
 SMOOTHING = 0.2
@@ -78,6 +80,13 @@
             return False
         return self._clock.monotonic() - self._lost_since > LOSS_PATIENCE
 
+    def suggest_return(self) -> timedelta:
+        """Return when callers should come back: an outage may last as long again."""
+        if self._lost_since is None:
+            return MIN_RETURN
+        lost_for = self._clock.monotonic() - self._lost_since
+        return max(MIN_RETURN, min(MAX_RETURN, lost_for))
+
     async def probe(self) -> None:
         """Ask the store for signs of life while it counts as lost."""
         while True:
