--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -201,32 +201,45 @@
     ticket: str = ""
 
 
+@define(frozen=True)
+class StopCall:
+    """Stops a run, or keeps it from ever starting."""
+
+    epoch: int
+    task: TaskId
+    run: int
+
+
+@define(frozen=True)
+class PaceCall:
+    """Lets a run work at ``percent`` of its speed."""
+
+    epoch: int
+    task: TaskId
+    run: int
+    percent: int
+
+
 class UpstreamClient(Protocol):
     """Calls to one upstream, meant for the incarnation ``upstream`` only."""
 
     async def hold(
-        self, address: str, upstream: str, call: HoldCall
+        self, address: str, upstream: str, call: HoldCall, timeout: timedelta
     ) -> Result[HoldAnswer, CallFailed]:
         """Renew leases, and see what runs and what has ended."""
 
     async def start(
-        self, address: str, upstream: str, call: StartCall
+        self, address: str, upstream: str, call: StartCall, timeout: timedelta
     ) -> Result[None, CallFailed]:
         """Start a run; repeating it changes nothing."""
 
     async def stop(
-        self, address: str, upstream: str, epoch: int, task: TaskId, run: int
+        self, address: str, upstream: str, call: StopCall, timeout: timedelta
     ) -> Result[None, CallFailed]:
         """Stop a run, or keep it from ever starting."""
 
     async def pace(
-        self,
-        address: str,
-        upstream: str,
-        epoch: int,
-        task: TaskId,
-        run: int,
-        percent: int,
+        self, address: str, upstream: str, call: PaceCall, timeout: timedelta
     ) -> Result[None, CallFailed]:
         """Let a run work at a share of its speed."""
 
@@ -243,6 +256,11 @@
     """The service that knows which upstreams may run a step."""
 
     async def ask(
-        self, job: str, occurrence: int, step: int, upstreams: tuple[str, ...]
+        self,
+        job: str,
+        occurrence: int,
+        step: int,
+        upstreams: tuple[str, ...],
+        timeout: timedelta,
     ) -> Result[Advice, CallFailed]:
         """Return which of the upstreams may run a step."""
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -24,7 +24,7 @@
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
 
 # An unanswered start is looked for in a report before it is stopped.
-SIGHTING_PATIENCE = timedelta(milliseconds=500)
+SIGHTING_PATIENCE = timedelta(milliseconds=250)
 STOP_RETRY = timedelta(milliseconds=600)
 REFUSED_PAUSE = timedelta(milliseconds=100)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -35,16 +35,20 @@
     CallFailed,
     HoldAnswer,
     HoldCall,
+    PaceCall,
     StartCall,
+    StopCall,
     UpstreamClient,
 )
 
-HOLD_WAIT = timedelta(seconds=1)
+HOLD_WAIT = timedelta(milliseconds=500)
+CALL_TIMEOUT = timedelta(milliseconds=500)
+ADVICE_TIMEOUT = timedelta(seconds=4)
 # Reports carry the whole list of runs so often; ends are reported at once.
 FULL_REPORT_INTERVAL = timedelta(milliseconds=400)
 # An end that is not acknowledged yet would be listed again at once.
 ACKNOWLEDGE_PATIENCE = timedelta(milliseconds=150)
-SILENCE_BEFORE_REPORT = timedelta(milliseconds=1_300)
+SILENCE_BEFORE_REPORT = timedelta(milliseconds=1_200)
 RETRY_PAUSE = timedelta(milliseconds=150)
 # A start that is carried out later than this is refused by the upstream.
 START_EXPIRY = timedelta(seconds=2)
@@ -126,22 +130,36 @@
                 await self._await_acknowledgement()
             now = self._clock.monotonic()
             until = self._choose_lease_end(now)
-            wait = HOLD_WAIT if until is not None else timedelta(0)
-            self._asked += 1
-            number = self._asked
-            call = HoldCall(self.watch.epoch, self._acknowledged, until, wait)
             if until is not None:
                 self._lapse = now + self._lease * SLOW_CLOCK + LAPSE_MARGIN
-            answer = await self._client.hold(
-                self.watch.address, self.watch.upstream, call
-            )
-            if answer.is_ok():
-                self._take_answer(answer.ok, number)
+            wait = HOLD_WAIT if until is not None else timedelta(0)
+            failure = await self._hold(until, wait)
+            if failure is None:
                 continue
-            if not self._take_failure(answer.error):
+            if not self._take_failure(failure):
                 return
             await self._clock.sleep(RETRY_PAUSE)
 
+    async def _hold(
+        self, until: timedelta | None, wait: timedelta
+    ) -> CallFailed | None:
+        """Hold once and report the answer; return why there is none."""
+        self._asked += 1
+        number = self._asked
+        call = HoldCall(self.watch.epoch, self._acknowledged, until, wait)
+        answer = await self._client.hold(
+            self.watch.address, self.watch.upstream, call, wait + CALL_TIMEOUT
+        )
+        if answer.is_error():
+            return answer.error
+        self._take_answer(answer.ok, number)
+        return None
+
+    async def _look(self) -> None:
+        """Report at once all that runs, while a longer hold is under way."""
+        self._full_report_at = None
+        await self._hold(None, timedelta(0))
+
     def _choose_lease_end(self, now: timedelta) -> timedelta | None:
         """Return until when to renew leases, by the upstream's clock.
 
@@ -216,7 +234,9 @@
             order.checkpoint,
             order.ticket,
         )
-        answer = await self._client.start(self.watch.address, self.watch.upstream, call)
+        answer = await self._client.start(
+            self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
+        )
         if answer.is_ok():
             self._settle(order, STARTED, "")
             return
@@ -227,9 +247,8 @@
         elif failure.not_done:
             self._settle(order, REFUSED, failure.reason)
         else:
-            # The next report tells whether the run is there.
-            self._full_report_at = None
             self._settle(order, UNKNOWN, failure.reason)
+            await self._look()
 
     def _settle(self, order: StartRun, outcome: str, reason: str) -> None:
         """Report the outcome of a start."""
@@ -239,17 +258,13 @@
 
     async def _stop(self, order: StopRun) -> None:
         """Stop a run and report whether the upstream answered."""
+        call = StopCall(self.watch.epoch, order.task, order.run)
         answer = await self._client.stop(
-            self.watch.address,
-            self.watch.upstream,
-            self.watch.epoch,
-            order.task,
-            order.run,
+            self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
         )
         if answer.is_error() and answer.error.fenced:
             self._report(EpochFenced(self.watch.upstream, self.watch.epoch))
             return
-        self._full_report_at = None
         self._report(
             StopSettled(
                 self.watch.upstream,
@@ -259,16 +274,13 @@
                 self._asked + 1,
             )
         )
+        await self._look()
 
     async def _pace(self, order: PaceRun) -> None:
         """Limit the speed of a run; the next report shows whether it worked."""
+        call = PaceCall(self.watch.epoch, order.task, order.run, order.percent)
         answer = await self._client.pace(
-            self.watch.address,
-            self.watch.upstream,
-            self.watch.epoch,
-            order.task,
-            order.run,
-            order.percent,
+            self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
         )
         if answer.is_error():
             logger.info(
@@ -383,7 +395,11 @@
         """Ask the advice service, one question after another."""
         async with self._advice_turn:
             answer = await self._advice.ask(
-                order.job, order.occurrence, order.step, order.upstreams
+                order.job,
+                order.occurrence,
+                order.step,
+                order.upstreams,
+                ADVICE_TIMEOUT,
             )
         tickets = None
         validity = timedelta(0)
