--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -25,6 +25,7 @@
 from almondspread.jobs.progress import TERMINAL_STATES, JobRecord, JobState
 from almondspread.jobs.submissions import Submission, check_submission
 from almondspread_daemon.jobs.board import JobBoard
+from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.rows import (
     CancelRow,
     encode_submission,
@@ -56,6 +57,7 @@
         store_clock: StoreClock,
         clock: Clock,
         board: JobBoard,
+        metrics: JobMetrics,
         announce_cancel: Callable[[str], None],
     ) -> None:
         self.configuration: Configuration | None = None
@@ -64,6 +66,7 @@
         self._store_clock = store_clock
         self._clock = clock
         self._board = board
+        self._metrics = metrics
         self._announce_cancel = announce_cancel
 
     def find_queue(self, host: str, path: str) -> Result[Queue, Problem]:
@@ -183,6 +186,7 @@
     def _log(self, job: str, outcome: str, **inputs: object) -> None:
         """Log what was decided on a request."""
         version = self.configuration.version if self.configuration else None
+        self._metrics.count_request(outcome)
         logger.info(
             "request", job=job, outcome=outcome, configuration=version, **inputs
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from loguru import logger
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
-from tornado.tcpserver import TCPServer
 
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
@@ -31,14 +29,17 @@
     Beat,
     Hello,
     JobCancelled,
+    LeaderLink,
     Leaving,
     Link,
+    LinkServer,
     NotLeading,
     QueueLoads,
     StatesChanged,
     Welcome,
 )
 from almondspread_daemon.jobs.members import Member
+from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.rows import CELL, CELL_PART, LEADER, read_leader
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
@@ -67,6 +68,7 @@
         upstreams: UpstreamClient,
         advice: AdviceClient,
         clock: Clock,
+        metrics: JobMetrics,
         random_source: random.Random,
     ) -> None:
         self.settings = settings
@@ -79,13 +81,15 @@
             self.store_clock,
             clock,
             self.board,
+            metrics,
             self._announce_cancel,
         )
         self._incarnation = incarnation
         self._store = store
         self._clock = clock
+        self._metrics = metrics
         self._random = random_source
-        self._executor = Executor(upstreams, advice, clock, settings.lease)
+        self._executor = Executor(upstreams, advice, clock, settings.lease, metrics)
         self._session: LeaderSession | None = None
         self._link: Link | None = None
         self._listener = LinkServer(self._serve_link)
@@ -169,6 +173,7 @@
             queues=len(configuration.queues),
         )
         self.desk.configuration = configuration
+        self._metrics.set_version(configuration.version)
         if self._session is not None:
             self._session.configure(configuration)
 
@@ -179,23 +184,23 @@
         while not self._stopping:
             row, version = await self._read_leader()
             if version < 0 or self.desk.configuration is None:
-                await self._pause(POLL_PAUSE)
+                await self._clock.sleep(POLL_PAUSE)
                 continue
             if row is not None and self._is_gone(row):
                 await self._claim(row, version)
                 continue
             if is_expired(row, self.store_clock.now()):
-                await self._pause(CLAIM_JITTER * self._random.random())
+                await self._clock.sleep(CLAIM_JITTER * self._random.random())
                 await self._claim(row, version)
                 continue
             assert row is not None
             if (row.incarnation, row.renewal) == self._left:
                 # Nothing is heard from this leader; its lease must run out.
-                await self._pause(POLL_PAUSE)
+                await self._clock.sleep(POLL_PAUSE)
                 continue
             await self._follow(row)
             self._left = (row.incarnation, await self._read_renewal())
-            await self._pause(POLL_PAUSE)
+            await self._clock.sleep(POLL_PAUSE)
 
     def _is_gone(self, row: LeaderRow) -> bool:
         """Tell whether the process that leads has surely ended."""
@@ -209,10 +214,6 @@
         row, _ = await self._read_leader()
         return row.renewal if row is not None else -1
 
-    async def _pause(self, duration: timedelta) -> None:
-        """Wait a little."""
-        await self._clock.sleep(duration)
-
     async def _read_leader(self) -> tuple[LeaderRow | None, int]:
         """Return the leader's row and version, the version -1 without an answer."""
         page = await self._store.read(CELL, CELL_PART, LEADER.key, LEADER.key + "\x01")
@@ -251,6 +252,7 @@
             self._store,
             self.store_clock,
             self._clock,
+            self._metrics,
         )
         await self._lead(session)
 
@@ -277,6 +279,7 @@
             logger.opt(exception=True).error("leadership failed", reason=str(errors))
         finally:
             self._session = None
+            self._metrics.set_load(0, 0, 0)
             self.board.lose_leader()
             self._executor.detach()
 
@@ -319,7 +322,7 @@
                 self.settings.cores,
             )
         )
-        follower = _Follower(link, self._clock.monotonic())
+        follower = LeaderLink(link, self._clock.monotonic())
         watchdog = asyncio.create_task(self._watch_leader(follower))
         try:
             async for message in link.messages():
@@ -343,7 +346,7 @@
                 self.board.lose_leader()
                 self._executor.detach()
 
-    async def _watch_leader(self, follower: "_Follower") -> None:
+    async def _watch_leader(self, follower: LeaderLink) -> None:
         """Send signs of life, and close the link to a silent leader."""
         while True:
             follower.link.send(Beat())
@@ -393,27 +396,3 @@
             self._link.send(JobCancelled(job))
         elif self._session is not None:
             self._session.cancel_job(job)
-
-
-class _Follower:
-    """A link to the leader, and when the leader was last heard."""
-
-    def __init__(self, link: Link, heard: timedelta) -> None:
-        self.link = link
-        self.heard = heard
-
-
-class LinkServer(TCPServer):
-    """Listens for other instances."""
-
-    def __init__(self, serve: Callable[[Link], Awaitable[None]]) -> None:
-        super().__init__()
-        self._serve = serve
-
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        """Serve one stream until it closes."""
-        link = Link(stream)
-        try:
-            await self._serve(link)
-        finally:
-            link.close()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -31,6 +31,7 @@
     Welcome,
 )
 from almondspread_daemon.jobs.members import Member
+from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
@@ -59,11 +60,13 @@
         store: StoreAccess,
         store_clock: StoreClock,
         clock: Clock,
+        metrics: JobMetrics,
     ) -> None:
         self.epoch = row.epoch
         self._instance = row.instance
         self._store = store
         self._clock = clock
+        self._metrics = metrics
         self._scheduler = Scheduler(row.epoch, configuration)
         self._committer = Committer(
             row, version, self._scheduler, store, store_clock, clock
@@ -246,6 +249,7 @@
                 usable_millis=load.usable_millis,
                 question_slots=self._assignments.members.count_question_slots(),
             )
+            self._metrics.set_load(self.epoch, load.waiting_tasks, load.used_millis)
             await self._clock.sleep(LOAD_INTERVAL)
 
     # The store
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -1,11 +1,13 @@
 """Streams of typed messages between the leader and the other instances."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
+from datetime import timedelta
 
 from attrs import define
 from loguru import logger
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.tcpserver import TCPServer
 
 from almondspread.codec import TaggedCodec
 from almondspread.jobs.jobbook import Announcement
@@ -176,3 +178,27 @@
         if self._unsent and not self._stream.closed():
             self._flush()
         self._stream.close()
+
+
+class LeaderLink:
+    """A link to the leader, and when the leader was last heard."""
+
+    def __init__(self, link: Link, heard: timedelta) -> None:
+        self.link = link
+        self.heard = heard
+
+
+class LinkServer(TCPServer):
+    """Listens for other instances."""
+
+    def __init__(self, serve: Callable[[Link], Awaitable[None]]) -> None:
+        super().__init__()
+        self._serve = serve
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        """Serve one stream until it closes."""
+        link = Link(stream)
+        try:
+            await self._serve(link)
+        finally:
+            link.close()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -0,0 +1,96 @@
+"""Counters and latency histograms of the job scheduler, served as text."""
+
+from datetime import timedelta
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+from tornado.web import RequestHandler
+
+METER_NAME = "almondspread.jobs"
+# Seconds; most steps of a job's way take milliseconds, outages seconds.
+LATENCY_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+class JobMetrics:
+    """The instruments of one instance."""
+
+    def __init__(self, instance: str, failure_domain: str) -> None:
+        # The exporter registers itself globally unless it is handed a registry.
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        resource = Resource(
+            {
+                "service.instance.id": instance,
+                "cloud.availability_zone": failure_domain,
+            }
+        )
+        provider = MeterProvider([reader], resource, shutdown_on_exit=False)
+        meter = provider.get_meter(METER_NAME)
+        self._requests = meter.create_counter(
+            "job_requests", description="requests about jobs, by outcome"
+        )
+        self._store_calls = meter.create_histogram(
+            "store_call_seconds",
+            unit="s",
+            description="calls to the platform's store, by outcome",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS,
+        )
+        self._starts = meter.create_histogram(
+            "run_start_seconds",
+            unit="s",
+            description="starts of runs at upstreams, by outcome",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS,
+        )
+        self._waiting_tasks = meter.create_gauge(
+            "waiting_tasks", description="tasks that wait for room, at the leader"
+        )
+        self._used_millis = meter.create_gauge(
+            "used_processor_millis", description="processor bound to runs"
+        )
+        self._epoch = meter.create_gauge(
+            "leader_epoch", description="the epoch that this instance leads, 0 for none"
+        )
+        self._version = meter.create_gauge(
+            "configuration_version", description="the configuration in force"
+        )
+
+    def count_request(self, outcome: str) -> None:
+        """Count a decision on a caller's request."""
+        self._requests.add(1, {"outcome": outcome})
+
+    def time_store_call(self, taken: timedelta, outcome: str) -> None:
+        """Record a call to the platform's store."""
+        self._store_calls.record(taken.total_seconds(), {"outcome": outcome})
+
+    def time_start(self, taken: timedelta, outcome: str) -> None:
+        """Record the start of a run."""
+        self._starts.record(taken.total_seconds(), {"outcome": outcome})
+
+    def set_load(self, epoch: int, waiting_tasks: int, used_millis: int) -> None:
+        """Tell what a leader has to do."""
+        self._epoch.set(epoch)
+        self._waiting_tasks.set(waiting_tasks)
+        self._used_millis.set(used_millis)
+
+    def set_version(self, version: int) -> None:
+        """Tell which configuration is in force."""
+        self._version.set(version)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return bytes(generate_latest(self._registry))
+
+
+class MetricsHandler(RequestHandler):
+    """Serves the metrics of this process."""
+
+    def initialize(self, metrics: JobMetrics) -> None:
+        """Take the metrics to serve."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Answer with the text format."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.finish(self._metrics.render())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -21,6 +21,7 @@
     StoreUnavailable,
     Transaction,
 )
+from almondspread_daemon.jobs.metrics import JobMetrics
 
 T = TypeVar("T")
 E = TypeVar("E")
@@ -65,11 +66,16 @@
     """The store and what is published in it, as one dependency of this process."""
 
     def __init__(
-        self, store: RecordStore, directory: CellDirectory, clock: Clock
+        self,
+        store: RecordStore,
+        directory: CellDirectory,
+        clock: Clock,
+        metrics: JobMetrics,
     ) -> None:
         self._store = store
         self._directory = directory
         self._clock = clock
+        self._metrics = metrics
         self._times = AnswerTimes()
         self._lost_since: timedelta | None = None
 
@@ -145,6 +151,7 @@
         outcome = await call(self._times.timeout)
         taken = self._clock.monotonic() - sent
         failure = outcome.error if outcome.is_error() else None
+        self._metrics.time_store_call(taken, type(failure or outcome).__name__)
         if not isinstance(failure, StoreUnavailable):
             self._times.note_answer(taken)
             self._note_reached()
