--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = almondspread almondspread_platform almondspread_daemon almondspread_cli almondspread_standin
 empty =
 space = $(empty) $(empty)
-SOURCES = $(foreach package,$(PACKAGES),packages/$(package))
+SOURCES = $(foreach package,$(PACKAGES),packages/$(package)) platform
 export PYTHONPATH = $(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source)))
 
 .PHONY: environment demo test check format capacity
@@ -16,16 +16,16 @@
 	@$(PYTHON) -m almondspread_standin demo
 
 check: environment
-	$(PYTHON) -m ruff format --check packages tools
-	$(PYTHON) -m ruff check packages tools
+	$(PYTHON) -m ruff format --check packages platform tools
+	$(PYTHON) -m ruff check packages platform tools
 	$(PYTHON) -m mypy packages/almondspread/almondspread
 
 test: check
 	$(PYTHON) tools/run_tests.py
 
 format: environment
-	$(PYTHON) -m ruff format packages tools
-	$(PYTHON) -m ruff check --fix packages tools
+	$(PYTHON) -m ruff format packages platform tools
+	$(PYTHON) -m ruff check --fix packages platform tools
 
 capacity: environment
 	$(PYTHON) -m almondspread_standin capacity
--- /dev/null
+++ b/packages/almondspread/almondspread/testing/record_store.py
@@ -0,0 +1,111 @@
+"""The platform's store in memory, with parts that refuse and answers that get lost."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from almondspread.jobs.ports import (
+    Changes,
+    Committed,
+    ConditionsFailed,
+    HistoryGone,
+    RowName,
+    RowsPage,
+    StoredRow,
+    StoreUnavailable,
+    Transaction,
+)
+
+REFUSED = StoreUnavailable("refused", not_done=True, refused=True)
+LOST = StoreUnavailable("no answer", not_done=False)
+
+
+@define(eq=False)
+class MemoryRecordStore:
+    """Rows by name; ``page_rows`` bounds a page.
+
+    ``refuses`` tells whether a part is refused, ``loses_answer`` whether a transaction
+    is done without an answer; while it ``hangs``, none is done or answered. Changes up
+    to ``forgotten`` are no longer followed.
+    """
+
+    rows: dict[RowName, StoredRow] = field(factory=dict)
+    changes: list[StoredRow] = field(factory=list)
+    version: int = 0
+    store_time: timedelta = timedelta(seconds=50)
+    page_rows: int = 3
+    forgotten: int = 0
+    transactions: int = 0
+    hangs: bool = False
+    refuses: Callable[[str], bool] = lambda _: False
+    loses_answer: Callable[[], bool] = lambda: False
+
+    async def transact(
+        self, transaction: Transaction, timeout: timedelta
+    ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
+        """Apply a transaction whole or not at all."""
+        self.transactions += 1
+        if self.hangs:
+            await asyncio.Event().wait()
+        names = [condition.name for condition in transaction.conditions]
+        names.extend(put.name for put in transaction.puts)
+        if any(self.refuses(name.part) for name in names):
+            return Error(REFUSED)
+        failed = False
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.name)
+            failed = failed or (row.version if row else 0) != condition.version
+        if failed:
+            current = [
+                self.rows[condition.name]
+                for condition in transaction.conditions
+                if condition.name in self.rows
+            ]
+            return Error(ConditionsFailed(tuple(current)))
+        self.version += 1
+        for put in transaction.puts:
+            row = StoredRow(put.name, put.value, self.version)
+            self.rows[put.name] = row
+            self.changes.append(row)
+        if self.loses_answer():
+            return Error(LOST)
+        return Ok(Committed(self.version, self.store_time))
+
+    async def read(
+        self, table: str, part: str, start: str, end: str, timeout: timedelta
+    ) -> Result[RowsPage, StoreUnavailable]:
+        """Return rows of one part in order of their keys, ``end`` excluded."""
+        if self.refuses(part):
+            return Error(REFUSED)
+        found = []
+        for name in sorted(self.rows, key=lambda name: name.key):
+            if (name.table, name.part) != (table, part) or name.key < start:
+                continue
+            if end and name.key >= end:
+                continue
+            found.append(self.rows[name])
+        more = len(found) > self.page_rows
+        page = tuple(found[: self.page_rows])
+        return Ok(RowsPage(page, more, self.version, self.store_time))
+
+    async def list_parts(
+        self, table: str, timeout: timedelta
+    ) -> Result[list[str], StoreUnavailable]:
+        """Return all parts of a table."""
+        return Ok(sorted({name.part for name in self.rows if name.table == table}))
+
+    async def follow(
+        self, table: str, after: int, wait: timedelta, timeout: timedelta
+    ) -> Result[Changes, HistoryGone | StoreUnavailable]:
+        """Return the changes of a table after a version."""
+        if after < self.forgotten:
+            return Error(HistoryGone())
+        rows = tuple(
+            row
+            for row in self.changes
+            if row.name.table == table and row.version > after
+        )
+        return Ok(Changes(rows, self.version))
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -0,0 +1,52 @@
+"""Parts of an instance around a store in memory, for tests."""
+
+from datetime import timedelta
+
+from almondspread.clock import ManualClock
+from almondspread.jobs.submissions import Step, Submission
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.record_store import MemoryRecordStore
+from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.settings import JobSettings
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.store_clock import StoreClock
+
+SECOND = timedelta(seconds=1)
+
+
+class YieldingClock(ManualClock):
+    """A clock whose sleeps end at once and move the time on."""
+
+    async def sleep(self, duration):
+        self.advance(duration)
+
+
+class StoreParts:
+    """A store in memory and what gives access to it."""
+
+    def __init__(self):
+        self.clock = YieldingClock()
+        self.store = MemoryRecordStore()
+        self.metrics = JobMetrics("entry-1", "zone")
+        self.access = StoreAccess(self.store, None, self.clock, self.metrics)
+        self.store_clock = StoreClock(self.clock)
+        self.store_clock.observe(self.store.store_time)
+
+
+def make_settings(instance="entry-1"):
+    return JobSettings(
+        instance,
+        "zone",
+        "127.0.0.1:0",
+        "127.0.0.1:0",
+        "127.0.0.1:0",
+        1.0,
+        10 * SECOND,
+        SECOND,
+        120 * SECOND,
+        6 * SECOND,
+    )
+
+
+def make_submission(job, queue="queue", count=1):
+    return Submission(job, queue, "text", (Step(count, Capacity(500, 256), SECOND),))
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -0,0 +1,206 @@
+import unittest
+from datetime import UTC, datetime, timedelta
+
+from almondspread.codec import encode_message
+from almondspread.jobs.leases import LEADER_GRACE, LEADER_LEASE, LeaderRow
+from almondspread.jobs.messages import RunEnd, UpstreamEntry, UpstreamReport
+from almondspread.jobs.ports import RowName, RowPut, Transaction
+from almondspread.jobs.progress import JobRecord, JobState, StepRecord
+from almondspread.jobs.scheduler import Scheduler
+from almondspread.jobs.submissions import TaskId
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.fake_cell import make_configuration
+from almondspread_daemon.jobs.commits import Committer
+from almondspread_daemon.jobs.intake import JobIntake
+from almondspread_daemon.jobs.rows import (
+    LEADER,
+    SUBMISSIONS,
+    WATCHED,
+    CancelRow,
+    WatchedRow,
+    encode_submission,
+    name_cancel,
+    name_job,
+    name_progress,
+    read_row,
+)
+from almondspread_daemon.jobs.tests.support import (
+    SECOND,
+    StoreParts,
+    make_settings,
+    make_submission,
+)
+
+WALL = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class LeadingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.parts = StoreParts()
+        self.store = self.parts.store
+
+    async def put(self, name, value):
+        transaction = Transaction(puts=(RowPut(name, value),))
+        return (await self.store.transact(transaction, SECOND)).ok.version
+
+    async def submit(self, job, part="entry-1/0", accepted=timedelta(seconds=49)):
+        name = RowName(SUBMISSIONS, part, name_job(job))
+        return await self.put(name, encode_submission(make_submission(job), accepted))
+
+    async def claim(self, epoch=1, incarnation="one"):
+        row = LeaderRow(epoch, "entry-1", incarnation, "127.0.0.1:1", 50.0)
+        version = await self.put(LEADER, encode_message(row))
+        self.scheduler = Scheduler(epoch, make_configuration())
+        parts = self.parts
+        self.committer = Committer(
+            row, version, self.scheduler, parts.access, parts.store_clock, parts.clock
+        )
+        self.intake = JobIntake(
+            version,
+            timedelta(0),
+            self.scheduler,
+            self.committer,
+            make_settings(),
+            parts.access,
+            parts.store_clock,
+            parts.clock,
+        )
+
+
+class CommitterTest(LeadingTest):
+    async def test_commit_stores_progress_and_renews(self):
+        await self.claim()
+        self.scheduler.accept_job(
+            make_submission("j"), self.parts.clock.monotonic(), WALL
+        )
+        self.scheduler.cancel_job("j", self.parts.clock.monotonic())
+        self.parts.clock.advance(LEADER_LEASE / 2)
+        self.assertTrue(await self.committer.commit())
+        self.parts.clock.advance(LEADER_LEASE * 0.9)
+        self.assertTrue(self.committer.lease_holds)
+        record = read_row(self.store.rows[name_progress("j")], JobRecord)
+        self.assertEqual(record.state, "cancelled")
+
+    async def test_superseded_leader_stores_nothing_more(self):
+        await self.claim()
+        other = LeaderRow(2, "entry-2", "two", "127.0.0.1:2", 51.0)
+        await self.put(LEADER, encode_message(other))
+        self.scheduler.accept_job(
+            make_submission("j"), self.parts.clock.monotonic(), WALL
+        )
+        self.scheduler.cancel_job("j", self.parts.clock.monotonic())
+        self.assertFalse(await self.committer.commit())
+        self.assertTrue(self.committer.is_superseded)
+        self.assertNotIn(name_progress("j"), self.store.rows)
+
+    async def test_own_commit_with_a_lost_answer_does_not_end_the_leadership(self):
+        await self.claim()
+        losses = [True]
+        self.store.loses_answer = lambda: bool(losses and losses.pop())
+        self.assertFalse(await self.committer.commit())
+        self.assertFalse(await self.committer.commit())
+        self.assertFalse(self.committer.is_superseded)
+        self.assertTrue(await self.committer.commit())
+
+    async def test_refused_part_of_the_row_keeps_the_leader_taking_jobs(self):
+        """Replays the loss of a third of the store's parts, the leader's among them."""
+        await self.claim()
+        self.store.refuses = lambda part: part == LEADER.part
+        self.parts.clock.advance(2 * LEADER_LEASE)
+        self.assertFalse(self.committer.may_take_jobs)
+        await self.committer.commit()
+        self.assertTrue(self.committer.may_take_jobs)
+        self.parts.clock.advance(LEADER_GRACE + LEADER_LEASE)
+        await self.committer.commit()
+        self.assertFalse(self.committer.is_grace_over)
+        self.parts.clock.advance(2 * SECOND)
+        self.assertTrue(self.committer.is_grace_over)
+
+    async def test_watched_row_names_upstreams_before_they_are_used(self):
+        await self.claim()
+        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
+        self.scheduler.list_upstreams([entry], self.parts.clock.monotonic())
+        upstream = self.scheduler.ledger.upstreams["u"]
+        self.assertFalse(upstream.recorded)
+        await self.committer.commit()
+        self.assertTrue(upstream.recorded)
+        stored = read_row(self.store.rows[WATCHED], WatchedRow)
+        self.assertEqual([each.name for each in stored.upstreams], ["u"])
+
+
+class IntakeTest(LeadingTest):
+    async def test_jobs_of_all_pages_and_parts_are_loaded_with_their_progress(self):
+        for number in range(5):
+            await self.submit(f"a{number}", "entry-1/0")
+        await self.submit("b", "entry-2/3")
+        record = JobRecord("b", "queue", "running", (StepRecord(0, 0, b"", {0: [7]}),))
+        await self.put(name_progress("b"), encode_message(record))
+        cancel = RowName(SUBMISSIONS, "entry-1/0", name_cancel("a0"))
+        await self.put(cancel, encode_message(CancelRow("a0")))
+        await self.claim()
+        self.assertTrue(await self.intake.load())
+        self.assertEqual(len(self.scheduler.jobs), 6)
+        self.assertIs(self.scheduler.jobs["a0"].state, JobState.CANCELLED)
+        self.assertEqual(self.scheduler.jobs["b"].steps[0, 0].count_failures(), 1)
+        self.assertTrue(self.scheduler.jobs["b"].inherited)
+
+    async def test_jobs_stored_after_the_claim_are_new(self):
+        await self.submit("old")
+        await self.claim()
+        await self.intake.load()
+        await self.submit("new", accepted=timedelta(seconds=51))
+        self.assertTrue(await self.intake.follow())
+        self.assertTrue(self.scheduler.jobs["old"].inherited)
+        self.assertFalse(self.scheduler.jobs["new"].inherited)
+
+    async def test_missing_part_is_loaded_later_with_its_records(self):
+        """Replays a takeover with a third of the parts away: done tasks ran again."""
+        await self.submit("j", "entry-1/0")
+        await self.submit("k", "entry-2/0")
+        record = JobRecord("j", "queue", "completed")
+        await self.put(name_progress("j"), encode_message(record))
+        await self.claim()
+        self.store.refuses = lambda part: part == "entry-1/0"
+        await self.intake.load()
+        self.assertFalse(self.scheduler.is_complete)
+        self.assertFalse(self.intake.knows_all())
+        self.assertNotIn("j", self.scheduler.jobs)
+        self.store.refuses = lambda _: False
+        await self.intake.load_missing_parts()
+        self.assertTrue(self.scheduler.is_complete)
+        self.assertIs(self.scheduler.jobs["j"].state, JobState.COMPLETED)
+
+    async def test_lost_history_is_made_up_by_reading_all(self):
+        await self.claim()
+        await self.intake.load()
+        await self.submit("j")
+        self.store.forgotten = self.store.version
+        self.assertTrue(await self.intake.follow())
+        self.assertIn("j", self.scheduler.jobs)
+
+    async def test_without_a_lease_no_new_job_is_taken(self):
+        await self.claim()
+        await self.intake.load()
+        self.parts.clock.advance(2 * LEADER_LEASE)
+        await self.submit("j")
+        self.assertFalse(await self.intake.follow())
+        self.assertNotIn("j", self.scheduler.jobs)
+
+    async def test_ends_are_acknowledged_only_once_all_their_jobs_are_stored(self):
+        await self.claim()
+        now = self.parts.clock.monotonic()
+        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
+        self.scheduler.list_upstreams([entry], now)
+        ends = []
+        for number in range(1, 4):
+            self.scheduler.accept_job(make_submission(f"j{number}"), now, WALL)
+            ends.append(RunEnd(number, TaskId(f"j{number}", 0, 0, 0), 1, "done"))
+        self.scheduler.observe(UpstreamReport("u", 1, 1, 0, tuple(ends), ()), now)
+        first = self.scheduler.take_changes(2)
+        self.assertEqual((len(first.records), first.ends), (2, {}))
+        second = self.scheduler.take_changes(2)
+        self.assertEqual((len(second.records), second.ends), (1, {"u": 3}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -22,6 +22,7 @@
     "almondspread_daemon",
     "almondspread_cli",
     "almondspread_standin",
+    "almondspread_adapter",
 )
 
 
