--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -204,7 +204,7 @@
         self.cell.submit(make_job("j", make_step(3)))
         self.cell.run_for(3 * SECOND)
         self.assert_completed("j")
-        self.assertEqual(self.cell.upstreams["u0"].ends, [])
+        self.assertEqual(self.cell.upstreams["u0"].started, [])
 
 
 class CancelTest(CellTest):
@@ -267,6 +267,27 @@
         self.cell.run_for(16 * SECOND)
         self.assert_completed("old")
 
+    def test_run_numbers_rise_over_all_leaders(self):
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step(2)))
+        self.cell.run_for(3 * SECOND)
+        self.cell.take_over()
+        self.cell.submit(make_job("k", make_step(2)))
+        self.cell.run_for(3 * SECOND)
+        started = self.cell.upstreams["u0"].started
+        self.assertEqual(len(started), 4)
+        self.assertGreater(min(started[2:]), max(started[:2]))
+
+    def test_room_of_a_stopped_run_is_free_only_once_it_has_ended(self):
+        self.add_upstreams(1, 1_000)
+        self.cell.submit(make_job("j", make_step(estimate=9 * SECOND)))
+        self.cell.upstreams["u0"].durations[TaskId("j", 0, 0, 0)] = 9 * SECOND
+        self.cell.run_for(timedelta(milliseconds=500))
+        self.cell.submit(make_job("k", make_step()))
+        self.cell.scheduler.cancel_job("j", self.cell.now)
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("k")
+
     def test_orders_of_a_superseded_leader_are_fenced(self):
         self.add_upstreams(1)
         self.cell.step()
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -21,6 +21,7 @@
 from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.resources.capacity import Capacity
 
+STOP_TIME = timedelta(milliseconds=450)
 GANG_TIMEOUT = timedelta(seconds=3)
 
 
@@ -41,6 +42,7 @@
     number: int
     started: timedelta
     duration: timedelta
+    stopped_at: timedelta | None = None
 
 
 @define(eq=False)
@@ -82,6 +84,7 @@
     failing: set[TaskId] = field(factory=set)
     epoch: int = 0
     lease_until: timedelta = timedelta(0)
+    started: list[int] = field(factory=list)
     runs: dict[TaskId, FakeRun] = field(factory=dict)
     ends: list[RunEnd] = field(factory=list)
     _last_end: int = 0
@@ -103,6 +106,7 @@
             return "late"
         self.lease_until = max(self.lease_until, until)
         self._highest[task] = number
+        self.started.append(number)
         self._check_start(task)
         duration = self.durations.get(task, timedelta(seconds=1))
         self.runs[task] = FakeRun(task, number, now, duration)
@@ -144,8 +148,8 @@
         self.epoch = epoch
         self._highest[task] = max(self._highest.get(task, 0), number)
         run = self.runs.get(task)
-        if run is not None and run.number <= number:
-            self._end(run, STOPPED)
+        if run is not None and run.number <= number and run.stopped_at is None:
+            run.stopped_at = now + STOP_TIME
         return ""
 
     def hold(
@@ -170,7 +174,9 @@
         for run in list(self.runs.values()):
             gang = self.history.find_gang(run.task, run.number)
             since = run.started if gang is None else gang.whole_since
-            if gang is not None and gang.broken:
+            if run.stopped_at is not None and run.stopped_at <= now:
+                self._end(run, STOPPED)
+            elif gang is not None and gang.broken:
                 self._end(run, BROKEN)
             elif since is not None and since + run.duration <= min(
                 now, self.lease_until
