--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -3,16 +3,13 @@
 
 from almondspread.jobs.messages import (
     FAILED,
-    AcknowledgeEnds,
     RunEnd,
-    RunSighting,
     StartRun,
     StopRun,
-    UpstreamReport,
 )
 from almondspread.jobs.progress import JobState
-from almondspread.jobs.submissions import Step, Submission, TaskId
-from almondspread.resources.capacity import Capacity
+from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.testing.fake_cell import (
     QUEUE,
     SERVICE,
@@ -20,35 +17,6 @@
     make_configuration,
 )
 
-SECOND = timedelta(seconds=1)
-CORE = Capacity(1_000, 1_000)
-
-
-def make_job(name, *steps):
-    return Submission(name, QUEUE, "payload", steps)
-
-
-def make_step(count=1, **fields):
-    return Step(
-        count, fields.pop("size", CORE), fields.pop("estimate", SECOND), **fields
-    )
-
-
-class CellTest(unittest.TestCase):
-    def setUp(self):
-        self.cell = FakeCell()
-
-    def add_upstreams(self, count, cpu_millis=4_000):
-        for number in range(count):
-            self.cell.add_upstream(f"u{number}", cpu_millis)
-
-    def tearDown(self):
-        self.assertEqual(self.cell.history.violations, [])
-
-    def assert_completed(self, *jobs):
-        for job in jobs:
-            self.assertEqual(self.cell.read_state(job), JobState.COMPLETED)
-
 
 class OrderTest(CellTest):
     def test_steps_run_one_after_another_to_the_end(self):
@@ -228,131 +196,6 @@
         self.assertEqual(self.cell.history.starts, 0)
 
 
-class TakeoverTest(CellTest):
-    def test_running_tasks_are_adopted_and_done_ones_stay_done(self):
-        self.add_upstreams(2)
-        self.cell.submit(make_job("j", make_step(6), make_step(2, after=(0,))))
-        self.cell.run_for(timedelta(milliseconds=700))
-        self.cell.take_over()
-        self.cell.run_for(5 * SECOND)
-        self.assert_completed("j")
-        self.assertEqual(self.cell.history.starts, 8)
-
-    def test_inherited_task_waits_for_an_upstream_that_may_run_it(self):
-        self.add_upstreams(2)
-        self.cell.submit(make_job("j", make_step(estimate=9 * SECOND)))
-        for upstream in self.cell.upstreams.values():
-            upstream.durations[TaskId("j", 0, 0, 0)] = 9 * SECOND
-        self.cell.run_for(timedelta(milliseconds=500))
-        (busy,) = [each for each in self.cell.upstreams.values() if each.runs]
-        self.cell.silent.add(busy.name)
-        self.cell.take_over()
-        self.cell.run_for(4 * SECOND)
-        self.assertEqual(self.cell.history.starts, 1)
-        self.cell.silent.clear()
-        self.cell.run_for(6 * SECOND)
-        self.assert_completed("j")
-        self.assertEqual(self.cell.history.starts, 1)
-
-    def test_job_of_the_new_epoch_does_not_wait_for_silent_upstreams(self):
-        self.add_upstreams(2)
-        self.cell.run_for(SECOND)
-        self.cell.submit(make_job("old", make_step()))
-        self.cell.silent.add("u0")
-        self.cell.take_over()
-        self.cell.submit(make_job("new", make_step()))
-        self.cell.run_for(2 * SECOND)
-        self.assert_completed("new")
-        self.assertEqual(self.cell.read_state("old"), JobState.QUEUED)
-        self.cell.run_for(16 * SECOND)
-        self.assert_completed("old")
-
-    def test_run_numbers_rise_over_all_leaders(self):
-        self.add_upstreams(1)
-        self.cell.submit(make_job("j", make_step(2)))
-        self.cell.run_for(3 * SECOND)
-        self.cell.take_over()
-        self.cell.submit(make_job("k", make_step(2)))
-        self.cell.run_for(3 * SECOND)
-        started = self.cell.upstreams["u0"].started
-        self.assertEqual(len(started), 4)
-        self.assertGreater(min(started[2:]), max(started[:2]))
-
-    def test_room_of_a_stopped_run_is_free_only_once_it_has_ended(self):
-        self.add_upstreams(1, 1_000)
-        self.cell.submit(make_job("j", make_step(estimate=9 * SECOND)))
-        self.cell.upstreams["u0"].durations[TaskId("j", 0, 0, 0)] = 9 * SECOND
-        self.cell.run_for(timedelta(milliseconds=500))
-        self.cell.submit(make_job("k", make_step()))
-        self.cell.scheduler.cancel_job("j", self.cell.now)
-        self.cell.run_for(3 * SECOND)
-        self.assert_completed("k")
-
-    def test_orders_of_a_superseded_leader_are_fenced(self):
-        self.add_upstreams(1)
-        self.cell.step()
-        self.cell.hold_back = lambda order: isinstance(order, StartRun)
-        self.cell.submit(make_job("j", make_step()))
-        self.cell.run_for(timedelta(milliseconds=300))
-        self.cell.hold_back = lambda _: False
-        self.cell.take_over()
-        self.cell.run_for(timedelta(milliseconds=300))
-        for epoch, order in self.cell.held:
-            self.cell.carry_out(epoch, order)
-        self.cell.run_for(2 * SECOND)
-        self.assert_completed("j")
-        self.assertEqual(self.cell.history.starts, 1)
-
-
-class StoredEndsTest(CellTest):
-    """Replays how acknowledged ends were lost with a third of the store away."""
-
-    def observe(self, ends=(), running=None, after=0, number=1):
-        report = UpstreamReport("u0", 1, number, after, ends, running)
-        self.cell.scheduler.observe(report, self.cell.now)
-
-    def list_acknowledged(self):
-        self.cell.commit()
-        orders = self.cell.scheduler.schedule(self.cell.now, None, 0)
-        return [each.number for each in orders if isinstance(each, AcknowledgeEnds)]
-
-    def test_end_of_a_job_that_is_not_loaded_is_not_acknowledged(self):
-        self.add_upstreams(1)
-        self.cell.list_upstreams()
-        scheduler = self.cell.scheduler
-        scheduler.is_complete = False
-        missing = RunEnd(1, TaskId("missing", 0, 0, 0), 5, "done")
-        self.observe((missing,), ())
-        self.observe((RunEnd(2, TaskId("other", 0, 0, 0), 6, "done"),), after=1)
-        scheduler.is_complete = True
-        self.cell.submit(make_job("missing", make_step()))
-        self.cell.submit(make_job("other", make_step()))
-        self.observe((RunEnd(3, TaskId("other", 0, 0, 0), 7, "done"),), after=2)
-        self.assertEqual(self.list_acknowledged(), [])
-        self.observe((missing,), (), after=0)
-        self.assertEqual(self.cell.read_state("missing"), JobState.COMPLETED)
-        self.assertEqual(self.list_acknowledged(), [1])
-
-    def test_upstream_with_runs_of_jobs_not_loaded_is_not_used(self):
-        self.add_upstreams(1)
-        self.cell.list_upstreams()
-        self.cell.scheduler.is_complete = False
-        self.observe((), (RunSighting(TaskId("missing", 0, 0, 0), 5),))
-        self.assertFalse(self.cell.scheduler.ledger.upstreams["u0"].known)
-
-    def test_ends_are_not_acknowledged_before_they_are_stored(self):
-        self.add_upstreams(1)
-        self.cell.submit(make_job("j", make_step()))
-        self.cell.run_for(timedelta(milliseconds=600))
-        self.cell.store_is_up = False
-        self.cell.run_for(2 * SECOND)
-        self.assert_completed("j")
-        self.assertEqual(len(self.cell.upstreams["u0"].ends), 1)
-        self.cell.store_is_up = True
-        self.cell.run_for(SECOND)
-        self.assertEqual(self.cell.upstreams["u0"].ends, [])
-
-
 class GangTest(CellTest):
     def test_gang_starts_whole_with_one_run_number(self):
         self.add_upstreams(2, 2_000)
--- a/packages/almondspread_cli/almondspread_cli/command.py
+++ b/packages/almondspread_cli/almondspread_cli/command.py
@@ -10,6 +10,7 @@
 from almondspread_cli.commands.completion import completion
 from almondspread_cli.commands.configuration import config
 from almondspread_cli.commands.explain import explain
+from almondspread_cli.commands.logs import logs
 from almondspread_cli.commands.quota import quota
 from almondspread_cli.commands.read import describe, get
 from almondspread_cli.commands.request import answer, request
@@ -34,6 +35,7 @@
     top,
     status,
     explain,
+    logs,
     request,
     answer,
     completion,
