--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -4,15 +4,18 @@
 from almondspread.jobs.messages import (
     FAILED,
     RunEnd,
+    RunSighting,
     StartRun,
     StopRun,
+    UpstreamReport,
 )
 from almondspread.jobs.progress import JobState
-from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.jobs.submissions import Repetition, Submission, TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.testing.fake_cell import (
     QUEUE,
     SERVICE,
+    WALL,
     FakeCell,
     make_configuration,
 )
@@ -48,6 +51,29 @@
             if upstream.name in ("u0", "u2"):
                 self.assertNotIn("k", jobs)
 
+    def test_task_goes_to_the_rack_of_its_data(self):
+        self.add_upstreams(4)
+        self.cell.submit(make_job("j", make_step(3, preferred_rack="r1")))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.upstreams["u0"].started, [])
+        self.assertEqual(self.cell.upstreams["u2"].started, [])
+
+    def test_occurrences_start_when_they_are_due_and_not_before(self):
+        self.add_upstreams(1)
+        first = WALL + self.cell.now + 2 * SECOND
+        repetition = Repetition(first, 2 * SECOND, 3)
+        self.cell.submit(Submission("j", QUEUE, "", (make_step(),), repetition))
+        counts = []
+        for _ in range(4):
+            self.cell.run_for(timedelta(milliseconds=1_900))
+            counts.append(self.cell.history.starts)
+        self.assertEqual(counts[0], 0)
+        self.assertEqual(counts, sorted(counts))
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 3)
+
     def test_urgent_queue_goes_first(self):
         urgent = make_configuration(priority=0).queues[QUEUE]
         self.cell.configuration.queues["slow"] = type(urgent)(
@@ -174,6 +200,23 @@
         self.assert_completed("j")
         self.assertEqual(self.cell.upstreams["u0"].started, [])
 
+    def test_next_start_carries_the_checkpoint_of_the_lost_run(self):
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step(checkpointing=True)))
+        self.cell.run_for(timedelta(milliseconds=300))
+        (run,) = self.cell.upstreams["u0"].runs.values()
+        sighting = RunSighting(run.task, run.number, "saved", 40)
+        report = UpstreamReport("u0", 1, 99, 0, (), (sighting,))
+        self.cell.scheduler.observe(report, self.cell.now)
+        starts = []
+        self.cell.hold_back = lambda order: bool(
+            isinstance(order, StartRun) and starts.append(order)
+        )
+        self.cell.upstreams.pop("u0").crash()
+        self.cell.add_upstream("u0-again")
+        self.cell.run_for(SECOND)
+        self.assertEqual([start.checkpoint for start in starts], ["saved"])
+
 
 class CancelTest(CellTest):
     def test_cancelled_job_is_stopped_and_stays_cancelled(self):
