--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -39,7 +39,6 @@
 from almondspread_daemon.jobs.writing import RowWriter
 
 STORE_RETRY_AFTER = timedelta(seconds=1)
-RETRY_PAUSE = timedelta(milliseconds=50)
 # A caller that hears early that the outcome is unknown can still try elsewhere.
 MAX_STORING_TIME = timedelta(milliseconds=2_600)
 # The caller should hear that the outcome is unknown before it gives up.
