Forget ended jobs after their retention; take no job on an old refusal

Boards forget by themselves. A leader without a lease took jobs on the strength of a refusal up to a second old, in which another could have claimed; now the refused commit must have been sent after the jobs were read, so that they are older than any claim.

--- a/packages/almondspread/almondspread/jobs/jobbook.py
+++ b/packages/almondspread/almondspread/jobs/jobbook.py
@@ -33,7 +33,8 @@
     """Takes jobs on, lines their steps up, and ends them.
 
     ``stop_runs`` stops what still runs of a job that has ended. While some jobs are
-    not loaded, ``is_complete`` is false.
+    not loaded, ``is_complete`` is false. Of ``forgotten`` jobs only the stored
+    progress is left.
     """
 
     configuration: Configuration
@@ -42,8 +43,9 @@
     jobs: dict[str, JobProgress] = field(factory=dict)
     open_steps: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
     changed: set[str] = field(factory=set)
+    forgotten: set[str] = field(factory=set)
     _services: dict[str, str] = field(factory=dict)
-    _cancelled_early: set[str] = field(factory=set)
+    _cancelled_early: dict[str, timedelta] = field(factory=dict)
     _repeating: set[str] = field(factory=set)
     _announced: dict[str, None] = field(factory=dict)
 
@@ -84,7 +86,7 @@
             self._repeating.add(submission.job)
         self.conclude(job, accepted)
         if submission.job in self._cancelled_early:
-            self._cancelled_early.discard(submission.job)
+            del self._cancelled_early[submission.job]
             self.cancel_job(submission.job, accepted)
 
     def cancel_job(self, name: str, now: timedelta) -> None:
@@ -92,7 +94,7 @@
         job = self.jobs.get(name)
         if job is None:
             # The submission was stored elsewhere and is not heard of yet.
-            self._cancelled_early.add(name)
+            self._cancelled_early.setdefault(name, now)
             return
         if job.ended is not None:
             return
@@ -153,6 +155,34 @@
             logger.info("job completed", job=job.submission.job)
             self._end_job(job, JobState.COMPLETED, now)
 
+    def list_expired(self, now: timedelta, retention: timedelta) -> list[str]:
+        """Return the jobs that ended ``retention`` ago and have no runs left.
+
+        The time of a job that an earlier leader ended counts from the first call.
+        Cancellations of jobs that have never been heard of expire as well.
+        """
+        expired = []
+        for name, cancelled_at in self._cancelled_early.items():
+            if now - cancelled_at >= retention:
+                expired.append(name)
+        for name, job in self.jobs.items():
+            if job.ended is None:
+                continue
+            if job.ended_at is None:
+                job.ended_at = now
+            if now - job.ended_at >= retention and not job.list_runs():
+                expired.append(name)
+        return expired
+
+    def forget_jobs(self, names: list[str]) -> None:
+        """Forget jobs whose submissions are no longer stored."""
+        for name in names:
+            self.jobs.pop(name, None)
+            self.changed.discard(name)
+            self._announced.pop(name, None)
+            self._cancelled_early.pop(name, None)
+        self.forgotten.update(names)
+
     def find_step(self, run: Run) -> StepProgress:
         """Return the step of a run."""
         task = run.task
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -6,7 +6,7 @@
 
 from datetime import datetime, timedelta
 
-from attrs import define
+from attrs import define, field
 
 from almondspread.jobs.backlog import estimate_wait
 from almondspread.jobs.configuration import Configuration
@@ -35,10 +35,14 @@
 
 @define(frozen=True)
 class Changes:
-    """What one commit stores, and the ends that may be acknowledged after it."""
+    """What one commit stores, and the ends that may be acknowledged after it.
+
+    The stored progress of ``forgotten`` jobs is dropped.
+    """
 
     records: list[JobRecord]
     ends: dict[str, int]
+    forgotten: list[str] = field(factory=list)
 
 
 @define(frozen=True)
@@ -126,6 +130,14 @@
         """
         self._watch.inherit_upstream(entry, lapse)
 
+    def list_expired_jobs(self, now: timedelta, retention: timedelta) -> list[str]:
+        """Return the jobs that ended ``retention`` ago and have no runs left."""
+        return self._book.list_expired(now, retention)
+
+    def forget_jobs(self, names: list[str]) -> None:
+        """Forget jobs whose submissions are no longer stored."""
+        self._book.forget_jobs(names)
+
     # What executors report
 
     def observe(self, report: ExecutorReport, now: timedelta) -> None:
@@ -222,11 +234,16 @@
         records = [self.jobs[name].make_record() for name in changed]
         if self._book.changed:
             return Changes(records, {})
-        return Changes(records, self._watch.list_new_ends())
+        forgotten = sorted(self._book.forgotten)[: limit - len(records)]
+        self._book.forgotten.difference_update(forgotten)
+        return Changes(records, self._watch.list_new_ends(), forgotten)
 
     def return_changes(self, changes: Changes) -> None:
         """Take back changes that were not stored."""
-        self._book.changed.update(record.job for record in changes.records)
+        for record in changes.records:
+            if record.job in self.jobs:
+                self._book.changed.add(record.job)
+        self._book.forgotten.update(changes.forgotten)
 
     def confirm_changes(self, changes: Changes) -> None:
         """Acknowledge the ends that are now stored."""
--- a/packages/almondspread/almondspread/testing/record_store.py
+++ b/packages/almondspread/almondspread/testing/record_store.py
@@ -52,6 +52,7 @@
             await asyncio.Event().wait()
         names = [condition.name for condition in transaction.conditions]
         names.extend(put.name for put in transaction.puts)
+        names.extend(transaction.removals)
         if any(self.refuses(name.part) for name in names):
             return Error(REFUSED)
         failed = False
@@ -70,6 +71,9 @@
             row = StoredRow(put.name, put.value, self.version)
             self.rows[put.name] = row
             self.changes.append(row)
+        for name in transaction.removals:
+            if self.rows.pop(name, None) is not None:
+                self.changes.append(StoredRow(name, None, self.version))
         if self.loses_answer():
             return Error(LOST)
         return Ok(Committed(self.version, self.store_time))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
@@ -1,5 +1,7 @@
 """The states of jobs as this instance last heard them from the leader."""
 
+from datetime import timedelta
+
 from attrs import define, field
 
 from almondspread.jobs.jobbook import Announcement
@@ -18,6 +20,7 @@
     waits: dict[str, float] = field(factory=dict)
     _states: dict[str, Announcement] = field(factory=dict)
     _queued: dict[str, set[str]] = field(factory=dict)
+    _ended_at: dict[str, timedelta] = field(factory=dict)
 
     def replace(self, states: tuple[Announcement, ...]) -> None:
         """Take the states of all jobs; ones that have ended stay as they are."""
@@ -57,3 +60,12 @@
     def count_queued(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun."""
         return len(self._queued.get(queue, ()))
+
+    def forget_ended(self, now: timedelta, retention: timedelta) -> None:
+        """Forget jobs that were first seen as ended ``retention`` ago."""
+        for job, state in list(self._states.items()):
+            if JobState(state.state) not in TERMINAL_STATES:
+                continue
+            if now - self._ended_at.setdefault(job, now) < retention:
+                continue
+            del self._states[job], self._ended_at[job]
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -55,6 +55,7 @@
         self._clock = clock
         self._lease_until = clock.monotonic() + LEADER_LEASE
         self._refused_at: timedelta | None = None
+        self._refused_send: timedelta | None = None
         self._watched: tuple[WatchedUpstream, ...] | None = None
 
     @property
@@ -62,14 +63,16 @@
         """Whether the store has confirmed the leadership recently enough."""
         return self._clock.monotonic() < self._lease_until
 
-    @property
-    def may_take_jobs(self) -> bool:
-        """Whether no other instance can have taken jobs that are stored now.
+    def may_take_jobs(self, stored_by: timedelta) -> bool:
+        """Whether no other instance can have taken jobs that were stored by a moment.
 
-        Without a lease this still holds where the store is there but refuses the part
-        of the leader's row, since nobody can claim the leadership then.
+        Without a lease this still holds where the store has refused the part of the
+        leader's row to a commit that was sent later: nobody can have claimed the
+        leadership before, and who claims it afterwards finds these jobs stored.
         """
-        return self.lease_holds or self._is_refused
+        if self.lease_holds:
+            return True
+        return self._refused_send is not None and self._refused_send > stored_by
 
     @property
     def is_grace_over(self) -> bool:
@@ -100,6 +103,7 @@
         outcome = await self._store.transact(transaction)
         if outcome.is_ok():
             self._refused_at = None
+            self._refused_send = None
             self._version = outcome.ok.version
             self._store_clock.observe(outcome.ok.store_time)
             self._lease_until = sent + LEADER_LEASE
@@ -114,6 +118,7 @@
             return False
         refused = outcome.error.refused
         self._refused_at = self._clock.monotonic() if refused else None
+        self._refused_send = sent if refused else None
         logger.warning("commit failed", reason=outcome.error.reason)
         return False
 
@@ -126,7 +131,10 @@
             puts.append(RowPut(WATCHED, encode_watched(watched)))
         for record in changes.records:
             puts.append(RowPut(name_progress(record.job), encode_message(record)))
-        return Transaction((RowCondition(LEADER, self._version),), tuple(puts))
+        removals = tuple(name_progress(job) for job in changes.forgotten)
+        return Transaction(
+            (RowCondition(LEADER, self._version),), tuple(puts), removals
+        )
 
     def _resolve_conflict(self, rows: tuple[StoredRow, ...]) -> None:
         """Tell a superseded epoch from an own write whose answer was lost."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -15,7 +15,6 @@
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
     AdviceClient,
-    HistoryGone,
     RowCondition,
     RowPut,
     Transaction,
@@ -23,6 +22,7 @@
 )
 from almondspread_daemon.jobs.board import JobBoard
 from almondspread_daemon.jobs.callers import JobDesk
+from almondspread_daemon.jobs.configurations import ConfigurationFeed
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.links import (
@@ -40,6 +40,7 @@
 )
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.retention import SWEEP_INTERVAL
 from almondspread_daemon.jobs.rows import CELL, CELL_PART, LEADER, read_leader
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
@@ -51,8 +52,6 @@
 LEADER_SILENCE = timedelta(milliseconds=1_200)
 BEAT_INTERVAL = timedelta(milliseconds=300)
 POLL_PAUSE = timedelta(milliseconds=100)
-STORE_PAUSE = timedelta(milliseconds=300)
-CONFIGURATION_WAIT = timedelta(seconds=20)
 # Instances that find the leader gone at the same time do not all claim at once.
 CLAIM_JITTER = timedelta(milliseconds=120)
 
@@ -89,6 +88,7 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
+        self._configurations = ConfigurationFeed(store, clock, self._configure)
         self._executor = Executor(upstreams, advice, clock, settings.lease, metrics)
         self._session: LeaderSession | None = None
         self._link: Link | None = None
@@ -115,10 +115,19 @@
         host, port = parse_address(self.settings.peer_address)
         self._listener.listen(port, host)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow_configuration())
+            group.create_task(self._configurations.run())
             group.create_task(self._take_part())
             group.create_task(self._store.probe())
             group.create_task(self._writer.run())
+            group.create_task(self._forget_ended_jobs())
+
+    async def _forget_ended_jobs(self) -> None:
+        """Keep the states of ended jobs no longer than callers may ask for them."""
+        while True:
+            await self._clock.sleep(SWEEP_INTERVAL)
+            self.board.forget_ended(
+                self._clock.monotonic(), self.settings.status_retention
+            )
 
     async def stop(self) -> None:
         """Hand over what this instance does for others."""
@@ -137,31 +146,6 @@
 
     # Configuration
 
-    async def _follow_configuration(self) -> None:
-        """Put each new configuration in force; an older one never comes back."""
-        while True:
-            read = await self._store.read_configuration()
-            if read.is_error():
-                logger.warning("configuration not read", reason=read.error.reason)
-                await self._clock.sleep(STORE_PAUSE)
-                continue
-            if read.ok is not None:
-                self._configure(read.ok)
-            await self._await_change()
-
-    async def _await_change(self) -> None:
-        """Wait until operators have published something new."""
-        while True:
-            changed = await self._store.wait_for_change(CONFIGURATION_WAIT)
-            if changed.is_ok():
-                if changed.ok:
-                    return
-                continue
-            if not isinstance(changed.error, HistoryGone):
-                logger.warning("configuration feed cut", reason=changed.error.reason)
-                await self._clock.sleep(STORE_PAUSE)
-            return
-
     def _configure(self, configuration: Configuration) -> None:
         """Put a configuration in force, unless it is not newer."""
         current = self.desk.configuration
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -7,10 +7,11 @@
 from almondspread.clock import Clock
 from almondspread.jobs.leases import measure_inherited_hold
 from almondspread.jobs.ports import HistoryGone, StoredRow
-from almondspread.jobs.progress import JobRecord
+from almondspread.jobs.progress import TERMINAL_STATES, JobRecord
 from almondspread.jobs.scheduler import Scheduler
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.loading import StoredCell
+from almondspread_daemon.jobs.retention import SubmissionRows
 from almondspread_daemon.jobs.rows import (
     CANCEL_PREFIX,
     SUBMISSIONS,
@@ -27,6 +28,8 @@
 FEED_WAIT = timedelta(seconds=1)
 FEED_MARGIN = timedelta(milliseconds=500)
 STORE_PAUSE = timedelta(milliseconds=200)
+CLAIM_PATIENCE = timedelta(milliseconds=700)
+CLAIM_POLL = timedelta(milliseconds=50)
 
 
 class JobIntake:
@@ -58,6 +61,7 @@
         self._store_clock = store_clock
         self._clock = clock
         self._records: dict[str, JobRecord] = {}
+        self.rows = SubmissionRows()
         self._missing_parts: list[str] = []
         self._heard = clock.monotonic()
 
@@ -87,6 +91,8 @@
             self._inherit_upstreams(cell)
         self._missing_parts = cell.missing_parts
         self._scheduler.is_complete = not cell.missing_parts
+        if self._scheduler.is_complete:
+            self._forget_orphans()
         self.is_loaded = True
         logger.info(
             "leadership taken",
@@ -119,6 +125,16 @@
             self._missing_parts = cell.missing_parts
         logger.info("cell complete", jobs=len(self._scheduler.jobs))
         self._scheduler.is_complete = True
+        self._forget_orphans()
+
+    def _forget_orphans(self) -> None:
+        """Have progress dropped whose job an earlier leader was about to forget."""
+        orphans = []
+        for job, record in self._records.items():
+            if job not in self._scheduler.jobs and record.state in TERMINAL_STATES:
+                orphans.append(job)
+        self._scheduler.forget_jobs(orphans)
+        self._records = {}
 
     async def follow(self) -> bool:
         """Take on what is stored next; return whether anything was."""
@@ -129,15 +145,26 @@
             logger.warning("feed interrupted", reason=changes.error.reason)
             await self._clock.sleep(STORE_PAUSE)
             return False
-        if not self._committer.may_take_jobs:
-            # The next leader may have placed the tasks of these jobs already.
-            await self._clock.sleep(STORE_PAUSE)
+        if not await self._may_take_jobs():
             return False
         self.take_rows(changes.ok.rows)
         self._heard = self._clock.monotonic()
         self._version = max(self._version, changes.ok.version)
         return bool(changes.ok.rows)
 
+    async def _may_take_jobs(self) -> bool:
+        """Tell whether jobs that have just been read may be taken.
+
+        Else the next leader may have placed their tasks already. A commit that shows
+        this leader's claim on them may still be under way.
+        """
+        answered = self._clock.monotonic()
+        while not self._committer.may_take_jobs(answered):
+            if self._clock.monotonic() - answered > CLAIM_PATIENCE:
+                return False
+            await self._clock.sleep(CLAIM_POLL)
+        return True
+
     async def _reload(self) -> bool:
         """Read all submissions where the store has forgotten what changed."""
         logger.warning("feed lost its history", version=self._version)
@@ -146,8 +173,7 @@
         if loaded.is_error() or cell.missing_parts:
             await self._clock.sleep(STORE_PAUSE)
             return False
-        if not self._committer.may_take_jobs:
-            await self._clock.sleep(STORE_PAUSE)
+        if not await self._may_take_jobs():
             return False
         self.take_rows(cell.submission_rows)
         self._heard = self._clock.monotonic()
@@ -159,6 +185,7 @@
         now, wall = self._clock.monotonic(), self._clock.now()
         cancelled = []
         for row in rows:
+            self.rows.note(row)
             if row.name.key.startswith(CANCEL_PREFIX):
                 cancel = read_row(row, CancelRow)
                 if cancel is not None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -32,6 +32,7 @@
 )
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.retention import Retention
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
@@ -81,6 +82,9 @@
             store_clock,
             clock,
         )
+        self._retention = Retention(
+            settings.status_retention, self._intake.rows, self._scheduler, store, clock
+        )
         self._assignments = Assignments(self._scheduler, settings, clock)
         self._dirty = asyncio.Event()
         self._commit_wanted = asyncio.Event()
@@ -107,6 +111,7 @@
                 group.create_task(self._decide()),
                 group.create_task(self._log_load()),
                 group.create_task(self._beat()),
+                group.create_task(self._retention.run()),
             ]
             await self._ended.wait()
             for work in works:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -132,6 +132,18 @@
     return CANCEL_PREFIX + job
 
 
+def find_job(name: RowName) -> str | None:
+    """Return the job that a row of the submissions is about, if any.
+
+    >>> find_job(RowName(SUBMISSIONS, "entry-1/0", "cancel/j"))
+    'j'
+    """
+    for prefix in (JOB_PREFIX, CANCEL_PREFIX):
+        if name.key.startswith(prefix):
+            return name.key.removeprefix(prefix)
+    return None
+
+
 def name_progress(job: str) -> RowName:
     """Return the row of a job's progress."""
     return RowName(PROGRESS, CELL_PART, job)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -107,15 +107,45 @@
         await self.claim()
         self.store.refuses = lambda part: part == LEADER.part
         self.parts.clock.advance(2 * LEADER_LEASE)
-        self.assertFalse(self.committer.may_take_jobs)
+        stored_by = self.parts.clock.monotonic()
+        self.assertFalse(self.committer.may_take_jobs(stored_by))
+        self.parts.clock.advance(timedelta(milliseconds=1))
         await self.committer.commit()
-        self.assertTrue(self.committer.may_take_jobs)
+        self.assertTrue(self.committer.may_take_jobs(stored_by))
         self.parts.clock.advance(LEADER_GRACE + LEADER_LEASE)
         await self.committer.commit()
         self.assertFalse(self.committer.is_grace_over)
         self.parts.clock.advance(2 * SECOND)
         self.assertTrue(self.committer.is_grace_over)
 
+    async def test_earlier_refusal_says_nothing_of_jobs_stored_after_it(self):
+        """Between the refusal and such a job another instance may have claimed."""
+        await self.claim()
+        self.store.refuses = lambda part: part == LEADER.part
+        self.parts.clock.advance(2 * LEADER_LEASE)
+        await self.committer.commit()
+        self.parts.clock.advance(timedelta(milliseconds=1))
+        self.assertFalse(self.committer.may_take_jobs(self.parts.clock.monotonic()))
+
+    async def test_jobs_are_taken_without_a_lease_after_a_later_refusal_only(self):
+        await self.claim()
+        await self.intake.load()
+        self.store.refuses = lambda part: part == LEADER.part
+        self.parts.clock.advance(2 * LEADER_LEASE)
+        await self.submit("j")
+        await self.committer.commit()
+        self.parts.clock.advance(timedelta(milliseconds=1))
+        self.assertFalse(await self.intake.follow())
+        self.assertNotIn("j", self.scheduler.jobs)
+
+        async def refuse_soon(duration):
+            self.parts.clock.advance(duration)
+            await self.committer.commit()
+
+        self.parts.clock.sleep = refuse_soon
+        self.assertTrue(await self.intake.follow())
+        self.assertIn("j", self.scheduler.jobs)
+
     async def test_watched_row_names_upstreams_before_they_are_used(self):
         await self.claim()
         entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_retention.py
@@ -0,0 +1,135 @@
+import unittest
+from datetime import timedelta
+
+from almondspread.codec import encode_message
+from almondspread.jobs.jobbook import Announcement
+from almondspread.jobs.ports import RowName
+from almondspread.jobs.progress import JobRecord
+from almondspread_daemon.jobs.board import JobBoard
+from almondspread_daemon.jobs.retention import RETENTION_MARGIN, Retention
+from almondspread_daemon.jobs.rows import (
+    SUBMISSIONS,
+    CancelRow,
+    name_cancel,
+    name_job,
+    name_progress,
+)
+from almondspread_daemon.jobs.tests.support import SECOND
+from almondspread_daemon.jobs.tests.test_leading import LeadingTest
+
+KEPT = 120 * SECOND
+
+
+class RetentionTest(LeadingTest):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.submit("j", "entry-1/0")
+        await self.submit("j", "entry-2/0")
+        await self.submit("k", "entry-1/0")
+        await self.claim()
+        await self.intake.load()
+        self.retention = Retention(
+            KEPT, self.intake.rows, self.scheduler, self.parts.access, self.parts.clock
+        )
+        self.scheduler.cancel_job("j", self.parts.clock.monotonic())
+        await self.committer.commit()
+
+    def list_jobs(self):
+        names = [name.key for name in self.store.rows if name.table == SUBMISSIONS]
+        return sorted(names)
+
+    async def test_ended_job_is_forgotten_with_all_its_rows(self):
+        await self.retention.sweep()
+        self.parts.clock.advance(KEPT)
+        await self.retention.sweep()
+        self.assertIn("j", self.scheduler.jobs)
+        self.parts.clock.advance(RETENTION_MARGIN)
+        await self.retention.sweep()
+        self.assertNotIn("j", self.scheduler.jobs)
+        self.assertEqual(self.list_jobs(), [name_job("k")])
+        self.assertIn(name_progress("j"), self.store.rows)
+        await self.committer.commit()
+        self.assertNotIn(name_progress("j"), self.store.rows)
+        self.assertIn("k", self.scheduler.jobs)
+
+    async def test_progress_stays_while_a_submission_may_still_be_stored(self):
+        """Without its progress the next leader would run the job again."""
+        self.parts.clock.advance(KEPT + RETENTION_MARGIN)
+        self.store.refuses = lambda part: part == "entry-2/0"
+        await self.retention.sweep()
+        await self.committer.commit()
+        self.assertIn("j", self.scheduler.jobs)
+        self.assertIn(name_progress("j"), self.store.rows)
+        self.store.refuses = lambda _: False
+        await self.retention.sweep()
+        await self.committer.commit()
+        self.assertNotIn(name_progress("j"), self.store.rows)
+
+    async def test_lost_answer_is_made_up_by_the_next_sweep(self):
+        self.parts.clock.advance(KEPT + RETENTION_MARGIN)
+        self.store.loses_answer = lambda: True
+        await self.retention.sweep()
+        self.assertIn("j", self.scheduler.jobs)
+        self.store.loses_answer = lambda: False
+        await self.retention.sweep()
+        self.assertNotIn("j", self.scheduler.jobs)
+
+    async def test_lost_commit_drops_the_progress_later(self):
+        self.parts.clock.advance(KEPT + RETENTION_MARGIN)
+        await self.retention.sweep()
+        self.store.refuses = lambda part: part == name_progress("j").part
+        self.assertFalse(await self.committer.commit())
+        self.store.refuses = lambda _: False
+        self.assertTrue(await self.committer.commit())
+        self.assertNotIn(name_progress("j"), self.store.rows)
+
+    async def test_next_leader_drops_progress_that_is_left_over(self):
+        self.parts.clock.advance(KEPT + RETENTION_MARGIN)
+        await self.retention.sweep()
+        await self.put(
+            name_progress("other"), encode_message(JobRecord("other", "q", "running"))
+        )
+        await self.claim(2, "two")
+        await self.intake.load()
+        await self.committer.commit()
+        self.assertNotIn(name_progress("j"), self.store.rows)
+        self.assertIn(name_progress("other"), self.store.rows)
+
+    async def test_next_leader_counts_the_retention_anew(self):
+        await self.claim(2, "two")
+        await self.intake.load()
+        retention = Retention(
+            KEPT, self.intake.rows, self.scheduler, self.parts.access, self.parts.clock
+        )
+        await retention.sweep()
+        self.parts.clock.advance(KEPT)
+        await retention.sweep()
+        self.assertIn("j", self.scheduler.jobs)
+        self.parts.clock.advance(RETENTION_MARGIN)
+        await retention.sweep()
+        self.assertNotIn("j", self.scheduler.jobs)
+
+    async def test_cancellation_of_an_unheard_job_is_forgotten(self):
+        name = RowName(SUBMISSIONS, "entry-1/0", name_cancel("unheard"))
+        await self.put(name, encode_message(CancelRow("unheard")))
+        await self.intake.follow()
+        self.parts.clock.advance(KEPT + RETENTION_MARGIN + SECOND)
+        await self.retention.sweep()
+        self.assertNotIn(name, self.store.rows)
+
+
+class BoardTest(unittest.TestCase):
+    def test_ended_jobs_are_forgotten_after_the_retention(self):
+        board = JobBoard()
+        board.add("open", "q")
+        board.update((Announcement("ended", "q", "completed"),))
+        board.forget_ended(timedelta(0), KEPT)
+        board.forget_ended(KEPT - SECOND, KEPT)
+        self.assertIsNotNone(board.read("ended"))
+        board.forget_ended(KEPT, KEPT)
+        self.assertIsNone(board.read("ended"))
+        self.assertIsNotNone(board.read("open"))
+
+
+if __name__ == "__main__":
+    unittest.main()
