Count the runs of ended jobs at a takeover; move runs off upstreams that leave

Now a run that is found running opens its step, also of an ended job or of an occurrence that only the predecessor's clock called due; where the job is unknown the upstream gets nothing until the run is gone.

Found while reading for it, each with a test that failed first: - a start that went down with its executor kept its task and room for good (now unsettled after 1.5 s, looked for, then stopped); - an upstream that had been silent got runs before the store's note of when its leases lapse was withdrawn, on which a successor counts; - an answer overtaken by a later one showed ended runs as running; a closed agent told report numbers that its successor does not count in; commits of one leader raced each other.

--- a/packages/almondspread/almondspread/jobs/evacuation.py
+++ b/packages/almondspread/almondspread/jobs/evacuation.py
@@ -1,53 +1,114 @@
 """Runs to move off upstreams that are about to leave."""
 
+from datetime import timedelta
+
+from attrs import define, field
 from loguru import logger
 
 from almondspread.jobs.ledger import RunLedger
 from almondspread.jobs.progress import JobProgress, Run, RunPhase, StepProgress
+from almondspread.jobs.stragglers import estimate_time_left
+from almondspread.jobs.upstreams import Upstream
+
+# A run that would end this soon after the upstream may leave is left to try.
+LATENESS_ALLOWED = timedelta(milliseconds=800)
 
 
-def choose_evacuations(jobs: dict[str, JobProgress], ledger: RunLedger) -> list[Run]:
+def choose_evacuations(
+    jobs: dict[str, JobProgress], ledger: RunLedger, now: timedelta
+) -> list[Run]:
     """Return the runs on draining upstreams that should be stopped and moved now.
 
-    Lasting tasks move while their step may miss one more task. Tasks that save their
-    progress move where they would not be done before the upstream leaves. All others
-    run on, since they may yet end in time.
+    Lasting tasks move while their step may miss one more task. Others move where they
+    would not be done before the upstream leaves and there is room for them elsewhere.
     """
+    room = _Room(ledger, now)
     chosen = []
     away: dict[tuple[str, int, int], int] = {}
     for upstream in ledger.upstreams.values():
         if not upstream.entry.draining or upstream.lapse_at is not None:
             continue
         for run in ledger.list_runs(upstream.name):
+            progress = jobs[run.task.job].steps[run.task.occurrence, run.task.step]
+            if run.phase is RunPhase.STOPPING and progress.job.ended is None:
+                # It is on its way to another upstream already.
+                room.take(progress, upstream)
             if run.phase is not RunPhase.RUNNING:
                 continue
-            job = jobs[run.task.job]
-            progress = job.steps[run.task.occurrence, run.task.step]
-            if not _should_move(progress, run, away):
+            if progress.step.lasting:
+                if not _may_miss(progress, run, away):
+                    continue
+                away[progress.key] = away.get(progress.key, 0) + 1
+            elif _ends_in_time(progress, run, upstream, now):
+                continue
+            elif not room.take(progress, upstream):
                 continue
-            away[progress.key] = away.get(progress.key, 0) + 1
-            logger.info(
-                "run moved",
-                job=run.task.job,
-                task=str(run.task),
-                run=run.number,
-                upstream=run.upstream,
-                reason="upstream draining",
-            )
+            _log_move(run)
             chosen.append(run)
     return chosen
 
 
-def _should_move(
+def _log_move(run: Run) -> None:
+    """Log that a run is stopped to be started elsewhere."""
+    logger.info(
+        "run moved",
+        job=run.task.job,
+        task=str(run.task),
+        run=run.number,
+        upstream=run.upstream,
+        percent=run.percent,
+        reason="upstream draining",
+    )
+
+
+def _may_miss(
     progress: StepProgress, run: Run, away: dict[tuple[str, int, int], int]
 ) -> bool:
-    """Tell whether stopping a run now serves its job better than waiting."""
+    """Tell whether one more lasting task of a step may be away."""
+    if progress.step.gang:
+        return False
+    limit = progress.step.unavailable_limit
+    if not limit or not run.at_work:
+        return True
+    return progress.count_away() + away.get(progress.key, 0) < limit
+
+
+def _ends_in_time(
+    progress: StepProgress, run: Run, upstream: Upstream, now: timedelta
+) -> bool:
+    """Tell whether a run may be done before its upstream leaves.
+
+    Members of a gang would all have to move, and copies have another run.
+    """
     step = progress.step
-    if step.gang:
+    if step.gang or step.opportunistic or len(progress.runs[run.task.index]) > 1:
+        return True
+    left = estimate_time_left(step, run, now)
+    return left <= upstream.find_time_left(now) + LATENESS_ALLOWED
+
+
+@define(eq=False)
+class _Room:
+    """The room on upstreams that stay, less what is being moved there."""
+
+    ledger: RunLedger
+    now: timedelta
+    _taken: dict[str, int] = field(factory=dict)
+
+    def take(self, progress: StepProgress, leaving: Upstream) -> bool:
+        """Set room for one task aside; false where there is none."""
+        step = progress.step
+        for upstream in self.ledger.upstreams.values():
+            if upstream.entry.service != leaving.entry.service:
+                continue
+            label = step.required_label
+            if not upstream.is_usable(self.now) or (
+                label and label not in upstream.entry.labels
+            ):
+                continue
+            taken = self._taken.get(upstream.name, 0)
+            free = upstream.free.cpu_millis - taken
+            if step.claim.fits_in(upstream.free) and step.claim.cpu_millis <= free:
+                self._taken[upstream.name] = taken + step.claim.cpu_millis
+                return True
         return False
-    if step.lasting:
-        limit = step.unavailable_limit
-        if not limit or not run.at_work:
-            return True
-        return progress.count_away() + away.get(progress.key, 0) < limit
-    return False
--- a/packages/almondspread/almondspread/jobs/jobbook.py
+++ b/packages/almondspread/almondspread/jobs/jobbook.py
@@ -14,7 +14,7 @@
     Run,
     StepProgress,
 )
-from almondspread.jobs.submissions import Submission
+from almondspread.jobs.submissions import Submission, TaskId
 
 StopRuns = Callable[[list[Run], timedelta], None]
 
@@ -188,6 +188,18 @@
         task = run.task
         return self.jobs[task.job].steps[task.occurrence, task.step]
 
+    def find_started_step(self, task: TaskId) -> StepProgress | None:
+        """Return the step of a task that runs somewhere, ``None`` if unknown."""
+        job = self.jobs.get(task.job)
+        if job is None:
+            return None
+        for opened in job.open_through(task.occurrence):
+            self.line_up(opened)
+        progress = job.steps.get((task.occurrence, task.step))
+        if progress is None or task.index >= progress.step.count:
+            return None
+        return progress
+
     def begin(self, job: JobProgress) -> None:
         """Note that a task of a job has started."""
         if job.begun:
--- a/packages/almondspread/almondspread/jobs/ledger.py
+++ b/packages/almondspread/almondspread/jobs/ledger.py
@@ -93,7 +93,7 @@
         for entry in entries:
             known = self.upstreams.get(entry.name)
             if known is not None:
-                known.update(entry)
+                known.update(entry, now)
                 continue
             self.upstreams[entry.name] = Upstream(entry)
             added.append(entry.name)
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -242,9 +242,27 @@
             repetition = submission.repetition
             if repetition is not None and repetition.due(occurrence) > wall:
                 break
-            self.next_occurrence += 1
-            for number, step in enumerate(submission.steps):
-                opened.append(self._open_step(occurrence, number, step))
+            opened.extend(self._open_occurrence())
+        return opened
+
+    def open_through(self, occurrence: int) -> list[StepProgress]:
+        """Add the steps of all occurrences up to one that has been started elsewhere.
+
+        Another leader's clock may be ahead, and of a job that has ended none are open.
+        """
+        opened = []
+        last = min(occurrence, self.submission.occurrences - 1)
+        while self.next_occurrence <= last:
+            opened.extend(self._open_occurrence())
+        return opened
+
+    def _open_occurrence(self) -> list[StepProgress]:
+        """Add the steps of the next occurrence."""
+        occurrence = self.next_occurrence
+        self.next_occurrence += 1
+        opened = []
+        for number, step in enumerate(self.submission.steps):
+            opened.append(self._open_step(occurrence, number, step))
         return opened
 
     def _open_step(self, occurrence: int, number: int, step: Step) -> StepProgress:
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -25,6 +25,8 @@
 
 # An unanswered start is looked for in a report before it is stopped.
 SIGHTING_PATIENCE = timedelta(milliseconds=250)
+# An executor that answers at all has done so by then; its own timeout is shorter.
+START_PATIENCE = timedelta(milliseconds=1_500)
 STOP_RETRY = timedelta(milliseconds=600)
 REFUSED_PAUSE = timedelta(milliseconds=100)
 
@@ -74,11 +76,15 @@
         )
         if settled.outcome == UNKNOWN:
             if run.phase is RunPhase.STARTING:
-                run.phase = RunPhase.UNSETTLED
-                run.changed = now
+                self._unsettle(run, now)
             return
         self._refuse_start(run, settled.reason, now)
 
+    def _unsettle(self, run: Run, now: timedelta) -> None:
+        """Note that a run may or may not have started."""
+        run.phase = RunPhase.UNSETTLED
+        run.changed = now
+
     def _refuse_start(self, run: Run, reason: str, now: timedelta) -> None:
         """Put the task of a refused start back in line."""
         progress = self.book.find_step(run)
@@ -188,6 +194,9 @@
         """Act on starts and stops that have waited too long for an answer."""
         for run in list(self.ledger.runs.values()):
             waited = now - run.changed
+            if run.phase is RunPhase.STARTING and waited > START_PATIENCE:
+                # The executor that was to start it is gone.
+                self._unsettle(run, now)
             if run.phase is RunPhase.UNSETTLED and waited > SIGHTING_PATIENCE:
                 self.stop(run, now)
                 self.break_gang(self.book.find_step(run), run, now)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -175,7 +175,7 @@
         self._planner.place(now, ask_slots, blocked)
         for run in choose_stragglers(self.jobs, self.ledger, now):
             self._control.replace(run, now)
-        moved = choose_evacuations(self.jobs, self.ledger)
+        moved = choose_evacuations(self.jobs, self.ledger, now)
         self._control.stop_runs(moved, now)
         orders, self._control.orders = self._control.orders, []
         return orders
@@ -220,9 +220,13 @@
         return self._watch.list_watched()
 
     def record_upstreams(self, names: frozenset[str]) -> None:
-        """Let those upstreams run tasks that the store names as watched."""
+        """Let those upstreams run tasks that the store names as open to runs."""
         self._watch.record_upstreams(names)
 
+    def has_unrecorded(self) -> bool:
+        """Tell whether an upstream could run tasks if the store named it."""
+        return self._watch.has_unrecorded()
+
     def take_changes(self, limit: int) -> Changes:
         """Return what has changed since the last call, to be stored.
 
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -4,6 +4,7 @@
 
 from almondspread.jobs.ledger import RunLedger
 from almondspread.jobs.progress import JobProgress, Run, RunPhase, StepProgress
+from almondspread.jobs.submissions import Step
 
 # Progress is reported about once a second, and starts at nothing.
 MIN_RUN_TIME = timedelta(seconds=2)
@@ -15,6 +16,7 @@
 SIGHTING_AGE = timedelta(milliseconds=1_200)
 LASTING_PATIENCE = timedelta(seconds=6)
 MAX_STRAGGLERS_AT_ONCE = 4
+MIN_TELLING_PERCENT = 15
 
 
 def choose_stragglers(
@@ -65,5 +67,22 @@
     afresh = step.estimate * ESTIMATE_FACTOR + RESTART_COST
     if elapsed < afresh:
         return False
-    left = elapsed * (100 - run.percent) / max(run.percent, 1)
-    return left > afresh * GAIN_FACTOR
+    return _extrapolate(run, elapsed) > afresh * GAIN_FACTOR
+
+
+def _extrapolate(run: Run, elapsed: timedelta) -> timedelta:
+    """Return how long a run goes on if it keeps its speed."""
+    return elapsed * (100 - run.percent) / max(run.percent, 1)
+
+
+def estimate_time_left(step: Step, run: Run, now: timedelta) -> timedelta:
+    """Return how long a run will probably go on.
+
+    Early in a run the estimate of its step tells more than its progress.
+    """
+    elapsed = now - run.started
+    if run.percent < MIN_TELLING_PERCENT:
+        return max(step.estimate - elapsed, timedelta(0))
+    # Work went on since the progress was reported.
+    reported = run.seen - run.started
+    return max(_extrapolate(run, reported) - (now - run.seen), timedelta(0))
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -1,6 +1,8 @@
 import unittest
 from datetime import timedelta
 
+import attrs
+
 from almondspread.jobs.messages import (
     AcknowledgeEnds,
     RunEnd,
@@ -9,8 +11,9 @@
     UpstreamReport,
 )
 from almondspread.jobs.progress import JobState
-from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.submissions import Repetition, Submission, TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+from almondspread.testing.fake_cell import QUEUE, WALL
 
 
 class TakeoverTest(CellTest):
@@ -138,5 +141,99 @@
         self.assertEqual(self.cell.upstreams["u0"].ends, [])
 
 
+class LostExecutorTest(CellTest):
+    def test_start_that_went_down_with_its_executor_is_made_up(self):
+        """A start that nobody answered kept its task and its room for good."""
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND / 2)
+        lost = []
+
+        def drop_first(order):
+            if isinstance(order, StartRun) and not lost:
+                lost.append(order)
+                return True
+            return False
+
+        self.cell.drop_order = drop_first
+        self.cell.submit(make_job("j", make_step(2)))
+        self.cell.run_for(5 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(len(lost), 1)
+        self.assertEqual(self.cell.history.starts, 2)
+
+    def test_upstream_that_was_silent_gets_runs_once_that_is_stored(self):
+        """A successor counts on the stored time at which its leases run out."""
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND / 2)
+        self.cell.silent.add("u0")
+        self.cell.run_for(SECOND / 2)
+        self.cell.silent.clear()
+        self.cell.store_is_up = False
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(SECOND / 2)
+        self.assertEqual(self.cell.history.starts, 0)
+        self.cell.store_is_up = True
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
+
+class LeftoverTest(CellTest):
+    """Replays arci-sched's trouble-2, where new runs met those of ended jobs."""
+
+    def take_over_while(self, job, end):
+        """Fill an upstream with a job, end that, and change the leader at once."""
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND / 2)
+        self.cell.submit(job)
+        self.cell.run_for(SECOND / 2)
+        self.assertEqual(len(self.cell.upstreams["u0"].runs), 4)
+        end()
+        self.cell.step(timedelta(milliseconds=20))
+        self.cell.commit()
+        self.cell.take_over()
+        self.cell.submit(make_job("k", make_step(4)))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("k")
+
+    def test_runs_of_a_cancelled_job_take_room_until_they_have_stopped(self):
+        self.take_over_while(
+            make_job("j", make_step(4, lasting=True)),
+            lambda: self.cell.scheduler.cancel_job("j", self.cell.now),
+        )
+        self.assertEqual(self.cell.read_state("j"), JobState.CANCELLED)
+
+    def test_upstream_with_runs_of_an_unknown_job_gets_none_until_they_have_stopped(
+        self,
+    ):
+        job = make_job("j", make_step(4, lasting=True))
+        submissions = self.cell.history.submissions
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND / 2)
+        self.cell.submit(job)
+        self.cell.run_for(SECOND / 2)
+        del submissions["j"]
+        self.cell.take_over()
+        submissions["j"] = job
+        self.cell.submit(make_job("k", make_step(4)))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("k")
+
+    def test_occurrence_that_only_the_earlier_clock_called_due_is_adopted(self):
+        self.add_upstreams(1)
+        first = WALL + self.cell.now + SECOND
+        repetition = Repetition(first, 60 * SECOND, 2)
+        job = Submission("j", QUEUE, "", (make_step(4),), repetition)
+        self.cell.submit(job)
+        self.cell.run_for(SECOND + timedelta(milliseconds=300))
+        self.assertEqual(len(self.cell.upstreams["u0"].runs), 4)
+        behind = attrs.evolve(job, repetition=Repetition(first + SECOND, SECOND, 2))
+        self.cell.history.submissions["j"] = behind
+        self.cell.take_over()
+        self.cell.submit(make_job("k", make_step(4)))
+        self.cell.run_for(SECOND * 5)
+        self.assert_completed("k")
+        self.assertEqual(self.cell.history.starts, 12)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -24,15 +24,18 @@
     """One incarnation of an upstream.
 
     ``known`` is set once it has reported under this leader's epoch, ``recorded`` once
-    the store names it as one that may run tasks. ``lapse_at`` is when its leases have
-    surely run out, while it does not answer; until ``abandoned_until`` an executor
-    that is not heard may renew them. No run may be bound to it that does not fit
-    beside everything that may still run there.
+    the store names it as one that may run tasks. While it ``has_strangers``, it runs
+    something of which neither the job nor the size is known. ``lapse_at`` is when its
+    leases have surely run out, while it does not answer; until ``abandoned_until`` an
+    executor that is not heard may renew them. No run may be bound to it that does not
+    fit beside everything that may still run there.
     """
 
     entry: UpstreamEntry
+    updated: timedelta = timedelta(0)
     known: bool = False
     recorded: bool = False
+    has_strangers: bool = False
     listed: bool = True
     unlisted_at: timedelta | None = None
     lapse_at: timedelta | None = None
@@ -58,17 +61,24 @@
         """The label of its rack, the last of its labels."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
-    def update(self, entry: UpstreamEntry) -> None:
+    def update(self, entry: UpstreamEntry, now: timedelta) -> None:
         """Take its newest entry."""
+        if entry != self.entry:
+            self.updated = now
         if entry.capacity != self.entry.capacity:
             used = self.entry.capacity.minus(self.free)
             self.free = entry.capacity.minus(used)
         self.entry = entry
         self.listed = True
 
+    def find_time_left(self, now: timedelta) -> timedelta:
+        """Return how long it surely stays while it drains, as it said last."""
+        remaining = self.entry.remaining or timedelta(0)
+        return remaining - (now - self.updated)
+
     def is_usable(self, now: timedelta) -> bool:
         """Tell whether new runs may be bound to it."""
-        if not (self.known and self.recorded):
+        if not (self.known and self.recorded) or self.has_strangers:
             return False
         if not self.listed and not self._was_listed_lately(now):
             return False
--- a/packages/almondspread/almondspread/jobs/watching.py
+++ b/packages/almondspread/almondspread/jobs/watching.py
@@ -96,6 +96,8 @@
     def observe_silence(self, silence: UpstreamSilent, now: timedelta) -> None:
         """Note that an upstream does not answer, and when its leases have run out."""
         upstream = self.ledger.upstreams.get(silence.upstream)
+        if silence.epoch != self.ledger.epoch:
+            return
         if silence.replaced:
             self._lose_upstream(silence.upstream, now, "replaced")
             if upstream is not None:
@@ -133,6 +135,8 @@
         if upstream.lapse_at is not None:
             logger.info("upstream answers again", upstream=upstream.name)
             upstream.lapse_at = None
+            # The store may still tell the next leader when its leases ran out.
+            upstream.recorded = False
         for end in report.ends:
             if end.number <= upstream.ends_seen:
                 continue
@@ -140,6 +144,7 @@
             self.control.note_end(end, upstream.name, now)
         if report.running is None:
             return
+        upstream.has_strangers = False
         for sighting in report.running:
             self._note_sighting(sighting, upstream, now)
         self._drop_absent(upstream, report, now)
@@ -182,9 +187,9 @@
     ) -> Run | None:
         """Take over a run of an earlier leader, or stop one that must not run."""
         task = sighting.task
-        job = self.control.book.jobs.get(task.job)
-        progress = job.steps.get((task.occurrence, task.step)) if job else None
-        if progress is None or task.index >= progress.step.count:
+        progress = self.control.book.find_started_step(task)
+        if progress is None:
+            upstream.has_strangers = True
             logger.warning(
                 "unknown run stopped", task=str(task), upstream=upstream.name
             )
@@ -213,10 +218,18 @@
                 )
 
     def record_upstreams(self, names: frozenset[str]) -> None:
-        """Let those upstreams run tasks that the store names as watched."""
+        """Let those upstreams run tasks that the store names as open to runs."""
         for name, upstream in self.ledger.upstreams.items():
             upstream.recorded = name in names
 
+    def has_unrecorded(self) -> bool:
+        """Tell whether an upstream could run tasks if the store named it."""
+        for upstream in self.ledger.upstreams.values():
+            if upstream.known and upstream.listed and not upstream.recorded:
+                if upstream.lapse_at is None and not upstream.entry.draining:
+                    return True
+        return False
+
     def forget_stop_answers(self, name: str) -> None:
         """Stop anew what was being stopped, since another executor takes over."""
         for run in self.ledger.list_runs(name):
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -35,6 +35,7 @@
 LEASE = timedelta(seconds=6)
 START_EXPIRY = timedelta(seconds=2)
 MAX_RECORDS = 90
+DRAIN_TIME = timedelta(seconds=2)
 Order = UpstreamOrder | AskPermits
 
 
@@ -69,6 +70,7 @@
         upstream.capacity,
         ("a", f"r{number % 2}"),
         draining,
+        DRAIN_TIME if draining else None,
     )
 
 
@@ -78,7 +80,8 @@
 
     ``silent`` names upstreams that answer nothing. ``lose_answer`` tells for an order
     whether it is carried out without an answer, ``hold_back`` whether it is kept in
-    ``held`` and carried out later.
+    ``held`` and carried out later, ``drop_order`` whether it is gone for good with its
+    executor.
     """
 
     history: History = field(factory=History)
@@ -92,6 +95,7 @@
     held: list[tuple[int, Order]] = field(factory=list)
     lose_answer: Callable[[Order], bool] = lambda _: False
     hold_back: Callable[[Order], bool] = lambda _: False
+    drop_order: Callable[[Order], bool] = lambda _: False
     store_is_up: bool = True
     _acknowledged: dict[str, int] = field(factory=dict)
     _forwarded: dict[str, int] = field(factory=dict)
@@ -154,6 +158,8 @@
             self.look(name)
         self.commit()
         for order in self.scheduler.schedule(self.now, WALL + self.now, 16):
+            if self.drop_order(order):
+                continue
             if self.hold_back(order):
                 self.held.append((self.scheduler.epoch, order))
                 if isinstance(order, StartRun):
@@ -175,7 +181,8 @@
             return
         for record in changes.records:
             self.records[record.job] = record
-        names = frozenset(each.name for each in self.scheduler.list_watched())
+        watched = self.scheduler.list_watched()
+        names = frozenset(each.name for each in watched if each.lapse_at is None)
         self.scheduler.record_upstreams(names)
         self.scheduler.confirm_changes(changes)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -76,12 +76,14 @@
         self._lapse = clock.monotonic() + lease * SLOW_CLOCK + LAPSE_MARGIN
         self._answered = clock.monotonic()
         self._asked = 0
+        self._is_closed = False
         self._full_report_at: timedelta | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._hold_task = asyncio.create_task(self._run())
 
     def close(self) -> None:
         """Stop holding the leases; what runs there lapses, unless another holds it."""
+        self._is_closed = True
         self._hold_task.cancel()
 
     def report_all(self) -> None:
@@ -180,12 +182,14 @@
         """Report what an upstream has answered."""
         now = self._clock.monotonic()
         self._answered = now
-        self._clock_reading = (answer.clock, now)
+        overtaken = self._is_overtaken(answer)
+        if not overtaken:
+            self._clock_reading = (answer.clock, now)
         after = self._forwarded
         ends = tuple(end for end in answer.ends if end.number > after)
         for end in ends:
             self._forwarded = max(self._forwarded, end.number)
-        full = (
+        full = not overtaken and (
             self._full_report_at is None
             or now - self._full_report_at >= FULL_REPORT_INTERVAL
         )
@@ -200,6 +204,10 @@
             )
         )
 
+    def _is_overtaken(self, answer: HoldAnswer) -> bool:
+        """Tell whether a later answer has come first, so that this shows the past."""
+        return self._clock_reading is not None and answer.clock < self._clock_reading[0]
+
     def _take_failure(self, failure: CallFailed) -> bool:
         """Report a hold without an answer; false where there is nothing to hold."""
         upstream, epoch = self.watch.upstream, self.watch.epoch
@@ -264,6 +272,9 @@
         if answer.is_error() and answer.error.fenced:
             self._report(EpochFenced(self.watch.upstream, self.watch.epoch))
             return
+        if self._is_closed:
+            # Another agent numbers the questions now, and is told to stop the run too.
+            return
         self._report(
             StopSettled(
                 self.watch.upstream,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -1,5 +1,6 @@
 """Stores what the leader decides; each commit also renews its lease."""
 
+import asyncio
 import math
 from datetime import timedelta
 
@@ -57,6 +58,7 @@
         self._refused_at: timedelta | None = None
         self._refused_send: timedelta | None = None
         self._watched: tuple[WatchedUpstream, ...] | None = None
+        self._turn = asyncio.Lock()
 
     @property
     def lease_holds(self) -> bool:
@@ -89,7 +91,15 @@
         return self._clock.monotonic() - self._refused_at < REFUSAL_AGE
 
     async def commit(self, *, released: bool = False) -> bool:
-        """Store what has changed; false where the store did not take it."""
+        """Store what has changed; false where the store did not take it.
+
+        Commits take turns, since each has the version of the one before as condition.
+        """
+        async with self._turn:
+            return await self._commit(released)
+
+    async def _commit(self, released: bool) -> bool:
+        """Make one commit."""
         changes = self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT)
         watched = self._describe_watched()
         sent = self._clock.monotonic()
@@ -108,7 +118,8 @@
             self._store_clock.observe(outcome.ok.store_time)
             self._lease_until = sent + LEADER_LEASE
             self._watched = watched
-            names = frozenset(upstream.name for upstream in watched)
+            # With a lapse that is stored, a successor would count on it.
+            names = frozenset(each.name for each in watched if not each.lapse)
             self._scheduler.record_upstreams(names)
             self._scheduler.confirm_changes(changes)
             return True
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -234,6 +234,8 @@
         )
         for order in orders:
             self._assignments.send_order(order)
+        if self._scheduler.has_unrecorded():
+            self._commit_wanted.set()
         states = self._scheduler.take_announcements()
         if states:
             self._commit_wanted.set()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -0,0 +1,119 @@
+import asyncio
+import unittest
+from datetime import timedelta
+
+from expression import Ok
+
+from almondspread.clock import SystemClock
+from almondspread.jobs.messages import (
+    RunSighting,
+    StopRun,
+    StopSettled,
+    UpstreamReport,
+    WatchUpstream,
+)
+from almondspread.jobs.ports import HoldAnswer
+from almondspread.jobs.submissions import TaskId
+from almondspread_daemon.jobs.agents import UpstreamAgent
+from almondspread_daemon.jobs.metrics import JobMetrics
+
+SECOND = timedelta(seconds=1)
+TASK = TaskId("j", 0, 0, 0)
+ADDRESS = "10.0.0.1:80"
+
+
+class FakeClient:
+    """An upstream whose answers a test gives, in any order."""
+
+    def __init__(self):
+        self.holds = []
+        self.stops = []
+
+    async def hold(self, address, upstream, call, timeout):
+        return await self._await(self.holds)
+
+    async def stop(self, address, upstream, call, timeout):
+        return await self._await(self.stops)
+
+    async def _await(self, calls):
+        future = asyncio.get_running_loop().create_future()
+        calls.append(future)
+        return await future
+
+
+def make_answer(clock, *running):
+    sightings = tuple(RunSighting(TASK, number) for number in running)
+    return Ok(HoldAnswer(clock * SECOND, sightings, ()))
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+class AgentTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.client = FakeClient()
+        self.reports = []
+        self.agent = UpstreamAgent(
+            WatchUpstream("u", ADDRESS, 1),
+            self.client,
+            SystemClock(),
+            6 * SECOND,
+            JobMetrics("entry-1", "zone"),
+            self.reports.append,
+        )
+        await settle()
+
+    async def asyncTearDown(self):
+        self.agent.close()
+
+    def list_running(self):
+        """Return the run numbers of each full report."""
+        found = []
+        for report in self.reports:
+            if isinstance(report, UpstreamReport) and report.running is not None:
+                found.append([sighting.run for sighting in report.running])
+        return found
+
+    async def test_answer_that_was_overtaken_shows_nothing_that_runs(self):
+        self.client.holds.pop().set_result(make_answer(1))
+        await settle()
+        self.agent.report_all()
+        self.agent.stop(StopRun("u", TASK, 7))
+        await settle()
+        self.client.stops.pop().set_result(Ok(None))
+        await settle()
+        slow, look = self.client.holds
+        look.set_result(make_answer(3))
+        await settle()
+        self.agent.report_all()
+        slow.set_result(make_answer(2, 7))
+        await settle()
+        self.assertEqual(self.list_running(), [[], []])
+
+    async def test_report_asked_after_a_stop_has_at_least_the_number_it_told(self):
+        self.client.holds.pop().set_result(make_answer(1, 7))
+        await settle()
+        self.agent.stop(StopRun("u", TASK, 7))
+        await settle()
+        self.client.stops.pop().set_result(Ok(None))
+        await settle()
+        self.client.holds[-1].set_result(make_answer(2))
+        await settle()
+        (settled,) = [each for each in self.reports if isinstance(each, StopSettled)]
+        self.assertTrue(settled.answered)
+        self.assertEqual(settled.number, self.reports[-1].number)
+
+    async def test_closed_agent_tells_no_number_of_its_own(self):
+        """The agent that has taken its place counts its questions from the start."""
+        self.agent.stop(StopRun("u", TASK, 7))
+        await settle()
+        self.agent.close()
+        self.client.stops.pop().set_result(Ok(None))
+        await settle()
+        self.assertEqual(self.reports, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
