--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -36,6 +36,7 @@
     known: bool = False
     recorded: bool = False
     has_strangers: bool = False
+    strangers_stopped_at: timedelta | None = None
     listed: bool = True
     unlisted_at: timedelta | None = None
     lapse_at: timedelta | None = None
--- a/packages/almondspread/almondspread/jobs/watching.py
+++ b/packages/almondspread/almondspread/jobs/watching.py
@@ -21,7 +21,7 @@
 )
 from almondspread.jobs.pacing import choose_paces
 from almondspread.jobs.progress import Run, RunPhase
-from almondspread.jobs.runs import RunControl
+from almondspread.jobs.runs import STOP_RETRY, RunControl
 from almondspread.jobs.upstreams import Upstream
 
 
@@ -190,10 +190,7 @@
         progress = self.control.book.find_started_step(task)
         if progress is None:
             upstream.has_strangers = True
-            logger.warning(
-                "unknown run stopped", task=str(task), upstream=upstream.name
-            )
-            self.control.orders.append(StopRun(upstream.name, task, sighting.run))
+            self._stop_stranger(sighting, upstream, now)
             return None
         run = self.ledger.adopt(progress, upstream, sighting, now)
         self.control.book.begin(progress.job)
@@ -203,6 +200,23 @@
             self.control.stop(run, now)
         return run
 
+    def _stop_stranger(
+        self, sighting: RunSighting, upstream: Upstream, now: timedelta
+    ) -> None:
+        """Stop a run of which nothing is known; each stop brings a report at once."""
+        asked = upstream.strangers_stopped_at
+        if asked is not None and asked < now < asked + STOP_RETRY:
+            return
+        upstream.strangers_stopped_at = now
+        logger.warning(
+            "unknown run stopped",
+            job=sighting.task.job,
+            task=str(sighting.task),
+            run=sighting.run,
+            upstream=upstream.name,
+        )
+        self.control.orders.append(StopRun(upstream.name, sighting.task, sighting.run))
+
     def _drop_absent(
         self, upstream: Upstream, report: UpstreamReport, now: timedelta
     ) -> None:
