Store which jobs may have been started; a successor holds back no others

Also, the rule by which a leader without a lease took jobs was unsound where the store refuses single machines: others can claim meanwhile. Now each commit tells up to which version of the store jobs may have been started, and no job starts before that is stored; while the store refuses the part of commits, one of two marks in other parts does.

--- a/packages/almondspread/almondspread/jobs/jobbook.py
+++ b/packages/almondspread/almondspread/jobs/jobbook.py
@@ -44,6 +44,7 @@
     open_steps: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
     changed: set[str] = field(factory=set)
     forgotten: set[str] = field(factory=set)
+    newest_version: int = 0
     _services: dict[str, str] = field(factory=dict)
     _cancelled_early: dict[str, timedelta] = field(factory=dict)
     _repeating: set[str] = field(factory=set)
@@ -68,13 +69,16 @@
         accepted: timedelta,
         wall: datetime,
         *,
+        version: int = 0,
         record: JobRecord | None = None,
-        inherited: bool = False,
     ) -> None:
         """Take on a stored job, once however often it is told."""
-        if submission.job in self.jobs:
+        self.newest_version = max(self.newest_version, version)
+        known = self.jobs.get(submission.job)
+        if known is not None:
+            known.version = min(known.version, version)
             return
-        job = JobProgress(submission, accepted, inherited)
+        job = JobProgress(submission, accepted, version)
         self.jobs[submission.job] = job
         self._announced[submission.job] = None
         if record is not None:
--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -22,7 +22,8 @@
     """The leader that the store names.
 
     ``renewed`` is seconds of the store's steady clock. ``renewal`` numbers the writes
-    of one incarnation. ``released`` is set by a leader that has stepped down.
+    of one incarnation. ``released`` is set by a leader that has stepped down. No leader
+    has started anything of a job that was stored after version ``started_version``.
     """
 
     epoch: int
@@ -32,13 +33,7 @@
     renewed: float
     renewal: int = 0
     released: bool = False
-
-
-def find_lease_end(row: LeaderRow | None) -> timedelta:
-    """Return the store's time from which on a leader surely takes no new jobs."""
-    if row is None or row.released:
-        return timedelta(0)
-    return timedelta(seconds=row.renewed) + LEADER_LEASE + CLOCK_SLACK
+    started_version: int = 0
 
 
 def is_expired(row: LeaderRow | None, store_time: timedelta) -> bool:
@@ -48,7 +43,9 @@
     >>> is_expired(row, timedelta(seconds=11)), is_expired(row, timedelta(seconds=13))
     (False, True)
     """
-    return store_time > find_lease_end(row)
+    if row is None or row.released:
+        return True
+    return store_time > timedelta(seconds=row.renewed) + LEADER_LEASE + CLOCK_SLACK
 
 
 def measure_abandoned_hold(lease: timedelta) -> timedelta:
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -212,13 +212,13 @@
 class JobProgress:
     """One job with the steps of its occurrences that have become due.
 
-    ``inherited`` jobs may have runs that this leader has not seen yet. ``accepted``
-    is the monotonic time at which the job was accepted.
+    ``accepted`` is the monotonic time at which the job was accepted, ``version`` the
+    first version of the store at which it was there.
     """
 
     submission: Submission
     accepted: timedelta
-    inherited: bool = False
+    version: int = 0
     begun: bool = False
     ended: JobState | None = None
     ended_at: timedelta | None = None
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -4,6 +4,7 @@
 the time with each event.
 """
 
+import sys
 from datetime import datetime, timedelta
 
 from attrs import define, field
@@ -26,12 +27,16 @@
 )
 from almondspread.jobs.progress import JobProgress, JobRecord
 from almondspread.jobs.runs import RunControl
-from almondspread.jobs.starts import StartPlanner
+from almondspread.jobs.starts import StartHolds, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission
 from almondspread.jobs.upstreams import Upstream
 from almondspread.jobs.watching import UpstreamWatch
 
+# Below and above all versions of the store.
+NO_VERSION = -1
+ANY_VERSION = sys.maxsize
+
 
 @define(frozen=True)
 class Changes:
@@ -63,12 +68,18 @@
 class Scheduler:
     """All jobs and upstreams of the cell, as the leader of one epoch sees them.
 
-    Jobs of earlier epochs wait while an upstream that may run their tasks is unseen,
-    and while some jobs are not loaded.
+    Jobs stored up to ``inherited_version`` may have been started by earlier leaders;
+    they wait while an upstream that may run their tasks is unseen, and while some jobs
+    are not loaded. Jobs stored later wait until it is stored that this leader may start
+    them, so that the next one knows.
     """
 
-    def __init__(self, epoch: int, configuration: Configuration) -> None:
+    def __init__(
+        self, epoch: int, configuration: Configuration, inherited_version: int = 0
+    ) -> None:
         self.epoch = epoch
+        self.inherited_version = inherited_version
+        self._startable_version = inherited_version
         self.ledger = RunLedger(epoch)
         self._control = RunControl(self.ledger)
         self._book = JobBook(configuration, self._control.stop_runs)
@@ -107,14 +118,28 @@
         accepted: timedelta,
         wall: datetime,
         *,
+        version: int = 0,
         record: JobRecord | None = None,
-        inherited: bool = False,
     ) -> None:
         """Take on a stored job, once however often it is told."""
         self._book.accept_job(
-            submission, accepted, wall, record=record, inherited=inherited
+            submission, accepted, wall, version=version, record=record
         )
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version of the store that brought a job."""
+        return self._book.newest_version
+
+    @property
+    def has_unstartable_jobs(self) -> bool:
+        """Whether jobs wait for the store to tell that they may be started."""
+        return self._book.newest_version > self._startable_version
+
+    def allow_starts(self, version: int) -> None:
+        """Let jobs start that were stored up to a version, as the store now tells."""
+        self._startable_version = max(self._startable_version, version)
+
     def cancel_job(self, name: str, now: timedelta) -> None:
         """Cancel a job for good; the stops of its runs follow at once."""
         self._book.cancel_job(name, now)
@@ -177,8 +202,7 @@
         self._book.open_repeating(wall)
         self._watch.expire(now)
         self._control.expire(now)
-        blocked = bool(self._watch.unseen) or not self.is_complete
-        self._planner.place(now, ask_slots, blocked)
+        self._planner.place(now, ask_slots, self._describe_holds())
         for run in choose_stragglers(self.jobs, self.ledger, now):
             self._control.replace(run, now)
         moved = choose_evacuations(self.jobs, self.ledger, now)
@@ -186,6 +210,17 @@
         orders, self._control.orders = self._control.orders, []
         return orders
 
+    def _describe_holds(self) -> StartHolds:
+        """Return which jobs may not start yet."""
+        unseen = bool(self._watch.unseen)
+        held_version = NO_VERSION
+        if unseen or not self.is_complete:
+            held_version = self.inherited_version
+        if unseen and not self.is_complete:
+            # A job may have been stored twice, first in a part that is not loaded.
+            held_version = ANY_VERSION
+        return StartHolds(held_version, self._startable_version)
+
     def estimate_waits(self, now: timedelta) -> dict[str, float]:
         """Return the seconds that a job accepted now would wait, by queue."""
         waits = {}
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -20,6 +20,28 @@
 MAX_UPSTREAMS_ASKED = 64
 
 
+@define(frozen=True)
+class StartHolds:
+    """Which jobs may not start yet, by the version of the store that brought them.
+
+    Jobs up to ``held_version`` may be running where it is not seen; they start only
+    what may run twice. Jobs beyond ``startable_version`` start nothing yet.
+    """
+
+    held_version: int
+    startable_version: int
+
+    def holds(self, progress: StepProgress) -> bool:
+        """Tell whether tasks of a step may be running unseen, and must run once."""
+        return progress.job.version <= self.held_version and not (
+            progress.step.duplicates
+        )
+
+    def delays(self, progress: StepProgress) -> bool:
+        """Tell whether it is not stored yet that tasks of a step may be started."""
+        return progress.job.version > self.startable_version
+
+
 @define(eq=False)
 class StartPlanner:
     """Binds waiting tasks to upstreams, in order of rank."""
@@ -82,8 +104,8 @@
             if upstream.entry.service == service
         ]
 
-    def place(self, now: timedelta, ask_slots: int, blocked: bool) -> None:
-        """Start what has room; where ``blocked``, nothing that may run unseen.
+    def place(self, now: timedelta, ask_slots: int, holds: StartHolds) -> None:
+        """Start what has room and is not held.
 
         At most ``ask_slots`` questions for permits are added.
         """
@@ -97,7 +119,7 @@
         for progress in steps:
             if now < progress.not_before:
                 continue
-            if blocked and progress.job.inherited and not progress.step.duplicates:
+            if holds.holds(progress):
                 continue
             if progress.step.gang and len(progress.waiting) < progress.step.count:
                 continue
@@ -114,7 +136,8 @@
                         ask_slots -= 1
                     continue
                 candidates = keep_permitted(progress, candidates, now)
-            self._start(progress, candidates, serving, queue, now)
+            if not holds.delays(progress):
+                self._start(progress, candidates, serving, queue, now)
 
     def _start(
         self,
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -46,6 +46,7 @@
         self.add_upstreams(2)
         self.cell.run_for(SECOND)
         self.cell.submit(make_job("old", make_step()))
+        self.cell.commit()
         self.cell.silent.add("u0")
         self.cell.take_over()
         self.cell.submit(make_job("new", make_step()))
@@ -55,6 +56,43 @@
         self.cell.run_for(16 * SECOND)
         self.assert_completed("old")
 
+    def test_job_that_was_surely_not_started_does_not_wait_either(self):
+        """Replays jobs that come while a leader is cut off, until the next claims."""
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.cell.store_is_up = False
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.history.starts, 0)
+        self.cell.silent.add("u0")
+        self.cell.store_is_up = True
+        self.cell.take_over()
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
+    def test_incomplete_cell_holds_all_jobs_while_an_upstream_is_unseen(self):
+        """The first row of a job that was stored twice may be the missing one."""
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.cell.silent.add("u0")
+        self.cell.take_over()
+        self.cell.scheduler.is_complete = False
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.history.starts, 0)
+        self.cell.silent.clear()
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
+    def test_job_stored_twice_counts_as_of_its_first_row(self):
+        self.add_upstreams(1)
+        job = make_job("j", make_step())
+        scheduler = self.cell.scheduler
+        for version in (9, 4):
+            scheduler.accept_job(job, self.cell.now, WALL, version=version)
+        self.assertEqual(scheduler.jobs["j"].version, 4)
+        self.assertEqual(scheduler.newest_version, 9)
+
     def test_run_numbers_rise_over_all_leaders(self):
         self.add_upstreams(1)
         self.cell.submit(make_job("j", make_step(2)))
@@ -187,6 +225,7 @@
         self.cell.run_for(SECOND / 2)
         self.lose_executor("u0")
         self.cell.submit(make_job("j", make_step(4)))
+        self.cell.commit()
         orders = self.cell.scheduler.schedule(self.cell.now, WALL + self.cell.now, 0)
         starts = [order.upstream for order in orders if isinstance(order, StartRun)]
         self.assertEqual(starts, ["u1"] * 4)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -97,6 +97,8 @@
     hold_back: Callable[[Order], bool] = lambda _: False
     drop_order: Callable[[Order], bool] = lambda _: False
     store_is_up: bool = True
+    versions: dict[str, int] = field(factory=dict)
+    started_version: int = 0
     _acknowledged: dict[str, int] = field(factory=dict)
     _forwarded: dict[str, int] = field(factory=dict)
     _questions: dict[str, int] = field(factory=dict)
@@ -113,7 +115,11 @@
     def submit(self, submission: Submission) -> None:
         """Have a job accepted."""
         self.history.submissions[submission.job] = submission
-        self.scheduler.accept_job(submission, self.now, WALL + self.now)
+        version = len(self.versions) + 1
+        self.versions[submission.job] = version
+        self.scheduler.accept_job(
+            submission, self.now, WALL + self.now, version=version
+        )
 
     def list_upstreams(self) -> None:
         """Show the scheduler all upstreams."""
@@ -181,6 +187,8 @@
             return
         for record in changes.records:
             self.records[record.job] = record
+        self.started_version = self.scheduler.newest_version
+        self.scheduler.allow_starts(self.started_version)
         watched = self.scheduler.list_watched()
         names = frozenset(each.name for each in watched if each.lapse_at is None)
         self.scheduler.record_upstreams(names)
@@ -238,7 +246,9 @@
     def take_over(self, *, lapse_in: timedelta = timedelta(seconds=16)) -> None:
         """Have a new leader start from what is stored."""
         watched = self.scheduler.list_watched()
-        self.scheduler = Scheduler(self.scheduler.epoch + 1, self.configuration)
+        self.scheduler = Scheduler(
+            self.scheduler.epoch + 1, self.configuration, self.started_version
+        )
         self._acknowledged.clear()
         self._forwarded.clear()
         for submission in self.history.submissions.values():
@@ -246,8 +256,8 @@
                 submission,
                 self.now,
                 WALL + self.now,
+                version=self.versions.get(submission.job, 0),
                 record=self.records.get(submission.job),
-                inherited=True,
             )
         for upstream in watched:
             self.scheduler.inherit_upstream(upstream.entry, self.now + lapse_in)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -56,7 +56,6 @@
         self._clock = clock
         self._lease_until = clock.monotonic() + LEADER_LEASE
         self._refused_at: timedelta | None = None
-        self._refused_send: timedelta | None = None
         self._watched: tuple[WatchedUpstream, ...] | None = None
         self._turn = asyncio.Lock()
 
@@ -65,26 +64,15 @@
         """Whether the store has confirmed the leadership recently enough."""
         return self._clock.monotonic() < self._lease_until
 
-    def may_take_jobs(self, stored_by: timedelta) -> bool:
-        """Whether no other instance can have taken jobs that were stored by a moment.
-
-        Without a lease this still holds where the store has refused the part of the
-        leader's row to a commit that was sent later: nobody can have claimed the
-        leadership before, and who claims it afterwards finds these jobs stored.
-        """
-        if self.lease_holds:
-            return True
-        return self._refused_send is not None and self._refused_send > stored_by
-
     @property
     def is_grace_over(self) -> bool:
         """Whether the leader has gone on without the store for too long."""
-        if self._is_refused:
+        if self.is_refused:
             return False
         return self._clock.monotonic() > self._lease_until + LEADER_GRACE
 
     @property
-    def _is_refused(self) -> bool:
+    def is_refused(self) -> bool:
         """Whether the store has just refused a commit."""
         if self._refused_at is None:
             return False
@@ -108,12 +96,15 @@
             renewed=self._store_clock.now().total_seconds(),
             renewal=self.row.renewal + 1,
             released=released,
+            started_version=max(
+                self.row.started_version, self._scheduler.newest_version
+            ),
         )
+        started_version = self.row.started_version
         transaction = self._make_transaction(changes, watched)
         outcome = await self._store.transact(transaction)
         if outcome.is_ok():
             self._refused_at = None
-            self._refused_send = None
             self._version = outcome.ok.version
             self._store_clock.observe(outcome.ok.store_time)
             self._lease_until = sent + LEADER_LEASE
@@ -122,6 +113,7 @@
             names = frozenset(each.name for each in watched if not each.lapse)
             self._scheduler.record_upstreams(names)
             self._scheduler.confirm_changes(changes)
+            self._scheduler.allow_starts(started_version)
             return True
         self._scheduler.return_changes(changes)
         if isinstance(outcome.error, ConditionsFailed):
@@ -129,7 +121,6 @@
             return False
         refused = outcome.error.refused
         self._refused_at = self._clock.monotonic() if refused else None
-        self._refused_send = sent if refused else None
         logger.warning("commit failed", reason=outcome.error.reason)
         return False
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -11,7 +11,7 @@
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.leases import LeaderRow, find_lease_end, is_expired
+from almondspread.jobs.leases import LeaderRow, is_expired
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
     AdviceClient,
@@ -216,6 +216,7 @@
             self._incarnation,
             self.settings.peer_address,
             self.store_clock.now().total_seconds(),
+            started_version=row.started_version if row is not None else 0,
         )
         outcome = await self._store.transact(
             Transaction(
@@ -230,7 +231,6 @@
         session = LeaderSession(
             claim,
             outcome.ok.version,
-            find_lease_end(row),
             self.settings,
             self.desk.configuration,
             self._store,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -28,21 +28,14 @@
 FEED_WAIT = timedelta(seconds=1)
 FEED_MARGIN = timedelta(milliseconds=500)
 STORE_PAUSE = timedelta(milliseconds=200)
-CLAIM_PATIENCE = timedelta(milliseconds=700)
-CLAIM_POLL = timedelta(milliseconds=50)
 
 
 class JobIntake:
-    """Loads what the cell has at a takeover, and follows what is stored later.
-
-    Jobs stored up to ``claim_version``, or accepted before ``lease_end`` of the store's
-    clock, are inherited: an earlier leader may have started their tasks.
-    """
+    """Loads what the cell has at a takeover, and follows what is stored later."""
 
     def __init__(
         self,
         claim_version: int,
-        lease_end: timedelta,
         scheduler: Scheduler,
         committer: Committer,
         settings: JobSettings,
@@ -52,7 +45,6 @@
     ) -> None:
         self.is_loaded = False
         self._claim_version = claim_version
-        self._lease_end = lease_end
         self._version = claim_version
         self._scheduler = scheduler
         self._committer = committer
@@ -145,26 +137,11 @@
             logger.warning("feed interrupted", reason=changes.error.reason)
             await self._clock.sleep(STORE_PAUSE)
             return False
-        if not await self._may_take_jobs():
-            return False
         self.take_rows(changes.ok.rows)
         self._heard = self._clock.monotonic()
         self._version = max(self._version, changes.ok.version)
         return bool(changes.ok.rows)
 
-    async def _may_take_jobs(self) -> bool:
-        """Tell whether jobs that have just been read may be taken.
-
-        Else the next leader may have placed their tasks already. A commit that shows
-        this leader's claim on them may still be under way.
-        """
-        answered = self._clock.monotonic()
-        while not self._committer.may_take_jobs(answered):
-            if self._clock.monotonic() - answered > CLAIM_PATIENCE:
-                return False
-            await self._clock.sleep(CLAIM_POLL)
-        return True
-
     async def _reload(self) -> bool:
         """Read all submissions where the store has forgotten what changed."""
         logger.warning("feed lost its history", version=self._version)
@@ -173,8 +150,6 @@
         if loaded.is_error() or cell.missing_parts:
             await self._clock.sleep(STORE_PAUSE)
             return False
-        if not await self._may_take_jobs():
-            return False
         self.take_rows(cell.submission_rows)
         self._heard = self._clock.monotonic()
         self._version = max(cell.version, self._claim_version)
@@ -195,13 +170,12 @@
             if submission is None:
                 continue
             stored = timedelta(seconds=submission.accepted)
-            inherited = row.version <= self._claim_version or stored <= self._lease_end
             self._scheduler.accept_job(
                 decode_submission(submission),
                 min(self._store_clock.to_local(stored), now),
                 wall,
+                version=row.version,
                 record=self._records.get(submission.job),
-                inherited=inherited,
             )
         for job in cancelled:
             self._scheduler.cancel_job(job, now)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -17,7 +17,7 @@
     UpstreamReport,
     UpstreamSilent,
 )
-from almondspread.jobs.scheduler import Scheduler
+from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import STORE_PAUSE, JobIntake
@@ -30,6 +30,7 @@
     StatesChanged,
     Welcome,
 )
+from almondspread_daemon.jobs.marks import StartMarks
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.retention import Retention
@@ -55,7 +56,6 @@
         self,
         row: LeaderRow,
         version: int,
-        lease_end: timedelta,
         settings: JobSettings,
         configuration: Configuration,
         store: StoreAccess,
@@ -68,13 +68,12 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
-        self._scheduler = Scheduler(row.epoch, configuration)
+        self._scheduler = Scheduler(row.epoch, configuration, ANY_VERSION)
         self._committer = Committer(
             row, version, self._scheduler, store, store_clock, clock
         )
         self._intake = JobIntake(
             version,
-            lease_end,
             self._scheduler,
             self._committer,
             settings,
@@ -82,6 +81,7 @@
             store_clock,
             clock,
         )
+        self._marks = StartMarks(row.epoch, row.started_version, store)
         self._retention = Retention(
             settings.status_retention, self._intake.rows, self._scheduler, store, clock
         )
@@ -97,7 +97,10 @@
 
     async def run(self) -> None:
         """Lead until the epoch is lost or the session is ended."""
-        if not await self._intake.load():
+        loaded, _ = await asyncio.gather(
+            self._intake.load(), self._learn_inherited_version()
+        )
+        if not loaded:
             self.end("the store does not answer")
             return
         self._assignments.rebalance()
@@ -107,6 +110,7 @@
                 group.create_task(self._commit()),
                 group.create_task(self._follow_submissions()),
                 group.create_task(self._load_missing_parts()),
+                group.create_task(self._fence_marks()),
                 group.create_task(self._follow_upstreams()),
                 group.create_task(self._decide()),
                 group.create_task(self._log_load()),
@@ -275,16 +279,41 @@
                 self._dirty.set()
             else:
                 self._commit_wanted.set()
+                await self._mark_starts()
                 await self._clock.sleep(STORE_PAUSE)
             if self._committer.is_superseded:
                 self.end("another instance has claimed the leadership")
             await self._clock.sleep(COMMIT_INTERVAL)
 
+    async def _mark_starts(self) -> None:
+        """Let new jobs start although the store refuses the part of commits."""
+        scheduler = self._scheduler
+        if not (self._committer.is_refused and scheduler.has_unstartable_jobs):
+            return
+        version = scheduler.newest_version
+        if await self._marks.write(version):
+            scheduler.allow_starts(version)
+            self._dirty.set()
+
+    async def _learn_inherited_version(self) -> None:
+        """Learn which jobs earlier leaders may have started, if the store tells."""
+        if await self._marks.fence():
+            self._scheduler.inherited_version = self._marks.inherited_version
+
+    async def _fence_marks(self) -> None:
+        """Go on until no earlier leader can mark further jobs as started."""
+        while not self._marks.is_fenced:
+            await self._clock.sleep(STORE_PAUSE)
+            await self._learn_inherited_version()
+        self._dirty.set()
+
     async def _follow_submissions(self) -> None:
         """Take on jobs and cancellations as they are stored."""
         while True:
             if await self._intake.follow():
                 self._dirty.set()
+                if self._scheduler.has_unstartable_jobs:
+                    self._commit_wanted.set()
 
     async def _load_missing_parts(self) -> None:
         """Complete the jobs; then have the upstreams report what concerned them."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -24,6 +24,8 @@
 PROGRESS = "progress"
 LEADER = RowName(CELL, CELL_PART, "leader")
 WATCHED = RowName(CELL, CELL_PART, "watched")
+# Beside the leader's row, in parts that the store may take while it refuses that one.
+MARKS = (RowName(CELL, "marks/0", "started"), RowName(CELL, "marks/1", "started"))
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 
@@ -76,6 +78,14 @@
     job: str
 
 
+@define(frozen=True)
+class StartMark:
+    """The leader of ``epoch`` may have started jobs stored up to a version."""
+
+    epoch: int
+    started_version: int
+
+
 @define(frozen=True)
 class WatchedUpstream:
     """An upstream on which runs may have been started.
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_marks.py
@@ -0,0 +1,71 @@
+import unittest
+
+from almondspread_daemon.jobs.marks import StartMarks
+from almondspread_daemon.jobs.rows import MARKS
+from almondspread_daemon.jobs.tests.support import StoreParts
+
+
+class StartMarksTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.parts = StoreParts()
+        self.store = self.parts.store
+
+    def make_marks(self, epoch, inherited_version=0):
+        return StartMarks(epoch, inherited_version, self.parts.access)
+
+    async def test_next_epoch_reads_what_was_marked(self):
+        first = self.make_marks(1)
+        self.assertTrue(await first.fence())
+        self.assertTrue(await first.write(40))
+        second = self.make_marks(2, inherited_version=30)
+        self.assertTrue(await second.fence())
+        self.assertEqual(second.inherited_version, 40)
+
+    async def test_fenced_epoch_marks_nothing_more(self):
+        first = self.make_marks(1)
+        await first.fence()
+        await self.make_marks(2).fence()
+        self.assertFalse(await first.write(40))
+        third = self.make_marks(3)
+        await third.fence()
+        self.assertEqual(third.inherited_version, 0)
+
+    async def test_any_mark_that_the_store_takes_will_do(self):
+        first = self.make_marks(1)
+        await first.fence()
+        self.store.refuses = lambda part: part == MARKS[0].part
+        self.assertTrue(await first.write(40))
+        second = self.make_marks(2)
+        self.assertFalse(await second.fence())
+        self.store.refuses = lambda _: False
+        self.assertTrue(await second.fence())
+        self.assertEqual(second.inherited_version, 40)
+
+    async def test_marks_are_not_fenced_while_one_could_still_be_written(self):
+        first = self.make_marks(1)
+        await first.fence()
+        self.store.refuses = lambda part: part == MARKS[1].part
+        second = self.make_marks(2)
+        self.assertFalse(await second.fence())
+        self.store.refuses = lambda part: part == MARKS[0].part
+        self.assertTrue(await first.write(50))
+        self.store.refuses = lambda _: False
+        self.assertTrue(await second.fence())
+        self.assertEqual(second.inherited_version, 50)
+
+    async def test_lost_answer_leaves_the_mark_usable(self):
+        first = self.make_marks(1)
+        await first.fence()
+        losses = [True, True]
+        self.store.loses_answer = lambda: bool(losses and losses.pop())
+        self.assertFalse(await first.write(40))
+        self.assertFalse(await first.write(41))
+        self.assertTrue(await first.write(42))
+
+    async def test_late_epoch_does_not_take_a_mark_back(self):
+        await self.make_marks(2).fence()
+        self.assertFalse(await self.make_marks(1).fence())
+
+
+if __name__ == "__main__":
+    unittest.main()
