Add a fault soak of the real processes; have a leader start nothing beyond its commits

The soak runs platform/serve.py as separate processes beside a stand-in store, upstreams and loopback proxies, and checks what callers and upstreams see. Its model was wrong three times before it found a fault of ours: a gang's members end done together; ends may be forgotten once leases have run out unacknowledged; a job need be known everywhere only after visible_ms.

Cause, from the lines: a run was placed 8 ms after its job was stored while a commit was under way for 300 ms. A leader's scheduler was made with ANY_VERSION as what it inherits, and took that as leave to start everything, so that the last commit was of no account. Now the leave begins with what the claim tells.

--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -79,7 +79,7 @@
     ) -> None:
         self.epoch = epoch
         self.inherited_version = inherited_version
-        self._startable_version = inherited_version
+        self._startable_version = NO_VERSION
         self.ledger = RunLedger(epoch)
         self._control = RunControl(self.ledger)
         self._book = JobBook(configuration, self._control.stop_runs)
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -11,6 +11,7 @@
     UpstreamReport,
 )
 from almondspread.jobs.progress import JobState
+from almondspread.jobs.scheduler import ANY_VERSION
 from almondspread.jobs.submissions import Repetition, Submission, TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.testing.fake_cell import QUEUE, WALL
@@ -70,6 +71,20 @@
         self.cell.run_for(2 * SECOND)
         self.assert_completed("j")
 
+    def test_new_job_waits_for_the_commit_also_while_all_count_as_inherited(self):
+        """Found by soak seed 3: a leader began with leave to start everything."""
+        self.add_upstreams(1)
+        self.cell.take_over()
+        self.cell.scheduler.inherited_version = ANY_VERSION
+        self.cell.run_for(SECOND)
+        self.cell.store_is_up = False
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.history.starts, 0)
+        self.cell.store_is_up = True
+        self.cell.run_for(2 * SECOND)
+        self.assert_completed("j")
+
     def test_incomplete_cell_holds_all_jobs_while_an_upstream_is_unseen(self):
         """The first row of a job that was stored twice may be the missing one."""
         self.add_upstreams(2)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -249,6 +249,7 @@
         self.scheduler = Scheduler(
             self.scheduler.epoch + 1, self.configuration, self.started_version
         )
+        self.scheduler.allow_starts(self.started_version)
         self._acknowledged.clear()
         self._forwarded.clear()
         for submission in self.history.submissions.values():
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -23,6 +23,7 @@
 
 STOP_TIME = timedelta(milliseconds=450)
 GANG_TIMEOUT = timedelta(seconds=3)
+CANCEL_PATIENCE = timedelta(seconds=4)
 
 
 @define(eq=False)
@@ -49,11 +50,14 @@
 class History:
     """What all upstreams of a test have seen together.
 
-    ``forgotten`` are done tasks whose ends nobody had acknowledged in a crash, so that
-    they may run once more.
+    ``forgotten`` are done tasks whose ends nobody had acknowledged before a crash, or
+    before the leases ran out, so that they may run once more. ``cancelled`` tells when
+    a cancellation was acknowledged.
     """
 
     submissions: dict[str, Submission] = field(factory=dict)
+    cancelled: dict[str, timedelta] = field(factory=dict)
+    started_jobs: set[str] = field(factory=set)
     running: dict[TaskId, int] = field(factory=dict)
     done: set[TaskId] = field(factory=set)
     forgotten: set[TaskId] = field(factory=set)
@@ -104,10 +108,13 @@
             return "old"
         if until <= now:
             return "late"
+        if task.job not in self.history.submissions:
+            self.history.violations.append(f"{task} was never submitted")
+            return "unknown"
         self.lease_until = max(self.lease_until, until)
         self._highest[task] = number
         self.started.append(number)
-        self._check_start(task)
+        self._check_start(task, now)
         duration = self.durations.get(task, timedelta(seconds=1))
         self.runs[task] = FakeRun(task, number, now, duration)
         gang = self.history.find_gang(task, number)
@@ -118,10 +125,14 @@
                 gang.whole_since = now
         return ""
 
-    def _check_start(self, task: TaskId) -> None:
+    def _check_start(self, task: TaskId, now: timedelta) -> None:
         """Note a start that must not be."""
         history = self.history
         history.starts += 1
+        history.started_jobs.add(task.job)
+        cancelled = history.cancelled.get(task.job)
+        if cancelled is not None and now - cancelled > CANCEL_PATIENCE:
+            history.violations.append(f"{task} started long after its cancellation")
         step = history.submissions[task.job].steps[task.step]
         if history.running.get(task, 0) and not step.duplicates:
             history.violations.append(f"{task} runs twice")
@@ -186,15 +197,21 @@
                 self._end(run, LAPSED)
             elif since is None and now - run.started > GANG_TIMEOUT:
                 self._end(run, ALONE)
+        if self.lease_until <= now:
+            self._forget_ends()
+
+    def _forget_ends(self) -> None:
+        """Let done tasks run again whose ends nobody has acknowledged in time."""
+        for end in self.ends:
+            if end.outcome == DONE:
+                self.history.forgotten.add(end.task)
 
     def crash(self) -> None:
         """Lose everything that runs, and all memory."""
         for run in list(self.runs.values()):
             self.history.running[run.task] -= 1
             self._break_gang(run)
-        for end in self.ends:
-            if end.outcome == DONE:
-                self.history.forgotten.add(end.task)
+        self._forget_ends()
         self.runs.clear()
         self.ends.clear()
 
@@ -203,12 +220,22 @@
         del self.runs[run.task]
         self.history.running[run.task] -= 1
         if outcome == DONE:
-            self.history.done.add(run.task)
+            self._note_done(run)
         else:
             self._break_gang(run)
         self._last_end += 1
         self.ends.append(RunEnd(self._last_end, run.task, run.number, outcome))
 
+    def _note_done(self, run: FakeRun) -> None:
+        """Note that a task is done, and with it all members of its gang."""
+        task = run.task
+        self.history.done.add(task)
+        if self.history.find_gang(task, run.number) is None:
+            return
+        for index in range(self.history.submissions[task.job].steps[task.step].count):
+            member = TaskId(task.job, task.occurrence, task.step, index)
+            self.history.done.add(member)
+
     def _break_gang(self, run: FakeRun) -> None:
         """Have the other members of a gang's run end as well."""
         gang = self.history.find_gang(run.task, run.number)
--- a/packages/almondspread/almondspread/testing/record_store.py
+++ b/packages/almondspread/almondspread/testing/record_store.py
@@ -1,6 +1,7 @@
 """The platform's store in memory, with parts that refuse and answers that get lost."""
 
 import asyncio
+from bisect import bisect_right
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -107,9 +108,6 @@
         """Return the changes of a table after a version."""
         if after < self.forgotten:
             return Error(HistoryGone())
-        rows = tuple(
-            row
-            for row in self.changes
-            if row.name.table == table and row.version > after
-        )
+        first = bisect_right(self.changes, after, key=lambda row: row.version)
+        rows = tuple(row for row in self.changes[first:] if row.name.table == table)
         return Ok(Changes(rows, self.version))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -112,7 +112,9 @@
 
     async def run(self) -> None:
         """Work until cancelled; raises what no task of it can go on after."""
-        host, port = parse_address(self.settings.peer_address)
+        host, port = parse_address(
+            self.settings.peer_listen_address or self.settings.peer_address
+        )
         self._listener.listen(port, host)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._configurations.run())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -68,7 +68,9 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
+        # Until the marks are fenced, any job may have been started.
         self._scheduler = Scheduler(row.epoch, configuration, ANY_VERSION)
+        self._scheduler.allow_starts(row.started_version)
         self._committer = Committer(
             row, version, self._scheduler, store, store_clock, clock
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -13,7 +13,9 @@
     """Identity, addresses and time limits of one instance.
 
     ``lease`` is how long runs live without being held; ``longest_hold`` the most that
-    an upstream grants. ``grace`` is the time between SIGTERM and SIGKILL.
+    an upstream grants. ``grace`` is the time between SIGTERM and SIGKILL. Peers connect
+    to ``peer_address``; where that is translated on the way, ``peer_listen_address`` is
+    the one to listen at.
     """
 
     instance: str
@@ -26,6 +28,7 @@
     stop_timeout: timedelta
     status_retention: timedelta
     grace: timedelta
+    peer_listen_address: str = ""
 
     @property
     def lease(self) -> timedelta:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -12,6 +12,7 @@
 from almondspread.testing.fake_cell import make_configuration
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import JobIntake
+from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.rows import (
     LEADER,
     SUBMISSIONS,
@@ -74,6 +75,29 @@
         )
 
 
+class SessionTest(LeadingTest):
+    async def test_session_has_no_leave_to_start_beyond_what_its_claim_tells(self):
+        """Found by soak seed 3."""
+        parts = self.parts
+        row = LeaderRow(2, "entry-1", "one", "a", 50.0, started_version=7)
+        session = LeaderSession(
+            row,
+            9,
+            make_settings(),
+            make_configuration(),
+            parts.access,
+            parts.store_clock,
+            parts.clock,
+            parts.metrics,
+        )
+        scheduler = session._scheduler
+        now = parts.clock.monotonic()
+        scheduler.accept_job(make_submission("old"), now, WALL, version=7)
+        self.assertFalse(scheduler.has_unstartable_jobs)
+        scheduler.accept_job(make_submission("new"), now, WALL, version=8)
+        self.assertTrue(scheduler.has_unstartable_jobs)
+
+
 class CommitterTest(LeadingTest):
     async def test_commit_stores_progress_and_renews(self):
         await self.claim()
--- a/packages/almondspread_standin/almondspread_standin/commands.py
+++ b/packages/almondspread_standin/almondspread_standin/commands.py
@@ -13,6 +13,7 @@
 from almondspread_standin.deployment import Deployment, read_deployment
 from almondspread_standin.measures import measure
 from almondspread_standin.measures.operations import host
+from almondspread_standin.soak.command import soak
 
 
 @click.group()
@@ -24,6 +25,7 @@
 main.add_command(capacity)
 main.add_command(measure)
 main.add_command(host)
+main.add_command(soak)
 
 
 @main.command()
--- /dev/null
+++ b/packages/almondspread_standin/almondspread_standin/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside them, checked promises."""
--- /dev/null
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -0,0 +1,102 @@
+"""The upstreams of a soak: their model, their addresses and their entries."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+from attrs import define, field
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from almondspread.clock import Clock
+from almondspread.jobs.ports import RowName, RowPut, Transaction
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.fake_upstream import FakeUpstream, History
+from almondspread.testing.record_store import MemoryRecordStore
+from almondspread_standin.soak.proxy import Proxy
+from platform_standin.formats import make_entry
+from platform_standin.upstream_server import UpstreamHost
+
+HEARTBEAT_SECONDS = 0.5
+LOOPBACK = "127.0.0.1"
+NO_TIMEOUT = timedelta(0)
+SIZES = (4_000, 8_000, 16_000)
+
+
+@define(eq=False)
+class Place:
+    """One address, and the upstream that lives there now."""
+
+    number: int
+    domain: str
+    host: UpstreamHost
+    server: HTTPServer
+    proxy: Proxy
+    draining: bool = False
+    life: int = 1
+    beat: int = 0
+
+
+@define(eq=False)
+class Pool:
+    """All upstreams; each writes its entry again and again."""
+
+    history: History
+    store: MemoryRecordStore
+    clock: Clock
+    source: random.Random
+    places: list[Place] = field(factory=list)
+
+    async def add(self, number: int, domain: str) -> None:
+        """Add an upstream."""
+        host = UpstreamHost(self._make_upstream(number, 1), self.clock)
+        sockets = bind_sockets(0, LOOPBACK)
+        server = HTTPServer(host.make_application())
+        server.add_sockets(sockets)
+        proxy = Proxy(LOOPBACK, sockets[0].getsockname()[:2])
+        await proxy.start()
+        self.places.append(Place(number, domain, host, server, proxy))
+
+    def _make_upstream(self, number: int, life: int) -> FakeUpstream:
+        """Return a new incarnation."""
+        size = self.source.choice(SIZES)
+        return FakeUpstream(f"u{number}-{life}", Capacity(size, size, 0), self.history)
+
+    async def crash(self, place: Place) -> None:
+        """Replace an upstream by a new incarnation at the same address."""
+        await self._remove_entry(place)
+        place.host.upstream.crash()
+        place.life += 1
+        place.host.upstream = self._make_upstream(place.number, place.life)
+        place.draining = False
+        place.proxy.reset()
+
+    async def run(self) -> None:
+        """Advance the upstreams and write their entries until cancelled."""
+        while True:
+            for place in self.places:
+                place.beat += 1
+                place.host.upstream.advance(self.clock.monotonic())
+                name = RowName("servers", "", place.host.upstream.name)
+                entry = make_entry(
+                    place.host.upstream,
+                    place.proxy.address,
+                    place.domain,
+                    place.draining,
+                    place.beat,
+                )
+                await self.store.transact(
+                    Transaction(puts=(RowPut(name, entry),)), NO_TIMEOUT
+                )
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _remove_entry(self, place: Place) -> None:
+        """Remove the entry of an incarnation that is gone."""
+        name = RowName("servers", "", place.host.upstream.name)
+        await self.store.transact(Transaction(removals=(name,)), NO_TIMEOUT)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        for place in self.places:
+            place.server.stop()
+            await place.proxy.stop()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,7 @@
     "almondspread_cli",
     "almondspread_standin",
     "almondspread_adapter",
+    "platform_standin",
 )
 
 
