Let large machines lead; tell newcomers only of open jobs, and encode a broadcast once

Now an instance leaves the claim to larger ones for up to 0.7 s, a leader looks after fewer upstreams, and a newcomer is told only of jobs whose end is not stored: the rest it reads from the store when asked.

--- a/packages/almondspread/almondspread/jobs/jobbook.py
+++ b/packages/almondspread/almondspread/jobs/jobbook.py
@@ -217,9 +217,13 @@
         names, self._announced = self._announced, {}
         return [self._announce(name) for name in names]
 
-    def announce_all(self) -> list[Announcement]:
-        """Return the state of every job."""
-        return [self._announce(name) for name in self.jobs]
+    def announce_open(self) -> list[Announcement]:
+        """Return the state of every job whose end is not stored."""
+        found = []
+        for name, job in self.jobs.items():
+            if not job.end_stored:
+                found.append(self._announce(name))
+        return found
 
     def _announce(self, name: str) -> Announcement:
         """Return the state of one job."""
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -222,6 +222,7 @@
     begun: bool = False
     ended: JobState | None = None
     ended_at: timedelta | None = None
+    end_stored: bool = False
     next_occurrence: int = 0
     steps: dict[tuple[int, int], StepProgress] = field(factory=dict)
     records: dict[tuple[int, int], StepRecord] = field(factory=dict)
@@ -315,6 +316,7 @@
         state = JobState(record.state)
         if state in TERMINAL_STATES:
             self.ended = state
+            self.end_stored = True
         self.begun = state is not JobState.QUEUED
         for step in record.steps:
             self.records[step.occurrence, step.step] = step
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -25,7 +25,7 @@
     UpstreamReport,
     UpstreamSilent,
 )
-from almondspread.jobs.progress import JobProgress, JobRecord
+from almondspread.jobs.progress import TERMINAL_STATES, JobProgress, JobRecord
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.starts import StartHolds, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
@@ -292,12 +292,16 @@
 
     def confirm_changes(self, changes: Changes) -> None:
         """Acknowledge the ends that are now stored."""
+        for record in changes.records:
+            job = self.jobs.get(record.job)
+            if job is not None and record.state in TERMINAL_STATES:
+                job.end_stored = True
         self._watch.acknowledge(changes.ends)
 
     def take_announcements(self) -> list[Announcement]:
         """Return the states that have changed since the last call."""
         return self._book.take_announcements()
 
-    def announce_all(self) -> list[Announcement]:
-        """Return the state of every job."""
-        return self._book.announce_all()
+    def announce_open(self) -> list[Announcement]:
+        """Return the state of every job whose end is not stored."""
+        return self._book.announce_open()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -13,6 +13,7 @@
     WatchUpstream,
 )
 from almondspread.jobs.scheduler import Scheduler
+from almondspread_daemon.jobs.links import SharedMessage
 from almondspread_daemon.jobs.members import Member, Members
 from almondspread_daemon.jobs.settings import JobSettings
 
@@ -135,5 +136,6 @@
 
     def broadcast(self, message: object) -> None:
         """Send a message to all members."""
+        shared = SharedMessage(message)
         for member in self.members.members.values():
-            member.send(message)
+            member.send(shared)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
@@ -12,7 +12,7 @@
 class JobBoard:
     """States by job. ``is_current`` while a leader keeps it up to date.
 
-    Where it ``knows_all``, a job that is not on it does not exist.
+    Where it ``knows_all``, a job that is not on it does not exist, or its end is stored.
     """
 
     is_current: bool = False
@@ -23,7 +23,7 @@
     _ended_at: dict[str, timedelta] = field(factory=dict)
 
     def replace(self, states: tuple[Announcement, ...]) -> None:
-        """Take the states of all jobs; ones that have ended stay as they are."""
+        """Take the states of all jobs whose end is not stored; ended ones stay."""
         for name, known in list(self._states.items()):
             if JobState(known.state) not in TERMINAL_STATES:
                 del self._states[name]
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -17,6 +17,7 @@
 )
 from almondspread.jobs.admission import decide_admission
 from almondspread.jobs.configuration import Configuration, Queue
+from almondspread.jobs.jobbook import Announcement
 from almondspread.jobs.ports import (
     RowName,
     StoredRow,
@@ -129,17 +130,21 @@
         known = self._board.read(job)
         if known is not None and (self._board.is_current or known in TERMINAL_STATES):
             return Ok(known)
-        if known is None and self._board.knows_all:
-            self._log(job, "not found")
-            return Error(NotFound(f"there is no job {job}", "submit it"))
+        knows_all = self._board.knows_all
         row = await self._read_one(name_progress(job))
         record = None
         if row.is_ok() and row.ok is not None:
             record = read_row(row.ok, JobRecord)
         if record is not None:
-            return Ok(JobState(record.state))
+            state = JobState(record.state)
+            if state in TERMINAL_STATES:
+                self._board.update((Announcement(job, record.queue, record.state),))
+            return Ok(state)
         if known is not None:
             return Ok(known)
+        if row.is_ok() and knows_all:
+            self._log(job, "not found")
+            return Error(NotFound(f"there is no job {job}", "submit it"))
         return Error(_report_unheard())
 
     async def cancel(self, job: str) -> Result[JobState, Problem]:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -35,6 +35,7 @@
     LinkServer,
     NotLeading,
     QueueLoads,
+    SharedMessage,
     StatesChanged,
     Welcome,
 )
@@ -53,7 +54,11 @@
 BEAT_INTERVAL = timedelta(milliseconds=300)
 POLL_PAUSE = timedelta(milliseconds=100)
 # Instances that find the leader gone at the same time do not all claim at once.
-CLAIM_JITTER = timedelta(milliseconds=120)
+CLAIM_JITTER = timedelta(milliseconds=80)
+# How long the weakest machine leaves the claim to others.
+CLAIM_SPREAD = timedelta(milliseconds=700)
+# A leader decides for all, and so looks after fewer upstreams than its size allows.
+LEADER_SHARE = 0.3
 
 
 class JobInstance:
@@ -172,11 +177,9 @@
             if version < 0 or self.desk.configuration is None:
                 await self._clock.sleep(POLL_PAUSE)
                 continue
-            if row is not None and self._is_gone(row):
-                await self._claim(row, version)
-                continue
-            if is_expired(row, self.store_clock.now()):
-                await self._clock.sleep(CLAIM_JITTER * self._random.random())
+            gone = row is not None and self._is_gone(row)
+            if gone or is_expired(row, self.store_clock.now()):
+                await self._let_others_claim()
                 await self._claim(row, version)
                 continue
             assert row is not None
@@ -188,6 +191,12 @@
             self._left = (row.incarnation, await self._read_renewal())
             await self._clock.sleep(POLL_PAUSE)
 
+    async def _let_others_claim(self) -> None:
+        """Wait a moment, in which instances on larger machines claim."""
+        weakness = 1.0 - self.settings.strength
+        jitter = CLAIM_JITTER * self._random.random()
+        await self._clock.sleep(CLAIM_SPREAD * weakness + jitter)
+
     def _is_gone(self, row: LeaderRow) -> bool:
         """Tell whether the process that leads has surely ended."""
         if row.incarnation in self._gone:
@@ -247,7 +256,7 @@
         member = Member(
             self.settings.instance,
             self.settings.failure_domain,
-            self.settings.cores,
+            self.settings.cores * LEADER_SHARE,
             self._take_message,
             self._clock.monotonic(),
         )
@@ -345,6 +354,8 @@
 
     def _take_message(self, message: object) -> None:
         """Take one message of the leader."""
+        if isinstance(message, SharedMessage):
+            message = message.message
         match message:
             case StatesChanged(whole=True):
                 self.board.replace(message.states)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -168,8 +168,8 @@
             link.close()
 
     def _describe_states(self) -> StatesChanged:
-        """Return the states of all jobs."""
-        return StatesChanged(tuple(self._scheduler.announce_all()), whole=True)
+        """Return the states of all jobs whose end is not stored."""
+        return StatesChanged(tuple(self._scheduler.announce_open()), whole=True)
 
     def take_message(self, member: Member, message: object) -> None:
         """Take one message of a member."""
@@ -206,13 +206,12 @@
             now = self._clock.monotonic()
             beat = Beat(self._committer.lease_holds, self._intake.knows_all())
             loads = QueueLoads(self._scheduler.estimate_waits(now))
+            self._assignments.broadcast(beat)
+            self._assignments.broadcast(loads)
             for member in list(self._assignments.members.members.values()):
                 remote = member.instance != self._instance
                 if remote and now - member.heard > MEMBER_SILENCE:
                     self._assignments.drop_member(member)
-                    continue
-                member.send(beat)
-                member.send(loads)
             if self._committer.is_grace_over:
                 self.end("the store has not confirmed the epoch")
             await self._clock.sleep(BEAT_INTERVAL)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -73,7 +73,7 @@
 
 @define(frozen=True)
 class StatesChanged:
-    """States of jobs; all that there are where ``whole``."""
+    """States of jobs; where ``whole``, of all jobs whose end is not stored."""
 
     states: tuple[Announcement, ...]
     whole: bool = False
@@ -120,6 +120,25 @@
 )
 
 
+class SharedMessage:
+    """A message to many instances, which is encoded once."""
+
+    def __init__(self, message: object) -> None:
+        self.message = message
+        self._encoded: bytes | None = None
+
+    def encode(self) -> bytes:
+        """Return the message as it goes over a link."""
+        if self._encoded is None:
+            self._encoded = _encode(self.message)
+        return self._encoded
+
+
+def _encode(message: object) -> bytes:
+    """Return a message as it goes over a link."""
+    return Frame(NOTE, 0, LINK_CODEC.to_plain(message)).encode()
+
+
 class Link:
     """One stream; what is sent in one turn of the event loop leaves in one write."""
 
@@ -142,8 +161,10 @@
             return
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
-        frame = Frame(NOTE, 0, LINK_CODEC.to_plain(message))
-        self._unsent.append(frame.encode())
+        if isinstance(message, SharedMessage):
+            self._unsent.append(message.encode())
+        else:
+            self._unsent.append(_encode(message))
 
     def _flush(self) -> None:
         """Write what has gathered."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -6,12 +6,16 @@
 
 # Longer leases keep the tasks of a crashed upstream waiting.
 MAX_LEASE = timedelta(seconds=6)
+# A machine of this size leads a cell of a few hundred upstreams.
+LEADER_CORES = 1.0
+LEADER_LINK_MBPS = 100.0
 
 
 @define(frozen=True)
 class JobSettings:
-    """Identity, addresses and time limits of one instance.
+    """Identity, addresses, size and time limits of one instance.
 
+    ``cores`` may be a part of one, ``link_mbps`` is the speed of its link in Mbit/s.
     ``lease`` is how long runs live without being held; ``longest_hold`` the most that
     an upstream grants. ``grace`` is the time between SIGTERM and SIGKILL. Peers connect
     to ``peer_address``; where that is translated on the way, ``peer_listen_address`` is
@@ -24,12 +28,18 @@
     readiness_address: str
     peer_address: str
     cores: float
+    link_mbps: float
     longest_hold: timedelta
     stop_timeout: timedelta
     status_retention: timedelta
     grace: timedelta
     peer_listen_address: str = ""
 
+    @property
+    def strength(self) -> float:
+        """How fit the machine is to lead, from 0 to 1."""
+        return min(1.0, self.cores / LEADER_CORES, self.link_mbps / LEADER_LINK_MBPS)
+
     @property
     def lease(self) -> timedelta:
         """How long runs live without being held."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -41,6 +41,7 @@
         "127.0.0.1:0",
         "127.0.0.1:0",
         1.0,
+        1_000.0,
         10 * SECOND,
         SECOND,
         120 * SECOND,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_callers.py
@@ -90,6 +90,17 @@
         gone = await self.desk.read_state("j")
         self.assertIsInstance(gone.error, NotFound)
 
+    async def test_job_that_ended_before_this_instance_began_is_found(self):
+        self.board.knows_all = True
+        record = encode_message(JobRecord("j", QUEUE, "completed"))
+        put = RowPut(name_progress("j"), record)
+        await self.store.transact(Transaction(puts=(put,)), SECOND)
+        self.assertIs((await self.desk.read_state("j")).ok, JobState.COMPLETED)
+        self.store.refuses = lambda _: True
+        self.assertIs((await self.desk.read_state("j")).ok, JobState.COMPLETED)
+        unsure = await self.desk.read_state("k")
+        self.assertIsInstance(unsure.error, Unavailable)
+
     async def test_without_a_leader_the_stored_progress_answers(self):
         record = encode_message(JobRecord("j", QUEUE, "completed"))
         put = RowPut(name_progress("j"), record)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -112,6 +112,21 @@
         record = read_row(self.store.rows[name_progress("j")], JobRecord)
         self.assertEqual(record.state, "cancelled")
 
+    async def test_ended_job_is_told_to_newcomers_until_its_end_is_stored(self):
+        await self.claim()
+        now = self.parts.clock.monotonic()
+        self.scheduler.accept_job(make_submission("j"), now, WALL)
+        self.scheduler.accept_job(make_submission("open"), now, WALL)
+        self.scheduler.cancel_job("j", now)
+        self.store.refuses = lambda _: True
+        await self.committer.commit()
+        jobs = {each.job: each.state for each in self.scheduler.announce_open()}
+        self.assertEqual(jobs, {"j": "cancelled", "open": "queued"})
+        self.store.refuses = lambda _: False
+        await self.committer.commit()
+        jobs = {each.job: each.state for each in self.scheduler.announce_open()}
+        self.assertEqual(jobs, {"open": "queued"})
+
     async def test_superseded_leader_stores_nothing_more(self):
         await self.claim()
         other = LeaderRow(2, "entry-2", "two", "127.0.0.1:2", 51.0)
