--- a/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/board.py
@@ -12,7 +12,8 @@
 class JobBoard:
     """States by job. ``is_current`` while a leader keeps it up to date.
 
-    Where it ``knows_all``, a job that is not on it does not exist, or its end is stored.
+    Where it ``knows_all``, a job that is not on it does not exist, or its end is
+    stored.
     """
 
     is_current: bool = False
--- a/packages/almondspread_standin/almondspread_standin/soak/proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/proxy.py
@@ -127,6 +127,7 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     raw = writer.get_extra_info("socket")
-    if raw is not None:
+    # A connection that has closed by itself has no descriptor left.
+    if raw is not None and raw.fileno() >= 0:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT_AT_ALL)
     writer.transport.abort()
