Judge lateness ten times a second, list usable upstreams once a pass, log a step's starts in one line

A log line costs 65 us, and there was one for each task. The soak ends its processes before anything else, and names jobs by its seed: a run had met processes that a failed one had left behind.

--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -18,18 +18,17 @@
 
 
 def list_candidates(
-    progress: StepProgress, upstreams: Iterable[Upstream], now: timedelta
+    progress: StepProgress, usable: Iterable[Upstream]
 ) -> list[Upstream]:
-    """Return the upstreams on which a task of the step may run at all now."""
+    """Return the usable upstreams on which a task of the step may run now."""
     step = progress.step
     found = []
-    for upstream in upstreams:
-        if not upstream.is_usable(now):
+    claim = step.claim
+    for upstream in usable:
+        if not claim.fits_in(upstream.free):
             continue
         if step.required_label and step.required_label not in upstream.entry.labels:
             continue
-        if not step.claim.fits_in(upstream.free):
-            continue
         if step.spread_limit and upstream.count_step(progress.key) >= step.spread_limit:
             continue
         found.append(upstream)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -36,6 +36,8 @@
 # Below and above all versions of the store.
 NO_VERSION = -1
 ANY_VERSION = sys.maxsize
+# Passes follow events, many a second; lateness is judged less often.
+SWEEP_INTERVAL = timedelta(milliseconds=100)
 
 
 @define(frozen=True)
@@ -80,6 +82,7 @@
         self.epoch = epoch
         self.inherited_version = inherited_version
         self._startable_version = NO_VERSION
+        self._swept = timedelta(0)
         self.ledger = RunLedger(epoch)
         self._control = RunControl(self.ledger)
         self._book = JobBook(configuration, self._control.stop_runs)
@@ -201,14 +204,21 @@
         """Return the orders that are due; at most ``ask_slots`` ask for permits."""
         self._book.open_repeating(wall)
         self._watch.expire(now)
-        self._control.expire(now)
         self._planner.place(now, ask_slots, self._describe_holds())
+        self._sweep(now)
+        orders, self._control.orders = self._control.orders, []
+        return orders
+
+    def _sweep(self, now: timedelta) -> None:
+        """Look at all runs for what is late, or must move, from time to time."""
+        if now - self._swept < SWEEP_INTERVAL:
+            return
+        self._swept = now
+        self._control.expire(now)
         for run in choose_stragglers(self.jobs, self.ledger, now):
             self._control.replace(run, now)
         moved = choose_evacuations(self.jobs, self.ledger, now)
         self._control.stop_runs(moved, now)
-        orders, self._control.orders = self._control.orders, []
-        return orders
 
     def _describe_holds(self) -> StartHolds:
         """Return which jobs may not start yet."""
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -9,7 +9,12 @@
 from almondspread.jobs.ledger import RunLedger
 from almondspread.jobs.messages import AskPermits, PermitsAnswered, StartRun
 from almondspread.jobs.ordering import rank_step
-from almondspread.jobs.placement import keep_permitted, list_candidates, place_tasks
+from almondspread.jobs.placement import (
+    Placement,
+    keep_permitted,
+    list_candidates,
+    place_tasks,
+)
 from almondspread.jobs.progress import Permits, Run, RunPhase, StepProgress
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.upstreams import Upstream
@@ -69,20 +74,20 @@
         progress.permits = Permits(answer.tickets, expires)
 
     def _ask_permits(
-        self, progress: StepProgress, service: str, now: timedelta
+        self, progress: StepProgress, usable: list[Upstream], now: timedelta
     ) -> bool:
         """Ask which upstreams may run a step; false where that is under way."""
         asked = progress.permits_asked
         if asked is not None and now - asked < PERMIT_PATIENCE:
             return False
         label = progress.step.required_label
-        usable = [
+        suited = [
             upstream
-            for upstream in self._list_service(service)
-            if upstream.is_usable(now) and (not label or label in upstream.entry.labels)
+            for upstream in usable
+            if not label or label in upstream.entry.labels
         ]
-        usable.sort(key=lambda upstream: -upstream.free.cpu_millis)
-        names = tuple(upstream.name for upstream in usable[:MAX_UPSTREAMS_ASKED])
+        suited.sort(key=lambda upstream: -upstream.free.cpu_millis)
+        names = tuple(upstream.name for upstream in suited[:MAX_UPSTREAMS_ASKED])
         if not names:
             return False
         progress.permits_asked = now
@@ -96,13 +101,13 @@
         self.control.orders.append(AskPermits(*progress.key, names))
         return True
 
-    def _list_service(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service."""
-        return [
-            upstream
-            for upstream in self.ledger.upstreams.values()
-            if upstream.entry.service == service
-        ]
+    def _list_usable(self, now: timedelta) -> dict[str, list[Upstream]]:
+        """Return the upstreams that may be given runs, by service."""
+        found: dict[str, list[Upstream]] = {}
+        for upstream in self.ledger.upstreams.values():
+            if upstream.is_usable(now):
+                found.setdefault(upstream.entry.service, []).append(upstream)
+        return found
 
     def place(self, now: timedelta, ask_slots: int, holds: StartHolds) -> None:
         """Start what has room and is not held.
@@ -116,6 +121,7 @@
             ),
         )
         serving = self._list_serving()
+        usable = self._list_usable(now)
         for progress in steps:
             if now < progress.not_before:
                 continue
@@ -127,12 +133,13 @@
                 progress.job.submission.queue
             )
             service = self.control.book.find_service(progress.job.submission.queue)
-            candidates = list_candidates(progress, self._list_service(service), now)
+            suited = usable.get(service, [])
+            candidates = list_candidates(progress, suited)
             if not candidates:
                 continue
             if queue is not None and queue.advice is not None:
                 if progress.permits is None or progress.permits.expires <= now:
-                    if ask_slots and self._ask_permits(progress, service, now):
+                    if ask_slots and self._ask_permits(progress, suited, now):
                         ask_slots -= 1
                     continue
                 candidates = keep_permitted(progress, candidates, now)
@@ -157,15 +164,6 @@
             run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
             self.ledger.add(progress, placement.index, upstream, run)
             tickets = progress.permits.tickets if progress.permits else {}
-            logger.info(
-                "run placed",
-                job=task.job,
-                task=str(task),
-                run=number,
-                upstream=upstream.name,
-                waited=(now - progress.job.accepted).total_seconds(),
-                configuration=self.control.book.configuration.version,
-            )
             self.control.orders.append(
                 StartRun(
                     upstream.name,
@@ -176,8 +174,29 @@
                     tickets.get(upstream.name, "") if queue and queue.advice else "",
                 )
             )
+        self._log_placements(progress, placements, now)
         self.control.book.line_up(progress)
 
+    def _log_placements(
+        self, progress: StepProgress, placements: list[Placement], now: timedelta
+    ) -> None:
+        """Log in one line which tasks of a step go where."""
+        if not placements:
+            return
+        chosen: dict[str, list[int]] = {}
+        for placement in placements:
+            chosen.setdefault(placement.upstream.name, []).append(placement.index)
+        logger.info(
+            "runs placed",
+            job=progress.job.submission.job,
+            occurrence=progress.occurrence,
+            step=progress.number,
+            tasks=chosen,
+            still_waiting=len(progress.waiting),
+            waited=(now - progress.job.accepted).total_seconds(),
+            configuration=self.control.book.configuration.version,
+        )
+
     def _list_serving(self) -> set[str]:
         """Return the upstreams that run tasks with users of their own."""
         found = set()
--- a/packages/almondspread_standin/almondspread_standin/soak/callers.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/callers.py
@@ -25,6 +25,8 @@
 VISIBLE_SECONDS = 3.0
 OK, MISSING, GONE = 200, 404, 410
 REJECTIONS = (429, 503)
+# Seeds that differ below this give jobs other names.
+SEEDS = 2**32
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -40,6 +42,7 @@
     caller: HttpCaller
     clock: Clock
     source: random.Random
+    seed: int
     accepted: dict[str, str] = field(factory=dict)
     accepted_at: dict[str, float] = field(factory=dict)
     rejected: set[str] = field(factory=set)
@@ -71,7 +74,8 @@
                     duplicates=self.source.random() < 0.2,
                 )
             )
-        return Submission(f"{self._numbers:016x}", "jobs", "payload", tuple(steps))
+        name = f"{self.seed % SEEDS:08x}{self._numbers:08x}"
+        return Submission(name, "jobs", "payload", tuple(steps))
 
     async def _submit(self, submission: Submission) -> bool:
         """Submit a job until an answer is definite; return whether it is accepted."""
--- a/packages/almondspread_standin/almondspread_standin/soak/instances.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/instances.py
@@ -112,5 +112,6 @@
         """End all processes and proxies."""
         for instance in self.instances:
             await self.end(instance, signal.SIGKILL)
+        for instance in self.instances:
             await instance.store.stop()
             await instance.peers.stop()
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -78,7 +78,7 @@
         caller = HttpCaller(self._client, per_address=MAX_CALLS, overall=MAX_CALLS)
         self._caller = caller
         self._callers = Callers(
-            self._instances, self._history, caller, self._clock, jobs
+            self._instances, self._history, caller, self._clock, jobs, plan.seed
         )
         self._versions = [0]
         self._chaos = Chaos(
