Keep an ended session from taking upstreams back from its successor

Cause, from the lines: an instance that had led epoch 1 followed epoch 2 when its old session noticed the end of a link, reassigned that member's upstreams, and had its own executor watch one of them under epoch 1 again. The epoch 2 agent was closed, the new one fenced for good, and the leader believed the upstream watched. Now a session's own member is deaf once another session or none is under way, an ended session reassigns nothing, an executor ignores orders of earlier epochs and replaces an agent that has given up, and a leader asks again where it has had no news for 3 s.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES = $(foreach package,$(PACKAGES),packages/$(package)) platform
 export PYTHONPATH = $(subst $(space),:,$(foreach source,$(SOURCES),$(CURDIR)/$(source)))
 
-.PHONY: environment demo test check format capacity
+.PHONY: environment demo test check format capacity soak
 
 environment:
 	@sh tools/prepare_environment.sh "$(VENV)"
@@ -29,3 +29,7 @@
 
 capacity: environment
 	$(PYTHON) -m almondspread_standin capacity
+
+# SEED, RUNS and SECONDS may be set.
+soak: environment
+	$(PYTHON) -m almondspread_standin soak --seed $(or $(SEED),1) --runs $(or $(RUNS),1) --seconds $(or $(SECONDS),20)
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -269,6 +269,18 @@
         self.cell.run_for(SECOND)
         self.assertEqual(self.cell.history.starts, 1)
 
+    def test_upstream_without_any_news_is_named_once_in_a_while(self):
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        scheduler, now = self.cell.scheduler, self.cell.now
+        self.assertEqual(scheduler.list_unheard(now, SECOND), [])
+        self.cell.look("u1")
+        late = now + 2 * SECOND
+        self.cell.now = late
+        self.cell.look("u1")
+        self.assertEqual(scheduler.list_unheard(late, SECOND), ["u0"])
+        self.assertEqual(scheduler.list_unheard(late, SECOND), [])
+
     def test_upstream_that_was_silent_gets_runs_once_that_is_stored(self):
         """A successor counts on the stored time at which its leases run out."""
         self.add_upstreams(1)
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -36,6 +36,7 @@
 
     entry: UpstreamEntry
     updated: timedelta = timedelta(0)
+    news_at: timedelta | None = None
     known: bool = False
     recorded: bool = False
     has_strangers: bool = False
--- a/packages/almondspread/almondspread/jobs/watching.py
+++ b/packages/almondspread/almondspread/jobs/watching.py
@@ -122,6 +122,7 @@
             return
         if upstream is None:
             return
+        upstream.news_at = now
         if upstream.lapse_at is None:
             logger.warning(
                 "upstream silent",
@@ -136,6 +137,7 @@
         upstream = self.ledger.upstreams.get(report.upstream)
         if upstream is None or report.epoch != self.ledger.epoch:
             return
+        upstream.news_at = now
         if not self.control.book.is_complete and self._names_unknown_job(report):
             # Neither the room nor the ends can be told yet; it is reported again.
             return
@@ -253,6 +255,20 @@
         for name, upstream in self.ledger.upstreams.items():
             upstream.recorded = name in names
 
+    def list_unheard(self, now: timedelta, patience: timedelta) -> list[str]:
+        """Return the upstreams of which there has been no news for too long.
+
+        Each is returned once in such a time.
+        """
+        found = []
+        for name, upstream in self.ledger.upstreams.items():
+            if upstream.news_at is None:
+                upstream.news_at = now
+            elif now - upstream.news_at > patience:
+                upstream.news_at = now
+                found.append(name)
+        return found
+
     def has_unrecorded(self) -> bool:
         """Tell whether an upstream could run tasks if the store named it."""
         for upstream in self.ledger.upstreams.values():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -86,6 +86,11 @@
         self._is_closed = True
         self._hold_task.cancel()
 
+    @property
+    def is_working(self) -> bool:
+        """Whether the leases are still being held."""
+        return not self._hold_task.done()
+
     def report_all(self) -> None:
         """Report everything anew, to a leader that has come back."""
         self._forwarded = self._acknowledged
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -19,6 +19,8 @@
 
 # Members show signs of life about three times a second.
 UNHEARD_AFTER = timedelta(milliseconds=700)
+# An executor reports about an upstream, or its silence, far more often.
+NEWS_PATIENCE = timedelta(seconds=3)
 
 
 class Assignments:
@@ -97,6 +99,18 @@
             if member is not None:
                 self._watch(name, member)
 
+    def watch_silent_again(self) -> None:
+        """Repeat the order for upstreams of which nothing at all is heard."""
+        now = self._clock.monotonic()
+        for name in self._scheduler.list_unheard(now, NEWS_PATIENCE):
+            member = self.members.find(name)
+            if member is None:
+                continue
+            logger.warning(
+                "upstream not reported", upstream=name, member=member.instance
+            )
+            self._watch(name, member)
+
     def rebalance(self) -> None:
         """Move upstreams to members that are nearer or have fewer."""
         upstreams = self._scheduler.ledger.upstreams
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -102,7 +102,10 @@
     def _watch(self, order: WatchUpstream) -> None:
         """Look after an upstream."""
         agent = self._agents.get(order.upstream)
-        if agent is not None and agent.watch == order:
+        if agent is not None and agent.watch.epoch > order.epoch:
+            logger.warning("order of an earlier epoch", upstream=order.upstream)
+            return
+        if agent is not None and agent.watch == order and agent.is_working:
             agent.report_all()
             return
         if agent is not None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -57,7 +57,7 @@
 CLAIM_JITTER = timedelta(milliseconds=80)
 # How long the weakest machine leaves the claim to others.
 CLAIM_SPREAD = timedelta(milliseconds=700)
-# A leader decides for all, and so looks after fewer upstreams than its size allows.
+# A leader looks after fewer upstreams than its size allows.
 LEADER_SHARE = 0.3
 
 
@@ -79,14 +79,9 @@
         self.board = JobBoard()
         self.store_clock = StoreClock(clock)
         self._writer = RowWriter(store, clock, settings.instance)
+        clocks = (self.store_clock, clock)
         self.desk = JobDesk(
-            store,
-            self._writer,
-            self.store_clock,
-            clock,
-            self.board,
-            metrics,
-            self._announce_cancel,
+            store, self._writer, *clocks, self.board, metrics, self._announce_cancel
         )
         self._incarnation = incarnation
         self._store = store
@@ -206,7 +201,7 @@
 
     async def _read_renewal(self) -> int:
         """Return the latest renewal of the leader's row, -1 without an answer."""
-        row, _ = await self._read_leader()
+        row = (await self._read_leader())[0]
         return row.renewal if row is not None else -1
 
     async def _read_leader(self) -> tuple[LeaderRow | None, int]:
@@ -253,11 +248,17 @@
 
     async def _lead(self, session: LeaderSession) -> None:
         """Lead, with this instance as the first member."""
+
+        def take(message: object) -> None:
+            # What an ended session still sends must not undo its successor's orders.
+            if self._session is session:
+                self._take_message(message)
+
         member = Member(
             self.settings.instance,
             self.settings.failure_domain,
             self.settings.cores * LEADER_SHARE,
-            self._take_message,
+            take,
             self._clock.monotonic(),
         )
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -164,7 +164,8 @@
                 member.heard = self._clock.monotonic()
                 self.take_message(member, message)
         finally:
-            self._assignments.drop_member(member)
+            if not self._ended.is_set():
+                self._assignments.drop_member(member)
             link.close()
 
     def _describe_states(self) -> StatesChanged:
@@ -331,6 +332,7 @@
                 if self._scheduler.list_upstreams(listed.ok, now):
                     self._commit_wanted.set()
                 self._assignments.rebalance()
+                self._assignments.watch_silent_again()
                 self._dirty.set()
             else:
                 logger.warning("upstreams not read", reason=listed.error.reason)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
@@ -0,0 +1,65 @@
+import unittest
+
+from almondspread.clock import SystemClock
+from almondspread.jobs.messages import UnwatchUpstream, UpstreamReport, WatchUpstream
+from almondspread_daemon.jobs.executor import Executor
+from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.tests.support import SECOND
+from almondspread_daemon.jobs.tests.test_agents import (
+    ADDRESS,
+    FakeClient,
+    make_answer,
+    settle,
+)
+
+
+class ExecutorTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.client = FakeClient()
+        self.reports = []
+        self.executor = Executor(
+            self.client, None, SystemClock(), 6 * SECOND, JobMetrics("entry-1", "zone")
+        )
+        self.executor.attach(self.reports.append)
+
+    async def asyncTearDown(self):
+        self.executor.close()
+
+    async def watch(self, epoch):
+        self.executor.carry_out(WatchUpstream("u", ADDRESS, epoch))
+        await settle()
+
+    async def answer(self, clock):
+        self.client.holds.pop().set_result(make_answer(clock))
+        await settle()
+
+    async def test_order_of_an_earlier_epoch_changes_nothing(self):
+        """Found by soak seed 32: a session that had ended took an upstream back."""
+        await self.watch(2)
+        await self.answer(1)
+        await self.watch(1)
+        await self.answer(2)
+        self.assertEqual({report.epoch for report in self.reports}, {2})
+        self.assertTrue(self.executor._agents["u"].is_working)
+
+    async def test_agent_that_has_given_up_is_replaced_when_asked_again(self):
+        await self.watch(1)
+        self.executor._agents["u"].close()
+        await settle()
+        await self.watch(1)
+        await self.answer(1)
+        self.assertIsInstance(self.reports[-1], UpstreamReport)
+
+    async def test_repeated_order_has_everything_reported_anew(self):
+        await self.watch(1)
+        await self.answer(1)
+        await self.watch(1)
+        await self.answer(2)
+        full = [report for report in self.reports if report.running is not None]
+        self.assertEqual(len(full), 2)
+        self.executor.carry_out(UnwatchUpstream("u"))
+        self.assertEqual(self.executor._agents, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_standin/almondspread_standin/soak/callers.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/callers.py
@@ -23,7 +23,7 @@
 DISTURBED_SECONDS = 6.0
 # An accepted job is known at every instance this long after its acknowledgement.
 VISIBLE_SECONDS = 3.0
-OK, MISSING, GONE = 200, 404, 410
+OK, GONE = 200, 410
 REJECTIONS = (429, 503)
 # Seeds that differ below this give jobs other names.
 SEEDS = 2**32
@@ -162,7 +162,8 @@
             if key != (instance.name, instance.life):
                 continue
             seen = self.newest_seen.get(key, 0)
-            if status not in (0, MISSING):
+            # Other answers than 200 also come before there is any configuration.
+            if status == OK:
                 if version < seen:
                     self._complain(f"{instance.name} went back to version {version}")
                 self.newest_seen[key] = max(seen, version)
--- a/packages/almondspread_standin/almondspread_standin/soak/instances.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/instances.py
@@ -14,6 +14,9 @@
 PEER_PORT = 7720
 CALLER_PORT = 8161
 STOP_SECONDS = 20.0
+# Loopback networks, so that soaks at the same time do not meet.
+FIRST_NETWORK = 20
+NETWORKS = 200
 PROGRAM = Path("platform") / "serve.py"
 
 WriteSettings = Callable[["Instance"], bytes]
@@ -59,7 +62,8 @@
 
     async def add(self, number: int, domain: str, store: tuple[str, int]) -> Instance:
         """Add an instance with its proxies; it is not started yet."""
-        address, peer_ip = f"127.0.20.{number}", f"127.0.21.{number}"
+        network = FIRST_NETWORK + os.getpid() % NETWORKS
+        address, peer_ip = f"127.{network}.0.{number}", f"127.{network}.1.{number}"
         instance = Instance(
             f"instance-{number}",
             domain,
--- /dev/null
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_proxy.py
@@ -0,0 +1,63 @@
+import asyncio
+import unittest
+
+from almondspread_standin.soak.proxy import LinkState, Proxy
+
+LOOPBACK = "127.0.0.1"
+
+
+async def echo(reader, writer):
+    while chunk := await reader.read(100):
+        writer.write(chunk)
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = await asyncio.start_server(echo, LOOPBACK, 0)
+        target = self.server.sockets[0].getsockname()[:2]
+        self.proxy = Proxy(LOOPBACK, target)
+        await self.proxy.start()
+        self.reader, self.writer = await self.connect()
+
+    async def asyncTearDown(self):
+        self.writer.close()
+        await self.proxy.stop()
+        self.server.close()
+
+    async def connect(self):
+        return await asyncio.open_connection(LOOPBACK, self.proxy.listen_port)
+
+    async def is_answered(self, seconds=0.2):
+        """Tell whether anything comes back within some time."""
+        try:
+            async with asyncio.timeout(seconds):
+                return await self.reader.read(1) == b"x"
+        except TimeoutError:
+            return False
+
+    async def test_open_link_passes_both_ways(self):
+        self.writer.write(b"x")
+        self.assertTrue(await self.is_answered(5))
+
+    async def test_held_bytes_pass_once_the_link_is_open(self):
+        for state in (LinkState.HELD, LinkState.DEAF):
+            self.proxy.set_state(state)
+            self.writer.write(b"x")
+            self.assertFalse(await self.is_answered())
+            self.proxy.set_state(LinkState.OPEN)
+            self.assertTrue(await self.is_answered(5))
+
+    async def test_refused_link_resets_old_and_new_connections(self):
+        self.writer.write(b"x")
+        self.assertTrue(await self.is_answered(5))
+        self.proxy.set_state(LinkState.REFUSED)
+        with self.assertRaises(ConnectionError):
+            await self.reader.readexactly(1)
+        reader, writer = await self.connect()
+        with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+            writer.write(b"x")
+            await reader.readexactly(1)
+
+
+if __name__ == "__main__":
+    unittest.main()
