--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -55,8 +55,6 @@
 POLL_PAUSE = timedelta(milliseconds=100)
 # Instances that find the leader gone at the same time do not all claim at once.
 CLAIM_JITTER = timedelta(milliseconds=80)
-# How long the weakest machine leaves the claim to others.
-CLAIM_SPREAD = timedelta(milliseconds=700)
 # A leader looks after fewer upstreams than its size allows.
 LEADER_SHARE = 0.3
 
@@ -79,9 +77,14 @@
         self.board = JobBoard()
         self.store_clock = StoreClock(clock)
         self._writer = RowWriter(store, clock, settings.instance)
-        clocks = (self.store_clock, clock)
         self.desk = JobDesk(
-            store, self._writer, *clocks, self.board, metrics, self._announce_cancel
+            store,
+            self._writer,
+            self.store_clock,
+            clock,
+            self.board,
+            metrics,
+            self._announce_cancel,
         )
         self._incarnation = incarnation
         self._store = store
@@ -174,7 +177,8 @@
                 continue
             gone = row is not None and self._is_gone(row)
             if gone or is_expired(row, self.store_clock.now()):
-                await self._let_others_claim()
+                jitter = CLAIM_JITTER * self._random.random()
+                await self._clock.sleep(self.settings.claim_delay + jitter)
                 await self._claim(row, version)
                 continue
             assert row is not None
@@ -186,12 +190,6 @@
             self._left = (row.incarnation, await self._read_renewal())
             await self._clock.sleep(POLL_PAUSE)
 
-    async def _let_others_claim(self) -> None:
-        """Wait a moment, in which instances on larger machines claim."""
-        weakness = 1.0 - self.settings.strength
-        jitter = CLAIM_JITTER * self._random.random()
-        await self._clock.sleep(CLAIM_SPREAD * weakness + jitter)
-
     def _is_gone(self, row: LeaderRow) -> bool:
         """Tell whether the process that leads has surely ended."""
         if row.incarnation in self._gone:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -6,6 +6,8 @@
 
 # Longer leases keep the tasks of a crashed upstream waiting.
 MAX_LEASE = timedelta(seconds=6)
+# The claims of large machines have all arrived within this time.
+CLAIM_SPREAD = timedelta(milliseconds=700)
 # A machine of this size leads a cell of a few hundred upstreams.
 LEADER_CORES = 1.0
 LEADER_LINK_MBPS = 100.0
@@ -40,6 +42,11 @@
         """How fit the machine is to lead, from 0 to 1."""
         return min(1.0, self.cores / LEADER_CORES, self.link_mbps / LEADER_LINK_MBPS)
 
+    @property
+    def claim_delay(self) -> timedelta:
+        """How long the claim to the leadership is left to larger machines."""
+        return CLAIM_SPREAD * (1.0 - self.strength)
+
     @property
     def lease(self) -> timedelta:
         """How long runs live without being held."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_settings.py
@@ -14,6 +14,8 @@
         self.assertEqual(strong.strength, 1.0)
         self.assertEqual(usual.strength, 1.0)
         self.assertAlmostEqual(small.strength, 0.1)
+        self.assertEqual(strong.claim_delay.total_seconds(), 0)
+        self.assertGreater(small.claim_delay.total_seconds(), 0.5)
 
 
 if __name__ == "__main__":
