--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -286,10 +286,11 @@
         self.add_upstreams(1)
         self.cell.run_for(SECOND / 2)
         self.cell.silent.add("u0")
+        self.cell.submit(make_job("j", make_step()))
         self.cell.run_for(SECOND / 2)
+        self.assertFalse(self.cell.scheduler.has_unstartable_jobs)
         self.cell.silent.clear()
         self.cell.store_is_up = False
-        self.cell.submit(make_job("j", make_step()))
         self.cell.run_for(SECOND / 2)
         self.assertEqual(self.cell.history.starts, 0)
         self.cell.store_is_up = True
