--- a/packages/almondspread/almondspread/jobs/evacuation.py
+++ b/packages/almondspread/almondspread/jobs/evacuation.py
@@ -101,10 +101,9 @@
         for upstream in self.ledger.upstreams.values():
             if upstream.entry.service != leaving.entry.service:
                 continue
-            label = step.required_label
-            if not upstream.is_usable(self.now) or (
-                label and label not in upstream.entry.labels
-            ):
+            if not upstream.is_usable(self.now):
+                continue
+            if not upstream.has_label(step.required_label):
                 continue
             taken = self._taken.get(upstream.name, 0)
             free = upstream.free.cpu_millis - taken
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -27,7 +27,7 @@
     for upstream in usable:
         if not claim.fits_in(upstream.free):
             continue
-        if step.required_label and step.required_label not in upstream.entry.labels:
+        if not upstream.has_label(step.required_label):
             continue
         if step.spread_limit and upstream.count_step(progress.key) >= step.spread_limit:
             continue
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -81,11 +81,7 @@
         if asked is not None and now - asked < PERMIT_PATIENCE:
             return False
         label = progress.step.required_label
-        suited = [
-            upstream
-            for upstream in usable
-            if not label or label in upstream.entry.labels
-        ]
+        suited = [upstream for upstream in usable if upstream.has_label(label)]
         suited.sort(key=lambda upstream: -upstream.free.cpu_millis)
         names = tuple(upstream.name for upstream in suited[:MAX_UPSTREAMS_ASKED])
         if not names:
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -68,6 +68,10 @@
         """The label of its rack, the last of its labels."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    def has_label(self, label: str) -> bool:
+        """Tell whether it has a label; all have the empty one."""
+        return not label or label in self.entry.labels
+
     def update(self, entry: UpstreamEntry, now: timedelta) -> None:
         """Take its newest entry."""
         if entry != self.entry:
--- a/packages/almondspread_standin/almondspread_standin/soak/command.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/command.py
@@ -66,9 +66,9 @@
 
 def _run_one(plan: "SoakPlan", logs: Path | None) -> dict[str, object]:
     """Run one soak and return its result as plain values."""
-    if logs is None:
-        with tempfile.TemporaryDirectory() as folder:
-            return attrs.asdict(asyncio.run(_run_until_told(plan, Path(folder))))
-    folder = logs / f"seed-{plan.seed}"
-    folder.mkdir(parents=True, exist_ok=True)
-    return attrs.asdict(asyncio.run(_run_until_told(plan, folder)))
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(temporary)
+        if logs is not None:
+            folder = logs / f"seed-{plan.seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+        return attrs.asdict(asyncio.run(_run_until_told(plan, folder)))
