Serve callers while the store turns this instance away, or falls silent

Old timeouts also made the store count as lost again while it answered. - A configuration was awaited for 20 s at a time on a connection that may be silent. - In a cut failure domain a writer tried four parts with a timeout each, so that callers heard "unknown" of rows that were never sent. After a lost answer, a refusal by another part could tell "not run" of a row that the first part may hold.

Now rows that the store does not take are written by the leader over the link (honest as to what neither may have done); calls sent before the first answered one are given up; probes overlap; a leader that the store serves nothing, while it serves a member, lets another lead; a store that is not reached is asked once.

Ruled out: the balancer, since the requests of window 2 to 10 were refused at ready instances.

--- a/packages/almondspread/almondspread/testing/record_store.py
+++ b/packages/almondspread/almondspread/testing/record_store.py
@@ -22,6 +22,7 @@
 
 REFUSED = StoreUnavailable("refused", not_done=True, refused=True)
 LOST = StoreUnavailable("no answer", not_done=False)
+UNREACHABLE = StoreUnavailable("no connection", not_done=True)
 
 
 @define(eq=False)
@@ -29,8 +30,9 @@
     """Rows by name; ``page_rows`` bounds a page.
 
     ``refuses`` tells whether a part is refused, ``loses_answer`` whether a transaction
-    is done without an answer; while it ``hangs``, none is done or answered. Changes up
-    to ``forgotten`` are no longer followed.
+    is done without an answer; while it ``hangs``, none is done or answered, and while
+    it is ``unreachable`` none arrives. Changes up to ``forgotten`` are no longer
+    followed.
     """
 
     rows: dict[RowName, StoredRow] = field(factory=dict)
@@ -41,6 +43,7 @@
     forgotten: int = 0
     transactions: int = 0
     hangs: bool = False
+    unreachable: bool = False
     refuses: Callable[[str], bool] = lambda _: False
     loses_answer: Callable[[], bool] = lambda: False
 
@@ -51,6 +54,8 @@
         self.transactions += 1
         if self.hangs:
             await asyncio.Event().wait()
+        if self.unreachable:
+            return Error(UNREACHABLE)
         names = [condition.name for condition in transaction.conditions]
         names.extend(put.name for put in transaction.puts)
         names.extend(transaction.removals)
@@ -83,6 +88,8 @@
         self, table: str, part: str, start: str, end: str, timeout: timedelta
     ) -> Result[RowsPage, StoreUnavailable]:
         """Return rows of one part in order of their keys, ``end`` excluded."""
+        if self.unreachable:
+            return Error(UNREACHABLE)
         if self.refuses(part):
             return Error(REFUSED)
         found = []
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/callers.py
@@ -1,6 +1,5 @@
 """What callers ask of jobs: submit, read, cancel, and count those that wait."""
 
-import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -100,22 +99,17 @@
         if admission is not None:
             self._log(submission.job, "refused", wait=wait)
             return Error(admission)
-        if self._store.is_lost:
-            failure = StoreUnavailable("it has not answered for a while", True)
-            return Error(self._refuse(submission.job, failure))
         time_left = min(timeout - ANSWER_MARGIN, MAX_STORING_TIME)
         if time_left < MIN_STORING_TIME:
             failure = StoreUnavailable("the caller leaves it too little time", True)
             return Error(self._refuse(submission.job, failure))
         value = encode_submission(submission, self._store_clock.now())
-        try:
-            async with asyncio.timeout(time_left.total_seconds()):
-                written = await self._writer.write(name_job(submission.job), value)
-        except TimeoutError:
-            self._log(submission.job, "unknown", reason="the store does not answer")
-            return Error(_report_unknown())
-        if written.is_error():
+        written = await self._writer.write(name_job(submission.job), value, time_left)
+        if written.is_error() and written.error.not_done:
             return Error(self._refuse(submission.job, written.error))
+        if written.is_error():
+            self._log(submission.job, "unknown", reason=written.error.reason)
+            return Error(_report_unknown())
         self._log(submission.job, "accepted", version=written.ok)
         self._board.add(submission.job, queue.name)
         return Ok(JobState.QUEUED)
@@ -153,17 +147,15 @@
         if known is not None and known in TERMINAL_STATES:
             return Ok(known)
         value = encode_message(CancelRow(job))
-        try:
-            async with asyncio.timeout(MAX_STORING_TIME.total_seconds()):
-                written = await self._writer.write(name_cancel(job), value)
-        except TimeoutError:
-            self._log(job, "cancel unknown", reason="the store does not answer")
-            return Error(_report_cancel_unknown())
-        if written.is_error():
+        written = await self._writer.write(name_cancel(job), value, MAX_STORING_TIME)
+        if written.is_error() and written.error.not_done:
             self._log(job, "cancel refused", reason=written.error.reason)
             return Error(
                 _report_store_away(written.error, self._store.suggest_return())
             )
+        if written.is_error():
+            self._log(job, "cancel unknown", reason=written.error.reason)
+            return Error(_report_cancel_unknown())
         self._log(job, "cancelled", version=written.ok)
         self._announce_cancel(job)
         return Ok(JobState.CANCELLED)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/configurations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/configurations.py
@@ -10,7 +10,8 @@
 from almondspread.jobs.ports import HistoryGone
 from almondspread_daemon.jobs.store_access import StoreAccess
 
-CONFIGURATION_WAIT = timedelta(seconds=20)
+# A connection may fall silent for good; a change must be noticed all the same.
+CONFIGURATION_WAIT = timedelta(seconds=1)
 STORE_PAUSE = timedelta(milliseconds=300)
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -35,12 +35,16 @@
     LinkServer,
     NotLeading,
     QueueLoads,
+    Resigned,
+    RowWritten,
     SharedMessage,
     StatesChanged,
+    StoreReached,
     Welcome,
 )
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.relay import RowRelay
 from almondspread_daemon.jobs.retention import SWEEP_INTERVAL
 from almondspread_daemon.jobs.rows import CELL, CELL_PART, LEADER, read_leader
 from almondspread_daemon.jobs.settings import JobSettings
@@ -76,7 +80,8 @@
         self.settings = settings
         self.board = JobBoard()
         self.store_clock = StoreClock(clock)
-        self._writer = RowWriter(store, clock, settings.instance)
+        self._relay = RowRelay(clock)
+        self._writer = RowWriter(store, clock, settings.instance, self._relay)
         self.desk = JobDesk(
             store,
             self._writer,
@@ -106,7 +111,7 @@
         """Whether callers should be sent here."""
         if self.desk.configuration is None or self._stopping:
             return False
-        return not self._store.is_lost
+        return self._relay.is_open or not self._store.is_lost
 
     @property
     def is_stopping(self) -> bool:
@@ -241,6 +246,7 @@
             self.store_clock,
             self._clock,
             self._metrics,
+            self._writer,
         )
         await self._lead(session)
 
@@ -328,6 +334,7 @@
                 if isinstance(message, Welcome):
                     logger.info("following", leader=row.instance, epoch=message.epoch)
                     self._link = link
+                    self._relay.attach(follower)
                     self._executor.attach(link.send)
                     continue
                 self._take_message(message)
@@ -337,6 +344,7 @@
             if self._link is link:
                 logger.warning("leader lost", leader=row.instance, epoch=row.epoch)
                 self._link = None
+                self._relay.detach()
                 self.board.lose_leader()
                 self._executor.detach()
 
@@ -364,27 +372,34 @@
                 self.board.waits = message.waits
             case Beat():
                 self.board.knows_all = message.knows_all
-                if not message.lease_holds:
+                self._relay.lease_holds = message.lease_holds
+                if message.store_lost or not message.lease_holds:
                     self._check_leader()
+            case RowWritten():
+                self._relay.settle(message)
+            case Resigned():
+                self._gone.add(message.incarnation)
+                if self._link is not None:
+                    self._link.close()
             case _:
                 self._executor.carry_out(message)  # type: ignore[arg-type]
 
     def _check_leader(self) -> None:
-        """See whether the store, which the leader cannot reach, names another."""
+        """See whether the store, which the leader cannot reach, serves this one."""
         if self._link is not None and self._checking is None:
-            self._checking = asyncio.create_task(self._leave_expired_leader())
+            self._checking = asyncio.create_task(self._check_store())
 
-    async def _leave_expired_leader(self) -> None:
-        """Leave a leader whose lease has expired, where the store is there."""
+    async def _check_store(self) -> None:
+        """Leave a leader whose lease has expired; tell others of the store."""
         link = self._link
         row, version = await self._read_leader()
         self._checking = None
-        if (
-            version >= 0
-            and link is not None
-            and is_expired(row, self.store_clock.now())
-        ):
+        if version < 0 or link is None:
+            return
+        if is_expired(row, self.store_clock.now()):
             link.close()
+            return
+        link.send(StoreReached())
 
     def _announce_cancel(self, job: str) -> None:
         """Tell the leader of a cancellation, which it also reads from the store."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -27,16 +27,21 @@
     Leaving,
     Link,
     QueueLoads,
+    Resigned,
     StatesChanged,
+    StoreReached,
     Welcome,
+    WriteRow,
 )
 from almondspread_daemon.jobs.marks import StartMarks
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.relay_service import RelayService
 from almondspread_daemon.jobs.retention import Retention
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.jobs.writing import RowWriter
 
 COMMIT_INTERVAL = timedelta(milliseconds=50)
 RENEW_INTERVAL = timedelta(milliseconds=400)
@@ -47,6 +52,8 @@
 BEAT_INTERVAL = timedelta(milliseconds=300)
 LOAD_INTERVAL = timedelta(seconds=1)
 MEMBER_SILENCE = timedelta(milliseconds=1_400)
+# At the end of an outage of the whole store, some instances are served a little sooner.
+RESIGN_PATIENCE = timedelta(milliseconds=400)
 
 
 class LeaderSession:
@@ -62,9 +69,11 @@
         store_clock: StoreClock,
         clock: Clock,
         metrics: JobMetrics,
+        writer: RowWriter,
     ) -> None:
         self.epoch = row.epoch
         self._instance = row.instance
+        self._incarnation = row.incarnation
         self._store = store
         self._clock = clock
         self._metrics = metrics
@@ -88,6 +97,8 @@
             settings.status_retention, self._intake.rows, self._scheduler, store, clock
         )
         self._assignments = Assignments(self._scheduler, settings, clock)
+        self._relay_service = RelayService(writer)
+        self._resigning: asyncio.Task[None] | None = None
         self._dirty = asyncio.Event()
         self._commit_wanted = asyncio.Event()
         self._ended = asyncio.Event()
@@ -122,6 +133,8 @@
             await self._ended.wait()
             for work in works:
                 work.cancel()
+        if self._resigning is not None:
+            self._resigning.cancel()
 
     def end(self, reason: str) -> None:
         """Stop leading."""
@@ -136,6 +149,20 @@
         await self._committer.commit(released=True)
         self.end("released")
 
+    def _consider_resigning(self, member: Member) -> None:
+        """Note that the store serves a member, although not this instance."""
+        if self._store.is_lost and self._resigning is None:
+            self._resigning = asyncio.create_task(self._resign(member.instance))
+
+    async def _resign(self, served: str) -> None:
+        """Let another instance lead if the store serves this one nothing."""
+        await self._clock.sleep(RESIGN_PATIENCE)
+        self._resigning = None
+        if not self._store.is_lost or self._ended.is_set():
+            return
+        self._assignments.broadcast(Resigned(self._incarnation))
+        self.end(f"the store serves {served} and not this instance")
+
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self._scheduler.configure(configuration)
@@ -189,6 +216,10 @@
                 self._take_report(message)
             case JobCancelled():
                 self.cancel_job(message.job)
+            case WriteRow():
+                self._relay_service.serve(message, member.send)
+            case StoreReached():
+                self._consider_resigning(member)
             case Leaving():
                 self._assignments.empty_member(member)
             case Beat():
@@ -205,7 +236,11 @@
         """Show signs of life, and drop members that show none."""
         while True:
             now = self._clock.monotonic()
-            beat = Beat(self._committer.lease_holds, self._intake.knows_all())
+            beat = Beat(
+                self._committer.lease_holds,
+                self._intake.knows_all(),
+                self._store.is_lost,
+            )
             loads = QueueLoads(self._scheduler.estimate_waits(now))
             self._assignments.broadcast(beat)
             self._assignments.broadcast(loads)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -59,11 +59,25 @@
 class Beat:
     """A sign of life; the leader's tells whether its lease holds.
 
-    ``knows_all`` tells that it knows every job that was stored a while ago.
+    ``knows_all`` tells that it knows every job that was stored a while ago,
+    ``store_lost`` that the store serves it nothing.
     """
 
     lease_holds: bool = True
     knows_all: bool = True
+    store_lost: bool = False
+
+
+@define(frozen=True)
+class StoreReached:
+    """Tells a leader that the store serves the sender."""
+
+
+@define(frozen=True)
+class Resigned:
+    """The sender leads no longer and stores nothing more."""
+
+    incarnation: str
 
 
 @define(frozen=True)
@@ -93,6 +107,25 @@
     job: str
 
 
+@define(frozen=True)
+class WriteRow:
+    """Asks the leader to store a row of the submissions unless it is there."""
+
+    number: int
+    key: str
+    value: bytes
+
+
+@define(frozen=True)
+class RowWritten:
+    """The version at which a row was written, 0 if it was there, or the failure."""
+
+    number: int
+    version: int = 0
+    failure: str = ""
+    not_done: bool = False
+
+
 LINK_CODEC = TaggedCodec(
     (
         AcknowledgeEnds,
@@ -106,16 +139,20 @@
         PaceRun,
         PermitsAnswered,
         QueueLoads,
+        Resigned,
+        RowWritten,
         StartRun,
         StartSettled,
         StatesChanged,
         StopRun,
         StopSettled,
+        StoreReached,
         UnwatchUpstream,
         UpstreamReport,
         UpstreamSilent,
         WatchUpstream,
         Welcome,
+        WriteRow,
     )
 )
 
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/relay_service.py
@@ -0,0 +1,42 @@
+"""The leader's side of writes for instances which the store turns away."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from almondspread_daemon.jobs.links import RowWritten, WriteRow
+from almondspread_daemon.jobs.writing import RowWriter
+
+# Callers of the other instance wait no longer.
+RELAYED_WRITE_TIME = timedelta(seconds=3)
+
+
+class RelayService:
+    """Writes rows that members send, and tells them what came of it."""
+
+    def __init__(self, writer: RowWriter) -> None:
+        self._writer = writer
+        self._writes: set[asyncio.Task[None]] = set()
+
+    def serve(self, request: WriteRow, answer: Callable[[RowWritten], None]) -> None:
+        """Begin to write one row."""
+        write = asyncio.create_task(self._write(request, answer))
+        self._writes.add(write)
+        write.add_done_callback(self._writes.discard)
+
+    async def _write(
+        self, request: WriteRow, answer: Callable[[RowWritten], None]
+    ) -> None:
+        """Write one row and answer."""
+        written = await self._writer.write(
+            request.key, request.value, RELAYED_WRITE_TIME
+        )
+        if written.is_ok():
+            answer(RowWritten(request.number, written.ok))
+            return
+        failure = written.error
+        answer(
+            RowWritten(
+                request.number, failure=failure.reason, not_done=failure.not_done
+            )
+        )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -1,10 +1,12 @@
 """Access to the platform's store with timeouts that follow its speed."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import TypeVar
 
-from expression import Result
+from attrs import define
+from expression import Error, Result
 from loguru import logger
 
 from almondspread.clock import Clock
@@ -30,11 +32,14 @@
 MAX_TIMEOUT = timedelta(milliseconds=1_600)
 # A timeout of this many usual answer times tells a lost answer from a slow one.
 TIMEOUT_FACTOR = 6
-# A refusal, or a single lost answer, does not make the store count as lost.
 PROBE_INTERVAL = timedelta(milliseconds=200)
+# A silent store swallows every probe, so that several are under way at once.
+PROBE_TIMEOUT = timedelta(milliseconds=800)
+MAX_PROBES = 4
 PROBED_TABLE = "probes"
 MIN_RETURN = timedelta(seconds=1)
 MAX_RETURN = timedelta(seconds=3)
+# A single refusal or lost answer does not make the store count as lost.
 LOSS_PATIENCE = timedelta(milliseconds=500)
 RETRY_PAUSE = timedelta(milliseconds=50)
 SMOOTHING = 0.2
@@ -62,8 +67,23 @@
         self._timeout = min(MAX_TIMEOUT, 2 * self._timeout)
 
 
+OVERTAKEN = StoreUnavailable("later calls were answered first", not_done=False)
+
+
+@define(eq=False)
+class _Flight:
+    """A call under way; ``scope`` ends it early."""
+
+    sent: timedelta
+    scope: asyncio.Timeout
+
+
 class StoreAccess:
-    """The store and what is published in it, as one dependency of this process."""
+    """The store and what is published in it, as one dependency of this process.
+
+    Where the store falls silent it never answers what it was sent meanwhile. As soon
+    as it answers a later call, the earlier ones are given up.
+    """
 
     def __init__(
         self,
@@ -77,28 +97,44 @@
         self._clock = clock
         self._metrics = metrics
         self._times = AnswerTimes()
-        self._lost_since: timedelta | None = None
+        self._failing_since: timedelta | None = None
+        self._loss_logged = False
+        # When the newest call that has been answered was sent.
+        self._answered = timedelta.min
+        self._flights: set[_Flight] = set()
+        self._probes: set[asyncio.Task[None]] = set()
 
     @property
     def is_lost(self) -> bool:
-        """Whether the store has answered nothing for a while."""
-        if self._lost_since is None:
+        """Whether the store has served nothing for a while."""
+        if self._failing_since is None:
             return False
-        return self._clock.monotonic() - self._lost_since > LOSS_PATIENCE
+        return self._clock.monotonic() - self._failing_since > LOSS_PATIENCE
 
     def suggest_return(self) -> timedelta:
         """Return when callers should come back: an outage may last as long again."""
-        if self._lost_since is None:
+        if self._failing_since is None:
             return MIN_RETURN
-        lost_for = self._clock.monotonic() - self._lost_since
+        lost_for = self._clock.monotonic() - self._failing_since
         return max(MIN_RETURN, min(MAX_RETURN, lost_for))
 
     async def probe(self) -> None:
-        """Ask the store for signs of life while it counts as lost."""
+        """Ask the store for signs of life while it serves nothing."""
         while True:
             await self._clock.sleep(PROBE_INTERVAL)
-            if self._lost_since is not None:
-                await self.read(PROBED_TABLE, "")
+            if self._failing_since is None or len(self._probes) >= MAX_PROBES:
+                continue
+            probe = asyncio.create_task(self._probe())
+            self._probes.add(probe)
+            probe.add_done_callback(self._probes.discard)
+
+    async def _probe(self) -> None:
+        """Make one call whose only use is its answer."""
+        await self._time(
+            lambda timeout: self._store.read(
+                PROBED_TABLE, "", "", "", min(timeout, PROBE_TIMEOUT)
+            )
+        )
 
     async def transact(
         self, transaction: Transaction
@@ -125,7 +161,7 @@
     ) -> Result[Changes, HistoryGone | StoreUnavailable]:
         """Return the changes of a table after a version, as soon as there are any."""
         timeout = wait + self._times.timeout
-        return await self._store.follow(table, after, wait, timeout)
+        return await self._fly(self._store.follow(table, after, wait, timeout))
 
     async def list_upstreams(self) -> Result[list[UpstreamEntry], StoreUnavailable]:
         """Return the upstreams that are registered now."""
@@ -141,38 +177,66 @@
         self, wait: timedelta
     ) -> Result[bool, HistoryGone | StoreUnavailable]:
         """Return true as soon as operators have published something new."""
-        return await self._directory.wait_for_change(wait, wait + self._times.timeout)
+        timeout = wait + self._times.timeout
+        return await self._fly(self._directory.wait_for_change(wait, timeout))
 
     async def _time(
         self, call: Callable[[timedelta], Awaitable[Result[T, E]]]
-    ) -> Result[T, E]:
+    ) -> Result[T, E | StoreUnavailable]:
         """Make one call and learn from how long it took."""
         sent = self._clock.monotonic()
-        outcome = await call(self._times.timeout)
+        outcome = await self._fly(call(self._times.timeout))
         taken = self._clock.monotonic() - sent
         failure = outcome.error if outcome.is_error() else None
         self._metrics.time_store_call(taken, type(failure or outcome).__name__)
         if not isinstance(failure, StoreUnavailable):
             self._times.note_answer(taken)
-            self._note_reached()
-            return outcome
-        if failure.refused:
+            self._note_answered(sent)
             return outcome
-        if taken >= self._times.timeout:
+        if not failure.refused and taken >= self._times.timeout:
             self._times.note_timeout()
-        self._note_lost(failure.reason)
+        # What was sent before an answered call tells nothing of the store now.
+        if sent > self._answered:
+            self._note_failure(failure.reason)
         return outcome
 
-    def _note_reached(self) -> None:
-        """Log that the store answers again."""
-        if self._lost_since is None:
+    async def _fly(
+        self, call: Awaitable[Result[T, E]]
+    ) -> Result[T, E | StoreUnavailable]:
+        """Await an answer, unless the store answers later calls instead."""
+        flight = _Flight(self._clock.monotonic(), asyncio.timeout(None))
+        self._flights.add(flight)
+        try:
+            async with flight.scope:
+                return await call
+        except TimeoutError:
+            return Error(OVERTAKEN)
+        finally:
+            self._flights.discard(flight)
+
+    def _note_answered(self, sent: timedelta) -> None:
+        """Take the answer to a call; after an outage, give up the calls before it."""
+        self._answered = max(self._answered, sent)
+        if self._failing_since is None:
             return
-        away = self._clock.monotonic() - self._lost_since
-        self._lost_since = None
-        logger.info("store answers again", seconds=away.total_seconds())
-
-    def _note_lost(self, reason: str) -> None:
-        """Log that the store does not answer, once."""
-        if self._lost_since is None:
-            self._lost_since = self._clock.monotonic()
+        away = self._clock.monotonic() - self._failing_since
+        self._failing_since = None
+        overtaken = [flight for flight in self._flights if flight.sent < sent]
+        now = asyncio.get_running_loop().time()
+        for flight in overtaken:
+            flight.scope.reschedule(now)
+        if self._loss_logged:
+            logger.info(
+                "store answers again",
+                seconds=away.total_seconds(),
+                calls_given_up=len(overtaken),
+            )
+        self._loss_logged = False
+
+    def _note_failure(self, reason: str) -> None:
+        """Take the failure of a call; a loss that lasts is logged once."""
+        if self._failing_since is None:
+            self._failing_since = self._clock.monotonic()
+        if self.is_lost and not self._loss_logged:
+            self._loss_logged = True
             logger.warning("store lost", reason=reason)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -1,5 +1,6 @@
 """Parts of an instance around a store in memory, for tests."""
 
+import asyncio
 from datetime import timedelta
 
 from almondspread.clock import ManualClock
@@ -19,6 +20,7 @@
 
     async def sleep(self, duration):
         self.advance(duration)
+        await asyncio.sleep(0)
 
 
 class StoreParts:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -32,6 +32,7 @@
     make_settings,
     make_submission,
 )
+from almondspread_daemon.jobs.writing import RowWriter
 
 WALL = datetime(2026, 1, 1, tzinfo=UTC)
 
@@ -89,6 +90,7 @@
             parts.store_clock,
             parts.clock,
             parts.metrics,
+            RowWriter(parts.access, parts.clock, "entry-1"),
         )
         scheduler = session._scheduler
         now = parts.clock.monotonic()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
@@ -0,0 +1,154 @@
+"""Replays of a store that falls silent, refuses everything, and comes back."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from expression import Error, Ok
+
+from almondspread.clock import ManualClock
+from almondspread.jobs.ports import Changes, RowsPage, StoreUnavailable
+from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.store_access import (
+    LOSS_PATIENCE,
+    OVERTAKEN,
+    StoreAccess,
+)
+
+PAGE = RowsPage((), False, 1, timedelta(0))
+SILENT = Error(StoreUnavailable("timed out", not_done=False))
+REFUSED = Error(StoreUnavailable("status 503", not_done=True, refused=True))
+MOMENT = timedelta(milliseconds=10)
+WAIT = timedelta(seconds=1)
+
+
+class HeldStore:
+    """Calls in the order in which they came, which a test answers by hand."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def _hold(self):
+        answer = asyncio.get_running_loop().create_future()
+        self.calls.append(answer)
+        return await answer
+
+    async def read(self, table, part, start, end, timeout):
+        return await self._hold()
+
+    async def follow(self, table, after, wait, timeout):
+        return await self._hold()
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+class StoreAccessTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.store = HeldStore()
+        metrics = JobMetrics("entry-1", "zone")
+        self.access = StoreAccess(self.store, None, self.clock, metrics)
+
+    async def read(self):
+        """Begin a call a moment after the one before."""
+        self.clock.advance(MOMENT)
+        call = asyncio.create_task(self.access.read("table", ""))
+        await settle()
+        return call
+
+    async def answer(self, number, outcome):
+        self.store.calls[number].set_result(outcome)
+        await settle()
+
+    async def lose(self):
+        """Have two calls in a row fail, more than the patience apart."""
+        for _ in range(2):
+            await self.read()
+            await self.answer(-1, SILENT)
+            self.clock.advance(LOSS_PATIENCE)
+
+    async def test_long_wait_ends_when_the_store_is_back(self):
+        """Found on a day with a silent store: new jobs were seen 2 s after its end."""
+        feed = asyncio.create_task(self.access.follow("table", 1, WAIT))
+        await settle()
+        await self.lose()
+        self.assertTrue(self.access.is_lost)
+        late = await self.read()
+        await self.read()
+        await self.answer(-1, Ok(PAGE))
+        self.assertFalse(self.access.is_lost)
+        self.assertEqual((await feed).error, OVERTAKEN)
+        self.assertEqual((await late).error, OVERTAKEN)
+
+    async def test_calls_after_the_answered_one_go_on(self):
+        await self.lose()
+        await self.read()
+        later = await self.read()
+        await self.answer(-2, Ok(PAGE))
+        self.assertFalse(later.done())
+        await self.answer(-1, Ok(PAGE))
+        self.assertTrue((await later).is_ok())
+
+    async def test_overtaken_call_outside_an_outage_is_left_to_its_timeout(self):
+        feed = asyncio.create_task(self.access.follow("table", 1, WAIT))
+        await self.read()
+        await self.answer(-1, Ok(PAGE))
+        self.assertFalse(feed.done())
+        await self.answer(0, Ok(Changes((), 1)))
+        self.assertTrue((await feed).is_ok())
+
+    async def test_failure_of_an_overtaken_call_tells_nothing(self):
+        """Found on the same day: the store counted as lost again while it answered."""
+        old = await self.read()
+        await self.read()
+        await self.answer(-1, Ok(PAGE))
+        await self.answer(0, SILENT)
+        self.assertTrue((await old).is_error())
+        self.clock.advance(2 * LOSS_PATIENCE)
+        self.assertFalse(self.access.is_lost)
+
+    async def test_store_that_refuses_everything_counts_as_lost(self):
+        """Found on a day on which it turned a third of the instances away."""
+        await self.read()
+        await self.answer(-1, REFUSED)
+        self.assertFalse(self.access.is_lost)
+        self.clock.advance(LOSS_PATIENCE + MOMENT)
+        self.assertTrue(self.access.is_lost)
+
+    async def test_answered_call_between_refusals_keeps_it(self):
+        await self.read()
+        await self.answer(-1, REFUSED)
+        await self.read()
+        await self.answer(-1, Ok(PAGE))
+        await self.read()
+        await self.answer(-1, REFUSED)
+        self.clock.advance(LOSS_PATIENCE - MOMENT)
+        self.assertFalse(self.access.is_lost)
+
+
+class ProbeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_probes_do_not_wait_for_each_other(self):
+        clock = ManualClock()
+        store = HeldStore()
+        access = StoreAccess(store, None, clock, JobMetrics("entry-1", "zone"))
+        probing = asyncio.create_task(access.probe())
+        await settle()
+        call = asyncio.create_task(access.read("table", ""))
+        await settle()
+        store.calls[0].set_result(SILENT)
+        await call
+        for _ in range(10):
+            clock.advance(timedelta(milliseconds=200))
+            await settle()
+        self.assertEqual(len(store.calls), 5)
+        store.calls[-1].set_result(Ok(PAGE))
+        await settle()
+        self.assertFalse(access.is_lost)
+        probing.cancel()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_writing.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_writing.py
@@ -2,7 +2,7 @@
 import unittest
 
 from almondspread_daemon.jobs.rows import name_job
-from almondspread_daemon.jobs.tests.support import StoreParts
+from almondspread_daemon.jobs.tests.support import SECOND, StoreParts
 from almondspread_daemon.jobs.writing import RowWriter
 
 
@@ -18,7 +18,7 @@
 
     async def write_all(self, *jobs):
         return await asyncio.gather(
-            *(self.writer.write(name_job(job), b"value") for job in jobs)
+            *(self.writer.write(name_job(job), b"value", SECOND) for job in jobs)
         )
 
     def list_keys(self):
@@ -59,9 +59,42 @@
         self.assertEqual(written.ok, 0)
         self.assertEqual(self.list_keys(), [("entry-1/0", "job/a")])
 
+    async def test_part_that_may_hold_a_row_is_not_left(self):
+        """A refusal after a lost answer does not tell that nothing was stored."""
+        losses = [True]
+        self.store.loses_answer = lambda: bool(losses and losses.pop())
+        self.store.refuses = lambda _: not losses
+        waiting = asyncio.create_task(self.write_all("a"))
+        while not self.store.rows:
+            await asyncio.sleep(0)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        self.store.refuses = lambda _: False
+        (written,) = await waiting
+        self.assertEqual(written.ok, 0)
+        self.assertEqual(self.list_keys(), [("entry-1/0", "job/a")])
+
+    async def test_store_that_is_not_reached_is_asked_once(self):
+        """Replays a cut failure domain: four timeouts in a row outlasted callers."""
+        self.store.unreachable = True
+        (written,) = await self.write_all("a")
+        self.assertTrue(written.error.not_done)
+        self.assertEqual(self.store.transactions, 1)
+
+    async def test_row_that_was_never_sent_is_told_as_not_done(self):
+        """Replays rows that wait behind a transaction which a silent store keeps."""
+        self.store.hangs = True
+        first = asyncio.create_task(self.write_all("a"))
+        while not self.store.transactions:
+            await asyncio.sleep(0)
+        behind = await self.writer.write(name_job("b"), b"value", SECOND / 50)
+        self.assertTrue(behind.error.not_done)
+        first.cancel()
+
     async def test_row_nobody_waits_for_is_not_written_again(self):
         self.store.loses_answer = lambda: True
-        waiting = asyncio.create_task(self.writer.write(name_job("a"), b"value"))
+        waiting = asyncio.create_task(self.writer.write(name_job("a"), b"value", SECOND))
         await asyncio.sleep(0)
         waiting.cancel()
         for _ in range(5):
