Carry out maintenance waves; count what is left out; be unready at the first failure

Operators may ask that machines have their maintenance in time, a few at a time. The leader empties them, gives them no runs, moves what cannot end, and orders only what it has stored, so that the next leader counts a machine as down whose order may come late. The adapter gets typed calls for machines, moves and maintenance.

Entries left out are counted by kind on the metrics address, as well as logged.

--- a/packages/almondspread/almondspread/jobs/evacuation.py
+++ b/packages/almondspread/almondspread/jobs/evacuation.py
@@ -17,7 +17,7 @@
 def choose_evacuations(
     jobs: dict[str, JobProgress], ledger: RunLedger, now: timedelta
 ) -> list[Run]:
-    """Return the runs on draining upstreams that should be stopped and moved now.
+    """Return the runs on leaving upstreams that should be stopped and moved now.
 
     Lasting tasks move while their step may miss one more task. Others move where they
     would not be done before the upstream leaves and there is room for them elsewhere.
@@ -26,7 +26,7 @@
     chosen = []
     away: dict[tuple[str, int, int], int] = {}
     for upstream in ledger.upstreams.values():
-        if not upstream.entry.draining or upstream.lapse_at is not None:
+        if not upstream.is_leaving or upstream.lapse_at is not None:
             continue
         for run in ledger.list_runs(upstream.name):
             progress = jobs[run.task.job].steps[run.task.occurrence, run.task.step]
@@ -48,6 +48,22 @@
     return chosen
 
 
+def may_stop_all(
+    jobs: dict[str, JobProgress], ledger: RunLedger, upstream: str
+) -> bool:
+    """Tell whether the lasting tasks on an upstream may all be away at once."""
+    away: dict[tuple[str, int, int], int] = {}
+    for run in ledger.list_runs(upstream):
+        progress = jobs[run.task.job].steps[run.task.occurrence, run.task.step]
+        limit = progress.step.unavailable_limit
+        if not progress.step.lasting or not limit or not run.at_work:
+            continue
+        if progress.count_away() + away.get(progress.key, 0) >= limit:
+            return False
+        away[progress.key] = away.get(progress.key, 0) + 1
+    return True
+
+
 def _log_move(run: Run) -> None:
     """Log that a run is stopped to be started elsewhere."""
     logger.info(
@@ -57,7 +73,7 @@
         run=run.number,
         upstream=run.upstream,
         percent=run.percent,
-        reason="upstream draining",
+        reason="upstream leaving",
     )
 
 
--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from almondspread.jobs.configuration import Configuration
+from almondspread.jobs.maintenance import Machine, MaintenanceWave
 from almondspread.jobs.messages import RunEnd, RunSighting, UpstreamEntry
 from almondspread.jobs.submissions import TaskId
 
@@ -132,6 +133,14 @@
         """Return the changes of a table after a version, as soon as there are any."""
 
 
+@define(frozen=True)
+class Operations:
+    """What operators ask for; no ``configuration`` where there is none to use."""
+
+    configuration: Configuration | None
+    waves: tuple[MaintenanceWave, ...] = ()
+
+
 class CellDirectory(Protocol):
     """What operators and upstreams publish."""
 
@@ -140,10 +149,13 @@
     ) -> Result[list[UpstreamEntry], StoreUnavailable]:
         """Return the upstreams that are registered now."""
 
-    async def read_configuration(
+    async def read_operations(
         self, timeout: timedelta
-    ) -> Result[Configuration | None, StoreUnavailable]:
-        """Return the newest configuration, ``None`` where there is none yet."""
+    ) -> Result[Operations, StoreUnavailable]:
+        """Return the newest configuration, and all maintenance waves."""
+
+    def describe_wave(self, number: int, completed: bool) -> RowPut:
+        """Return the row that tells operators how far a wave has come."""
 
     async def wait_for_change(
         self, wait: timedelta, timeout: timedelta
@@ -157,13 +169,14 @@
 
     ``not_done`` is true only where the callee has surely done nothing. ``fenced``
     tells that it has seen a higher epoch, ``replaced`` that another incarnation
-    answered.
+    answered, ``pointless`` that the same call can never succeed.
     """
 
     reason: str
     not_done: bool
     fenced: bool = False
     replaced: bool = False
+    pointless: bool = False
 
 
 @define(frozen=True)
@@ -264,3 +277,35 @@
         timeout: timedelta,
     ) -> Result[Advice, CallFailed]:
         """Return which of the upstreams may run a step."""
+
+
+@define(frozen=True)
+class MachineCall:
+    """What every order for a machine carries: who gives it, and under which epoch."""
+
+    machine: str
+    holder: str
+    epoch: int
+
+
+class MachineClient(Protocol):
+    """The service that moves machines and takes them down.
+
+    A ``not_done`` failure tells that a machine is as it was. One that is ``fenced`` has
+    had an order under a higher epoch.
+    """
+
+    async def list_machines(
+        self, timeout: timedelta
+    ) -> Result[list[Machine], CallFailed]:
+        """Return all machines."""
+
+    async def move(
+        self, call: MachineCall, service: str, timeout: timedelta
+    ) -> Result[None, CallFailed]:
+        """Give a machine to another service; what runs there ends."""
+
+    async def maintain(
+        self, call: MachineCall, wave: int, timeout: timedelta
+    ) -> Result[None, CallFailed]:
+        """Have a machine maintained in a wave; what runs there ends."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -11,7 +11,7 @@
 
 from almondspread.jobs.backlog import estimate_wait
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.evacuation import choose_evacuations
+from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
 from almondspread.jobs.jobbook import Announcement, JobBook
 from almondspread.jobs.ledger import RunLedger
 from almondspread.jobs.messages import (
@@ -158,6 +158,21 @@
         """
         self._watch.inherit_upstream(entry, lapse)
 
+    # Maintenance
+
+    def empty_upstreams(self, leaving: dict[str, timedelta]) -> None:
+        """Give no runs to upstreams whose machines are to be taken down then."""
+        for name, upstream in self.ledger.upstreams.items():
+            upstream.leaves_at = leaving.get(name)
+
+    def count_runs(self, upstream: str) -> int:
+        """Return how many runs are bound to an upstream."""
+        return len(self.ledger.list_runs(upstream))
+
+    def may_stop_all(self, upstream: str) -> bool:
+        """Tell whether all runs of an upstream may be ended at once."""
+        return may_stop_all(self.jobs, self.ledger, upstream)
+
     def list_expired_jobs(self, now: timedelta, retention: timedelta) -> list[str]:
         """Return the jobs that ended ``retention`` ago and have no runs left."""
         return self._book.list_expired(now, retention)
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
@@ -0,0 +1,248 @@
+"""Replays of maintenance waves over a few machines, with orders that get lost."""
+
+import unittest
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspread.jobs.maintenance import (
+    EMPTYING_TIME,
+    ORDER_RETRY,
+    Machine,
+    MachineState,
+    MaintenancePlanner,
+    MaintenanceWave,
+    OrderOutcome,
+)
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+
+DURATION = 2 * SECOND
+STEP = timedelta(milliseconds=300)
+
+
+class FakeMachines:
+    """Machines that are down for a while after an order, and then run anew."""
+
+    def __init__(self, count):
+        self.lives = {f"m{number}": 0 for number in range(count)}
+        self.down_until = {}
+        self.maintained = {}
+        self.most_down = 0
+
+    def name_upstream(self, name):
+        return f"{name}-life-{self.lives[name]}"
+
+    def list(self, now):
+        machines = []
+        for name in self.lives:
+            if now < self.down_until.get(name, now):
+                machines.append(Machine(name, "service", MachineState.MAINTENANCE))
+                continue
+            upstream = self.name_upstream(name)
+            machines.append(Machine(name, "service", MachineState.UP, upstream))
+        return machines
+
+    def take(self, order, now):
+        """Take a machine down, once in a wave."""
+        if (order.machine, order.wave) in self.maintained:
+            return
+        self.maintained[order.machine, order.wave] = now
+        self.lives[order.machine] += 1
+        self.down_until[order.machine] = now + DURATION
+        down = sum(until > now for until in self.down_until.values())
+        self.most_down = max(self.most_down, down)
+
+
+class WaveTest(unittest.TestCase):
+    def setUp(self):
+        self.machines = FakeMachines(6)
+        self.planner = MaintenancePlanner(DURATION)
+        self.now = 100 * SECOND
+        self.runs = {}
+        self.protected = set()
+
+    def take_wave(self, limit=2, within=60 * SECOND, names=None):
+        self.wave = MaintenanceWave(
+            1, tuple(names or self.machines.lives), within, limit
+        )
+        self.planner.take_wave(self.wave, self.now, self.now)
+
+    def step(self, answer=OrderOutcome.TAKEN):
+        self.now += STEP
+        self.planner.take_machines(self.machines.list(self.now), self.now)
+        orders = self.planner.plan(
+            self.now,
+            lambda upstream: self.runs.get(upstream, 0),
+            lambda upstream: upstream not in self.protected,
+        )
+        self.now += STEP
+        for order in orders:
+            self.planner.note_sent(order, self.now)
+            if answer is not OrderOutcome.REFUSED:
+                self.machines.take(order, self.now)
+            self.planner.settle(order, answer, self.now)
+        return orders
+
+    def run_for(self, duration):
+        end = self.now + duration
+        while self.now < end:
+            self.step()
+
+    def test_all_machines_in_time_and_no_more_at_once_than_allowed(self):
+        self.take_wave(limit=2, within=30 * SECOND)
+        self.run_for(30 * SECOND)
+        self.assertEqual(len(self.machines.maintained), 6)
+        self.assertLessEqual(self.machines.most_down, 2)
+        self.assertFalse(self.planner.is_busy)
+        self.assertTrue(self.planner.list_records()[0].completed)
+
+    def test_with_time_enough_one_machine_goes_after_another(self):
+        self.take_wave(limit=4, within=200 * SECOND)
+        self.run_for(60 * SECOND)
+        self.assertEqual(self.machines.most_down, 1)
+
+    def test_machine_with_the_fewest_runs_goes_first_and_gets_time_to_empty(self):
+        self.runs = {f"m{number}-life-0": 3 for number in range(6)}
+        self.runs["m4-life-0"] = 1
+        self.take_wave(limit=1)
+        self.assertEqual(self.step(), [])
+        self.assertEqual(list(self.planner.list_leaving()), ["m4-life-0"])
+        self.run_for(EMPTYING_TIME)
+        self.step()
+        self.assertEqual([name for name, _ in self.machines.maintained], ["m4"])
+
+    def test_tasks_that_may_not_be_away_keep_their_machine_up(self):
+        self.runs = {"m0-life-0": 1}
+        self.protected = {"m0-life-0"}
+        self.take_wave(names=("m0",))
+        self.run_for(20 * SECOND)
+        self.assertEqual(self.machines.maintained, {})
+        self.protected.clear()
+        self.run_for(10 * SECOND)
+        self.assertEqual(len(self.machines.maintained), 1)
+
+    def test_unanswered_order_counts_as_down_and_is_repeated(self):
+        self.take_wave(limit=1)
+        first = self.step(OrderOutcome.UNKNOWN)
+        self.assertEqual(self.step(), [])
+        self.run_for(ORDER_RETRY)
+        self.assertEqual(len(first), 1)
+        self.assertEqual(len(self.machines.maintained), 1)
+        self.run_for(8 * SECOND)
+        self.assertGreater(len(self.machines.maintained), 1)
+        self.assertEqual(self.machines.most_down, 1)
+
+    def test_machine_that_is_gone_does_not_hold_up_its_wave(self):
+        self.take_wave(names=("m0", "lost"))
+        self.run_for(20 * SECOND)
+        self.assertFalse(self.planner.is_busy)
+
+    def test_wave_is_not_over_while_a_machine_that_stays_is_down(self):
+        self.take_wave(names=("m0", "m1"))
+        self.machines.down_until["m1"] = self.now + 500 * SECOND
+        self.run_for(60 * SECOND)
+        self.assertTrue(self.planner.is_busy)
+        self.assertFalse(self.planner.list_records()[0].completed)
+
+    def test_next_leader_counts_stored_orders_as_down(self):
+        self.take_wave(limit=1)
+        self.step(OrderOutcome.UNKNOWN)
+        records = self.planner.list_records()
+        self.planner = MaintenancePlanner(DURATION)
+        self.planner.restore(records)
+        self.planner.take_wave(self.wave, self.now, self.now)
+        (order,) = self.step()
+        self.assertEqual(order.machine, records[0].ordered[0])
+        self.run_for(60 * SECOND)
+        self.assertEqual(len(self.machines.maintained), 6)
+        self.assertEqual(self.machines.most_down, 1)
+
+    def test_completed_wave_is_not_begun_again_by_the_next_leader(self):
+        self.take_wave(names=("m0",))
+        self.run_for(20 * SECOND)
+        records = self.planner.list_records()
+        self.planner = MaintenancePlanner(DURATION)
+        self.planner.restore(records)
+        self.planner.take_wave(self.wave, self.now, self.now)
+        self.assertEqual(self.step(), [])
+        self.assertEqual(self.planner.list_records(), records)
+
+    def test_machine_that_is_not_of_the_wave_is_passed_over(self):
+        self.take_wave(limit=1)
+        (order,) = self.step(OrderOutcome.UNKNOWN)
+        self.planner.settle(order, OrderOutcome.NEEDLESS, self.now)
+        self.assertIn(order.machine, self.planner.list_records()[0].done)
+
+
+class LostOrdersTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        st.lists(st.sampled_from(list(OrderOutcome)[::3]), max_size=40),
+        st.integers(1, 4),
+        st.lists(st.integers(1, 60), max_size=3, unique=True),
+    )
+    def test_limit_holds_whatever_gets_lost_and_whoever_leads(
+        self, answers, limit, takeovers
+    ):
+        case = WaveTest()
+        case.setUp()
+        case.take_wave(limit=limit, within=20 * SECOND)
+        for number in range(200):
+            if number in takeovers:
+                records = case.planner.list_records()
+                case.planner = MaintenancePlanner(DURATION)
+                case.planner.restore(records)
+                case.planner.take_wave(case.wave, case.now, case.now)
+            case.step(answers.pop() if answers else OrderOutcome.TAKEN)
+        self.assertLessEqual(case.machines.most_down, limit)
+        self.assertEqual(len(case.machines.maintained), 6)
+        self.assertFalse(case.planner.is_busy)
+
+
+class EmptyingTest(CellTest):
+    def empty(self, name):
+        leaves_at = self.cell.now + EMPTYING_TIME
+        self.cell.scheduler.empty_upstreams({name: leaves_at})
+
+    def test_machine_that_is_emptied_gets_no_runs_and_sheds_long_ones(self):
+        upstream = self.cell.add_upstream("u0")
+        upstream.durations[TaskId("j", 0, 0, 0)] = 30 * SECOND
+        self.cell.run_for(SECOND / 2)
+        self.cell.submit(make_job("j", make_step(estimate=30 * SECOND)))
+        self.cell.run_for(SECOND)
+        self.cell.add_upstream("u1")
+        self.cell.run_for(SECOND / 2)
+        self.empty("u0")
+        self.cell.run_for(2 * SECOND)
+        self.assertEqual(self.cell.scheduler.count_runs("u0"), 0)
+        self.assertEqual(len(self.cell.upstreams["u1"].started), 1)
+        self.cell.scheduler.empty_upstreams({})
+        self.cell.submit(make_job("k", make_step(3, estimate=30 * SECOND)))
+        self.cell.run_for(SECOND)
+        self.assertGreater(self.cell.scheduler.count_runs("u0"), 0)
+
+    def test_lasting_tasks_may_be_ended_only_within_their_limit(self):
+        upstream = self.cell.add_upstream("u0")
+        for index in range(2):
+            upstream.durations[TaskId("j", 0, 0, index)] = 60 * SECOND
+        step = make_step(2, lasting=True, unavailable_limit=1)
+        self.cell.run_for(SECOND / 2)
+        self.cell.submit(make_job("j", step))
+        self.cell.run_for(2 * SECOND)
+        scheduler = self.cell.scheduler
+        runs = scheduler.ledger.list_runs("u0")
+        self.assertEqual(len(runs), 2)
+        for run in runs:
+            run.at_work = True
+        self.assertFalse(scheduler.may_stop_all("u0"))
+        runs[0].at_work = False
+        self.assertFalse(scheduler.may_stop_all("u0"))
+        scheduler.jobs["j"].steps[0, 0].drop_run(runs[0])
+        runs[1].at_work = False
+        self.assertTrue(scheduler.may_stop_all("u0"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -30,7 +30,8 @@
     something of which neither the job nor the size is known; while ``unheard``, its
     executor shows no signs of life. ``lapse_at`` is when its
     leases have surely run out, while it does not answer; until ``abandoned_until`` an
-    executor that is not heard may renew them. No run may be bound to it that does not
+    executor that is not heard may renew them. From ``leaves_at`` on its machine may be
+    taken down for maintenance. No run may be bound to it that does not
     fit beside everything that may still run there.
     """
 
@@ -47,6 +48,7 @@
     lapse_at: timedelta | None = None
     abandoned_at: timedelta | None = None
     abandoned_until: timedelta = timedelta(0)
+    leaves_at: timedelta | None = None
     ends_seen: int = 0
     suspended_until: timedelta = timedelta(0)
     suspension: timedelta = FIRST_SUSPENSION
@@ -88,10 +90,19 @@
             return True
         return self.abandoned_at is not None and now - self.abandoned_at > REASSIGN_TIME
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it drains, or its machine is emptied for maintenance."""
+        return self.entry.draining or self.leaves_at is not None
+
     def find_time_left(self, now: timedelta) -> timedelta:
-        """Return how long it surely stays while it drains, as it said last."""
+        """Return how long it surely stays while it is leaving."""
         remaining = self.entry.remaining or timedelta(0)
-        return remaining - (now - self.updated)
+        drains_for = remaining - (now - self.updated)
+        if self.leaves_at is None:
+            return drains_for
+        stays_for = self.leaves_at - now
+        return min(drains_for, stays_for) if self.entry.draining else stays_for
 
     def is_usable(self, now: timedelta) -> bool:
         """Tell whether new runs may be bound to it."""
@@ -101,7 +112,7 @@
             return False
         if not self.listed and not self._was_listed_lately(now):
             return False
-        if self.entry.draining:
+        if self.is_leaving:
             return False
         return self.lapse_at is None and now >= self.suspended_until
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -12,9 +12,12 @@
 from almondspread.codec import encode_message
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.leases import LeaderRow, is_expired
+from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
     AdviceClient,
+    MachineClient,
+    Operations,
     RowCondition,
     RowPut,
     Transaction,
@@ -22,7 +25,6 @@
 )
 from almondspread_daemon.jobs.board import JobBoard
 from almondspread_daemon.jobs.callers import JobDesk
-from almondspread_daemon.jobs.configurations import ConfigurationFeed
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.links import (
@@ -44,6 +46,7 @@
 )
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.operations import OperationsFeed
 from almondspread_daemon.jobs.relay import RowRelay
 from almondspread_daemon.jobs.retention import SWEEP_INTERVAL
 from almondspread_daemon.jobs.rows import CELL, CELL_PART, LEADER, read_leader
@@ -73,6 +76,7 @@
         store: StoreAccess,
         upstreams: UpstreamClient,
         advice: AdviceClient,
+        machines: MachineClient | None,
         clock: Clock,
         metrics: JobMetrics,
         random_source: random.Random,
@@ -96,7 +100,9 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
-        self._configurations = ConfigurationFeed(store, clock, self._configure)
+        self._operations = OperationsFeed(store, clock, self._take_operations)
+        self._machines = machines
+        self._waves: tuple[MaintenanceWave, ...] = ()
         self._executor = Executor(upstreams, advice, clock, settings.lease, metrics)
         self._session: LeaderSession | None = None
         self._link: Link | None = None
@@ -111,7 +117,7 @@
         """Whether callers should be sent here."""
         if self.desk.configuration is None or self._stopping:
             return False
-        return self._relay.is_open or not self._store.is_lost
+        return self._relay.is_open or not self._store.is_failing
 
     @property
     def is_stopping(self) -> bool:
@@ -125,7 +131,7 @@
         )
         self._listener.listen(port, host)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._configurations.run())
+            group.create_task(self._operations.run())
             group.create_task(self._take_part())
             group.create_task(self._store.probe())
             group.create_task(self._writer.run())
@@ -154,7 +160,15 @@
             self._link.close()
         self._executor.close()
 
-    # Configuration
+    # What operators ask for
+
+    def _take_operations(self, operations: Operations) -> None:
+        """Put in force what operators ask for."""
+        if operations.configuration is not None:
+            self._configure(operations.configuration)
+        self._waves = operations.waves
+        if self._session is not None:
+            self._session.take_waves(operations.waves)
 
     def _configure(self, configuration: Configuration) -> None:
         """Put a configuration in force, unless it is not newer."""
@@ -247,7 +261,9 @@
             self._clock,
             self._metrics,
             self._writer,
+            self._machines,
         )
+        session.take_waves(self._waves)
         await self._lead(session)
 
     async def _lead(self, session: LeaderSession) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -8,6 +8,7 @@
 from almondspread.clock import Clock
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import (
     EpochFenced,
     ExecutorReport,
@@ -17,6 +18,7 @@
     UpstreamReport,
     UpstreamSilent,
 )
+from almondspread.jobs.ports import MachineClient
 from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.commits import Committer
@@ -33,6 +35,7 @@
     Welcome,
     WriteRow,
 )
+from almondspread_daemon.jobs.maintenance import MaintenanceDuty
 from almondspread_daemon.jobs.marks import StartMarks
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
@@ -70,6 +73,7 @@
         clock: Clock,
         metrics: JobMetrics,
         writer: RowWriter,
+        machines: MachineClient | None,
     ) -> None:
         self.epoch = row.epoch
         self._instance = row.instance
@@ -98,6 +102,17 @@
         )
         self._assignments = Assignments(self._scheduler, settings, clock)
         self._relay_service = RelayService(writer)
+        self._maintenance: MaintenanceDuty | None = None
+        if machines is not None:
+            self._maintenance = MaintenanceDuty(
+                self._committer,
+                self._scheduler,
+                settings,
+                store,
+                store_clock,
+                machines,
+                clock,
+            )
         self._resigning: asyncio.Task[None] | None = None
         self._dirty = asyncio.Event()
         self._commit_wanted = asyncio.Event()
@@ -130,6 +145,8 @@
                 group.create_task(self._beat()),
                 group.create_task(self._retention.run()),
             ]
+            if self._maintenance is not None:
+                works.append(group.create_task(self._maintenance.run()))
             await self._ended.wait()
             for work in works:
                 work.cancel()
@@ -173,6 +190,11 @@
         self._scheduler.cancel_job(job, self._clock.monotonic())
         self._dirty.set()
 
+    def take_waves(self, waves: tuple[MaintenanceWave, ...]) -> None:
+        """Take all maintenance waves that operators ask for."""
+        if self._maintenance is not None:
+            self._maintenance.waves = waves
+
     # Members
 
     def add_member(self, member: Member) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import set_meter_provider
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
@@ -26,8 +27,8 @@
                 "cloud.availability_zone": failure_domain,
             }
         )
-        provider = MeterProvider([reader], resource, shutdown_on_exit=False)
-        meter = provider.get_meter(METER_NAME)
+        self._provider = MeterProvider([reader], resource, shutdown_on_exit=False)
+        meter = self._provider.get_meter(METER_NAME)
         self._requests = meter.create_counter(
             "job_requests", description="requests about jobs, by outcome"
         )
@@ -56,6 +57,10 @@
             "configuration_version", description="the configuration in force"
         )
 
+    def install(self) -> None:
+        """Serve also what modules count that know no instance, for the process."""
+        set_meter_provider(self._provider)
+
     def count_request(self, outcome: str) -> None:
         """Count a decision on a caller's request."""
         self._requests.add(1, {"outcome": outcome})
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/configurations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/operations.py
@@ -1,4 +1,4 @@
-"""Follows the configuration that operators publish."""
+"""Follows what operators publish: the configuration, and maintenance waves."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -6,41 +6,39 @@
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.ports import HistoryGone
+from almondspread.jobs.ports import HistoryGone, Operations
 from almondspread_daemon.jobs.store_access import StoreAccess
 
 # A connection may fall silent for good; a change must be noticed all the same.
-CONFIGURATION_WAIT = timedelta(seconds=1)
+OPERATIONS_WAIT = timedelta(seconds=1)
 STORE_PAUSE = timedelta(milliseconds=300)
 
 
-class ConfigurationFeed:
-    """Hands over each configuration that is read; ``take`` leaves out older ones."""
+class OperationsFeed:
+    """Hands over all that is read; ``take`` leaves out older configurations."""
 
     def __init__(
-        self, store: StoreAccess, clock: Clock, take: Callable[[Configuration], None]
+        self, store: StoreAccess, clock: Clock, take: Callable[[Operations], None]
     ) -> None:
         self._store = store
         self._clock = clock
         self._take = take
 
     async def run(self) -> None:
-        """Read the configuration whenever it changes, until cancelled."""
+        """Read what operators publish whenever it changes, until cancelled."""
         while True:
-            read = await self._store.read_configuration()
+            read = await self._store.read_operations()
             if read.is_error():
                 logger.warning("configuration not read", reason=read.error.reason)
                 await self._clock.sleep(STORE_PAUSE)
                 continue
-            if read.ok is not None:
-                self._take(read.ok)
+            self._take(read.ok)
             await self._await_change()
 
     async def _await_change(self) -> None:
         """Wait until operators have published something new."""
         while True:
-            changed = await self._store.wait_for_change(CONFIGURATION_WAIT)
+            changed = await self._store.wait_for_change(OPERATIONS_WAIT)
             if changed.is_ok():
                 if changed.ok:
                     return
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -8,6 +8,7 @@
 
 from almondspread.codec import decode_message, encode_message
 from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.maintenance import WaveRecord
 from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import RowName, StoredRow
 from almondspread.jobs.progress import JobRecord
@@ -24,6 +25,8 @@
 PROGRESS = "progress"
 LEADER = RowName(CELL, CELL_PART, "leader")
 WATCHED = RowName(CELL, CELL_PART, "watched")
+# In the part of what operators read, so that both change in one transaction.
+MAINTENANCE = RowName(CELL, "", "maintenance")
 # Beside the leader's row, in parts that the store may take while it refuses that one.
 MARKS = (RowName(CELL, "marks/0", "started"), RowName(CELL, "marks/1", "started"))
 JOB_PREFIX = "job/"
@@ -86,6 +89,14 @@
     started_version: int
 
 
+@define(frozen=True)
+class MaintenanceRow:
+    """All maintenance waves as the leader of ``epoch`` left them."""
+
+    epoch: int
+    waves: tuple[WaveRecord, ...] = ()
+
+
 @define(frozen=True)
 class WatchedUpstream:
     """An upstream on which runs may have been started.
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -21,7 +21,8 @@
     ``lease`` is how long runs live without being held; ``longest_hold`` the most that
     an upstream grants. ``grace`` is the time between SIGTERM and SIGKILL. Peers connect
     to ``peer_address``; where that is translated on the way, ``peer_listen_address`` is
-    the one to listen at.
+    the one to listen at. A machine is down for ``maintenance_time``; a new leader
+    leaves machines alone for the ``handover_pause``.
     """
 
     instance: str
@@ -36,6 +37,8 @@
     status_retention: timedelta
     grace: timedelta
     peer_listen_address: str = ""
+    maintenance_time: timedelta = timedelta(0)
+    handover_pause: timedelta = timedelta(0)
 
     @property
     def strength(self) -> float:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -10,7 +10,6 @@
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import (
     CellDirectory,
@@ -18,7 +17,9 @@
     Committed,
     ConditionsFailed,
     HistoryGone,
+    Operations,
     RecordStore,
+    RowPut,
     RowsPage,
     StoreUnavailable,
     Transaction,
@@ -104,6 +105,11 @@
         self._flights: set[_Flight] = set()
         self._probes: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the newest call that told anything of the store has failed."""
+        return self._failing_since is not None
+
     @property
     def is_lost(self) -> bool:
         """Whether the store has served nothing for a while."""
@@ -167,11 +173,13 @@
         """Return the upstreams that are registered now."""
         return await self._time(self._directory.list_upstreams)
 
-    async def read_configuration(
-        self,
-    ) -> Result[Configuration | None, StoreUnavailable]:
-        """Return the newest configuration, ``None`` where there is none yet."""
-        return await self._time(self._directory.read_configuration)
+    async def read_operations(self) -> Result[Operations, StoreUnavailable]:
+        """Return what operators have published."""
+        return await self._time(self._directory.read_operations)
+
+    def describe_wave(self, number: int, completed: bool) -> RowPut:
+        """Return the row that tells operators how far a maintenance wave has come."""
+        return self._directory.describe_wave(number, completed)
 
     async def wait_for_change(
         self, wait: timedelta
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -23,6 +23,12 @@
         await asyncio.sleep(0)
 
 
+async def settle():
+    """Let everything run that needs no time."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
 class StoreParts:
     """A store in memory and what gives access to it."""
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -13,6 +13,8 @@
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import JobIntake
 from almondspread_daemon.jobs.leader import LeaderSession
+from almondspread_daemon.jobs.links import Resigned, StoreReached
+from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.rows import (
     LEADER,
     SUBMISSIONS,
@@ -26,11 +28,13 @@
     read_leader,
     read_row,
 )
+from almondspread_daemon.jobs.store_access import LOSS_PATIENCE
 from almondspread_daemon.jobs.tests.support import (
     SECOND,
     StoreParts,
     make_settings,
     make_submission,
+    settle,
 )
 from almondspread_daemon.jobs.writing import RowWriter
 
@@ -91,6 +95,7 @@
             parts.clock,
             parts.metrics,
             RowWriter(parts.access, parts.clock, "entry-1"),
+            None,
         )
         scheduler = session._scheduler
         now = parts.clock.monotonic()
@@ -99,6 +104,58 @@
         scheduler.accept_job(make_submission("new"), now, WALL, version=8)
         self.assertTrue(scheduler.has_unstartable_jobs)
 
+    async def make_session(self):
+        """Return a session whose one member keeps what it is sent."""
+        parts = self.parts
+        session = LeaderSession(
+            LeaderRow(2, "entry-1", "one", "a", 50.0),
+            9,
+            make_settings(),
+            make_configuration(),
+            parts.access,
+            parts.store_clock,
+            parts.clock,
+            parts.metrics,
+            RowWriter(parts.access, parts.clock, "entry-1"),
+            None,
+        )
+        self.sent = []
+        now = parts.clock.monotonic()
+        member = Member("entry-2", "zone", 1.0, self.sent.append, now)
+        session.add_member(member)
+        return session, member
+
+    def list_resignations(self):
+        messages = [getattr(message, "message", message) for message in self.sent]
+        return [message for message in messages if isinstance(message, Resigned)]
+
+    async def lose_store(self):
+        self.store.refuses = lambda _: True
+        await self.parts.access.read("table", "")
+        self.parts.clock.advance(2 * LOSS_PATIENCE)
+
+    async def test_leader_that_alone_is_turned_away_lets_another_lead(self):
+        """Replays the loss of the store by the leader: it went on until its lease
+        had run out, and nothing new was started for two seconds more."""
+        session, member = await self.make_session()
+        await self.lose_store()
+        session.take_message(member, StoreReached())
+        await settle()
+        self.assertEqual(self.list_resignations(), [Resigned("one")])
+        self.assertTrue(session._ended.is_set())
+
+    async def test_leader_whom_the_store_serves_again_goes_on(self):
+        session, member = await self.make_session()
+        await self.lose_store()
+        session.take_message(member, StoreReached())
+        self.store.refuses = lambda _: False
+        await self.parts.access.read("table", "")
+        await settle()
+        self.assertEqual(self.list_resignations(), [])
+        session.take_message(member, StoreReached())
+        await settle()
+        self.assertFalse(session._ended.is_set())
+
 
 class CommitterTest(LeadingTest):
     async def test_commit_stores_progress_and_renews(self):
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
@@ -0,0 +1,153 @@
+import unittest
+from datetime import timedelta
+
+from expression import Error, Ok
+
+from almondspread.jobs.leases import LEADER_LEASE
+from almondspread.jobs.maintenance import Machine, MachineState, MaintenanceWave
+from almondspread.jobs.ports import CallFailed, RowName, RowPut
+from almondspread_daemon.jobs.maintenance import MaintenanceDuty
+from almondspread_daemon.jobs.rows import MAINTENANCE, MaintenanceRow, read_row
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.tests.support import SECOND, make_settings
+from almondspread_daemon.jobs.tests.test_leading import LeadingTest
+
+UNKNOWN = Error(CallFailed("no answer", not_done=False))
+FENCED = Error(CallFailed("fence", not_done=True, fenced=True))
+WAVE = MaintenanceWave(3, ("m0", "m1"), 60 * SECOND, 1)
+
+
+class FakeDirectory:
+    def describe_wave(self, number, completed):
+        return RowPut(RowName("status", "", f"wave/{number}"), str(completed).encode())
+
+
+class FakeMachines:
+    """Two machines; ``orders`` tells what the store held when each order came."""
+
+    def __init__(self, store, clock):
+        self.store = store
+        self.clock = clock
+        self.orders = []
+        self.back = {}
+        self.answer = Ok(None)
+
+    async def list_machines(self, timeout):
+        machines = []
+        for name in ("m0", "m1"):
+            back = self.back.get(name)
+            if back is not None and self.clock.monotonic() < back:
+                machines.append(Machine(name, "service", MachineState.MAINTENANCE))
+                continue
+            upstream = f"{name}-{back is not None}"
+            machines.append(Machine(name, "service", MachineState.UP, upstream))
+        return Ok(machines)
+
+    async def maintain(self, call, wave, timeout):
+        row = read_row(self.store.rows[MAINTENANCE], MaintenanceRow)
+        stored = {record.number: record.ordered for record in row.waves}
+        self.orders.append((call, wave, call.machine in stored.get(wave, ())))
+        if self.answer.is_ok():
+            self.back.setdefault(call.machine, self.clock.monotonic() + 2 * SECOND)
+        return self.answer
+
+
+class MaintenanceDutyTest(LeadingTest):
+    async def lead(self, epoch=1, incarnation="one"):
+        await self.claim(epoch, incarnation)
+        parts = self.parts
+        parts.access = StoreAccess(
+            parts.store, FakeDirectory(), parts.clock, parts.metrics
+        )
+        self.machines = FakeMachines(parts.store, parts.clock)
+        duty = MaintenanceDuty(
+            self.committer,
+            self.scheduler,
+            make_settings(),
+            parts.access,
+            parts.store_clock,
+            self.machines,
+            parts.clock,
+        )
+        duty.waves = (WAVE,)
+        return duty
+
+    async def run_steps(self, duty, count):
+        for _ in range(count):
+            await self.committer.commit()
+            await duty.step()
+            self.parts.clock.advance(timedelta(milliseconds=300))
+
+    def read_status(self):
+        return self.store.rows[RowName("status", "", "wave/3")].value
+
+    async def test_wave_is_carried_out_and_told_to_operators(self):
+        duty = await self.lead()
+        await self.run_steps(duty, 2)
+        self.assertEqual(self.read_status(), b"False")
+        await self.run_steps(duty, 40)
+        self.assertEqual(self.read_status(), b"True")
+        self.assertEqual(len(self.machines.orders), 2)
+
+    async def test_order_is_stored_before_it_is_given(self):
+        duty = await self.lead()
+        await self.run_steps(duty, 40)
+        self.assertTrue(all(stored for _, _, stored in self.machines.orders))
+        call = self.machines.orders[0][0]
+        self.assertEqual((call.holder, call.epoch), ("entry-1", 1))
+
+    async def test_nothing_is_ordered_while_the_store_does_not_take_it(self):
+        duty = await self.lead()
+        self.store.refuses = lambda part: part == MAINTENANCE.part
+        await self.run_steps(duty, 5)
+        self.assertEqual(self.machines.orders, [])
+
+    async def test_later_leader_keeps_an_earlier_one_from_ordering(self):
+        first = await self.lead()
+        await self.run_steps(first, 1)
+        machines = self.machines
+        self.assertEqual(len(machines.orders), 1)
+        second = await self.lead(2, "two")
+        await self.run_steps(second, 1)
+        self.parts.clock.advance(10 * SECOND)
+        await first.step()
+        await first.step()
+        self.assertTrue(first.is_fenced)
+        self.assertEqual(len(machines.orders), 1)
+        # What the first one may have taken down is ordered again, not another one.
+        self.assertEqual(
+            [call.machine for call, _, _ in self.machines.orders],
+            [machines.orders[0][0].machine],
+        )
+
+    async def test_own_write_with_a_lost_answer_does_not_end_the_duty(self):
+        duty = await self.lead()
+        await self.run_steps(duty, 1)
+        losses = [True]
+        self.store.loses_answer = lambda: bool(losses and losses.pop())
+        await self.run_steps(duty, 40)
+        self.assertFalse(duty.is_fenced)
+        self.assertEqual(self.read_status(), b"True")
+
+    async def test_fenced_order_ends_the_duty(self):
+        duty = await self.lead()
+        self.machines.answer = FENCED
+        await self.run_steps(duty, 1)
+        self.assertTrue(duty.is_fenced)
+
+    async def test_unanswered_order_keeps_the_other_machine_up(self):
+        duty = await self.lead()
+        self.machines.answer = UNKNOWN
+        await self.run_steps(duty, 20)
+        self.assertEqual(len({call.machine for call, _, _ in self.machines.orders}), 1)
+        self.assertGreater(len(self.machines.orders), 1)
+
+    async def test_without_a_lease_nothing_is_ordered(self):
+        duty = await self.lead()
+        self.parts.clock.advance(2 * LEADER_LEASE)
+        await duty.step()
+        self.assertEqual(self.machines.orders, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
@@ -14,6 +14,7 @@
     OVERTAKEN,
     StoreAccess,
 )
+from almondspread_daemon.jobs.tests.support import settle
 
 PAGE = RowsPage((), False, 1, timedelta(0))
 SILENT = Error(StoreUnavailable("timed out", not_done=False))
@@ -40,11 +41,6 @@
         return await self._hold()
 
 
-async def settle():
-    for _ in range(5):
-        await asyncio.sleep(0)
-
-
 class StoreAccessTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_writing.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_writing.py
@@ -94,7 +94,9 @@
 
     async def test_row_nobody_waits_for_is_not_written_again(self):
         self.store.loses_answer = lambda: True
-        waiting = asyncio.create_task(self.writer.write(name_job("a"), b"value", SECOND))
+        waiting = asyncio.create_task(
+            self.writer.write(name_job("a"), b"value", SECOND)
+        )
         await asyncio.sleep(0)
         waiting.cancel()
         for _ in range(5):
