Give up only calls that an answering store has swallowed, not those that it is slow with

Now only calls that are 20 times older than the answer took are given up, and rows that were not sent wait 1.2 s.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -68,6 +68,10 @@
         self._timeout = min(MAX_TIMEOUT, 2 * self._timeout)
 
 
+# A call under way for this many times longer than an answer took is not waiting in a
+# queue of a slow store; it was swallowed.
+SWALLOWED_FACTOR = 20
+MIN_SWALLOWED = timedelta(milliseconds=300)
 OVERTAKEN = StoreUnavailable("later calls were answered first", not_done=False)
 
 
@@ -83,7 +87,7 @@
     """The store and what is published in it, as one dependency of this process.
 
     Where the store falls silent it never answers what it was sent meanwhile. As soon
-    as it answers a later call, the earlier ones are given up.
+    as it answers a later call, far older ones are given up.
     """
 
     def __init__(
@@ -113,16 +117,18 @@
     @property
     def is_lost(self) -> bool:
         """Whether the store has served nothing for a while."""
+        return self.lost_for > LOSS_PATIENCE
+
+    @property
+    def lost_for(self) -> timedelta:
+        """How long the store has served nothing."""
         if self._failing_since is None:
-            return False
-        return self._clock.monotonic() - self._failing_since > LOSS_PATIENCE
+            return timedelta(0)
+        return self._clock.monotonic() - self._failing_since
 
     def suggest_return(self) -> timedelta:
         """Return when callers should come back: an outage may last as long again."""
-        if self._failing_since is None:
-            return MIN_RETURN
-        lost_for = self._clock.monotonic() - self._failing_since
-        return max(MIN_RETURN, min(MAX_RETURN, lost_for))
+        return max(MIN_RETURN, min(MAX_RETURN, self.lost_for))
 
     async def probe(self) -> None:
         """Ask the store for signs of life while it serves nothing."""
@@ -199,7 +205,7 @@
         self._metrics.time_store_call(taken, type(failure or outcome).__name__)
         if not isinstance(failure, StoreUnavailable):
             self._times.note_answer(taken)
-            self._note_answered(sent)
+            self._note_answered(sent, taken)
             return outcome
         if not failure.refused and taken >= self._times.timeout:
             self._times.note_timeout()
@@ -222,22 +228,23 @@
         finally:
             self._flights.discard(flight)
 
-    def _note_answered(self, sent: timedelta) -> None:
-        """Take the answer to a call; after an outage, give up the calls before it."""
+    def _note_answered(self, sent: timedelta, taken: timedelta) -> None:
+        """Take the answer to a call; after an outage, give up what was swallowed."""
         self._answered = max(self._answered, sent)
         if self._failing_since is None:
             return
-        away = self._clock.monotonic() - self._failing_since
+        now = self._clock.monotonic()
+        away = now - self._failing_since
         self._failing_since = None
-        overtaken = [flight for flight in self._flights if flight.sent < sent]
-        now = asyncio.get_running_loop().time()
-        for flight in overtaken:
-            flight.scope.reschedule(now)
+        patience = max(MIN_SWALLOWED, SWALLOWED_FACTOR * taken)
+        swallowed = [flight for flight in self._flights if now - flight.sent > patience]
+        for flight in swallowed:
+            flight.scope.reschedule(asyncio.get_running_loop().time())
         if self._loss_logged:
             logger.info(
                 "store answers again",
                 seconds=away.total_seconds(),
-                calls_given_up=len(overtaken),
+                calls_given_up=len(swallowed),
             )
         self._loss_logged = False
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/writing.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/writing.py
@@ -18,12 +18,18 @@
 )
 from almondspread_daemon.jobs.relay import RowRelay
 from almondspread_daemon.jobs.rows import SUBMISSIONS, list_parts
-from almondspread_daemon.jobs.store_access import RETRY_PAUSE, StoreAccess
+from almondspread_daemon.jobs.store_access import (
+    LOSS_PATIENCE,
+    RETRY_PAUSE,
+    StoreAccess,
+)
 
 MAX_ROWS_PER_WRITE = 60
 MAX_BYTES_PER_WRITE = 400_000
 
 
+# A slow store seems lost for a moment; a row that waits behind others has time.
+UNSENT_PATIENCE = timedelta(milliseconds=1_200)
 STORE_LOST = StoreUnavailable("it has served nothing for a while", not_done=True)
 
 
@@ -157,13 +163,14 @@
     ) -> list[_Pending]:
         """Return the rows whose callers still wait for the store.
 
-        Once it is lost, rows that were not sent are given back, and those that were
-        are left to the leader if it can write.
+        Once it is lost, all rows are left to the leader if it can write. Otherwise
+        those that were not sent are given back when it has been away for too long.
         """
-        if self._store.is_lost:
+        can_relay = self._relay is not None and self._relay.is_open
+        if self._store.is_lost and can_relay:
+            _settle(batch, Error(StoreUnavailable(failure.reason, not_done=False)))
+        if self._store.lost_for > (LOSS_PATIENCE if can_relay else UNSENT_PATIENCE):
             _settle(self._pending, Error(STORE_LOST))
-            if self._relay is not None and self._relay.is_open:
-                _settle(batch, Error(StoreUnavailable(failure.reason, not_done=False)))
         return [row for row in batch if not row.written.done()]
 
 
