Let a leaving leader name its successor, and read the cell at once

Five instances claimed at once, and the store carries out the transactions of a part one after another, 0.3 s each; then four reads followed one another; and the new leader was the next to be stopped. A commit that waited for its turn could also be stored after the release and take it back, and a claim whose answer was lost was only noticed when its own lease had run out.

Now the release goes to the members with the row and the successor, the strongest and last started, which claims without a look; the others leave the claim to it for 1.5 s.

Tests: test_succession; both faults fail it without the change.

--- a/packages/almondspread/almondspread/testing/record_store.py
+++ b/packages/almondspread/almondspread/testing/record_store.py
@@ -112,7 +112,8 @@
     async def follow(
         self, table: str, after: int, wait: timedelta, timeout: timedelta
     ) -> Result[Changes, HistoryGone | StoreUnavailable]:
-        """Return the changes of a table after a version."""
+        """Return the changes of a table after a version, without waiting for any."""
+        await asyncio.sleep(0)
         if after < self.forgotten:
             return Error(HistoryGone())
         first = bisect_right(self.changes, after, key=lambda row: row.version)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -58,6 +58,12 @@
         self._refused_at: timedelta | None = None
         self._watched: tuple[WatchedUpstream, ...] | None = None
         self._turn = asyncio.Lock()
+        self._released = False
+
+    @property
+    def version(self) -> int:
+        """The version of the leader's row."""
+        return self._version
 
     @property
     def lease_holds(self) -> bool:
@@ -84,7 +90,12 @@
         Commits take turns, since each has the version of the one before as condition.
         """
         async with self._turn:
-            return await self._commit(released)
+            if self._released:
+                # A commit that waited for its turn would take the release back.
+                return False
+            stored = await self._commit(released)
+            self._released = released and stored
+            return stored
 
     async def _commit(self, released: bool) -> bool:
         """Make one commit."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -37,6 +37,7 @@
     LinkServer,
     NotLeading,
     QueueLoads,
+    Released,
     Resigned,
     RowWritten,
     SharedMessage,
@@ -59,6 +60,8 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 LEADER_SILENCE = timedelta(milliseconds=1_200)
 BEAT_INTERVAL = timedelta(milliseconds=300)
+# How long others leave the claim to the successor that a leader has named.
+SUCCESSION_TIME = timedelta(milliseconds=1_500)
 POLL_PAUSE = timedelta(milliseconds=100)
 # Instances that find the leader gone at the same time do not all claim at once.
 CLAIM_JITTER = timedelta(milliseconds=80)
@@ -109,6 +112,10 @@
         self._listener = LinkServer(self._serve_link)
         self._stopping = False
         self._left = ("", -1)
+        self._release: Released | None = None
+        self._claims_from = timedelta.min
+        self._last_epoch = 0
+        self._started = clock.monotonic()
         self._gone: set[str] = set()
         self._checking: asyncio.Task[None] | None = None
 
@@ -190,12 +197,19 @@
     async def _take_part(self) -> None:
         """Follow the leader, or lead where there is none."""
         while not self._stopping:
+            await self._succeed()
             row, version = await self._read_leader()
             if version < 0 or self.desk.configuration is None:
                 await self._clock.sleep(POLL_PAUSE)
                 continue
+            if row is not None and self._is_own_claim(row):
+                await self._lead(row, version)
+                continue
             gone = row is not None and self._is_gone(row)
             if gone or is_expired(row, self.store_clock.now()):
+                if self._clock.monotonic() < self._claims_from:
+                    await self._clock.sleep(POLL_PAUSE)
+                    continue
                 jitter = CLAIM_JITTER * self._random.random()
                 await self._clock.sleep(self.settings.claim_delay + jitter)
                 await self._claim(row, version)
@@ -206,9 +220,26 @@
                 await self._clock.sleep(POLL_PAUSE)
                 continue
             await self._follow(row)
+            if self._release is not None:
+                continue
             self._left = (row.incarnation, await self._read_renewal())
             await self._clock.sleep(POLL_PAUSE)
 
+    async def _succeed(self) -> None:
+        """Claim the leadership at once if the last leader has left it to this one."""
+        release, self._release = self._release, None
+        if release is None:
+            return
+        if release.successor == self.settings.instance:
+            await self._claim(release.row, release.version)
+        elif release.successor:
+            # Where the store is slow, the claims of rivals hold up the successor's.
+            self._claims_from = self._clock.monotonic() + SUCCESSION_TIME
+
+    def _is_own_claim(self, row: LeaderRow) -> bool:
+        """Tell whether a claim of this process has succeeded without its answer."""
+        return row.incarnation == self._incarnation and row.epoch > self._last_epoch
+
     def _is_gone(self, row: LeaderRow) -> bool:
         """Tell whether the process that leads has surely ended."""
         if row.incarnation in self._gone:
@@ -251,9 +282,15 @@
             logger.info("claim refused", epoch=claim.epoch)
             return
         self.store_clock.observe(outcome.ok.store_time)
+        await self._lead(claim, outcome.ok.version)
+
+    async def _lead(self, claim: LeaderRow, version: int) -> None:
+        """Lead under a claim that is stored, with this instance as the first member."""
+        assert self.desk.configuration is not None
+        self._last_epoch = claim.epoch
         session = LeaderSession(
             claim,
-            outcome.ok.version,
+            version,
             self.settings,
             self.desk.configuration,
             self._store,
@@ -264,10 +301,6 @@
             self._machines,
         )
         session.take_waves(self._waves)
-        await self._lead(session)
-
-    async def _lead(self, session: LeaderSession) -> None:
-        """Lead, with this instance as the first member."""
 
         def take(message: object) -> None:
             # What an ended session still sends must not undo its successor's orders.
@@ -314,6 +347,8 @@
                 message.cores,
                 link.send,
                 self._clock.monotonic(),
+                message.strength,
+                self._clock.monotonic() - timedelta(seconds=message.age),
             )
             await session.serve_member(member, link)
             return
@@ -336,6 +371,8 @@
                 self._incarnation,
                 self.settings.failure_domain,
                 self.settings.cores,
+                self.settings.strength,
+                (self._clock.monotonic() - self._started).total_seconds(),
             )
         )
         follower = LeaderLink(link, self._clock.monotonic())
@@ -393,6 +430,10 @@
                     self._check_leader()
             case RowWritten():
                 self._relay.settle(message)
+            case Released():
+                self._release = message
+                if self._link is not None:
+                    self._link.close()
             case Resigned():
                 self._gone.add(message.incarnation)
                 if self._link is not None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -29,6 +29,7 @@
     Leaving,
     Link,
     QueueLoads,
+    Released,
     Resigned,
     StatesChanged,
     StoreReached,
@@ -163,7 +164,15 @@
         """Store what is known and let another instance take over at once."""
         if self._ended.is_set():
             return
-        await self._committer.commit(released=True)
+        stored = await self._committer.commit(released=True)
+        if self._ended.is_set():
+            return
+        if stored:
+            successor = self._assignments.members.choose_successor(self._instance)
+            logger.info("leadership released", epoch=self.epoch, successor=successor)
+            self._assignments.broadcast(
+                Released(self._committer.row, self._committer.version, successor)
+            )
         self.end("released")
 
     def _consider_resigning(self, member: Member) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -11,6 +11,7 @@
 
 from almondspread.codec import TaggedCodec
 from almondspread.jobs.jobbook import Announcement
+from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.messages import (
     AcknowledgeEnds,
     AskPermits,
@@ -33,12 +34,18 @@
 
 @define(frozen=True)
 class Hello:
-    """Introduces an instance to the leader."""
+    """Introduces an instance to the leader.
+
+    ``strength`` tells from 0 to 1 how fit it is to lead, ``age`` for how many seconds
+    its process has run.
+    """
 
     instance: str
     incarnation: str
     failure_domain: str
     cores: float
+    strength: float
+    age: float
 
 
 @define(frozen=True)
@@ -85,6 +92,18 @@
     """The sender is about to stop."""
 
 
+@define(frozen=True)
+class Released:
+    """The sender has stored that it leads no longer: its row, and the row's version.
+
+    The instance ``successor`` should lead next, ``""`` for any.
+    """
+
+    row: LeaderRow
+    version: int
+    successor: str
+
+
 @define(frozen=True)
 class StatesChanged:
     """States of jobs; where ``whole``, of all jobs whose end is not stored."""
@@ -139,6 +158,7 @@
         PaceRun,
         PermitsAnswered,
         QueueLoads,
+        Released,
         Resigned,
         RowWritten,
         StartRun,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/loading.py
@@ -44,17 +44,19 @@
     submission_rows: tuple[StoredRow, ...] = ()
 
     async def load(self) -> Result[None, StoreUnavailable]:
-        """Read everything."""
-        submissions = await self.load_submissions()
+        """Read everything; only the leader, which reads, writes the cell's part."""
+        submissions, progress, cell = await asyncio.gather(
+            self.load_submissions(),
+            self._read_all(PROGRESS, CELL_PART),
+            self._read_all(CELL, CELL_PART),
+        )
         if submissions.is_error():
             return Error(submissions.error)
-        progress = await self._read_all(PROGRESS, CELL_PART)
         if progress.is_error():
             return Error(progress.error)
-        self.records = read_progress(tuple(progress.ok))
-        cell = await self._read_all(CELL, CELL_PART)
         if cell.is_error():
             return Error(cell.error)
+        self.records = read_progress(tuple(progress.ok))
         for row in cell.ok:
             if row.name != WATCHED:
                 continue
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -11,13 +11,18 @@
 
 @define(eq=False)
 class Member:
-    """An instance that carries out orders; ``send`` passes it a message."""
+    """An instance that carries out orders; ``send`` passes it a message.
+
+    ``strength`` tells how fit it is to lead, ``started`` when its process began.
+    """
 
     instance: str
     failure_domain: str
     cores: float
     send: Callable[[object], None]
     heard: timedelta
+    strength: float = 1.0
+    started: timedelta = timedelta(0)
     upstreams: set[str] = field(factory=set)
     questions: int = 0
     leaving: bool = False
@@ -117,6 +122,21 @@
             moves.append((upstream, least))
         return moves
 
+    def choose_successor(self, leader: str) -> str:
+        """Return who should lead after ``leader``, ``""`` where there is nobody.
+
+        Of equally strong instances it is the one that has started last: when all are
+        restarted in turn, it has its restart behind it.
+        """
+        best = None
+        for member in self.members.values():
+            if member.instance == leader or member.leaving:
+                continue
+            rank = (round(member.strength, 1), member.started)
+            if best is None or rank > best[0]:
+                best = (rank, member.instance)
+        return best[1] if best is not None else ""
+
     def choose_adviser(self) -> Member | None:
         """Return the member that has the fewest questions to ask, if any has room."""
         free = [
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -0,0 +1,166 @@
+"""Replays of planned stops of the leader, also while the store is slow."""
+
+import asyncio
+import random
+import unittest
+from datetime import timedelta
+
+from expression import Ok
+
+from almondspread.codec import encode_message
+from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.ports import RowPut, Transaction
+from almondspread.testing.fake_cell import make_configuration
+from almondspread_daemon.jobs.instance import SUCCESSION_TIME, JobInstance
+from almondspread_daemon.jobs.links import Released
+from almondspread_daemon.jobs.members import Member, Members
+from almondspread_daemon.jobs.rows import LEADER, read_leader
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.tests.support import (
+    SECOND,
+    StoreParts,
+    make_settings,
+    settle,
+)
+from almondspread_daemon.jobs.tests.test_leading import LeadingTest
+
+
+class EmptyDirectory:
+    async def list_upstreams(self, timeout):
+        return Ok([])
+
+
+def make_member(instance, strength=1.0, started=0, leaving=False):
+    member = Member(
+        instance,
+        "zone",
+        1.0,
+        lambda _: None,
+        timedelta(0),
+        strength,
+        started * SECOND,
+    )
+    member.leaving = leaving
+    return member
+
+
+class SuccessorTest(unittest.TestCase):
+    def choose(self, *members):
+        found = Members()
+        for member in members:
+            found.add(member)
+        return found.choose_successor("leader")
+
+    def test_strongest_leads_next(self):
+        weak = make_member("weak", 0.3, started=9)
+        self.assertEqual(self.choose(weak, make_member("strong")), "strong")
+
+    def test_last_started_of_equals_leads_next(self):
+        """Replays a restart of all instances in turn, in which the leadership went to
+        instances that were the next to be stopped."""
+        old, new = make_member("old", started=1), make_member("new", started=5)
+        self.assertEqual(self.choose(new, old), "new")
+
+    def test_neither_the_leader_nor_one_that_leaves_is_named(self):
+        leaving = make_member("leaving", leaving=True)
+        self.assertEqual(self.choose(make_member("leader"), leaving), "")
+
+
+class ReleaseTest(LeadingTest):
+    async def test_commit_that_waits_does_not_take_the_release_back(self):
+        await self.claim()
+        outcomes = await asyncio.gather(
+            self.committer.commit(released=True), self.committer.commit()
+        )
+        self.assertEqual(outcomes, [True, False])
+        row, version = read_leader((self.store.rows[LEADER],))
+        self.assertTrue(row.released)
+        self.assertEqual(version, self.committer.version)
+
+    async def test_release_that_is_not_stored_leaves_the_leadership(self):
+        await self.claim()
+        self.store.refuses = lambda _: True
+        self.assertFalse(await self.committer.commit(released=True))
+        self.store.refuses = lambda _: False
+        self.assertTrue(await self.committer.commit())
+
+
+class SuccessionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.parts = StoreParts()
+        parts = self.parts
+        access = StoreAccess(parts.store, EmptyDirectory(), parts.clock, parts.metrics)
+        self.instance = JobInstance(
+            make_settings("entry-1"),
+            "one",
+            access,
+            None,
+            None,
+            None,
+            parts.clock,
+            parts.metrics,
+            random.Random(1),
+        )
+        self.instance.desk.configuration = make_configuration()
+        self.working = None
+
+    async def asyncTearDown(self):
+        if self.working is not None:
+            self.working.cancel()
+            await asyncio.gather(self.working, return_exceptions=True)
+
+    async def put_row(self, **fields):
+        row = LeaderRow(4, "entry-2", "two", "127.0.0.1:1", 50.0, **fields)
+        transaction = Transaction(puts=(RowPut(LEADER, encode_message(row)),))
+        return row, (await self.parts.store.transact(transaction, SECOND)).ok.version
+
+    def take_part(self):
+        self.working = asyncio.create_task(self.instance._take_part())
+
+    def read_row(self):
+        return read_leader((self.parts.store.rows[LEADER],))[0]
+
+    async def test_named_successor_claims_without_a_further_look(self):
+        row, version = await self.put_row(released=True)
+        self.instance._take_message(Released(row, version, "entry-1"))
+        store = self.parts.store
+        # How many transactions there had been at each call, the claim being the second.
+        calls = []
+        store.refuses = lambda _: calls.append(store.transactions)
+        self.take_part()
+        await settle()
+        self.assertEqual(self.read_row().incarnation, "one")
+        self.assertEqual(calls[0], 2)
+
+    async def test_others_leave_the_claim_to_the_successor_for_a_while(self):
+        row, version = await self.put_row(released=True)
+        began = self.parts.clock.monotonic()
+        self.instance._take_message(Released(row, version, "entry-3"))
+        self.take_part()
+        while self.read_row().incarnation != "one":
+            await asyncio.sleep(0)
+        waited = self.parts.clock.monotonic() - began
+        self.assertGreaterEqual(waited, SUCCESSION_TIME)
+        self.assertLess(waited, 2 * SUCCESSION_TIME)
+
+    async def test_claim_whose_answer_was_lost_is_taken_up(self):
+        """Before, the instance waited for the lease of its own claim to run out."""
+        await self.put_row(released=True)
+        losses = [True]
+        self.parts.store.loses_answer = lambda: bool(losses and losses.pop())
+        began = self.parts.clock.monotonic()
+        self.take_part()
+        while self.instance._session is None:
+            await asyncio.sleep(0)
+        self.assertEqual(self.read_row().epoch, 5)
+        self.assertLess(self.parts.clock.monotonic() - began, SECOND)
+
+    async def test_own_row_of_an_epoch_that_is_over_is_not_taken_up(self):
+        own = LeaderRow(4, "entry-1", "one", "127.0.0.1:1", 50.0)
+        self.assertTrue(self.instance._is_own_claim(own))
+        self.instance._last_epoch = 4
+        self.assertFalse(self.instance._is_own_claim(own))
+
+
+if __name__ == "__main__":
+    unittest.main()
