Keep a leader that is heard, notice a silent one sooner, time writes by themselves

Members now leave a leader that is heard only when its lease ran out 1.5 s ago: one whom the store does not serve resigns by itself. The lease is 1.2 s instead of 1.6 s, and a leader counts as silent after 1.0 s instead of 1.2 s, which shortens the takeover where the leader is cut off with its failure domain.

--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -4,7 +4,9 @@
 
 from attrs import define
 
-LEADER_LEASE = timedelta(milliseconds=1_600)
+LEADER_LEASE = timedelta(milliseconds=1_200)
+# A leader that is heard is left only when its lease ran out so long ago.
+HEARD_LEADER_PATIENCE = timedelta(milliseconds=1_500)
 # How far two readings of the store's clock may be apart.
 CLOCK_SLACK = timedelta(milliseconds=200)
 # Without the store, a leader goes on with what it knows for so long.
@@ -48,6 +50,19 @@
     return store_time > timedelta(seconds=row.renewed) + LEADER_LEASE + CLOCK_SLACK
 
 
+def has_failed(row: LeaderRow | None, store_time: timedelta) -> bool:
+    """Tell whether a leader that is heard should be left all the same.
+
+    Where the store is slow, a renewal may come late; a leader whom the store does not
+    serve resigns by itself.
+
+    >>> row = LeaderRow(1, "entry-1", "a", "10.0.0.1:7000", renewed=10.0)
+    >>> has_failed(row, timedelta(seconds=12)), has_failed(row, timedelta(seconds=13))
+    (False, True)
+    """
+    return is_expired(row, store_time - HEARD_LEADER_PATIENCE)
+
+
 def measure_abandoned_hold(lease: timedelta) -> timedelta:
     """Return how long runs may live whose executor is no longer heard.
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -11,7 +11,7 @@
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.leases import LeaderRow, is_expired
+from almondspread.jobs.leases import LeaderRow, has_failed, is_expired
 from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
@@ -58,7 +58,7 @@
 from almondspread_daemon.settings import parse_address
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
-LEADER_SILENCE = timedelta(milliseconds=1_200)
+LEADER_SILENCE = timedelta(milliseconds=1_000)
 BEAT_INTERVAL = timedelta(milliseconds=300)
 # How long others leave the claim to the successor that a leader has named.
 SUCCESSION_TIME = timedelta(milliseconds=1_500)
@@ -447,13 +447,13 @@
             self._checking = asyncio.create_task(self._check_store())
 
     async def _check_store(self) -> None:
-        """Leave a leader whose lease has expired; tell others of the store."""
+        """Leave a leader that has failed to renew; tell others of the store."""
         link = self._link
         row, version = await self._read_leader()
         self._checking = None
         if version < 0 or link is None:
             return
-        if is_expired(row, self.store_clock.now()):
+        if has_failed(row, self.store_clock.now()):
             link.close()
             return
         link.send(StoreReached())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -101,7 +101,9 @@
         self._directory = directory
         self._clock = clock
         self._metrics = metrics
-        self._times = AnswerTimes()
+        # Where the store is slow, writes take longer than reads.
+        self._read_times = AnswerTimes()
+        self._write_times = AnswerTimes()
         self._failing_since: timedelta | None = None
         self._loss_logged = False
         # When the newest call that has been answered was sent.
@@ -153,7 +155,8 @@
     ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
         """Apply a transaction whole or not at all."""
         return await self._time(
-            lambda timeout: self._store.transact(transaction, timeout)
+            lambda timeout: self._store.transact(transaction, timeout),
+            self._write_times,
         )
 
     async def read(
@@ -172,7 +175,7 @@
         self, table: str, after: int, wait: timedelta
     ) -> Result[Changes, HistoryGone | StoreUnavailable]:
         """Return the changes of a table after a version, as soon as there are any."""
-        timeout = wait + self._times.timeout
+        timeout = wait + self._read_times.timeout
         return await self._fly(self._store.follow(table, after, wait, timeout))
 
     async def list_upstreams(self) -> Result[list[UpstreamEntry], StoreUnavailable]:
@@ -191,24 +194,27 @@
         self, wait: timedelta
     ) -> Result[bool, HistoryGone | StoreUnavailable]:
         """Return true as soon as operators have published something new."""
-        timeout = wait + self._times.timeout
+        timeout = wait + self._read_times.timeout
         return await self._fly(self._directory.wait_for_change(wait, timeout))
 
     async def _time(
-        self, call: Callable[[timedelta], Awaitable[Result[T, E]]]
+        self,
+        call: Callable[[timedelta], Awaitable[Result[T, E]]],
+        times: AnswerTimes | None = None,
     ) -> Result[T, E | StoreUnavailable]:
-        """Make one call and learn from how long it took."""
+        """Make one call, a read unless told, and learn from how long it took."""
+        times = times or self._read_times
         sent = self._clock.monotonic()
-        outcome = await self._fly(call(self._times.timeout))
+        outcome = await self._fly(call(times.timeout))
         taken = self._clock.monotonic() - sent
         failure = outcome.error if outcome.is_error() else None
         self._metrics.time_store_call(taken, type(failure or outcome).__name__)
         if not isinstance(failure, StoreUnavailable):
-            self._times.note_answer(taken)
+            times.note_answer(taken)
             self._note_answered(sent, taken)
             return outcome
-        if not failure.refused and taken >= self._times.timeout:
-            self._times.note_timeout()
+        if not failure.refused and taken >= times.timeout:
+            times.note_timeout()
         # What was sent before an answered call tells nothing of the store now.
         if sent > self._answered:
             self._note_failure(failure.reason)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
@@ -7,7 +7,13 @@
 from expression import Error, Ok
 
 from almondspread.clock import ManualClock
-from almondspread.jobs.ports import Changes, RowsPage, StoreUnavailable
+from almondspread.jobs.ports import (
+    Changes,
+    Committed,
+    RowsPage,
+    StoreUnavailable,
+    Transaction,
+)
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.store_access import (
     LOSS_PATIENCE,
@@ -16,6 +22,7 @@
 )
 from almondspread_daemon.jobs.tests.support import settle
 
+DONE = Committed(1, timedelta(0))
 PAGE = RowsPage((), False, 1, timedelta(0))
 SILENT = Error(StoreUnavailable("timed out", not_done=False))
 REFUSED = Error(StoreUnavailable("status 503", not_done=True, refused=True))
@@ -121,6 +128,22 @@
         self.clock.advance(2 * LOSS_PATIENCE)
         self.assertFalse(self.access.is_lost)
 
+    async def test_quick_reads_do_not_cut_slow_writes_short(self):
+        """Found on a day with a slow store: its commits timed out again and again."""
+        timeouts = []
+
+        async def transact(transaction, timeout):
+            timeouts.append(timeout)
+            self.clock.advance(min(timeout, timedelta(milliseconds=550)))
+            return SILENT if timeouts[-1].total_seconds() < 0.55 else Ok(DONE)
+
+        self.store.transact = transact
+        for _ in range(6):
+            await self.access.transact(Transaction())
+            await self.read()
+            await self.answer(-1, Ok(PAGE))
+        self.assertGreater(min(timeouts[1:]), timedelta(milliseconds=550))
+
     async def test_store_that_refuses_everything_counts_as_lost(self):
         """Found on a day on which it turned a third of the instances away."""
         await self.read()
