Let late answers to writes count, and jobs start ahead of slow commits

A write without an answer is now sent again beside the first, and the first answer to either counts; its conditions make it idempotent. Where commits take over 150 ms, one says ahead up to which version jobs may be started. A conflict with this very commit is its success.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -4,7 +4,7 @@
 import math
 from datetime import timedelta
 
-from attrs import evolve
+from attrs import define, evolve
 from loguru import logger
 
 from almondspread.clock import Clock
@@ -31,10 +31,46 @@
 
 # A refusal that is older says nothing of the store now.
 REFUSAL_AGE = timedelta(seconds=1)
+# Longer than commits take at a store that is well.
+SLOW_COMMIT = timedelta(milliseconds=150)
+MAX_AHEAD = timedelta(seconds=2)
 # One transaction also holds the leader's row and that of the watched upstreams.
 MAX_RECORDS_PER_COMMIT = 90
 
 
+@define(eq=False)
+class CommitPace:
+    """How long commits take, and how fast the store's version rises meanwhile."""
+
+    version: int
+    noted: timedelta
+    margin: int = 0
+
+    def note(self, version: int, sent: timedelta, now: timedelta) -> None:
+        """Take a commit that was sent and answered then.
+
+        Where commits are slow, ``margin`` is by how much the version rises until the
+        second one from now on; otherwise it is 0.
+        """
+        passed = max(now - self.noted, timedelta(milliseconds=1))
+        rate = (version - self.version) / passed.total_seconds()
+        self.version, self.noted = version, now
+        self.margin = 0
+        if now - sent > SLOW_COMMIT:
+            ahead = min(2 * (now - sent), MAX_AHEAD)
+            self.margin = math.ceil(rate * ahead.total_seconds())
+
+
+@define(frozen=True)
+class _Attempt:
+    """One commit: what it stores, and when it was sent."""
+
+    row: LeaderRow
+    changes: Changes
+    watched: tuple[WatchedUpstream, ...]
+    sent: timedelta
+
+
 class Committer:
     """Writes under the condition that the leader's row is still its own."""
 
@@ -50,6 +86,7 @@
         self.row = row
         self.is_superseded = False
         self._version = version
+        self._pace = CommitPace(version, clock.monotonic())
         self._scheduler = scheduler
         self._store = store
         self._store_clock = store_clock
@@ -99,42 +136,56 @@
 
     async def _commit(self, released: bool) -> bool:
         """Make one commit."""
-        changes = self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT)
-        watched = self._describe_watched()
-        sent = self._clock.monotonic()
-        self.row = evolve(
-            self.row,
-            renewed=self._store_clock.now().total_seconds(),
-            renewal=self.row.renewal + 1,
-            released=released,
-            started_version=max(
-                self.row.started_version, self._scheduler.newest_version
-            ),
+        attempt = self._prepare(released)
+        outcome = await self._store.transact(
+            self._make_transaction(attempt.changes, attempt.watched)
         )
-        started_version = self.row.started_version
-        transaction = self._make_transaction(changes, watched)
-        outcome = await self._store.transact(transaction)
         if outcome.is_ok():
-            self._refused_at = None
-            self._version = outcome.ok.version
             self._store_clock.observe(outcome.ok.store_time)
-            self._lease_until = sent + LEADER_LEASE
-            self._watched = watched
-            # With a lapse that is stored, a successor would count on it.
-            names = frozenset(each.name for each in watched if not each.lapse)
-            self._scheduler.record_upstreams(names)
-            self._scheduler.confirm_changes(changes)
-            self._scheduler.allow_starts(started_version)
+            self._note_stored(attempt, outcome.ok.version)
             return True
-        self._scheduler.return_changes(changes)
         if isinstance(outcome.error, ConditionsFailed):
-            self._resolve_conflict(outcome.error.rows)
-            return False
+            return self._resolve_conflict(attempt, outcome.error.rows)
+        self._scheduler.return_changes(attempt.changes)
         refused = outcome.error.refused
         self._refused_at = self._clock.monotonic() if refused else None
         logger.warning("commit failed", reason=outcome.error.reason)
         return False
 
+    def _prepare(self, released: bool) -> _Attempt:
+        """Return what is to be stored now."""
+        started_version = max(self.row.started_version, self._scheduler.newest_version)
+        if self._pace.margin:
+            # Jobs that come while this commit is under way need not wait for the next.
+            ahead = self._version + self._pace.margin
+            started_version = max(started_version, ahead)
+        self.row = evolve(
+            self.row,
+            renewed=self._store_clock.now().total_seconds(),
+            renewal=self.row.renewal + 1,
+            released=released,
+            started_version=started_version,
+        )
+        return _Attempt(
+            self.row,
+            self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT),
+            self._describe_watched(),
+            self._clock.monotonic(),
+        )
+
+    def _note_stored(self, attempt: _Attempt, version: int) -> None:
+        """Take a commit that is stored."""
+        self._refused_at = None
+        self._version = version
+        self._pace.note(version, attempt.sent, self._clock.monotonic())
+        self._lease_until = attempt.sent + LEADER_LEASE
+        self._watched = attempt.watched
+        # With a lapse that is stored, a successor would count on it.
+        names = frozenset(each.name for each in attempt.watched if not each.lapse)
+        self._scheduler.record_upstreams(names)
+        self._scheduler.confirm_changes(attempt.changes)
+        self._scheduler.allow_starts(attempt.row.started_version)
+
     def _make_transaction(
         self, changes: Changes, watched: tuple[WatchedUpstream, ...]
     ) -> Transaction:
@@ -149,13 +200,22 @@
             (RowCondition(LEADER, self._version),), tuple(puts), removals
         )
 
-    def _resolve_conflict(self, rows: tuple[StoredRow, ...]) -> None:
-        """Tell a superseded epoch from an own write whose answer was lost."""
+    def _resolve_conflict(self, attempt: _Attempt, rows: tuple[StoredRow, ...]) -> bool:
+        """Tell a superseded epoch from an own write without its answer.
+
+        Return whether that write was this attempt.
+        """
         stored, version = read_leader(rows)
-        if stored is not None and stored.incarnation == self.row.incarnation:
-            self._version = version
-            return
-        self.is_superseded = True
+        if stored is None or stored.incarnation != self.row.incarnation:
+            self._scheduler.return_changes(attempt.changes)
+            self.is_superseded = True
+            return False
+        if stored.renewal == attempt.row.renewal:
+            self._note_stored(attempt, version)
+            return True
+        self._scheduler.return_changes(attempt.changes)
+        self._version = version
+        return False
 
     def _describe_watched(self) -> tuple[WatchedUpstream, ...]:
         """Return the upstreams that the next leader must ask for their runs."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import TypeVar
 
-from attrs import define
+from attrs import define, evolve
 from expression import Error, Result
 from loguru import logger
 
@@ -72,6 +72,11 @@
 # queue of a slow store; it was swallowed.
 SWALLOWED_FACTOR = 20
 MIN_SWALLOWED = timedelta(milliseconds=300)
+# A write without an answer is given up after so many times its usual patience.
+WRITE_PATIENCE = 3
+MAX_WRITE_TIME = timedelta(milliseconds=2_400)
+WriteOutcome = Result[Committed, ConditionsFailed | StoreUnavailable]
+WriteAttempt = asyncio.Task[WriteOutcome]
 OVERTAKEN = StoreUnavailable("later calls were answered first", not_done=False)
 
 
@@ -153,11 +158,33 @@
     async def transact(
         self, transaction: Transaction
     ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
-        """Apply a transaction whole or not at all."""
-        return await self._time(
-            lambda timeout: self._store.transact(transaction, timeout),
-            self._write_times,
-        )
+        """Apply a transaction whole or not at all.
+
+        Its conditions make it idempotent: where an answer is late it is sent again,
+        and the first answer to either counts.
+        """
+        times = self._write_times
+        sent = self._clock.monotonic()
+        deadline = min(WRITE_PATIENCE * times.timeout, MAX_WRITE_TIME)
+
+        def send() -> WriteAttempt:
+            return asyncio.create_task(
+                self._time(lambda _: self._store.transact(transaction, deadline), times)
+            )
+
+        attempts = {send()}
+        try:
+            done, _ = await asyncio.wait(
+                attempts, timeout=times.timeout.total_seconds()
+            )
+            if not done:
+                if sent > self._answered:
+                    self._note_failure("no answer yet")
+                attempts.add(send())
+            return await _await_first_answer(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
 
     async def read(
         self, table: str, part: str, start: str = "", end: str = ""
@@ -261,3 +288,24 @@
         if self.is_lost and not self._loss_logged:
             self._loss_logged = True
             logger.warning("store lost", reason=reason)
+
+
+async def _await_first_answer(attempts: set[WriteAttempt]) -> WriteOutcome:
+    """Return the first outcome that tells what was done, or else a failure of all."""
+    pending = attempts
+    failures: list[StoreUnavailable] = []
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            outcome = attempt.result()
+            if outcome.is_ok() or isinstance(outcome.error, ConditionsFailed):
+                return outcome
+            failures.append(outcome.error)
+    # One without an answer may be carried out, whatever became of the other.
+    return Error(
+        evolve(
+            failures[-1],
+            not_done=all(failure.not_done for failure in failures),
+            refused=all(failure.refused for failure in failures),
+        )
+    )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -157,6 +157,39 @@
         self.assertFalse(session._ended.is_set())
 
 
+class CommitPaceTest(LeadingTest):
+    async def commit(self, taken, versions):
+        """Make a commit that takes a while, in which others write too."""
+
+        def pass_time(_):
+            self.parts.clock.advance(taken)
+            self.store.version += versions
+
+        self.store.refuses = pass_time
+        self.assertTrue(await self.committer.commit())
+        self.store.refuses = lambda _: False
+
+    async def test_quick_commits_leave_no_margin(self):
+        await self.claim()
+        for _ in range(3):
+            await self.commit(timedelta(milliseconds=20), 5)
+        self.assertEqual(self.committer.row.started_version, 0)
+
+    async def test_jobs_need_not_wait_for_the_commit_after_a_slow_one(self):
+        """Replays a store 71 times slower: jobs waited for two commits of 0.6 s."""
+        await self.claim()
+        for _ in range(3):
+            await self.commit(timedelta(milliseconds=600), 30)
+        version = self.store.version + 20
+        self.scheduler.accept_job(
+            make_submission("j"), self.parts.clock.monotonic(), WALL, version=version
+        )
+        self.assertFalse(self.scheduler.has_unstartable_jobs)
+        # The next leader knows that such a job may have been started.
+        row = read_leader((self.store.rows[LEADER],))[0]
+        self.assertGreaterEqual(row.started_version, version)
+
+
 class CommitterTest(LeadingTest):
     async def test_commit_stores_progress_and_renews(self):
         await self.claim()
@@ -207,6 +240,22 @@
         self.assertFalse(self.committer.is_superseded)
         self.assertTrue(await self.committer.commit())
 
+    async def test_conflict_with_this_very_commit_is_its_success(self):
+        await self.claim()
+        now = self.parts.clock.monotonic()
+        self.scheduler.accept_job(make_submission("j"), now, WALL)
+        self.scheduler.cancel_job("j", now)
+        transact = self.parts.access.transact
+
+        async def transact_twice(transaction):
+            await transact(transaction)
+            return await transact(transaction)
+
+        self.parts.access.transact = transact_twice
+        self.assertTrue(await self.committer.commit())
+        self.assertEqual(self.scheduler.take_changes(9).records, [])
+        self.assertTrue(self.scheduler.jobs["j"].end_stored)
+
     async def test_leader_whose_commits_are_refused_stays_for_a_while(self):
         """Replays the loss of a third of the store's parts, the leader's among them."""
         await self.claim()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
@@ -10,6 +10,7 @@
 from almondspread.jobs.ports import (
     Changes,
     Committed,
+    ConditionsFailed,
     RowsPage,
     StoreUnavailable,
     Transaction,
@@ -134,15 +135,51 @@
 
         async def transact(transaction, timeout):
             timeouts.append(timeout)
-            self.clock.advance(min(timeout, timedelta(milliseconds=550)))
-            return SILENT if timeouts[-1].total_seconds() < 0.55 else Ok(DONE)
+            self.clock.advance(min(timeout, timedelta(milliseconds=1_000)))
+            return SILENT if timeout < timedelta(seconds=1) else Ok(DONE)
 
         self.store.transact = transact
         for _ in range(6):
             await self.access.transact(Transaction())
             await self.read()
             await self.answer(-1, Ok(PAGE))
-        self.assertGreater(min(timeouts[1:]), timedelta(milliseconds=550))
+        self.assertGreater(min(timeouts[1:]), timedelta(seconds=1))
+
+    def hold_writes(self):
+        async def transact(transaction, timeout):
+            return await self.store._hold()
+
+        self.store.transact = transact
+        return asyncio.create_task(self.access.transact(Transaction()))
+
+    async def await_second_attempt(self):
+        while len(self.store.calls) < 2:
+            await asyncio.sleep(0.01)
+
+    async def test_late_answer_to_a_write_still_counts(self):
+        """Found on a day with a slow store: each write was stored by the attempt that
+        had just been given up, and the next one had to wait behind it."""
+        writing = self.hold_writes()
+        await self.await_second_attempt()
+        await self.answer(0, Ok(DONE))
+        self.assertEqual((await writing).ok, DONE)
+
+    async def test_lost_answer_is_made_up_for_by_a_second_attempt(self):
+        writing = self.hold_writes()
+        await self.await_second_attempt()
+        conflict = Error(ConditionsFailed(()))
+        await self.answer(1, conflict)
+        self.assertEqual((await writing).error, conflict.error)
+
+    async def test_refused_second_attempt_does_not_make_a_write_not_done(self):
+        writing = self.hold_writes()
+        await self.await_second_attempt()
+        await self.answer(1, REFUSED)
+        self.assertFalse(writing.done())
+        await self.answer(0, SILENT)
+        failure = (await writing).error
+        self.assertFalse(failure.not_done)
+        self.assertFalse(failure.refused)
 
     async def test_store_that_refuses_everything_counts_as_lost(self):
         """Found on a day on which it turned a third of the instances away."""
