--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -26,7 +26,7 @@
     """One incarnation of an upstream.
 
     ``known`` is set once it has reported under this leader's epoch, ``recorded`` once
-    the store names it as one that may run tasks. While it ``has_strangers``, it runs
+    the store names it as one that may run tasks. While it ``has_unknown_runs``, it runs
     something of which neither the job nor the size is known; while ``unheard``, its
     executor shows no signs of life. ``lapse_at`` is when its
     leases have surely run out, while it does not answer; until ``abandoned_until`` an
@@ -40,9 +40,9 @@
     news_at: timedelta | None = None
     known: bool = False
     recorded: bool = False
-    has_strangers: bool = False
+    has_unknown_runs: bool = False
     unheard: bool = False
-    strangers_stopped_at: timedelta | None = None
+    unknown_stopped_at: timedelta | None = None
     listed: bool = True
     unlisted_at: timedelta | None = None
     lapse_at: timedelta | None = None
@@ -108,7 +108,7 @@
         """Tell whether new runs may be bound to it."""
         if not (self.known and self.recorded):
             return False
-        if self.has_strangers or self.unheard:
+        if self.has_unknown_runs or self.unheard:
             return False
         if not self.listed and not self._was_listed_lately(now):
             return False
--- a/packages/almondspread/almondspread/jobs/watching.py
+++ b/packages/almondspread/almondspread/jobs/watching.py
@@ -162,7 +162,7 @@
             self.control.note_end(end, upstream.name, now)
         if report.running is None:
             return
-        upstream.has_strangers = False
+        upstream.has_unknown_runs = False
         for sighting in report.running:
             self._note_sighting(sighting, upstream, now)
         self._drop_absent(upstream, report, now)
@@ -208,8 +208,8 @@
         task = sighting.task
         progress = self.control.book.find_started_step(task)
         if progress is None:
-            upstream.has_strangers = True
-            self._stop_stranger(sighting, upstream, now)
+            upstream.has_unknown_runs = True
+            self._stop_unknown_run(sighting, upstream, now)
             return None
         run = self.ledger.adopt(progress, upstream, sighting, now)
         self.control.book.begin(progress.job)
@@ -219,14 +219,14 @@
             self.control.stop(run, now)
         return run
 
-    def _stop_stranger(
+    def _stop_unknown_run(
         self, sighting: RunSighting, upstream: Upstream, now: timedelta
     ) -> None:
         """Stop a run of which nothing is known; each stop brings a report at once."""
-        asked = upstream.strangers_stopped_at
+        asked = upstream.unknown_stopped_at
         if asked is not None and asked < now < asked + STOP_RETRY:
             return
-        upstream.strangers_stopped_at = now
+        upstream.unknown_stopped_at = now
         logger.warning(
             "unknown run stopped",
             job=sighting.task.job,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -85,18 +85,7 @@
         """Found by soak seed 3."""
         parts = self.parts
         row = LeaderRow(2, "entry-1", "one", "a", 50.0, started_version=7)
-        session = LeaderSession(
-            row,
-            9,
-            make_settings(),
-            make_configuration(),
-            parts.access,
-            parts.store_clock,
-            parts.clock,
-            parts.metrics,
-            RowWriter(parts.access, parts.clock, "entry-1"),
-            None,
-        )
+        session = self.make_session(row)
         scheduler = session._scheduler
         now = parts.clock.monotonic()
         scheduler.accept_job(make_submission("old"), now, WALL, version=7)
@@ -104,11 +93,10 @@
         scheduler.accept_job(make_submission("new"), now, WALL, version=8)
         self.assertTrue(scheduler.has_unstartable_jobs)
 
-    async def make_session(self):
-        """Return a session whose one member keeps what it is sent."""
+    def make_session(self, row):
         parts = self.parts
-        session = LeaderSession(
-            LeaderRow(2, "entry-1", "one", "a", 50.0),
+        return LeaderSession(
+            row,
             9,
             make_settings(),
             make_configuration(),
@@ -119,8 +107,12 @@
             RowWriter(parts.access, parts.clock, "entry-1"),
             None,
         )
+
+    def make_session_of_two(self):
+        """Return a session and its other member, which keeps what it is sent."""
+        session = self.make_session(LeaderRow(2, "entry-1", "one", "a", 50.0))
         self.sent = []
-        now = parts.clock.monotonic()
+        now = self.parts.clock.monotonic()
         member = Member("entry-2", "zone", 1.0, self.sent.append, now)
         session.add_member(member)
         return session, member
@@ -137,7 +129,7 @@
     async def test_leader_that_alone_is_turned_away_lets_another_lead(self):
         """Replays the loss of the store by the leader: it went on until its lease
         had run out, and nothing new was started for two seconds more."""
-        session, member = await self.make_session()
+        session, member = self.make_session_of_two()
         await self.lose_store()
         session.take_message(member, StoreReached())
         await settle()
@@ -145,7 +137,7 @@
         self.assertTrue(session._ended.is_set())
 
     async def test_leader_whom_the_store_serves_again_goes_on(self):
-        session, member = await self.make_session()
+        session, member = self.make_session_of_two()
         await self.lose_store()
         session.take_message(member, StoreReached())
         self.store.refuses = lambda _: False
