--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -205,18 +205,11 @@
             if row is not None and self._is_own_claim(row):
                 await self._lead(row, version)
                 continue
-            gone = row is not None and self._is_gone(row)
-            if gone or is_expired(row, self.store_clock.now()):
-                if self._clock.monotonic() < self._claims_from:
-                    await self._clock.sleep(POLL_PAUSE)
-                    continue
-                jitter = CLAIM_JITTER * self._random.random()
-                await self._clock.sleep(self.settings.claim_delay + jitter)
-                await self._claim(row, version)
+            if row is None or self._may_claim(row):
+                await self._contend(row, version)
                 continue
-            assert row is not None
-            if (row.incarnation, row.renewal) == self._left:
-                # Nothing is heard from this leader; its lease must run out.
+            if self._is_unheard(row):
+                # Its lease must run out.
                 await self._clock.sleep(POLL_PAUSE)
                 continue
             await self._follow(row)
@@ -236,6 +229,28 @@
             # Where the store is slow, the claims of rivals hold up the successor's.
             self._claims_from = self._clock.monotonic() + SUCCESSION_TIME
 
+    def _may_claim(self, row: LeaderRow) -> bool:
+        """Tell whether the leader has left, has ended, or neither renews nor is heard.
+
+        Where the store is slow, a leader renews late; it is asked before it is deposed.
+        """
+        if row.released or self._is_gone(row):
+            return True
+        return self._is_unheard(row) and is_expired(row, self.store_clock.now())
+
+    def _is_unheard(self, row: LeaderRow) -> bool:
+        """Tell whether the leader could not be reached since it last renewed."""
+        return (row.incarnation, row.renewal) == self._left
+
+    async def _contend(self, row: LeaderRow | None, version: int) -> None:
+        """Claim the leadership, unless that is left to a successor for now."""
+        if self._clock.monotonic() < self._claims_from:
+            await self._clock.sleep(POLL_PAUSE)
+            return
+        jitter = CLAIM_JITTER * self._random.random()
+        await self._clock.sleep(self.settings.claim_delay + jitter)
+        await self._claim(row, version)
+
     def _is_own_claim(self, row: LeaderRow) -> bool:
         """Tell whether a claim of this process has succeeded without its answer."""
         return row.incarnation == self._incarnation and row.epoch > self._last_epoch
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -155,6 +155,30 @@
         self.assertEqual(self.read_row().epoch, 5)
         self.assertLess(self.parts.clock.monotonic() - began, SECOND)
 
+    async def test_leader_that_renews_late_is_asked_before_it_is_deposed(self):
+        """Replays a slow store: an instance that had just started found the lease
+        expired, and deposed a leader that all others followed."""
+        await self.put_row()
+        self.parts.store.store_time += 60 * SECOND
+        asked = []
+
+        async def follow(row):
+            asked.append(self.read_row().incarnation)
+
+        self.instance._follow = follow
+        self.take_part()
+        while self.read_row().incarnation != "one":
+            await asyncio.sleep(0)
+        self.assertEqual(asked, ["two"])
+
+    async def test_leader_that_is_not_heard_keeps_its_lease(self):
+        await self.put_row()
+        self.parts.store.store_time = 50.5 * SECOND
+        self.instance._left = ("two", 0)
+        self.take_part()
+        await settle()
+        self.assertEqual(self.read_row().incarnation, "two")
+
     async def test_own_row_of_an_epoch_that_is_over_is_not_taken_up(self):
         own = LeaderRow(4, "entry-1", "one", "127.0.0.1:1", 50.0)
         self.assertTrue(self.instance._is_own_claim(own))
