--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -11,7 +11,7 @@
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.leases import LeaderRow, has_failed, is_expired
+from almondspread.jobs.leases import LeaderRow, has_failed
 from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
@@ -25,6 +25,7 @@
 )
 from almondspread_daemon.jobs.board import JobBoard
 from almondspread_daemon.jobs.callers import JobDesk
+from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.links import (
@@ -60,8 +61,6 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 LEADER_SILENCE = timedelta(milliseconds=1_000)
 BEAT_INTERVAL = timedelta(milliseconds=300)
-# How long others leave the claim to the successor that a leader has named.
-SUCCESSION_TIME = timedelta(milliseconds=1_500)
 POLL_PAUSE = timedelta(milliseconds=100)
 # Instances that find the leader gone at the same time do not all claim at once.
 CLAIM_JITTER = timedelta(milliseconds=80)
@@ -111,12 +110,10 @@
         self._link: Link | None = None
         self._listener = LinkServer(self._serve_link)
         self._stopping = False
-        self._left = ("", -1)
-        self._release: Released | None = None
-        self._claims_from = timedelta.min
-        self._last_epoch = 0
+        self._candidacy = Candidacy(
+            settings.instance, incarnation, clock, self.store_clock
+        )
         self._started = clock.monotonic()
-        self._gone: set[str] = set()
         self._checking: asyncio.Task[None] | None = None
 
     @property
@@ -196,72 +193,37 @@
 
     async def _take_part(self) -> None:
         """Follow the leader, or lead where there is none."""
+        candidacy = self._candidacy
         while not self._stopping:
-            await self._succeed()
+            release = candidacy.take_succession()
+            if release is not None:
+                await self._claim(release.row, release.version)
             row, version = await self._read_leader()
             if version < 0 or self.desk.configuration is None:
                 await self._clock.sleep(POLL_PAUSE)
-                continue
-            if row is not None and self._is_own_claim(row):
-                await self._lead(row, version)
-                continue
-            if row is None or self._may_claim(row):
+            elif row is None or candidacy.may_claim(row):
                 await self._contend(row, version)
-                continue
-            if self._is_unheard(row):
+            elif candidacy.is_own_claim(row):
+                await self._lead(row, version)
+            elif candidacy.is_unheard(row):
                 # Its lease must run out.
                 await self._clock.sleep(POLL_PAUSE)
-                continue
-            await self._follow(row)
-            if self._release is not None:
-                continue
-            self._left = (row.incarnation, await self._read_renewal())
-            await self._clock.sleep(POLL_PAUSE)
-
-    async def _succeed(self) -> None:
-        """Claim the leadership at once if the last leader has left it to this one."""
-        release, self._release = self._release, None
-        if release is None:
-            return
-        if release.successor == self.settings.instance:
-            await self._claim(release.row, release.version)
-        elif release.successor:
-            # Where the store is slow, the claims of rivals hold up the successor's.
-            self._claims_from = self._clock.monotonic() + SUCCESSION_TIME
-
-    def _may_claim(self, row: LeaderRow) -> bool:
-        """Tell whether the leader has left, has ended, or neither renews nor is heard.
-
-        Where the store is slow, a leader renews late; it is asked before it is deposed.
-        """
-        if row.released or self._is_gone(row):
-            return True
-        return self._is_unheard(row) and is_expired(row, self.store_clock.now())
-
-    def _is_unheard(self, row: LeaderRow) -> bool:
-        """Tell whether the leader could not be reached since it last renewed."""
-        return (row.incarnation, row.renewal) == self._left
+            else:
+                await self._follow(row)
+                if candidacy.has_release:
+                    continue
+                candidacy.note_unheard(row.incarnation, await self._read_renewal())
+                await self._clock.sleep(POLL_PAUSE)
 
     async def _contend(self, row: LeaderRow | None, version: int) -> None:
         """Claim the leadership, unless that is left to a successor for now."""
-        if self._clock.monotonic() < self._claims_from:
+        if self._candidacy.must_wait:
             await self._clock.sleep(POLL_PAUSE)
             return
         jitter = CLAIM_JITTER * self._random.random()
         await self._clock.sleep(self.settings.claim_delay + jitter)
         await self._claim(row, version)
 
-    def _is_own_claim(self, row: LeaderRow) -> bool:
-        """Tell whether a claim of this process has succeeded without its answer."""
-        return row.incarnation == self._incarnation and row.epoch > self._last_epoch
-
-    def _is_gone(self, row: LeaderRow) -> bool:
-        """Tell whether the process that leads has surely ended."""
-        if row.incarnation in self._gone:
-            return True
-        own = row.instance == self.settings.instance
-        return own and row.incarnation != self._incarnation
-
     async def _read_renewal(self) -> int:
         """Return the latest renewal of the leader's row, -1 without an answer."""
         row = (await self._read_leader())[0]
@@ -302,7 +264,7 @@
     async def _lead(self, claim: LeaderRow, version: int) -> None:
         """Lead under a claim that is stored, with this instance as the first member."""
         assert self.desk.configuration is not None
-        self._last_epoch = claim.epoch
+        self._candidacy.note_led(claim.epoch)
         session = LeaderSession(
             claim,
             version,
@@ -377,7 +339,7 @@
             logger.info("leader not reached", leader=row.instance, reason=str(error))
             if isinstance(error, ConnectionRefusedError):
                 # Nothing listens there. Fencing keeps a wrong guess harmless.
-                self._gone.add(row.incarnation)
+                self._candidacy.note_gone(row.incarnation)
             return
         link = Link(stream)
         link.send(
@@ -397,7 +359,7 @@
                 follower.heard = self._clock.monotonic()
                 if isinstance(message, NotLeading):
                     if message.incarnation != row.incarnation:
-                        self._gone.add(row.incarnation)
+                        self._candidacy.note_gone(row.incarnation)
                     break
                 if isinstance(message, Welcome):
                     logger.info("following", leader=row.instance, epoch=message.epoch)
@@ -446,11 +408,11 @@
             case RowWritten():
                 self._relay.settle(message)
             case Released():
-                self._release = message
+                self._candidacy.note_release(message)
                 if self._link is not None:
                     self._link.close()
             case Resigned():
-                self._gone.add(message.incarnation)
+                self._candidacy.note_resigned(message.epoch)
                 if self._link is not None:
                     self._link.close()
             case _:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -78,7 +78,6 @@
     ) -> None:
         self.epoch = row.epoch
         self._instance = row.instance
-        self._incarnation = row.incarnation
         self._store = store
         self._clock = clock
         self._metrics = metrics
@@ -186,7 +185,7 @@
         self._resigning = None
         if not self._store.is_lost or self._ended.is_set():
             return
-        self._assignments.broadcast(Resigned(self._incarnation))
+        self._assignments.broadcast(Resigned(self.epoch))
         self.end(f"the store serves {served} and not this instance")
 
     def configure(self, configuration: Configuration) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -82,9 +82,9 @@
 
 @define(frozen=True)
 class Resigned:
-    """The sender leads no longer and stores nothing more."""
+    """The sender leads no longer and stores nothing more under its epoch."""
 
-    incarnation: str
+    epoch: int
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -133,7 +133,7 @@
         await self.lose_store()
         session.take_message(member, StoreReached())
         await settle()
-        self.assertEqual(self.list_resignations(), [Resigned("one")])
+        self.assertEqual(self.list_resignations(), [Resigned(2)])
         self.assertTrue(session._ended.is_set())
 
     async def test_leader_whom_the_store_serves_again_goes_on(self):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -11,7 +11,8 @@
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.testing.fake_cell import make_configuration
-from almondspread_daemon.jobs.instance import SUCCESSION_TIME, JobInstance
+from almondspread_daemon.jobs.candidacy import SUCCESSION_TIME, Candidacy
+from almondspread_daemon.jobs.instance import JobInstance
 from almondspread_daemon.jobs.links import Released
 from almondspread_daemon.jobs.members import Member, Members
 from almondspread_daemon.jobs.rows import LEADER, read_leader
@@ -171,19 +172,60 @@
             await asyncio.sleep(0)
         self.assertEqual(asked, ["two"])
 
-    async def test_leader_that_is_not_heard_keeps_its_lease(self):
-        await self.put_row()
-        self.parts.store.store_time = 50.5 * SECOND
-        self.instance._left = ("two", 0)
-        self.take_part()
-        await settle()
-        self.assertEqual(self.read_row().incarnation, "two")
 
-    async def test_own_row_of_an_epoch_that_is_over_is_not_taken_up(self):
+class CandidacyTest(unittest.TestCase):
+    def setUp(self):
+        self.parts = StoreParts()
+        self.candidacy = Candidacy(
+            "entry-1", "one", self.parts.clock, self.parts.store_clock
+        )
+        self.row = LeaderRow(4, "entry-2", "two", "127.0.0.1:1", 50.0, renewal=7)
+
+    def pass_time(self, duration):
+        self.parts.clock.advance(duration)
+
+    def test_leader_that_is_not_heard_keeps_its_lease(self):
+        self.candidacy.note_unheard("two", 7)
+        self.assertFalse(self.candidacy.may_claim(self.row))
+        self.pass_time(2 * SECOND)
+        self.assertTrue(self.candidacy.may_claim(self.row))
+
+    def test_leader_that_has_renewed_since_is_asked_again(self):
+        self.candidacy.note_unheard("two", 6)
+        self.pass_time(60 * SECOND)
+        self.assertFalse(self.candidacy.may_claim(self.row))
+        self.assertFalse(self.candidacy.is_unheard(self.row))
+
+    def test_leader_that_has_ended_is_replaced_at_once(self):
+        self.candidacy.note_gone("two")
+        self.assertTrue(self.candidacy.may_claim(self.row))
+
+    def test_leader_that_resigned_may_lead_again(self):
+        self.candidacy.note_resigned(4)
+        self.assertTrue(self.candidacy.may_claim(self.row))
+        again = LeaderRow(6, "entry-2", "two", "127.0.0.1:1", 50.0)
+        self.assertFalse(self.candidacy.may_claim(again))
+
+    def test_earlier_process_of_this_instance_has_ended(self):
+        row = LeaderRow(4, "entry-1", "before", "127.0.0.1:1", 50.0)
+        self.assertTrue(self.candidacy.may_claim(row))
+
+    def test_own_row_of_an_epoch_that_is_over_is_not_taken_up(self):
         own = LeaderRow(4, "entry-1", "one", "127.0.0.1:1", 50.0)
-        self.assertTrue(self.instance._is_own_claim(own))
-        self.instance._last_epoch = 4
-        self.assertFalse(self.instance._is_own_claim(own))
+        self.assertTrue(self.candidacy.is_own_claim(own))
+        self.candidacy.note_led(4)
+        self.assertFalse(self.candidacy.is_own_claim(own))
+
+    def test_release_counts_once(self):
+        self.candidacy.note_release(Released(self.row, 3, "entry-1"))
+        self.assertEqual(self.candidacy.take_succession().version, 3)
+        self.assertIsNone(self.candidacy.take_succession())
+        self.assertFalse(self.candidacy.must_wait)
+
+    def test_release_without_a_successor_leaves_the_claim_to_all(self):
+        self.candidacy.note_release(Released(self.row, 3, ""))
+        self.assertIsNone(self.candidacy.take_succession())
+        self.assertFalse(self.candidacy.must_wait)
 
 
 if __name__ == "__main__":
