Split following, claiming and resigning from the instance and the leader

The link to a leader, what is done with its messages, the leader's row and the resignation now stand in modules of their own; behaviour unchanged.

--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -0,0 +1,178 @@
+"""An instance's link to the leader, for as long as the leader shows signs of life."""
+
+import asyncio
+from datetime import timedelta
+
+from loguru import logger
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from almondspread.clock import Clock
+from almondspread.jobs.leases import LeaderRow, has_failed
+from almondspread_daemon.jobs.board import JobBoard
+from almondspread_daemon.jobs.candidacy import Candidacy
+from almondspread_daemon.jobs.duties import MemberDuties
+from almondspread_daemon.jobs.executor import Executor
+from almondspread_daemon.jobs.leader_rows import LeaderRows
+from almondspread_daemon.jobs.links import (
+    Beat,
+    Hello,
+    LeaderLink,
+    Link,
+    NotLeading,
+    Released,
+    Resigned,
+    StoreReached,
+    Welcome,
+)
+from almondspread_daemon.jobs.relay import RowRelay
+from almondspread_daemon.jobs.settings import JobSettings
+from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.settings import parse_address
+
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+LEADER_SILENCE = timedelta(milliseconds=1_000)
+BEAT_INTERVAL = timedelta(milliseconds=300)
+
+
+class Follower:
+    """Works for one leader after another, each while its link is open."""
+
+    def __init__(
+        self,
+        settings: JobSettings,
+        incarnation: str,
+        duties: MemberDuties,
+        candidacy: Candidacy,
+        rows: LeaderRows,
+        store_clock: StoreClock,
+        executor: Executor,
+        board: JobBoard,
+        relay: RowRelay,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._duties = duties
+        self._candidacy = candidacy
+        self._rows = rows
+        self._store_clock = store_clock
+        self._executor = executor
+        self._board = board
+        self._relay = relay
+        self._clock = clock
+        self._started = clock.monotonic()
+        self._link: Link | None = None
+        self._checking: asyncio.Task[None] | None = None
+
+    @property
+    def is_following(self) -> bool:
+        """Whether a leader has taken this instance on."""
+        return self._link is not None
+
+    def send(self, message: object) -> None:
+        """Send the leader a message, if there is one."""
+        if self._link is not None:
+            self._link.send(message)
+
+    def close(self) -> None:
+        """Close the link."""
+        if self._link is not None:
+            self._link.close()
+
+    async def follow(self, row: LeaderRow) -> None:
+        """Work for a leader while it shows signs of life."""
+        link = await self._connect(row)
+        if link is None:
+            return
+        leader = LeaderLink(link, self._clock.monotonic())
+        watchdog = asyncio.create_task(self._watch(leader))
+        try:
+            async for message in link.messages():
+                leader.heard = self._clock.monotonic()
+                if isinstance(message, Welcome):
+                    self._begin(row, leader, message)
+                    continue
+                if isinstance(message, NotLeading):
+                    if message.incarnation != row.incarnation:
+                        self._candidacy.note_gone(row.incarnation)
+                    break
+                self._duties.take(message)
+                if isinstance(message, Released | Resigned):
+                    break
+                if isinstance(message, Beat):
+                    self._check_leader(message)
+        finally:
+            watchdog.cancel()
+            link.close()
+            self._end(row, link)
+
+    async def _connect(self, row: LeaderRow) -> Link | None:
+        """Open a link to a leader, ``None`` where it cannot be reached."""
+        host, port = parse_address(row.address)
+        try:
+            stream = await TCPClient().connect(host, port, timeout=CONNECT_TIMEOUT)
+        except (OSError, TimeoutError, StreamClosedError) as error:
+            logger.info("leader not reached", leader=row.instance, reason=str(error))
+            if isinstance(error, ConnectionRefusedError):
+                # Nothing listens there. Fencing keeps a wrong guess harmless.
+                self._candidacy.note_gone(row.incarnation)
+            return None
+        link = Link(stream)
+        link.send(
+            Hello(
+                self._settings.instance,
+                self._incarnation,
+                self._settings.failure_domain,
+                self._settings.cores,
+                self._settings.strength,
+                (self._clock.monotonic() - self._started).total_seconds(),
+            )
+        )
+        return link
+
+    def _begin(self, row: LeaderRow, leader: LeaderLink, welcome: Welcome) -> None:
+        """Begin to work for a leader."""
+        logger.info("following", leader=row.instance, epoch=welcome.epoch)
+        self._link = leader.link
+        self._relay.attach(leader)
+        self._executor.attach(leader.link.send)
+
+    def _end(self, row: LeaderRow, link: Link) -> None:
+        """Go on without a leader, if there was one."""
+        if self._link is not link:
+            return
+        logger.warning("leader lost", leader=row.instance, epoch=row.epoch)
+        self._link = None
+        self._relay.detach()
+        self._board.lose_leader()
+        self._executor.detach()
+
+    async def _watch(self, leader: LeaderLink) -> None:
+        """Send signs of life, and close the link to a silent leader."""
+        while True:
+            leader.link.send(Beat())
+            silent = self._clock.monotonic() - leader.heard
+            if silent > LEADER_SILENCE:
+                logger.warning("leader silent", seconds=silent.total_seconds())
+                leader.link.close()
+                return
+            await self._clock.sleep(BEAT_INTERVAL)
+
+    def _check_leader(self, beat: Beat) -> None:
+        """Look at the store if it does not serve the leader."""
+        if beat.lease_holds and not beat.store_lost:
+            return
+        if self._link is not None and self._checking is None:
+            self._checking = asyncio.create_task(self._check_store(self._link))
+
+    async def _check_store(self, link: Link) -> None:
+        """Leave a leader that has failed to renew; tell others of the store."""
+        row, version = await self._rows.read()
+        self._checking = None
+        if version < 0:
+            return
+        if has_failed(row, self._store_clock.now()):
+            link.close()
+            return
+        link.send(StoreReached())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -41,6 +41,7 @@
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.relay_service import RelayService
+from almondspread_daemon.jobs.resignation import Resignation
 from almondspread_daemon.jobs.retention import Retention
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
@@ -56,8 +57,6 @@
 BEAT_INTERVAL = timedelta(milliseconds=300)
 LOAD_INTERVAL = timedelta(seconds=1)
 MEMBER_SILENCE = timedelta(milliseconds=1_400)
-# At the end of an outage of the whole store, some instances are served a little sooner.
-RESIGN_PATIENCE = timedelta(milliseconds=400)
 
 
 class LeaderSession:
@@ -113,7 +112,7 @@
                 machines,
                 clock,
             )
-        self._resigning: asyncio.Task[None] | None = None
+        self._resignation = Resignation(store, clock, self._resign)
         self._dirty = asyncio.Event()
         self._commit_wanted = asyncio.Event()
         self._ended = asyncio.Event()
@@ -150,8 +149,7 @@
             await self._ended.wait()
             for work in works:
                 work.cancel()
-        if self._resigning is not None:
-            self._resigning.cancel()
+        self._resignation.close()
 
     def end(self, reason: str) -> None:
         """Stop leading."""
@@ -174,16 +172,9 @@
             )
         self.end("released")
 
-    def _consider_resigning(self, member: Member) -> None:
-        """Note that the store serves a member, although not this instance."""
-        if self._store.is_lost and self._resigning is None:
-            self._resigning = asyncio.create_task(self._resign(member.instance))
-
-    async def _resign(self, served: str) -> None:
-        """Let another instance lead if the store serves this one nothing."""
-        await self._clock.sleep(RESIGN_PATIENCE)
-        self._resigning = None
-        if not self._store.is_lost or self._ended.is_set():
+    def _resign(self, served: str) -> None:
+        """Let another instance lead, since the store serves that one only."""
+        if self._ended.is_set():
             return
         self._assignments.broadcast(Resigned(self.epoch))
         self.end(f"the store serves {served} and not this instance")
@@ -249,7 +240,7 @@
             case WriteRow():
                 self._relay_service.serve(message, member.send)
             case StoreReached():
-                self._consider_resigning(member)
+                self._resignation.consider(member.instance)
             case Leaving():
                 self._assignments.empty_member(member)
             case Beat():
