--- a/packages/almondspread_standin/almondspread_standin/soak/command.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/command.py
@@ -24,6 +24,7 @@
 @click.option("--runs", default=1, show_default=True, type=int, help="How many seeds.")
 @click.option("--instances", default=5, show_default=True, type=int)
 @click.option("--upstreams", default=6, show_default=True, type=int)
+@click.option("--waves", is_flag=True, help="Also have machines maintained.")
 @click.option(
     "--logs",
     default=None,
@@ -36,6 +37,7 @@
     runs: int,
     instances: int,
     upstreams: int,
+    waves: bool,
     logs: Path | None,
 ) -> None:
     """Run real processes under random faults, and check what they promise."""
@@ -47,7 +49,7 @@
     logger.add(sys.stderr, level="WARNING")
     broken = 0
     for number in range(seed, seed + runs):
-        plan = SoakPlan(number, seconds, instances, upstreams)
+        plan = SoakPlan(number, seconds, instances, upstreams, waves)
         result = _run_one(plan, logs)
         broken += bool(result["violations"])
         click.echo(json.dumps(result))
--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -33,6 +33,7 @@
     server: HTTPServer
     proxy: Proxy
     draining: bool = False
+    down: bool = False
     life: int = 1
     beat: int = 0
 
@@ -71,10 +72,18 @@
         place.draining = False
         place.proxy.reset()
 
+    async def maintain(self, place: Place, seconds: float) -> None:
+        """Have another incarnation run at an address after its machine was down."""
+        await self.crash(place)
+        await asyncio.sleep(seconds)
+        place.down = False
+
     async def run(self) -> None:
         """Advance the upstreams and write their entries until cancelled."""
         while True:
             for place in self.places:
+                if place.down:
+                    continue
                 place.beat += 1
                 place.host.upstream.advance(self.clock.monotonic())
                 name = RowName("servers", "", place.host.upstream.name)
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -17,8 +17,10 @@
 from almondspread_standin.soak.callers import FINAL_STATES, Callers
 from almondspread_standin.soak.faults import Chaos
 from almondspread_standin.soak.instances import PEER_PORT, Instance, Instances
+from almondspread_standin.soak.maintenance import Maintenance
 from almondspread_standin.soak.pool import LOOPBACK, Pool
 from platform_standin.formats import make_configuration, make_settings
+from platform_standin.machine_server import MachineFleet, make_machine_application
 from platform_standin.store_server import StoreFaults, make_store_application
 
 DOMAINS = ("north", "middle", "south")
@@ -41,6 +43,7 @@
     seconds: float
     instances: int = 5
     upstreams: int = 6
+    waves: bool = False
 
 
 @define(frozen=True)
@@ -55,6 +58,7 @@
     starts: int
     faults: int
     calls: int
+    maintained: int
 
 
 class Soak:
@@ -80,6 +84,12 @@
         self._callers = Callers(
             self._instances, self._history, caller, self._clock, jobs, plan.seed
         )
+        self._fleet = MachineFleet()
+        self._maintenance = Maintenance(
+            self._fleet, self._pool, self._store, random.Random(f"{plan.seed} waves")
+        )
+        self._machine_server = HTTPServer(make_machine_application(self._fleet))
+        self._machine_address = ""
         self._versions = [0]
         self._chaos = Chaos(
             self._instances, self._pool, self._store, self._faults, faults
@@ -93,6 +103,8 @@
             works.append(asyncio.create_task(self._pool.run()))
             works.append(asyncio.create_task(self._operate()))
             await self._await_ready()
+            if self._plan.waves:
+                works.append(asyncio.create_task(self._maintenance.run()))
             probing = self._callers.probe_configuration(self._versions)
             works.append(asyncio.create_task(probing))
             await self._disturb(works)
@@ -104,6 +116,7 @@
             await self._instances.stop()
             await self._pool.stop()
             self._server.stop()
+            self._machine_server.stop()
             await self._caller.wait_idle()
             self._client.close()
         return self._make_result()
@@ -129,6 +142,10 @@
         sockets = bind_sockets(0, LOOPBACK)
         self._server.add_sockets(sockets)
         store = sockets[0].getsockname()[:2]
+        if self._plan.waves:
+            machines = bind_sockets(0, LOOPBACK)
+            self._machine_server.add_sockets(machines)
+            self._machine_address = f"{LOOPBACK}:{machines[0].getsockname()[1]}"
         for number in range(self._plan.upstreams):
             await self._pool.add(number, DOMAINS[number % len(DOMAINS)])
         for number in range(1, self._plan.instances + 1):
@@ -145,6 +162,7 @@
             instance.store.address,
             instance.peer_ip,
             PEER_PORT,
+            self._machine_address,
         )
 
     async def _operate(self) -> None:
@@ -176,11 +194,22 @@
                 if await self._callers.ask(job, instance) in FINAL_STATES:
                     pending.discard(job)
         violations = self._history.violations
+        await self._check_waves(deadline)
         for job in sorted(pending):
             violations.append(f"accepted job {job} has not ended")
         for job in sorted(self._callers.rejected & self._history.started_jobs):
             violations.append(f"job {job} was always rejected and has run")
 
+    async def _check_waves(self, deadline: float) -> None:
+        """Check that waves come to their end, and what was noted of them."""
+        loop = asyncio.get_running_loop()
+        while self._plan.waves and not self._maintenance.has_completed_wave:
+            if loop.time() > deadline:
+                self._history.violations.append("the first wave has not ended")
+                break
+            await asyncio.sleep(FINISH_POLL)
+        self._history.violations.extend(self._fleet.violations)
+
     def _make_result(self) -> SoakResult:
         """Return what was found."""
         states = list(self._callers.accepted.values())
@@ -193,4 +222,5 @@
             self._history.starts,
             self._chaos.injected,
             self._callers.calls,
+            len(self._fleet.maintained),
         )
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -19,9 +19,9 @@
 
 
 class SoakTest(unittest.TestCase):
-    def run_soak(self, seed, seconds=SECONDS):
+    def run_soak(self, seed, seconds=SECONDS, waves=False):
         with tempfile.TemporaryDirectory() as folder:
-            plan = SoakPlan(seed, seconds, instances=3, upstreams=4)
+            plan = SoakPlan(seed, seconds, instances=3, upstreams=4, waves=waves)
             return asyncio.run(self.run_in_time(plan, Path(folder)))
 
     async def run_in_time(self, plan, folder):
@@ -35,6 +35,11 @@
         self.assertGreater(result.completed, 0)
         self.assertGreater(result.faults, 0)
 
+    def test_machines_are_maintained_under_faults(self):
+        result = self.run_soak(2, waves=True)
+        self.assertEqual(result.violations, [])
+        self.assertGreaterEqual(result.maintained, 4)
+
     def test_seeds_that_once_failed_keep_their_promises(self):
         for seed in REGRESSIONS:
             with self.subTest(seed=seed):
