--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -159,8 +159,8 @@
 class MaintenancePlanner:
     """All waves of the cell, as the leader of one epoch sees them.
 
-    ``cycle`` is how long a machine is emptied and down. Before an order goes out it
-    is part of a stored record, so that the next leader counts its machine as down.
+    ``duration`` is how long a machine is down. Before an order goes out it is part of
+    a stored record, so that the next leader counts its machine as down.
     """
 
     duration: timedelta
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -44,6 +44,16 @@
 LOSS_PATIENCE = timedelta(milliseconds=500)
 RETRY_PAUSE = timedelta(milliseconds=50)
 SMOOTHING = 0.2
+# A call under way for this many times longer than an answer took is not waiting in a
+# queue of a slow store; it was swallowed.
+SWALLOWED_FACTOR = 20
+MIN_SWALLOWED = timedelta(milliseconds=300)
+# A write without an answer is given up after so many times its usual patience.
+WRITE_PATIENCE = 3
+MAX_WRITE_TIME = timedelta(milliseconds=2_400)
+WriteOutcome = Result[Committed, ConditionsFailed | StoreUnavailable]
+WriteAttempt = asyncio.Task[WriteOutcome]
+OVERTAKEN = StoreUnavailable("later calls were answered first", not_done=False)
 
 
 class AnswerTimes:
@@ -68,18 +78,6 @@
         self._timeout = min(MAX_TIMEOUT, 2 * self._timeout)
 
 
-# A call under way for this many times longer than an answer took is not waiting in a
-# queue of a slow store; it was swallowed.
-SWALLOWED_FACTOR = 20
-MIN_SWALLOWED = timedelta(milliseconds=300)
-# A write without an answer is given up after so many times its usual patience.
-WRITE_PATIENCE = 3
-MAX_WRITE_TIME = timedelta(milliseconds=2_400)
-WriteOutcome = Result[Committed, ConditionsFailed | StoreUnavailable]
-WriteAttempt = asyncio.Task[WriteOutcome]
-OVERTAKEN = StoreUnavailable("later calls were answered first", not_done=False)
-
-
 @define(eq=False)
 class _Flight:
     """A call under way; ``scope`` ends it early."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/writing.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/writing.py
@@ -26,8 +26,6 @@
 
 MAX_ROWS_PER_WRITE = 60
 MAX_BYTES_PER_WRITE = 400_000
-
-
 # A slow store seems lost for a moment; a row that waits behind others has time.
 UNSENT_PATIENCE = timedelta(milliseconds=1_200)
 STORE_LOST = StoreUnavailable("it has served nothing for a while", not_done=True)
