--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
@@ -0,0 +1,114 @@
+import asyncio
+import random
+import unittest
+
+import attrs
+from expression import Error, Ok
+
+from almondspread.jobs.maintenance import MaintenanceWave
+from almondspread.jobs.ports import HistoryGone, Operations, StoreUnavailable
+from almondspread.testing.fake_cell import make_configuration
+from almondspread_daemon.jobs.instance import JobInstance
+from almondspread_daemon.jobs.operations import OPERATIONS_WAIT, OperationsFeed
+from almondspread_daemon.jobs.store_access import OVERTAKEN
+from almondspread_daemon.jobs.tests.support import SECOND, StoreParts, make_settings
+
+AWAY = Error(StoreUnavailable("status 503", not_done=True, refused=True))
+WAVE = MaintenanceWave(1, ("m",), 60 * SECOND, 1)
+
+
+def make_operations(version, *waves):
+    return Operations(attrs.evolve(make_configuration(), version=version), waves)
+
+
+class ScriptedStore:
+    """Answers reads and waits from two lists; at their end it waits for ever."""
+
+    def __init__(self, reads, waits):
+        self.reads = list(reads)
+        self.waits = list(waits)
+        self.asked_to_wait = []
+
+    async def read_operations(self):
+        await asyncio.sleep(0)
+        return await self._next(self.reads)
+
+    async def wait_for_change(self, wait):
+        self.asked_to_wait.append(wait)
+        await asyncio.sleep(0)
+        return await self._next(self.waits)
+
+    async def _next(self, answers):
+        if not answers:
+            await asyncio.Event().wait()
+        return answers.pop(0)
+
+
+class OperationsFeedTest(unittest.IsolatedAsyncioTestCase):
+    async def feed(self, reads, waits):
+        """Return the versions that are handed over, and the store."""
+        store = ScriptedStore(reads, waits)
+        taken = []
+        parts = StoreParts()
+        feed = OperationsFeed(store, parts.clock, taken.append)
+        running = asyncio.create_task(feed.run())
+        for _ in range(50):
+            await asyncio.sleep(0)
+        running.cancel()
+        return [each.configuration.version for each in taken], store
+
+    async def test_each_change_is_read(self):
+        reads = [Ok(make_operations(1)), Ok(make_operations(4))]
+        versions, _ = await self.feed(reads, [Ok(False), Ok(True)])
+        self.assertEqual(versions, [1, 4])
+
+    async def test_all_is_read_anew_after_whatever_ends_a_wait(self):
+        for failure in (HistoryGone(), OVERTAKEN, AWAY.error):
+            with self.subTest(failure=failure):
+                reads = [Ok(make_operations(1)), AWAY, Ok(make_operations(2))]
+                versions, _ = await self.feed(reads, [Error(failure)])
+                self.assertEqual(versions, [1, 2])
+
+    async def test_no_wait_outlasts_the_time_in_which_a_change_must_be_in_force(self):
+        """On a connection that falls silent, a wait ends only with its timeout."""
+        _, store = await self.feed([Ok(make_operations(1))], [Ok(False)] * 3)
+        self.assertEqual(set(store.asked_to_wait), {OPERATIONS_WAIT})
+        self.assertLessEqual(OPERATIONS_WAIT, SECOND)
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        parts = StoreParts()
+        self.instance = JobInstance(
+            make_settings(),
+            "one",
+            parts.access,
+            None,
+            None,
+            None,
+            parts.clock,
+            parts.metrics,
+            random.Random(1),
+        )
+
+    def take(self, operations):
+        self.instance._take_operations(operations)
+        configuration = self.instance.desk.configuration
+        return configuration.version if configuration is not None else None
+
+    async def test_older_configuration_never_comes_back(self):
+        for version, in_force in ((5, 5), (3, 5), (5, 5), (9, 9), (8, 9)):
+            with self.subTest(version=version):
+                self.assertEqual(self.take(make_operations(version)), in_force)
+
+    async def test_row_that_cannot_be_read_leaves_the_configuration(self):
+        self.take(make_operations(5))
+        self.assertEqual(self.take(Operations(None)), 5)
+
+    async def test_waves_are_kept_for_the_time_in_which_this_instance_leads(self):
+        self.take(make_operations(5, WAVE))
+        self.assertEqual(self.instance._waves, (WAVE,))
+
+
+if __name__ == "__main__":
+    unittest.main()
