Call what is there: steps of runs, room for a task, the end of a following

- Lookups of a run's step that stood in four places go through the job book, passed as a function as for paces; the limit on absent lasting tasks and the fit of a task on an upstream are each told in one place.
- What begins and ends with a leader stands in the member's duties, for the follower and for an instance that leads; the follower needs three parts less.
- The waits told to callers were worked out anew for each queue, three times a second.
- Two tests built the same instance.

--- a/packages/almondspread/almondspread/jobs/evacuation.py
+++ b/packages/almondspread/almondspread/jobs/evacuation.py
@@ -1,12 +1,14 @@
 """Runs to move off upstreams that are about to leave."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from attrs import define, field
 from loguru import logger
 
 from almondspread.jobs.ledger import RunLedger
-from almondspread.jobs.progress import JobProgress, Run, RunPhase, StepProgress
+from almondspread.jobs.placement import has_room
+from almondspread.jobs.progress import Run, RunPhase, StepProgress
 from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.upstreams import Upstream
 
@@ -15,7 +17,7 @@
 
 
 def choose_evacuations(
-    jobs: dict[str, JobProgress], ledger: RunLedger, now: timedelta
+    find_step: Callable[[Run], StepProgress], ledger: RunLedger, now: timedelta
 ) -> list[Run]:
     """Return the runs on leaving upstreams that should be stopped and moved now.
 
@@ -29,7 +31,7 @@
         if not upstream.is_leaving or upstream.lapse_at is not None:
             continue
         for run in ledger.list_runs(upstream.name):
-            progress = jobs[run.task.job].steps[run.task.occurrence, run.task.step]
+            progress = find_step(run)
             if run.phase is RunPhase.STOPPING and progress.job.ended is None:
                 # It is on its way to another upstream already.
                 room.take(progress, upstream)
@@ -49,16 +51,15 @@
 
 
 def may_stop_all(
-    jobs: dict[str, JobProgress], ledger: RunLedger, upstream: str
+    find_step: Callable[[Run], StepProgress], ledger: RunLedger, upstream: str
 ) -> bool:
     """Tell whether the lasting tasks on an upstream may all be away at once."""
     away: dict[tuple[str, int, int], int] = {}
     for run in ledger.list_runs(upstream):
-        progress = jobs[run.task.job].steps[run.task.occurrence, run.task.step]
-        limit = progress.step.unavailable_limit
-        if not progress.step.lasting or not limit or not run.at_work:
+        progress = find_step(run)
+        if not progress.step.lasting or not run.at_work:
             continue
-        if progress.count_away() + away.get(progress.key, 0) >= limit:
+        if not _may_be_away(progress, run, away):
             return False
         away[progress.key] = away.get(progress.key, 0) + 1
     return True
@@ -79,10 +80,15 @@
 
 def _may_miss(
     progress: StepProgress, run: Run, away: dict[tuple[str, int, int], int]
+) -> bool:
+    """Tell whether a lasting task may move; members of a gang cannot one by one."""
+    return not progress.step.gang and _may_be_away(progress, run, away)
+
+
+def _may_be_away(
+    progress: StepProgress, run: Run, away: dict[tuple[str, int, int], int]
 ) -> bool:
     """Tell whether one more lasting task of a step may be away."""
-    if progress.step.gang:
-        return False
     limit = progress.step.unavailable_limit
     if not limit or not run.at_work:
         return True
@@ -119,11 +125,11 @@
                 continue
             if not upstream.is_usable(self.now):
                 continue
-            if not upstream.has_label(step.required_label):
+            if not has_room(step, upstream):
                 continue
             taken = self._taken.get(upstream.name, 0)
             free = upstream.free.cpu_millis - taken
-            if step.claim.fits_in(upstream.free) and step.claim.cpu_millis <= free:
+            if step.claim.cpu_millis <= free:
                 self._taken[upstream.name] = taken + step.claim.cpu_millis
                 return True
         return False
--- a/packages/almondspread/almondspread/jobs/jobbook.py
+++ b/packages/almondspread/almondspread/jobs/jobbook.py
@@ -192,6 +192,13 @@
         task = run.task
         return self.jobs[task.job].steps[task.occurrence, task.step]
 
+    def find_known_step(
+        self, job: str, occurrence: int, step: int
+    ) -> StepProgress | None:
+        """Return a step, ``None`` where the job or the occurrence is not known."""
+        known = self.jobs.get(job)
+        return known.steps.get((occurrence, step)) if known is not None else None
+
     def find_started_step(self, task: TaskId) -> StepProgress | None:
         """Return the step of a task that runs somewhere, ``None`` if unknown."""
         job = self.jobs.get(task.job)
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from almondspread.jobs.progress import StepProgress
+from almondspread.jobs.submissions import Step
 from almondspread.jobs.upstreams import Upstream
 
 
@@ -17,17 +18,19 @@
     upstream: Upstream
 
 
+def has_room(step: Step, upstream: Upstream) -> bool:
+    """Tell whether a task of a step fits on an upstream and may run there."""
+    return step.claim.fits_in(upstream.free) and upstream.has_label(step.required_label)
+
+
 def list_candidates(
     progress: StepProgress, usable: Iterable[Upstream]
 ) -> list[Upstream]:
     """Return the usable upstreams on which a task of the step may run now."""
     step = progress.step
     found = []
-    claim = step.claim
     for upstream in usable:
-        if not claim.fits_in(upstream.free):
-            continue
-        if not upstream.has_label(step.required_label):
+        if not has_room(step, upstream):
             continue
         if step.spread_limit and upstream.count_step(progress.key) >= step.spread_limit:
             continue
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -140,9 +140,9 @@
     def note_end(self, end: RunEnd, upstream: str, now: timedelta) -> None:
         """Take the end of a run to its task, its job, and its upstream."""
         run = self.ledger.runs.get((end.task, end.run))
-        job = self.book.jobs.get(end.task.job)
-        progress = job.steps.get((end.task.occurrence, end.task.step)) if job else None
-        if job is None or progress is None or end.task.index >= progress.step.count:
+        task = end.task
+        progress = self.book.find_known_step(task.job, task.occurrence, task.step)
+        if progress is None or task.index >= progress.step.count:
             return
         logger.info(
             "run ended",
@@ -166,10 +166,10 @@
             self.break_gang(progress, run, now)
         self.book.line_up(progress)
         if progress.is_complete:
-            for follower in job.steps.values():
+            for follower in progress.job.steps.values():
                 if progress.number in follower.step.after:
                     self.book.line_up(follower)
-        self.book.conclude(job, now)
+        self.book.conclude(progress.job, now)
 
     def _judge_upstream(self, end: RunEnd, name: str, now: timedelta) -> None:
         """Count an end for or against its upstream."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -171,7 +171,7 @@
 
     def may_stop_all(self, upstream: str) -> bool:
         """Tell whether all runs of an upstream may be ended at once."""
-        return may_stop_all(self.jobs, self.ledger, upstream)
+        return may_stop_all(self._book.find_step, self.ledger, upstream)
 
     def list_expired_jobs(self, now: timedelta, retention: timedelta) -> list[str]:
         """Return the jobs that ended ``retention`` ago and have no runs left."""
@@ -229,10 +229,11 @@
         if now - self._swept < SWEEP_INTERVAL:
             return
         self._swept = now
+        find_step = self._book.find_step
         self._control.expire(now)
-        for run in choose_stragglers(self.jobs, self.ledger, now):
+        for run in choose_stragglers(find_step, self.ledger, now):
             self._control.replace(run, now)
-        moved = choose_evacuations(self.jobs, self.ledger, now)
+        moved = choose_evacuations(find_step, self.ledger, now)
         self._control.stop_runs(moved, now)
 
     def _describe_holds(self) -> StartHolds:
@@ -251,9 +252,14 @@
         waits = {}
         upstreams = list(self.ledger.upstreams.values())
         steps = list(self._book.open_steps.values())
+        # There may be hundreds of queues, but few services and priorities.
+        known: dict[tuple[str, int], float] = {}
         for queue in self.configuration.queues.values():
-            wait = estimate_wait(queue, self.configuration, steps, upstreams, now)
-            waits[queue.name] = wait.total_seconds()
+            key = (queue.service, queue.priority)
+            if key not in known:
+                wait = estimate_wait(queue, self.configuration, steps, upstreams, now)
+                known[key] = wait.total_seconds()
+            waits[queue.name] = known[key]
         return waits
 
     def measure_load(self, now: timedelta) -> Load:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -56,8 +56,9 @@
 
     def grant_permits(self, answer: PermitsAnswered, now: timedelta) -> None:
         """Take the answer of the advice service for a step."""
-        job = self.control.book.jobs.get(answer.job)
-        progress = job.steps.get((answer.occurrence, answer.step)) if job else None
+        progress = self.control.book.find_known_step(
+            answer.job, answer.occurrence, answer.step
+        )
         if progress is None:
             return
         progress.permits_asked = None
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -1,9 +1,10 @@
 """Runs that would be done sooner if they were started again elsewhere."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from almondspread.jobs.ledger import RunLedger
-from almondspread.jobs.progress import JobProgress, Run, RunPhase, StepProgress
+from almondspread.jobs.progress import Run, RunPhase, StepProgress
 from almondspread.jobs.submissions import Step
 
 # Progress is reported about once a second, and starts at nothing.
@@ -20,7 +21,7 @@
 
 
 def choose_stragglers(
-    jobs: dict[str, JobProgress], ledger: RunLedger, now: timedelta
+    find_step: Callable[[Run], StepProgress], ledger: RunLedger, now: timedelta
 ) -> list[Run]:
     """Return the runs that should be replaced by ones elsewhere.
 
@@ -31,8 +32,7 @@
     for run in ledger.runs.values():
         if run.phase is RunPhase.STOPPING:
             continue
-        job = jobs[run.task.job]
-        progress = job.steps[run.task.occurrence, run.task.step]
+        progress = find_step(run)
         if progress.step.gang or len(progress.runs[run.task.index]) > 1:
             continue
         upstream = ledger.upstreams.get(run.upstream)
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -1,6 +1,9 @@
 import unittest
 from datetime import timedelta
 
+import attrs
+
+from almondspread.jobs.backlog import estimate_wait
 from almondspread.jobs.messages import (
     FAILED,
     RunEnd,
@@ -21,6 +24,32 @@
 )
 
 
+class WaitTest(unittest.TestCase):
+    def test_each_queue_is_told_the_work_ahead_of_it(self):
+        """Replays a configuration of many queues, most of them alike."""
+        configuration = make_configuration()
+        queue = configuration.queues[QUEUE]
+        queues = {QUEUE: queue}
+        for number in range(30):
+            name = f"q{number}"
+            queues[name] = attrs.evolve(queue, name=name, priority=number % 3)
+        cell = FakeCell(configuration=attrs.evolve(configuration, queues=queues))
+        cell.add_upstream("u0", 1_000)
+        cell.run_for(SECOND / 2)
+        for number in range(6):
+            job = Submission(f"j{number}", f"q{number}", "", (make_step(2),))
+            cell.submit(job)
+        cell.run_for(SECOND / 5)
+        waits = cell.scheduler.estimate_waits(cell.now)
+        steps = list(cell.scheduler._book.open_steps.values())
+        upstreams = list(cell.scheduler.ledger.upstreams.values())
+        for each in queues.values():
+            wait = estimate_wait(each, cell.configuration, steps, upstreams, cell.now)
+            self.assertEqual(waits[each.name], wait.total_seconds())
+        self.assertGreater(waits["q2"], waits["q1"])
+        self.assertGreater(waits["q1"], waits["q0"])
+
+
 class OrderTest(CellTest):
     def test_steps_run_one_after_another_to_the_end(self):
         self.add_upstreams(2)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/duties.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/duties.py
@@ -1,10 +1,11 @@
-"""What an instance does with the messages of the leader, also when it leads itself."""
+"""What an instance does for a leader, also when it leads itself."""
 
 from almondspread_daemon.jobs.board import JobBoard
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.links import (
     Beat,
+    LeaderLink,
     QueueLoads,
     Released,
     Resigned,
@@ -16,7 +17,7 @@
 
 
 class MemberDuties:
-    """Passes each message to the part of the instance that it is for."""
+    """Passes each message of the leader to the part of the instance that it is for."""
 
     def __init__(
         self,
@@ -30,6 +31,17 @@
         self._relay = relay
         self._candidacy = candidacy
 
+    def begin(self, leader: LeaderLink) -> None:
+        """Begin to work for a leader."""
+        self._relay.attach(leader)
+        self._executor.attach(leader.link.send)
+
+    def end(self) -> None:
+        """Go on without a leader, for a while."""
+        self._board.lose_leader()
+        self._relay.detach()
+        self._executor.detach()
+
     def take(self, message: object) -> None:
         """Take one message of the leader."""
         if isinstance(message, SharedMessage):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -9,10 +9,8 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.leases import LeaderRow, has_failed
-from almondspread_daemon.jobs.board import JobBoard
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.duties import MemberDuties
-from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.leader_rows import LeaderRows
 from almondspread_daemon.jobs.links import (
     Beat,
@@ -25,7 +23,6 @@
     StoreReached,
     Welcome,
 )
-from almondspread_daemon.jobs.relay import RowRelay
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.settings import parse_address
@@ -46,9 +43,6 @@
         candidacy: Candidacy,
         rows: LeaderRows,
         store_clock: StoreClock,
-        executor: Executor,
-        board: JobBoard,
-        relay: RowRelay,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -57,9 +51,6 @@
         self._candidacy = candidacy
         self._rows = rows
         self._store_clock = store_clock
-        self._executor = executor
-        self._board = board
-        self._relay = relay
         self._clock = clock
         self._started = clock.monotonic()
         self._link: Link | None = None
@@ -135,8 +126,7 @@
         """Begin to work for a leader."""
         logger.info("following", leader=row.instance, epoch=welcome.epoch)
         self._link = leader.link
-        self._relay.attach(leader)
-        self._executor.attach(leader.link.send)
+        self._duties.begin(leader)
 
     def _end(self, row: LeaderRow, link: Link) -> None:
         """Go on without a leader, if there was one."""
@@ -144,9 +134,7 @@
             return
         logger.warning("leader lost", leader=row.instance, epoch=row.epoch)
         self._link = None
-        self._relay.detach()
-        self._board.lose_leader()
-        self._executor.detach()
+        self._duties.end()
 
     async def _watch(self, leader: LeaderLink) -> None:
         """Send signs of life, and close the link to a silent leader."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -106,9 +106,6 @@
             self._candidacy,
             self._rows,
             self.store_clock,
-            self._executor,
-            self.board,
-            self._relay,
             clock,
         )
 
@@ -279,8 +276,7 @@
         finally:
             self._session = None
             self._metrics.set_load(0, 0, 0)
-            self.board.lose_leader()
-            self._executor.detach()
+            self._duties.end()
 
     async def _serve_link(self, link: Link) -> None:
         """Take on an instance that has connected, if this one leads."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -1,12 +1,14 @@
 """Parts of an instance around a store in memory, for tests."""
 
 import asyncio
+import random
 from datetime import timedelta
 
 from almondspread.clock import ManualClock
 from almondspread.jobs.submissions import Step, Submission
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.record_store import MemoryRecordStore
+from almondspread_daemon.jobs.instance import JobInstance
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
@@ -57,5 +59,20 @@
     )
 
 
+def make_instance(parts, access):
+    """Return an instance whose upstreams, advice and machines nothing calls."""
+    return JobInstance(
+        make_settings(),
+        "one",
+        access,
+        None,
+        None,
+        None,
+        parts.clock,
+        parts.metrics,
+        random.Random(1),
+    )
+
+
 def make_submission(job, queue="queue", count=1):
     return Submission(job, queue, "text", (Step(count, Capacity(500, 256), SECOND),))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
@@ -1,5 +1,4 @@
 import asyncio
-import random
 import unittest
 
 import attrs
@@ -8,10 +7,9 @@
 from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.ports import HistoryGone, Operations, StoreUnavailable
 from almondspread.testing.fake_cell import make_configuration
-from almondspread_daemon.jobs.instance import JobInstance
 from almondspread_daemon.jobs.operations import OPERATIONS_WAIT, OperationsFeed
 from almondspread_daemon.jobs.store_access import OVERTAKEN
-from almondspread_daemon.jobs.tests.support import SECOND, StoreParts, make_settings
+from almondspread_daemon.jobs.tests.support import SECOND, StoreParts, make_instance
 
 AWAY = Error(StoreUnavailable("status 503", not_done=True, refused=True))
 WAVE = MaintenanceWave(1, ("m",), 60 * SECOND, 1)
@@ -79,17 +77,7 @@
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         parts = StoreParts()
-        self.instance = JobInstance(
-            make_settings(),
-            "one",
-            parts.access,
-            None,
-            None,
-            None,
-            parts.clock,
-            parts.metrics,
-            random.Random(1),
-        )
+        self.instance = make_instance(parts, parts.access)
 
     def take(self, operations):
         self.instance._take_operations(operations)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -1,7 +1,6 @@
 """Replays of planned stops of the leader, also while the store is slow."""
 
 import asyncio
-import random
 import unittest
 from datetime import timedelta
 
@@ -12,7 +11,6 @@
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.testing.fake_cell import make_configuration
 from almondspread_daemon.jobs.candidacy import SUCCESSION_TIME, Candidacy
-from almondspread_daemon.jobs.instance import JobInstance
 from almondspread_daemon.jobs.links import Released
 from almondspread_daemon.jobs.members import Member, Members
 from almondspread_daemon.jobs.rows import LEADER, read_leader
@@ -20,7 +18,7 @@
 from almondspread_daemon.jobs.tests.support import (
     SECOND,
     StoreParts,
-    make_settings,
+    make_instance,
     settle,
 )
 from almondspread_daemon.jobs.tests.test_leading import LeadingTest
@@ -91,17 +89,7 @@
         self.parts = StoreParts()
         parts = self.parts
         access = StoreAccess(parts.store, EmptyDirectory(), parts.clock, parts.metrics)
-        self.instance = JobInstance(
-            make_settings("entry-1"),
-            "one",
-            access,
-            None,
-            None,
-            None,
-            parts.clock,
-            parts.metrics,
-            random.Random(1),
-        )
+        self.instance = make_instance(parts, access)
         self.instance.desk.configuration = make_configuration()
         self.working = None
 
