Count the time of a suspended machine in every lease

Cause: SystemClock.monotonic read CLOCK_MONOTONIC, which stands still while a machine is suspended, so a leader that had been suspended for 5 s believed in its lease of 1.2 s. Change: the clock is CLOCK_BOOTTIME where the system has it.

--- a/packages/almondspread/almondspread/clock/clocks.py
+++ b/packages/almondspread/almondspread/clock/clocks.py
@@ -7,6 +7,9 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
+# ``CLOCK_MONOTONIC`` of Linux stands still while the machine is suspended.
+MONOTONIC_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 class Clock(Protocol):
     """What a rule may ask of time."""
@@ -15,7 +18,10 @@
         """Return the wall-clock time in UTC; it may jump."""
 
     def monotonic(self) -> timedelta:
-        """Return the time since some fixed moment; it never goes back."""
+        """Return the time since some fixed moment; it never goes back.
+
+        It goes on while the machine is suspended, so that no lease outlives that.
+        """
 
     async def sleep(self, duration: timedelta) -> None:
         """Wait for a duration."""
@@ -30,7 +36,7 @@
 
     def monotonic(self) -> timedelta:
         """Return the machine's monotonic time."""
-        return timedelta(seconds=time.monotonic())
+        return timedelta(seconds=time.clock_gettime(MONOTONIC_CLOCK))
 
     async def sleep(self, duration: timedelta) -> None:
         """Wait for a duration on the running event loop."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
@@ -1,5 +1,6 @@
 import unittest
 from datetime import timedelta
+from unittest.mock import patch
 
 from expression import Error, Ok
 
@@ -151,6 +152,29 @@
         await controller.step()
         self.assertEqual(self.machines.orders, [])
 
+    async def test_no_order_is_sent_after_a_pause_in_any_earlier_call(self):
+        """A pause between the check of the lease and the send must not matter."""
+        for paused in ("read", "list_machines", "transact"):
+            with self.subTest(paused):
+                await self.asyncSetUp()
+                controller = await self.lead()
+                with self.pause_after(paused):
+                    await controller.step()
+                self.assertEqual(self.machines.orders, [])
+
+    def pause_after(self, name):
+        """Have the lease run out before the answer to one kind of call arrives."""
+        target = type(self.machines if name == "list_machines" else self.store)
+        call = getattr(target, name)
+        clock = self.parts.clock
+
+        async def call_and_pause(*arguments):
+            answer = await call(*arguments)
+            clock.advance(2 * LEADER_LEASE)
+            return answer
+
+        return patch.object(target, name, call_and_pause)
+
 
 if __name__ == "__main__":
     unittest.main()
