Ask an upstream for its runs as often as these need it

So that starts do not go on to an upstream cut off while idle, one that answers neither a start nor the poll after it counts as silent, and gets no renewal. Tests: the agent's waits, silence after an unanswered start, no renewal while silent.

--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -94,7 +94,11 @@
 
 @define(frozen=True)
 class StartRun:
-    """Starts a run; ``ticket`` is the advice service's permit, or empty."""
+    """Starts a run; ``ticket`` is the advice service's permit, or empty.
+
+    A ``paced`` run has a latency target, or is throttled for the sake of runs that
+    have one, so that reports on it must be frequent.
+    """
 
     upstream: str
     task: TaskId
@@ -102,6 +106,7 @@
     payload: str
     checkpoint: str = ""
     ticket: str = ""
+    paced: bool = False
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -181,6 +181,7 @@
                     progress.job.submission.payload,
                     progress.find_checkpoint(placement.index),
                     tickets.get(upstream.name, "") if queue and queue.advice else "",
+                    progress.step.is_paced,
                 )
             )
         self._log_placements(progress, placements, now)
--- a/packages/almondspread/almondspread/jobs/submissions.py
+++ b/packages/almondspread/almondspread/jobs/submissions.py
@@ -59,6 +59,11 @@
             return self.size
         return Capacity(0, self.size.memory_mib, self.size.accelerators)
 
+    @property
+    def is_paced(self) -> bool:
+        """Whether the step's tasks have a latency target or are throttled for one."""
+        return self.opportunistic or bool(self.latency_target)
+
 
 @define(frozen=True)
 class Repetition:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -25,6 +25,11 @@
     UpstreamSilent,
     WatchUpstream,
 )
+from almondspread.jobs.polling import (
+    FULL_REPORT_SHARE,
+    IDLE_WAIT,
+    choose_renew_wait,
+)
 from almondspread.jobs.ports import (
     CallFailed,
     PaceCall,
@@ -34,12 +39,10 @@
     StopCall,
     UpstreamClient,
 )
+from almondspread.jobs.submissions import TaskId
 from almondspread_daemon.jobs.metrics import JobMetrics
 
-RENEW_WAIT = timedelta(milliseconds=500)
 CALL_TIMEOUT = timedelta(milliseconds=500)
-# The interval of reports with the whole list of runs; ends are reported at once.
-FULL_REPORT_INTERVAL = timedelta(milliseconds=400)
 # The next renew call waits this long for the leader to acknowledge reported ends.
 # Otherwise the upstream would answer at once and list the same ends again.
 ACKNOWLEDGE_TIMEOUT = timedelta(milliseconds=150)
@@ -47,6 +50,9 @@
 RETRY_DELAY = timedelta(milliseconds=150)
 # The upstream refuses a start that reaches it later than this after it was sent.
 START_EXPIRY = timedelta(seconds=2)
+# Runs that have ended are forgotten only beyond this number: the answer to a renew call
+# may be older than the start of a run.
+MAX_REMEMBERED_RUNS = 200
 LEASE_EXPIRY_MARGIN = timedelta(milliseconds=300)
 
 SendReport = Callable[[ExecutorReport], None]
@@ -85,6 +91,9 @@
         self._last_answered = clock.monotonic()
         self._last_renew_number = 0
         self._is_closed = False
+        self._is_silent = False
+        self._renew_wait = IDLE_WAIT
+        self._unpaced_runs: set[tuple[TaskId, int]] = set()
         self._last_full_report: timedelta | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._renew_task = asyncio.create_task(self._run_renew_loop())
@@ -145,7 +154,7 @@
                 self._lease_expiry = (
                     now + self._lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
                 )
-            wait = RENEW_WAIT if until is not None else timedelta(0)
+            wait = self._renew_wait if until is not None else timedelta(0)
             failure = await self._renew(until, wait)
             if failure is None:
                 continue
@@ -172,10 +181,10 @@
         self._handle_answer(answer.ok, number)
         return None
 
-    async def _poll_now(self) -> None:
+    async def _poll_now(self) -> CallFailed | None:
         """Report all runs now, without waiting for the pending renew call."""
         self._last_full_report = None
-        await self._renew(None, timedelta(0))
+        return await self._renew(None, timedelta(0))
 
     def _choose_lease_end(self, now: timedelta) -> timedelta | None:
         """Return until when to renew the leases, by the upstream's clock.
@@ -185,7 +194,10 @@
         would postpone the time at which the leases have certainly expired.
         """
         upstream_time = self._read_upstream_clock()
-        if upstream_time is None or now - self._last_answered >= SILENCE_THRESHOLD:
+        if upstream_time is None or self._is_silent:
+            return None
+        if now - self._last_answered >= SILENCE_THRESHOLD:
+            # This process was paused, so the leader may have counted the leases out.
             return None
         return upstream_time + self._lease
 
@@ -205,6 +217,7 @@
         """
         now = self._clock.monotonic()
         self._last_answered = now
+        self._is_silent = False
         is_stale = self._is_stale(answer)
         if not is_stale:
             self._clock_reading = (answer.clock, now)
@@ -214,8 +227,10 @@
             self._last_forwarded_end = max(self._last_forwarded_end, end.number)
         full = not is_stale and (
             self._last_full_report is None
-            or now - self._last_full_report >= FULL_REPORT_INTERVAL
+            or now - self._last_full_report >= self._renew_wait * FULL_REPORT_SHARE
         )
+        if not is_stale:
+            self._update_renew_wait(answer)
         if full:
             self._last_full_report = now
         if not ends and not full:
@@ -227,6 +242,13 @@
             )
         )
 
+    def _update_renew_wait(self, answer: RenewAnswer) -> None:
+        """Choose the wait of the next renew call by the runs of the newest answer."""
+        running = {(sighting.task, sighting.run) for sighting in answer.running}
+        self._renew_wait = choose_renew_wait(answer.running, self._unpaced_runs)
+        if len(self._unpaced_runs) > MAX_REMEMBERED_RUNS:
+            self._unpaced_runs &= running
+
     def _is_stale(self, answer: RenewAnswer) -> bool:
         """Return whether an answer is older than one that has already arrived."""
         return self._clock_reading is not None and answer.clock < self._clock_reading[0]
@@ -243,12 +265,17 @@
         if failure.replaced:
             self._report(UpstreamSilent(upstream, epoch, timedelta(0), replaced=True))
             return False
-        now = self._clock.monotonic()
-        if now - self._last_answered >= SILENCE_THRESHOLD:
-            self._last_full_report = None
-            self._report(UpstreamSilent(upstream, epoch, self._lease_expiry - now))
+        if self._clock.monotonic() - self._last_answered >= SILENCE_THRESHOLD:
+            self._report_silence()
         return True
 
+    def _report_silence(self) -> None:
+        """Report that the upstream does not answer; its leases are not renewed."""
+        self._is_silent = True
+        self._last_full_report = None
+        left = self._lease_expiry - self._clock.monotonic()
+        self._report(UpstreamSilent(self.watch.upstream, self.watch.epoch, left))
+
     async def _start(self, order: StartRun) -> None:
         """Start a run and report the outcome."""
         upstream_time = self._read_upstream_clock()
@@ -264,6 +291,8 @@
             order.checkpoint,
             order.ticket,
         )
+        if not order.paced:
+            self._unpaced_runs.add((order.task, order.run))
         sent = self._clock.monotonic()
         answer = await self._client.start(
             self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
@@ -281,7 +310,9 @@
             self._report_start(order, REFUSED, failure.reason)
         else:
             self._report_start(order, UNKNOWN, failure.reason)
-            await self._poll_now()
+            if await self._poll_now() is not None and self._last_answered < sent:
+                # Neither call was answered; the pending renew call may wait longer.
+                self._report_silence()
 
     def _report_start(self, order: StartRun, outcome: str, reason: str) -> None:
         """Report the outcome of a start to the leader."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -20,7 +20,7 @@
 # Members send heartbeats about three times a second.
 MEMBER_SILENCE_THRESHOLD = timedelta(milliseconds=700)
 # A member reports each of its upstreams, or that one is silent, far more often.
-UPSTREAM_REPORT_TIMEOUT = timedelta(seconds=3)
+UPSTREAM_REPORT_TIMEOUT = timedelta(seconds=4)
 
 
 class Assignments:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -2,24 +2,28 @@
 import unittest
 from datetime import timedelta
 
-from expression import Ok
+from expression import Error, Ok
 
 from almondspread.clock import SystemClock
 from almondspread.jobs.messages import (
     RunSighting,
+    StartRun,
     StopRun,
     StopSettled,
     UpstreamReport,
+    UpstreamSilent,
     WatchUpstream,
 )
-from almondspread.jobs.ports import RenewAnswer
+from almondspread.jobs.polling import IDLE_WAIT, PACED_WAIT, RUNNING_WAIT
+from almondspread.jobs.ports import CallFailed, RenewAnswer
 from almondspread.jobs.submissions import TaskId
-from almondspread_daemon.jobs.agents import UpstreamAgent
+from almondspread_daemon.jobs.agents import RETRY_DELAY, UpstreamAgent
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 SECOND = timedelta(seconds=1)
 TASK = TaskId("j", 0, 0, 0)
 ADDRESS = "10.0.0.1:80"
+NO_ANSWER = Error(CallFailed("no answer", not_done=False))
 
 
 class FakeClient:
@@ -27,11 +31,17 @@
 
     def __init__(self):
         self.renewals = []
+        self.renew_calls = []
+        self.starts = []
         self.stops = []
 
     async def renew_leases(self, address, upstream, call, timeout):
+        self.renew_calls.append(call)
         return await self._await(self.renewals)
 
+    async def start(self, address, upstream, call, timeout):
+        return await self._await(self.starts)
+
     async def stop(self, address, upstream, call, timeout):
         return await self._await(self.stops)
 
@@ -116,6 +126,60 @@
         await settle()
         self.assertEqual(self.reports, [])
 
+    async def renew(self, clock, *running):
+        """Answer the newest renew call, and return the call that follows it."""
+        self.client.renewals.pop().set_result(make_answer(clock, *running))
+        await settle()
+        return self.client.renew_calls[-1]
+
+    async def start(self, run, paced):
+        self.agent.start(StartRun("u", TASK, run, "", paced=paced))
+        await settle()
+        self.client.starts.pop().set_result(Ok(None))
+        await settle()
+
+    async def test_idle_upstream_is_asked_rarely_and_a_paced_run_often(self):
+        """Each of 25 upstreams was asked three times a second, idle ones twice."""
+        idle = await self.renew(1)
+        self.assertEqual(idle.wait, IDLE_WAIT)
+        await self.start(7, paced=False)
+        running = await self.renew(2, 7)
+        self.assertEqual(running.wait, RUNNING_WAIT)
+        await self.start(8, paced=True)
+        paced = await self.renew(3, 7, 8)
+        self.assertEqual(paced.wait, PACED_WAIT)
+
+    async def test_run_of_an_earlier_executor_is_reported_often(self):
+        self.assertEqual((await self.renew(1, 7)).wait, PACED_WAIT)
+
+    async def test_upstream_that_answers_neither_start_nor_poll_is_silent(self):
+        """Starts went on to an idle upstream that was cut off, for up to 2.5 s."""
+        await self.renew(1)
+        self.agent.start(StartRun("u", TASK, 7, ""))
+        await settle()
+        self.client.starts.pop().set_result(NO_ANSWER)
+        await settle()
+        self.client.renewals.pop().set_result(NO_ANSWER)
+        await settle()
+        self.assertIsInstance(self.reports[-1], UpstreamSilent)
+
+    async def test_silent_upstream_gets_no_renewal(self):
+        """A renewal that arrives late would outlast the reported expiry."""
+        await self.test_upstream_that_answers_neither_start_nor_poll_is_silent()
+        self.client.renewals.pop().set_result(NO_ANSWER)
+        await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
+        self.assertIsNone(self.client.renew_calls[-1].until)
+
+    async def test_unanswered_start_alone_is_no_silence(self):
+        await self.renew(1)
+        self.agent.start(StartRun("u", TASK, 7, ""))
+        await settle()
+        self.client.starts.pop().set_result(NO_ANSWER)
+        await settle()
+        await self.renew(2)
+        silent = [each for each in self.reports if isinstance(each, UpstreamSilent)]
+        self.assertEqual(silent, [])
+
 
 if __name__ == "__main__":
     unittest.main()
