Judge stragglers by what runs of their queue really take

Cause: a run counted as a straggler when it would take 2.5 times as long as 1.5 times its declared estimate. Change: jobs/durations.py learns the ratio of real to declared duration for each queue; a run is compared with what nine of ten runs stay below, and the second run of a task with the speed of its first.

--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -43,7 +43,8 @@
     ``changed_at`` is when the phase, the progress or the pace last changed; a stop sets
     ``stop_requested_at`` instead. ``seen_at`` is when a report last showed the run with
     its ``percent`` and ``figure``. ``pace`` is the limit on its speed in percent.
-    ``available`` is set while a lasting task does its work. Once a stop is answered,
+    ``available`` is set while a lasting task does its work. A run ``is_whole`` if it
+    does all the work of its task under this leader. Once a stop is answered,
     ``conclusive_report`` is the number of a report: if the run is absent from this
     report or a later one, it never started.
     """
@@ -59,6 +60,7 @@
     figure: int = 0
     pace: int = 100
     available: bool = False
+    is_whole: bool = False
     stop_requested_at: timedelta | None = None
     conclusive_report: int | None = None
 
@@ -101,8 +103,9 @@
 
     ``waiting`` holds, in order, the tasks that are to be started, and ``runs`` the
     bound runs of tasks. ``failed_runs`` has the numbers of the runs that failed.
-    ``avoided_upstreams`` names upstreams on which a task has failed or straggled. No
-    task starts before the time ``not_before``.
+    ``avoided_upstreams`` names upstreams on which a task has failed or straggled, and
+    ``observed_durations`` tells how long its shortest straggling run would have taken.
+    No task starts before the time ``not_before``.
     """
 
     job: "JobProgress"
@@ -115,6 +118,7 @@
     failed_runs: dict[int, set[int]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
     avoided_upstreams: dict[int, set[str]] = field(factory=dict)
+    observed_durations: dict[int, timedelta] = field(factory=dict)
     permits: Permits | None = None
     permits_requested_at: timedelta | None = None
     not_before: timedelta = timedelta(0)
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from almondspread.jobs.cell_state import CellState
+from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.job_table import JobTable
 from almondspread.jobs.messages import (
     BROKEN,
@@ -22,6 +23,7 @@
     UpstreamOrder,
 )
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.stragglers import extrapolate_duration
 
 # A run whose start had no clear outcome may show up in a report within this time.
 # After that it is stopped.
@@ -35,11 +37,15 @@
 
 @define(eq=False)
 class RunControl:
-    """Tracks each bound run until it ends, and collects ``orders`` to be sent."""
+    """Tracks each bound run until it ends, and collects ``orders`` to be sent.
+
+    ``ratios`` learns from the runs that are done.
+    """
 
     cell_state: CellState
     job_table: JobTable = field(init=False)
     orders: list[UpstreamOrder | AskPermits] = field(factory=list)
+    ratios: DurationRatios = field(factory=DurationRatios)
 
     def stop_runs(self, runs: list[Run], now: timedelta) -> None:
         """Order several runs to stop."""
@@ -145,9 +151,13 @@
             ran=(now - run.started_at).total_seconds(),
             copied=progress.step.duplicates,
         )
-        progress.avoided_upstreams.setdefault(run.task.index, set()).add(run.upstream)
+        index = run.task.index
+        progress.avoided_upstreams.setdefault(index, set()).add(run.upstream)
+        duration = extrapolate_duration(run, now)
+        known = progress.observed_durations.get(index, duration)
+        progress.observed_durations[index] = min(known, duration)
         if progress.step.duplicates:
-            progress.waiting[run.task.index] = None
+            progress.waiting[index] = None
             self.job_table.update_readiness(progress)
         else:
             self.stop(run, now)
@@ -169,6 +179,7 @@
         )
         progress.record_end(end)
         if run is not None:
+            self._learn_duration(progress, run, end, now)
             self.cell_state.remove_run(progress, run)
         if end.outcome in (DONE, FAILED):
             self.job_table.changed.add(end.task.job)
@@ -186,6 +197,15 @@
                     self.job_table.update_readiness(dependent)
         self.job_table.end_if_finished(progress.job, now)
 
+    def _learn_duration(
+        self, progress: StepProgress, run: Run, end: RunEnd, now: timedelta
+    ) -> None:
+        """Record how long a run took that has done all the work of its task."""
+        if end.outcome != DONE or not run.is_whole or progress.step.is_paced:
+            return
+        queue = progress.job.submission.queue
+        self.ratios.record(queue, progress.step.estimate, now - run.started_at)
+
     def _record_upstream_outcome(self, end: RunEnd, name: str, now: timedelta) -> None:
         """Record whether a run on an upstream succeeded, and log a suspension."""
         upstream = self.cell_state.upstreams.get(name)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -270,7 +270,9 @@
         self._last_sweep = now
         find_step = self._job_table.find_step
         self._control.expire_unanswered(now)
-        for run in choose_stragglers(find_step, self.cell_state, now):
+        for run in choose_stragglers(
+            find_step, self.cell_state, self._control.ratios, now
+        ):
             self._control.replace_straggler(run, now)
         evacuated = choose_evacuations(find_step, self.cell_state, now)
         self._control.stop_runs(evacuated, now)
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -170,7 +170,9 @@
             number = gang_number or self.cell_state.allocate_run_number()
             task = progress.make_task_id(placement.index)
             upstream = placement.upstream
+            checkpoint = progress.find_checkpoint(placement.index)
             run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
+            run.is_whole = not checkpoint
             self.cell_state.add_run(progress, placement.index, upstream, run)
             tickets = progress.permits.tickets if progress.permits else {}
             self.control.orders.append(
@@ -179,7 +181,7 @@
                     task,
                     number,
                     progress.job.submission.payload,
-                    progress.find_checkpoint(placement.index),
+                    checkpoint,
                     tickets.get(upstream.name, "") if queue and queue.advice else "",
                     progress.step.is_paced,
                 )
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -4,16 +4,16 @@
 from datetime import timedelta
 
 from almondspread.jobs.cell_state import CellState
+from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
 from almondspread.jobs.submissions import Step
 
 # Upstreams report progress about once a second, and progress starts at zero.
 MIN_RUN_TIME = timedelta(seconds=2)
-# Estimates are rough and a restart discards work, so a run is replaced only if its
-# remaining time exceeds that of a new run by this factor.
-GAIN_FACTOR = 2.5
-# A new run is expected to take this multiple of its estimate, plus ``RESTART_COST``.
-ESTIMATE_FACTOR = 1.5
+# A restart discards work, so a run is replaced only if its remaining time exceeds that
+# of a new run by this factor.
+GAIN_FACTOR = 2.0
+# Stopping a run, getting permits anew and starting another run takes about this time.
 RESTART_COST = timedelta(seconds=1)
 # The progress of a run cannot be judged if its last report is older than this.
 MAX_SIGHTING_AGE = timedelta(milliseconds=1_200)
@@ -23,7 +23,10 @@
 
 
 def choose_stragglers(
-    find_step: Callable[[Run], StepProgress], cell_state: CellState, now: timedelta
+    find_step: Callable[[Run], StepProgress],
+    cell_state: CellState,
+    ratios: DurationRatios,
+    now: timedelta,
 ) -> list[Run]:
     """Return the runs that should be replaced by runs on other upstreams.
 
@@ -48,7 +51,7 @@
         if run.phase is not RunPhase.RUNNING:
             continue
         if now - run.seen_at > MAX_SIGHTING_AGE or not _is_straggling(
-            progress, run, now
+            progress, run, ratios, now
         ):
             continue
         if now >= upstream.suspended_until:
@@ -59,7 +62,9 @@
     return chosen
 
 
-def _is_straggling(progress: StepProgress, run: Run, now: timedelta) -> bool:
+def _is_straggling(
+    progress: StepProgress, run: Run, ratios: DurationRatios, now: timedelta
+) -> bool:
     """Return whether a run will take far longer than a newly started one."""
     step = progress.step
     if step.lasting:
@@ -71,12 +76,23 @@
     elapsed = now - run.started_at
     if run.pace < 100 or step.opportunistic or elapsed < MIN_RUN_TIME:
         return False
-    restart_time = step.estimate * ESTIMATE_FACTOR + RESTART_COST
+    upper = ratios.find_upper(progress.job.submission.queue)
+    restart_time = step.estimate * upper + RESTART_COST
+    # A task that is slow on every upstream has a wrong estimate.
+    observed = progress.observed_durations.get(run.task.index)
+    if observed is not None:
+        restart_time = max(restart_time, observed)
     if elapsed < restart_time:
         return False
     return _extrapolate_time_left(run, elapsed) > restart_time * GAIN_FACTOR
 
 
+def extrapolate_duration(run: Run, now: timedelta) -> timedelta:
+    """Return how long a run takes in all at its average speed so far."""
+    elapsed = now - run.started_at
+    return elapsed + _extrapolate_time_left(run, elapsed)
+
+
 def _extrapolate_time_left(run: Run, elapsed: timedelta) -> timedelta:
     """Return the remaining time of a run at its average speed so far."""
     return elapsed * (100 - run.percent) / max(run.percent, 1)
