Ask the advice service only for what a step can use

Cause: a request named up to 64 upstreams, asked about the same ones anew whenever the tickets ran out, and was sent although every allowed upstream was full. Change: a step keeps what was decided (the policy does not change): denied upstreams are not named again, allowed ones come first, and names stop at twice the room that the waiting tasks need, by the queue's learnt share of allowed ones. Tasks that still wait get permits for room elsewhere while their first tickets are valid.

--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -43,9 +43,11 @@
 ) -> list[Upstream]:
     """Return the candidates for which the step has a valid permit."""
     permits = progress.permits
-    if permits is None or permits.expires <= now:
-        return []
-    return [upstream for upstream in candidates if upstream.name in permits.tickets]
+    return [
+        upstream
+        for upstream in candidates
+        if permits.find_ticket(upstream.name, now) is not None
+    ]
 
 
 def place_tasks(
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from almondspread.jobs.messages import DONE, FAILED, RunEnd
+from almondspread.jobs.permits import StepPermits
 from almondspread.jobs.submissions import Step, Submission, TaskId
 
 
@@ -65,14 +66,6 @@
     conclusive_report: int | None = None
 
 
-@define(frozen=True)
-class Permits:
-    """Tickets of the advice service by upstream, valid until ``expires``."""
-
-    tickets: dict[str, str]
-    expires: timedelta
-
-
 @define(frozen=True)
 class StepRecord:
     """The stored progress of a step.
@@ -119,8 +112,7 @@
     checkpoints: dict[int, str] = field(factory=dict)
     avoided_upstreams: dict[int, set[str]] = field(factory=dict)
     observed_durations: dict[int, timedelta] = field(factory=dict)
-    permits: Permits | None = None
-    permits_requested_at: timedelta | None = None
+    permits: StepPermits = field(factory=StepPermits)
     not_before: timedelta = timedelta(0)
 
     @property
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -102,7 +102,7 @@
         self.cell_state.remove_run(progress, run)
         progress.not_before = now + REFUSED_START_DELAY
         if reason == "ticket":
-            progress.permits = None
+            progress.permits.discard_tickets()
         upstream = self.cell_state.upstreams.get(run.upstream)
         if upstream is not None and reason not in ("ticket", "old", "late"):
             upstream.suspend(now)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -311,8 +311,7 @@
         without_permits = 0
         for progress in self._job_table.ready_steps.values():
             tasks += len(progress.waiting)
-            permits = progress.permits
-            without_permits += permits is None or permits.expires <= now
+            without_permits += not progress.permits.has_ticket(now)
         used = 0
         usable = 0
         for upstream in self.cell_state.upstreams.values():
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -2,28 +2,25 @@
 
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, field
 from loguru import logger
 
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import Queue
 from almondspread.jobs.messages import AskPermits, PermitsAnswered, StartRun
 from almondspread.jobs.ordering import rank_step
+from almondspread.jobs.permit_requests import choose_asked, list_askable
+from almondspread.jobs.permits import AllowedShares
 from almondspread.jobs.placement import (
     Placement,
     filter_permitted,
     list_candidates,
     place_tasks,
 )
-from almondspread.jobs.progress import Permits, Run, RunPhase, StepProgress
+from almondspread.jobs.progress import Run, RunPhase, StepProgress
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.upstreams import Upstream
 
-PERMIT_TIMEOUT = timedelta(seconds=4)
-# A ticket must still be valid when the start call that carries it arrives.
-PERMIT_MARGIN = timedelta(milliseconds=200)
-MAX_UPSTREAMS_PER_REQUEST = 64
-
 
 @define(frozen=True)
 class StartHolds:
@@ -54,6 +51,7 @@
 
     cell_state: CellState
     control: RunControl
+    allowed_shares: AllowedShares = field(factory=AllowedShares)
 
     def handle_permits_answer(self, answer: PermitsAnswered, now: timedelta) -> None:
         """Store the permits for a step, if the advice service has granted any."""
@@ -62,39 +60,44 @@
         )
         if progress is None:
             return
-        progress.permits_requested_at = None
+        asked = progress.permits.requested
+        progress.permits.record_answer(answer.tickets, answer.validity, now)
         if answer.tickets is None:
             return
-        expires = now + answer.validity - PERMIT_MARGIN
+        queue = progress.job.submission.queue
+        self.allowed_shares.record(queue, asked, answer.tickets)
         logger.info(
             "permits granted",
             job=answer.job,
             step=answer.step,
             upstreams=len(answer.tickets),
+            asked=len(asked),
             validity=answer.validity.total_seconds(),
         )
-        progress.permits = Permits(answer.tickets, expires)
 
     def _request_permits(
-        self, progress: StepProgress, usable: list[Upstream], now: timedelta
+        self, progress: StepProgress, suitable: list[Upstream], now: timedelta
     ) -> bool:
         """Order a request for permits for a step; return whether one was ordered.
 
-        No request is ordered while an earlier one is pending, or where no usable
-        upstream has the label that the step requires.
+        No request is ordered while an earlier one is pending, or where its answer
+        would not let any task start.
         """
-        requested_at = progress.permits_requested_at
-        if requested_at is not None and now - requested_at < PERMIT_TIMEOUT:
+        if not progress.permits.may_ask(now):
             return False
-        label = progress.step.required_label
-        suitable = [upstream for upstream in usable if upstream.has_label(label)]
-        suitable.sort(key=lambda upstream: -upstream.free.cpu_millis)
-        names = tuple(
-            upstream.name for upstream in suitable[:MAX_UPSTREAMS_PER_REQUEST]
-        )
+        askable = [
+            candidate
+            for candidate in list_askable(progress, suitable)
+            if progress.permits.find_ticket(candidate.upstream.name, now) is None
+        ]
+        has_room = any(candidate.room for candidate in askable)
+        if not has_room and not progress.permits.is_unknown:
+            return False
+        share = self.allowed_shares.find(progress.job.submission.queue)
+        names = choose_asked(progress, askable, share)
         if not names:
             return False
-        progress.permits_requested_at = now
+        progress.permits.record_request(names, now)
         logger.info(
             "permits requested",
             job=progress.job.submission.job,
@@ -142,18 +145,13 @@
             service = self.control.job_table.find_service(progress.job.submission.queue)
             suitable = usable.get(service, [])
             candidates = list_candidates(progress, suitable)
-            if not candidates:
-                continue
-            if queue is not None and queue.advice is not None:
-                if progress.permits is None or progress.permits.expires <= now:
-                    if max_permit_requests and self._request_permits(
-                        progress, suitable, now
-                    ):
-                        max_permit_requests -= 1
-                    continue
+            needs_advice = queue is not None and queue.advice is not None
+            if needs_advice:
                 candidates = filter_permitted(progress, candidates, now)
-            if not holds.lacks_start_record(progress):
+            if candidates and not holds.lacks_start_record(progress):
                 self._start(progress, candidates, latency_sensitive, queue, now)
+            if needs_advice and progress.waiting and max_permit_requests:
+                max_permit_requests -= self._request_permits(progress, suitable, now)
 
     def _start(
         self,
@@ -174,7 +172,9 @@
             run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
             run.is_whole = not checkpoint
             self.cell_state.add_run(progress, placement.index, upstream, run)
-            tickets = progress.permits.tickets if progress.permits else {}
+            ticket = ""
+            if queue and queue.advice:
+                ticket = progress.permits.find_ticket(upstream.name, now) or ""
             self.control.orders.append(
                 StartRun(
                     upstream.name,
@@ -182,7 +182,7 @@
                     number,
                     progress.job.submission.payload,
                     checkpoint,
-                    tickets.get(upstream.name, "") if queue and queue.advice else "",
+                    ticket,
                     progress.step.is_paced,
                 )
             )
--- a/packages/almondspread/almondspread/resources/capacity.py
+++ b/packages/almondspread/almondspread/resources/capacity.py
@@ -2,6 +2,9 @@
 
 from attrs import define
 
+# The count of an empty amount, which any capacity has room for.
+MAX_COUNT = 1_000_000
+
 
 @define(frozen=True)
 class Capacity:
@@ -57,6 +60,21 @@
             max(self.accelerators, other.accelerators),
         )
 
+    def count_in(self, other: "Capacity") -> int:
+        """Return how many times this amount fits in the other, at most ``MAX_COUNT``.
+
+        >>> Capacity(1000, 100).count_in(Capacity(2500, 900))
+        2
+        """
+        counts = [MAX_COUNT]
+        if self.cpu_millis:
+            counts.append(other.cpu_millis // self.cpu_millis)
+        if self.memory_mib:
+            counts.append(other.memory_mib // self.memory_mib)
+        if self.accelerators:
+            counts.append(other.accelerators // self.accelerators)
+        return min(counts)
+
     def fits_in(self, other: "Capacity") -> bool:
         """Tell whether no resource of this amount is over that of the other."""
         return (
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -81,7 +81,7 @@
     Upstreams named in ``silent`` do not answer. For each order, ``lose_answer`` decides
     whether it is executed without an answer, ``hold_back`` whether it is kept in
     ``held_orders`` for a later execution, and ``drop_order`` whether it is lost
-    together with its executor.
+    together with its executor. The advice service permits no upstream of ``denied``.
     """
 
     history: History = field(factory=History)
@@ -96,6 +96,8 @@
     lose_answer: Callable[[Order], bool] = lambda _: False
     hold_back: Callable[[Order], bool] = lambda _: False
     drop_order: Callable[[Order], bool] = lambda _: False
+    denied: set[str] = field(factory=set)
+    permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
     versions: dict[str, int] = field(factory=dict)
     started_version: int = 0
@@ -197,7 +199,10 @@
     def execute_order(self, epoch: int, order: Order) -> None:
         """Execute an order under the ``epoch`` of the current or an earlier leader."""
         if isinstance(order, AskPermits):
-            tickets = {name: "ticket" for name in order.upstreams}
+            self.permit_requests.append(order)
+            tickets = {
+                name: "ticket" for name in order.upstreams if name not in self.denied
+            }
             self.scheduler.handle_report(
                 PermitsAnswered(
                     order.job,
