--- a/packages/almondspread/almondspread/jobs/ordering.py
+++ b/packages/almondspread/almondspread/jobs/ordering.py
@@ -6,6 +6,11 @@
 from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.submissions import Submission
 
+# The group of a step, the priority of its queue, and when its job is due.
+StepRank = tuple[int, int, timedelta]
+
+# Steps whose results can have no value any more.
+LAST_GROUP = 2
 # A result keeps a part of its value up to this multiple of the objective.
 LATE_FACTOR = 3
 # Steps whose slack is below this margin no longer count as able to be on time.
@@ -37,7 +42,7 @@
 
 def rank_step(
     progress: StepProgress, configuration: Configuration, now: timedelta
-) -> tuple[int, int, timedelta]:
+) -> StepRank:
     """Return the sort key of a step with waiting tasks; the lowest is placed first.
 
     Steps of jobs that can still meet their deadline come first, then those whose late
@@ -47,7 +52,7 @@
     submission = progress.job.submission
     queue = configuration.queues.get(submission.queue)
     if queue is None:
-        return (2, 0, progress.job.accepted)
+        return (LAST_GROUP, 0, progress.job.accepted)
     paths = compute_critical_paths(submission)
     objective = queue.stretch * max(paths) + queue.target_latency
     due = progress.job.accepted + objective
@@ -58,4 +63,4 @@
         return (0, queue.priority, due)
     if earliest_end <= due + (LATE_FACTOR - 1) * objective:
         return (1, queue.priority, due)
-    return (2, queue.priority, due)
+    return (LAST_GROUP, queue.priority, due)
--- a/packages/almondspread/almondspread/jobs/permit_requests.py
+++ b/packages/almondspread/almondspread/jobs/permit_requests.py
@@ -5,10 +5,18 @@
 is likely to need, beginning with those that have room.
 """
 
-from attrs import define
+from collections.abc import Callable
+from datetime import timedelta
 
+from attrs import define, field
+from loguru import logger
+
+from almondspread.jobs.configuration import AdviceTiming
+from almondspread.jobs.messages import AskPermits, PermitsAnswered
+from almondspread.jobs.permits import AllowedShares
 from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
+from almondspread.resources.capacity import Capacity
 
 MAX_UPSTREAMS_PER_REQUEST = 64
 # Other steps may take the room while the service decides, so more is asked for than
@@ -16,6 +24,10 @@
 EXCESS_FACTOR = 2.0
 # A rejected request costs more time than a few further names.
 MIN_UPSTREAMS_PER_REQUEST = 16
+# The way to the service and back, and the time between two passes of the scheduler.
+REQUEST_OVERHEAD = timedelta(milliseconds=150)
+
+FindFree = Callable[[Upstream], Capacity]
 
 
 @define(frozen=True)
@@ -26,8 +38,81 @@
     room: int
 
 
+@define(eq=False)
+class PermitRequester:
+    """Orders requests for permits, and records their answers.
+
+    ``allowed_shares`` learns how many of the upstreams in a request are allowed.
+    """
+
+    allowed_shares: AllowedShares = field(factory=AllowedShares)
+
+    def record_answer(
+        self, progress: StepProgress, answer: PermitsAnswered, now: timedelta
+    ) -> None:
+        """Store the permits for a step, if the advice service has granted any."""
+        asked = progress.permits.requested
+        progress.permits.record_answer(answer.tickets, answer.validity, now)
+        if answer.tickets is None:
+            return
+        queue = progress.job.submission.queue
+        self.allowed_shares.record(queue, asked, answer.tickets)
+        logger.info(
+            "permits granted",
+            job=answer.job,
+            step=answer.step,
+            upstreams=len(answer.tickets),
+            asked=len(asked),
+            validity=answer.validity.total_seconds(),
+        )
+
+    def request(
+        self,
+        progress: StepProgress,
+        suitable: list[Upstream],
+        find_free: FindFree,
+        ready_at: timedelta | None,
+        now: timedelta,
+    ) -> AskPermits | None:
+        """Return a request for permits for a step, ``None`` if none is due.
+
+        None is due while an earlier one is pending, or if its answer would not let any
+        task start. ``ready_at`` is when the step has room on a reserved upstream.
+        """
+        if not progress.permits.may_ask(now):
+            return None
+        askable = [
+            candidate
+            for candidate in list_askable(progress, suitable, find_free)
+            if progress.permits.find_ticket(candidate.upstream.name, now) is None
+        ]
+        is_useful = ready_at is not None or progress.permits.is_unknown
+        if not is_useful and not any(candidate.room for candidate in askable):
+            progress.permits.postpone(now)
+            return None
+        share = self.allowed_shares.find(progress.job.submission.queue)
+        names = choose_asked(progress, askable, share)
+        if not names:
+            progress.permits.postpone(now)
+            return None
+        progress.permits.record_request(names, now)
+        logger.info(
+            "permits requested",
+            job=progress.job.submission.job,
+            step=progress.number,
+            waiting=len(progress.waiting),
+            upstreams=len(names),
+        )
+        return AskPermits(*progress.key, names)
+
+
+def estimate_request_time(timing: AdviceTiming, count: int) -> timedelta:
+    """Return how long a request that names ``count`` upstreams is expected to take."""
+    return timing.decision_time + timing.time_per_upstream * count + REQUEST_OVERHEAD
+
+
 def list_askable(
-    progress: StepProgress, suitable: list[Upstream]
+    progress: StepProgress, suitable: list[Upstream], find_free: FindFree
 ) -> list[AskableUpstream]:
     """Return the upstreams that a request for permits of a step may name.
 
@@ -43,14 +128,15 @@
             continue
         if not upstream.has_label(step.required_label):
             continue
-        found.append(AskableUpstream(upstream, count_room(progress, upstream)))
+        room = count_room(progress, upstream, find_free(upstream))
+        found.append(AskableUpstream(upstream, room))
     return found
 
 
-def count_room(progress: StepProgress, upstream: Upstream) -> int:
-    """Return how many of a step's waiting tasks an upstream has room for now."""
+def count_room(progress: StepProgress, upstream: Upstream, free: Capacity) -> int:
+    """Return how many waiting tasks of a step fit in what is free of an upstream."""
     step = progress.step
-    room = min(len(progress.waiting), step.claim.count_in(upstream.free))
+    room = min(len(progress.waiting), step.claim.count_in(free))
     if step.spread_limit:
         room = min(room, step.spread_limit - upstream.count_step(progress.key))
     return max(room, 0)
--- a/packages/almondspread/almondspread/jobs/permits.py
+++ b/packages/almondspread/almondspread/jobs/permits.py
@@ -11,6 +11,8 @@
 RETRY_DELAY = timedelta(milliseconds=200)
 # Requests for further upstreams follow each other at this interval at the least.
 NEXT_REQUEST_DELAY = timedelta(milliseconds=300)
+# Whether a request has become useful is looked at again after this delay.
+REVIEW_DELAY = timedelta(milliseconds=50)
 # A ticket must still be valid when the start call that carries it arrives.
 TICKET_MARGIN = timedelta(milliseconds=200)
 # A queue of which nothing is known is expected to be allowed on every second upstream.
@@ -64,6 +66,10 @@
             return None
         return ticket.text
 
+    def list_usable(self, now: timedelta) -> list[str]:
+        """Return the names of the upstreams with a valid ticket."""
+        return [name for name, ticket in self._tickets.items() if ticket.expires > now]
+
     def has_ticket(self, now: timedelta) -> bool:
         """Return whether any ticket is valid."""
         return any(ticket.expires > now for ticket in self._tickets.values())
@@ -72,6 +78,10 @@
         """Return whether no request is pending and the last is not too recent."""
         return now >= self._next_request
 
+    def postpone(self, now: timedelta) -> None:
+        """Put off the next request, since its answer could not be used now."""
+        self._next_request = now + REVIEW_DELAY
+
     def record_request(self, names: tuple[str, ...], now: timedelta) -> None:
         """Record that the service is being asked about some upstreams."""
         self.requested = names
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -1,13 +1,13 @@
 """Placement of waiting tasks: which upstream each task is to run on."""
 
-from collections.abc import Iterable
-from datetime import timedelta
+from collections.abc import Callable, Iterable
 
 from attrs import define
 
 from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.submissions import Step
 from almondspread.jobs.upstreams import Upstream
+from almondspread.resources.capacity import Capacity
 
 
 @define(frozen=True)
@@ -18,40 +18,45 @@
     upstream: Upstream
 
 
+@define(frozen=True)
+class Candidate:
+    """An upstream for the tasks of a step, and the capacity that these may use."""
+
+    upstream: Upstream
+    free: Capacity
+
+
 def has_room(step: Step, upstream: Upstream) -> bool:
     """Return whether an upstream has the capacity and label that a task needs."""
     return step.claim.fits_in(upstream.free) and upstream.has_label(step.required_label)
 
 
 def list_candidates(
-    progress: StepProgress, usable: Iterable[Upstream]
-) -> list[Upstream]:
-    """Return the usable upstreams on which a task of the step may run now."""
+    progress: StepProgress,
+    usable: Iterable[Upstream],
+    find_free: Callable[[Upstream], Capacity],
+) -> dict[str, Candidate]:
+    """Return by name the usable upstreams on which a task of the step may run now.
+
+    ``find_free`` tells what the step may use of an upstream.
+    """
     step = progress.step
-    found = []
+    found = {}
     for upstream in usable:
         if not has_room(step, upstream):
             continue
         if step.spread_limit and upstream.count_step(progress.key) >= step.spread_limit:
             continue
-        found.append(upstream)
+        free = find_free(upstream)
+        if step.claim.fits_in(free):
+            found[upstream.name] = Candidate(upstream, free)
     return found
 
 
-def filter_permitted(
-    progress: StepProgress, candidates: list[Upstream], now: timedelta
-) -> list[Upstream]:
-    """Return the candidates for which the step has a valid permit."""
-    permits = progress.permits
-    return [
-        upstream
-        for upstream in candidates
-        if permits.find_ticket(upstream.name, now) is not None
-    ]
-
-
 def place_tasks(
-    progress: StepProgress, candidates: list[Upstream], latency_sensitive: set[str]
+    progress: StepProgress,
+    candidates: dict[str, Candidate],
+    latency_sensitive: set[str],
 ) -> list[Placement]:
     """Choose upstreams for as many waiting tasks of a step as fit.
 
@@ -60,8 +65,8 @@
     """
     step = progress.step
     if step.gang:
-        return _place_gang(progress, candidates, latency_sensitive)
-    plan = _PlacementPlan(progress, candidates, latency_sensitive)
+        return _place_gang(progress, list(candidates.values()), latency_sensitive)
+    plan = _PlacementPlan(progress, list(candidates.values()), latency_sensitive)
     placements = []
     for index in progress.waiting:
         avoided = progress.avoided_upstreams.get(index, set())
@@ -74,7 +79,7 @@
 
 
 def _place_gang(
-    progress: StepProgress, candidates: list[Upstream], latency_sensitive: set[str]
+    progress: StepProgress, candidates: list[Candidate], latency_sensitive: set[str]
 ) -> list[Placement]:
     """Choose upstreams for all tasks of a gang, or for none.
 
@@ -82,9 +87,9 @@
     """
     groups = [candidates]
     if progress.step.same_rack:
-        racks: dict[str, list[Upstream]] = {}
-        for upstream in candidates:
-            racks.setdefault(upstream.rack, []).append(upstream)
+        racks: dict[str, list[Candidate]] = {}
+        for candidate in candidates:
+            racks.setdefault(candidate.upstream.rack, []).append(candidate)
         groups = [*racks.values(), candidates]
     for group in groups:
         plan = _PlacementPlan(progress, group, latency_sensitive)
@@ -105,15 +110,18 @@
     def __init__(
         self,
         progress: StepProgress,
-        candidates: list[Upstream],
+        candidates: list[Candidate],
         latency_sensitive: set[str],
     ) -> None:
         self._step = progress.step
-        self._candidates = candidates
+        self._candidates = [candidate.upstream for candidate in candidates]
         self._latency_sensitive = latency_sensitive
-        self._free = {upstream.name: upstream.free for upstream in candidates}
+        self._free = {
+            candidate.upstream.name: candidate.free for candidate in candidates
+        }
         self._counts = {
-            upstream.name: upstream.count_step(progress.key) for upstream in candidates
+            upstream.name: upstream.count_step(progress.key)
+            for upstream in self._candidates
         }
 
     def reserve(self, avoided: set[str]) -> Upstream | None:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -6,20 +6,27 @@
 from loguru import logger
 
 from almondspread.jobs.cell_state import CellState
-from almondspread.jobs.configuration import Queue
-from almondspread.jobs.messages import AskPermits, PermitsAnswered, StartRun
-from almondspread.jobs.ordering import rank_step
-from almondspread.jobs.permit_requests import choose_asked, list_askable
-from almondspread.jobs.permits import AllowedShares
+from almondspread.jobs.configuration import AdviceTiming
+from almondspread.jobs.messages import PermitsAnswered, StartRun
+from almondspread.jobs.ordering import LAST_GROUP, StepRank, rank_step
+from almondspread.jobs.permit_requests import PermitRequester, estimate_request_time
 from almondspread.jobs.placement import (
+    Candidate,
     Placement,
-    filter_permitted,
     list_candidates,
     place_tasks,
 )
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
+from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.upstreams import Upstream
+from almondspread.resources.capacity import Capacity
+
+# Reservations need not follow each event, and it takes time to find them.
+RESERVATION_INTERVAL = timedelta(milliseconds=100)
+# A lasting task counts as ending beyond every reservation.
+LASTING_TIME = timedelta(days=1)
 
 
 @define(frozen=True)
@@ -45,68 +52,60 @@
         return progress.job.version > self.startable_version
 
 
+@define(eq=False)
+class _RankedStep:
+    """A step with waiting tasks, its place in the order, and where it may run.
+
+    A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
+    the step needs no permits.
+    """
+
+    rank: StepRank
+    progress: StepProgress
+    suitable: list[Upstream]
+    ends_at: timedelta
+    advice: AdviceTiming | None
+
+
 @define(eq=False)
 class StartPlanner:
     """Binds waiting tasks to upstreams, in order of the rank of their steps."""
 
     cell_state: CellState
     control: RunControl
-    allowed_shares: AllowedShares = field(factory=AllowedShares)
+    _requester: PermitRequester = field(factory=PermitRequester)
+    _reservations: Reservations = field(factory=Reservations)
+    _reserved_at: timedelta = timedelta(0)
 
     def handle_permits_answer(self, answer: PermitsAnswered, now: timedelta) -> None:
         """Store the permits for a step, if the advice service has granted any."""
         progress = self.control.job_table.find_known_step(
             answer.job, answer.occurrence, answer.step
         )
-        if progress is None:
-            return
-        asked = progress.permits.requested
-        progress.permits.record_answer(answer.tickets, answer.validity, now)
-        if answer.tickets is None:
-            return
-        queue = progress.job.submission.queue
-        self.allowed_shares.record(queue, asked, answer.tickets)
-        logger.info(
-            "permits granted",
-            job=answer.job,
-            step=answer.step,
-            upstreams=len(answer.tickets),
-            asked=len(asked),
-            validity=answer.validity.total_seconds(),
-        )
+        if progress is not None:
+            self._requester.record_answer(progress, answer, now)
 
-    def _request_permits(
-        self, progress: StepProgress, suitable: list[Upstream], now: timedelta
-    ) -> bool:
-        """Order a request for permits for a step; return whether one was ordered.
+    def start_waiting_tasks(
+        self, now: timedelta, max_permit_requests: int, holds: StartHolds
+    ) -> None:
+        """Order starts of the waiting tasks that fit and that ``holds`` lets start.
 
-        No request is ordered while an earlier one is pending, or where its answer
-        would not let any task start.
+        Steps whose queue requires advice start only with permits. At most
+        ``max_permit_requests`` requests for permits are ordered.
         """
-        if not progress.permits.may_ask(now):
-            return False
-        askable = [
-            candidate
-            for candidate in list_askable(progress, suitable)
-            if progress.permits.find_ticket(candidate.upstream.name, now) is None
-        ]
-        has_room = any(candidate.room for candidate in askable)
-        if not has_room and not progress.permits.is_unknown:
-            return False
-        share = self.allowed_shares.find(progress.job.submission.queue)
-        names = choose_asked(progress, askable, share)
-        if not names:
-            return False
-        progress.permits.record_request(names, now)
-        logger.info(
-            "permits requested",
-            job=progress.job.submission.job,
-            step=progress.number,
-            waiting=len(progress.waiting),
-            upstreams=len(names),
-        )
-        self.control.orders.append(AskPermits(*progress.key, names))
-        return True
+        usable = self._list_usable(now)
+        steps = self._rank_steps(usable, holds, now)
+        latency_sensitive = self._list_latency_sensitive()
+        for step in steps:
+            if not holds.lacks_start_record(step.progress):
+                self._start_tasks(step, latency_sensitive, now)
+            if step.advice is None or not step.progress.waiting:
+                continue
+            if max_permit_requests > 0:
+                max_permit_requests -= self._request_permits(step, step.advice, now)
+        if now - self._reserved_at >= RESERVATION_INTERVAL:
+            self._reserved_at = now
+            self._renew_reservations(steps, usable, now)
 
     def _list_usable(self, now: timedelta) -> dict[str, list[Upstream]]:
         """Return the upstreams to which runs may be bound, by service."""
@@ -116,79 +115,177 @@
                 found.setdefault(upstream.entry.service, []).append(upstream)
         return found
 
-    def start_waiting_tasks(
-        self, now: timedelta, max_permit_requests: int, holds: StartHolds
+    def _rank_steps(
+        self, usable: dict[str, list[Upstream]], holds: StartHolds, now: timedelta
+    ) -> list[_RankedStep]:
+        """Return the steps that may start tasks, in the order of their ranks."""
+        table = self.control.job_table
+        found = []
+        for progress in table.ready_steps.values():
+            if now < progress.not_before or holds.may_run_unseen(progress):
+                continue
+            if progress.step.gang and len(progress.waiting) < progress.step.count:
+                continue
+            name = progress.job.submission.queue
+            queue = table.configuration.queues.get(name)
+            found.append(
+                _RankedStep(
+                    rank_step(progress, table.configuration, now),
+                    progress,
+                    usable.get(table.find_service(name), []),
+                    now + self._estimate_duration(progress),
+                    queue.advice if queue is not None else None,
+                )
+            )
+        found.sort(key=lambda step: step.rank)
+        return found
+
+    def _estimate_duration(self, progress: StepProgress) -> timedelta:
+        """Return how long a task of a step is expected to run."""
+        if progress.step.lasting:
+            return LASTING_TIME
+        ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+        return progress.step.estimate * ratio
+
+    def _start_tasks(
+        self, step: _RankedStep, latency_sensitive: set[str], now: timedelta
     ) -> None:
-        """Order starts of the waiting tasks that fit and that ``holds`` lets start.
+        """Start as many waiting tasks of a step as find room."""
+        progress = step.progress
+        suitable = step.suitable
+        if step.advice is not None:
+            permitted = set(progress.permits.list_usable(now))
+            suitable = [each for each in suitable if each.name in permitted]
+        candidates = list_candidates(
+            progress, suitable, lambda upstream: self._find_free(step, upstream)
+        )
+        if candidates:
+            self._start(step, candidates, latency_sensitive, now)
 
-        Steps whose queue requires advice start only with permits. At most
-        ``max_permit_requests`` requests for permits are ordered.
-        """
-        steps = sorted(
-            self.control.job_table.ready_steps.values(),
-            key=lambda progress: rank_step(
-                progress, self.control.job_table.configuration, now
-            ),
+    def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
+        """Return what a step may use of an upstream, which may be reserved."""
+        return self._reservations.find_free(upstream, step.rank, step.ends_at)
+
+    def _request_permits(
+        self, step: _RankedStep, advice: AdviceTiming, now: timedelta
+    ) -> bool:
+        """Order a request for permits for a step; return whether one is due."""
+        ready_at = self._reservations.find_ready_time(step.progress)
+        if ready_at is not None:
+            asked = len(step.progress.permits.allowed)
+            if ready_at - now > estimate_request_time(advice, asked):
+                ready_at = None
+        request = self._requester.request(
+            step.progress,
+            step.suitable,
+            lambda upstream: self._find_free(step, upstream),
+            ready_at,
+            now,
         )
-        latency_sensitive = self._list_latency_sensitive()
-        usable = self._list_usable(now)
-        for progress in steps:
-            if now < progress.not_before:
+        if request is None:
+            return False
+        self.control.orders.append(request)
+        return True
+
+    def _renew_reservations(
+        self,
+        steps: list[_RankedStep],
+        usable: dict[str, list[Upstream]],
+        now: timedelta,
+    ) -> None:
+        """Reserve upstreams for large tasks that are still waiting."""
+        self._reservations.clear()
+        table = self.control.job_table
+        waiting: dict[str, list[tuple[StepRank, StepProgress, list[Upstream]]]] = {}
+        for step in steps:
+            if not step.progress.waiting or step.rank[0] >= LAST_GROUP:
                 continue
-            if holds.may_run_unseen(progress):
+            service = table.find_service(step.progress.job.submission.queue)
+            row = (step.rank, step.progress, self._list_allowed(step))
+            waiting.setdefault(service, []).append(row)
+        for service, rows in waiting.items():
+            size = len(usable.get(service, []))
+            self._reservations.renew(
+                rows, size, lambda upstream: self._list_ends(upstream, now), now
+            )
+
+    def _list_allowed(self, step: _RankedStep) -> list[Upstream]:
+        """Return the upstreams that are known to be allowed to run a step's tasks."""
+        progress = step.progress
+        limit = progress.step.spread_limit
+        found = []
+        for upstream in step.suitable:
+            if step.advice is not None and (
+                upstream.name not in progress.permits.allowed
+            ):
                 continue
-            if progress.step.gang and len(progress.waiting) < progress.step.count:
+            if not upstream.has_label(progress.step.required_label):
                 continue
-            queue = self.control.job_table.configuration.queues.get(
-                progress.job.submission.queue
-            )
-            service = self.control.job_table.find_service(progress.job.submission.queue)
-            suitable = usable.get(service, [])
-            candidates = list_candidates(progress, suitable)
-            needs_advice = queue is not None and queue.advice is not None
-            if needs_advice:
-                candidates = filter_permitted(progress, candidates, now)
-            if candidates and not holds.lacks_start_record(progress):
-                self._start(progress, candidates, latency_sensitive, queue, now)
-            if needs_advice and progress.waiting and max_permit_requests:
-                max_permit_requests -= self._request_permits(progress, suitable, now)
+            if limit and upstream.count_step(progress.key) >= limit:
+                continue
+            found.append(upstream)
+        return found
+
+    def _list_ends(
+        self, upstream: Upstream, now: timedelta
+    ) -> list[tuple[timedelta, Capacity]]:
+        """Return when each run on an upstream is expected to end, and what it frees."""
+        ends = []
+        for run in self.cell_state.list_runs(upstream.name):
+            progress = self.control.job_table.find_step(run)
+            if progress.step.lasting and run.phase is not RunPhase.STOPPING:
+                continue
+            ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+            left = estimate_time_left(progress.step, run, now, ratio)
+            ends.append((now + left, progress.step.claim))
+        return ends
 
     def _start(
         self,
-        progress: StepProgress,
-        candidates: list[Upstream],
+        step: _RankedStep,
+        candidates: dict[str, Candidate],
         latency_sensitive: set[str],
-        queue: Queue | None,
         now: timedelta,
     ) -> None:
         """Bind waiting tasks of a step to upstreams and order their starts."""
+        progress = step.progress
         placements = place_tasks(progress, candidates, latency_sensitive)
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
             number = gang_number or self.cell_state.allocate_run_number()
-            task = progress.make_task_id(placement.index)
-            upstream = placement.upstream
-            checkpoint = progress.find_checkpoint(placement.index)
-            run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
-            run.is_whole = not checkpoint
-            self.cell_state.add_run(progress, placement.index, upstream, run)
-            ticket = ""
-            if queue and queue.advice:
-                ticket = progress.permits.find_ticket(upstream.name, now) or ""
-            self.control.orders.append(
-                StartRun(
-                    upstream.name,
-                    task,
-                    number,
-                    progress.job.submission.payload,
-                    checkpoint,
-                    ticket,
-                    progress.step.is_paced,
-                )
-            )
+            self._start_run(step, placement, number, now)
         self._log_placements(progress, placements, now)
         self.control.job_table.update_readiness(progress)
 
+    def _start_run(
+        self, step: _RankedStep, placement: Placement, number: int, now: timedelta
+    ) -> None:
+        """Bind one task to an upstream and order its start."""
+        progress = step.progress
+        upstream = placement.upstream
+        task = progress.make_task_id(placement.index)
+        checkpoint = progress.find_checkpoint(placement.index)
+        run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
+        run.is_whole = not checkpoint
+        self.cell_state.add_run(progress, placement.index, upstream, run)
+        self._reservations.record_start(
+            upstream, step.rank, step.ends_at, progress.step.claim
+        )
+        ticket = ""
+        if step.advice is not None:
+            ticket = progress.permits.find_ticket(upstream.name, now) or ""
+        self.control.orders.append(
+            StartRun(
+                upstream.name,
+                task,
+                number,
+                progress.job.submission.payload,
+                checkpoint,
+                ticket,
+                progress.step.is_paced,
+            )
+        )
+
     def _log_placements(
         self, progress: StepProgress, placements: list[Placement], now: timedelta
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -98,14 +98,17 @@
     return elapsed * (100 - run.percent) / max(run.percent, 1)
 
 
-def estimate_time_left(step: Step, run: Run, now: timedelta) -> timedelta:
+def estimate_time_left(
+    step: Step, run: Run, now: timedelta, ratio: float = 1.0
+) -> timedelta:
     """Return the estimated remaining time of a run.
 
-    Early in a run, the estimate of its step is more reliable than its progress.
+    Early in a run, the estimate of its step is more reliable than its progress;
+    ``ratio`` is the usual ratio of the real duration to that estimate.
     """
     elapsed = now - run.started_at
     if run.percent < MIN_RELIABLE_PERCENT:
-        return max(step.estimate - elapsed, timedelta(0))
+        return max(step.estimate * ratio - elapsed, timedelta(0))
     # The run has continued since its progress was reported.
     reported = run.seen_at - run.started_at
     return max(
--- a/packages/almondspread/almondspread/resources/capacity.py
+++ b/packages/almondspread/almondspread/resources/capacity.py
@@ -75,6 +75,18 @@
             counts.append(other.accelerators // self.accelerators)
         return min(counts)
 
+    def share_of(self, whole: "Capacity") -> float:
+        """Return the largest share that this amount has of any resource of the whole.
+
+        >>> Capacity(1000, 100, 4).share_of(Capacity(64000, 1000, 8))
+        0.5
+        """
+        return max(
+            self.cpu_millis / max(whole.cpu_millis, 1),
+            self.memory_mib / max(whole.memory_mib, 1),
+            self.accelerators / max(whole.accelerators, 1),
+        )
+
     def fits_in(self, other: "Capacity") -> bool:
         """Tell whether no resource of this amount is over that of the other."""
         return (
