Replace a leader whose process has ended at once

A refused connection tells that a leader's process has ended, but tornado raises StreamClosedError and names the refusal as its cause, so that the check for ConnectionRefusedError never held. And after its link had broken off an instance did not connect again before the leader's row changed or its lease ran out. Change: the cause of the closed stream is looked at, and a link that the leader's side ends is followed by another attempt; one that is closed here (a silent leader, an expired lease) is not. Tests: a process that no longer listens (failed before), a link broken off there or here, a claim before the lease expires (failed before).

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -71,11 +71,15 @@
         if self._link is not None:
             self._link.close()
 
-    async def follow(self, row: LeaderRow) -> None:
-        """Follow a leader until its link closes or it stops leading."""
+    async def follow(self, row: LeaderRow) -> bool:
+        """Follow a leader until its link closes or it stops leading.
+
+        Return whether the leader's side ended a link on which it was followed. Another
+        attempt then tells at once whether the leader's process has ended.
+        """
         link = await self._connect(row)
         if link is None:
-            return
+            return False
         leader = LeaderLink(link, self._clock.monotonic())
         watchdog = asyncio.create_task(self._run_heartbeat(leader))
         try:
@@ -95,8 +99,10 @@
                     self._check_leader(message)
         finally:
             watchdog.cancel()
+            broke_off = self._link is link and not link.closed_here
             link.close()
             self._end_following(row, link)
+        return broke_off
 
     async def _connect(self, row: LeaderRow) -> Link | None:
         """Open a link to a leader, ``None`` if it cannot be reached."""
@@ -107,7 +113,7 @@
             logger.info(
                 "cannot connect to leader", leader=row.instance, reason=str(error)
             )
-            if isinstance(error, ConnectionRefusedError):
+            if _is_refusal(error):
                 # No process listens at the leader's address, so the leader has probably
                 # ended. Epoch fencing makes a wrong guess harmless.
                 self._candidacy.record_ended(row.incarnation)
@@ -173,3 +179,14 @@
             link.close()
             return
         link.send(StoreReached())
+
+
+def _is_refusal(error: Exception) -> bool:
+    """Return whether a connection failed because no process listens at the address.
+
+    tornado raises the system's error in some cases, and in others names it as the cause
+    for which the stream was closed.
+    """
+    if isinstance(error, StreamClosedError):
+        return isinstance(error.real_error, ConnectionRefusedError)
+    return isinstance(error, ConnectionRefusedError)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -208,8 +208,8 @@
                 # The leader does not answer, but its lease has not expired yet.
                 await self._clock.sleep(POLL_INTERVAL)
             else:
-                await self._follower.follow(row)
-                if candidacy.has_release:
+                broke_off = await self._follower.follow(row)
+                if broke_off or candidacy.has_release:
                     continue
                 renewal = await self._leader_rows.read_renewal()
                 candidacy.record_unreachable(row.incarnation, renewal)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -210,11 +210,15 @@
 
 
 class Link:
-    """A stream of messages; all messages of one event loop pass leave in one write."""
+    """A stream of messages; all messages of one event loop pass leave in one write.
+
+    ``closed_here`` is set once this side has closed the stream.
+    """
 
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
         self._unsent: list[bytes] = []
+        self.closed_here = False
         self.bytes_sent = 0
         self.bytes_received = 0
         stream.set_nodelay(True)
@@ -268,6 +272,7 @@
 
     def close(self) -> None:
         """Write the queued messages and close the stream."""
+        self.closed_here = True
         if self._unsent and not self._stream.closed():
             self._flush()
         self._stream.close()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
@@ -0,0 +1,64 @@
+import asyncio
+import unittest
+
+from tornado.netutil import bind_sockets
+
+from almondspread.clock import SystemClock
+from almondspread.jobs.leases import LeaderRow
+from almondspread_daemon.jobs.links import Hello, LinkServer, Welcome
+from almondspread_daemon.jobs.store_access import StoreAccess
+from almondspread_daemon.jobs.tests.support import StoreParts, make_instance
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        parts = StoreParts()
+        access = StoreAccess(parts.store, None, parts.clock, parts.metrics)
+        self.instance = make_instance(parts, access)
+        self.follower = self.instance._follower
+        self.follower._clock = SystemClock()
+        self.welcomed = asyncio.Event()
+        self.links = []
+        self.server = LinkServer(self.serve)
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        self.row = LeaderRow(4, "entry-2", "two", f"127.0.0.1:{port}", 50.0)
+
+    async def asyncTearDown(self):
+        self.server.stop()
+
+    async def serve(self, link):
+        """Serve a member like a leader, until a test closes the link."""
+        self.links.append(link)
+        async for message in link.receive_messages():
+            if isinstance(message, Hello):
+                link.send(Welcome(4))
+                self.welcomed.set()
+
+    async def follow(self):
+        task = asyncio.create_task(self.follower.follow(self.row))
+        await self.welcomed.wait()
+        while not self.follower.is_following:
+            await asyncio.sleep(0)
+        return task
+
+    async def test_link_that_the_leader_ends_has_broken_off(self):
+        task = await self.follow()
+        self.links[0].close()
+        self.assertTrue(await task)
+
+    async def test_link_that_is_closed_here_has_not(self):
+        """Otherwise a leader that cannot renew its lease is followed over and over."""
+        task = await self.follow()
+        self.follower.close()
+        self.assertFalse(await task)
+
+    async def test_process_that_no_longer_listens_has_ended(self):
+        self.server.stop()
+        self.assertFalse(await self.follower.follow(self.row))
+        self.assertTrue(self.instance._candidacy.may_claim(self.row))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -7,7 +7,7 @@
 from expression import Ok
 
 from almondspread.codec import encode_message
-from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.leases import LEADER_LEASE, LeaderRow
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.testing.fake_cell import make_configuration
 from almondspread_daemon.jobs.candidacy import SUCCESSOR_CLAIM_TIME, Candidacy
@@ -167,6 +167,28 @@
             await asyncio.sleep(0)
         self.assertEqual(contacted, ["two"])
 
+    async def test_ended_leader_is_replaced_before_its_lease_expires(self):
+        """After a leader was killed, nothing was started for another 1.4 s.
+
+        Its links were reset within a millisecond, but no instance connected again to
+        find that its process no longer listened.
+        """
+        await self.put_row()
+        self.parts.store.store_time = 50 * SECOND
+        outcomes = [True, False]
+
+        async def follow(row):
+            if len(outcomes) == 1:
+                self.instance._candidacy.record_ended(row.incarnation)
+            return outcomes.pop(0)
+
+        self.instance._follower.follow = follow
+        began = self.parts.clock.monotonic()
+        self.start_election()
+        await run_ready_tasks()
+        self.assertEqual(self.read_row().incarnation, "one")
+        self.assertLess(self.parts.clock.monotonic() - began, LEADER_LEASE / 2)
+
 
 class CandidacyTest(unittest.TestCase):
     def setUp(self):
