Reserve only room that is near, for jobs that can be on time

Cause: with estimates off by up to 0.9, a reservation for room seconds away held idle what others could have used. Change: reservations only for steps that can still be on time, and for room that is expected within 2 s.

--- a/packages/almondspread/almondspread/jobs/ordering.py
+++ b/packages/almondspread/almondspread/jobs/ordering.py
@@ -9,6 +9,8 @@
 # The group of a step, the priority of its queue, and when its job is due.
 StepRank = tuple[int, int, timedelta]
 
+# Steps whose jobs can still be on time.
+FIRST_GROUP = 0
 # Steps whose results can have no value any more.
 LAST_GROUP = 2
 # A result keeps a part of its value up to this multiple of the objective.
@@ -60,7 +62,7 @@
         due += progress.occurrence * submission.repetition.interval
     earliest_end = now + paths[progress.number] + CRITICAL_MARGIN
     if progress.step.lasting or earliest_end <= due:
-        return (0, queue.priority, due)
+        return (FIRST_GROUP, queue.priority, due)
     if earliest_end <= due + (LATE_FACTOR - 1) * objective:
         return (1, queue.priority, due)
     return (LAST_GROUP, queue.priority, due)
--- a/packages/almondspread/almondspread/jobs/reservations.py
+++ b/packages/almondspread/almondspread/jobs/reservations.py
@@ -18,6 +18,8 @@
 
 # A task that needs less than this share of an upstream soon finds a gap.
 LARGE_SHARE = 0.25
+# Room that is free later than this is not worth holding back what is free now.
+MAX_RESERVED_TIME = timedelta(seconds=2)
 # At most this share of the upstreams of a service is reserved, and at least one.
 MAX_RESERVED_SHARE = 0.34
 
@@ -126,7 +128,7 @@
             if claim.share_of(upstream.entry.capacity) < LARGE_SHARE:
                 continue
             ready = find_ready_time(upstream, claim, list_ends(upstream), now)
-            if ready is not None:
+            if ready is not None and ready[0] - now <= MAX_RESERVED_TIME:
                 options.append((ready[0], upstream, ready[1].minus(claim)))
         wanted = len(progress.waiting)
         if progress.step.gang and min(len(options), limit) < wanted:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -8,7 +8,7 @@
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import AdviceTiming
 from almondspread.jobs.messages import PermitsAnswered, StartRun
-from almondspread.jobs.ordering import LAST_GROUP, StepRank, rank_step
+from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
 from almondspread.jobs.permit_requests import PermitRequester, estimate_request_time
 from almondspread.jobs.placement import (
     Candidate,
@@ -198,7 +198,7 @@
         table = self.control.job_table
         waiting: dict[str, list[tuple[StepRank, StepProgress, list[Upstream]]]] = {}
         for step in steps:
-            if not step.progress.waiting or step.rank[0] >= LAST_GROUP:
+            if not step.progress.waiting or step.rank[0] != FIRST_GROUP:
                 continue
             service = table.find_service(step.progress.job.submission.queue)
             row = (step.rank, step.progress, self._list_allowed(step))
