Request permits for a step while the step before it ends

Cause: each step asked for permits when its earlier steps were done; the decision (50 to 1,100 ms) was part of every step's way. The estimate is the queue's learnt one, or the reported progress.

--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -9,7 +9,11 @@
 from almondspread.jobs.configuration import AdviceTiming
 from almondspread.jobs.messages import PermitsAnswered, StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
-from almondspread.jobs.permit_requests import PermitRequester, estimate_request_time
+from almondspread.jobs.permit_requests import (
+    MIN_UPSTREAMS_PER_REQUEST,
+    PermitRequester,
+    estimate_request_time,
+)
 from almondspread.jobs.placement import (
     Candidate,
     Placement,
@@ -20,6 +24,7 @@
 from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.stragglers import estimate_time_left
+from almondspread.jobs.upcoming import UpcomingSteps
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
 
@@ -76,6 +81,7 @@
     _requester: PermitRequester = field(factory=PermitRequester)
     _reservations: Reservations = field(factory=Reservations)
     _reserved_at: timedelta = timedelta(0)
+    _upcoming: UpcomingSteps = field(factory=UpcomingSteps)
 
     def handle_permits_answer(self, answer: PermitsAnswered, now: timedelta) -> None:
         """Store the permits for a step, if the advice service has granted any."""
@@ -103,6 +109,7 @@
                 continue
             if max_permit_requests > 0:
                 max_permit_requests -= self._request_permits(step, step.advice, now)
+        self._request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
             self._reserved_at = now
             self._renew_reservations(steps, usable, now)
@@ -126,20 +133,55 @@
                 continue
             if progress.step.gang and len(progress.waiting) < progress.step.count:
                 continue
-            name = progress.job.submission.queue
-            queue = table.configuration.queues.get(name)
-            found.append(
-                _RankedStep(
-                    rank_step(progress, table.configuration, now),
-                    progress,
-                    usable.get(table.find_service(name), []),
-                    now + self._estimate_duration(progress),
-                    queue.advice if queue is not None else None,
-                )
-            )
+            found.append(self._rank_step(progress, usable, now))
         found.sort(key=lambda step: step.rank)
         return found
 
+    def _rank_step(
+        self, progress: StepProgress, usable: dict[str, list[Upstream]], now: timedelta
+    ) -> _RankedStep:
+        """Return a step with its place in the order, and where it may run."""
+        table = self.control.job_table
+        name = progress.job.submission.queue
+        queue = table.configuration.queues.get(name)
+        return _RankedStep(
+            rank_step(progress, table.configuration, now),
+            progress,
+            usable.get(table.find_service(name), []),
+            now + self._estimate_duration(progress),
+            queue.advice if queue is not None else None,
+        )
+
+    def _request_ahead(
+        self, usable: dict[str, list[Upstream]], limit: int, now: timedelta
+    ) -> None:
+        """Order up to ``limit`` requests for permits of steps that are soon ready."""
+        table = self.control.job_table
+
+        def find_time_ahead(progress: StepProgress) -> timedelta:
+            queue = table.configuration.queues.get(progress.job.submission.queue)
+            if queue is None or queue.advice is None:
+                return timedelta.min
+            return estimate_request_time(queue.advice, MIN_UPSTREAMS_PER_REQUEST)
+
+        def estimate(progress: StepProgress, run: Run) -> timedelta:
+            return self._estimate_left(progress, run, now)
+
+        for progress in self._upcoming.list_due(find_time_ahead, estimate):
+            if limit <= 0:
+                return
+            step = self._rank_step(progress, usable, now)
+            if step.advice is None or not progress.permits.is_unknown:
+                continue
+            limit -= self._request_permits(step, step.advice, now)
+
+    def _estimate_left(
+        self, progress: StepProgress, run: Run, now: timedelta
+    ) -> timedelta:
+        """Return the expected remaining time of a run of a step."""
+        ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+        return estimate_time_left(progress.step, run, now, ratio)
+
     def _estimate_duration(self, progress: StepProgress) -> timedelta:
         """Return how long a task of a step is expected to run."""
         if progress.step.lasting:
@@ -235,8 +277,7 @@
             progress = self.control.job_table.find_step(run)
             if progress.step.lasting and run.phase is not RunPhase.STOPPING:
                 continue
-            ratio = self.control.ratios.find_mean(progress.job.submission.queue)
-            left = estimate_time_left(progress.step, run, now, ratio)
+            left = self._estimate_left(progress, run, now)
             ends.append((now + left, progress.step.claim))
         return ends
 
@@ -255,6 +296,7 @@
             number = gang_number or self.cell_state.allocate_run_number()
             self._start_run(step, placement, number, now)
         self._log_placements(progress, placements, now)
+        self._upcoming.add_dependents(progress)
         self.control.job_table.update_readiness(progress)
 
     def _start_run(
--- a/packages/almondspread/almondspread/jobs/tests/test_permits.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_permits.py
@@ -79,6 +79,20 @@
         self.assert_completed("j")
         self.assertEqual(len(self.list_asked()), 2)
 
+    def test_permits_are_in_hand_when_a_step_becomes_ready(self):
+        """A decision takes up to a second, which each step of a job waited for."""
+        self.add_upstreams(2)
+        steps = make_step(2), make_step(2, after=(0,)), make_step(after=(1,))
+        self.cell.submit(make_job("j", *steps))
+        self.cell.run_for(SECOND)
+        asked = [order.step for order in self.cell.permit_requests]
+        self.assertEqual(asked, [0, 1])
+        self.assertFalse(self.cell.history.running.get(TaskId("j", 0, 1, 0)))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("j")
+        asked = [order.step for order in self.cell.permit_requests]
+        self.assertEqual(asked, [0, 1, 2])
+
 
 if __name__ == "__main__":
     unittest.main()
