Look for room only where there is some

Cause: in each pass each waiting step looked at every upstream of its service and at every run. With 540 upstreams a pass took 106 ms for 222 waiting steps and 174 ms for 422, and the leader of the large site runs up to 200 of them a second. Change: a pass sorts the upstreams of a service once by what they have free, and a search ends at the first that has too little; critical paths are computed once for each job; upstreams with latency-sensitive tasks are looked up only for opportunistic ones.

--- a/packages/almondspread/almondspread/jobs/admission.py
+++ b/packages/almondspread/almondspread/jobs/admission.py
@@ -4,8 +4,8 @@
 
 from almondspread.errors import Overloaded, Problem
 from almondspread.jobs.configuration import Queue
-from almondspread.jobs.ordering import LATE_FACTOR, compute_critical_paths
-from almondspread.jobs.submissions import Submission
+from almondspread.jobs.ordering import LATE_FACTOR
+from almondspread.jobs.submissions import Submission, compute_critical_paths
 
 
 def decide_admission(
--- a/packages/almondspread/almondspread/jobs/ordering.py
+++ b/packages/almondspread/almondspread/jobs/ordering.py
@@ -4,7 +4,6 @@
 
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.progress import StepProgress
-from almondspread.jobs.submissions import Submission
 
 # The group of a step, the priority of its queue, and when its job is due.
 StepRank = tuple[int, int, timedelta]
@@ -19,29 +18,6 @@
 CRITICAL_MARGIN = timedelta(milliseconds=100)
 
 
-def compute_critical_paths(submission: Submission) -> list[timedelta]:
-    """Return the length of the critical path from the start of each step on.
-
-    The length is the largest sum of estimates along a chain of dependent steps.
-
-    >>> from almondspread.jobs.submissions import Step
-    >>> from almondspread.resources.capacity import Capacity
-    >>> second = timedelta(seconds=1)
-    >>> size = Capacity(1, 1)
-    >>> steps = (Step(1, size, second), Step(1, size, 2 * second, after=(0,)))
-    >>> submission = Submission("j", "q", "", steps)
-    >>> [path.seconds for path in compute_critical_paths(submission)]
-    [3, 2]
-    """
-    paths = [step.estimate for step in submission.steps]
-    successor_paths = [timedelta(0)] * len(paths)
-    for number in reversed(range(len(paths))):
-        paths[number] += successor_paths[number]
-        for earlier in submission.steps[number].after:
-            successor_paths[earlier] = max(successor_paths[earlier], paths[number])
-    return paths
-
-
 def rank_step(
     progress: StepProgress, configuration: Configuration, now: timedelta
 ) -> StepRank:
@@ -55,7 +31,7 @@
     queue = configuration.queues.get(submission.queue)
     if queue is None:
         return (LAST_GROUP, 0, progress.job.accepted)
-    paths = compute_critical_paths(submission)
+    paths = progress.job.critical_paths
     objective = queue.stretch * max(paths) + queue.target_latency
     due = progress.job.accepted + objective
     if submission.repetition is not None:
--- a/packages/almondspread/almondspread/jobs/permit_requests.py
+++ b/packages/almondspread/almondspread/jobs/permit_requests.py
@@ -15,6 +15,7 @@
 from almondspread.jobs.messages import AskPermits, PermitsAnswered
 from almondspread.jobs.permits import AllowedShares
 from almondspread.jobs.progress import StepProgress
+from almondspread.jobs.service_upstreams import ServiceUpstreams
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
 
@@ -69,7 +70,7 @@
     def request(
         self,
         progress: StepProgress,
-        suitable: list[Upstream],
+        service: ServiceUpstreams,
         find_free: FindFree,
         ready_at: timedelta | None,
         now: timedelta,
@@ -81,15 +82,9 @@
         """
         if not progress.permits.may_ask(now):
             return None
-        askable = [
-            candidate
-            for candidate in list_askable(progress, suitable, find_free)
-            if progress.permits.find_ticket(candidate.upstream.name, now) is None
-        ]
-        is_useful = ready_at is not None or progress.permits.is_unknown
-        if not is_useful and not any(candidate.room for candidate in askable):
-            progress.permits.postpone(now)
-            return None
+        askable = list_with_room(progress, service, find_free, now)
+        if ready_at is not None or progress.permits.is_unknown:
+            askable += list_without_room(progress, service, askable, now)
         share = self.allowed_shares.find(progress.job.submission.queue)
         names = choose_asked(progress, askable, share)
         if not names:
@@ -111,28 +106,57 @@
     return timing.decision_time + timing.time_per_upstream * count + REQUEST_OVERHEAD
 
 
-def list_askable(
-    progress: StepProgress, suitable: list[Upstream], find_free: FindFree
+def list_with_room(
+    progress: StepProgress,
+    service: ServiceUpstreams,
+    find_free: FindFree,
+    now: timedelta,
 ) -> list[AskableUpstream]:
-    """Return the upstreams that a request for permits of a step may name.
+    """Return upstreams that a request may name and that have room now, at most a few.
 
-    These are the ones that could run a task of the step if they were idle, but those
-    that the service has denied.
+    Denied upstreams and those with a valid ticket are not among them.
     """
-    step = progress.step
     found = []
-    for upstream in suitable:
-        if upstream.name in progress.permits.denied:
-            continue
-        if not step.claim.fits_in(upstream.entry.capacity):
-            continue
-        if not upstream.has_label(step.required_label):
+    for upstream in service.list_with_room(progress.step.claim):
+        if not _may_name(progress, upstream, now):
             continue
         room = count_room(progress, upstream, find_free(upstream))
-        found.append(AskableUpstream(upstream, room))
+        if room:
+            found.append(AskableUpstream(upstream, room))
+        if len(found) >= MAX_UPSTREAMS_PER_REQUEST:
+            break
+    return found
+
+
+def list_without_room(
+    progress: StepProgress,
+    service: ServiceUpstreams,
+    listed: list[AskableUpstream],
+    now: timedelta,
+) -> list[AskableUpstream]:
+    """Return further upstreams that could run a task of the step if they were idle."""
+    found: list[AskableUpstream] = []
+    names = {candidate.upstream.name for candidate in listed}
+    for _, upstream in service.by_free:
+        if len(names) + len(found) >= MAX_UPSTREAMS_PER_REQUEST:
+            break
+        if upstream.name in names or not _may_name(progress, upstream, now):
+            continue
+        if progress.step.claim.fits_in(upstream.entry.capacity):
+            found.append(AskableUpstream(upstream, 0))
     return found
 
 
+def _may_name(progress: StepProgress, upstream: Upstream, now: timedelta) -> bool:
+    """Return whether a request may name an upstream, whatever room that has."""
+    permits = progress.permits
+    if upstream.name in permits.denied:
+        return False
+    if permits.find_ticket(upstream.name, now) is not None:
+        return False
+    return upstream.has_label(progress.step.required_label)
+
+
 def count_room(progress: StepProgress, upstream: Upstream, free: Capacity) -> int:
     """Return how many waiting tasks of a step fit in what is free of an upstream."""
     step = progress.step
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -7,7 +7,12 @@
 
 from almondspread.jobs.messages import DONE, FAILED, RunEnd
 from almondspread.jobs.permits import StepPermits
-from almondspread.jobs.submissions import Step, Submission, TaskId
+from almondspread.jobs.submissions import (
+    Step,
+    Submission,
+    TaskId,
+    compute_critical_paths,
+)
 
 
 class JobState(StrEnum):
@@ -237,6 +242,14 @@
     next_occurrence: int = 0
     steps: dict[tuple[int, int], StepProgress] = field(factory=dict)
     records: dict[tuple[int, int], StepRecord] = field(factory=dict)
+    _critical_paths: list[timedelta] | None = None
+
+    @property
+    def critical_paths(self) -> list[timedelta]:
+        """The length of the critical path from the start of each step on."""
+        if self._critical_paths is None:
+            self._critical_paths = compute_critical_paths(self.submission)
+        return self._critical_paths
 
     @property
     def state(self) -> JobState:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -1,5 +1,6 @@
 """Starts waiting tasks: requests permits, places tasks, and orders their starts."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from attrs import define, field
@@ -23,6 +24,7 @@
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
 from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
+from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
 from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.upcoming import UpcomingSteps
 from almondspread.jobs.upstreams import Upstream
@@ -30,8 +32,11 @@
 
 # Reservations need not follow each event, and it takes time to find them.
 RESERVATION_INTERVAL = timedelta(milliseconds=100)
+# Only the first waiting steps may reserve room: the others hardly get it in time.
+MAX_RESERVING_STEPS = 16
 # A lasting task counts as ending beyond every reservation.
 LASTING_TIME = timedelta(days=1)
+NO_UPSTREAMS = ServiceUpstreams()
 
 
 @define(frozen=True)
@@ -67,7 +72,7 @@
 
     rank: StepRank
     progress: StepProgress
-    suitable: list[Upstream]
+    service: ServiceUpstreams
     ends_at: timedelta
     advice: AdviceTiming | None
 
@@ -99,12 +104,17 @@
         Steps whose queue requires advice start only with permits. At most
         ``max_permit_requests`` requests for permits are ordered.
         """
-        usable = self._list_usable(now)
+        if not self.control.job_table.ready_steps and self._upcoming.is_empty:
+            return
+        usable = group_by_service(
+            upstream
+            for upstream in self.cell_state.upstreams.values()
+            if upstream.is_usable(now)
+        )
         steps = self._rank_steps(usable, holds, now)
-        latency_sensitive = self._list_latency_sensitive()
         for step in steps:
             if not holds.lacks_start_record(step.progress):
-                self._start_tasks(step, latency_sensitive, now)
+                self._start_tasks(step, now)
             if step.advice is None or not step.progress.waiting:
                 continue
             if max_permit_requests > 0:
@@ -114,16 +124,8 @@
             self._reserved_at = now
             self._renew_reservations(steps, usable, now)
 
-    def _list_usable(self, now: timedelta) -> dict[str, list[Upstream]]:
-        """Return the upstreams to which runs may be bound, by service."""
-        found: dict[str, list[Upstream]] = {}
-        for upstream in self.cell_state.upstreams.values():
-            if upstream.is_usable(now):
-                found.setdefault(upstream.entry.service, []).append(upstream)
-        return found
-
     def _rank_steps(
-        self, usable: dict[str, list[Upstream]], holds: StartHolds, now: timedelta
+        self, usable: dict[str, ServiceUpstreams], holds: StartHolds, now: timedelta
     ) -> list[_RankedStep]:
         """Return the steps that may start tasks, in the order of their ranks."""
         table = self.control.job_table
@@ -138,7 +140,10 @@
         return found
 
     def _rank_step(
-        self, progress: StepProgress, usable: dict[str, list[Upstream]], now: timedelta
+        self,
+        progress: StepProgress,
+        usable: dict[str, ServiceUpstreams],
+        now: timedelta,
     ) -> _RankedStep:
         """Return a step with its place in the order, and where it may run."""
         table = self.control.job_table
@@ -147,13 +152,13 @@
         return _RankedStep(
             rank_step(progress, table.configuration, now),
             progress,
-            usable.get(table.find_service(name), []),
+            usable.get(table.find_service(name), NO_UPSTREAMS),
             now + self._estimate_duration(progress),
             queue.advice if queue is not None else None,
         )
 
     def _request_ahead(
-        self, usable: dict[str, list[Upstream]], limit: int, now: timedelta
+        self, usable: dict[str, ServiceUpstreams], limit: int, now: timedelta
     ) -> None:
         """Order up to ``limit`` requests for permits of steps that are soon ready."""
         table = self.control.job_table
@@ -189,20 +194,21 @@
         ratio = self.control.ratios.find_mean(progress.job.submission.queue)
         return progress.step.estimate * ratio
 
-    def _start_tasks(
-        self, step: _RankedStep, latency_sensitive: set[str], now: timedelta
-    ) -> None:
+    def _start_tasks(self, step: _RankedStep, now: timedelta) -> None:
         """Start as many waiting tasks of a step as find room."""
         progress = step.progress
-        suitable = step.suitable
-        if step.advice is not None:
-            permitted = set(progress.permits.list_usable(now))
-            suitable = [each for each in suitable if each.name in permitted]
+        upstreams: Iterable[Upstream]
+        if step.advice is None:
+            upstreams = step.service.list_with_room(progress.step.claim)
+        else:
+            upstreams = step.service.list_named_with_room(
+                progress.permits.list_usable(now), progress.step.claim
+            )
         candidates = list_candidates(
-            progress, suitable, lambda upstream: self._find_free(step, upstream)
+            progress, upstreams, lambda upstream: self._find_free(step, upstream)
         )
         if candidates:
-            self._start(step, candidates, latency_sensitive, now)
+            self._start(step, candidates, now)
 
     def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
@@ -219,7 +225,7 @@
                 ready_at = None
         request = self._requester.request(
             step.progress,
-            step.suitable,
+            step.service,
             lambda upstream: self._find_free(step, upstream),
             ready_at,
             now,
@@ -232,21 +238,25 @@
     def _renew_reservations(
         self,
         steps: list[_RankedStep],
-        usable: dict[str, list[Upstream]],
+        usable: dict[str, ServiceUpstreams],
         now: timedelta,
     ) -> None:
         """Reserve upstreams for large tasks that are still waiting."""
         self._reservations.clear()
         table = self.control.job_table
         waiting: dict[str, list[tuple[StepRank, StepProgress, list[Upstream]]]] = {}
+        considered = 0
         for step in steps:
             if not step.progress.waiting or step.rank[0] != FIRST_GROUP:
                 continue
+            considered += 1
+            if considered > MAX_RESERVING_STEPS:
+                break
             service = table.find_service(step.progress.job.submission.queue)
             row = (step.rank, step.progress, self._list_allowed(step))
             waiting.setdefault(service, []).append(row)
         for service, rows in waiting.items():
-            size = len(usable.get(service, []))
+            size = len(usable.get(service, NO_UPSTREAMS))
             self._reservations.renew(
                 rows, size, lambda upstream: self._list_ends(upstream, now), now
             )
@@ -255,12 +265,11 @@
         """Return the upstreams that are known to be allowed to run a step's tasks."""
         progress = step.progress
         limit = progress.step.spread_limit
+        upstreams = list(step.service.by_name.values())
+        if step.advice is not None:
+            upstreams = step.service.list_named(progress.permits.allowed)
         found = []
-        for upstream in step.suitable:
-            if step.advice is not None and (
-                upstream.name not in progress.permits.allowed
-            ):
-                continue
+        for upstream in upstreams:
             if not upstream.has_label(progress.step.required_label):
                 continue
             if limit and upstream.count_step(progress.key) >= limit:
@@ -285,11 +294,13 @@
         self,
         step: _RankedStep,
         candidates: dict[str, Candidate],
-        latency_sensitive: set[str],
         now: timedelta,
     ) -> None:
         """Bind waiting tasks of a step to upstreams and order their starts."""
         progress = step.progress
+        latency_sensitive: set[str] = set()
+        if progress.step.opportunistic:
+            latency_sensitive = self._list_latency_sensitive()
         placements = place_tasks(progress, candidates, latency_sensitive)
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
--- a/packages/almondspread/almondspread/jobs/submissions.py
+++ b/packages/almondspread/almondspread/jobs/submissions.py
@@ -148,3 +148,24 @@
     if step.estimate < NO_TIME or step.spread_limit < 0:
         reasons.append(f"step {number} has a negative estimate or spread limit")
     return reasons
+
+
+def compute_critical_paths(submission: Submission) -> list[timedelta]:
+    """Return the length of the critical path from the start of each step on.
+
+    The length is the largest sum of estimates along a chain of dependent steps.
+
+    >>> second = timedelta(seconds=1)
+    >>> size = Capacity(1, 1)
+    >>> steps = (Step(1, size, second), Step(1, size, 2 * second, after=(0,)))
+    >>> submission = Submission("j", "q", "", steps)
+    >>> [path.seconds for path in compute_critical_paths(submission)]
+    [3, 2]
+    """
+    paths = [step.estimate for step in submission.steps]
+    successor_paths = [timedelta(0)] * len(paths)
+    for number in reversed(range(len(paths))):
+        paths[number] += successor_paths[number]
+        for earlier in submission.steps[number].after:
+            successor_paths[earlier] = max(successor_paths[earlier], paths[number])
+    return paths
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
@@ -0,0 +1,51 @@
+import unittest
+from unittest.mock import patch
+
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+from almondspread.resources.capacity import Capacity
+from almondspread.testing.fake_cell import (
+    WALL_CLOCK_START,
+    FakeCell,
+    make_configuration,
+)
+
+
+class PassCostTest(CellTest):
+    """Counts comparisons of capacities, which stand for the work of a pass."""
+
+    def count_comparisons(self, upstreams, steps, advice):
+        """Return the comparisons of one pass over a full cell with waiting steps."""
+        self.cell = FakeCell(configuration=make_configuration(advice=advice))
+        self.add_upstreams(upstreams)
+        for upstream in self.cell.upstreams.values():
+            for index in range(4 * upstreams):
+                upstream.durations[TaskId("long", 0, 0, index)] = 100 * SECOND
+        step = make_step(4 * upstreams, estimate=100 * SECOND)
+        self.cell.submit(make_job("long", step))
+        self.cell.run_for(2 * SECOND)
+        for number in range(steps):
+            self.cell.submit(make_job(f"j{number}", make_step(4)))
+        # The first request of a step may name upstreams without room.
+        self.cell.run_for(SECOND / 2)
+        fits_in = Capacity.fits_in
+        calls = []
+
+        def count(claim, free):
+            calls.append(claim)
+            return fits_in(claim, free)
+
+        now = self.cell.now + SECOND / 100
+        with patch.object(Capacity, "fits_in", count):
+            self.cell.scheduler.schedule(now, WALL_CLOCK_START + now, 10)
+        return len(calls)
+
+    def test_waiting_step_does_not_look_at_every_full_upstream(self):
+        """Each waiting step looked at all of 540 upstreams in each of 200 passes/s."""
+        for advice in (False, True):
+            with self.subTest(advice=advice):
+                self.assertLess(self.count_comparisons(60, 40, advice), 60 + 40)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread/almondspread/jobs/upcoming.py
+++ b/packages/almondspread/almondspread/jobs/upcoming.py
@@ -25,6 +25,11 @@
 
     _steps: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no step is upcoming."""
+        return not self._steps
+
     def add_dependents(self, progress: StepProgress) -> None:
         """Add the steps after one whose last waiting task has been started."""
         if progress.waiting or progress.step.lasting:
