Send members of a large cell fewer and smaller messages

Cause: the leader sent changed job states to all members after each pass (up to 200 a second, each a write a member), and three times a second an estimated wait for every queue, of which a configuration may have 1,400.

--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -2,11 +2,25 @@
 
 from datetime import timedelta
 
+from attrs import define
+
 from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
 
 
+@define(frozen=True)
+class ServiceWait:
+    """How many seconds a job would wait whose queue has this service and priority.
+
+    Waits depend on nothing else, while there may be thousands of queues.
+    """
+
+    service: str
+    priority: int
+    seconds: float
+
+
 def estimate_wait(
     queue: Queue,
     configuration: Configuration,
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -231,6 +231,11 @@
         self.changed.add(job.submission.job)
         self._unannounced[job.submission.job] = None
 
+    @property
+    def has_announcements(self) -> bool:
+        """Whether job states have changed since the last ``take_announcements``."""
+        return bool(self._unannounced)
+
     def take_announcements(self) -> list[Announcement]:
         """Return the job states that have changed since the last call."""
         names, self._unannounced = self._unannounced, {}
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -10,7 +10,7 @@
 
 from attrs import define, field
 
-from almondspread.jobs.backlog import estimate_wait
+from almondspread.jobs.backlog import ServiceWait, estimate_wait
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
@@ -289,21 +289,17 @@
             held_version = ANY_VERSION
         return StartHolds(held_version, self._startable_version)
 
-    def estimate_waits(self, now: timedelta) -> dict[str, float]:
-        """Return by queue how many seconds a job accepted now would wait to start."""
-        waits = {}
+    def estimate_waits(self, now: timedelta) -> tuple[ServiceWait, ...]:
+        """Return how long a job accepted now would wait, by service and priority."""
+        waits: dict[tuple[str, int], ServiceWait] = {}
         upstreams = list(self.cell_state.upstreams.values())
         steps = list(self._job_table.ready_steps.values())
-        # The wait depends only on service and priority, of which there are few, while
-        # there may be hundreds of queues.
-        known: dict[tuple[str, int], float] = {}
         for queue in self.configuration.queues.values():
             key = (queue.service, queue.priority)
-            if key not in known:
+            if key not in waits:
                 wait = estimate_wait(queue, self.configuration, steps, upstreams, now)
-                known[key] = wait.total_seconds()
-            waits[queue.name] = known[key]
-        return waits
+                waits[key] = ServiceWait(*key, wait.total_seconds())
+        return tuple(waits.values())
 
     def measure_load(self, now: timedelta) -> Load:
         """Return the current backlog and the utilization of the usable upstreams."""
@@ -384,6 +380,11 @@
                 job.end_stored = True
         self._upstream_tracker.acknowledge_ends(changes.ends)
 
+    @property
+    def has_announcements(self) -> bool:
+        """Whether job states have changed since the last ``take_announcements``."""
+        return self._job_table.has_announcements
+
     def take_announcements(self) -> list[Announcement]:
         """Return the job states that have changed since the last call."""
         return self._job_table.take_announcements()
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -26,7 +26,10 @@
 
 class WaitTest(unittest.TestCase):
     def test_estimated_wait_covers_the_work_ahead_of_each_queue(self):
-        """Many queues share a service and a priority, and thus one cached estimate."""
+        """Many queues share a service and a priority, and thus one estimate.
+
+        The estimates go to all instances, a few times a second.
+        """
         configuration = make_configuration()
         queue = configuration.queues[QUEUE]
         queues = {QUEUE: queue}
@@ -40,14 +43,19 @@
             job = Submission(f"j{number}", f"q{number}", "", (make_step(2),))
             cell.submit(job)
         cell.run_for(SECOND / 5)
-        waits = cell.scheduler.estimate_waits(cell.now)
+        waits = {
+            (wait.service, wait.priority): wait.seconds
+            for wait in cell.scheduler.estimate_waits(cell.now)
+        }
+        self.assertEqual(set(waits), {(SERVICE, priority) for priority in range(3)})
         steps = list(cell.scheduler._job_table.ready_steps.values())
         upstreams = list(cell.scheduler.cell_state.upstreams.values())
         for queue in queues.values():
             wait = estimate_wait(queue, cell.configuration, steps, upstreams, cell.now)
-            self.assertEqual(waits[queue.name], wait.total_seconds())
-        self.assertGreater(waits["q2"], waits["q1"])
-        self.assertGreater(waits["q1"], waits["q0"])
+            key = (queue.service, queue.priority)
+            self.assertEqual(waits[key], wait.total_seconds())
+        self.assertGreater(waits[SERVICE, 2], waits[SERVICE, 1])
+        self.assertGreater(waits[SERVICE, 1], waits[SERVICE, 0])
 
 
 class OrderTest(CellTest):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
@@ -99,7 +99,7 @@
         known = self._state_cache.find_state(submission.job)
         if known is not None:
             return Ok(known)
-        wait = self._state_cache.queue_waits.get(queue.name, 0.0)
+        wait = self._state_cache.find_wait(queue)
         admission = decide_admission(queue, submission, timedelta(seconds=wait))
         if admission is not None:
             self._record_outcome(submission.job, "refused", wait=wait)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -20,6 +20,7 @@
 )
 from almondspread.jobs.ports import MachineClient
 from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
+from almondspread_daemon.jobs.announcer import StateAnnouncer
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import STORE_RETRY_DELAY, JobIntake
@@ -31,7 +32,6 @@
     QueueLoads,
     Released,
     Resigned,
-    StatesChanged,
     StoreReached,
     Welcome,
     WriteRow,
@@ -53,6 +53,8 @@
 UPSTREAM_LIST_INTERVAL = timedelta(milliseconds=500)
 # Delays a scheduler pass after an event, so that one pass handles a batch of events.
 BATCH_DELAY = timedelta(milliseconds=4)
+# A long pass is followed by a pause of this multiple, in which links are served.
+PASS_PAUSE_FACTOR = 1.0
 IDLE_PASS_INTERVAL = timedelta(milliseconds=100)
 HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
 LOAD_INTERVAL = timedelta(seconds=1)
@@ -104,6 +106,7 @@
             settings.status_retention, self._intake.rows, self._scheduler, store, clock
         )
         self._assignments = Assignments(self._scheduler, settings, clock)
+        self._announcer = StateAnnouncer(self._scheduler, self._assignments, clock)
         self._relay_service = RelayService(writer)
         self._maintenance: MaintenanceController | None = None
         if machines is not None:
@@ -135,7 +138,7 @@
             self.end("the store did not answer before the leader lease expired")
             return
         self._assignments.rebalance()
-        self._assignments.broadcast(self._describe_states())
+        self._assignments.broadcast(self._announcer.describe_all())
         async with asyncio.TaskGroup() as group:
             tasks = [
                 group.create_task(self._run_commits()),
@@ -144,6 +147,7 @@
                 group.create_task(self._fence_marks()),
                 group.create_task(self._poll_upstreams()),
                 group.create_task(self._run_passes()),
+                group.create_task(self._announcer.run()),
                 group.create_task(self._log_load()),
                 group.create_task(self._send_heartbeats()),
                 group.create_task(self._retention.run()),
@@ -173,6 +177,7 @@
         if self._ended.is_set():
             return
         if stored:
+            self._announcer.announce()
             successor = self._assignments.members.choose_successor(self._instance)
             logger.info(
                 "leadership released",
@@ -216,7 +221,7 @@
         """Add a member; handle its messages until its link closes or the epoch ends."""
         self._assignments.add_member(member)
         link.send(Welcome(self.epoch))
-        link.send(self._describe_states())
+        link.send(self._announcer.describe_all())
         try:
             async for message in link.receive_messages():
                 if self._ended.is_set():
@@ -228,12 +233,6 @@
                 self._assignments.remove_member(member)
             link.close()
 
-    def _describe_states(self) -> StatesChanged:
-        """Return a message with the states of all jobs whose end is not stored."""
-        return StatesChanged(
-            tuple(self._scheduler.list_unfinished_states()), whole=True
-        )
-
     def handle_message(self, member: Member, message: object) -> None:
         """Handle one message of a member and request a scheduler pass."""
         match message:
@@ -296,18 +295,21 @@
 
     async def _run_passes(self) -> None:
         """Run a scheduler pass after each batch of events or an idle interval."""
+        duration = timedelta(0)
         while True:
             try:
                 async with asyncio.timeout(IDLE_PASS_INTERVAL.total_seconds()):
                     await self._pass_wanted.wait()
-                await self._clock.sleep(BATCH_DELAY)
+                await self._clock.sleep(max(BATCH_DELAY, duration * PASS_PAUSE_FACTOR))
             except TimeoutError:
                 pass
             self._pass_wanted.clear()
+            began = self._clock.monotonic()
             self._run_pass()
+            duration = self._clock.monotonic() - began
 
     def _run_pass(self) -> None:
-        """Run one scheduler pass; send its orders and the job states that changed."""
+        """Run one scheduler pass and send its orders."""
         self._assignments.update_unresponsive_upstreams(self._instance)
         orders = self._scheduler.schedule(
             self._clock.monotonic(),
@@ -318,10 +320,9 @@
             self._assignments.send_order(order)
         if self._scheduler.has_unrecorded_upstreams():
             self._commit_wanted.set()
-        states = self._scheduler.take_announcements()
-        if states:
+        if self._scheduler.has_announcements:
             self._commit_wanted.set()
-            self._assignments.broadcast(StatesChanged(tuple(states)))
+            self._announcer.note_changes()
 
     async def _log_load(self) -> None:
         """Log and export the number of waiting tasks and the use of the upstreams."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -55,7 +55,7 @@
             case StatesChanged():
                 self._state_cache.update(message.states)
             case QueueLoads():
-                self._state_cache.queue_waits = message.waits
+                self._state_cache.set_waits(message.waits)
             case Beat():
                 self._state_cache.knows_all = message.knows_all
                 self._relay.lease_holds = message.lease_holds
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -10,6 +10,7 @@
 from tornado.tcpserver import TCPServer
 
 from almondspread.codec import TaggedCodec
+from almondspread.jobs.backlog import ServiceWait
 from almondspread.jobs.job_table import Announcement
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.messages import (
@@ -120,9 +121,9 @@
 
 @define(frozen=True)
 class QueueLoads:
-    """Estimated seconds, by queue, until a job that is accepted now would start."""
+    """Estimated waits until a job that is accepted now would start."""
 
-    waits: dict[str, float]
+    waits: tuple[ServiceWait, ...]
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -107,16 +107,14 @@
         least two upstreams more.
         """
         moves = []
+        by_domain: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            if not member.leaving:
+                by_domain.setdefault(member.failure_domain, []).append(member)
         for upstream, domain in domains:
             owner = self.find_owner(upstream)
-            if owner is None:
-                continue
-            nearby = [
-                member
-                for member in self.members.values()
-                if member.failure_domain == domain and not member.leaving
-            ]
-            if not nearby:
+            nearby = by_domain.get(domain)
+            if owner is None or not nearby:
                 continue
             least = min(nearby, key=lambda member: member.load)
             if owner is least:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/state_cache.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/state_cache.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field
 
+from almondspread.jobs.backlog import ServiceWait
+from almondspread.jobs.configuration import Queue
 from almondspread.jobs.job_table import Announcement
 from almondspread.jobs.progress import TERMINAL_STATES, JobState
 
@@ -14,13 +16,12 @@
 
     ``is_current`` is true while a leader keeps the states up to date. While
     ``knows_all`` is true, a job that is not in the cache does not exist or its end is
-    stored. ``queue_waits`` gives the estimated seconds, by queue, until a job that is
-    accepted now would start.
+    stored.
     """
 
     is_current: bool = False
     knows_all: bool = False
-    queue_waits: dict[str, float] = field(factory=dict)
+    _waits: dict[tuple[str, int], float] = field(factory=dict)
     _states: dict[str, Announcement] = field(factory=dict)
     _queued: dict[str, set[str]] = field(factory=dict)
     _ended_at: dict[str, timedelta] = field(factory=dict)
@@ -35,6 +36,14 @@
         self.is_current = True
         self.knows_all = False
 
+    def set_waits(self, waits: tuple[ServiceWait, ...]) -> None:
+        """Replace the estimated waits until a job that is accepted now would start."""
+        self._waits = {(wait.service, wait.priority): wait.seconds for wait in waits}
+
+    def find_wait(self, queue: Queue) -> float:
+        """Return in how many seconds a job of a queue would start, 0 if unknown."""
+        return self._waits.get((queue.service, queue.priority), 0.0)
+
     def mark_stale(self) -> None:
         """Note that no leader keeps the states up to date."""
         self.is_current = False
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
@@ -9,10 +9,11 @@
     Overloaded,
     Unavailable,
 )
+from almondspread.jobs.backlog import ServiceWait
 from almondspread.jobs.job_table import Announcement
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.jobs.progress import JobRecord, JobState
-from almondspread.testing.fake_cell import QUEUE, make_configuration
+from almondspread.testing.fake_cell import QUEUE, SERVICE, make_configuration
 from almondspread_daemon.jobs.job_service import JobService
 from almondspread_daemon.jobs.row_writer import RowWriter
 from almondspread_daemon.jobs.rows import make_progress_name
@@ -79,7 +80,7 @@
         self.assertIsNone(unknown.error.not_run)
 
     async def test_job_with_too_long_a_queue_wait_is_refused_at_once(self):
-        self.state_cache.queue_waits = {QUEUE: 60.0}
+        self.state_cache.set_waits((ServiceWait(SERVICE, 0, 60.0),))
         refused = (await self.submit(make_submission("j"))).error
         self.assertIsInstance(refused, Overloaded)
         self.assertGreater(refused.retry_after_seconds, 50)
