Place tasks and estimate waits by the scarcest resource

Cause: placement chose the tightest fit by processors, and waits were estimated by processors alone. On upstreams with accelerators these run out first: tasks that need one were spread, so that none was left with eight, and jobs were accepted behind work that fills the accelerators for longer than they could wait. Change: the fit is that of the resource of which the task takes the largest share, and tasks without accelerators go where none are free; the wait is that of the scarcest resource, with the queue's learnt ratio of real to declared durations.

--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -1,12 +1,21 @@
-"""Estimate of how long a job that is accepted now would wait for capacity."""
+"""Estimate of how long a job that is accepted now would wait for capacity.
+
+The wait is that for the scarcest resource: where tasks need many accelerators, these
+are taken long before the processors are.
+"""
 
 from datetime import timedelta
 
 from attrs import define
 
 from almondspread.jobs.configuration import Configuration, Queue
+from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
+from almondspread.resources.capacity import Capacity
+
+# Longer waits make no difference to any job, and must not overflow.
+MAX_WAIT = timedelta(days=1)
 
 
 @define(frozen=True)
@@ -26,27 +35,38 @@
     configuration: Configuration,
     waiting: list[StepProgress],
     upstreams: list[Upstream],
+    ratios: DurationRatios,
     now: timedelta,
 ) -> timedelta:
     """Return how long the work ahead of a new job of the queue will take.
 
     The work ahead consists of the waiting tasks with the same or a more urgent
-    priority. All processors of the service's usable upstreams share it. Without usable
-    upstreams, the estimate is zero.
+    priority. All usable upstreams of the service share it. ``ratios`` corrects the
+    estimates of each queue. Without usable upstreams, the estimate is zero.
     """
-    capacity = 0
+    capacity = Capacity(0, 0, 0)
     for upstream in upstreams:
         if upstream.entry.service == queue.service and upstream.is_usable(now):
-            capacity += upstream.entry.capacity.cpu_millis
-    if not capacity:
+            capacity = capacity.plus(upstream.entry.capacity)
+    if not capacity.cpu_millis:
         return timedelta(0)
-    ahead = timedelta(0)
+    processor = memory = accelerators = 0.0
     for progress in waiting:
-        other = configuration.queues.get(progress.job.submission.queue)
+        name = progress.job.submission.queue
+        other = configuration.queues.get(name)
         if other is None or other.service != queue.service:
             continue
         if other.priority > queue.priority or progress.step.lasting:
             continue
-        tasks = len(progress.waiting)
-        ahead += progress.step.estimate * (tasks * progress.step.claim.cpu_millis)
-    return ahead / capacity
+        claim = progress.step.claim
+        seconds = progress.step.estimate.total_seconds() * ratios.find_mean(name)
+        seconds *= len(progress.waiting)
+        processor += seconds * claim.cpu_millis
+        memory += seconds * claim.memory_mib
+        accelerators += seconds * claim.accelerators
+    wait = max(
+        processor / capacity.cpu_millis,
+        memory / max(capacity.memory_mib, 1),
+        accelerators / max(capacity.accelerators, 1),
+    )
+    return timedelta(seconds=min(wait, MAX_WAIT.total_seconds()))
--- a/packages/almondspread/almondspread/jobs/durations.py
+++ b/packages/almondspread/almondspread/jobs/durations.py
@@ -19,6 +19,8 @@
 DEFAULT_MEAN = 1.0
 DEFAULT_UPPER = 4.0
 MIN_ESTIMATE = timedelta(milliseconds=10)
+# Larger ratios come of missing estimates, and say nothing about the next task.
+MAX_RATIO = 100.0
 
 
 @define(eq=False)
@@ -55,7 +57,7 @@
 
     def record(self, queue: str, estimate: timedelta, duration: timedelta) -> None:
         """Record a run that has done the whole work of its task."""
-        ratio = duration / max(estimate, MIN_ESTIMATE)
+        ratio = min(duration / max(estimate, MIN_ESTIMATE), MAX_RATIO)
         self._queues.setdefault(queue, _Ratios()).add(ratio)
 
     def find_mean(self, queue: str) -> float:
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -127,7 +127,7 @@
     def reserve(self, avoided: set[str]) -> Upstream | None:
         """Reserve capacity for one task on the best upstream, ``None`` if none fits."""
         best = None
-        best_score: tuple[int, int, int] | None = None
+        best_score: tuple[int, int, int, int] | None = None
         claim = self._step.claim
         limit = self._step.spread_limit
         for upstream in self._candidates:
@@ -145,19 +145,44 @@
         self._counts[best.name] += 1
         return best
 
-    def _score(self, upstream: Upstream) -> tuple[int, int, int]:
+    def _score(self, upstream: Upstream) -> tuple[int, int, int, int]:
         """Return the score of an upstream for a task; the lowest is the best.
 
         Data locality counts first. Then opportunistic tasks are kept apart from
-        latency-sensitive ones. Then the tightest fit wins, because it leaves the
-        large blocks of free capacity for large tasks.
+        latency-sensitive ones, and tasks that need no accelerators from free ones. Then
+        the tightest fit wins, because it leaves the large blocks of free capacity for
+        large tasks.
         """
         step = self._step
         remote = int(bool(step.preferred_rack) and step.preferred_rack != upstream.rack)
         interferes = int(
             step.opportunistic and upstream.name in self._latency_sensitive
         )
+        free = self._free[upstream.name]
         if step.opportunistic:
             # Opportunistic tasks use idle processors, so they go where most are free.
-            return (remote, interferes, -self._free[upstream.name].cpu_millis)
-        return (remote, interferes, self._free[upstream.name].cpu_millis)
+            return (remote, interferes, 0, -free.cpu_millis)
+        wasted = 0 if step.claim.accelerators else free.accelerators
+        return (
+            remote,
+            interferes,
+            wasted,
+            measure_scarcest(step.claim, upstream, free),
+        )
+
+
+def measure_scarcest(claim: Capacity, upstream: Upstream, free: Capacity) -> int:
+    """Return what is free of the resource of which a task takes the largest share.
+
+    A task that is placed by another resource than this one leaves gaps in which the
+    next task of its kind finds too little.
+    """
+    whole = upstream.entry.capacity
+    processor = claim.cpu_millis / max(whole.cpu_millis, 1)
+    memory = claim.memory_mib / max(whole.memory_mib, 1)
+    accelerators = claim.accelerators / max(whole.accelerators, 1)
+    if accelerators >= max(processor, memory):
+        return free.accelerators
+    if memory > processor:
+        return free.memory_mib
+    return free.cpu_millis
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -297,7 +297,14 @@
         for queue in self.configuration.queues.values():
             key = (queue.service, queue.priority)
             if key not in waits:
-                wait = estimate_wait(queue, self.configuration, steps, upstreams, now)
+                wait = estimate_wait(
+                    queue,
+                    self.configuration,
+                    steps,
+                    upstreams,
+                    self._control.ratios,
+                    now,
+                )
                 waits[key] = ServiceWait(*key, wait.total_seconds())
         return tuple(waits.values())
 
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -4,6 +4,7 @@
 import attrs
 
 from almondspread.jobs.backlog import estimate_wait
+from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.messages import (
     FAILED,
     RunEnd,
@@ -51,7 +52,14 @@
         steps = list(cell.scheduler._job_table.ready_steps.values())
         upstreams = list(cell.scheduler.cell_state.upstreams.values())
         for queue in queues.values():
-            wait = estimate_wait(queue, cell.configuration, steps, upstreams, cell.now)
+            wait = estimate_wait(
+                queue,
+                cell.configuration,
+                steps,
+                upstreams,
+                DurationRatios(),
+                cell.now,
+            )
             key = (queue.service, queue.priority)
             self.assertEqual(waits[key], wait.total_seconds())
         self.assertGreater(waits[SERVICE, 2], waits[SERVICE, 1])
