Judge due times by the median clock; survive unexpected errors

And an error in following or leading ended the election's task group, an error in a renew call the agent that holds an upstream's leases; a message of a kind that followers do not expect was such an error. Change: members send their time of day with their heartbeats and the median decides (of two middle ones the earlier); the election and the agents log an error and go on; unexpected messages are logged and ignored.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -155,7 +155,16 @@
                     now + self._lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
                 )
             wait = self._renew_wait if until is not None else timedelta(0)
-            failure = await self._renew(until, wait)
+            try:
+                failure = await self._renew(until, wait)
+            except Exception as error:
+                # Without this agent, the upstream's leases would expire.
+                logger.opt(exception=True).error(
+                    "renew call ended by an error",
+                    upstream=self.watch.upstream,
+                    reason=str(error),
+                )
+                failure = CallFailed(str(error), not_done=False)
             if failure is None:
                 continue
             if not self._handle_failure(failure):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -150,7 +150,8 @@
     async def _run_heartbeat(self, leader: LeaderLink) -> None:
         """Send heartbeats, and close the link after ``LEADER_TIMEOUT`` of silence."""
         while True:
-            leader.link.send(Beat())
+            seconds = self._clock.now().timestamp()
+            leader.link.send(Beat(unix_seconds=seconds))
             silence = self._clock.monotonic() - leader.last_heard
             if silence > LEADER_TIMEOUT:
                 logger.warning("leader timed out", seconds=silence.total_seconds())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -191,30 +191,44 @@
     # Leading and following
 
     async def _run_election(self) -> None:
-        """Follow the leader, or claim leadership if there is none; runs until stop."""
-        candidacy = self._candidacy
+        """Follow the leader, or claim leadership if there is none; runs until stop.
+
+        An unexpected error ends the following or leading that it occurred in, but not
+        the process.
+        """
         while not self._stopping:
-            release = candidacy.consume_release()
-            if release is not None:
-                await self._claim(release.row, release.version)
-            row, version = await self._leader_rows.read()
-            if version < 0 or self.job_service.configuration is None:
-                await self._clock.sleep(POLL_INTERVAL)
-            elif row is None or candidacy.may_claim(row):
-                await self._claim_after_delay(row, version)
-            elif candidacy.is_own_claim(row):
-                await self._lead(row, version)
-            elif candidacy.is_unreachable(row):
-                # The leader does not answer, but its lease has not expired yet.
-                await self._clock.sleep(POLL_INTERVAL)
-            else:
-                broke_off = await self._follower.follow(row)
-                if broke_off or candidacy.has_release:
-                    continue
-                renewal = await self._leader_rows.read_renewal()
-                candidacy.record_unreachable(row.incarnation, renewal)
+            try:
+                await self._follow_or_lead()
+            except Exception as error:
+                logger.opt(exception=True).error(
+                    "election interrupted by an error", reason=str(error)
+                )
                 await self._clock.sleep(POLL_INTERVAL)
 
+    async def _follow_or_lead(self) -> None:
+        """Do what the leader's row asks for: claim, lead, follow or wait."""
+        candidacy = self._candidacy
+        release = candidacy.consume_release()
+        if release is not None:
+            await self._claim(release.row, release.version)
+        row, version = await self._leader_rows.read()
+        if version < 0 or self.job_service.configuration is None:
+            await self._clock.sleep(POLL_INTERVAL)
+        elif row is None or candidacy.may_claim(row):
+            await self._claim_after_delay(row, version)
+        elif candidacy.is_own_claim(row):
+            await self._lead(row, version)
+        elif candidacy.is_unreachable(row):
+            # The leader does not answer, but its lease has not expired yet.
+            await self._clock.sleep(POLL_INTERVAL)
+        else:
+            broke_off = await self._follower.follow(row)
+            if broke_off or candidacy.has_release:
+                return
+            renewal = await self._leader_rows.read_renewal()
+            candidacy.record_unreachable(row.incarnation, renewal)
+            await self._clock.sleep(POLL_INTERVAL)
+
     async def _claim_after_delay(self, row: LeaderRow | None, version: int) -> None:
         """Claim leadership after a delay, unless a chosen successor may claim first."""
         if self._candidacy.must_wait:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -1,6 +1,6 @@
 """Passes stored jobs and cancellations from the store to the scheduler."""
 
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 from loguru import logger
 
@@ -28,6 +28,8 @@
 FEED_POLL_TIMEOUT = timedelta(seconds=1)
 FEED_STALENESS_MARGIN = timedelta(milliseconds=500)
 STORE_RETRY_DELAY = timedelta(milliseconds=200)
+# The next pass of the scheduler decides which occurrences are due.
+NO_OCCURRENCE_DUE = datetime.min.replace(tzinfo=UTC)
 
 
 class JobIntake:
@@ -190,7 +192,7 @@
 
         Cancellations are applied last, so that they find their jobs.
         """
-        now, wall = self._clock.monotonic(), self._clock.now()
+        now = self._clock.monotonic()
         cancelled = []
         for row in rows:
             self.rows.record_row(row)
@@ -206,7 +208,7 @@
             self._scheduler.accept_job(
                 decode_submission(submission),
                 min(self._store_clock.to_local(stored), now),
-                wall,
+                NO_OCCURRENCE_DUE,
                 version=row.version,
                 record=self._records.get(submission.job),
             )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -47,6 +47,7 @@
 from almondspread_daemon.jobs.start_marks import StartMarks
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.jobs.wall_time import estimate_wall_time, measure_offset
 
 COMMIT_INTERVAL = timedelta(milliseconds=50)
 RENEW_INTERVAL = timedelta(milliseconds=400)
@@ -257,6 +258,9 @@
             case Leaving():
                 self._assignments.drain_member(member)
             case Beat():
+                member.wall_offset = measure_offset(
+                    message.unix_seconds, self._clock.monotonic()
+                )
                 return
         self._pass_wanted.set()
 
@@ -310,11 +314,12 @@
 
     def _run_pass(self) -> None:
         """Run one scheduler pass and send its orders."""
+        members = self._assignments.members
         self._assignments.update_unresponsive_upstreams(self._instance)
         orders = self._scheduler.schedule(
             self._clock.monotonic(),
-            self._clock.now(),
-            self._assignments.members.count_advice_slots(),
+            estimate_wall_time(members.members.values(), self._instance, self._clock),
+            members.count_advice_slots(),
         )
         for order in orders:
             self._assignments.send_order(order)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -3,6 +3,17 @@
 An instance that leads is also a member of its own session, and gets the same messages.
 """
 
+from loguru import logger
+
+from almondspread.jobs.messages import (
+    AcknowledgeEnds,
+    AskPermits,
+    PaceRun,
+    StartRun,
+    StopRun,
+    UnwatchUpstream,
+    WatchUpstream,
+)
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.links import (
@@ -65,5 +76,18 @@
                 self._candidacy.record_release(message)
             case Resigned():
                 self._candidacy.record_resignation(message.epoch)
+            case (
+                WatchUpstream()
+                | UnwatchUpstream()
+                | AskPermits()
+                | StartRun()
+                | StopRun()
+                | PaceRun()
+                | AcknowledgeEnds()
+            ):
+                self._executor.execute_order(message)
             case _:
-                self._executor.execute_order(message)  # type: ignore[arg-type]
+                logger.warning(
+                    "unexpected message of the leader ignored",
+                    kind=type(message).__name__,
+                )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -69,8 +69,9 @@
 
 @define(frozen=True)
 class Beat:
-    """A heartbeat. The fields describe the leader; followers send the defaults.
+    """A heartbeat. All fields but ``unix_seconds`` describe the leader.
 
+    Followers send ``unix_seconds``, the time of day of their machine.
     ``lease_holds`` tells whether the leader's lease is valid. With ``knows_all``, the
     leader knows every job except those that were stored only moments ago. With
     ``store_lost``, the store is unavailable to the leader.
@@ -79,6 +80,7 @@
     lease_holds: bool = True
     knows_all: bool = True
     store_lost: bool = False
+    unix_seconds: float | None = None
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -15,7 +15,8 @@
 
     ``strength`` is the suitability of its machine to lead, from 0 to 1, ``started``
     the start time of its process on the leader's monotonic clock.
-    ``advice_requests`` counts its pending requests to the advice service.
+    ``advice_requests`` counts its pending requests to the advice service, and
+    ``wall_offset`` is how far its time of day is ahead of the leader's monotonic time.
     """
 
     instance: str
@@ -27,6 +28,7 @@
     started: timedelta = timedelta(0)
     upstreams: set[str] = field(factory=set)
     advice_requests: int = 0
+    wall_offset: timedelta | None = None
     leaving: bool = False
 
     @property
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -170,6 +170,13 @@
         await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
         self.assertIsNone(self.client.renew_calls[-1].until)
 
+    async def test_unexpected_error_does_not_end_the_renewals(self):
+        self.client.renewals.pop().set_exception(RuntimeError("unexpected"))
+        await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
+        self.assertTrue(self.agent.is_running)
+        await self.renew(1)
+        self.assertIsInstance(self.reports[-1], UpstreamReport)
+
     async def test_unanswered_start_alone_is_no_silence(self):
         await self.renew(1)
         self.agent.start(StartRun("u", TASK, 7, ""))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -11,7 +11,7 @@
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.testing.fake_cell import make_configuration
 from almondspread_daemon.jobs.candidacy import SUCCESSOR_CLAIM_TIME, Candidacy
-from almondspread_daemon.jobs.links import Released
+from almondspread_daemon.jobs.links import Hello, Released
 from almondspread_daemon.jobs.members import Member, Members
 from almondspread_daemon.jobs.rows import LEADER_ROW, decode_leader
 from almondspread_daemon.jobs.store_access import StoreAccess
@@ -167,6 +167,26 @@
             await asyncio.sleep(0)
         self.assertEqual(contacted, ["two"])
 
+    async def test_unexpected_error_does_not_end_the_process(self):
+        """Such an error ended the election, and with it the whole process."""
+        await self.put_row()
+        errors = [RuntimeError("unexpected")] * 3
+
+        async def follow(row):
+            if errors:
+                raise errors.pop()
+            await asyncio.Event().wait()
+
+        self.instance._follower.follow = follow
+        self.start_election()
+        while errors:
+            await asyncio.sleep(0)
+        await run_ready_tasks()
+        self.assertFalse(self.election_task.done())
+
+    async def test_unexpected_message_of_the_leader_is_ignored(self):
+        self.instance._dispatcher.dispatch(Hello("x", "y", "zone", 1.0, 1.0, 0.0))
+
     async def test_ended_leader_is_replaced_before_its_lease_expires(self):
         """After a leader was killed, nothing was started for another 1.4 s.
 
