Import only what a process on the platform runs; log the queue of requests

Cause: the package initializers of peers and telemetry import the product's own interface (schedulers, shards, settings, traces), of which nothing runs on the platform. The lines of callers' requests did not name the queue. Change: frames and parse_address stand in modules of their own, the initializer of telemetry is thin, and logs need the settings only for their type.

--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -16,6 +16,7 @@
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
 from almondspread.scheduling.overflow import ShardRoom
+from almondspread_daemon.addresses import parse_address
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.following.watches import WatchTracker
@@ -49,14 +50,16 @@
 )
 from almondspread_daemon.security import Credentials, TokenTable
 from almondspread_daemon.security.reloading import follow_tokens
-from almondspread_daemon.settings import Settings, parse_address
+from almondspread_daemon.settings import Settings
 from almondspread_daemon.shards import ShardManager
 from almondspread_daemon.shards.manager import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.shards.subsystem import ScheduleSubsystem, wake_shards
 from almondspread_daemon.stopping import stop_within_bound
-from almondspread_daemon.telemetry import Telemetry, configure_logs, get_traceparent
 from almondspread_daemon.telemetry.gauges import register_gauges
+from almondspread_daemon.telemetry.logs import configure_logs
+from almondspread_daemon.telemetry.telemetry import Telemetry
+from almondspread_daemon.telemetry.traces import get_traceparent
 
 READY_INTERVAL = timedelta(milliseconds=250)
 CLOSE_TIMEOUT = timedelta(seconds=2)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -9,6 +9,7 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.leases import LeaderRow, has_failed_to_renew
+from almondspread_daemon.addresses import parse_address
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.leader_messages import LeaderMessageDispatcher
 from almondspread_daemon.jobs.leader_row_access import LeaderRowAccess
@@ -25,7 +26,6 @@
 )
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_clock import StoreClock
-from almondspread_daemon.settings import parse_address
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 LEADER_TIMEOUT = timedelta(milliseconds=1_000)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -17,6 +17,7 @@
     OperatorInput,
     UpstreamClient,
 )
+from almondspread_daemon.addresses import parse_address
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.follower import Follower
@@ -42,7 +43,6 @@
 from almondspread_daemon.jobs.state_cache import JobStateCache
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
-from almondspread_daemon.settings import parse_address
 
 POLL_INTERVAL = timedelta(milliseconds=100)
 # Instances that detect a leader's failure at the same time claim after random delays.
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
@@ -102,7 +102,7 @@
         wait = self._state_cache.find_wait(queue)
         admission = decide_admission(queue, submission, timedelta(seconds=wait))
         if admission is not None:
-            self._record_outcome(submission.job, "refused", wait=wait)
+            self._record_outcome(submission.job, "refused", queue=queue.name, wait=wait)
             return Error(admission)
         time_left = min(timeout - ANSWER_MARGIN, MAX_STORE_WAIT)
         if time_left < MIN_STORE_WAIT:
@@ -119,7 +119,9 @@
         if written.is_error():
             self._record_outcome(submission.job, "unknown", reason=written.error.reason)
             return Error(_make_submit_unknown())
-        self._record_outcome(submission.job, "accepted", version=written.ok)
+        self._record_outcome(
+            submission.job, "accepted", queue=queue.name, version=written.ok
+        )
         self._state_cache.add_queued(submission.job, queue.name)
         return Ok(JobState.QUEUED)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -28,7 +28,7 @@
     UpstreamSilent,
     WatchUpstream,
 )
-from almondspread_daemon.peers.frames import NOTIFICATION, Frame, read_frames
+from almondspread_daemon.frames import NOTIFICATION, Frame, read_frames
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -20,7 +20,7 @@
 from almondspread_daemon.peers import CallContext, PeerFault, PeerLink
 from almondspread_daemon.peers.links import NO_GRACE
 from almondspread_daemon.peers.messages import Accepted, Heartbeat, Pulse
-from almondspread_daemon.telemetry import TracePipeline
+from almondspread_daemon.telemetry.traces import TracePipeline
 
 
 class Neighbours:
--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -14,7 +14,8 @@
 from tornado.tcpclient import TCPClient
 
 from almondspread.clock import Clock
-from almondspread_daemon.peers.frames import (
+from almondspread_daemon.addresses import parse_address
+from almondspread_daemon.frames import (
     CALL,
     NOTIFICATION,
     REPLY,
@@ -22,9 +23,11 @@
     read_frames,
 )
 from almondspread_daemon.peers.messages import PEER_CODEC
-from almondspread_daemon.settings import parse_address
-from almondspread_daemon.telemetry import TracePipeline, get_traceparent
-from almondspread_daemon.telemetry.traces import mark_failed
+from almondspread_daemon.telemetry.traces import (
+    TracePipeline,
+    get_traceparent,
+    mark_failed,
+)
 
 INITIAL_BACKOFF = timedelta(milliseconds=100)
 MAX_BACKOFF = timedelta(seconds=2)
--- a/packages/almondspread_daemon/almondspread_daemon/peers/server.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/server.py
@@ -11,7 +11,7 @@
 from tornado.tcpserver import TCPServer
 
 from almondspread.errors import Overloaded, Unavailable
-from almondspread_daemon.peers.frames import (
+from almondspread_daemon.frames import (
     CALL,
     NOTIFICATION,
     REPLY,
@@ -19,7 +19,7 @@
     read_frames,
 )
 from almondspread_daemon.peers.messages import PEER_CODEC, refuse
-from almondspread_daemon.telemetry import TracePipeline
+from almondspread_daemon.telemetry.traces import TracePipeline
 
 MAX_CALLS_PER_STREAM = 4_096
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
--- a/packages/almondspread_daemon/almondspread_daemon/platform_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/platform_access.py
@@ -12,12 +12,12 @@
     WorkerGateway,
 )
 from almondspread_daemon.settings import Settings
-from almondspread_daemon.telemetry import Telemetry
 from almondspread_daemon.telemetry.observed_clients import (
     ObservedMinions,
     ObservedTable,
     ObservedWorkers,
 )
+from almondspread_daemon.telemetry.telemetry import Telemetry
 from almondspread_platform import (
     HttpCaller,
     HttpInstanceList,
--- a/packages/almondspread_daemon/almondspread_daemon/security/tests/test_certificates.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/tests/test_certificates.py
@@ -22,7 +22,7 @@
 )
 from almondspread_daemon.security.tests.certificates import Authority
 from almondspread_daemon.settings import parse_settings
-from almondspread_daemon.telemetry import TracePipeline
+from almondspread_daemon.telemetry.traces import TracePipeline
 
 SETTINGS = """{"name": "e", "operator": "o", "failure_domain": "d",
  "failure_domains": ["d"], "platform": {"table_url": "http://127.0.0.1:1",
--- a/packages/almondspread_daemon/almondspread_daemon/settings/__init__.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/__init__.py
@@ -1,6 +1,5 @@
 """Settings of an entry instance: types, loader and JSON Schema."""
 
-from almondspread_daemon.settings.constraints import parse_address
 from almondspread_daemon.settings.faults import Fault, InvalidSettings
 from almondspread_daemon.settings.loading import (
     parse_settings,
@@ -35,7 +34,6 @@
     "TelemetrySettings",
     "Token",
     "make_schema",
-    "parse_address",
     "parse_settings",
     "read_settings",
     "structure_settings",
--- a/packages/almondspread_daemon/almondspread_daemon/settings/constraints.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/constraints.py
@@ -11,6 +11,8 @@
 
 from attrs import define
 
+from almondspread_daemon.addresses import parse_address
+
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 _PORT = (
     r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
@@ -116,16 +118,6 @@
 Constraint = Range | Choice | Text
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Return the IP number and port of an ``IP:port`` text.
-
-    >>> parse_address("[::1]:8101")
-    ('::1', 8101)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _is_address(value: str) -> bool:
     """Tell whether the host of an ``IP:port`` text is an IP number."""
     return _is_ip_number(parse_address(value)[0])
--- a/packages/almondspread_daemon/almondspread_daemon/settings/rules.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/rules.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 
-from almondspread_daemon.settings.constraints import parse_address
+from almondspread_daemon.addresses import parse_address
 from almondspread_daemon.settings.faults import Fault, show_value
 from almondspread_daemon.settings.sections import Settings
 
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/logs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/logs.py
@@ -5,14 +5,17 @@
 import sys
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import define
 from loguru import logger
 from opentelemetry import trace
 
 from almondspread.clock import Clock
-from almondspread_daemon.settings import LogSettings
+
+if TYPE_CHECKING:
+    # Processes that read their settings in another way do without this package.
+    from almondspread_daemon.settings import LogSettings
 
 MAX_LINES_PER_CALL_SITE = 20
 RATE_WINDOW = timedelta(seconds=10)
@@ -86,7 +89,7 @@
         )
 
 
-def configure_logs(settings: LogSettings, instance: str, clock: Clock) -> None:
+def configure_logs(settings: "LogSettings", instance: str, clock: Clock) -> None:
     """Configure logs on standard error, as JSON or text, for this process."""
     logger.remove()
     logger.configure(extra={"instance": instance})
--- a/packages/almondspread_standin/almondspread_standin/measures/hosting.py
+++ b/packages/almondspread_standin/almondspread_standin/measures/hosting.py
@@ -12,7 +12,7 @@
 from almondspread.clock import SystemClock
 from almondspread_daemon.entry import Entry
 from almondspread_daemon.settings import Settings, read_settings
-from almondspread_daemon.telemetry import configure_logs
+from almondspread_daemon.telemetry.logs import configure_logs
 from almondspread_standin.control import describe_controls
 from almondspread_standin.listening import bind_loopback, build_application
 from almondspread_standin.partitions import CuttableClient
