--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/loads.py
@@ -0,0 +1,49 @@
+"""The backlog of a cell and the utilization of its upstreams, for logs and metrics."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from attrs import define
+
+from almondspread.jobs.progress import StepProgress
+from almondspread.jobs.upstreams import Upstream
+
+
+@define(frozen=True)
+class Load:
+    """The backlog of tasks, and the utilization of the usable upstreams.
+
+    Processor amounts are in thousandths of a core. ``without_permits`` counts the
+    waiting steps that have no valid permits, whether or not they need any.
+    """
+
+    waiting_steps: int
+    unseen_upstreams: int
+    waiting_tasks: int
+    without_permits: int
+    used_millis: int
+    usable_millis: int
+
+
+def measure_load(
+    waiting: Iterable[StepProgress],
+    upstreams: Iterable[Upstream],
+    unseen: int,
+    now: timedelta,
+) -> Load:
+    """Return the load of steps with waiting tasks on upstreams.
+
+    ``unseen`` upstreams have not reported to the leader yet.
+    """
+    steps = tasks = without_permits = 0
+    for progress in waiting:
+        steps += 1
+        tasks += len(progress.waiting)
+        without_permits += not progress.permits.has_ticket(now)
+    used = 0
+    usable = 0
+    for upstream in upstreams:
+        if upstream.is_usable(now):
+            usable += upstream.entry.capacity.cpu_millis
+            used += upstream.entry.capacity.cpu_millis - upstream.free.cpu_millis
+    return Load(steps, unseen, tasks, without_permits, used, usable)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -15,6 +15,7 @@
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
 from almondspread.jobs.job_table import Announcement, JobTable
+from almondspread.jobs.loads import Load, measure_load
 from almondspread.jobs.messages import (
     AskPermits,
     ExecutorReport,
@@ -56,22 +57,6 @@
     forgotten: list[str] = field(factory=list)
 
 
-@define(frozen=True)
-class Load:
-    """The backlog of tasks, and the utilization of the usable upstreams.
-
-    Processor amounts are in thousandths of a core. ``without_permits`` counts the
-    waiting steps that have no valid permits, whether or not they need any.
-    """
-
-    waiting_steps: int
-    unseen_upstreams: int
-    waiting_tasks: int
-    without_permits: int
-    used_millis: int
-    usable_millis: int
-
-
 class Scheduler:
     """Schedules all jobs of the cell on its upstreams, for the leader of one epoch.
 
@@ -310,24 +295,11 @@
 
     def measure_load(self, now: timedelta) -> Load:
         """Return the current backlog and the utilization of the usable upstreams."""
-        tasks = 0
-        without_permits = 0
-        for progress in self._job_table.ready_steps.values():
-            tasks += len(progress.waiting)
-            without_permits += not progress.permits.has_ticket(now)
-        used = 0
-        usable = 0
-        for upstream in self.cell_state.upstreams.values():
-            if upstream.is_usable(now):
-                usable += upstream.entry.capacity.cpu_millis
-                used += upstream.entry.capacity.cpu_millis - upstream.free.cpu_millis
-        return Load(
-            len(self._job_table.ready_steps),
+        return measure_load(
+            self._job_table.ready_steps.values(),
+            self.cell_state.upstreams.values(),
             len(self._upstream_tracker.unseen),
-            tasks,
-            without_permits,
-            used,
-            usable,
+            now,
         )
 
     # State that the leader stores and announces
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -44,7 +44,7 @@
 from almondspread_daemon.jobs.retention import Retention
 from almondspread_daemon.jobs.row_writer import RowWriter
 from almondspread_daemon.jobs.settings import JobSettings
-from almondspread_daemon.jobs.start_marks import StartMarks
+from almondspread_daemon.jobs.start_marks import StartMarks, StartPermission
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.jobs.wall_time import estimate_wall_time, measure_offset
@@ -102,7 +102,11 @@
             store_clock,
             clock,
         )
-        self._marks = StartMarks(row.epoch, row.started_version, store)
+        self._start_permission = StartPermission(
+            StartMarks(row.epoch, row.started_version, store),
+            self._committer,
+            self._scheduler,
+        )
         self._retention = Retention(
             settings.status_retention, self._intake.rows, self._scheduler, store, clock
         )
@@ -133,7 +137,7 @@
     async def run(self) -> None:
         """Lead the cell until ``end`` is called or loading the stored jobs fails."""
         loaded, _ = await asyncio.gather(
-            self._intake.load(), self._update_inherited_version()
+            self._intake.load(), self._start_permission.update_inherited_version()
         )
         if not loaded:
             self.end("the store did not answer before the leader lease expired")
@@ -362,39 +366,18 @@
                 self._pass_wanted.set()
             else:
                 self._commit_wanted.set()
-                await self._write_start_mark()
+                if await self._start_permission.mark_if_refused():
+                    self._pass_wanted.set()
                 await self._clock.sleep(STORE_RETRY_DELAY)
             if self._committer.is_superseded:
                 self.end("another instance has claimed the leadership")
             await self._clock.sleep(COMMIT_INTERVAL)
 
-    async def _write_start_mark(self) -> None:
-        """Allow starts by a start mark while the store refuses commits.
-
-        A job may start only once a durable record tells the next leader that the job
-        may have been started.
-        """
-        scheduler = self._scheduler
-        if not (self._committer.is_refused and scheduler.has_unstartable_jobs):
-            return
-        version = scheduler.newest_version
-        if await self._marks.write(version):
-            scheduler.allow_starts(version)
-            self._pass_wanted.set()
-
-    async def _update_inherited_version(self) -> None:
-        """Fence the start marks and read which jobs earlier leaders may have started.
-
-        Until all marks are fenced, any job may have been started.
-        """
-        if await self._marks.fence():
-            self._scheduler.inherited_version = self._marks.inherited_version
-
     async def _fence_marks(self) -> None:
         """Retry until no earlier leader can mark further jobs as started."""
-        while not self._marks.is_fenced:
+        while not self._start_permission.is_final:
             await self._clock.sleep(STORE_RETRY_DELAY)
-            await self._update_inherited_version()
+            await self._start_permission.update_inherited_version()
         self._pass_wanted.set()
 
     async def _follow_submissions(self) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/start_marks.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/start_marks.py
@@ -13,6 +13,8 @@
     StoredRow,
     Transaction,
 )
+from almondspread.jobs.scheduler import Scheduler
+from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.rows import START_MARK_ROWS, StartMark, decode_row
 from almondspread_daemon.jobs.store_access import StoreAccess
 
@@ -103,3 +105,42 @@
             mark = decode_row(row, StartMark)
             if row.name == name and mark is not None and mark.epoch == self._epoch:
                 self._versions[name] = row.version
+
+
+class StartPermission:
+    """Tells the scheduler which jobs it may start, beside what commits tell it."""
+
+    def __init__(
+        self, marks: StartMarks, committer: Committer, scheduler: Scheduler
+    ) -> None:
+        self._marks = marks
+        self._committer = committer
+        self._scheduler = scheduler
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no earlier leader can mark further jobs as started."""
+        return self._marks.is_fenced
+
+    async def mark_if_refused(self) -> bool:
+        """Allow starts by a start mark if the store refuses commits.
+
+        Return whether that has allowed further jobs. A job may start only once a
+        durable record tells the next leader that the job may have been started.
+        """
+        scheduler = self._scheduler
+        if not (self._committer.is_refused and scheduler.has_unstartable_jobs):
+            return False
+        version = scheduler.newest_version
+        if not await self._marks.write(version):
+            return False
+        scheduler.allow_starts(version)
+        return True
+
+    async def update_inherited_version(self) -> None:
+        """Fence the start marks and read which jobs earlier leaders may have started.
+
+        Until all marks are fenced, any job may have been started.
+        """
+        if await self._marks.fence():
+            self._scheduler.inherited_version = self._marks.inherited_version
