Give leaders time to renew after an outage; spread requests by their duration

And after the next takeover 27 of 31 steps waited for permits: decisions of 30 ms queued behind others of 0.6 s at the same member. Change: a follower leaves a leader only once the store has answered for 0.7 s; requests carry their expected duration, go to the member that is free first, and long ones leave a quarter of the members to short ones; a request that no member takes is reported.

--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -203,12 +203,16 @@
 
 @define(frozen=True)
 class AskPermits:
-    """Orders an executor to ask the advice service which upstreams may run a step."""
+    """Orders an executor to ask the advice service which upstreams may run a step.
+
+    The decision is expected to take ``duration_seconds``.
+    """
 
     job: str
     occurrence: int
     step: int
     upstreams: tuple[str, ...]
+    duration_seconds: float = 0.0
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/jobs/permit_requests.py
+++ b/packages/almondspread/almondspread/jobs/permit_requests.py
@@ -72,6 +72,7 @@
         progress: StepProgress,
         service: ServiceUpstreams,
         find_free: FindFree,
+        advice: AdviceTiming,
         ready_at: timedelta | None,
         now: timedelta,
     ) -> AskPermits | None:
@@ -98,7 +99,8 @@
             waiting=len(progress.waiting),
             upstreams=len(names),
         )
-        return AskPermits(*progress.key, names)
+        duration = advice.decision_time + advice.time_per_upstream * len(names)
+        return AskPermits(*progress.key, names, duration.total_seconds())
 
 
 def estimate_request_time(timing: AdviceTiming, count: int) -> timedelta:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -227,6 +227,7 @@
             step.progress,
             step.service,
             lambda upstream: self._find_free(step, upstream),
+            advice,
             ready_at,
             now,
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -8,6 +8,7 @@
 from almondspread.jobs.leases import compute_orphaned_lease_time
 from almondspread.jobs.messages import (
     AskPermits,
+    PermitsAnswered,
     UnwatchUpstream,
     UpstreamOrder,
     WatchUpstream,
@@ -146,10 +147,7 @@
     def send_order(self, order: UpstreamOrder | AskPermits) -> None:
         """Send an order to the member that executes it."""
         if isinstance(order, AskPermits):
-            adviser = self.members.choose_adviser()
-            if adviser is not None:
-                adviser.advice_requests += 1
-                adviser.send(order)
+            self._send_request(order)
             return
         member = self.members.find_owner(order.upstream)
         if member is not None:
@@ -157,6 +155,18 @@
         if isinstance(order, UnwatchUpstream):
             self.members.unassign(order.upstream)
 
+    def _send_request(self, order: AskPermits) -> None:
+        """Send a request for permits to a member, or report that none takes it now."""
+        adviser = self.members.choose_adviser(order.duration_seconds)
+        if adviser is not None:
+            adviser.record_advice_request(order.duration_seconds)
+            adviser.send(order)
+            return
+        answer = PermitsAnswered(
+            order.job, order.occurrence, order.step, None, timedelta(0)
+        )
+        self._scheduler.handle_report(answer, self._clock.monotonic())
+
     def broadcast(self, message: object) -> None:
         """Send a message to all members."""
         shared = SharedMessage(message)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -29,6 +29,8 @@
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 LEADER_TIMEOUT = timedelta(milliseconds=1_000)
+# After an outage of the store, the leader's renewal takes this long at the most.
+RENEWAL_TIME = timedelta(milliseconds=700)
 HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
 
 
@@ -55,6 +57,7 @@
         self._started = clock.monotonic()
         self._link: Link | None = None
         self._store_check: asyncio.Task[None] | None = None
+        self._store_reached_at: timedelta | None = None
 
     @property
     def is_following(self) -> bool:
@@ -137,6 +140,7 @@
         """Execute orders of a leader that has accepted this instance."""
         logger.info("following leader", leader=row.instance, epoch=welcome.epoch)
         self._link = leader.link
+        self._store_reached_at = None
         self._dispatcher.attach(leader)
 
     def _end_following(self, row: LeaderRow, link: Link) -> None:
@@ -162,6 +166,7 @@
     def _check_leader(self, beat: Beat) -> None:
         """Check the store if the leader's lease or store access has failed."""
         if beat.lease_holds and not beat.store_lost:
+            self._store_reached_at = None
             return
         if self._link is not None and self._store_check is None:
             self._store_check = asyncio.create_task(self._check_store(self._link))
@@ -169,14 +174,20 @@
     async def _check_store(self, link: Link) -> None:
         """Leave a leader whose lease expired more than ``LIVE_LEADER_GRACE`` ago.
 
-        If this instance goes on following the leader, tell the leader that the store is
+        Where the store was away, the leader first gets time to renew its lease. If this
+        instance goes on following the leader, tell the leader that the store is
         available to this instance.
         """
         row, version = await self._leader_rows.read()
         self._store_check = None
         if version < 0:
+            self._store_reached_at = None
             return
-        if has_failed_to_renew(row, self._store_clock.now()):
+        now = self._clock.monotonic()
+        if self._store_reached_at is None:
+            self._store_reached_at = now
+        has_had_time = now - self._store_reached_at >= RENEWAL_TIME
+        if has_had_time and has_failed_to_renew(row, self._store_clock.now()):
             link.close()
             return
         link.send(StoreReached())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -251,7 +251,7 @@
                 if message.epoch >= self.epoch:
                     self.end(f"upstream {message.upstream} has seen a higher epoch")
             case PermitsAnswered():
-                member.advice_requests -= 1
+                member.record_advice_answer()
                 self._handle_report(message)
             case JobCancelled():
                 self.cancel_job(message.job)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -1,5 +1,6 @@
 """The members of the leader's session and the upstreams assigned to each."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Protocol
@@ -7,6 +8,10 @@
 from attrs import define, field
 
 MAX_ADVICE_REQUESTS = 2
+# Requests that take longer leave some members free, so that short ones, whose callers
+# are waiting, do not queue behind them.
+LONG_REQUEST_SECONDS = 0.15
+SHORT_REQUEST_SHARE = 0.25
 
 
 @define(eq=False)
@@ -15,8 +20,9 @@
 
     ``strength`` is the suitability of its machine to lead, from 0 to 1, ``started``
     the start time of its process on the leader's monotonic clock.
-    ``advice_requests`` counts its pending requests to the advice service, and
-    ``wall_offset`` is how far its time of day is ahead of the leader's monotonic time.
+    ``advice_seconds`` has the expected duration of each of its pending requests to the
+    advice service, which it makes one after another. ``wall_offset`` is how far its
+    time of day is ahead of the leader's monotonic time.
     """
 
     instance: str
@@ -27,7 +33,7 @@
     strength: float = 1.0
     started: timedelta = timedelta(0)
     upstreams: set[str] = field(factory=set)
-    advice_requests: int = 0
+    advice_seconds: deque[float] = field(factory=deque)
     wall_offset: timedelta | None = None
     leaving: bool = False
 
@@ -36,6 +42,15 @@
         """The number of assigned upstreams per core."""
         return len(self.upstreams) / self.cores
 
+    def record_advice_request(self, seconds: float) -> None:
+        """Record a request to the advice service that is expected to take a time."""
+        self.advice_seconds.append(seconds)
+
+    def record_advice_answer(self) -> None:
+        """Record that the oldest request to the advice service has been answered."""
+        if self.advice_seconds:
+            self.advice_seconds.popleft()
+
 
 class Placed(Protocol):
     """The part of an upstream that matters when its member is chosen."""
@@ -143,19 +158,26 @@
                 best = (rank, member.instance)
         return best[1] if best is not None else ""
 
-    def choose_adviser(self) -> Member | None:
-        """Return the member with the fewest advice requests below the limit, if any."""
+    def choose_adviser(self, seconds: float) -> Member | None:
+        """Return the member that answers a request soonest, if any has a free slot.
+
+        The request is expected to take ``seconds``. Long requests are not given to the
+        members that are kept free for short ones.
+        """
+        advisers = [member for member in self.members.values() if not member.leaving]
+        if seconds > LONG_REQUEST_SECONDS:
+            advisers = advisers[int(len(advisers) * SHORT_REQUEST_SHARE) :]
         free = [
             member
-            for member in self.members.values()
-            if member.advice_requests < MAX_ADVICE_REQUESTS and not member.leaving
+            for member in advisers
+            if len(member.advice_seconds) < MAX_ADVICE_REQUESTS
         ]
-        return min(free, key=lambda member: member.advice_requests, default=None)
+        return min(free, key=lambda member: sum(member.advice_seconds), default=None)
 
     def count_advice_slots(self) -> int:
         """Return how many more requests to the advice service members may take."""
         return sum(
-            max(0, MAX_ADVICE_REQUESTS - member.advice_requests)
+            MAX_ADVICE_REQUESTS - len(member.advice_seconds)
             for member in self.members.values()
             if not member.leaving
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
@@ -1,18 +1,23 @@
 import asyncio
 import unittest
 
+from attrs import evolve
 from tornado.netutil import bind_sockets
 
 from almondspread.clock import SystemClock
+from almondspread.codec import encode_message
 from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.ports import RowPut, Transaction
+from almondspread_daemon.jobs.follower import RENEWAL_TIME
 from almondspread_daemon.jobs.links import Hello, LinkServer, Welcome
+from almondspread_daemon.jobs.rows import LEADER_ROW
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.tests.support import StoreParts, make_instance
+from almondspread_daemon.jobs.tests.support import SECOND, StoreParts, make_instance
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        parts = StoreParts()
+        self.parts = parts = StoreParts()
         access = StoreAccess(parts.store, None, parts.clock, parts.metrics)
         self.instance = make_instance(parts, access)
         self.follower = self.instance._follower
@@ -54,6 +59,39 @@
         self.follower.close()
         self.assertFalse(await task)
 
+    async def check_store(self, lease_renewed):
+        """Have the follower read the leader's row as a heartbeat does without lease."""
+        self.follower._clock = self.parts.clock
+        renewed = 50.0 if not lease_renewed else 1_000.0
+        put = RowPut(LEADER_ROW, encode_message(evolve(self.row, renewed=renewed)))
+        await self.parts.store.transact(Transaction(puts=(put,)), SECOND)
+        self.parts.store.store_time = 100 * SECOND
+        link = self.follower._link
+        await self.follower._check_store(link)
+        return link
+
+    async def test_leader_gets_time_to_renew_after_an_outage_of_the_store(self):
+        """Followers left a live leader as soon as the store answered them again."""
+        task = await self.follow()
+        link = await self.check_store(lease_renewed=False)
+        self.assertFalse(link.closed_here)
+        self.parts.clock.advance(RENEWAL_TIME / 2)
+        link = await self.check_store(lease_renewed=False)
+        self.assertFalse(link.closed_here)
+        self.parts.clock.advance(RENEWAL_TIME)
+        link = await self.check_store(lease_renewed=False)
+        self.assertTrue(link.closed_here)
+        self.assertFalse(await task)
+
+    async def test_leader_that_renews_in_time_is_followed_on(self):
+        task = await self.follow()
+        await self.check_store(lease_renewed=False)
+        self.parts.clock.advance(2 * RENEWAL_TIME)
+        link = await self.check_store(lease_renewed=True)
+        self.assertFalse(link.closed_here)
+        self.links[0].close()
+        await task
+
     async def test_process_that_no_longer_listens_has_ended(self):
         self.server.stop()
         self.assertFalse(await self.follower.follow(self.row))
