Count only the work that is placed before a job as its wait

Cause: the estimated wait counted jobs that no upstream may run (denied by the advice service) and jobs that are late already, which stand behind new ones. Change: work ahead is what would be placed before a new job of the queue. Test: test_work_that_is_placed_later_or_never_makes_nobody_wait, which failed before.

--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -10,6 +10,7 @@
 
 from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.jobs.durations import DurationRatios
+from almondspread.jobs.ordering import FIRST_GROUP, rank_step
 from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
@@ -40,8 +41,8 @@
 ) -> timedelta:
     """Return how long the work ahead of a new job of the queue will take.
 
-    The work ahead consists of the waiting tasks with the same or a more urgent
-    priority. All usable upstreams of the service share it. ``ratios`` corrects the
+    The work ahead consists of the waiting tasks that would be placed before those of
+    the new job. All usable upstreams of the service share it. ``ratios`` corrects the
     estimates of each queue. Without usable upstreams, the estimate is zero.
     """
     capacity = Capacity(0, 0, 0)
@@ -52,12 +53,9 @@
         return timedelta(0)
     processor = memory = accelerators = 0.0
     for progress in waiting:
-        name = progress.job.submission.queue
-        other = configuration.queues.get(name)
-        if other is None or other.service != queue.service:
-            continue
-        if other.priority > queue.priority or progress.step.lasting:
+        if not _is_ahead(progress, queue, configuration, now):
             continue
+        name = progress.job.submission.queue
         claim = progress.step.claim
         seconds = progress.step.estimate.total_seconds() * ratios.find_mean(name)
         seconds *= len(progress.waiting)
@@ -70,3 +68,21 @@
         accelerators / max(capacity.accelerators, 1),
     )
     return timedelta(seconds=min(wait, MAX_WAIT.total_seconds()))
+
+
+def _is_ahead(
+    progress: StepProgress, queue: Queue, configuration: Configuration, now: timedelta
+) -> bool:
+    """Return whether a step's waiting tasks are placed before a new job of the queue.
+
+    Jobs that are late already stand behind new ones, and tasks that no upstream may run
+    take room from nobody.
+    """
+    other = configuration.queues.get(progress.job.submission.queue)
+    if other is None or other.service != queue.service:
+        return False
+    if other.priority > queue.priority or progress.step.lasting:
+        return False
+    if progress.permits.denied and not progress.permits.allowed:
+        return False
+    return rank_step(progress, configuration, now)[0] == FIRST_GROUP
--- a/packages/almondspread/almondspread/jobs/tests/test_backlog.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_backlog.py
@@ -28,16 +28,17 @@
         entry = attrs.evolve(entry, capacity=UPSTREAM)
         self.upstreams = [Upstream(entry, has_reported=True, recorded=True)]
 
-    def estimate(self, *steps):
+    def estimate(self, *steps, now=SECOND, denied=()):
         job = JobProgress(make_job("j", *steps), SECOND)
         waiting = []
         for number, step in enumerate(steps):
             progress = StepProgress(job, 0, number, step)
             progress.waiting = dict.fromkeys(range(step.count))
+            progress.permits.denied.update(denied)
             waiting.append(progress)
         queue = self.configuration.queues[QUEUE]
         return estimate_wait(
-            queue, self.configuration, waiting, self.upstreams, self.ratios, SECOND
+            queue, self.configuration, waiting, self.upstreams, self.ratios, now
         )
 
     def test_scarcest_resource_decides(self):
@@ -59,6 +60,16 @@
         wait = self.estimate(make_step(5, size=SCAN, estimate=SECOND))
         self.assertEqual(wait, 15 * SECOND)
 
+    def test_work_that_is_placed_later_or_never_makes_nobody_wait(self):
+        """Callers were refused for jobs that no upstream may run, and for late ones.
+
+        Eight of 43 were refused on a day on which upstreams stood free.
+        """
+        scan = make_step(2, size=SCAN, estimate=4 * SECOND)
+        self.assertEqual(self.estimate(scan, now=9 * SECOND), 0 * SECOND)
+        self.assertEqual(self.estimate(scan, denied={"u0"}), 0 * SECOND)
+        self.assertEqual(self.estimate(scan), 8 * SECOND)
+
     def test_empty_cell_makes_nobody_wait(self):
         self.assertEqual(self.estimate(), 0 * SECOND)
 
