--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -35,13 +35,13 @@
     progress: StepProgress,
     usable: Iterable[Upstream],
     find_free: Callable[[Upstream], Capacity],
-) -> dict[str, Candidate]:
-    """Return by name the usable upstreams on which a task of the step may run now.
+) -> list[Candidate]:
+    """Return the usable upstreams on which a task of the step may run now.
 
     ``find_free`` tells what the step may use of an upstream.
     """
     step = progress.step
-    found = {}
+    found = []
     for upstream in usable:
         if not has_room(step, upstream):
             continue
@@ -49,13 +49,13 @@
             continue
         free = find_free(upstream)
         if step.claim.fits_in(free):
-            found[upstream.name] = Candidate(upstream, free)
+            found.append(Candidate(upstream, free))
     return found
 
 
 def place_tasks(
     progress: StepProgress,
-    candidates: dict[str, Candidate],
+    candidates: list[Candidate],
     latency_sensitive: set[str],
 ) -> list[Placement]:
     """Choose upstreams for as many waiting tasks of a step as fit.
@@ -65,8 +65,8 @@
     """
     step = progress.step
     if step.gang:
-        return _place_gang(progress, list(candidates.values()), latency_sensitive)
-    plan = _PlacementPlan(progress, list(candidates.values()), latency_sensitive)
+        return _place_gang(progress, candidates, latency_sensitive)
+    plan = _PlacementPlan(progress, candidates, latency_sensitive)
     placements = []
     for index in progress.waiting:
         avoided = progress.avoided_upstreams.get(index, set())
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -208,7 +208,7 @@
             progress, upstreams, lambda upstream: self._find_free(step, upstream)
         )
         if candidates:
-            self._start(step, candidates, now)
+            self._place_tasks(step, candidates, now)
 
     def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
@@ -291,13 +291,10 @@
             ends.append((now + left, progress.step.claim))
         return ends
 
-    def _start(
-        self,
-        step: _RankedStep,
-        candidates: dict[str, Candidate],
-        now: timedelta,
+    def _place_tasks(
+        self, step: _RankedStep, candidates: list[Candidate], now: timedelta
     ) -> None:
-        """Bind waiting tasks of a step to upstreams and order their starts."""
+        """Bind waiting tasks of a step to candidates and order their starts."""
         progress = step.progress
         latency_sensitive: set[str] = set()
         if progress.step.opportunistic:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_announcer.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_announcer.py
@@ -26,7 +26,7 @@
         self.sent = []
         for number in range(MEMBERS):
             assignments.add_member(
-                Member(f"m{number}", "zone", 1.0, self.sent.append, timedelta(0))
+                Member(f"m{number}", "domain", 1.0, self.sent.append, timedelta(0))
             )
         self.sent.clear()
         self.announcer = StateAnnouncer(self.scheduler, assignments, self.clock)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_members.py
@@ -23,7 +23,7 @@
             self.assignments.add_member(
                 Member(
                     name,
-                    "zone",
+                    "domain",
                     1.0,
                     lambda message, name=name: self.sent.append((name, message)),
                     timedelta(0),
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -185,7 +185,7 @@
         self.assertFalse(self.election_task.done())
 
     async def test_unexpected_message_of_the_leader_is_ignored(self):
-        self.instance._dispatcher.dispatch(Hello("x", "y", "zone", 1.0, 1.0, 0.0))
+        self.instance._dispatcher.dispatch(Hello("x", "y", "domain", 1.0, 1.0, 0.0))
 
     async def test_ended_leader_is_replaced_before_its_lease_expires(self):
         """After a leader was killed, nothing was started for another 1.4 s.
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_wall_time.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_wall_time.py
@@ -25,7 +25,7 @@
         self.truth = self.clock.now()
 
     def make_member(self, name, ahead=timedelta(0)):
-        member = Member(name, "zone", 1.0, lambda _: None, timedelta(0))
+        member = Member(name, "domain", 1.0, lambda _: None, timedelta(0))
         seconds = (self.truth + ahead).timestamp()
         member.wall_offset = measure_offset(seconds, self.clock.monotonic())
         return member
