Give large configurations the time that a slow link needs

Cause: the configuration was read with the timeout of small reads, 0.3 s at first. Change: reads and changes of what operators publish have a timeout of their own, of 1.5 s at the least, which does not move that of other reads.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -31,6 +31,8 @@
 
 MIN_TIMEOUT = timedelta(milliseconds=300)
 MAX_TIMEOUT = timedelta(milliseconds=1_600)
+# A configuration with thousands of queues takes this long over a slow link.
+OPERATOR_INPUT_TIME = timedelta(milliseconds=1_500)
 # A timeout of this many average latencies tells a lost answer from a slow one.
 TIMEOUT_FACTOR = 6
 PROBE_INTERVAL = timedelta(milliseconds=200)
@@ -59,11 +61,15 @@
 
 
 class AdaptiveTimeout:
-    """Derives a timeout from the moving average of the latencies of answers."""
+    """Derives a timeout from the moving average of the latencies of answers.
 
-    def __init__(self) -> None:
-        self._average = MIN_TIMEOUT / TIMEOUT_FACTOR
-        self._timeout = MIN_TIMEOUT
+    The timeout is never below ``minimum``.
+    """
+
+    def __init__(self, minimum: timedelta = MIN_TIMEOUT) -> None:
+        self._minimum = minimum
+        self._average = minimum / TIMEOUT_FACTOR
+        self._timeout = minimum
 
     @property
     def timeout(self) -> timedelta:
@@ -74,7 +80,7 @@
         """Update the average and the timeout with the latency of an answer."""
         self._average += SMOOTHING_FACTOR * (duration - self._average)
         self._timeout = max(
-            MIN_TIMEOUT, min(MAX_TIMEOUT, TIMEOUT_FACTOR * self._average)
+            self._minimum, min(MAX_TIMEOUT, TIMEOUT_FACTOR * self._average)
         )
 
     def record_timeout(self) -> None:
@@ -113,6 +119,7 @@
         # and the timeout of fast reads would cut the writes short.
         self._read_timeout = AdaptiveTimeout()
         self._write_timeout = AdaptiveTimeout()
+        self._operator_timeout = AdaptiveTimeout(OPERATOR_INPUT_TIME)
         self._failing_since: timedelta | None = None
         self._outage_logged = False
         # The send time of the newest call that was answered.
@@ -234,7 +241,9 @@
 
     async def read_operator_input(self) -> Result[OperatorInput, StoreUnavailable]:
         """Return the configuration and maintenance waves that operators published."""
-        return await self._make_call(self._directory.read_operator_input)
+        return await self._make_call(
+            self._directory.read_operator_input, self._operator_timeout
+        )
 
     def make_wave_row(self, number: int, completed: bool) -> RowPut:
         """Return the row that reports the progress of a maintenance wave."""
@@ -244,7 +253,7 @@
         self, wait: timedelta
     ) -> Result[bool, HistoryGone | StoreUnavailable]:
         """Wait up to ``wait`` for operators to publish, and return whether they did."""
-        timeout = wait + self._read_timeout.timeout
+        timeout = wait + self._operator_timeout.timeout
         return await self._await_answer(self._directory.wait_for_change(wait, timeout))
 
     async def _make_call(
