--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -55,6 +55,7 @@
             RunPhase.RUNNING,
             started_at=now,
             changed_at=now,
+            is_confirmed=True,
         )
         self.add_run(progress, sighting.task.index, upstream, run)
         return run
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -50,7 +50,8 @@
     ``stop_requested_at`` instead. ``seen_at`` is when a report last showed the run with
     its ``percent`` and ``figure``. ``pace`` is the limit on its speed in percent.
     ``available`` is set while a lasting task does its work. A run ``is_whole`` if it
-    does all the work of its task under this leader. Once a stop is answered,
+    does all the work of its task under this leader, and ``is_confirmed`` once its
+    upstream has confirmed the start. Once a stop is answered,
     ``conclusive_report`` is the number of a report: if the run is absent from this
     report or a later one, it never started.
     """
@@ -67,6 +68,7 @@
     pace: int = 100
     available: bool = False
     is_whole: bool = False
+    is_confirmed: bool = False
     stop_requested_at: timedelta | None = None
     conclusive_report: int | None = None
 
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -62,6 +62,7 @@
         """Record that a run has started."""
         run.phase = RunPhase.RUNNING
         run.started_at = run.changed_at = now
+        run.is_confirmed = True
         self.job_table.mark_started(self.job_table.jobs[run.task.job])
 
     def handle_start_outcome(self, settled: StartSettled, now: timedelta) -> None:
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -36,6 +36,8 @@
     has lost, or one of an earlier leader, may still renew them. The machine of the
     upstream may be taken down for maintenance from ``leaves_at`` on.
 
+    ``heard_at`` is when a report of the upstream last arrived.
+
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
     is the number of the newest run end that the leader has applied.
@@ -44,6 +46,7 @@
     entry: UpstreamEntry
     entry_changed_at: timedelta = timedelta(0)
     last_observed_at: timedelta | None = None
+    heard_at: timedelta = timedelta(0)
     has_reported: bool = False
     recorded: bool = False
     has_unknown_runs: bool = False
