Show with six failing tests that a task may crash upstreams without end

Callers saw a job that stayed running while upstreams crashed one after another. The fake cell can now crash an upstream that starts a given task.

--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -0,0 +1,137 @@
+"""Tasks that crash the upstreams that start them, and tasks that only seem to."""
+
+from datetime import timedelta
+
+from almondspread.jobs.progress import JobState
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+
+DEADLY = TaskId("deadly", 0, 0, 0)
+
+
+class DeadlyTaskTest(CellTest):
+    """One task crashed upstream after upstream, for as long as the day lasted."""
+
+    def setUp(self):
+        super().setUp()
+        self.add_upstreams(6)
+        self.cell.deadly.add(DEADLY)
+        self.cell.run_for(SECOND)
+
+    def test_task_that_crashes_two_upstreams_is_given_up(self):
+        self.cell.submit(make_job("deadly", make_step(2)))
+        self.cell.run_for(20 * SECOND)
+        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[DEADLY], 2)
+
+    def test_task_that_may_run_twice_is_given_up_as_early(self):
+        self.cell.submit(make_job("deadly", make_step(duplicates=True)))
+        self.cell.run_for(20 * SECOND)
+        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[DEADLY], 2)
+
+    def test_lasting_task_that_crashes_two_upstreams_is_given_up(self):
+        self.cell.submit(make_job("deadly", make_step(lasting=True)))
+        self.cell.run_for(20 * SECOND)
+        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[DEADLY], 2)
+
+    def test_crashes_are_remembered_by_the_next_leaders(self):
+        self.cell.submit(make_job("deadly", make_step(2)))
+        for _ in range(8):
+            self.cell.run_for(4 * SECOND)
+            self.cell.take_over()
+        self.cell.run_for(20 * SECOND)
+        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
+        self.assertLessEqual(self.cell.crashes[DEADLY], 3)
+
+    def test_leader_killed_soon_after_each_crash_does_not_forget_it(self):
+        self.cell.submit(make_job("deadly", make_step(2)))
+        for crash in range(1, 6):
+            while self.cell.crashes.get(DEADLY, 0) < crash:
+                self.cell.step()
+                if self.cell.read_state("deadly") is JobState.FAILED:
+                    return
+            self.cell.run_for(timedelta(milliseconds=500))
+            self.cell.take_over()
+        self.fail("the task was never given up")
+
+    def test_tasks_beside_a_deadly_one_are_done(self):
+        self.cell.submit(make_job("deadly", make_step(4)))
+        jobs = []
+        for number in range(20):
+            jobs.append(f"j{number}")
+            self.cell.submit(make_job(jobs[-1], make_step(3)))
+            self.cell.run_for(timedelta(milliseconds=300))
+        self.cell.run_for(20 * SECOND)
+        self.assert_completed(*jobs)
+        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[DEADLY], 2)
+
+
+class BystanderTest(CellTest):
+    """Tasks that lose their upstreams for other reasons are not given up."""
+
+    def setUp(self):
+        super().setUp()
+        self.add_upstreams(4)
+        self.cell.run_for(SECOND)
+        self.task = TaskId("j", 0, 0, 0)
+        for upstream in self.cell.upstreams.values():
+            upstream.durations[self.task] = 3 * SECOND
+
+    def find_upstream(self):
+        for name, upstream in self.cell.upstreams.items():
+            if self.task in upstream.runs:
+                return name
+        return None
+
+    def wait_for_start(self):
+        while self.find_upstream() is None:
+            self.cell.step()
+        return self.find_upstream()
+
+    def test_task_on_upstreams_that_are_cut_off_is_not_given_up(self):
+        self.cell.submit(make_job("j", make_step()))
+        for _ in range(3):
+            self.cell.silent.add(self.wait_for_start())
+            self.cell.run_for(8 * SECOND)
+        self.assertEqual(self.cell.read_state("j"), JobState.RUNNING)
+        self.cell.silent.clear()
+        self.cell.run_for(20 * SECOND)
+        self.assert_completed("j")
+
+    def test_task_on_upstreams_that_are_shut_down_is_not_given_up(self):
+        self.cell.submit(make_job("j", make_step()))
+        for _ in range(3):
+            name = self.wait_for_start()
+            self.cell.draining.add(name)
+            self.cell.run_for(timedelta(milliseconds=200))
+            self.cell.replace_upstream(name)
+            self.cell.step()
+        self.cell.run_for(10 * SECOND)
+        self.assert_completed("j")
+
+    def test_task_whose_starts_never_arrived_is_not_given_up(self):
+        """The upstreams had crashed before the starts were sent."""
+        self.cell.submit(make_job("j", make_step()))
+        for _ in range(3):
+            dead = set(self.cell.upstreams)
+            self.cell.silent.update(dead)
+            starts = self.cell.history.starts
+            self.cell.run_for(timedelta(milliseconds=100))
+            for name in dead:
+                self.cell.replace_upstream(name)
+            self.cell.run_for(timedelta(milliseconds=100))
+            self.assertLessEqual(self.cell.history.starts, starts + 1)
+        self.cell.run_for(10 * SECOND)
+        self.assert_completed("j")
+
+    def test_lasting_task_survives_crashes_of_its_upstreams_over_time(self):
+        self.cell.submit(make_job("j", make_step(lasting=True)))
+        for _ in range(5):
+            name = self.wait_for_start()
+            self.cell.run_for(2 * SECOND)
+            self.cell.replace_upstream(name)
+            self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.read_state("j"), JobState.RUNNING)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -25,7 +25,7 @@
 )
 from almondspread.jobs.progress import JobRecord, JobState
 from almondspread.jobs.scheduler import Scheduler
-from almondspread.jobs.submissions import Submission
+from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
@@ -36,6 +36,10 @@
 START_EXPIRY = timedelta(seconds=2)
 MAX_RECORDS = 90
 DRAIN_TIME = timedelta(seconds=2)
+# A crashed upstream is back, as a new incarnation, after this time.
+RESTART_TIME = timedelta(seconds=3)
+# No leader may start a task that crashes its upstreams more often than this.
+MAX_CRASHING_STARTS = 5
 Order = UpstreamOrder | AskPermits
 
 
@@ -82,6 +86,7 @@
     whether it is executed without an answer, ``hold_back`` whether it is kept in
     ``held_orders`` for a later execution, and ``drop_order`` whether it is lost
     together with its executor. The advice service permits no upstream of ``denied``.
+    A task of ``deadly`` crashes each upstream that starts it; ``crashes`` counts these.
     """
 
     history: History = field(factory=History)
@@ -97,6 +102,8 @@
     hold_back: Callable[[Order], bool] = lambda _: False
     drop_order: Callable[[Order], bool] = lambda _: False
     denied: set[str] = field(factory=set)
+    deadly: set[TaskId] = field(factory=set)
+    crashes: dict[TaskId, int] = field(factory=dict)
     permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
     versions: dict[str, int] = field(factory=dict)
@@ -104,6 +111,7 @@
     _acknowledged: dict[str, int] = field(factory=dict)
     _forwarded: dict[str, int] = field(factory=dict)
     _query_counts: dict[str, int] = field(factory=dict)
+    _restarts: dict[str, timedelta] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.scheduler = Scheduler(1, self.configuration)
@@ -161,6 +169,7 @@
     def step(self, duration: timedelta = timedelta(milliseconds=100)) -> None:
         """Advance the clock, poll all upstreams, schedule, and execute the orders."""
         self.now += duration
+        self._restart_crashed()
         self.report_upstream_list()
         for name in list(self.upstreams):
             self.poll_upstream(name)
@@ -231,6 +240,8 @@
                 self._report_start(order, FENCED, reason)
             else:
                 self._report_start(order, REFUSED if reason else STARTED, reason)
+            if order.task in self.deadly and not reason and not unreachable:
+                self._crash(order.upstream, order.task)
             return
         if not unreachable:
             upstream.stop(epoch, order.task, order.run, self.now)
@@ -241,6 +252,36 @@
             self.now,
         )
 
+    def _crash(self, name: str, task: TaskId) -> None:
+        """Crash an upstream because it has started a deadly task."""
+        self.upstreams[name].crash()
+        self.silent.add(name)
+        self._restarts[name] = self.now + RESTART_TIME
+        self.crashes[task] = self.crashes.get(task, 0) + 1
+        if self.crashes[task] > MAX_CRASHING_STARTS:
+            self.history.violations.append(f"{task} was started again and again")
+
+    def _restart_crashed(self) -> None:
+        """Bring back crashed upstreams as new incarnations at their addresses."""
+        for name, due in list(self._restarts.items()):
+            if self.now >= due:
+                del self._restarts[name]
+                self.replace_upstream(name)
+
+    def replace_upstream(self, name: str) -> None:
+        """Replace an upstream by a new incarnation, without runs, at its address."""
+        upstreams = {}
+        for each, upstream in self.upstreams.items():
+            if each == name:
+                upstream.crash()
+                self.silent.discard(name)
+                fresh = FakeUpstream(f"{name}+", upstream.capacity, self.history)
+                fresh.durations = upstream.durations
+                upstreams[fresh.name] = fresh
+            else:
+                upstreams[each] = upstream
+        self.upstreams = upstreams
+
     def _report_start(self, order: StartRun, outcome: str, reason: str) -> None:
         """Report the outcome of a start to the scheduler."""
         self.scheduler.handle_report(
