Give up tasks under which upstreams crash, and try suspected ones alone

Cause: a run that takes its upstream with it leaves no report. The scheduler counted only reported ends, so that a lost upstream put its tasks back to waiting with nothing noted, and the tightest fit put them on one upstream together again. A new leader knew even less.

Change: each task keeps the upstreams lost under it, stored with its progress from the moment that an upstream with a fresh run falls silent. A loss is open until another incarnation of the service shows at the address that the upstream crashed, and is dismissed when it answers, was leaving, or went to another service. Two crashes right after a start, or three at any age, give the task up; a task that would be given up if its open losses were crashes waits until they are clear. A suspected task starts apart, if possible alone on an upstream that survived its last start, on at most a fifth of a service's upstreams.

Tried and left out: a verdict only for crashes of a task that ran alone.

--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -1,15 +1,146 @@
-"""Crashes of upstreams: which runs an upstream may have died of."""
+"""Crashes of upstreams: which tasks ran there, and whether the upstream did crash."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
-from almondspread.jobs.progress import Run
-from almondspread.jobs.upstreams import Upstream
+import attrs
+from attrs import define, field
+from loguru import logger
 
-# A report that was sent before a crash may be handled this much later than the answer
-# to the start that caused the crash.
-FRESH_TIME = timedelta(milliseconds=150)
+from almondspread.jobs.job_table import JobTable
+from almondspread.jobs.losses import Loss
+from almondspread.jobs.messages import RunEnd, UpstreamEntry
+from almondspread.jobs.progress import Run, StepProgress
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.upstreams import FRESH_TIME, Upstream
+
+# An upstream that has not come back by then tells nothing about its tasks.
+RESTART_PATIENCE = timedelta(seconds=15)
+MAX_LOGGED_TASKS = 8
 
 
 def is_fresh(run: Run, upstream: Upstream) -> bool:
     """Return whether a run had hardly begun when its upstream was last heard."""
     return upstream.heard_at - run.started_at < FRESH_TIME
+
+
+@define(eq=False)
+class CrashTracker:
+    """Records at each task the upstreams that were lost under it.
+
+    A loss stays open until another incarnation shows that the upstream has crashed, or
+    until the upstream answers, and for at most ``RESTART_PATIENCE``. Open losses are
+    stored with the progress of their step, so that the next leader resolves them.
+    """
+
+    job_table: JobTable
+    _opened: dict[tuple[TaskId, int], timedelta] = field(factory=dict)
+
+    def record_silence(
+        self, upstream: Upstream, runs: Iterable[Run], now: timedelta
+    ) -> None:
+        """Record that an upstream fell silent with some fresh runs.
+
+        The others are recorded when they are lost: it may yet answer, and a record
+        costs a write.
+        """
+        for run in runs:
+            if run.is_confirmed and is_fresh(run, upstream):
+                self._open(run, upstream, now)
+
+    def record_loss(
+        self, upstream: Upstream, runs: Iterable[Run], now: timedelta
+    ) -> None:
+        """Record that an upstream is lost with all its runs.
+
+        An upstream that was about to leave was shut down, not crashed.
+        """
+        for run in runs:
+            if upstream.is_leaving:
+                self._dismiss(run.task, run.number)
+            else:
+                self._open(run, upstream, now)
+
+    def record_end(self, end: RunEnd) -> None:
+        """Dismiss the loss of a run whose end its upstream has reported."""
+        self._dismiss(end.task, end.run)
+
+    def record_success(self, progress: StepProgress, index: int) -> None:
+        """Dismiss all losses of a lasting task, which has begun its work."""
+        if progress.losses.pop(index, None):
+            self.job_table.mark_losses(progress)
+
+    def record_answer(self, upstream: str) -> None:
+        """Dismiss the open losses of an upstream that answers again."""
+        for progress, index, loss in self._list_open():
+            if loss.upstream == upstream:
+                self._dismiss(progress.make_task_id(index), loss.run)
+
+    def _open(self, run: Run, upstream: Upstream, now: timedelta) -> None:
+        """Record the loss of one run."""
+        self._opened.setdefault((run.task, run.number), now)
+        progress = self.job_table.find_step(run)
+        progress.set_loss(
+            run.task.index,
+            Loss(
+                run.number,
+                upstream.name,
+                upstream.entry.address,
+                run.is_confirmed,
+                is_fresh(run, upstream),
+            ),
+        )
+        self.job_table.mark_losses(progress)
+
+    def _dismiss(self, task: TaskId, run: int) -> None:
+        """Remove the loss of one run, if there is one."""
+        self._opened.pop((task, run), None)
+        progress = self.job_table.find_known_step(task.job, task.occurrence, task.step)
+        if progress is not None and progress.remove_loss(task.index, run):
+            self.job_table.mark_losses(progress)
+
+    def _list_open(self) -> list[tuple[StepProgress, int, Loss]]:
+        """Return the open losses, each with its step and the index of its task."""
+        found = []
+        for progress in self.job_table.list_steps_with_losses():
+            for index, losses in progress.losses.items():
+                for loss in losses:
+                    if not loss.crashed:
+                        found.append((progress, index, loss))
+        return found
+
+    def resolve(self, entries: list[UpstreamEntry], now: timedelta) -> None:
+        """Resolve open losses by the newest list of upstreams; end deadly jobs."""
+        open_losses = self._list_open()
+        if not open_losses:
+            return
+        services = {entry.address: entry.service for entry in entries}
+        names = {entry.name for entry in entries}
+        crashed: dict[str, list[str]] = {}
+        for progress, index, loss in open_losses:
+            task = progress.make_task_id(index)
+            opened = self._opened.setdefault((task, loss.run), now)
+            service = services.get(loss.address)
+            if service is None or loss.upstream in names:
+                if now - opened > RESTART_PATIENCE:
+                    self._dismiss(task, loss.run)
+                continue
+            queue = progress.job.submission.queue
+            if service != self.job_table.find_service(queue):
+                # The address went to another service, so the upstream was replaced.
+                self._dismiss(task, loss.run)
+                continue
+            self._opened.pop((task, loss.run), None)
+            progress.set_loss(index, attrs.evolve(loss, crashed=True))
+            self.job_table.mark_losses(progress)
+            crashed.setdefault(loss.upstream, []).append(
+                f"{task.job}.{task.step}.{index}"
+            )
+            self.job_table.end_if_finished(progress.job, now)
+        for upstream, tasks in crashed.items():
+            logger.warning(
+                "upstream has crashed",
+                upstream=upstream,
+                under=len(tasks),
+                tasks=tasks[:MAX_LOGGED_TASKS],
+            )
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -44,6 +44,7 @@
     is_complete: bool = True
     jobs: dict[str, JobProgress] = field(factory=dict)
     ready_steps: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
+    _steps_with_losses: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
     changed: set[str] = field(factory=set)
     forgotten: set[str] = field(factory=set)
     newest_version: int = 0
@@ -121,7 +122,26 @@
     def _create_due_steps(self, job: JobProgress, wall: datetime) -> None:
         """Create the steps of one job that have become due."""
         for progress in job.create_due_steps(wall):
-            self.update_readiness(progress)
+            self._add_step(progress)
+
+    def _add_step(self, progress: StepProgress) -> None:
+        """Add a step that was just created."""
+        self.update_readiness(progress)
+        if progress.losses:
+            self._steps_with_losses[progress.key] = progress
+
+    def mark_losses(self, progress: StepProgress) -> None:
+        """Record that the losses of a step have changed and are to be stored."""
+        self._steps_with_losses[progress.key] = progress
+        if progress.job.ended is None:
+            self.changed.add(progress.job.submission.job)
+
+    def list_steps_with_losses(self) -> list[StepProgress]:
+        """Return the steps of unended jobs under which upstreams were lost."""
+        for key, progress in list(self._steps_with_losses.items()):
+            if progress.job.ended is not None or not progress.losses:
+                del self._steps_with_losses[key]
+        return list(self._steps_with_losses.values())
 
     def update_readiness(self, progress: StepProgress) -> None:
         """Add a step to the ready steps, or remove it, as its state demands."""
@@ -144,8 +164,8 @@
         self.stop_runs(job.list_runs(), now)
 
     def end_if_finished(self, job: JobProgress, now: timedelta) -> None:
-        """End a job that is complete or has used up its attempts."""
-        if job.ended is not None:
+        """End a job that is complete, has used up its attempts or is deadly."""
+        if job.ended is not None or self._end_if_deadly(job, now):
             return
         queue = self.configuration.queues.get(job.submission.queue)
         for progress in job.steps.values():
@@ -167,6 +187,24 @@
             logger.info("job completed", job=job.submission.job)
             self._end_job(job, JobState.COMPLETED, now)
 
+    def _end_if_deadly(self, job: JobProgress, now: timedelta) -> bool:
+        """End a job with a task that crashes its upstreams; return whether it has."""
+        for progress in job.steps.values():
+            index = progress.find_deadly_task()
+            if index is None:
+                continue
+            logger.warning(
+                "job failed",
+                job=job.submission.job,
+                step=progress.number,
+                task=index,
+                reason="upstreams crash when they start the task",
+                upstreams=[loss.upstream for loss in progress.losses[index]],
+            )
+            self._end_job(job, JobState.FAILED, now)
+            return True
+        return False
+
     def list_expired(self, now: timedelta, retention: timedelta) -> list[str]:
         """Return jobs that ended ``retention`` or longer ago and have no runs left.
 
@@ -217,7 +255,7 @@
         if job is None:
             return None
         for created in job.create_steps_through(task.occurrence):
-            self.update_readiness(created)
+            self._add_step(created)
         progress = job.steps.get((task.occurrence, task.step))
         if progress is None or task.index >= progress.step.count:
             return None
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -12,10 +12,14 @@
 
 @define(frozen=True)
 class Placement:
-    """The index of a task in its step, and the upstream chosen for it."""
+    """The index of a task in its step, and the upstream chosen for it.
+
+    A task placed ``alone`` is to be all that begins there for a while.
+    """
 
     index: int
     upstream: Upstream
+    alone: bool = False
 
 
 @define(frozen=True)
@@ -43,7 +47,7 @@
     step = progress.step
     found = []
     for upstream in usable:
-        if not has_room(step, upstream):
+        if upstream.trying or not has_room(step, upstream):
             continue
         if step.spread_limit and upstream.count_step(progress.key) >= step.spread_limit:
             continue
@@ -57,34 +61,51 @@
     progress: StepProgress,
     candidates: list[Candidate],
     latency_sensitive: set[str],
+    max_alone: int = 0,
 ) -> list[Placement]:
     """Choose upstreams for as many waiting tasks of a step as fit.
 
     The function only plans and binds no runs. ``latency_sensitive`` names the upstreams
-    that run tasks with a latency target. A gang is placed whole or not at all.
+    that run tasks with a latency target. At most ``max_alone`` tasks are placed alone.
+    A gang is placed whole or not at all.
     """
     step = progress.step
     if step.gang:
-        return _place_gang(progress, candidates, latency_sensitive)
-    plan = _PlacementPlan(progress, candidates, latency_sensitive)
+        return _place_gang(progress, candidates, latency_sensitive, max_alone)
+    plan = _PlacementPlan(progress, candidates, latency_sensitive, max_alone)
     placements = []
-    for index in progress.waiting:
-        avoided = progress.avoided_upstreams.get(index, set())
-        # An upstream on which the task has failed or straggled is better than none.
-        upstream = plan.reserve(avoided) or plan.reserve(set())
-        if upstream is None:
+    for index in order_suspects_first(progress):
+        if progress.must_wait(index):
             continue
-        placements.append(Placement(index, upstream))
+        placement = plan.place(index)
+        if placement is not None:
+            placements.append(placement)
     return placements
 
 
+def order_suspects_first(progress: StepProgress) -> list[int]:
+    """Return the waiting tasks, first those that may crash their upstream.
+
+    These choose first, so that no other task of the step is put beside them.
+    """
+    if not progress.losses:
+        return list(progress.waiting)
+    return sorted(progress.waiting, key=lambda index: not progress.is_suspect(index))
+
+
 def _place_gang(
-    progress: StepProgress, candidates: list[Candidate], latency_sensitive: set[str]
+    progress: StepProgress,
+    candidates: list[Candidate],
+    latency_sensitive: set[str],
+    max_alone: int,
 ) -> list[Placement]:
     """Choose upstreams for all tasks of a gang, or for none.
 
     A gang that asks for one rack is spread over racks where no single rack fits it.
     """
+    indexes = order_suspects_first(progress)
+    if any(progress.must_wait(index) for index in indexes):
+        return []
     groups = [candidates]
     if progress.step.same_rack:
         racks: dict[str, list[Candidate]] = {}
@@ -92,13 +113,13 @@
             racks.setdefault(candidate.upstream.rack, []).append(candidate)
         groups = [*racks.values(), candidates]
     for group in groups:
-        plan = _PlacementPlan(progress, group, latency_sensitive)
+        plan = _PlacementPlan(progress, group, latency_sensitive, max_alone)
         placements = []
-        for index in range(progress.step.count):
-            chosen = plan.reserve(set())
-            if chosen is None:
+        for index in indexes:
+            placement = plan.place(index)
+            if placement is None:
                 break
-            placements.append(Placement(index, chosen))
+            placements.append(placement)
         if len(placements) == progress.step.count:
             return placements
     return []
@@ -112,8 +133,11 @@
         progress: StepProgress,
         candidates: list[Candidate],
         latency_sensitive: set[str],
+        max_alone: int,
     ) -> None:
+        self._progress = progress
         self._step = progress.step
+        self._max_alone = max_alone
         self._candidates = [candidate.upstream for candidate in candidates]
         self._latency_sensitive = latency_sensitive
         self._free = {
@@ -123,26 +147,64 @@
             upstream.name: upstream.count_step(progress.key)
             for upstream in self._candidates
         }
+        self._apart: set[str] = set()
+
+    def place(self, index: int) -> Placement | None:
+        """Reserve capacity for one task; return ``None`` if no upstream fits."""
+        if self._progress.is_suspect(index):
+            return self._place_apart(index)
+        upstream = None
+        if not self._step.gang:
+            upstream = self.reserve(self._progress.avoided_upstreams.get(index, set()))
+        # An upstream on which the task has failed or straggled is better than none.
+        upstream = upstream or self.reserve(set())
+        return Placement(index, upstream) if upstream else None
+
+    def _place_apart(self, index: int) -> Placement | None:
+        """Reserve capacity for a task that may crash its upstream.
+
+        It goes where the fewest runs would be lost, if possible alone, and in any case
+        not beside other tasks of the step.
+        """
+        candidates = sorted(
+            self._candidates, key=lambda each: (not each.is_settled, len(each.bound))
+        )
+        for upstream in candidates:
+            if upstream.name in self._apart or not self._fits(upstream):
+                continue
+            alone = upstream.is_settled and self._max_alone > 0
+            self._max_alone -= alone
+            self._apart.add(upstream.name)
+            self._take(upstream)
+            return Placement(index, upstream, alone)
+        return None
+
+    def _fits(self, upstream: Upstream) -> bool:
+        """Return whether one more task of the step may go to an upstream."""
+        limit = self._step.spread_limit
+        if limit and self._counts[upstream.name] >= limit:
+            return False
+        return self._step.claim.fits_in(self._free[upstream.name])
+
+    def _take(self, upstream: Upstream) -> None:
+        """Reduce the room of an upstream by one task."""
+        name = upstream.name
+        self._free[name] = self._free[name].minus(self._step.claim)
+        self._counts[name] += 1
 
     def reserve(self, avoided: set[str]) -> Upstream | None:
         """Reserve capacity for one task on the best upstream, ``None`` if none fits."""
         best = None
         best_score: tuple[int, int, int, int] | None = None
-        claim = self._step.claim
-        limit = self._step.spread_limit
         for upstream in self._candidates:
             name = upstream.name
-            if name in avoided or not claim.fits_in(self._free[name]):
-                continue
-            if limit and self._counts[name] >= limit:
+            if name in avoided or name in self._apart or not self._fits(upstream):
                 continue
             score = self._score(upstream)
             if best_score is None or score < best_score:
                 best, best_score = upstream, score
-        if best is None:
-            return None
-        self._free[best.name] = self._free[best.name].minus(claim)
-        self._counts[best.name] += 1
+        if best is not None:
+            self._take(best)
         return best
 
     def _score(self, upstream: Upstream) -> tuple[int, int, int, int]:
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from almondspread.jobs.losses import Loss, is_deadly, is_suspect, may_be_deadly
 from almondspread.jobs.messages import DONE, FAILED, RunEnd
 from almondspread.jobs.permits import StepPermits
 from almondspread.jobs.submissions import (
@@ -85,6 +86,7 @@
     done: bytes = b""
     failed_runs: dict[int, list[int]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
+    losses: dict[int, list[Loss]] = field(factory=dict)
 
 
 @define(frozen=True)
@@ -102,7 +104,8 @@
     """The progress of one step of one occurrence, by the index of each task.
 
     ``waiting`` holds, in order, the tasks that are to be started, and ``runs`` the
-    bound runs of tasks. ``failed_runs`` has the numbers of the runs that failed.
+    bound runs of tasks. ``failed_runs`` has the numbers of the runs that failed, and
+    ``losses`` the upstreams that were lost under a task.
     ``avoided_upstreams`` names upstreams on which a task has failed or straggled, and
     ``observed_durations`` tells how long its shortest straggling run would have taken.
     No task starts before the time ``not_before``.
@@ -117,6 +120,7 @@
     runs: dict[int, list[Run]] = field(factory=dict)
     failed_runs: dict[int, set[int]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
+    losses: dict[int, list[Loss]] = field(factory=dict)
     avoided_upstreams: dict[int, set[str]] = field(factory=dict)
     observed_durations: dict[int, timedelta] = field(factory=dict)
     permits: StepPermits = field(factory=StepPermits)
@@ -169,6 +173,40 @@
             self.done.add(done_index)
             self.waiting.pop(done_index, None)
             self.checkpoints.pop(done_index, None)
+            self.losses.pop(done_index, None)
+
+    def set_loss(self, index: int, loss: Loss) -> None:
+        """Record a loss of a task, in place of an earlier record of the same run."""
+        self.remove_loss(index, loss.run)
+        if index not in self.done:
+            self.losses.setdefault(index, []).append(loss)
+
+    def remove_loss(self, index: int, run: int) -> bool:
+        """Remove the loss of one run; return whether there was one."""
+        losses = self.losses.get(index, [])
+        left = [loss for loss in losses if loss.run != run]
+        if len(left) == len(losses):
+            return False
+        if left:
+            self.losses[index] = left
+        else:
+            del self.losses[index]
+        return True
+
+    def find_deadly_task(self) -> int | None:
+        """Return the index of a task that crashes its upstreams, if there is one."""
+        for index, losses in self.losses.items():
+            if is_deadly(losses, self.step.lasting):
+                return index
+        return None
+
+    def is_suspect(self, index: int) -> bool:
+        """Return whether a task may well crash the next upstream that starts it."""
+        return is_suspect(self.losses.get(index, ()))
+
+    def must_wait(self, index: int) -> bool:
+        """Return whether a task waits until it is clear why its upstreams are lost."""
+        return may_be_deadly(self.losses.get(index, ()), self.step.lasting)
 
     def count_failures(self) -> int:
         """Return the number of failed runs of the gang, or the maximum of any task."""
@@ -196,6 +234,11 @@
                 available += 1
         return self.step.count - available
 
+    @property
+    def has_record(self) -> bool:
+        """Whether there is anything to store."""
+        return bool(self.done or self.failed_runs or self.checkpoints or self.losses)
+
     def make_record(self) -> StepRecord:
         """Return the record from which the next leader restores this progress."""
         bitmap = 0
@@ -208,9 +251,9 @@
             for index, text in self.checkpoints.items()
             if index in self.waiting
         }
-        return StepRecord(
-            self.occurrence, self.number, bitmap.to_bytes(size, "little"), failed, kept
-        )
+        losses = {index: list(each) for index, each in self.losses.items()}
+        done = bitmap.to_bytes(size, "little")
+        return StepRecord(self.occurrence, self.number, done, failed, kept, losses)
 
     def restore(self, record: StepRecord) -> None:
         """Restore the progress that an earlier leader stored."""
@@ -222,6 +265,7 @@
         for index, runs in record.failed_runs.items():
             self.failed_runs[index] = set(runs)
         self.checkpoints.update(record.checkpoints)
+        self.losses.update(record.losses)
 
 
 @define(eq=False)
@@ -335,7 +379,7 @@
             steps = tuple(
                 progress.make_record()
                 for progress in self.steps.values()
-                if progress.done or progress.failed_runs or progress.checkpoints
+                if progress.has_record
             )
         return JobRecord(
             self.submission.job, self.submission.queue, str(self.state), steps
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -13,6 +13,7 @@
 from almondspread.jobs.backlog import ServiceWait, estimate_wait
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import Configuration
+from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
 from almondspread.jobs.job_table import Announcement, JobTable
 from almondspread.jobs.loads import Load, measure_load
@@ -79,7 +80,9 @@
         self._control = RunControl(self.cell_state)
         self._job_table = JobTable(configuration, self._control.stop_runs)
         self._control.job_table = self._job_table
-        self._upstream_tracker = UpstreamTracker(self.cell_state, self._control)
+        self._upstream_tracker = UpstreamTracker(
+            self.cell_state, self._control, CrashTracker(self._job_table)
+        )
         self._planner = StartPlanner(self.cell_state, self._control)
 
     @property
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -37,6 +37,8 @@
 # A lasting task counts as ending beyond every reservation.
 LASTING_TIME = timedelta(days=1)
 NO_UPSTREAMS = ServiceUpstreams()
+# At most this share of the upstreams of a service runs suspected tasks alone.
+MAX_TRIAL_SHARE = 0.2
 
 
 @define(frozen=True)
@@ -299,7 +301,12 @@
         latency_sensitive: set[str] = set()
         if progress.step.opportunistic:
             latency_sensitive = self._list_latency_sensitive()
-        placements = place_tasks(progress, candidates, latency_sensitive)
+        placements = place_tasks(
+            progress,
+            candidates,
+            latency_sensitive,
+            self._count_trials_left(progress),
+        )
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
             number = gang_number or self.cell_state.allocate_run_number()
@@ -319,6 +326,9 @@
         run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
         run.is_whole = not checkpoint
         self.cell_state.add_run(progress, placement.index, upstream, run)
+        upstream.last_start_at = now
+        if placement.alone:
+            upstream.trying.add((task, number))
         self._reservations.record_start(
             upstream, step.rank, step.ends_at, progress.step.claim
         )
@@ -337,6 +347,21 @@
             )
         )
 
+    def _count_trials_left(self, progress: StepProgress) -> int:
+        """Return how many tasks of a step may be started alone, which takes room."""
+        if not progress.losses:
+            return 0
+        queue = progress.job.submission.queue
+        service = self.control.job_table.find_service(queue)
+        listed = trying = 0
+        for upstream in self.cell_state.upstreams.values():
+            if not upstream.listed or upstream.entry.service != service:
+                continue
+            listed += 1
+            if upstream.trying and upstream.lapse_at is None:
+                trying += 1
+        return max(1, int(listed * MAX_TRIAL_SHARE)) - trying
+
     def _log_placements(
         self, progress: StepProgress, placements: list[Placement], now: timedelta
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from almondspread.jobs.messages import StartRun
 from almondspread.jobs.progress import JobState
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
@@ -48,10 +49,11 @@
     def test_leader_killed_soon_after_each_crash_does_not_forget_it(self):
         self.cell.submit(make_job("deadly", make_step(2)))
         for crash in range(1, 6):
-            while self.cell.crashes.get(DEADLY, 0) < crash:
-                self.cell.step()
+            for _ in range(300):
                 if self.cell.read_state("deadly") is JobState.FAILED:
                     return
+                if self.cell.crashes.get(DEADLY, 0) < crash:
+                    self.cell.step()
             self.cell.run_for(timedelta(milliseconds=500))
             self.cell.take_over()
         self.fail("the task was never given up")
@@ -87,9 +89,11 @@
         return None
 
     def wait_for_start(self):
-        while self.find_upstream() is None:
+        for _ in range(300):
+            if self.find_upstream() is not None:
+                return self.find_upstream()
             self.cell.step()
-        return self.find_upstream()
+        return self.fail("the task was not started within 30 s")
 
     def test_task_on_upstreams_that_are_cut_off_is_not_given_up(self):
         self.cell.submit(make_job("j", make_step()))
@@ -113,19 +117,34 @@
         self.assert_completed("j")
 
     def test_task_whose_starts_never_arrived_is_not_given_up(self):
-        """The upstreams had crashed before the starts were sent."""
+        """The upstreams had crashed before the starts reached them."""
         self.cell.submit(make_job("j", make_step()))
+        self.cell.hold_back = lambda order: isinstance(order, StartRun)
         for _ in range(3):
-            dead = set(self.cell.upstreams)
-            self.cell.silent.update(dead)
-            starts = self.cell.history.starts
-            self.cell.run_for(timedelta(milliseconds=100))
-            for name in dead:
-                self.cell.replace_upstream(name)
-            self.cell.run_for(timedelta(milliseconds=100))
-            self.assertLessEqual(self.cell.history.starts, starts + 1)
+            for _ in range(300):
+                if not self.cell.held_orders:
+                    self.cell.step()
+            _, order = self.cell.held_orders.pop()
+            self.cell.replace_upstream(order.upstream)
+            self.cell.step()
+        self.cell.hold_back = lambda _: False
         self.cell.run_for(10 * SECOND)
         self.assert_completed("j")
+        self.assertEqual(self.cell.history.starts, 1)
+
+    def test_lasting_task_that_has_worked_since_is_not_given_up(self):
+        """Its upstream crashes right after each start, and it works in between."""
+        for upstream in self.cell.upstreams.values():
+            upstream.durations[self.task] = timedelta(hours=1)
+        self.cell.submit(make_job("j", make_step(lasting=True)))
+        for _ in range(4):
+            self.cell.replace_upstream(self.wait_for_start())
+            self.cell.run_for(timedelta(milliseconds=100))
+            self.wait_for_start()
+            self.cell.run_for(5 * SECOND)
+            self.cell.replace_upstream(self.find_upstream())
+            self.cell.step()
+        self.assertEqual(self.cell.read_state("j"), JobState.RUNNING)
 
     def test_lasting_task_survives_crashes_of_its_upstreams_over_time(self):
         self.cell.submit(make_job("j", make_step(lasting=True)))
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from almondspread.jobs.cell_state import CellState
-from almondspread.jobs.crashes import is_fresh
+from almondspread.jobs.crashes import CrashTracker, is_fresh
 from almondspread.jobs.messages import (
     LOST,
     STOPPED,
@@ -30,6 +30,8 @@
 from almondspread.jobs.upstreams import Upstream
 
 MAX_LOGGED_RUNS = 8
+# A run that may crash its upstream has not done so by then.
+TRIAL_TIME = timedelta(milliseconds=500)
 
 
 @define(eq=False)
@@ -42,6 +44,7 @@
 
     cell_state: CellState
     control: RunControl
+    crashes: CrashTracker
     unseen: set[str] = field(factory=set)
     _acknowledged: dict[str, int] = field(factory=dict)
 
@@ -58,6 +61,7 @@
             if upstream.is_usable(now):
                 continue
             self._remove_upstream(name)
+        self.crashes.resolve(entries, now)
         return added
 
     def inherit_upstream(self, entry: UpstreamEntry, lapse: timedelta) -> None:
@@ -104,9 +108,11 @@
         if runs or name in self.unseen:
             self._log_loss(name, runs, reason)
         self.unseen.discard(name)
+        upstream = self.cell_state.upstreams.get(name)
+        if upstream is not None:
+            self.crashes.record_loss(upstream, runs, now)
         for run in runs:
             self.control.record_end(RunEnd(0, run.task, run.number, LOST), name, now)
-        upstream = self.cell_state.upstreams.get(name)
         if upstream is not None and not upstream.listed:
             self._remove_upstream(name)
 
@@ -163,6 +169,8 @@
                 lapse_in=silence.lapse_in.total_seconds(),
                 runs=len(upstream.bound),
             )
+            runs = self.cell_state.list_runs(upstream.name)
+            self.crashes.record_silence(upstream, runs, now)
         upstream.lapse_at = max(now + silence.lapse_in, upstream.orphaned_leases_until)
 
     def handle_report(self, report: UpstreamReport, now: timedelta) -> None:
@@ -195,10 +203,12 @@
             upstream.lapse_at = None
             # The store may still tell the next leader that the leases have expired.
             upstream.recorded = False
+            self.crashes.record_answer(upstream.name)
         for end in report.ends:
             if end.number <= upstream.ends_seen:
                 continue
             upstream.ends_seen = end.number
+            self.crashes.record_end(end)
             self.control.record_end(end, upstream.name, now)
         if report.running is None:
             return
@@ -206,6 +216,7 @@
         for sighting in report.running:
             self._update_run(sighting, upstream, now)
         self._end_absent_runs(upstream, report, now)
+        self._end_trials(upstream, now)
         upstream.executor_lost_at = None
         if not upstream.has_reported:
             upstream.has_reported = True
@@ -240,6 +251,8 @@
         run.percent = sighting.percent
         run.figure = sighting.figure
         run.available = sighting.percent >= 100 and progress.step.lasting
+        if run.available:
+            self.crashes.record_success(progress, sighting.task.index)
         if sighting.checkpoint:
             progress.checkpoints[sighting.task.index] = sighting.checkpoint
 
@@ -299,6 +312,13 @@
                     RunEnd(0, run.task, run.number, STOPPED), upstream.name, now
                 )
 
+    def _end_trials(self, upstream: Upstream, now: timedelta) -> None:
+        """End the trials of runs that have not crashed the upstream."""
+        for key in list(upstream.trying):
+            run = self.cell_state.runs.get(key)
+            if run is None or (run.seen_at and now - run.started_at >= TRIAL_TIME):
+                upstream.trying.discard(key)
+
     def update_recorded(self, names: frozenset[str]) -> None:
         """Set which upstreams the store records as ones that may run tasks."""
         for name, upstream in self.cell_state.upstreams.items():
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -10,6 +10,9 @@
 from almondspread.resources.capacity import Capacity
 
 FAILURE_WINDOW = timedelta(seconds=4)
+# A report that was sent before a crash may be handled this much later than the answer
+# to the start that caused the crash.
+FRESH_TIME = timedelta(milliseconds=150)
 # The failures of a single job do not suspend an upstream.
 MIN_FAILURES_TO_SUSPEND = 3
 MIN_FAILING_JOBS_TO_SUSPEND = 2
@@ -36,7 +39,8 @@
     has lost, or one of an earlier leader, may still renew them. The machine of the
     upstream may be taken down for maintenance from ``leaves_at`` on.
 
-    ``heard_at`` is when a report of the upstream last arrived.
+    ``heard_at`` is when a report of the upstream last arrived. While it is ``trying``
+    runs that may crash it, nothing else is started there.
 
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
@@ -47,6 +51,7 @@
     entry_changed_at: timedelta = timedelta(0)
     last_observed_at: timedelta | None = None
     heard_at: timedelta = timedelta(0)
+    last_start_at: timedelta = timedelta(0)
     has_reported: bool = False
     recorded: bool = False
     has_unknown_runs: bool = False
@@ -63,6 +68,7 @@
     next_suspension: timedelta = INITIAL_SUSPENSION
     free: Capacity = field(init=False)
     bound: dict[tuple[TaskId, int], Capacity] = field(factory=dict)
+    trying: set[tuple[TaskId, int]] = field(factory=set)
     _step_counts: dict[tuple[str, int, int], int] = field(factory=dict)
     _outcomes: deque[tuple[timedelta, str, bool]] = field(factory=deque)
 
@@ -106,6 +112,11 @@
             and now - self.executor_lost_at > EXECUTOR_REASSIGNMENT_TIME
         )
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the upstream was heard well after its last start."""
+        return self.heard_at - self.last_start_at >= FRESH_TIME
+
     @property
     def is_leaving(self) -> bool:
         """Whether the upstream drains, or its machine is evacuated for maintenance."""
@@ -128,7 +139,7 @@
             return False
         if not self.listed and not self._was_listed_recently(now):
             return False
-        if self.is_leaving:
+        if self.is_leaving or self.trying:
             return False
         return self.lapse_at is None and now >= self.suspended_until
 
@@ -151,6 +162,7 @@
 
     def release(self, task: TaskId, run: int) -> None:
         """Return the capacity of a run that has ended."""
+        self.trying.discard((task, run))
         claim = self.bound.pop((task, run), None)
         if claim is None:
             return
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -25,6 +25,8 @@
 STOP_TIME = timedelta(milliseconds=450)
 GANG_TIMEOUT = timedelta(seconds=3)
 CANCEL_PATIENCE = timedelta(seconds=4)
+# A lasting task is at work this long after its start.
+LASTING_STARTUP = timedelta(milliseconds=500)
 
 
 @define(eq=False)
@@ -181,7 +183,10 @@
         self.ends = [end for end in self.ends if end.number > acknowledged]
         running = []
         for run in self.runs.values():
-            percent = int(100 * min(1.0, (now - run.started) / run.duration))
+            work = run.duration
+            if self.history.submissions[run.task.job].steps[run.task.step].lasting:
+                work = min(work, LASTING_STARTUP)
+            percent = int(100 * min(1.0, (now - run.started) / work))
             running.append(RunSighting(run.task, run.number, "", percent))
         return RenewAnswer(now, tuple(running), tuple(self.ends))
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -2,6 +2,7 @@
 from datetime import UTC, datetime, timedelta
 
 from almondspread.codec import encode_message
+from almondspread.jobs.losses import Loss
 from almondspread.jobs.ports import RowName, StoredRow
 from almondspread.jobs.progress import JobRecord, StepRecord
 from almondspread.jobs.submissions import Repetition, Step, Submission
@@ -28,6 +29,12 @@
         row = StoredRow(make_progress_name("j"), encode_message(record), 3)
         self.assertEqual(decode_progress((row,)), {"j": record})
 
+    def test_progress_with_lost_upstreams_round_trips(self):
+        losses = {2: [Loss(5, "u", "10.0.0.1:80", confirmed=True, crashed=True)]}
+        record = JobRecord("j", "q", "running", (StepRecord(0, 1, losses=losses),))
+        row = StoredRow(make_progress_name("j"), encode_message(record), 3)
+        self.assertEqual(decode_progress((row,)), {"j": record})
+
     def test_submission_round_trips(self):
         step = Step(
             3,
