Start nothing on upstreams whose capacity may have shrunk since it was read

What callers would see: a machine over its capacity, and all that runs on it slower (LIMIT).

Cause: the leader polls the list of upstreams, and a shrunk capacity takes effect with the next list. But nothing bounded the age of a list: in an outage of the store the leader goes on for up to 6 s (LEADER_GRACE) and placed runs by entries of before it. The class: acting on a view whose age nobody checks, as with an expired lease.

Change: each upstream knows when the read began that showed its entry. Where the service's upstreams do not enforce their capacity, nothing starts on an entry older than the time in which a change must be followed, less the time that a start takes to arrive.

The test fails without the check: 4 starts in place of 0, twice over the capacity. The five tests beside it hold on both: growth, takeover, stopping runs, shrinking while listed, and services that enforce their capacity.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -90,10 +90,11 @@
         return watched
 
     def update_upstreams(
-        self, entries: list[UpstreamEntry], now: timedelta
+        self, entries: list[UpstreamEntry], now: timedelta, read_at: timedelta
     ) -> tuple[list[str], list[str]]:
-        """Apply the newest list of upstreams; return the new and the replaced names.
+        """Apply a list of upstreams, as it was at ``read_at`` or later.
 
+        Return the names of the new and of the replaced upstreams.
         An upstream is replaced if another incarnation is listed at its address.
         """
         added = []
@@ -102,9 +103,9 @@
         for entry in entries:
             known = self.upstreams.get(entry.name)
             if known is not None:
-                known.update(entry, now)
+                known.update(entry, now, read_at)
                 continue
-            self.upstreams[entry.name] = Upstream(entry)
+            self.upstreams[entry.name] = Upstream(entry, listed_at=read_at)
             added.append(entry.name)
         replaced = []
         for name, upstream in self.upstreams.items():
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -30,7 +30,7 @@
 )
 from almondspread.jobs.progress import TERMINAL_STATES, JobProgress, JobRecord
 from almondspread.jobs.runs import RunControl
-from almondspread.jobs.starts import StartHolds, StartPlanner
+from almondspread.jobs.starts import MAX_ENTRY_AGE, StartHolds, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission
 from almondspread.jobs.upstream_tracker import UpstreamTracker
@@ -70,7 +70,11 @@
     """
 
     def __init__(
-        self, epoch: int, configuration: Configuration, inherited_version: int = 0
+        self,
+        epoch: int,
+        configuration: Configuration,
+        inherited_version: int = 0,
+        max_entry_age: timedelta = MAX_ENTRY_AGE,
     ) -> None:
         self.epoch = epoch
         self.inherited_version = inherited_version
@@ -83,7 +87,7 @@
         self._upstream_tracker = UpstreamTracker(
             self.cell_state, self._control, CrashTracker(self._job_table)
         )
-        self._planner = StartPlanner(self.cell_state, self._control)
+        self._planner = StartPlanner(self.cell_state, self._control, max_entry_age)
 
     @property
     def configuration(self) -> Configuration:
@@ -147,10 +151,16 @@
         self._job_table.cancel_job(name, now)
 
     def update_upstreams(
-        self, entries: list[UpstreamEntry], now: timedelta
+        self,
+        entries: list[UpstreamEntry],
+        now: timedelta,
+        read_at: timedelta | None = None,
     ) -> list[str]:
-        """Apply the newest list of upstreams, and return the names that are new."""
-        return self._upstream_tracker.update_upstreams(entries, now)
+        """Apply the newest list of upstreams, and return the names that are new.
+
+        ``read_at`` is when the read of the list began, by default ``now``.
+        """
+        return self._upstream_tracker.update_upstreams(entries, now, read_at or now)
 
     def inherit_upstream(self, entry: UpstreamEntry, lapse: timedelta) -> None:
         """Add an upstream on which an earlier leader may have started runs.
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -37,6 +37,8 @@
 # A lasting task counts as ending beyond every reservation.
 LASTING_TIME = timedelta(days=1)
 NO_UPSTREAMS = ServiceUpstreams()
+# The capacity of an upstream may have shrunk since its entry was read.
+MAX_ENTRY_AGE = timedelta(milliseconds=2_500)
 # At most this share of the upstreams of a service runs suspected tasks alone.
 MAX_TRIAL_SHARE = 0.2
 
@@ -81,10 +83,15 @@
 
 @define(eq=False)
 class StartPlanner:
-    """Binds waiting tasks to upstreams, in order of the rank of their steps."""
+    """Binds waiting tasks to upstreams, in order of the rank of their steps.
+
+    An upstream that does not enforce its capacity gets no runs once its entry is older
+    than ``max_entry_age``.
+    """
 
     cell_state: CellState
     control: RunControl
+    max_entry_age: timedelta = MAX_ENTRY_AGE
     _requester: PermitRequester = field(factory=PermitRequester)
     _reservations: Reservations = field(factory=Reservations)
     _reserved_at: timedelta = timedelta(0)
@@ -111,7 +118,7 @@
         usable = group_by_service(
             upstream
             for upstream in self.cell_state.upstreams.values()
-            if upstream.is_usable(now)
+            if upstream.is_usable(now) and self._knows_capacity(upstream, now)
         )
         steps = self._rank_steps(usable, holds, now)
         for step in steps:
@@ -126,6 +133,14 @@
             self._reserved_at = now
             self._renew_reservations(steps, usable, now)
 
+    def _knows_capacity(self, upstream: Upstream, now: timedelta) -> bool:
+        """Return whether an upstream's capacity is known, or enforced by itself."""
+        if now - upstream.listed_at <= self.max_entry_age:
+            return True
+        services = self.control.job_table.configuration.services
+        service = services.get(upstream.entry.service)
+        return service is not None and service.enforces_capacity
+
     def _rank_steps(
         self, usable: dict[str, ServiceUpstreams], holds: StartHolds, now: timedelta
     ) -> list[_RankedStep]:
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -49,10 +49,10 @@
     _acknowledged: dict[str, int] = field(factory=dict)
 
     def update_upstreams(
-        self, entries: list[UpstreamEntry], now: timedelta
+        self, entries: list[UpstreamEntry], now: timedelta, read_at: timedelta
     ) -> list[str]:
         """Replace the list of upstreams; return the names of the new ones."""
-        added, replaced = self.cell_state.update_upstreams(entries, now)
+        added, replaced = self.cell_state.update_upstreams(entries, now, read_at)
         for name in replaced:
             self._mark_upstream_lost(name, now, "replaced")
         for name, upstream in list(self.cell_state.upstreams.items()):
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -39,8 +39,9 @@
     has lost, or one of an earlier leader, may still renew them. The machine of the
     upstream may be taken down for maintenance from ``leaves_at`` on.
 
-    ``heard_at`` is when a report of the upstream last arrived. While it is ``trying``
-    runs that may crash it, nothing else is started there.
+    ``listed_at`` is when the read began that last showed its entry, so that the entry
+    is at least as new. ``heard_at`` is when a report of the upstream last arrived.
+    While it is ``trying`` runs that may crash it, nothing else is started there.
 
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
@@ -58,6 +59,7 @@
     executor_unresponsive: bool = False
     unknown_runs_stopped_at: timedelta | None = None
     listed: bool = True
+    listed_at: timedelta = timedelta(0)
     unlisted_at: timedelta | None = None
     lapse_at: timedelta | None = None
     executor_lost_at: timedelta | None = None
@@ -89,8 +91,9 @@
         """Tell whether the upstream has a label; every upstream has the empty one."""
         return not label or label in self.entry.labels
 
-    def update(self, entry: UpstreamEntry, now: timedelta) -> None:
+    def update(self, entry: UpstreamEntry, now: timedelta, read_at: timedelta) -> None:
         """Replace the entry, and adjust the free capacity."""
+        self.listed_at = read_at
         if entry != self.entry:
             self.entry_changed_at = now
         if entry.capacity != self.entry.capacity:
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -106,6 +106,7 @@
     crashes: dict[TaskId, int] = field(factory=dict)
     permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
+    directory_is_up: bool = True
     versions: dict[str, int] = field(factory=dict)
     started_version: int = 0
     _acknowledged: dict[str, int] = field(factory=dict)
@@ -170,7 +171,8 @@
         """Advance the clock, poll all upstreams, schedule, and execute the orders."""
         self.now += duration
         self._restart_crashed()
-        self.report_upstream_list()
+        if self.directory_is_up:
+            self.report_upstream_list()
         for name in list(self.upstreams):
             self.poll_upstream(name)
         self.commit()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -88,7 +88,9 @@
         self._clock = clock
         self._metrics = metrics
         # Until the start marks are fenced, an earlier leader may have started any job.
-        self._scheduler = Scheduler(row.epoch, configuration, ANY_VERSION)
+        self._scheduler = Scheduler(
+            row.epoch, configuration, ANY_VERSION, settings.max_entry_age
+        )
         self._scheduler.allow_starts(row.started_version)
         self._committer = Committer(
             row, version, self._scheduler, store, store_clock, clock
@@ -401,10 +403,11 @@
     async def _poll_upstreams(self) -> None:
         """Poll the list of upstreams and assign them to members."""
         while True:
+            read_at = self._clock.monotonic()
             listed = await self._store.list_upstreams()
             if listed.is_ok():
                 now = self._clock.monotonic()
-                if self._scheduler.update_upstreams(listed.ok, now):
+                if self._scheduler.update_upstreams(listed.ok, now, read_at):
                     self._commit_wanted.set()
                 self._assignments.rebalance()
                 self._assignments.resend_silent_watch_orders()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -12,6 +12,8 @@
 # A machine of this size can lead a cell of a few hundred upstreams.
 LEADER_CORES = 1.0
 LEADER_LINK_MBPS = 100.0
+# A start reaches its upstream within this time after it was decided.
+START_DELIVERY_TIME = timedelta(milliseconds=500)
 
 
 @define(frozen=True)
@@ -24,7 +26,8 @@
     ``peer_address``; if that address is translated on the way, the instance listens at
     ``peer_listen_address`` instead. Maintenance takes a machine down for
     ``maintenance_duration``. A new leader starts no maintenance for
-    ``handover_delay``.
+    ``handover_delay``. Starts must follow a change of an upstream's entry within
+    ``entry_notice``.
     """
 
     instance: str
@@ -41,6 +44,7 @@
     peer_listen_address: str = ""
     maintenance_duration: timedelta = timedelta(0)
     handover_delay: timedelta = timedelta(0)
+    entry_notice: timedelta = timedelta(seconds=3)
 
     @property
     def strength(self) -> float:
@@ -52,6 +56,11 @@
         """The delay before claiming leadership, longer on smaller machines."""
         return MAX_CLAIM_DELAY * (1.0 - self.strength)
 
+    @property
+    def max_entry_age(self) -> timedelta:
+        """How old an upstream's entry may be when a start is decided."""
+        return self.entry_notice - START_DELIVERY_TIME
+
     @property
     def lease(self) -> timedelta:
         """The time after which runs stop unless their lease is renewed."""
