Count a task's third lost worker in a row as a failed attempt

Change: losses of a task within ten minutes of each other are counted by its owner. From the third on they are failed attempts, with their backoff and their limit.

--- a/packages/almondspread/almondspread/scheduling/failures.py
+++ b/packages/almondspread/almondspread/scheduling/failures.py
@@ -17,6 +17,10 @@
 QUARANTINE_REVIEW_INTERVAL = timedelta(seconds=1)
 # The mean delay until a start that a worker refused is retried.
 REFUSED_RETRY_DELAY = timedelta(seconds=1)
+# From this loss of its worker in a row on, a task is held to be the cause.
+MIN_LOSSES_TO_FAIL = 3
+# Losses further apart are not in a row: workers are also restarted for other reasons.
+LOSS_WINDOW = timedelta(minutes=10)
 
 
 class FailureTracker:
@@ -28,6 +32,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._quarantine = QuarantineTracker()
         self._last_review_at: datetime | None = None
+        self._losses: dict[tuple[str, int], tuple[int, datetime]] = {}
 
     def record_start(self, state: WorkloadState, attempt: Attempt) -> None:
         """Count the first start of a task, which adds to its team's retry budget."""
@@ -57,6 +62,20 @@
         """Count an attempt that its worker restarts repeatedly as a failure there."""
         self._quarantine.record_end(attempt.worker, attempt.workload, True, now)
 
+    def is_lost_by_itself(self, attempt: Attempt, outcome: str, now: datetime) -> bool:
+        """Note an end, and return whether the task seems to crash its workers.
+
+        The count of losses in a row is not stored, so that a new owner starts at zero.
+        """
+        key = (attempt.workload, attempt.index)
+        count, since = self._losses.pop(key, (0, now))
+        if outcome != "lost":
+            return False
+        if now - since > LOSS_WINDOW:
+            count = 0
+        self._losses[key] = (count + 1, now)
+        return count + 1 >= MIN_LOSSES_TO_FAIL
+
     def _update_estimates(
         self, state: WorkloadState, attempt: Attempt, end: AttemptEnd
     ) -> None:
--- a/packages/almondspread/almondspread/scheduling/scheduler.py
+++ b/packages/almondspread/almondspread/scheduling/scheduler.py
@@ -345,8 +345,12 @@
         if cause and end.outcome == "stopped":
             # The attempt was evicted for its own memory use or crashes: a failure.
             end = evolve(end, outcome="failed", reason=cause)
+        now = self._clock.now()
+        if self._failures.is_lost_by_itself(attempt, end.outcome, now):
+            cause = "its workers restarted while they ran it"
+            end = evolve(end, outcome="failed", reason=cause)
         state = self.state.workloads[attempt.workload]
-        retry_at = self._failures.record_end(state, attempt, end, self._clock.now())
+        retry_at = self._failures.record_end(state, attempt, end, now)
         self.decisions.end_attempt(attempt, end.outcome, end, retry_at)
         return True
 
