--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -187,6 +187,13 @@
             logger.info("job completed", job=job.submission.job)
             self._end_job(job, JobState.COMPLETED, now)
 
+    def count_suspects(self) -> int:
+        """Return the number of tasks that may crash the next upstream."""
+        count = 0
+        for progress in self.list_steps_with_losses():
+            count += sum(progress.is_suspect(index) for index in progress.losses)
+        return count
+
     def _end_if_deadly(self, job: JobProgress, now: timedelta) -> bool:
         """End a job with a task that crashes its upstreams; return whether it has."""
         for progress in job.steps.values():
--- a/packages/almondspread/almondspread/jobs/loads.py
+++ b/packages/almondspread/almondspread/jobs/loads.py
@@ -14,7 +14,8 @@
     """The backlog of tasks, and the utilization of the usable upstreams.
 
     Processor amounts are in thousandths of a core. ``without_permits`` counts the
-    waiting steps that have no valid permits, whether or not they need any.
+    waiting steps that have no valid permits, whether or not they need any, and
+    ``suspected_tasks`` those that may crash the next upstream that starts them.
     """
 
     waiting_steps: int
@@ -23,6 +24,10 @@
     without_permits: int
     used_millis: int
     usable_millis: int
+    suspected_tasks: int = 0
+
+
+NO_LOAD = Load(0, 0, 0, 0, 0, 0)
 
 
 def measure_load(
@@ -30,10 +35,12 @@
     upstreams: Iterable[Upstream],
     unseen: int,
     now: timedelta,
+    suspected: int = 0,
 ) -> Load:
     """Return the load of steps with waiting tasks on upstreams.
 
-    ``unseen`` upstreams have not reported to the leader yet.
+    ``unseen`` upstreams have not reported to the leader yet, and ``suspected`` tasks
+    may crash their upstreams.
     """
     steps = tasks = without_permits = 0
     for progress in waiting:
@@ -46,4 +53,4 @@
         if upstream.is_usable(now):
             usable += upstream.entry.capacity.cpu_millis
             used += upstream.entry.capacity.cpu_millis - upstream.free.cpu_millis
-    return Load(steps, unseen, tasks, without_permits, used, usable)
+    return Load(steps, unseen, tasks, without_permits, used, usable, suspected)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -313,6 +313,7 @@
             self.cell_state.upstreams.values(),
             len(self._upstream_tracker.unseen),
             now,
+            self._job_table.count_suspects(),
         )
 
     # State that the leader stores and announces
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -299,7 +299,7 @@
             )
         finally:
             self._session = None
-            self._metrics.set_load(0, 0, 0)
+            self._metrics.set_load(0)
             self._dispatcher.detach()
 
     async def _serve_link(self, link: Link) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -348,9 +348,10 @@
                 without_permits=load.without_permits,
                 used_millis=load.used_millis,
                 usable_millis=load.usable_millis,
+                suspected_tasks=load.suspected_tasks,
                 question_slots=self._assignments.members.count_advice_slots(),
             )
-            self._metrics.set_load(self.epoch, load.waiting_tasks, load.used_millis)
+            self._metrics.set_load(self.epoch, load)
             await self._clock.sleep(LOAD_INTERVAL)
 
     # The store
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -9,6 +9,8 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from tornado.web import RequestHandler
 
+from almondspread.jobs.loads import NO_LOAD, Load
+
 METER_NAME = "almondspread.jobs"
 # Calls take milliseconds as a rule, and seconds during outages.
 LATENCY_BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -50,6 +52,9 @@
         self._used_millis = meter.create_gauge(
             "used_processor_millis", description="processor bound to runs"
         )
+        self._suspected_tasks = meter.create_gauge(
+            "suspected_tasks", description="tasks under which upstreams crash"
+        )
         self._epoch = meter.create_gauge(
             "leader_epoch", description="the epoch that this instance leads, 0 for none"
         )
@@ -73,11 +78,12 @@
         """Record the latency of a start of a run."""
         self._starts.record(latency.total_seconds(), {"outcome": outcome})
 
-    def set_load(self, epoch: int, waiting_tasks: int, used_millis: int) -> None:
+    def set_load(self, epoch: int, load: Load = NO_LOAD) -> None:
         """Set the gauges of a leader's epoch and load, zero without leadership."""
         self._epoch.set(epoch)
-        self._waiting_tasks.set(waiting_tasks)
-        self._used_millis.set(used_millis)
+        self._waiting_tasks.set(load.waiting_tasks)
+        self._used_millis.set(load.used_millis)
+        self._suspected_tasks.set(load.suspected_tasks)
 
     def set_configuration_version(self, version: int) -> None:
         """Set the gauge of the configuration version in force."""
