Place a gang also where its suspected members cannot be put apart

A gang that loses upstreams under several members at once needed an upstream for each of them, and in a small cell would have waited for good: found by reading, 6 suspects on 2 upstreams. Now it is placed without separation where none is possible. Steps of which all waiting tasks must wait no longer ask for permits or reserve room. Trials have a module.

--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -102,26 +102,22 @@
     """Choose upstreams for all tasks of a gang, or for none.
 
     A gang that asks for one rack is spread over racks where no single rack fits it.
+    Its suspected members are put apart from the others where that is possible.
     """
-    indexes = order_suspects_first(progress)
-    if any(progress.must_wait(index) for index in indexes):
-        return []
     groups = [candidates]
     if progress.step.same_rack:
         racks: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             racks.setdefault(candidate.upstream.rack, []).append(candidate)
         groups = [*racks.values(), candidates]
-    for group in groups:
-        plan = _PlacementPlan(progress, group, latency_sensitive, max_alone)
-        placements = []
-        for index in indexes:
-            placement = plan.place(index)
-            if placement is None:
-                break
-            placements.append(placement)
-        if len(placements) == progress.step.count:
-            return placements
+    for separates in (True, False) if progress.losses else (False,):
+        for group in groups:
+            plan = _PlacementPlan(
+                progress, group, latency_sensitive, max_alone, separates
+            )
+            placements = plan.place_all()
+            if placements:
+                return placements
     return []
 
 
@@ -134,8 +130,10 @@
         candidates: list[Candidate],
         latency_sensitive: set[str],
         max_alone: int,
+        separates: bool = True,
     ) -> None:
         self._progress = progress
+        self._separates = separates
         self._step = progress.step
         self._max_alone = max_alone
         self._candidates = [candidate.upstream for candidate in candidates]
@@ -149,9 +147,19 @@
         }
         self._apart: set[str] = set()
 
+    def place_all(self) -> list[Placement]:
+        """Reserve capacity for all tasks of the step, or return an empty list."""
+        placements = []
+        for index in order_suspects_first(self._progress):
+            placement = self.place(index)
+            if placement is None:
+                return []
+            placements.append(placement)
+        return placements
+
     def place(self, index: int) -> Placement | None:
         """Reserve capacity for one task; return ``None`` if no upstream fits."""
-        if self._progress.is_suspect(index):
+        if self._separates and self._progress.is_suspect(index):
             return self._place_apart(index)
         upstream = None
         if not self._step.gang:
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -208,6 +208,14 @@
         """Return whether a task waits until it is clear why its upstreams are lost."""
         return may_be_deadly(self.losses.get(index, ()), self.step.lasting)
 
+    @property
+    def is_on_hold(self) -> bool:
+        """Whether all waiting tasks must wait, or any of a gang."""
+        if not self.losses:
+            return False
+        held = [self.must_wait(index) for index in self.waiting]
+        return any(held) if self.step.gang else all(held)
+
     def count_failures(self) -> int:
         """Return the number of failed runs of the gang, or the maximum of any task."""
         if self.step.gang:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -26,6 +26,7 @@
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
 from almondspread.jobs.stragglers import estimate_time_left
+from almondspread.jobs.trials import count_trials_left
 from almondspread.jobs.upcoming import UpcomingSteps
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
@@ -39,8 +40,6 @@
 NO_UPSTREAMS = ServiceUpstreams()
 # The capacity of an upstream may have shrunk since its entry was read.
 MAX_ENTRY_AGE = timedelta(milliseconds=2_500)
-# At most this share of the upstreams of a service runs suspected tasks alone.
-MAX_TRIAL_SHARE = 0.2
 
 
 @define(frozen=True)
@@ -152,6 +151,8 @@
                 continue
             if progress.step.gang and len(progress.waiting) < progress.step.count:
                 continue
+            if progress.is_on_hold:
+                continue
             found.append(self._rank_step(progress, usable, now))
         found.sort(key=lambda step: step.rank)
         return found
@@ -316,12 +317,12 @@
         latency_sensitive: set[str] = set()
         if progress.step.opportunistic:
             latency_sensitive = self._list_latency_sensitive()
-        placements = place_tasks(
-            progress,
-            candidates,
-            latency_sensitive,
-            self._count_trials_left(progress),
-        )
+        trials_left = 0
+        if progress.losses:
+            service = candidates[0].upstream.entry.service
+            upstreams = self.cell_state.upstreams.values()
+            trials_left = count_trials_left(upstreams, service)
+        placements = place_tasks(progress, candidates, latency_sensitive, trials_left)
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
             number = gang_number or self.cell_state.allocate_run_number()
@@ -362,21 +363,6 @@
             )
         )
 
-    def _count_trials_left(self, progress: StepProgress) -> int:
-        """Return how many tasks of a step may be started alone, which takes room."""
-        if not progress.losses:
-            return 0
-        queue = progress.job.submission.queue
-        service = self.control.job_table.find_service(queue)
-        listed = trying = 0
-        for upstream in self.cell_state.upstreams.values():
-            if not upstream.listed or upstream.entry.service != service:
-                continue
-            listed += 1
-            if upstream.trying and upstream.lapse_at is None:
-                trying += 1
-        return max(1, int(listed * MAX_TRIAL_SHARE)) - trying
-
     def _log_placements(
         self, progress: StepProgress, placements: list[Placement], now: timedelta
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -71,6 +71,28 @@
         self.assertEqual(self.cell.crashes[DEADLY], 2)
 
 
+class DeadlyGangTest(CellTest):
+    """A gang lost upstreams under several of its members at once."""
+
+    def test_gang_with_a_deadly_member_is_given_up(self):
+        self.add_upstreams(6)
+        self.cell.deadly.add(DEADLY)
+        self.cell.submit(make_job("deadly", make_step(4, gang=True)))
+        self.cell.run_for(30 * SECOND)
+        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[DEADLY], 2)
+
+    def test_gang_is_placed_where_its_suspected_members_cannot_be_put_apart(self):
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.cell.submit(make_job("j", make_step(6, gang=True)))
+        self.cell.step()
+        for name in list(self.cell.upstreams):
+            self.cell.replace_upstream(name)
+        self.cell.run_for(10 * SECOND)
+        self.assert_completed("j")
+
+
 class BystanderTest(CellTest):
     """Tasks that lose their upstreams for other reasons are not given up."""
 
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -27,11 +27,10 @@
 from almondspread.jobs.pacing import choose_paces
 from almondspread.jobs.progress import Run, RunPhase
 from almondspread.jobs.runs import STOP_RETRY_INTERVAL, RunControl
+from almondspread.jobs.trials import end_trials
 from almondspread.jobs.upstreams import Upstream
 
 MAX_LOGGED_RUNS = 8
-# A run that may crash its upstream has not done so by then.
-TRIAL_TIME = timedelta(milliseconds=500)
 
 
 @define(eq=False)
@@ -216,7 +215,7 @@
         for sighting in report.running:
             self._update_run(sighting, upstream, now)
         self._end_absent_runs(upstream, report, now)
-        self._end_trials(upstream, now)
+        end_trials(upstream, self.cell_state.runs, now)
         upstream.executor_lost_at = None
         if not upstream.has_reported:
             upstream.has_reported = True
@@ -312,13 +311,6 @@
                     RunEnd(0, run.task, run.number, STOPPED), upstream.name, now
                 )
 
-    def _end_trials(self, upstream: Upstream, now: timedelta) -> None:
-        """End the trials of runs that have not crashed the upstream."""
-        for key in list(upstream.trying):
-            run = self.cell_state.runs.get(key)
-            if run is None or (run.seen_at and now - run.started_at >= TRIAL_TIME):
-                upstream.trying.discard(key)
-
     def update_recorded(self, names: frozenset[str]) -> None:
         """Set which upstreams the store records as ones that may run tasks."""
         for name, upstream in self.cell_state.upstreams.items():
