Keep the losses of tasks in a class of their own

StepProgress and the tracker each held part of the bookkeeping, and the times of losses of ended jobs were kept for good. One class holds the losses of a step, the tracker resolves one open loss a step, and forgets the times of all others.

--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -24,6 +24,30 @@
     return upstream.heard_at - run.started_at < FRESH_TIME
 
 
+@define(frozen=True)
+class _OpenLoss:
+    """A loss of which it is unknown whether the upstream crashed, with its task."""
+
+    progress: StepProgress
+    task: TaskId
+    loss: Loss
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """The task and the number of its run."""
+        return (self.task, self.loss.run)
+
+    @property
+    def queue(self) -> str:
+        """The queue of the job."""
+        return self.progress.job.submission.queue
+
+    @property
+    def name(self) -> str:
+        """The task as logs name it."""
+        return f"{self.task.job}.{self.task.step}.{self.task.index}"
+
+
 @define(eq=False)
 class CrashTracker:
     """Records at each task the upstreams that were lost under it.
@@ -67,20 +91,22 @@
 
     def record_success(self, progress: StepProgress, index: int) -> None:
         """Dismiss all losses of a lasting task, which has begun its work."""
-        if progress.losses.pop(index, None):
+        if progress.losses.forget(index):
             self.job_table.mark_losses(progress)
 
     def record_answer(self, upstream: str) -> None:
         """Dismiss the open losses of an upstream that answers again."""
-        for progress, index, loss in self._list_open():
-            if loss.upstream == upstream:
-                self._dismiss(progress.make_task_id(index), loss.run)
+        for each in self._list_open():
+            if each.loss.upstream == upstream:
+                self._dismiss(*each.key)
 
     def _open(self, run: Run, upstream: Upstream, now: timedelta) -> None:
         """Record the loss of one run."""
         self._opened.setdefault((run.task, run.number), now)
         progress = self.job_table.find_step(run)
-        progress.set_loss(
+        if run.task.index in progress.done:
+            return
+        progress.losses.record(
             run.task.index,
             Loss(
                 run.number,
@@ -96,51 +122,54 @@
         """Remove the loss of one run, if there is one."""
         self._opened.pop((task, run), None)
         progress = self.job_table.find_known_step(task.job, task.occurrence, task.step)
-        if progress is not None and progress.remove_loss(task.index, run):
+        if progress is not None and progress.losses.dismiss(task.index, run):
             self.job_table.mark_losses(progress)
 
-    def _list_open(self) -> list[tuple[StepProgress, int, Loss]]:
-        """Return the open losses, each with its step and the index of its task."""
+    def _list_open(self) -> list[_OpenLoss]:
+        """Return the open losses of all jobs that have not ended."""
         found = []
         for progress in self.job_table.list_steps_with_losses():
-            for index, losses in progress.losses.items():
-                for loss in losses:
-                    if not loss.crashed:
-                        found.append((progress, index, loss))
+            for index, loss in progress.losses.list_open():
+                found.append(_OpenLoss(progress, progress.make_task_id(index), loss))
         return found
 
     def resolve(self, entries: list[UpstreamEntry], now: timedelta) -> None:
         """Resolve open losses by the newest list of upstreams; end deadly jobs."""
-        open_losses = self._list_open()
-        if not open_losses:
-            return
-        services = {entry.address: entry.service for entry in entries}
         names = {entry.name for entry in entries}
+        services = {entry.address: entry.service for entry in entries}
+        opened: dict[tuple[TaskId, int], timedelta] = {}
         crashed: dict[str, list[str]] = {}
-        for progress, index, loss in open_losses:
-            task = progress.make_task_id(index)
-            opened = self._opened.setdefault((task, loss.run), now)
-            service = services.get(loss.address)
-            if service is None or loss.upstream in names:
-                if now - opened > RESTART_PATIENCE:
-                    self._dismiss(task, loss.run)
-                continue
-            queue = progress.job.submission.queue
-            if service != self.job_table.find_service(queue):
-                # The address went to another service, so the upstream was replaced.
-                self._dismiss(task, loss.run)
-                continue
-            self._opened.pop((task, loss.run), None)
-            progress.set_loss(index, attrs.evolve(loss, crashed=True))
-            self.job_table.mark_losses(progress)
-            crashed.setdefault(loss.upstream, []).append(
-                f"{task.job}.{task.step}.{index}"
-            )
-            self.job_table.end_if_finished(progress.job, now)
-        for upstream, tasks in crashed.items():
-            logger.warning(
-                "upstream has crashed",
-                upstream=upstream,
-                under=len(tasks),
-                tasks=tasks[:MAX_LOGGED_TASKS],
-            )
+        for each in self._list_open():
+            since = self._opened.get(each.key, now)
+            service = services.get(each.loss.address)
+            if service is None or each.loss.upstream in names:
+                if now - since > RESTART_PATIENCE:
+                    self._dismiss(*each.key)
+                else:
+                    opened[each.key] = since
+            elif service != self.job_table.find_service(each.queue):
+                # The address went to another service: the upstream was replaced.
+                self._dismiss(*each.key)
+            else:
+                self._confirm(each, now)
+                crashed.setdefault(each.loss.upstream, []).append(each.name)
+        self._opened = opened
+        _log_crashes(crashed)
+
+    def _confirm(self, each: _OpenLoss, now: timedelta) -> None:
+        """Record that an upstream has crashed, and end the job if it is deadly."""
+        progress = each.progress
+        progress.losses.record(each.task.index, attrs.evolve(each.loss, crashed=True))
+        self.job_table.mark_losses(progress)
+        self.job_table.end_if_finished(progress.job, now)
+
+
+def _log_crashes(crashed: dict[str, list[str]]) -> None:
+    """Log the upstreams that have crashed, with the tasks that they ran."""
+    for upstream, tasks in crashed.items():
+        logger.warning(
+            "upstream has crashed",
+            upstream=upstream,
+            under=len(tasks),
+            tasks=tasks[:MAX_LOGGED_TASKS],
+        )
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -189,15 +189,13 @@
 
     def count_suspects(self) -> int:
         """Return the number of tasks that may crash the next upstream."""
-        count = 0
-        for progress in self.list_steps_with_losses():
-            count += sum(progress.is_suspect(index) for index in progress.losses)
-        return count
+        steps = self.list_steps_with_losses()
+        return sum(progress.losses.count_suspects() for progress in steps)
 
     def _end_if_deadly(self, job: JobProgress, now: timedelta) -> bool:
         """End a job with a task that crashes its upstreams; return whether it has."""
         for progress in job.steps.values():
-            index = progress.find_deadly_task()
+            index = progress.losses.find_deadly(progress.step.lasting)
             if index is None:
                 continue
             logger.warning(
@@ -206,7 +204,7 @@
                 step=progress.number,
                 task=index,
                 reason="upstreams crash when they start the task",
-                upstreams=[loss.upstream for loss in progress.losses[index]],
+                upstreams=[loss.upstream for loss in progress.losses.by_task[index]],
             )
             self._end_job(job, JobState.FAILED, now)
             return True
--- a/packages/almondspread/almondspread/jobs/losses.py
+++ b/packages/almondspread/almondspread/jobs/losses.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from attrs import define
+from attrs import define, field
 
 # A task is given up when this many upstreams have crashed right after they started it.
 MAX_FRESH_CRASHES = 2
@@ -67,3 +67,63 @@
     if lasting:
         return False
     return len(confirmed) >= MAX_CRASHES or len(losses) >= MAX_POSSIBLE_CRASHES
+
+
+@define(eq=False)
+class TaskLosses:
+    """The losses of the tasks of one step, by the index of the task."""
+
+    by_task: dict[int, list[Loss]] = field(factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self.by_task)
+
+    def record(self, index: int, loss: Loss) -> None:
+        """Record a loss of a task, in place of an earlier record of the same run."""
+        self.dismiss(index, loss.run)
+        self.by_task.setdefault(index, []).append(loss)
+
+    def dismiss(self, index: int, run: int) -> bool:
+        """Remove the loss of one run of a task; return whether there was one."""
+        losses = self.by_task.get(index, [])
+        left = [loss for loss in losses if loss.run != run]
+        if len(left) == len(losses):
+            return False
+        self.by_task[index] = left
+        if not left:
+            del self.by_task[index]
+        return True
+
+    def forget(self, index: int) -> bool:
+        """Remove all losses of a task; return whether there were any."""
+        return self.by_task.pop(index, None) is not None
+
+    def copy(self) -> dict[int, list[Loss]]:
+        """Return the losses by the index of the task, as they are now."""
+        return {index: list(losses) for index, losses in self.by_task.items()}
+
+    def list_open(self) -> list[tuple[int, Loss]]:
+        """Return the losses of which it is unknown whether the upstream crashed."""
+        found: list[tuple[int, Loss]] = []
+        for index, losses in self.by_task.items():
+            found.extend((index, loss) for loss in losses if not loss.crashed)
+        return found
+
+    def find_deadly(self, lasting: bool) -> int | None:
+        """Return the index of a task that is to be given up, if there is one."""
+        for index, losses in self.by_task.items():
+            if is_deadly(losses, lasting):
+                return index
+        return None
+
+    def is_suspect(self, index: int) -> bool:
+        """Return whether a task may well crash the next upstream that starts it."""
+        return is_suspect(self.by_task.get(index, ()))
+
+    def count_suspects(self) -> int:
+        """Return the number of tasks that may well crash the next upstream."""
+        return sum(is_suspect(losses) for losses in self.by_task.values())
+
+    def must_wait(self, index: int, lasting: bool) -> bool:
+        """Return whether a task waits until it is clear why its upstreams are lost."""
+        return may_be_deadly(self.by_task.get(index, ()), lasting)
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -75,7 +75,7 @@
     plan = _PlacementPlan(progress, candidates, latency_sensitive, max_alone)
     placements = []
     for index in order_suspects_first(progress):
-        if progress.must_wait(index):
+        if progress.losses.must_wait(index, step.lasting):
             continue
         placement = plan.place(index)
         if placement is not None:
@@ -90,7 +90,8 @@
     """
     if not progress.losses:
         return list(progress.waiting)
-    return sorted(progress.waiting, key=lambda index: not progress.is_suspect(index))
+    losses = progress.losses
+    return sorted(progress.waiting, key=lambda index: not losses.is_suspect(index))
 
 
 def _place_gang(
@@ -159,7 +160,7 @@
 
     def place(self, index: int) -> Placement | None:
         """Reserve capacity for one task; return ``None`` if no upstream fits."""
-        if self._separates and self._progress.is_suspect(index):
+        if self._separates and self._progress.losses.is_suspect(index):
             return self._place_apart(index)
         upstream = None
         if not self._step.gang:
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from almondspread.jobs.losses import Loss, is_deadly, is_suspect, may_be_deadly
+from almondspread.jobs.losses import Loss, TaskLosses
 from almondspread.jobs.messages import DONE, FAILED, RunEnd
 from almondspread.jobs.permits import StepPermits
 from almondspread.jobs.submissions import (
@@ -120,7 +120,7 @@
     runs: dict[int, list[Run]] = field(factory=dict)
     failed_runs: dict[int, set[int]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
-    losses: dict[int, list[Loss]] = field(factory=dict)
+    losses: TaskLosses = field(factory=TaskLosses)
     avoided_upstreams: dict[int, set[str]] = field(factory=dict)
     observed_durations: dict[int, timedelta] = field(factory=dict)
     permits: StepPermits = field(factory=StepPermits)
@@ -173,47 +173,15 @@
             self.done.add(done_index)
             self.waiting.pop(done_index, None)
             self.checkpoints.pop(done_index, None)
-            self.losses.pop(done_index, None)
-
-    def set_loss(self, index: int, loss: Loss) -> None:
-        """Record a loss of a task, in place of an earlier record of the same run."""
-        self.remove_loss(index, loss.run)
-        if index not in self.done:
-            self.losses.setdefault(index, []).append(loss)
-
-    def remove_loss(self, index: int, run: int) -> bool:
-        """Remove the loss of one run; return whether there was one."""
-        losses = self.losses.get(index, [])
-        left = [loss for loss in losses if loss.run != run]
-        if len(left) == len(losses):
-            return False
-        if left:
-            self.losses[index] = left
-        else:
-            del self.losses[index]
-        return True
-
-    def find_deadly_task(self) -> int | None:
-        """Return the index of a task that crashes its upstreams, if there is one."""
-        for index, losses in self.losses.items():
-            if is_deadly(losses, self.step.lasting):
-                return index
-        return None
-
-    def is_suspect(self, index: int) -> bool:
-        """Return whether a task may well crash the next upstream that starts it."""
-        return is_suspect(self.losses.get(index, ()))
-
-    def must_wait(self, index: int) -> bool:
-        """Return whether a task waits until it is clear why its upstreams are lost."""
-        return may_be_deadly(self.losses.get(index, ()), self.step.lasting)
+            self.losses.forget(done_index)
 
     @property
     def is_on_hold(self) -> bool:
         """Whether all waiting tasks must wait, or any of a gang."""
         if not self.losses:
             return False
-        held = [self.must_wait(index) for index in self.waiting]
+        lasting = self.step.lasting
+        held = [self.losses.must_wait(index, lasting) for index in self.waiting]
         return any(held) if self.step.gang else all(held)
 
     def count_failures(self) -> int:
@@ -259,7 +227,7 @@
             for index, text in self.checkpoints.items()
             if index in self.waiting
         }
-        losses = {index: list(each) for index, each in self.losses.items()}
+        losses = self.losses.copy()
         done = bitmap.to_bytes(size, "little")
         return StepRecord(self.occurrence, self.number, done, failed, kept, losses)
 
@@ -273,7 +241,7 @@
         for index, runs in record.failed_runs.items():
             self.failed_runs[index] = set(runs)
         self.checkpoints.update(record.checkpoints)
-        self.losses.update(record.losses)
+        self.losses = TaskLosses(dict(record.losses))
 
 
 @define(eq=False)
