Wait a minute for crashed upstreams that take long to come back

The test with 40 s fails with a patience of 15 s (crashes without end) and passes with 60 s; a task waits for it only if two upstreams were lost right after they had started it. Lines about lost tasks come from one function now. 272 tests of the job packages pass.

--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -15,7 +15,7 @@
 from almondspread.jobs.upstreams import FRESH_TIME, Upstream
 
 # An upstream that has not come back by then tells nothing about its tasks.
-RESTART_PATIENCE = timedelta(seconds=15)
+RESTART_PATIENCE = timedelta(seconds=60)
 MAX_LOGGED_TASKS = 8
 
 
@@ -24,6 +24,41 @@
     return upstream.heard_at - run.started_at < FRESH_TIME
 
 
+def format_task(task: TaskId) -> str:
+    """Return a task as lists of tasks in logs name it.
+
+    >>> format_task(TaskId("5c0e7a21", 0, 1, 17))
+    '5c0e7a21.0.1.17'
+    """
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def log_loss(
+    name: str, upstream: Upstream | None, runs: list[Run], reason: str
+) -> None:
+    """Log that an upstream is lost, with the runs that it may have died of.
+
+    ``unconfirmed`` counts the starts that may never have reached the upstream.
+    """
+    fresh = []
+    unconfirmed = 0
+    for run in runs:
+        if not run.is_confirmed:
+            unconfirmed += 1
+        elif upstream is not None and is_fresh(run, upstream):
+            fresh.append(format_task(run.task))
+    logger.warning(
+        "upstream lost",
+        upstream=name,
+        address=upstream.entry.address if upstream else "",
+        reason=reason,
+        leaving=bool(upstream and upstream.is_leaving),
+        runs=len(runs),
+        unconfirmed=unconfirmed,
+        fresh=fresh[:MAX_LOGGED_TASKS],
+    )
+
+
 @define(frozen=True)
 class _OpenLoss:
     """A loss of which it is unknown whether the upstream crashed, with its task."""
@@ -45,7 +80,7 @@
     @property
     def name(self) -> str:
         """The task as logs name it."""
-        return f"{self.task.job}.{self.task.step}.{self.task.index}"
+        return format_task(self.task)
 
 
 @define(eq=False)
--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -25,6 +25,19 @@
         self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
         self.assertEqual(self.cell.crashes[DEADLY], 2)
 
+    def test_task_is_given_up_where_upstreams_take_long_to_come_back(self):
+        """The leases of a crashed upstream expire before it is back."""
+        for restart_time in (9 * SECOND, 40 * SECOND):
+            with self.subTest(restart_time=restart_time):
+                job = f"deadly-{restart_time.seconds}"
+                task = TaskId(job, 0, 0, 0)
+                self.cell.deadly.add(task)
+                self.cell.restart_time = restart_time
+                self.cell.submit(make_job(job, make_step()))
+                self.cell.run_for(100 * SECOND)
+                self.assertEqual(self.cell.read_state(job), JobState.FAILED)
+                self.assertEqual(self.cell.crashes[task], 2)
+
     def test_task_that_may_run_twice_is_given_up_as_early(self):
         self.cell.submit(make_job("deadly", make_step(duplicates=True)))
         self.cell.run_for(20 * SECOND)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from almondspread.jobs.cell_state import CellState
-from almondspread.jobs.crashes import CrashTracker, is_fresh
+from almondspread.jobs.crashes import CrashTracker, log_loss
 from almondspread.jobs.messages import (
     LOST,
     STOPPED,
@@ -30,8 +30,6 @@
 from almondspread.jobs.trials import end_trials
 from almondspread.jobs.upstreams import Upstream
 
-MAX_LOGGED_RUNS = 8
-
 
 @define(eq=False)
 class UpstreamTracker:
@@ -105,7 +103,7 @@
         """Record all runs of an upstream as lost; none of them can still run."""
         runs = self.cell_state.list_runs(name)
         if runs or name in self.unseen:
-            self._log_loss(name, runs, reason)
+            log_loss(name, self.cell_state.upstreams.get(name), runs, reason)
         self.unseen.discard(name)
         upstream = self.cell_state.upstreams.get(name)
         if upstream is not None:
@@ -115,31 +113,6 @@
         if upstream is not None and not upstream.listed:
             self._remove_upstream(name)
 
-    def _log_loss(self, name: str, runs: list[Run], reason: str) -> None:
-        """Log the loss of an upstream, with the runs that it may have died of.
-
-        A fresh run is one that had hardly begun when the upstream was last heard.
-        ``unconfirmed`` counts the starts that may never have reached the upstream.
-        """
-        upstream = self.cell_state.upstreams.get(name)
-        fresh = []
-        unconfirmed = 0
-        for run in runs:
-            if not run.is_confirmed:
-                unconfirmed += 1
-            elif upstream and is_fresh(run, upstream):
-                fresh.append(f"{run.task.job}.{run.task.step}.{run.task.index}")
-        logger.warning(
-            "upstream lost",
-            upstream=name,
-            address=upstream.entry.address if upstream else "",
-            reason=reason,
-            leaving=bool(upstream and upstream.is_leaving),
-            runs=len(runs),
-            unconfirmed=unconfirmed,
-            fresh=fresh[:MAX_LOGGED_RUNS],
-        )
-
     def _remove_upstream(self, name: str) -> None:
         """Remove an upstream, and have its executor stop watching it."""
         self.cell_state.upstreams.pop(name, None)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -36,8 +36,6 @@
 START_EXPIRY = timedelta(seconds=2)
 MAX_RECORDS = 90
 DRAIN_TIME = timedelta(seconds=2)
-# A crashed upstream is back, as a new incarnation, after this time.
-RESTART_TIME = timedelta(seconds=3)
 # No leader may start a task that crashes its upstreams more often than this.
 MAX_CRASHING_STARTS = 5
 Order = UpstreamOrder | AskPermits
@@ -87,6 +85,7 @@
     ``held_orders`` for a later execution, and ``drop_order`` whether it is lost
     together with its executor. The advice service permits no upstream of ``denied``.
     A task of ``deadly`` crashes each upstream that starts it; ``crashes`` counts these.
+    Such an upstream is back, as a new incarnation, after ``restart_time``.
     """
 
     history: History = field(factory=History)
@@ -104,6 +103,7 @@
     denied: set[str] = field(factory=set)
     deadly: set[TaskId] = field(factory=set)
     crashes: dict[TaskId, int] = field(factory=dict)
+    restart_time: timedelta = timedelta(seconds=3)
     permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
     directory_is_up: bool = True
@@ -258,7 +258,7 @@
         """Crash an upstream because it has started a deadly task."""
         self.upstreams[name].crash()
         self.silent.add(name)
-        self._restarts[name] = self.now + RESTART_TIME
+        self._restarts[name] = self.now + self.restart_time
         self.crashes[task] = self.crashes.get(task, 0) + 1
         if self.crashes[task] > MAX_CRASHING_STARTS:
             self.history.violations.append(f"{task} was started again and again")
