Apply the ends of occurrences that are not due yet by this leader's clock

What callers saw: a task of a repeated job that was done ran again after a change of leader.

Cause: a new leader creates the steps of an occurrence when it is due by its own clock, and at first none of a repeated job. A done end that arrived before that found no step, changed nothing, and still counted as applied, so that it was acknowledged and lost.

Change: an end creates the steps of its occurrence, as a running task already does.

--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -167,8 +167,8 @@
         """Apply the end of a run to its task, its job and its upstream."""
         run = self.cell_state.runs.get((end.task, end.run))
         task = end.task
-        progress = self.job_table.find_known_step(task.job, task.occurrence, task.step)
-        if progress is None or task.index >= progress.step.count:
+        progress = self.job_table.find_started_step(task)
+        if progress is None:
             return
         logger.info(
             "run ended",
