Keep the stored progress of occurrences that are not due yet

What callers would see: done tasks of a repeated job run again after two changes of leader.

Cause: the progress of an occurrence that a leader's clock does not show as due waits apart from the steps, and the record that this leader stores left it out, so that the next leader found nothing of it. Change: the record holds it too.

--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -357,6 +357,8 @@
                 for progress in self.steps.values()
                 if progress.has_record
             )
+            # The next leader needs the progress of occurrences not yet due here, too.
+            steps += tuple(self.records.values())
         return JobRecord(
             self.submission.job, self.submission.queue, str(self.state), steps
         )
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -77,6 +77,21 @@
         self.cell.run_for(5 * SECOND)
         self.assertEqual(self.cell.history.starts, 2)
 
+    def test_progress_of_an_occurrence_that_is_not_due_yet_is_kept(self):
+        """A leader whose clock was behind stored the job without it."""
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND)
+        job = self.make_repeated_job()
+        self.cell.submit(job)
+        self.cell.run_for(3 * SECOND)
+        self.assertEqual(self.cell.history.starts, 2)
+        self.cell.history.submissions.clear()
+        self.cell.take_over()
+        self.cell.history.submissions["j"] = job
+        self.accept_before_its_time(job)
+        record = self.cell.scheduler.jobs["j"].make_record()
+        self.assertEqual(record, self.cell.records["j"])
+
     def test_job_of_the_new_epoch_does_not_wait_for_silent_upstreams(self):
         self.add_upstreams(2)
         self.cell.run_for(SECOND)
