--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -169,7 +169,10 @@
         return found
 
     def resolve(self, entries: list[UpstreamEntry], now: timedelta) -> None:
-        """Resolve open losses by the newest list of upstreams; end deadly jobs."""
+        """Resolve open losses by the newest list of upstreams.
+
+        Jobs with a task that crashes its upstreams end here.
+        """
         names = {entry.name for entry in entries}
         services = {entry.address: entry.service for entry in entries}
         opened: dict[tuple[TaskId, int], timedelta] = {}
@@ -192,7 +195,7 @@
         _log_crashes(crashed)
 
     def _confirm(self, each: _OpenLoss, now: timedelta) -> None:
-        """Record that an upstream has crashed, and end the job if it is deadly."""
+        """Record that an upstream has crashed, and end the job if that was too much."""
         progress = each.progress
         progress.losses.record(each.task.index, attrs.evolve(each.loss, crashed=True))
         self.job_table.mark_losses(progress)
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -164,8 +164,8 @@
         self.stop_runs(job.list_runs(), now)
 
     def end_if_finished(self, job: JobProgress, now: timedelta) -> None:
-        """End a job that is complete, has used up its attempts or is deadly."""
-        if job.ended is not None or self._end_if_deadly(job, now):
+        """End a job that is complete, has used up its attempts or crashes upstreams."""
+        if job.ended is not None or self._end_if_crashing(job, now):
             return
         queue = self.configuration.queues.get(job.submission.queue)
         for progress in job.steps.values():
@@ -192,10 +192,10 @@
         steps = self.list_steps_with_losses()
         return sum(progress.losses.count_suspects() for progress in steps)
 
-    def _end_if_deadly(self, job: JobProgress, now: timedelta) -> bool:
+    def _end_if_crashing(self, job: JobProgress, now: timedelta) -> bool:
         """End a job with a task that crashes its upstreams; return whether it has."""
         for progress in job.steps.values():
-            index = progress.losses.find_deadly(progress.step.lasting)
+            index = progress.losses.find_crashing(progress.step.lasting)
             if index is None:
                 continue
             logger.warning(
--- a/packages/almondspread/almondspread/jobs/losses.py
+++ b/packages/almondspread/almondspread/jobs/losses.py
@@ -34,20 +34,20 @@
     crashed: bool = False
 
 
-def is_deadly(losses: Iterable[Loss], lasting: bool = False) -> bool:
+def is_crashing(losses: Iterable[Loss], lasting: bool = False) -> bool:
     """Return whether a task is to be given up, because upstreams crash under it.
 
     A lasting task may see many crashes in its time, so that only those right after a
     start count for it.
 
     >>> crash = Loss(1, "u-1", "10.0.0.1:80", confirmed=True, fresh=True, crashed=True)
-    >>> is_deadly([crash]), is_deadly([crash, crash])
+    >>> is_crashing([crash]), is_crashing([crash, crash])
     (False, True)
     """
     return _is_too_much([loss for loss in losses if loss.crashed], lasting)
 
 
-def may_be_deadly(losses: Sequence[Loss], lasting: bool = False) -> bool:
+def may_be_crashing(losses: Sequence[Loss], lasting: bool = False) -> bool:
     """Return whether a task is to be given up if every lost upstream has crashed."""
     return _is_too_much(losses, lasting)
 
@@ -109,10 +109,10 @@
             found.extend((index, loss) for loss in losses if not loss.crashed)
         return found
 
-    def find_deadly(self, lasting: bool) -> int | None:
+    def find_crashing(self, lasting: bool) -> int | None:
         """Return the index of a task that is to be given up, if there is one."""
         for index, losses in self.by_task.items():
-            if is_deadly(losses, lasting):
+            if is_crashing(losses, lasting):
                 return index
         return None
 
@@ -126,4 +126,4 @@
 
     def must_wait(self, index: int, lasting: bool) -> bool:
         """Return whether a task waits until it is clear why its upstreams are lost."""
-        return may_be_deadly(self.by_task.get(index, ()), lasting)
+        return may_be_crashing(self.by_task.get(index, ()), lasting)
--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -7,31 +7,31 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 
-DEADLY = TaskId("deadly", 0, 0, 0)
+CRASHING = TaskId("crashing", 0, 0, 0)
 
 
-class DeadlyTaskTest(CellTest):
+class CrashingTaskTest(CellTest):
     """One task crashed upstream after upstream, for as long as the day lasted."""
 
     def setUp(self):
         super().setUp()
         self.add_upstreams(6)
-        self.cell.deadly.add(DEADLY)
+        self.cell.crashing.add(CRASHING)
         self.cell.run_for(SECOND)
 
     def test_task_that_crashes_two_upstreams_is_given_up(self):
-        self.cell.submit(make_job("deadly", make_step(2)))
+        self.cell.submit(make_job("crashing", make_step(2)))
         self.cell.run_for(20 * SECOND)
-        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
-        self.assertEqual(self.cell.crashes[DEADLY], 2)
+        self.assertEqual(self.cell.read_state("crashing"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[CRASHING], 2)
 
     def test_task_is_given_up_where_upstreams_take_long_to_come_back(self):
         """The leases of a crashed upstream expire before it is back."""
         for restart_time in (9 * SECOND, 40 * SECOND):
             with self.subTest(restart_time=restart_time):
-                job = f"deadly-{restart_time.seconds}"
+                job = f"crashing-{restart_time.seconds}"
                 task = TaskId(job, 0, 0, 0)
-                self.cell.deadly.add(task)
+                self.cell.crashing.add(task)
                 self.cell.restart_time = restart_time
                 self.cell.submit(make_job(job, make_step()))
                 self.cell.run_for(100 * SECOND)
@@ -39,40 +39,40 @@
                 self.assertEqual(self.cell.crashes[task], 2)
 
     def test_task_that_may_run_twice_is_given_up_as_early(self):
-        self.cell.submit(make_job("deadly", make_step(duplicates=True)))
+        self.cell.submit(make_job("crashing", make_step(duplicates=True)))
         self.cell.run_for(20 * SECOND)
-        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
-        self.assertEqual(self.cell.crashes[DEADLY], 2)
+        self.assertEqual(self.cell.read_state("crashing"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[CRASHING], 2)
 
     def test_lasting_task_that_crashes_two_upstreams_is_given_up(self):
-        self.cell.submit(make_job("deadly", make_step(lasting=True)))
+        self.cell.submit(make_job("crashing", make_step(lasting=True)))
         self.cell.run_for(20 * SECOND)
-        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
-        self.assertEqual(self.cell.crashes[DEADLY], 2)
+        self.assertEqual(self.cell.read_state("crashing"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[CRASHING], 2)
 
     def test_crashes_are_remembered_by_the_next_leaders(self):
-        self.cell.submit(make_job("deadly", make_step(2)))
+        self.cell.submit(make_job("crashing", make_step(2)))
         for _ in range(8):
             self.cell.run_for(4 * SECOND)
             self.cell.take_over()
         self.cell.run_for(20 * SECOND)
-        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
-        self.assertLessEqual(self.cell.crashes[DEADLY], 3)
+        self.assertEqual(self.cell.read_state("crashing"), JobState.FAILED)
+        self.assertLessEqual(self.cell.crashes[CRASHING], 3)
 
     def test_leader_killed_soon_after_each_crash_does_not_forget_it(self):
-        self.cell.submit(make_job("deadly", make_step(2)))
+        self.cell.submit(make_job("crashing", make_step(2)))
         for crash in range(1, 6):
             for _ in range(300):
-                if self.cell.read_state("deadly") is JobState.FAILED:
+                if self.cell.read_state("crashing") is JobState.FAILED:
                     return
-                if self.cell.crashes.get(DEADLY, 0) < crash:
+                if self.cell.crashes.get(CRASHING, 0) < crash:
                     self.cell.step()
             self.cell.run_for(timedelta(milliseconds=500))
             self.cell.take_over()
         self.fail("the task was never given up")
 
-    def test_tasks_beside_a_deadly_one_are_done(self):
-        self.cell.submit(make_job("deadly", make_step(4)))
+    def test_tasks_beside_a_crashing_one_are_done(self):
+        self.cell.submit(make_job("crashing", make_step(4)))
         jobs = []
         for number in range(20):
             jobs.append(f"j{number}")
@@ -80,20 +80,20 @@
             self.cell.run_for(timedelta(milliseconds=300))
         self.cell.run_for(20 * SECOND)
         self.assert_completed(*jobs)
-        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
-        self.assertEqual(self.cell.crashes[DEADLY], 2)
+        self.assertEqual(self.cell.read_state("crashing"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[CRASHING], 2)
 
 
-class DeadlyGangTest(CellTest):
+class CrashingGangTest(CellTest):
     """A gang lost upstreams under several of its members at once."""
 
-    def test_gang_with_a_deadly_member_is_given_up(self):
+    def test_gang_with_a_crashing_member_is_given_up(self):
         self.add_upstreams(6)
-        self.cell.deadly.add(DEADLY)
-        self.cell.submit(make_job("deadly", make_step(4, gang=True)))
+        self.cell.crashing.add(CRASHING)
+        self.cell.submit(make_job("crashing", make_step(4, gang=True)))
         self.cell.run_for(30 * SECOND)
-        self.assertEqual(self.cell.read_state("deadly"), JobState.FAILED)
-        self.assertEqual(self.cell.crashes[DEADLY], 2)
+        self.assertEqual(self.cell.read_state("crashing"), JobState.FAILED)
+        self.assertEqual(self.cell.crashes[CRASHING], 2)
 
     def test_gang_is_placed_where_its_suspected_members_cannot_be_put_apart(self):
         self.add_upstreams(2)
--- a/packages/almondspread/almondspread/scheduling/tests/test_lost_workers.py
+++ b/packages/almondspread/almondspread/scheduling/tests/test_lost_workers.py
@@ -27,7 +27,7 @@
         return state.tasks[0]
 
     def test_task_that_restarts_its_workers_uses_up_its_attempts(self):
-        self.shard.declare(make_desired("batch", "deadly", 1, attempts=2))
+        self.shard.declare(make_desired("batch", "crashing", 1, attempts=2))
         for _ in range(2):
             self.lose_worker()
             self.assertEqual(
@@ -39,7 +39,7 @@
         self.assertEqual(self.read_task().phase, FAILED)
 
     def test_replica_that_restarts_its_workers_is_started_less_and_less_often(self):
-        self.shard.declare(make_desired("service", "deadly", 1))
+        self.shard.declare(make_desired("service", "crashing", 1))
         for _ in range(3):
             self.lose_worker()
         self.assertGreater(self.read_task().retry_at, 0.0)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -84,8 +84,8 @@
     whether it is executed without an answer, ``hold_back`` whether it is kept in
     ``held_orders`` for a later execution, and ``drop_order`` whether it is lost
     together with its executor. The advice service permits no upstream of ``denied``.
-    A task of ``deadly`` crashes each upstream that starts it; ``crashes`` counts these.
-    Such an upstream is back, as a new incarnation, after ``restart_time``.
+    A task of ``crashing`` crashes each upstream that starts it, and ``crashes`` counts
+    these. Such an upstream is back, as a new incarnation, after ``restart_time``.
     """
 
     history: History = field(factory=History)
@@ -101,7 +101,7 @@
     hold_back: Callable[[Order], bool] = lambda _: False
     drop_order: Callable[[Order], bool] = lambda _: False
     denied: set[str] = field(factory=set)
-    deadly: set[TaskId] = field(factory=set)
+    crashing: set[TaskId] = field(factory=set)
     crashes: dict[TaskId, int] = field(factory=dict)
     restart_time: timedelta = timedelta(seconds=3)
     permit_requests: list[AskPermits] = field(factory=list)
@@ -242,7 +242,7 @@
                 self._report_start(order, FENCED, reason)
             else:
                 self._report_start(order, REFUSED if reason else STARTED, reason)
-            if order.task in self.deadly and not reason and not unreachable:
+            if order.task in self.crashing and not reason and not unreachable:
                 self._crash(order.upstream, order.task)
             return
         if not unreachable:
@@ -255,7 +255,7 @@
         )
 
     def _crash(self, name: str, task: TaskId) -> None:
-        """Crash an upstream because it has started a deadly task."""
+        """Crash an upstream because it has started a crashing task."""
         self.upstreams[name].crash()
         self.silent.add(name)
         self._restarts[name] = self.now + self.restart_time
