--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -34,7 +34,8 @@
 
     ``stop_runs`` is called with the remaining runs of a job that has ended.
     ``is_complete`` is false while some jobs are not loaded. ``ready_steps`` have
-    waiting tasks and no incomplete dependencies. The progress of ``changed`` jobs has
+    waiting tasks and no incomplete dependencies, ``_steps_with_losses`` tasks under
+    which an upstream was lost. The progress of ``changed`` jobs has
     to be stored. ``forgotten`` jobs are removed from the table, and their stored
     progress is still to be deleted.
     """
--- a/packages/almondspread/almondspread/jobs/losses.py
+++ b/packages/almondspread/almondspread/jobs/losses.py
@@ -53,7 +53,11 @@
 
 
 def is_suspect(losses: Sequence[Loss]) -> bool:
-    """Return whether a task may well crash the next upstream that starts it."""
+    """Return whether a task may well crash the next upstream that starts it.
+
+    One upstream that is lost under a task says little, unless the run was fresh: of
+    all runs there, those that had just begun are the likeliest cause.
+    """
     confirmed = [loss for loss in losses if loss.confirmed]
     return len(confirmed) > 1 or any(loss.fresh for loss in confirmed)
 
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -123,7 +123,11 @@
 
 
 class _PlacementPlan:
-    """The capacity left on the candidates while the tasks of one step are placed."""
+    """The capacity left on the candidates while the tasks of one step are placed.
+
+    If the plan ``separates`` tasks, one that may crash its upstream shares it with no
+    other task of the step. At most ``max_alone`` of these are also placed alone.
+    """
 
     def __init__(
         self,
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -78,7 +78,9 @@
 class StepRecord:
     """The stored progress of a step.
 
-    ``done`` is a little-endian bitmap of the indexes of the tasks that are done.
+    ``done`` is a little-endian bitmap of the indexes of the tasks that are done. The
+    other fields hold, by the index of the task, the numbers of its failed runs, its
+    checkpoint and the upstreams that were lost under it.
     """
 
     occurrence: int
--- a/packages/almondspread/almondspread/scheduling/failures.py
+++ b/packages/almondspread/almondspread/scheduling/failures.py
@@ -63,7 +63,7 @@
         self._quarantine.record_end(attempt.worker, attempt.workload, True, now)
 
     def is_lost_by_itself(self, attempt: Attempt, outcome: str, now: datetime) -> bool:
-        """Note an end, and return whether the task seems to crash its workers.
+        """Record an end, and return whether the task seems to crash its workers.
 
         The count of losses in a row is not stored, so that a new owner starts at zero.
         """
