Keep the ends of jobs that a new leader has not read yet

What callers saw: a task that was done could run again after a change of leader while the store was slow.

Cause: an earlier leader may start jobs up to the version that its row permits, which in a slow store lies ahead (CommitPace.margin), so also jobs stored after its successor had begun to read. An upstream could report the end of such a job to the successor before the feed brought the job: the end found no job, changed nothing, and was acknowledged by the next commit. When the job arrived, its task was waiting. A running task of such a job was stopped as an unknown run.

Change: a report that mentions an unknown job is not applied until a read of the submissions has been answered that began after the first mention; a job that is still unknown then is deleted. The executor reports such ends again, since those before its next report are missing (the stand-in cell now does so too).

--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -16,6 +16,8 @@
 )
 from almondspread.jobs.submissions import Submission, TaskId
 
+# A job that no upstream has mentioned for this long counts as never mentioned.
+MENTION_RETENTION = timedelta(seconds=60)
 StopRuns = Callable[[list[Run], timedelta], None]
 
 
@@ -33,16 +35,19 @@
     """Holds all jobs, finds the steps that are ready to start, and ends jobs.
 
     ``stop_runs`` is called with the remaining runs of a job that has ended.
-    ``is_complete`` is false while some jobs are not loaded. ``ready_steps`` have
+    ``is_complete`` is false while some jobs are not loaded. All jobs stored before
+    ``read_until`` are known, unless they were deleted. ``ready_steps`` have
     waiting tasks and no incomplete dependencies, ``_steps_with_losses`` tasks under
     which an upstream was lost. The progress of ``changed`` jobs has
     to be stored. ``forgotten`` jobs are removed from the table, and their stored
-    progress is still to be deleted.
+    progress is still to be deleted. ``_first_mentions`` tells when upstreams first
+    mentioned jobs that were unknown then.
     """
 
     configuration: Configuration
     stop_runs: StopRuns
     is_complete: bool = True
+    read_until: timedelta = timedelta.min
     jobs: dict[str, JobProgress] = field(factory=dict)
     ready_steps: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
     _steps_with_losses: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
@@ -53,6 +58,7 @@
     _cancelled_early: dict[str, timedelta] = field(factory=dict)
     _repeating: set[str] = field(factory=set)
     _unannounced: dict[str, None] = field(factory=dict)
+    _first_mentions: dict[str, timedelta] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.configure(self.configuration)
@@ -239,6 +245,25 @@
             self._cancelled_early.pop(name, None)
         self.forgotten.update(names)
 
+    def record_read(self, began: timedelta) -> None:
+        """Record that all jobs stored before the time ``began`` have been read."""
+        self.read_until = max(self.read_until, began)
+        for name, mentioned_at in list(self._first_mentions.items()):
+            if mentioned_at + MENTION_RETENTION < began:
+                del self._first_mentions[name]
+
+    def may_be_unread(self, name: str, now: timedelta) -> bool:
+        """Tell whether a job that an upstream mentions may be stored but not read yet.
+
+        An earlier leader may have started a job that was stored after this leader had
+        begun to read. A job that is unknown after a read that began since the job was
+        first mentioned is deleted.
+        """
+        if name in self.jobs:
+            return False
+        mentioned_at = self._first_mentions.setdefault(name, now)
+        return not self.is_complete or self.read_until < mentioned_at
+
     def find_step(self, run: Run) -> StepProgress:
         """Return the step of a run, whose job must be known."""
         task = run.task
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -108,6 +108,10 @@
     def is_complete(self, complete: bool) -> None:
         self._job_table.is_complete = complete
 
+    def record_read(self, began: timedelta) -> None:
+        """Record that all jobs stored before the time ``began`` are accepted."""
+        self._job_table.record_read(began)
+
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; jobs of removed queues keep their service."""
         self._job_table.configure(configuration)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -148,16 +148,14 @@
     def handle_report(self, report: UpstreamReport, now: timedelta) -> None:
         """Update the state of an upstream and its runs from a report.
 
-        A report is ignored if it is of another epoch, if it mentions a job that is not
-        loaded yet, or if the ends before its own are missing.
+        A report is ignored if it is of another epoch, if it mentions a job that may be
+        stored but not read yet, or if the ends before its own are missing.
         """
         upstream = self.cell_state.upstreams.get(report.upstream)
         if upstream is None or report.epoch != self.cell_state.epoch:
             return
         upstream.last_observed_at = upstream.heard_at = now
-        if not self.control.job_table.is_complete and self._mentions_unknown_job(
-            report
-        ):
+        if self._mentions_unread_job(report, now):
             # For unknown jobs, neither the size of their runs nor their ends can be
             # applied yet. The upstream reports both again.
             return
@@ -200,10 +198,11 @@
             )
         self._adjust_paces(upstream, now)
 
-    def _mentions_unknown_job(self, report: UpstreamReport) -> bool:
-        """Tell whether a report mentions a job that is not loaded."""
+    def _mentions_unread_job(self, report: UpstreamReport, now: timedelta) -> bool:
+        """Tell whether a report mentions a job that may be stored but not read yet."""
+        job_table = self.control.job_table
         rows: list[RunSighting | RunEnd] = [*report.ends, *(report.running or ())]
-        return any(row.task.job not in self.control.job_table.jobs for row in rows)
+        return any(job_table.may_be_unread(row.task.job, now) for row in rows)
 
     def _update_run(
         self, sighting: RunSighting, upstream: Upstream, now: timedelta
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -22,6 +22,7 @@
     UpstreamOrder,
     UpstreamReport,
     UpstreamSilent,
+    WatchUpstream,
 )
 from almondspread.jobs.progress import JobRecord, JobState
 from almondspread.jobs.scheduler import Scheduler
@@ -106,6 +107,7 @@
     restart_time: timedelta = timedelta(seconds=3)
     permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
+    submissions_are_readable: bool = True
     directory_is_up: bool = True
     versions: dict[str, int] = field(factory=dict)
     started_version: int = 0
@@ -171,6 +173,8 @@
         """Advance the clock, poll all upstreams, schedule, and execute the orders."""
         self.now += duration
         self._restart_crashed()
+        if self.submissions_are_readable:
+            self.scheduler.record_read(self.now)
         if self.directory_is_up:
             self.report_upstream_list()
         for name in list(self.upstreams):
@@ -228,6 +232,9 @@
         upstream = self.upstreams.get(order.upstream)
         if isinstance(order, AcknowledgeEnds):
             self._acknowledged[order.upstream] = order.number
+        if isinstance(order, WatchUpstream):
+            # The executor reports all ends again that are not acknowledged.
+            self._forwarded.pop(order.upstream, None)
         if upstream is None or not isinstance(order, StartRun | StopRun):
             return
         unreachable = order.upstream in self.silent
@@ -301,16 +308,20 @@
         self._acknowledged.clear()
         self._forwarded.clear()
         for submission in self.history.submissions.values():
-            self.scheduler.accept_job(
-                submission,
-                self.now,
-                WALL_CLOCK_START + self.now,
-                version=self.versions.get(submission.job, 0),
-                record=self.records.get(submission.job),
-            )
+            self.accept_stored(submission)
         for upstream in watched:
             self.scheduler.inherit_upstream(upstream.entry, self.now + lapse_in)
 
+    def accept_stored(self, submission: Submission) -> None:
+        """Have the scheduler accept a job with the progress that is stored of it."""
+        self.scheduler.accept_job(
+            submission,
+            self.now,
+            WALL_CLOCK_START + self.now,
+            version=self.versions.get(submission.job, 0),
+            record=self.records.get(submission.job),
+        )
+
     def read_state(self, job: str) -> JobState:
         """Return the state of a job."""
         return self.scheduler.jobs[job].state
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -155,6 +155,7 @@
 
     async def follow(self) -> bool:
         """Apply the next changes of the submissions; return whether there were any."""
+        began = self._clock.monotonic()
         changes = await self._store.follow(
             SUBMISSIONS_TABLE, self._version, FEED_POLL_TIMEOUT
         )
@@ -167,6 +168,7 @@
             await self._clock.sleep(STORE_RETRY_DELAY)
             return False
         self.apply_rows(changes.ok.rows)
+        self._scheduler.record_read(began)
         self._last_read_at = self._clock.monotonic()
         self._version = max(self._version, changes.ok.version)
         return bool(changes.ok.rows)
@@ -177,12 +179,14 @@
             "submission feed lost its history, reading all submissions",
             version=self._version,
         )
+        began = self._clock.monotonic()
         cell = StoredCell(self._store)
         loaded = await cell.load_submissions()
         if loaded.is_error() or cell.missing_partitions:
             await self._clock.sleep(STORE_RETRY_DELAY)
             return False
         self.apply_rows(cell.submission_rows)
+        self._scheduler.record_read(began)
         self._last_read_at = self._clock.monotonic()
         self._version = max(cell.version, self._claim_version)
         return True
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -365,6 +365,22 @@
         second = self.scheduler.take_changes(2)
         self.assertEqual((len(second.records), second.ends), (1, {"u": 3}))
 
+    async def test_ends_of_an_unknown_job_wait_for_the_next_read(self):
+        """Such ends were acknowledged and dropped, and their tasks ran again."""
+        await self.claim()
+        await self.intake.follow()
+        now = self.parts.clock.monotonic()
+        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
+        self.scheduler.update_upstreams([entry], now)
+        end = RunEnd(1, TaskId("deleted", 0, 0, 0), 1, "done")
+        report = UpstreamReport("u", 1, 1, 0, (end,), ())
+        self.scheduler.handle_report(report, now + SECOND)
+        self.assertEqual(self.scheduler.take_changes(2).ends, {})
+        self.parts.clock.advance(2 * SECOND)
+        await self.intake.follow()
+        self.scheduler.handle_report(report, now + 3 * SECOND)
+        self.assertEqual(self.scheduler.take_changes(2).ends, {"u": 1})
+
 
 if __name__ == "__main__":
     unittest.main()
