Tell a request that its deadline kept from being sent as not run

What callers saw: 504 with an unknown outcome for a request of which no byte had left, and so no permission to repeat it. Open since the test test_late_answer_keeps_its_slot failed once with 5 of 8 in flight (504s).

Cause: send_request reported the outcome as unknown whenever the deadline passed, whether or not the request had been sent.

Change: a SendPermission notes whether a send was allowed. At the deadline it is withdrawn, so that nothing is sent later, and a request that was not sent is refused as not run (503).

The new test fails without the change (not_run None).

--- a/packages/almondspread_daemon/almondspread_daemon/requests/minion_pools.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/minion_pools.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+from attrs import define
 from expression import Error, Ok, Result
 from loguru import logger
 
@@ -41,6 +42,36 @@
 HandleLateAnswer = Callable[[MinionAnswer], None]
 
 
+@define(eq=False)
+class SendPermission:
+    """Whether a request may still be sent to its minion, or may have been.
+
+    ``was_granted`` is set once a send was allowed. ``is_withdrawn`` forbids it for
+    good.
+    """
+
+    ticket: Ticket
+    due: timedelta
+    clock: Clock
+    was_granted: bool = False
+    is_withdrawn: bool = False
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the deadline and the ownership still allow sending."""
+        now = self.clock.monotonic()
+        return (
+            not self.is_withdrawn and now < self.due and self.ticket.shard.may_send(now)
+        )
+
+    def may_send(self) -> bool:
+        """Tell whether to send now; the caller sends at once if so."""
+        if not self.is_valid:
+            return False
+        self.was_granted = True
+        return True
+
+
 class MinionPools:
     """Counts the slots in use of owned minions and sends requests to the minions.
 
@@ -344,9 +375,11 @@
         """Send a request in its slot, which is released once the minion is done.
 
         Returns at ``due`` at the latest. An answer that arrives after that, or after
-        the caller was cancelled, is passed to ``handle_late_answer``.
+        the caller was cancelled, is passed to ``handle_late_answer``. A request that is
+        not sent by then is never sent.
         """
-        transfer = asyncio.create_task(self._transfer(ticket, request, due))
+        permission = SendPermission(ticket, due, self._clock)
+        transfer = asyncio.create_task(self._transfer(ticket, request, permission))
         self._transfer_tasks.add(transfer)
         transfer.add_done_callback(self._transfer_tasks.discard)
         left = due - self._clock.monotonic()
@@ -360,6 +393,10 @@
                 transfer.add_done_callback(_make_late_callback(handle_late_answer))
         if in_time:
             return transfer.result()
+        permission.is_withdrawn = True
+        if not permission.was_granted:
+            reason = "the deadline passed before the request was sent"
+            return Error(refuse_unreached_minion(ticket.minion.name, reason))
         return Error(
             report_unknown_outcome(
                 f"minion {ticket.minion.name} did not answer before the deadline"
@@ -367,27 +404,23 @@
         )
 
     async def _transfer(
-        self, ticket: Ticket, request: MinionRequest, due: timedelta
+        self, ticket: Ticket, request: MinionRequest, permission: SendPermission
     ) -> Result[MinionAnswer, Problem]:
         """Send one request, and wait until the minion is done with it.
 
         The wait ends at the latest when the grace period after the deadline is over.
         """
         started = self._clock.monotonic()
-        timeout = due + get_grace_period(request.kind) - started
-
-        def may_send() -> bool:
-            """Tell whether the deadline and the ownership still allow sending."""
-            now = self._clock.monotonic()
-            return now < due and ticket.shard.may_send(now)
-
+        timeout = permission.due + get_grace_period(request.kind) - started
         minion = ticket.minion
         try:
-            sent = await self._client.call(minion.address, request, timeout, may_send)
+            sent = await self._client.call(
+                minion.address, request, timeout, permission.may_send
+            )
         finally:
             self.release_slot(ticket)
         if sent.is_error():
-            if sent.error.not_sent and not may_send():
+            if sent.error.not_sent and not permission.is_valid:
                 return Error(refuse_unreached_minion(minion.name, "its owner changed"))
             self._record_failure(ticket)
             if sent.error.not_sent:
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
@@ -122,6 +122,20 @@
         self.assertIs((await sending).error.not_run, True)
         self.assertEqual(self.client.sent, 0)
 
+    async def test_request_not_sent_by_its_deadline_is_told_as_not_run(self):
+        """Its outcome was told as unknown, though nothing was sent and never is."""
+        shard = self.make_shard(1)
+        await shard.renew_send_lease()
+        ticket = (await self.take()).ok
+        due = self.clock.monotonic() + SECOND / 20
+        request = MinionRequest("route", "lookup", b"")
+        answer = await self.pools.send_request(ticket, request, due)
+        self.assertIs(answer.error.not_run, True)
+        # The stopped clock would still allow it.
+        self.client.gate.set()
+        await self.pools.wait_until_idle()
+        self.assertEqual(self.client.sent, 0)
+
     async def test_later_owner_ends_the_send_lease(self):
         shard = self.make_shard(1)
         self.replies["ConfirmOwner"] = DENIED
