--- a/packages/almondspread_daemon/almondspread_daemon/requests/key_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/key_shards.py
@@ -10,23 +10,24 @@
 from datetime import timedelta
 
 from attrs import define, evolve
-from expression import Error, Ok, Result
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.errors import NotFound, OutcomeUnknown, Problem, Unavailable
+from almondspread.errors import NotFound, OutcomeUnknown, Problem
 from almondspread.interfaces import MinionAnswer, MinionRequest, ObjectStore
-from almondspread.journal import CorruptJournal, Journal
+from almondspread.journal import Journal
 from almondspread.ownership import Ownership
-from almondspread.requests import KEY_EVENT_CODEC, Answered, Dispatched, KeyTable
-from almondspread.requests.events import Forgotten, KeyEvent
+from almondspread.requests import Answered, Dispatched, KeyTable
+from almondspread.requests.events import Forgotten
 from almondspread.requests.keys import KeyRecord, digest_payload
 from almondspread_daemon.peers.request_messages import (
     CallAnswered,
     DeliverAnswer,
     SubmitCall,
 )
+from almondspread_daemon.requests.answer_bodies import AnswerBodies
 from almondspread_daemon.requests.dispatches import AcquireSlot, Dispatch
+from almondspread_daemon.requests.key_journal import KeyJournal
 from almondspread_daemon.requests.refusals import (
     refuse_during_handover,
     refuse_full_shard,
@@ -34,16 +35,12 @@
     report_unknown_outcome,
 )
 
-RECOVERY_RETRY_DELAY = timedelta(milliseconds=500)
 RUNS_POLL_INTERVAL = timedelta(milliseconds=50)
-STORE_RETRY_DELAY = timedelta(seconds=1)
 MAX_ANSWER_DELAY = timedelta(milliseconds=250)
 RECORD_RETENTION = timedelta(days=7)
-ROWS_BEFORE_SNAPSHOT = 200
 MAX_FORGOTTEN_PER_SNAPSHOT = 1_000
 MAX_RUNS = 2_048
 MAX_KEY_TABLE_BYTES = 32 * 1024 * 1024
-MAX_INLINE_BODY_BYTES = 16 * 1024
 
 
 @define(eq=False)
@@ -77,25 +74,28 @@
         clock: Clock,
     ) -> None:
         self.ownership = ownership
-        self.records = KeyTable()
-        self.recovered = False
-        self._journal = journal
-        self._store = store
+        self._journal = KeyJournal(ownership.shard, journal, clock)
+        self._bodies = AnswerBodies(store, clock, lambda: self._journal.closed)
         self._acquire_slot = acquire_slot
         self._queue_delivery = queue_delivery
         self._announce_recorded = announce_recorded
         self._is_owner = is_owner
         self._has_successor = has_successor
         self._clock = clock
-        self._queue: asyncio.Queue[tuple[KeyEvent, asyncio.Future[bool]] | None] = (
-            asyncio.Queue()
-        )
         self._runs: dict[tuple[str, str], _Run] = {}
         self._unsent_runs: set[asyncio.Task[None]] = set()
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
-        self._ended = False
-        self._snapshot_task: asyncio.Task[None] | None = None
+
+    @property
+    def records(self) -> KeyTable:
+        """The committed records of the shard's keys."""
+        return self._journal.records
+
+    @property
+    def recovered(self) -> bool:
+        """Whether the records of earlier owners are read."""
+        return self._journal.recovered
 
     async def stop(self) -> None:
         """Stop accepting new keys and let ``run`` end.
@@ -107,9 +107,9 @@
         self._stopping.set()
         while self._unsent_runs:
             await asyncio.wait(set(self._unsent_runs))
-        while self._runs and not self._has_successor() and not self._ended:
+        while self._runs and not self._has_successor() and not self._journal.closed:
             await self._clock.sleep(RUNS_POLL_INTERVAL)
-        self._queue.put_nowait(None)
+        self._journal.end()
 
     async def run(self) -> None:
         """Recover the records, then commit events in groups until stopped.
@@ -118,112 +118,29 @@
         owns the shard.
         """
         try:
-            await self._recover()
-            while await self._commit_group():
-                self._compact_if_due()
+            await self._journal.recover()
+            while await self._journal.commit_group():
+                if self._journal.start_snapshot_if_due():
+                    self._forget_old_records()
         finally:
             self._stopping.set()
-            self._ended = True
-            self._fail_queued_commits()
-            if self._snapshot_task is not None:
-                self._snapshot_task.cancel()
-
-    async def _recover(self) -> None:
-        """Rebuild the records from the latest snapshot and the rows after it."""
-        while True:
-            recovered = await self._journal.recover()
-            if recovered.is_ok():
-                break
-            await self._clock.sleep(RECOVERY_RETRY_DELAY)
-        if recovered.ok.snapshot is not None:
-            try:
-                self.records.load(recovered.ok.snapshot)
-            except ValueError as error:
-                shard = self.ownership.shard
-                raise CorruptJournal(shard, "its snapshot", str(error)) from error
-        for row in recovered.ok.rows:
-            for event in row.events:
-                self.records.apply(KEY_EVENT_CODEC.decode(event))
-        self.recovered = True
-
-    async def _commit_group(self) -> bool:
-        """Commit all queued events as one row; return false when ``run`` must end.
-
-        This is the case after a failed commit and after ``stop``.
-        """
-        items = [await self._queue.get()]
-        while not self._queue.empty():
-            items.append(self._queue.get_nowait())
-        pairs = [item for item in items if item is not None]
-        if pairs:
-            encoded = [KEY_EVENT_CODEC.encode(event) for event, _ in pairs]
-            is_committed = False
-            try:
-                committed = await self._journal.commit(encoded)
-                is_committed = committed.is_ok()
-            finally:
-                # If this task is cancelled, the table may still store the row. That
-                # is safe: none of its requests was sent, and the answers in it are
-                # delivered to the next owner.
-                for event, future in pairs:
-                    if is_committed:
-                        self.records.apply(event)
-                    if not future.done():
-                        future.set_result(is_committed)
-            if not is_committed:
-                return False
-        return None not in items
-
-    def _compact_if_due(self) -> None:
-        """Start a snapshot, and drop old records, once the journal has many rows.
-
-        A snapshot bounds the number of rows that the next owner reads at takeover.
-        """
-        if self._journal.rows_since_snapshot < ROWS_BEFORE_SNAPSHOT:
-            return
-        if self._snapshot_task is not None and not self._snapshot_task.done():
-            return
-        data = self.records.encode()
-        self._snapshot_task = asyncio.create_task(self._write_snapshot(data))
+            self._journal.close()
+
+    def _forget_old_records(self) -> None:
+        """Start to drop records that are older than ``RECORD_RETENTION``."""
         cutoff = (self._clock.now() - RECORD_RETENTION).timestamp()
         for record in self.records.list_dispatched_before(
             cutoff, MAX_FORGOTTEN_PER_SNAPSHOT
         ):
             self._start_task(self._forget_record(record))
 
-    async def _write_snapshot(self, data: bytes) -> None:
-        """Write a snapshot while commits go on."""
-        written = await self._journal.write_snapshot(data)
-        if written.is_error():
-            logger.info(
-                "snapshot of shard {} not written: a later epoch owns it",
-                self.ownership.shard,
-            )
-
     async def _forget_record(self, record: KeyRecord) -> None:
         """Drop an old record, then delete the stored body of its answer.
 
         The order ensures that no record refers to a body that is deleted already.
         """
-        forgotten = await self._commit(Forgotten(record.service, record.key))
-        if forgotten and record.object_name:
-            await self._store.delete(record.object_name)
-
-    def _fail_queued_commits(self) -> None:
-        """Report the queued events as not committed."""
-        while not self._queue.empty():
-            item = self._queue.get_nowait()
-            if item is not None and not item[1].done():
-                item[1].set_result(False)
-
-    def _commit(self, event: KeyEvent) -> asyncio.Future[bool]:
-        """Queue an event; the future resolves to whether it was committed."""
-        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        if self._ended:
-            future.set_result(False)
-        else:
-            self._queue.put_nowait((event, future))
-        return future
+        if await self._journal.commit(Forgotten(record.service, record.key)):
+            await self._bodies.delete(record)
 
     def _start_task(self, awaitable: Awaitable[None]) -> asyncio.Task[None]:
         """Run an awaitable as a task, and keep a reference to it until it ends."""
@@ -243,7 +160,7 @@
         payload than before is refused as a conflict. If the run goes on past ``due``,
         the returned problem says that the outcome is unknown.
         """
-        if not self.recovered or self._ended:
+        if not self.recovered or self._journal.closed:
             return refuse_during_handover()
         digest = digest_payload(message.kind, message.body)
         run_key = (message.service, message.key)
@@ -283,7 +200,7 @@
         """Take a slot, journal the dispatch, send, and journal the answer."""
         run_key = (message.service, message.key)
         dispatch = Dispatch(
-            self._acquire_slot, self._commit, self._stopping, self._clock
+            self._acquire_slot, self._journal.commit, self._stopping, self._clock
         )
         event = Dispatched(
             message.service,
@@ -363,43 +280,28 @@
         to the owner of the shard at that time. A key without a record, or with a
         recorded answer, needs no answer any more; the method then returns true.
         """
-        if not self.recovered or self._ended:
+        if not self.recovered or self._journal.closed:
             return False
         record = self.records.find(answer.service, answer.key)
         if record is None or record.is_answered:
             self._announce_recorded(answer.service, answer.key)
             return True
-        object_name = ""
-        body = answer.body
-        if len(body) > MAX_INLINE_BODY_BYTES:
-            object_name = (
-                f"answers/{answer.shard}/{record.digest}-{int(record.at * 1e6)}"
-            )
-            if not await self._store_body(object_name, body):
-                return False
-            body = b""
+        object_name = await self._bodies.store(answer.shard, record, answer.body)
+        if object_name is None:
+            return False
         event = Answered(
             answer.service,
             answer.key,
             answer.status,
             answer.content_type,
-            body,
+            b"" if object_name else answer.body,
             object_name,
         )
-        if not await self._commit(event):
+        if not await self._journal.commit(event):
             return False
         self._announce_recorded(answer.service, answer.key)
         return True
 
-    async def _store_body(self, name: str, body: bytes) -> bool:
-        """Put a large body into the object store, with retries until ``run`` ends."""
-        while not self._ended:
-            stored = await self._store.put(name, body)
-            if stored.is_ok():
-                return True
-            await self._clock.sleep(STORE_RETRY_DELAY)
-        return False
-
     async def fetch_record(self, service: str, key: str) -> CallAnswered | Problem:
         """Return the recorded answer of a key.
 
@@ -436,25 +338,7 @@
                 "not known",
                 "ask for the recorded answer again later",
             )
-        body = await self._load_body(record)
+        body = await self._bodies.load(record)
         if body.is_error():
             return body.error
         return CallAnswered(record.status, body.ok, record.content_type, recorded=True)
-
-    async def _load_body(self, record: KeyRecord) -> Result[bytes, Problem]:
-        """Return the whole body of a recorded answer."""
-        if not record.object_name:
-            return Ok(record.body)
-        loaded = await self._store.get(record.object_name)
-        if loaded.is_ok() and loaded.ok is not None:
-            return Ok(loaded.ok)
-        return Error(
-            Unavailable(
-                f"the request under key {record.key!r} was run; its recorded answer "
-                "cannot be read now",
-                "ask for the recorded answer again later",
-                not_run=False,
-                retry_after_seconds=2.0,
-                earlier_not_run=False,
-            )
-        )
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -12,7 +12,8 @@
 from almondspread.testing import MemoryStore, MemoryTable
 from almondspread_daemon.peers.request_messages import SubmitCall
 from almondspread_daemon.requests.dispatches import HeldSlot
-from almondspread_daemon.requests.key_shards import ROWS_BEFORE_SNAPSHOT, KeyShard
+from almondspread_daemon.requests.key_journal import ROWS_BEFORE_SNAPSHOT
+from almondspread_daemon.requests.key_shards import KeyShard
 
 SHARD = "requests/umea/0"
 LARGE = b"x" * 100_000
