Send requests to minions from a module of its own

MinionCalls holds the calls, SendPermission included; MinionPools no longer knows the client. No behaviour changes.

--- a/packages/almondspread_daemon/almondspread_daemon/requests/monitors.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/monitors.py
@@ -27,7 +27,7 @@
     MonitorOpened,
     OpenMonitor,
 )
-from almondspread_daemon.requests.minion_pools import MinionPools
+from almondspread_daemon.requests.minion_calls import MinionCalls
 from almondspread_daemon.requests.monitor_streams import MonitorStream
 from almondspread_daemon.requests.refusals import (
     refuse_no_minion,
@@ -65,14 +65,14 @@
 
     def __init__(
         self,
-        pools: MinionPools,
+        calls: MinionCalls,
         order_owners: Callable[[str], list[Member | None]],
         call_peer: CallPeer,
         notify_peer: Callable[[Member, Any], None],
         get_max_duration: Callable[[str], timedelta],
         clock: Clock,
     ) -> None:
-        self._pools = pools
+        self._calls = calls
         self._order_owners = order_owners
         self._call_peer = call_peer
         self._notify_peer = notify_peer
@@ -153,7 +153,7 @@
         deadline = (self._clock.now() + max_duration).timestamp()
         request = MinionRequest(service, MONITOR, body, "", deadline, "", position)
         stream = MonitorStream(position)
-        problem = await self._pools.open_stream(request, due, stream)
+        problem = await self._calls.open_stream(request, due, stream)
         if problem is not None:
             return Error(problem)
         return Ok(stream)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/peer_handlers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/peer_handlers.py
@@ -33,6 +33,7 @@
 from almondspread_daemon.requests.deliveries import AnswerDeliveries
 from almondspread_daemon.requests.key_shards import KeyShard
 from almondspread_daemon.requests.loads import PeerLoads
+from almondspread_daemon.requests.minion_calls import MinionCalls
 from almondspread_daemon.requests.minion_pools import MinionPools
 from almondspread_daemon.requests.refusals import (
     refuse_unowned_shard,
@@ -56,6 +57,7 @@
         find_runner: Callable[[str], Any],
         get_highest_epoch: Callable[[str], int],
         pools: MinionPools,
+        calls: MinionCalls,
         loads: PeerLoads,
         deliveries: AnswerDeliveries,
         clock: Clock,
@@ -63,6 +65,7 @@
         self._find_runner = find_runner
         self._get_highest_epoch = get_highest_epoch
         self._pools = pools
+        self._calls = calls
         self._loads = loads
         self._deliveries = deliveries
         self._clock = clock
@@ -114,7 +117,7 @@
             message.service, message.kind, message.body, message.key, message.deadline
         )
         due = compute_call_deadline(self._clock, context, message.deadline)
-        answer = await self._pools.call_minion(request, due, message.wait)
+        answer = await self._calls.call_minion(request, due, message.wait)
         if answer.is_error():
             return refuse(answer.error)
         return _to_answered(answer.ok)
@@ -181,7 +184,7 @@
                 at_once,
             )
 
-        answer = await self._pools.send_request(
+        answer = await self._calls.send_request(
             ticket, request, due, lambda late: keep(late, True)
         )
         if answer.is_error():
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -33,6 +33,7 @@
 from almondspread_daemon.requests.dispatches import HeldSlot
 from almondspread_daemon.requests.key_shards import KeyShard
 from almondspread_daemon.requests.loads import PeerLoads
+from almondspread_daemon.requests.minion_calls import MinionCalls
 from almondspread_daemon.requests.minion_pools import MinionPools
 from almondspread_daemon.requests.refusals import (
     refuse_no_minion,
@@ -72,12 +73,14 @@
         request_shards: tuple[str, ...],
         find_runner: Callable[[str], Any],
         pools: MinionPools,
+        calls: MinionCalls,
         neighbours: Neighbours,
         clock: Clock,
     ) -> None:
         self._request_shards = request_shards
         self._find_runner = find_runner
         self._pools = pools
+        self._calls = calls
         self._neighbours = neighbours
         self._clock = clock
         self._random = random.Random()
@@ -166,7 +169,7 @@
         refused: Problem = refuse_no_minion(request.service)
         for owner in self.order_owners(request.service)[:MAX_OWNERS_ASKED]:
             if owner is None:
-                answer = await self._pools.call_minion(request, due, wait=True)
+                answer = await self._calls.call_minion(request, due, wait=True)
             else:
                 answer = await self._forward_request(owner, request, due)
             if answer.is_ok() or answer.error.not_run is not True:
@@ -241,7 +244,7 @@
             def handle_late_answer(answer: MinionAnswer) -> None:
                 self.deliveries.add(_make_delivery(shard, request, answer), True)
 
-            return await self._pools.send_request(
+            return await self._calls.send_request(
                 ticket, request, due, handle_late_answer
             )
 
--- a/packages/almondspread_daemon/almondspread_daemon/requests/subsystem.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/subsystem.py
@@ -20,6 +20,7 @@
 from almondspread_daemon.requests.idle_slots import store_idle_records
 from almondspread_daemon.requests.key_shards import KeyShard
 from almondspread_daemon.requests.load_reporter import LoadReporter
+from almondspread_daemon.requests.minion_calls import MinionCalls
 from almondspread_daemon.requests.minion_pools import MinionPools
 from almondspread_daemon.requests.minion_shards import (
     POLL_INTERVAL,
@@ -79,9 +80,13 @@
         self.pools = MinionPools(
             settings.failure_domain,
             minion_shards,
-            minions,
             clock,
             self._get_queue_limits,
+        )
+        self._calls = MinionCalls(
+            self.pools,
+            minions,
+            clock,
             lambda minion: neighbours.notify_all(MinionLeaving(minion)),
         )
         self.router = RequestRouter(
@@ -89,11 +94,12 @@
             request_shards,
             find_runner,
             self.pools,
+            self._calls,
             neighbours,
             clock,
         )
         self.monitors = Monitors(
-            self.pools,
+            self._calls,
             self.router.order_owners,
             self.router.call_peer,
             lambda member, message: neighbours.notify(member.address, message),
@@ -107,6 +113,7 @@
             find_runner,
             self._get_highest_epoch,
             self.pools,
+            self._calls,
             self.router.loads,
             self.router.deliveries,
             clock,
@@ -182,7 +189,7 @@
         await self._wait_for_successors()
         while self.open_calls or count_peer_calls():
             await self._clock.sleep(POLL_INTERVAL)
-        await self.pools.wait_until_idle()
+        await self._calls.wait_until_idle()
         await self._wait_until_delivered()
         await store_idle_records(self._table, self._collect_idle_epochs())
         # Successors poll the slots in use and have to see that there are none left
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_minion_shards.py
@@ -18,6 +18,7 @@
 from almondspread_daemon.peers.messages import Accepted, Refused
 from almondspread_daemon.peers.request_messages import ConfirmOwner, SlotsInUse
 from almondspread_daemon.requests.idle_slots import store_idle_records
+from almondspread_daemon.requests.minion_calls import MinionCalls
 from almondspread_daemon.requests.minion_pools import MinionPools
 from almondspread_daemon.requests.minion_shards import MinionShard, MinionTimings
 from almondspread_platform.minions import MinionFault
@@ -52,9 +53,8 @@
         self.peers = [Member("peer", "address", "umea", "i", timedelta(0))]
         self.replies = {}
         bounds = {"lookup": 4, "recalculation": 4}
-        self.pools = MinionPools(
-            "umea", (SHARD,), self.client, self.clock, lambda _: bounds, lambda _: None
-        )
+        self.pools = MinionPools("umea", (SHARD,), self.clock, lambda _: bounds)
+        self.calls = MinionCalls(self.pools, self.client, self.clock, lambda _: None)
         self.pools.update_minions(
             [Instance("m-1", "minion", "a", "umea", service="route", slots=4)]
         )
@@ -99,7 +99,7 @@
         ticket = (await self.take()).ok
         due = self.clock.monotonic() + 60 * SECOND
         request = MinionRequest("route", "lookup", b"")
-        sending = asyncio.create_task(self.pools.send_request(ticket, request, due))
+        sending = asyncio.create_task(self.calls.send_request(ticket, request, due))
         await asyncio.sleep(0)
         self.clock.advance(LEASE / 2)
         self.client.gate.set()
@@ -115,7 +115,7 @@
         ticket = (await self.take()).ok
         due = self.clock.monotonic() + SECOND / 2
         request = MinionRequest("route", "lookup", b"")
-        sending = asyncio.create_task(self.pools.send_request(ticket, request, due))
+        sending = asyncio.create_task(self.calls.send_request(ticket, request, due))
         await asyncio.sleep(0)
         self.clock.advance(SECOND / 2)
         self.client.gate.set()
@@ -129,11 +129,11 @@
         ticket = (await self.take()).ok
         due = self.clock.monotonic() + SECOND / 20
         request = MinionRequest("route", "lookup", b"")
-        answer = await self.pools.send_request(ticket, request, due)
+        answer = await self.calls.send_request(ticket, request, due)
         self.assertIs(answer.error.not_run, True)
         # The stopped clock would still allow it.
         self.client.gate.set()
-        await self.pools.wait_until_idle()
+        await self.calls.wait_until_idle()
         self.assertEqual(self.client.sent, 0)
 
     async def test_later_owner_ends_the_send_lease(self):
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_router.py
@@ -35,7 +35,7 @@
         clock = ManualClock()
         pools = SimpleNamespace(pools={})
         router = RequestRouter(
-            "umea", (), lambda _: None, pools, SilentNeighbours(clock), clock
+            "umea", (), lambda _: None, pools, None, SilentNeighbours(clock), clock
         )
         loads = {"route": ServiceLoad(8, 1, 0)}
         router.loads.record_report(MinionLoads("peer", loads), clock.monotonic())
