--- a/packages/almondspread_daemon/almondspread_daemon/command.py
+++ b/packages/almondspread_daemon/almondspread_daemon/command.py
@@ -52,7 +52,7 @@
     """
     settings = _load(path)
     # The other commands need none of what an instance imports.
-    from almondspread_daemon.entry import run_entry
+    from almondspread_daemon.process import run_entry
 
     sys.exit(asyncio.run(run_entry(settings, path)))
 
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import random
-import signal
 import uuid
 from datetime import timedelta
-from pathlib import Path
 from typing import Any
 
 from loguru import logger
 
 from almondspread.changes import CachedResource, ChangeLog
 from almondspread.changes import Entry as LogEntry
-from almondspread.clock import Clock, SystemClock
+from almondspread.clock import Clock
 from almondspread.journal import Journal
 from almondspread.ownership import Claimant, Members, Ownership, make_incarnation
 from almondspread.scheduling.overflow import ShardRoom
@@ -49,15 +47,12 @@
     list_instance_revisions,
 )
 from almondspread_daemon.security import Credentials, TokenTable
-from almondspread_daemon.security.reloading import follow_tokens
 from almondspread_daemon.settings import Settings
 from almondspread_daemon.shards import ShardManager
 from almondspread_daemon.shards.manager import MakeRunner
 from almondspread_daemon.shards.publisher import StatusPublisher
 from almondspread_daemon.shards.subsystem import ScheduleSubsystem, wake_shards
-from almondspread_daemon.stopping import stop_within_bound
 from almondspread_daemon.telemetry.gauges import register_gauges
-from almondspread_daemon.telemetry.logs import configure_logs
 from almondspread_daemon.telemetry.telemetry import Telemetry
 from almondspread_daemon.telemetry.traces import get_traceparent
 
@@ -371,35 +366,3 @@
 def _make_batch() -> str:
     """Return a name that no other commit has."""
     return uuid.uuid4().hex
-
-
-async def run_entry(settings: Settings, path: Path) -> int:
-    """Run an instance until it is told to stop; return the exit status.
-
-    ``path`` is the settings file, whose tokens are followed.
-    """
-    clock = SystemClock()
-    configure_logs(settings.log, settings.name, clock)
-    entry = Entry(settings, clock)
-    told = asyncio.Event()
-    hurried = asyncio.Event()
-
-    def take_signal() -> None:
-        """Start a graceful shutdown, and hurry it at the second signal."""
-        if told.is_set():
-            hurried.set()
-        told.set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, take_signal)
-    await entry.start()
-    following = start_task(follow_tokens(path, entry.tokens, clock))
-    await told.wait()
-    try:
-        await stop_within_bound(
-            entry.stop(), entry.end_now, hurried, settings.requests.stop_bound
-        )
-    finally:
-        following.cancel()
-    return 0
--- a/packages/almondspread_daemon/almondspread_daemon/requests/peer_handlers.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/peer_handlers.py
@@ -39,7 +39,7 @@
     refuse_unowned_shard,
     refuse_unreached_minion,
 )
-from almondspread_daemon.requests.router import compute_call_deadline
+from almondspread_daemon.requests.reply_margins import compute_call_deadline
 from almondspread_daemon.requests.service_pools import Ticket
 
 SLOT_HOLD_TIMEOUT = timedelta(seconds=5)
--- a/packages/almondspread_daemon/almondspread_daemon/requests/router.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/router.py
@@ -13,7 +13,6 @@
 from almondspread.ownership import Member
 from almondspread.requests import RetryBudget, choose_backoff, find_key_shard
 from almondspread_daemon.membership import Neighbours
-from almondspread_daemon.peers import CallContext
 from almondspread_daemon.peers.links import NO_GRACE
 from almondspread_daemon.peers.messages import Refused
 from almondspread_daemon.peers.request_messages import (
@@ -43,13 +42,12 @@
     report_unknown_outcome,
     to_result,
 )
+from almondspread_daemon.requests.reply_margins import compute_reply_margin
 from almondspread_daemon.requests.service_pools import Ticket
 
 FETCH_TIMEOUT = timedelta(seconds=2)
 DELIVER_TIMEOUT = timedelta(seconds=5)
-MAX_REPLY_MARGIN = timedelta(milliseconds=50)
 REPLY_GRACE = timedelta(milliseconds=250)
-REPLY_MARGIN_FRACTION = 0.1
 OWNER_RETRY_DELAY = timedelta(milliseconds=20)
 MAX_AWAITING_OWNER = 512
 MAX_OWNERS_ASKED = 3
@@ -373,29 +371,6 @@
             self._neighbours.notify(address, AnswerRecorded(service, key))
 
 
-def compute_call_deadline(
-    clock: Clock, context: CallContext, deadline: float
-) -> timedelta:
-    """Return the monotonic time by which a peer's call has to be answered.
-
-    The calling peer stops waiting once its timeout or the deadline has passed. Both
-    are considered, because the call may have been delayed on its way. The result lies
-    before either by a margin, so that a refusal reaches the peer in time; otherwise
-    the peer would have to assume that the request may have run.
-    """
-    left = deadline - clock.now().timestamp()
-    seconds = min(left, context.timeout)
-    return (
-        clock.monotonic() + timedelta(seconds=seconds) - compute_reply_margin(seconds)
-    )
-
-
-def compute_reply_margin(seconds: float) -> timedelta:
-    """Return how long before the end of a wait of some seconds to send the reply."""
-    share = max(0.0, seconds * REPLY_MARGIN_FRACTION)
-    return min(MAX_REPLY_MARGIN, timedelta(seconds=share))
-
-
 def _make_delivery(
     shard: str, request: MinionRequest, answer: MinionAnswer
 ) -> DeliverAnswer:
--- a/packages/almondspread_daemon/almondspread_daemon/tests/test_command.py
+++ b/packages/almondspread_daemon/almondspread_daemon/tests/test_command.py
@@ -51,10 +51,10 @@
             )
 
     def test_run_hands_the_settings_to_the_entry_and_returns_its_code(self):
-        entry = types.ModuleType("almondspread_daemon.entry")
-        entry.run_entry = mock.AsyncMock(return_value=7)
+        process = types.ModuleType("almondspread_daemon.process")
+        process.run_entry = mock.AsyncMock(return_value=7)
         path = EXAMPLES / "entry-1.json"
-        with mock.patch.dict(sys.modules, {entry.__name__: entry}):
+        with mock.patch.dict(sys.modules, {process.__name__: process}):
             result = self.runner.invoke(main, ["run", "--config", str(path)])
         self.assertEqual(result.exit_code, 7)
-        entry.run_entry.assert_awaited_once_with(read_settings(path).ok, path)
+        process.run_entry.assert_awaited_once_with(read_settings(path).ok, path)
