--- a/packages/almondspread_daemon/almondspread_daemon/shards/manager.py
+++ b/packages/almondspread_daemon/almondspread_daemon/shards/manager.py
@@ -17,16 +17,15 @@
     OwnerRecord,
     Ownership,
     claim_shard,
-    rank_owners,
     read_owner,
     read_owner_versions,
     release_shards,
 )
 from almondspread_daemon.background import Waker, start_task
-from almondspread_daemon.membership.directory import parse_failure_domain
 from almondspread_daemon.peers import CallContext
 from almondspread_daemon.peers.messages import Accepted, ShardReleased
 from almondspread_daemon.shards.owner_liveness import OwnerLiveness
+from almondspread_daemon.shards.owner_preference import OwnerPreference
 
 CHECK_INTERVAL = timedelta(milliseconds=200)
 CONFIRM_INTERVAL = timedelta(seconds=1)
@@ -94,11 +93,15 @@
         self.faults: dict[str, str] = {}
         self.leaving = False
         self._claimant = claimant
-        self._failure_domain = failure_domain
         self._shards = {**shards, **(foreign_shards or {})}
-        self._foreign_shards = frozenset(foreign_shards or {})
-        self._is_domain_gone = is_domain_gone
-        self._members = members
+        self._preference = OwnerPreference(
+            claimant.instance,
+            failure_domain,
+            frozenset(foreign_shards or {}),
+            members,
+            is_domain_gone,
+            clock,
+        )
         self._table = table
         self._store = store
         self._clock = clock
@@ -155,7 +158,10 @@
         for shard in self._shards:
             if shard in self.ownerships or now < self._retry_at.get(shard, now):
                 continue
-            is_preferred = self._find_preferred_owner(shard) == self._claimant.instance
+            is_preferred = (
+                self._preference.find_owner(shard, self.leaving)
+                == self._claimant.instance
+            )
             if (is_preferred and not self.leaving) or shard in self._unconfirmed:
                 due.append(shard)
         return due
@@ -164,7 +170,7 @@
         """Start the handover of shards for which another instance ranks first."""
         moving = []
         for shard in self._owned:
-            preferred = self._find_preferred_owner(shard)
+            preferred = self._preference.find_owner(shard, self.leaving)
             if preferred is None or preferred == self._claimant.instance:
                 continue
             if shard in self._handing_over:
@@ -176,37 +182,6 @@
         self._handover_tasks.add(task)
         task.add_done_callback(self._handover_tasks.discard)
 
-    def _find_preferred_owner(self, shard: str) -> str | None:
-        """Return the live instance that ranks first for a shard, ``None`` for none.
-
-        The candidates are the instances of the shard's failure domain, or those of all
-        domains while that domain is gone and has no candidate.
-        """
-        domain = self._failure_domain
-        if shard in self._foreign_shards:
-            domain = parse_failure_domain(shard)
-        candidates = self._list_candidates(domain)
-        if not candidates and self._is_domain_gone(domain):
-            candidates = self._list_candidates(None)
-        ranked = rank_owners(shard, candidates)
-        return ranked[0] if ranked else None
-
-    def _list_candidates(self, domain: str | None) -> list[str]:
-        """Return the live instances of a domain that may own shards.
-
-        If ``domain`` is ``None``, the instances of all domains are returned.
-        """
-        candidates = []
-        if not self.leaving and domain in (None, self._failure_domain):
-            candidates.append(self._claimant.instance)
-        for member in self._members.list_live(self._clock.monotonic()):
-            if domain is not None and member.failure_domain != domain:
-                continue
-            if member.leaving or not member.ready:
-                continue
-            candidates.append(member.name)
-        return candidates
-
     async def _check_shard(self, shard: str) -> None:
         """Claim or release a shard; record a fault if its owner row does not decode."""
         try:
@@ -223,7 +198,7 @@
         if read.is_error():
             return
         record = read.ok.record
-        if self._find_preferred_owner(shard) != self._claimant.instance:
+        if self._preference.find_owner(shard, self.leaving) != self._claimant.instance:
             await self._release_late_claim(shard, record, read.ok.version)
             return
         if not self._owner_liveness.may_claim(shard, record):
