Let the ends of several unknown jobs wait for one read

Change: all mentions of a report are recorded at once. record_mention, which records, no longer has the name of a mere question.

The new test (four deleted jobs, one read) fails without the change.

--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -252,12 +252,12 @@
             if mentioned_at + MENTION_RETENTION < began:
                 del self._first_mentions[name]
 
-    def may_be_unread(self, name: str, now: timedelta) -> bool:
-        """Tell whether a job that an upstream mentions may be stored but not read yet.
+    def record_mention(self, name: str, now: timedelta) -> bool:
+        """Record that an upstream mentions a job; return whether the job may be unread.
 
         An earlier leader may have started a job that was stored after this leader had
-        begun to read. A job that is unknown after a read that began since the job was
-        first mentioned is deleted.
+        begun to read. A job that is still unknown after a read that began since its
+        first mention is deleted.
         """
         if name in self.jobs:
             return False
--- a/packages/almondspread/almondspread/jobs/tests/test_late_submissions.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_late_submissions.py
@@ -29,6 +29,24 @@
         self.assert_completed("j")
         self.assertEqual(self.cell.history.starts, 2)
 
+    def test_ends_of_several_deleted_jobs_wait_for_the_same_read(self):
+        """Each of the jobs had waited for a read of its own."""
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND)
+        jobs = [make_job(f"j{number}", make_step()) for number in range(4)]
+        for job in jobs:
+            self.cell.submit(job)
+        self.cell.run_for(timedelta(milliseconds=300))
+        self.assertEqual(self.cell.history.starts, 4)
+        for job in jobs[1:]:
+            del self.cell.history.submissions[job.job]
+        self.take_over_without(jobs[0])
+        self.cell.history.submissions.update({job.job: job for job in jobs})
+        self.cell.run_for(2 * SECOND)
+        self.cell.scheduler.record_read(self.cell.now)
+        self.cell.run_for(timedelta(milliseconds=300))
+        self.assertFalse(self.cell.upstreams["u0"].ends)
+
     def test_ends_of_a_deleted_job_are_acknowledged(self):
         self.add_upstreams(1)
         self.cell.run_for(SECOND)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -199,10 +199,16 @@
         self._adjust_paces(upstream, now)
 
     def _mentions_unread_job(self, report: UpstreamReport, now: timedelta) -> bool:
-        """Tell whether a report mentions a job that may be stored but not read yet."""
-        job_table = self.control.job_table
+        """Tell whether a report mentions a job that may be stored but not read yet.
+
+        All mentions are recorded, so that they wait for the same read.
+        """
+        found = False
         rows: list[RunSighting | RunEnd] = [*report.ends, *(report.running or ())]
-        return any(job_table.may_be_unread(row.task.job, now) for row in rows)
+        for row in rows:
+            if self.control.job_table.record_mention(row.task.job, now):
+                found = True
+        return found
 
     def _update_run(
         self, sighting: RunSighting, upstream: Upstream, now: timedelta
