Test four protections that no test had needed

Protections of the six failures that operators of similar systems tell were taken out one at a time in a scratch copy. Four were not missed by any test:

- an upstream that answers again did not crash (record_answer): without it, starts that had not reached five upstreams behind a cut give a job up once these are replaced;
- a report made for an earlier leader does not count;
- an executor that was paused renews no lease before it has an answer;
- a start expires by the clock of its upstream.

Each has a test now that fails with the protection taken out. No change of product code.

--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from almondspread.jobs.losses import MAX_POSSIBLE_CRASHES
 from almondspread.jobs.messages import StartRun
 from almondspread.jobs.progress import JobState
 from almondspread.jobs.submissions import TaskId
@@ -140,6 +141,29 @@
         self.cell.run_for(20 * SECOND)
         self.assert_completed("j")
 
+    def test_upstreams_that_answer_again_and_are_replaced_later_did_not_crash(self):
+        """No end shows that: the starts had not reached the upstreams."""
+        self.cell.add_upstream("u4")
+        self.cell.run_for(SECOND)
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.hold_back = lambda order: isinstance(order, StartRun)
+        cut_off = []
+        for _ in range(MAX_POSSIBLE_CRASHES):
+            for _ in range(300):
+                if not self.cell.held_orders:
+                    self.cell.step()
+            _, order = self.cell.held_orders.pop()
+            cut_off.append(order.upstream)
+            self.cell.silent.add(order.upstream)
+            self.cell.run_for(8 * SECOND)
+        self.cell.silent.clear()
+        self.cell.run_for(SECOND)
+        self.cell.hold_back = lambda _: False
+        for name in cut_off:
+            self.cell.replace_upstream(name)
+        self.cell.run_for(20 * SECOND)
+        self.assert_completed("j")
+
     def test_task_on_upstreams_that_are_shut_down_is_not_given_up(self):
         self.cell.submit(make_job("j", make_step()))
         for _ in range(3):
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -43,6 +43,17 @@
         self.assert_completed("j")
         self.assertEqual(self.cell.history.starts, 1)
 
+    def test_report_made_for_an_earlier_leader_does_not_count(self):
+        """It may be older than the last start of that leader."""
+        self.add_upstreams(1)
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.silent.add("u0")
+        self.cell.take_over()
+        self.cell.step()
+        report = UpstreamReport("u0", self.cell.scheduler.epoch - 1, 99, 0, (), ())
+        self.cell.scheduler.handle_report(report, self.cell.now)
+        self.assertFalse(self.cell.scheduler.cell_state.upstreams["u0"].has_reported)
+
     def test_job_of_the_new_epoch_does_not_wait_for_silent_upstreams(self):
         self.add_upstreams(2)
         self.cell.run_for(SECOND)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -6,6 +6,7 @@
 
 from almondspread.clock import SystemClock
 from almondspread.jobs.messages import (
+    RunEnd,
     RunSighting,
     StartRun,
     StopRun,
@@ -17,7 +18,11 @@
 from almondspread.jobs.polling import IDLE_WAIT, PACED_WAIT, RUNNING_WAIT
 from almondspread.jobs.ports import CallFailed, RenewAnswer
 from almondspread.jobs.submissions import TaskId
-from almondspread_daemon.jobs.agents import RETRY_DELAY, UpstreamAgent
+from almondspread_daemon.jobs.agents import (
+    RETRY_DELAY,
+    START_EXPIRY,
+    UpstreamAgent,
+)
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 SECOND = timedelta(seconds=1)
@@ -33,6 +38,7 @@
         self.renewals = []
         self.renew_calls = []
         self.starts = []
+        self.start_calls = []
         self.stops = []
 
     async def renew_leases(self, address, upstream, call, timeout):
@@ -40,6 +46,7 @@
         return await self._await(self.renewals)
 
     async def start(self, address, upstream, call, timeout):
+        self.start_calls.append(call)
         return await self._await(self.starts)
 
     async def stop(self, address, upstream, call, timeout):
@@ -51,9 +58,18 @@
         return await future
 
 
-def make_answer(clock, *running):
+class PausedClock(SystemClock):
+    """A clock whose process was paused for the time ``pause``."""
+
+    pause = timedelta(0)
+
+    def monotonic(self):
+        return super().monotonic() + self.pause
+
+
+def make_answer(clock, *running, ends=()):
     sightings = tuple(RunSighting(TASK, number) for number in running)
-    return Ok(RenewAnswer(clock * SECOND, sightings, ()))
+    return Ok(RenewAnswer(clock * SECOND, sightings, ends))
 
 
 async def settle():
@@ -65,10 +81,11 @@
     async def asyncSetUp(self):
         self.client = FakeClient()
         self.reports = []
+        self.clock = PausedClock()
         self.agent = UpstreamAgent(
             WatchUpstream("u", ADDRESS, 1),
             self.client,
-            SystemClock(),
+            self.clock,
             6 * SECOND,
             JobMetrics("entry-1", "zone"),
             self.reports.append,
@@ -170,6 +187,27 @@
         await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
         self.assertIsNone(self.client.renew_calls[-1].until)
 
+    async def test_paused_executor_renews_no_lease_before_an_answer(self):
+        """The leader may have counted the leases out during the pause."""
+        end = RunEnd(1, TASK, 7, "done")
+        self.client.renewals.pop().set_result(make_answer(1, ends=(end,)))
+        await settle()
+        self.clock.pause = 5 * SECOND
+        self.agent.acknowledge(1)
+        await settle()
+        self.assertIsNone(self.client.renew_calls[-1].until)
+        self.client.renewals.pop().set_result(make_answer(6))
+        await settle()
+        self.assertIsNotNone(self.client.renew_calls[-1].until)
+
+    async def test_start_expires_by_the_clock_of_its_upstream(self):
+        await self.renew(100)
+        self.agent.start(StartRun("u", TASK, 7, ""))
+        await settle()
+        left = self.client.start_calls[-1].until - 100 * SECOND
+        self.assertGreaterEqual(left, START_EXPIRY)
+        self.assertLess(left, START_EXPIRY + SECOND)
+
     async def test_unexpected_error_does_not_end_the_renewals(self):
         self.client.renewals.pop().set_exception(RuntimeError("unexpected"))
         await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
