Refuse a token that was withdrawn while the process started

What operators saw: nothing; a token taken out of the settings file between the first read of the file and the start of its watch stayed in force until the file changed once more, or the process started again. Found by looking for "a withdrawn key is in use again after a restart".

Cause: the watch took the file's time of change at its own start for that of the contents in force; in between the process opens its platform and listeners.

Change: the first look reads the file in any case, and says so only if the tokens differ. The new test fails without the change.

--- a/packages/almondspread_daemon/almondspread_daemon/security/reloading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/reloading.py
@@ -16,9 +16,10 @@
 def make_token_reloader(path: Path, table: TokenTable) -> Callable[[], bool]:
     """Return a function that takes tokens from a changed file; it tells whether.
 
-    A file with any fault changes nothing: the tokens in force stay.
+    A file with any fault changes nothing: the tokens in force stay. The first call
+    reads the file in any case, as it may have changed since the process read it.
     """
-    known = path.stat().st_mtime_ns
+    known: int | None = None
 
     def reload() -> bool:
         nonlocal known
@@ -34,7 +35,8 @@
         if loaded.is_error():
             logger.error("changed settings are refused: {}", loaded.error.to_text())
             return False
-        table.replace(loaded.ok.tokens)
+        if not table.replace(loaded.ok.tokens):
+            return False
         logger.info("tokens are read again; other settings need a restart")
         return True
 
--- a/packages/almondspread_daemon/almondspread_daemon/security/tests/test_reloading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/tests/test_reloading.py
@@ -43,3 +43,11 @@
         self.path.unlink()
         self.assertFalse(self.reload())
         self.assertEqual(self.table.identify("Bearer first").role, "operator")
+
+    def test_a_token_withdrawn_while_the_process_starts_is_refused(self):
+        """It stayed in force until the file changed once more."""
+        self.write("second")
+        reload = make_token_reloader(self.path, self.table)
+        self.assertTrue(reload())
+        self.assertEqual(self.table.identify("Bearer first").role, "anonymous")
+        self.assertFalse(reload())
--- a/packages/almondspread_daemon/almondspread_daemon/security/tokens.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/tokens.py
@@ -19,9 +19,11 @@
     def __init__(self, tokens: tuple[Token, ...]) -> None:
         self._tokens = tokens
 
-    def replace(self, tokens: tuple[Token, ...]) -> None:
-        """Put other tokens in force."""
+    def replace(self, tokens: tuple[Token, ...]) -> bool:
+        """Put other tokens in force; return whether they differ from the former."""
+        changed = tokens != self._tokens
         self._tokens = tokens
+        return changed
 
     def identify(self, header: str) -> Identity:
         """Return who an ``Authorization`` header stands for."""
