Keep a guarded instance guarded when the changed file has no tokens

What callers could do: everything. Settings without tokens are allowed on loopback addresses, and a changed file is checked as a whole; so one that names a loopback address and no tokens passed the check, its (empty) tokens came into force at once, and its address only at the next start: until then every request counted as an administrator's at the former address.

Change: tokens that are all gone are not taken without a restart, and an error is logged. The new test fails without the change.

--- a/packages/almondspread_daemon/almondspread_daemon/security/reloading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/reloading.py
@@ -16,7 +16,8 @@
 def make_token_reloader(path: Path, table: TokenTable) -> Callable[[], bool]:
     """Return a function that takes tokens from a changed file; it tells whether.
 
-    A file with any fault changes nothing: the tokens in force stay. The first call
+    A file with any fault changes nothing: the tokens in force stay. So they do if the
+    file has none, which it may at another address than the one in use. The first call
     reads the file in any case, as it may have changed since the process read it.
     """
     known: int | None = None
@@ -35,6 +36,10 @@
         if loaded.is_error():
             logger.error("changed settings are refused: {}", loaded.error.to_text())
             return False
+        if not loaded.ok.tokens and table.is_guarded:
+            # Every request would count as an administrator's, at the address in use.
+            logger.error("changed settings without tokens take effect at a restart")
+            return False
         if not table.replace(loaded.ok.tokens):
             return False
         logger.info("tokens are read again; other settings need a restart")
--- a/packages/almondspread_daemon/almondspread_daemon/security/tests/test_reloading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/tests/test_reloading.py
@@ -51,3 +51,9 @@
         self.assertTrue(reload())
         self.assertEqual(self.table.identify("Bearer first").role, "anonymous")
         self.assertFalse(reload())
+
+    def test_a_file_without_tokens_does_not_open_a_guarded_process(self):
+        """Its address may be a loopback one, which takes effect only at a restart."""
+        self.write("second", tokens=[])
+        self.assertFalse(self.reload())
+        self.assertEqual(self.table.identify("").role, "anonymous")
--- a/packages/almondspread_daemon/almondspread_daemon/security/tokens.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/tokens.py
@@ -19,6 +19,11 @@
     def __init__(self, tokens: tuple[Token, ...]) -> None:
         self._tokens = tokens
 
+    @property
+    def is_guarded(self) -> bool:
+        """Whether requests need a token."""
+        return bool(self._tokens)
+
     def replace(self, tokens: tuple[Token, ...]) -> bool:
         """Put other tokens in force; return whether they differ from the former."""
         changed = tokens != self._tokens
