--- a/packages/almondspread_daemon/almondspread_daemon/settings/page.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/page.py
@@ -14,8 +14,8 @@
 that is left out has its default; an unknown key, a wrong type or a value outside its
 range stops the daemon at once, with all faults together. `almondspreadd check-config
 FILE` checks without starting. Changed `tokens` are taken without a restart, but
-not the removal of all, and certificates when their files change; everything else takes a
-restart."""
+not the removal of all, and certificates when their files change; everything else takes
+a restart."""
 
 
 def render_settings_page() -> str:
