Trust no authority that was withdrawn from its file

What operators saw: a peer whose authority had been taken out of the file was accepted until the instance was started again, though "certificate is read again" was logged.

Cause: changed files were loaded into the contexts in use, and a context only takes on authorities (in a trial, the context named both authorities after the reload of a file with one).

Change: the contexts for peers are opened anew, and replaced in the peer listener and the links, for new streams; files that do not load change nothing, as before. What tells changes is made before the first read.

--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -192,6 +192,7 @@
             self.telemetry.traces,
             self.credentials.peer_server,
         )
+        self.credentials.on_peer_change = self._replace_peer_contexts
         self.http_server = make_server(
             make_application(self), settings.http, self.credentials.http
         )
@@ -214,6 +215,11 @@
             plan[shard] = self._make_minion_shard
         return plan
 
+    def _replace_peer_contexts(self) -> None:
+        """Use the newest TLS contexts for new streams from and to peers."""
+        self.peer_server.ssl_options = self.credentials.peer_server
+        self.neighbours.replace_ssl_options(self.credentials.peer_client)
+
     def _observe_commit(self, duration: timedelta, _: int) -> None:
         """Count a commit into a journal."""
         instruments = self.telemetry.instruments
--- a/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
+++ b/packages/almondspread_daemon/almondspread_daemon/membership/neighbours.py
@@ -117,6 +117,12 @@
             if instance.role == "entry":
                 self._open_link(instance.address)
 
+    def replace_ssl_options(self, ssl_options: ssl.SSLContext | None) -> None:
+        """Use another TLS context for the streams that are opened from now on."""
+        self._ssl_options = ssl_options
+        for link in self._links.values():
+            link.ssl_options = ssl_options
+
     def _open_link(self, address: str) -> None:
         """Open a link to an address, unless one exists or the address is our own."""
         if address == self._own_address or address in self._links:
--- a/packages/almondspread_daemon/almondspread_daemon/peers/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/peers/links.py
@@ -68,7 +68,7 @@
         self._random = random_source
         self._client = client
         self._traces = traces
-        self._ssl_options = ssl_options
+        self.ssl_options = ssl_options
         self._stream: IOStream | None = None
         self._pending_calls: dict[int, asyncio.Future[Any]] = {}
         self._last_number = 0
@@ -104,7 +104,7 @@
         self._stream = await self._client.connect(
             host,
             port,
-            ssl_options=self._ssl_options,
+            ssl_options=self.ssl_options,
             timeout=CONNECT_TIMEOUT,
         )
         self._stream.max_write_buffer_size = MAX_UNSENT_BYTES
--- a/packages/almondspread_daemon/almondspread_daemon/security/certificates.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/certificates.py
@@ -2,16 +2,11 @@
 
 import ssl
 from collections.abc import Callable
-from datetime import timedelta
 from pathlib import Path
 
 from attrs import define
 from loguru import logger
 
-from almondspread.clock import Clock
-
-CHECK_INTERVAL = timedelta(seconds=5)
-
 
 @define(frozen=True)
 class CertificateFiles:
@@ -30,6 +25,10 @@
         return tuple(times)
 
 
+# Puts files in force, or raises ``OSError`` or ``ssl.SSLError`` and changes nothing.
+LoadFiles = Callable[[CertificateFiles], None]
+
+
 def open_http_context(files: CertificateFiles) -> ssl.SSLContext:
     """Return the context of the listener for callers and operators."""
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
@@ -56,24 +55,12 @@
     return context
 
 
-async def follow_files(
-    files: CertificateFiles, contexts: list[ssl.SSLContext], clock: Clock
-) -> None:
-    """Load the certificate into the contexts whenever its files change.
+def make_reloader(files: CertificateFiles, load: LoadFiles) -> Callable[[], bool]:
+    """Return a function that loads the files if they have changed; it tells whether.
 
-    New connections use it; a pair that does not load is logged and left out, and
-    the one in force stays.
+    Files that ``load`` refuses are logged, and what is in force stays. Made before the
+    files are first read, the function misses no change.
     """
-    reload = make_reloader(files, contexts)
-    while True:
-        await clock.sleep(CHECK_INTERVAL)
-        reload()
-
-
-def make_reloader(
-    files: CertificateFiles, contexts: list[ssl.SSLContext]
-) -> Callable[[], bool]:
-    """Return a function that loads changed files; it tells whether it did."""
     known = files.read_times()
 
     def reload() -> bool:
@@ -82,13 +69,7 @@
             current = files.read_times()
             if current == known:
                 return False
-            # A pair that does not match must not reach the contexts in force.
-            trial = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-            trial.load_cert_chain(files.certificate, files.key)
-            for context in contexts:
-                context.load_cert_chain(files.certificate, files.key)
-                if files.authority:
-                    context.load_verify_locations(cafile=files.authority)
+            load(files)
         except (OSError, ssl.SSLError) as error:
             logger.error("certificate {} is not taken: {}", files.certificate, error)
             return False
