--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -16,7 +16,7 @@
 )
 from almondspread.jobs.submissions import Submission, TaskId
 
-# A job that no upstream has mentioned for this long counts as never mentioned.
+# A job that was first mentioned longer ago counts as never mentioned.
 MENTION_RETENTION = timedelta(seconds=60)
 StopRuns = Callable[[list[Run], timedelta], None]
 
