Read the marked version also where a fence was sent twice

What callers could see: after a change of leader in a slow store, tasks of jobs that the earlier leader had started by a start mark (its commits were refused) ran again.

Cause: the store access sends a write a second time when its answer is late. If the first was stored, the second gets a conflict that shows the own row. The mark then counted as fenced, but the version in it was not taken over, so that the new leader took the marked jobs for ones that nobody had started and did not wait for the upstreams that may run them.

Change: a fenced mark gives its version whatever the outcome of the write. The new test fails without the change (30, not 40).

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/start_marks.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/start_marks.py
@@ -65,7 +65,9 @@
                 mark = decode_row(row, StartMark) or mark
         if mark.epoch > self._epoch:
             return
-        if await self._put(name, version, mark.started_version):
+        await self._put(name, version, mark.started_version)
+        # A write that was sent twice may be stored although its outcome is a conflict.
+        if name in self._versions:
             self.inherited_version = max(self.inherited_version, mark.started_version)
 
     async def write(self, started_version: int) -> bool:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_marks.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_marks.py
@@ -62,6 +62,23 @@
         self.assertFalse(await first.write(41))
         self.assertTrue(await first.write(42))
 
+    async def test_fence_that_is_sent_twice_still_reads_the_marked_version(self):
+        """The next leader took marked jobs for new ones, and done tasks ran again."""
+        first = self.make_marks(1)
+        await first.fence()
+        await first.write(40)
+        transact = self.parts.access.transact
+
+        async def transact_twice(transaction):
+            await transact(transaction)
+            return await transact(transaction)
+
+        self.parts.access.transact = transact_twice
+        second = self.make_marks(2, inherited_version=30)
+        await second.fence()
+        self.assertTrue(await second.fence())
+        self.assertEqual(second.inherited_version, 40)
+
     async def test_earlier_epoch_cannot_fence_a_later_one(self):
         await self.make_marks(2).fence()
         self.assertFalse(await self.make_marks(1).fence())
