Tell callers of the end of a job only once it is stored

What callers saw: a job shown as completed whose tasks then ran again.

Cause: the leader announced a job as completed as soon as it knew it, while the commit was still to come.

Change: what callers see of an end is told when the commit that stores it is confirmed; a cancellation, whose row is stored before it is heard, at once. A pass asks for a commit when there is something to store, no longer when there is something to tell.

--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -170,6 +170,13 @@
             self.ready_steps.pop(progress.key, None)
         self.stop_runs(job.list_runs(), now)
 
+    def mark_end_stored(self, name: str) -> None:
+        """Record that the final state of a job is stored, so that callers may see it."""
+        job = self.jobs.get(name)
+        if job is not None and not job.end_stored:
+            job.end_stored = True
+            self._unannounced[name] = None
+
     def end_if_finished(self, job: JobProgress, now: timedelta) -> None:
         """End a job that is complete, has used up its attempts or crashes upstreams."""
         if job.ended is not None or self._end_if_crashing(job, now):
@@ -321,4 +328,4 @@
     def _announce(self, name: str) -> Announcement:
         """Return the state of one job."""
         job = self.jobs[name]
-        return Announcement(name, job.submission.queue, str(job.state))
+        return Announcement(name, job.submission.queue, str(job.shown_state))
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -277,11 +277,22 @@
 
     @property
     def state(self) -> JobState:
-        """The state that callers see."""
+        """The state as this leader knows it."""
         if self.ended is not None:
             return self.ended
         return JobState.RUNNING if self.has_started else JobState.QUEUED
 
+    @property
+    def shown_state(self) -> JobState:
+        """The state that callers see.
+
+        A leader that ends before it has stored the end of a job leaves the job to a
+        successor that does not know of it. A cancellation is stored before it is heard.
+        """
+        if self.end_stored or self.ended is JobState.CANCELLED:
+            return self.state
+        return JobState.RUNNING if self.has_started else JobState.QUEUED
+
     def create_due_steps(self, wall: datetime) -> list[StepProgress]:
         """Add the steps of every occurrence that has become due, and return them."""
         created = []
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -372,11 +372,15 @@
     def confirm_changes(self, changes: PendingChanges) -> None:
         """Record that changes are stored, and acknowledge their run ends."""
         for record in changes.records:
-            job = self.jobs.get(record.job)
-            if job is not None and record.state in TERMINAL_STATES:
-                job.end_stored = True
+            if record.state in TERMINAL_STATES:
+                self._job_table.mark_end_stored(record.job)
         self._upstream_tracker.acknowledge_ends(changes.ends)
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether the progress of some job is to be stored."""
+        return bool(self._job_table.changed)
+
     @property
     def has_announcements(self) -> bool:
         """Whether job states have changed since the last ``take_announcements``."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -331,8 +331,9 @@
             self._assignments.send_order(order)
         if self._scheduler.has_unrecorded_upstreams():
             self._commit_wanted.set()
-        if self._scheduler.has_announcements:
+        if self._scheduler.has_changes:
             self._commit_wanted.set()
+        if self._scheduler.has_announcements:
             self._announcer.note_changes()
 
     async def _log_load(self) -> None:
