--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -171,7 +171,7 @@
         self.stop_runs(job.list_runs(), now)
 
     def mark_end_stored(self, name: str) -> None:
-        """Record that the final state of a job is stored, so that callers may see it."""
+        """Record that the end of a job is stored, so that callers may see it."""
         job = self.jobs.get(name)
         if job is not None and not job.end_stored:
             job.end_stored = True
