Split the leader's list of upstreams and its load log from its session

UpstreamList and LoadLog hold them; no behaviour changes. In tests of the jobs a failure domain is called umea, not by the platform's word.

--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -69,7 +69,7 @@
         upstream.name,
         SERVICE,
         f"10.0.0.{number}:80",
-        "zone",
+        "umea",
         upstream.capacity,
         ("a", f"r{number % 2}"),
         draining,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -36,6 +36,7 @@
     Welcome,
     WriteRow,
 )
+from almondspread_daemon.jobs.load_log import LoadLog
 from almondspread_daemon.jobs.maintenance import MaintenanceController
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
@@ -47,18 +48,17 @@
 from almondspread_daemon.jobs.start_marks import StartMarks, StartPermission
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.jobs.upstream_list import UpstreamList
 from almondspread_daemon.jobs.wall_time import estimate_wall_time, measure_offset
 
 COMMIT_INTERVAL = timedelta(milliseconds=50)
 RENEW_INTERVAL = timedelta(milliseconds=400)
-UPSTREAM_LIST_INTERVAL = timedelta(milliseconds=500)
 # Delays a scheduler pass after an event, so that one pass handles a batch of events.
 BATCH_DELAY = timedelta(milliseconds=4)
 # A long pass is followed by a pause of this multiple, in which links are served.
 PASS_PAUSE_FACTOR = 1.0
 IDLE_PASS_INTERVAL = timedelta(milliseconds=100)
 HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
-LOAD_INTERVAL = timedelta(seconds=1)
 MEMBER_TIMEOUT = timedelta(milliseconds=1_400)
 
 
@@ -86,7 +86,6 @@
         self._instance = row.instance
         self._store = store
         self._clock = clock
-        self._metrics = metrics
         # Until the start marks are fenced, an earlier leader may have started any job.
         self._scheduler = Scheduler(
             row.epoch, configuration, ANY_VERSION, settings.max_entry_age
@@ -114,6 +113,10 @@
         )
         self._assignments = Assignments(self._scheduler, settings, clock)
         self._announcer = StateAnnouncer(self._scheduler, self._assignments, clock)
+        self._upstream_list = UpstreamList(
+            self._scheduler, self._assignments, store, clock, self._note_upstreams
+        )
+        self._load_log = LoadLog(self._scheduler, self._assignments, metrics, clock)
         self._relay_service = RelayService(writer)
         self._maintenance: MaintenanceController | None = None
         if machines is not None:
@@ -152,10 +155,10 @@
                 group.create_task(self._follow_submissions()),
                 group.create_task(self._load_missing_partitions()),
                 group.create_task(self._fence_marks()),
-                group.create_task(self._poll_upstreams()),
+                group.create_task(self._upstream_list.run()),
                 group.create_task(self._run_passes()),
                 group.create_task(self._announcer.run()),
-                group.create_task(self._log_load()),
+                group.create_task(self._load_log.run()),
                 group.create_task(self._send_heartbeats()),
                 group.create_task(self._retention.run()),
             ]
@@ -336,25 +339,6 @@
         if self._scheduler.has_announcements:
             self._announcer.note_changes()
 
-    async def _log_load(self) -> None:
-        """Log and export the number of waiting tasks and the use of the upstreams."""
-        while True:
-            load = self._scheduler.measure_load(self._clock.monotonic())
-            logger.info(
-                "load",
-                epoch=self.epoch,
-                waiting_steps=load.waiting_steps,
-                unseen_upstreams=load.unseen_upstreams,
-                waiting_tasks=load.waiting_tasks,
-                without_permits=load.without_permits,
-                used_millis=load.used_millis,
-                usable_millis=load.usable_millis,
-                suspected_tasks=load.suspected_tasks,
-                question_slots=self._assignments.members.count_advice_slots(),
-            )
-            self._metrics.set_load(self.epoch, load)
-            await self._clock.sleep(LOAD_INTERVAL)
-
     # The store
 
     async def _run_commits(self) -> None:
@@ -402,21 +386,8 @@
         self._assignments.resend_watch_orders()
         self._pass_wanted.set()
 
-    async def _poll_upstreams(self) -> None:
-        """Poll the list of upstreams and assign them to members."""
-        while True:
-            read_at = self._clock.monotonic()
-            listed = await self._store.list_upstreams()
-            if listed.is_ok():
-                now = self._clock.monotonic()
-                if self._scheduler.update_upstreams(listed.ok, now, read_at):
-                    self._commit_wanted.set()
-                self._assignments.rebalance()
-                self._assignments.resend_silent_watch_orders()
-                self._pass_wanted.set()
-            else:
-                logger.warning(
-                    "upstream list not read",
-                    reason=listed.error.reason,
-                )
-            await self._clock.sleep(UPSTREAM_LIST_INTERVAL)
+    def _note_upstreams(self, has_new: bool) -> None:
+        """Have a pass use the newest list, and new upstreams recorded in the store."""
+        if has_new:
+            self._commit_wanted.set()
+        self._pass_wanted.set()
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
@@ -0,0 +1,48 @@
+"""Logs and exports how much waits and how much is in use, for one leader."""
+
+from datetime import timedelta
+
+from loguru import logger
+
+from almondspread.clock import Clock
+from almondspread.jobs.scheduler import Scheduler
+from almondspread_daemon.jobs.assignments import Assignments
+from almondspread_daemon.jobs.metrics import JobMetrics
+
+LOAD_INTERVAL = timedelta(seconds=1)
+
+
+class LoadLog:
+    """Writes one line and sets the gauges once per ``LOAD_INTERVAL``."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        assignments: Assignments,
+        metrics: JobMetrics,
+        clock: Clock,
+    ) -> None:
+        self._scheduler = scheduler
+        self._assignments = assignments
+        self._metrics = metrics
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Log and export the load until cancelled."""
+        epoch = self._scheduler.epoch
+        while True:
+            load = self._scheduler.measure_load(self._clock.monotonic())
+            logger.info(
+                "load",
+                epoch=epoch,
+                waiting_steps=load.waiting_steps,
+                unseen_upstreams=load.unseen_upstreams,
+                waiting_tasks=load.waiting_tasks,
+                without_permits=load.without_permits,
+                used_millis=load.used_millis,
+                usable_millis=load.usable_millis,
+                suspected_tasks=load.suspected_tasks,
+                question_slots=self._assignments.members.count_advice_slots(),
+            )
+            self._metrics.set_load(epoch, load)
+            await self._clock.sleep(LOAD_INTERVAL)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -37,7 +37,7 @@
     def __init__(self):
         self.clock = YieldingClock()
         self.store = MemoryRecordStore()
-        self.metrics = JobMetrics("entry-1", "zone")
+        self.metrics = JobMetrics("entry-1", "umea")
         self.access = StoreAccess(self.store, None, self.clock, self.metrics)
         self.store_clock = StoreClock(self.clock)
         self.store_clock.observe(self.store.store_time)
@@ -46,7 +46,7 @@
 def make_settings(instance="entry-1"):
     return JobSettings(
         instance,
-        "zone",
+        "umea",
         "127.0.0.1:0",
         "127.0.0.1:0",
         "127.0.0.1:0",
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -87,7 +87,7 @@
             self.client,
             self.clock,
             6 * SECOND,
-            JobMetrics("entry-1", "zone"),
+            JobMetrics("entry-1", "umea"),
             self.reports.append,
         )
         await settle()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
@@ -18,7 +18,7 @@
         self.client = FakeClient()
         self.reports = []
         self.executor = Executor(
-            self.client, None, SystemClock(), 6 * SECOND, JobMetrics("entry-1", "zone")
+            self.client, None, SystemClock(), 6 * SECOND, JobMetrics("entry-1", "umea")
         )
         self.executor.attach_leader(self.reports.append)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -113,7 +113,7 @@
         session = self.make_session(LeaderRow(2, "entry-1", "one", "a", 50.0))
         self.sent = []
         now = self.parts.clock.monotonic()
-        member = Member("entry-2", "zone", 1.0, self.sent.append, now)
+        member = Member("entry-2", "umea", 1.0, self.sent.append, now)
         session.add_member(member)
         return session, member
 
@@ -286,7 +286,7 @@
 
     async def test_watched_row_holds_upstreams_before_they_are_used(self):
         await self.claim()
-        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
+        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "umea", Capacity(1, 1))
         self.scheduler.update_upstreams([entry], self.parts.clock.monotonic())
         upstream = self.scheduler.cell_state.upstreams["u"]
         self.assertFalse(upstream.recorded)
@@ -353,7 +353,7 @@
     async def test_ends_are_acknowledged_only_once_all_their_jobs_are_stored(self):
         await self.claim()
         now = self.parts.clock.monotonic()
-        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
+        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "umea", Capacity(1, 1))
         self.scheduler.update_upstreams([entry], now)
         ends = []
         for number in range(1, 4):
@@ -370,7 +370,7 @@
         await self.claim()
         await self.intake.follow()
         now = self.parts.clock.monotonic()
-        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "zone", Capacity(1, 1))
+        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "umea", Capacity(1, 1))
         self.scheduler.update_upstreams([entry], now)
         end = RunEnd(1, TaskId("deleted", 0, 0, 0), 1, "done")
         report = UpstreamReport("u", 1, 1, 0, (end,), ())
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
@@ -53,7 +53,7 @@
     def setUp(self):
         self.clock = ManualClock()
         self.store = HeldStore()
-        metrics = JobMetrics("entry-1", "zone")
+        metrics = JobMetrics("entry-1", "umea")
         self.access = StoreAccess(self.store, None, self.clock, metrics)
 
     async def read(self):
@@ -212,7 +212,7 @@
     async def test_probes_do_not_wait_for_each_other(self):
         clock = ManualClock()
         store = HeldStore()
-        access = StoreAccess(store, None, clock, JobMetrics("entry-1", "zone"))
+        access = StoreAccess(store, None, clock, JobMetrics("entry-1", "umea"))
         probing = asyncio.create_task(access.run_probes())
         await run_ready_tasks()
         call = asyncio.create_task(access.read("table", ""))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -32,7 +32,7 @@
 def make_member(instance, strength=1.0, started=0, leaving=False):
     member = Member(
         instance,
-        "zone",
+        "umea",
         1.0,
         lambda _: None,
         timedelta(0),
