Split the handling of a report, and name what the ratios' constants count

WINDOW, DEFAULT_MEAN and DEFAULT_UPPER did not say of what: they are MAX_REMEMBERED_RUNS, DEFAULT_MEAN_RATIO and DEFAULT_UPPER_RATIO. No behaviour changes.

--- a/packages/almondspread/almondspread/jobs/durations.py
+++ b/packages/almondspread/almondspread/jobs/durations.py
@@ -10,14 +10,13 @@
 
 from attrs import define, field
 
-# Runs that are remembered of each queue.
-WINDOW = 100
+MAX_REMEMBERED_RUNS = 100
 # Fewer runs than this say too little about the queue.
 MIN_RUNS = 8
 UPPER_QUANTILE = 0.9
 # Ratios that are assumed until a queue has ended enough runs.
-DEFAULT_MEAN = 1.0
-DEFAULT_UPPER = 4.0
+DEFAULT_MEAN_RATIO = 1.0
+DEFAULT_UPPER_RATIO = 4.0
 MIN_ESTIMATE = timedelta(milliseconds=10)
 # Larger ratios come of missing estimates, and say nothing about the next task.
 MAX_RATIO = 100.0
@@ -34,7 +33,7 @@
         """Add a ratio in place of the oldest one, if there are too many."""
         self.arrivals.append(ratio)
         insort(self.ordered, ratio)
-        if len(self.arrivals) > WINDOW:
+        if len(self.arrivals) > MAX_REMEMBERED_RUNS:
             oldest = self.arrivals.popleft()
             self.ordered.pop(bisect_left(self.ordered, oldest))
 
@@ -64,12 +63,12 @@
         """Return the mean ratio of a queue."""
         ratios = self._queues.get(queue)
         if ratios is None or len(ratios.ordered) < MIN_RUNS:
-            return DEFAULT_MEAN
+            return DEFAULT_MEAN_RATIO
         return sum(ratios.ordered) / len(ratios.ordered)
 
     def find_upper(self, queue: str) -> float:
         """Return the ratio that nine of ten runs of a queue stay below."""
         ratios = self._queues.get(queue)
         if ratios is None or len(ratios.ordered) < MIN_RUNS:
-            return DEFAULT_UPPER
+            return DEFAULT_UPPER_RATIO
         return ratios.ordered[int(len(ratios.ordered) * UPPER_QUANTILE)]
--- a/packages/almondspread/almondspread/jobs/tests/test_stragglers.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_stragglers.py
@@ -1,7 +1,12 @@
 import unittest
 from datetime import timedelta
 
-from almondspread.jobs.durations import DEFAULT_MEAN, MIN_RUNS, WINDOW, DurationRatios
+from almondspread.jobs.durations import (
+    DEFAULT_MEAN_RATIO,
+    MAX_REMEMBERED_RUNS,
+    MIN_RUNS,
+    DurationRatios,
+)
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 
@@ -55,11 +60,11 @@
         for _ in range(MIN_RUNS):
             ratios.record("a", SECOND, 3 * SECOND)
         self.assertEqual(ratios.find_mean("a"), 3.0)
-        self.assertEqual(ratios.find_mean("b"), DEFAULT_MEAN)
+        self.assertEqual(ratios.find_mean("b"), DEFAULT_MEAN_RATIO)
 
     def test_old_runs_are_forgotten(self):
         ratios = DurationRatios()
-        for ratio in [5] * WINDOW + [1] * WINDOW:
+        for ratio in [5] * MAX_REMEMBERED_RUNS + [1] * MAX_REMEMBERED_RUNS:
             ratios.record("a", SECOND, ratio * SECOND)
         self.assertEqual((ratios.find_mean("a"), ratios.find_upper("a")), (1.0, 1.0))
 
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -4,6 +4,7 @@
 from upstreams, and upstreams that do not answer.
 """
 
+from collections.abc import Sequence
 from datetime import timedelta
 
 from attrs import define, field
@@ -160,30 +161,48 @@
             # applied yet. The upstream reports both again.
             return
         if report.after > upstream.ends_seen:
-            # Earlier ends are missing, so none may be acknowledged; request all again.
-            if self.control.job_table.is_complete:
-                self.control.orders.append(
-                    WatchUpstream(
-                        upstream.name, upstream.entry.address, self.cell_state.epoch
-                    )
-                )
+            self._request_missing_ends(upstream)
             return
         if upstream.lapse_at is not None:
-            logger.info("upstream answers again", upstream=upstream.name)
-            upstream.lapse_at = None
-            # The store may still tell the next leader that the leases have expired.
-            upstream.recorded = False
-            self.crashes.record_answer(upstream.name)
+            self._record_answer(upstream)
         for end in report.ends:
             if end.number <= upstream.ends_seen:
                 continue
             upstream.ends_seen = end.number
             self.crashes.record_end(end)
             self.control.record_end(end, upstream.name, now)
-        if report.running is None:
+        if report.running is not None:
+            self._update_runs(report, report.running, upstream, now)
+
+    def _request_missing_ends(self, upstream: Upstream) -> None:
+        """Request all ends again, as none may be acknowledged while some are missing.
+
+        While some jobs are not loaded, the request would be in vain.
+        """
+        if not self.control.job_table.is_complete:
             return
+        self.control.orders.append(
+            WatchUpstream(upstream.name, upstream.entry.address, self.cell_state.epoch)
+        )
+
+    def _record_answer(self, upstream: Upstream) -> None:
+        """Record that an upstream that was silent answers again."""
+        logger.info("upstream answers again", upstream=upstream.name)
+        upstream.lapse_at = None
+        # The store may still tell the next leader that the leases have expired.
+        upstream.recorded = False
+        self.crashes.record_answer(upstream.name)
+
+    def _update_runs(
+        self,
+        report: UpstreamReport,
+        running: Sequence[RunSighting],
+        upstream: Upstream,
+        now: timedelta,
+    ) -> None:
+        """Update the runs of an upstream from a report of all that it runs."""
         upstream.has_unknown_runs = False
-        for sighting in report.running:
+        for sighting in running:
             self._update_run(sighting, upstream, now)
         self._end_absent_runs(upstream, report, now)
         end_trials(upstream, self.cell_state.runs, now)
--- a/packages/almondspread_daemon/almondspread_daemon/security/certificates.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/certificates.py
@@ -64,6 +64,7 @@
     known = files.read_times()
 
     def reload() -> bool:
+        """Load the files if they have changed."""
         nonlocal known
         try:
             current = files.read_times()
--- a/packages/almondspread_daemon/almondspread_daemon/security/reloading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/security/reloading.py
@@ -23,6 +23,7 @@
     known: int | None = None
 
     def reload() -> bool:
+        """Take the tokens of the file if it has changed."""
         nonlocal known
         try:
             current = path.stat().st_mtime_ns
