Wait for the refusal of a key that was not sent by its deadline

What callers saw: 504 with an unknown outcome, "key ... is still being run", for a keyed request of which nothing was ever sent.

Cause: the submission and the run of its key both wait until the deadline. Where the submission's wait ended first, it did not hear the refusal that the run gives at that same moment.

--- a/packages/almondspread_daemon/almondspread_daemon/requests/key_shards.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/key_shards.py
@@ -37,6 +37,7 @@
 
 RUNS_POLL_INTERVAL = timedelta(milliseconds=50)
 MAX_ANSWER_DELAY = timedelta(milliseconds=250)
+REFUSAL_GRACE = timedelta(milliseconds=50)
 RECORD_RETENTION = timedelta(days=7)
 MAX_FORGOTTEN_PER_SNAPSHOT = 1_000
 MAX_RUNS = 2_048
@@ -49,6 +50,7 @@
 
     digest: str
     outcome: asyncio.Future[CallAnswered | Problem]
+    task: asyncio.Task[None] | None = None
 
 
 class KeyShard:
@@ -181,6 +183,9 @@
             run = self._start_run(message, digest, due)
         left = due - self._clock.monotonic()
         await asyncio.wait([run.outcome], timeout=max(0.0, left.total_seconds()))
+        if run.task in self._unsent_runs:
+            # A run that is not sent by its deadline is refused at that same moment.
+            await asyncio.wait([run.outcome], timeout=REFUSAL_GRACE.total_seconds())
         if run.outcome.done():
             return run.outcome.result()
         return report_unknown_outcome(f"key {message.key!r} is still being run")
@@ -191,7 +196,7 @@
         run = _Run(digest, future)
         run_key = (message.service, message.key)
         self._runs[run_key] = run
-        task = self._start_task(self._run_once(message, run, due))
+        task = run.task = self._start_task(self._run_once(message, run, due))
         self._unsent_runs.add(task)
         task.add_done_callback(self._unsent_runs.discard)
         return run
--- a/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
+++ b/packages/almondspread_daemon/almondspread_daemon/requests/tests/test_keys.py
@@ -93,6 +93,26 @@
         message = SubmitCall(SHARD, "route", "recalculation", key, body, deadline)
         return await shard.submit(message, due)
 
+    async def test_key_that_is_not_sent_by_its_deadline_is_told_as_not_run(self):
+        """It was told as still being run, if its submission gave up just before it."""
+        shard = await self.open_shard("one")
+        waiting = asyncio.get_running_loop().create_future()
+
+        async def acquire_no_slot(service, kind, due):
+            await waiting
+
+        shard._acquire_slot = acquire_no_slot
+        due = self.clock.monotonic() + timedelta(milliseconds=50)
+        deadline = self.clock.now().timestamp() + 0.05
+        calls = []
+        for number in range(20):
+            key = f"k{number}"
+            message = SubmitCall(SHARD, "route", "recalculation", key, b"", deadline)
+            calls.append(shard.submit(message, due))
+        for problem in await asyncio.gather(*calls):
+            self.assertIs(problem.not_run, True, problem)
+        self.assertEqual(self.sent, [])
+
     async def test_snapshot_bounds_the_rows_read_at_takeover(self):
         shard = await self.open_shard("a")
         for number in range(ROWS_BEFORE_SNAPSHOT):
