--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -86,11 +86,16 @@
 
 @define(eq=False)
 class FakeUpstream:
-    """One incarnation of an upstream; all times are of its own monotonic clock."""
+    """One incarnation of an upstream; all times are of its own monotonic clock.
+
+    ``born`` is when it was started, in Unix milliseconds, ``None`` where it does not
+    tell this.
+    """
 
     name: str
     capacity: Capacity
     history: History
+    born: int | None = None
     durations: dict[TaskId, timedelta] = field(factory=dict)
     failing: set[TaskId] = field(factory=set)
     epoch: int = 0
--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -75,9 +75,7 @@
         await self._remove_entry(member)
         member.endpoint.upstream.crash()
         member.incarnation += 1
-        member.endpoint.upstream = self._make_upstream(
-            member.number, member.incarnation
-        )
+        member.endpoint.start(self._make_upstream(member.number, member.incarnation))
         member.draining = False
         member.proxy.reset()
 
@@ -94,7 +92,7 @@
                 if member.down:
                     continue
                 member.sequence += 1
-                member.endpoint.upstream.advance(self.clock.monotonic())
+                member.endpoint.upstream.advance(member.endpoint.read_clock())
                 name = RowName("servers", "", member.endpoint.upstream.name)
                 entry = encode_upstream_entry(
                     member.endpoint.upstream,
