Tell the incarnations of an upstream that restarts under its id apart

Cause: all that is kept of an upstream was kept by its id. Since an upstream may start again under its id, the executor dropped the ends of the new start, whose numbers are below those of the start before, acknowledged them with the old number, and took all its answers for late ones, as its clock had gone back. The leader kept the runs bound until a straggler check or a silence had the tasks started again.

Change: the name of an upstream is its id and its start, so that ends, acknowledgements, clocks, leases, permits, crashes and the stored list belong to one start. An answer that tells another start fails as restarted and nothing is taken from it; after a failed call the next one acknowledges nothing, since it may reach another start. Runs that no report of the earlier start has shown go to the later one, whose reports decide on them. Each start is given orders under a fencing token of its own, so that it refuses late calls for the start before. An entry that goes back counts only once the upstream itself shows it; one without a start stands for its id as before, a malformed one is left out.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from almondspread.jobs.incarnations import Incarnations, compute_fencing_token
 from almondspread.jobs.messages import RunSighting, UpstreamEntry
 from almondspread.jobs.progress import Run, RunPhase, StepProgress
 from almondspread.jobs.submissions import TaskId
@@ -25,6 +26,7 @@
     epoch: int
     upstreams: dict[str, Upstream] = field(factory=dict)
     runs: dict[tuple[TaskId, int], Run] = field(factory=dict)
+    incarnations: Incarnations = field(factory=Incarnations)
     _last_number: int = 0
 
     def allocate_run_number(self) -> int:
@@ -60,6 +62,17 @@
         self.add_run(progress, sighting.task.index, upstream, run)
         return run
 
+    def move_run(
+        self, progress: StepProgress, run: Run, upstream: Upstream, now: timedelta
+    ) -> None:
+        """Bind a run to the next incarnation of its upstream, which may have it."""
+        old = self.upstreams.get(run.upstream)
+        if old is not None:
+            old.release(run.task, run.number)
+        run.upstream = upstream.name
+        run.forget_answers(now)
+        upstream.bind(run.task, run.number, progress.step.claim)
+
     def remove_run(self, progress: StepProgress, run: Run) -> None:
         """Release a run that is known to have ended, or never to have started."""
         self.runs.pop((run.task, run.number), None)
@@ -89,29 +102,58 @@
                 watched.append(upstream)
         return watched
 
+    def add_upstream(self, upstream: Upstream) -> None:
+        """Add an upstream as the latest incarnation under its identity."""
+        upstream.generation = self.incarnations.add(upstream.entry)
+        self.upstreams[upstream.name] = upstream
+
+    def find_upstream_of(self, identity: str) -> str:
+        """Return the name of the upstream that runs under an identity now."""
+        return self.incarnations.find_latest(identity)
+
+    def find_successor(self, upstream: Upstream) -> Upstream | None:
+        """Return the later incarnation of an upstream, ``None`` if none is known."""
+        latest = self.incarnations.find_latest(upstream.entry.identity)
+        return None if latest == upstream.name else self.upstreams.get(latest)
+
+    def find_fencing_token(self, upstream: Upstream) -> int:
+        """Return the token under which this leader gives orders for an upstream."""
+        return compute_fencing_token(self.epoch, upstream.generation)
+
+    def choose_entries(self, entries: list[UpstreamEntry]) -> list[UpstreamEntry]:
+        """Return a list of entries without those of earlier incarnations."""
+        chosen = {}
+        for entry in entries:
+            entry = self.incarnations.choose_entry(entry, self.upstreams)
+            chosen[entry.name] = entry
+        return list(chosen.values())
+
     def update_upstreams(
         self, entries: list[UpstreamEntry], now: timedelta, read_at: timedelta
     ) -> tuple[list[str], list[str]]:
         """Apply a list of upstreams, as it was at ``read_at`` or later.
 
         Return the names of the new and of the replaced upstreams.
-        An upstream is replaced if another incarnation is listed at its address.
+        An upstream is replaced if another one is listed at its address, or a later
+        incarnation of it anywhere.
         """
         added = []
         listed = {entry.name for entry in entries}
         addresses = {entry.address: entry.name for entry in entries}
+        identities = {entry.identity for entry in entries}
         for entry in entries:
             known = self.upstreams.get(entry.name)
             if known is not None:
                 known.update(entry, now, read_at)
                 continue
-            self.upstreams[entry.name] = Upstream(entry, listed_at=read_at)
+            self.add_upstream(Upstream(entry, listed_at=read_at))
             added.append(entry.name)
         replaced = []
         for name, upstream in self.upstreams.items():
             if name in listed:
                 continue
             upstream.mark_unlisted(now)
-            if upstream.entry.address in addresses:
+            entry = upstream.entry
+            if entry.address in addresses or entry.identity in identities:
                 replaced.append(name)
         return added, replaced
--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -124,6 +124,11 @@
         """Dismiss the loss of a run whose end its upstream has reported."""
         self._dismiss(end.task, end.run)
 
+    def record_sighting(self, progress: StepProgress, run: Run) -> None:
+        """Dismiss the loss of a run that has turned out to be running."""
+        if progress.losses:
+            self._dismiss(run.task, run.number)
+
     def record_success(self, progress: StepProgress, index: int) -> None:
         """Dismiss all losses of a lasting task, which has begun its work."""
         if progress.losses.forget(index):
@@ -149,6 +154,7 @@
                 upstream.entry.address,
                 run.is_confirmed,
                 is_fresh(run, upstream),
+                identity=upstream.entry.identity,
             ),
         )
         self.job_table.mark_losses(progress)
@@ -175,11 +181,15 @@
         """
         names = {entry.name for entry in entries}
         services = {entry.address: entry.service for entry in entries}
+        # An upstream may start again under its identity, also at another address.
+        restarted = {entry.identity: entry.service for entry in entries}
         opened: dict[tuple[TaskId, int], timedelta] = {}
         crashed: dict[str, list[str]] = {}
         for each in self._list_open():
             since = self._opened.get(each.key, now)
-            service = services.get(each.loss.address)
+            service = restarted.get(each.loss.identity)
+            if service is None:
+                service = services.get(each.loss.address)
             if service is None or each.loss.upstream in names:
                 if now - since > RESTART_PATIENCE:
                     self._dismiss(*each.key)
--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -15,6 +15,9 @@
 EXECUTOR_GRACE = timedelta(seconds=3)
 # The maximum time in which a broken link between instances is detected.
 LINK_FAILURE_DETECTION_TIME = timedelta(milliseconds=1_600)
+# Upstreams grant no longer leases than this, unless the platform's settings say so.
+DEFAULT_MAX_LEASE = timedelta(seconds=10)
+LEASE_EXPIRY_MARGIN = timedelta(milliseconds=300)
 # An upstream's clock may run slower by this factor, which prolongs its leases.
 MAX_CLOCK_DRIFT_FACTOR = 1.02
 
@@ -88,3 +91,8 @@
     theirs.
     """
     return LEADER_GRACE + compute_orphaned_lease_time(lease)
+
+
+def compute_longest_lease_time(max_lease: timedelta) -> timedelta:
+    """Return how long the longest lease may last that an upstream has just granted."""
+    return max_lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
--- a/packages/almondspread/almondspread/jobs/losses.py
+++ b/packages/almondspread/almondspread/jobs/losses.py
@@ -20,7 +20,8 @@
 class Loss:
     """A run of a task whose upstream was lost.
 
-    ``upstream`` is the incarnation that was lost, at ``address``. The start was
+    ``upstream`` is the incarnation that was lost, at ``address``, and ``identity`` that
+    of all its incarnations. The start was
     ``confirmed`` by the upstream. A ``fresh`` run had hardly begun when the upstream
     was last heard. The upstream has ``crashed`` once another incarnation has taken its
     place; until then it may only be cut off.
@@ -32,6 +33,7 @@
     confirmed: bool = False
     fresh: bool = False
     crashed: bool = False
+    identity: str = ""
 
 
 def is_crashing(losses: Iterable[Loss], lasting: bool = False) -> bool:
--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -35,7 +35,10 @@
 
 @define(frozen=True)
 class Machine:
-    """A machine of a service; ``upstream`` is the one that it runs while it is up."""
+    """A machine of a service; ``upstream`` is the one that it runs while it is up.
+
+    The platform's list has the identity of the upstream, the planner its name.
+    """
 
     name: str
     service: str
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -4,9 +4,9 @@
 names of the messages and of their fields are part of the protocol.
 """
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 
-from attrs import define
+from attrs import Factory, define, field
 
 from almondspread.jobs.submissions import TaskId
 from almondspread.resources.capacity import Capacity
@@ -35,8 +35,9 @@
 class UpstreamEntry:
     """The registration of an upstream.
 
-    ``name`` identifies one incarnation of the upstream. ``remaining`` is how long a
-    ``draining`` upstream stays up.
+    ``name`` identifies one incarnation of the upstream, which began at ``started_at``
+    if that is known. All incarnations of an upstream share its ``identity``, by default
+    the name. ``remaining`` is how long a ``draining`` upstream stays up.
     """
 
     name: str
@@ -47,6 +48,8 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     remaining: timedelta | None = None
+    identity: str = field(default=Factory(lambda self: self.name, takes_self=True))
+    started_at: datetime | None = None
 
 
 @define(frozen=True)
@@ -78,11 +81,15 @@
 
 @define(frozen=True)
 class WatchUpstream:
-    """Orders an executor to renew the leases of an upstream and to report its runs."""
+    """Orders an executor to renew the leases of an upstream and to report its runs.
+
+    All calls to the upstream carry ``fencing_token``.
+    """
 
     upstream: str
     address: str
     epoch: int
+    fencing_token: int
 
 
 @define(frozen=True)
@@ -167,6 +174,18 @@
     replaced: bool = False
 
 
+@define(frozen=True)
+class UpstreamRestarted:
+    """Reports that another incarnation of an upstream answers under its identity.
+
+    What ran in the incarnation ``upstream`` has ended. A start that was not confirmed
+    before may have reached the other one.
+    """
+
+    upstream: str
+    epoch: int
+
+
 @define(frozen=True)
 class StartSettled:
     """The outcome of a start: ``started``, ``refused``, ``unknown`` or ``fenced``."""
@@ -236,6 +255,7 @@
 ExecutorReport = (
     UpstreamReport
     | UpstreamSilent
+    | UpstreamRestarted
     | StartSettled
     | StopSettled
     | EpochFenced
--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -183,8 +183,10 @@
     """A call to an upstream or to another service failed.
 
     ``not_done`` is true only if the call certainly had no effect. ``fenced`` is true if
-    the callee has seen a higher epoch, ``replaced`` if another incarnation answered,
-    and ``permanent`` if retrying the same call can never succeed.
+    the callee has seen a higher fencing token, ``replaced`` if another upstream
+    answered and refused the call, ``restarted`` if a later incarnation of the same
+    upstream answered, which may have carried out the call, and ``permanent`` if
+    retrying the same call can never succeed.
     """
 
     reason: str
@@ -192,6 +194,7 @@
     fenced: bool = False
     replaced: bool = False
     permanent: bool = False
+    restarted: bool = False
 
 
 @define(frozen=True)
@@ -203,7 +206,7 @@
     and waits at most ``wait`` for a further end before it answers.
     """
 
-    epoch: int
+    fencing_token: int
     acknowledged: int
     until: timedelta | None
     wait: timedelta
@@ -227,7 +230,7 @@
     both may be empty.
     """
 
-    epoch: int
+    fencing_token: int
     task: TaskId
     run: int
     payload: str
@@ -240,7 +243,7 @@
 class StopCall:
     """Stops a run, or prevents it from starting if it has not arrived yet."""
 
-    epoch: int
+    fencing_token: int
     task: TaskId
     run: int
 
@@ -249,7 +252,7 @@
 class PaceCall:
     """Limits a run to ``percent`` of its full speed."""
 
-    epoch: int
+    fencing_token: int
     task: TaskId
     run: int
     percent: int
@@ -259,7 +262,8 @@
     """A client of the upstreams.
 
     Each call is addressed to the incarnation ``upstream``, and fails with ``replaced``
-    if another incarnation answers at ``address``.
+    if another upstream answers at ``address``, or with ``restarted`` if the answer is
+    of another incarnation of the same upstream.
     """
 
     async def renew_leases(
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -73,6 +73,26 @@
     stop_requested_at: timedelta | None = None
     conclusive_report: int | None = None
 
+    @property
+    def may_be_elsewhere(self) -> bool:
+        """Whether the start may have reached another incarnation of the upstream.
+
+        Only a report shows which incarnation has the run.
+        """
+        return not self.seen_at
+
+    def forget_answers(self, now: timedelta) -> None:
+        """Forget what the upstream has told, since another incarnation may have it."""
+        if self.phase is not RunPhase.STOPPING:
+            self.phase = RunPhase.UNSETTLED
+        self.changed_at = now
+        self.seen_at = timedelta(0)
+        self.percent = 0
+        self.available = False
+        self.is_confirmed = False
+        self.stop_requested_at = None
+        self.conclusive_report = None
+
 
 @define(frozen=True)
 class StepRecord:
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -70,6 +70,9 @@
         run = self.cell_state.runs.get((settled.task, settled.run))
         if run is None or settled.outcome == FENCED:
             return
+        if settled.upstream != run.upstream:
+            # The run counts for the next incarnation by now, whose reports decide.
+            return
         if settled.outcome == STARTED:
             if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
                 self.mark_running(run, now)
@@ -128,7 +131,7 @@
         without an answer is retried.
         """
         run = self.cell_state.runs.get((settled.task, settled.run))
-        if run is None:
+        if run is None or settled.upstream != run.upstream:
             return
         if settled.answered:
             run.conclusive_report = settled.number
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -16,9 +16,11 @@
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
 from almondspread.jobs.job_table import Announcement, JobTable
+from almondspread.jobs.leases import DEFAULT_MAX_LEASE
 from almondspread.jobs.loads import Load, measure_load
 from almondspread.jobs.messages import (
     AskPermits,
+    EpochFenced,
     ExecutorReport,
     PermitsAnswered,
     StartSettled,
@@ -26,7 +28,9 @@
     UpstreamEntry,
     UpstreamOrder,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
+    WatchUpstream,
 )
 from almondspread.jobs.progress import TERMINAL_STATES, JobProgress, JobRecord
 from almondspread.jobs.runs import RunControl
@@ -64,9 +68,10 @@
     Earlier leaders may have started jobs stored up to ``inherited_version``. Of these
     jobs, the scheduler starts only tasks that may run twice while some upstream that
     may already run them is unseen, or while some jobs are not loaded. An upstream is
-    unseen until it reports or its leases expire. The scheduler starts a job stored
-    later only once the store records that this leader may do so, because the next
-    leader relies on that record to know which jobs may be running.
+    unseen until it reports or its leases expire, which last ``max_lease`` at the most.
+    The scheduler starts a job stored later only once the store records that this leader
+    may do so, because the next leader relies on that record to know which jobs may be
+    running.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         configuration: Configuration,
         inherited_version: int = 0,
         max_entry_age: timedelta = MAX_ENTRY_AGE,
+        max_lease: timedelta = DEFAULT_MAX_LEASE,
     ) -> None:
         self.epoch = epoch
         self.inherited_version = inherited_version
@@ -85,7 +91,7 @@
         self._job_table = JobTable(configuration, self._control.stop_runs)
         self._control.job_table = self._job_table
         self._upstream_tracker = UpstreamTracker(
-            self.cell_state, self._control, CrashTracker(self._job_table)
+            self.cell_state, self._control, CrashTracker(self._job_table), max_lease
         )
         self._planner = StartPlanner(self.cell_state, self._control, max_entry_age)
 
@@ -212,6 +218,8 @@
                 self._upstream_tracker.handle_report(report, now)
             case UpstreamSilent():
                 self._upstream_tracker.handle_silence(report, now)
+            case UpstreamRestarted():
+                self._upstream_tracker.handle_restart(report, now)
             case StartSettled():
                 self._control.handle_start_outcome(report, now)
             case StopSettled():
@@ -219,6 +227,27 @@
             case PermitsAnswered():
                 self._planner.handle_permits_answer(report, now)
 
+    def is_superseded_by(self, fenced: EpochFenced) -> bool:
+        """Return whether a fenced call shows that another leader has taken over.
+
+        A late call for an earlier incarnation of an upstream is fenced as well, by the
+        token of this leader for the next incarnation.
+        """
+        if fenced.epoch < self.epoch:
+            return False
+        upstream = self.cell_state.upstreams.get(fenced.upstream)
+        if upstream is None or upstream.has_restarted:
+            return False
+        return self.cell_state.incarnations.is_latest(upstream.entry)
+
+    def make_watch_order(self, name: str) -> WatchUpstream:
+        """Return the order to watch an upstream, which must be known."""
+        return self._upstream_tracker.make_watch_order(self.cell_state.upstreams[name])
+
+    def find_upstream_of(self, identity: str) -> str:
+        """Return the name of the upstream that runs under an identity now."""
+        return self.cell_state.find_upstream_of(identity)
+
     def abandon_upstreams(
         self, names: set[str], until: timedelta, now: timedelta
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -12,6 +12,7 @@
 
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.crashes import CrashTracker, log_loss
+from almondspread.jobs.leases import DEFAULT_MAX_LEASE, compute_longest_lease_time
 from almondspread.jobs.messages import (
     LOST,
     STOPPED,
@@ -22,6 +23,7 @@
     UnwatchUpstream,
     UpstreamEntry,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
     WatchUpstream,
 )
@@ -37,12 +39,14 @@
     """Updates the upstreams and runs of the cell state from reports.
 
     ``unseen`` upstreams may run tasks of an earlier leader: they have not reported
-    yet, and their leases have not expired.
+    yet, and their leases have not expired. ``max_lease`` is the longest lease that an
+    upstream grants.
     """
 
     cell_state: CellState
     control: RunControl
     crashes: CrashTracker
+    max_lease: timedelta = DEFAULT_MAX_LEASE
     unseen: set[str] = field(factory=set)
     _acknowledged: dict[str, int] = field(factory=dict)
 
@@ -50,8 +54,10 @@
         self, entries: list[UpstreamEntry], now: timedelta, read_at: timedelta
     ) -> list[str]:
         """Replace the list of upstreams; return the names of the new ones."""
+        entries = self.cell_state.choose_entries(entries)
         added, replaced = self.cell_state.update_upstreams(entries, now, read_at)
         for name in replaced:
+            self._hand_over_runs(name, now)
             self._mark_upstream_lost(name, now, "replaced")
         for name, upstream in list(self.cell_state.upstreams.items()):
             if upstream.listed or upstream.bound or name in self.unseen:
@@ -69,7 +75,7 @@
         """
         upstream = Upstream(entry, listed=False)
         upstream.orphaned_leases_until = lapse
-        self.cell_state.upstreams[entry.name] = upstream
+        self.cell_state.add_upstream(upstream)
         self.unseen.add(entry.name)
 
     def abandon_upstreams(
@@ -100,6 +106,36 @@
         """Return the upstreams whose runs the next leader must query."""
         return self.cell_state.list_watched(self.unseen)
 
+    def _hand_over_runs(self, name: str, now: timedelta) -> None:
+        """Have the next incarnation of an upstream show which runs have reached it.
+
+        A start may have arrived there instead, as it has the same identity. An
+        upstream with another identity would have refused it.
+        """
+        upstream = self.cell_state.upstreams[name]
+        successor = self.cell_state.find_successor(upstream)
+        if successor is None:
+            return
+        lapse = max(
+            upstream.orphaned_leases_until,
+            now + compute_longest_lease_time(self.max_lease),
+        )
+        if name in self.unseen:
+            self.unseen.add(successor.name)
+            successor.orphaned_leases_until = lapse
+        doubtful = [
+            run for run in self.cell_state.list_runs(name) if run.may_be_elsewhere
+        ]
+        if not doubtful:
+            return
+        successor.orphaned_leases_until = lapse
+        self.crashes.record_loss(upstream, doubtful, now)
+        for run in doubtful:
+            progress = self.control.job_table.find_step(run)
+            self.cell_state.move_run(progress, run, successor, now)
+            if run.phase is RunPhase.STOPPING:
+                self.control.stop(run, now)
+
     def _mark_upstream_lost(self, name: str, now: timedelta, reason: str) -> None:
         """Record all runs of an upstream as lost; none of them can still run."""
         runs = self.cell_state.list_runs(name)
@@ -109,11 +145,15 @@
         upstream = self.cell_state.upstreams.get(name)
         if upstream is not None:
             self.crashes.record_loss(upstream, runs, now)
-        for run in runs:
-            self.control.record_end(RunEnd(0, run.task, run.number, LOST), name, now)
+        self._record_lost_runs(runs, name, now)
         if upstream is not None and not upstream.listed:
             self._remove_upstream(name)
 
+    def _record_lost_runs(self, runs: list[Run], name: str, now: timedelta) -> None:
+        """Record runs as lost with their upstream."""
+        for run in runs:
+            self.control.record_end(RunEnd(0, run.task, run.number, LOST), name, now)
+
     def _remove_upstream(self, name: str) -> None:
         """Remove an upstream, and have its executor stop watching it."""
         self.cell_state.upstreams.pop(name, None)
@@ -146,6 +186,31 @@
             self.crashes.record_silence(upstream, runs, now)
         upstream.lapse_at = max(now + silence.lapse_in, upstream.orphaned_leases_until)
 
+    def handle_restart(self, restart: UpstreamRestarted, now: timedelta) -> None:
+        """Record that another incarnation of an upstream answers.
+
+        The runs that the earlier one has shown are lost. The others may have reached
+        the later one, which takes them over as soon as it is listed; otherwise they
+        count until its leases have certainly expired.
+        """
+        upstream = self.cell_state.upstreams.get(restart.upstream)
+        if upstream is None or restart.epoch != self.cell_state.epoch:
+            return
+        upstream.last_observed_at = now
+        if upstream.has_restarted:
+            return
+        upstream.has_restarted = True
+        upstream.has_reported = False
+        runs = self.cell_state.list_runs(upstream.name)
+        log_loss(upstream.name, upstream, runs, "restarted")
+        self.crashes.record_loss(upstream, runs, now)
+        seen = [run for run in runs if not run.may_be_elsewhere]
+        self._record_lost_runs(seen, upstream.name, now)
+        upstream.lapse_at = max(
+            now + compute_longest_lease_time(self.max_lease),
+            upstream.orphaned_leases_until,
+        )
+
     def handle_report(self, report: UpstreamReport, now: timedelta) -> None:
         """Update the state of an upstream and its runs from a report.
 
@@ -181,14 +246,22 @@
         """
         if not self.control.job_table.is_complete:
             return
-        self.control.orders.append(
-            WatchUpstream(upstream.name, upstream.entry.address, self.cell_state.epoch)
+        self.control.orders.append(self.make_watch_order(upstream))
+
+    def make_watch_order(self, upstream: Upstream) -> WatchUpstream:
+        """Return the order to watch an upstream."""
+        return WatchUpstream(
+            upstream.name,
+            upstream.entry.address,
+            self.cell_state.epoch,
+            self.cell_state.find_fencing_token(upstream),
         )
 
     def _record_answer(self, upstream: Upstream) -> None:
         """Record that an upstream that was silent answers again."""
         logger.info("upstream answers again", upstream=upstream.name)
         upstream.lapse_at = None
+        upstream.has_restarted = False
         # The store may still tell the next leader that the leases have expired.
         upstream.recorded = False
         self.crashes.record_answer(upstream.name)
@@ -240,6 +313,7 @@
             return
         progress = self.control.job_table.find_step(run)
         if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
+            self.crashes.record_sighting(progress, run)
             self.control.mark_running(run, now)
         if sighting.percent != run.percent:
             run.changed_at = now
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -32,7 +32,9 @@
     and ``recorded`` once the store lists it as one that may run tasks.
     ``has_unknown_runs`` is true while the upstream runs something of which the leader
     knows neither the job nor the size, and ``executor_unresponsive`` while the executor
-    that holds its leases misses heartbeats.
+    that holds its leases misses heartbeats. ``has_restarted`` is set once another
+    incarnation of it has answered. ``generation`` numbers the incarnations that the
+    leader has known before.
 
     While the upstream does not answer, ``lapse_at`` is the time at which its leases
     have certainly expired. Until ``orphaned_leases_until`` an executor that the leader
@@ -49,6 +51,7 @@
     """
 
     entry: UpstreamEntry
+    generation: int = 0
     entry_changed_at: timedelta = timedelta(0)
     last_observed_at: timedelta | None = None
     heard_at: timedelta = timedelta(0)
@@ -57,6 +60,7 @@
     recorded: bool = False
     has_unknown_runs: bool = False
     executor_unresponsive: bool = False
+    has_restarted: bool = False
     unknown_runs_stopped_at: timedelta | None = None
     listed: bool = True
     listed_at: timedelta = timedelta(0)
@@ -138,7 +142,7 @@
         """Tell whether new runs may be bound to the upstream."""
         if not (self.has_reported and self.recorded):
             return False
-        if self.has_unknown_runs or self.executor_unresponsive:
+        if self.has_unknown_runs or self.executor_unresponsive or self.has_restarted:
             return False
         if not self.listed and not self._was_listed_recently(now):
             return False
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.jobs.leases import MAX_CLOCK_DRIFT_FACTOR
+from almondspread.jobs.leases import LEASE_EXPIRY_MARGIN, MAX_CLOCK_DRIFT_FACTOR
 from almondspread.jobs.messages import (
     FENCED,
     REFUSED,
@@ -22,6 +22,7 @@
     StopRun,
     StopSettled,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
     WatchUpstream,
 )
@@ -53,7 +54,6 @@
 # Runs that have ended are forgotten only beyond this number: the answer to a renew call
 # may be older than the start of a run.
 MAX_REMEMBERED_RUNS = 200
-LEASE_EXPIRY_MARGIN = timedelta(milliseconds=300)
 
 SendReport = Callable[[ExecutorReport], None]
 
@@ -83,6 +83,7 @@
         self._report = report
         self._last_acknowledged_end = 0
         self._last_forwarded_end = 0
+        self._is_confirmed = False
         self._acknowledgement = asyncio.Event()
         self._clock_reading: tuple[timedelta, timedelta] | None = None
         self._lease_expiry = (
@@ -181,10 +182,15 @@
         """
         self._last_renew_number += 1
         number = self._last_renew_number
-        call = RenewCall(self.watch.epoch, self._last_acknowledged_end, until, wait)
+        acknowledged = self._last_acknowledged_end
+        if not self._is_confirmed:
+            # Another incarnation may answer, of which these ends are not.
+            acknowledged, wait = 0, timedelta(0)
+        call = RenewCall(self.watch.fencing_token, acknowledged, until, wait)
         answer = await self._client.renew_leases(
             self.watch.address, self.watch.upstream, call, wait + CALL_TIMEOUT
         )
+        self._is_confirmed = answer.is_ok()
         if answer.is_error():
             return answer.error
         self._handle_answer(answer.ok, number)
@@ -265,7 +271,8 @@
     def _handle_failure(self, failure: CallFailed) -> bool:
         """Report a failed renew call; return whether to make further ones.
 
-        The agent ends when the upstream rejects its epoch or has been replaced.
+        The agent ends when the upstream rejects its token, has been replaced or has
+        restarted.
         """
         upstream, epoch = self.watch.upstream, self.watch.epoch
         if failure.fenced:
@@ -274,6 +281,16 @@
         if failure.replaced:
             self._report(UpstreamSilent(upstream, epoch, timedelta(0), replaced=True))
             return False
+        if failure.restarted:
+            logger.warning(
+                "upstream has restarted",
+                upstream=upstream,
+                reason=failure.reason,
+                acknowledged=self._last_acknowledged_end,
+                forwarded=self._last_forwarded_end,
+            )
+            self._report(UpstreamRestarted(upstream, epoch))
+            return False
         if self._clock.monotonic() - self._last_answered >= SILENCE_THRESHOLD:
             self._report_silence()
         return True
@@ -292,7 +309,7 @@
             self._report_start(order, REFUSED, "unreachable")
             return
         call = StartCall(
-            self.watch.epoch,
+            self.watch.fencing_token,
             order.task,
             order.run,
             order.payload,
@@ -335,7 +352,7 @@
         The report holds the number of the next renew call, whose answer shows the state
         after the stop.
         """
-        call = StopCall(self.watch.epoch, order.task, order.run)
+        call = StopCall(self.watch.fencing_token, order.task, order.run)
         answer = await self._client.stop(
             self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
         )
@@ -359,7 +376,7 @@
 
     async def _pace(self, order: PaceRun) -> None:
         """Throttle a run; the next full report shows whether that worked."""
-        call = PaceCall(self.watch.epoch, order.task, order.run, order.percent)
+        call = PaceCall(self.watch.fencing_token, order.task, order.run, order.percent)
         answer = await self._client.pace(
             self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -11,7 +11,6 @@
     PermitsAnswered,
     UnwatchUpstream,
     UpstreamOrder,
-    WatchUpstream,
 )
 from almondspread.jobs.scheduler import Scheduler
 from almondspread_daemon.jobs.links import SharedMessage
@@ -141,8 +140,7 @@
     def _watch(self, name: str, member: Member) -> None:
         """Send a member the order to run an agent for an upstream."""
         self._scheduler.forget_stop_answers(name)
-        address = self._scheduler.cell_state.upstreams[name].entry.address
-        member.send(WatchUpstream(name, address, self._scheduler.epoch))
+        member.send(self._scheduler.make_watch_order(name))
 
     def send_order(self, order: UpstreamOrder | AskPermits) -> None:
         """Send an order to the member that executes it."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from almondspread.clock import Clock
+from almondspread.clock.unix_time import to_unix_ms
 from almondspread.codec import encode_message
 from almondspread.jobs.leases import LEADER_GRACE, LEADER_LEASE, LeaderRow
 from almondspread.jobs.ports import (
@@ -248,6 +249,8 @@
                     entry.failure_domain,
                     # Rounded up, so that small clock shifts do not change the row.
                     math.ceil(lapse),
+                    entry.identity,
+                    to_unix_ms(entry.started_at) if entry.started_at else 0,
                 )
             )
         return tuple(sorted(watched, key=lambda upstream: upstream.name))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -16,6 +16,7 @@
     StartSettled,
     StopSettled,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
 )
 from almondspread.jobs.ports import MachineClient
@@ -88,7 +89,11 @@
         self._clock = clock
         # Until the start marks are fenced, an earlier leader may have started any job.
         self._scheduler = Scheduler(
-            row.epoch, configuration, ANY_VERSION, settings.max_entry_age
+            row.epoch,
+            configuration,
+            ANY_VERSION,
+            settings.max_entry_age,
+            settings.upstream_max_lease,
         )
         self._scheduler.allow_starts(row.started_version)
         self._committer = Committer(
@@ -246,14 +251,19 @@
     def handle_message(self, member: Member, message: object) -> None:
         """Handle one message of a member and request a scheduler pass."""
         match message:
-            case UpstreamReport() | UpstreamSilent() | StopSettled():
+            case (
+                UpstreamReport()
+                | UpstreamSilent()
+                | UpstreamRestarted()
+                | StopSettled()
+            ):
                 # Reports about an upstream count only from the member assigned to it.
                 if self._assignments.members.find_owner(message.upstream) is member:
                     self._handle_report(message)
             case StartSettled():
                 self._handle_report(message)
             case EpochFenced():
-                if message.epoch >= self.epoch:
+                if self._scheduler.is_superseded_by(message):
                     self.end(f"upstream {message.upstream} has seen a higher epoch")
             case PermitsAnswered():
                 member.record_advice_answer()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -25,6 +25,7 @@
     StopSettled,
     UnwatchUpstream,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
     WatchUpstream,
 )
@@ -185,6 +186,7 @@
         StoreReached,
         UnwatchUpstream,
         UpstreamReport,
+        UpstreamRestarted,
         UpstreamSilent,
         WatchUpstream,
         Welcome,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from attrs import evolve
 from loguru import logger
 
 from almondspread.clock import Clock
@@ -128,7 +129,11 @@
         if listed.is_error():
             logger.warning("machine list not read", reason=listed.error.reason)
             return False
-        self._planner.update_machines(listed.ok, requested_at)
+        machines = []
+        for machine in listed.ok:
+            upstream = self._scheduler.find_upstream_of(machine.upstream)
+            machines.append(evolve(machine, upstream=upstream))
+        self._planner.update_machines(machines, requested_at)
         return True
 
     async def _store_records(self) -> bool:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -6,6 +6,7 @@
 from attrs import define
 from loguru import logger
 
+from almondspread.clock.unix_time import from_unix_ms
 from almondspread.codec import decode_message, encode_message
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.maintenance import WaveRecord
@@ -111,7 +112,9 @@
     """An upstream on which runs may have been started.
 
     If the upstream did not answer, ``lapse`` is the time by which all its leases have
-    expired, in seconds of the store's clock; otherwise it is 0.
+    expired, in seconds of the store's clock; otherwise it is 0. ``identity`` and
+    ``started_ms`` tell the incarnation; the latter is in milliseconds since 1970, and 0
+    if it is not known.
     """
 
     name: str
@@ -119,6 +122,8 @@
     address: str
     failure_domain: str
     lapse: float = 0.0
+    identity: str = ""
+    started_ms: int = 0
 
 
 @define(frozen=True)
@@ -141,6 +146,8 @@
         upstream.address,
         upstream.failure_domain,
         Capacity(0, 0, 0),
+        identity=upstream.identity or upstream.name,
+        started_at=from_unix_ms(upstream.started_ms) if upstream.started_ms else None,
     )
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -83,7 +83,7 @@
         self.reports = []
         self.clock = PausedClock()
         self.agent = UpstreamAgent(
-            WatchUpstream("u", ADDRESS, 1),
+            WatchUpstream("u", ADDRESS, 1, 1),
             self.client,
             self.clock,
             6 * SECOND,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
@@ -26,7 +26,7 @@
         self.executor.close()
 
     async def watch(self, epoch):
-        self.executor.execute_order(WatchUpstream("u", ADDRESS, epoch))
+        self.executor.execute_order(WatchUpstream("u", ADDRESS, epoch, epoch))
         await settle()
 
     async def answer(self, clock):
