Fence a restarted upstream against late calls, and test each place of its state

Change: an executor that meets a restart at once makes one call under the token of the next generation, so that late calls for the earlier start are refused from then on, not only once the list of upstreams has shown the new one (up to a second later).

The tests' cell, the state machine and the soak now restart upstreams under their id; the soak also has entries of the earlier start written late.

The cell drops orders that a restarted upstream held, but for those of the same step. The platform's terms say that it then holds nothing of before, and a call that was answered with a timeout is closed, so that only a call under way can reach the next start.

--- a/packages/almondspread/almondspread/jobs/incarnations.py
+++ b/packages/almondspread/almondspread/jobs/incarnations.py
@@ -29,6 +29,19 @@
     return epoch * GENERATIONS_PER_EPOCH + min(generation, GENERATIONS_PER_EPOCH - 1)
 
 
+def find_next_token(token: int) -> int:
+    """Return the token of the incarnation after the one that a token is for.
+
+    >>> find_next_token(compute_fencing_token(3, 0)) == compute_fencing_token(3, 1)
+    True
+    >>> last = compute_fencing_token(3, GENERATIONS_PER_EPOCH - 1)
+    >>> find_next_token(last) == last
+    True
+    """
+    epoch, generation = divmod(token, GENERATIONS_PER_EPOCH)
+    return compute_fencing_token(epoch, generation + 1)
+
+
 def is_earlier(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
     """Return whether an entry is of an earlier incarnation than another one.
 
@@ -43,7 +56,7 @@
 class Incarnations:
     """The latest incarnation of each upstream, by the upstream's identity.
 
-    ``_latest`` has its name, and ``_counts`` how many incarnations are known.
+    ``_latest`` has its name, and ``_counts`` how many generations of tokens there are.
     """
 
     _latest: dict[str, str] = field(factory=dict)
@@ -52,18 +65,18 @@
     def add(self, entry: UpstreamEntry) -> int:
         """Record an entry as the latest incarnation, and return its generation."""
         self._latest[entry.identity] = entry.name
-        generation = self._counts.get(entry.identity, 0)
-        self._counts[entry.identity] = generation + 1
+        return self.begin_generation(entry.identity)
+
+    def begin_generation(self, identity: str) -> int:
+        """Return a generation of tokens above all that were used for an upstream."""
+        generation = self._counts.get(identity, 0)
+        self._counts[identity] = generation + 1
         return generation
 
     def find_latest(self, identity: str) -> str:
         """Return the name of the latest incarnation, or the identity if unknown."""
         return self._latest.get(identity, identity)
 
-    def is_latest(self, entry: UpstreamEntry) -> bool:
-        """Return whether no later incarnation of an upstream is known."""
-        return self.find_latest(entry.identity) == entry.name
-
     def choose_entry(
         self, entry: UpstreamEntry, upstreams: Mapping[str, Upstream]
     ) -> UpstreamEntry:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -236,9 +236,7 @@
         if fenced.epoch < self.epoch:
             return False
         upstream = self.cell_state.upstreams.get(fenced.upstream)
-        if upstream is None or upstream.has_restarted:
-            return False
-        return self.cell_state.incarnations.is_latest(upstream.entry)
+        return upstream is not None and not upstream.has_restarted
 
     def make_watch_order(self, name: str) -> WatchUpstream:
         """Return the order to watch an upstream, which must be known."""
--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -152,7 +152,7 @@
             for _ in range(300):
                 if not self.cell.held_orders:
                     self.cell.step()
-            _, order = self.cell.held_orders.pop()
+            order = self.cell.held_orders.pop().order
             cut_off.append(order.upstream)
             self.cell.silent.add(order.upstream)
             self.cell.run_for(8 * SECOND)
@@ -183,7 +183,7 @@
             for _ in range(300):
                 if not self.cell.held_orders:
                     self.cell.step()
-            _, order = self.cell.held_orders.pop()
+            order = self.cell.held_orders.pop().order
             self.cell.replace_upstream(order.upstream)
             self.cell.step()
         self.cell.hold_back = lambda _: False
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -189,8 +189,8 @@
         )
         self.cell.submit(make_job("j", make_step()))
         self.cell.run_for(timedelta(milliseconds=1_200))
-        epoch, order = self.cell.held_orders[0]
-        self.cell.execute_order(epoch, order)
+        held = self.cell.held_orders[0]
+        self.cell.execute_order(held.token, held.order)
         self.cell.run_for(3 * SECOND)
         self.assert_completed("j")
 
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
@@ -102,15 +102,16 @@
     @precondition(lambda self: self.cell.held_orders)
     @rule()
     def carry_out_late(self):
-        epoch, order = self.cell.held_orders.pop(0)
-        upstream = self.cell.upstreams.get(order.upstream)
-        if upstream is None or order.upstream in self.cell.silent:
+        held = self.cell.held_orders.pop(0)
+        token, order = held.token, held.order
+        upstream = self.cell.find_running(order.upstream)
+        if upstream is None or upstream.name in self.cell.silent:
             return
         if isinstance(order, StopRun):
-            upstream.stop(epoch, order.task, order.run, self.cell.now)
+            upstream.stop(token, order.task, order.run, self.cell.now)
             return
         until = self.cell.now + timedelta(seconds=1)
-        upstream.start(epoch, order.task, order.run, until, self.cell.now)
+        upstream.start(token, order.task, order.run, until, self.cell.now)
 
     @rule(data=st.data())
     def silence(self, data):
@@ -138,6 +139,13 @@
             upstreams[added.name] = added
         self.cell.upstreams = upstreams
 
+    @rule(data=st.data(), heard=st.booleans())
+    def restart(self, data, heard):
+        """Start an upstream anew under its identity."""
+        name = data.draw(st.sampled_from(sorted(self.cell.upstreams)))
+        self.cell.hears_restarts = heard
+        self.cell.restart_upstream(name)
+
     @rule()
     def change_leader(self):
         self.cell.take_over()
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -155,8 +155,8 @@
         self.cell.hold_back = lambda _: False
         self.cell.take_over()
         self.cell.run_for(timedelta(milliseconds=300))
-        for epoch, order in self.cell.held_orders:
-            self.cell.execute_order(epoch, order)
+        for held in self.cell.held_orders:
+            self.cell.execute_order(held.token, held.order)
         self.cell.run_for(2 * SECOND)
         self.assert_completed("j")
         self.assertEqual(self.cell.history.starts, 1)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -201,6 +201,10 @@
             return
         upstream.has_restarted = True
         upstream.has_reported = False
+        # Its executor has fenced what answers now under the next token.
+        upstream.generation = self.cell_state.incarnations.begin_generation(
+            upstream.entry.identity
+        )
         runs = self.cell_state.list_runs(upstream.name)
         log_loss(upstream.name, upstream, runs, "restarted")
         self.crashes.record_loss(upstream, runs, now)
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -33,8 +33,8 @@
     ``has_unknown_runs`` is true while the upstream runs something of which the leader
     knows neither the job nor the size, and ``executor_unresponsive`` while the executor
     that holds its leases misses heartbeats. ``has_restarted`` is set once another
-    incarnation of it has answered. ``generation`` numbers the incarnations that the
-    leader has known before.
+    incarnation of it has answered. ``generation`` rises with each incarnation and tells
+    their fencing tokens apart.
 
     While the upstream does not answer, ``lapse_at`` is the time at which its leases
     have certainly expired. Until ``orphaned_leases_until`` an executor that the leader
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -5,7 +5,9 @@
 
 from attrs import define, field
 
+from almondspread.clock.unix_time import from_unix_ms
 from almondspread.jobs.configuration import AdviceTiming, Configuration, Queue, Service
+from almondspread.jobs.incarnations import compute_fencing_token, find_next_token
 from almondspread.jobs.messages import (
     FENCED,
     REFUSED,
@@ -13,6 +15,7 @@
     UNKNOWN,
     AcknowledgeEnds,
     AskPermits,
+    EpochFenced,
     PermitsAnswered,
     StartRun,
     StartSettled,
@@ -21,6 +24,7 @@
     UpstreamEntry,
     UpstreamOrder,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
     WatchUpstream,
 )
@@ -74,9 +78,20 @@
         ("a", f"r{number % 2}"),
         draining,
         DRAIN_TIME if draining else None,
+        upstream.identity,
+        None if upstream.born is None else from_unix_ms(upstream.born),
     )
 
 
+@define(frozen=True)
+class HeldOrder:
+    """An order that is delivered late, under the token that it was given with."""
+
+    token: int
+    order: StartRun | StopRun
+    held_at: timedelta
+
+
 @define(eq=False)
 class FakeCell:
     """The scheduler of one leader and all upstreams, with a clock that tests advance.
@@ -86,7 +101,9 @@
     ``held_orders`` for a later execution, and ``drop_order`` whether it is lost
     together with its executor. The advice service permits no upstream of ``denied``.
     A task of ``crashing`` crashes each upstream that starts it, and ``crashes`` counts
-    these. Such an upstream is back, as a new incarnation, after ``restart_time``.
+    these. Such an upstream is back, as a new incarnation, after ``restart_time``, and
+    ``keeps_identity`` or has a new one. ``hears_restarts`` tells whether calls for an
+    earlier incarnation find out that a later one answers.
     """
 
     history: History = field(factory=History)
@@ -97,7 +114,7 @@
     silent: set[str] = field(factory=set)
     draining: set[str] = field(factory=set)
     records: dict[str, JobRecord] = field(factory=dict)
-    held_orders: list[tuple[int, Order]] = field(factory=list)
+    held_orders: list[HeldOrder] = field(factory=list)
     lose_answer: Callable[[Order], bool] = lambda _: False
     hold_back: Callable[[Order], bool] = lambda _: False
     drop_order: Callable[[Order], bool] = lambda _: False
@@ -105,6 +122,8 @@
     crashing: set[TaskId] = field(factory=set)
     crashes: dict[TaskId, int] = field(factory=dict)
     restart_time: timedelta = timedelta(seconds=3)
+    keeps_identity: bool = False
+    hears_restarts: bool = True
     permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
     submissions_are_readable: bool = True
@@ -141,6 +160,52 @@
             entries.append(make_entry(upstream, number, upstream.name in self.draining))
         self.scheduler.update_upstreams(entries, self.now)
 
+    def find_running(self, name: str) -> FakeUpstream | None:
+        """Return the upstream that answers calls for a name, of any incarnation."""
+        identity = name.partition("@")[0]
+        for upstream in self.upstreams.values():
+            if upstream.identity == identity:
+                return upstream
+        return None
+
+    def find_token(self, order: Order) -> int:
+        """Return the fencing token with which the leader gives an order."""
+        if isinstance(order, AskPermits):
+            return 0
+        return self.find_token_for(order.upstream)
+
+    def find_token_for(self, name: str) -> int:
+        """Return the fencing token of the leader's calls to an upstream."""
+        upstream = self.scheduler.cell_state.upstreams.get(name)
+        if upstream is None:
+            return compute_fencing_token(self.scheduler.epoch, 0)
+        return self.scheduler.cell_state.find_fencing_token(upstream)
+
+    def _report_restarts(self) -> None:
+        """Report which of the leader's upstreams answer as another incarnation."""
+        for name in list(self.scheduler.cell_state.upstreams):
+            running = self.find_running(name)
+            if running is None or running.name == name or running.name in self.silent:
+                continue
+            token = self.find_token_for(name)
+            answer = running.renew_leases(token, 0, self.now + LEASE, self.now)
+            running.renew_leases(find_next_token(token), 0, None, self.now)
+            if answer is None:
+                self.check_fenced(name)
+                continue
+            self.report_restart(name)
+
+    def report_restart(self, name: str) -> None:
+        """Report that another incarnation answers instead of an upstream."""
+        self.scheduler.handle_report(
+            UpstreamRestarted(name, self.scheduler.epoch), self.now
+        )
+
+    def check_fenced(self, name: str) -> None:
+        """Record a violation if a fenced call would end the only leader."""
+        if self.scheduler.is_superseded_by(EpochFenced(name, self.scheduler.epoch)):
+            self.history.violations.append(f"the leader is fenced by {name}")
+
     def poll_upstream(self, name: str) -> None:
         """Renew the leases of one upstream, and report its answer to the scheduler."""
         upstream = self.upstreams[name]
@@ -154,9 +219,13 @@
             return
         self._query_counts[name] = self._query_counts.get(name, 0) + 1
         answer = upstream.renew_leases(
-            epoch, self._acknowledged.get(name, 0), self.now + LEASE, self.now
+            self.find_token_for(name),
+            self._acknowledged.get(name, 0),
+            self.now + LEASE,
+            self.now,
         )
         if answer is None:
+            self.check_fenced(name)
             return
         after = self._forwarded.get(name, 0)
         ends = tuple(end for end in answer.ends if end.number > after)
@@ -177,18 +246,22 @@
             self.scheduler.record_read(self.now)
         if self.directory_is_up:
             self.report_upstream_list()
+        if self.hears_restarts:
+            self._report_restarts()
         for name in list(self.upstreams):
-            self.poll_upstream(name)
+            if name in self.scheduler.cell_state.upstreams:
+                self.poll_upstream(name)
         self.commit()
         for order in self.scheduler.schedule(self.now, WALL_CLOCK_START + self.now, 16):
             if self.drop_order(order):
                 continue
-            if self.hold_back(order):
-                self.held_orders.append((self.scheduler.epoch, order))
+            if isinstance(order, StartRun | StopRun) and self.hold_back(order):
+                held = HeldOrder(self.find_token(order), order, self.now)
+                self.held_orders.append(held)
                 if isinstance(order, StartRun):
                     self._report_start(order, UNKNOWN, "")
                 continue
-            self.execute_order(self.scheduler.epoch, order)
+            self.execute_order(self.find_token(order), order)
 
     def run_for(self, duration: timedelta) -> None:
         """Step for a duration."""
@@ -211,8 +284,8 @@
         self.scheduler.update_recorded(names)
         self.scheduler.confirm_changes(changes)
 
-    def execute_order(self, epoch: int, order: Order) -> None:
-        """Execute an order under the ``epoch`` of the current or an earlier leader."""
+    def execute_order(self, token: int, order: Order) -> None:
+        """Execute an order under the fencing token that it was given with."""
         if isinstance(order, AskPermits):
             self.permit_requests.append(order)
             tickets = {
@@ -229,7 +302,7 @@
                 self.now,
             )
             return
-        upstream = self.upstreams.get(order.upstream)
+        upstream = self.find_running(order.upstream)
         if isinstance(order, AcknowledgeEnds):
             self._acknowledged[order.upstream] = order.number
         if isinstance(order, WatchUpstream):
@@ -237,12 +310,12 @@
             self._forwarded.pop(order.upstream, None)
         if upstream is None or not isinstance(order, StartRun | StopRun):
             return
-        unreachable = order.upstream in self.silent
+        unreachable = upstream.name in self.silent
         if isinstance(order, StartRun):
             reason = ""
             if not unreachable:
                 until = self.now + START_EXPIRY
-                reason = upstream.start(epoch, order.task, order.run, until, self.now)
+                reason = upstream.start(token, order.task, order.run, until, self.now)
             if unreachable or self.lose_answer(order):
                 self._report_start(order, UNKNOWN, "")
             elif reason == "fence":
@@ -250,10 +323,10 @@
             else:
                 self._report_start(order, REFUSED if reason else STARTED, reason)
             if order.task in self.crashing and not reason and not unreachable:
-                self._crash(order.upstream, order.task)
+                self._crash(upstream.name, order.task)
             return
         if not unreachable:
-            upstream.stop(epoch, order.task, order.run, self.now)
+            upstream.stop(token, order.task, order.run, self.now)
         answered = not unreachable and not self.lose_answer(order)
         number = self._query_counts.get(order.upstream, 0) + 1
         self.scheduler.handle_report(
@@ -275,16 +348,41 @@
         for name, due in list(self._restarts.items()):
             if self.now >= due:
                 del self._restarts[name]
-                self.replace_upstream(name)
+                if self.keeps_identity:
+                    self.restart_upstream(name)
+                else:
+                    self.replace_upstream(name)
 
     def replace_upstream(self, name: str) -> None:
-        """Replace an upstream by a new incarnation, without runs, at its address."""
+        """Replace an upstream by one with another identity at its address."""
+        self._start_in_place(name, f"{name}+", None)
+
+    def restart_upstream(self, name: str) -> str:
+        """Start an upstream anew under its identity, and return its new name.
+
+        Orders that it held are gone. Those of this very step are still under way, and
+        may reach the next incarnation.
+        """
+        born = int(self.now / timedelta(milliseconds=1))
+        identity = self.upstreams[name].identity
+        new_name = f"{identity}@{born}"
+        kept = []
+        for held in self.held_orders:
+            is_for_it = held.order.upstream.partition("@")[0] == identity
+            if not is_for_it or held.held_at == self.now:
+                kept.append(held)
+        self.held_orders = kept
+        self._start_in_place(name, new_name, born)
+        return new_name
+
+    def _start_in_place(self, name: str, new_name: str, born: int | None) -> None:
+        """Start an upstream without runs at the address of another, which ends."""
         upstreams = {}
         for each, upstream in self.upstreams.items():
             if each == name:
                 upstream.crash()
                 self.silent.discard(name)
-                fresh = FakeUpstream(f"{name}+", upstream.capacity, self.history)
+                fresh = FakeUpstream(new_name, upstream.capacity, self.history, born)
                 fresh.durations = upstream.durations
                 upstreams[fresh.name] = fresh
             else:
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -89,7 +89,7 @@
     """One incarnation of an upstream; all times are of its own monotonic clock.
 
     ``born`` is when it was started, in Unix milliseconds, ``None`` where it does not
-    tell this.
+    tell this. Its ``identity``, the name up to an ``@``, is that of all incarnations.
     """
 
     name: str
@@ -106,6 +106,11 @@
     _last_end: int = 0
     _highest: dict[TaskId, int] = field(factory=dict)
 
+    @property
+    def identity(self) -> str:
+        """What all incarnations of the upstream are called."""
+        return self.name.partition("@")[0]
+
     def start(
         self, epoch: int, task: TaskId, number: int, until: timedelta, now: timedelta
     ) -> str:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from almondspread.clock import Clock
+from almondspread.jobs.incarnations import find_next_token
 from almondspread.jobs.leases import LEASE_EXPIRY_MARGIN, MAX_CLOCK_DRIFT_FACTOR
 from almondspread.jobs.messages import (
     FENCED,
@@ -169,6 +170,8 @@
             if failure is None:
                 continue
             if not self._handle_failure(failure):
+                if failure.restarted:
+                    await self._fence_late_calls()
                 return
             await self._clock.sleep(RETRY_DELAY)
 
@@ -196,6 +199,17 @@
         self._handle_answer(answer.ok, number)
         return None
 
+    async def _fence_late_calls(self) -> None:
+        """Have the next incarnation refuse late calls that are for this one.
+
+        It knows no token yet, nor the runs that were stopped here.
+        """
+        token = find_next_token(self.watch.fencing_token)
+        call = RenewCall(token, 0, None, timedelta(0))
+        await self._client.renew_leases(
+            self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
+        )
+
     async def _poll_now(self) -> CallFailed | None:
         """Report all runs now, without waiting for the pending renew call."""
         self._last_full_report = None
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -12,6 +12,7 @@
     StopRun,
     StopSettled,
     UpstreamReport,
+    UpstreamRestarted,
     UpstreamSilent,
     WatchUpstream,
 )
@@ -29,6 +30,7 @@
 TASK = TaskId("j", 0, 0, 0)
 ADDRESS = "10.0.0.1:80"
 NO_ANSWER = Error(CallFailed("no answer", not_done=False))
+RESTARTED = Error(CallFailed("started again", not_done=False, restarted=True))
 
 
 class FakeClient:
@@ -40,6 +42,7 @@
         self.starts = []
         self.start_calls = []
         self.stops = []
+        self.stop_calls = []
 
     async def renew_leases(self, address, upstream, call, timeout):
         self.renew_calls.append(call)
@@ -50,6 +53,7 @@
         return await self._await(self.starts)
 
     async def stop(self, address, upstream, call, timeout):
+        self.stop_calls.append(call)
         return await self._await(self.stops)
 
     async def _await(self, calls):
@@ -215,6 +219,70 @@
         await self.renew(1)
         self.assertIsInstance(self.reports[-1], UpstreamReport)
 
+    async def acknowledge_one_end(self):
+        """Have the upstream report an end, and acknowledge it."""
+        end = RunEnd(1, TASK, 7, "done")
+        self.client.renewals.pop().set_result(make_answer(1, ends=(end,)))
+        await settle()
+        self.agent.acknowledge(1)
+        await settle()
+
+    async def test_call_after_a_failed_one_acknowledges_nothing(self):
+        """It may reach an incarnation that counts its ends from 1 again."""
+        await self.acknowledge_one_end()
+        self.assertEqual(self.client.renew_calls[-1].acknowledged, 1)
+        self.client.renewals.pop().set_result(NO_ANSWER)
+        await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
+        call = self.client.renew_calls[-1]
+        self.assertEqual((call.acknowledged, call.wait), (0, timedelta(0)))
+        await self.renew(2)
+        self.assertEqual(self.client.renew_calls[-1].acknowledged, 1)
+
+    async def test_restarted_upstream_is_reported_and_called_no_more(self):
+        await self.acknowledge_one_end()
+        self.client.renewals.pop().set_result(RESTARTED)
+        await asyncio.sleep(2 * RETRY_DELAY.total_seconds())
+        self.assertEqual(self.reports[-1], UpstreamRestarted("u", 1))
+        self.client.renewals.pop().set_result(RESTARTED)
+        await settle()
+        self.assertFalse(self.agent.is_running)
+
+    async def test_next_incarnation_is_fenced_against_late_calls(self):
+        """It has forgotten which starts were stopped, and what token it had seen."""
+        await self.renew(1)
+        self.client.renewals.pop().set_result(RESTARTED)
+        await settle()
+        call = self.client.renew_calls[-1]
+        self.assertGreater(call.fencing_token, self.agent.watch.fencing_token)
+        self.assertEqual((call.acknowledged, call.until), (0, None))
+
+    async def test_start_that_another_incarnation_has_answered_is_unknown(self):
+        await self.renew(1)
+        self.agent.start(StartRun("u", TASK, 7, ""))
+        await settle()
+        self.client.starts.pop().set_result(RESTARTED)
+        await settle()
+        self.assertEqual(self.reports[-1].outcome, "unknown")
+
+    async def test_calls_carry_the_token_of_the_incarnation(self):
+        self.agent.close()
+        self.agent = UpstreamAgent(
+            WatchUpstream("u", ADDRESS, 1, 10_003),
+            self.client,
+            self.clock,
+            6 * SECOND,
+            JobMetrics("entry-1", "umea"),
+            self.reports.append,
+        )
+        await settle()
+        await self.renew(1)
+        await self.start(7, paced=False)
+        self.agent.stop(StopRun("u", TASK, 7))
+        await settle()
+        calls = [self.client.renew_calls[-1], self.client.start_calls[-1]]
+        tokens = [call.fencing_token for call in [*calls, self.client.stop_calls[-1]]]
+        self.assertEqual(tokens, [10_003, 10_003, 10_003])
+
     async def test_unanswered_start_alone_is_no_silence(self):
         await self.renew(1)
         self.agent.start(StartRun("u", TASK, 7, ""))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -1,6 +1,7 @@
 import unittest
 from datetime import UTC, datetime, timedelta
 
+from almondspread.clock.unix_time import from_unix_ms
 from almondspread.codec import encode_message
 from almondspread.jobs.leases import LEADER_GRACE, LEADER_LEASE, LeaderRow
 from almondspread.jobs.messages import RunEnd, UpstreamEntry, UpstreamReport
@@ -286,14 +287,24 @@
 
     async def test_watched_row_holds_upstreams_before_they_are_used(self):
         await self.claim()
-        entry = UpstreamEntry("u", "service", "10.0.0.1:1", "umea", Capacity(1, 1))
+        entry = UpstreamEntry(
+            "u@1500",
+            "service",
+            "10.0.0.1:1",
+            "umea",
+            Capacity(1, 1),
+            identity="u",
+            started_at=from_unix_ms(1_500),
+        )
         self.scheduler.update_upstreams([entry], self.parts.clock.monotonic())
-        upstream = self.scheduler.cell_state.upstreams["u"]
+        upstream = self.scheduler.cell_state.upstreams["u@1500"]
         self.assertFalse(upstream.recorded)
         await self.committer.commit()
         self.assertTrue(upstream.recorded)
         stored = decode_row(self.store.rows[WATCHED_ROW], WatchedRow)
-        self.assertEqual([each.name for each in stored.upstreams], ["u"])
+        (watched,) = stored.upstreams
+        self.assertEqual(watched.name, "u@1500")
+        self.assertEqual((watched.identity, watched.started_ms), ("u", 1_500))
 
 
 class IntakeTest(LeaderTestCase):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
@@ -2,11 +2,14 @@
 from datetime import timedelta
 from unittest.mock import patch
 
+from attrs import evolve
 from expression import Error, Ok
 
 from almondspread.jobs.leases import LEADER_LEASE
 from almondspread.jobs.maintenance import Machine, MachineState, MaintenanceWave
+from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import CallFailed, RowName, RowPut
+from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.maintenance import MaintenanceController
 from almondspread_daemon.jobs.rows import MAINTENANCE_ROW, MaintenanceRow, decode_row
 from almondspread_daemon.jobs.store_access import StoreAccess
@@ -55,6 +58,17 @@
         return self.answer
 
 
+class KeptIdentityMachines(FakeMachines):
+    """Machines whose upstreams keep their identity across a maintenance."""
+
+    async def list_machines(self, timeout):
+        listed = await super().list_machines(timeout)
+        machines = []
+        for machine in listed.ok:
+            machines.append(evolve(machine, upstream=machine.upstream.split("-")[0]))
+        return Ok(machines)
+
+
 class MaintenanceControllerTest(LeaderTestCase):
     async def lead(self, epoch=1, incarnation="one"):
         await self.claim(epoch, incarnation)
@@ -92,6 +106,24 @@
         self.assertEqual(self.read_status(), b"True")
         self.assertEqual(len(self.machines.orders), 2)
 
+    async def test_wave_is_completed_where_upstreams_keep_their_identity(self):
+        controller = await self.lead()
+        controller._machines = KeptIdentityMachines(self.store, self.parts.clock)
+        await self.run_steps(controller, 40)
+        self.assertEqual(self.read_status(), b"True")
+
+    async def test_leaving_upstream_is_the_one_that_runs_now(self):
+        """The platform's list has the identity, not the name, of an upstream."""
+        controller = await self.lead()
+        controller._machines = KeptIdentityMachines(self.store, self.parts.clock)
+        entry = UpstreamEntry(
+            "m0@1500", "service", "10.0.0.1:1", "umea", Capacity(1, 1), identity="m0"
+        )
+        self.scheduler.update_upstreams([entry], self.parts.clock.monotonic())
+        await self.run_steps(controller, 1)
+        upstream = self.scheduler.cell_state.upstreams["m0@1500"]
+        self.assertTrue(upstream.is_leaving)
+
     async def test_order_is_stored_before_it_is_sent(self):
         controller = await self.lead()
         await self.run_steps(controller, 40)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -1,6 +1,7 @@
 import unittest
 from datetime import UTC, datetime, timedelta
 
+from almondspread.clock.unix_time import from_unix_ms
 from almondspread.codec import encode_message
 from almondspread.jobs.losses import Loss
 from almondspread.jobs.ports import RowName, StoredRow
@@ -9,13 +10,18 @@
 from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.rows import (
     SUBMISSIONS_TABLE,
+    WATCHED_ROW,
     SubmissionRow,
+    WatchedRow,
+    WatchedUpstream,
     decode_progress,
     decode_row,
     decode_submission,
     encode_submission,
+    encode_watched,
     make_job_key,
     make_progress_name,
+    make_watched_entry,
 )
 
 SIZE = Capacity(500, 256, 1)
@@ -35,6 +41,18 @@
         row = StoredRow(make_progress_name("j"), encode_message(record), 3)
         self.assertEqual(decode_progress((row,)), {"j": record})
 
+    def test_watched_upstream_keeps_its_identity_and_start(self):
+        watched = WatchedUpstream("u@1500", "s", "10.0.0.1:80", "umea", 0.0, "u", 1_500)
+        row = StoredRow(WATCHED_ROW, encode_watched((watched,)), 3)
+        (read,) = decode_row(row, WatchedRow).upstreams
+        entry = make_watched_entry(read)
+        self.assertEqual((entry.name, entry.identity), ("u@1500", "u"))
+        self.assertEqual(entry.started_at, from_unix_ms(1_500))
+
+    def test_watched_upstream_of_an_earlier_release_is_its_own_identity(self):
+        entry = make_watched_entry(WatchedUpstream("u", "s", "10.0.0.1:80", "umea"))
+        self.assertEqual((entry.identity, entry.started_at), ("u", None))
+
     def test_submission_round_trips(self):
         step = Step(
             3,
--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -20,6 +20,12 @@
 HEARTBEAT_SECONDS = 0.5
 LOOPBACK = "127.0.0.1"
 NO_TIMEOUT = timedelta(0)
+# This share of the crashed upstreams start again under the id that they had.
+KEPT_ID_SHARE = 0.5
+# This share of these write the entry of the earlier start once more, and this late.
+LATE_ENTRY_SHARE = 0.3
+LATE_ENTRY_SECONDS = 0.2
+FIRST_START_MS = 1_767_000_000_000
 # Capacity of an upstream: both thousandths of a core and MiB of memory.
 SIZES = (4_000, 8_000, 16_000)
 
@@ -28,8 +34,8 @@
 class PoolMember:
     """One upstream address, whose current incarnation may crash and be replaced.
 
-    ``incarnation`` numbers the incarnations, and ``sequence`` the heartbeats. While
-    its machine is ``down``, no incarnation writes an entry.
+    ``incarnation`` numbers the incarnations, ``id_number`` the ids, and ``sequence``
+    the heartbeats. While its machine is ``down``, no incarnation writes an entry.
     """
 
     number: int
@@ -40,6 +46,7 @@
     draining: bool = False
     down: bool = False
     incarnation: int = 1
+    id_number: int = 1
     sequence: int = 0
 
 
@@ -55,7 +62,8 @@
 
     async def add(self, number: int, domain: str) -> None:
         """Add an upstream, and start its server and its proxy."""
-        endpoint = UpstreamEndpoint(self._make_upstream(number, 1), self.clock)
+        upstream = self._make_upstream(number, id_number=1, incarnation=1)
+        endpoint = UpstreamEndpoint(upstream, self.clock)
         sockets = bind_sockets(0, LOOPBACK)
         server = HTTPServer(endpoint.make_application())
         server.add_sockets(sockets)
@@ -63,21 +71,41 @@
         await proxy.start()
         self.members.append(PoolMember(number, domain, endpoint, server, proxy))
 
-    def _make_upstream(self, number: int, incarnation: int) -> FakeUpstream:
+    def _make_upstream(
+        self, number: int, id_number: int, incarnation: int
+    ) -> FakeUpstream:
         """Return a new incarnation, whose capacity is chosen at random."""
         size = self.rng.choice(SIZES)
         return FakeUpstream(
-            f"u{number}-{incarnation}", Capacity(size, size, 0), self.history
+            f"u{number}-{id_number}",
+            Capacity(size, size, 0),
+            self.history,
+            FIRST_START_MS + incarnation,
         )
 
     async def crash(self, member: PoolMember) -> None:
-        """Crash an upstream and replace it by a new incarnation at its address."""
-        await self._remove_entry(member)
+        """Crash an upstream; a new incarnation of it runs at its address at once.
+
+        The new incarnation has the id of the crashed one, or another id.
+        """
+        old_entry = self._encode_entry(member)
+        old_name = self._find_entry_name(member)
+        keeps_id = self.rng.random() < KEPT_ID_SHARE
+        writes_late = keeps_id and self.rng.random() < LATE_ENTRY_SHARE
+        if not keeps_id:
+            await self._remove_entry(member)
+            member.id_number += 1
         member.endpoint.upstream.crash()
         member.incarnation += 1
-        member.endpoint.start(self._make_upstream(member.number, member.incarnation))
+        member.endpoint.start(
+            self._make_upstream(member.number, member.id_number, member.incarnation)
+        )
         member.draining = False
         member.proxy.reset()
+        if writes_late:
+            await self._put(old_name, self._encode_entry(member))
+            await asyncio.sleep(LATE_ENTRY_SECONDS)
+            await self._put(old_name, old_entry)
 
     async def maintain(self, member: PoolMember, seconds: float) -> None:
         """Replace an upstream, and bring its machine up again after some seconds."""
@@ -93,22 +121,32 @@
                     continue
                 member.sequence += 1
                 member.endpoint.upstream.advance(member.endpoint.read_clock())
-                name = RowName("servers", "", member.endpoint.upstream.name)
-                entry = encode_upstream_entry(
-                    member.endpoint.upstream,
-                    member.proxy.address,
-                    member.domain,
-                    member.draining,
-                    member.sequence,
-                )
-                await self.store.transact(
-                    Transaction(puts=(RowPut(name, entry),)), NO_TIMEOUT
+                await self._put(
+                    self._find_entry_name(member), self._encode_entry(member)
                 )
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def _find_entry_name(self, member: PoolMember) -> RowName:
+        """Return the name of the entry of the current incarnation."""
+        return RowName("servers", "", member.endpoint.upstream.name)
+
+    def _encode_entry(self, member: PoolMember) -> bytes:
+        """Return the entry of the current incarnation."""
+        return encode_upstream_entry(
+            member.endpoint.upstream,
+            member.proxy.address,
+            member.domain,
+            member.draining,
+            member.sequence,
+        )
+
+    async def _put(self, name: RowName, entry: bytes) -> None:
+        """Write an entry."""
+        await self.store.transact(Transaction(puts=(RowPut(name, entry),)), NO_TIMEOUT)
+
     async def _remove_entry(self, member: PoolMember) -> None:
         """Remove the entry of the current incarnation."""
-        name = RowName("servers", "", member.endpoint.upstream.name)
+        name = self._find_entry_name(member)
         await self.store.transact(Transaction(removals=(name,)), NO_TIMEOUT)
 
     async def stop(self) -> None:
