--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -4,9 +4,10 @@
 
 from attrs import define, field
 
+from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.incarnations import Incarnations, compute_fencing_token
 from almondspread.jobs.messages import RunSighting, UpstreamEntry
-from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
 
@@ -107,10 +108,6 @@
         upstream.generation = self.incarnations.add(upstream.entry)
         self.upstreams[upstream.name] = upstream
 
-    def find_upstream_of(self, identity: str) -> str:
-        """Return the name of the upstream that runs under an identity now."""
-        return self.incarnations.find_latest(identity)
-
     def find_successor(self, upstream: Upstream) -> Upstream | None:
         """Return the later incarnation of an upstream, ``None`` if none is known."""
         latest = self.incarnations.find_latest(upstream.entry.identity)
--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -7,10 +7,11 @@
 from attrs import define, field
 from loguru import logger
 
+from almondspread.jobs.bound_runs import Run
 from almondspread.jobs.job_table import JobTable
 from almondspread.jobs.losses import Loss
 from almondspread.jobs.messages import RunEnd, UpstreamEntry
-from almondspread.jobs.progress import Run, StepProgress
+from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import FRESH_TIME, Upstream
 
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -6,12 +6,12 @@
 from attrs import define, field
 from loguru import logger
 
+from almondspread.jobs.bound_runs import Run
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.progress import (
     JobProgress,
     JobRecord,
     JobState,
-    Run,
     StepProgress,
 )
 from almondspread.jobs.submissions import Submission, TaskId
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -252,12 +252,6 @@
 UpstreamOrder = (
     WatchUpstream | UnwatchUpstream | StartRun | StopRun | PaceRun | AcknowledgeEnds
 )
-ExecutorReport = (
-    UpstreamReport
-    | UpstreamSilent
-    | UpstreamRestarted
-    | StartSettled
-    | StopSettled
-    | EpochFenced
-    | PermitsAnswered
-)
+# Reports that count only from the executor to which the upstream is assigned.
+AssignedReport = UpstreamReport | UpstreamSilent | UpstreamRestarted | StopSettled
+ExecutorReport = AssignedReport | StartSettled | EpochFenced | PermitsAnswered
--- a/packages/almondspread/almondspread/jobs/pacing.py
+++ b/packages/almondspread/almondspread/jobs/pacing.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.messages import PaceRun
-from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.progress import StepProgress
 
 # These are shares of the latency target. Opportunistic tasks slow down before the
 # latency reaches the target, and speed up again only well below it.
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from loguru import logger
 
+from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.job_table import JobTable
@@ -22,7 +23,7 @@
     StopSettled,
     UpstreamOrder,
 )
-from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.stragglers import extrapolate_duration
 
 # A run whose start had no clear outcome may show up in a report within this time.
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -8,8 +8,6 @@
 import sys
 from datetime import datetime, timedelta
 
-from attrs import define, field
-
 from almondspread.jobs.backlog import ServiceWait, estimate_wait
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import Configuration
@@ -32,7 +30,13 @@
     UpstreamSilent,
     WatchUpstream,
 )
-from almondspread.jobs.progress import TERMINAL_STATES, JobProgress, JobRecord
+from almondspread.jobs.pending_changes import (
+    PendingChanges,
+    confirm_changes,
+    requeue_changes,
+    take_changes,
+)
+from almondspread.jobs.progress import JobProgress, JobRecord
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartHolds, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
@@ -48,20 +52,6 @@
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 
 
-@define(frozen=True)
-class PendingChanges:
-    """Changes for one commit to the store.
-
-    ``records`` are the job records to write. ``ends`` holds, by upstream, the number of
-    the newest run end that may be acknowledged once the commit has succeeded. The
-    commit deletes the stored progress of ``forgotten`` jobs.
-    """
-
-    records: list[JobRecord]
-    ends: dict[str, int]
-    forgotten: list[str] = field(factory=list)
-
-
 class Scheduler:
     """Schedules all jobs of the cell on its upstreams, for the leader of one epoch.
 
@@ -244,7 +234,7 @@
 
     def find_upstream_of(self, identity: str) -> str:
         """Return the name of the upstream that runs under an identity now."""
-        return self.cell_state.find_upstream_of(identity)
+        return self.cell_state.incarnations.find_latest(identity)
 
     def abandon_upstreams(
         self, names: set[str], until: timedelta, now: timedelta
@@ -373,35 +363,16 @@
         return self._upstream_tracker.has_unrecorded_upstreams()
 
     def take_changes(self, limit: int) -> PendingChanges:
-        """Return the changes since the last call, to be stored in one commit.
-
-        If more than ``limit`` jobs have changed, the rest stays for the next call, and
-        no run ends may be acknowledged after this commit.
-        """
-        changed = sorted(self._job_table.changed)[:limit]
-        self._job_table.changed.difference_update(changed)
-        records = [self.jobs[name].make_record() for name in changed]
-        if self._job_table.changed:
-            return PendingChanges(records, {})
-        forgotten = sorted(self._job_table.forgotten)[: limit - len(records)]
-        self._job_table.forgotten.difference_update(forgotten)
-        return PendingChanges(
-            records, self._upstream_tracker.find_unacknowledged_ends(), forgotten
-        )
+        """Return the changes since the last call, to be stored in one commit."""
+        return take_changes(self._job_table, self._upstream_tracker, limit)
 
     def requeue_changes(self, changes: PendingChanges) -> None:
         """Queue changes again whose commit did not succeed."""
-        for record in changes.records:
-            if record.job in self.jobs:
-                self._job_table.changed.add(record.job)
-        self._job_table.forgotten.update(changes.forgotten)
+        requeue_changes(self._job_table, changes)
 
     def confirm_changes(self, changes: PendingChanges) -> None:
         """Record that changes are stored, and acknowledge their run ends."""
-        for record in changes.records:
-            if record.state in TERMINAL_STATES:
-                self._job_table.mark_end_stored(record.job)
-        self._upstream_tracker.acknowledge_ends(changes.ends)
+        confirm_changes(self._job_table, self._upstream_tracker, changes)
 
     @property
     def has_changes(self) -> bool:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from loguru import logger
 
+from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import AdviceTiming
 from almondspread.jobs.messages import PermitsAnswered, StartRun
@@ -21,7 +22,7 @@
     list_candidates,
     place_tasks,
 )
-from almondspread.jobs.progress import Run, RunPhase, StepProgress
+from almondspread.jobs.progress import StepProgress
 from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
--- a/packages/almondspread/almondspread/jobs/tests/cells.py
+++ b/packages/almondspread/almondspread/jobs/tests/cells.py
@@ -6,7 +6,8 @@
 from almondspread.jobs.progress import JobState
 from almondspread.jobs.submissions import Step, Submission
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import QUEUE, FakeCell
+from almondspread.testing.cell_input import QUEUE
+from almondspread.testing.fake_cell import FakeCell
 
 SECOND = timedelta(seconds=1)
 CORE = Capacity(1_000, 1_000)
--- a/packages/almondspread/almondspread/jobs/tests/test_backlog.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_backlog.py
@@ -9,11 +9,7 @@
 from almondspread.jobs.tests.cells import SECOND, make_job, make_step
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import (
-    QUEUE,
-    make_configuration,
-    make_entry,
-)
+from almondspread.testing.cell_input import QUEUE, make_configuration, make_entry
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
 UPSTREAM = Capacity(64_000, 131_072, 8)
--- a/packages/almondspread/almondspread/jobs/tests/test_evacuation.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_evacuation.py
@@ -5,7 +5,7 @@
 
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
-from almondspread.testing.fake_cell import DRAIN_TIME
+from almondspread.testing.cell_input import DRAIN_TIME
 
 
 class EvacuationTest(CellTest):
--- a/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
@@ -4,11 +4,8 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import (
-    WALL_CLOCK_START,
-    FakeCell,
-    make_configuration,
-)
+from almondspread.testing.cell_input import make_configuration
+from almondspread.testing.fake_cell import WALL_CLOCK_START, FakeCell
 
 
 class PassCostTest(CellTest):
--- a/packages/almondspread/almondspread/jobs/tests/test_permits.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_permits.py
@@ -6,7 +6,8 @@
 )
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
-from almondspread.testing.fake_cell import FakeCell, make_configuration
+from almondspread.testing.cell_input import make_configuration
+from almondspread.testing.fake_cell import FakeCell
 
 
 class PermitRequestTest(CellTest):
--- a/packages/almondspread/almondspread/jobs/tests/test_placement.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_placement.py
@@ -8,7 +8,7 @@
 from almondspread.jobs.tests.cells import SECOND, make_job, make_step
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import make_entry
+from almondspread.testing.cell_input import make_entry
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
 PLAIN = Capacity(64_000, 131_072, 0)
--- a/packages/almondspread/almondspread/jobs/tests/test_repeated_jobs.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_repeated_jobs.py
@@ -4,7 +4,8 @@
 
 from almondspread.jobs.submissions import Repetition, Submission
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_step
-from almondspread.testing.fake_cell import QUEUE, WALL_CLOCK_START
+from almondspread.testing.cell_input import QUEUE
+from almondspread.testing.fake_cell import WALL_CLOCK_START
 
 
 class RepeatedJobTest(CellTest):
--- a/packages/almondspread/almondspread/jobs/tests/test_reservations.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_reservations.py
@@ -8,12 +8,8 @@
 from almondspread.jobs.tests.cells import CORE, SECOND, CellTest, make_step
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import (
-    QUEUE,
-    FakeCell,
-    make_configuration,
-    make_entry,
-)
+from almondspread.testing.cell_input import QUEUE, make_configuration, make_entry
+from almondspread.testing.fake_cell import FakeCell
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
 LARGE = Capacity(4_000, 4_000)
--- a/packages/almondspread/almondspread/jobs/tests/test_restarts.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_restarts.py
@@ -10,7 +10,8 @@
 from almondspread.jobs.progress import JobState
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
-from almondspread.testing.fake_cell import FakeCell, make_configuration, make_entry
+from almondspread.testing.cell_input import make_configuration, make_entry
+from almondspread.testing.fake_cell import FakeCell
 
 MILLISECOND = timedelta(milliseconds=1)
 TASK = TaskId("j", 0, 0, 0)
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -16,13 +16,8 @@
 from almondspread.jobs.progress import JobState
 from almondspread.jobs.submissions import Repetition, Submission, TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
-from almondspread.testing.fake_cell import (
-    QUEUE,
-    SERVICE,
-    WALL_CLOCK_START,
-    FakeCell,
-    make_configuration,
-)
+from almondspread.testing.cell_input import QUEUE, SERVICE, make_configuration
+from almondspread.testing.fake_cell import WALL_CLOCK_START, FakeCell
 
 
 class WaitTest(unittest.TestCase):
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
@@ -15,7 +15,8 @@
 from almondspread.jobs.progress import JobState
 from almondspread.jobs.submissions import Step, Submission, TaskId
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import QUEUE, FakeCell
+from almondspread.testing.cell_input import QUEUE
+from almondspread.testing.fake_cell import FakeCell
 
 MAX_JOBS = 8
 MAX_UPSTREAMS = 5
--- a/packages/almondspread/almondspread/jobs/tests/test_shrinking.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_shrinking.py
@@ -6,7 +6,8 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import SERVICE, FakeCell, make_configuration
+from almondspread.testing.cell_input import SERVICE, make_configuration
+from almondspread.testing.fake_cell import FakeCell
 
 
 class ShrinkingUpstreamTest(CellTest):
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -14,7 +14,8 @@
 from almondspread.jobs.scheduler import ANY_VERSION
 from almondspread.jobs.submissions import Repetition, Submission, TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
-from almondspread.testing.fake_cell import QUEUE, WALL_CLOCK_START
+from almondspread.testing.cell_input import QUEUE
+from almondspread.testing.fake_cell import WALL_CLOCK_START
 
 
 class TakeoverTest(CellTest):
--- a/packages/almondspread/almondspread/jobs/trials.py
+++ b/packages/almondspread/almondspread/jobs/trials.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-from almondspread.jobs.progress import Run
+from almondspread.jobs.bound_runs import Run
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
 
--- a/packages/almondspread/almondspread/jobs/upcoming.py
+++ b/packages/almondspread/almondspread/jobs/upcoming.py
@@ -10,7 +10,8 @@
 
 from attrs import define, field
 
-from almondspread.jobs.progress import Run, StepProgress
+from almondspread.jobs.bound_runs import Run
+from almondspread.jobs.progress import StepProgress
 
 # Estimates are rough, and tickets stay valid for about two seconds.
 REQUEST_AHEAD_MARGIN = timedelta(milliseconds=400)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -10,16 +10,15 @@
 from attrs import define, field
 from loguru import logger
 
+from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.crashes import CrashTracker, log_loss
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE, compute_longest_lease_time
 from almondspread.jobs.messages import (
     LOST,
-    STOPPED,
     AcknowledgeEnds,
     RunEnd,
     RunSighting,
-    StopRun,
     UnwatchUpstream,
     UpstreamEntry,
     UpstreamReport,
@@ -27,9 +26,8 @@
     UpstreamSilent,
     WatchUpstream,
 )
-from almondspread.jobs.pacing import choose_paces
-from almondspread.jobs.progress import Run, RunPhase
-from almondspread.jobs.runs import STOP_RETRY_INTERVAL, RunControl
+from almondspread.jobs.runs import RunControl
+from almondspread.jobs.sightings import RunSightings
 from almondspread.jobs.trials import end_trials
 from almondspread.jobs.upstreams import Upstream
 
@@ -49,6 +47,10 @@
     max_lease: timedelta = DEFAULT_MAX_LEASE
     unseen: set[str] = field(factory=set)
     _acknowledged: dict[str, int] = field(factory=dict)
+    _sightings: RunSightings = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._sightings = RunSightings(self.cell_state, self.control, self.crashes)
 
     def update_upstreams(
         self, entries: list[UpstreamEntry], now: timedelta, read_at: timedelta
@@ -278,10 +280,7 @@
         now: timedelta,
     ) -> None:
         """Update the runs of an upstream from a report of all that it runs."""
-        upstream.has_unknown_runs = False
-        for sighting in running:
-            self._update_run(sighting, upstream, now)
-        self._end_absent_runs(upstream, report, now)
+        self._sightings.update_runs(upstream, running, report.number, now)
         end_trials(upstream, self.cell_state.runs, now)
         upstream.executor_lost_at = None
         if not upstream.has_reported:
@@ -292,7 +291,7 @@
                 upstream=upstream.name,
                 epoch=self.cell_state.epoch,
             )
-        self._adjust_paces(upstream, now)
+        self._sightings.adjust_paces(upstream, now)
 
     def _mentions_unread_job(self, report: UpstreamReport, now: timedelta) -> bool:
         """Tell whether a report mentions a job that may be stored but not read yet.
@@ -306,86 +305,6 @@
                 found = True
         return found
 
-    def _update_run(
-        self, sighting: RunSighting, upstream: Upstream, now: timedelta
-    ) -> None:
-        """Update a run that an upstream reports as running; adopt an unknown one."""
-        run = self.cell_state.runs.get((sighting.task, sighting.run))
-        if run is None:
-            run = self._adopt_run(sighting, upstream, now)
-        if run is None:
-            return
-        progress = self.control.job_table.find_step(run)
-        if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
-            self.crashes.record_sighting(progress, run)
-            self.control.mark_running(run, now)
-        if sighting.percent != run.percent:
-            run.changed_at = now
-        run.seen_at = now
-        run.percent = sighting.percent
-        run.figure = sighting.figure
-        run.available = sighting.percent >= 100 and progress.step.lasting
-        if run.available:
-            self.crashes.record_success(progress, sighting.task.index)
-        if sighting.checkpoint:
-            progress.checkpoints[sighting.task.index] = sighting.checkpoint
-
-    def _adopt_run(
-        self, sighting: RunSighting, upstream: Upstream, now: timedelta
-    ) -> Run | None:
-        """Adopt a run of an earlier leader, and stop it if it must not run.
-
-        Return ``None`` for a run of an unknown step, which is stopped.
-        """
-        task = sighting.task
-        progress = self.control.job_table.find_started_step(task)
-        if progress is None:
-            upstream.has_unknown_runs = True
-            self._stop_unknown_run(sighting, upstream, now)
-            return None
-        run = self.cell_state.adopt_run(progress, upstream, sighting, now)
-        self.control.job_table.mark_started(progress.job)
-        self.control.job_table.update_readiness(progress)
-        alone = len(progress.runs[task.index]) == 1 or progress.step.duplicates
-        if progress.job.ended is not None or task.index in progress.done or not alone:
-            self.control.stop(run, now)
-        return run
-
-    def _stop_unknown_run(
-        self, sighting: RunSighting, upstream: Upstream, now: timedelta
-    ) -> None:
-        """Stop a run of an unknown step.
-
-        Each stop makes the executor report the runs again at once, so a stop is only
-        repeated after the retry interval.
-        """
-        last_stop = upstream.unknown_runs_stopped_at
-        if last_stop is not None and last_stop < now < last_stop + STOP_RETRY_INTERVAL:
-            return
-        upstream.unknown_runs_stopped_at = now
-        logger.warning(
-            "unknown run stopped",
-            job=sighting.task.job,
-            task=str(sighting.task),
-            run=sighting.run,
-            upstream=upstream.name,
-        )
-        self.control.orders.append(StopRun(upstream.name, sighting.task, sighting.run))
-
-    def _end_absent_runs(
-        self, upstream: Upstream, report: UpstreamReport, now: timedelta
-    ) -> None:
-        """End stopped runs that a later report no longer shows as running."""
-        assert report.running is not None
-        running = {(sighting.task, sighting.run) for sighting in report.running}
-        for run in self.cell_state.list_runs(upstream.name):
-            if run.conclusive_report is None or report.number < run.conclusive_report:
-                continue
-            if (run.task, run.number) not in running:
-                self.control.record_end(
-                    RunEnd(0, run.task, run.number, STOPPED), upstream.name, now
-                )
-
     def update_recorded(self, names: frozenset[str]) -> None:
         """Set which upstreams the store records as ones that may run tasks."""
         for name, upstream in self.cell_state.upstreams.items():
@@ -418,14 +337,6 @@
         for run in self.cell_state.list_runs(name):
             run.conclusive_report = None
 
-    def _adjust_paces(self, upstream: Upstream, now: timedelta) -> None:
-        """Adjust the speed of opportunistic runs beside tasks with a latency target."""
-        runs = self.cell_state.list_runs(upstream.name)
-        if len(runs) > 1:
-            self.control.orders.extend(
-                choose_paces(runs, self.control.job_table.find_step, now)
-            )
-
     def expire_leases(self, now: timedelta) -> None:
         """Mark the upstreams whose leases have expired as lost."""
         for name, upstream in list(self.cell_state.upstreams.items()):
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -5,8 +5,7 @@
 
 from attrs import define, field
 
-from almondspread.clock.unix_time import from_unix_ms
-from almondspread.jobs.configuration import AdviceTiming, Configuration, Queue, Service
+from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.incarnations import compute_fencing_token, find_next_token
 from almondspread.jobs.messages import (
     FENCED,
@@ -21,7 +20,6 @@
     StartSettled,
     StopRun,
     StopSettled,
-    UpstreamEntry,
     UpstreamOrder,
     UpstreamReport,
     UpstreamRestarted,
@@ -32,57 +30,18 @@
 from almondspread.jobs.scheduler import Scheduler
 from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.resources.capacity import Capacity
+from almondspread.testing.cell_input import make_configuration, make_entry
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
-SERVICE = "service"
-QUEUE = "queue"
 WALL_CLOCK_START = datetime(2026, 1, 1, tzinfo=UTC)
 LEASE = timedelta(seconds=6)
 START_EXPIRY = timedelta(seconds=2)
 MAX_RECORDS = 90
-DRAIN_TIME = timedelta(seconds=2)
 # No leader may start a task that crashes its upstreams more often than this.
 MAX_CRASHING_STARTS = 5
 Order = UpstreamOrder | AskPermits
 
 
-def make_configuration(
-    max_attempts: int = 3, advice: bool = False, priority: int = 0
-) -> Configuration:
-    """Return a configuration with one queue and one service."""
-    timing = AdviceTiming(timedelta(0), timedelta(0), timedelta(seconds=2))
-    queue = Queue(
-        QUEUE,
-        "a.example",
-        "/q/",
-        SERVICE,
-        priority,
-        max_attempts,
-        1.5,
-        timedelta(milliseconds=250),
-        advice=timing if advice else None,
-    )
-    return Configuration(1, {QUEUE: queue}, {SERVICE: Service(SERVICE)})
-
-
-def make_entry(
-    upstream: FakeUpstream, number: int, draining: bool = False
-) -> UpstreamEntry:
-    """Return the directory entry of a fake upstream."""
-    return UpstreamEntry(
-        upstream.name,
-        SERVICE,
-        f"10.0.0.{number}:80",
-        "umea",
-        upstream.capacity,
-        ("a", f"r{number % 2}"),
-        draining,
-        DRAIN_TIME if draining else None,
-        upstream.identity,
-        None if upstream.born is None else from_unix_ms(upstream.born),
-    )
-
-
 @define(frozen=True)
 class HeldOrder:
     """An order that is delivered late, under the token that it was given with."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -43,6 +43,7 @@
 )
 from almondspread.jobs.submissions import TaskId
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.upstream_clock import UpstreamClock
 
 CALL_TIMEOUT = timedelta(milliseconds=500)
 # The next renew call waits this long for the leader to acknowledge reported ends.
@@ -86,7 +87,7 @@
         self._last_forwarded_end = 0
         self._is_confirmed = False
         self._acknowledgement = asyncio.Event()
-        self._clock_reading: tuple[timedelta, timedelta] | None = None
+        self._upstream_clock = UpstreamClock(clock)
         self._lease_expiry = (
             clock.monotonic() + lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
         )
@@ -138,13 +139,6 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    def _read_upstream_clock(self) -> timedelta | None:
-        """Estimate the upstream's current monotonic time, ``None`` if unknown."""
-        if self._clock_reading is None:
-            return None
-        upstream_time, local_time = self._clock_reading
-        return upstream_time + (self._clock.monotonic() - local_time)
-
     async def _run_renew_loop(self) -> None:
         """Repeat renew calls until the upstream rejects the epoch or is replaced."""
         while True:
@@ -222,7 +216,7 @@
         for a silent upstream, so that calls renew nothing: a renewal that arrives late
         would postpone the time at which the leases have certainly expired.
         """
-        upstream_time = self._read_upstream_clock()
+        upstream_time = self._upstream_clock.read()
         if upstream_time is None or self._is_silent:
             return None
         if now - self._last_answered >= SILENCE_THRESHOLD:
@@ -247,9 +241,7 @@
         now = self._clock.monotonic()
         self._last_answered = now
         self._is_silent = False
-        is_stale = self._is_stale(answer)
-        if not is_stale:
-            self._clock_reading = (answer.clock, now)
+        is_stale = not self._upstream_clock.observe(answer.clock)
         after = self._last_forwarded_end
         ends = tuple(end for end in answer.ends if end.number > after)
         for end in ends:
@@ -278,10 +270,6 @@
         if len(self._unpaced_runs) > MAX_REMEMBERED_RUNS:
             self._unpaced_runs &= running
 
-    def _is_stale(self, answer: RenewAnswer) -> bool:
-        """Return whether an answer is older than one that has already arrived."""
-        return self._clock_reading is not None and answer.clock < self._clock_reading[0]
-
     def _handle_failure(self, failure: CallFailed) -> bool:
         """Report a failed renew call; return whether to make further ones.
 
@@ -318,7 +306,7 @@
 
     async def _start(self, order: StartRun) -> None:
         """Start a run and report the outcome."""
-        upstream_time = self._read_upstream_clock()
+        upstream_time = self._upstream_clock.read()
         if upstream_time is None:
             self._report_start(order, REFUSED, "unreachable")
             return
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -11,6 +11,7 @@
 from almondspread.clock.unix_time import to_unix_ms
 from almondspread.codec import encode_message
 from almondspread.jobs.leases import LEADER_GRACE, LEADER_LEASE, LeaderRow
+from almondspread.jobs.pending_changes import PendingChanges
 from almondspread.jobs.ports import (
     ConditionsFailed,
     RowCondition,
@@ -18,7 +19,7 @@
     StoredRow,
     Transaction,
 )
-from almondspread.jobs.scheduler import PendingChanges, Scheduler
+from almondspread.jobs.scheduler import Scheduler
 from almondspread_daemon.jobs.rows import (
     LEADER_ROW,
     WATCHED_ROW,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -10,14 +10,12 @@
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import (
+    AssignedReport,
     EpochFenced,
     ExecutorReport,
     PermitsAnswered,
     StartSettled,
-    StopSettled,
     UpstreamReport,
-    UpstreamRestarted,
-    UpstreamSilent,
 )
 from almondspread.jobs.ports import MachineClient
 from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
@@ -250,16 +248,10 @@
 
     def handle_message(self, member: Member, message: object) -> None:
         """Handle one message of a member and request a scheduler pass."""
+        if isinstance(message, AssignedReport):
+            if self._assignments.members.find_owner(message.upstream) is member:
+                self._handle_report(message)
         match message:
-            case (
-                UpstreamReport()
-                | UpstreamSilent()
-                | UpstreamRestarted()
-                | StopSettled()
-            ):
-                # Reports about an upstream count only from the member assigned to it.
-                if self._assignments.members.find_owner(message.upstream) is member:
-                    self._handle_report(message)
             case StartSettled():
                 self._handle_report(message)
             case EpochFenced():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -86,8 +86,12 @@
         self.client = FakeClient()
         self.reports = []
         self.clock = PausedClock()
+        await self.watch(fencing_token=1)
+
+    async def watch(self, fencing_token):
+        """Start the agent, under a fencing token."""
         self.agent = UpstreamAgent(
-            WatchUpstream("u", ADDRESS, 1, 1),
+            WatchUpstream("u", ADDRESS, 1, fencing_token),
             self.client,
             self.clock,
             6 * SECOND,
@@ -266,15 +270,7 @@
 
     async def test_calls_carry_the_token_of_the_incarnation(self):
         self.agent.close()
-        self.agent = UpstreamAgent(
-            WatchUpstream("u", ADDRESS, 1, 10_003),
-            self.client,
-            self.clock,
-            6 * SECOND,
-            JobMetrics("entry-1", "umea"),
-            self.reports.append,
-        )
-        await settle()
+        await self.watch(fencing_token=10_003)
         await self.renew(1)
         await self.start(7, paced=False)
         self.agent.stop(StopRun("u", TASK, 7))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_announcer.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_announcer.py
@@ -4,7 +4,7 @@
 
 from almondspread.clock import ManualClock
 from almondspread.jobs.scheduler import Scheduler
-from almondspread.testing.fake_cell import make_configuration
+from almondspread.testing.cell_input import make_configuration
 from almondspread_daemon.jobs.announcer import INTERVAL_PER_MEMBER, StateAnnouncer
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.members import Member
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
@@ -13,7 +13,7 @@
 from almondspread.jobs.job_table import Announcement
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.jobs.progress import JobRecord, JobState
-from almondspread.testing.fake_cell import QUEUE, SERVICE, make_configuration
+from almondspread.testing.cell_input import QUEUE, SERVICE, make_configuration
 from almondspread_daemon.jobs.job_service import JobService
 from almondspread_daemon.jobs.row_writer import RowWriter
 from almondspread_daemon.jobs.rows import make_progress_name
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -10,7 +10,7 @@
 from almondspread.jobs.scheduler import Scheduler
 from almondspread.jobs.submissions import TaskId
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.fake_cell import make_configuration
+from almondspread.testing.cell_input import make_configuration
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import JobIntake
 from almondspread_daemon.jobs.leader import LeaderSession
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_members.py
@@ -3,7 +3,7 @@
 
 from almondspread.jobs.messages import AskPermits
 from almondspread.jobs.scheduler import Scheduler
-from almondspread.testing.fake_cell import make_configuration
+from almondspread.testing.cell_input import make_configuration
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.members import MAX_ADVICE_REQUESTS, Member
 from almondspread_daemon.jobs.tests.support import StoreParts, make_settings
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
@@ -6,7 +6,7 @@
 
 from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.ports import HistoryGone, OperatorInput, StoreUnavailable
-from almondspread.testing.fake_cell import make_configuration
+from almondspread.testing.cell_input import make_configuration
 from almondspread_daemon.jobs.operations import CHANGE_WAIT_TIMEOUT, OperationsFeed
 from almondspread_daemon.jobs.store_access import CALL_ABANDONED
 from almondspread_daemon.jobs.tests.support import SECOND, StoreParts, make_instance
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_succession.py
@@ -9,7 +9,7 @@
 from almondspread.codec import encode_message
 from almondspread.jobs.leases import LEADER_LEASE, LeaderRow
 from almondspread.jobs.ports import RowPut, Transaction
-from almondspread.testing.fake_cell import make_configuration
+from almondspread.testing.cell_input import make_configuration
 from almondspread_daemon.jobs.candidacy import SUCCESSOR_CLAIM_TIME, Candidacy
 from almondspread_daemon.jobs.links import Hello, Released
 from almondspread_daemon.jobs.members import Member, Members
