Take a restart from any member, and a start that goes back once leases have expired

A member that an upstream was moved to may be refused by the token under which the member before has fenced the restarted upstream; the leader did not hear that member any more and would have taken the refusal for a later leader's. A start that goes back, at another address, was never taken.

A report of a restart now counts from any member. An entry that goes back counts also once the leases of the known incarnation have expired. Without restarts under one id neither path is taken.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -117,11 +117,13 @@
         """Return the token under which this leader gives orders for an upstream."""
         return compute_fencing_token(self.epoch, upstream.generation)
 
-    def choose_entries(self, entries: list[UpstreamEntry]) -> list[UpstreamEntry]:
+    def choose_entries(
+        self, entries: list[UpstreamEntry], now: timedelta
+    ) -> list[UpstreamEntry]:
         """Return a list of entries without those of earlier incarnations."""
         chosen = {}
         for entry in entries:
-            entry = self.incarnations.choose_entry(entry, self.upstreams)
+            entry = self.incarnations.choose_entry(entry, self.upstreams, now)
             chosen[entry.name] = entry
         return list(chosen.values())
 
--- a/packages/almondspread/almondspread/jobs/incarnations.py
+++ b/packages/almondspread/almondspread/jobs/incarnations.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from datetime import timedelta
 
 from attrs import define, field
 
@@ -78,15 +79,15 @@
         return self._latest.get(identity, identity)
 
     def choose_entry(
-        self, entry: UpstreamEntry, upstreams: Mapping[str, Upstream]
+        self, entry: UpstreamEntry, upstreams: Mapping[str, Upstream], now: timedelta
     ) -> UpstreamEntry:
         """Return an entry, or the known one of a later incarnation.
 
         An upstream may write its last entry late, after the next incarnation has
-        written its own. A start that goes back only counts once the upstream itself
-        has shown that the known incarnation has ended.
+        written its own. A start that goes back only counts once the known incarnation
+        has certainly ended.
         """
         latest = upstreams.get(self.find_latest(entry.identity))
-        if latest is None or latest.has_restarted:
+        if latest is None or latest.has_ended(now):
             return entry
         return latest.entry if is_earlier(entry, latest.entry) else entry
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -253,5 +253,7 @@
     WatchUpstream | UnwatchUpstream | StartRun | StopRun | PaceRun | AcknowledgeEnds
 )
 # Reports that count only from the executor to which the upstream is assigned.
-AssignedReport = UpstreamReport | UpstreamSilent | UpstreamRestarted | StopSettled
-ExecutorReport = AssignedReport | StartSettled | EpochFenced | PermitsAnswered
+AssignedReport = UpstreamReport | UpstreamSilent | StopSettled
+ExecutorReport = (
+    AssignedReport | UpstreamRestarted | StartSettled | EpochFenced | PermitsAnswered
+)
--- a/packages/almondspread/almondspread/jobs/tests/test_restarts.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_restarts.py
@@ -317,6 +317,21 @@
         self.cell.run_for(3 * SECOND)
         self.assert_completed("j")
 
+    def test_start_that_goes_back_counts_once_all_leases_have_expired(self):
+        """It is at another address, so that its executor cannot meet it."""
+        self.cell.hears_restarts = False
+        self.cell.directory_is_up = False
+        self.cell.silent.add(self.name)
+        self.cell.run_for(300 * MILLISECOND)
+        upstream = self.cell.scheduler.cell_state.upstreams[self.name]
+        entry = make_entry(self.old, 7)
+        while not upstream.has_ended(self.cell.now):
+            self.cell.scheduler.update_upstreams([entry], self.cell.now)
+            self.assertNotIn("u0", self.cell.scheduler.cell_state.upstreams)
+            self.cell.step()
+        self.cell.scheduler.update_upstreams([entry], self.cell.now)
+        self.assertIn("u0", self.cell.scheduler.cell_state.upstreams)
+
     def test_upstream_that_answers_as_before_is_used_again(self):
         """Its executor has fenced it for the sake of a restart that was none."""
         upstream = self.cell.upstreams[self.name]
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -56,7 +56,7 @@
         self, entries: list[UpstreamEntry], now: timedelta, read_at: timedelta
     ) -> list[str]:
         """Replace the list of upstreams; return the names of the new ones."""
-        entries = self.cell_state.choose_entries(entries)
+        entries = self.cell_state.choose_entries(entries, now)
         added, replaced = self.cell_state.update_upstreams(entries, now, read_at)
         for name in replaced:
             self._hand_over_runs(name, now)
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -119,6 +119,12 @@
             and now - self.executor_lost_at > EXECUTOR_REASSIGNMENT_TIME
         )
 
+    def has_ended(self, now: timedelta) -> bool:
+        """Tell whether another incarnation answers, or all leases have expired."""
+        return self.has_restarted or (
+            self.lapse_at is not None and self.lapse_at <= now
+        )
+
     @property
     def is_settled(self) -> bool:
         """Whether the upstream was heard well after its last start."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -16,6 +16,7 @@
     PermitsAnswered,
     StartSettled,
     UpstreamReport,
+    UpstreamRestarted,
 )
 from almondspread.jobs.ports import MachineClient
 from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
@@ -252,7 +253,7 @@
             if self._assignments.members.find_owner(message.upstream) is member:
                 self._handle_report(message)
         match message:
-            case StartSettled():
+            case StartSettled() | UpstreamRestarted():
                 self._handle_report(message)
             case EpochFenced():
                 if self._scheduler.is_superseded_by(message):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -80,20 +80,6 @@
             parts.clock,
         )
 
-
-class SessionTest(LeaderTestCase):
-    async def test_session_may_start_only_jobs_up_to_the_version_of_its_claim(self):
-        """Guards against starts beyond the claim's version, found by soak seed 3."""
-        parts = self.parts
-        row = LeaderRow(2, "entry-1", "one", "a", 50.0, started_version=7)
-        session = self.make_session(row)
-        scheduler = session._scheduler
-        now = parts.clock.monotonic()
-        scheduler.accept_job(make_submission("old"), now, WALL, version=7)
-        self.assertFalse(scheduler.has_unstartable_jobs)
-        scheduler.accept_job(make_submission("new"), now, WALL, version=8)
-        self.assertTrue(scheduler.has_unstartable_jobs)
-
     def make_session(self, row):
         parts = self.parts
         return LeaderSession(
@@ -109,6 +95,20 @@
             None,
         )
 
+
+class SessionTest(LeaderTestCase):
+    async def test_session_may_start_only_jobs_up_to_the_version_of_its_claim(self):
+        """Guards against starts beyond the claim's version, found by soak seed 3."""
+        parts = self.parts
+        row = LeaderRow(2, "entry-1", "one", "a", 50.0, started_version=7)
+        session = self.make_session(row)
+        scheduler = session._scheduler
+        now = parts.clock.monotonic()
+        scheduler.accept_job(make_submission("old"), now, WALL, version=7)
+        self.assertFalse(scheduler.has_unstartable_jobs)
+        scheduler.accept_job(make_submission("new"), now, WALL, version=8)
+        self.assertTrue(scheduler.has_unstartable_jobs)
+
     def make_session_with_member(self):
         """Return a session and a second member that records messages in ``sent``."""
         session = self.make_session(LeaderRow(2, "entry-1", "one", "a", 50.0))
