Send a start only to an incarnation that has answered the last call

After a failed renew call, an executor now has the upstream confirm its incarnation before it sends a start, and refuses the start if it does not. A superseded leader cannot use the later incarnation, since no commit of its records it. Two tests of the agent, which failed before (a start call was made); 328 tests of the job system pass.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -305,9 +305,16 @@
         self._report(UpstreamSilent(self.watch.upstream, self.watch.epoch, left))
 
     async def _start(self, order: StartRun) -> None:
-        """Start a run and report the outcome."""
+        """Start a run and report the outcome.
+
+        After a failed call, the upstream must first confirm that the same incarnation
+        answers: another one would neither refuse a superseded leader nor know which
+        runs were stopped.
+        """
+        if not self._is_confirmed:
+            await self._poll_now()
         upstream_time = self._upstream_clock.read()
-        if upstream_time is None:
+        if upstream_time is None or not self._is_confirmed:
             self._report_start(order, REFUSED, "unreachable")
             return
         call = StartCall(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -268,6 +268,33 @@
         await settle()
         self.assertEqual(self.reports[-1].outcome, "unknown")
 
+    async def fail_renewal_then_start(self):
+        """Have a renew call fail, and order a start before the next one is made."""
+        await self.renew(1)
+        self.client.renewals.pop().set_result(NO_ANSWER)
+        await settle()
+        self.agent.start(StartRun("u", TASK, 7, ""))
+        await settle()
+
+    async def test_start_after_a_failed_call_waits_for_an_answer(self):
+        """A leader that was superseded met an upstream that had forgotten the token."""
+        await self.fail_renewal_then_start()
+        self.assertEqual(self.client.start_calls, [])
+        self.client.renewals.pop().set_result(make_answer(2))
+        await settle()
+        self.assertEqual(len(self.client.start_calls), 1)
+
+    async def test_no_start_is_sent_to_another_incarnation(self):
+        for answer in (RESTARTED, NO_ANSWER):
+            with self.subTest(answer=answer):
+                await self.fail_renewal_then_start()
+                self.client.renewals.pop().set_result(answer)
+                await settle()
+                self.assertEqual(self.client.start_calls, [])
+                self.assertEqual(self.reports[-1].outcome, "refused")
+                self.agent.close()
+                await self.watch(fencing_token=1)
+
     async def test_calls_carry_the_token_of_the_incarnation(self):
         self.agent.close()
         await self.watch(fencing_token=10_003)
