Start interrupted tasks again only while the leader's lease holds

A leader without the store goes on for up to 6 s after its lease, and a restarted upstream does not refuse it any more.

A task whose run was lost or stopped now waits while the lease does not hold, unless it may run twice. First starts and retries of failed runs go on in the grace time as before.

--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -7,7 +7,7 @@
 
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.losses import Loss, TaskLosses
-from almondspread.jobs.messages import DONE, FAILED, RunEnd
+from almondspread.jobs.messages import DONE, FAILED, LOST, STOPPED, RunEnd
 from almondspread.jobs.permits import StepPermits
 from almondspread.jobs.submissions import (
     Step,
@@ -64,6 +64,7 @@
     ``waiting`` holds, in order, the tasks that are to be started, and ``runs`` the
     bound runs of tasks. ``failed_runs`` has the numbers of the runs that failed, and
     ``losses`` the upstreams that were lost under a task.
+    ``interrupted`` has the tasks whose run was lost or stopped, until they start again.
     ``avoided_upstreams`` names upstreams on which a task has failed or straggled, and
     ``observed_durations`` tells how long its shortest straggling run would have taken.
     No task starts before the time ``not_before``.
@@ -78,6 +79,7 @@
     runs: dict[int, list[Run]] = field(factory=dict)
     failed_runs: dict[int, set[int]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
+    interrupted: set[int] = field(factory=set)
     losses: TaskLosses = field(factory=TaskLosses)
     avoided_upstreams: dict[int, set[str]] = field(factory=dict)
     observed_durations: dict[int, timedelta] = field(factory=dict)
@@ -102,6 +104,7 @@
         """Bind a task to a run."""
         self.runs.setdefault(run.task.index, []).append(run)
         self.waiting.pop(run.task.index, None)
+        self.interrupted.discard(run.task.index)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run; its task waits again unless it is done or has another run."""
@@ -119,6 +122,8 @@
         index = end.task.index
         if end.checkpoint and index not in self.done:
             self.checkpoints[index] = end.checkpoint
+        if end.outcome in (LOST, STOPPED):
+            self.interrupted.add(index)
         if end.outcome == FAILED:
             self.failed_runs.setdefault(index, set()).add(end.run)
         if end.outcome == DONE and not self.step.lasting:
@@ -142,6 +147,13 @@
         held = [self.losses.must_wait(index, lasting) for index in self.waiting]
         return any(held) if self.step.gang else all(held)
 
+    @property
+    def starts_again(self) -> bool:
+        """Whether a task waits that has been interrupted and must not run twice."""
+        return not self.step.duplicates and not self.interrupted.isdisjoint(
+            self.waiting
+        )
+
     def count_failures(self) -> int:
         """Return the number of failed runs of the gang, or the maximum of any task."""
         if self.step.gang:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -264,16 +264,23 @@
     # Decisions
 
     def schedule(
-        self, now: timedelta, wall: datetime, max_permit_requests: int
+        self,
+        now: timedelta,
+        wall: datetime,
+        max_permit_requests: int,
+        lease_holds: bool = True,
     ) -> list[UpstreamOrder | AskPermits]:
         """Return the orders that are due.
 
         At most ``max_permit_requests`` of them request permits from the advice service.
+        Unless the leader's ``lease_holds``, no task that was interrupted starts again:
+        another leader may have taken note of its end, and the upstream that would
+        have refused this leader may have restarted.
         """
         self._job_table.create_due_occurrences(wall)
         self._upstream_tracker.expire_leases(now)
         self._planner.start_waiting_tasks(
-            now, max_permit_requests, self._compute_holds()
+            now, max_permit_requests, self._compute_holds(lease_holds)
         )
         self._sweep(now)
         orders, self._control.orders = self._control.orders, []
@@ -296,7 +303,7 @@
         evacuated = choose_evacuations(find_step, self.cell_state, now)
         self._control.stop_runs(evacuated, now)
 
-    def _compute_holds(self) -> StartHolds:
+    def _compute_holds(self, lease_holds: bool) -> StartHolds:
         """Return which jobs may not start yet."""
         unseen = bool(self._upstream_tracker.unseen)
         held_version = NO_VERSION
@@ -306,7 +313,7 @@
             # A job may have been stored twice, first in a partition that is not loaded,
             # so its known version may be too high; all jobs are held back.
             held_version = ANY_VERSION
-        return StartHolds(held_version, self._startable_version)
+        return StartHolds(held_version, self._startable_version, lease_holds)
 
     def estimate_waits(self, now: timedelta) -> tuple[ServiceWait, ...]:
         """Return how long a job accepted now would wait, by service and priority."""
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -49,11 +49,13 @@
 
     Tasks of jobs up to ``held_version`` may already be running on an upstream that has
     not reported, so that only tasks that may run twice can start. Jobs beyond
-    ``startable_version`` start no tasks yet.
+    ``startable_version`` start no tasks yet. Without ``may_start_again``, no task that
+    was interrupted starts again.
     """
 
     held_version: int
     startable_version: int
+    may_start_again: bool = True
 
     def may_run_unseen(self, progress: StepProgress) -> bool:
         """Return whether a step's tasks may run unseen and must not run twice."""
@@ -150,6 +152,8 @@
         for progress in table.ready_steps.values():
             if now < progress.not_before or holds.may_run_unseen(progress):
                 continue
+            if progress.starts_again and not holds.may_start_again:
+                continue
             if progress.step.gang and len(progress.waiting) < progress.step.count:
                 continue
             if progress.is_on_hold:
--- a/packages/almondspread/almondspread/jobs/tests/test_restarts.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_restarts.py
@@ -278,6 +278,38 @@
         self.assertEqual(self.cell.history.starts, 8)
 
 
+class UnleasedLeaderTest(RestartCellTest):
+    """A leader that may be superseded and does not know it."""
+
+    def setUp(self):
+        super().setUp()
+        self.cell.lease_holds = False
+
+    def interrupt(self, **fields):
+        """Restart the upstream under the run of a job."""
+        name = self.submit_long(**fields)
+        self.cell.run_for(500 * MILLISECOND)
+        self.cell.restart_upstream(name)
+        self.cell.run_for(SECOND)
+
+    def test_interrupted_task_starts_again_only_under_a_lease(self):
+        """Another leader may have acknowledged its end before the restart."""
+        self.interrupt()
+        self.assertEqual(self.cell.history.starts, 1)
+        self.cell.lease_holds = True
+        self.cell.run_for(4 * SECOND)
+        self.assert_completed("j")
+
+    def test_task_that_may_run_twice_starts_again_without_a_lease(self):
+        self.interrupt(duplicates=True)
+        self.assertEqual(self.cell.history.starts, 2)
+
+    def test_tasks_of_a_step_that_were_not_interrupted_are_done(self):
+        self.cell.submit(make_job("j", make_step(4)))
+        self.cell.run_for(4 * SECOND)
+        self.assert_completed("j")
+
+
 class StartThatGoesBackTest(RestartCellTest):
     """Entries of a start that lies before the known one."""
 
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -85,6 +85,7 @@
     hears_restarts: bool = True
     permit_requests: list[AskPermits] = field(factory=list)
     store_is_up: bool = True
+    lease_holds: bool = True
     submissions_are_readable: bool = True
     directory_is_up: bool = True
     versions: dict[str, int] = field(factory=dict)
@@ -211,7 +212,10 @@
             if name in self.scheduler.cell_state.upstreams:
                 self.poll_upstream(name)
         self.commit()
-        for order in self.scheduler.schedule(self.now, WALL_CLOCK_START + self.now, 16):
+        orders = self.scheduler.schedule(
+            self.now, WALL_CLOCK_START + self.now, 16, self.lease_holds
+        )
+        for order in orders:
             if self.drop_order(order):
                 continue
             if isinstance(order, StartRun | StopRun) and self.hold_back(order):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -332,6 +332,7 @@
             self._clock.monotonic(),
             estimate_wall_time(members.members.values(), self._instance, self._clock),
             members.count_advice_slots(),
+            self._committer.lease_holds,
         )
         for order in orders:
             self._assignments.send_order(order)
