--- a/packages/almondspread/almondspread/jobs/tests/test_leader_protocol.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_leader_protocol.py
@@ -1,6 +1,7 @@
 import unittest
 
-from almondspread.testing.leader_protocol import LeaderProtocol, Protection, World
+from almondspread.testing.leader_protocol import LeaderProtocol
+from almondspread.testing.protocol_state import Protection, World
 from almondspread.testing.state_search import search_states
 
 MAX_STATES = 200_000
