--- a/packages/almondspread_standin/almondspread_standin/soak/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/faults.py
@@ -55,6 +55,8 @@
             "reset links": self._reset_links,
             "crash upstream": self._crash_upstream,
             "drain upstream": self._drain_upstream,
+            "lose upstreams' answers": self._lose_upstream_answers,
+            "malformed upstreams": self._malform_upstream_answers,
             "busy store": self._make_store_busy,
             "slow store": self._slow_store,
             "lose answers": self._lose_answers,
@@ -186,6 +188,18 @@
         if member.draining:
             await self.pool.crash(member)
 
+    async def _lose_upstream_answers(self) -> None:
+        faults = self.pool.faults
+        faults.loses_answer = lambda: self.rng.random() < 0.3
+        faults.applies_late = lambda: self.rng.random() < 0.5
+        await self._wait_random_time()
+        faults.loses_answer = lambda: False
+
+    async def _malform_upstream_answers(self) -> None:
+        self.pool.faults.is_malformed = lambda: self.rng.random() < 0.2
+        await self._wait_random_time()
+        self.pool.faults.is_malformed = lambda: False
+
     async def _make_store_busy(self) -> None:
         self.store_faults.busy = True
         await self._wait_random_time()
--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -15,7 +15,7 @@
 from almondspread.testing.record_store import MemoryRecordStore
 from almondspread_standin.soak.proxy import Proxy
 from platform_standin.formats import encode_upstream_entry
-from platform_standin.upstream_server import UpstreamEndpoint
+from platform_standin.upstream_server import UpstreamEndpoint, UpstreamFaults
 
 HEARTBEAT_SECONDS = 0.5
 LOOPBACK = "127.0.0.1"
@@ -58,12 +58,13 @@
     store: MemoryRecordStore
     clock: Clock
     rng: random.Random
+    faults: UpstreamFaults = field(factory=UpstreamFaults)
     members: list[PoolMember] = field(factory=list)
 
     async def add(self, number: int, domain: str) -> None:
         """Add an upstream, and start its server and its proxy."""
         upstream = self._make_upstream(number, id_number=1, incarnation=1)
-        endpoint = UpstreamEndpoint(upstream, self.clock)
+        endpoint = UpstreamEndpoint(upstream, self.clock, self.faults)
         sockets = bind_sockets(0, LOOPBACK)
         server = HTTPServer(endpoint.make_application())
         server.add_sockets(sockets)
