--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -105,8 +105,10 @@
         member.proxy.reset()
         if writes_late:
             await self._put(old_name, self._encode_entry(member))
+            incarnation = member.incarnation
             await asyncio.sleep(LATE_ENTRY_SECONDS)
-            await self._put(old_name, old_entry)
+            if member.incarnation == incarnation:
+                await self._put(old_name, old_entry)
 
     async def maintain(self, member: PoolMember, seconds: float) -> None:
         """Replace an upstream, and bring its machine up again after some seconds."""
