Let reports decide on all runs of an upstream whose start becomes known

Found while reading: an entry without a start that is followed by one with a start counted as a restart, and runs that reports had shown were started again at once. The upstream may be the same incarnation, for one when a platform begins to send the field. Its runs now go to the named incarnation, whose reports decide on them. UnknownStartTest failed before (the task ran twice). Taken only where an entry without a start is followed by one with it.

--- a/packages/almondspread/almondspread/jobs/tests/test_restarts.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_restarts.py
@@ -21,10 +21,13 @@
     """Base class of tests with upstreams whose tasks last some seconds."""
 
     upstream_count = 2
+    first_start = 1
 
     def setUp(self):
         super().setUp()
         self.add_upstreams(self.upstream_count)
+        for upstream in self.cell.upstreams.values():
+            upstream.born = self.first_start
         self.cell.run_for(SECOND)
 
     def submit_long(self, job="j", seconds=3, **fields):
@@ -237,6 +240,25 @@
         self.assertEqual(self.cell.history.starts, 1)
 
 
+class UnknownStartTest(RestartCellTest):
+    """Upstreams that did not tell their start at first."""
+
+    first_start = None
+
+    def test_run_goes_on_where_the_start_becomes_known(self):
+        """The upstream has not restarted, and takes a while to report."""
+        name = self.submit_long()
+        self.cell.run_for(500 * MILLISECOND)
+        upstream = self.cell.upstreams[name]
+        upstream.name, upstream.born = f"{name}@5", 5
+        self.cell.upstreams = {each.name: each for each in self.cell.upstreams.values()}
+        self.cell.silent.add(upstream.name)
+        self.cell.run_for(200 * MILLISECOND)
+        self.cell.silent.clear()
+        self.cell.run_for(6 * SECOND)
+        self.assert_completed("j")
+
+
 class SuccessorTest(RestartCellTest):
     """A leader that takes over around a restart."""
 
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -125,9 +125,7 @@
         if name in self.unseen:
             self.unseen.add(successor.name)
             successor.orphaned_leases_until = lapse
-        doubtful = [
-            run for run in self.cell_state.list_runs(name) if run.may_be_elsewhere
-        ]
+        doubtful = self._list_doubtful(upstream)
         if not doubtful:
             return
         successor.orphaned_leases_until = lapse
@@ -138,6 +136,17 @@
             if run.phase is RunPhase.STOPPING:
                 self.control.stop(run, now)
 
+    def _list_doubtful(self, upstream: Upstream) -> list[Run]:
+        """Return the runs that another incarnation of an upstream may have.
+
+        Where the start of the upstream was not known, it may be the same incarnation.
+        """
+        doubtful = []
+        for run in self.cell_state.list_runs(upstream.name):
+            if run.may_be_elsewhere or upstream.entry.started_at is None:
+                doubtful.append(run)
+        return doubtful
+
     def _mark_upstream_lost(self, name: str, now: timedelta, reason: str) -> None:
         """Record all runs of an upstream as lost; none of them can still run."""
         runs = self.cell_state.list_runs(name)
@@ -210,8 +219,9 @@
         runs = self.cell_state.list_runs(upstream.name)
         log_loss(upstream.name, upstream, runs, "restarted")
         self.crashes.record_loss(upstream, runs, now)
-        seen = [run for run in runs if not run.may_be_elsewhere]
-        self._record_lost_runs(seen, upstream.name, now)
+        doubtful = self._list_doubtful(upstream)
+        lost = [run for run in runs if run not in doubtful]
+        self._record_lost_runs(lost, upstream.name, now)
         upstream.lapse_at = max(
             now + compute_longest_lease_time(self.max_lease),
             upstream.orphaned_leases_until,
