Keep the stored upstreams when a leader is stopped before it has loaded the cell

Cause: an instance that is told to stop while it loads the cell releases the leadership by a commit that also stores which upstreams may run tasks; its scheduler knows none yet. The next leader then waits for no upstream and starts tasks whose ends it has not heard.

Fix: a commit before the cell is loaded leaves that row as it is.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -68,11 +68,14 @@
 
 @define(frozen=True)
 class _Attempt:
-    """What one commit stores, and the monotonic time at which it was sent."""
+    """What one commit stores, and the monotonic time at which it was sent.
+
+    ``watched`` is ``None`` if the commit leaves the watched upstreams as they are.
+    """
 
     row: LeaderRow
     changes: PendingChanges
-    watched: tuple[WatchedUpstream, ...]
+    watched: tuple[WatchedUpstream, ...] | None
     sent_at: timedelta
 
 
@@ -80,7 +83,8 @@
     """Commits changes on the condition that the leader's row has not changed.
 
     The condition fences this leader: once another instance has claimed the leadership,
-    no commit of this epoch succeeds.
+    no commit of this epoch succeeds. Until ``is_cell_loaded``, the scheduler does not
+    know which upstreams may run tasks, and commits leave what is stored of them.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
     ) -> None:
         self.row = row
         self.is_superseded = False
+        self.is_cell_loaded = False
         self._version = version
         self._pace = CommitPace(version, clock.monotonic())
         self._scheduler = scheduler
@@ -184,7 +189,7 @@
         return _Attempt(
             self.row,
             self._scheduler.take_changes(MAX_RECORDS_PER_COMMIT),
-            self._list_watched(),
+            self._list_watched() if self.is_cell_loaded else None,
             self._clock.monotonic(),
         )
 
@@ -194,20 +199,26 @@
         self._version = version
         self._pace.record_commit(version, attempt.sent_at, self._clock.monotonic())
         self._lease_expires_at = attempt.sent_at + LEADER_LEASE
-        self._watched = attempt.watched
+        self._record_watched(attempt.watched)
+        self._scheduler.confirm_changes(attempt.changes)
+        self._scheduler.allow_starts(attempt.row.started_version)
+
+    def _record_watched(self, watched: tuple[WatchedUpstream, ...] | None) -> None:
+        """Tell the scheduler which upstreams are stored as ones that may run tasks."""
+        if watched is None:
+            return
+        self._watched = watched
         # The next leader trusts a stored lease expiry, so no new runs may start on an
         # upstream that is stored with one.
-        names = frozenset(each.name for each in attempt.watched if not each.lapse)
+        names = frozenset(each.name for each in watched if not each.lapse)
         self._scheduler.update_recorded(names)
-        self._scheduler.confirm_changes(attempt.changes)
-        self._scheduler.allow_starts(attempt.row.started_version)
 
     def _make_transaction(
-        self, changes: PendingChanges, watched: tuple[WatchedUpstream, ...]
+        self, changes: PendingChanges, watched: tuple[WatchedUpstream, ...] | None
     ) -> Transaction:
         """Return the transaction that renews the lease and stores the changes."""
         puts = [RowPut(LEADER_ROW, encode_message(self.row))]
-        if watched != self._watched:
+        if watched is not None and watched != self._watched:
             puts.append(RowPut(WATCHED_ROW, encode_watched(watched)))
         for record in changes.records:
             puts.append(RowPut(make_progress_name(record.job), encode_message(record)))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_leading.py
@@ -287,6 +287,7 @@
 
     async def test_watched_row_holds_upstreams_before_they_are_used(self):
         await self.claim()
+        await self.intake.load()
         entry = UpstreamEntry(
             "u@1500",
             "service",
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -15,6 +15,8 @@
     3: "test_new_job_waits_for_the_commit_even_if_all_jobs_count_as_inherited",
     # A session that had ended took an upstream back from the session after it.
     32: "test_order_of_an_earlier_epoch_changes_nothing",
+    # A leader that was stopped while loading stored that no upstream may run tasks.
+    910: "test_release_before_the_cell_is_loaded_keeps_the_watched_upstreams",
 }
 
 
