--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -309,11 +309,11 @@
 
     # Clients
 
-    def make_job(self, steps, seconds=0.1, fails=False, **fields):
+    def make_job(self, steps, seconds=0.1, fails=False, crashes_after=None, **fields):
         """Return the id of a new job, whose tasks the minions know from now on."""
         self.next_job += 1
         ident = f"{self.next_job:016x}"
-        self.work[ident] = Work(steps, seconds, fails)
+        self.work[ident] = Work(steps, seconds, fails, crashes_after)
         self.work[ident].body = {"spec": f"work of {ident}", "steps": steps, **fields}
         return ident
 
--- a/review/standin/machines.py
+++ b/review/standin/machines.py
@@ -45,8 +45,8 @@
         port = await self.server.start(host)
         self.address = f"{host}:{port}"
 
-    async def add(self, name, number):
-        minion = await self.cell.add_minion(f"i-{name}-1", number)
+    async def add(self, name, number, cpu=16_000):
+        minion = await self.cell.add_minion(f"i-{name}-1", number, cpu)
         self.machines[name] = Machine(name, number, minion)
 
     async def request_wave(self, number, machines, within, limit):
@@ -122,7 +122,9 @@
         await asyncio.sleep(MAINTENANCE_SECONDS)
         machine.lives += 1
         machine.minion = await self.cell.add_minion(
-            f"i-{machine.name}-{machine.lives}", machine.number
+            f"i-{machine.name}-{machine.lives}",
+            machine.number,
+            machine.minion.capacity["cpu"],
         )
         machine.state = "up"
         self.cell.record("machine", machine.name, "up again")
--- a/review/standin/minions.py
+++ b/review/standin/minions.py
@@ -9,16 +9,23 @@
 STOP_SECONDS = 0.3
 STARTUP_SECONDS = 0.5
 TICK_SECONDS = 0.02
+# A minion that has crashed is back after this time.
+BACK_SECONDS = 3.0
 MAX_ENDS = 500
 
 
 class Work:
-    """What the tasks of one job do, by step: seconds of work, and whether they fail."""
+    """What the tasks of one job do: seconds of work, and whether they fail.
 
-    def __init__(self, steps, seconds, fails=False):
+    A task crashes its minion ``crashes_after`` seconds after its start, unless that is
+    None.
+    """
+
+    def __init__(self, steps, seconds, fails=False, crashes_after=None):
         self.steps = steps
         self.seconds = seconds
         self.fails = fails
+        self.crashes_after = crashes_after
 
 
 class Run:
@@ -65,8 +72,9 @@
     def clock(self):
         return time.monotonic() - self.origin
 
-    async def start(self, host, store):
-        port = await self.server.start(host)
+    async def start(self, host, store, port=0):
+        self.store = store
+        port = await self.server.start(host, port)
         self.address = f"{host}:{port}"
         await self._beat(store)
         self.background = [
@@ -74,6 +82,27 @@
             asyncio.create_task(self._run_clock()),
         ]
 
+    async def crash(self, back_after):
+        """End at once, with all that runs, and start again under the same id.
+
+        The entry stays until the minion writes it again.
+        """
+        host, _, port = self.address.rpartition(":")
+        store = self.store
+        self.stop()
+        for run in list(self.runs.values()):
+            self.note("end", self.ident, run.task, run.number, "crashed")
+        self.runs.clear()
+        self.ends.clear()
+        await asyncio.sleep(back_after)
+        self.born = int(time.time() * 1000)
+        self.origin = time.monotonic() - 1.0
+        self.token, self.until, self.last_end, self.sequence = 0, 0.0, 0, 0
+        self.highest.clear()
+        self.is_up = True
+        self.server = Server(self._handle)
+        await self.start(host, store, int(port))
+
     async def leave(self, store):
         """End at once, with all that runs, and remove the entry."""
         self.stop()
@@ -111,13 +140,20 @@
             await self._beat(store)
 
     async def _run_clock(self):
-        while True:
+        while self.is_up:
             self.advance()
             await asyncio.sleep(TICK_SECONDS)
 
     def advance(self):
+        if not self.is_up:
+            return
         now = self.clock()
         for run in list(self.runs.values()):
+            after = run.work.crashes_after
+            if after is not None and now >= run.began + after:
+                self.is_up = False
+                self.crash_task = asyncio.create_task(self.crash(BACK_SECONDS))
+                return
             if run.stops_at is not None and run.stops_at <= now:
                 self._end(run, "stopped")
             elif not run.lasting and run.began + run.work.seconds <= min(now, self.until):
