--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -75,6 +75,7 @@
         self.store = Store(row_bytes)
         self.row_bytes = row_bytes
         self.extra_settings = settings
+        self.status_seconds = 120
         self.work = {}
         self.instances = []
         self.minions = []
@@ -198,7 +199,7 @@
                 "visible_ms": 3000,
                 "early_ms": 250,
                 "finish_s": 14,
-                "status_s": 120,
+                "status_s": self.status_seconds,
                 "notice_ms": 4500,
                 "move_s": 1.5,
                 "maintenance_s": 2,
--- a/review/standin/minions.py
+++ b/review/standin/minions.py
@@ -1,6 +1,7 @@
 """Stand-ins of minions, as PROTOCOL.md describes them, with a record of all runs."""
 
 import asyncio
+import random
 import time
 
 from web import Server
@@ -135,9 +136,11 @@
         await store.put("servers", self.ident, entry)
 
     async def _run_beats(self, store):
+        # Minions do not beat in step with each other.
+        await asyncio.sleep(random.uniform(0.0, HEARTBEAT_SECONDS))
         while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
             await self._beat(store)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _run_clock(self):
         while self.is_up:
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -21,8 +21,8 @@
     """Rows of tables, with one counter of versions and a history of changes.
 
     ``slow_seconds`` is added to the time of each answer, half of it before the call
-    takes effect. ``watch_call`` is called with the path and query of each call as it
-    arrives, so that a case can record and time what it does.
+    takes effect. ``watch_request`` is called with each call as it arrives, so
+    that a case can record and time what it does.
     """
 
     def __init__(self, row_bytes=65_536):
@@ -32,7 +32,7 @@
         self.history = []
         self.kept_from = 0
         self.slow_seconds = 0.0
-        self.watch_call = lambda path, query: None
+        self.watch_request = lambda request: None
         self.refused_calls = []
         self.changed = asyncio.Condition()
         self.server = Server(self._handle)
@@ -88,7 +88,7 @@
         }
 
     async def _handle(self, request):
-        self.watch_call(request.path, request.query)
+        self.watch_request(request)
         delay = ANSWER_SECONDS + self.slow_seconds
         await asyncio.sleep(delay / 2)
         match request.path:
