Review: start the instances with the command of the deploy file

The scripts read the command from deploy/system.toml, end all that they started on SIGTERM as well, and are formatted.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -56,7 +56,9 @@
     # and all processes are well.
     jobs = []
     for _ in range(8):
-        job = cell.make_job([{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 500}])
+        job = cell.make_job(
+            [{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 500}]
+        )
         await cell.submit_until_accepted("jobs", job)
         jobs.append(job)
         await asyncio.sleep(1.0)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,9 @@
 
     async def hand_in(delay, instance):
         await asyncio.sleep(delay)
-        job = cell.make_job([{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}], 0.3)
+        job = cell.make_job(
+            [{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}], 0.3
+        )
         status = await cell.submit(instance, "jobs", job)
         return job if status == 200 else None
 
@@ -45,7 +47,9 @@
     for number in range(1, INSTANCES + 1):
         await cell.start(cell.add_instance(number))
     await cell.wait_ready()
-    first = cell.make_job([{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}], 0.3)
+    first = cell.make_job(
+        [{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}], 0.3
+    )
     used = await cell.submit_until_accepted("jobs", first)
     if await cell.wait_state("jobs", first, ("completed",), 20.0) != "completed":
         raise CannotRun("the first job has not completed")
@@ -69,7 +73,9 @@
     # Later jobs at every instance show that the cell works.
     later = []
     for instance in cell.instances:
-        job = cell.make_job([{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}], 0.3)
+        job = cell.make_job(
+            [{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}], 0.3
+        )
         if await cell.submit(instance, "jobs", job) == 200:
             later.append(job)
     await asyncio.sleep(FINISH_SECONDS)
@@ -82,7 +88,9 @@
             lost.append(job)
             cell.record(f"job {job}: starts {len(cell.list_starts(job))}, {answers}")
     served = sum(bool(cell.list_ends(job, "done")) for job in later)
-    cell.record(f"lost {len(lost)} of {len(jobs)}, served {served} of {len(later)} later ones")
+    cell.record(
+        f"lost {len(lost)} of {len(jobs)}, served {served} of {len(later)} later ones"
+    )
     if served < len(later):
         raise CannotRun("the cell does not serve later jobs")
     return BROKEN if lost else HELD
--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -1,14 +1,17 @@
 """A small deployment: the project's processes, and stand-ins of all around them."""
 
 import asyncio
+import base64
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 
 from minions import Minion, Work
@@ -227,7 +230,9 @@
     async def start(self, instance):
         """Start a process as the deploy file does, and wait for nothing."""
         template = (ROOT / "deploy" / "settings.json.template").read_text()
-        rendered = template.replace("{{.|json}}", json.dumps(self.make_settings(instance)))
+        rendered = template.replace(
+            "{{.|json}}", json.dumps(self.make_settings(instance))
+        )
         path = Path(self.temporary.name) / f"{instance.name}.json"
         path.write_text(rendered)
         environment = {
@@ -239,9 +244,9 @@
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["ALMONDSPREAD_BOOT"] = str(path)
         log = open(Path(self.temporary.name) / f"{instance.name}.log", "ab")
+        deployed = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         instance.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "platform/serve.py",
+            *deployed["roles"]["entry"]["run"].split(),
             cwd=ROOT,
             env=environment,
             stdout=log,
@@ -291,8 +296,6 @@
         row = self.store.rows.get(("cell", "cell", "leader"))
         if row is None:
             return None
-        import base64
-
         value = base64.b64decode(row[0])
         for instance in self.instances:
             name = instance.name.encode()
@@ -302,7 +305,9 @@
 
     async def wait_minions_used(self, queue="jobs", seconds=READY_SECONDS):
         """Run one small job, so that the cell is known to work."""
-        job = self.make_job([{"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 100}])
+        job = self.make_job(
+            [{"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 100}]
+        )
         await self.submit_until_accepted(queue, job)
         state = await self.wait_state(queue, job, ("completed",), seconds)
         if state != "completed":
@@ -359,15 +364,17 @@
         return state
 
     def list_starts(self, job):
-        return [each for each in self.events if each[1] == "start" and each[3].startswith(job)]
+        return [
+            each
+            for each in self.events
+            if each[1] == "start" and each[3].startswith(job)
+        ]
 
     def list_ends(self, job, how=None):
         return [
             each
             for each in self.events
-            if each[1] == "end"
-            and each[3].startswith(job)
-            and how in (None, each[5])
+            if each[1] == "end" and each[3].startswith(job) and how in (None, each[5])
         ]
 
     def list_noted(self, job, how):
@@ -389,9 +396,9 @@
             minion.stop()
         self.store.server.stop()
         if os.environ.get("KEEP_LOGS"):
-            import shutil
-
-            shutil.copytree(self.temporary.name, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
+            shutil.copytree(
+                self.temporary.name, os.environ["KEEP_LOGS"], dirs_exist_ok=True
+            )
         self.temporary.cleanup()
         self.lines.close()
 
@@ -400,7 +407,9 @@
     try:
         async with asyncio.timeout(112.0):
             result = await play(cell)
-        cell.record("result", "the rule held" if result == HELD else "the rule was broken")
+        cell.record(
+            "result", "the rule held" if result == HELD else "the rule was broken"
+        )
         return result
     except CannotRun as error:
         cell.record("result", f"could not run: {error}")
@@ -416,6 +425,8 @@
     """Play a case and exit with its result."""
 
     async def main():
+        playing = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
         return await _run(Cell(folder, **settings), play)
 
     try:
@@ -423,7 +434,7 @@
     except CannotRun as error:
         print(error, file=sys.stderr)
         result = NOT_RUN
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(repr(error), file=sys.stderr)
         result = NOT_RUN
     sys.exit(result)
--- a/review/standin/minions.py
+++ b/review/standin/minions.py
@@ -46,7 +46,9 @@
     that the system has taken note of.
     """
 
-    def __init__(self, ident, service, zone, labels, capacity, jobs, note, max_hold=6.0):
+    def __init__(
+        self, ident, service, zone, labels, capacity, jobs, note, max_hold=6.0
+    ):
         self.ident = ident
         self.service = service
         self.zone = zone
@@ -159,7 +161,9 @@
                 return
             if run.stops_at is not None and run.stops_at <= now:
                 self._end(run, "stopped")
-            elif not run.lasting and run.began + run.work.seconds <= min(now, self.until):
+            elif not run.lasting and run.began + run.work.seconds <= min(
+                now, self.until
+            ):
                 self._end(run, "failed" if run.work.fails else "done")
             elif self.until <= now:
                 self._end(run, "lapsed")
--- a/review/standin/web.py
+++ b/review/standin/web.py
@@ -68,7 +68,8 @@
                 data = json.dumps(document, separators=(",", ":")).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (NoAnswer, asyncio.IncompleteReadError, ConnectionError, OSError):
