--- a/packages/almondspread_daemon/almondspread_daemon/jobs/operations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/operations.py
@@ -27,6 +27,7 @@
         self._store = store
         self._clock = clock
         self._handle = handle
+        self._confirmed_at = clock.monotonic()
 
     async def run(self) -> None:
         """Read what operators publish, first once and then after each change."""
@@ -36,6 +37,9 @@
                 logger.warning("configuration not read", reason=read.error.reason)
                 await self._clock.sleep(STORE_RETRY_DELAY)
                 continue
+            age = self._clock.monotonic() - self._confirmed_at
+            logger.info("configuration read", seconds_unconfirmed=age.total_seconds())
+            self._confirmed_at = self._clock.monotonic()
             self._handle(read.ok)
             await self._await_change()
 
@@ -49,6 +53,7 @@
             if changed.is_ok():
                 if changed.ok:
                     return
+                self._confirmed_at = self._clock.monotonic()
                 continue
             if not isinstance(changed.error, HistoryGone):
                 logger.warning(
