--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -10,7 +10,7 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.leases import LeaderRow, has_failed_to_renew
-from almondspread_daemon.addresses import parse_address
+from almondspread_daemon.addresses import parse_destination
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.leader_messages import LeaderMessageDispatcher
 from almondspread_daemon.jobs.leader_row_access import LeaderRowAccess
@@ -131,7 +131,7 @@
     async def _connect(self, row: LeaderRow) -> Link | None:
         """Open a link to a leader, ``None`` if it cannot be reached."""
         try:
-            host, port = parse_address(row.address)
+            host, port = parse_destination(row.address)
             stream = await TCPClient().connect(host, port, timeout=CONNECT_TIMEOUT)
         except (OSError, TimeoutError, StreamClosedError, ValueError) as error:
             logger.info(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_inquiry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_inquiry.py
@@ -12,7 +12,7 @@
 from tornado.tcpclient import TCPClient
 
 from almondspread.jobs.leases import LeaderRow
-from almondspread_daemon.addresses import parse_address
+from almondspread_daemon.addresses import parse_destination
 from almondspread_daemon.jobs.links import (
     AskLeader,
     AskOperatorRows,
@@ -63,7 +63,7 @@
         """Ask one instance, ``None`` if it does not answer or knows no leader."""
         try:
             async with asyncio.timeout(INQUIRY_TIMEOUT.total_seconds()):
-                host, port = parse_address(address)
+                host, port = parse_destination(address)
                 link = Link(await TCPClient().connect(host, port))
                 try:
                     return await self._exchange(link, address)
