Let lasting loops go on after an unexpected error

Cause: an instance holds its loops in one task group, so that one unexpected error in any of them ended the process; one in a follower's heartbeats left a link open on which nothing was sent any more.

Change: the loops of an instance, and those of a leader that decide nothing about jobs (list of upstreams, load log, retention, maintenance), are run anew after a pause; each error is logged with its cause and counted by loop. An error in the other loops of a leader ends its epoch, as before. Maintenance begins anew from the stored records. Heartbeats that fail close their link.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -174,15 +174,22 @@
         self._dispatcher.detach()
 
     async def _run_heartbeat(self, leader: LeaderLink) -> None:
-        """Send heartbeats, and close the link after ``LEADER_TIMEOUT`` of silence."""
-        while True:
-            leader.link.send(self._make_heartbeat())
-            silence = self._clock.monotonic() - leader.last_heard
-            if silence > LEADER_TIMEOUT:
-                logger.warning("leader timed out", seconds=silence.total_seconds())
-                leader.link.close()
-                return
-            await self._clock.sleep(HEARTBEAT_INTERVAL)
+        """Send heartbeats, and close the link after ``LEADER_TIMEOUT`` of silence.
+
+        After an unexpected error the link is closed too: the leader hears no more.
+        """
+        try:
+            silence = timedelta(0)
+            while silence <= LEADER_TIMEOUT:
+                leader.link.send(self._make_heartbeat())
+                await self._clock.sleep(HEARTBEAT_INTERVAL)
+                silence = self._clock.monotonic() - leader.last_heard
+            logger.warning("leader timed out", seconds=silence.total_seconds())
+        except Exception as error:
+            logger.opt(exception=True).error(
+                "heartbeats interrupted by an error", reason=str(error)
+            )
+        leader.link.close()
 
     def _check_leader(self, beat: Beat) -> None:
         """Check the store if the leader's lease or store access has failed."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -22,6 +22,7 @@
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.follower import Follower
 from almondspread_daemon.jobs.job_service import JobService
+from almondspread_daemon.jobs.lasting import run_lasting
 from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.leader_inquiry import LeaderInquiry
 from almondspread_daemon.jobs.leader_messages import LeaderMessageDispatcher
@@ -166,17 +167,21 @@
         return self._stopping
 
     async def run(self) -> None:
-        """Run until cancelled; raises the errors that a task cannot recover from."""
+        """Run until cancelled."""
         host, port = parse_address(
             self.settings.peer_listen_address or self.settings.peer_address
         )
         self._listener.listen(port, host)
+        loops = {
+            "operations": self._operations.run,
+            "probes": self._store.run_probes,
+            "writes": self._writer.run,
+            "ended jobs": self._remove_ended_jobs,
+        }
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._operations.run())
             group.create_task(self._run_election())
-            group.create_task(self._store.run_probes())
-            group.create_task(self._writer.run())
-            group.create_task(self._remove_ended_jobs())
+            for name, run in loops.items():
+                group.create_task(run_lasting(name, run, self._clock, self._metrics))
 
     async def _remove_ended_jobs(self) -> None:
         """Remove ended jobs from the cache after the retention for callers."""
@@ -238,6 +243,7 @@
             try:
                 await self._follow_or_lead()
             except Exception as error:
+                self._metrics.count_loop_error("election")
                 logger.opt(exception=True).error(
                     "election interrupted by an error", reason=str(error)
                 )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -1,6 +1,7 @@
 """Runs one leadership epoch of an instance, from its claim to the end of the epoch."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from loguru import logger
@@ -24,6 +25,7 @@
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import STORE_RETRY_DELAY, JobIntake
+from almondspread_daemon.jobs.lasting import run_lasting
 from almondspread_daemon.jobs.links import (
     Beat,
     JobCancelled,
@@ -88,6 +90,7 @@
         self._instance = row.instance
         self._store = store
         self._clock = clock
+        self._metrics = metrics
         # Until the start marks are fenced, an earlier leader may have started any job.
         self._scheduler = Scheduler(
             row.epoch,
@@ -172,20 +175,33 @@
                 group.create_task(self._follow_submissions()),
                 group.create_task(self._load_missing_partitions()),
                 group.create_task(self._fence_marks()),
-                group.create_task(self._upstream_list.run()),
                 group.create_task(self._run_passes()),
                 group.create_task(self._announcer.run()),
-                group.create_task(self._load_log.run()),
                 group.create_task(self._send_heartbeats()),
-                group.create_task(self._retention.run()),
             ]
-            if self._maintenance is not None:
-                tasks.append(group.create_task(self._maintenance.run()))
+            for name, run in self._list_independent_loops().items():
+                lasting = run_lasting(name, run, self._clock, self._metrics)
+                tasks.append(group.create_task(lasting))
             await self._ended.wait()
             for task in tasks:
                 task.cancel()
         self._resignation.close()
 
+    def _list_independent_loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the loops that go on after an error, by their names.
+
+        An error in another loop may leave it unclear what was decided, stored or told,
+        and ends the epoch; the next leader begins from what is stored.
+        """
+        loops = {
+            "upstream list": self._upstream_list.run,
+            "load log": self._load_log.run,
+            "retention": self._retention.run,
+        }
+        if self._maintenance is not None:
+            loops["maintenance"] = self._maintenance.run
+        return loops
+
     def end(self, reason: str) -> None:
         """Tell ``run`` to end the epoch; log the reason on the first call."""
         if not self._ended.is_set():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -76,7 +76,13 @@
         self._chunks = StoredChunks()
 
     async def run(self) -> None:
-        """Carry out the requested waves until cancelled or fenced."""
+        """Carry out the requested waves until cancelled or fenced.
+
+        Run again after an error, it begins from the stored records: each order is
+        stored before it is sent.
+        """
+        self._planner = MaintenancePlanner(self._settings.maintenance_duration)
+        self._version = None
         await self._clock.sleep(self._settings.handover_delay)
         while not self.is_fenced:
             if self.waves and self._committer.lease_holds:
