Find the leader while the store turns all named machines away, and read past a silent feed

Beside it, by the list of faults: an instance whose feed alone was silent asked only the feed again, and no other instance could tell it. Change: heartbeats of a leader name one member after another, whom instances may ask later. After a second failed call of the feed all rows are read.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -151,6 +151,7 @@
                 self._settings.cores,
                 self._settings.strength,
                 (self._clock.monotonic() - self._started).total_seconds(),
+                self._settings.peer_address,
             )
         )
         return link
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -113,7 +113,9 @@
             self._published, clock, lambda: store.is_failing
         )
         self._inquiry = LeaderInquiry(
+            settings.peer_address,
             settings.contacts,
+            random_source,
             lambda: AskOperatorRows(self._published.rows.list_versions()),
             self._exchange.take,
         )
@@ -133,6 +135,7 @@
             self._relay,
             self._candidacy,
             self._exchange,
+            self._inquiry.remember,
         )
         self._follower = Follower(
             settings,
@@ -342,6 +345,7 @@
             self.settings.cores * LEADER_CAPACITY_SHARE,
             dispatch,
             self._clock.monotonic(),
+            address=self.settings.peer_address,
         )
 
         def report(message: ExecutorReport) -> None:
@@ -396,6 +400,7 @@
             self._clock.monotonic(),
             hello.strength,
             self._clock.monotonic() - timedelta(seconds=hello.age),
+            address=hello.address,
         )
         await session.serve_member(member, link)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -335,6 +335,7 @@
             self._committer.lease_holds,
             self._intake.is_caught_up(),
             self._store.is_unavailable,
+            member_address=self._assignments.members.name_next_address(),
         )
         self._assignments.broadcast(self._exchange.stamp(beat))
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_inquiry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_inquiry.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -23,38 +24,54 @@
 
 # Between instances of a region, one exchange of messages takes a few milliseconds.
 INQUIRY_TIMEOUT = timedelta(milliseconds=400)
-# Besides those of the settings, the addresses of so many leaders are remembered.
-MAX_REMEMBERED = 4
+# Besides those of the settings, so many addresses are remembered.
+MAX_REMEMBERED = 16
+# So many instances are asked at once.
+INQUIRIES_AT_ONCE = 6
 
 
 class LeaderInquiry:
     """Asks other instances which of them leads.
 
-    ``contacts`` are the peer addresses that the settings name; they may be out of date.
-    ``make_request`` returns the request for newer rows, and ``take_rows`` takes them.
+    ``contacts`` are the peer addresses that the settings name; they may be out of date,
+    and the store may turn all of them away. ``make_request`` returns the request for
+    newer rows, and ``take_rows`` takes them.
     """
 
     def __init__(
         self,
+        own_address: str,
         contacts: tuple[str, ...],
+        random_source: random.Random,
         make_request: Callable[[], AskOperatorRows],
         take_rows: Callable[[OperatorRowsSent, str], None],
     ) -> None:
+        self._own_address = own_address
         self._contacts = contacts
+        self._random = random_source
         self._remembered: dict[str, None] = {}
         self._make_request = make_request
         self._take_rows = take_rows
 
+    @property
+    def addresses(self) -> list[str]:
+        """The addresses of all instances that may be asked."""
+        return list(dict.fromkeys((*self._contacts, *self._remembered)))
+
     def remember(self, address: str) -> None:
-        """Ask the instance at an address as well; it is or was a leader."""
+        """Ask the instance at an address as well, rather than one named long ago."""
+        if address in ("", self._own_address):
+            return
         self._remembered.pop(address, None)
         self._remembered[address] = None
-        while len(self._remembered) > MAX_REMEMBERED:
+        if len(self._remembered) > MAX_REMEMBERED:
             del self._remembered[next(iter(self._remembered))]
 
     async def find_leader(self) -> LeaderRow | None:
-        """Return the row of the newest leader that any contact knows."""
-        addresses = dict.fromkeys((*self._contacts, *self._remembered))
+        """Return the row of the newest leader that some other instances know."""
+        addresses = self.addresses
+        if len(addresses) > INQUIRIES_AT_ONCE:
+            addresses = self._random.sample(addresses, INQUIRIES_AT_ONCE)
         rows = await asyncio.gather(*(self._ask(address) for address in addresses))
         known = [row for row in rows if row is not None]
         return max(known, key=lambda row: (row.epoch, row.renewal), default=None)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -3,6 +3,8 @@
 An instance that leads is also a member of its own session, and gets the same messages.
 """
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from almondspread.jobs.messages import (
@@ -35,7 +37,10 @@
 
 
 class LeaderMessageDispatcher:
-    """Passes each message of the leader to the component of the instance it is for."""
+    """Passes each message of the leader to the component of the instance it is for.
+
+    ``remember_peer`` is called with the addresses of members that the leader names.
+    """
 
     def __init__(
         self,
@@ -44,12 +49,14 @@
         relay: RowRelay,
         candidacy: Candidacy,
         exchange: OperatorExchange,
+        remember_peer: Callable[[str], None],
     ) -> None:
         self._state_cache = state_cache
         self._executor = executor
         self._relay = relay
         self._candidacy = candidacy
         self._exchange = exchange
+        self._remember_peer = remember_peer
         self._link: Link | None = None
         self._leader = ""
 
@@ -84,6 +91,7 @@
             case Beat():
                 self._state_cache.knows_all = message.knows_all
                 self._relay.lease_holds = message.lease_holds
+                self._remember_peer(message.member_address)
             case AskOperatorRows() | OperatorRowsSent():
                 pass
             case RowWritten():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -39,7 +39,8 @@
     """Introduces an instance to the leader.
 
     ``strength`` is the machine's suitability to lead, from 0 to 1. ``age`` is the
-    uptime of the sender's process in seconds.
+    uptime of the sender's process in seconds. Other instances reach it at ``address``,
+    which is empty from instances of an earlier release.
     """
 
     instance: str
@@ -48,6 +49,7 @@
     cores: float
     strength: float
     age: float
+    address: str = ""
 
 
 @define(frozen=True)
@@ -78,7 +80,8 @@
     ``store_lost``, the store is unavailable to the leader. ``operator_revision`` is the
     newest version of a row of operators that the sender knows, and ``operator_age`` how
     many seconds ago it knew of no newer one; instances of an earlier release send
-    neither.
+    neither. ``member_address`` is where one member can be reached, another in each
+    heartbeat of a leader.
     """
 
     lease_holds: bool = True
@@ -87,6 +90,7 @@
     unix_seconds: float | None = None
     operator_revision: int = 0
     operator_age: float | None = None
+    member_address: str = ""
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -22,7 +22,8 @@
     the start time of its process on the leader's monotonic clock.
     ``advice_seconds`` has the expected duration of each of its pending requests to the
     advice service, which it makes one after another. ``wall_offset`` is how far its
-    time of day is ahead of the leader's monotonic time.
+    time of day is ahead of the leader's monotonic time. Instances reach it at
+    ``address``, which is empty where it is not known.
     """
 
     instance: str
@@ -36,6 +37,7 @@
     advice_seconds: deque[float] = field(factory=deque)
     wall_offset: timedelta | None = None
     leaving: bool = False
+    address: str = ""
 
     @property
     def load(self) -> float:
@@ -64,6 +66,7 @@
 
     members: dict[str, Member] = field(factory=dict)
     _owners: dict[str, str] = field(factory=dict)
+    _named: int = 0
 
     def add(self, member: Member) -> None:
         """Add a member, in place of an earlier one of the same instance."""
@@ -78,6 +81,16 @@
             self._owners.pop(upstream, None)
         return member.upstreams
 
+    def name_next_address(self) -> str:
+        """Return the address of one member after another, ``""`` if none is known."""
+        addresses = [
+            member.address for member in self.members.values() if member.address
+        ]
+        if not addresses:
+            return ""
+        self._named += 1
+        return addresses[self._named % len(addresses)]
+
     def find_owner(self, upstream: str) -> Member | None:
         """Return the member that an upstream is assigned to, if any."""
         owner = self._owners.get(upstream)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/operations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/operations.py
@@ -12,6 +12,7 @@
 from almondspread_daemon.jobs.store_access import StoreAccess
 
 NO_WAIT = timedelta(0)
+FAILURES_UNTIL_READING = 2
 
 
 class OperationsFeed:
@@ -48,11 +49,10 @@
             self._failures = 0
             self._take_all(read.ok)
             await self._follow(read.ok.version)
-            await self._clock.sleep(self._budget.choose_retry_delay(1))
 
     async def _follow(self, version: int) -> None:
-        """Pass on the changes after a version, until the store has forgotten some."""
-        while True:
+        """Pass on the changes after a version, until all rows have to be read."""
+        while self._failures < FAILURES_UNTIL_READING:
             wait = self._budget.wait if not self._failures else NO_WAIT
             changed = await self._store.follow_operator_rows(version, wait)
             if changed.is_ok():
@@ -61,7 +61,7 @@
                 self._take_changes(changed.ok)
                 continue
             if isinstance(changed.error, HistoryGone):
-                logger.warning("feed of operators' rows lost its history")
+                await self._pause("feed of operators' rows interrupted", "history gone")
                 return
             await self._pause(
                 "feed of operators' rows interrupted", changed.error.reason
