Decide which machines of waves go down together on the set of them

Cause: each machine whose time had come was checked by itself against the tasks that were away at that moment, and the orders went out together. Change: a machine goes down only if the tasks away and those on all upstreams that orders of any wave may take down, together with its own, stay within the limit of each step. Asked again right before each order is sent, and each time it is repeated. The scheduler's own moves count these upstreams as well. What holds a machine back after its time is logged once. Result: StepLimitTest and test_tasks_on_other_machines_that_go_down_count failed before.

--- a/packages/almondspread/almondspread/jobs/evacuation.py
+++ b/packages/almondspread/almondspread/jobs/evacuation.py
@@ -1,6 +1,6 @@
 """Selection of the runs to move off upstreams that are about to leave."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from attrs import define, field
@@ -22,13 +22,16 @@
 ) -> list[Run]:
     """Return the runs on leaving upstreams that should be stopped and moved now.
 
-    A lasting task moves if its step may have one more task unavailable. Any other task
-    moves if it would not end before the upstream leaves and another upstream has room
-    for it.
+    A lasting task moves if its step may have one more task unavailable, beside those on
+    upstreams that may be taken down at any moment. Any other task moves if it would not
+    end before the upstream leaves and another upstream has room for it.
     """
     free_capacity = _FreeCapacity(cell_state, now)
     chosen = []
     newly_unavailable: dict[tuple[str, int, int], int] = {}
+    going_down = _count_working(
+        find_step, cell_state, _list_going_down(cell_state, now)
+    )
     for upstream in cell_state.upstreams.values():
         if not upstream.is_leaving or upstream.lapse_at is not None:
             continue
@@ -40,7 +43,11 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             if progress.step.lasting:
-                if not _may_move(progress, run, newly_unavailable):
+                # A task that goes down with its upstream had better move in time.
+                is_down_soon = _is_going_down(upstream, now)
+                other = 0 if is_down_soon else going_down.get(progress.key, 0)
+                taken = newly_unavailable.get(progress.key, 0) + other
+                if not _may_move(progress, run, taken):
                     continue
                 newly_unavailable[progress.key] = (
                     newly_unavailable.get(progress.key, 0) + 1
@@ -55,23 +62,60 @@
 
 
 def may_stop_all(
-    find_step: Callable[[Run], StepProgress], cell_state: CellState, upstream: str
+    find_step: Callable[[Run], StepProgress],
+    cell_state: CellState,
+    upstream: str,
+    others: Collection[str] = (),
 ) -> bool:
     """Tell whether all runs of an upstream may be stopped at once.
 
-    The lasting tasks among them must not exceed the unavailable limits of their steps.
+    The tasks of a step with an unavailable limit that are away, and those that work on
+    the upstream or on ``others``, which are about to be taken down as well, must
+    together stay within the limit.
     """
-    newly_unavailable: dict[tuple[str, int, int], int] = {}
+    working = _count_working(find_step, cell_state, {upstream, *others})
     for run in cell_state.list_runs(upstream):
         progress = find_step(run)
-        if not progress.step.lasting or not run.available:
+        count = working.get(progress.key, 0)
+        if not progress.step.lasting or not _is_working(progress, run):
             continue
-        if not _may_be_unavailable(progress, run, newly_unavailable):
+        if progress.count_unavailable() + count > progress.step.unavailable_limit:
             return False
-        newly_unavailable[progress.key] = newly_unavailable.get(progress.key, 0) + 1
     return True
 
 
+def _is_working(progress: StepProgress, run: Run) -> bool:
+    """Tell whether a run does work that its step may miss only within a limit."""
+    is_limited = progress.step.unavailable_limit > 0
+    return is_limited and run.available and run.phase is RunPhase.RUNNING
+
+
+def _count_working(
+    find_step: Callable[[Run], StepProgress],
+    cell_state: CellState,
+    upstreams: Collection[str],
+) -> dict[tuple[str, int, int], int]:
+    """Return how many tasks of each limited step work on some upstreams."""
+    working: dict[tuple[str, int, int], int] = {}
+    for name in upstreams:
+        for run in cell_state.list_runs(name):
+            progress = find_step(run)
+            if _is_working(progress, run):
+                working[progress.key] = working.get(progress.key, 0) + 1
+    return working
+
+
+def _is_going_down(upstream: Upstream, now: timedelta) -> bool:
+    """Tell whether an order of the leader may take an upstream down at any moment."""
+    return upstream.leaves_at is not None and upstream.leaves_at <= now
+
+
+def _list_going_down(cell_state: CellState, now: timedelta) -> set[str]:
+    """Return the upstreams that an order may take down at any moment."""
+    upstreams = cell_state.upstreams.values()
+    return {each.name for each in upstreams if _is_going_down(each, now)}
+
+
 def _log_run_move(run: Run) -> None:
     """Log that a run is stopped in order to start its task on another upstream."""
     logger.info(
@@ -85,26 +129,16 @@
     )
 
 
-def _may_move(
-    progress: StepProgress, run: Run, newly_unavailable: dict[tuple[str, int, int], int]
-) -> bool:
-    """Tell whether a lasting task may move; gang members cannot move one by one."""
-    return not progress.step.gang and _may_be_unavailable(
-        progress, run, newly_unavailable
-    )
-
-
-def _may_be_unavailable(
-    progress: StepProgress, run: Run, newly_unavailable: dict[tuple[str, int, int], int]
-) -> bool:
-    """Tell whether one more lasting task of a step may be unavailable.
+def _may_move(progress: StepProgress, run: Run, taken: int) -> bool:
+    """Tell whether a lasting task may move; gang members cannot move one by one.
 
-    ``newly_unavailable`` counts, by step, the tasks already chosen to be stopped.
+    ``taken`` is how many other tasks of its step may become unavailable meanwhile.
     """
-    limit = progress.step.unavailable_limit
-    if not limit or not run.available:
+    if progress.step.gang:
+        return False
+    if not progress.step.unavailable_limit or not run.available:
         return True
-    return progress.count_unavailable() + newly_unavailable.get(progress.key, 0) < limit
+    return progress.count_unavailable() + taken < progress.step.unavailable_limit
 
 
 def _may_stay(
--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from enum import StrEnum
 
@@ -108,6 +108,10 @@
     sent: timedelta | None = None
     taken: timedelta | None = None
 
+    def may_be_pending(self, now: timedelta) -> bool:
+        """Tell whether the machine may go down for the order, now or later."""
+        return self.sent is not None
+
     def is_due(self, now: timedelta) -> bool:
         """Tell whether the order must be sent, for the first time or as a retry."""
         if self.taken is not None:
@@ -132,7 +136,8 @@
     """The progress of a wave.
 
     ``due`` is when the planner aims to complete the wave. ``evacuating`` has the
-    machines that are evacuated, and since when.
+    machines that are evacuated, and since when. Machines in ``held`` were kept up for
+    their tasks after the time of their evacuation.
     """
 
     wave: MaintenanceWave
@@ -141,6 +146,7 @@
     evacuating: dict[str, timedelta] = field(factory=dict)
     orders: dict[str, _Order] = field(factory=dict)
     done: set[str] = field(factory=set)
+    held: set[str] = field(factory=set)
 
     @property
     def is_complete(self) -> bool:
@@ -246,7 +252,9 @@
                     self._mark_done(progress, name, "gone")
                     continue
                 order = progress.orders.get(name)
-                if order is not None and order.is_over(machine, requested_at):
+                if order is None:
+                    continue
+                if order.is_over(machine, requested_at):
                     self._mark_done(progress, name, "maintained")
 
     def _mark_done(self, progress: _WaveProgress, name: str, outcome: str) -> None:
@@ -267,29 +275,82 @@
         self,
         now: timedelta,
         count_runs: Callable[[str], int],
-        may_stop: Callable[[str], bool],
+        may_stop: Callable[[str, Collection[str]], bool],
     ) -> list[MaintenanceOrder]:
         """Return the orders to send once the records are stored.
 
         ``count_runs`` returns how many runs an upstream has, and ``may_stop`` whether
-        all of them may be stopped at once.
+        all of them may be stopped while other upstreams may be taken down.
         """
+        going_down = self._list_upstreams_going_down(now)
+
+        def may_leave(upstream: str) -> bool:
+            others = going_down - {upstream}
+            return not count_runs(upstream) or may_stop(upstream, others)
+
         due_orders = []
         for progress in self._waves.values():
             self._begin_evacuations(progress, now, count_runs)
             for name, since in list(progress.evacuating.items()):
                 machine = self.machines[name]
+                is_overdue = now - since >= EVACUATION_TIME
+                is_empty = not count_runs(machine.upstream)
                 if machine.state is not MachineState.UP:
                     continue
-                overdue = now - since >= EVACUATION_TIME and may_stop(machine.upstream)
-                if overdue or not count_runs(machine.upstream):
+                if is_empty or (is_overdue and may_leave(machine.upstream)):
                     del progress.evacuating[name]
                     progress.orders[name] = _Order(machine.upstream)
+                    going_down.add(machine.upstream)
             for name, order in progress.orders.items():
-                if order.is_due(now):
+                if order.is_due(now) and may_leave(order.upstream):
                     due_orders.append(MaintenanceOrder(name, progress.wave.number))
+                    going_down.add(order.upstream)
+            self._log_held_orders(progress, now, may_leave)
         return due_orders
 
+    def may_send(
+        self,
+        order: MaintenanceOrder,
+        now: timedelta,
+        count_runs: Callable[[str], int],
+        may_stop: Callable[[str, Collection[str]], bool],
+    ) -> bool:
+        """Tell whether a planned order may still be sent; otherwise it stays due."""
+        upstream = self._waves[order.wave].orders[order.machine].upstream
+        others = self._list_upstreams_going_down(now) - {upstream}
+        return not count_runs(upstream) or may_stop(upstream, others)
+
+    def _log_held_orders(
+        self,
+        progress: _WaveProgress,
+        now: timedelta,
+        may_leave: Callable[[str], bool],
+    ) -> None:
+        """Log once for each machine that its tasks keep it up after its time."""
+        for name, since in progress.evacuating.items():
+            machine = self.machines[name]
+            if name in progress.held or now - since < EVACUATION_TIME:
+                continue
+            if machine.state is not MachineState.UP or may_leave(machine.upstream):
+                continue
+            progress.held.add(name)
+            logger.warning(
+                "maintenance held back",
+                wave=progress.wave.number,
+                machine=name,
+                upstream=machine.upstream,
+                reason="too many tasks of a step would be unavailable",
+            )
+
+    def _list_upstreams_going_down(self, now: timedelta) -> set[str]:
+        """Return the upstreams that orders of any wave may take down."""
+        found = set()
+        for progress in self._waves.values():
+            for order in progress.orders.values():
+                if order.upstream and order.may_be_pending(now):
+                    found.add(order.upstream)
+        return found
+
     def _begin_evacuations(
         self,
         progress: _WaveProgress,
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -6,6 +6,7 @@
 """
 
 import sys
+from collections.abc import Collection
 from datetime import datetime, timedelta
 
 from almondspread.jobs.backlog import ServiceWait, estimate_wait
@@ -185,9 +186,14 @@
         """Return the number of runs bound to an upstream."""
         return len(self.cell_state.list_runs(upstream))
 
-    def may_stop_all(self, upstream: str) -> bool:
-        """Return whether all runs of an upstream may be ended at once."""
-        return may_stop_all(self._job_table.find_step, self.cell_state, upstream)
+    def may_stop_all(self, upstream: str, others: Collection[str] = ()) -> bool:
+        """Return whether all runs of an upstream may be ended at once.
+
+        ``others`` may be taken down at the same time.
+        """
+        return may_stop_all(
+            self._job_table.find_step, self.cell_state, upstream, others
+        )
 
     def list_expired_jobs(self, now: timedelta, retention: timedelta) -> list[str]:
         """Return jobs that ended ``retention`` or longer ago and have no runs left."""
--- a/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almondspread.jobs.evacuation import choose_evacuations
 from almondspread.jobs.maintenance import (
     EVACUATION_TIME,
     ORDER_RETRY_INTERVAL,
@@ -58,13 +59,22 @@
         self.most_down = max(self.most_down, down)
 
 
-class WaveTest(unittest.TestCase):
+class WaveCase(unittest.TestCase):
     def setUp(self):
         self.machines = FakeMachines(6)
         self.planner = MaintenancePlanner(DURATION)
         self.now = 100 * SECOND
         self.runs = {}
         self.protected = set()
+        self.step_upstreams = set()
+        self.step_away = 0
+
+    def may_stop(self, upstream, others):
+        """Keep ``protected`` upstreams, and two of ``step_upstreams`` at once."""
+        if upstream in self.protected:
+            return False
+        down = self.step_upstreams & {upstream, *others}
+        return upstream not in down or len(down) + self.step_away <= 1
 
     def add_wave(self, limit=2, within=60 * SECOND, names=None):
         self.wave = MaintenanceWave(
@@ -78,7 +88,7 @@
         orders = self.planner.plan_orders(
             self.now,
             lambda upstream: self.runs.get(upstream, 0),
-            lambda upstream: upstream not in self.protected,
+            self.may_stop,
         )
         self.now += STEP
         for order in orders:
@@ -93,6 +103,8 @@
         while self.now < end:
             self.step()
 
+
+class WaveTest(WaveCase):
     def test_all_machines_are_maintained_in_time_within_the_limit(self):
         self.add_wave(limit=2, within=30 * SECOND)
         self.run_for(30 * SECOND)
@@ -179,6 +191,60 @@
         self.assertIn(order.machine, self.planner.list_records()[0].done)
 
 
+class StepLimitTest(WaveCase):
+    """Each upstream runs one task of a step, of which one may be missing."""
+
+    def setUp(self):
+        super().setUp()
+        self.fill()
+
+    def fill(self):
+        for name in self.machines.incarnations:
+            upstream = self.machines.make_upstream_name(name)
+            self.runs[upstream] = 1
+            self.step_upstreams.add(upstream)
+
+    def test_machines_that_are_due_together_go_down_one_by_one(self):
+        """Up to five tasks of one step were ended by a wave at once."""
+        self.add_wave(limit=6, within=12 * SECOND)
+        self.run_for(EVACUATION_TIME)
+        self.assertEqual(len(self.step()), 1)
+
+    def test_machines_of_another_wave_count(self):
+        names = sorted(self.machines.incarnations)
+        self.add_wave(limit=1, names=names[:3])
+        other = MaintenanceWave(2, tuple(names[3:]), 60 * SECOND, 1)
+        self.planner.add_wave(other, self.now, self.now)
+        self.run_for(EVACUATION_TIME)
+        self.assertEqual(len(self.step()), 1)
+
+    def test_unanswered_order_keeps_the_machines_of_its_step_up(self):
+        self.add_wave(limit=6, within=12 * SECOND)
+        self.run_for(EVACUATION_TIME)
+        self.machines.execute = lambda order, now: None
+        [first] = self.step(OrderOutcome.UNKNOWN)
+        sent = {
+            order.machine
+            for _ in range(20)
+            for order in self.step(OrderOutcome.UNKNOWN)
+        }
+        self.assertEqual(sent, {first.machine})
+
+    def test_order_is_held_if_a_task_is_lost_before_it_is_sent(self):
+        self.add_wave(limit=1)
+        self.run_for(EVACUATION_TIME)
+        self.now += STEP
+        self.planner.update_machines(self.machines.list(self.now), self.now)
+        arguments = (self.now, lambda upstream: self.runs[upstream], self.may_stop)
+        [order] = self.planner.plan_orders(*arguments)
+        self.assertTrue(self.planner.may_send(order, *arguments))
+        self.step_away = 1
+        self.assertFalse(self.planner.may_send(order, *arguments))
+        self.assertEqual(self.planner.plan_orders(*arguments), [])
+        self.step_away = 0
+        self.assertEqual(self.planner.plan_orders(*arguments), [order])
+
+
 class LostOrdersTest(unittest.TestCase):
     @settings(derandomize=True, max_examples=60, deadline=None)
     @given(
@@ -189,7 +255,7 @@
     def test_limit_holds_with_lost_orders_and_changes_of_the_leader(
         self, answers, limit, takeovers
     ):
-        case = WaveTest()
+        case = WaveCase()
         case.setUp()
         case.add_wave(limit=limit, within=20 * SECOND)
         for number in range(200):
@@ -246,6 +312,35 @@
         runs[1].available = False
         self.assertTrue(scheduler.may_stop_all("u0"))
 
+    def test_tasks_on_other_machines_that_go_down_count(self):
+        for name in ("u0", "u1"):
+            upstream = self.cell.add_upstream(name, 1_500)
+            for index in range(2):
+                upstream.durations[TaskId("j", 0, 0, index)] = 60 * SECOND
+        step = make_step(2, lasting=True, unavailable_limit=1)
+        self.cell.run_for(SECOND / 2)
+        self.cell.submit(make_job("j", step))
+        self.cell.run_for(2 * SECOND)
+        scheduler = self.cell.scheduler
+        for name in ("u0", "u1"):
+            [run] = scheduler.cell_state.list_runs(name)
+            run.available = True
+        self.assertTrue(scheduler.may_stop_all("u0"))
+        self.assertFalse(scheduler.may_stop_all("u0", {"u1"}))
+        # The task on u1 does not move while an order may take u0 down.
+        now = self.cell.now
+        scheduler.set_leave_times({"u0": now, "u1": now + EVACUATION_TIME})
+        moved = self.choose_evacuations(now)
+        self.assertEqual(moved, ["u0"])
+        scheduler.set_leave_times({"u1": now + EVACUATION_TIME})
+        self.assertEqual(self.choose_evacuations(now), ["u1"])
+
+    def choose_evacuations(self, now):
+        scheduler = self.cell.scheduler
+        find_step = scheduler._job_table.find_step
+        runs = choose_evacuations(find_step, scheduler.cell_state, now)
+        return [run.upstream for run in runs]
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -108,7 +108,15 @@
         if not await self._store_records():
             return
         for order in orders:
-            if self._committer.lease_holds and not self.is_fenced:
+            if not self._committer.lease_holds or self.is_fenced:
+                return
+            # Upstreams may have been lost while the earlier orders were under way.
+            if self._planner.may_send(
+                order,
+                self._clock.monotonic(),
+                self._scheduler.count_runs,
+                self._scheduler.may_stop_all,
+            ):
                 await self._send_order(order)
 
     async def _take_over(self) -> bool:
