Decide inherited maintenance orders anew

Cause: stored orders were sent by the next leader without any check, and it learned of them only after the handover delay, when it had placed tasks there. Change: for 12 s an inherited order counts as one that may be carried out; it is sent by this leader only as any other order may be. Machines of such orders get no tasks from the first moment on: the records are read, and earlier leaders fenced, before the handover delay instead of after it; orders wait for it. Result: test_inherited_orders_are_decided_anew failed before.

--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -18,6 +18,8 @@
 EVACUATION_TIME = timedelta(seconds=3)
 # Unanswered orders are sent again; orders are idempotent.
 ORDER_RETRY_INTERVAL = timedelta(seconds=1)
+# An order that an earlier leader has sent may be carried out until then.
+INHERITED_ORDER_TIME = timedelta(seconds=12)
 # A machine that is up this long after it accepted an order has had its maintenance.
 SETTLING_TIME = timedelta(seconds=1)
 # The planner aims to complete a wave within this share of its time.
@@ -101,16 +103,22 @@
     """The state of an order, from when it is stored until the machine is up again.
 
     ``upstream`` ran on the machine before; it is empty if it is not known. ``sent`` and
-    ``taken`` are when the order was last sent and when it was accepted.
+    ``taken`` are when the order was last sent and when it was accepted. An order that
+    an earlier leader has stored was taken over at ``inherited``; that leader may have
+    sent it or not.
     """
 
     upstream: str
     sent: timedelta | None = None
     taken: timedelta | None = None
+    inherited: timedelta | None = None
 
     def may_be_pending(self, now: timedelta) -> bool:
         """Tell whether the machine may go down for the order, now or later."""
-        return self.sent is not None
+        if self.sent is not None:
+            return True
+        since = self.inherited
+        return since is not None and now - since < INHERITED_ORDER_TIME
 
     def is_due(self, now: timedelta) -> bool:
         """Tell whether the order must be sent, for the first time or as a retry."""
@@ -230,7 +238,7 @@
         progress = _WaveProgress(wave, record.seen, due, done=set(record.done))
         for name in record.ordered:
             # The record does not tell which upstream ran on the machine.
-            progress.orders[name] = _Order("")
+            progress.orders[name] = _Order("", inherited=now)
         self._waves[wave.number] = progress
         logger.info(
             "maintenance wave added",
@@ -256,6 +264,8 @@
                     continue
                 if order.is_over(machine, requested_at):
                     self._mark_done(progress, name, "maintained")
+                elif order.sent is None and machine.state is MachineState.UP:
+                    order.upstream = machine.upstream
 
     def _mark_done(self, progress: _WaveProgress, name: str, outcome: str) -> None:
         """Mark a machine as done with the wave."""
--- a/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
@@ -9,6 +9,7 @@
 from almondspread.jobs.evacuation import choose_evacuations
 from almondspread.jobs.maintenance import (
     EVACUATION_TIME,
+    INHERITED_ORDER_TIME,
     ORDER_RETRY_INTERVAL,
     Machine,
     MachineState,
@@ -204,6 +205,12 @@
             self.runs[upstream] = 1
             self.step_upstreams.add(upstream)
 
+    def take_over(self):
+        records = self.planner.list_records()
+        self.planner = MaintenancePlanner(DURATION)
+        self.planner.restore_records(records)
+        self.planner.add_wave(self.wave, self.now, self.now)
+
     def test_machines_that_are_due_together_go_down_one_by_one(self):
         """Up to five tasks of one step were ended by a wave at once."""
         self.add_wave(limit=6, within=12 * SECOND)
@@ -230,6 +237,25 @@
         }
         self.assertEqual(sent, {first.machine})
 
+    def test_inherited_orders_are_decided_anew(self):
+        """A new leader sent them unchecked, and two tasks of one step ended."""
+        self.step_upstreams.clear()
+        self.runs.clear()
+        self.machines.execute = lambda order, now: None
+        self.add_wave(limit=6, within=9 * SECOND)
+        self.assertGreater(len(self.step(OrderOutcome.UNKNOWN)), 1)
+        self.fill()
+        self.take_over()
+        sent = [order for _ in range(15) for order in self.step(OrderOutcome.UNKNOWN)]
+        self.assertEqual(sent, [])
+        self.now += INHERITED_ORDER_TIME
+        sent = {
+            order.machine
+            for _ in range(30)
+            for order in self.step(OrderOutcome.UNKNOWN)
+        }
+        self.assertEqual(len(sent), 1)
+
     def test_order_is_held_if_a_task_is_lost_before_it_is_sent(self):
         self.add_wave(limit=1)
         self.run_for(EVACUATION_TIME)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -83,15 +83,19 @@
         """
         self._planner = MaintenancePlanner(self._settings.maintenance_duration)
         self._version = None
-        await self._clock.sleep(self._settings.handover_delay)
+        begins_at = self._clock.monotonic() + self._settings.handover_delay
         while not self.is_fenced:
             if self.waves and self._committer.lease_holds:
-                await self.step()
+                await self.step(may_order=self._clock.monotonic() >= begins_at)
             await self._clock.sleep(STEP_INTERVAL)
         logger.warning("maintenance stopped, fenced by a later leader")
 
-    async def step(self) -> None:
-        """Plan the orders that are due now, store them and then send them."""
+    async def step(self, *, may_order: bool = True) -> None:
+        """Plan the orders that are due now, store them and then send them.
+
+        Without ``may_order`` it only keeps tasks off the upstreams that orders of an
+        earlier leader may take down.
+        """
         if self._version is None and not await self._take_over():
             return
         for wave in self.waves:
@@ -99,6 +103,9 @@
             self._planner.add_wave(wave, now, self._store_clock.now())
         if self._planner.is_busy and not await self._read_machines():
             return
+        if not may_order:
+            self._scheduler.set_leave_times(self._planner.find_leaving_upstreams())
+            return
         orders = self._planner.plan_orders(
             self._clock.monotonic(),
             self._scheduler.count_runs,
