Keep what a job needs of its queue with the job

Cause: a job was stored with the name of its queue alone. Service, attempts, priority and objective were looked up in the configuration at hand. Change: the accepting instance stores the queue's terms with the job. While the queue exists, its present terms hold; later, those of the acceptance, at every leader. Rows of an earlier release have none and are read as before; an earlier release ignores the field. Some 100 bytes more a job.

--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -78,7 +78,7 @@
     Jobs that are late already stand behind new ones, and tasks that no upstream may run
     take room from nobody.
     """
-    other = configuration.queues.get(progress.job.submission.queue)
+    other = progress.job.submission.find_queue(configuration)
     if other is None or other.service != queue.service:
         return False
     if other.priority > queue.priority or progress.step.lasting:
--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -12,7 +12,7 @@
 from almondspread.jobs.losses import Loss
 from almondspread.jobs.messages import RunEnd, UpstreamEntry
 from almondspread.jobs.step_progress import StepProgress
-from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.jobs.upstreams import FRESH_TIME, Upstream
 
 # An upstream that has not come back by then tells nothing about its tasks.
@@ -74,9 +74,9 @@
         return (self.task, self.loss.run)
 
     @property
-    def queue(self) -> str:
-        """The queue of the job."""
-        return self.progress.job.submission.queue
+    def submission(self) -> Submission:
+        """The job of the task."""
+        return self.progress.job.submission
 
     @property
     def name(self) -> str:
@@ -196,7 +196,7 @@
                     self._dismiss(*each.key)
                 else:
                     opened[each.key] = since
-            elif service != self.job_table.find_service(each.queue):
+            elif service != self.job_table.find_service(each.submission):
                 # The address went to another service: the upstream was replaced.
                 self._dismiss(*each.key)
             else:
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -61,14 +61,21 @@
         self.configure(self.configuration)
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a configuration; jobs of removed queues keep their service."""
+        """Apply a configuration; jobs of removed queues go on."""
         self.configuration = configuration
         for queue in configuration.queues.values():
             self._services[queue.name] = queue.service
 
-    def find_service(self, queue: str) -> str:
-        """Return the service of a queue, which may have been removed since."""
-        return self._services.get(queue, "")
+    def find_service(self, submission: Submission) -> str:
+        """Return the service of a job's queue, which may have been removed since.
+
+        Without the queue as it was at the acceptance, only a leader that has seen the
+        queue knows its service.
+        """
+        queue = submission.find_queue(self.configuration)
+        if queue is not None:
+            return queue.service
+        return self._services.get(submission.queue, "")
 
     def accept_job(
         self,
@@ -186,7 +193,7 @@
         """End a job that is complete, has used up its attempts or crashes upstreams."""
         if job.ended is not None or self._end_if_crashing(job, now):
             return
-        queue = self.configuration.queues.get(job.submission.queue)
+        queue = job.submission.find_queue(self.configuration)
         for progress in job.steps.values():
             if progress.step.lasting or queue is None:
                 continue
--- a/packages/almondspread/almondspread/jobs/ordering.py
+++ b/packages/almondspread/almondspread/jobs/ordering.py
@@ -28,7 +28,7 @@
     priority decides, and then the earliest deadline.
     """
     submission = progress.job.submission
-    queue = configuration.queues.get(submission.queue)
+    queue = submission.find_queue(configuration)
     if queue is None:
         return (LAST_GROUP, 0, progress.job.accepted)
     paths = progress.job.critical_paths
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -170,12 +170,12 @@
     ) -> _RankedStep:
         """Return a step with its place in the order, and where it may run."""
         table = self.control.job_table
-        name = progress.job.submission.queue
-        queue = table.configuration.queues.get(name)
+        submission = progress.job.submission
+        queue = submission.find_queue(table.configuration)
         return _RankedStep(
             rank_step(progress, table.configuration, now),
             progress,
-            usable.get(table.find_service(name), NO_UPSTREAMS),
+            usable.get(table.find_service(submission), NO_UPSTREAMS),
             now + self._estimate_duration(progress),
             queue.advice if queue is not None else None,
         )
@@ -187,7 +187,7 @@
         table = self.control.job_table
 
         def find_time_ahead(progress: StepProgress) -> timedelta:
-            queue = table.configuration.queues.get(progress.job.submission.queue)
+            queue = progress.job.submission.find_queue(table.configuration)
             if queue is None or queue.advice is None:
                 return timedelta.min
             return estimate_request_time(queue.advice, MIN_UPSTREAMS_PER_REQUEST)
@@ -276,7 +276,7 @@
             considered += 1
             if considered > MAX_RESERVING_STEPS:
                 break
-            service = table.find_service(step.progress.job.submission.queue)
+            service = table.find_service(step.progress.job.submission)
             row = (step.rank, step.progress, self._list_allowed(step))
             waiting.setdefault(service, []).append(row)
         for service, rows in waiting.items():
--- a/packages/almondspread/almondspread/jobs/submissions.py
+++ b/packages/almondspread/almondspread/jobs/submissions.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 
 from almondspread.errors import InvalidInput
+from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.resources.capacity import Capacity
 
 MAX_PAYLOAD_BYTES = 4_000
@@ -80,13 +81,22 @@
 
 @define(frozen=True)
 class Submission:
-    """A job as a caller submitted it; each of its tasks gets the ``payload``."""
+    """A job as a caller submitted it; each of its tasks gets the ``payload``.
+
+    ``accepted_queue`` is the queue as it was when the job was accepted, by which the
+    job goes on if the queue is removed. Jobs accepted by an earlier release lack it.
+    """
 
     job: str
     queue: str
     payload: str
     steps: tuple[Step, ...]
     repetition: Repetition | None = None
+    accepted_queue: Queue | None = None
+
+    def find_queue(self, configuration: Configuration) -> Queue | None:
+        """Return the queue as it is now, or as it was where it has been removed."""
+        return configuration.queues.get(self.queue, self.accepted_queue)
 
     @property
     def occurrences(self) -> int:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from attrs import evolve
 from expression import Error, Ok, Result
 from loguru import logger
 
@@ -129,7 +130,8 @@
             )
             return Error(self._reject(submission.job, failure))
         key = make_job_key(submission.job)
-        value = encode_submission(submission, self._store_clock.now())
+        stored = evolve(submission, accepted_queue=queue)
+        value = encode_submission(stored, self._store_clock.now())
         if len(value) > self._writer.max_value_bytes:
             self._record_outcome(submission.job, "invalid", bytes=len(value))
             return Error(_make_too_large(len(value), self._writer.max_value_bytes))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -4,11 +4,12 @@
 from datetime import UTC, datetime, timedelta
 from typing import TypeVar
 
-from attrs import define
+from attrs import define, evolve
 from loguru import logger
 
 from almondspread.clock.unix_time import from_unix_ms
 from almondspread.codec import decode_message, encode_message
+from almondspread.jobs.configuration import AdviceTiming, Queue
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.maintenance import WaveRecord
 from almondspread.jobs.messages import UpstreamEntry
@@ -41,6 +42,9 @@
 WATCHED_HEADER_BYTES = 64
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
+# How many times the advice of a queue has.
+ADVICE_TIMES = 3
+MILLISECOND = timedelta(milliseconds=1)
 
 
 @define(frozen=True)
@@ -67,12 +71,28 @@
     unavailable_limit: int = 0
 
 
+@define(frozen=True)
+class QueueRow:
+    """What a stored job needs of its queue, as it was when the job was accepted.
+
+    ``advice_ms`` has the three times of the advice service, and is empty without one.
+    """
+
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: int = 0
+    advice_ms: tuple[float, ...] = ()
+
+
 @define(frozen=True)
 class SubmissionRow:
     """A stored submission.
 
     ``accepted`` is in seconds of the store's clock. The times of a repetition are in
-    milliseconds, that of the first occurrence since 1970.
+    milliseconds, that of the first occurrence since 1970. ``terms`` are those of the
+    queue; an earlier release stored none.
     """
 
     job: str
@@ -83,6 +103,7 @@
     first_ms: int = 0
     interval_ms: int = 0
     occurrences: int = 0
+    terms: QueueRow | None = None
 
 
 @define(frozen=True)
@@ -251,22 +272,64 @@
         submission.payload,
         accepted.total_seconds(),
         tuple(steps),
+        terms=_make_queue_row(submission.accepted_queue),
     )
     repetition = submission.repetition
     if repetition is not None:
-        row = SubmissionRow(
-            row.job,
-            row.queue,
-            row.payload,
-            row.accepted,
-            row.steps,
-            round(repetition.first.timestamp() * 1000),
-            _to_ms(repetition.interval),
-            repetition.count,
+        row = evolve(
+            row,
+            first_ms=round(repetition.first.timestamp() * 1000),
+            interval_ms=_to_ms(repetition.interval),
+            occurrences=repetition.count,
         )
     return encode_message(row)
 
 
+def _make_queue_row(queue: Queue | None) -> QueueRow | None:
+    """Return what a job needs of its queue."""
+    if queue is None:
+        return None
+    advice: tuple[float, ...] = ()
+    if queue.advice is not None:
+        times = queue.advice
+        advice = tuple(
+            duration / MILLISECOND
+            for duration in (
+                times.decision_time,
+                times.time_per_upstream,
+                times.validity,
+            )
+        )
+    return QueueRow(
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        _to_ms(queue.target_latency),
+        advice,
+    )
+
+
+def _decode_queue(name: str, row: QueueRow | None) -> Queue | None:
+    """Return the queue of a stored job; no path leads to it any more."""
+    if row is None:
+        return None
+    advice = None
+    if len(row.advice_ms) == ADVICE_TIMES:
+        advice = AdviceTiming(*(value * MILLISECOND for value in row.advice_ms))
+    return Queue(
+        name,
+        "",
+        "",
+        row.service,
+        row.priority,
+        row.max_attempts,
+        row.stretch,
+        row.target_latency_ms * MILLISECOND,
+        advice=advice,
+    )
+
+
 def decode_submission(row: SubmissionRow) -> Submission:
     """Return the submission that a row holds."""
     steps = []
@@ -296,7 +359,14 @@
         first = datetime.fromtimestamp(row.first_ms / 1000, UTC)
         interval = timedelta(milliseconds=row.interval_ms)
         repetition = Repetition(first, interval, row.occurrences)
-    return Submission(row.job, row.queue, row.payload, tuple(steps), repetition)
+    return Submission(
+        row.job,
+        row.queue,
+        row.payload,
+        tuple(steps),
+        repetition,
+        _decode_queue(row.queue, row.terms),
+    )
 
 
 def decode_row(row: StoredRow, kind: type[T]) -> T | None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from almondspread.codec import encode_message
+from almondspread.codec import decode_message, encode_message
 from almondspread.errors import (
     InvalidInput,
     NotFound,
@@ -16,7 +16,11 @@
 from almondspread.testing.cell_input import QUEUE, SERVICE, make_configuration
 from almondspread_daemon.jobs.job_service import JobService
 from almondspread_daemon.jobs.row_writer import RowWriter
-from almondspread_daemon.jobs.rows import make_progress_name
+from almondspread_daemon.jobs.rows import (
+    SubmissionRow,
+    decode_submission,
+    make_progress_name,
+)
 from almondspread_daemon.jobs.state_cache import JobStateCache
 from almondspread_daemon.jobs.tests.support import (
     SECOND,
@@ -53,6 +57,13 @@
     async def submit(self, submission):
         return await self.job_service.submit(self.queue, submission, 3 * SECOND)
 
+    async def test_job_is_stored_with_its_queue(self):
+        await self.submit(make_submission("j"))
+        [row] = self.store.rows.values()
+        stored = decode_submission(decode_message(row.value, SubmissionRow))
+        self.assertEqual(stored.accepted_queue.service, SERVICE)
+        self.assertEqual(stored.accepted_queue.max_attempts, self.queue.max_attempts)
+
     async def test_unknown_path_is_refused_for_good_only_while_queues_are_current(self):
         """A path of a queue that was just added was answered as one that is not."""
         found = self.job_service.find_queue("a.example", "/unknown/")
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_rows.py
@@ -1,8 +1,12 @@
 import unittest
 from datetime import UTC, datetime, timedelta
 
+import msgpack
+from attrs import evolve
+
 from almondspread.clock.unix_time import from_unix_ms
-from almondspread.codec import encode_message
+from almondspread.codec import decode_message, encode_message
+from almondspread.jobs.configuration import AdviceTiming, Queue
 from almondspread.jobs.job_records import JobRecord, StepRecord
 from almondspread.jobs.losses import Loss
 from almondspread.jobs.ports import RowName, StoredRow
@@ -84,6 +88,23 @@
         self.assertEqual(decode_submission(row), submission)
         self.assertEqual(row.accepted, 5.0)
 
+    def test_submission_keeps_its_queue_and_one_of_an_earlier_release_has_none(self):
+        advice = AdviceTiming(
+            timedelta(milliseconds=35.2),
+            timedelta(milliseconds=0.32),
+            timedelta(seconds=2.5),
+        )
+        queue = Queue("q", "", "", "s", 2, 4, 1.5, timedelta(seconds=3), advice=advice)
+        for kept in (queue, evolve(queue, advice=None)):
+            submission = Submission("j", "q", "text", (Step(1, SIZE),), None, kept)
+            value = encode_submission(submission, timedelta(0))
+            row = decode_message(value, SubmissionRow)
+            self.assertEqual(decode_submission(row), submission)
+            fields = msgpack.unpackb(value)
+            del fields["terms"]
+            row = decode_message(msgpack.packb(fields), SubmissionRow)
+            self.assertIsNone(decode_submission(row).accepted_queue)
+
     def test_values_that_cannot_be_decoded_are_ignored(self):
         for value in (
             b"",
