Give up a lasting task whose upstreams crash soon after each start

Cause: for lasting tasks only crashes counted under runs that had hardly begun, and one report of work forgot all of them. A suspected task runs alone on its upstream for these 4 s instead of 0.5 s. There are no growing delays: a lasting task that is due must run within seconds. Not done: tasks that crash later than 4 s after a start; core-seconds of bystanders were not measured.

--- a/packages/almondspread/almondspread/jobs/bound_runs.py
+++ b/packages/almondspread/almondspread/jobs/bound_runs.py
@@ -33,7 +33,8 @@
     does all the work of its task under this leader, and ``is_confirmed`` once its
     upstream has confirmed the start. Once a stop is answered,
     ``conclusive_report`` is the number of a report: if the run is absent from this
-    report or a later one, it never started.
+    report or a later one, it never started. Where it runs alone on trial, the trial
+    lasts for ``trial_time``.
     """
 
     task: TaskId
@@ -51,6 +52,7 @@
     is_confirmed: bool = False
     stop_requested_at: timedelta | None = None
     conclusive_report: int | None = None
+    trial_time: timedelta = timedelta(0)
 
     @property
     def may_be_elsewhere(self) -> bool:
--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -13,6 +13,7 @@
 from almondspread.jobs.messages import RunEnd, UpstreamEntry
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.jobs.trials import PROOF_TIME
 from almondspread.jobs.upstreams import FRESH_TIME, Upstream
 
 # An upstream that has not come back by then tells nothing about its tasks.
@@ -25,6 +26,11 @@
     return upstream.heard_at - run.started_at < FRESH_TIME
 
 
+def is_early(run: Run, upstream: Upstream) -> bool:
+    """Return whether a run had not worked for long when its upstream was last heard."""
+    return upstream.heard_at - run.started_at < PROOF_TIME
+
+
 def format_task(task: TaskId) -> str:
     """Return a task as lists of tasks in logs name it.
 
@@ -130,9 +136,11 @@
         if progress.losses:
             self._dismiss(run.task, run.number)
 
-    def record_success(self, progress: StepProgress, index: int) -> None:
-        """Dismiss all losses of a lasting task, which has begun its work."""
-        if progress.losses.forget(index):
+    def record_work(self, progress: StepProgress, run: Run, now: timedelta) -> None:
+        """Dismiss all losses of a lasting task once it has worked for long enough."""
+        if now - run.started_at < PROOF_TIME:
+            return
+        if progress.losses.forget(run.task.index):
             self.job_table.mark_losses(progress)
 
     def record_answer(self, upstream: str) -> None:
@@ -156,6 +164,7 @@
                 run.is_confirmed,
                 is_fresh(run, upstream),
                 identity=upstream.entry.identity,
+                early=is_early(run, upstream),
             ),
         )
         self.job_table.mark_losses(progress)
--- a/packages/almondspread/almondspread/jobs/losses.py
+++ b/packages/almondspread/almondspread/jobs/losses.py
@@ -25,8 +25,9 @@
     ``upstream`` is the incarnation that was lost, at ``address``, and ``identity`` that
     of all its incarnations. The start was
     ``confirmed`` by the upstream. A ``fresh`` run had hardly begun when the upstream
-    was last heard. The upstream has ``crashed`` once another incarnation has taken its
-    place; until then it may only be cut off.
+    was last heard, and an ``early`` one had not worked for long. The upstream has
+    ``crashed`` once another incarnation has taken its place; until then it may only be
+    cut off.
     """
 
     run: int
@@ -36,13 +37,14 @@
     fresh: bool = False
     crashed: bool = False
     identity: str = ""
+    early: bool = False
 
 
 def is_crashing(losses: Iterable[Loss], lasting: bool = False) -> bool:
     """Return whether a task is to be given up, because upstreams crash under it.
 
-    A lasting task may see many crashes in its time, so that only those right after a
-    start count for it.
+    A lasting task may see many crashes in its time, so that only those soon after a
+    start count for it, and only as long as none of its runs has worked for longer.
 
     >>> crash = Loss(1, "u-1", "10.0.0.1:80", confirmed=True, fresh=True, crashed=True)
     >>> is_crashing([crash]), is_crashing([crash, crash])
@@ -73,7 +75,7 @@
     if len(fresh) >= MAX_FRESH_CRASHES:
         return True
     if lasting:
-        return False
+        return len([loss for loss in confirmed if loss.early]) >= MAX_CRASHES
     return len(confirmed) >= MAX_CRASHES or len(losses) >= MAX_POSSIBLE_CRASHES
 
 
--- a/packages/almondspread/almondspread/jobs/sightings.py
+++ b/packages/almondspread/almondspread/jobs/sightings.py
@@ -56,7 +56,7 @@
         run.figure = sighting.figure
         run.available = sighting.percent >= 100 and progress.step.lasting
         if run.available:
-            self.crashes.record_success(progress, sighting.task.index)
+            self.crashes.record_work(progress, run, now)
         if sighting.checkpoint:
             progress.checkpoints[sighting.task.index] = sighting.checkpoint
 
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -27,7 +27,7 @@
 from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import estimate_time_left
-from almondspread.jobs.trials import count_trials_left
+from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import UpcomingSteps
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
@@ -350,6 +350,7 @@
         upstream.last_start_at = now
         if placement.alone:
             upstream.trying.add((task, number))
+            run.trial_time = PROOF_TIME if progress.step.lasting else TRIAL_TIME
         self._reservations.record_start(
             upstream, step.rank, step.ends_at, progress.step.claim
         )
