Split the long modules of leading, waves and store access by subject

The inquiry about the leader keeps an interval of 0.3 s. A test for the machines of inherited orders, from which tasks are kept before the handover delay is over.

--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -6,192 +6,28 @@
 receives the current time with each call.
 """
 
-import math
 from collections.abc import Callable, Collection
 from datetime import timedelta
-from enum import StrEnum
 
 from attrs import define, evolve, field
 from loguru import logger
 
+from almondspread.jobs.wave_progress import SETTLING_TIME, WaveOrder, WaveProgress
+from almondspread.jobs.waves import (
+    Machine,
+    MachineState,
+    MaintenanceOrder,
+    MaintenanceWave,
+    OrderOutcome,
+    WaveRecord,
+)
+
 # Time for runs to end or move before the machine is taken down.
 EVACUATION_TIME = timedelta(seconds=3)
-# Unanswered orders are sent again; orders are idempotent.
-ORDER_RETRY_INTERVAL = timedelta(seconds=1)
-# An order that an earlier leader has sent may be carried out until then.
-INHERITED_ORDER_TIME = timedelta(seconds=12)
-# A machine that is up this long after it accepted an order has had its maintenance.
-SETTLING_TIME = timedelta(seconds=1)
 # The planner aims to complete a wave within this share of its time.
 TARGET_TIME_SHARE = 0.7
 
 
-class MachineState(StrEnum):
-    """The state of a machine, as the platform reports it."""
-
-    UP = "up"
-    MOVING = "moving"
-    MAINTENANCE = "maintenance"
-    DOWN = "down"
-
-
-@define(frozen=True)
-class Machine:
-    """A machine of a service; ``upstream`` is the one that it runs while it is up.
-
-    The platform's list has the identity of the upstream, the planner its name.
-    """
-
-    name: str
-    service: str
-    state: MachineState
-    upstream: str = ""
-
-
-@define(frozen=True)
-class MaintenanceWave:
-    """Machines that must have their maintenance ``within`` a time.
-
-    At most ``limit`` of them may be down for maintenance at once.
-    """
-
-    number: int
-    machines: tuple[str, ...]
-    within: timedelta
-    limit: int
-
-
-@define(frozen=True)
-class WaveRecord:
-    """The stored progress of a wave, which a new leader takes over.
-
-    ``seen`` is the time at which a leader first saw the wave, in seconds of the store's
-    clock. ``ordered`` machines may be down, or may go down later. ``done`` machines
-    need no further maintenance in the wave.
-    """
-
-    number: int
-    seen: float
-    ordered: tuple[str, ...] = ()
-    done: tuple[str, ...] = ()
-    completed: bool = False
-
-
-@define(frozen=True)
-class MaintenanceOrder:
-    """An order to take a machine down for its maintenance in a wave."""
-
-    machine: str
-    wave: int
-
-
-class OrderOutcome(StrEnum):
-    """The outcome of an order.
-
-    A ``refused`` order had no effect. An order with an ``unknown`` outcome may still be
-    carried out. A ``needless`` order was for a machine that is not part of the wave.
-    """
-
-    TAKEN = "taken"
-    REFUSED = "refused"
-    NEEDLESS = "needless"
-    UNKNOWN = "unknown"
-
-
-@define(eq=False)
-class _Order:
-    """The state of an order, from when it is stored until the machine is up again.
-
-    ``upstream`` ran on the machine before; it is empty if it is not known. ``sent`` and
-    ``taken`` are when the order was last sent and when it was accepted. An order that
-    an earlier leader has stored was taken over at ``inherited``; that leader may have
-    sent it or not.
-    """
-
-    upstream: str
-    sent: timedelta | None = None
-    taken: timedelta | None = None
-    inherited: timedelta | None = None
-
-    def may_be_pending(self, now: timedelta) -> bool:
-        """Tell whether the machine may go down for the order, now or later."""
-        if self.sent is not None:
-            return True
-        since = self.inherited
-        return since is not None and now - since < INHERITED_ORDER_TIME
-
-    def is_due(self, now: timedelta) -> bool:
-        """Tell whether the order must be sent, for the first time or as a retry."""
-        if self.taken is not None:
-            return False
-        return self.sent is None or now - self.sent >= ORDER_RETRY_INTERVAL
-
-    def is_over(self, machine: Machine, requested_at: timedelta) -> bool:
-        """Tell whether a machine has had its maintenance.
-
-        ``requested_at`` is when the list with the machine's state was requested.
-        """
-        if machine.state is not MachineState.UP or self.taken is None:
-            return False
-        if requested_at <= self.taken:
-            return False
-        replaced = bool(self.upstream) and machine.upstream != self.upstream
-        return replaced or requested_at - self.taken > SETTLING_TIME
-
-
-@define(eq=False)
-class _WaveProgress:
-    """The progress of a wave.
-
-    ``due`` is when the planner aims to complete the wave. ``evacuating`` has the
-    machines that are evacuated, and since when. Machines in ``held`` were kept up for
-    their tasks after the time of their evacuation.
-    """
-
-    wave: MaintenanceWave
-    seen: float
-    due: timedelta
-    evacuating: dict[str, timedelta] = field(factory=dict)
-    orders: dict[str, _Order] = field(factory=dict)
-    done: set[str] = field(factory=set)
-    held: set[str] = field(factory=set)
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether every machine has had its maintenance or no longer exists."""
-        return self.done.issuperset(self.wave.machines)
-
-    def list_waiting(self) -> list[str]:
-        """Return the machines whose evacuation has not begun."""
-        begun = self.done | self.orders.keys() | self.evacuating.keys()
-        return [name for name in self.wave.machines if name not in begun]
-
-    def count_machines_to_begin(self, cycle: timedelta, now: timedelta) -> int:
-        """Return how many more machines to evacuate now, at most up to the limit.
-
-        ``cycle`` is how long one machine takes. Within the limit, the number suffices
-        to complete the wave by ``due``; it is negative if more machines are under way.
-        """
-        remaining = len(set(self.wave.machines) - self.done)
-        rounds = max(1, (self.due - now) // cycle)
-        wanted = min(self.wave.limit, math.ceil(remaining / rounds))
-        return wanted - len(self.orders) - len(self.evacuating)
-
-    def make_record(self) -> WaveRecord:
-        """Return the record of the wave that the leader must store.
-
-        That of a completed wave names no machines.
-        """
-        if self.is_complete:
-            return WaveRecord(self.wave.number, self.seen, completed=True)
-        return WaveRecord(
-            self.wave.number,
-            self.seen,
-            tuple(sorted(self.orders)),
-            tuple(sorted(self.done)),
-        )
-
-
 @define(eq=False)
 class MaintenancePlanner:
     """Plans all maintenance waves of the cell for the leader of one epoch.
@@ -202,7 +38,7 @@
 
     duration: timedelta
     machines: dict[str, Machine] = field(factory=dict)
-    _waves: dict[int, _WaveProgress] = field(factory=dict)
+    _waves: dict[int, WaveProgress] = field(factory=dict)
     _records: dict[int, WaveRecord] = field(factory=dict)
 
     @property
@@ -235,10 +71,10 @@
             record = WaveRecord(wave.number, store_time.total_seconds())
         elapsed = store_time - timedelta(seconds=record.seen)
         due = now + TARGET_TIME_SHARE * wave.within - elapsed
-        progress = _WaveProgress(wave, record.seen, due, done=set(record.done))
+        progress = WaveProgress(wave, record.seen, due, done=set(record.done))
         for name in record.ordered:
             # The record does not tell which upstream ran on the machine.
-            progress.orders[name] = _Order("", inherited=now)
+            progress.orders[name] = WaveOrder("", inherited=now)
         self._waves[wave.number] = progress
         logger.info(
             "maintenance wave added",
@@ -267,7 +103,7 @@
                 elif order.sent is None and machine.state is MachineState.UP:
                     order.upstream = machine.upstream
 
-    def _mark_done(self, progress: _WaveProgress, name: str, outcome: str) -> None:
+    def _mark_done(self, progress: WaveProgress, name: str, outcome: str) -> None:
         """Mark a machine as done with the wave."""
         if name in progress.done:
             return
@@ -309,7 +145,7 @@
                     continue
                 if is_empty or (is_overdue and may_leave(machine.upstream)):
                     del progress.evacuating[name]
-                    progress.orders[name] = _Order(machine.upstream)
+                    progress.orders[name] = WaveOrder(machine.upstream)
                     going_down.add(machine.upstream)
             for name, order in progress.orders.items():
                 if order.is_due(now) and may_leave(order.upstream):
@@ -332,7 +168,7 @@
 
     def _log_held_orders(
         self,
-        progress: _WaveProgress,
+        progress: WaveProgress,
         now: timedelta,
         may_leave: Callable[[str], bool],
     ) -> None:
@@ -363,7 +199,7 @@
 
     def _begin_evacuations(
         self,
-        progress: _WaveProgress,
+        progress: WaveProgress,
         now: timedelta,
         count_runs: Callable[[str], int],
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -12,10 +12,10 @@
 from expression import Result
 
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.maintenance import Machine, MaintenanceWave
 from almondspread.jobs.messages import RunEnd, RunSighting, UpstreamEntry
 from almondspread.jobs.operator_rows import OperatorRow, OperatorRowStates
 from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.waves import Machine, MaintenanceWave
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
@@ -7,18 +7,11 @@
 from hypothesis import strategies as st
 
 from almondspread.jobs.evacuation import choose_evacuations
-from almondspread.jobs.maintenance import (
-    EVACUATION_TIME,
-    INHERITED_ORDER_TIME,
-    ORDER_RETRY_INTERVAL,
-    Machine,
-    MachineState,
-    MaintenancePlanner,
-    MaintenanceWave,
-    OrderOutcome,
-)
+from almondspread.jobs.maintenance import EVACUATION_TIME, MaintenancePlanner
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+from almondspread.jobs.wave_progress import INHERITED_ORDER_TIME, ORDER_RETRY_INTERVAL
+from almondspread.jobs.waves import Machine, MachineState, MaintenanceWave, OrderOutcome
 
 DURATION = 2 * SECOND
 STEP = timedelta(milliseconds=300)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
@@ -0,0 +1,48 @@
+"""The heartbeats of a leader to its members."""
+
+from almondspread.clock import Clock
+from almondspread.jobs.scheduler import Scheduler
+from almondspread_daemon.jobs.assignments import Assignments
+from almondspread_daemon.jobs.commits import Committer
+from almondspread_daemon.jobs.intake import JobIntake
+from almondspread_daemon.jobs.links import Beat, QueueLoads
+from almondspread_daemon.jobs.operator_exchange import OperatorExchange
+from almondspread_daemon.jobs.store_access import StoreAccess
+
+
+class LeaderHeartbeats:
+    """Tells the members what the leader of one epoch can do and knows."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        assignments: Assignments,
+        committer: Committer,
+        intake: JobIntake,
+        store: StoreAccess,
+        exchange: OperatorExchange,
+        clock: Clock,
+    ) -> None:
+        self._scheduler = scheduler
+        self._assignments = assignments
+        self._committer = committer
+        self._intake = intake
+        self._store = store
+        self._exchange = exchange
+        self._clock = clock
+
+    def send(self) -> None:
+        """Send all members a heartbeat."""
+        beat = Beat(
+            self._committer.lease_holds,
+            self._intake.is_caught_up(),
+            self._store.is_unavailable,
+            member_address=self._assignments.members.name_next_address(),
+        )
+        self._assignments.broadcast(self._exchange.stamp(beat))
+
+    def send_with_loads(self) -> None:
+        """Send all members a heartbeat and the waits that new jobs have to expect."""
+        loads = QueueLoads(self._scheduler.estimate_waits(self._clock.monotonic()))
+        self.send()
+        self._assignments.broadcast(loads)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -9,7 +9,6 @@
 from almondspread.clock import Clock
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.leases import LeaderRow
-from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
     AdviceClient,
@@ -17,6 +16,7 @@
     OperatorInput,
     UpstreamClient,
 )
+from almondspread.jobs.waves import MaintenanceWave
 from almondspread_daemon.addresses import parse_address
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.executor import Executor
@@ -27,16 +27,12 @@
 from almondspread_daemon.jobs.leader_inquiry import LeaderInquiry
 from almondspread_daemon.jobs.leader_messages import LeaderMessageDispatcher
 from almondspread_daemon.jobs.leader_row_access import LeaderRowAccess
+from almondspread_daemon.jobs.link_service import LinkService
 from almondspread_daemon.jobs.links import (
-    AskLeader,
     AskOperatorRows,
-    Hello,
     JobCancelled,
-    LeaderKnown,
     Leaving,
-    Link,
     LinkServer,
-    NotLeading,
 )
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
@@ -115,6 +111,7 @@
         self._inquiry = LeaderInquiry(
             settings.peer_address,
             settings.contacts,
+            clock,
             random_source,
             lambda: AskOperatorRows(self._published.rows.list_versions()),
             self._exchange.take,
@@ -123,7 +120,14 @@
         self._waves: tuple[MaintenanceWave, ...] = ()
         self._executor = Executor(upstreams, advice, clock, settings.lease, metrics)
         self._session: LeaderSession | None = None
-        self._listener = LinkServer(self._serve_link)
+        self._link_service = LinkService(
+            incarnation,
+            clock,
+            self._exchange,
+            lambda: self._session,
+            self._find_leader_row,
+        )
+        self._listener = LinkServer(self._link_service.serve)
         self._stopping = False
         self._candidacy = Candidacy(
             settings.instance, incarnation, clock, self.store_clock
@@ -366,44 +370,12 @@
             self._metrics.set_load(0)
             self._dispatcher.detach()
 
-    async def _serve_link(self, link: Link) -> None:
-        """Serve a connected instance: as a member, or with what it asks for."""
-        async for message in link.receive_messages():
-            match message:
-                case Hello():
-                    await self._serve_member(message, link)
-                    return
-                case AskOperatorRows():
-                    self._exchange.answer(message, "peer", link.send)
-                case AskLeader():
-                    link.send(LeaderKnown(self._find_leader_row()))
-                case _:
-                    return
-
     def _find_leader_row(self) -> LeaderRow | None:
         """Return the row of the leader that this instance is or follows, if any."""
         if self._session is not None:
             return self._session.row
         return self._follower.leader_row
 
-    async def _serve_member(self, hello: Hello, link: Link) -> None:
-        """Serve a connected instance as a member, if this instance leads."""
-        session = self._session
-        if session is None or not session.is_loaded:
-            link.send(NotLeading(self._incarnation))
-            return
-        member = Member(
-            hello.instance,
-            hello.failure_domain,
-            hello.cores,
-            link.send,
-            self._clock.monotonic(),
-            hello.strength,
-            self._clock.monotonic() - timedelta(seconds=hello.age),
-            address=hello.address,
-        )
-        await session.serve_member(member, link)
-
     def _notify_leader_of_cancel(self, job: str) -> None:
         """Notify the leader of a cancellation.
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -9,7 +9,6 @@
 from almondspread.clock import Clock
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.leases import LeaderRow
-from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.messages import (
     AssignedReport,
     EpochFenced,
@@ -21,9 +20,11 @@
 )
 from almondspread.jobs.ports import MachineClient
 from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
+from almondspread.jobs.waves import MaintenanceWave
 from almondspread_daemon.jobs.announcer import StateAnnouncer
 from almondspread_daemon.jobs.assignments import Assignments
 from almondspread_daemon.jobs.commits import Committer
+from almondspread_daemon.jobs.heartbeats import LeaderHeartbeats
 from almondspread_daemon.jobs.intake import STORE_RETRY_DELAY, JobIntake
 from almondspread_daemon.jobs.lasting import run_lasting
 from almondspread_daemon.jobs.links import (
@@ -31,7 +32,6 @@
     JobCancelled,
     Leaving,
     Link,
-    QueueLoads,
     Released,
     Resigned,
     StoreReached,
@@ -43,6 +43,7 @@
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
+from almondspread_daemon.jobs.pass_loop import PassLoop
 from almondspread_daemon.jobs.relay_service import RelayService
 from almondspread_daemon.jobs.resignation import Resignation
 from almondspread_daemon.jobs.retention import Retention
@@ -52,15 +53,10 @@
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.jobs.upstream_list import UpstreamList
-from almondspread_daemon.jobs.wall_time import estimate_wall_time, measure_offset
+from almondspread_daemon.jobs.wall_time import measure_offset
 
 COMMIT_INTERVAL = timedelta(milliseconds=50)
 RENEW_INTERVAL = timedelta(milliseconds=400)
-# Delays a scheduler pass after an event, so that one pass handles a batch of events.
-BATCH_DELAY = timedelta(milliseconds=4)
-# A long pass is followed by a pause of this multiple, in which links are served.
-PASS_PAUSE_FACTOR = 1.0
-IDLE_PASS_INTERVAL = timedelta(milliseconds=100)
 HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
 
 
@@ -127,7 +123,26 @@
             settings, self._intake.rows, self._scheduler, store, clock
         )
         self._assignments = Assignments(self._scheduler, settings, clock)
+        self._heartbeats = LeaderHeartbeats(
+            self._scheduler,
+            self._assignments,
+            self._committer,
+            self._intake,
+            store,
+            exchange,
+            clock,
+        )
         self._announcer = StateAnnouncer(self._scheduler, self._assignments, clock)
+        self._commit_wanted = asyncio.Event()
+        self._passes = PassLoop(
+            row.instance,
+            self._scheduler,
+            self._assignments,
+            self._committer,
+            self._announcer,
+            self._commit_wanted.set,
+            clock,
+        )
         self._upstream_list = UpstreamList(
             self._scheduler, self._assignments, store, clock, self._note_upstreams
         )
@@ -145,8 +160,6 @@
                 clock,
             )
         self._resignation = Resignation(store, clock, self._resign)
-        self._pass_wanted = asyncio.Event()
-        self._commit_wanted = asyncio.Event()
         self._ended = asyncio.Event()
 
     @property
@@ -175,7 +188,7 @@
                 group.create_task(self._follow_submissions()),
                 group.create_task(self._load_missing_partitions()),
                 group.create_task(self._fence_marks()),
-                group.create_task(self._run_passes()),
+                group.create_task(self._passes.run()),
                 group.create_task(self._announcer.run()),
                 group.create_task(self._send_heartbeats()),
             ]
@@ -242,12 +255,12 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration from the next scheduler pass on."""
         self._scheduler.configure(configuration)
-        self._pass_wanted.set()
+        self._passes.request()
 
     def cancel_job(self, job: str) -> None:
         """Cancel a job in the scheduler; the caller has stored the cancellation."""
         self._scheduler.cancel_job(job, self._clock.monotonic())
-        self._pass_wanted.set()
+        self._passes.request()
 
     def set_waves(self, waves: tuple[MaintenanceWave, ...]) -> None:
         """Replace the maintenance waves that operators have requested."""
@@ -304,7 +317,7 @@
                     message.unix_seconds, self._clock.monotonic()
                 )
                 return
-        self._pass_wanted.set()
+        self._passes.request()
 
     def _handle_report(self, report: ExecutorReport) -> None:
         """Pass an executor's report to the scheduler; store ended runs soon."""
@@ -312,16 +325,17 @@
         if isinstance(report, UpstreamReport) and report.ends:
             self._commit_wanted.set()
 
+    def send_heartbeat(self) -> None:
+        """Send all members a heartbeat at once."""
+        self._heartbeats.send()
+
     async def _send_heartbeats(self) -> None:
-        """Send heartbeats and drop members that time out.
+        """Send heartbeats and the waits to expect, and drop members that time out.
 
         The epoch ends here if the lease could not be renewed for the grace period.
         """
         while True:
-            now = self._clock.monotonic()
-            loads = QueueLoads(self._scheduler.estimate_waits(now))
-            self.send_heartbeat()
-            self._assignments.broadcast(loads)
+            self._heartbeats.send_with_loads()
             self._assignments.remove_silent_members(self._instance)
             if self._committer.is_grace_over:
                 self.end(
@@ -329,52 +343,6 @@
                 )
             await self._clock.sleep(HEARTBEAT_INTERVAL)
 
-    def send_heartbeat(self) -> None:
-        """Send all members a heartbeat."""
-        beat = Beat(
-            self._committer.lease_holds,
-            self._intake.is_caught_up(),
-            self._store.is_unavailable,
-            member_address=self._assignments.members.name_next_address(),
-        )
-        self._assignments.broadcast(self._exchange.stamp(beat))
-
-    # Scheduler passes
-
-    async def _run_passes(self) -> None:
-        """Run a scheduler pass after each batch of events or an idle interval."""
-        duration = timedelta(0)
-        while True:
-            try:
-                async with asyncio.timeout(IDLE_PASS_INTERVAL.total_seconds()):
-                    await self._pass_wanted.wait()
-                await self._clock.sleep(max(BATCH_DELAY, duration * PASS_PAUSE_FACTOR))
-            except TimeoutError:
-                pass
-            self._pass_wanted.clear()
-            began = self._clock.monotonic()
-            self._run_pass()
-            duration = self._clock.monotonic() - began
-
-    def _run_pass(self) -> None:
-        """Run one scheduler pass and send its orders."""
-        members = self._assignments.members
-        self._assignments.update_unresponsive_upstreams(self._instance)
-        orders = self._scheduler.schedule(
-            self._clock.monotonic(),
-            estimate_wall_time(members.members.values(), self._instance, self._clock),
-            members.count_advice_slots(),
-            self._committer.lease_holds,
-        )
-        for order in orders:
-            self._assignments.send_order(order)
-        if self._scheduler.has_unrecorded_upstreams():
-            self._commit_wanted.set()
-        if self._scheduler.has_changes:
-            self._commit_wanted.set()
-        if self._scheduler.has_announcements:
-            self._announcer.note_changes()
-
     # The store
 
     async def _run_commits(self) -> None:
@@ -387,11 +355,11 @@
                 pass
             self._commit_wanted.clear()
             if await self._committer.commit():
-                self._pass_wanted.set()
+                self._passes.request()
             else:
                 self._commit_wanted.set()
                 if await self._start_permission.mark_if_refused():
-                    self._pass_wanted.set()
+                    self._passes.request()
                 await self._clock.sleep(STORE_RETRY_DELAY)
             if self._committer.is_superseded:
                 self.end("another instance has claimed the leadership")
@@ -402,13 +370,13 @@
         while not self._start_permission.is_final:
             await self._clock.sleep(STORE_RETRY_DELAY)
             await self._start_permission.update_inherited_version()
-        self._pass_wanted.set()
+        self._passes.request()
 
     async def _follow_submissions(self) -> None:
         """Apply jobs and cancellations to the scheduler as they are stored."""
         while True:
             if await self._intake.follow():
-                self._pass_wanted.set()
+                self._passes.request()
                 if self._scheduler.has_unstartable_jobs:
                     self._commit_wanted.set()
 
@@ -420,10 +388,10 @@
         """
         await self._intake.load_missing_partitions()
         self._assignments.resend_watch_orders()
-        self._pass_wanted.set()
+        self._passes.request()
 
     def _note_upstreams(self, has_new: bool) -> None:
         """Have a pass use the newest list, and new upstreams recorded in the store."""
         if has_new:
             self._commit_wanted.set()
-        self._pass_wanted.set()
+        self._passes.request()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_inquiry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_inquiry.py
@@ -12,6 +12,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from almondspread.clock import Clock
 from almondspread.jobs.leases import LeaderRow
 from almondspread_daemon.addresses import parse_destination
 from almondspread_daemon.jobs.links import (
@@ -24,6 +25,7 @@
 
 # Between instances of a region, one exchange of messages takes a few milliseconds.
 INQUIRY_TIMEOUT = timedelta(milliseconds=400)
+INQUIRY_INTERVAL = timedelta(milliseconds=300)
 # Besides those of the settings, so many addresses are remembered.
 MAX_REMEMBERED = 16
 # So many instances are asked at once.
@@ -42,13 +44,16 @@
         self,
         own_address: str,
         contacts: tuple[str, ...],
+        clock: Clock,
         random_source: random.Random,
         make_request: Callable[[], AskOperatorRows],
         take_rows: Callable[[OperatorRowsSent, str], None],
     ) -> None:
         self._own_address = own_address
         self._contacts = contacts
+        self._clock = clock
         self._random = random_source
+        self._asked_at = timedelta.min
         self._remembered: dict[str, None] = {}
         self._make_request = make_request
         self._take_rows = take_rows
@@ -68,7 +73,15 @@
             del self._remembered[next(iter(self._remembered))]
 
     async def find_leader(self) -> LeaderRow | None:
-        """Return the row of the newest leader that some other instances know."""
+        """Return the row of the newest leader that some other instances know.
+
+        They are asked no more often than once per ``INQUIRY_INTERVAL``; in between, the
+        result is ``None``.
+        """
+        now = self._clock.monotonic()
+        if now < self._asked_at + INQUIRY_INTERVAL:
+            return None
+        self._asked_at = now
         addresses = self.addresses
         if len(addresses) > INQUIRIES_AT_ONCE:
             addresses = self._random.sample(addresses, INQUIRIES_AT_ONCE)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -7,13 +7,7 @@
 
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
-from almondspread.jobs.maintenance import (
-    MaintenanceOrder,
-    MaintenancePlanner,
-    MaintenanceWave,
-    OrderOutcome,
-    WaveRecord,
-)
+from almondspread.jobs.maintenance import MaintenancePlanner
 from almondspread.jobs.messages import UpstreamSilent
 from almondspread.jobs.ports import (
     CallFailed,
@@ -24,6 +18,12 @@
     Transaction,
 )
 from almondspread.jobs.scheduler import Scheduler
+from almondspread.jobs.waves import (
+    MaintenanceOrder,
+    MaintenanceWave,
+    OrderOutcome,
+    WaveRecord,
+)
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.row_chunks import (
     StoredChunks,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -11,11 +11,11 @@
 from almondspread.codec import decode_message, encode_message
 from almondspread.jobs.configuration import AdviceTiming, Queue
 from almondspread.jobs.leases import LeaderRow
-from almondspread.jobs.maintenance import WaveRecord
 from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import RowName, StoredRow
 from almondspread.jobs.store_limits import StoreLimits
 from almondspread.jobs.submissions import Repetition, Step, Submission
+from almondspread.jobs.waves import WaveRecord
 from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.row_chunks import pack_chunks, parse_chunk_key
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -32,6 +32,7 @@
     StoreLimits,
     find_excess,
 )
+from almondspread_daemon.jobs.adaptive_timeout import AdaptiveTimeout
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 DEFAULT_BUDGET = ApplyBudget()
@@ -39,12 +40,8 @@
 T = TypeVar("T")
 E = TypeVar("E")
 
-MIN_TIMEOUT = timedelta(milliseconds=300)
-MAX_TIMEOUT = timedelta(milliseconds=1_600)
 # A configuration with thousands of queues takes this long over a slow link.
 OPERATOR_INPUT_TIME = timedelta(milliseconds=1_500)
-# A timeout of this many average latencies tells a lost answer from a slow one.
-TIMEOUT_FACTOR = 6
 PROBE_INTERVAL = timedelta(milliseconds=200)
 # A silent store answers no probe. Several are sent without awaiting each other, so
 # that one of them soon reaches the store after it has recovered.
@@ -57,7 +54,6 @@
 # call may be refused or its answer lost.
 OUTAGE_THRESHOLD = timedelta(milliseconds=500)
 RETRY_DELAY = timedelta(milliseconds=50)
-SMOOTHING_FACTOR = 0.2
 # After an outage, a call that has been pending this many times longer than the first
 # answer took is not queued in a slow store: the store will never answer it.
 ABANDON_FACTOR = 20
@@ -70,34 +66,6 @@
 CALL_ABANDONED = StoreUnavailable("later calls were answered first", not_done=False)
 
 
-class AdaptiveTimeout:
-    """Derives a timeout from the moving average of the latencies of answers.
-
-    The timeout is never below ``minimum``.
-    """
-
-    def __init__(self, minimum: timedelta = MIN_TIMEOUT) -> None:
-        self._minimum = minimum
-        self._average = minimum / TIMEOUT_FACTOR
-        self._timeout = minimum
-
-    @property
-    def timeout(self) -> timedelta:
-        """The timeout of the next call."""
-        return self._timeout
-
-    def record_answer(self, duration: timedelta) -> None:
-        """Update the average and the timeout with the latency of an answer."""
-        self._average += SMOOTHING_FACTOR * (duration - self._average)
-        self._timeout = max(
-            self._minimum, min(MAX_TIMEOUT, TIMEOUT_FACTOR * self._average)
-        )
-
-    def record_timeout(self) -> None:
-        """Double the timeout of the next call, since the store may be slow."""
-        self._timeout = min(MAX_TIMEOUT, 2 * self._timeout)
-
-
 @define(eq=False)
 class _PendingCall:
     """A call that awaits its answer; ``scope`` cancels the call early."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lasting.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lasting.py
@@ -29,7 +29,7 @@
     "_follow_submissions",
     "_load_missing_partitions",
     "_fence_marks",
-    "_run_passes",
+    "_passes.run",
     "_send_heartbeats",
 )
 ROUNDS = 300
@@ -181,7 +181,8 @@
             with self.subTest(loop=name):
                 await self.asyncSetUp()
                 session = await self.lead()
-                fail_once(session, name)
+                owner, _, method = name.rpartition(".")
+                fail_once(getattr(session, owner) if owner else session, method)
                 with self.assertRaises((ExceptionGroup, RuntimeError)):
                     await session.run()
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
@@ -7,14 +7,9 @@
 
 from almondspread.codec import encode_message
 from almondspread.jobs.leases import LEADER_LEASE
-from almondspread.jobs.maintenance import (
-    Machine,
-    MachineState,
-    MaintenanceWave,
-    WaveRecord,
-)
 from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import CallFailed, RowName, RowPut
+from almondspread.jobs.waves import Machine, MachineState, MaintenanceWave, WaveRecord
 from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.maintenance import MaintenanceController
 from almondspread_daemon.jobs.row_chunks import make_chunk_name
@@ -166,6 +161,25 @@
         upstream = self.scheduler.cell_state.upstreams["m0@1500"]
         self.assertTrue(upstream.is_leaving)
 
+    async def test_tasks_are_kept_off_inherited_machines_before_the_handover_is_over(
+        self,
+    ):
+        """A new leader placed tasks there, and then had the machines taken down."""
+        first = await self.lead()
+        self.machines.answer = Error(CallFailed("no answer", not_done=False))
+        await self.run_steps(first, 1)
+        [(_, _, _)] = self.machines.orders
+        ordered = self.machines.orders[0][0].machine
+        second = await self.lead(2, "two")
+        listed = (await self.machines.list_machines(SECOND)).ok
+        [name] = [each.upstream for each in listed if each.name == ordered]
+        entry = UpstreamEntry(name, "service", "10.0.0.1:1", "umea", Capacity(1, 1))
+        self.scheduler.update_upstreams([entry], self.parts.clock.monotonic())
+        await self.committer.commit()
+        await second.step(may_order=False)
+        self.assertTrue(self.scheduler.cell_state.upstreams[name].is_leaving)
+        self.assertEqual(self.machines.orders, [])
+
     async def test_order_is_stored_before_it_is_sent(self):
         controller = await self.lead()
         await self.run_steps(controller, 40)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operations.py
@@ -5,9 +5,9 @@
 from expression import Error, Ok
 
 from almondspread.jobs.apply_budget import ApplyBudget
-from almondspread.jobs.maintenance import MaintenanceWave
 from almondspread.jobs.operator_rows import OperatorRow, OperatorRowStates
 from almondspread.jobs.ports import HistoryGone, OperatorInput, StoreUnavailable
+from almondspread.jobs.waves import MaintenanceWave
 from almondspread.testing.cell_input import make_configuration
 from almondspread_daemon.jobs.operations import NO_WAIT, OperationsFeed
 from almondspread_daemon.jobs.store_access import CALL_ABANDONED
