List the uncounted crashes beside changes of the leader as a known failure

The next leader does not know what ran on the upstream, so that no crash is counted; the sixth came, five were allowed at the most. A mend needs the executors to tell the next leader what ran there: not begun.

--- a/packages/almondspread/almondspread/jobs/tests/test_crashes.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_crashes.py
@@ -256,3 +256,20 @@
                         self.cell.run_for(SECOND)
                     self.assertLess(crashes, 6)
                 self.assertEqual(crashes, 3)
+
+    def test_crash_together_with_the_leader_counts_for_the_task(self):
+        """The next leader did not know what had run on the upstream.
+
+        The task was started three times more after three crashes.
+        """
+        self.let_task_last()
+        self.cell.submit(make_job("j", make_step(estimate=30 * SECOND)))
+        crashes = 0
+        while self.cell.read_state("j") is not JobState.FAILED:
+            name = self.wait_for_start()
+            self.cell.run_for(3 * SECOND)
+            self.cell.replace_upstream(name)
+            self.cell.take_over()
+            crashes += 1
+            self.assertLessEqual(crashes, 5)
+            self.cell.run_for(SECOND)
