--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -9,7 +9,6 @@
 
 from almondspread.clock.unix_time import from_unix_ms
 from almondspread.codec import decode_message, encode_message
-from almondspread.jobs.configuration import AdviceTiming, Queue
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.messages import UpstreamEntry
 from almondspread.jobs.ports import RowName, StoredRow
@@ -17,6 +16,7 @@
 from almondspread.jobs.submissions import Repetition, Step, Submission
 from almondspread.jobs.waves import WaveRecord
 from almondspread.resources.capacity import Capacity
+from almondspread_daemon.jobs.queue_rows import QueueRow, decode_queue, make_queue_row
 from almondspread_daemon.jobs.row_chunks import pack_chunks, parse_chunk_key
 
 T = TypeVar("T")
@@ -42,9 +42,6 @@
 WATCHED_HEADER_BYTES = 64
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
-# How many times the advice of a queue has.
-ADVICE_TIMES = 3
-MILLISECOND = timedelta(milliseconds=1)
 
 
 @define(frozen=True)
@@ -71,21 +68,6 @@
     unavailable_limit: int = 0
 
 
-@define(frozen=True)
-class QueueRow:
-    """What a stored job needs of its queue, as it was when the job was accepted.
-
-    ``advice_ms`` has the three times of the advice service, and is empty without one.
-    """
-
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
-    advice_ms: tuple[float, ...] = ()
-
-
 @define(frozen=True)
 class SubmissionRow:
     """A stored submission.
@@ -272,7 +254,7 @@
         submission.payload,
         accepted.total_seconds(),
         tuple(steps),
-        terms=_make_queue_row(submission.accepted_queue),
+        terms=make_queue_row(submission.accepted_queue),
     )
     repetition = submission.repetition
     if repetition is not None:
@@ -285,51 +267,6 @@
     return encode_message(row)
 
 
-def _make_queue_row(queue: Queue | None) -> QueueRow | None:
-    """Return what a job needs of its queue."""
-    if queue is None:
-        return None
-    advice: tuple[float, ...] = ()
-    if queue.advice is not None:
-        times = queue.advice
-        advice = tuple(
-            duration / MILLISECOND
-            for duration in (
-                times.decision_time,
-                times.time_per_upstream,
-                times.validity,
-            )
-        )
-    return QueueRow(
-        queue.service,
-        queue.priority,
-        queue.max_attempts,
-        queue.stretch,
-        _to_ms(queue.target_latency),
-        advice,
-    )
-
-
-def _decode_queue(name: str, row: QueueRow | None) -> Queue | None:
-    """Return the queue of a stored job; no path leads to it any more."""
-    if row is None:
-        return None
-    advice = None
-    if len(row.advice_ms) == ADVICE_TIMES:
-        advice = AdviceTiming(*(value * MILLISECOND for value in row.advice_ms))
-    return Queue(
-        name,
-        "",
-        "",
-        row.service,
-        row.priority,
-        row.max_attempts,
-        row.stretch,
-        row.target_latency_ms * MILLISECOND,
-        advice=advice,
-    )
-
-
 def decode_submission(row: SubmissionRow) -> Submission:
     """Return the submission that a row holds."""
     steps = []
@@ -365,7 +302,7 @@
         row.payload,
         tuple(steps),
         repetition,
-        _decode_queue(row.queue, row.terms),
+        decode_queue(row.queue, row.terms),
     )
 
 
