--- a/packages/almondspread_standin/almondspread_standin/soak/proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy that injects network faults: delays, stalls, resets, one-way cuts."""
+"""A TCP proxy that injects network faults: delays, stalls, resets, cuts, silence."""
 
 import asyncio
 import socket
@@ -43,6 +43,9 @@
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
+    # Connections are numbered as they come; those up to this number are silent.
+    _last_number: int = 0
+    _last_silent: int = 0
 
     async def start(self) -> None:
         """Start to listen for connections."""
@@ -67,6 +70,13 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def silence(self) -> None:
+        """Have all open connections fall silent for good, while new ones work.
+
+        Neither side hears of it: what is sent is lost, also that a side has closed.
+        """
+        self._last_silent = self._last_number
+
     async def stop(self) -> None:
         """Stop listening, and reset all open connections."""
         if self._server is not None:
@@ -83,6 +93,8 @@
         if self.state is LinkState.REFUSED:
             _reset(writer)
             return
+        self._last_number += 1
+        number = self._last_number
         while self.state is LinkState.HELD:
             await asyncio.sleep(HELD_POLL_SECONDS)
         try:
@@ -93,9 +105,11 @@
         self._writers |= {writer, target_writer}
         forward_tasks = (
             asyncio.create_task(
-                self._forward(reader, target_writer, is_response=False)
+                self._forward(number, reader, target_writer, is_response=False)
+            ),
+            asyncio.create_task(
+                self._forward(number, target_reader, writer, is_response=True)
             ),
-            asyncio.create_task(self._forward(target_reader, writer, is_response=True)),
         )
         self._tasks.update(forward_tasks)
         await asyncio.wait(forward_tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -108,22 +122,31 @@
 
     async def _forward(
         self,
+        number: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
         is_response: bool,
     ) -> None:
-        """Forward the bytes of one direction, delayed or stalled as the link is."""
+        """Forward the bytes of one direction, delayed or stalled as the link is.
+
+        Those of a connection whose ``number`` is silent are lost.
+        """
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 while self._is_blocked(is_response):
                     await asyncio.sleep(HELD_POLL_SECONDS)
+                if number <= self._last_silent:
+                    continue
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
             return
+        if number <= self._last_silent:
+            # Until the proxy stops, the other side does not hear of the end.
+            await asyncio.Event().wait()
 
     def _is_blocked(self, is_response: bool) -> bool:
         """Return whether the link stalls the bytes of a direction."""
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_proxy.py
@@ -47,6 +47,25 @@
             self.proxy.set_state(LinkState.OPEN)
             self.assertTrue(await self.is_echoed(5))
 
+    async def test_silent_connections_stay_silent_while_new_ones_work(self):
+        self.writer.write(b"x")
+        self.assertTrue(await self.is_echoed(5))
+        self.proxy.silence()
+        self.writer.write(b"x")
+        self.assertFalse(await self.is_echoed())
+        self.reader, self.writer = await self.connect()
+        self.writer.write(b"x")
+        self.assertTrue(await self.is_echoed(5))
+
+    async def test_end_of_a_silent_connection_is_not_heard(self):
+        self.writer.write(b"x")
+        self.assertTrue(await self.is_echoed(5))
+        self.proxy.silence()
+        self.writer.write_eof()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await self.reader.read(1)
+
     async def test_refused_link_resets_old_and_new_connections(self):
         self.writer.write(b"x")
         self.assertTrue(await self.is_echoed(5))
