Log and count the connections that are given up, by callee

HttpCaller tells the address, the adapter logs 'connections given up' and counts connections_given_up by callee.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -66,6 +66,10 @@
         self._row_changes = meter.create_counter(
             "operator_row_changes", description="changes of operators' rows, by source"
         )
+        self._given_up = meter.create_counter(
+            "connections_given_up",
+            description="times that connections were taken for silent, by callee",
+        )
         self._loop_errors = meter.create_counter(
             "loop_errors", description="unexpected errors in lasting loops, by loop"
         )
@@ -117,6 +121,10 @@
         """Count a change of operators' rows, by whether the store or a member told."""
         self._row_changes.add(1, {"source": source})
 
+    def count_connections_given_up(self, callee: str) -> None:
+        """Count that the idle connections to an address of a callee are not trusted."""
+        self._given_up.add(1, {"callee": callee})
+
     def count_loop_error(self, loop: str) -> None:
         """Count an unexpected error in a lasting loop."""
         self._loop_errors.add(1, {"loop": loop})
--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -39,6 +39,10 @@
     return True
 
 
+def ignore_address(_: str) -> None:
+    """Do nothing about an address."""
+
+
 @define(frozen=True)
 class HttpCall:
     """One request: ``address`` is ``IP:port``, ``path`` starts with a slash.
@@ -85,6 +89,7 @@
     A connection may fall silent without an error, and others with it. With
     ``open_replacement``, calls after one without an answer go through a new client,
     so that they use new connections. The earlier client is closed after its last call.
+    ``note_given_up`` is told the address of each call after which that is done.
     """
 
     def __init__(
@@ -95,11 +100,13 @@
         overall: int = 64,
         caller_domain: str = "",
         open_replacement: Callable[[], CurlAsyncHTTPClient] | None = None,
+        note_given_up: Callable[[str], None] = ignore_address,
     ) -> None:
         self.bytes_sent = 0
         self.bytes_received = 0
         self._client = client
         self._open_replacement = open_replacement
+        self._note_given_up = note_given_up
         self._client_since = 0.0
         self._open_calls: Counter[CurlAsyncHTTPClient] = Counter()
         self._limits = ConnectionLimits(per_address, overall)
@@ -119,13 +126,13 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not transfer.done() and not begun.done():
-                self._replace_client()
+                self._replace_client(call.address)
                 reason = f"{call.method} {call.address}{call.path}: no answer has begun"
                 return Error(CallFault(reason, not_sent=False))
         return await asyncio.shield(transfer)
 
-    def _replace_client(self) -> None:
-        """Have later calls use new connections."""
+    def _replace_client(self, address: str) -> None:
+        """Have later calls use new connections, after one without an answer."""
         now = asyncio.get_running_loop().time()
         if self._open_replacement is None:
             return
@@ -134,6 +141,7 @@
         replaced = self._client
         self._client = self._open_replacement()
         self._client_since = now
+        self._note_given_up(address)
         self._close_if_unused(replaced)
 
     def _close_if_unused(self, client: CurlAsyncHTTPClient) -> None:
@@ -225,7 +233,7 @@
             response = await client.fetch(request, raise_error=False)
         except (HTTPClientError, pycurl.error, OSError, ValueError) as error:
             if times_handed_over and _is_timeout(error):
-                self._replace_client()
+                self._replace_client(call.address)
             reason = f"{call.method} {call.address}{call.path}: {error}"
             return Error(CallFault(reason, not_sent=times_handed_over == 0))
         finally:
