--- a/packages/almondspread_standin/almondspread_standin/soak/proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/proxy.py
@@ -32,7 +32,7 @@
     """Forwards connections to ``target``.
 
     ``delay`` is in seconds and applies to each chunk. Port 0 lets the system choose
-    ``listen_port`` at the start.
+    ``listen_port`` at the start. ``accepted`` counts the connections so far.
     """
 
     listen_host: str
@@ -42,9 +42,9 @@
     delay: float = 0.0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
+    accepted: int = 0
     _tasks: set[asyncio.Task[None]] = field(factory=set)
-    # Connections are numbered as they come; those up to this number are silent.
-    _last_number: int = 0
+    # Connections are numbered as they are accepted; those up to this one are silent.
     _last_silent: int = 0
 
     async def start(self) -> None:
@@ -75,7 +75,7 @@
 
         Neither side hears of it: what is sent is lost, also that a side has closed.
         """
-        self._last_silent = self._last_number
+        self._last_silent = self.accepted
 
     async def stop(self) -> None:
         """Stop listening, and reset all open connections."""
@@ -93,8 +93,8 @@
         if self.state is LinkState.REFUSED:
             _reset(writer)
             return
-        self._last_number += 1
-        number = self._last_number
+        self.accepted += 1
+        number = self.accepted
         while self.state is LinkState.HELD:
             await asyncio.sleep(HELD_POLL_SECONDS)
         try:
