Use new connections to an upstream after a call that it did not answer

What callers saw: where the connections of a machine fall silent, orders to upstreams and the ends of their tasks are late by one timeout per idle connection, up to four of 0.5 s, as the incident shows for the store.

Cause: a call that is given up takes just its own connection out of use. The repair for the store replaced the whole client after a lost answer; for a caller of many addresses this would cost all of them their connections.

Change: ClientSet chooses the client by address. An address moves to a newer client, where it has no connection yet, after a lost answer; others stay. It moves only if it has answered through its client, as there is no idle connection otherwise, so that a slow or frozen callee is not reconnected to without end. At most four clients, one opened in 0.5 s.

Two tests of the caller began with an outage before any answer; they now begin with an answer, since nothing is replaced otherwise, which a third test checks.

--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -1,7 +1,6 @@
 """One HTTP call over tornado's curl client, with typed faults."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -11,6 +10,8 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
+from almondspread.clock import Clock, SystemClock
+from almondspread_platform.clients import ClientSet, ClientUse, OpenClient
 from almondspread_platform.limits import ConnectionLimits
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -18,8 +19,6 @@
 STATUSES_WITHOUT_BODY = (204, 304)
 REPEATABLE_METHODS = ("GET", "DELETE")
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
-# Connections are given up no more often than this.
-MIN_CLIENT_SECONDS = 0.5
 
 
 @define(frozen=True)
@@ -43,6 +42,17 @@
     """Do nothing about an address."""
 
 
+@define(eq=False)
+class _Progress:
+    """How far a call has come: ``begun`` is done once a part of the answer is here.
+
+    ``use`` is the client that carries the call, ``None`` before it is sent.
+    """
+
+    begun: asyncio.Future[None]
+    use: ClientUse | None = None
+
+
 @define(frozen=True)
 class HttpCall:
     """One request: ``address`` is ``IP:port``, ``path`` starts with a slash.
@@ -86,10 +96,10 @@
     for its permit within its timeout. A call that is cancelled keeps its permit
     until the transfer ends, so that the bounds hold for what is really open.
 
-    A connection may fall silent without an error, and others with it. With
-    ``open_replacement``, calls after one without an answer go through a new client,
-    so that they use new connections. The earlier client is closed after its last call.
-    ``note_given_up`` is told the address of each call after which that is done.
+    A connection may fall silent without an error, and others to its address with it.
+    With ``open_replacement``, calls to an address after one without an answer use new
+    connections (:class:`ClientSet`). ``note_given_up`` is told each address whose idle
+    connections are given up.
     """
 
     def __init__(
@@ -99,56 +109,40 @@
         per_address: int = 8,
         overall: int = 64,
         caller_domain: str = "",
-        open_replacement: Callable[[], CurlAsyncHTTPClient] | None = None,
+        open_replacement: OpenClient | None = None,
         note_given_up: Callable[[str], None] = ignore_address,
+        clock: Clock | None = None,
     ) -> None:
         self.bytes_sent = 0
         self.bytes_received = 0
-        self._client = client
-        self._open_replacement = open_replacement
+        self._clients = ClientSet(client, open_replacement, clock or SystemClock())
         self._note_given_up = note_given_up
-        self._client_since = 0.0
-        self._open_calls: Counter[CurlAsyncHTTPClient] = Counter()
         self._limits = ConnectionLimits(per_address, overall)
         self._caller_domain = caller_domain
         self._transfers: set[asyncio.Task[Result[HTTPResponse, CallFault]]] = set()
 
     async def send(self, call: HttpCall) -> Result[HTTPResponse, CallFault]:
         """Send one request; the answer is whole and of any HTTP status."""
-        begun: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        transfer = asyncio.create_task(self._transfer(call, begun))
+        progress = _Progress(asyncio.get_running_loop().create_future())
+        transfer = asyncio.create_task(self._transfer(call, progress))
         self._transfers.add(transfer)
         transfer.add_done_callback(self._transfers.discard)
         if call.answer_begins is not None:
             await asyncio.wait(
-                (transfer, begun),
+                (transfer, progress.begun),
                 timeout=call.answer_begins.total_seconds(),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not transfer.done() and not begun.done():
-                self._replace_client(call.address)
+            if not transfer.done() and not progress.begun.done():
+                self._give_up_connections(call.address, progress.use)
                 reason = f"{call.method} {call.address}{call.path}: no answer has begun"
                 return Error(CallFault(reason, not_sent=False))
         return await asyncio.shield(transfer)
 
-    def _replace_client(self, address: str) -> None:
-        """Have later calls use new connections, after one without an answer."""
-        now = asyncio.get_running_loop().time()
-        if self._open_replacement is None:
-            return
-        if now - self._client_since < MIN_CLIENT_SECONDS:
-            return
-        replaced = self._client
-        self._client = self._open_replacement()
-        self._client_since = now
-        self._note_given_up(address)
-        self._close_if_unused(replaced)
-
-    def _close_if_unused(self, client: CurlAsyncHTTPClient) -> None:
-        """Close a client that was replaced and has no open call."""
-        if client is not self._client and not self._open_calls[client]:
-            del self._open_calls[client]
-            client.close()
+    def _give_up_connections(self, address: str, use: ClientUse | None) -> None:
+        """Have later calls to an address use new connections, after a lost answer."""
+        if use is not None and self._clients.give_up_connections(address, use):
+            self._note_given_up(address)
 
     async def wait_idle(self) -> None:
         """Wait until no transfer is open, as is needed before the client closes."""
@@ -156,12 +150,9 @@
             await asyncio.wait(set(self._transfers))
 
     async def _transfer(
-        self, call: HttpCall, begun: asyncio.Future[None]
+        self, call: HttpCall, progress: _Progress
     ) -> Result[HTTPResponse, CallFault]:
-        """Wait for a permit and carry the request with the time that remains.
-
-        ``begun`` is done once a part of the answer has arrived.
-        """
+        """Wait for a permit and carry the request with the time that remains."""
         loop = asyncio.get_running_loop()
         due = loop.time() + call.timeout.total_seconds()
         permit = self._limits.hold_permit(call.address)
@@ -172,17 +163,16 @@
             reason = f"no free connection to {call.address} before the timeout"
             return Error(CallFault(reason, not_sent=True))
         try:
-            return await self._fetch(call, due - loop.time(), begun)
+            return await self._fetch(call, due - loop.time(), progress)
         finally:
             await permit.__aexit__(None, None, None)
 
     async def _fetch(
-        self, call: HttpCall, seconds: float, begun: asyncio.Future[None]
+        self, call: HttpCall, seconds: float, progress: _Progress
     ) -> Result[HTTPResponse, CallFault]:
         """Carry one request that holds a permit."""
         if seconds < 0.001:
             return Error(CallFault("the timeout has passed", not_sent=True))
-        client = self._client
         times_handed_over = 0
 
         def guard_handing_over(*_: object) -> int:
@@ -211,8 +201,8 @@
 
         def note_beginning(_: str) -> None:
             """Note that a line of the answer's head has arrived."""
-            if not begun.done():
-                begun.set_result(None)
+            if not progress.begun.done():
+                progress.begun.set_result(None)
 
         request = HTTPRequest(
             f"http://{call.address}{call.path}",
@@ -228,17 +218,17 @@
             streaming_callback=call.take_chunk,
             header_callback=note_beginning if call.answer_begins else None,
         )
-        self._open_calls[client] += 1
+        use = progress.use = self._clients.begin_call(call.address)
         try:
-            response = await client.fetch(request, raise_error=False)
+            response = await use.client.fetch(request, raise_error=False)
         except (HTTPClientError, pycurl.error, OSError, ValueError) as error:
             if times_handed_over and _is_timeout(error):
-                self._replace_client(call.address)
+                self._give_up_connections(call.address, use)
             reason = f"{call.method} {call.address}{call.path}: {error}"
             return Error(CallFault(reason, not_sent=times_handed_over == 0))
         finally:
-            self._open_calls[client] -= 1
-            self._close_if_unused(client)
+            self._clients.end_call(use)
+        self._clients.record_answer(call.address, use)
         self.bytes_sent += _measure_request(request)
         self.bytes_received += _measure_response(response)
         if not _has_known_length(response):
--- a/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
@@ -125,6 +125,7 @@
 
     async def test_replaced_client_is_closed_after_its_last_call(self):
         self.make_caller()
+        await self.open_two_connections()
         self.server.answers = [b"", b"", ANSWER]
         long = asyncio.create_task(self.call(timeout=4 * BRIEF))
         await asyncio.sleep(0)
@@ -135,11 +136,21 @@
         self.assertIsNone(self.opened[0]._multi)
 
     async def test_outage_replaces_the_client_no_more_often_than_the_interval(self):
+        self.make_caller()
+        for _ in range(3):
+            self.server.answers = [ANSWER, b"", b""]
+            await self.call(timeout=SECOND)
+            for _ in range(2):
+                await self.call(begins=BRIEF / 6)
+        self.assertEqual(len(self.opened), 2)
+
+    async def test_outage_before_any_answer_replaces_nothing(self):
+        """There is no idle connection that a later call could take."""
         self.make_caller()
         self.server.answers = [b""] * 6
         for _ in range(6):
             await self.call(begins=BRIEF / 6)
-        self.assertEqual(len(self.opened), 2)
+        self.assertEqual(len(self.opened), 1)
 
     async def test_answer_that_has_begun_may_take_its_time(self):
         self.make_caller()
