Ask the advice service again once an answer is far later than expected

What callers saw: a job whose question meets a silent connection starts 4 s late, where the service decides in some 20 to 600 ms.

Cause: one timeout for all questions, chosen apart from the service's times, which the order carries.

Change: AdvicePace gives a question twice the expected time, times how late the answers before were, and 250 ms. A lost one is asked again at once, with all the time that remains of 4 s, on a new connection. One late answer raises the timeout at once, timely ones lower it by a fifth each, so that a slow service is not asked twice for long.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -3,9 +3,11 @@
 import asyncio
 from datetime import timedelta
 
+from expression import Result
 from loguru import logger
 
 from almondspread.clock import Clock
+from almondspread.jobs.advice_pace import MAX_QUESTION_TIME, AdvicePace
 from almondspread.jobs.leases import EXECUTOR_GRACE
 from almondspread.jobs.messages import (
     REFUSED,
@@ -21,12 +23,15 @@
     UpstreamOrder,
     WatchUpstream,
 )
-from almondspread.jobs.ports import AdviceClient, UpstreamClient
+from almondspread.jobs.ports import (
+    Advice,
+    AdviceClient,
+    CallFailed,
+    UpstreamClient,
+)
 from almondspread_daemon.jobs.agents import SendReport, UpstreamAgent
 from almondspread_daemon.jobs.metrics import JobMetrics
 
-ADVICE_TIMEOUT = timedelta(seconds=4)
-
 
 class Executor:
     """Runs an agent for each upstream that the leader assigned to this instance.
@@ -52,6 +57,7 @@
         self._report: SendReport = _drop_report
         self._calls: set[asyncio.Task[None]] = set()
         self._advice_lock = asyncio.Lock()
+        self._advice_pace = AdvicePace()
         self._expiry_task: asyncio.Task[None] | None = None
 
     def attach_leader(self, report: SendReport) -> None:
@@ -151,13 +157,7 @@
     async def _ask_permits(self, order: AskPermits) -> None:
         """Ask the advice service for permits, one request at a time."""
         async with self._advice_lock:
-            answer = await self._advice.request_permits(
-                order.job,
-                order.occurrence,
-                order.step,
-                order.upstreams,
-                ADVICE_TIMEOUT,
-            )
+            answer = await self._ask_again_if_lost(order)
         tickets = None
         validity = timedelta(0)
         if answer.is_ok():
@@ -173,6 +173,38 @@
             PermitsAnswered(order.job, order.occurrence, order.step, tickets, validity)
         )
 
+    async def _ask_again_if_lost(self, order: AskPermits) -> Result[Advice, CallFailed]:
+        """Ask the advice service, a second time if the answer is far too late.
+
+        The second call uses a new connection, and all the time that remains.
+        """
+        expected = timedelta(seconds=order.duration_seconds)
+        timeout = self._advice_pace.choose_timeout(expected)
+        answer = await self._ask_once(order, timeout)
+        remaining = MAX_QUESTION_TIME - timeout
+        if answer.is_ok() or answer.error.not_done or not remaining:
+            return answer
+        logger.info(
+            "advice service asked again",
+            job=order.job,
+            seconds=timeout.total_seconds(),
+            reason=answer.error.reason,
+        )
+        return await self._ask_once(order, remaining)
+
+    async def _ask_once(
+        self, order: AskPermits, timeout: timedelta
+    ) -> Result[Advice, CallFailed]:
+        """Make one call to the advice service, and note how long an answer takes."""
+        sent = self._clock.monotonic()
+        answer = await self._advice.request_permits(
+            order.job, order.occurrence, order.step, order.upstreams, timeout
+        )
+        if answer.is_ok():
+            expected = timedelta(seconds=order.duration_seconds)
+            self._advice_pace.record_answer(expected, self._clock.monotonic() - sent)
+        return answer
+
 
 def _drop_report(_: ExecutorReport) -> None:
     """Drop a report without a leader; the next leader has all reports sent again."""
