--- a/packages/almondspread_standin/almondspread_standin/soak/command.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/command.py
@@ -34,6 +34,7 @@
     is_flag=True,
     help="Keep instances from the store, and check when configurations are in force.",
 )
+@click.option("--silences", is_flag=True, help="Have connections fall silent for good.")
 @click.option(
     "--logs",
     default=None,
@@ -50,6 +51,7 @@
     variety: bool,
     removes_queue: bool,
     configurations: bool,
+    silences: bool,
     logs: Path | None,
 ) -> None:
     """Run real processes under random faults, and check their guarantees."""
@@ -70,6 +72,7 @@
             variety or removes_queue,
             removes_queue,
             configurations,
+            silences,
         )
         result = _run_one(plan, logs)
         failed_seeds += bool(result["violations"])
--- a/packages/almondspread_standin/almondspread_standin/soak/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/faults.py
@@ -14,6 +14,7 @@
 from almondspread_standin.soak.instances import Instance, Instances
 from almondspread_standin.soak.pool import PoolMember, UpstreamPool
 from almondspread_standin.soak.proxy import LinkState, Proxy
+from almondspread_standin.soak.silences import Silences
 from almondspread_standin.soak.store_troubles import StoreTroubles
 from platform_standin.store_server import StoreFaults
 
@@ -44,8 +45,13 @@
     "refuse parts",
     "forget history",
 )
-# Beside these, a configuration has to be in force in time.
-HARMLESS_FAULTS = (
+SILENCES = (
+    "silence peers",
+    "silence stores",
+    "silence upstreams",
+    "silence all",
+)
+CONFIGURATION_TROUBLES = (
     "hang up",
     "cut store",
     "crash upstream",
@@ -57,7 +63,10 @@
     "silence feed",
     "odd entries",
 )
-CONFIGURATION_FAULTS = (*HARMLESS_FAULTS, "kill", "terminate")
+# Beside these, a configuration has to be in force in time.
+HARMLESS_FAULTS = (*CONFIGURATION_TROUBLES, *SILENCES)
+CONFIGURATION_FAULTS = (*CONFIGURATION_TROUBLES, "kill", "terminate")
+SILENCE_FAULTS = (*SILENCES, "kill", "terminate", "crash upstream", "forget history")
 SECOND = timedelta(seconds=1)
 NO_TIME = timedelta(0)
 
@@ -82,11 +91,13 @@
     _undisturbed_since: float = 0.0
     _running: set[asyncio.Task[None]] = field(factory=set)
     _troubles: StoreTroubles = field(init=False)
+    _silences: Silences = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._troubles = StoreTroubles(
             self.instances, self.store, self.store_faults, self.rng
         )
+        self._silences = Silences(self.instances, self.pool, self.rng)
 
     def is_disturbed(self) -> bool:
         """Tell whether there is, or was a moment ago, a fault that may delay anything.
@@ -121,6 +132,10 @@
             "turn away": self._troubles.turn_away,
             "silence feed": self._troubles.silence_feed,
             "odd entries": self._troubles.write_odd_entries,
+            "silence peers": self._silences.silence_peers,
+            "silence stores": self._silences.silence_stores,
+            "silence upstreams": self._silences.silence_upstreams,
+            "silence all": self._silences.silence_all,
         }
 
     async def run(self) -> None:
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -25,7 +25,11 @@
     JobClients,
 )
 from almondspread_standin.soak.configuration_probe import ConfigurationProbe
-from almondspread_standin.soak.faults import CONFIGURATION_FAULTS, FaultInjector
+from almondspread_standin.soak.faults import (
+    CONFIGURATION_FAULTS,
+    SILENCE_FAULTS,
+    FaultInjector,
+)
 from almondspread_standin.soak.instances import PEER_PORT, Instance, Instances
 from almondspread_standin.soak.job_kinds import TaskBehaviour
 from almondspread_standin.soak.maintenance import MaintenanceDriver
@@ -71,8 +75,9 @@
     also undergo maintenance. With ``variety``, there are jobs of all kinds, a store
     with small rows, and a short retention; with ``removes_queue``, jobs of all kinds
     also go to a queue that comes and goes. With ``configurations``, the faults are
-    those beside which a configuration has to be in force in time. ``kept_id_share`` is
-    the share of the crashed upstreams that start again under their id.
+    those beside which a configuration has to be in force in time; with ``silences``,
+    connections fall silent for good, again and again. ``kept_id_share`` is the share of
+    the crashed upstreams that start again under their id.
     """
 
     seed: int
@@ -83,6 +88,7 @@
     variety: bool = False
     removes_queue: bool = False
     configurations: bool = False
+    silences: bool = False
     kept_id_share: float = KEPT_ID_SHARE
 
 
@@ -161,6 +167,8 @@
         )
         if plan.configurations:
             self._fault_injector.kinds = CONFIGURATION_FAULTS
+        elif plan.silences:
+            self._fault_injector.kinds = SILENCE_FAULTS
 
     async def run(self) -> SoakResult:
         """Run the soak and return its result; all that was started is stopped again."""
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -56,6 +56,11 @@
         self.assertEqual(result.violations, [])
         self.assertGreater(result.completed, 0)
 
+    def test_connections_that_fall_silent_cause_no_violation(self):
+        result = self.run_soak(4, 12.0, silences=True)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.completed, 0)
+
     def test_regression_seeds_cause_no_violation(self):
         for seed in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
