Let a member that comes back keep its upstreams, and tell lost permit requests

What callers saw: where links between instances fall silent, jobs start up to 4 s late, long after the links are back.

Change: whoever leaves or is superseded, its pending requests are told as unanswered, and are made again. A member of the same instance takes over the upstreams of the one that it supersedes. An executor that is asked to report again asks the upstream at once, twice if need be, as its pending renewal may wait on a silent connection.

At most once stays: the runs under way are unsettled, as before, until a report shows them.

Tests: test_requests_lost_with_the_link_of_a_member_are_told_at_once, test_member_that_comes_back_keeps_its_upstreams, and test_runs_are_asked_for_again_beside_a_silent_renew_call. Members now keep the requests, not their durations, so that an answer frees the request that it is for: two tests of advisers follow, one is added.

--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -233,6 +233,11 @@
     upstreams: tuple[str, ...]
     duration_seconds: float = 0.0
 
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """The step that the request is about."""
+        return self.job, self.occurrence, self.step
+
 
 @define(frozen=True)
 class PermitsAnswered:
@@ -248,6 +253,11 @@
     tickets: dict[str, str] | None
     validity: timedelta
 
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """The step that the permits are for."""
+        return self.job, self.occurrence, self.step
+
 
 UpstreamOrder = (
     WatchUpstream | UnwatchUpstream | StartRun | StopRun | PaceRun | AcknowledgeEnds
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -112,9 +112,12 @@
         return not self._renew_task.done()
 
     def resend_reports(self) -> None:
-        """Report all runs and unacknowledged ends again, when a leader asks for it."""
+        """Report all runs and unacknowledged ends again, when a leader asks for it.
+
+        The pending renew call may wait for long, or on a connection that is silent.
+        """
         self._last_forwarded_end = self._last_acknowledged_end
-        self._last_full_report = None
+        self._spawn(self._poll_twice())
 
     def acknowledge(self, number: int) -> None:
         """Note that the leader has stored all ends up to ``number``."""
@@ -209,6 +212,11 @@
         self._last_full_report = None
         return await self._renew(None, timedelta(0))
 
+    async def _poll_twice(self) -> None:
+        """Report all runs now; the second call uses a new connection."""
+        if await self._poll_now() is not None:
+            await self._poll_now()
+
     def _choose_lease_end(self, now: timedelta) -> timedelta | None:
         """Return until when to renew the leases, by the upstream's clock.
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -36,37 +36,55 @@
         self._clock = clock
 
     def add_member(self, member: Member) -> None:
-        """Add a member and assign it its share of the upstreams."""
+        """Add a member and assign it its share of the upstreams.
+
+        A member that comes back over another link keeps the upstreams that it had.
+        """
         superseded = self.members.members.get(member.instance)
+        held: set[str] = set()
         if superseded is not None:
-            self.remove_member(superseded)
+            held = self._release_upstreams(superseded)
         logger.info(
-            "member joined", member=member.instance, epoch=self._scheduler.epoch
+            "member joined",
+            member=member.instance,
+            epoch=self._scheduler.epoch,
+            held=len(held),
         )
         self.members.add(member)
+        for name in held:
+            self.members.reassign(name, member)
+            self._watch(name, member)
         self.rebalance()
 
     def remove_member(self, member: Member) -> None:
-        """Remove a member and assign its upstreams to others.
-
-        A cut-off member may go on renewing leases for a while. The scheduler learns
-        when these leases expire at the latest.
-        """
+        """Remove a member and assign its upstreams to others."""
         if self.members.members.get(member.instance) is not member:
             return
-        unassigned = self.members.remove(member)
+        unassigned = self._release_upstreams(member)
         logger.warning(
             "member removed, reassigning its upstreams",
             member=member.instance,
             upstreams=len(unassigned),
             leaving=member.leaving,
         )
-        now = self._clock.monotonic()
-        lease_time = compute_orphaned_lease_time(self._settings.lease)
-        self._scheduler.abandon_upstreams(unassigned, now + lease_time, now)
         for name in unassigned:
             self.assign(name)
 
+    def _release_upstreams(self, member: Member) -> set[str]:
+        """Remove a member and return the upstreams that were assigned to it.
+
+        Orders and answers under way on its link are lost. A cut-off member may go on
+        renewing leases for a while. The scheduler learns when these leases expire at
+        the latest, and which requests for permits will not be answered.
+        """
+        now = self._clock.monotonic()
+        released = self.members.remove(member)
+        lease_time = compute_orphaned_lease_time(self._settings.lease)
+        self._scheduler.abandon_upstreams(released, now + lease_time, now)
+        for request in member.advice_requests:
+            self._report_unanswered(request)
+        return released
+
     def update_unresponsive_upstreams(self, own: str) -> None:
         """Tell the scheduler the upstreams whose members send no heartbeats.
 
@@ -168,12 +186,14 @@
         """Send a request for permits to a member, or report that none takes it now."""
         adviser = self.members.choose_adviser(order.duration_seconds)
         if adviser is not None:
-            adviser.record_advice_request(order.duration_seconds)
+            adviser.advice_requests.append(order)
             adviser.send(order)
             return
-        answer = PermitsAnswered(
-            order.job, order.occurrence, order.step, None, timedelta(0)
-        )
+        self._report_unanswered(order)
+
+    def _report_unanswered(self, request: AskPermits) -> None:
+        """Tell the scheduler that a request for permits gets no answer."""
+        answer = PermitsAnswered(*request.key, None, timedelta(0))
         self._scheduler.handle_report(answer, self._clock.monotonic())
 
     def broadcast(self, message: object) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -302,7 +302,7 @@
                 if self._scheduler.is_superseded_by(message):
                     self.end(f"upstream {message.upstream} has seen a higher epoch")
             case PermitsAnswered():
-                member.record_advice_answer()
+                member.record_advice_answer(message)
                 self._handle_report(message)
             case JobCancelled():
                 self.cancel_job(message.job)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -7,6 +7,8 @@
 
 from attrs import define, field
 
+from almondspread.jobs.messages import AskPermits, PermitsAnswered
+
 MAX_ADVICE_REQUESTS = 2
 # Requests that take longer leave some members free, so that short ones, whose callers
 # are waiting, do not queue behind them.
@@ -20,8 +22,8 @@
 
     ``strength`` is the suitability of its machine to lead, from 0 to 1, ``started``
     the start time of its process on the leader's monotonic clock.
-    ``advice_seconds`` has the expected duration of each of its pending requests to the
-    advice service, which it makes one after another. ``wall_offset`` is how far its
+    ``advice_requests`` are its pending requests to the advice service, which it makes
+    one after another. ``wall_offset`` is how far its
     time of day is ahead of the leader's monotonic time. Instances reach it at
     ``address``, which is empty where it is not known.
     """
@@ -34,7 +36,7 @@
     strength: float = 1.0
     started: timedelta = timedelta(0)
     upstreams: set[str] = field(factory=set)
-    advice_seconds: deque[float] = field(factory=deque)
+    advice_requests: deque[AskPermits] = field(factory=deque)
     wall_offset: timedelta | None = None
     leaving: bool = False
     address: str = ""
@@ -44,14 +46,17 @@
         """The number of assigned upstreams per core."""
         return len(self.upstreams) / self.cores
 
-    def record_advice_request(self, seconds: float) -> None:
-        """Record a request to the advice service that is expected to take a time."""
-        self.advice_seconds.append(seconds)
+    @property
+    def advice_seconds(self) -> float:
+        """How long all its pending requests are expected to take, in seconds."""
+        return sum(request.duration_seconds for request in self.advice_requests)
 
-    def record_advice_answer(self) -> None:
-        """Record that the oldest request to the advice service has been answered."""
-        if self.advice_seconds:
-            self.advice_seconds.popleft()
+    def record_advice_answer(self, answer: PermitsAnswered) -> None:
+        """Record that a request to the advice service has been answered."""
+        for request in self.advice_requests:
+            if request.key == answer.key:
+                self.advice_requests.remove(request)
+                return
 
 
 class Placed(Protocol):
@@ -183,14 +188,14 @@
         free = [
             member
             for member in advisers
-            if len(member.advice_seconds) < MAX_ADVICE_REQUESTS
+            if len(member.advice_requests) < MAX_ADVICE_REQUESTS
         ]
-        return min(free, key=lambda member: sum(member.advice_seconds), default=None)
+        return min(free, key=lambda member: member.advice_seconds, default=None)
 
     def count_advice_slots(self) -> int:
         """Return how many more requests to the advice service members may take."""
         return sum(
-            MAX_ADVICE_REQUESTS - len(member.advice_seconds)
+            MAX_ADVICE_REQUESTS - len(member.advice_requests)
             for member in self.members.values()
             if not member.leaving
         )
