Send a transaction the second time on a new connection

Cause, from its lines: 'commit failed', timed out after 900 ms. The leader's second attempt, 0.3 s after the first, met another idle connection that had fallen silent with it; connections were given up only once the first had failed. By then the lease of 1.2 s was as good as over.

Change: the second attempt tells that it repeats one without an answer, and its address gives up the idle connections first.

--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -124,9 +124,13 @@
     """The transactional store of the platform."""
 
     async def transact(
-        self, transaction: Transaction, timeout: timedelta
+        self, transaction: Transaction, timeout: timedelta, repeats: bool = False
     ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
-        """Apply a transaction atomically."""
+        """Apply a transaction atomically.
+
+        ``repeats`` tells that the same transaction has been sent before, and has not
+        been answered yet.
+        """
 
     async def read(
         self, table: str, partition: str, start: str, end: str, timeout: timedelta
--- a/packages/almondspread/almondspread/testing/record_store.py
+++ b/packages/almondspread/almondspread/testing/record_store.py
@@ -53,7 +53,7 @@
     loses_answer: Callable[[], bool] = lambda: False
 
     async def transact(
-        self, transaction: Transaction, timeout: timedelta
+        self, transaction: Transaction, timeout: timedelta, repeats: bool = False
     ) -> Result[Committed, ConditionsFailed | StoreUnavailable]:
         """Apply a transaction atomically."""
         self.transactions += 1
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/store_access.py
@@ -180,15 +180,15 @@
             WRITE_TIMEOUT_FACTOR * adaptive_timeout.timeout, MAX_WRITE_TIMEOUT
         )
 
-        def send() -> WriteAttempt:
+        def send(repeats: bool) -> WriteAttempt:
             return asyncio.create_task(
                 self._make_call(
-                    lambda _: self._store.transact(transaction, deadline),
+                    lambda _: self._store.transact(transaction, deadline, repeats),
                     adaptive_timeout,
                 )
             )
 
-        attempts = {send()}
+        attempts = {send(repeats=False)}
         try:
             done, _ = await asyncio.wait(
                 attempts, timeout=adaptive_timeout.timeout.total_seconds()
@@ -196,7 +196,7 @@
             if not done:
                 if sent > self._last_answered_sent:
                     self._record_failure("no answer yet")
-                attempts.add(send())
+                attempts.add(send(repeats=True))
             return await _await_first_answer(attempts)
         finally:
             for attempt in attempts:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_store_access.py
@@ -138,7 +138,7 @@
         """Guards against commits that always time out at a slow store."""
         timeouts = []
 
-        async def transact(transaction, timeout):
+        async def transact(transaction, timeout, repeats):
             timeouts.append(timeout)
             self.clock.advance(min(timeout, timedelta(milliseconds=1_000)))
             return SILENT if timeout < timedelta(seconds=1) else Ok(DONE)
@@ -151,7 +151,7 @@
         self.assertGreater(min(timeouts[1:]), timedelta(seconds=1))
 
     def hold_writes(self):
-        async def transact(transaction, timeout):
+        async def transact(transaction, timeout, repeats):
             return await self.store._hold()
 
         self.store.transact = transact
--- a/packages/almondspread_platform/almondspread_platform/caller.py
+++ b/packages/almondspread_platform/almondspread_platform/caller.py
@@ -61,7 +61,8 @@
     the call fails as not sent. With ``take_chunk`` the body is handed over piece by
     piece instead of as a whole, and the call ends soon after ``is_wanted`` denies.
     Where ``answer_begins`` is set, the call also fails if no part of the answer has
-    arrived after that time.
+    arrived after that time. ``repeats`` tells that the same call has been sent before
+    and is not answered yet: this one uses a new connection.
     """
 
     method: str
@@ -74,6 +75,7 @@
     take_chunk: Callable[[bytes], None] | None = None
     is_wanted: Callable[[], bool] = always_allow
     answer_begins: timedelta | None = None
+    repeats: bool = False
 
 
 def open_client(
@@ -144,6 +146,12 @@
         if use is not None and self._clients.give_up_connections(address, use):
             self._note_given_up(address)
 
+    def _choose_client(self, call: HttpCall) -> ClientUse:
+        """Return the client of a call, whose use has to be ended."""
+        if call.repeats:
+            self._give_up_connections(call.address, self._clients.find(call.address))
+        return self._clients.begin_call(call.address)
+
     async def wait_idle(self) -> None:
         """Wait until no transfer is open, as is needed before the client closes."""
         while self._transfers:
@@ -218,7 +226,7 @@
             streaming_callback=call.take_chunk,
             header_callback=note_beginning if call.answer_begins else None,
         )
-        use = progress.use = self._clients.begin_call(call.address)
+        use = progress.use = self._choose_client(call)
         try:
             response = await use.client.fetch(request, raise_error=False)
         except (HTTPClientError, pycurl.error, OSError, ValueError) as error:
--- a/packages/almondspread_platform/almondspread_platform/clients.py
+++ b/packages/almondspread_platform/almondspread_platform/clients.py
@@ -53,9 +53,13 @@
         self._moved: dict[str, ClientUse] = {}
         self._closing: list[ClientUse] = []
 
+    def find(self, address: str) -> ClientUse:
+        """Return the client that an address uses now."""
+        return self._moved.get(address, self._uses[0])
+
     def begin_call(self, address: str) -> ClientUse:
         """Return the client for a call to an address; ``end_call`` has to follow."""
-        use = self._find(address)
+        use = self.find(address)
         use.open_calls += 1
         return use
 
@@ -66,7 +70,7 @@
 
     def record_answer(self, address: str, use: ClientUse) -> None:
         """Note that an address has answered a call through a client."""
-        if self._open_client is None or use is not self._find(address):
+        if self._open_client is None or use is not self.find(address):
             return
         if len(use.answered) >= MAX_ANSWERED:
             use.answered.clear()
@@ -80,7 +84,7 @@
         not answered through this client yet. It is false, too, if clients were opened
         too recently.
         """
-        if use is not self._find(address) or address not in use.answered:
+        if use is not self.find(address) or address not in use.answered:
             return False
         target = self._uses[-1]
         if target is use:
@@ -95,10 +99,6 @@
         self._close_unused()
         return True
 
-    def _find(self, address: str) -> ClientUse:
-        """Return the client that an address uses now."""
-        return self._moved.get(address, self._uses[0])
-
     def _open_next(self) -> ClientUse | None:
         """Open a further client, unless one was opened a moment ago."""
         now = self._clock.monotonic()
