Leave a silent link to the leader as soon as the leader shows itself on another

What callers saw: where links between instances fall silent, no order and no report arrives for 1.0 to 1.3 s, and a leader that ends meanwhile is not missed before that time either, as the end does not show on a silent link.

Cause: a follower cannot tell a silent link from a leader that does not answer, and gives both the time of the latter.

Change: a follower that has received no byte for 0.45 s asks the leader over a new link, by the message that instances without a leader use. If the leader answers, or no process listens there, and the old link stays still for 0.1 s more, the link is left and the leader followed at once. A leader that answers nowhere has the whole time of before.

Tests: test_silent_link_is_left_at_once_for_a_new_one and test_end_of_the_leader_shows_although_the_link_is_silent (1.2 s before, more than LEADER_TIMEOUT); test_leader_that_answers_nowhere_has_its_whole_time and test_link_on_which_a_long_message_arrives_is_not_silent guard the other side.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -14,6 +14,7 @@
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.leader_messages import LeaderMessageDispatcher
 from almondspread_daemon.jobs.leader_row_access import LeaderRowAccess
+from almondspread_daemon.jobs.link_check import LinkCheck, is_refusal
 from almondspread_daemon.jobs.links import (
     Beat,
     Hello,
@@ -98,14 +99,15 @@
     async def follow(self, row: LeaderRow) -> bool:
         """Follow a leader until its link closes or it stops leading.
 
-        Return whether the leader's side ended a link on which it was followed. Another
-        attempt then tells at once whether the leader's process has ended.
+        Return whether another attempt should follow at once: because the leader's side
+        ended a link on which it was followed, or because the link has fallen silent.
+        That attempt tells at once whether the leader's process has ended.
         """
         link = await self._connect(row)
         if link is None:
             return False
         leader = LeaderLink(link, self._clock.monotonic())
-        watchdog = asyncio.create_task(self._run_heartbeat(leader))
+        watchdog = asyncio.create_task(self._run_heartbeat(leader, row))
         try:
             async for message in link.receive_messages():
                 leader.last_heard = self._clock.monotonic()
@@ -126,7 +128,7 @@
             broke_off = self._link is link and not link.closed_here
             link.close()
             self._end_following(row, link)
-        return broke_off
+        return broke_off or leader.is_silent
 
     async def _connect(self, row: LeaderRow) -> Link | None:
         """Open a link to a leader, ``None`` if it cannot be reached."""
@@ -137,7 +139,7 @@
             logger.info(
                 "cannot connect to leader", leader=row.instance, reason=str(error)
             )
-            if _is_refusal(error):
+            if is_refusal(error):
                 # No process listens at the leader's address, so the leader has probably
                 # ended. Epoch fencing makes a wrong guess harmless.
                 self._candidacy.record_ended(row.incarnation)
@@ -174,18 +176,24 @@
         self._link = None
         self._dispatcher.detach()
 
-    async def _run_heartbeat(self, leader: LeaderLink) -> None:
+    async def _run_heartbeat(self, leader: LeaderLink, row: LeaderRow) -> None:
         """Send heartbeats, and close the link after ``LEADER_TIMEOUT`` of silence.
 
-        After an unexpected error the link is closed too: the leader hears no more.
+        It is closed sooner where the link alone is silent. After an unexpected error
+        the link is closed too: the leader hears no more.
         """
+        check = LinkCheck(leader, row.address, self._clock)
         try:
             silence = timedelta(0)
-            while silence <= LEADER_TIMEOUT:
+            while silence <= LEADER_TIMEOUT and not leader.is_silent:
                 leader.link.send(self._make_heartbeat())
                 await self._clock.sleep(HEARTBEAT_INTERVAL)
+                leader.is_silent = await check.find_silent()
                 silence = self._clock.monotonic() - leader.last_heard
-            logger.warning("leader timed out", seconds=silence.total_seconds())
+            message = (
+                "link to leader silent" if leader.is_silent else "leader timed out"
+            )
+            logger.warning(message, seconds=silence.total_seconds())
         except Exception as error:
             logger.opt(exception=True).error(
                 "heartbeats interrupted by an error", reason=str(error)
@@ -220,14 +228,3 @@
             link.close()
             return
         link.send(StoreReached())
-
-
-def _is_refusal(error: Exception) -> bool:
-    """Return whether a connection failed because no process listens at the address.
-
-    tornado raises the system's error in some cases, and in others names it as the cause
-    for which the stream was closed.
-    """
-    if isinstance(error, StreamClosedError):
-        return isinstance(error.real_error, ConnectionRefusedError)
-    return isinstance(error, ConnectionRefusedError)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -326,11 +326,15 @@
 
 
 class LeaderLink:
-    """A link to the leader, with the time of the last message from the leader."""
+    """A link to the leader, with the time of the last message from the leader.
+
+    ``is_silent`` is set once the leader is known to answer on other links only.
+    """
 
     def __init__(self, link: Link, last_heard: timedelta) -> None:
         self.link = link
         self.last_heard = last_heard
+        self.is_silent = False
 
 
 class LinkServer(TCPServer):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/leader_case.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/leader_case.py
@@ -72,7 +72,7 @@
             parts.clock,
         )
 
-    def make_session(self, row):
+    def make_session(self, row, machines=None):
         parts = self.parts
         return LeaderSession(
             row,
@@ -84,6 +84,6 @@
             parts.clock,
             parts.metrics,
             RowWriter(parts.access, parts.clock, "entry-1"),
-            None,
+            machines,
             make_exchange(parts.clock),
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
@@ -8,8 +8,14 @@
 from almondspread.codec import encode_message
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.ports import RowPut, Transaction
-from almondspread_daemon.jobs.follower import RENEWAL_TIME
-from almondspread_daemon.jobs.links import Hello, LinkServer, Welcome
+from almondspread_daemon.jobs.follower import LEADER_TIMEOUT, RENEWAL_TIME
+from almondspread_daemon.jobs.links import (
+    AskLeader,
+    Hello,
+    LeaderKnown,
+    LinkServer,
+    Welcome,
+)
 from almondspread_daemon.jobs.rows import LEADER_ROW
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.tests.support import SECOND, StoreParts, make_instance
@@ -24,6 +30,7 @@
         self.follower._clock = SystemClock()
         self.welcomed = asyncio.Event()
         self.links = []
+        self.answers_inquiries = False
         self.server = LinkServer(self.serve)
         sockets = bind_sockets(0, "127.0.0.1")
         self.server.add_sockets(sockets)
@@ -40,6 +47,8 @@
             if isinstance(message, Hello):
                 link.send(Welcome(4))
                 self.welcomed.set()
+            if isinstance(message, AskLeader) and self.answers_inquiries:
+                link.send(LeaderKnown(self.row))
 
     async def follow(self):
         task = asyncio.create_task(self.follower.follow(self.row))
@@ -97,6 +106,51 @@
         self.assertFalse(await self.follower.follow(self.row))
         self.assertTrue(self.instance._candidacy.may_claim(self.row))
 
+    async def measure_following(self):
+        """Return how long a leader is followed that says nothing more, and the result.
+
+        The leader is the test's server, which sends no heartbeats.
+        """
+        task = await self.follow()
+        began = asyncio.get_running_loop().time()
+        follows_again = await task
+        return (asyncio.get_running_loop().time() - began) * SECOND, follows_again
+
+    async def test_silent_link_is_left_at_once_for_a_new_one(self):
+        """Orders and reports were lost for 1.0 to 1.3 s."""
+        self.answers_inquiries = True
+        time, follows_again = await self.measure_following()
+        self.assertLess(time, LEADER_TIMEOUT)
+        self.assertTrue(follows_again)
+
+    async def test_end_of_the_leader_shows_although_the_link_is_silent(self):
+        task = await self.follow()
+        self.server.stop()
+        began = asyncio.get_running_loop().time()
+        self.assertTrue(await task)
+        time = (asyncio.get_running_loop().time() - began) * SECOND
+        self.assertLess(time, LEADER_TIMEOUT)
+        self.assertFalse(await self.follower.follow(self.row))
+        self.assertTrue(self.instance._candidacy.may_claim(self.row))
+
+    async def test_leader_that_answers_nowhere_has_its_whole_time(self):
+        time, follows_again = await self.measure_following()
+        self.assertGreaterEqual(time, LEADER_TIMEOUT)
+        self.assertFalse(follows_again)
+
+    async def test_link_on_which_a_long_message_arrives_is_not_silent(self):
+        """A heartbeat may wait behind a message that takes a second on a slow link."""
+        self.answers_inquiries = True
+        task = await self.follow()
+        # The head of a msgpack string of 64 KiB, which arrives byte by byte.
+        await self.links[0]._stream.write(b"\xda\xff\xff")
+        for _ in range(9):
+            await asyncio.sleep(0.1)
+            await self.links[0]._stream.write(b"x")
+        self.assertFalse(task.done())
+        self.links[0].close()
+        await task
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lasting.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lasting.py
@@ -3,10 +3,11 @@
 import asyncio
 import unittest
 
-from expression import Ok
+from expression import Error, Ok
 
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.operator_rows import OperatorRowStates
+from almondspread.jobs.ports import CallFailed
 from almondspread_daemon.jobs.follower import Follower
 from almondspread_daemon.jobs.lasting import ERROR_PAUSE, run_lasting
 from almondspread_daemon.jobs.links import LeaderLink
@@ -23,6 +24,7 @@
     "upstream list": "_upstream_list",
     "load log": "_load_log",
     "retention": "_retention",
+    "maintenance": "_maintenance",
 }
 ENDING = (
     "_run_commits",
@@ -30,9 +32,11 @@
     "_load_missing_partitions",
     "_fence_marks",
     "_passes.run",
+    "_announcer.run",
     "_send_heartbeats",
 )
 ROUNDS = 300
+LEADER = LeaderRow(1, "entry-1", "one", "127.0.0.1:1", 50.0)
 
 
 class EmptyDirectory:
@@ -47,6 +51,14 @@
         return Ok([])
 
 
+class FailingMachines:
+    """A service for machines that cannot be reached."""
+
+    async def list_machines(self, timeout):
+        await asyncio.sleep(0)
+        return Error(CallFailed("unreachable", not_done=True))
+
+
 def fail_once(owner, name):
     """Have a method of ``owner`` raise at its first call; return all its calls."""
     method = getattr(owner, name)
@@ -157,7 +169,7 @@
         parts.access = StoreAccess(
             parts.store, EmptyDirectory(), parts.clock, parts.metrics
         )
-        return self.make_session(LeaderRow(1, "entry-1", "one", "127.0.0.1:1", 50.0))
+        return self.make_session(LEADER, machines=FailingMachines())
 
     async def test_independent_loops_go_on(self):
         for name, attribute in INDEPENDENT.items():
@@ -204,7 +216,8 @@
 
         link = Closable()
         follower: Follower = instance._follower
-        await follower._run_heartbeat(LeaderLink(link, parts.clock.monotonic()))
+        leader = LeaderLink(link, parts.clock.monotonic())
+        await follower._run_heartbeat(leader, LEADER)
         self.assertTrue(link.closed)
 
 
