Check that no mix of releases brings a version of operators' rows back

RollingRestartTest plays heartbeats, readings, requests and restarts in any order, with instances of the release before, which tell no version and are never asked.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operator_exchange.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_operator_exchange.py
@@ -5,6 +5,9 @@
 import unittest
 from datetime import timedelta
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from almondspread.codec import TaggedCodec
 from almondspread.jobs.operator_rows import OperatorRow, OperatorRowStates
 from almondspread_daemon.jobs.links import (
@@ -222,5 +225,107 @@
         self.assertEqual(self.served.published.age, timedelta(seconds=10))
 
 
+class RollingRestart:
+    """Instances that are restarted one by one, each then of the newer release.
+
+    ``to`` has the messages under way to each instance, with their senders.
+    """
+
+    COUNT = 3
+
+    def __init__(self):
+        self.clock = YieldingClock()
+        self.version = 0
+        self.sides = [Side(self.clock) for _ in range(self.COUNT)]
+        self.is_new = [False] * self.COUNT
+        self.to = [[] for _ in range(self.COUNT)]
+
+    def publish(self):
+        self.version += 1
+
+    def read(self, number):
+        self.sides[number].read(self.version)
+
+    def beat(self, sender, receiver):
+        """Send a heartbeat, which tells no version in the release before."""
+        beat = Beat()
+        if self.is_new[sender]:
+            beat = self.sides[sender].exchange.stamp(beat)
+        self.to[receiver].append((sender, LINK_CODEC.to_plain(beat)))
+
+    def deliver(self, receiver):
+        """Deliver the oldest message; the release before reads heartbeats alone."""
+        if not self.to[receiver]:
+            return
+        sender, plain = self.to[receiver].pop(0)
+        message = LINK_CODEC.from_plain(plain)
+        if not self.is_new[receiver]:
+            assert isinstance(message, Beat), message
+            return
+
+        def send(answer):
+            self.to[sender].append((receiver, LINK_CODEC.to_plain(answer)))
+
+        self.sides[receiver].exchange.handle(message, str(sender), send)
+
+    def restart(self, number):
+        """Restart with the newer release; all links of the instance are closed."""
+        self.sides[number] = Side(self.clock)
+        self.is_new[number] = True
+        for receiver, messages in enumerate(self.to):
+            is_own = receiver == number
+            self.to[receiver] = [
+                each for each in messages if not is_own and each[0] != number
+            ]
+
+    def wait(self):
+        self.clock.advance(ASK_DELAY)
+
+    def list_versions(self):
+        return [side.published.rows.revision for side in self.sides]
+
+
+NUMBER = st.integers(0, RollingRestart.COUNT - 1)
+ROLLING_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.sampled_from(("publish", "wait"))),
+        st.tuples(st.sampled_from(("read", "deliver", "deliver", "restart")), NUMBER),
+        st.tuples(st.just("beat"), NUMBER, NUMBER),
+    ),
+    max_size=60,
+)
+
+
+class RollingRestartTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(ROLLING_STEPS)
+    def test_no_mix_of_releases_brings_a_version_back(self, steps):
+        cell = RollingRestart()
+        for name, *arguments in steps:
+            before = cell.list_versions()
+            getattr(cell, name)(*arguments)
+            after = cell.list_versions()
+            for number in range(cell.COUNT):
+                if name != "restart" or arguments[0] != number:
+                    self.assertGreaterEqual(after[number], before[number])
+        self.check_all_agree_once_restarted(cell)
+
+    def check_all_agree_once_restarted(self, cell):
+        """What one instance reads reaches the others without the store."""
+        for number in range(cell.COUNT):
+            cell.restart(number)
+        cell.publish()
+        cell.read(0)
+        for _ in range(2):
+            for number in range(1, cell.COUNT):
+                cell.beat(0, number)
+                cell.deliver(number)
+            cell.wait()
+        for number in range(1, cell.COUNT):
+            cell.deliver(0)
+            cell.deliver(number)
+        self.assertEqual(set(cell.list_versions()), {cell.version})
+
+
 if __name__ == "__main__":
     unittest.main()
