Have a leader that is asked about a link send a heartbeat on it first

The check of silent links could take the link of a busy leader for silent: one whose pass takes half a second answers on a new link as soon as it is free, and its next heartbeat may be 0.3 s away. Its members would leave and come back, all at once, where it is busy already.

Now the question names the member, and the leader sends a heartbeat on that member's link before it answers. A leader of the release before closes the new link, so that its members wait as before.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -182,7 +182,7 @@
         It is closed sooner where the link alone is silent. After an unexpected error
         the link is closed too: the leader hears no more.
         """
-        check = LinkCheck(leader, row.address, self._clock)
+        check = LinkCheck(leader, row.address, self._settings.instance, self._clock)
         try:
             silence = timedelta(0)
             while silence <= LEADER_TIMEOUT and not leader.is_silent:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
@@ -33,13 +33,23 @@
 
     def send(self) -> None:
         """Send all members a heartbeat."""
+        self._assignments.broadcast(self._make())
+
+    def send_to(self, instance: str) -> None:
+        """Send one member a heartbeat."""
+        member = self._assignments.members.members.get(instance)
+        if member is not None:
+            member.send(self._make())
+
+    def _make(self) -> Beat:
+        """Return a heartbeat with what the leader can do and knows now."""
         beat = Beat(
             self._committer.lease_holds,
             self._intake.is_caught_up(),
             self._store.is_unavailable,
             member_address=self._assignments.members.name_next_address(),
         )
-        self._assignments.broadcast(self._exchange.stamp(beat))
+        return self._exchange.stamp(beat)
 
     def send_with_loads(self) -> None:
         """Send all members a heartbeat and the waits that new jobs have to expect."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -329,6 +329,10 @@
         """Send all members a heartbeat at once."""
         self._heartbeats.send()
 
+    def send_heartbeat_to(self, instance: str) -> None:
+        """Send one member a heartbeat at once."""
+        self._heartbeats.send_to(instance)
+
     async def _send_heartbeats(self) -> None:
         """Send heartbeats and the waits to expect, and drop members that time out.
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/link_check.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/link_check.py
@@ -12,21 +12,24 @@
 
 from almondspread.clock import Clock
 from almondspread_daemon.addresses import parse_destination
-from almondspread_daemon.jobs.links import AskLeader, LeaderKnown, LeaderLink, Link
+from almondspread_daemon.jobs.links import AskLink, LeaderKnown, LeaderLink, Link
 
 # A leader sends heartbeats more often than this.
 SUSPICION_TIME = timedelta(milliseconds=450)
 CHECK_TIMEOUT = timedelta(milliseconds=300)
-# A leader that was busy answers on all links, but not at the same moment.
+# The heartbeat that a leader sends before its answer has arrived by then.
 GRACE_TIME = timedelta(milliseconds=100)
 
 
 class LinkCheck:
-    """Checks one link to a leader whose peer address is ``address``."""
+    """Checks the link of ``instance`` to a leader whose peer address is ``address``."""
 
-    def __init__(self, leader: LeaderLink, address: str, clock: Clock) -> None:
+    def __init__(
+        self, leader: LeaderLink, address: str, instance: str, clock: Clock
+    ) -> None:
         self._leader = leader
         self._address = address
+        self._instance = instance
         self._clock = clock
         self._bytes_seen = 0
 
@@ -44,20 +47,23 @@
         silence = self._clock.monotonic() - self._leader.last_heard
         if not is_still or silence < SUSPICION_TIME:
             return False
-        if not await _shows_its_state(self._address):
+        if not await shows_its_state(self._address, self._instance):
             return False
         await self._clock.sleep(GRACE_TIME)
         return self._leader.link.bytes_received == received
 
 
-async def _shows_its_state(address: str) -> bool:
-    """Tell whether an instance answers on a new link, or has certainly ended."""
+async def shows_its_state(address: str, instance: str) -> bool:
+    """Tell whether a leader answers on a new link, or has certainly ended.
+
+    A leader that answers has sent ``instance`` a heartbeat on its own link before.
+    """
     try:
         async with asyncio.timeout(CHECK_TIMEOUT.total_seconds()):
             host, port = parse_destination(address)
             link = Link(await TCPClient().connect(host, port))
             try:
-                link.send(AskLeader())
+                link.send(AskLink(instance))
                 async for message in link.receive_messages():
                     return isinstance(message, LeaderKnown)
             finally:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
@@ -8,6 +8,7 @@
 from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.links import (
     AskLeader,
+    AskLink,
     AskOperatorRows,
     Hello,
     LeaderKnown,
@@ -48,11 +49,20 @@
                     return
                 case AskOperatorRows():
                     self._exchange.answer(message, "peer", link.send)
+                case AskLink():
+                    self._send_heartbeat(message.instance)
+                    link.send(LeaderKnown(self._find_leader_row()))
                 case AskLeader():
                     link.send(LeaderKnown(self._find_leader_row()))
                 case _:
                     return
 
+    def _send_heartbeat(self, instance: str) -> None:
+        """Send a member a heartbeat on its own link, if this instance leads."""
+        session = self._find_session()
+        if session is not None:
+            session.send_heartbeat_to(instance)
+
     async def _serve_member(self, hello: Hello, link: Link) -> None:
         """Serve an instance as a member, if this instance leads."""
         session = self._find_session()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -115,6 +115,17 @@
     """Asks an instance for the leader that it follows, on a link of its own."""
 
 
+@define(frozen=True)
+class AskLink:
+    """Asks a leader, on a link of its own, whether the link of ``instance`` works.
+
+    The leader sends a heartbeat there, and then ``LeaderKnown`` on this link. One of an
+    earlier release closes this link instead.
+    """
+
+    instance: str
+
+
 @define(frozen=True)
 class LeaderKnown:
     """The row of the leader that the sender follows or is; ``None`` for neither."""
@@ -204,6 +215,7 @@
     (
         AcknowledgeEnds,
         AskLeader,
+        AskLink,
         AskOperatorRows,
         AskPermits,
         Beat,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
@@ -10,7 +10,8 @@
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread_daemon.jobs.follower import LEADER_TIMEOUT, RENEWAL_TIME
 from almondspread_daemon.jobs.links import (
-    AskLeader,
+    AskLink,
+    Beat,
     Hello,
     LeaderKnown,
     LinkServer,
@@ -31,6 +32,7 @@
         self.welcomed = asyncio.Event()
         self.links = []
         self.answers_inquiries = False
+        self.is_heard = False
         self.server = LinkServer(self.serve)
         sockets = bind_sockets(0, "127.0.0.1")
         self.server.add_sockets(sockets)
@@ -47,7 +49,9 @@
             if isinstance(message, Hello):
                 link.send(Welcome(4))
                 self.welcomed.set()
-            if isinstance(message, AskLeader) and self.answers_inquiries:
+            if isinstance(message, AskLink) and self.answers_inquiries:
+                if self.is_heard:
+                    self.links[0].send(Beat())
                 link.send(LeaderKnown(self.row))
 
     async def follow(self):
@@ -123,6 +127,15 @@
         self.assertLess(time, LEADER_TIMEOUT)
         self.assertTrue(follows_again)
 
+    async def test_link_of_a_leader_that_was_busy_is_kept(self):
+        """It sends a heartbeat on the link in use before it answers on another one."""
+        self.answers_inquiries = self.is_heard = True
+        task = await self.follow()
+        await asyncio.sleep(2 * LEADER_TIMEOUT.total_seconds())
+        self.assertFalse(task.done())
+        self.links[0].close()
+        await task
+
     async def test_end_of_the_leader_shows_although_the_link_is_silent(self):
         task = await self.follow()
         self.server.stop()
