--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -23,9 +23,9 @@
     ``strength`` is the suitability of its machine to lead, from 0 to 1, ``started``
     the start time of its process on the leader's monotonic clock.
     ``advice_requests`` are its pending requests to the advice service, which it makes
-    one after another. ``wall_offset`` is how far its
-    time of day is ahead of the leader's monotonic time. Instances reach it at
-    ``address``, which is empty where it is not known.
+    one after another. ``wall_offset`` is how far its time of day is ahead of the
+    leader's monotonic time. Instances reach it at ``address``, which is empty where it
+    is not known.
     """
 
     instance: str
