Acknowledge ends again that an upstream lists although they are acknowledged

Cause: the leader counts an acknowledgement as done once it is ordered. The next executor, or the same one over a new link, lists the ends again; they are known already and were passed over without a further order.

Change: an end at or below the acknowledged number that a report lists takes that number back, and the next commit has it acknowledged again. Executors list such ends only where they are asked to report all again.

--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -215,6 +215,27 @@
         self.cell.run_for(SECOND)
         self.assertEqual(self.cell.upstreams["u0"].ends, [])
 
+    def test_acknowledgement_that_was_lost_with_its_executor_is_sent_again(self):
+        """The upstream listed such ends for good, unless another one came."""
+        self.add_upstreams(1)
+        lost = []
+
+        def drop_first(order):
+            if isinstance(order, AcknowledgeEnds) and not lost:
+                lost.append(order.number)
+                return True
+            return False
+
+        self.cell.drop_order = drop_first
+        self.cell.submit(make_job("j", make_step()))
+        self.cell.run_for(3 * SECOND)
+        self.assert_completed("j")
+        self.assertEqual(lost, [1])
+        (end,) = self.cell.upstreams["u0"].ends
+        self.report((end,), ())
+        self.assertEqual(self.commit_and_list_acknowledged(), [1])
+        self.assertEqual(self.cell.history.starts, 1)
+
 
 class LostExecutorTest(CellTest):
     def test_start_that_was_lost_with_its_executor_is_repeated(self):
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -247,6 +247,9 @@
         if upstream.lapse_at is not None:
             self._record_answer(upstream)
         for end in report.ends:
+            if end.number <= self._acknowledged.get(upstream.name, 0):
+                # The acknowledgement has been lost, perhaps with its executor.
+                self._acknowledged[upstream.name] = end.number - 1
             if end.number <= upstream.ends_seen:
                 continue
             upstream.ends_seen = end.number
