Speed a throttled task up again once it runs alone

What callers saw: a task that uses idle processor time stays throttled, at worst at 0, after the serving task beside it has ended, until another run comes to its upstream.

Cause: paces were looked at only where an upstream has two runs or more.

Test: test_throttled_run_speeds_up_again_once_it_is_alone failed before (no order in 8 s, and not 25, 50, 100).

--- a/packages/almondspread/almondspread/jobs/sightings.py
+++ b/packages/almondspread/almondspread/jobs/sightings.py
@@ -122,7 +122,6 @@
     def adjust_paces(self, upstream: Upstream, now: timedelta) -> None:
         """Adjust the speed of opportunistic runs beside tasks with a latency target."""
         runs = self.cell_state.list_runs(upstream.name)
-        if len(runs) > 1:
-            self.control.orders.extend(
-                choose_paces(runs, self.control.job_table.find_step, now)
-            )
+        self.control.orders.extend(
+            choose_paces(runs, self.control.job_table.find_step, now)
+        )
