Order the pace of a run again where an earlier order may not hold

Change: a run knows its pace only once this leader has ordered it, and no longer once its executor is lost; the next report has the pace ordered that is right then.

--- a/packages/almondspread/almondspread/jobs/bound_runs.py
+++ b/packages/almondspread/almondspread/jobs/bound_runs.py
@@ -28,7 +28,9 @@
 
     ``changed_at`` is when the phase, the progress or the pace last changed; a stop sets
     ``stop_requested_at`` instead. ``seen_at`` is when a report last showed the run with
-    its ``percent`` and ``figure``. ``pace`` is the limit on its speed in percent.
+    its ``percent`` and ``figure``. ``pace`` is the limit on its speed in percent,
+    which an earlier leader or a lost order may have left otherwise unless
+    ``knows_pace``.
     ``available`` is set while a lasting task does its work. A run ``is_whole`` if it
     does all the work of its task under this leader, and ``is_confirmed`` once its
     upstream has confirmed the start. Once a stop is answered,
@@ -47,6 +49,7 @@
     percent: int = 0
     figure: int = 0
     pace: int = 100
+    knows_pace: bool = True
     available: bool = False
     is_whole: bool = False
     is_confirmed: bool = False
--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -58,6 +58,7 @@
             RunPhase.RUNNING,
             started_at=now,
             changed_at=now,
+            knows_pace=False,
             is_confirmed=True,
         )
         self.add_run(progress, sighting.task.index, upstream, run)
--- a/packages/almondspread/almondspread/jobs/pacing.py
+++ b/packages/almondspread/almondspread/jobs/pacing.py
@@ -37,9 +37,10 @@
     orders = []
     for run in opportunistic:
         pace = _choose_pace(run, worst, now)
-        if pace == run.pace:
+        if pace == run.pace and run.knows_pace:
             continue
         run.pace = pace
+        run.knows_pace = True
         run.changed_at = now
         orders.append(PaceRun(run.upstream, run.task, run.number, pace))
     return orders
--- a/packages/almondspread/almondspread/jobs/tests/test_pacing.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_pacing.py
@@ -54,6 +54,11 @@
     def fill(self):
         return RunSighting(FILL, 8, "", 10)
 
+    def test_run_that_an_earlier_leader_may_have_throttled_is_told_its_pace(self):
+        """Its pace was taken for 100 and never ordered."""
+        self.assertEqual(self.report(self.fill(), self.serve(10)), [100])
+        self.assertEqual(self.report(self.fill(), self.serve(10)), [])
+
     def test_adopted_run_beside_a_late_task_is_stopped_at_once(self):
         self.assertEqual(self.report(self.fill(), self.serve(TARGET_MS)), [0])
 
@@ -64,6 +69,15 @@
         paces = [self.report(self.fill(), ends=(end,)) for _ in range(4)]
         self.assertEqual(paces, [[25], [50], [100], []])
 
+    def test_pace_is_ordered_again_after_its_executor_was_lost(self):
+        self.assertEqual(self.report(self.fill(), self.serve(TARGET_MS)), [0])
+        self.scheduler.abandon_upstreams({"u0"}, self.now + 9 * SECOND, self.now)
+        self.assertEqual(self.report(self.fill(), self.serve(TARGET_MS)), [0])
+        self.assertEqual(self.report(self.fill(), self.serve(TARGET_MS)), [])
+
+    def test_adopted_run_that_is_alone_is_told_its_pace(self):
+        self.assertEqual(self.report(self.fill()), [100])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -96,6 +96,7 @@
             upstream.orphaned_leases_until = until
             upstream.has_reported = False
             for run in self.cell_state.list_runs(name):
+                run.knows_pace = False
                 if run.phase is RunPhase.STARTING:
                     self.control.mark_unsettled(run, now)
 
