Let a new leader begin no occurrence before it has the clocks of others

Change: with fewer than three readings, no occurrence is due in the first second of an epoch. Timed work may begin up to a second late after a change of leader.

Test: test_new_leader_whose_clock_has_jumped_waits_for_others; the function gave the time that had jumped before.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -1,6 +1,6 @@
 """Passes stored jobs and cancellations from the store to the scheduler."""
 
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 
 from loguru import logger
 
@@ -24,12 +24,11 @@
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.jobs.stored_cell import StoredCell
+from almondspread_daemon.jobs.wall_time import NO_OCCURRENCE_DUE
 
 FEED_POLL_TIMEOUT = timedelta(seconds=1)
 FEED_STALENESS_MARGIN = timedelta(milliseconds=500)
 STORE_RETRY_DELAY = timedelta(milliseconds=200)
-# The next pass of the scheduler decides which occurrences are due.
-NO_OCCURRENCE_DUE = datetime.min.replace(tzinfo=UTC)
 
 
 class JobIntake:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/pass_loop.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/pass_loop.py
@@ -42,6 +42,7 @@
         self._announcer = announcer
         self._request_commit = request_commit
         self._clock = clock
+        self._began = clock.monotonic()
         self._wanted = asyncio.Event()
 
     def request(self) -> None:
@@ -66,10 +67,14 @@
     def run_pass(self) -> None:
         """Run one scheduler pass and send its orders."""
         members = self._assignments.members
+        now = self._clock.monotonic()
         self._assignments.update_unresponsive_upstreams(self._instance)
+        wall = estimate_wall_time(
+            members.members.values(), self._instance, self._clock, now - self._began
+        )
         orders = self._scheduler.schedule(
-            self._clock.monotonic(),
-            estimate_wall_time(members.members.values(), self._instance, self._clock),
+            now,
+            wall,
             members.count_advice_slots(),
             self._committer.lease_holds,
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_wall_time.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_wall_time.py
@@ -4,7 +4,12 @@
 from almondspread.clock import ManualClock
 from almondspread_daemon.jobs.members import Member
 from almondspread_daemon.jobs.tests.support import SECOND
-from almondspread_daemon.jobs.wall_time import estimate_wall_time, measure_offset
+from almondspread_daemon.jobs.wall_time import (
+    NO_OCCURRENCE_DUE,
+    READING_PATIENCE,
+    estimate_wall_time,
+    measure_offset,
+)
 
 HALF_HOUR = timedelta(minutes=30)
 
@@ -30,8 +35,19 @@
         member.wall_offset = measure_offset(seconds, self.clock.monotonic())
         return member
 
-    def estimate(self, *members):
-        return estimate_wall_time(members, "own", self.clock)
+    def estimate(self, *members, epoch_age=READING_PATIENCE):
+        return estimate_wall_time(members, "own", self.clock, epoch_age)
+
+    def test_new_leader_whose_clock_has_jumped_waits_for_others(self):
+        """Its first passes had no other clock, and started occurrences early."""
+        self.clock.step = HALF_HOUR
+        members = []
+        for name in ("a", "b"):
+            early = self.estimate(*members, epoch_age=READING_PATIENCE / 2)
+            self.assertEqual(early, NO_OCCURRENCE_DUE)
+            members.append(self.make_member(name))
+        known = self.estimate(*members, epoch_age=READING_PATIENCE / 2)
+        self.assertEqual(known, self.truth)
 
     def test_leader_whose_clock_jumps_starts_nothing_too_early(self):
         """Occurrences were due by the leader's own time of day, half an hour early."""
