--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_follower.py
@@ -157,9 +157,10 @@
         task = await self.follow()
         # The head of a msgpack string of 64 KiB, which arrives byte by byte.
         await self.links[0]._stream.write(b"\xda\xff\xff")
-        for _ in range(9):
-            await asyncio.sleep(0.1)
+        for _ in range(3):
+            await asyncio.sleep(0.25)
             await self.links[0]._stream.write(b"x")
+        await asyncio.sleep(0.1)
         self.assertFalse(task.done())
         self.links[0].close()
         await task
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_members.py
@@ -109,11 +109,11 @@
             entries.append(make_entry(upstream, number))
         self.scheduler.update_upstreams(entries, timedelta(0))
 
-    def join(self, instance):
+    def join(self, instance, cores=1.0):
         """Add a member; return the list to which its orders go."""
         orders = []
         self.assignments.add_member(
-            Member(instance, "umea", 1.0, orders.append, timedelta(0))
+            Member(instance, "umea", cores, orders.append, timedelta(0))
         )
         return orders
 
@@ -121,13 +121,14 @@
         return set(self.assignments.members.members[instance].upstreams)
 
     def test_member_that_comes_back_keeps_its_upstreams(self):
+        # Its machine is small, so that others would be chosen for its upstreams.
+        self.join("back", cores=0.5)
         others = [self.join(f"m{number}") for number in range(2)]
-        self.join("back")
         held = self.list_upstreams("back")
-        self.assertTrue(held)
+        self.assertEqual(len(held), 2)
         for orders in others:
             orders.clear()
-        orders = self.join("back")
+        orders = self.join("back", cores=0.5)
         self.assertEqual(self.list_upstreams("back"), held)
         watched = {each.upstream for each in orders if isinstance(each, WatchUpstream)}
         self.assertEqual(watched, held)
--- a/packages/almondspread_platform/almondspread_platform/tests/test_clients.py
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_clients.py
@@ -87,6 +87,19 @@
         self.clients.record_answer("a", late)
         self.assertIs(self.answer("a"), self.opened[1])
 
+    def test_late_call_through_a_dropped_client_tells_nothing_either(self):
+        self.answer("sound")
+        late = self.clients.begin_call("sound")
+        for _ in range(2 * MAX_CLIENTS):
+            self.answer("a")
+            self.assertTrue(self.lose_after_pause("a"))
+        current = self.answer("sound")
+        self.assertIsNot(current, late.client)
+        self.clock.advance(MIN_OPEN_INTERVAL)
+        self.clients.end_call(late)
+        self.assertFalse(self.clients.give_up_connections("sound", late))
+        self.assertIs(self.answer("sound"), current)
+
     def test_clients_are_opened_no_more_often_than_the_interval(self):
         for _ in range(10):
             self.answer("a")
