--- a/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
@@ -30,6 +30,7 @@
         self.answers = list(answers)
         self.requests = []
         self.connections = 0
+        self._writers = []
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -38,9 +39,12 @@
 
     async def stop(self):
         self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.append(writer)
         try:
             while await self._answer_next(reader, writer):
                 pass
