Send no start that has waited while a call to its upstream failed

Cause, from the lines: 16 starts were placed at once. An executor asks whether the same incarnation has answered its last call, and then waits for one of four connections. With three of these silent, the others waited; the upstream restarted, the three failed, and those behind them went to the next incarnation, which knows no token yet. That window is named in docs/design/platform.md as the time of one call; connections that are silent make it the time of a queue.

Change: a start is asked about once more as its first byte is about to leave, and a start without an answer counts as a failed call at once, before the poll after it is answered.

--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -5,6 +5,7 @@
 platform implements the protocols.
 """
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
 
@@ -250,7 +251,8 @@
 
     The upstream refuses a call that arrives after ``until``. ``checkpoint`` is the
     state from which the run resumes, and ``ticket`` the permit of the advice service;
-    both may be empty.
+    both may be empty. ``may_send`` is asked last thing before the call leaves, since it
+    may wait for a connection; where it denies, the call fails as not done.
     """
 
     fencing_token: int
@@ -260,6 +262,7 @@
     until: timedelta
     checkpoint: str = ""
     ticket: str = ""
+    may_send: Callable[[], bool] = lambda: True
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -333,6 +333,7 @@
             upstream_time + START_EXPIRY,
             order.checkpoint,
             order.ticket,
+            self._may_send_start,
         )
         if not order.paced:
             self._unpaced_runs.add((order.task, order.run))
@@ -352,11 +353,19 @@
         elif failure.not_done:
             self._report_start(order, REFUSED, failure.reason)
         else:
+            self._is_confirmed = False
             self._report_start(order, UNKNOWN, failure.reason)
             if await self._poll_now() is not None and self._last_answered < sent:
                 # Neither call was answered; the pending renew call may wait longer.
                 self._report_silence()
 
+    def _may_send_start(self) -> bool:
+        """Tell whether the same incarnation has answered the last call.
+
+        A start may have waited for a connection while calls before it failed.
+        """
+        return self._is_confirmed and self.is_running
+
     def _report_start(self, order: StartRun, outcome: str, reason: str) -> None:
         """Report the outcome of a start to the leader."""
         self._report(
