Move the clock of the test of replaced clients by hand

The caller takes its clock as a parameter; the test now moves it, and is stricter: none in between, and one more once the interval has passed.

--- a/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
+++ b/packages/almondspread_platform/almondspread_platform/tests/test_caller.py
@@ -4,9 +4,11 @@
 
 from attrs import define, evolve
 
+from almondspread.clock import ManualClock
 from almondspread.interfaces import MinionRequest, Write
 from almondspread_platform import HttpCaller, HttpTable, MinionClient, open_client
 from almondspread_platform.caller import HttpCall
+from almondspread_platform.clients import MIN_OPEN_INTERVAL
 
 SECOND = timedelta(seconds=1)
 BRIEF = timedelta(milliseconds=60)
@@ -95,7 +97,10 @@
 
     def make_caller(self, *, replaces=True):
         replacement = self.open_client if replaces else None
-        self.caller = HttpCaller(self.open_client(), open_replacement=replacement)
+        self.clock = ManualClock()
+        self.caller = HttpCaller(
+            self.open_client(), open_replacement=replacement, clock=self.clock
+        )
 
     async def call(self, method="GET", begins=None, timeout=BRIEF):
         call = HttpCall(method, self.server.address, "/x", timeout)
@@ -141,12 +146,13 @@
 
     async def test_outage_replaces_the_client_no_more_often_than_the_interval(self):
         self.make_caller()
-        for _ in range(3):
+        for expected in (2, 2, 2, 3):
             self.server.answers = [ANSWER, b"", b""]
             await self.call(timeout=SECOND)
             for _ in range(2):
                 await self.call(begins=BRIEF / 6)
-        self.assertEqual(len(self.opened), 2)
+            self.assertEqual(len(self.opened), expected)
+            self.clock.advance(MIN_OPEN_INTERVAL / 3)
 
     async def test_outage_before_any_answer_replaces_nothing(self):
         """There is no idle connection that a later call could take."""
