Do not ask for a configuration that no instance could learn of

By their lines and the leader's, four of five instances were turned away by the store (503) since 6.7 s, and the fifth, the leader, was cut off from it between 11.0 and 13.9 s, by two faults that each keep only some instances away. Version 8 was published in that time. All five had version 9 within 0.03 s of the first reading of it.

The check promises a configuration to each instance that reaches the store or a member that has it; here there was none. Times at which no instance reaches the store now count as disturbed, and the 3 s after, as with other disturbances.

--- a/packages/almondspread_standin/almondspread_standin/soak/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/faults.py
@@ -24,6 +24,7 @@
 PARTITION_SHARES = 3
 # A disturbed instance works as promised again after this time.
 CONTACT_SECONDS = 3.0
+REACH_POLL_SECONDS = 0.05
 GENERAL_FAULTS = (
     "kill",
     "terminate",
@@ -102,7 +103,8 @@
     def is_disturbed(self) -> bool:
         """Tell whether there is, or was a moment ago, a fault that may delay anything.
 
-        Faults that only keep some instances from the store do not count.
+        Faults that keep instances from the store count once they keep all of them from
+        it, as several may do together: then nobody can learn of a change.
         """
         now = asyncio.get_running_loop().time()
         return self._disturbing > 0 or now < self._undisturbed_since
@@ -138,6 +140,23 @@
             "silence all": self._silences.silence_all,
         }
 
+    def is_store_reached(self) -> bool:
+        """Tell whether at least one instance reaches the store now."""
+        for instance in self.instances.instances:
+            is_turned_away = instance.store_faults.turned_away is not None
+            is_open = instance.store_proxy.state is LinkState.OPEN
+            if instance.is_alive and is_open and not is_turned_away:
+                return True
+        return False
+
+    async def watch_store(self) -> None:
+        """Note the times at which no instance reaches the store, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            if not self.is_store_reached():
+                self._undisturbed_since = loop.time() + CONTACT_SECONDS
+            await asyncio.sleep(REACH_POLL_SECONDS)
+
     async def run(self) -> None:
         """Start one fault after another at random intervals until cancelled."""
         faults = self.collect_faults()
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -184,6 +184,8 @@
                 self._clients, self._published_at, self._fault_injector.is_disturbed
             )
             background_tasks.append(asyncio.create_task(probe.run()))
+            watch = self._fault_injector.watch_store()
+            background_tasks.append(asyncio.create_task(watch))
             await self._run_under_faults(background_tasks)
             await self._check_results()
         finally:
