Log how many tasks are held by what, and which upstreams hold them back

The line `load` tells each second now, by cause, with the upstreams that are not seen yet and the time that is left for each. The conditions of a start stand in one module of their own, unchanged.

--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/holds.py
@@ -0,0 +1,65 @@
+"""Why waiting tasks may not start yet, although their step is ready."""
+
+from datetime import timedelta
+from enum import StrEnum
+
+from attrs import define
+
+from almondspread.jobs.step_progress import StepProgress
+
+
+class HoldCause(StrEnum):
+    """What keeps the waiting tasks of a ready step from starting.
+
+    Tasks without any of these wait for permits or for room.
+    """
+
+    REFUSED_START = "refused_start"
+    UNSEEN_UPSTREAM = "unseen_upstream"
+    LEADER_LEASE = "leader_lease"
+    GANG_MEMBERS = "gang_members"
+    LOST_UPSTREAMS = "lost_upstreams"
+    START_RECORD = "start_record"
+
+
+@define(frozen=True)
+class StartHolds:
+    """Tells which jobs may not start yet, by the store version that added them.
+
+    Tasks of jobs up to ``held_version`` may already be running on an upstream that has
+    not reported, so that only tasks that may run twice can start. Jobs beyond
+    ``startable_version`` start no tasks yet. Without ``may_start_again``, no task that
+    was interrupted starts again.
+    """
+
+    held_version: int
+    startable_version: int
+    may_start_again: bool = True
+
+    def find_cause(self, progress: StepProgress, now: timedelta) -> HoldCause | None:
+        """Return what keeps all waiting tasks of a step, ``None`` if nothing does.
+
+        A step that only lacks a start record may ask for permits meanwhile, so that
+        ``lacks_start_record`` tells of it.
+        """
+        if now < progress.not_before:
+            return HoldCause.REFUSED_START
+        if self.may_run_unseen(progress):
+            return HoldCause.UNSEEN_UPSTREAM
+        if progress.starts_again and not self.may_start_again:
+            return HoldCause.LEADER_LEASE
+        if progress.step.gang and len(progress.waiting) < progress.step.count:
+            return HoldCause.GANG_MEMBERS
+        if progress.is_on_hold:
+            return HoldCause.LOST_UPSTREAMS
+        return None
+
+    def may_run_unseen(self, progress: StepProgress) -> bool:
+        """Return whether a step's tasks may run unseen and must not run twice."""
+        return progress.job.version <= self.held_version and not (
+            progress.step.duplicates
+        )
+
+    def lacks_start_record(self, progress: StepProgress) -> bool:
+        """Return whether the store does not record yet that a step may start."""
+        return progress.job.version > self.startable_version
--- a/packages/almondspread/almondspread/jobs/loads.py
+++ b/packages/almondspread/almondspread/jobs/loads.py
@@ -1,10 +1,12 @@
 """The backlog of a cell and the utilization of its upstreams, for logs and metrics."""
 
+from collections import Counter
 from collections.abc import Iterable
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, field
 
+from almondspread.jobs.holds import HoldCause, StartHolds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
 
@@ -16,6 +18,7 @@
     Processor amounts are in thousandths of a core. ``without_permits`` counts the
     waiting steps that have no valid permits, whether or not they need any, and
     ``suspected_tasks`` those that may crash the next upstream that starts them.
+    ``held_tasks`` counts the waiting tasks by what keeps them from starting.
     """
 
     waiting_steps: int
@@ -25,6 +28,7 @@
     used_millis: int
     usable_millis: int
     suspected_tasks: int = 0
+    held_tasks: dict[str, int] = field(factory=dict)
 
 
 NO_LOAD = Load(0, 0, 0, 0, 0, 0)
@@ -36,11 +40,12 @@
     unseen: int,
     now: timedelta,
     suspected: int = 0,
+    held: dict[str, int] | None = None,
 ) -> Load:
     """Return the load of steps with waiting tasks on upstreams.
 
     ``unseen`` upstreams have not reported to the leader yet, and ``suspected`` tasks
-    may crash their upstreams.
+    may crash their upstreams. ``held`` counts the tasks that are kept from starting.
     """
     steps = tasks = without_permits = 0
     for progress in waiting:
@@ -53,4 +58,24 @@
         if upstream.is_usable(now):
             usable += upstream.entry.capacity.cpu_millis
             used += upstream.entry.capacity.cpu_millis - upstream.free.cpu_millis
-    return Load(steps, unseen, tasks, without_permits, used, usable, suspected)
+    return Load(
+        steps, unseen, tasks, without_permits, used, usable, suspected, held or {}
+    )
+
+
+def count_held_tasks(
+    waiting: Iterable[StepProgress], holds: StartHolds, now: timedelta
+) -> dict[str, int]:
+    """Return how many waiting tasks each cause keeps from starting.
+
+    >>> count_held_tasks([], StartHolds(0, 0), timedelta(0))
+    {}
+    """
+    held: Counter[str] = Counter()
+    for progress in waiting:
+        cause = holds.find_cause(progress, now)
+        if cause is None and holds.lacks_start_record(progress):
+            cause = HoldCause.START_RECORD
+        if cause is not None:
+            held[str(cause)] += len(progress.waiting)
+    return dict(held)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -14,10 +14,11 @@
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
+from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.job_records import JobRecord
 from almondspread.jobs.job_table import Announcement, JobTable
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
-from almondspread.jobs.loads import Load, measure_load
+from almondspread.jobs.loads import Load, count_held_tasks, measure_load
 from almondspread.jobs.messages import (
     AskPermits,
     EpochFenced,
@@ -35,7 +36,7 @@
 from almondspread.jobs.pending_changes import ChangeQueue
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.runs import RunControl
-from almondspread.jobs.starts import MAX_ENTRY_AGE, StartHolds, StartPlanner
+from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission
 from almondspread.jobs.upstream_tracker import UpstreamTracker
@@ -73,6 +74,7 @@
         self.inherited_version = inherited_version
         self._startable_version = NO_VERSION
         self._last_sweep = timedelta(0)
+        self._lease_holds = True
         self.cell_state = CellState(epoch)
         self._control = RunControl(self.cell_state)
         self._job_table = JobTable(configuration, self._control.stop_runs)
@@ -286,8 +288,9 @@
         """
         self._job_table.create_due_occurrences(wall)
         self._upstream_tracker.expire_leases(now)
+        self._lease_holds = lease_holds
         self._planner.start_waiting_tasks(
-            now, max_permit_requests, self._compute_holds(lease_holds)
+            now, max_permit_requests, self._compute_holds()
         )
         self._sweep(now)
         orders, self._control.orders = self._control.orders, []
@@ -310,7 +313,7 @@
         evacuated = choose_evacuations(find_step, self.cell_state, now)
         self._control.stop_runs(evacuated, now)
 
-    def _compute_holds(self, lease_holds: bool) -> StartHolds:
+    def _compute_holds(self) -> StartHolds:
         """Return which jobs may not start yet."""
         unseen = bool(self._upstream_tracker.unseen)
         held_version = NO_VERSION
@@ -320,7 +323,7 @@
             # A job may have been stored twice, first in a partition that is not loaded,
             # so its known version may be too high; all jobs are held back.
             held_version = ANY_VERSION
-        return StartHolds(held_version, self._startable_version, lease_holds)
+        return StartHolds(held_version, self._startable_version, self._lease_holds)
 
     def estimate_waits(self, now: timedelta) -> tuple[ServiceWait, ...]:
         """Return how long a job accepted now would wait, by service and priority."""
@@ -343,14 +346,30 @@
 
     def measure_load(self, now: timedelta) -> Load:
         """Return the current backlog and the utilization of the usable upstreams."""
+        steps = self._job_table.ready_steps.values()
         return measure_load(
-            self._job_table.ready_steps.values(),
+            steps,
             self.cell_state.upstreams.values(),
             len(self._upstream_tracker.unseen),
             now,
             self._job_table.count_suspects(),
+            count_held_tasks(steps, self._compute_holds(), now),
         )
 
+    def list_unseen(self, now: timedelta) -> dict[str, float]:
+        """Return the upstreams that may run tasks unseen, and for how long at most.
+
+        The times are in seconds, from now until the leases have certainly expired.
+        """
+        found = {}
+        for name in self._upstream_tracker.unseen:
+            upstream = self.cell_state.upstreams.get(name)
+            if upstream is None:
+                continue
+            until = upstream.lapse_at or upstream.orphaned_leases_until
+            found[name] = max(0.0, (until - now).total_seconds())
+        return found
+
     # State that the leader stores and announces
 
     def list_watched(self) -> list[Upstream]:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -9,6 +9,7 @@
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import AdviceTiming
+from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.messages import PermitsAnswered, StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
 from almondspread.jobs.permit_requests import (
@@ -43,31 +44,6 @@
 MAX_ENTRY_AGE = timedelta(milliseconds=2_500)
 
 
-@define(frozen=True)
-class StartHolds:
-    """Tells which jobs may not start yet, by the store version that added them.
-
-    Tasks of jobs up to ``held_version`` may already be running on an upstream that has
-    not reported, so that only tasks that may run twice can start. Jobs beyond
-    ``startable_version`` start no tasks yet. Without ``may_start_again``, no task that
-    was interrupted starts again.
-    """
-
-    held_version: int
-    startable_version: int
-    may_start_again: bool = True
-
-    def may_run_unseen(self, progress: StepProgress) -> bool:
-        """Return whether a step's tasks may run unseen and must not run twice."""
-        return progress.job.version <= self.held_version and not (
-            progress.step.duplicates
-        )
-
-    def lacks_start_record(self, progress: StepProgress) -> bool:
-        """Return whether the store does not record yet that a step may start."""
-        return progress.job.version > self.startable_version
-
-
 @define(eq=False)
 class _RankedStep:
     """A step with waiting tasks, its place in the order, and where it may run.
@@ -150,13 +126,7 @@
         table = self.control.job_table
         found = []
         for progress in table.ready_steps.values():
-            if now < progress.not_before or holds.may_run_unseen(progress):
-                continue
-            if progress.starts_again and not holds.may_start_again:
-                continue
-            if progress.step.gang and len(progress.waiting) < progress.step.count:
-                continue
-            if progress.is_on_hold:
+            if holds.find_cause(progress, now) is not None:
                 continue
             found.append(self._rank_step(progress, usable, now))
         found.sort(key=lambda step: step.rank)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
@@ -10,6 +10,7 @@
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 LOAD_INTERVAL = timedelta(seconds=1)
+MAX_LOGGED_UPSTREAMS = 8
 
 
 class LoadLog:
@@ -31,7 +32,8 @@
         """Log and export the load until cancelled."""
         epoch = self._scheduler.epoch
         while True:
-            load = self._scheduler.measure_load(self._clock.monotonic())
+            now = self._clock.monotonic()
+            load = self._scheduler.measure_load(now)
             logger.info(
                 "load",
                 epoch=epoch,
@@ -42,7 +44,15 @@
                 used_millis=load.used_millis,
                 usable_millis=load.usable_millis,
                 suspected_tasks=load.suspected_tasks,
+                held_tasks=load.held_tasks,
+                unseen=_describe_unseen(self._scheduler.list_unseen(now)),
                 question_slots=self._assignments.members.count_advice_slots(),
             )
             self._metrics.set_load(epoch, load)
             await self._clock.sleep(LOAD_INTERVAL)
+
+
+def _describe_unseen(unseen: dict[str, float]) -> dict[str, float]:
+    """Return the upstreams for a log line: those that hold back tasks the longest."""
+    names = sorted(unseen, key=lambda name: -unseen[name])
+    return {name: round(unseen[name], 1) for name in names[:MAX_LOGGED_UPSTREAMS]}
