Report all runs after each of several stops

What was seen: four starts without an outcome were stopped at once; one of the tasks ran again after 0.1 s, the others up to 2 s later. Cause: each stop is followed by a call whose answer is to show the run absent, and the call before it had just reported all runs, so that the next answers were left out as not due. A call that is made for a full report gives one now, whatever was reported before. The test fails without the change: the newest full report is numbered below the newest stop.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -173,12 +173,12 @@
             await self._clock.sleep(RETRY_DELAY)
 
     async def _renew(
-        self, until: timedelta | None, wait: timedelta
+        self, until: timedelta | None, wait: timedelta, reports_all: bool = False
     ) -> CallFailed | None:
         """Make one renew call and report its answer; return its failure if it fails.
 
         The upstream renews the leases up to its time ``until``, or no lease if that is
-        ``None``.
+        ``None``. With ``reports_all``, the report has all runs in any case.
         """
         self._last_renew_number += 1
         number = self._last_renew_number
@@ -193,7 +193,7 @@
         self._is_confirmed = answer.is_ok()
         if answer.is_error():
             return answer.error
-        self._handle_answer(answer.ok, number)
+        self._handle_answer(answer.ok, number, reports_all)
         return None
 
     async def _fence_late_calls(self) -> None:
@@ -209,8 +209,7 @@
 
     async def _poll_now(self) -> CallFailed | None:
         """Report all runs now, without waiting for the pending renew call."""
-        self._last_full_report = None
-        return await self._renew(None, timedelta(0))
+        return await self._renew(None, timedelta(0), reports_all=True)
 
     async def _poll_twice(self) -> None:
         """Report all runs now; the second call uses a new connection."""
@@ -241,8 +240,10 @@
         except TimeoutError:
             return
 
-    def _handle_answer(self, answer: RenewAnswer, number: int) -> None:
-        """Report new ends, and all runs if a full report is due.
+    def _handle_answer(
+        self, answer: RenewAnswer, number: int, reports_all: bool
+    ) -> None:
+        """Report new ends, and all runs if a full report is asked for or due.
 
         A stale answer still shows ends, but not what runs at the upstream now.
         """
@@ -255,7 +256,8 @@
         for end in ends:
             self._last_forwarded_end = max(self._last_forwarded_end, end.number)
         full = not is_stale and (
-            self._last_full_report is None
+            reports_all
+            or self._last_full_report is None
             or now - self._last_full_report >= self._renew_wait * FULL_REPORT_SHARE
         )
         if not is_stale:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -158,6 +158,29 @@
         self.assertTrue(settled.answered)
         self.assertEqual(settled.number, self.reports[-1].number)
 
+    async def test_each_of_several_stops_is_followed_by_a_report_of_all_runs(self):
+        """Guards against stops that wait for the next regular report."""
+        self.client.renewals.pop().set_result(make_answer(1, 7))
+        await settle()
+        for run in (7, 8, 9):
+            self.agent.stop(StopRun("u", TASK, run))
+        await settle()
+        for stop in self.client.stops:
+            stop.set_result(Ok(None))
+        await settle()
+        for clock, poll in enumerate(self.client.renewals[1:], 2):
+            poll.set_result(make_answer(clock))
+        await settle()
+        newest = max(
+            report.number for report in self.reports if isinstance(report, StopSettled)
+        )
+        full = [
+            report.number
+            for report in self.reports
+            if isinstance(report, UpstreamReport) and report.running is not None
+        ]
+        self.assertGreaterEqual(max(full), newest)
+
     async def test_closed_agent_reports_no_renew_call_number(self):
         """A replacing agent numbers its own renew calls from the start."""
         self.agent.stop(StopRun("u", TASK, 7))
