--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -11,8 +11,8 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
 
-# Run numbers of one epoch must stay below those of the next. They start at a multiple
-# of this bound.
+# Numbers of runs and of assignments of one epoch must stay below those of the next.
+# They start at a multiple of this bound.
 RUNS_PER_EPOCH = 10_000_000
 
 
@@ -29,12 +29,22 @@
     runs: dict[tuple[TaskId, int], Run] = field(factory=dict)
     incarnations: Incarnations = field(factory=Incarnations)
     _last_number: int = 0
+    _last_assignment: int = 0
 
     def allocate_run_number(self) -> int:
         """Return a run number above all that this or an earlier leader has used."""
         self._last_number += 1
         return self.epoch * RUNS_PER_EPOCH + self._last_number
 
+    def begin_assignment(self, upstream: Upstream) -> None:
+        """Number a new assignment of an upstream to an executor.
+
+        The upstream gets no runs before the store names the assignment.
+        """
+        self._last_assignment += 1
+        upstream.assignment = self.epoch * RUNS_PER_EPOCH + self._last_assignment
+        upstream.recorded = False
+
     def add_run(
         self, progress: StepProgress, index: int, upstream: Upstream, run: Run
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/holds.py
+++ b/packages/almondspread/almondspread/jobs/holds.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from almondspread.jobs.step_progress import StepProgress
+from almondspread.jobs.submissions import TaskId
 
 
 class HoldCause(StrEnum):
@@ -24,17 +25,18 @@
 
 @define(frozen=True)
 class StartHolds:
-    """Tells which jobs may not start yet, by the store version that added them.
+    """Tells what may not start yet, by job, by the job's store version and by task.
 
-    Tasks of jobs up to ``held_version`` may already be running on an upstream that has
-    not reported, so that only tasks that may run twice can start. Jobs beyond
-    ``startable_version`` start no tasks yet. Without ``may_start_again``, no task that
-    was interrupted starts again.
+    Of jobs up to ``held_version``, any task may run on an upstream that has not
+    reported, and ``possible_tasks`` may in any case; of these, only tasks that may run
+    twice can start. Jobs beyond ``startable_version`` start no tasks yet. Without
+    ``may_start_again``, no task that was interrupted starts again.
     """
 
     held_version: int
     startable_version: int
     may_start_again: bool = True
+    possible_tasks: frozenset[TaskId] = frozenset()
 
     def find_cause(self, progress: StepProgress, now: timedelta) -> HoldCause | None:
         """Return what keeps all waiting tasks of a step, ``None`` if nothing does.
@@ -44,7 +46,8 @@
         """
         if now < progress.not_before:
             return HoldCause.REFUSED_START
-        if self.may_run_unseen(progress):
+        held = self.list_held(progress)
+        if held and (progress.step.gang or len(held) == len(progress.waiting)):
             return HoldCause.UNSEEN_UPSTREAM
         if progress.starts_again and not self.may_start_again:
             return HoldCause.LEADER_LEASE
@@ -54,10 +57,19 @@
             return HoldCause.LOST_UPSTREAMS
         return None
 
-    def may_run_unseen(self, progress: StepProgress) -> bool:
-        """Return whether a step's tasks may run unseen and must not run twice."""
-        return progress.job.version <= self.held_version and not (
-            progress.step.duplicates
+    def list_held(self, progress: StepProgress) -> frozenset[int]:
+        """Return the waiting tasks of a step that may run on an unseen upstream."""
+        if progress.step.duplicates:
+            return frozenset()
+        if progress.job.version <= self.held_version:
+            if progress.job.may_have_started(progress):
+                return frozenset(progress.waiting)
+        if not self.possible_tasks:
+            return frozenset()
+        return frozenset(
+            index
+            for index in progress.waiting
+            if progress.make_task_id(index) in self.possible_tasks
         )
 
     def lacks_start_record(self, progress: StepProgress) -> bool:
--- a/packages/almondspread/almondspread/jobs/loads.py
+++ b/packages/almondspread/almondspread/jobs/loads.py
@@ -78,4 +78,8 @@
             cause = HoldCause.START_RECORD
         if cause is not None:
             held[str(cause)] += len(progress.waiting)
+            continue
+        possible = len(holds.list_held(progress))
+        if possible:
+            held[str(HoldCause.UNSEEN_UPSTREAM)] += possible
     return dict(held)
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -79,17 +79,46 @@
     checkpoint: str = ""
 
 
+@define(frozen=True)
+class RunId:
+    """One start of a task: the task, and the number of the run."""
+
+    task: TaskId
+    run: int
+
+
 @define(frozen=True)
 class WatchUpstream:
     """Orders an executor to renew the leases of an upstream and to report its runs.
 
-    All calls to the upstream carry ``fencing_token``.
+    All calls to the upstream carry ``fencing_token``. The number ``assignment`` is
+    higher than those of all earlier assignments of upstreams to executors; a leader of
+    an earlier release sends 0. If the leader ``knows_runs``, it has bound the
+    ``confirmed_runs`` and the ``unconfirmed_runs`` to the upstream, and no others.
+    Leases that others have renewed may last for ``leases_left``. Before the store names
+    the assignment, the executor only asks for runs and ``renews`` no lease.
     """
 
     upstream: str
     address: str
     epoch: int
     fencing_token: int
+    assignment: int = 0
+    knows_runs: bool = False
+    confirmed_runs: tuple[RunId, ...] = ()
+    unconfirmed_runs: tuple[RunId, ...] = ()
+    leases_left: timedelta = timedelta(0)
+    renews: bool = True
+
+    def is_same_assignment(self, other: "WatchUpstream") -> bool:
+        """Return whether both orders are for one assignment, under the same token."""
+        return (
+            self.upstream == other.upstream
+            and self.address == other.address
+            and self.epoch == other.epoch
+            and self.fencing_token == other.fencing_token
+            and self.assignment == other.assignment
+        )
 
 
 @define(frozen=True)
@@ -212,6 +241,20 @@
     number: int
 
 
+@define(frozen=True)
+class RunsRemembered:
+    """Tells a new leader which tasks an upstream may run, under one assignment.
+
+    The sender has stopped to carry out orders of earlier leaders, and to renew leases
+    under the assignment; these have certainly expired after ``lapse_in``.
+    """
+
+    upstream: str
+    assignment: int
+    tasks: tuple[TaskId, ...]
+    lapse_in: timedelta
+
+
 @define(frozen=True)
 class EpochFenced:
     """Reports that an upstream has seen a higher epoch: this leader is superseded."""
@@ -265,5 +308,10 @@
 # Reports that count only from the executor to which the upstream is assigned.
 AssignedReport = UpstreamReport | UpstreamSilent | StopSettled
 ExecutorReport = (
-    AssignedReport | UpstreamRestarted | StartSettled | EpochFenced | PermitsAnswered
+    AssignedReport
+    | UpstreamRestarted
+    | StartSettled
+    | EpochFenced
+    | PermitsAnswered
+    | RunsRemembered
 )
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -1,6 +1,6 @@
 """Placement of waiting tasks: which upstream each task is to run on."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define
 
@@ -62,12 +62,13 @@
     candidates: list[Candidate],
     latency_sensitive: set[str],
     max_alone: int = 0,
+    held: Collection[int] = (),
 ) -> list[Placement]:
     """Choose upstreams for as many waiting tasks of a step as fit.
 
     The function only plans and binds no runs. ``latency_sensitive`` names the upstreams
-    that run tasks with a latency target. At most ``max_alone`` tasks are placed alone.
-    A gang is placed whole or not at all.
+    that run tasks with a latency target. At most ``max_alone`` tasks are placed alone,
+    and those of ``held`` not at all. A gang is placed whole or not at all.
     """
     step = progress.step
     if step.gang:
@@ -75,7 +76,7 @@
     plan = _PlacementPlan(progress, candidates, latency_sensitive, max_alone)
     placements = []
     for index in order_suspects_first(progress):
-        if progress.losses.must_wait(index, step.lasting):
+        if index in held or progress.losses.must_wait(index, step.lasting):
             continue
         placement = plan.place(index)
         if placement is not None:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 import sys
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
 
 from almondspread.jobs.backlog import ServiceWait, estimate_wait
@@ -24,6 +24,7 @@
     EpochFenced,
     ExecutorReport,
     PermitsAnswered,
+    RunsRemembered,
     StartSettled,
     StopSettled,
     UpstreamEntry,
@@ -38,7 +39,7 @@
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
-from almondspread.jobs.submissions import Submission
+from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.jobs.upstream_tracker import UpstreamTracker
 from almondspread.jobs.upstreams import Upstream
 
@@ -53,10 +54,11 @@
 class Scheduler:
     """Schedules all jobs of the cell on its upstreams, for the leader of one epoch.
 
-    Earlier leaders may have started jobs stored up to ``inherited_version``. Of these
-    jobs, the scheduler starts only tasks that may run twice while some upstream that
-    may already run them is unseen, or while some jobs are not loaded. An upstream is
-    unseen until it reports or its leases expire, which last ``max_lease`` at the most.
+    Earlier leaders may have started jobs stored up to ``inherited_version``. A task
+    that must not run twice waits while it may run on an upstream that is unseen. Where
+    it is not known what that upstream may run, or while some jobs are not loaded, all
+    such tasks of these jobs wait. An upstream is unseen until it reports or its leases
+    expire, which last ``max_lease`` at the most.
     The scheduler starts a job stored later only once the store records that this leader
     may do so, because the next leader relies on that record to know which jobs may be
     running.
@@ -166,12 +168,23 @@
         """
         return self._upstream_tracker.update_upstreams(entries, now, read_at or now)
 
-    def inherit_upstream(self, entry: UpstreamEntry, lapse: timedelta) -> None:
+    def inherit_upstream(
+        self, entry: UpstreamEntry, lapse: timedelta, assignment: int = 0
+    ) -> None:
         """Add an upstream on which an earlier leader may have started runs.
 
-        If the upstream does not report, its leases count as expired at ``lapse``.
+        If the upstream does not report, its leases count as expired at ``lapse``. The
+        store names its last ``assignment`` to an executor, 0 if it names none.
         """
-        self._upstream_tracker.inherit_upstream(entry, lapse)
+        self._upstream_tracker.inherit_upstream(entry, lapse, assignment)
+
+    def begin_assignment(self, name: str) -> None:
+        """Record that a known upstream is assigned to another executor, or anew."""
+        self.cell_state.begin_assignment(self.cell_state.upstreams[name])
+
+    def find_stored_assignment(self, upstream: Upstream) -> int:
+        """Return the assignment that the store has to name for the next leader."""
+        return self._upstream_tracker.find_stored_assignment(upstream)
 
     # Maintenance of machines
 
@@ -225,6 +238,8 @@
                 self._control.handle_stop_answer(report, now)
             case PermitsAnswered():
                 self._planner.handle_permits_answer(report, now)
+            case RunsRemembered():
+                self._upstream_tracker.record_remembered(report, now)
 
     def is_superseded_by(self, fenced: EpochFenced) -> bool:
         """Return whether a fenced call shows that another leader has taken over.
@@ -237,9 +252,10 @@
         upstream = self.cell_state.upstreams.get(fenced.upstream)
         return upstream is not None and not upstream.has_restarted
 
-    def make_watch_order(self, name: str) -> WatchUpstream:
+    def make_watch_order(self, name: str, now: timedelta) -> WatchUpstream:
         """Return the order to watch an upstream, which must be known."""
-        return self._upstream_tracker.make_watch_order(self.cell_state.upstreams[name])
+        upstream = self.cell_state.upstreams[name]
+        return self._upstream_tracker.make_watch_order(upstream, now)
 
     def find_upstream_of(self, identity: str) -> str:
         """Return the name of the upstream that runs under an identity now."""
@@ -314,16 +330,32 @@
         self._control.stop_runs(evacuated, now)
 
     def _compute_holds(self) -> StartHolds:
-        """Return which jobs may not start yet."""
-        unseen = bool(self._upstream_tracker.unseen)
+        """Return which jobs and which tasks may not start yet."""
+        unseen = self._upstream_tracker.unseen
+        tasks = self._find_possible_tasks()
         held_version = NO_VERSION
-        if unseen or not self.is_complete:
-            held_version = self.inherited_version
-        if unseen and not self.is_complete:
+        if not self.is_complete:
             # A job may have been stored twice, first in a partition that is not loaded,
             # so its known version may be too high; all jobs are held back.
-            held_version = ANY_VERSION
-        return StartHolds(held_version, self._startable_version, self._lease_holds)
+            held_version = ANY_VERSION if unseen else self.inherited_version
+        elif tasks is None:
+            held_version = self.inherited_version
+        return StartHolds(
+            held_version,
+            self._startable_version,
+            self._lease_holds,
+            tasks or frozenset(),
+        )
+
+    def _find_possible_tasks(self) -> frozenset[TaskId] | None:
+        """Return which tasks any unseen upstream may run, ``None`` if it may be any."""
+        found: set[TaskId] = set()
+        for name in self._upstream_tracker.unseen:
+            tasks = self._upstream_tracker.find_possible_tasks(name)
+            if tasks is None:
+                return None
+            found |= tasks
+        return frozenset(found)
 
     def estimate_waits(self, now: timedelta) -> tuple[ServiceWait, ...]:
         """Return how long a job accepted now would wait, by service and priority."""
@@ -376,13 +408,13 @@
         """Return the upstreams that the next leader must query for their runs."""
         return self._upstream_tracker.list_watched()
 
-    def update_recorded(self, names: frozenset[str]) -> None:
-        """Mark the upstreams that the store names, and unmark all others.
+    def update_recorded(self, assignments: Mapping[str, int], now: timedelta) -> None:
+        """Mark the upstreams that the store names with their present assignments.
 
-        Only marked upstreams may be given runs, so that the next leader knows where to
-        look for runs.
+        All others are unmarked. Only marked upstreams may be given runs, so that the
+        next leader knows where to look for runs, and which executor knows of them.
         """
-        self._upstream_tracker.update_recorded(names)
+        self._upstream_tracker.update_recorded(assignments, now)
 
     def list_stale_upstreams(self, now: timedelta, patience: timedelta) -> list[str]:
         """Return the upstreams without any report for longer than ``patience``.
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -49,7 +49,7 @@
     """A step with waiting tasks, its place in the order, and where it may run.
 
     A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits.
+    the step needs no permits. The tasks ``held`` may not start yet.
     """
 
     rank: StepRank
@@ -57,6 +57,7 @@
     service: ServiceUpstreams
     ends_at: timedelta
     advice: AdviceTiming | None
+    held: frozenset[int] = frozenset()
 
 
 @define(eq=False)
@@ -128,7 +129,9 @@
         for progress in table.ready_steps.values():
             if holds.find_cause(progress, now) is not None:
                 continue
-            found.append(self._rank_step(progress, usable, now))
+            step = self._rank_step(progress, usable, now)
+            step.held = holds.list_held(progress)
+            found.append(step)
         found.sort(key=lambda step: step.rank)
         return found
 
@@ -297,7 +300,9 @@
             service = candidates[0].upstream.entry.service
             upstreams = self.cell_state.upstreams.values()
             trials_left = count_trials_left(upstreams, service)
-        placements = place_tasks(progress, candidates, latency_sensitive, trials_left)
+        placements = place_tasks(
+            progress, candidates, latency_sensitive, trials_left, step.held
+        )
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
             number = gang_number or self.cell_state.allocate_run_number()
--- a/packages/almondspread/almondspread/jobs/step_progress.py
+++ b/packages/almondspread/almondspread/jobs/step_progress.py
@@ -26,7 +26,8 @@
     ``interrupted`` has the tasks whose run was lost or stopped, until they start again.
     ``avoided_upstreams`` names upstreams on which a task has failed or straggled, and
     ``observed_durations`` tells how long its shortest straggling run would have taken.
-    No task starts before the time ``not_before``.
+    No task starts before the time ``not_before``. With ``has_inherited_runs``, this
+    leader has found a task running that an earlier one had started.
     """
 
     job: "JobProgress"
@@ -44,6 +45,7 @@
     observed_durations: dict[int, timedelta] = field(factory=dict)
     permits: StepPermits = field(factory=StepPermits)
     not_before: timedelta = timedelta(0)
+    has_inherited_runs: bool = False
 
     @property
     def key(self) -> tuple[str, int, int]:
--- a/packages/almondspread/almondspread/jobs/tests/test_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_holds.py
@@ -14,7 +14,7 @@
         self.cell.submit(make_job("j", make_step(3)))
         self.cell.commit()
         self.cell.silent.add("u0")
-        self.cell.take_over(lapse_in=10 * SECOND)
+        self.cell.take_over(lapse_in=10 * SECOND, lost_executors={"u0"})
         self.cell.run_for(SECOND)
         self.assertEqual(self.read_held(), {HoldCause.UNSEEN_UPSTREAM: 3})
         unseen = self.cell.scheduler.list_unseen(self.cell.now)
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler_machine.py
@@ -155,6 +155,17 @@
     def change_leader(self):
         self.cell.take_over()
 
+    @rule(data=st.data())
+    def change_leader_and_lose_an_executor(self, data):
+        name = data.draw(st.sampled_from(sorted(self.cell.upstreams)))
+        self.cell.take_over(lost_executors={name})
+
+    @rule(data=st.data())
+    def change_executor(self, data):
+        name = data.draw(st.sampled_from(sorted(self.cell.upstreams)))
+        if name in self.cell.scheduler.cell_state.upstreams:
+            self.cell.assign(name)
+
     @rule()
     def change_leader_without_a_commit(self):
         self.cell.store_is_up = False
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -61,7 +61,7 @@
         self.cell.submit(make_job("old", make_step()))
         self.cell.commit()
         self.cell.silent.add("u0")
-        self.cell.take_over()
+        self.cell.take_over(lost_executors={"u0"})
         self.cell.submit(make_job("new", make_step()))
         self.cell.run_for(2 * SECOND)
         self.assert_completed("new")
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -4,7 +4,7 @@
 from upstreams, and upstreams that do not answer.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 from attrs import define, field
@@ -18,7 +18,9 @@
     LOST,
     AcknowledgeEnds,
     RunEnd,
+    RunId,
     RunSighting,
+    RunsRemembered,
     UnwatchUpstream,
     UpstreamEntry,
     UpstreamReport,
@@ -28,17 +30,27 @@
 )
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.sightings import RunSightings
+from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.trials import end_trials
 from almondspread.jobs.upstreams import Upstream
 
 
+@define(frozen=True)
+class RememberedRuns:
+    """The tasks that an upstream may run, and when its leases have expired."""
+
+    tasks: frozenset[TaskId]
+    lapse_at: timedelta
+
+
 @define(eq=False)
 class UpstreamTracker:
     """Updates the upstreams and runs of the cell state from reports.
 
     ``unseen`` upstreams may run tasks of an earlier leader: they have not reported
     yet, and their leases have not expired. ``max_lease`` is the longest lease that an
-    upstream grants.
+    upstream grants. ``_remembered`` has what executors have told, by the number of the
+    assignment.
     """
 
     cell_state: CellState
@@ -46,6 +58,7 @@
     crashes: CrashTracker
     max_lease: timedelta = DEFAULT_MAX_LEASE
     unseen: set[str] = field(factory=set)
+    _remembered: dict[int, RememberedRuns] = field(factory=dict)
     _acknowledged: dict[str, int] = field(factory=dict)
     _sightings: RunSightings = field(init=False)
 
@@ -70,15 +83,65 @@
         self.crashes.resolve(entries, now)
         return added
 
-    def inherit_upstream(self, entry: UpstreamEntry, lapse: timedelta) -> None:
+    def inherit_upstream(
+        self, entry: UpstreamEntry, lapse: timedelta, assignment: int
+    ) -> None:
         """Add an upstream on which an earlier leader may have started runs.
 
-        Unless the upstream reports, its leases expire at ``lapse``.
+        Unless the upstream reports, its leases expire at ``lapse``. All starts that it
+        may have got since it last reported went through the executor of ``assignment``;
+        0 stands for an unknown one.
         """
         upstream = Upstream(entry, listed=False)
         upstream.orphaned_leases_until = lapse
+        upstream.inherited_assignment = assignment
         self.cell_state.add_upstream(upstream)
         self.unseen.add(entry.name)
+        self._apply_remembered(upstream)
+
+    def record_remembered(self, message: RunsRemembered, now: timedelta) -> None:
+        """Record what an executor remembers of an assignment.
+
+        It counts for each unseen upstream that was assigned so when the earlier leader
+        ended; the leader may not have loaded these yet.
+        """
+        if not message.assignment:
+            return
+        self._remembered[message.assignment] = RememberedRuns(
+            frozenset(message.tasks), now + message.lapse_in
+        )
+        for name in self.unseen:
+            self._apply_remembered(self.cell_state.upstreams[name])
+
+    def _apply_remembered(self, upstream: Upstream) -> None:
+        """Let the leases of an unseen upstream expire when its executor says so.
+
+        No other executor has renewed them since: the store names the last one.
+        """
+        remembered = self._find_remembered(upstream.name)
+        if remembered is not None:
+            upstream.orphaned_leases_until = remembered.lapse_at
+
+    def find_possible_tasks(self, name: str) -> frozenset[TaskId] | None:
+        """Return which tasks an unseen upstream may run, ``None`` if it may be any."""
+        remembered = self._find_remembered(name)
+        return remembered.tasks if remembered is not None else None
+
+    def _find_remembered(self, name: str) -> RememberedRuns | None:
+        """Return what the last executor of an unseen upstream remembers of it."""
+        upstream = self.cell_state.upstreams.get(name)
+        if upstream is None or name not in self.unseen:
+            return None
+        return self._remembered.get(upstream.inherited_assignment)
+
+    def find_stored_assignment(self, upstream: Upstream) -> int:
+        """Return the assignment that the store has to name for the next leader.
+
+        As long as an upstream is unseen, this leader has started nothing there.
+        """
+        if upstream.name in self.unseen:
+            return upstream.inherited_assignment
+        return upstream.assignment
 
     def abandon_upstreams(
         self, names: set[str], until: timedelta, now: timedelta
@@ -126,6 +189,7 @@
         if name in self.unseen:
             self.unseen.add(successor.name)
             successor.orphaned_leases_until = lapse
+            successor.inherited_assignment = upstream.inherited_assignment
         doubtful = self._list_doubtful(upstream)
         if not doubtful:
             return
@@ -196,7 +260,9 @@
             )
             runs = self.cell_state.list_runs(upstream.name)
             self.crashes.record_silence(upstream, runs, now)
-        upstream.lapse_at = max(now + silence.lapse_in, upstream.orphaned_leases_until)
+        upstream.lapse_at = upstream.orphaned_leases_until
+        if self._find_remembered(upstream.name) is None:
+            upstream.lapse_at = max(now + silence.lapse_in, upstream.lapse_at)
 
     def handle_restart(self, restart: UpstreamRestarted, now: timedelta) -> None:
         """Record that another incarnation of an upstream answers.
@@ -243,7 +309,7 @@
             # applied yet. The upstream reports both again.
             return
         if report.after > upstream.ends_seen:
-            self._request_missing_ends(upstream)
+            self._request_missing_ends(upstream, now)
             return
         if upstream.lapse_at is not None:
             self._record_answer(upstream)
@@ -259,22 +325,36 @@
         if report.running is not None:
             self._update_runs(report, report.running, upstream, now)
 
-    def _request_missing_ends(self, upstream: Upstream) -> None:
+    def _request_missing_ends(self, upstream: Upstream, now: timedelta) -> None:
         """Request all ends again, as none may be acknowledged while some are missing.
 
         While some jobs are not loaded, the request would be in vain.
         """
         if not self.control.job_table.is_complete:
             return
-        self.control.orders.append(self.make_watch_order(upstream))
+        self.control.orders.append(self.make_watch_order(upstream, now))
 
-    def make_watch_order(self, upstream: Upstream) -> WatchUpstream:
-        """Return the order to watch an upstream."""
+    def make_watch_order(self, upstream: Upstream, now: timedelta) -> WatchUpstream:
+        """Return the order to watch an upstream, with the runs bound to it."""
+        confirmed = []
+        unconfirmed = []
+        for run in self.cell_state.list_runs(upstream.name):
+            run_id = RunId(run.task, run.number)
+            if run.is_confirmed:
+                confirmed.append(run_id)
+            else:
+                unconfirmed.append(run_id)
         return WatchUpstream(
             upstream.name,
             upstream.entry.address,
             self.cell_state.epoch,
             self.cell_state.find_fencing_token(upstream),
+            upstream.assignment,
+            upstream.name not in self.unseen,
+            tuple(confirmed),
+            tuple(unconfirmed),
+            max(timedelta(0), upstream.orphaned_leases_until - now),
+            upstream.recorded,
         )
 
     def _record_answer(self, upstream: Upstream) -> None:
@@ -319,10 +399,17 @@
                 found = True
         return found
 
-    def update_recorded(self, names: frozenset[str]) -> None:
-        """Set which upstreams the store records as ones that may run tasks."""
+    def update_recorded(self, assignments: Mapping[str, int], now: timedelta) -> None:
+        """Set which upstreams the store records as ones that may run tasks.
+
+        It names each with the assignment whose executor sends its starts, and may renew
+        its leases from then on.
+        """
         for name, upstream in self.cell_state.upstreams.items():
-            upstream.recorded = name in names
+            was_recorded = upstream.recorded
+            upstream.recorded = assignments.get(name) == upstream.assignment
+            if upstream.recorded and not was_recorded:
+                self.control.orders.append(self.make_watch_order(upstream, now))
 
     def list_stale_upstreams(self, now: timedelta, patience: timedelta) -> list[str]:
         """Return the upstreams without any report for longer than ``patience``.
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -29,7 +29,8 @@
     """The leader's state of one incarnation of an upstream.
 
     ``has_reported`` is true once the upstream has reported under this leader's epoch,
-    and ``recorded`` once the store lists it as one that may run tasks.
+    and ``recorded`` once the store lists it, with its present assignment, as one that
+    may run tasks.
     ``has_unknown_runs`` is true while the upstream runs something of which the leader
     knows neither the job nor the size, and ``executor_unresponsive`` while the executor
     that holds its leases misses heartbeats. ``has_restarted`` is set once another
@@ -45,6 +46,10 @@
     is at least as new. ``heard_at`` is when a report of the upstream last arrived.
     While it is ``trying`` runs that may crash it, nothing else is started there.
 
+    ``assignment`` is the number of the newest assignment to an executor, and
+    ``inherited_assignment`` the one that the store named when an earlier leader ended,
+    0 where there is none.
+
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
     is the number of the newest run end that the leader has applied.
@@ -52,6 +57,8 @@
 
     entry: UpstreamEntry
     generation: int = 0
+    assignment: int = 0
+    inherited_assignment: int = 0
     entry_changed_at: timedelta = timedelta(0)
     last_observed_at: timedelta | None = None
     heard_at: timedelta = timedelta(0)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -1,6 +1,6 @@
 """A scheduler with fake upstreams; a test may execute, delay or drop its orders."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import UTC, datetime, timedelta
 
 from attrs import define, field
@@ -31,6 +31,7 @@
 from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.cell_input import make_configuration, make_entry
+from almondspread.testing.executor_memories import ExecutorMemories
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
 WALL_CLOCK_START = datetime(2026, 1, 1, tzinfo=UTC)
@@ -90,6 +91,8 @@
     directory_is_up: bool = True
     versions: dict[str, int] = field(factory=dict)
     started_version: int = 0
+    memories: ExecutorMemories = field(factory=ExecutorMemories)
+    stored_assignments: dict[str, int] = field(factory=dict)
     _acknowledged: dict[str, int] = field(factory=dict)
     _forwarded: dict[str, int] = field(factory=dict)
     _query_counts: dict[str, int] = field(factory=dict)
@@ -120,6 +123,22 @@
             entries.append(make_entry(upstream, number, upstream.name in self.draining))
         self.scheduler.update_upstreams(entries, self.now)
 
+    def _assign_upstreams(self) -> None:
+        """Assign each upstream that has no executor under this leader yet."""
+        for name, upstream in self.scheduler.cell_state.upstreams.items():
+            if not upstream.assignment:
+                self.assign(name)
+
+    def assign(self, name: str) -> None:
+        """Assign an upstream to another executor than before."""
+        self.scheduler.begin_assignment(name)
+        self.memories.begin(self.scheduler.make_watch_order(name, self.now))
+
+    def _find_assignment(self, name: str) -> int:
+        """Return the present assignment of an upstream, 0 for an unknown one."""
+        upstream = self.scheduler.cell_state.upstreams.get(name)
+        return upstream.assignment if upstream is not None else 0
+
     def find_running(self, name: str) -> FakeUpstream | None:
         """Return the upstream that answers calls for a name, of any incarnation."""
         identity = name.partition("@")[0]
@@ -187,6 +206,7 @@
         if answer is None:
             self.check_fenced(name)
             return
+        self.memories.record_answer(self._find_assignment(name), answer)
         after = self._forwarded.get(name, 0)
         ends = tuple(end for end in answer.ends if end.number > after)
         for end in ends:
@@ -206,6 +226,7 @@
             self.scheduler.record_read(self.now)
         if self.directory_is_up:
             self.report_upstream_list()
+        self._assign_upstreams()
         if self.hears_restarts:
             self._report_restarts()
         for name in list(self.upstreams):
@@ -218,6 +239,8 @@
         for order in orders:
             if self.drop_order(order):
                 continue
+            if isinstance(order, StartRun):
+                self.memories.record_order(self._find_assignment(order.upstream), order)
             if isinstance(order, StartRun | StopRun) and self.hold_back(order):
                 held = HeldOrder(self.find_token(order), order, self.now)
                 self.held_orders.append(held)
@@ -243,27 +266,20 @@
         self.started_version = self.scheduler.newest_version
         self.scheduler.allow_starts(self.started_version)
         watched = self.scheduler.list_watched()
-        names = frozenset(each.name for each in watched if each.lapse_at is None)
-        self.scheduler.update_recorded(names)
+        stored = {}
+        assignments = {}
+        for each in watched:
+            stored[each.name] = self.scheduler.find_stored_assignment(each)
+            if each.lapse_at is None:
+                assignments[each.name] = stored[each.name]
+        self.stored_assignments = stored
+        self.scheduler.update_recorded(assignments, self.now)
         self.scheduler.changes.confirm(changes)
 
     def execute_order(self, token: int, order: Order) -> None:
         """Execute an order under the fencing token that it was given with."""
         if isinstance(order, AskPermits):
-            self.permit_requests.append(order)
-            tickets = {
-                name: "ticket" for name in order.upstreams if name not in self.denied
-            }
-            self.scheduler.handle_report(
-                PermitsAnswered(
-                    order.job,
-                    order.occurrence,
-                    order.step,
-                    tickets,
-                    timedelta(seconds=2),
-                ),
-                self.now,
-            )
+            self._answer_request(order)
             return
         upstream = self.find_running(order.upstream)
         if isinstance(order, AcknowledgeEnds):
@@ -275,28 +291,55 @@
             return
         unreachable = upstream.name in self.silent
         if isinstance(order, StartRun):
-            reason = ""
-            if not unreachable:
-                until = self.now + START_EXPIRY
-                reason = upstream.start(token, order.task, order.run, until, self.now)
-            if unreachable or self.lose_answer(order):
-                self._report_start(order, UNKNOWN, "")
-            elif reason == "fence":
-                self._report_start(order, FENCED, reason)
-            else:
-                self._report_start(order, REFUSED if reason else STARTED, reason)
-            if order.task in self.crashing and not reason and not unreachable:
-                self._crash(upstream.name, order.task)
+            self._execute_start(token, order, upstream, unreachable)
             return
         if not unreachable:
             upstream.stop(token, order.task, order.run, self.now)
         answered = not unreachable and not self.lose_answer(order)
+        if answered:
+            self.memories.record_stop(order, self.now)
         number = self._query_counts.get(order.upstream, 0) + 1
         self.scheduler.handle_report(
             StopSettled(order.upstream, order.task, order.run, answered, number),
             self.now,
         )
 
+    def _execute_start(
+        self, token: int, order: StartRun, upstream: FakeUpstream, unreachable: bool
+    ) -> None:
+        """Have an upstream start a run, and report the outcome."""
+        reason = ""
+        if not unreachable:
+            until = self.now + START_EXPIRY
+            reason = upstream.start(token, order.task, order.run, until, self.now)
+        if unreachable or self.lose_answer(order):
+            self._report_start(order, UNKNOWN, "")
+        elif reason == "fence":
+            self._report_start(order, FENCED, reason)
+        else:
+            if reason:
+                self.memories.record_refusal(order)
+            self._report_start(order, REFUSED if reason else STARTED, reason)
+        if order.task in self.crashing and not reason and not unreachable:
+            self._crash(upstream.name, order.task)
+
+    def _answer_request(self, order: AskPermits) -> None:
+        """Answer a request for permits as the advice service does."""
+        self.permit_requests.append(order)
+        tickets = {
+            name: "ticket" for name in order.upstreams if name not in self.denied
+        }
+        self.scheduler.handle_report(
+            PermitsAnswered(
+                order.job,
+                order.occurrence,
+                order.step,
+                tickets,
+                timedelta(seconds=2),
+            ),
+            self.now,
+        )
+
     def _crash(self, name: str, task: TaskId) -> None:
         """Crash an upstream because it has started a crashing task."""
         self.upstreams[name].crash()
@@ -359,9 +402,21 @@
             self.now,
         )
 
-    def take_over(self, *, lapse_in: timedelta = timedelta(seconds=16)) -> None:
-        """Replace the leader by a new one that starts from the stored state."""
+    def take_over(
+        self,
+        *,
+        lapse_in: timedelta = timedelta(seconds=16),
+        lost_executors: Collection[str] = (),
+    ) -> None:
+        """Replace the leader by a new one that starts from the stored state.
+
+        The executors of the upstreams ``lost_executors`` are lost with it, by default
+        none; the others tell the new leader what they remember.
+        """
+        assignments = {}
         watched = self.scheduler.list_watched()
+        for upstream in watched:
+            assignments[upstream.name] = self.stored_assignments.get(upstream.name, 0)
         self.scheduler = Scheduler(
             self.scheduler.epoch + 1, self.configuration, self.started_version
         )
@@ -371,7 +426,13 @@
         for submission in self.history.submissions.values():
             self.accept_stored(submission)
         for upstream in watched:
-            self.scheduler.inherit_upstream(upstream.entry, self.now + lapse_in)
+            self.scheduler.inherit_upstream(
+                upstream.entry, self.now + lapse_in, assignments[upstream.name]
+            )
+        for name in lost_executors:
+            self.memories.forget(assignments.get(name, 0))
+        for message in self.memories.describe_all(lapse_in):
+            self.scheduler.handle_report(message, self.now)
 
     def accept_stored(self, submission: Submission) -> None:
         """Have the scheduler accept a job with the progress that is stored of it."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -9,7 +9,6 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.incarnations import find_next_token
-from almondspread.jobs.leases import LEASE_EXPIRY_MARGIN, MAX_CLOCK_DRIFT_FACTOR
 from almondspread.jobs.messages import (
     FENCED,
     REFUSED,
@@ -18,6 +17,7 @@
     EpochFenced,
     ExecutorReport,
     PaceRun,
+    RunId,
     StartRun,
     StartSettled,
     StopRun,
@@ -41,7 +41,9 @@
     StopCall,
     UpstreamClient,
 )
+from almondspread.jobs.possible_runs import PossibleRuns
 from almondspread.jobs.submissions import TaskId
+from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.upstream_clock import UpstreamClock
 
@@ -51,8 +53,12 @@
 ACKNOWLEDGE_TIMEOUT = timedelta(milliseconds=150)
 SILENCE_THRESHOLD = timedelta(milliseconds=1_200)
 RETRY_DELAY = timedelta(milliseconds=150)
+# So long calls wait for runs to end while they must not renew leases.
+FORBIDDEN_RENEWAL_WAIT = timedelta(milliseconds=200)
 # The upstream refuses a start that reaches it later than this after it was sent.
 START_EXPIRY = timedelta(seconds=2)
+# The estimate of an upstream's clock is less than this behind the clock itself.
+STOP_SETTLE_TIME = timedelta(seconds=1)
 # Runs that have ended are forgotten only beyond this number: the answer to a renew call
 # may be older than the start of a run.
 MAX_REMEMBERED_RUNS = 200
@@ -80,7 +86,10 @@
         self.watch = watch
         self._client = client
         self._clock = clock
-        self._lease = lease
+        now = clock.monotonic()
+        self.leases = LeaseRenewal(lease, now, watch.leases_left)
+        if not watch.renews:
+            self.leases.set_limit(now)
         self._metrics = metrics
         self._report = report
         self._last_acknowledged_end = 0
@@ -88,9 +97,6 @@
         self._is_confirmed = False
         self._acknowledgement = asyncio.Event()
         self._upstream_clock = UpstreamClock(clock)
-        self._lease_expiry = (
-            clock.monotonic() + lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
-        )
         self._last_answered = clock.monotonic()
         self._last_renew_number = 0
         self._is_closed = False
@@ -99,6 +105,9 @@
         self._unpaced_runs: set[tuple[TaskId, int]] = set()
         self._last_full_report: timedelta | None = None
         self._calls: set[asyncio.Task[None]] = set()
+        self.possible_runs = PossibleRuns()
+        if watch.knows_runs:
+            self.possible_runs.adopt(watch.confirmed_runs, watch.unconfirmed_runs)
         self._renew_task = asyncio.create_task(self._run_renew_loop())
 
     def close(self) -> None:
@@ -111,6 +120,14 @@
         """Whether the agent still renews the leases."""
         return not self._renew_task.done()
 
+    def limit_leases(self, limit: timedelta) -> None:
+        """Renew no lease beyond a time, as the leader of this epoch is lost."""
+        self.leases.set_limit(limit)
+
+    def allow_renewals(self) -> None:
+        """Renew the leases from now on, without a limit."""
+        self.leases.lift_limit()
+
     def resend_reports(self) -> None:
         """Report all runs and unacknowledged ends again, when a leader asks for it.
 
@@ -126,6 +143,7 @@
 
     def start(self, order: StartRun) -> None:
         """Start a run at the upstream, without waiting for the outcome."""
+        self.possible_runs.record_order(RunId(order.task, order.run))
         self._spawn(self._start(order))
 
     def stop(self, order: StopRun) -> None:
@@ -150,10 +168,8 @@
             now = self._clock.monotonic()
             until = self._choose_lease_end(now)
             if until is not None:
-                self._lease_expiry = (
-                    now + self._lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
-                )
-            wait = self._renew_wait if until is not None else timedelta(0)
+                self.leases.record_renewal(now)
+            wait = self._choose_wait(until, now)
             try:
                 failure = await self._renew(until, wait)
             except Exception as error:
@@ -219,17 +235,28 @@
     def _choose_lease_end(self, now: timedelta) -> timedelta | None:
         """Return until when to renew the leases, by the upstream's clock.
 
-        The result is ``None`` until the first answer shows the upstream's clock, and
-        for a silent upstream, so that calls renew nothing: a renewal that arrives late
-        would postpone the time at which the leases have certainly expired.
+        The result is ``None`` until the first answer shows the upstream's clock, beyond
+        the limit of the leases, and for a silent upstream, so that calls renew nothing:
+        a renewal that arrives late would postpone the time at which the leases have
+        certainly expired.
         """
         upstream_time = self._upstream_clock.read()
-        if upstream_time is None or self._is_silent:
+        lease = self.leases.choose_lease(now)
+        if upstream_time is None or self._is_silent or lease is None:
             return None
         if now - self._last_answered >= SILENCE_THRESHOLD:
             # This process was paused, so the leader may have counted the leases out.
             return None
-        return upstream_time + self._lease
+        return upstream_time + lease
+
+    def _choose_wait(self, until: timedelta | None, now: timedelta) -> timedelta:
+        """Return how long the next renew call waits for runs to end."""
+        if until is not None:
+            return self._renew_wait
+        if self.leases.choose_lease(now) is None and not self._is_silent:
+            # The leader may allow renewals at any time.
+            return min(self._renew_wait, FORBIDDEN_RENEWAL_WAIT)
+        return timedelta(0)
 
     async def _await_acknowledgement(self) -> None:
         """Wait for an acknowledgement of ends, up to ``ACKNOWLEDGE_TIMEOUT``."""
@@ -261,6 +288,7 @@
             or now - self._last_full_report >= self._renew_wait * FULL_REPORT_SHARE
         )
         if not is_stale:
+            self.possible_runs.record_answer(answer)
             self._update_renew_wait(answer)
         if full:
             self._last_full_report = now
@@ -311,7 +339,7 @@
         """Report that the upstream does not answer; its leases are not renewed."""
         self._is_silent = True
         self._last_full_report = None
-        left = self._lease_expiry - self._clock.monotonic()
+        left = self.leases.expiry - self._clock.monotonic()
         self._report(UpstreamSilent(self.watch.upstream, self.watch.epoch, left))
 
     async def _start(self, order: StartRun) -> None:
@@ -324,9 +352,12 @@
         if not self._is_confirmed:
             await self._poll_now()
         upstream_time = self._upstream_clock.read()
+        run = RunId(order.task, order.run)
         if upstream_time is None or not self._is_confirmed:
+            self.possible_runs.record_refusal(run)
             self._report_start(order, REFUSED, "unreachable")
             return
+        self.possible_runs.record_expiry(run, upstream_time + START_EXPIRY)
         call = StartCall(
             self.watch.fencing_token,
             order.task,
@@ -353,6 +384,7 @@
             self._report_start(order, FENCED, failure.reason)
             self._report(EpochFenced(self.watch.upstream, self.watch.epoch))
         elif failure.not_done:
+            self.possible_runs.record_refusal(run)
             self._report_start(order, REFUSED, failure.reason)
         else:
             self._is_confirmed = False
@@ -387,6 +419,7 @@
         if answer.is_error() and answer.error.fenced:
             self._report(EpochFenced(self.watch.upstream, self.watch.epoch))
             return
+        self._record_stop(order, answer.is_ok())
         if self._is_closed:
             # The agent that replaces this one numbers its own renew calls, and receives
             # the order to stop the run as well.
@@ -402,6 +435,14 @@
         )
         await self._poll_now()
 
+    def _record_stop(self, order: StopRun, answered: bool) -> None:
+        """Record that a run cannot start any more, if its stop was answered."""
+        upstream_time = self._upstream_clock.read()
+        if answered and upstream_time is not None:
+            self.possible_runs.record_stop(
+                RunId(order.task, order.run), upstream_time + STOP_SETTLE_TIME
+            )
+
     async def _pace(self, order: PaceRun) -> None:
         """Throttle a run; the next full report shows whether that worked."""
         call = PaceCall(self.watch.fencing_token, order.task, order.run, order.percent)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -38,12 +38,15 @@
     def add_member(self, member: Member) -> None:
         """Add a member and assign it its share of the upstreams.
 
-        A member that comes back over another link keeps the upstreams that it had.
+        A member that comes back over another link keeps the upstreams that it had, and
+        the assignments too if its process is the same and so remembers them.
         """
         superseded = self.members.members.get(member.instance)
         held: set[str] = set()
+        keeps_assignments = False
         if superseded is not None:
             held = self._release_upstreams(superseded)
+            keeps_assignments = superseded.is_same_process(member)
         logger.info(
             "member joined",
             member=member.instance,
@@ -53,7 +56,10 @@
         self.members.add(member)
         for name in held:
             self.members.reassign(name, member)
-            self._watch(name, member)
+            if keeps_assignments:
+                self._watch(name, member)
+            else:
+                self._begin_watch(name, member)
         self.rebalance()
 
     def remove_member(self, member: Member) -> None:
@@ -126,7 +132,7 @@
             return
         member = self.members.assign(name, upstream.entry.failure_domain)
         if member is not None:
-            self._watch(name, member)
+            self._begin_watch(name, member)
 
     def resend_watch_orders(self) -> None:
         """Have members report the runs of all upstreams again."""
@@ -164,12 +170,18 @@
             owner = owners[name]
             if owner is not None:
                 owner.send(UnwatchUpstream(name))
-            self._watch(name, member)
+            self._begin_watch(name, member)
+
+    def _begin_watch(self, name: str, member: Member) -> None:
+        """Begin a new assignment of an upstream to a member."""
+        self._scheduler.begin_assignment(name)
+        self._watch(name, member)
 
     def _watch(self, name: str, member: Member) -> None:
         """Send a member the order to run an agent for an upstream."""
         self._scheduler.forget_stop_answers(name)
-        member.send(self._scheduler.make_watch_order(name))
+        now = self._clock.monotonic()
+        member.send(self._scheduler.make_watch_order(name, now))
 
     def send_order(self, order: UpstreamOrder | AskPermits) -> None:
         """Send an order to the member that executes it."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -309,8 +309,8 @@
             self._watched_values = encode_watched(watched, self._limits)
         # The next leader trusts a stored lease expiry, so no new runs may start on an
         # upstream that is stored with one.
-        names = frozenset(each.name for each in watched if not each.lapse)
-        self._scheduler.update_recorded(names)
+        assignments = {each.name: each.assignment for each in watched if not each.lapse}
+        self._scheduler.update_recorded(assignments, self._clock.monotonic())
 
     def _resolve_conflict(self, attempt: _Attempt, rows: tuple[StoredRow, ...]) -> bool:
         """Handle a changed leader's row; return whether this very attempt is stored.
@@ -348,6 +348,7 @@
                     math.ceil(lapse),
                     entry.identity,
                     to_unix_ms(entry.started_at) if entry.started_at else 0,
+                    self._scheduler.find_stored_assignment(upstream),
                 )
             )
         return tuple(sorted(watched, key=lambda upstream: upstream.name))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -30,6 +30,7 @@
     UpstreamClient,
 )
 from almondspread_daemon.jobs.agents import SendReport, UpstreamAgent
+from almondspread_daemon.jobs.assignment_memory import AssignmentMemory
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 
@@ -54,6 +55,7 @@
         self._lease = lease
         self._metrics = metrics
         self._agents: dict[str, UpstreamAgent] = {}
+        self._memory = AssignmentMemory(clock)
         self._report: SendReport = _drop_report
         self._calls: set[asyncio.Task[None]] = set()
         self._advice_lock = asyncio.Lock()
@@ -67,6 +69,20 @@
             self._expiry_task.cancel()
             self._expiry_task = None
 
+    def report_remembered(self, report: SendReport, epoch: int) -> None:
+        """Tell the leader of an epoch what upstreams may run by orders of earlier ones.
+
+        No such order arrives any more. Agents of earlier epochs renew no lease from now
+        on, as the leader is told when these expire.
+        """
+        now = self._clock.monotonic()
+        for agent in self._agents.values():
+            if agent.watch.epoch < epoch:
+                agent.limit_leases(now)
+                self._memory.keep(agent.watch, agent.possible_runs, agent.leases)
+        for message in self._memory.describe_all():
+            report(message)
+
     def detach_leader(self) -> None:
         """Drop reports, and stop renewing leases after ``EXECUTOR_GRACE``."""
         self._report = _drop_report
@@ -84,9 +100,14 @@
     def close(self) -> None:
         """Stop the agents of all upstreams."""
         for agent in self._agents.values():
-            agent.close()
+            self._end_assignment(agent)
         self._agents.clear()
 
+    def _end_assignment(self, agent: UpstreamAgent) -> None:
+        """Stop the agent of an upstream, and remember what may run there."""
+        agent.close()
+        self._memory.keep(agent.watch, agent.possible_runs, agent.leases)
+
     def send_report(self, report: ExecutorReport) -> None:
         """Send a report to the leader; drop the report if there is no leader."""
         self._report(report)
@@ -99,7 +120,7 @@
             case UnwatchUpstream():
                 agent = self._agents.pop(order.upstream, None)
                 if agent is not None:
-                    agent.close()
+                    self._end_assignment(agent)
             case AskPermits():
                 task = asyncio.create_task(self._ask_permits(order))
                 self._calls.add(task)
@@ -119,11 +140,17 @@
                 "ignoring order of an earlier epoch", upstream=order.upstream
             )
             return
-        if agent is not None and agent.watch == order and agent.is_running:
+        if (
+            agent is not None
+            and agent.is_running
+            and agent.watch.is_same_assignment(order)
+        ):
+            if order.renews:
+                agent.allow_renewals()
             agent.resend_reports()
             return
         if agent is not None:
-            agent.close()
+            self._end_assignment(agent)
         self._agents[order.upstream] = UpstreamAgent(
             order,
             self._client,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -166,7 +166,7 @@
         self._link = leader.link
         self._row = row
         self._store_reached_at = None
-        self._dispatcher.attach(leader, row.instance)
+        self._dispatcher.attach(leader, row.instance, welcome)
 
     def _end_following(self, row: LeaderRow, link: Link) -> None:
         """Go on without a leader, if ``link`` is the one to the current leader."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -50,8 +50,6 @@
 POLL_INTERVAL = timedelta(milliseconds=100)
 # Instances that detect a leader's failure at the same time claim after random delays.
 CLAIM_JITTER = timedelta(milliseconds=80)
-# The share of a leader's cores that counts for its upstreams; leading needs the rest.
-LEADER_CAPACITY_SHARE = 0.3
 
 
 class JobInstance:
@@ -346,16 +344,18 @@
         member = Member(
             self.settings.instance,
             self.settings.failure_domain,
-            self.settings.cores * LEADER_CAPACITY_SHARE,
+            self.settings.cores,
             dispatch,
             self._clock.monotonic(),
             address=self.settings.peer_address,
+            leads=True,
         )
 
         def report(message: ExecutorReport) -> None:
             session.handle_message(member, message)
 
         self._session = session
+        self._executor.report_remembered(report, claim.epoch)
         self._executor.attach_leader(report)
         session.add_member(member)
         try:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -125,7 +125,9 @@
                 lease_expiry = min(
                     lease_expiry, self._store_clock.to_local(stored_expiry)
                 )
-            self._scheduler.inherit_upstream(make_watched_entry(upstream), lease_expiry)
+            self._scheduler.inherit_upstream(
+                make_watched_entry(upstream), lease_expiry, upstream.assignment
+            )
 
     async def load_missing_partitions(self) -> None:
         """Retry reading the partitions missing at the takeover until all are read."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -14,6 +14,7 @@
     EpochFenced,
     ExecutorReport,
     PermitsAnswered,
+    RunsRemembered,
     StartSettled,
     UpstreamReport,
     UpstreamRestarted,
@@ -276,7 +277,7 @@
     async def serve_member(self, member: Member, link: Link) -> None:
         """Add a member; handle its messages until its link closes or the epoch ends."""
         self._assignments.add_member(member)
-        link.send(Welcome(self.epoch))
+        link.send(Welcome(self.epoch, asks_runs=True))
         link.send(self._announcer.describe_all())
         try:
             async for message in link.receive_messages():
@@ -296,7 +297,7 @@
             if self._assignments.members.find_owner(message.upstream) is member:
                 self._handle_report(message)
         match message:
-            case StartSettled() | UpstreamRestarted():
+            case StartSettled() | UpstreamRestarted() | RunsRemembered():
                 self._handle_report(message)
             case EpochFenced():
                 if self._scheduler.is_superseded_by(message):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -30,6 +30,7 @@
     RowWritten,
     SharedMessage,
     StatesChanged,
+    Welcome,
 )
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.relay import RowRelay
@@ -60,11 +61,16 @@
         self._link: Link | None = None
         self._leader = ""
 
-    def attach(self, leader: LeaderLink, name: str) -> None:
-        """Connect the components of the instance to a leader, the instance ``name``."""
+    def attach(self, leader: LeaderLink, name: str, welcome: Welcome) -> None:
+        """Connect the components of the instance to a leader, the instance ``name``.
+
+        Where it asks for them, it is told which runs the executor remembers.
+        """
         self._link = leader.link
         self._leader = name
         self._relay.attach_leader(leader)
+        if welcome.asks_runs:
+            self._executor.report_remembered(leader.link.send, welcome.epoch)
         self._executor.attach_leader(leader.link.send)
 
     def detach(self) -> None:
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/lease_renewal.py
@@ -0,0 +1,52 @@
+"""How far the leases of the runs of one upstream are renewed."""
+
+from datetime import timedelta
+
+from almondspread.jobs.leases import LEASE_EXPIRY_MARGIN, MAX_CLOCK_DRIFT_FACTOR
+
+
+class LeaseRenewal:
+    """The leases that an agent has renewed, and may renew, by the local clock.
+
+    ``expiry`` is when all of them have certainly expired. An earlier agent may have
+    renewed them just before this one began, and others for ``left``.
+
+    >>> leases = LeaseRenewal(timedelta(seconds=6), timedelta(seconds=100))
+    >>> leases.set_limit(timedelta(seconds=107))
+    >>> leases.choose_lease(timedelta(seconds=105)).total_seconds()
+    2.0
+    """
+
+    def __init__(
+        self, lease: timedelta, now: timedelta, left: timedelta = timedelta(0)
+    ) -> None:
+        self._lease = lease
+        self._limit: timedelta | None = None
+        self.expiry = max(self._compute_expiry(now, lease), now + left)
+
+    def set_limit(self, limit: timedelta) -> None:
+        """Renew no lease beyond a time; of several limits, the earliest holds."""
+        if self._limit is None or limit < self._limit:
+            self._limit = limit
+
+    def lift_limit(self) -> None:
+        """Renew leases without a limit again."""
+        self._limit = None
+
+    def choose_lease(self, now: timedelta) -> timedelta | None:
+        """Return for how long to renew the leases, ``None`` beyond the limit."""
+        if self._limit is None:
+            return self._lease
+        left = min(self._lease, self._limit - now)
+        return left if left > timedelta(0) else None
+
+    def record_renewal(self, now: timedelta) -> None:
+        """Record that a call is sent that renews the leases, as far as is allowed."""
+        lease = self.choose_lease(now)
+        if lease is not None:
+            self.expiry = max(self.expiry, self._compute_expiry(now, lease))
+
+    @staticmethod
+    def _compute_expiry(now: timedelta, lease: timedelta) -> timedelta:
+        """Return when a lease that is granted now has certainly expired."""
+        return now + lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
@@ -78,5 +78,6 @@
             hello.strength,
             self._clock.monotonic() - timedelta(seconds=hello.age),
             address=hello.address,
+            incarnation=hello.incarnation,
         )
         await session.serve_member(member, link)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -19,6 +19,7 @@
     EpochFenced,
     PaceRun,
     PermitsAnswered,
+    RunsRemembered,
     StartRun,
     StartSettled,
     StopRun,
@@ -54,9 +55,14 @@
 
 @define(frozen=True)
 class Welcome:
-    """Accepts an instance as a member of the leader's session in ``epoch``."""
+    """Accepts an instance as a member of the leader's session in ``epoch``.
+
+    If the leader ``asks_runs``, the member sends what the upstreams may run that it has
+    been assigned lately; a leader of an earlier release does not understand that.
+    """
 
     epoch: int
+    asks_runs: bool = False
 
 
 @define(frozen=True)
@@ -232,6 +238,7 @@
         Released,
         Resigned,
         RowWritten,
+        RunsRemembered,
         StartRun,
         StartSettled,
         StatesChanged,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -25,7 +25,8 @@
     ``advice_requests`` are its pending requests to the advice service, which it makes
     one after another. ``wall_offset`` is how far its time of day is ahead of the
     leader's monotonic time. Instances reach it at ``address``, which is empty where it
-    is not known.
+    is not known. The instance that ``leads`` gets no upstreams of a domain with
+    others, so that the loss of a leader is not also that of an executor.
     """
 
     instance: str
@@ -40,6 +41,12 @@
     wall_offset: timedelta | None = None
     leaving: bool = False
     address: str = ""
+    leads: bool = False
+    incarnation: str = ""
+
+    def is_same_process(self, other: "Member") -> bool:
+        """Return whether both are one process; its ``incarnation`` may be unknown."""
+        return bool(self.incarnation) and self.incarnation == other.incarnation
 
     @property
     def load(self) -> float:
@@ -105,13 +112,14 @@
         """Assign an upstream to a member and return that, ``None`` if there is none.
 
         The choice is the least loaded member, preferably in the upstream's failure
-        domain.
+        domain, and the leader only if there is no other.
         """
         best = None
         for member in self.members.values():
             if member.leaving:
                 continue
-            rank = (member.failure_domain != failure_domain, member.load)
+            is_remote = member.failure_domain != failure_domain
+            rank = (member.leads, is_remote, member.load)
             if best is None or rank < best[0]:
                 best = (rank, member)
         if best is None:
@@ -139,12 +147,13 @@
 
         ``domains`` gives each upstream's failure domain. An upstream moves to the least
         loaded member of its domain if its own member is in another domain, or has at
-        least two upstreams more.
+        least two upstreams more. The leader's upstreams move to any other member of
+        their domain, and none move to the leader.
         """
         moves = []
         by_domain: dict[str, list[Member]] = {}
         for member in self.members.values():
-            if not member.leaving:
+            if not (member.leaving or member.leads):
                 by_domain.setdefault(member.failure_domain, []).append(member)
         for upstream, domain in domains:
             owner = self.find_owner(upstream)
@@ -155,7 +164,7 @@
             if owner is least:
                 continue
             balanced = len(owner.upstreams) - len(least.upstreams) < 2
-            if owner.failure_domain == domain and balanced:
+            if owner.failure_domain == domain and balanced and not owner.leads:
                 continue
             self.reassign(upstream, least)
             moves.append((upstream, least))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -124,7 +124,8 @@
     If the upstream did not answer, ``lapse`` is the time by which all its leases have
     expired, in seconds of the store's clock; otherwise it is 0. ``identity`` and
     ``started_ms`` tell the incarnation; the latter is in milliseconds since 1970, and 0
-    if it is not known.
+    if it is not known. Starts have gone through the executor of ``assignment``; an
+    earlier release stored none.
     """
 
     name: str
@@ -134,6 +135,7 @@
     lapse: float = 0.0
     identity: str = ""
     started_ms: int = 0
+    assignment: int = 0
 
 
 @define(frozen=True)
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
@@ -0,0 +1,160 @@
+"""Guards against a new leader that does not know what a silent upstream may run."""
+
+import unittest
+from datetime import timedelta
+
+from expression import Error, Ok
+
+from almondspread.jobs.messages import (
+    RunEnd,
+    RunId,
+    RunsRemembered,
+    StartRun,
+    StopRun,
+    UnwatchUpstream,
+    WatchUpstream,
+)
+from almondspread.jobs.ports import CallFailed
+from almondspread.jobs.submissions import TaskId
+from almondspread_daemon.jobs.agents import START_EXPIRY
+from almondspread_daemon.jobs.assignment_memory import RETENTION
+from almondspread_daemon.jobs.executor import Executor
+from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.tests.support import SECOND
+from almondspread_daemon.jobs.tests.test_agents import (
+    ADDRESS,
+    NO_ANSWER,
+    TASK,
+    FakeClient,
+    PausedClock,
+    make_answer,
+    settle,
+)
+
+OTHER = TaskId("j", 0, 0, 1)
+ASSIGNMENT = 17
+LEASE = 6 * SECOND
+
+
+def make_watch(epoch=1, assignment=ASSIGNMENT, **fields):
+    fields.setdefault("knows_runs", True)
+    return WatchUpstream("u", ADDRESS, epoch, epoch, assignment, **fields)
+
+
+class RememberedRunsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.client = FakeClient()
+        self.clock = PausedClock()
+        self.executor = Executor(
+            self.client, None, self.clock, LEASE, JobMetrics("entry-1", "umea")
+        )
+        self.executor.attach_leader(lambda _: None)
+
+    async def asyncTearDown(self):
+        self.executor.close()
+
+    async def order(self, order):
+        self.executor.execute_order(order)
+        await settle()
+
+    async def answer(self, clock, *running, ends=()):
+        self.client.renewals.pop().set_result(make_answer(clock, *running, ends=ends))
+        await settle()
+
+    def ask(self, epoch=2):
+        """Return what the executor tells the leader of an epoch, by assignment."""
+        told: list[RunsRemembered] = []
+        self.executor.report_remembered(told.append, epoch)
+        return {message.assignment: message for message in told}
+
+    def list_tasks(self, assignment=ASSIGNMENT):
+        return set(self.ask()[assignment].tasks)
+
+    async def test_start_counts_from_the_arrival_of_its_order(self):
+        await self.order(make_watch())
+        await self.order(StartRun("u", TASK, 7, ""))
+        self.assertEqual(self.list_tasks(), {TASK})
+
+    async def test_start_without_an_answer_counts_until_it_has_expired(self):
+        await self.order(make_watch())
+        await self.answer(100)
+        await self.order(StartRun("u", TASK, 7, ""))
+        self.client.starts.pop().set_result(NO_ANSWER)
+        await settle()
+        await self.answer(101)
+        self.assertEqual(self.list_tasks(), {TASK})
+        await self.order(StopRun("u", OTHER, 8))
+        self.client.stops.pop().set_result(Ok(None))
+        await settle()
+        await self.answer(101 + START_EXPIRY.seconds + 1)
+        self.assertEqual(self.list_tasks(), set())
+
+    async def test_refused_start_does_not_count(self):
+        await self.order(make_watch())
+        await self.answer(100)
+        await self.order(StartRun("u", TASK, 7, ""))
+        refusal = Error(CallFailed("room", not_done=True))
+        self.client.starts.pop().set_result(refusal)
+        await settle()
+        self.assertEqual(self.list_tasks(), set())
+
+    async def test_end_that_is_not_acknowledged_counts(self):
+        await self.order(make_watch())
+        await self.answer(100, ends=(RunEnd(1, OTHER, 7, "done"),))
+        self.assertEqual(self.list_tasks(), {OTHER})
+
+    async def test_stopped_start_of_an_earlier_executor_does_not_count(self):
+        """Until it is stopped, the earlier executor may send it at any time."""
+        await self.order(make_watch(unconfirmed_runs=(RunId(TASK, 7),)))
+        await self.answer(100)
+        self.assertEqual(self.list_tasks(), {TASK})
+        await self.order(StopRun("u", TASK, 7))
+        self.client.stops.pop().set_result(Ok(None))
+        await settle()
+        await self.answer(103)
+        self.assertEqual(self.list_tasks(), set())
+
+    async def test_runs_are_not_known_before_the_upstream_or_the_leader_tells(self):
+        await self.order(make_watch(knows_runs=False))
+        self.assertEqual(self.ask(), {})
+        await self.answer(100, 7)
+        self.assertEqual(self.list_tasks(), {TASK})
+
+    async def test_ended_assignment_is_told_for_a_while(self):
+        await self.order(make_watch(confirmed_runs=(RunId(TASK, 7),)))
+        await self.order(UnwatchUpstream("u"))
+        self.assertEqual(self.list_tasks(), {TASK})
+        self.clock.pause = RETENTION
+        await self.order(make_watch(2, assignment=18))
+        await self.order(UnwatchUpstream("u"))
+        self.assertEqual(set(self.ask(3)), {18})
+
+    async def test_no_lease_is_renewed_after_its_expiry_was_told(self):
+        """The leader counts the upstream as lost from then on."""
+        await self.order(make_watch())
+        await self.answer(100)
+        (message,) = self.ask().values()
+        renewed = self.client.renew_calls[-1].until - 100 * SECOND
+        self.assertGreater(message.lapse_in, renewed)
+        await self.answer(101)
+        self.assertIsNone(self.client.renew_calls[-1].until)
+
+    async def test_no_lease_is_renewed_before_the_assignment_is_stored(self):
+        await self.order(make_watch(renews=False))
+        await self.answer(100)
+        self.assertIsNone(self.client.renew_calls[-1].until)
+        await self.order(make_watch(renews=True))
+        while self.client.renewals:
+            await self.answer(101)
+            if self.client.renew_calls[-1].until is not None:
+                break
+        self.assertIsNotNone(self.client.renew_calls[-1].until)
+
+    async def test_leases_renewed_by_a_lost_executor_count(self):
+        await self.order(make_watch(leases_left=20 * SECOND))
+        (message,) = self.ask().values()
+        self.assertGreater(message.lapse_in, 20 * SECOND - timedelta(seconds=1))
+
+
+if __name__ == "__main__":
+    unittest.main()
