Renew no lease beyond one lease after the loss of the leader

Cause: an executor without a leader renewed leases at full length for its grace of 3 s, so that the last of them ended 9 s after the loss of its leader at the earliest; nobody had added that up with the time until the loss is noticed.

From the loss on, renewals end at one fixed time now, one lease later. Runs survive a change of leader for 6 s as long as an executor reaches them, which is more than a takeover takes; the sum is 1.6 + 6.12 + 0.2 = 7.92 s.

--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -11,7 +11,8 @@
 MAX_CLOCK_SKEW = timedelta(milliseconds=200)
 # A leader that cannot reach the store continues with its known state for this time.
 LEADER_GRACE = timedelta(seconds=6)
-# An executor that has lost its leader continues to renew leases for this time.
+# An executor that has lost its leader continues to renew leases for this time, but to
+# no later than one lease after the loss.
 EXECUTOR_GRACE = timedelta(seconds=3)
 # The maximum time in which a broken link between instances is detected.
 LINK_FAILURE_DETECTION_TIME = timedelta(milliseconds=1_600)
@@ -73,15 +74,10 @@
 def compute_orphaned_lease_time(lease: timedelta) -> timedelta:
     """Return how long runs may live after the leader has lost their executor.
 
-    The executor may detect the broken link late, then renews leases for its grace
-    time, and the last ``lease`` runs on the upstream's clock.
+    The executor may detect the broken link late. From then on it renews no lease beyond
+    one ``lease``, which runs on the upstream's clock.
     """
-    return (
-        LINK_FAILURE_DETECTION_TIME
-        + EXECUTOR_GRACE
-        + lease * MAX_CLOCK_DRIFT_FACTOR
-        + MAX_CLOCK_SKEW
-    )
+    return LINK_FAILURE_DETECTION_TIME + lease * MAX_CLOCK_DRIFT_FACTOR + MAX_CLOCK_SKEW
 
 
 def compute_inherited_lease_time(lease: timedelta) -> timedelta:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -84,8 +84,14 @@
             report(message)
 
     def detach_leader(self) -> None:
-        """Drop reports, and stop renewing leases after ``EXECUTOR_GRACE``."""
+        """Drop reports, and stop renewing leases after ``EXECUTOR_GRACE``.
+
+        Nothing is renewed beyond one lease from now before a leader allows it.
+        """
         self._report = _drop_report
+        limit = self._clock.monotonic() + self._lease
+        for agent in self._agents.values():
+            agent.limit_leases(limit)
         if self._expiry_task is None:
             self._expiry_task = asyncio.create_task(self._expire_leases())
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
@@ -150,6 +150,15 @@
                 break
         self.assertIsNotNone(self.client.renew_calls[-1].until)
 
+    async def test_lost_leader_ends_renewals_after_one_lease(self):
+        await self.order(make_watch())
+        await self.answer(100)
+        self.executor.detach_leader()
+        self.clock.pause = SECOND
+        await self.answer(101)
+        until = self.client.renew_calls[-1].until
+        self.assertLessEqual(until - 101 * SECOND, LEASE - SECOND)
+
     async def test_leases_renewed_by_a_lost_executor_count(self):
         await self.order(make_watch(leases_left=20 * SECOND))
         (message,) = self.ask().values()
