Move no upstream to another member while the move cannot be stored

Found by reading, on the way: no lease is renewed under an assignment that the store does not name. A member that joins, or one that is stopped as planned, while the store is away would so have the runs of the moved upstreams lapse 6 s later. Without the leader's lease, upstreams are now assigned anew only where their member is lost; what a leaving member keeps moves as soon as the store takes it.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -1,5 +1,6 @@
 """Assignment of upstreams to members, and delivery of orders to the members."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from loguru import logger
@@ -25,15 +26,24 @@
 
 
 class Assignments:
-    """Assigns the upstreams to members and sends members the scheduler's orders."""
+    """Assigns the upstreams to members and sends members the scheduler's orders.
+
+    An assignment takes effect once it is stored. While ``can_store`` is false,
+    upstreams are therefore assigned anew only where their member is lost.
+    """
 
     def __init__(
-        self, scheduler: Scheduler, settings: JobSettings, clock: Clock
+        self,
+        scheduler: Scheduler,
+        settings: JobSettings,
+        clock: Clock,
+        can_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self.members = Members()
         self._scheduler = scheduler
         self._settings = settings
         self._clock = clock
+        self._can_store = can_store
 
     def add_member(self, member: Member) -> None:
         """Add a member and assign it its share of the upstreams.
@@ -117,8 +127,14 @@
                 self.remove_member(member)
 
     def drain_member(self, member: Member) -> None:
-        """Assign all upstreams of a member that shuts down to others."""
+        """Assign all upstreams of a member that shuts down to others.
+
+        While that cannot be stored, it keeps them, and renews their leases until it
+        ends.
+        """
         member.leaving = True
+        if not self._can_store():
+            return
         for name in list(member.upstreams):
             owner = self.members.find_owner(name)
             self.assign(name)
@@ -161,6 +177,8 @@
         for name in upstreams:
             if self.members.find_owner(name) is None:
                 self.assign(name)
+        if not self._can_store():
+            return
         owners = {name: self.members.find_owner(name) for name in upstreams}
         domains = [
             (name, upstream.entry.failure_domain)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -123,7 +123,9 @@
         self._retention = Retention(
             settings, self._intake.rows, self._scheduler, store, clock
         )
-        self._assignments = Assignments(self._scheduler, settings, clock)
+        self._assignments = Assignments(
+            self._scheduler, settings, clock, lambda: self._committer.lease_holds
+        )
         self._heartbeats = LeaderHeartbeats(
             self._scheduler,
             self._assignments,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -147,8 +147,8 @@
 
         ``domains`` gives each upstream's failure domain. An upstream moves to the least
         loaded member of its domain if its own member is in another domain, or has at
-        least two upstreams more. The leader's upstreams move to any other member of
-        their domain, and none move to the leader.
+        least two upstreams more. Upstreams of the leader, and of a member that leaves,
+        move to any other member of their domain, and none move to the leader.
         """
         moves = []
         by_domain: dict[str, list[Member]] = {}
@@ -164,7 +164,8 @@
             if owner is least:
                 continue
             balanced = len(owner.upstreams) - len(least.upstreams) < 2
-            if owner.failure_domain == domain and balanced and not owner.leads:
+            is_wanted = not (owner.leads or owner.leaving)
+            if owner.failure_domain == domain and balanced and is_wanted:
                 continue
             self.reassign(upstream, least)
             moves.append((upstream, least))
