Remember the runs of all agents that one assignment has had

Found by reading: where the agent of an upstream had ended and its order was repeated, the second agent began without the starts of the first one, and what was kept of the first one stood for the assignment, so that a new leader was told too few runs. Both are told together now; the test fails without that.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignment_memory.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignment_memory.py
@@ -8,6 +8,7 @@
 from almondspread.clock import Clock
 from almondspread.jobs.messages import RunsRemembered, WatchUpstream
 from almondspread.jobs.possible_runs import PossibleRuns
+from almondspread.jobs.submissions import TaskId
 from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
 
 # By then each leader knows in another way what an upstream may run: it has reported, or
@@ -27,32 +28,50 @@
 
 @define(eq=False)
 class AssignmentMemory:
-    """Keeps what is known of assignments that have ended, for ``RETENTION``."""
+    """Keeps what is known of assignments that have ended, for ``RETENTION``.
+
+    One assignment may have had several agents, one after another.
+    """
 
     clock: Clock
-    _ended: dict[int, _Ended] = field(factory=dict)
+    _ended: list[_Ended] = field(factory=list)
 
     def keep(
         self, watch: WatchUpstream, runs: PossibleRuns, leases: LeaseRenewal
     ) -> None:
-        """Keep what is known of an assignment that ends now.
+        """Keep what the agent of an assignment knows that ends now.
 
         A leader of an earlier release numbers none, and asks for none.
         """
-        if not watch.assignment:
-            return
         now = self.clock.monotonic()
-        for number, each in list(self._ended.items()):
-            if now - each.ended_at >= RETENTION:
-                del self._ended[number]
-        self._ended.setdefault(watch.assignment, _Ended(watch, runs, leases, now))
+        kept = []
+        for each in self._ended:
+            if now - each.ended_at < RETENTION and each.runs is not runs:
+                kept.append(each)
+        if watch.assignment:
+            kept.append(_Ended(watch, runs, leases, now))
+        self._ended = kept
 
     def describe_all(self) -> Iterator[RunsRemembered]:
         """Yield a message for each assignment of which the possible runs are known."""
-        now = self.clock.monotonic()
-        for number, each in self._ended.items():
-            tasks = each.runs.list_tasks()
-            if tasks is None:
-                continue
-            lapse_in = max(timedelta(0), each.leases.expiry - now)
-            yield RunsRemembered(each.watch.upstream, number, tasks, lapse_in)
+        by_assignment: dict[int, list[_Ended]] = {}
+        for each in self._ended:
+            by_assignment.setdefault(each.watch.assignment, []).append(each)
+        for agents in by_assignment.values():
+            message = _describe(agents, self.clock.monotonic())
+            if message is not None:
+                yield message
+
+
+def _describe(agents: list[_Ended], now: timedelta) -> RunsRemembered | None:
+    """Return what all agents of one assignment know together."""
+    found: set[TaskId] = set()
+    for agent in agents:
+        tasks = agent.runs.list_tasks()
+        if tasks is None:
+            return None
+        found.update(tasks)
+    expiry = max(agent.leases.expiry for agent in agents)
+    watch = agents[0].watch
+    lapse_in = max(timedelta(0), expiry - now)
+    return RunsRemembered(watch.upstream, watch.assignment, tuple(found), lapse_in)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
@@ -120,6 +120,15 @@
         await self.answer(100, 7)
         self.assertEqual(self.list_tasks(), {TASK})
 
+    async def test_agents_of_one_assignment_are_told_together(self):
+        """An agent that has ended is replaced when its order is repeated."""
+        for task in (TASK, OTHER):
+            await self.order(make_watch())
+            await self.order(StartRun("u", task, 7, ""))
+            self.executor._agents["u"].close()
+            await settle()
+        self.assertEqual(self.list_tasks(), {TASK, OTHER})
+
     async def test_ended_assignment_is_told_for_a_while(self):
         await self.order(make_watch(confirmed_runs=(RunId(TASK, 7),)))
         await self.order(UnwatchUpstream("u"))
