Keep the upstreams of ends that are not stored, and do not call their runs known

Two faults of one class, found by the search of the protocol: an end that a leader has applied and not stored has no run bound any more, and only its upstream would tell the next leader of it. And an executor that was assigned such an upstream anew was told that it ran nothing. Upstreams with ends that are not acknowledged stay in the list now, and such an assignment begins without known runs. Both tests fail without this (2 starts, and "started again after it was done").

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -100,8 +100,8 @@
             return []
         return [self.runs[key] for key in known.bound if key in self.runs]
 
-    def list_watched(self, unseen: set[str]) -> list[Upstream]:
-        """Return the upstreams that have, may have (``unseen``) or may get runs.
+    def list_watched(self, kept: set[str]) -> list[Upstream]:
+        """Return the upstreams that have or may get runs, and those of ``kept``.
 
         The leader stores them, so that its successor queries them for runs.
         """
@@ -110,7 +110,7 @@
             open_to_runs = upstream.listed and not upstream.entry.draining
             if upstream.lapse_at is not None:
                 open_to_runs = False
-            if upstream.bound or open_to_runs or name in unseen:
+            if upstream.bound or open_to_runs or name in kept:
                 watched.append(upstream)
         return watched
 
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover_holds.py
@@ -1,5 +1,6 @@
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from almondspread.jobs.leases import compute_orphaned_lease_time
 from almondspread.jobs.messages import StartRun
@@ -157,6 +158,34 @@
         self.cell.run_for(4 * SECOND)
         self.assertEqual(self.cell.history.starts, 1)
 
+    def lose_end_with_the_leader(self, act):
+        """Have a task end, ``act``, and lose the leader before the end is stored."""
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.cell.submit(make_job("j", make_step(1)))
+        self.cell.step()
+        with mock.patch("almondspread.testing.fake_cell.MAX_RECORDS", 0):
+            self.cell.run_for(2 * SECOND)
+            self.assertEqual(len(self.cell.history.done), 1)
+            (name,) = (each.name for each in self.cell.upstreams.values() if each.ends)
+            act(name)
+            self.cell.commit()
+        self.cell.silent.add(name)
+        self.cell.take_over(lapse_in=8 * SECOND)
+        self.cell.run_for(4 * SECOND)
+        self.assertEqual(self.cell.history.starts, 1)
+
+    def test_executor_that_was_not_told_of_an_end_does_not_know_all_runs(self):
+        """The commit that names the assignment may have no room for the end."""
+        self.lose_end_with_the_leader(self.cell.assign)
+
+    def test_silent_upstream_with_an_end_that_is_not_stored_is_still_watched(self):
+        def fall_silent(name):
+            self.cell.silent.add(name)
+            self.cell.run_for(SECOND)
+
+        self.lose_end_with_the_leader(fall_silent)
+
     def test_step_that_cannot_have_begun_does_not_wait(self):
         """Its leader has found a task running that had to be done before."""
         self.add_upstreams(2, cpu_millis=1_000)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -169,8 +169,13 @@
             upstream.executor_unresponsive = name in names
 
     def list_watched(self) -> list[Upstream]:
-        """Return the upstreams whose runs the next leader must query."""
-        return self.cell_state.list_watched(self.unseen)
+        """Return the upstreams whose runs or ends the next leader must query.
+
+        An end that is not acknowledged may not be stored, so that only its upstream
+        would tell the next leader of it.
+        """
+        kept = self.unseen | self.find_unacknowledged_ends().keys()
+        return self.cell_state.list_watched(kept)
 
     def _hand_over_runs(self, name: str, now: timedelta) -> None:
         """Have the next incarnation of an upstream show which runs have reached it.
@@ -334,6 +339,15 @@
             return
         self.control.orders.append(self.make_watch_order(upstream, now))
 
+    def _knows_runs(self, upstream: Upstream) -> bool:
+        """Tell whether the bound runs are all that an upstream may run or list.
+
+        An end that is not acknowledged may not be stored, and has no bound run.
+        """
+        if upstream.name in self.unseen:
+            return False
+        return upstream.ends_seen <= self._acknowledged.get(upstream.name, 0)
+
     def make_watch_order(self, upstream: Upstream, now: timedelta) -> WatchUpstream:
         """Return the order to watch an upstream, with the runs bound to it."""
         confirmed = []
@@ -350,7 +364,7 @@
             self.cell_state.epoch,
             self.cell_state.find_fencing_token(upstream),
             upstream.assignment,
-            upstream.name not in self.unseen,
+            self._knows_runs(upstream),
             tuple(confirmed),
             tuple(unconfirmed),
             max(timedelta(0), upstream.orphaned_leases_until - now),
