Carry out no start of a leader after its successor was told of the runs

A start from there is not among the runs that the member has told the successor. The executor ignores all orders to watch and all starts of epochs below the one that it has told. The test fails without this.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -56,6 +56,7 @@
         self._metrics = metrics
         self._agents: dict[str, UpstreamAgent] = {}
         self._memory = AssignmentMemory(clock)
+        self._told_epoch = 0
         self._report: SendReport = _drop_report
         self._calls: set[asyncio.Task[None]] = set()
         self._advice_lock = asyncio.Lock()
@@ -72,9 +73,10 @@
     def report_remembered(self, report: SendReport, epoch: int) -> None:
         """Tell the leader of an epoch what upstreams may run by orders of earlier ones.
 
-        No such order arrives any more. Agents of earlier epochs renew no lease from now
-        on, as the leader is told when these expire.
+        No such order is carried out from now on, and no lease renewed under one, as the
+        leader is told which runs are possible and when the leases expire.
         """
+        self._told_epoch = max(self._told_epoch, epoch)
         now = self._clock.monotonic()
         for agent in self._agents.values():
             if agent.watch.epoch < epoch:
@@ -137,11 +139,12 @@
     def _watch(self, order: WatchUpstream) -> None:
         """Start an agent for an upstream, or have a running one report all again.
 
-        An order of an earlier epoch than the agent's is ignored, since a session that
-        has ended could otherwise take the upstream back.
+        An order of an earlier epoch is ignored, since a session that has ended could
+        otherwise take the upstream back.
         """
         agent = self._agents.get(order.upstream)
-        if agent is not None and agent.watch.epoch > order.epoch:
+        newest = max(self._told_epoch, agent.watch.epoch if agent is not None else 0)
+        if order.epoch < newest:
             logger.warning(
                 "ignoring order of an earlier epoch", upstream=order.upstream
             )
@@ -172,7 +175,7 @@
         """Pass an order to the agent of its upstream, if there is one."""
         agent = self._agents.get(order.upstream)
         match order:
-            case StartRun() if agent is None:
+            case StartRun() if agent is None or agent.watch.epoch < self._told_epoch:
                 self.send_report(
                     StartSettled(
                         order.upstream, order.task, order.run, REFUSED, "unreachable"
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
@@ -120,6 +120,18 @@
         await self.answer(100, 7)
         self.assertEqual(self.list_tasks(), {TASK})
 
+    async def test_order_of_an_earlier_leader_is_not_carried_out_any_more(self):
+        """A member that the store turns away may go back to a superseded leader."""
+        await self.order(make_watch())
+        await self.answer(100)
+        (message,) = self.ask(2).values()
+        await self.order(make_watch())
+        await self.order(StartRun("u", TASK, 7, ""))
+        self.assertEqual(message.tasks, ())
+        self.assertEqual(self.client.start_calls, [])
+        await self.answer(101)
+        self.assertIsNone(self.client.renew_calls[-1].until)
+
     async def test_agents_of_one_assignment_are_told_together(self):
         """An agent that has ended is replaced when its order is repeated."""
         for task in (TASK, OTHER):
