Try a lasting task on a second after a loss whose cause is unclear

A task that lasts waited for up to 60 s without a run, while there was room, once two upstreams had gone dark right after they had started it, or three soon after.

Cause: RESTART_PATIENCE, the time in which an upstream that has crashed may come back, was also the time for which such a task was held (`must_wait`), and each new leader began to count it anew.

A lasting task now goes on 1 s after its newest loss, alone as before, as long as fewer than four upstreams were lost soon after its starts. Upstreams that come back before their leases expire are known to have crashed by then.

Before: three of the four tests of UnclearLossTest failed, no run for 9 s.

--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -18,6 +18,8 @@
 
 # An upstream that has not come back by then tells nothing about its tasks.
 RESTART_PATIENCE = timedelta(seconds=60)
+# A lasting task goes on so long after a loss, whether it is clear by then or not.
+LASTING_PATIENCE = timedelta(seconds=1)
 MAX_LOGGED_TASKS = 8
 
 
@@ -97,6 +99,7 @@
     A loss stays open until another incarnation shows that the upstream has crashed, or
     until the upstream answers, and for at most ``RESTART_PATIENCE``. Open losses are
     stored with the progress of their step, so that the next leader resolves them.
+    Lasting tasks go on after ``LASTING_PATIENCE``, as long as they have few losses.
     """
 
     job_table: JobTable
@@ -212,8 +215,23 @@
                 self._confirm(each, now)
                 crashed.setdefault(each.loss.upstream, []).append(each.name)
         self._opened = opened
+        self._try_lasting_tasks_on(now)
         _log_crashes(crashed)
 
+    def _try_lasting_tasks_on(self, now: timedelta) -> None:
+        """Have lasting tasks go on whose losses have stayed open for long enough."""
+        newest: dict[TaskId, timedelta] = {}
+        for (task, _), since in self._opened.items():
+            newest[task] = max(since, newest.get(task, since))
+        for task, since in newest.items():
+            if now - since < LASTING_PATIENCE:
+                continue
+            progress = self.job_table.find_known_step(
+                task.job, task.occurrence, task.step
+            )
+            if progress is not None and progress.step.lasting:
+                progress.losses.try_on(task.index)
+
     def _confirm(self, each: _OpenLoss, now: timedelta) -> None:
         """Record that an upstream has crashed, and end the job if that was too much."""
         progress = each.progress
--- a/packages/almondspread/almondspread/jobs/losses.py
+++ b/packages/almondspread/almondspread/jobs/losses.py
@@ -14,6 +14,9 @@
 MAX_CRASHES = 3
 # The same where starts were not even confirmed, so that some may never have arrived.
 MAX_POSSIBLE_CRASHES = 5
+# A lasting task that has lost so many upstreams soon after its starts waits until it is
+# clear why.
+MAX_UNCLEAR_LOSSES = 4
 # A task that lasts may lose any number of upstreams; the newest losses tell enough.
 MAX_KEPT_LOSSES = 8
 
@@ -68,6 +71,17 @@
     return len(confirmed) > 1 or any(loss.fresh for loss in confirmed)
 
 
+def may_be_tried_on(losses: Iterable[Loss]) -> bool:
+    """Return whether a lasting task may go on while the cause of losses is unclear.
+
+    >>> loss = Loss(1, "u-1", "10.0.0.1:80", confirmed=True, early=True)
+    >>> may_be_tried_on([loss] * 3), may_be_tried_on([loss] * 4)
+    (True, False)
+    """
+    counted = [loss for loss in losses if loss.confirmed and (loss.early or loss.fresh)]
+    return len(counted) < MAX_UNCLEAR_LOSSES
+
+
 def _is_too_much(losses: Sequence[Loss], lasting: bool) -> bool:
     """Return whether that many crashes are hardly by chance."""
     confirmed = [loss for loss in losses if loss.confirmed]
@@ -81,9 +95,13 @@
 
 @define(eq=False)
 class TaskLosses:
-    """The losses of the tasks of one step, by the index of the task."""
+    """The losses of the tasks of one step, by the index of the task.
+
+    The tasks ``tried_on`` go on although it is unclear why their upstreams were lost.
+    """
 
     by_task: dict[int, list[Loss]] = field(factory=dict)
+    tried_on: set[int] = field(factory=set)
 
     def __bool__(self) -> bool:
         return bool(self.by_task)
@@ -95,6 +113,7 @@
         else the oldest.
         """
         self.dismiss(index, loss.run)
+        self.tried_on.discard(index)
         losses = self.by_task.setdefault(index, [])
         losses.append(loss)
         if len(losses) > MAX_KEPT_LOSSES:
@@ -142,6 +161,13 @@
         """Return the number of tasks that may well crash the next upstream."""
         return sum(is_suspect(losses) for losses in self.by_task.values())
 
+    def try_on(self, index: int) -> None:
+        """Let a lasting task go on until its next loss, unless it has lost too many."""
+        if may_be_tried_on(self.by_task.get(index, ())):
+            self.tried_on.add(index)
+
     def must_wait(self, index: int, lasting: bool) -> bool:
         """Return whether a task waits until it is clear why its upstreams are lost."""
+        if index in self.tried_on:
+            return False
         return may_be_crashing(self.by_task.get(index, ()), lasting)
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
@@ -0,0 +1,107 @@
+"""How long a task that lasts may be kept from running again, while there is room."""
+
+import unittest
+from datetime import timedelta
+
+from almondspread.jobs.job_records import JobState
+from almondspread.jobs.losses import MAX_UNCLEAR_LOSSES
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+from almondspread.jobs.trials import PROOF_TIME
+
+# A task that lasts may be without a run for this long, where there is room.
+LASTING_TASK_GAP = timedelta(seconds=9)
+
+
+class LastingCellTest(CellTest):
+    def submit_lasting(self, job, count=1, durations=()):
+        """Submit a job of tasks that do not end by themselves, but for those given."""
+        for upstream in self.cell.upstreams.values():
+            for index in range(count):
+                upstream.durations[TaskId(job, 0, 0, index)] = timedelta(hours=1)
+            upstream.durations.update(durations)
+        self.cell.submit(make_job(job, make_step(count, lasting=True)))
+
+    def find_upstream(self, job, index=0):
+        """Return the upstream on which a task of a job really runs, if there is one."""
+        for name, upstream in self.cell.upstreams.items():
+            if (
+                name not in self.cell.silent
+                and TaskId(job, 0, 0, index) in upstream.runs
+            ):
+                return name
+        return None
+
+    def wait_for_run(self, job, index=0, limit=LASTING_TASK_GAP):
+        """Step until a task runs, and return its upstream; fail after ``limit``."""
+        until = self.cell.now + limit
+        while self.find_upstream(job, index) is None:
+            self.assertLess(self.cell.now, until, f"{job} has no run for {limit}")
+            self.cell.step()
+        return self.find_upstream(job, index)
+
+
+class UnclearLossTest(LastingCellTest):
+    """A task waited for a minute until it was clear why its upstreams were lost."""
+
+    def lose_upstreams(self, count, after):
+        """Have upstreams go dark for good, each some time after it started the task."""
+        for _ in range(count):
+            name = self.wait_for_run("j")
+            self.cell.run_for(after)
+            self.cell.silent.add(name)
+        self.wait_for_run("j")
+
+    def test_task_runs_again_after_two_upstreams_went_dark_right_after_its_start(self):
+        self.add_upstreams(5)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        self.lose_upstreams(2, after=timedelta(0))
+
+    def test_task_runs_again_after_three_upstreams_went_dark_soon_after_its_start(self):
+        self.add_upstreams(5)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        self.lose_upstreams(3, after=PROOF_TIME / 2)
+
+    def test_new_leader_does_not_begin_the_wait_anew(self):
+        self.add_upstreams(5)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        self.lose_upstreams(1, after=timedelta(0))
+        self.cell.silent.add(self.wait_for_run("j"))
+        self.cell.run_for(6 * SECOND)
+        self.cell.take_over(lapse_in=SECOND / 2)
+        self.wait_for_run("j", limit=3 * SECOND)
+
+    def crash_upstreams(self, restart_time, takeover_interval):
+        """Have a task crash each upstream that starts it until it is given up."""
+        task = TaskId("j", 0, 0, 0)
+        self.setUp()
+        self.add_upstreams(12)
+        self.cell.run_for(SECOND)
+        self.cell.crashing.add(task)
+        self.cell.restart_time = restart_time
+        self.submit_lasting("j")
+        until = self.cell.now + 120 * SECOND
+        while self.cell.read_state("j") is not JobState.FAILED:
+            self.assertLess(self.cell.now, until, "the task was never given up")
+            self.cell.run_for(takeover_interval)
+            self.cell.take_over(lapse_in=13 * SECOND / 2)
+        self.assertEqual(self.cell.history.violations, [])
+        return self.cell.crashes[task]
+
+    def test_task_that_crashes_upstreams_is_not_tried_on_without_end(self):
+        """The upstreams come back only after the task could have been tried often.
+
+        Three starts more after the third crash are allowed, for all leaders together.
+        """
+        for restart_time in (9 * SECOND, 20 * SECOND, 55 * SECOND):
+            for interval in (2 * SECOND, 7 * SECOND, 100 * SECOND):
+                with self.subTest(restart_time=restart_time, interval=interval):
+                    crashes = self.crash_upstreams(restart_time, interval)
+                    self.assertLessEqual(crashes, MAX_UNCLEAR_LOSSES)
+
+
+if __name__ == "__main__":
+    unittest.main()
