Let a lasting task use a suspended upstream that is its last resort

An upstream on which runs of several jobs fail, or that refuses starts, is suspended for 2 s, doubling to 8 s where no run is done in between; runs of lasting tasks never are. A lasting task whose upstream was lost found all others suspended, and waited for 8 s more, with room everywhere.

A lasting task (or gang) that finds no room elsewhere may now use an upstream that has been suspended for 2 s. With the longest lease that is 8.4 s, within the 9 s of the rule. All others wait as before, and where an upstream that is not suspended has room, that one is taken.

Before: SuspensionTest.test_task_of_a_lost_upstream_does_not_wait_for_a_long_suspension failed, no run for 9 s.

--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from functools import partial
 
 from attrs import define, field
 from loguru import logger
@@ -10,6 +11,7 @@
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import AdviceTiming
 from almondspread.jobs.holds import StartHolds
+from almondspread.jobs.last_resorts import add_last_resorts
 from almondspread.jobs.messages import PermitsAnswered, StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
 from almondspread.jobs.permit_requests import (
@@ -93,12 +95,14 @@
         """
         if not self.control.job_table.ready_steps and self._upcoming.is_empty:
             return
-        usable = group_by_service(
+        known = [
             upstream
             for upstream in self.cell_state.upstreams.values()
-            if upstream.is_usable(now) and self._knows_capacity(upstream, now)
-        )
+            if self._knows_capacity(upstream, now)
+        ]
+        usable = group_by_service(each for each in known if each.is_usable(now))
         steps = self._rank_steps(usable, holds, now)
+        self._add_last_resorts(steps, known, now)
         for step in steps:
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
@@ -132,6 +136,23 @@
         found.sort(key=lambda step: step.rank)
         return found
 
+    def _add_last_resorts(
+        self, steps: list[_RankedStep], known: list[Upstream], now: timedelta
+    ) -> None:
+        """Let lasting tasks without room use upstreams that are suspended for long."""
+        last_resorts: dict[str, list[Upstream]] = {}
+        for upstream in known:
+            if upstream.is_last_resort(now):
+                last_resorts.setdefault(upstream.entry.service, []).append(upstream)
+        for step in steps if last_resorts else ():
+            name = self.control.job_table.find_service(step.progress.job.submission)
+            step.service = add_last_resorts(
+                step.progress,
+                step.service,
+                last_resorts.get(name, ()),
+                partial(self._find_free, step),
+            )
+
     def _rank_step(
         self,
         progress: StepProgress,
--- a/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
@@ -103,5 +103,34 @@
                     self.assertLessEqual(crashes, MAX_UNCLEAR_LOSSES)
 
 
+class SuspensionTest(LastingCellTest):
+    """All upstreams with room were suspended for eight seconds."""
+
+    def suspend(self, name, times=3):
+        for _ in range(times):
+            self.cell.scheduler.cell_state.upstreams[name].suspend(self.cell.now)
+
+    def test_task_of_a_lost_upstream_does_not_wait_for_a_long_suspension(self):
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        lost = self.wait_for_run("j")
+        self.cell.run_for(5 * SECOND)
+        self.cell.silent.add(lost)
+        (left,) = set(self.cell.upstreams) - {lost}
+        self.cell.run_for(6 * SECOND)
+        self.suspend(left)
+        self.wait_for_run("j", limit=LASTING_TASK_GAP - 6 * SECOND)
+
+    def test_suspended_upstream_gets_no_task_while_another_one_has_room(self):
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.suspend("u0")
+        self.cell.run_for(3 * SECOND)
+        self.submit_lasting("j", 4)
+        self.cell.run_for(SECOND)
+        self.assertEqual(len(self.cell.upstreams["u1"].runs), 4)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -70,6 +70,7 @@
     orphaned_leases_until: timedelta = timedelta(0)
     leaves_at: timedelta | None = None
     ends_seen: int = 0
+    suspended_at: timedelta = timedelta(0)
     suspended_until: timedelta = timedelta(0)
     next_suspension: timedelta = INITIAL_SUSPENSION
     free: Capacity = field(init=False)
@@ -146,6 +147,20 @@
 
     def is_usable(self, now: timedelta) -> bool:
         """Tell whether new runs may be bound to the upstream."""
+        return now >= self.suspended_until and self._accepts_runs(now)
+
+    def is_last_resort(self, now: timedelta) -> bool:
+        """Tell whether lasting tasks may use the upstream if all others are full.
+
+        These tasks wait no longer than for an ``INITIAL_SUSPENSION``.
+        """
+        if now >= self.suspended_until:
+            return False
+        served = now - self.suspended_at
+        return served >= INITIAL_SUSPENSION and self._accepts_runs(now)
+
+    def _accepts_runs(self, now: timedelta) -> bool:
+        """Tell whether new runs may be bound to the upstream unless it is suspended."""
         if not (self.has_reported and self.recorded):
             return False
         if self.has_unknown_runs or self.executor_unresponsive or self.has_restarted:
@@ -154,7 +169,7 @@
             return False
         if self.is_leaving or self.trying:
             return False
-        return self.lapse_at is None and now >= self.suspended_until
+        return self.lapse_at is None
 
     def mark_unlisted(self, now: timedelta) -> None:
         """Record that the directory no longer lists the upstream."""
@@ -217,6 +232,7 @@
 
     def suspend(self, now: timedelta) -> None:
         """Bind no new runs to the upstream for a time that doubles up to a maximum."""
+        self.suspended_at = now
         self.suspended_until = now + self.next_suspension
         self.next_suspension = min(self.next_suspension * 2, MAX_SUSPENSION)
         self._outcomes.clear()
