Let a lasting task use an upstream on trial that is its last resort

A task that may crash its upstream is started alone, and a lasting one keeps all others away for 4 s and up to the next report, 1 s to 2 s later. Where that upstream was the only one with room, a lasting task that had lost its upstream together with the other waited 11.5 s and more; several of them tried one after another waited for each other.

A lasting task that finds no room elsewhere may now start beside a trial that has lasted for 1.5 s: an upstream that has crashed at the start is known to be silent by then.

Before: TrialTest.test_trial_on_the_last_upstream_does_not_keep_other_tasks_waiting and test_several_suspected_tasks_do_not_wait_for_each_other failed.

--- a/packages/almondspread/almondspread/jobs/last_resorts.py
+++ b/packages/almondspread/almondspread/jobs/last_resorts.py
@@ -1,7 +1,7 @@
-"""Suspended upstreams as the last resort of tasks that last.
+"""Upstreams that are suspended or on trial, as the last resort of tasks that last.
 
-A suspension may last longer than a lasting task may be without a run. So where no other
-upstream has room for such a task, it may start on one that has been suspended for long.
+A suspension or a trial may last longer than such a task may be without a run. So where
+no other upstream has room for the task, it may start there after a while.
 """
 
 from collections.abc import Callable, Iterable
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -47,7 +47,7 @@
     step = progress.step
     found = []
     for upstream in usable:
-        if upstream.trying or not has_room(step, upstream):
+        if not has_room(step, upstream):
             continue
         if step.spread_limit and upstream.count_step(progress.key) >= step.spread_limit:
             continue
@@ -185,7 +185,7 @@
         for upstream in candidates:
             if upstream.name in self._apart or not self._fits(upstream):
                 continue
-            alone = upstream.is_settled and self._max_alone > 0
+            alone = upstream.is_settled and not upstream.trying and self._max_alone > 0
             self._max_alone -= alone
             self._apart.add(upstream.name)
             self._take(upstream)
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -139,7 +139,7 @@
     def _add_last_resorts(
         self, steps: list[_RankedStep], known: list[Upstream], now: timedelta
     ) -> None:
-        """Let lasting tasks without room use upstreams that are suspended for long."""
+        """Let lasting tasks without room use suspended upstreams and those on trial."""
         last_resorts: dict[str, list[Upstream]] = {}
         for upstream in known:
             if upstream.is_last_resort(now):
@@ -218,8 +218,14 @@
             upstreams = step.service.list_named_with_room(
                 progress.permits.list_usable(now), progress.step.claim
             )
+        # Some may have been put on trial since the upstreams of the step were chosen.
+        open_to_tasks = (
+            upstream
+            for upstream in upstreams
+            if not upstream.trying or upstream.is_last_resort(now)
+        )
         candidates = list_candidates(
-            progress, upstreams, lambda upstream: self._find_free(step, upstream)
+            progress, open_to_tasks, partial(self._find_free, step)
         )
         if candidates:
             self._place_tasks(step, candidates, now)
@@ -340,7 +346,7 @@
         self.cell_state.add_run(progress, placement.index, upstream, run)
         upstream.last_start_at = now
         if placement.alone:
-            upstream.trying.add((task, number))
+            upstream.begin_trial(task, number, now)
             run.trial_time = PROOF_TIME if progress.step.lasting else TRIAL_TIME
         self._reservations.record_start(
             upstream, step.rank, step.ends_at, progress.step.claim
--- a/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
@@ -132,5 +132,50 @@
         self.assertEqual(len(self.cell.upstreams["u1"].runs), 4)
 
 
+class TrialTest(LastingCellTest):
+    """A task that was tried alone kept the last upstream from all others."""
+
+    def test_trial_on_the_last_upstream_does_not_keep_other_tasks_waiting(self):
+        """One of two tasks had hardly begun when their upstream went dark."""
+        self.add_upstreams(2, cpu_millis=2_000)
+        self.cell.run_for(SECOND)
+        self.cell.draining.add("u1")
+        failing = TaskId("j", 0, 0, 1)
+        self.cell.upstreams["u0"].failing.add(failing)
+        self.submit_lasting("j", 2, {failing: 5 * SECOND})
+        while self.cell.history.starts < 3:
+            self.cell.step()
+        self.cell.silent.add("u0")
+        self.cell.draining.clear()
+        until = self.cell.now + LASTING_TASK_GAP
+        for index in (1, 0):
+            self.wait_for_run("j", index, limit=until - self.cell.now)
+
+    def test_several_suspected_tasks_do_not_wait_for_each_other(self):
+        """Four tasks had hardly begun when their upstream went dark."""
+        self.add_upstreams(2)
+        self.cell.run_for(SECOND)
+        self.cell.draining.add("u1")
+        self.submit_lasting("j", 4)
+        for index in range(4):
+            self.wait_for_run("j", index)
+        self.cell.silent.add("u0")
+        self.cell.draining.clear()
+        until = self.cell.now + LASTING_TASK_GAP
+        for index in range(4):
+            self.wait_for_run("j", index, limit=until - self.cell.now)
+
+    def test_task_tried_alone_shares_its_upstream_only_as_a_last_resort(self):
+        self.add_upstreams(3)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        self.cell.silent.add(self.wait_for_run("j"))
+        trial = self.wait_for_run("j")
+        self.cell.run_for(2 * SECOND)
+        self.submit_lasting("other", 4)
+        self.cell.run_for(SECOND)
+        self.assertEqual(len(self.cell.upstreams[trial].runs), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -22,6 +22,8 @@
 EXECUTOR_REASSIGNMENT_TIME = timedelta(milliseconds=300)
 INITIAL_SUSPENSION = timedelta(seconds=2)
 MAX_SUSPENSION = timedelta(seconds=8)
+# An upstream that has crashed right after a start is known to be silent by then.
+LAST_RESORT_TRIAL_TIME = timedelta(milliseconds=1_500)
 
 
 @define(eq=False)
@@ -43,7 +45,8 @@
 
     ``listed_at`` is when the read began that last showed its entry, so that the entry
     is at least as new. ``heard_at`` is when a report of the upstream last arrived.
-    While it is ``trying`` runs that may crash it, nothing else is started there.
+    While it is ``trying`` runs that may crash it, the first of them since
+    ``trying_since``, only tasks of which it is the last resort are started there.
 
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
@@ -76,6 +79,7 @@
     free: Capacity = field(init=False)
     bound: dict[tuple[TaskId, int], Capacity] = field(factory=dict)
     trying: set[tuple[TaskId, int]] = field(factory=set)
+    trying_since: timedelta = timedelta(0)
     _step_counts: dict[tuple[str, int, int], int] = field(factory=dict)
     _outcomes: deque[tuple[timedelta, str, bool]] = field(factory=deque)
 
@@ -147,29 +151,33 @@
 
     def is_usable(self, now: timedelta) -> bool:
         """Tell whether new runs may be bound to the upstream."""
-        return now >= self.suspended_until and self._accepts_runs(now)
+        if now < self.suspended_until or self.trying:
+            return False
+        return self._accepts_runs(now)
 
     def is_last_resort(self, now: timedelta) -> bool:
         """Tell whether lasting tasks may use the upstream if all others are full.
 
-        These tasks wait no longer than for an ``INITIAL_SUSPENSION``.
+        These tasks do not wait for the end of a long suspension or trial.
         """
-        if now >= self.suspended_until:
+        if now < self.suspended_until:
+            if now - self.suspended_at < INITIAL_SUSPENSION:
+                return False
+        elif not self.trying:
+            return False
+        if self.trying and now - self.trying_since < LAST_RESORT_TRIAL_TIME:
             return False
-        served = now - self.suspended_at
-        return served >= INITIAL_SUSPENSION and self._accepts_runs(now)
+        return self._accepts_runs(now)
 
     def _accepts_runs(self, now: timedelta) -> bool:
-        """Tell whether new runs may be bound to the upstream unless it is suspended."""
+        """Tell whether runs may be bound there, but for suspensions and trials."""
         if not (self.has_reported and self.recorded):
             return False
         if self.has_unknown_runs or self.executor_unresponsive or self.has_restarted:
             return False
         if not self.listed and not self._was_listed_recently(now):
             return False
-        if self.is_leaving or self.trying:
-            return False
-        return self.lapse_at is None
+        return self.lapse_at is None and not self.is_leaving
 
     def mark_unlisted(self, now: timedelta) -> None:
         """Record that the directory no longer lists the upstream."""
@@ -181,6 +189,12 @@
         """Tell whether the entry may only have expired during a store outage."""
         return self.unlisted_at is not None and now - self.unlisted_at < RELISTING_TIME
 
+    def begin_trial(self, task: TaskId, run: int, now: timedelta) -> None:
+        """Keep other tasks away while a run is tried that may crash the upstream."""
+        if not self.trying:
+            self.trying_since = now
+        self.trying.add((task, run))
+
     def bind(self, task: TaskId, run: int, claim: Capacity) -> None:
         """Bind a run to the upstream, which reduces the free capacity."""
         self.bound[task, run] = claim
