Ask for permits before the leases of a silent upstream have expired

A lasting task of a queue with advice asked for permits only once its upstream was lost, 6.4 s after it fell silent. A decision takes up to 0.87 s on the sites in force (450 ms, and 6.5 ms for each of 64 upstreams), each instance asks for one step at a time with two requests in hand, and an answer that allows nothing with room costs another request 0.3 s later. Together that is more than the 2.6 s that the rule leaves.

The permits of such a task are now requested so much earlier that the answer is there when the leases expire; an upstream that answers again before costs no request.

Before: PermitTest.test_permits_are_in_hand_when_the_upstream_of_a_task_is_lost failed, the request followed the loss.

--- a/packages/almondspread/almondspread/jobs/last_resorts.py
+++ b/packages/almondspread/almondspread/jobs/last_resorts.py
@@ -40,12 +40,13 @@
     Upstreams that the advice service has denied are not counted.
     """
     step = progress.step
-    missing = len(progress.waiting) if step.gang else 1
+    tasks = len(progress.waiting)
+    missing = tasks if step.gang else 1
     for upstream in service.list_with_room(step.claim):
         if upstream.name in progress.permits.denied:
             continue
         if upstream.has_label(step.required_label):
-            missing -= count_room(progress, upstream, find_free(upstream))
+            missing -= count_room(progress, upstream, find_free(upstream), tasks)
         if missing <= 0:
             return True
     return False
--- a/packages/almondspread/almondspread/jobs/permit_requests.py
+++ b/packages/almondspread/almondspread/jobs/permit_requests.py
@@ -73,21 +73,22 @@
         service: ServiceUpstreams,
         find_free: FindFree,
         advice: AdviceTiming,
+        tasks: int,
         ready_at: timedelta | None,
         now: timedelta,
     ) -> AskPermits | None:
-        """Return a request for permits for a step, ``None`` if none is due.
+        """Return a request for permits for ``tasks`` of a step, if one is due.
 
         None is due while an earlier one is pending, or if its answer would not let any
         task start. ``ready_at`` is when the step has room on a reserved upstream.
         """
         if not progress.permits.may_ask(now):
             return None
-        askable = list_with_room(progress, service, find_free, now)
+        askable = list_with_room(progress, service, find_free, tasks, now)
         if ready_at is not None or progress.permits.is_unknown:
             askable += list_without_room(progress, service, askable, now)
         share = self.allowed_shares.find(progress.job.submission.queue)
-        names = choose_asked(progress, askable, share)
+        names = choose_asked(progress, askable, share, tasks)
         if not names:
             progress.permits.postpone(now)
             return None
@@ -96,7 +97,7 @@
             "permits requested",
             job=progress.job.submission.job,
             step=progress.number,
-            waiting=len(progress.waiting),
+            waiting=tasks,
             upstreams=len(names),
         )
         duration = advice.decision_time + advice.time_per_upstream * len(names)
@@ -112,6 +113,7 @@
     progress: StepProgress,
     service: ServiceUpstreams,
     find_free: FindFree,
+    tasks: int,
     now: timedelta,
 ) -> list[AskableUpstream]:
     """Return upstreams that a request may name and that have room now, at most a few.
@@ -122,7 +124,7 @@
     for upstream in service.list_with_room(progress.step.claim):
         if not _may_name(progress, upstream, now):
             continue
-        room = count_room(progress, upstream, find_free(upstream))
+        room = count_room(progress, upstream, find_free(upstream), tasks)
         if room:
             found.append(AskableUpstream(upstream, room))
         if len(found) >= MAX_UPSTREAMS_PER_REQUEST:
@@ -159,19 +161,24 @@
     return upstream.has_label(progress.step.required_label)
 
 
-def count_room(progress: StepProgress, upstream: Upstream, free: Capacity) -> int:
-    """Return how many waiting tasks of a step fit in what is free of an upstream."""
+def count_room(
+    progress: StepProgress, upstream: Upstream, free: Capacity, tasks: int
+) -> int:
+    """Return how many of some tasks of a step fit in what is free of an upstream."""
     step = progress.step
-    room = min(len(progress.waiting), step.claim.count_in(free))
+    room = min(tasks, step.claim.count_in(free))
     if step.spread_limit:
         room = min(room, step.spread_limit - upstream.count_step(progress.key))
     return max(room, 0)
 
 
 def choose_asked(
-    progress: StepProgress, askable: list[AskableUpstream], allowed_share: float
+    progress: StepProgress,
+    askable: list[AskableUpstream],
+    allowed_share: float,
+    tasks: int,
 ) -> tuple[str, ...]:
-    """Return the names of the upstreams that a request should name.
+    """Return the names of the upstreams that a request for ``tasks`` should name.
 
     Upstreams that are known to be allowed come first, then those with the most room.
     ``allowed_share`` is the share of the others that the service is likely to allow.
@@ -188,7 +195,7 @@
 
     names: list[str] = []
     expected = 0.0
-    needed = EXCESS_FACTOR * len(progress.waiting)
+    needed = EXCESS_FACTOR * tasks
     for candidate in sorted(askable, key=rank)[:MAX_UPSTREAMS_PER_REQUEST]:
         if expected >= needed and len(names) >= MIN_UPSTREAMS_PER_REQUEST:
             break
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -10,6 +10,7 @@
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import AdviceTiming
+from almondspread.jobs.expiring import ExpiringTasks, list_expiring_tasks
 from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.last_resorts import add_last_resorts
 from almondspread.jobs.messages import PermitsAnswered, StartRun
@@ -31,7 +32,7 @@
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
-from almondspread.jobs.upcoming import UpcomingSteps
+from almondspread.jobs.upcoming import REQUEST_AHEAD_MARGIN, UpcomingSteps
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
 
@@ -93,7 +94,9 @@
         Steps whose queue requires advice start only with permits. At most
         ``max_permit_requests`` requests for permits are ordered.
         """
-        if not self.control.job_table.ready_steps and self._upcoming.is_empty:
+        table = self.control.job_table
+        expiring = list_expiring_tasks(self.cell_state, table.find_step, now)
+        if not table.ready_steps and self._upcoming.is_empty and not expiring:
             return
         known = [
             upstream
@@ -103,13 +106,18 @@
         usable = group_by_service(each for each in known if each.is_usable(now))
         steps = self._rank_steps(usable, holds, now)
         self._add_last_resorts(steps, known, now)
+        max_permit_requests -= self._request_for_expiring(
+            expiring, usable, max_permit_requests, now
+        )
         for step in steps:
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
             if step.advice is None or not step.progress.waiting:
                 continue
             if max_permit_requests > 0:
-                max_permit_requests -= self._request_permits(step, step.advice, now)
+                max_permit_requests -= self._request_permits(
+                    step, step.advice, len(step.progress.waiting), now
+                )
         self._request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
             self._reserved_at = now
@@ -192,7 +200,34 @@
             step = self._rank_step(progress, usable, now)
             if step.advice is None or not progress.permits.is_unknown:
                 continue
-            limit -= self._request_permits(step, step.advice, now)
+            limit -= self._request_permits(
+                step, step.advice, len(progress.waiting), now
+            )
+
+    def _request_for_expiring(
+        self,
+        expiring: list[ExpiringTasks],
+        usable: dict[str, ServiceUpstreams],
+        limit: int,
+        now: timedelta,
+    ) -> int:
+        """Order up to ``limit`` requests for tasks whose runs are about to be lost.
+
+        Return the number of requests. The answers arrive just before the loss.
+        """
+        ordered = 0
+        for tasks in expiring:
+            step = self._rank_step(tasks.progress, usable, now)
+            if step.advice is None or ordered >= limit:
+                continue
+            ahead = estimate_request_time(step.advice, MIN_UPSTREAMS_PER_REQUEST)
+            if tasks.at - now > ahead + REQUEST_AHEAD_MARGIN:
+                continue
+            if tasks.progress.permits.has_ticket(tasks.at):
+                continue
+            count = len(tasks.progress.waiting) + tasks.count
+            ordered += self._request_permits(step, step.advice, count, now)
+        return ordered
 
     def _estimate_left(
         self, progress: StepProgress, run: Run, now: timedelta
@@ -235,9 +270,9 @@
         return self._reservations.find_free(upstream, step.rank, step.ends_at)
 
     def _request_permits(
-        self, step: _RankedStep, advice: AdviceTiming, now: timedelta
+        self, step: _RankedStep, advice: AdviceTiming, tasks: int, now: timedelta
     ) -> bool:
-        """Order a request for permits for a step; return whether one is due."""
+        """Order a request for permits for some tasks; return whether one is due."""
         ready_at = self._reservations.find_ready_time(step.progress)
         if ready_at is not None:
             asked = len(step.progress.permits.allowed)
@@ -248,6 +283,7 @@
             step.service,
             lambda upstream: self._find_free(step, upstream),
             advice,
+            tasks,
             ready_at,
             now,
         )
--- a/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
@@ -8,6 +8,8 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.jobs.trials import PROOF_TIME
+from almondspread.testing.cell_input import make_configuration
+from almondspread.testing.fake_cell import FakeCell
 
 # A task that lasts may be without a run for this long, where there is room.
 LASTING_TASK_GAP = timedelta(seconds=9)
@@ -177,5 +179,38 @@
         self.assertEqual(len(self.cell.upstreams[trial].runs), 1)
 
 
+class PermitTest(LastingCellTest):
+    """A task whose upstream was lost asked for permits only after that."""
+
+    def setUp(self):
+        self.cell = FakeCell(configuration=make_configuration(advice=True))
+
+    def test_permits_are_in_hand_when_the_upstream_of_a_task_is_lost(self):
+        self.add_upstreams(3)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        lost = self.wait_for_run("j")
+        self.cell.run_for(10 * SECOND)
+        self.cell.silent.add(lost)
+        while self.cell.scheduler.count_runs(lost):
+            asked = len(self.cell.permit_requests)
+            self.cell.step()
+        self.assertEqual(asked, 2)
+        self.wait_for_run("j", limit=SECOND / 2)
+        self.assertEqual(len(self.cell.permit_requests), 2)
+
+    def test_upstream_that_is_silent_for_a_moment_costs_no_request(self):
+        self.add_upstreams(3)
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j")
+        silent = self.wait_for_run("j")
+        self.cell.run_for(10 * SECOND)
+        self.cell.silent.add(silent)
+        self.cell.run_for(4 * SECOND)
+        self.cell.silent.clear()
+        self.cell.run_for(10 * SECOND)
+        self.assertEqual(len(self.cell.permit_requests), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
