Leave a silent upstream to its executor when upstreams are rebalanced

A new executor does not know since when an upstream has been silent, nor what the executor before has renewed, and reports that its leases may last for another 6.4 s. Where a member joined while an upstream was silent, the rebalance moved that upstream too, and what had run there counted as running for up to 6.4 s more, each time.

A silent upstream is no longer moved for the sake of balance. A member that leaves, or is lost, still hands over all of its upstreams.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -150,7 +150,11 @@
             self._watch(name, member)
 
     def rebalance(self) -> None:
-        """Assign unassigned upstreams; move others to nearer or less loaded members."""
+        """Assign unassigned upstreams; move others to nearer or less loaded members.
+
+        An upstream that is silent stays: a new executor does not know since when, and
+        would report that its leases expire later than they do.
+        """
         upstreams = self._scheduler.cell_state.upstreams
         for name in upstreams:
             if self.members.find_owner(name) is None:
@@ -159,6 +163,7 @@
         domains = [
             (name, upstream.entry.failure_domain)
             for name, upstream in upstreams.items()
+            if upstream.lapse_at is None
         ]
         for name, member in self.members.choose_moves(domains):
             owner = owners[name]
