Keep reserved room from a lasting task for 1.5 s at the most

Room is reserved for a large task that should start within 2 s, but that is an estimate: while the run that it waits for takes longer than estimated, the upstream stays reserved, anew every 100 ms. A lasting task that found no other room waited until the large one was too late to matter. A service has at least one reserved upstream, so that this is all of a small one, and may be all that have a label.

A reservation that has stood for 1.5 s holds no longer for a lasting task that finds no other room. Suspensions and trials keep such a task away for the same time: 2 s of a suspension, the delivery of the start and the longest lease were 9.02 s together.

Before: test_room_kept_for_a_task_that_does_not_start_goes_to_a_lasting_one failed, no run within 3 s.

--- a/packages/almondspread/almondspread/jobs/reservations.py
+++ b/packages/almondspread/almondspread/jobs/reservations.py
@@ -32,13 +32,15 @@
     """Room on one upstream for a task of the step ``holder``.
 
     ``rank`` is the holder's place in the order of steps. The task can start at
-    ``ready_at``, and then leaves the capacity ``spare`` to others.
+    ``ready_at``, and then leaves the capacity ``spare`` to others. The upstream is
+    reserved without a break ``since`` that time.
     """
 
     holder: StepProgress
     rank: StepRank
     ready_at: timedelta
     spare: Capacity
+    since: timedelta
 
     @property
     def is_needed(self) -> bool:
@@ -51,6 +53,15 @@
     """The reservations of all services, by the name of the upstream."""
 
     _by_upstream: dict[str, Reservation] = field(factory=dict)
+    _before: dict[str, Reservation] = field(factory=dict)
+
+    def list_older(self, begin: timedelta) -> set[str]:
+        """Return the upstreams that have been reserved since ``begin`` or longer."""
+        older = set()
+        for name, reservation in self._by_upstream.items():
+            if reservation.since <= begin:
+                older.add(name)
+        return older
 
     def find_free(
         self, upstream: Upstream, rank: StepRank, ends_at: timedelta
@@ -104,8 +115,8 @@
             left -= self._reserve(rank, progress, upstreams, list_ends, now, left)
 
     def clear(self) -> None:
-        """Remove all reservations."""
-        self._by_upstream.clear()
+        """Remove all reservations, before new ones are made."""
+        self._before, self._by_upstream = self._by_upstream, {}
 
     def _reserve(
         self,
@@ -136,8 +147,10 @@
         options.sort(key=lambda option: option[0])
         chosen = options[: min(wanted, limit)]
         for ready_at, upstream, spare in chosen:
+            before = self._before.get(upstream.name)
+            since = before.since if before is not None else now
             self._by_upstream[upstream.name] = Reservation(
-                progress, rank, ready_at, spare
+                progress, rank, ready_at, spare, since
             )
         return len(chosen)
 
--- a/packages/almondspread/almondspread/jobs/service_upstreams.py
+++ b/packages/almondspread/almondspread/jobs/service_upstreams.py
@@ -24,6 +24,23 @@
     def __len__(self) -> int:
         return len(self.by_free)
 
+    def extend(self, upstreams: Iterable[Upstream]) -> "ServiceUpstreams":
+        """Return these upstreams with others of the same service."""
+        extended = ServiceUpstreams()
+        for upstream in (*self.by_name.values(), *upstreams):
+            extended.add(upstream)
+        extended.sort()
+        return extended
+
+    def add(self, upstream: Upstream) -> None:
+        """Add an upstream; ``sort`` must be called before any is looked for."""
+        self.by_free.append((upstream.free.cpu_millis, upstream))
+        self.by_name[upstream.name] = upstream
+
+    def sort(self) -> None:
+        """Put the upstreams in the order in which they are searched."""
+        self.by_free.sort(key=lambda row: -row[0])
+
     def list_with_room(self, claim: Capacity) -> Iterator[Upstream]:
         """Return the upstreams that have room for a task, the most free first."""
         for free_millis, upstream in self.by_free:
@@ -55,10 +72,8 @@
     """Return usable upstreams by the name of their service."""
     services: dict[str, ServiceUpstreams] = {}
     for upstream in upstreams:
-        entry = upstream.entry
-        service = services.setdefault(entry.service, ServiceUpstreams())
-        service.by_free.append((upstream.free.cpu_millis, upstream))
-        service.by_name[entry.name] = upstream
+        service = services.setdefault(upstream.entry.service, ServiceUpstreams())
+        service.add(upstream)
     for service in services.values():
-        service.by_free.sort(key=lambda row: -row[0])
+        service.sort()
     return services
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -1,6 +1,6 @@
 """Starts waiting tasks: requests permits, places tasks, and orders their starts."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 from functools import partial
 
@@ -12,7 +12,7 @@
 from almondspread.jobs.configuration import AdviceTiming
 from almondspread.jobs.expiring import ExpiringTasks, list_expiring_tasks
 from almondspread.jobs.holds import StartHolds
-from almondspread.jobs.last_resorts import add_last_resorts
+from almondspread.jobs.last_resorts import needs_last_resort
 from almondspread.jobs.messages import PermitsAnswered, StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
 from almondspread.jobs.permit_requests import (
@@ -33,7 +33,7 @@
 from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import REQUEST_AHEAD_MARGIN, UpcomingSteps
-from almondspread.jobs.upstreams import Upstream
+from almondspread.jobs.upstreams import LAST_RESORT_DELAY, Upstream
 from almondspread.resources.capacity import Capacity
 
 # Reservations need not follow each event, and it takes time to find them.
@@ -52,7 +52,8 @@
     """A step with waiting tasks, its place in the order, and where it may run.
 
     A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits.
+    the step needs no permits. Reservations of ``unreserved`` upstreams do not hold for
+    the step.
     """
 
     rank: StepRank
@@ -60,6 +61,7 @@
     service: ServiceUpstreams
     ends_at: timedelta
     advice: AdviceTiming | None
+    unreserved: Collection[str] = ()
 
 
 @define(eq=False)
@@ -147,19 +149,23 @@
     def _add_last_resorts(
         self, steps: list[_RankedStep], known: list[Upstream], now: timedelta
     ) -> None:
-        """Let lasting tasks without room use suspended upstreams and those on trial."""
-        last_resorts: dict[str, list[Upstream]] = {}
+        """Let lasting tasks that find no room use what is kept from them at first."""
+        unreserved = self._reservations.list_older(now - LAST_RESORT_DELAY)
+        kept: dict[str, list[Upstream]] = {}
         for upstream in known:
             if upstream.is_last_resort(now):
-                last_resorts.setdefault(upstream.entry.service, []).append(upstream)
-        for step in steps if last_resorts else ():
-            name = self.control.job_table.find_service(step.progress.job.submission)
-            step.service = add_last_resorts(
-                step.progress,
-                step.service,
-                last_resorts.get(name, ()),
-                partial(self._find_free, step),
-            )
+                kept.setdefault(upstream.entry.service, []).append(upstream)
+        extended: dict[str, ServiceUpstreams] = {}
+        for step in steps if kept or unreserved else ():
+            progress = step.progress
+            find_free = partial(self._find_free, step)
+            if not needs_last_resort(progress, step.service, find_free):
+                continue
+            step.unreserved = unreserved
+            service = self.control.job_table.find_service(progress.job.submission)
+            if service not in extended:
+                extended[service] = step.service.extend(kept.get(service, ()))
+            step.service = extended[service]
 
     def _rank_step(
         self,
@@ -267,6 +273,8 @@
 
     def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
+        if upstream.name in step.unreserved:
+            return upstream.free
         return self._reservations.find_free(upstream, step.rank, step.ends_at)
 
     def _request_permits(
--- a/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
@@ -8,6 +8,7 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.jobs.trials import PROOF_TIME
+from almondspread.resources.capacity import Capacity
 from almondspread.testing.cell_input import make_configuration
 from almondspread.testing.fake_cell import FakeCell
 
@@ -212,5 +213,25 @@
         self.assertEqual(len(self.cell.permit_requests), 1)
 
 
+class ReservationTest(LastingCellTest):
+    """Room was kept for a large task that was expected to start at any moment."""
+
+    def test_room_kept_for_a_task_that_does_not_start_goes_to_a_lasting_one(self):
+        self.cell.add_upstream("u0", 10_000)
+        upstream = self.cell.upstreams["u0"]
+        self.cell.run_for(SECOND)
+        upstream.durations[TaskId("overdue", 0, 0, 0)] = 100 * SECOND
+        self.cell.submit(make_job("overdue", make_step(size=Capacity(4_500, 100))))
+        self.cell.run_for(2 * SECOND)
+        large = make_step(size=Capacity(6_000, 100), estimate=60 * SECOND)
+        self.cell.submit(make_job("large", large))
+        self.cell.run_for(SECOND)
+        small = make_step(
+            size=Capacity(5_000, 100), estimate=100 * SECOND, lasting=True
+        )
+        self.cell.submit(make_job("j", small))
+        self.wait_for_run("j", limit=LASTING_TASK_GAP - 6 * SECOND)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -22,8 +22,9 @@
 EXECUTOR_REASSIGNMENT_TIME = timedelta(milliseconds=300)
 INITIAL_SUSPENSION = timedelta(seconds=2)
 MAX_SUSPENSION = timedelta(seconds=8)
-# An upstream that has crashed right after a start is known to be silent by then.
-LAST_RESORT_TRIAL_TIME = timedelta(milliseconds=1_500)
+# A lasting task that finds no other room is kept from an upstream that is suspended, on
+# trial or reserved for no longer. One that crashes in a trial is silent by then.
+LAST_RESORT_DELAY = timedelta(milliseconds=1_500)
 
 
 @define(eq=False)
@@ -156,16 +157,12 @@
         return self._accepts_runs(now)
 
     def is_last_resort(self, now: timedelta) -> bool:
-        """Tell whether lasting tasks may use the upstream if all others are full.
-
-        These tasks do not wait for the end of a long suspension or trial.
-        """
-        if now < self.suspended_until:
-            if now - self.suspended_at < INITIAL_SUSPENSION:
-                return False
-        elif not self.trying:
+        """Tell whether lasting tasks may use the upstream if no other has room."""
+        if self.is_usable(now):
+            return False
+        if now < self.suspended_until and now - self.suspended_at < LAST_RESORT_DELAY:
             return False
-        if self.trying and now - self.trying_since < LAST_RESORT_TRIAL_TIME:
+        if self.trying and now - self.trying_since < LAST_RESORT_DELAY:
             return False
         return self._accepts_runs(now)
 
