--- a/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_lasting_holds.py
@@ -11,6 +11,7 @@
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.cell_input import make_configuration
 from almondspread.testing.fake_cell import FakeCell
+from almondspread.testing.fake_upstream import FakeUpstream
 
 # A task that lasts may be without a run for this long, where there is room.
 LASTING_TASK_GAP = timedelta(seconds=9)
@@ -233,5 +234,27 @@
         self.wait_for_run("j", limit=LASTING_TASK_GAP - 6 * SECOND)
 
 
+class RefusingUpstream(FakeUpstream):
+    def start(self, *_):
+        return "unhealthy"
+
+
+class RefusedStartTest(LastingCellTest):
+    """Each refused start holds all tasks of its step for a moment."""
+
+    def test_tasks_run_again_in_time_where_most_upstreams_refuse_all_starts(self):
+        self.add_upstreams(24, cpu_millis=2_000)
+        capacity = Capacity(2_000, 2_000)
+        for name in list(self.cell.upstreams)[:20]:
+            self.cell.upstreams[name] = RefusingUpstream(
+                name, capacity, self.cell.history
+            )
+        self.cell.run_for(SECOND)
+        self.submit_lasting("j", 8)
+        until = self.cell.now + LASTING_TASK_GAP - 6 * SECOND
+        for index in range(8):
+            self.wait_for_run("j", index, limit=until - self.cell.now)
+
+
 if __name__ == "__main__":
     unittest.main()
