--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -1,7 +1,8 @@
 """Starts waiting tasks: requests permits, places tasks, and orders their starts."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from datetime import timedelta
+from functools import partial
 
 from attrs import define, field
 from loguru import logger
@@ -9,7 +10,9 @@
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import AdviceTiming
+from almondspread.jobs.expiring import ExpiringTasks, list_expiring_tasks
 from almondspread.jobs.holds import StartHolds
+from almondspread.jobs.last_resorts import needs_last_resort
 from almondspread.jobs.messages import PermitsAnswered, StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
 from almondspread.jobs.permit_requests import (
@@ -29,8 +32,8 @@
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
-from almondspread.jobs.upcoming import UpcomingSteps
-from almondspread.jobs.upstreams import Upstream
+from almondspread.jobs.upcoming import REQUEST_AHEAD_MARGIN, UpcomingSteps
+from almondspread.jobs.upstreams import LAST_RESORT_DELAY, Upstream
 from almondspread.resources.capacity import Capacity
 
 # Reservations need not follow each event, and it takes time to find them.
@@ -49,7 +52,8 @@
     """A step with waiting tasks, its place in the order, and where it may run.
 
     A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits. The tasks ``held`` may not start yet.
+    the step needs no permits. Reservations of ``unreserved`` upstreams do not hold for
+    the step. The tasks ``held`` may not start yet.
     """
 
     rank: StepRank
@@ -57,6 +61,7 @@
     service: ServiceUpstreams
     ends_at: timedelta
     advice: AdviceTiming | None
+    unreserved: Collection[str] = ()
     held: frozenset[int] = frozenset()
 
 
@@ -92,21 +97,30 @@
         Steps whose queue requires advice start only with permits. At most
         ``max_permit_requests`` requests for permits are ordered.
         """
-        if not self.control.job_table.ready_steps and self._upcoming.is_empty:
+        table = self.control.job_table
+        expiring = list_expiring_tasks(self.cell_state, table.find_step, now)
+        if not table.ready_steps and self._upcoming.is_empty and not expiring:
             return
-        usable = group_by_service(
+        known = [
             upstream
             for upstream in self.cell_state.upstreams.values()
-            if upstream.is_usable(now) and self._knows_capacity(upstream, now)
-        )
+            if self._knows_capacity(upstream, now)
+        ]
+        usable = group_by_service(each for each in known if each.is_usable(now))
         steps = self._rank_steps(usable, holds, now)
+        self._add_last_resorts(steps, known, now)
+        max_permit_requests -= self._request_for_expiring(
+            expiring, usable, max_permit_requests, now
+        )
         for step in steps:
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
             if step.advice is None or not step.progress.waiting:
                 continue
             if max_permit_requests > 0:
-                max_permit_requests -= self._request_permits(step, step.advice, now)
+                max_permit_requests -= self._request_permits(
+                    step, step.advice, len(step.progress.waiting), now
+                )
         self._request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
             self._reserved_at = now
@@ -135,6 +149,27 @@
         found.sort(key=lambda step: step.rank)
         return found
 
+    def _add_last_resorts(
+        self, steps: list[_RankedStep], known: list[Upstream], now: timedelta
+    ) -> None:
+        """Let lasting tasks that find no room use what is kept from them at first."""
+        unreserved = self._reservations.list_older(now - LAST_RESORT_DELAY)
+        kept: dict[str, list[Upstream]] = {}
+        for upstream in known:
+            if upstream.is_last_resort(now):
+                kept.setdefault(upstream.entry.service, []).append(upstream)
+        extended: dict[str, ServiceUpstreams] = {}
+        for step in steps if kept or unreserved else ():
+            progress = step.progress
+            find_free = partial(self._find_free, step)
+            if not needs_last_resort(progress, step.service, find_free):
+                continue
+            step.unreserved = unreserved
+            service = self.control.job_table.find_service(progress.job.submission)
+            if service not in extended:
+                extended[service] = step.service.extend(kept.get(service, ()))
+            step.service = extended[service]
+
     def _rank_step(
         self,
         progress: StepProgress,
@@ -174,7 +209,34 @@
             step = self._rank_step(progress, usable, now)
             if step.advice is None or not progress.permits.is_unknown:
                 continue
-            limit -= self._request_permits(step, step.advice, now)
+            limit -= self._request_permits(
+                step, step.advice, len(progress.waiting), now
+            )
+
+    def _request_for_expiring(
+        self,
+        expiring: list[ExpiringTasks],
+        usable: dict[str, ServiceUpstreams],
+        limit: int,
+        now: timedelta,
+    ) -> int:
+        """Order up to ``limit`` requests for tasks whose runs are about to be lost.
+
+        Return the number of requests. The answers arrive just before the loss.
+        """
+        ordered = 0
+        for tasks in expiring:
+            step = self._rank_step(tasks.progress, usable, now)
+            if step.advice is None or ordered >= limit:
+                continue
+            ahead = estimate_request_time(step.advice, MIN_UPSTREAMS_PER_REQUEST)
+            if tasks.at - now > ahead + REQUEST_AHEAD_MARGIN:
+                continue
+            if tasks.progress.permits.has_ticket(tasks.at):
+                continue
+            count = len(tasks.progress.waiting) + tasks.count
+            ordered += self._request_permits(step, step.advice, count, now)
+        return ordered
 
     def _estimate_left(
         self, progress: StepProgress, run: Run, now: timedelta
@@ -200,20 +262,28 @@
             upstreams = step.service.list_named_with_room(
                 progress.permits.list_usable(now), progress.step.claim
             )
+        # Some may have been put on trial since the upstreams of the step were chosen.
+        open_to_tasks = (
+            upstream
+            for upstream in upstreams
+            if not upstream.trying or upstream.is_last_resort(now)
+        )
         candidates = list_candidates(
-            progress, upstreams, lambda upstream: self._find_free(step, upstream)
+            progress, open_to_tasks, partial(self._find_free, step)
         )
         if candidates:
             self._place_tasks(step, candidates, now)
 
     def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
+        if upstream.name in step.unreserved:
+            return upstream.free
         return self._reservations.find_free(upstream, step.rank, step.ends_at)
 
     def _request_permits(
-        self, step: _RankedStep, advice: AdviceTiming, now: timedelta
+        self, step: _RankedStep, advice: AdviceTiming, tasks: int, now: timedelta
     ) -> bool:
-        """Order a request for permits for a step; return whether one is due."""
+        """Order a request for permits for some tasks; return whether one is due."""
         ready_at = self._reservations.find_ready_time(step.progress)
         if ready_at is not None:
             asked = len(step.progress.permits.allowed)
@@ -224,6 +294,7 @@
             step.service,
             lambda upstream: self._find_free(step, upstream),
             advice,
+            tasks,
             ready_at,
             now,
         )
@@ -324,7 +395,7 @@
         self.cell_state.add_run(progress, placement.index, upstream, run)
         upstream.last_start_at = now
         if placement.alone:
-            upstream.trying.add((task, number))
+            upstream.begin_trial(task, number, now)
             run.trial_time = PROOF_TIME if progress.step.lasting else TRIAL_TIME
         self._reservations.record_start(
             upstream, step.rank, step.ends_at, progress.step.claim
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -22,6 +22,9 @@
 EXECUTOR_REASSIGNMENT_TIME = timedelta(milliseconds=300)
 INITIAL_SUSPENSION = timedelta(seconds=2)
 MAX_SUSPENSION = timedelta(seconds=8)
+# A lasting task that finds no other room is kept from an upstream that is suspended, on
+# trial or reserved for no longer. One that crashes in a trial is silent by then.
+LAST_RESORT_DELAY = timedelta(milliseconds=1_500)
 
 
 @define(eq=False)
@@ -44,7 +47,8 @@
 
     ``listed_at`` is when the read began that last showed its entry, so that the entry
     is at least as new. ``heard_at`` is when a report of the upstream last arrived.
-    While it is ``trying`` runs that may crash it, nothing else is started there.
+    While it is ``trying`` runs that may crash it, the first of them since
+    ``trying_since``, only tasks of which it is the last resort are started there.
 
     ``assignment`` is the number of the newest assignment to an executor, and
     ``inherited_assignment`` the one that the store named when an earlier leader ended,
@@ -77,11 +81,13 @@
     orphaned_leases_until: timedelta = timedelta(0)
     leaves_at: timedelta | None = None
     ends_seen: int = 0
+    suspended_at: timedelta = timedelta(0)
     suspended_until: timedelta = timedelta(0)
     next_suspension: timedelta = INITIAL_SUSPENSION
     free: Capacity = field(init=False)
     bound: dict[tuple[TaskId, int], Capacity] = field(factory=dict)
     trying: set[tuple[TaskId, int]] = field(factory=set)
+    trying_since: timedelta = timedelta(0)
     _step_counts: dict[tuple[str, int, int], int] = field(factory=dict)
     _outcomes: deque[tuple[timedelta, str, bool]] = field(factory=deque)
 
@@ -153,15 +159,29 @@
 
     def is_usable(self, now: timedelta) -> bool:
         """Tell whether new runs may be bound to the upstream."""
+        if now < self.suspended_until or self.trying:
+            return False
+        return self._accepts_runs(now)
+
+    def is_last_resort(self, now: timedelta) -> bool:
+        """Tell whether lasting tasks may use the upstream if no other has room."""
+        if self.is_usable(now):
+            return False
+        if now < self.suspended_until and now - self.suspended_at < LAST_RESORT_DELAY:
+            return False
+        if self.trying and now - self.trying_since < LAST_RESORT_DELAY:
+            return False
+        return self._accepts_runs(now)
+
+    def _accepts_runs(self, now: timedelta) -> bool:
+        """Tell whether runs may be bound there, but for suspensions and trials."""
         if not (self.has_reported and self.recorded):
             return False
         if self.has_unknown_runs or self.executor_unresponsive or self.has_restarted:
             return False
         if not self.listed and not self._was_listed_recently(now):
             return False
-        if self.is_leaving or self.trying:
-            return False
-        return self.lapse_at is None and now >= self.suspended_until
+        return self.lapse_at is None and not self.is_leaving
 
     def mark_unlisted(self, now: timedelta) -> None:
         """Record that the directory no longer lists the upstream."""
@@ -173,6 +193,12 @@
         """Tell whether the entry may only have expired during a store outage."""
         return self.unlisted_at is not None and now - self.unlisted_at < RELISTING_TIME
 
+    def begin_trial(self, task: TaskId, run: int, now: timedelta) -> None:
+        """Keep other tasks away while a run is tried that may crash the upstream."""
+        if not self.trying:
+            self.trying_since = now
+        self.trying.add((task, run))
+
     def bind(self, task: TaskId, run: int, claim: Capacity) -> None:
         """Bind a run to the upstream, which reduces the free capacity."""
         self.bound[task, run] = claim
@@ -224,6 +250,7 @@
 
     def suspend(self, now: timedelta) -> None:
         """Bind no new runs to the upstream for a time that doubles up to a maximum."""
+        self.suspended_at = now
         self.suspended_until = now + self.next_suspension
         self.next_suspension = min(self.next_suspension * 2, MAX_SUSPENSION)
         self._outcomes.clear()
