Export how many tasks are held, by what holds them

The gauge `held_tasks` has them by the attribute `cause`. Each cause is set each time, so that one that has ended shows 0 and not its last number; with the zeros left out, test_cause_that_has_ended_is_exported_as_zero fails.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from tornado.web import RequestHandler
 
+from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import NO_LOAD, Load
 
 METER_NAME = "almondspread.jobs"
@@ -51,6 +52,9 @@
         self._waiting_tasks = meter.create_gauge(
             "waiting_tasks", description="tasks that wait for room, at the leader"
         )
+        self._held_tasks = meter.create_gauge(
+            "held_tasks", description="waiting tasks that may not start yet, by cause"
+        )
         self._used_millis = meter.create_gauge(
             "used_processor_millis", description="processor bound to runs"
         )
@@ -94,6 +98,8 @@
         """Set the gauges of a leader's epoch and load, zero without leadership."""
         self._epoch.set(epoch)
         self._waiting_tasks.set(load.waiting_tasks)
+        for cause in HoldCause:
+            self._held_tasks.set(load.held_tasks.get(cause, 0), {"cause": str(cause)})
         self._used_millis.set(load.used_millis)
         self._suspected_tasks.set(load.suspected_tasks)
 
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
@@ -0,0 +1,33 @@
+import unittest
+
+from almondspread.jobs.holds import HoldCause
+from almondspread.jobs.loads import Load
+from almondspread_daemon.jobs.metrics import JobMetrics
+
+
+class HeldTasksGaugeTest(unittest.TestCase):
+    def read_gauge(self, metrics):
+        """Return the exported numbers of held tasks by cause."""
+        found = {}
+        for line in metrics.render().decode().splitlines():
+            name, _, rest = line.partition("{")
+            if name != "held_tasks":
+                continue
+            labels, _, number = rest.partition("} ")
+            cause = labels.partition('cause="')[2].partition('"')[0]
+            found[cause] = float(number)
+        return found
+
+    def test_cause_that_has_ended_is_exported_as_zero(self):
+        """Guards against a gauge that keeps the number of a hold that is over."""
+        metrics = JobMetrics("entry-1", "umea")
+        held = {str(HoldCause.UNSEEN_UPSTREAM): 7}
+        metrics.set_load(3, Load(2, 1, 7, 0, 0, 0, held_tasks=held))
+        expected = dict.fromkeys(map(str, HoldCause), 0)
+        self.assertEqual(self.read_gauge(metrics), expected | held)
+        metrics.set_load(0)
+        self.assertEqual(self.read_gauge(metrics), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
