Log why a step's tasks do not run, with the upstream and the time left

`explain_step` says what holds the tasks of one step: a cause of `HoldCause`, of all or of some of them, or that they lack permits or room, with the upstream, the time by which the hold has surely ended, and the steps that are placed before it. The leader logs `task waits` for steps that have waited for 2 s, at most eight a second, and each step again after 5 s; steps that only lack room or permits come last, so that a full cell does not hide the few that are held.

A log line and no call: on the users' platform operators call no instance, an incident arrives as lines, and a wait over takeovers has several leaders, of which a call would ask the last one only.

Decisions are not changed.

--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -176,6 +176,10 @@
         if progress is not None and progress.losses.dismiss(task.index, run):
             self.job_table.mark_losses(progress)
 
+    def find_patience_ends(self) -> dict[tuple[TaskId, int], timedelta]:
+        """Return until when each open loss counts at the most, by task and run."""
+        return {key: since + RESTART_PATIENCE for key, since in self._opened.items()}
+
     def _list_open(self) -> list[_OpenLoss]:
         """Return the open losses of all jobs that have not ended."""
         found = []
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -42,6 +42,8 @@
 from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.jobs.upstream_tracker import UpstreamTracker
 from almondspread.jobs.upstreams import Upstream
+from almondspread.jobs.wait_reasons import HoldBounds, UnseenUpstream, WaitReason
+from almondspread.jobs.wait_survey import explain_waits, find_silent
 
 # These lie below and above every version that the store assigns.
 NO_VERSION = -1
@@ -402,6 +404,22 @@
             found[name] = max(0.0, (until - now).total_seconds())
         return found
 
+    def explain_waits(self, now: timedelta) -> list[WaitReason]:
+        """Return why tasks do not run, for each step with such tasks."""
+        unseen = []
+        for name, seconds in self.list_unseen(now).items():
+            until = now + timedelta(seconds=seconds)
+            tasks = self._upstream_tracker.find_possible_tasks(name)
+            unseen.append(UnseenUpstream(name, until, tasks))
+        bounds = HoldBounds(
+            tuple(unseen),
+            find_silent(self.cell_state.upstreams.values()),
+            self._upstream_tracker.crashes.find_patience_ends(),
+        )
+        return explain_waits(
+            self._job_table, self.cell_state, self._compute_holds(), bounds, now
+        )
+
     # State that the leader stores and announces
 
     def list_watched(self) -> list[Upstream]:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -54,6 +54,7 @@
 from almondspread_daemon.jobs.store_access import StoreAccess
 from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.jobs.upstream_list import UpstreamList
+from almondspread_daemon.jobs.wait_log import WaitLog
 from almondspread_daemon.jobs.wall_time import measure_offset
 
 COMMIT_INTERVAL = timedelta(milliseconds=50)
@@ -148,6 +149,7 @@
             self._scheduler, self._assignments, store, clock, self._note_upstreams
         )
         self._load_log = LoadLog(self._scheduler, self._assignments, metrics, clock)
+        self._wait_log = WaitLog(self._scheduler, clock)
         self._relay_service = RelayService(writer)
         self._maintenance: MaintenanceController | None = None
         if machines is not None:
@@ -210,6 +212,7 @@
         loops = {
             "upstream list": self._upstream_list.run,
             "load log": self._load_log.run,
+            "wait log": self._wait_log.run,
             "retention": self._retention.run,
         }
         if self._maintenance is not None:
