--- a/packages/almondspread_cli/almondspread_cli/command.py
+++ b/packages/almondspread_cli/almondspread_cli/command.py
@@ -10,6 +10,7 @@
 from almondspread_cli.commands.completion import completion
 from almondspread_cli.commands.configuration import config
 from almondspread_cli.commands.explain import explain
+from almondspread_cli.commands.explain_job import explain_job
 from almondspread_cli.commands.logs import logs
 from almondspread_cli.commands.quota import quota
 from almondspread_cli.commands.read import describe, get
@@ -35,6 +36,7 @@
     top,
     status,
     explain,
+    explain_job,
     logs,
     request,
     answer,
--- a/packages/almondspread_cli/almondspread_cli/joblog.py
+++ b/packages/almondspread_cli/almondspread_cli/joblog.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable
+from typing import Any
 
 from attrs import define, field
 
@@ -36,7 +37,14 @@
     JobLog(events=[LogEvent(time='2026-01-01T00:00:00', instance='entry-1', \
 message='run ended', details='outcome=done')], unreadable=1)
     """
-    log = JobLog()
+    found, unreadable = find_job_lines(lines, job)
+    return JobLog(sorted(_make_event(fields) for fields in found), unreadable)
+
+
+def find_job_lines(lines: Iterable[str], job: str) -> tuple[list[dict[str, Any]], int]:
+    """Return the fields of each line about a job, and how many cannot be read."""
+    found = []
+    unreadable = 0
     for line in lines:
         text = line.strip()
         if not text:
@@ -44,18 +52,17 @@
         try:
             fields = json.loads(text)
         except (ValueError, RecursionError):
-            log.unreadable += 1
+            unreadable += 1
             continue
         if not isinstance(fields, dict):
-            log.unreadable += 1
+            unreadable += 1
             continue
         if fields.get("job") == job:
-            log.events.append(_make_event(fields))
-    log.events.sort()
-    return log
+            found.append(fields)
+    return found, unreadable
 
 
-def _make_event(fields: dict[str, object]) -> LogEvent:
+def _make_event(fields: dict[str, Any]) -> LogEvent:
     """Return the event of one line."""
     details = []
     for name, value in fields.items():
--- a/packages/almondspread_cli/almondspread_cli/tests/test_commands.py
+++ b/packages/almondspread_cli/almondspread_cli/tests/test_commands.py
@@ -177,7 +177,7 @@
         names = []
         for line in listing.stdout.partition("Commands:")[2].splitlines()[1:]:
             names.append(line.split()[0])
-        self.assertEqual(len(names), 16)
+        self.assertEqual(len(names), 17)
         for name in names:
             shown = await self.invoke([], name, "--help")
             self.assertEqual(shown.exit_code, 0)
