Refuse starts of a superseded leader under assignments of its successor, too

A start order names no epoch, and went out under the later leader's token, which the upstream takes. The executor refuses all starts now while it is attached to a leader of a lower epoch than the one that it has told.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -57,15 +57,17 @@
         self._agents: dict[str, UpstreamAgent] = {}
         self._memory = AssignmentMemory(clock)
         self._told_epoch = 0
+        self._leader_epoch = 0
         self._report: SendReport = _drop_report
         self._calls: set[asyncio.Task[None]] = set()
         self._advice_lock = asyncio.Lock()
         self._advice_pace = AdvicePace()
         self._expiry_task: asyncio.Task[None] | None = None
 
-    def attach_leader(self, report: SendReport) -> None:
-        """Send reports to a new leader, and keep renewing leases."""
+    def attach_leader(self, report: SendReport, epoch: int) -> None:
+        """Send reports to the leader of an epoch, and keep renewing leases."""
         self._report = report
+        self._leader_epoch = epoch
         if self._expiry_task is not None:
             self._expiry_task.cancel()
             self._expiry_task = None
@@ -175,7 +177,7 @@
         """Pass an order to the agent of its upstream, if there is one."""
         agent = self._agents.get(order.upstream)
         match order:
-            case StartRun() if agent is None or agent.watch.epoch < self._told_epoch:
+            case StartRun() if agent is None or self._leader_epoch < self._told_epoch:
                 self.send_report(
                     StartSettled(
                         order.upstream, order.task, order.run, REFUSED, "unreachable"
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -356,7 +356,7 @@
 
         self._session = session
         self._executor.report_remembered(report, claim.epoch)
-        self._executor.attach_leader(report)
+        self._executor.attach_leader(report, claim.epoch)
         session.add_member(member)
         try:
             await session.run()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -71,7 +71,7 @@
         self._relay.attach_leader(leader)
         if welcome.asks_runs:
             self._executor.report_remembered(leader.link.send, welcome.epoch)
-        self._executor.attach_leader(leader.link.send)
+        self._executor.attach_leader(leader.link.send, welcome.epoch)
 
     def detach(self) -> None:
         """Disconnect the components of the instance from the leader."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_executor.py
@@ -20,7 +20,7 @@
         self.executor = Executor(
             self.client, None, SystemClock(), 6 * SECOND, JobMetrics("entry-1", "umea")
         )
-        self.executor.attach_leader(self.reports.append)
+        self.executor.attach_leader(self.reports.append, 1)
 
     async def asyncTearDown(self):
         self.executor.close()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
@@ -48,7 +48,7 @@
         self.executor = Executor(
             self.client, None, self.clock, LEASE, JobMetrics("entry-1", "umea")
         )
-        self.executor.attach_leader(lambda _: None)
+        self.executor.attach_leader(lambda _: None, 1)
 
     async def asyncTearDown(self):
         self.executor.close()
@@ -132,6 +132,18 @@
         await self.answer(101)
         self.assertIsNone(self.client.renew_calls[-1].until)
 
+    async def test_earlier_leader_starts_nothing_under_an_assignment_of_its_successor(
+        self,
+    ):
+        """The upstream would take it, since it would go out under the newer token."""
+        self.ask(2)
+        self.executor.attach_leader(lambda _: None, 2)
+        await self.order(make_watch(epoch=2, assignment=27))
+        await self.answer(101)
+        self.executor.attach_leader(lambda _: None, 1)
+        await self.order(StartRun("u", TASK, 7, ""))
+        self.assertEqual(self.client.start_calls, [])
+
     async def test_agents_of_one_assignment_are_told_together(self):
         """An agent that has ended is replaced when its order is repeated."""
         for task in (TASK, OTHER):
