--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -99,6 +99,7 @@
         table = self.control.job_table
         expiring = list_expiring_tasks(self.cell_state, table.find_step, now)
         if not table.ready_steps and self._upcoming.is_empty and not expiring:
+            self._reservations.clear()
             return
         known = [
             upstream
