--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -11,8 +11,8 @@
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
 
-# Run numbers of one epoch must stay below those of the next. They start at a multiple
-# of this bound.
+# Numbers of runs and of assignments of one epoch must stay below those of the next.
+# They start at a multiple of this bound.
 RUNS_PER_EPOCH = 10_000_000
 
 
@@ -29,12 +29,22 @@
     runs: dict[tuple[TaskId, int], Run] = field(factory=dict)
     incarnations: Incarnations = field(factory=Incarnations)
     _last_number: int = 0
+    _last_assignment: int = 0
 
     def allocate_run_number(self) -> int:
         """Return a run number above all that this or an earlier leader has used."""
         self._last_number += 1
         return self.epoch * RUNS_PER_EPOCH + self._last_number
 
+    def begin_assignment(self, upstream: Upstream) -> None:
+        """Number a new assignment of an upstream to an executor.
+
+        The upstream gets no runs before the store names the assignment.
+        """
+        self._last_assignment += 1
+        upstream.assignment = self.epoch * RUNS_PER_EPOCH + self._last_assignment
+        upstream.recorded = False
+
     def add_run(
         self, progress: StepProgress, index: int, upstream: Upstream, run: Run
     ) -> None:
@@ -90,8 +100,8 @@
             return []
         return [self.runs[key] for key in known.bound if key in self.runs]
 
-    def list_watched(self, unseen: set[str]) -> list[Upstream]:
-        """Return the upstreams that have, may have (``unseen``) or may get runs.
+    def list_watched(self, kept: set[str]) -> list[Upstream]:
+        """Return the upstreams that have or may get runs, and those of ``kept``.
 
         The leader stores them, so that its successor queries them for runs.
         """
@@ -100,7 +110,7 @@
             open_to_runs = upstream.listed and not upstream.entry.draining
             if upstream.lapse_at is not None:
                 open_to_runs = False
-            if upstream.bound or open_to_runs or name in unseen:
+            if upstream.bound or open_to_runs or name in kept:
                 watched.append(upstream)
         return watched
 
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -32,7 +32,8 @@
     """The leader's state of one incarnation of an upstream.
 
     ``has_reported`` is true once the upstream has reported under this leader's epoch,
-    and ``recorded`` once the store lists it as one that may run tasks.
+    and ``recorded`` once the store lists it, with its present assignment, as one that
+    may run tasks.
     ``has_unknown_runs`` is true while the upstream runs something of which the leader
     knows neither the job nor the size, and ``executor_unresponsive`` while the executor
     that holds its leases misses heartbeats. ``has_restarted`` is set once another
@@ -49,6 +50,10 @@
     While it is ``trying`` runs that may crash it, the first of them since
     ``trying_since``, only tasks of which it is the last resort are started there.
 
+    ``assignment`` is the number of the newest assignment to an executor, and
+    ``inherited_assignment`` the one that the store named when an earlier leader ended,
+    0 where there is none.
+
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
     is the number of the newest run end that the leader has applied.
@@ -56,6 +61,8 @@
 
     entry: UpstreamEntry
     generation: int = 0
+    assignment: int = 0
+    inherited_assignment: int = 0
     entry_changed_at: timedelta = timedelta(0)
     last_observed_at: timedelta | None = None
     heard_at: timedelta = timedelta(0)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -1,5 +1,6 @@
 """Assignment of upstreams to members, and delivery of orders to the members."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from loguru import logger
@@ -25,25 +26,37 @@
 
 
 class Assignments:
-    """Assigns the upstreams to members and sends members the scheduler's orders."""
+    """Assigns the upstreams to members and sends members the scheduler's orders.
+
+    An assignment takes effect once it is stored. While ``can_store`` is false,
+    upstreams are therefore assigned anew only where their member is lost.
+    """
 
     def __init__(
-        self, scheduler: Scheduler, settings: JobSettings, clock: Clock
+        self,
+        scheduler: Scheduler,
+        settings: JobSettings,
+        clock: Clock,
+        can_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self.members = Members()
         self._scheduler = scheduler
         self._settings = settings
         self._clock = clock
+        self._can_store = can_store
 
     def add_member(self, member: Member) -> None:
         """Add a member and assign it its share of the upstreams.
 
-        A member that comes back over another link keeps the upstreams that it had.
+        A member that comes back over another link keeps the upstreams that it had, and
+        the assignments too if its process is the same and so remembers them.
         """
         superseded = self.members.members.get(member.instance)
         held: set[str] = set()
+        keeps_assignments = False
         if superseded is not None:
             held = self._release_upstreams(superseded)
+            keeps_assignments = superseded.is_same_process(member)
         logger.info(
             "member joined",
             member=member.instance,
@@ -53,7 +66,10 @@
         self.members.add(member)
         for name in held:
             self.members.reassign(name, member)
-            self._watch(name, member)
+            if keeps_assignments:
+                self._watch(name, member)
+            else:
+                self._begin_watch(name, member)
         self.rebalance()
 
     def remove_member(self, member: Member) -> None:
@@ -111,8 +127,14 @@
                 self.remove_member(member)
 
     def drain_member(self, member: Member) -> None:
-        """Assign all upstreams of a member that shuts down to others."""
+        """Assign all upstreams of a member that shuts down to others.
+
+        While that cannot be stored, it keeps them, and renews their leases until it
+        ends.
+        """
         member.leaving = True
+        if not self._can_store():
+            return
         for name in list(member.upstreams):
             owner = self.members.find_owner(name)
             self.assign(name)
@@ -126,7 +148,7 @@
             return
         member = self.members.assign(name, upstream.entry.failure_domain)
         if member is not None:
-            self._watch(name, member)
+            self._begin_watch(name, member)
 
     def resend_watch_orders(self) -> None:
         """Have members report the runs of all upstreams again."""
@@ -159,6 +181,8 @@
         for name in upstreams:
             if self.members.find_owner(name) is None:
                 self.assign(name)
+        if not self._can_store():
+            return
         owners = {name: self.members.find_owner(name) for name in upstreams}
         domains = [
             (name, upstream.entry.failure_domain)
@@ -169,12 +193,18 @@
             owner = owners[name]
             if owner is not None:
                 owner.send(UnwatchUpstream(name))
-            self._watch(name, member)
+            self._begin_watch(name, member)
+
+    def _begin_watch(self, name: str, member: Member) -> None:
+        """Begin a new assignment of an upstream to a member."""
+        self._scheduler.begin_assignment(name)
+        self._watch(name, member)
 
     def _watch(self, name: str, member: Member) -> None:
         """Send a member the order to run an agent for an upstream."""
         self._scheduler.forget_stop_answers(name)
-        member.send(self._scheduler.make_watch_order(name))
+        now = self._clock.monotonic()
+        member.send(self._scheduler.make_watch_order(name, now))
 
     def send_order(self, order: UpstreamOrder | AskPermits) -> None:
         """Send an order to the member that executes it."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -30,6 +30,7 @@
     UpstreamClient,
 )
 from almondspread_daemon.jobs.agents import SendReport, UpstreamAgent
+from almondspread_daemon.jobs.assignment_memory import AssignmentMemory
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 
@@ -54,6 +55,8 @@
         self._lease = lease
         self._metrics = metrics
         self._agents: dict[str, UpstreamAgent] = {}
+        self._memory = AssignmentMemory(clock)
+        self._told_epoch = 0
         self._report: SendReport = _drop_report
         self._calls: set[asyncio.Task[None]] = set()
         self._advice_lock = asyncio.Lock()
@@ -67,9 +70,30 @@
             self._expiry_task.cancel()
             self._expiry_task = None
 
+    def report_remembered(self, report: SendReport, epoch: int) -> None:
+        """Tell the leader of an epoch what upstreams may run by orders of earlier ones.
+
+        No such order is carried out from now on, and no lease renewed under one, as the
+        leader is told which runs are possible and when the leases expire.
+        """
+        self._told_epoch = max(self._told_epoch, epoch)
+        now = self._clock.monotonic()
+        for agent in self._agents.values():
+            if agent.watch.epoch < epoch:
+                agent.limit_leases(now)
+                self._memory.keep(agent.watch, agent.possible_runs, agent.leases)
+        for message in self._memory.describe_all():
+            report(message)
+
     def detach_leader(self) -> None:
-        """Drop reports, and stop renewing leases after ``EXECUTOR_GRACE``."""
+        """Drop reports, and stop renewing leases after ``EXECUTOR_GRACE``.
+
+        Nothing is renewed beyond one lease from now before a leader allows it.
+        """
         self._report = _drop_report
+        limit = self._clock.monotonic() + self._lease
+        for agent in self._agents.values():
+            agent.limit_leases(limit)
         if self._expiry_task is None:
             self._expiry_task = asyncio.create_task(self._expire_leases())
 
@@ -84,9 +108,14 @@
     def close(self) -> None:
         """Stop the agents of all upstreams."""
         for agent in self._agents.values():
-            agent.close()
+            self._end_assignment(agent)
         self._agents.clear()
 
+    def _end_assignment(self, agent: UpstreamAgent) -> None:
+        """Stop the agent of an upstream, and remember what may run there."""
+        agent.close()
+        self._memory.keep(agent.watch, agent.possible_runs, agent.leases)
+
     def send_report(self, report: ExecutorReport) -> None:
         """Send a report to the leader; drop the report if there is no leader."""
         self._report(report)
@@ -99,7 +128,7 @@
             case UnwatchUpstream():
                 agent = self._agents.pop(order.upstream, None)
                 if agent is not None:
-                    agent.close()
+                    self._end_assignment(agent)
             case AskPermits():
                 task = asyncio.create_task(self._ask_permits(order))
                 self._calls.add(task)
@@ -110,20 +139,27 @@
     def _watch(self, order: WatchUpstream) -> None:
         """Start an agent for an upstream, or have a running one report all again.
 
-        An order of an earlier epoch than the agent's is ignored, since a session that
-        has ended could otherwise take the upstream back.
+        An order of an earlier epoch is ignored, since a session that has ended could
+        otherwise take the upstream back.
         """
         agent = self._agents.get(order.upstream)
-        if agent is not None and agent.watch.epoch > order.epoch:
+        newest = max(self._told_epoch, agent.watch.epoch if agent is not None else 0)
+        if order.epoch < newest:
             logger.warning(
                 "ignoring order of an earlier epoch", upstream=order.upstream
             )
             return
-        if agent is not None and agent.watch == order and agent.is_running:
+        if (
+            agent is not None
+            and agent.is_running
+            and agent.watch.is_same_assignment(order)
+        ):
+            if order.renews:
+                agent.allow_renewals()
             agent.resend_reports()
             return
         if agent is not None:
-            agent.close()
+            self._end_assignment(agent)
         self._agents[order.upstream] = UpstreamAgent(
             order,
             self._client,
@@ -139,7 +175,7 @@
         """Pass an order to the agent of its upstream, if there is one."""
         agent = self._agents.get(order.upstream)
         match order:
-            case StartRun() if agent is None:
+            case StartRun() if agent is None or agent.watch.epoch < self._told_epoch:
                 self.send_report(
                     StartSettled(
                         order.upstream, order.task, order.run, REFUSED, "unreachable"
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -14,6 +14,7 @@
     EpochFenced,
     ExecutorReport,
     PermitsAnswered,
+    RunsRemembered,
     StartSettled,
     UpstreamReport,
     UpstreamRestarted,
@@ -122,7 +123,9 @@
         self._retention = Retention(
             settings, self._intake.rows, self._scheduler, store, clock
         )
-        self._assignments = Assignments(self._scheduler, settings, clock)
+        self._assignments = Assignments(
+            self._scheduler, settings, clock, lambda: self._committer.lease_holds
+        )
         self._heartbeats = LeaderHeartbeats(
             self._scheduler,
             self._assignments,
@@ -276,7 +279,7 @@
     async def serve_member(self, member: Member, link: Link) -> None:
         """Add a member; handle its messages until its link closes or the epoch ends."""
         self._assignments.add_member(member)
-        link.send(Welcome(self.epoch))
+        link.send(Welcome(self.epoch, asks_runs=True))
         link.send(self._announcer.describe_all())
         try:
             async for message in link.receive_messages():
@@ -296,7 +299,7 @@
             if self._assignments.members.find_owner(message.upstream) is member:
                 self._handle_report(message)
         match message:
-            case StartSettled() | UpstreamRestarted():
+            case StartSettled() | UpstreamRestarted() | RunsRemembered():
                 self._handle_report(message)
             case EpochFenced():
                 if self._scheduler.is_superseded_by(message):
