--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -52,8 +52,8 @@
     """A step with waiting tasks, its place in the order, and where it may run.
 
     A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits. Reservations of ``unreserved`` upstreams do not hold for
-    the step. The tasks ``held`` may not start yet.
+    the step needs no permits. The tasks ``held`` may not start yet. Reservations of
+    ``unreserved`` upstreams do not hold for the step.
     """
 
     rank: StepRank
@@ -61,8 +61,8 @@
     service: ServiceUpstreams
     ends_at: timedelta
     advice: AdviceTiming | None
-    unreserved: Collection[str] = ()
     held: frozenset[int] = frozenset()
+    unreserved: Collection[str] = ()
 
 
 @define(eq=False)
@@ -100,6 +100,7 @@
         table = self.control.job_table
         expiring = list_expiring_tasks(self.cell_state, table.find_step, now)
         if not table.ready_steps and self._upcoming.is_empty and not expiring:
+            self._reservations.clear()
             return
         known = [
             upstream
