Let a link of the soak go dark for good

An upstream that goes dark closes no connection, and nothing that anybody sends it arrives. A cut link is opened again by the fault that cut it, also where another fault has cut it meanwhile, so this needs a state of its own.

--- a/packages/almondspread_standin/almondspread_standin/soak/proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/proxy.py
@@ -32,7 +32,8 @@
     """Forwards connections to ``target``.
 
     ``delay`` is in seconds and applies to each chunk. Port 0 lets the system choose
-    ``listen_port`` at the start. ``accepted`` counts the connections so far.
+    ``listen_port`` at the start. ``accepted`` counts the connections so far. Once it
+    ``is_dark``, nothing passes any more, whatever the state of the link.
     """
 
     listen_host: str
@@ -40,6 +41,7 @@
     listen_port: int = 0
     state: LinkState = LinkState.OPEN
     delay: float = 0.0
+    is_dark: bool = False
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
     accepted: int = 0
@@ -95,14 +97,28 @@
             return
         self.accepted += 1
         number = self.accepted
-        while self.state is LinkState.HELD:
+        serve_task = asyncio.current_task()
+        assert serve_task is not None
+        self._tasks.add(serve_task)
+        self._writers.add(writer)
+        try:
+            await self._connect(number, reader, writer)
+        finally:
+            self._tasks.discard(serve_task)
+            self._writers.discard(writer)
+
+    async def _connect(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connect to the target once the link allows it, and forward."""
+        while self.is_dark or self.state is LinkState.HELD:
             await asyncio.sleep(HELD_POLL_SECONDS)
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
             _reset(writer)
             return
-        self._writers |= {writer, target_writer}
+        self._writers.add(target_writer)
         forward_tasks = (
             asyncio.create_task(
                 self._forward(number, reader, target_writer, is_response=False)
@@ -118,7 +134,7 @@
         self._tasks.difference_update(forward_tasks)
         for open_writer in (writer, target_writer):
             open_writer.close()
-            self._writers.discard(open_writer)
+        self._writers.discard(target_writer)
 
     async def _forward(
         self,
@@ -150,7 +166,7 @@
 
     def _is_blocked(self, is_response: bool) -> bool:
         """Return whether the link stalls the bytes of a direction."""
-        if self.state is LinkState.HELD:
+        if self.is_dark or self.state is LinkState.HELD:
             return True
         return self.state is LinkState.DEAF and is_response
 
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_proxy.py
@@ -57,6 +57,17 @@
         self.writer.write(b"x")
         self.assertTrue(await self.is_echoed(5))
 
+    async def test_nothing_passes_a_dark_link_whatever_its_state(self):
+        self.writer.write(b"x")
+        self.assertTrue(await self.is_echoed(5))
+        self.proxy.is_dark = True
+        self.proxy.set_state(LinkState.OPEN)
+        self.writer.write(b"x")
+        self.assertFalse(await self.is_echoed())
+        self.reader, self.writer = await self.connect()
+        self.writer.write(b"x")
+        self.assertFalse(await self.is_echoed())
+
     async def test_end_of_a_silent_connection_is_not_heard(self):
         self.writer.write(b"x")
         self.assertTrue(await self.is_echoed(5))
