Have the soak watch tasks that last, and lose leaders with upstreams

It now looks at them at all times, by the rule: from 6 s after the last run of a task, nothing of it runs for 3 s, with room for it twice over, and these 3 s and the 4 s before are without a fault of the soak. What has not run yet is counted (late_starts) and not judged: the rule counts from the last run. The check at the end stays as it was.

--takeovers loses the leader and in the same second upstreams, in a part of the cases also an instance of the upstream's failure domain and the store, in series, and has tasks that last and fail by themselves. Some upstreams stay dark for good and others come back; half of them stay in reach. Other options draw what they drew before. A job may be given up now only where two upstreams have crashed under one of its tasks, not where two have crashed anywhere.

--- a/packages/almondspread_standin/almondspread_standin/soak/clients.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/clients.py
@@ -15,11 +15,10 @@
 from almondspread_platform.caller import HttpCall, HttpCaller
 from almondspread_standin.soak.instances import Instance, Instances
 from almondspread_standin.soak.job_kinds import (
+    ALL_KINDS,
+    DrawJob,
     TaskBehaviour,
     draw_batch_job,
-    draw_failing_job,
-    draw_lasting_job,
-    draw_scheduled_job,
 )
 from platform_standin.formats import (
     EXTRA_PATH,
@@ -57,10 +56,10 @@
     ``accepted`` maps each accepted job to the final state that was reported last, or to
     ``"queued"`` before one was, and ``accepted_at`` to the event loop's time of its
     acknowledgement. Jobs in ``rejected`` were rejected at every attempt.
-    With a ``behaviour``, jobs of all kinds are submitted to ``queues``.
+    With a ``behaviour``, jobs of all ``kinds`` are submitted to ``queues``.
     The state of a job can be read for ``status_seconds`` after its end.
     ``read_stored_state`` returns the last state of a job that was ever stored, and
-    ``count_crashes`` how many upstreams have crashed.
+    ``count_crashes`` how many upstreams have crashed under one of its tasks.
     """
 
     instances: Instances
@@ -74,9 +73,10 @@
     rejected: set[str] = field(factory=set)
     queues: tuple[str, ...] = (QUEUE,)
     behaviour: TaskBehaviour | None = None
+    kinds: tuple[DrawJob | None, ...] = ALL_KINDS
     status_seconds: float = 120.0
     read_stored_state: Callable[[str], str] = lambda _: ""
-    count_crashes: Callable[[], int] = lambda: 0
+    count_crashes: Callable[[str], int] = lambda _: 0
     calls: int = 0
     _cancel_sent: set[str] = field(factory=set)
     _ended_at: dict[str, float] = field(factory=dict)
@@ -98,9 +98,7 @@
         if self.behaviour is None:
             return draw_batch_job(name, self.queues[0], self.rng)
         queue = self.rng.choice(self.queues)
-        draw = self.rng.choice(
-            (None, draw_scheduled_job, draw_lasting_job, draw_failing_job)
-        )
+        draw = self.rng.choice(self.kinds)
         if draw is None:
             return draw_batch_job(name, queue, self.rng)
         return draw(name, queue, self.rng, self.behaviour)
@@ -240,25 +238,41 @@
             if state == "cancelled" or job in self.history.cancelled:
                 continue
             steps = self.history.submissions[job].steps
-            if not any(step.lasting for step in steps):
-                continue
-            is_given_up = self.read_stored_state(job) == "failed"
-            if not is_given_up or self.count_crashes() < CRASHES_TO_GIVE_UP:
+            if any(step.lasting for step in steps) and not self.is_given_up(job):
+                found.append(job)
+        return found
+
+    def list_watched(self) -> list[str]:
+        """Return the accepted jobs whose tasks last, and which nobody has cancelled."""
+        found = []
+        for job in self.accepted:
+            steps = self.history.submissions[job].steps
+            if not self.may_be_cancelled(job) and any(step.lasting for step in steps):
                 found.append(job)
         return found
 
+    def is_given_up(self, job: str) -> bool:
+        """Return whether a job has failed because upstreams had crashed under it."""
+        if self.read_stored_state(job) != "failed":
+            return False
+        return self.count_crashes(job) >= CRASHES_TO_GIVE_UP
+
     def may_be_cancelled(self, job: str) -> bool:
         """Return whether a cancellation of a job was sent, with whatever outcome."""
         return job in self._cancel_sent
 
     def list_absent(self, job: str) -> list[str]:
+        """Return the names of the tasks of a job's steps that run nowhere."""
+        return [format_task_id(task) for task in self.list_absent_tasks(job)]
+
+    def list_absent_tasks(self, job: str) -> list[TaskId]:
         """Return the tasks of a job's steps that run nowhere."""
         absent = []
         for number, step in enumerate(self.history.submissions[job].steps):
             for index in range(step.count):
                 task = TaskId(job, 0, number, index)
                 if not self.history.running.get(task, 0):
-                    absent.append(format_task_id(task))
+                    absent.append(task)
         return absent
 
     async def call(
--- a/packages/almondspread_standin/almondspread_standin/soak/command.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/command.py
@@ -16,6 +16,7 @@
     from almondspread_standin.soak.soak import SoakPlan, SoakResult
 
 ROOT = Path(__file__).resolve().parents[4]
+LOG_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSSSS!UTC} {message} {extra}"
 
 
 @click.command()
@@ -35,6 +36,11 @@
     help="Keep instances from the store, and check when configurations are in force.",
 )
 @click.option("--silences", is_flag=True, help="Have connections fall silent for good.")
+@click.option(
+    "--takeovers",
+    is_flag=True,
+    help="Lose leaders together with upstreams, in series, beside tasks that last.",
+)
 @click.option(
     "--logs",
     default=None,
@@ -52,6 +58,7 @@
     removes_queue: bool,
     configurations: bool,
     silences: bool,
+    takeovers: bool,
     logs: Path | None,
 ) -> None:
     """Run real processes under random faults, and check their guarantees."""
@@ -73,6 +80,7 @@
             removes_queue,
             configurations,
             silences,
+            takeovers,
         )
         result = _run_one(plan, logs)
         failed_seeds += bool(result["violations"])
@@ -94,7 +102,11 @@
     """Run one soak and return its result as a dictionary."""
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(temporary)
-        if logs is not None:
-            folder = logs / f"seed-{plan.seed}"
-            folder.mkdir(parents=True, exist_ok=True)
-        return attrs.asdict(asyncio.run(_run_until_terminated(plan, folder)))
+        if logs is None:
+            return attrs.asdict(asyncio.run(_run_until_terminated(plan, folder)))
+        folder = logs / f"seed-{plan.seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        sink = logger.add(folder / "soak.log", level="INFO", format=LOG_FORMAT)
+        result = attrs.asdict(asyncio.run(_run_until_terminated(plan, folder)))
+        logger.remove(sink)
+        return result
--- a/packages/almondspread_standin/almondspread_standin/soak/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/faults.py
@@ -11,11 +11,13 @@
 from loguru import logger
 
 from almondspread.testing.record_store import MemoryRecordStore
+from almondspread_standin.soak.calm import Disturbance
 from almondspread_standin.soak.instances import Instance, Instances
 from almondspread_standin.soak.pool import PoolMember, UpstreamPool
 from almondspread_standin.soak.proxy import LinkState, Proxy
 from almondspread_standin.soak.silences import Silences
 from almondspread_standin.soak.store_troubles import StoreTroubles
+from almondspread_standin.soak.takeovers import Takeovers
 from platform_standin.store_server import StoreFaults
 
 LINK_STATES = (LinkState.HELD, LinkState.DEAF, LinkState.REFUSED)
@@ -68,6 +70,14 @@
 HARMLESS_FAULTS = (*CONFIGURATION_TROUBLES, *SILENCES)
 CONFIGURATION_FAULTS = (*CONFIGURATION_TROUBLES, "kill", "terminate")
 SILENCE_FAULTS = (*SILENCES, "kill", "terminate", "crash upstream", "forget history")
+# This share of the takeovers have another fault beside them.
+OVERLAP_SHARE = 0.3
+# Those of a series follow each other soon; this share of them are its last one.
+SERIES_PAUSE = (0.5, 5.0)
+CALM_SHARE = 0.6
+CALM_PAUSE = (9.0, 14.0)
+# Neither an instance, nor the store, a link or an upstream fails.
+CALM_FAULTS = ("hang up", "odd entries")
 SECOND = timedelta(seconds=1)
 NO_TIME = timedelta(0)
 
@@ -76,7 +86,8 @@
 class FaultInjector:
     """Injects faults from outside the processes, chosen by a seeded generator.
 
-    ``injected`` counts the faults, whose ``kinds`` may be limited. Each fault undoes
+    ``injected`` counts the faults, whose ``kinds`` may be limited, and ``disturbances``
+    has those after which the cell is not calm for a while. Each fault undoes
     itself at its end, so ``wait_for_faults`` has to be awaited before the end of a soak
     is checked.
     """
@@ -88,17 +99,24 @@
     rng: random.Random
     kinds: tuple[str, ...] = GENERAL_FAULTS
     injected: int = 0
+    disturbances: list[Disturbance] = field(factory=list)
     _disturbing: int = 0
     _undisturbed_since: float = 0.0
     _running: set[asyncio.Task[None]] = field(factory=set)
     _troubles: StoreTroubles = field(init=False)
     _silences: Silences = field(init=False)
+    _takeovers: Takeovers = field(init=False)
+    _faults: dict[str, Callable[[], Awaitable[None]]] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._troubles = StoreTroubles(
             self.instances, self.store, self.store_faults, self.rng
         )
         self._silences = Silences(self.instances, self.pool, self.rng)
+        self._takeovers = Takeovers(
+            self.instances, self.pool, self.store, self.store_faults, self.rng
+        )
+        self._faults = self.collect_faults()
 
     def is_disturbed(self) -> bool:
         """Tell whether there is, or was a moment ago, a fault that may delay anything.
@@ -138,6 +156,7 @@
             "silence stores": self._silences.silence_stores,
             "silence upstreams": self._silences.silence_upstreams,
             "silence all": self._silences.silence_all,
+            "take over": self._takeovers.take_over,
         }
 
     def is_store_reached(self) -> bool:
@@ -159,28 +178,50 @@
 
     async def run(self) -> None:
         """Start one fault after another at random intervals until cancelled."""
-        faults = self.collect_faults()
         while True:
             await asyncio.sleep(self.rng.uniform(0.2, 2.5))
-            kind = self.rng.choice(sorted(self.kinds))
-            logger.info("fault", kind=kind)
-            self.injected += 1
-            fault_task = asyncio.create_task(self._inject(kind, faults[kind]))
-            self._running.add(fault_task)
-            fault_task.add_done_callback(self._running.discard)
+            self._start(self.rng.choice(sorted(self.kinds)))
+
+    async def run_takeovers(self) -> None:
+        """Have one takeover after another, in series with pauses, until cancelled."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(*SERIES_PAUSE))
+            takeover_task = self._start("take over")
+            if self.rng.random() < OVERLAP_SHARE:
+                self._start(self.rng.choice(GENERAL_FAULTS))
+            await asyncio.wait([takeover_task])
+            if self.rng.random() < CALM_SHARE:
+                await asyncio.sleep(self.rng.uniform(*CALM_PAUSE))
+
+    def _start(self, kind: str) -> asyncio.Task[None]:
+        """Start a fault, and return the task that runs it until its end."""
+        logger.info("fault", kind=kind)
+        self.injected += 1
+        fault_task = asyncio.create_task(self._inject(kind, self._faults[kind]))
+        self._running.add(fault_task)
+        fault_task.add_done_callback(self._running.discard)
+        return fault_task
 
     async def _inject(self, kind: str, fault: Callable[[], Awaitable[None]]) -> None:
-        """Run a fault until it has undone itself."""
-        if kind in HARMLESS_FAULTS:
-            await fault()
-            return
-        self._disturbing += 1
+        """Run a fault until it has undone itself, and record how long it lasts."""
+        loop = asyncio.get_running_loop()
+        is_disturbing = kind not in HARMLESS_FAULTS
+        disturbance = Disturbance(kind, loop.time())
+        if kind not in CALM_FAULTS:
+            self.disturbances.append(disturbance)
+        self._disturbing += is_disturbing
         try:
             await fault()
         finally:
-            self._disturbing -= 1
-            now = asyncio.get_running_loop().time()
-            self._undisturbed_since = now + CONTACT_SECONDS
+            disturbance.ended = loop.time()
+            self._disturbing -= is_disturbing
+            if is_disturbing:
+                self._undisturbed_since = loop.time() + CONTACT_SECONDS
+
+    def record_start(self) -> None:
+        """Record that an instance is started, which disturbs the cell for a moment."""
+        now = asyncio.get_running_loop().time()
+        self.disturbances.append(Disturbance("start", now, now))
 
     async def wait_for_faults(self) -> None:
         """Wait until all active faults have ended and undone themselves."""
@@ -191,16 +232,20 @@
         for fault_task in self._running:
             fault_task.cancel()
         await asyncio.gather(*self._running, return_exceptions=True)
+        await self._takeovers.stop()
 
     def _pick_instance(self) -> Instance:
         return self.rng.choice(self.instances.instances)
 
     def _pick_member(self) -> PoolMember:
-        return self.rng.choice(self.pool.members)
+        return self.rng.choice([each for each in self.pool.members if not each.dark])
 
     async def _wait_random_time(self) -> None:
         """Wait for the random duration of a fault."""
-        await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+        await asyncio.sleep(self._draw_seconds())
+
+    def _draw_seconds(self) -> float:
+        return self.rng.uniform(0.5, 6.0)
 
     async def _kill(self) -> None:
         await self._restart(signal.SIGKILL)
@@ -213,26 +258,14 @@
         count = self.rng.choice((1, 1, 1, 2, len(self.instances.instances)))
         chosen = self.rng.sample(self.instances.instances, count)
         await asyncio.gather(
-            *(self._restart_one(instance, signal_number) for instance in chosen)
+            *(
+                self.instances.restart(instance, signal_number, RESTART_SECONDS)
+                for instance in chosen
+            )
         )
 
-    async def _restart_one(
-        self, instance: Instance, signal_number: signal.Signals
-    ) -> None:
-        start_count = instance.start_count
-        await self.instances.end(instance, signal_number)
-        await asyncio.sleep(RESTART_SECONDS)
-        if instance.start_count == start_count and not instance.is_alive:
-            await self.instances.start(instance)
-
     async def _pause(self) -> None:
-        instance = self._pick_instance()
-        self.instances.send_signal(instance, signal.SIGSTOP)
-        # The end of the pause is not known yet; no pause lasts 60 seconds.
-        instance.paused_until = asyncio.get_running_loop().time() + 60
-        await self._wait_random_time()
-        self.instances.send_signal(instance, signal.SIGCONT)
-        instance.paused_until = asyncio.get_running_loop().time()
+        await self.instances.pause(self._pick_instance(), self._draw_seconds())
 
     async def _send_sighup(self) -> None:
         self.instances.send_signal(self._pick_instance(), signal.SIGHUP)
--- a/packages/almondspread_standin/almondspread_standin/soak/instances.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/instances.py
@@ -125,6 +125,25 @@
             process.kill()
             await process.wait()
 
+    async def restart(
+        self, instance: Instance, signal_number: signal.Signals, seconds: float
+    ) -> None:
+        """End an instance's process, and start it again some seconds after its end."""
+        start_count = instance.start_count
+        await self.end(instance, signal_number)
+        await asyncio.sleep(seconds)
+        if instance.start_count == start_count and not instance.is_alive:
+            await self.start(instance)
+
+    async def pause(self, instance: Instance, seconds: float) -> None:
+        """Suspend an instance's process for some seconds."""
+        self.send_signal(instance, signal.SIGSTOP)
+        # The end of the pause is not known yet; no pause lasts 60 seconds.
+        instance.paused_until = asyncio.get_running_loop().time() + 60
+        await asyncio.sleep(seconds)
+        self.send_signal(instance, signal.SIGCONT)
+        instance.paused_until = asyncio.get_running_loop().time()
+
     async def stop(self) -> None:
         """Kill all processes, then stop the proxies."""
         for instance in self.instances:
--- a/packages/almondspread_standin/almondspread_standin/soak/job_kinds.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/job_kinds.py
@@ -15,7 +15,9 @@
 # Longer than any soak: such a task ends only when it is stopped.
 ENDLESS = timedelta(hours=1)
 SMALL = Capacity(100, 64, 0)
-DrawSteps = Callable[[random.Random], tuple[Step, ...]]
+# This share of the tasks of an unsteady job fail, after a time between these.
+UNSTEADY_SHARE = 0.7
+MIN_UNSTEADY_SECONDS, MAX_UNSTEADY_SECONDS = 1.0, 9.0
 
 
 @define(eq=False)
@@ -74,6 +76,21 @@
     return Submission(name, queue, "payload", (step,))
 
 
+def draw_unsteady_job(
+    name: str, queue: str, rng: random.Random, behaviour: TaskBehaviour
+) -> Submission:
+    """Return a job whose tasks last, and most of which fail after a while each time."""
+    submission = draw_lasting_job(name, queue, rng, behaviour)
+    for index in range(submission.steps[0].count):
+        if rng.random() >= UNSTEADY_SHARE:
+            continue
+        task = TaskId(name, 0, 0, index)
+        seconds = rng.uniform(MIN_UNSTEADY_SECONDS, MAX_UNSTEADY_SECONDS)
+        behaviour.durations[task] = timedelta(seconds=seconds)
+        behaviour.failing.add(task)
+    return submission
+
+
 def draw_failing_job(
     name: str, queue: str, rng: random.Random, behaviour: TaskBehaviour
 ) -> Submission:
@@ -83,3 +100,19 @@
     behaviour.failing.add(task)
     behaviour.durations[task] = SHORT_TASK
     return Submission(name, queue, "payload", (Step(count, SMALL, SHORT_TASK),))
+
+
+DrawJob = Callable[[str, str, random.Random, TaskBehaviour], Submission]
+# What clients draw from; a ``None`` stands for a job of one or more steps.
+ALL_KINDS: tuple[DrawJob | None, ...] = (
+    None,
+    draw_scheduled_job,
+    draw_lasting_job,
+    draw_failing_job,
+)
+LASTING_KINDS: tuple[DrawJob | None, ...] = (
+    None,
+    None,
+    draw_lasting_job,
+    draw_unsteady_job,
+)
--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -10,6 +10,7 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.ports import RowName, RowPut, Transaction
+from almondspread.jobs.submissions import TaskId
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.fake_upstream import FakeUpstream, History
 from almondspread.testing.record_store import MemoryRecordStore
@@ -27,6 +28,8 @@
 LATE_ENTRY_SHARE = 0.3
 LATE_ENTRY_SECONDS = 0.2
 FIRST_START_MS = 1_767_000_000_000
+# The entry of an upstream that is silent for so long is removed.
+EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
 # Capacity of an upstream: both thousandths of a core and MiB of memory.
 SIZES = (4_000, 8_000, 16_000)
 
@@ -36,7 +39,8 @@
     """One upstream address, whose current incarnation may crash and be replaced.
 
     ``incarnation`` numbers the incarnations, ``id_number`` the ids, and ``sequence``
-    the heartbeats. While its machine is ``down``, no incarnation writes an entry.
+    the heartbeats. While its machine is ``down``, or ``dark`` and out of reach, no
+    incarnation writes an entry.
     """
 
     number: int
@@ -46,6 +50,7 @@
     proxy: Proxy
     draining: bool = False
     down: bool = False
+    dark: bool = False
     incarnation: int = 1
     id_number: int = 1
     sequence: int = 0
@@ -53,7 +58,10 @@
 
 @define(eq=False)
 class UpstreamPool:
-    """All upstreams; each renews its entry in the store at every heartbeat."""
+    """All upstreams; each renews its entry in the store at every heartbeat.
+
+    ``crashes`` counts the upstreams that have crashed under each task.
+    """
 
     history: History
     store: MemoryRecordStore
@@ -63,7 +71,9 @@
     faults: UpstreamFaults = field(factory=UpstreamFaults)
     kept_id_share: float = KEPT_ID_SHARE
     members: list[PoolMember] = field(factory=list)
-    crashes: int = 0
+    crashes: dict[TaskId, int] = field(factory=dict)
+    _expiries: dict[RowName, float] = field(factory=dict)
+    _dark_proxies: list[Proxy] = field(factory=list)
 
     async def add(self, number: int, domain: str) -> None:
         """Add an upstream, and start its server and its proxy."""
@@ -95,7 +105,6 @@
 
         The new incarnation has the id of the crashed one, or another id.
         """
-        self.crashes += 1
         old_entry = self._encode_entry(member)
         old_name = self._find_entry_name(member)
         keeps_id = self.rng.random() < self.kept_id_share
@@ -103,12 +112,7 @@
         if not keeps_id:
             await self._remove_entry(member)
             member.id_number += 1
-        member.endpoint.upstream.crash()
-        member.incarnation += 1
-        member.endpoint.start(
-            self._make_upstream(member.number, member.id_number, member.incarnation)
-        )
-        member.draining = False
+        self._replace(member)
         member.proxy.reset()
         if writes_late:
             await self._put(old_name, self._encode_entry(member))
@@ -117,6 +121,63 @@
             if member.incarnation == incarnation:
                 await self._put(old_name, old_entry)
 
+    def _replace(self, member: PoolMember) -> None:
+        """Crash an incarnation, and start the next one at the same endpoint."""
+        upstream = member.endpoint.upstream
+        upstream.advance(member.endpoint.read_clock())
+        # Whoever has not been told of the end of a run takes it for one that crashed.
+        for task in {*upstream.runs, *(end.task for end in upstream.ends)}:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
+        upstream.crash()
+        member.incarnation += 1
+        member.endpoint.start(
+            self._make_upstream(member.number, member.id_number, member.incarnation)
+        )
+        member.draining = False
+
+    def count_crashes(self, job: str) -> int:
+        """Return how many upstreams have crashed under one task of a job, at most."""
+        counts = [count for task, count in self.crashes.items() if task.job == job]
+        return max(counts, default=0)
+
+    def darken(self, member: PoolMember) -> None:
+        """Lose an upstream with all its runs, without a trace on its connections."""
+        member.dark = True
+        member.proxy.is_dark = True
+        name = self._find_entry_name(member)
+        self._expiries[name] = asyncio.get_running_loop().time() + EXPIRY_SECONDS
+        if self.rng.random() >= self.kept_id_share:
+            member.id_number += 1
+        self._replace(member)
+
+    async def light(self, member: PoolMember) -> None:
+        """Have the next incarnation of a dark upstream be reached, at a new address."""
+        self._dark_proxies.append(member.proxy)
+        member.proxy = Proxy(LOOPBACK, member.proxy.target)
+        await member.proxy.start()
+        self._expiries.pop(self._find_entry_name(member), None)
+        member.dark = False
+
+    async def _remove_expired(self) -> None:
+        """Remove the entries of upstreams that have been dark for long enough."""
+        now = asyncio.get_running_loop().time()
+        for name, expiry in list(self._expiries.items()):
+            if expiry <= now:
+                del self._expiries[name]
+                await self._remove(name)
+
+    def count_room(self, claim: Capacity) -> int:
+        """Return how many tasks of a size have room on upstreams that take runs."""
+        count = 0
+        for member in self.members:
+            if member.dark or member.down or member.draining:
+                continue
+            free = member.endpoint.upstream.capacity
+            for task in member.endpoint.upstream.runs:
+                free = free.minus(self.history.find_claim(task))
+            count += max(0, claim.count_in(free))
+        return count
+
     async def maintain(self, member: PoolMember, seconds: float) -> None:
         """Replace an upstream, and bring its machine up again after some seconds."""
         await self.crash(member)
@@ -132,13 +193,14 @@
         """Advance all upstreams and renew their entries until cancelled."""
         while True:
             for member in self.members:
-                if member.down:
+                if member.down or member.dark:
                     continue
                 member.sequence += 1
                 member.endpoint.upstream.advance(member.endpoint.read_clock())
                 await self._put(
                     self._find_entry_name(member), self._encode_entry(member)
                 )
+            await self._remove_expired()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def _find_entry_name(self, member: PoolMember) -> RowName:
@@ -161,7 +223,9 @@
 
     async def _remove_entry(self, member: PoolMember) -> None:
         """Remove the entry of the current incarnation."""
-        name = self._find_entry_name(member)
+        await self._remove(self._find_entry_name(member))
+
+    async def _remove(self, name: RowName) -> None:
         await self.store.transact(Transaction(removals=(name,)), NO_TIMEOUT)
 
     async def stop(self) -> None:
@@ -169,3 +233,5 @@
         for member in self.members:
             member.server.stop()
             await member.proxy.stop()
+        for proxy in self._dark_proxies:
+            await proxy.stop()
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -31,9 +31,11 @@
     FaultInjector,
 )
 from almondspread_standin.soak.instances import PEER_PORT, Instance, Instances
-from almondspread_standin.soak.job_kinds import TaskBehaviour
+from almondspread_standin.soak.job_kinds import LASTING_KINDS, TaskBehaviour
+from almondspread_standin.soak.lasting_watch import LastingWatch
 from almondspread_standin.soak.maintenance import MaintenanceDriver
 from almondspread_standin.soak.pool import KEPT_ID_SHARE, LOOPBACK, UpstreamPool
+from almondspread_standin.soak.run_counts import RunCounts
 from platform_standin.call_limits import CallLimits, CallRates
 from platform_standin.formats import (
     MAX_ATTEMPTS,
@@ -58,8 +60,6 @@
 # All accepted jobs must have ended this long after the last fault.
 FINISH_SECONDS = 60.0
 FINISH_POLL_SECONDS = 0.5
-# Tasks that last must be at work this long after the last fault.
-LASTING_SECONDS = 20.0
 SMALL_ROW_BYTES = 8_192
 SHORT_STATUS_SECONDS = 4.0
 EXTRA_QUEUE_SHARE = 0.6
@@ -76,8 +76,9 @@
     with small rows, and a short retention; with ``removes_queue``, jobs of all kinds
     also go to a queue that comes and goes. With ``configurations``, the faults are
     those beside which a configuration has to be in force in time; with ``silences``,
-    connections fall silent for good, again and again. ``kept_id_share`` is the share of
-    the crashed upstreams that start again under their id.
+    connections fall silent for good, again and again; with ``takeovers``, leaders are
+    lost in series together with upstreams, and many tasks last. ``kept_id_share`` is
+    the share of the crashed upstreams that start again under their id.
     """
 
     seed: int
@@ -89,6 +90,7 @@
     removes_queue: bool = False
     configurations: bool = False
     silences: bool = False
+    takeovers: bool = False
     kept_id_share: float = KEPT_ID_SHARE
 
 
@@ -98,6 +100,7 @@
 
     ``jobs`` counts the accepted jobs, ``starts`` the runs of tasks, ``calls`` the
     requests of clients, and ``maintained`` the maintenance orders that took effect.
+    ``late_starts`` counts tasks that last and began late, for which there is no rule.
     """
 
     seed: int
@@ -109,6 +112,7 @@
     faults: int
     calls: int
     maintained: int
+    late_starts: int
 
 
 class Soak:
@@ -121,7 +125,8 @@
         self._rng = random.Random(f"{plan.seed} operator")
         fault_rng = random.Random(f"{plan.seed} faults")
         job_rng = random.Random(f"{plan.seed} jobs")
-        self._history = History()
+        run_counts = RunCounts(lambda: asyncio.get_running_loop().time())
+        self._history = History(running=run_counts)
         self._store = MemoryRecordStore(page_rows=ROWS_PER_PAGE)
         self._store_faults = StoreFaults()
         limits = CallLimits()
@@ -149,8 +154,11 @@
         if plan.variety:
             self._clients.behaviour = behaviour
             self._clients.status_seconds = SHORT_STATUS_SECONDS
-            self._clients.read_stored_state = self._read_stored_state
-            self._clients.count_crashes = lambda: self._pool.crashes
+        if plan.takeovers:
+            self._clients.behaviour = behaviour
+            self._clients.kinds = LASTING_KINDS
+        self._clients.read_stored_state = self._read_stored_state
+        self._clients.count_crashes = self._pool.count_crashes
         if plan.removes_queue:
             self._clients.queues = (QUEUE, EXTRA_QUEUE)
         self._fleet = MachineFleet()
@@ -169,6 +177,13 @@
             self._fault_injector.kinds = CONFIGURATION_FAULTS
         elif plan.silences:
             self._fault_injector.kinds = SILENCE_FAULTS
+        self._lasting_watch = LastingWatch(
+            self._clients,
+            self._pool,
+            run_counts,
+            self._fault_injector.disturbances,
+            self._rng,
+        )
 
     async def run(self) -> SoakResult:
         """Run the soak and return its result; all that was started is stopped again."""
@@ -186,8 +201,13 @@
             background_tasks.append(asyncio.create_task(probe.run()))
             watch = self._fault_injector.watch_store()
             background_tasks.append(asyncio.create_task(watch))
+            background_tasks.append(asyncio.create_task(self._lasting_watch.run()))
             await self._run_under_faults(background_tasks)
             await self._check_results()
+            for background_task in background_tasks:
+                if background_task.done():
+                    # A check that has failed itself has not checked anything since.
+                    background_task.result()
         finally:
             for background_task in background_tasks:
                 background_task.cancel()
@@ -208,7 +228,10 @@
 
         Raises the exception of any task that fails in the meantime.
         """
-        temporary_tasks = [asyncio.create_task(self._fault_injector.run())]
+        run_faults = self._fault_injector.run
+        if self._plan.takeovers:
+            run_faults = self._fault_injector.run_takeovers
+        temporary_tasks = [asyncio.create_task(run_faults())]
         for _ in range(CLIENT_COUNT):
             temporary_tasks.append(asyncio.create_task(self._clients.submit_jobs()))
         done, _ = await asyncio.wait(
@@ -235,6 +258,7 @@
             await self._add_instance(number, domain)
         for instance in self._instances.instances:
             await self._instances.start(instance)
+        self._fault_injector.record_start()
 
     async def _add_instance(self, number: int, domain: str) -> None:
         """Add an instance, and start the server at which it reaches the store."""
@@ -297,13 +321,14 @@
         """
         for instance in self._instances.instances:
             if not instance.is_alive:
+                self._fault_injector.record_start()
                 await self._instances.start(instance)
         # The extra queue is gone for good. Nobody can ask for its jobs, which go on.
         if self._has_extra:
             self._has_extra = False
             await self._publish_configuration(False)
         deadline = asyncio.get_running_loop().time() + FINISH_SECONDS
-        await self._check_lasting()
+        await self._lasting_watch.check_finally()
         pending = set(self._clients.accepted)
         while pending and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(FINISH_POLL_SECONDS)
@@ -324,34 +349,6 @@
         for job in sorted(self._clients.rejected & self._history.started_jobs):
             violations.append(f"job {job} was always rejected and has run")
 
-    async def _check_lasting(self) -> None:
-        """Check that all tasks that last are at work, and cancel their jobs."""
-        clients = self._clients
-        deadline = asyncio.get_running_loop().time() + LASTING_SECONDS
-        pending = []
-        for job in clients.list_lasting():
-            if not clients.may_be_cancelled(job):
-                pending.append(job)
-        while pending and asyncio.get_running_loop().time() < deadline:
-            await asyncio.sleep(FINISH_POLL_SECONDS)
-            pending = [job for job in pending if clients.list_absent(job)]
-        for job in pending:
-            absent = ", ".join(clients.list_absent(job))
-            self._history.violations.append(f"lasting tasks are not at work: {absent}")
-        for job in clients.list_lasting():
-            if self._history.submissions[job].queue != EXTRA_QUEUE:
-                await self._cancel_until_acknowledged(job)
-
-    async def _cancel_until_acknowledged(self, job: str) -> None:
-        """Cancel a job, in several attempts if some are refused."""
-        deadline = asyncio.get_running_loop().time() + LASTING_SECONDS
-        while job not in self._history.cancelled:
-            if asyncio.get_running_loop().time() > deadline:
-                self._history.violations.append(f"{job} cannot be cancelled")
-                return
-            await self._clients.cancel(job)
-            await asyncio.sleep(self._rng.uniform(0.0, 0.1))
-
     async def _check_waves(self, deadline: float) -> None:
         """Check that the first wave ends, and collect the violations of all waves."""
         loop = asyncio.get_running_loop()
@@ -375,4 +372,5 @@
             self._fault_injector.injected,
             self._clients.calls,
             len(self._fleet.maintained),
+            len(self._lasting_watch.late_starts),
         )
