--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 # Far longer than any soak takes, so that only a soak that hangs is cancelled.
 TIMEOUT_SECONDS = 300.0
 CONFIGURATION_SEED = 1
+TAKEOVER_SEED = 2
 # Seeds that once caused a violation, with the unit test of each cause.
 REGRESSION_SEEDS = {
     # A new leader was allowed to start jobs beyond its last commit.
@@ -61,6 +62,12 @@
         self.assertEqual(result.violations, [])
         self.assertGreater(result.completed, 0)
 
+    def test_tasks_that_last_run_again_in_time_beside_takeovers(self):
+        """Guards against takeovers that hold back what no silent upstream may run."""
+        result = self.run_soak(TAKEOVER_SEED, 15.0, takeovers=True)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.completed, 0)
+
     def test_regression_seeds_cause_no_violation(self):
         for seed in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
