Say of a lasting task after a loss that it waits a second, not a minute

Since a lasting task goes on 1 s after its newest loss, unless it has lost too many; `task waits` still gave `RESTART_PATIENCE` as the time left of `lost_upstreams`. The end of the patience is asked for per task now. test_lasting_task_is_not_said_to_wait_as_long_as_one_that_ends fails without it.

--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -9,7 +9,7 @@
 
 from almondspread.jobs.bound_runs import Run
 from almondspread.jobs.job_table import JobTable
-from almondspread.jobs.losses import Loss
+from almondspread.jobs.losses import Loss, may_be_tried_on
 from almondspread.jobs.messages import RunEnd, UpstreamEntry
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Submission, TaskId
@@ -180,8 +180,20 @@
             self.job_table.mark_losses(progress)
 
     def find_patience_ends(self) -> dict[tuple[TaskId, int], timedelta]:
-        """Return until when each open loss counts at the most, by task and run."""
-        return {key: since + RESTART_PATIENCE for key, since in self._opened.items()}
+        """Return until when each open loss holds its task at the most, by the run."""
+        found = {}
+        for (task, run), since in self._opened.items():
+            progress = self.job_table.find_known_step(
+                task.job, task.occurrence, task.step
+            )
+            if progress is None:
+                continue
+            patience = RESTART_PATIENCE
+            losses = progress.losses.by_task.get(task.index, ())
+            if progress.step.lasting and may_be_tried_on(losses):
+                patience = LASTING_PATIENCE
+            found[task, run] = since + patience
+        return found
 
     def _list_open(self) -> list[_OpenLoss]:
         """Return the open losses of all jobs that have not ended."""
--- a/packages/almondspread/almondspread/jobs/tests/test_wait_reasons.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_wait_reasons.py
@@ -1,12 +1,19 @@
 import unittest
 from datetime import timedelta
 
+from almondspread.jobs.bound_runs import Run, RunPhase
+from almondspread.jobs.crashes import (
+    LASTING_PATIENCE,
+    RESTART_PATIENCE,
+    CrashTracker,
+)
 from almondspread.jobs.holds import HoldCause, StartHolds
 from almondspread.jobs.losses import Loss
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
+from almondspread.jobs.upstreams import Upstream
 from almondspread.jobs.wait_reasons import (
     DelayCause,
     HoldBounds,
@@ -14,7 +21,7 @@
     explain_step,
     find_hold,
 )
-from almondspread.testing.cell_input import make_configuration
+from almondspread.testing.cell_input import make_configuration, make_entry
 from almondspread.testing.fake_cell import FakeCell
 
 NO_HOLDS = StartHolds(0, 9)
@@ -80,6 +87,23 @@
         self.assertEqual(reason.find_time_left(2 * SECOND), timedelta(0))
 
 
+class PatienceEndsTest(unittest.TestCase):
+    def find_patience(self, **fields):
+        """Return how long the loss of a fresh run of a step holds its task."""
+        cell = FakeCell()
+        cell.submit(make_job("j", make_step(**fields)))
+        tracker = CrashTracker(cell.scheduler._job_table)
+        upstream = Upstream(make_entry(cell.add_upstream("u0"), 0))
+        task = TaskId("j", 0, 0, 0)
+        run = Run(task, 1, "u0", RunPhase.RUNNING, SECOND, SECOND, is_confirmed=True)
+        tracker.record_silence(upstream, [run], 2 * SECOND)
+        return tracker.find_patience_ends()[task, 1] - 2 * SECOND
+
+    def test_lasting_task_is_not_said_to_wait_as_long_as_one_that_ends(self):
+        self.assertEqual(self.find_patience(), RESTART_PATIENCE)
+        self.assertEqual(self.find_patience(lasting=True), LASTING_PATIENCE)
+
+
 class ExplainWaitsTest(CellTest):
     def explain(self):
         return self.cell.scheduler.explain_waits(self.cell.now)
