--- a/packages/almondspread/almondspread/jobs/holds.py
+++ b/packages/almondspread/almondspread/jobs/holds.py
@@ -1,13 +1,17 @@
 """Why waiting tasks may not start yet, although their step is ready."""
 
+from collections.abc import Collection, Iterable, Mapping
 from datetime import timedelta
 from enum import StrEnum
 
-from attrs import define
+from attrs import define, field
 
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 
+# The job, the occurrence and the number of a step.
+StepKey = tuple[str, int, int]
+
 
 class HoldCause(StrEnum):
     """What keeps the waiting tasks of a ready step from starting.
@@ -28,15 +32,15 @@
     """Tells what may not start yet, by job, by the job's store version and by task.
 
     Of jobs up to ``held_version``, any task may run on an upstream that has not
-    reported, and ``possible_tasks`` may in any case; of these, only tasks that may run
-    twice can start. Jobs beyond ``startable_version`` start no tasks yet. Without
-    ``may_start_again``, no task that was interrupted starts again.
+    reported, and ``possible_tasks``, by their step, may in any case; of these, only
+    tasks that may run twice can start. Jobs beyond ``startable_version`` start no tasks
+    yet. Without ``may_start_again``, no task that was interrupted starts again.
     """
 
     held_version: int
     startable_version: int
     may_start_again: bool = True
-    possible_tasks: frozenset[TaskId] = frozenset()
+    possible_tasks: Mapping[StepKey, Collection[int]] = field(factory=dict)
 
     def find_cause(self, progress: StepProgress, now: timedelta) -> HoldCause | None:
         """Return what keeps all waiting tasks of a step, ``None`` if nothing does.
@@ -64,14 +68,24 @@
         if progress.job.version <= self.held_version:
             if progress.job.may_have_started(progress):
                 return frozenset(progress.waiting)
-        if not self.possible_tasks:
+        possible = self.possible_tasks.get(progress.key)
+        if not possible:
             return frozenset()
-        return frozenset(
-            index
-            for index in progress.waiting
-            if progress.make_task_id(index) in self.possible_tasks
-        )
+        return frozenset(progress.waiting).intersection(possible)
 
     def lacks_start_record(self, progress: StepProgress) -> bool:
         """Return whether the store does not record yet that a step may start."""
         return progress.job.version > self.startable_version
+
+
+def group_by_step(tasks: Iterable[TaskId]) -> dict[StepKey, set[int]]:
+    """Return the indexes of tasks, by their step.
+
+    >>> group_by_step([TaskId("j", 0, 1, 4), TaskId("j", 0, 1, 7)])
+    {('j', 0, 1): {4, 7}}
+    """
+    found: dict[StepKey, set[int]] = {}
+    for task in tasks:
+        key = (task.job, task.occurrence, task.step)
+        found.setdefault(key, set()).add(task.index)
+    return found
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -14,7 +14,7 @@
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
-from almondspread.jobs.holds import StartHolds
+from almondspread.jobs.holds import StartHolds, group_by_step
 from almondspread.jobs.job_records import JobRecord
 from almondspread.jobs.job_table import Announcement, JobTable
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
@@ -346,7 +346,7 @@
             held_version,
             self._startable_version,
             self._lease_holds,
-            tasks or frozenset(),
+            group_by_step(tasks or ()),
         )
 
     def _find_possible_tasks(self) -> frozenset[TaskId] | None:
--- a/packages/almondspread/almondspread/jobs/tests/test_wait_reasons.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_wait_reasons.py
@@ -7,7 +7,7 @@
     RESTART_PATIENCE,
     CrashTracker,
 )
-from almondspread.jobs.holds import HoldCause, StartHolds
+from almondspread.jobs.holds import HoldCause, StartHolds, group_by_step
 from almondspread.jobs.losses import Loss
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.step_progress import StepProgress
@@ -55,8 +55,8 @@
     def test_held_task_and_task_without_room_of_one_step_are_told_apart(self):
         """Guards against a lack of room that hides the upstream that holds a task."""
         task = TaskId("j", 0, 0, 1)
-        holds = StartHolds(0, 9, possible_tasks=frozenset({task}))
-        unseen = UnseenUpstream("u0", 7 * SECOND, holds.possible_tasks)
+        holds = StartHolds(0, 9, possible_tasks=group_by_step([task]))
+        unseen = UnseenUpstream("u0", 7 * SECOND, frozenset({task}))
         progress = make_progress(3)
         bounds = HoldBounds((unseen,))
         held, other = explain(progress, holds, bounds)
