Drop no possible run by an answer that may not show it

Found by the review, by two failing tests: an answer that lists 500 ends may have more, and one of two answers with the same time may be the older one. A start left the possible runs by either, although its upstream ran it or held its end. A full answer settles nothing now, and a listed start is settled by a later answer only.

--- a/packages/almondspread/almondspread/jobs/possible_runs.py
+++ b/packages/almondspread/almondspread/jobs/possible_runs.py
@@ -77,14 +77,26 @@
         """Apply the newest answer, which lists what runs and what has ended."""
         listed = {RunId(each.task, each.run) for each in answer.running}
         listed.update(RunId(each.task, each.run) for each in answer.ends)
-        for run, expiry in list(self._unsettled.items()):
-            if run in listed or (expiry is not None and answer.clock > expiry):
-                del self._unsettled[run]
         if len(answer.ends) >= MAX_LISTED_ENDS:
-            listed |= self._listed
-        self._listed = listed
+            # The upstream may have more ends than it lists.
+            self._listed |= listed
+        else:
+            self._settle(listed, answer.clock)
+            self._listed = listed
         self._is_known = True
 
+    def _settle(self, listed: set[RunId], clock: timedelta) -> None:
+        """Drop the starts that an answer at the upstream's time ``clock`` settles.
+
+        A listed one is dropped by a later answer: another one of the same time may be
+        older, and not list it yet.
+        """
+        for run, expiry in list(self._unsettled.items()):
+            if expiry is not None and clock > expiry:
+                del self._unsettled[run]
+            elif run in listed:
+                self._unsettled[run] = clock
+
     def list_tasks(self) -> tuple[TaskId, ...] | None:
         """Return the tasks of all possible runs, ``None`` while they are not known."""
         if not self._is_known:
