Count the leases that members of the release before, or moved ones, may still renew

A member of the release before renews leases at full length for its grace after it has lost its leader, 10.72 s together, and was waited for 7.92 s: members tell now whether they limit their leases. And where an upstream moves for the sake of balance and its owner is cut off with it at that moment, the owner does not hear that it must stop: the next executor is told until when it may renew. What an unknown executor of an earlier leader may do is waited for 16.92 s again.

--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -71,22 +71,26 @@
     return is_expired(row, store_time - LIVE_LEADER_GRACE)
 
 
-def compute_orphaned_lease_time(lease: timedelta) -> timedelta:
+def compute_orphaned_lease_time(
+    lease: timedelta, *, is_limited: bool = True
+) -> timedelta:
     """Return how long runs may live after the leader has lost their executor.
 
     The executor may detect the broken link late. From then on it renews no lease beyond
-    one ``lease``, which runs on the upstream's clock.
+    one ``lease``, which runs on the upstream's clock. One of an earlier release, which
+    is not ``is_limited`` so, renews leases at full length for its grace.
     """
-    return LINK_FAILURE_DETECTION_TIME + lease * MAX_CLOCK_DRIFT_FACTOR + MAX_CLOCK_SKEW
+    time = LINK_FAILURE_DETECTION_TIME + lease * MAX_CLOCK_DRIFT_FACTOR + MAX_CLOCK_SKEW
+    return time if is_limited else time + EXECUTOR_GRACE
 
 
 def compute_inherited_lease_time(lease: timedelta) -> timedelta:
     """Return how long after a claim unreported runs of the earlier leader may live.
 
-    The earlier leader may continue for its grace time, and then its executors for
-    theirs.
+    The earlier leader may continue for its grace time, and then its executors, of
+    which nothing is known, for theirs.
     """
-    return LEADER_GRACE + compute_orphaned_lease_time(lease)
+    return LEADER_GRACE + compute_orphaned_lease_time(lease, is_limited=False)
 
 
 def compute_longest_lease_time(max_lease: timedelta) -> timedelta:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -180,9 +180,16 @@
         """
         self._upstream_tracker.inherit_upstream(entry, lapse, assignment)
 
-    def begin_assignment(self, name: str) -> None:
-        """Record that a known upstream is assigned to another executor, or anew."""
-        self.cell_state.begin_assignment(self.cell_state.upstreams[name])
+    def begin_assignment(
+        self, name: str, leases_until: timedelta = timedelta(0)
+    ) -> None:
+        """Record that a known upstream is assigned to another executor, or anew.
+
+        The executor before may renew its leases ``leases_until`` that time.
+        """
+        upstream = self.cell_state.upstreams[name]
+        upstream.extend_orphaned_leases(leases_until)
+        self.cell_state.begin_assignment(upstream)
 
     def find_stored_assignment(self, upstream: Upstream) -> int:
         """Return the assignment that the store has to name for the next leader."""
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -183,6 +183,10 @@
             return False
         return self.lapse_at is None and not self.is_leaving
 
+    def extend_orphaned_leases(self, until: timedelta) -> None:
+        """Record that an earlier executor may renew the leases until a time."""
+        self.orphaned_leases_until = max(self.orphaned_leases_until, until)
+
     def mark_unlisted(self, now: timedelta) -> None:
         """Record that the directory no longer lists the upstream."""
         if self.listed:
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -8,6 +8,7 @@
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.incarnations import compute_fencing_token, find_next_token
 from almondspread.jobs.job_records import JobRecord, JobState
+from almondspread.jobs.leases import compute_orphaned_lease_time
 from almondspread.jobs.messages import (
     FENCED,
     REFUSED,
@@ -127,11 +128,13 @@
         """Assign each upstream that has no executor under this leader yet."""
         for name, upstream in self.scheduler.cell_state.upstreams.items():
             if not upstream.assignment:
-                self.assign(name)
+                self.scheduler.begin_assignment(name)
+                self.memories.begin(self.scheduler.make_watch_order(name, self.now))
 
     def assign(self, name: str) -> None:
         """Assign an upstream to another executor than before."""
-        self.scheduler.begin_assignment(name)
+        until = self.now + compute_orphaned_lease_time(LEASE)
+        self.scheduler.begin_assignment(name, until)
         self.memories.begin(self.scheduler.make_watch_order(name, self.now))
 
     def _find_assignment(self, name: str) -> int:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -95,8 +95,8 @@
         """
         now = self._clock.monotonic()
         released = self.members.remove(member)
-        lease_time = compute_orphaned_lease_time(self._settings.lease)
-        self._scheduler.abandon_upstreams(released, now + lease_time, now)
+        until = now + self._compute_lease_time(member)
+        self._scheduler.abandon_upstreams(released, until, now)
         for request in member.advice_requests:
             self._report_unanswered(request)
         return released
@@ -146,9 +146,10 @@
         upstream = self._scheduler.cell_state.upstreams.get(name)
         if upstream is None:
             return
+        owner = self.members.find_owner(name)
         member = self.members.assign(name, upstream.entry.failure_domain)
         if member is not None:
-            self._begin_watch(name, member)
+            self._begin_watch(name, member, owner)
 
     def resend_watch_orders(self) -> None:
         """Have members report the runs of all upstreams again."""
@@ -193,11 +194,25 @@
             owner = owners[name]
             if owner is not None:
                 owner.send(UnwatchUpstream(name))
-            self._begin_watch(name, member)
+            self._begin_watch(name, member, owner)
 
-    def _begin_watch(self, name: str, member: Member) -> None:
-        """Begin a new assignment of an upstream to a member."""
-        self._scheduler.begin_assignment(name)
+    def _compute_lease_time(self, member: Member) -> timedelta:
+        """Return how long leases may last that a member renews which hears no more."""
+        return compute_orphaned_lease_time(
+            self._settings.lease, is_limited=member.limits_leases
+        )
+
+    def _begin_watch(
+        self, name: str, member: Member, owner: Member | None = None
+    ) -> None:
+        """Begin a new assignment of an upstream to a member.
+
+        An ``owner`` that has just become unreachable does not hear that it must stop.
+        """
+        leases_until = timedelta(0)
+        if owner is not None and not owner.leads:
+            leases_until = self._clock.monotonic() + self._compute_lease_time(owner)
+        self._scheduler.begin_assignment(name, leases_until)
         self._watch(name, member)
 
     def _watch(self, name: str, member: Member) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -154,6 +154,7 @@
                 self._settings.strength,
                 (self._clock.monotonic() - self._started).total_seconds(),
                 self._settings.peer_address,
+                limits_leases=True,
             )
         )
         return link
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
@@ -79,5 +79,6 @@
             self._clock.monotonic() - timedelta(seconds=hello.age),
             address=hello.address,
             incarnation=hello.incarnation,
+            limits_leases=hello.limits_leases,
         )
         await session.serve_member(member, link)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -41,7 +41,8 @@
 
     ``strength`` is the machine's suitability to lead, from 0 to 1. ``age`` is the
     uptime of the sender's process in seconds. Other instances reach it at ``address``,
-    which is empty from instances of an earlier release.
+    which is empty from instances of an earlier release. Its executor ``limits_leases``
+    once it has lost its leader; one of an earlier release does not.
     """
 
     instance: str
@@ -51,6 +52,7 @@
     strength: float
     age: float
     address: str = ""
+    limits_leases: bool = False
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -25,8 +25,9 @@
     ``advice_requests`` are its pending requests to the advice service, which it makes
     one after another. ``wall_offset`` is how far its time of day is ahead of the
     leader's monotonic time. Instances reach it at ``address``, which is empty where it
-    is not known. The instance that ``leads`` gets no upstreams of a domain with
-    others, so that the loss of a leader is not also that of an executor.
+    is not known. The instance that ``leads`` is given upstreams only where there is no
+    other, so that its loss is not also that of an executor. A member that
+    ``limits_leases`` renews none beyond one lease after it has lost its leader.
     """
 
     instance: str
@@ -43,6 +44,7 @@
     address: str = ""
     leads: bool = False
     incarnation: str = ""
+    limits_leases: bool = True
 
     def is_same_process(self, other: "Member") -> bool:
         """Return whether both are one process; its ``incarnation`` may be unknown."""
