--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -52,8 +52,8 @@
     """A step with waiting tasks, its place in the order, and where it may run.
 
     A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits. The tasks ``held`` may not start yet. Reservations of
-    ``unreserved`` upstreams do not hold for the step.
+    the step needs no permits. Reservations of ``unreserved`` upstreams do not hold for
+    the step. The tasks ``held`` may not start yet.
     """
 
     rank: StepRank
@@ -61,8 +61,8 @@
     service: ServiceUpstreams
     ends_at: timedelta
     advice: AdviceTiming | None
-    held: frozenset[int] = frozenset()
     unreserved: Collection[str] = ()
+    held: frozenset[int] = frozenset()
 
 
 @define(eq=False)
