Model an executor that goes back to an earlier leader (not finished)

An executor may follow a superseded leader again. Two protections keep it from starting what that one orders: it starts nothing under an assignment that it has told, and starts under an assignment only what its leader orders. An assignment of an upstream with an end that is not acknowledged begins unknown now, as in the code. There is no test module yet.

--- a/packages/almondspread/almondspread/testing/takeover_protocol.py
+++ b/packages/almondspread/almondspread/testing/takeover_protocol.py
@@ -16,7 +16,6 @@
 from almondspread.testing.takeover_state import (
     EXECUTORS,
     MAX_EPOCH,
-    MAX_STARTS,
     NO_LINK,
     NOBODY,
     NUMBERS_PER_EPOCH,
@@ -43,8 +42,10 @@
         self,
         removed: frozenset[TakeoverProtection] = frozenset(),
         max_epoch: int = MAX_EPOCH,
+        first_starts: int = 1,
     ) -> None:
         self._removed = removed
+        self._first_starts = first_starts
         self._max_epoch = max_epoch
 
     def _has(self, protection: TakeoverProtection) -> bool:
@@ -60,6 +61,7 @@
             yield self._claim(world)
         for index in EXECUTORS:
             yield from self._list_joins(world, index)
+            yield from self._list_returns(world, index)
             yield from self._list_executor_steps(world, index)
         for leader in world.leaders:
             if leader is None:
@@ -79,7 +81,8 @@
         links = {each.link for each in world.executors}
         leaders = tuple(
             leader
-            if leader is not None and leader.epoch in links | {world.epoch}
+            if leader is not None
+            and (leader.epoch in links | {world.epoch} or world.returns_left)
             else None
             for leader in world.leaders
         )
@@ -140,7 +143,7 @@
         """Have an executor leave its link, and tell another leader its records."""
         executor = world.executors[index]
         late: tuple[Order, ...] = ()
-        if not self._has(TakeoverProtection.LEAVE_BEFORE_TELLING):
+        if not self._has(TakeoverProtection.NOTHING_AFTER_TELLING):
             late = (*executor.late_orders, *executor.orders)
         told = [*sorted(executor.ended, key=lambda each: each.assignment)]
         told.extend(each for each in executor.agents if each is not None)
@@ -148,7 +151,13 @@
         for record in told:
             if record.is_known and self._counts(leader, record):
                 possible = replace_item(possible, record.upstream, record.is_possible)
-        joined = evolve(executor, link=leader.epoch, orders=(), late_orders=late)
+        joined = evolve(
+            executor,
+            link=leader.epoch,
+            told=leader.epoch,
+            orders=(),
+            late_orders=late,
+        )
         world = _set_executor(world, index, joined)
         return _set_leader(world, evolve(leader, possible=possible))
 
@@ -214,12 +223,13 @@
         is_unseen = bool(leader.inherited[upstream])
         if is_unseen and self._has(TakeoverProtection.KNOW_ONLY_SEEN):
             return Record(upstream, number)
+        has_end = leader.ended_on == upstream
+        if has_end and self._has(TakeoverProtection.UNKNOWN_WITH_ENDS):
+            return Record(upstream, number)
         is_bound = bool(leader.run) and leader.place == upstream
         is_listed = False
         if self._has(TakeoverProtection.PASS_ON_CONFIRMED):
             is_listed = is_bound and leader.is_confirmed
-        if self._has(TakeoverProtection.PASS_ON_ENDS):
-            is_listed = is_listed or leader.ended_on == upstream
         unsettled: frozenset[tuple[int, Doubt]] = frozenset()
         if self._has(TakeoverProtection.PASS_ON_UNCONFIRMED):
             if is_bound and not leader.is_confirmed:
@@ -273,7 +283,8 @@
 
     def _may_start(self, leader: TakeoverLeader, upstream: int) -> bool:
         """Return whether a leader may start the task on an upstream."""
-        if leader.is_done or leader.run or leader.starts >= MAX_STARTS[leader.epoch]:
+        max_starts = self._first_starts if leader.epoch == 1 else 1
+        if leader.is_done or leader.run or leader.starts >= max_starts:
             return False
         if self._has(TakeoverProtection.STORE_BEFORE_STARTS):
             if not leader.recorded[upstream] and leader.epoch < self._max_epoch:
@@ -343,6 +354,22 @@
 
     # Steps of the executors
 
+    def _list_returns(self, world: TakeoverWorld, index: int) -> Iterator[WorldStep]:
+        """Yield the steps in which an executor goes back to an earlier leader.
+
+        That leader takes it for the holder of the assignments that it had.
+        """
+        executor = world.executors[index]
+        if not world.returns_left or executor.link == NO_LINK:
+            return
+        for leader in world.leaders:
+            if leader is None or leader.epoch >= executor.link:
+                continue
+            returned = evolve(executor, link=leader.epoch, orders=())
+            name = f"executor {index} goes back to leader {leader.epoch}"
+            rest = evolve(world, returns_left=world.returns_left - 1)
+            yield Step(name, _set_executor(rest, index, returned))
+
     def _list_executor_steps(
         self, world: TakeoverWorld, index: int
     ) -> Iterator[WorldStep]:
@@ -369,7 +396,7 @@
         name = f"the order for run {run} arrives at executor {index}"
         world = _set_executor(world, index, rest)
         agent = rest.agents[upstream]
-        if agent is None:
+        if agent is None or not self._carries_out(rest, agent, run):
             return Step(name, world)
         is_last = agent.epoch == self._max_epoch
         if self._has(TakeoverProtection.COUNT_FROM_ARRIVAL) and not is_last:
@@ -378,6 +405,15 @@
         call = StartCall(upstream, agent.epoch, run)
         return Step(name, evolve(world, calls=world.calls | {call}))
 
+    def _carries_out(self, executor: ExecutorModel, agent: Record, run: int) -> bool:
+        """Return whether an executor carries out a start under an assignment."""
+        if self._has(TakeoverProtection.NOTHING_AFTER_TELLING):
+            if agent.epoch < executor.told:
+                return False
+        if self._has(TakeoverProtection.OWN_LEADER_ONLY):
+            return run // NUMBERS_PER_EPOCH == agent.epoch
+        return True
+
     def _list_observations(
         self, world: TakeoverWorld, index: int, record: Record
     ) -> Iterator[WorldStep]:
--- a/packages/almondspread/almondspread/testing/takeover_state.py
+++ b/packages/almondspread/almondspread/testing/takeover_state.py
@@ -6,8 +6,6 @@
 from attrs import define
 
 MAX_EPOCH = 3
-# How often each epoch may start the task.
-MAX_STARTS = {1: 2, 2: 1, 3: 1}
 # Numbers of runs and assignments of one epoch must stay below those of the next.
 NUMBERS_PER_EPOCH = 10
 T = TypeVar("T")
@@ -29,11 +27,12 @@
     KNOW_ONLY_SEEN = "the leader tells no runs of an upstream that it has not seen"
     PASS_ON_UNCONFIRMED = "a reassignment passes on the unconfirmed runs"
     PASS_ON_CONFIRMED = "a reassignment passes on the confirmed runs"
-    PASS_ON_ENDS = "a reassignment passes on the ends that are not acknowledged"
+    UNKNOWN_WITH_ENDS = "with an end that is not acknowledged no record begins known"
     COUNT_FROM_ARRIVAL = "a start counts as possible from the arrival of its order"
     COUNT_UNTIL_EXPIRY = "a start that no answer lists counts until its expiry"
     COUNT_ENDS = "an end that is not acknowledged counts as possible"
-    LEAVE_BEFORE_TELLING = "an executor leaves the old link before it tells its record"
+    NOTHING_AFTER_TELLING = "an executor starts nothing under an assignment it has told"
+    OWN_LEADER_ONLY = "an executor starts only what the leader of the assignment orders"
     WAIT_WITHOUT_RECORD = "without a record of an unseen upstream the task waits"
 
 
@@ -83,11 +82,13 @@
     """An executor, the epoch of the leader that it follows, and orders under way to it.
 
     ``orders`` arrive in their order. ``agents`` has the present assignment of each
-    upstream, and ``ended`` those that have ended. ``late_orders`` are under way on a
-    link that it ought to have left.
+    upstream, and ``ended`` those that have ended. ``told`` is the newest epoch whose
+    leader it has told its records. ``late_orders`` are under way on a link that it has
+    left, and count only where nothing keeps it from carrying them out.
     """
 
     link: int = 1
+    told: int = 1
     agents: tuple[Record | None, Record | None] = (None, None)
     ended: frozenset[Record] = frozenset()
     orders: tuple[Order, ...] = ()
@@ -163,8 +164,9 @@
     calls: frozenset[StartCall] = frozenset()
     stored_done: bool = False
     is_done: bool = False
-    moves_left: int = 1
-    losses_left: int = 1
+    moves_left: int = 0
+    losses_left: int = 0
+    returns_left: int = 0
     violation: str = ""
 
     @property
@@ -173,7 +175,9 @@
         return len(self.leaders)
 
 
-def make_world(owners: tuple[int, int]) -> TakeoverWorld:
+def make_world(
+    owners: tuple[int, int], moves: int = 0, losses: int = 0, returns: int = 0
+) -> TakeoverWorld:
     """Return a state in which one leader works, and nothing has been started.
 
     Both upstreams are assigned to the ``owners``, stored so, and have reported.
@@ -191,7 +195,14 @@
         record = Record(upstream, assignments[upstream], is_known=True)
         agents = replace_item(executors[owner].agents, upstream, record)
         executors[owner] = ExecutorModel(agents=agents)
-    return TakeoverWorld(assignments, (leader,), (executors[0], executors[1]))
+    return TakeoverWorld(
+        assignments,
+        (leader,),
+        (executors[0], executors[1]),
+        moves_left=moves,
+        losses_left=losses,
+        returns_left=returns,
+    )
 
 
 def replace_item(items: tuple[T, T], index: int, item: T) -> tuple[T, T]:
