Tell what the search of takeovers has covered

Three protections were not shown to be needed, two of them since three leaders make the worlds too large.

--- a/packages/almondspread/almondspread/testing/takeover_state.py
+++ b/packages/almondspread/almondspread/testing/takeover_state.py
@@ -16,7 +16,12 @@
 
 
 class TakeoverProtection(StrEnum):
-    """What keeps a task from running twice; a search may go without some of them."""
+    """What keeps a task from running twice; a search may go without some of them.
+
+    The tests search without those that one takeover needs, and ``OWN_LEADER_ONLY``. The
+    worlds of the others are too large for them; docs/design/takeover.md tells what
+    was searched.
+    """
 
     FENCING = "an upstream refuses lower tokens"
     CONDITIONAL_COMMIT = "no commit succeeds after the claim of a later leader"
