--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -189,7 +189,9 @@
             self.cell_state.remove_run(progress, run)
         if end.outcome in (DONE, FAILED):
             self.job_table.changed.add(end.task.job)
-            self._record_upstream_outcome(end, upstream, now)
+            has_worked = run is not None and run.available
+            if not (end.outcome == FAILED and has_worked):
+                self._record_upstream_outcome(end, upstream, now)
         if end.outcome == FAILED:
             progress.avoided_upstreams.setdefault(end.task.index, set()).add(upstream)
         if end.outcome == DONE:
