Wait for the leases of an executor only as long as its process may have run

Cause: the store named the number of the assignment, and not whose it is. It names the instance and its process now, and until when executors before that one may have renewed. A new executor of an upstream that has not answered under this leader renews nothing, so that its own estimate does not prolong the wait any more.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -6,7 +6,7 @@
 
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.incarnations import Incarnations, compute_fencing_token
-from almondspread.jobs.messages import RunSighting, UpstreamEntry
+from almondspread.jobs.messages import Assignment, RunSighting, UpstreamEntry
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
@@ -36,13 +36,18 @@
         self._last_number += 1
         return self.epoch * RUNS_PER_EPOCH + self._last_number
 
-    def begin_assignment(self, upstream: Upstream) -> None:
+    def begin_assignment(self, upstream: Upstream, instance: str, process: str) -> None:
         """Number a new assignment of an upstream to an executor.
 
         The upstream gets no runs before the store names the assignment.
         """
         self._last_assignment += 1
-        upstream.assignment = self.epoch * RUNS_PER_EPOCH + self._last_assignment
+        upstream.assignment = Assignment(
+            self.epoch * RUNS_PER_EPOCH + self._last_assignment,
+            instance,
+            process,
+            upstream.orphaned_leases_until,
+        )
         upstream.recorded = False
 
     def add_run(
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -87,6 +87,24 @@
     run: int
 
 
+@define(frozen=True)
+class Assignment:
+    """One upstream given to one executor, as the store keeps it.
+
+    The ``number`` is higher than those of all earlier assignments, 0 for none. The
+    executor is the ``process`` of an ``instance``. Executors before it may have renewed
+    leases ``until`` a time.
+    """
+
+    number: int = 0
+    instance: str = ""
+    process: str = ""
+    until: timedelta = timedelta(0)
+
+
+NO_ASSIGNMENT = Assignment()
+
+
 @define(frozen=True)
 class WatchUpstream:
     """Orders an executor to renew the leases of an upstream and to report its runs.
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -20,7 +20,9 @@
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
 from almondspread.jobs.loads import Load, count_held_tasks, measure_load
 from almondspread.jobs.messages import (
+    NO_ASSIGNMENT,
     AskPermits,
+    Assignment,
     EpochFenced,
     ExecutorReport,
     PermitsAnswered,
@@ -171,27 +173,40 @@
         return self._upstream_tracker.update_upstreams(entries, now, read_at or now)
 
     def inherit_upstream(
-        self, entry: UpstreamEntry, lapse: timedelta, assignment: int = 0
+        self,
+        entry: UpstreamEntry,
+        lapse: timedelta,
+        assignment: Assignment = NO_ASSIGNMENT,
     ) -> None:
         """Add an upstream on which an earlier leader may have started runs.
 
         If the upstream does not report, its leases count as expired at ``lapse``. The
-        store names its last ``assignment`` to an executor, 0 if it names none.
+        store names its last ``assignment`` to an executor.
         """
         self._upstream_tracker.inherit_upstream(entry, lapse, assignment)
 
     def begin_assignment(
-        self, name: str, leases_until: timedelta = timedelta(0)
+        self,
+        name: str,
+        instance: str = "",
+        process: str = "",
+        leases_until: timedelta = timedelta(0),
     ) -> None:
-        """Record that a known upstream is assigned to another executor, or anew.
+        """Record that a known upstream is assigned to a process of an instance.
 
         The executor before may renew its leases ``leases_until`` that time.
         """
         upstream = self.cell_state.upstreams[name]
         upstream.extend_orphaned_leases(leases_until)
-        self.cell_state.begin_assignment(upstream)
+        self.cell_state.begin_assignment(upstream, instance, process)
+
+    def record_process(
+        self, instance: str, process: str, lease: timedelta, now: timedelta
+    ) -> None:
+        """Record which process of an instance runs now; each renews one ``lease``."""
+        self._upstream_tracker.record_process(instance, process, lease, now)
 
-    def find_stored_assignment(self, upstream: Upstream) -> int:
+    def find_stored_assignment(self, upstream: Upstream) -> Assignment:
         """Return the assignment that the store has to name for the next leader."""
         return self._upstream_tracker.find_stored_assignment(upstream)
 
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover_holds.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover_holds.py
@@ -86,7 +86,7 @@
         """Its successor may have sent starts that it does not know of."""
         self.add_upstreams(2)
         self.cell.run_for(SECOND)
-        first = self.cell.stored_assignments["u0"]
+        first = self.cell.stored_assignments["u0"].number
         self.cell.assign("u0")
         self.cell.step()
         self.submit_lasting("j", 9)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -17,6 +17,7 @@
 from almondspread.jobs.messages import (
     LOST,
     AcknowledgeEnds,
+    Assignment,
     RunEnd,
     RunId,
     RunSighting,
@@ -88,13 +89,13 @@
         return added
 
     def inherit_upstream(
-        self, entry: UpstreamEntry, lapse: timedelta, assignment: int
+        self, entry: UpstreamEntry, lapse: timedelta, assignment: Assignment
     ) -> None:
         """Add an upstream on which an earlier leader may have started runs.
 
         Unless the upstream reports, its leases expire at ``lapse``. All starts that it
-        may have got since it last reported went through the executor of ``assignment``;
-        0 stands for an unknown one.
+        may have got since it last reported went through the executor of ``assignment``,
+        and nobody else has renewed its leases.
         """
         upstream = Upstream(entry, listed=False)
         upstream.orphaned_leases_until = lapse
@@ -136,9 +137,28 @@
         upstream = self.cell_state.upstreams.get(name)
         if upstream is None or name not in self.unseen:
             return None
-        return self._remembered.get(upstream.inherited_assignment)
+        return self._remembered.get(upstream.inherited_assignment.number)
 
-    def find_stored_assignment(self, upstream: Upstream) -> int:
+    def record_process(
+        self, instance: str, process: str, lease: timedelta, now: timedelta
+    ) -> None:
+        """Record which process of an instance runs now.
+
+        An earlier one has ended, so that it renews no lease any more. The last
+        ``lease`` that it renewed for an unseen upstream is over soon.
+        """
+        expiry = now + compute_longest_lease_time(lease)
+        for name in self.unseen:
+            upstream = self.cell_state.upstreams[name]
+            executor = upstream.inherited_assignment
+            if not executor.process or upstream.heard_at:
+                continue
+            if executor.instance == instance and executor.process != process:
+                upstream.orphaned_leases_until = min(
+                    upstream.orphaned_leases_until, max(expiry, executor.until)
+                )
+
+    def find_stored_assignment(self, upstream: Upstream) -> Assignment:
         """Return the assignment that the store has to name for the next leader.
 
         As long as an unseen upstream has not answered, nothing has been started or
@@ -271,7 +291,7 @@
             runs = self.cell_state.list_runs(upstream.name)
             self.crashes.record_silence(upstream, runs, now)
         upstream.lapse_at = upstream.orphaned_leases_until
-        if self._find_remembered(upstream.name) is None:
+        if upstream.name not in self.unseen or upstream.heard_at:
             upstream.lapse_at = max(now + silence.lapse_in, upstream.lapse_at)
 
     def handle_restart(self, restart: UpstreamRestarted, now: timedelta) -> None:
@@ -368,7 +388,7 @@
             upstream.entry.address,
             self.cell_state.epoch,
             self.cell_state.find_fencing_token(upstream),
-            upstream.assignment,
+            upstream.assignment.number,
             self._knows_runs(upstream),
             tuple(confirmed),
             tuple(unconfirmed),
@@ -426,7 +446,7 @@
         """
         for name, upstream in self.cell_state.upstreams.items():
             was_recorded = upstream.recorded
-            upstream.recorded = assignments.get(name) == upstream.assignment
+            upstream.recorded = assignments.get(name) == upstream.assignment.number
             if upstream.recorded and not was_recorded:
                 self.control.orders.append(self.make_watch_order(upstream, now))
 
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from almondspread.jobs.messages import UpstreamEntry
+from almondspread.jobs.messages import NO_ASSIGNMENT, Assignment, UpstreamEntry
 from almondspread.jobs.submissions import TaskId
 from almondspread.resources.capacity import Capacity
 
@@ -50,9 +50,8 @@
     While it is ``trying`` runs that may crash it, the first of them since
     ``trying_since``, only tasks of which it is the last resort are started there.
 
-    ``assignment`` is the number of the newest assignment to an executor, and
-    ``inherited_assignment`` the one that the store named when an earlier leader ended,
-    0 where there is none.
+    ``assignment`` is the newest one to an executor, and ``inherited_assignment`` the
+    one that the store named when an earlier leader ended.
 
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
@@ -61,8 +60,8 @@
 
     entry: UpstreamEntry
     generation: int = 0
-    assignment: int = 0
-    inherited_assignment: int = 0
+    assignment: Assignment = NO_ASSIGNMENT
+    inherited_assignment: Assignment = NO_ASSIGNMENT
     entry_changed_at: timedelta = timedelta(0)
     last_observed_at: timedelta | None = None
     heard_at: timedelta = timedelta(0)
@@ -247,7 +246,7 @@
             or len(failing_jobs) < MIN_FAILING_JOBS_TO_SUSPEND
         ):
             return False
-        if 2 * failures <= len(self._outcomes):
+        if 2 * failures <= len(self._outcomes) or now < self.suspended_until:
             return False
         self.suspend(now)
         return True
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -11,11 +11,13 @@
 from almondspread.jobs.leases import compute_orphaned_lease_time
 from almondspread.jobs.messages import (
     FENCED,
+    NO_ASSIGNMENT,
     REFUSED,
     STARTED,
     UNKNOWN,
     AcknowledgeEnds,
     AskPermits,
+    Assignment,
     EpochFenced,
     PermitsAnswered,
     StartRun,
@@ -93,7 +95,7 @@
     versions: dict[str, int] = field(factory=dict)
     started_version: int = 0
     memories: ExecutorMemories = field(factory=ExecutorMemories)
-    stored_assignments: dict[str, int] = field(factory=dict)
+    stored_assignments: dict[str, Assignment] = field(factory=dict)
     _acknowledged: dict[str, int] = field(factory=dict)
     _forwarded: dict[str, int] = field(factory=dict)
     _query_counts: dict[str, int] = field(factory=dict)
@@ -127,20 +129,20 @@
     def _assign_upstreams(self) -> None:
         """Assign each upstream that has no executor under this leader yet."""
         for name, upstream in self.scheduler.cell_state.upstreams.items():
-            if not upstream.assignment:
+            if not upstream.assignment.number:
                 self.scheduler.begin_assignment(name)
                 self.memories.begin(self.scheduler.make_watch_order(name, self.now))
 
     def assign(self, name: str) -> None:
         """Assign an upstream to another executor than before."""
         until = self.now + compute_orphaned_lease_time(LEASE)
-        self.scheduler.begin_assignment(name, until)
+        self.scheduler.begin_assignment(name, leases_until=until)
         self.memories.begin(self.scheduler.make_watch_order(name, self.now))
 
     def _find_assignment(self, name: str) -> int:
         """Return the present assignment of an upstream, 0 for an unknown one."""
         upstream = self.scheduler.cell_state.upstreams.get(name)
-        return upstream.assignment if upstream is not None else 0
+        return upstream.assignment.number if upstream is not None else 0
 
     def find_running(self, name: str) -> FakeUpstream | None:
         """Return the upstream that answers calls for a name, of any incarnation."""
@@ -274,7 +276,7 @@
         for each in watched:
             stored[each.name] = self.scheduler.find_stored_assignment(each)
             if each.lapse_at is None:
-                assignments[each.name] = stored[each.name]
+                assignments[each.name] = stored[each.name].number
         self.stored_assignments = stored
         self.scheduler.update_recorded(assignments, self.now)
         self.scheduler.changes.confirm(changes)
@@ -419,7 +421,9 @@
         assignments = {}
         watched = self.scheduler.list_watched()
         for upstream in watched:
-            assignments[upstream.name] = self.stored_assignments.get(upstream.name, 0)
+            assignments[upstream.name] = self.stored_assignments.get(
+                upstream.name, NO_ASSIGNMENT
+            )
         self.scheduler = Scheduler(
             self.scheduler.epoch + 1, self.configuration, self.started_version
         )
@@ -433,7 +437,7 @@
                 upstream.entry, self.now + lapse_in, assignments[upstream.name]
             )
         for name in lost_executors:
-            self.memories.forget(assignments.get(name, 0))
+            self.memories.forget(assignments.get(name, NO_ASSIGNMENT).number)
         for message in self.memories.describe_all(lapse_in):
             self.scheduler.handle_report(message, self.now)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -64,6 +64,13 @@
             held=len(held),
         )
         self.members.add(member)
+        if member.incarnation:
+            self._scheduler.record_process(
+                member.instance,
+                member.incarnation,
+                self._settings.lease,
+                self._clock.monotonic(),
+            )
         for name in held:
             self.members.reassign(name, member)
             if keeps_assignments:
@@ -212,7 +219,9 @@
         leases_until = timedelta(0)
         if owner is not None and not owner.leads:
             leases_until = self._clock.monotonic() + self._compute_lease_time(owner)
-        self._scheduler.begin_assignment(name, leases_until)
+        self._scheduler.begin_assignment(
+            name, member.instance, member.incarnation, leases_until
+        )
         self._watch(name, member)
 
     def _watch(self, name: str, member: Member) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -25,6 +25,7 @@
 )
 from almondspread.jobs.scheduler import Scheduler
 from almondspread.jobs.store_limits import StoreLimits
+from almondspread.jobs.upstreams import Upstream
 from almondspread_daemon.jobs.commit_draft import CommitDraft
 from almondspread_daemon.jobs.commit_pace import CommitPace
 from almondspread_daemon.jobs.progress_rows import encode_progress
@@ -330,6 +331,15 @@
         self._version = version
         return False
 
+    def _describe_assignment(self, upstream: Upstream) -> tuple[int, str, str, int]:
+        """Return what the row of an upstream tells of its assignment."""
+        assignment = self._scheduler.find_stored_assignment(upstream)
+        until = 0
+        if assignment.until:
+            stored = self._store_clock.from_local(assignment.until)
+            until = math.ceil(stored.total_seconds())
+        return assignment.number, assignment.instance, assignment.process, until
+
     def _list_watched(self) -> tuple[WatchedUpstream, ...]:
         """Return, sorted by name, the upstreams the next leader must ask for runs."""
         watched = []
@@ -348,7 +358,7 @@
                     math.ceil(lapse),
                     entry.identity,
                     to_unix_ms(entry.started_at) if entry.started_at else 0,
-                    self._scheduler.find_stored_assignment(upstream),
+                    *self._describe_assignment(upstream),
                 )
             )
         return tuple(sorted(watched, key=lambda upstream: upstream.name))
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -349,6 +349,7 @@
             self._clock.monotonic(),
             address=self.settings.peer_address,
             leads=True,
+            incarnation=self._incarnation,
         )
 
         def report(message: ExecutorReport) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -7,6 +7,7 @@
 from almondspread.clock import Clock
 from almondspread.jobs.job_records import TERMINAL_STATES, JobRecord
 from almondspread.jobs.leases import compute_inherited_lease_time
+from almondspread.jobs.messages import Assignment
 from almondspread.jobs.ports import HistoryGone, StoredRow
 from almondspread.jobs.scheduler import Scheduler
 from almondspread_daemon.jobs.commits import Committer
@@ -16,6 +17,7 @@
     SUBMISSIONS_TABLE,
     CancelRow,
     SubmissionRow,
+    WatchedUpstream,
     decode_row,
     decode_submission,
     make_watched_entry,
@@ -126,9 +128,20 @@
                     lease_expiry, self._store_clock.to_local(stored_expiry)
                 )
             self._scheduler.inherit_upstream(
-                make_watched_entry(upstream), lease_expiry, upstream.assignment
+                make_watched_entry(upstream),
+                lease_expiry,
+                self._make_assignment(upstream),
             )
 
+    def _make_assignment(self, upstream: WatchedUpstream) -> Assignment:
+        """Return the assignment that a row names, with its time on the local clock."""
+        until = timedelta(0)
+        if upstream.until:
+            until = self._store_clock.to_local(timedelta(seconds=upstream.until))
+        return Assignment(
+            upstream.assignment, upstream.instance, upstream.process, until
+        )
+
     async def load_missing_partitions(self) -> None:
         """Retry reading the partitions missing at the takeover until all are read."""
         while self._missing_partitions:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -124,8 +124,9 @@
     If the upstream did not answer, ``lapse`` is the time by which all its leases have
     expired, in seconds of the store's clock; otherwise it is 0. ``identity`` and
     ``started_ms`` tell the incarnation; the latter is in milliseconds since 1970, and 0
-    if it is not known. Starts have gone through the executor of ``assignment``; an
-    earlier release stored none.
+    if it is not known. Starts have gone through the executor of ``assignment``, the
+    ``process`` of an ``instance``; an earlier release stored none. Executors before it
+    may have renewed leases ``until`` a time of the store's clock, in seconds.
     """
 
     name: str
@@ -136,6 +137,9 @@
     identity: str = ""
     started_ms: int = 0
     assignment: int = 0
+    instance: str = ""
+    process: str = ""
+    until: float = 0.0
 
 
 @define(frozen=True)
