Test what an executor may forget and renew, one protection at a time

Each of them now has a test: stale answers, stops without an answer, the time in which a stop settles, fenced starts, the wait while renewals are forbidden, the earliest limit, an expiry that never shrinks and counts a full lease at first, renewals for the leader that is told, the memory of closed agents, repeated orders that forbid renewals, and orders under another number, token or epoch.

--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
@@ -0,0 +1,43 @@
+"""Guards against leases that outlast the expiry that the leader is told."""
+
+import unittest
+from datetime import timedelta
+
+from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
+from almondspread_daemon.jobs.tests.support import SECOND
+
+LEASE = 6 * SECOND
+NOW = 100 * SECOND
+
+
+class LeaseRenewalTest(unittest.TestCase):
+    def test_later_limit_does_not_replace_an_earlier_one(self):
+        """A leader that is lost must not prolong what its successor was told."""
+        for limits in ((NOW + SECOND, NOW + LEASE), (NOW + LEASE, NOW + SECOND)):
+            with self.subTest(limits=limits):
+                leases = LeaseRenewal(LEASE, NOW)
+                for limit in limits:
+                    leases.set_limit(limit)
+                self.assertEqual(leases.choose_lease(NOW), SECOND)
+                self.assertIsNone(leases.choose_lease(NOW + SECOND))
+
+    def test_short_renewal_does_not_bring_the_expiry_forward(self):
+        """The upstream keeps the longer of both leases if calls overtake each other."""
+        leases = LeaseRenewal(LEASE, NOW)
+        leases.record_renewal(NOW)
+        expiry = leases.expiry
+        leases.set_limit(NOW + SECOND)
+        leases.record_renewal(NOW + SECOND / 2)
+        self.assertEqual(leases.expiry, expiry)
+
+    def test_expiry_counts_a_lease_that_an_earlier_agent_has_just_renewed(self):
+        earlier = LeaseRenewal(LEASE, NOW - LEASE)
+        earlier.record_renewal(NOW)
+        for left in (timedelta(0), SECOND):
+            with self.subTest(left=left):
+                leases = LeaseRenewal(LEASE, NOW, left)
+                self.assertGreaterEqual(leases.expiry, earlier.expiry)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_reassigned_memory.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_reassigned_memory.py
@@ -7,24 +7,17 @@
 from almondspread.jobs.messages import StartRun, WatchUpstream
 from almondspread.jobs.tests.cells import CellTest
 from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
-from almondspread_daemon.jobs.tests import test_remembered_runs
-from almondspread_daemon.jobs.tests.support import SECOND
-from almondspread_daemon.jobs.tests.test_agents import ADDRESS, TASK
-from almondspread_daemon.jobs.tests.test_remembered_runs import (
+from almondspread_daemon.jobs.tests.executor_case import (
     ASSIGNMENT,
     LEASE,
+    ExecutorTestCase,
     make_watch,
 )
+from almondspread_daemon.jobs.tests.support import SECOND
+from almondspread_daemon.jobs.tests.test_agents import ADDRESS, TASK
 
 
-class ReassignedMemoryTest(unittest.IsolatedAsyncioTestCase):
-    asyncSetUp = test_remembered_runs.RememberedRunsTest.asyncSetUp
-    asyncTearDown = test_remembered_runs.RememberedRunsTest.asyncTearDown
-    order = test_remembered_runs.RememberedRunsTest.order
-    answer = test_remembered_runs.RememberedRunsTest.answer
-    ask = test_remembered_runs.RememberedRunsTest.ask
-    list_tasks = test_remembered_runs.RememberedRunsTest.list_tasks
-
+class ReassignedMemoryTest(ExecutorTestCase):
     async def test_starts_through_a_second_agent_of_an_assignment_count(self):
         """An upstream that starts again keeps its assignment, under a new token."""
         await self.order(make_watch())
