--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -45,6 +45,24 @@
         self.store_clock.observe(self.store.store_time)
 
 
+class FakeLink:
+    """A link that keeps what is sent, and on which some messages arrive."""
+
+    def __init__(self, *messages):
+        self.messages = messages
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    async def receive_messages(self):
+        for message in self.messages:
+            yield message
+
+    def close(self):
+        pass
+
+
 def record_refusals(access):
     """Return a list to which the access adds why it was refused a call for good."""
     refusals = []
