Let fake executors renew only where they may, and tell the leases that they renewed

The executors of a fake cell renewed leases whatever their watch orders said, and told a new leader one time for all, so that no random example could find errors of leases. Each now keeps the leases of its assignment as the product does, with the same class, which moves to the core beside the possible runs. It renews from the order on that allows it, no longer after a takeover, and tells the expiry that it knows, also of an upstream that is silent.

--- a/packages/almondspread/almondspread/jobs/tests/test_remembered_leases.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_remembered_leases.py
@@ -51,7 +51,8 @@
 
     def test_leases_of_starts_after_the_takeover_are_not_those_that_were_told(self):
         """The upstream has reported since, and has got starts of this leader."""
-        self.cell.take_over(lapse_in=SECOND)
+        self.cell.take_over()
+        self.tell(self.assignment, SECOND)
         self.cell.run_for(SECOND)
         self.submit_long()
         self.assertTrue(self.cell.upstreams["u0"].runs)
@@ -60,7 +61,8 @@
 
     def test_message_after_the_report_does_not_shorten_the_leases(self):
         """The leases of a lost executor would count as expired too early."""
-        self.cell.take_over(lapse_in=SECOND)
+        self.cell.take_over()
+        self.tell(self.assignment, SECOND)
         self.cell.run_for(SECOND)
         until = self.cell.now + 8 * SECOND
         self.cell.scheduler.abandon_upstreams({"u0"}, until, self.cell.now)
@@ -92,7 +94,8 @@
     def test_silence_does_not_prolong_leases_that_the_executor_told(self):
         """Else each takeover would begin a new wait for the same upstream."""
         self.cell.silent.add("u0")
-        self.cell.take_over(lapse_in=3 * SECOND)
+        self.cell.take_over()
+        self.tell(self.assignment, 3 * SECOND)
         expected = self.cell.now + 3 * SECOND
         self.cell.now += SECOND
         self.report_silence(6 * SECOND)
--- a/packages/almondspread/almondspread/testing/executor_memories.py
+++ b/packages/almondspread/almondspread/testing/executor_memories.py
@@ -1,10 +1,11 @@
-"""What the executors of a fake cell remember, by the number of the assignment."""
+"""What the executors of a fake cell know, by the number of the assignment."""
 
 from collections.abc import Iterator
 from datetime import timedelta
 
 from attrs import define, field
 
+from almondspread.jobs.lease_renewal import LeaseRenewal
 from almondspread.jobs.messages import (
     RunId,
     RunsRemembered,
@@ -15,30 +16,57 @@
 from almondspread.jobs.ports import RenewAnswer
 from almondspread.jobs.possible_runs import PossibleRuns
 
+LEASE = timedelta(seconds=6)
+
 
 @define(eq=False)
 class ExecutorMemories:
     """The possible runs of each assignment whose executor has not been lost.
 
-    A start that is delivered late does not expire here, so that it counts as possible
-    until an answer shows it or a stop of it was answered.
+    ``leases`` has how far each executor has renewed leases, and may renew them. A start
+    that is delivered late does not expire here, so that it counts as possible until an
+    answer shows it or a stop of it was answered.
     """
 
     runs: dict[int, PossibleRuns] = field(factory=dict)
+    leases: dict[int, LeaseRenewal] = field(factory=dict)
     _upstreams: dict[int, str] = field(factory=dict)
 
-    def begin(self, order: WatchUpstream) -> None:
-        """Begin an assignment with what its order tells."""
-        memory = PossibleRuns()
-        if order.knows_runs:
-            memory.adopt(order.confirmed_runs, order.unconfirmed_runs)
-        self.runs[order.assignment] = memory
-        self._upstreams[order.assignment] = order.upstream
+    def watch(self, order: WatchUpstream, now: timedelta) -> None:
+        """Begin an assignment with what its order tells, or apply a later order."""
+        leases = self.leases.get(order.assignment)
+        if leases is None:
+            memory = PossibleRuns()
+            if order.knows_runs:
+                memory.adopt(order.confirmed_runs, order.unconfirmed_runs)
+            self.runs[order.assignment] = memory
+            self._upstreams[order.assignment] = order.upstream
+            leases = LeaseRenewal(LEASE, now, order.leases_left)
+            leases.set_limit(now)
+            self.leases[order.assignment] = leases
+        if order.renews:
+            leases.lift_limit()
 
     def forget(self, assignment: int) -> None:
         """Lose the executor of an assignment with all that it remembers."""
         self.runs.pop(assignment, None)
 
+    def end_renewals(self, now: timedelta) -> None:
+        """Have no executor renew leases any more under its present assignments."""
+        for leases in self.leases.values():
+            leases.set_limit(now)
+
+    def renew(self, assignment: int, now: timedelta) -> timedelta | None:
+        """Return until when an executor renews leases now, ``None`` if it may not."""
+        leases = self.leases[assignment]
+        lease = leases.choose_lease(now)
+        leases.record_renewal(now)
+        return now + lease if lease is not None else None
+
+    def find_lapse(self, assignment: int, now: timedelta) -> timedelta:
+        """Return in what time the leases have expired that an executor knows of."""
+        return max(timedelta(0), self.leases[assignment].expiry - now)
+
     def record_answer(self, assignment: int, answer: RenewAnswer) -> None:
         """Record an answer of the upstream to its present executor."""
         if assignment in self.runs:
@@ -59,10 +87,11 @@
         for memory in self.runs.values():
             memory.record_stop(RunId(order.task, order.run), now)
 
-    def describe_all(self, lapse_in: timedelta) -> Iterator[RunsRemembered]:
-        """Yield what the executors tell a new leader, with one time for all leases."""
+    def describe_all(self, now: timedelta) -> Iterator[RunsRemembered]:
+        """Yield what the executors tell a new leader, with the expiry of the leases."""
         for assignment, memory in self.runs.items():
             tasks = memory.list_tasks()
             if tasks is not None:
                 upstream = self._upstreams[assignment]
+                lapse_in = self.find_lapse(assignment, now)
                 yield RunsRemembered(upstream, assignment, tasks, lapse_in)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -32,11 +32,10 @@
 from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.cell_input import make_configuration, make_entry
-from almondspread.testing.executor_memories import ExecutorMemories
+from almondspread.testing.executor_memories import LEASE, ExecutorMemories
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
 WALL_CLOCK_START = datetime(2026, 1, 1, tzinfo=UTC)
-LEASE = timedelta(seconds=6)
 START_EXPIRY = timedelta(seconds=2)
 MAX_RECORDS = 90
 # No leader may start a task that crashes its upstreams more often than this.
@@ -129,13 +128,18 @@
         for name, upstream in self.scheduler.cell_state.upstreams.items():
             if not upstream.assignment:
                 self.scheduler.begin_assignment(name)
-                self.memories.begin(self.scheduler.make_watch_order(name, self.now))
+                self._send_watch_order(name)
 
     def assign(self, name: str) -> None:
         """Assign an upstream to another executor than before."""
         until = self.now + compute_orphaned_lease_time(LEASE)
         self.scheduler.begin_assignment(name, until)
-        self.memories.begin(self.scheduler.make_watch_order(name, self.now))
+        self._send_watch_order(name)
+
+    def _send_watch_order(self, name: str) -> None:
+        """Have the executor of a new assignment watch the upstream."""
+        order = self.scheduler.make_watch_order(name, self.now)
+        self.memories.watch(order, self.now)
 
     def _find_assignment(self, name: str) -> int:
         """Return the present assignment of an upstream, 0 for an unknown one."""
@@ -170,7 +174,8 @@
             if running is None or running.name == name or running.name in self.silent:
                 continue
             token = self.find_token_for(name)
-            answer = running.renew_leases(token, 0, self.now + LEASE, self.now)
+            until = self.memories.renew(self._find_assignment(name), self.now)
+            answer = running.renew_leases(token, 0, until, self.now)
             running.renew_leases(find_next_token(token), 0, None, self.now)
             if answer is None:
                 self.check_fenced(name)
@@ -189,27 +194,29 @@
             self.history.violations.append(f"the leader is fenced by {name}")
 
     def poll_upstream(self, name: str) -> None:
-        """Renew the leases of one upstream, and report its answer to the scheduler."""
+        """Renew the leases of an upstream, where allowed, and report its answer."""
         upstream = self.upstreams[name]
         epoch = self.scheduler.epoch
         upstream.advance(self.now)
+        self._assign_upstreams()
+        assignment = self._find_assignment(name)
         if name in self.silent:
-            lapse_in = upstream.lease_until - self.now + timedelta(milliseconds=300)
+            lapse_in = self.memories.find_lapse(assignment, self.now)
             self.scheduler.handle_report(
-                UpstreamSilent(name, epoch, max(timedelta(0), lapse_in)), self.now
+                UpstreamSilent(name, epoch, lapse_in), self.now
             )
             return
         self._query_counts[name] = self._query_counts.get(name, 0) + 1
         answer = upstream.renew_leases(
             self.find_token_for(name),
             self._acknowledged.get(name, 0),
-            self.now + LEASE,
+            self.memories.renew(assignment, self.now),
             self.now,
         )
         if answer is None:
             self.check_fenced(name)
             return
-        self.memories.record_answer(self._find_assignment(name), answer)
+        self.memories.record_answer(assignment, answer)
         after = self._forwarded.get(name, 0)
         ends = tuple(end for end in answer.ends if end.number > after)
         for end in ends:
@@ -290,6 +297,7 @@
         if isinstance(order, WatchUpstream):
             # The executor reports all ends again that are not acknowledged.
             self._forwarded.pop(order.upstream, None)
+            self.memories.watch(order, self.now)
         if upstream is None or not isinstance(order, StartRun | StopRun):
             return
         unreachable = upstream.name in self.silent
@@ -434,7 +442,8 @@
             )
         for name in lost_executors:
             self.memories.forget(assignments.get(name, 0))
-        for message in self.memories.describe_all(lapse_in):
+        self.memories.end_renewals(self.now)
+        for message in self.memories.describe_all(self.now):
             self.scheduler.handle_report(message, self.now)
 
     def accept_stored(self, submission: Submission) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -9,6 +9,7 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.incarnations import find_next_token
+from almondspread.jobs.lease_renewal import LeaseRenewal
 from almondspread.jobs.messages import (
     FENCED,
     REFUSED,
@@ -43,7 +44,6 @@
 )
 from almondspread.jobs.possible_runs import PossibleRuns
 from almondspread.jobs.submissions import TaskId
-from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.upstream_clock import UpstreamClock
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignment_memory.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignment_memory.py
@@ -6,10 +6,10 @@
 from attrs import define, field
 
 from almondspread.clock import Clock
+from almondspread.jobs.lease_renewal import LeaseRenewal
 from almondspread.jobs.messages import RunsRemembered, WatchUpstream
 from almondspread.jobs.possible_runs import PossibleRuns
 from almondspread.jobs.submissions import TaskId
-from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
 
 # By then each leader knows in another way what an upstream may run: it has reported, or
 # its leases have expired.
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_reassigned_memory.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_reassigned_memory.py
@@ -3,10 +3,10 @@
 import unittest
 from datetime import timedelta
 
+from almondspread.jobs.lease_renewal import LeaseRenewal
 from almondspread.jobs.leases import compute_orphaned_lease_time
 from almondspread.jobs.messages import StartRun, WatchUpstream
 from almondspread.jobs.tests.cells import CellTest
-from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
 from almondspread_daemon.jobs.tests import test_remembered_runs
 from almondspread_daemon.jobs.tests.support import SECOND
 from almondspread_daemon.jobs.tests.test_agents import ADDRESS, TASK
