--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
@@ -3,7 +3,7 @@
 import unittest
 from datetime import timedelta
 
-from almondspread_daemon.jobs.lease_renewal import LeaseRenewal
+from almondspread.jobs.lease_renewal import LeaseRenewal
 from almondspread_daemon.jobs.tests.support import SECOND
 
 LEASE = 6 * SECOND
