--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -10,7 +10,7 @@
 # Far longer than any soak takes, so that only a soak that hangs is cancelled.
 TIMEOUT_SECONDS = 300.0
 CONFIGURATION_SEED = 1
-TAKEOVER_SEED = 2
+TAKEOVER_SEED, LEADER_SEED, OUTAGE_SEED = 2, 9, 66
 # Seeds that once caused a violation, with the unit test of each cause.
 REGRESSION_SEEDS = {
     # A new leader was allowed to start jobs beyond its last commit.
@@ -24,8 +24,9 @@
 
 class SoakTest(unittest.TestCase):
     def run_soak(self, seed, seconds=SOAK_SECONDS, **options):
+        options = {"instances": 3, "upstreams": 4, **options}
         with tempfile.TemporaryDirectory() as folder:
-            plan = SoakPlan(seed, seconds, instances=3, upstreams=4, **options)
+            plan = SoakPlan(seed, seconds, **options)
             return asyncio.run(self.run_with_timeout(plan, Path(folder)))
 
     async def run_with_timeout(self, plan, folder):
@@ -68,6 +69,19 @@
         self.assertEqual(result.violations, [])
         self.assertGreater(result.completed, 0)
 
+    def test_takeover_holds_no_task_back_that_a_dark_upstream_cannot_run(self):
+        """An upstream is lost with the leader, the store is away, executors live."""
+        result = self.run_soak(
+            LEADER_SEED, 12.0, instances=6, upstreams=6, takeovers=True
+        )
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.completed, 0)
+
+    def test_tasks_that_last_run_again_in_time_after_all_executors_were_lost(self):
+        """Both instances are killed within a second after an upstream went dark."""
+        result = self.run_soak(OUTAGE_SEED, 10.0, instances=2, takeovers=True)
+        self.assertEqual(result.violations, [])
+
     def test_regression_seeds_cause_no_violation(self):
         for seed in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
