--- a/packages/almondspread/almondspread/jobs/lease_renewal.py
+++ b/packages/almondspread/almondspread/jobs/lease_renewal.py
@@ -46,6 +46,10 @@
         if lease is not None:
             self.expiry = max(self.expiry, self._compute_expiry(now, lease))
 
+    def record_start(self, now: timedelta, lease: timedelta) -> None:
+        """Record that a start is sent, which grants the upstream's runs a lease."""
+        self.expiry = max(self.expiry, self._compute_expiry(now, lease))
+
     @staticmethod
     def _compute_expiry(now: timedelta, lease: timedelta) -> timedelta:
         """Return when a lease that is granted now has certainly expired."""
--- a/packages/almondspread/almondspread/testing/executor_memories.py
+++ b/packages/almondspread/almondspread/testing/executor_memories.py
@@ -63,6 +63,11 @@
         leases.record_renewal(now)
         return now + lease if lease is not None else None
 
+    def record_start(self, assignment: int, now: timedelta, lease: timedelta) -> None:
+        """Record that an executor sends a start, which grants a lease."""
+        if assignment in self.leases:
+            self.leases[assignment].record_start(now, lease)
+
     def find_lapse(self, assignment: int, now: timedelta) -> timedelta:
         """Return in what time the leases have expired that an executor knows of."""
         return max(timedelta(0), self.leases[assignment].expiry - now)
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -324,6 +324,8 @@
         reason = ""
         if not unreachable:
             until = self.now + START_EXPIRY
+            assignment = self._find_assignment(order.upstream)
+            self.memories.record_start(assignment, self.now, START_EXPIRY)
             reason = upstream.start(token, order.task, order.run, until, self.now)
         if unreachable or self.lose_answer(order):
             self._report_start(order, UNKNOWN, "")
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -371,6 +371,7 @@
         if not order.paced:
             self._unpaced_runs.add((order.task, order.run))
         sent = self._clock.monotonic()
+        self.leases.record_start(sent, START_EXPIRY)
         answer = await self._client.start(
             self.watch.address, self.watch.upstream, call, CALL_TIMEOUT
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_remembered_runs.py
@@ -148,6 +148,16 @@
         until = self.client.renew_calls[-1].until
         self.assertLessEqual(until - 101 * SECOND, LEASE - SECOND)
 
+    async def test_lease_of_a_start_counts_where_renewals_were_forbidden(self):
+        """The store was away for longer than a lease, and is back."""
+        await self.order(make_watch(renews=False))
+        await self.answer(100)
+        self.clock.pause = 2 * LEASE
+        await self.answer(112)
+        await self.order(StartRun("u", TASK, 7, ""))
+        (message,) = self.ask().values()
+        self.assertGreater(message.lapse_in, START_EXPIRY)
+
     async def test_leases_renewed_by_a_lost_executor_count(self):
         await self.order(make_watch(leases_left=20 * SECOND))
         (message,) = self.ask().values()
