Shorten no leases that this leader renewed, nor those of a later incarnation

Found by reading the diff, two paths of one fault: a time that an executor of an earlier leader told, or the end of its process, lowered the expiry of leases that it does not know of: those renewed since by executors of this leader, where a report mentions a job that is not loaded yet, and that of a start which has reached the next incarnation of its upstream late. Both tests fail without this.

--- a/packages/almondspread/almondspread/jobs/tests/test_takeover_chains.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover_chains.py
@@ -95,6 +95,24 @@
         self.cell.scheduler.handle_report(message, self.cell.now)
         self.assertEqual(state.orphaned_leases_until, before)
 
+    def test_leases_of_a_later_incarnation_outlast_the_process_of_the_executor(self):
+        """A start that reached it late holds the longest lease there is."""
+        self.add_upstreams(2)
+        self.cell.upstreams["u0"].born = 1
+        self.cell.run_for(SECOND)
+        self.cell.assign("u0", "entry-2", "old")
+        self.cell.step()
+        self.cell.silent.add("u0")
+        self.cell.take_over(lost_executors={"u0"})
+        self.cell.step()
+        name = self.cell.restart_upstream("u0")
+        self.cell.silent.add(name)
+        self.cell.step()
+        state = self.cell.scheduler.cell_state.upstreams[name]
+        before = state.orphaned_leases_until
+        self.cell.scheduler.record_process("entry-2", "new", 6 * SECOND, self.cell.now)
+        self.assertEqual(state.orphaned_leases_until, before)
+
 
 class UnreadJobTest(CellTest):
     def test_leases_are_renewed_while_an_upstream_mentions_a_job_not_loaded(self):
@@ -112,6 +130,26 @@
         order = self.cell.scheduler.make_watch_order("u0", self.cell.now)
         self.assertTrue(order.renews)
 
+    def test_leases_renewed_since_a_takeover_are_not_those_that_were_told(self):
+        """Executors of this leader renew from the first answer on, seen or not."""
+        self.add_upstreams(1)
+        self.cell.run_for(SECOND)
+        self.cell.submit(make_job("j", make_step(1, lasting=True)))
+        self.cell.submit(make_job("k", make_step(1, lasting=True)))
+        self.cell.run_for(SECOND)
+        stored = self.cell.stored_assignments["u0"]
+        missing = self.cell.history.submissions.pop("k")
+        self.cell.take_over()
+        self.cell.history.submissions["k"] = missing
+        self.cell.scheduler.is_complete = False
+        self.cell.run_for(SECOND)
+        until = self.cell.now + 8 * SECOND
+        self.cell.scheduler.abandon_upstreams({"u0"}, until, self.cell.now)
+        message = RunsRemembered("u0", stored.number, (), SECOND)
+        self.cell.scheduler.handle_report(message, self.cell.now)
+        state = self.cell.scheduler.cell_state.upstreams["u0"]
+        self.assertEqual(state.orphaned_leases_until, until)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
-from attrs import define, field
+from attrs import define, evolve, field
 from loguru import logger
 
 from almondspread.jobs.bound_runs import Run, RunPhase
@@ -121,10 +121,13 @@
     def _apply_remembered(self, upstream: Upstream) -> None:
         """Let the leases of an unseen upstream expire when its executor says so.
 
-        No other executor has renewed them since: the store names the last one.
+        No other executor has renewed them since: the store names the last one, and
+        those of this leader renew none before the upstream has answered.
         """
         remembered = self._find_remembered(upstream.name)
-        if remembered is not None and remembered.upstream == upstream.name:
+        if remembered is None or upstream.heard_at:
+            return
+        if remembered.upstream == upstream.name:
             upstream.orphaned_leases_until = remembered.lapse_at
 
     def find_possible_tasks(self, name: str) -> frozenset[TaskId] | None:
@@ -219,7 +222,10 @@
         if name in self.unseen:
             self.unseen.add(successor.name)
             successor.orphaned_leases_until = lapse
-            successor.inherited_assignment = upstream.inherited_assignment
+            # The end of the executor's process tells nothing of a late start's lease.
+            successor.inherited_assignment = evolve(
+                upstream.inherited_assignment, process=""
+            )
         doubtful = self._list_doubtful(upstream)
         if not doubtful:
             return
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -132,10 +132,10 @@
                 self.scheduler.begin_assignment(name)
                 self._send_watch_order(name)
 
-    def assign(self, name: str) -> None:
+    def assign(self, name: str, instance: str = "", process: str = "") -> None:
         """Assign an upstream to another executor than before."""
         until = self.now + compute_orphaned_lease_time(LEASE)
-        self.scheduler.begin_assignment(name, leases_until=until)
+        self.scheduler.begin_assignment(name, instance, process, until)
         self._send_watch_order(name)
 
     def _send_watch_order(self, name: str) -> None:
