--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -33,7 +33,7 @@
 
     ``has_reported`` is true once the upstream has reported under this leader's epoch,
     and ``recorded`` once the store lists it, with its present assignment, as one that
-    may run tasks.
+    may run tasks; only then does its executor renew leases.
     ``has_unknown_runs`` is true while the upstream runs something of which the leader
     knows neither the job nor the size, and ``executor_unresponsive`` while the executor
     that holds its leases misses heartbeats. ``has_restarted`` is set once another
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -25,9 +25,10 @@
     ``advice_requests`` are its pending requests to the advice service, which it makes
     one after another. ``wall_offset`` is how far its time of day is ahead of the
     leader's monotonic time. Instances reach it at ``address``, which is empty where it
-    is not known. The instance that ``leads`` is given upstreams only where there is no
-    other, so that its loss is not also that of an executor. A member that
-    ``limits_leases`` renews none beyond one lease after it has lost its leader.
+    is not known. The instance that ``leads`` keeps upstreams only of failure domains
+    without another member, so that its loss is seldom also that of an executor. A
+    member that ``limits_leases`` renews none beyond one lease after it has lost its
+    leader.
     """
 
     instance: str
