Choose a free loopback network in the scripts of the second review

Two scripts that ran at once had taken the same network, since both derived it from their process id; one of them then could not start. The network is probed now.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -66,8 +66,8 @@
         await asyncio.sleep(4.0)
         if not 200 <= status < 300 or len(cell.ledger.running) < 6:
             return 2
-        # A planned restart of the first leader, in both kinds of run: its successor looks
-        # after the minions of its own zone, in which there is no other instance.
+        # A planned restart of the first leader, in both kinds of run: its successor
+        # looks after the minions of its own zone, where no other instance is.
         first = cell.leader()
         await first.end(signal.SIGTERM)
         await asyncio.sleep(1.0)
--- a/review/standin_2/parts.py
+++ b/review/standin_2/parts.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 from datetime import timedelta
@@ -30,8 +31,7 @@
 )
 
 ROOT = Path(__file__).resolve().parents[2]
-# Each script has loopback networks of its own, by its process id.
-NETWORK = 20 + os.getpid() % 200
+FIRST_NETWORK, NETWORKS = 20, 200
 FRONT, READY, CONTROL, PEER, METRICS = 8161, 8167, 8166, 7720, 9464
 HOST = "review.example"
 SERVICE = "pool"
@@ -42,6 +42,23 @@
 READY_S = 30.0
 
 
+def find_network() -> int:
+    """Return the number of a loopback network that no other script uses now."""
+    for offset in range(NETWORKS):
+        number = FIRST_NETWORK + (os.getpid() + offset) % NETWORKS
+        try:
+            for host, port in (("0.1", FRONT), ("0.1", PEER), ("3.1", 8169)):
+                with socket.socket() as probe:
+                    probe.bind((f"127.{number}.{host}", port))
+        except OSError:
+            continue
+        return number
+    raise RuntimeError("no loopback network is free")
+
+
+NETWORK = find_network()
+
+
 def now() -> float:
     """Return the real steady clock of this machine, in seconds."""
     return time.monotonic()
