Have the tasks of review case 7 last longer than the entry is missing

With tasks of 6 s the case held twice of five times from a fresh clone, since the tasks of the minion had just ended when its entry went. With tasks of 10 s it failed six times of six, and held with TROUBLE=0.

From the same clone, case 6 failed five times of five and held with TROUBLE=0, and so did case 8.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,9 +13,9 @@
 from parts import BEAT_S, Cell, Record, make_configuration, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-WORK_S = 6.0
+WORK_S = 10.0
 CUT_S = 5.5
-LOAD_S = 24.0
+LOAD_S = 26.0
 
 
 async def cut_off(cell: Cell, machine) -> None:
@@ -57,12 +57,12 @@
         async def load() -> None:
             while now() < stop_at:
                 job = f"{next(numbers):016x}"
-                step = {"count": 4, "cpu": 1000, "mem_mb": 256, "estimate_ms": 6000}
+                step = {"count": 4, "cpu": 1000, "mem_mb": 256, "estimate_ms": 10000}
                 await cell.submit(job, {"spec": "s", "steps": [step]})
                 await asyncio.sleep(2.0)
 
         cell.spawn(load())
-        await asyncio.sleep(8.0)
+        await asyncio.sleep(12.0)
         if TROUBLE:
             cell.spawn(cut_off(cell, chosen))
         while now() < stop_at + 8 and not cell.ledger.overlaps:
