--- a/review/standin_2/parts.py
+++ b/review/standin_2/parts.py
@@ -215,6 +215,9 @@
 
     async def post(self, path: str) -> None:
         minion = self._machine.minion
+        while self._machine.dark:
+            # Without power: neither an answer nor a reset.
+            await asyncio.sleep(1.0)
         if minion is None:
             self.request.connection.stream.close()
             return
@@ -284,6 +287,7 @@
         self.beat_at = 0.0
         # Whether each life has an address of its own.
         self.moves = False
+        self.dark = False
 
     async def open(self) -> None:
         application = Application(
@@ -337,6 +341,31 @@
                 self.minion.advance()
                 await self.beat()
 
+    async def crash(self, back_after_s: float) -> None:
+        """Lose the minion without a word; the next one joins later."""
+        minion, self.minion = self.minion, None
+        self.state = "down"
+        minion.terminate()
+        self.server.stop()
+        await self.server.close_all_connections()
+        self.server = HTTPServer(self.application)
+        began = now()
+        while now() < began + back_after_s:
+            await asyncio.sleep(0.05)
+            if now() - self.beat_at >= 3 * BEAT_S:
+                await self.cell.drop("servers", minion.name)
+        self.server.listen(9000, self.address)
+        await self.join()
+
+    async def lose_power(self) -> None:
+        """Lose the minion for good; its entry goes after three beats."""
+        minion, self.minion = self.minion, None
+        self.state, self.dark = "down", True
+        minion.terminate()
+        while now() - self.beat_at < 3 * BEAT_S:
+            await asyncio.sleep(0.05)
+        await self.cell.drop("servers", minion.name)
+
     async def take_down(self) -> None:
         """Have an upkeep: everything ends at once, and a new minion joins later."""
         minion, self.minion = self.minion, None
