Order the cases of the second review anew, the gravest first

Case 8 is now the tasks beyond the 500 ends that a minion lists (TWICE), case 9 the loss of the leader's zone (LOST, case 8 before), and case 10 the unreachable minions that count as empty (AVAIL).

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,108 +1,84 @@
-"""A zone is lost with the leader, and tasks that last have to run elsewhere."""
+"""Kills all instances while many tasks of one minion end, and starts them again.
+
+The minion then lists more ends than one answer of it holds.
+"""
 
 import asyncio
 import os
-import signal
 import sys
-import tempfile
+import time
 from pathlib import Path
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standin_2"))
-
-from parts import Cell, Record, make_configuration, now  # noqa: E402
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "loopback_cell"))
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOB = "00000000000000aa"
-TASKS = 4
-# The rule asks for a run from 6 s after the last one, and finds it broken after 3 s.
-WITHOUT_RUN_S = 9.0
-CALM_S = 7.0
-WATCH_S = 30.0
+from cell import Cell, run_case  # noqa: E402
+from judge import find_second_runs  # noqa: E402
 
+JOBS = [f"5c0e7a21d94b36f{number}" for number in range(4)]
+TASKS = 160
+TASK_CPU = 50
+# Jobs follow one another so much later, and all their tasks end at about one time.
+GAP_S = 1.0
+LAST_TASK_S = 3.0
+# The first instance is back after this time, and the others later.
+DOWN_S, LATER_S = 0.5, 3.0
+WATCH_S = 25.0
 
-async def lose_zone(cell: Cell, zone: str) -> None:
-    """Lose all machines of a zone for good, in one moment."""
-    cell.record.write(f"zone {zone} is lost")
-    for machine in cell.machines:
-        if machine.zone == zone:
-            cell.spawn(machine.lose_power())
-    ends = [p.end(signal.SIGKILL) for p in cell.processes if p.zone == zone]
-    await asyncio.gather(*ends)
 
+async def case(folder):
+    """Return 1 if a task ran again after it had ended done, 0 if none did."""
+    trouble = os.environ.get("TROUBLE") != "0"
+    cell = Cell(folder, ["a", "b", "c"], max_hold_ms=10_000)
 
-def find_lost(cell: Cell, lost_at: float) -> list[str]:
-    """Return the tasks that the rule finds without a run."""
-    found = []
-    for task, runs in cell.ledger.running.items():
-        without = now() - cell.ledger.ended_at.get(task, now())
-        if not runs and without >= WITHOUT_RUN_S and now() - lost_at >= CALM_S:
-            found.append(f"{task} has had no run for {without:.1f} s")
-    return found
+    def choose_duration(task):
+        number = JOBS.index(task.split(".")[0])
+        return LAST_TASK_S + GAP_S * (len(JOBS) - 1 - number)
 
-
-async def play(directory: Path, record: Record) -> int:
-    """Play the case, and return the exit status."""
-    zones = ("a", "b", "c")
-    cell = Cell(
-        directory, record, lambda task: None, zones=zones, processes=6, machines=9
-    )
     try:
-        await cell.open(make_configuration())
-        await asyncio.sleep(4.0)
-        zone = cell.leader().zone
-        step = {
-            "count": TASKS,
-            "cpu": 1000,
-            "mem_mb": 256,
-            "estimate_ms": 500,
-            "long_running": True,
-            "affinity": f"rack-{zone}",
-        }
-        status = await cell.submit(JOB, {"spec": "s", "steps": [step]})
-        await asyncio.sleep(4.0)
-        running = [task for task, runs in cell.ledger.running.items() if runs]
-        if not 200 <= status < 300 or len(running) < TASKS:
+        cell.configure()
+        capacity = {"cpu": 32_000, "mem_mb": 65_536}
+        await cell.add_minion(1, "b", capacity, choose_duration)
+        await cell.start()
+        if not await cell.wait_ready():
+            return 2
+        await asyncio.sleep(2)
+        for job in JOBS:
+            began = time.monotonic()
+            step = {"count": TASKS, "cpu": TASK_CPU, "mem_mb": 10, "estimate_ms": 4000}
+            if not await cell.submit(job, [step]):
+                return 2
+            await asyncio.sleep(max(0.0, began + GAP_S - time.monotonic()))
+        most = max(len(each.minion.runs) for each in cell.endpoints.values())
+        cell.record("most-running", tasks=most)
+        if most < TASKS * len(JOBS):
+            print(f"only {most} tasks run on one minion")
             return 2
-        record.write(f"leader {cell.leader().name} in zone {zone}")
-        lost_at = now()
-        if TROUBLE:
-            await lose_zone(cell, cell.leader().zone)
-        lost: list[str] = []
-        while now() < lost_at + WATCH_S and not lost:
-            await asyncio.sleep(0.05)
-            lost = find_lost(cell, lost_at)
-        for each in lost:
-            record.write(f"LOST task {each}")
-        limit = now() + 20
-        while now() < limit and not all(cell.ledger.running.values()):
-            await asyncio.sleep(0.05)
-        record.write(
-            f"starts {cell.ledger.starts}, overlapping {len(cell.ledger.overlaps)},"
-            f" tasks running {sum(map(bool, cell.ledger.running.values()))},"
-            f" {now() - lost_at:.1f} s after the loss"
-        )
-        return 1 if lost else 0
+        await asyncio.sleep(LAST_TASK_S - GAP_S - 0.7)
+        if trouble:
+            await asyncio.gather(*(cell.kill(each) for each in cell.instances))
+            await asyncio.sleep(DOWN_S)
+            cell.launch(cell.instances[0])
+            await asyncio.sleep(LATER_S)
+            for instance in cell.instances[1:]:
+                cell.launch(instance)
+        until = time.monotonic() + WATCH_S
+        pending = list(JOBS)
+        while pending and time.monotonic() < until:
+            await asyncio.sleep(0.5)
+            for job in list(pending):
+                _, state = await cell.read_state(job, cell.instances[0])
+                if state == "completed":
+                    pending.remove(job)
+        await asyncio.sleep(1)
+        second = find_second_runs(cell.events)
+        cell.record("result", second_runs=len(second), not_completed=pending)
+        for task, starts in list(second.items())[:5]:
+            print(task, starts)
+        print(f"{len(second)} tasks of {TASKS * len(JOBS)} started again after done")
+        return 1 if second else 0
     finally:
-        await cell.close()
-
-
-def main() -> int:
-    """Run the case and write its record."""
-    record = Record(HERE / "record.txt")
-    with tempfile.TemporaryDirectory() as directory:
-        try:
-            code = asyncio.run(play(Path(directory), record))
-        except Exception as error:
-            record.write(f"could not run: {error!r}")
-            code = 2
-        if os.environ.get("KEEP_LOGS"):
-            import shutil
-
-            shutil.copytree(directory, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
-    record.write(f"exit {code}")
-    return code
+        await cell.stop()
 
 
-if __name__ == "__main__":
-    sys.exit(main())
+run_case(case, FOLDER)
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,7 @@
-#!/bin/sh
+#!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH="$PWD/target/deps:$PWD/target/review-2" timeout -s INT -k 5 112 python3 review/8/case.py
-code=$?
-[ "$code" -gt 2 ] && code=2
-exit "$code"
+# TROUBLE=0 leaves out the disruption.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+export PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1
+exec python3 "$folder/case.py"
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A task crashes each minion that starts it, and each time the leader is killed too."""
+"""A zone is lost with the leader, and tasks that last have to run elsewhere."""
 
 import asyncio
 import os
@@ -10,91 +10,79 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standin_2"))
 
-from parts import BEAT_S, Cell, Record, make_configuration, now  # noqa: E402
+from parts import Cell, Record, make_configuration, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOB = "00000000000000dd"
-CRASHES_AFTER_S = 0.3
-BACK_AFTER_S = 5.0
-RESTARTED_AFTER_S = 1.5
-# Starts after the third crash that the rule forbids.
-FORBIDDEN_STARTS = 3
-WATCH_S = 80.0
-
-
-class DeadlyTask:
-    """Crashes each minion some time after it has started the task."""
-
-    def __init__(self, cell: Cell) -> None:
-        self.cell = cell
-        self.crashes = 0
-        self.starts = 0
-        self.late_starts = 0
-
-    async def watch(self) -> None:
-        """Wait for starts of the task, one after another."""
-        known: set[tuple[str, int]] = set()
-        while True:
-            await asyncio.sleep(0.005)
-            for machine in self.cell.machines:
-                minion = machine.minion
-                if minion is None:
-                    continue
-                for task, run in list(minion.runs.items()):
-                    key = (minion.name, run["run"])
-                    if task.startswith(JOB) and key not in known:
-                        known.add(key)
-                        self.starts += 1
-                        self.late_starts += self.crashes >= 3
-                        self.cell.spawn(self.crash(machine))
-
-    async def crash(self, machine) -> None:
-        """Crash a minion, and have the machine come back with the next one."""
-        await asyncio.sleep(CRASHES_AFTER_S)
-        self.crashes += 1
-        self.cell.record.write(f"{machine.minion.name} crashes ({self.crashes})")
-        if TROUBLE:
-            leader = self.cell.leader()
-            self.cell.spawn(self.lose_leader(leader))
-        await machine.crash(BACK_AFTER_S)
-
-    async def lose_leader(self, process) -> None:
-        """Kill the leader, and start it again."""
-        await process.end(signal.SIGKILL)
-        await asyncio.sleep(RESTARTED_AFTER_S)
-        process.bootstrap = False
-        await process.start()
+JOB = "00000000000000aa"
+TASKS = 4
+# The rule asks for a run from 6 s after the last one, and finds it broken after 3 s.
+WITHOUT_RUN_S = 9.0
+CALM_S = 7.0
+WATCH_S = 30.0
+
+
+async def lose_zone(cell: Cell, zone: str) -> None:
+    """Lose all machines of a zone for good, in one moment."""
+    cell.record.write(f"zone {zone} is lost")
+    for machine in cell.machines:
+        if machine.zone == zone:
+            cell.spawn(machine.lose_power())
+    ends = [p.end(signal.SIGKILL) for p in cell.processes if p.zone == zone]
+    await asyncio.gather(*ends)
+
+
+def find_lost(cell: Cell, lost_at: float) -> list[str]:
+    """Return the tasks that the rule finds without a run."""
+    found = []
+    for task, runs in cell.ledger.running.items():
+        without = now() - cell.ledger.ended_at.get(task, now())
+        if not runs and without >= WITHOUT_RUN_S and now() - lost_at >= CALM_S:
+            found.append(f"{task} has had no run for {without:.1f} s")
+    return found
 
 
 async def play(directory: Path, record: Record) -> int:
     """Play the case, and return the exit status."""
+    zones = ("a", "b", "c")
     cell = Cell(
-        directory,
-        record,
-        lambda task: 2.0,
-        zones=("a", "b", "c"),
-        processes=6,
-        machines=9,
+        directory, record, lambda task: None, zones=zones, processes=6, machines=9
     )
     try:
         await cell.open(make_configuration())
         await asyncio.sleep(4.0)
-        deadly = DeadlyTask(cell)
-        cell.spawn(deadly.watch())
-        step = {"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 2000}
+        zone = cell.leader().zone
+        step = {
+            "count": TASKS,
+            "cpu": 1000,
+            "mem_mb": 256,
+            "estimate_ms": 500,
+            "long_running": True,
+            "affinity": f"rack-{zone}",
+        }
         status = await cell.submit(JOB, {"spec": "s", "steps": [step]})
-        if not 200 <= status < 300:
+        await asyncio.sleep(4.0)
+        running = [task for task, runs in cell.ledger.running.items() if runs]
+        if not 200 <= status < 300 or len(running) < TASKS:
             return 2
-        until = now() + WATCH_S
-        while now() < until and deadly.late_starts < FORBIDDEN_STARTS:
-            await asyncio.sleep(0.1)
+        record.write(f"leader {cell.leader().name} in zone {zone}")
+        lost_at = now()
+        if TROUBLE:
+            await lose_zone(cell, cell.leader().zone)
+        lost: list[str] = []
+        while now() < lost_at + WATCH_S and not lost:
+            await asyncio.sleep(0.05)
+            lost = find_lost(cell, lost_at)
+        for each in lost:
+            record.write(f"LOST task {each}")
+        limit = now() + 20
+        while now() < limit and not all(cell.ledger.running.values()):
+            await asyncio.sleep(0.05)
         record.write(
-            f"starts {deadly.starts}, crashes {deadly.crashes}, starts after the third"
-            f" crash {deadly.late_starts}, beats of {BEAT_S} s"
+            f"starts {cell.ledger.starts}, overlapping {len(cell.ledger.overlaps)},"
+            f" tasks running {sum(map(bool, cell.ledger.running.values()))},"
+            f" {now() - lost_at:.1f} s after the loss"
         )
-        if not deadly.crashes:
-            return 2
-        return 1 if deadly.late_starts >= FORBIDDEN_STARTS else 0
+        return 1 if lost else 0
     finally:
         await cell.close()
 
--- a/review/loopback_cell/cell.py
+++ b/review/loopback_cell/cell.py
@@ -22,10 +22,9 @@
 import traceback
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
-
 from minion import Endpoint, Minion
 from store import Store
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "queue.example"
@@ -143,25 +142,6 @@
         self.process = None
 
 
-class _RemoteMinion(Minion):
-    """What the driver knows of a minion that is a process of its own."""
-
-    def __init__(self, identifier, capacity, born, began):
-        super().__init__(identifier, capacity, 0, lambda _: None, lambda *_, **__: None)
-        self.born = born
-        self._began = began
-
-    def advance(self):
-        """Leave the runs to the process."""
-
-
-class _RemoteEndpoint:
-    """Holds a minion that is a process of its own."""
-
-    def __init__(self, minion):
-        self.minion = minion
-
-
 class Cell:
     """The deployment of one case; ``record`` writes what was sent, answered and run."""
 
@@ -179,15 +159,13 @@
         self._client = AsyncHTTPClient(force_instance=True, max_clients=64)
         self._tasks = []
         self._proxies = []
-        self._minion_processes = []
         self._entries = {}
         self._written_at = {}
         self._net = _find_network()
 
-    def record(self, what, where="", at=None, **fields):
+    def record(self, what, where="", **fields):
         """Record an event, also as a line of the record."""
-        if at is None:
-            at = time.monotonic() - self._began
+        at = time.monotonic() - self._began
         self.events.append((at, what, where, fields))
         if self._lines.closed:
             return at
@@ -230,46 +208,6 @@
         self._entries[number] = (address, zone, rack or f"rack-{zone}")
         self.register(number)
 
-    async def add_minion_process(self, number, zone, capacity, duration, rack=None):
-        """Add a minion that is a process of its own, without a proxy."""
-        identifier = f"i-{number:02d}-1"
-        process = subprocess.Popen(
-            [
-                sys.executable,
-                str(Path(__file__).with_name("minion_process.py")),
-                identifier,
-                json.dumps(capacity),
-                str(self.max_hold_ms / 1000),
-                str(duration),
-            ],
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-        )
-        self._minion_processes.append(process)
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(limit=2**20)
-        await loop.connect_read_pipe(
-            lambda: asyncio.StreamReaderProtocol(reader), process.stdout
-        )
-        hello = json.loads(await reader.readline())
-        remote = _RemoteMinion(identifier, capacity, hello["born"], time.monotonic())
-        self.endpoints[number] = _RemoteEndpoint(remote)
-        address = f"127.0.0.1:{hello['port']}"
-        self._entries[number] = (address, zone, rack or f"rack-{zone}")
-        self._tasks.append(asyncio.create_task(self._read_events(remote, reader)))
-        self.register(number)
-
-    async def _read_events(self, remote, reader):
-        while line := await reader.readline():
-            event = json.loads(line)
-            fields = event["fields"]
-            if event["what"] == "start":
-                remote.runs[fields["task"]] = fields["run"]
-            if event["what"] == "end":
-                remote.runs.pop(fields["task"], None)
-            at = event["at"] - self._began
-            self.record(event["what"], event["where"], at=at, **fields)
-
     def _make_minion(self, number, life, capacity, choose_duration):
         return Minion(
             f"i-{number:02d}-{life}",
@@ -356,7 +294,7 @@
         """Start a proxy in front of a target in a zone, and return its address."""
         proxy = Proxy(self.network, zone, target, caller)
         self._proxies.append(proxy)
-        return "%s:%d" % await proxy.listen(host, port)
+        return ":".join(map(str, await proxy.listen(host, port)))
 
     async def _add_instance(self, number, zone, store_port, cloud):
         ip, peer_ip = f"127.{self._net}.0.{number}", f"127.{self._net}.1.{number}"
@@ -444,13 +382,6 @@
                 return instance
         return None
 
-    def list_processes(self):
-        """Return the names and ids of the instances and minions that are processes."""
-        rows = [(each.name, each.process.pid) for each in self.instances]
-        for number, process in enumerate(self._minion_processes, 1):
-            rows.append((f"minion-{number}", process.pid))
-        return rows
-
     # Clients
 
     async def fetch(self, method, address, path, body=None, seconds=3.0):
@@ -512,9 +443,6 @@
                 instance.process.send_signal(signal.SIGCONT)
                 instance.process.kill()
                 instance.process.wait()
-        for process in self._minion_processes:
-            process.kill()
-            process.wait()
         for proxy in self._proxies:
             proxy.close()
         await asyncio.sleep(0.1)
--- a/review/loopback_cell/cloud.py
+++ b/review/loopback_cell/cloud.py
@@ -21,15 +21,6 @@
         self._done = set()
         self._lives = dict.fromkeys(zones, 1)
         self._tasks = []
-        self.is_silent = False
-        self.upkeeps = 0
-
-    async def wait_while_silent(self):
-        """Hold a call while the service answers none; return whether it was held."""
-        was_silent = self.is_silent
-        while self.is_silent:
-            await asyncio.sleep(0.02)
-        return was_silent
 
     def request_wave(self, number, machines, within_s, at_most):
         """Request a wave, as the operator does."""
@@ -78,9 +69,6 @@
             return 409, "fence"
         self._fences[number] = token
         if (machine, wave) in self._done:
-            self._cell.record(
-                "upkeep-already-done", machine, holder=holder, token=token
-            )
             return 200, ""
         if machine not in self._waves.get(wave, ()):
             return 409, "wave"
@@ -89,7 +77,6 @@
             return 409, "busy"
         self._done.add((machine, wave))
         self._cell.record("upkeep", machine, wave=wave, holder=holder, token=token)
-        self.upkeeps += 1
         minion.take_down()
         self._tasks.append(asyncio.create_task(self._bring_back(number)))
         return 200, ""
@@ -110,12 +97,6 @@
     def initialize(self, cloud):
         self._cloud = cloud
 
-    async def prepare(self):
-        if await self._cloud.wait_while_silent():
-            # What was sent meanwhile is neither carried out nor answered.
-            self.request.connection.stream.close()
-            self._finished = True
-
     def get(self, path):
         if path != "machines":
             self.send_error(404)
--- a/review/loopback_cell/minion.py
+++ b/review/loopback_cell/minion.py
@@ -65,10 +65,6 @@
         self.runs = {}
         self.ends = []
         self.down = False
-        # What a row of the running runs has as its fifth entry, if anything.
-        self.measure = None
-        # Whether a call is lost: its connection is reset, and it is not carried out.
-        self.loses_call = lambda path: False
         self._began = time.monotonic()
         self._max_hold_s = max_hold_s
         self._choose_duration = choose_duration
@@ -181,10 +177,7 @@
         """Return both lists of an answer to a hold call, as the text of JSON fields."""
         running = []
         for run in self.runs.values():
-            row = f'["{run.task}",{run.number},"",{run.percent}'
-            if self.measure is not None:
-                row += f",{self.measure(run)}"
-            running.append(row + "]")
+            running.append(f'["{run.task}",{run.number},"",{run.percent}]')
         finished = json.dumps(self.ends[:LISTED_ENDS], separators=(",", ":"))
         return f'"running":[{",".join(running)}],"finished":{finished}'
 
@@ -234,9 +227,6 @@
             self.finish()
             return
         call = json.loads(self.request.body)
-        if minion.loses_call(path):
-            self._break_off()
-            return
         if path == "hold":
             await self._hold(minion, call)
         elif path == "run-start":
--- a/review/loopback_cell/store.py
+++ b/review/loopback_cell/store.py
@@ -1,4 +1,4 @@
-"""A store of the platform, as its page describes it, over HTTP on a loopback address."""
+"""A store of the platform, as its page describes it, over HTTP on loopback."""
 
 import asyncio
 import base64
