--- a/review/loopback_cell/cell.py
+++ b/review/loopback_cell/cell.py
@@ -544,10 +544,13 @@
     """
 
     async def bounded():
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(seconds):
                 return await case(folder)
-        except TimeoutError:
+        except (TimeoutError, asyncio.CancelledError):
             print("the case did not end in time")
             return 2
         except Exception:
