Reserve the loopback network of review cases 8 and 10

In a run of four scripts at a time, case 7 once ended with 2 and case 10 once held. Forced onto one network, cases 7 and 10 reach each other's instances, and case 7 ends with 2 (its callers get 404). The stand-in of 8 and 10 chose its network at random and held nothing; it now has numbers of its own and keeps one reserved.

--- a/review/loopback_cell/cell.py
+++ b/review/loopback_cell/cell.py
@@ -34,6 +34,8 @@
 MAX_LAG_S = 0.1
 METRICS_PORT = 9464
 FRONT, READY, CONTROL, FIRST_PEER = 8161, 8167, 8166, 7720
+# Loopback networks of these numbers are used, each by one script at a time.
+NETWORKS = range(221, 251)
 # What a zone's services of the platform and the driver itself are reached as.
 PLATFORM = "platform"
 
@@ -161,7 +163,7 @@
         self._proxies = []
         self._entries = {}
         self._written_at = {}
-        self._net = _find_network()
+        self._net, self._reservation = _reserve_network()
 
     def record(self, what, where="", **fields):
         """Record an event, also as a line of the record."""
@@ -446,6 +448,7 @@
         for proxy in self._proxies:
             proxy.close()
         await asyncio.sleep(0.1)
+        self._reservation.close()
         self._directory.cleanup()
         self._lines.close()
 
@@ -515,19 +518,25 @@
     }
 
 
-def _find_network():
-    """Return the number of a loopback network whose addresses are free."""
-    for _ in range(100):
-        number = random.randint(20, 220)
+def _reserve_network():
+    """Return the number of a free loopback network, and the socket that reserves it.
+
+    No other script of this folder takes the network while the socket is open; those of
+    other folders use lower numbers.
+    """
+    for number in random.sample(NETWORKS, len(NETWORKS)):
+        reservation = socket.socket()
         try:
-            for port in (FRONT, FIRST_PEER, METRICS_PORT):
+            reservation.bind((f"127.{number}.2.1", FRONT))
+            for port in (FRONT, READY, FIRST_PEER, METRICS_PORT):
                 for group in (0, 1):
                     with socket.socket() as probe:
                         probe.bind((f"127.{number}.{group}.1", port))
         except OSError:
+            reservation.close()
             continue
-        return number
-    raise RuntimeError("no free loopback network")
+        return number, reservation
+    raise RuntimeError("no loopback network is free")
 
 
 def find_port(host):
