--- a/review/loopback_cell/cell.py
+++ b/review/loopback_cell/cell.py
@@ -36,6 +36,7 @@
 FRONT, READY, CONTROL, FIRST_PEER = 8161, 8167, 8166, 7720
 # Loopback networks of these numbers are used, each by one script at a time.
 NETWORKS = range(221, 251)
+LOOKUPS = 20
 # What a zone's services of the platform and the driver itself are reached as.
 PLATFORM = "platform"
 
@@ -92,8 +93,11 @@
         return self._server.sockets[0].getsockname()[:2]
 
     async def _serve(self, reader, writer):
-        port = writer.get_extra_info("peername")[1]
-        caller = self._zone_of_caller or self._network.find_zone(port)
+        caller = self._zone_of_caller or await self._find_caller(writer)
+        if not caller:
+            # Whether a cut keeps it from passing is not known, so it does not pass.
+            writer.transport.abort()
+            return
         try:
             await self._wait_while_cut(caller)
             there, back = await asyncio.open_connection(*self._target)
@@ -115,6 +119,19 @@
         for writer in self._open:
             writer.transport.abort()
 
+    async def _find_caller(self, writer):
+        """Return the zone of a connection's caller, empty if it stays unknown.
+
+        A reading of all connections may miss one while others come and go.
+        """
+        port = writer.get_extra_info("peername")[1]
+        for _ in range(LOOKUPS):
+            zone = self._network.find_zone(port)
+            if zone:
+                return zone
+            await asyncio.sleep(0.01)
+        return ""
+
     async def _wait_while_cut(self, caller):
         while self._network.is_cut(caller, self._zone):
             await asyncio.sleep(0.02)
