--- a/review/loopback_cell/cell.py
+++ b/review/loopback_cell/cell.py
@@ -24,7 +24,7 @@
 
 from minion import Endpoint, Minion
 from store import Store
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "queue.example"
@@ -39,6 +39,8 @@
 LOOKUPS = 20
 # What a zone's services of the platform and the driver itself are reached as.
 PLATFORM = "platform"
+# The zone of a caller where nothing is cut off.
+ANYWHERE = "anywhere"
 
 
 class Network:
@@ -164,9 +166,11 @@
 class Cell:
     """The deployment of one case; ``record`` writes what was sent, answered and run."""
 
-    def __init__(self, folder, zones, max_hold_ms=6_000):
+    def __init__(self, folder, zones, max_hold_ms=6_000, has_cuts=False):
         self.zones = zones
         self.max_hold_ms = max_hold_ms
+        # Only a cut needs to know which process a connection comes from.
+        self._any_caller = None if has_cuts else ANYWHERE
         self.network = Network()
         self.store = Store()
         self.instances = []
@@ -311,7 +315,7 @@
 
     async def _open_proxy(self, zone, target, caller=None, host="127.0.0.1", port=0):
         """Start a proxy in front of a target in a zone, and return its address."""
-        proxy = Proxy(self.network, zone, target, caller)
+        proxy = Proxy(self.network, zone, target, caller or self._any_caller)
         self._proxies.append(proxy)
         return ":".join(map(str, await proxy.listen(host, port)))
 
@@ -420,7 +424,7 @@
         )
         try:
             answer = await self._client.fetch(request, raise_error=False)
-        except OSError:
+        except (OSError, HTTPError):
             return 0, {}
         if answer.code == 599:
             return 0, {}
