--- a/packages/almondspread_standin/almondspread_standin/soak/proxy.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/proxy.py
@@ -103,6 +103,9 @@
         self._writers.add(writer)
         try:
             await self._connect(number, reader, writer)
+        except asyncio.CancelledError:
+            # The proxy stops. A cancelled task would make asyncio log a traceback.
+            return
         finally:
             self._tasks.discard(serve_task)
             self._writers.discard(writer)
