Take no entry at an upstream's address for the end of its runs

Cause: an upstream that the list does not have counted as replaced as soon as any entry had its address, whoever wrote it. All its runs were then recorded as lost, while they ran on under leases that were renewed.

Change: only a later incarnation under the same identity, listed in that upstream's own row, ends the runs of an earlier one. Where another upstream has the address, the executor is told so by the answer to its next call. The same comparison settled open losses: an entry of a service that is not configured settles none now. The fake cell answered for replaced upstreams by entries alone; it now answers calls, as upstreams do.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -148,13 +148,12 @@
     ) -> tuple[list[str], list[str]]:
         """Apply a list of upstreams, as it was at ``read_at`` or later.
 
-        Return the names of the new and of the replaced upstreams.
-        An upstream is replaced if another one is listed at its address, or a later
-        incarnation of it anywhere.
+        Return the names of the new and of the restarted upstreams. An upstream has
+        restarted if a later incarnation of it is listed. Another entry at its address
+        tells nothing: any writer may have put it there.
         """
         added = []
         listed = {entry.name for entry in entries}
-        addresses = {entry.address: entry.name for entry in entries}
         identities = {entry.identity for entry in entries}
         for entry in entries:
             known = self.upstreams.get(entry.name)
@@ -163,12 +162,11 @@
                 continue
             self.add_upstream(Upstream(entry, listed_at=read_at))
             added.append(entry.name)
-        replaced = []
+        restarted = []
         for name, upstream in self.upstreams.items():
             if name in listed:
                 continue
             upstream.mark_unlisted(now)
-            entry = upstream.entry
-            if entry.address in addresses or entry.identity in identities:
-                replaced.append(name)
-        return added, replaced
+            if upstream.entry.identity in identities:
+                restarted.append(name)
+        return added, restarted
--- a/packages/almondspread/almondspread/jobs/crashes.py
+++ b/packages/almondspread/almondspread/jobs/crashes.py
@@ -206,25 +206,30 @@
     def resolve(self, entries: list[UpstreamEntry], now: timedelta) -> None:
         """Resolve open losses by the newest list of upstreams.
 
-        Jobs with a task that crashes its upstreams end here.
+        Jobs with a task that crashes its upstreams end here. An entry of a service
+        that is not configured may come from any writer, and settles nothing.
         """
         names = {entry.name for entry in entries}
         services = {entry.address: entry.service for entry in entries}
         # An upstream may start again under its identity, also at another address.
         restarted = {entry.identity: entry.service for entry in entries}
+        configured = self.job_table.configuration.services
         opened: dict[tuple[TaskId, int], timedelta] = {}
         crashed: dict[str, list[str]] = {}
         for each in self._list_open():
             since = self._opened.get(each.key, now)
+            expected = self.job_table.find_service(each.submission)
             service = restarted.get(each.loss.identity)
             if service is None:
                 service = services.get(each.loss.address)
+            if service != expected and service not in configured:
+                service = None
             if service is None or each.loss.upstream in names:
                 if now - since > RESTART_PATIENCE:
                     self._dismiss(*each.key)
                 else:
                     opened[each.key] = since
-            elif service != self.job_table.find_service(each.submission):
+            elif service != expected:
                 # The address went to another service: the upstream was replaced.
                 self._dismiss(*each.key)
             else:
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -75,8 +75,8 @@
     ) -> list[str]:
         """Replace the list of upstreams; return the names of the new ones."""
         entries = self.cell_state.choose_entries(entries, now)
-        added, replaced = self.cell_state.update_upstreams(entries, now, read_at)
-        for name in replaced:
+        added, restarted = self.cell_state.update_upstreams(entries, now, read_at)
+        for name in restarted:
             self._hand_over_runs(name, now)
             self._mark_upstream_lost(name, now, "replaced")
         for name, upstream in list(self.cell_state.upstreams.items()):
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -65,7 +65,7 @@
     A task of ``crashing`` crashes each upstream that starts it, and ``crashes`` counts
     these. Such an upstream is back, as a new incarnation, after ``restart_time``, and
     ``keeps_identity`` or has a new one. ``hears_restarts`` tells whether calls for an
-    earlier incarnation find out that a later one answers.
+    earlier incarnation find out that another one answers.
     """
 
     history: History = field(factory=History)
@@ -184,6 +184,20 @@
                 continue
             self.report_restart(name)
 
+    def _report_replacements(self) -> None:
+        """Report which of the leader's upstreams others answer for at their address."""
+        answering = {}
+        for number, upstream in enumerate(self.upstreams.values()):
+            if upstream.name not in self.silent:
+                answering[make_entry(upstream, number).address] = upstream.identity
+        epoch = self.scheduler.epoch
+        for name, known in list(self.scheduler.cell_state.upstreams.items()):
+            found = answering.get(known.entry.address)
+            if found in (None, known.entry.identity) or self.find_running(name):
+                continue
+            report = UpstreamSilent(name, epoch, timedelta(0), replaced=True)
+            self.scheduler.handle_report(report, self.now)
+
     def report_restart(self, name: str) -> None:
         """Report that another incarnation answers instead of an upstream."""
         self.scheduler.handle_report(
@@ -241,6 +255,7 @@
         self._assign_upstreams()
         if self.hears_restarts:
             self._report_restarts()
+            self._report_replacements()
         for name in list(self.upstreams):
             if name in self.scheduler.cell_state.upstreams:
                 self.poll_upstream(name)
