Take no run for ended that a truncated list of ends does not show

Cause: an upstream lists 500 ends at a time. The leader read such an answer as complete, so that a run which it does not show had never run (first report after a takeover), or was stopped before it ended (report after a stop).

Change: answers and reports tell whether they list all ends. One that does not shows what runs and proves nothing else; the upstream stays unseen and stopped runs stay bound until an answer lists all ends, which is reported in full at once.

--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -196,7 +196,9 @@
 
     ``running`` lists all running runs, or is ``None`` where the report omits them.
     ``number`` numbers the requests to this upstream in the order they were sent.
-    ``ends`` are all run ends numbered above ``after``.
+    ``ends`` are run ends numbered above ``after``: all of them, if the report
+    ``lists_all_ends``. Otherwise a run that it does not show may have ended as well. An
+    executor of an earlier release does not tell.
     """
 
     upstream: str
@@ -205,6 +207,7 @@
     after: int = 0
     ends: tuple[RunEnd, ...] = ()
     running: tuple[RunSighting, ...] | None = None
+    lists_all_ends: bool = True
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/jobs/ports.py
+++ b/packages/almondspread/almondspread/jobs/ports.py
@@ -238,11 +238,16 @@
 
 @define(frozen=True)
 class RenewAnswer:
-    """The running runs of an upstream, its unacknowledged ends, and its clock."""
+    """The running runs of an upstream, its unacknowledged ends, and its clock.
+
+    Unless it ``lists_all_ends``, there may be more of these than ``ends``: a run that
+    it does not show may have ended in any way.
+    """
 
     clock: timedelta
     running: tuple[RunSighting, ...]
     ends: tuple[RunEnd, ...]
+    lists_all_ends: bool = True
 
 
 @define(frozen=True)
--- a/packages/almondspread/almondspread/jobs/possible_runs.py
+++ b/packages/almondspread/almondspread/jobs/possible_runs.py
@@ -9,9 +9,6 @@
 from almondspread.jobs.ports import RenewAnswer
 from almondspread.jobs.submissions import TaskId
 
-# An upstream lists no more ends than this in one answer.
-MAX_LISTED_ENDS = 500
-
 
 @define(eq=False)
 class PossibleRuns:
@@ -77,12 +74,11 @@
         """Apply the newest answer, which lists what runs and what has ended."""
         listed = {RunId(each.task, each.run) for each in answer.running}
         listed.update(RunId(each.task, each.run) for each in answer.ends)
-        if len(answer.ends) >= MAX_LISTED_ENDS:
-            # The upstream may have more ends than it lists.
-            self._listed |= listed
-        else:
+        if answer.lists_all_ends:
             self._settle(listed, answer.clock)
             self._listed = listed
+        else:
+            self._listed |= listed
         self._is_known = True
 
     def _settle(self, listed: set[RunId], clock: timedelta) -> None:
--- a/packages/almondspread/almondspread/jobs/sightings.py
+++ b/packages/almondspread/almondspread/jobs/sightings.py
@@ -23,18 +23,13 @@
     control: RunControl
     crashes: CrashTracker
 
-    def update_runs(
-        self,
-        upstream: Upstream,
-        sightings: Sequence[RunSighting],
-        number: int,
-        now: timedelta,
+    def update_running(
+        self, upstream: Upstream, sightings: Sequence[RunSighting], now: timedelta
     ) -> None:
-        """Update the runs of an upstream from the report ``number`` of all it runs."""
+        """Update the runs of an upstream that a report shows; it shows all running."""
         upstream.has_unknown_runs = False
         for sighting in sightings:
             self._update_run(sighting, upstream, now)
-        self._end_absent_runs(upstream, sightings, number, now)
 
     def _update_run(
         self, sighting: RunSighting, upstream: Upstream, now: timedelta
@@ -102,14 +97,17 @@
         )
         self.control.orders.append(StopRun(upstream.name, sighting.task, sighting.run))
 
-    def _end_absent_runs(
+    def end_absent_runs(
         self,
         upstream: Upstream,
         sightings: Sequence[RunSighting],
         number: int,
         now: timedelta,
     ) -> None:
-        """End stopped runs that a later report no longer shows as running."""
+        """End stopped runs that the report ``number`` no longer shows as running.
+
+        It must list all ends, and be later than the answer to the stop.
+        """
         running = {(sighting.task, sighting.run) for sighting in sightings}
         for run in self.cell_state.list_runs(upstream.name):
             if run.conclusive_report is None or number < run.conclusive_report:
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -418,11 +418,17 @@
         upstream: Upstream,
         now: timedelta,
     ) -> None:
-        """Update the runs of an upstream from a report of all that it runs."""
-        self._sightings.update_runs(upstream, running, report.number, now)
+        """Update the runs of an upstream from a report of all that it runs.
+
+        As long as it does not list all ends, the runs that it does not show may have
+        ended: nothing more is known of them than before.
+        """
+        self._sightings.update_running(upstream, running, now)
         end_trials(upstream, self.cell_state.runs, now)
         upstream.executor_lost_at = None
-        if not upstream.has_reported:
+        if report.lists_all_ends:
+            self._sightings.end_absent_runs(upstream, running, report.number, now)
+        if report.lists_all_ends and not upstream.has_reported:
             upstream.has_reported = True
             self.unseen.discard(upstream.name)
             logger.info(
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -239,7 +239,13 @@
             self._forwarded[name] = end.number
         self.scheduler.handle_report(
             UpstreamReport(
-                name, epoch, self._query_counts[name], after, ends, answer.running
+                name,
+                epoch,
+                self._query_counts[name],
+                after,
+                ends,
+                answer.running,
+                answer.lists_all_ends,
             ),
             self.now,
         )
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -29,6 +29,8 @@
 CANCEL_PATIENCE = timedelta(seconds=4)
 # A lasting task is at work this long after its start.
 LASTING_STARTUP = timedelta(milliseconds=500)
+# An upstream lists no more ends than this in one answer.
+LISTED_ENDS = 500
 
 
 @define(eq=False)
@@ -100,6 +102,7 @@
 
     ``born`` is when it was started, in Unix milliseconds, ``None`` where it does not
     tell this. Its ``identity``, the name up to an ``@``, is that of all incarnations.
+    One answer has no more than ``listed_ends``.
     """
 
     name: str
@@ -113,6 +116,7 @@
     started: list[int] = field(factory=list)
     runs: dict[TaskId, FakeRun] = field(factory=dict)
     ends: list[RunEnd] = field(factory=list)
+    listed_ends: int = LISTED_ENDS
     _last_end: int = 0
     _highest: dict[TaskId, int] = field(factory=dict)
 
@@ -213,7 +217,9 @@
                 work = min(work, LASTING_STARTUP)
             percent = int(100 * min(1.0, (now - run.started) / work))
             running.append(RunSighting(run.task, run.number, "", percent))
-        return RenewAnswer(now, tuple(running), tuple(self.ends))
+        listed = tuple(self.ends[: self.listed_ends])
+        lists_all = len(listed) < self.listed_ends
+        return RenewAnswer(now, tuple(running), listed, lists_all)
 
     def _forget_acknowledged(self, number: int) -> None:
         """Forget the ends up to a number, and count the failed runs among them."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -291,13 +291,20 @@
             self.possible_runs.record_answer(answer)
             self._update_renew_wait(answer)
         if full:
-            self._last_full_report = now
+            # The first answer that lists all ends is reported in full again.
+            self._last_full_report = now if answer.lists_all_ends else None
         if not ends and not full:
             return
         running = answer.running if full else None
         self._report(
             UpstreamReport(
-                self.watch.upstream, self.watch.epoch, number, after, ends, running
+                self.watch.upstream,
+                self.watch.epoch,
+                number,
+                after,
+                ends,
+                running,
+                answer.lists_all_ends,
             )
         )
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_agents.py
@@ -181,6 +181,20 @@
         ]
         self.assertGreaterEqual(max(full), newest)
 
+    async def test_runs_are_reported_again_once_all_ends_are_listed(self):
+        """Guards against done runs that seem never to have run, for lack of an end."""
+        ends = (RunEnd(1, TASK, 6, "done"), RunEnd(2, TASK, 7, "done"))
+        answer = RenewAnswer(SECOND, (), ends[:1], False)
+        self.client.renewals.pop().set_result(Ok(answer))
+        await settle()
+        self.assertFalse(self.reports[-1].lists_all_ends)
+        self.agent.acknowledge(1)
+        await settle()
+        self.client.renewals.pop().set_result(make_answer(1.1, ends=ends[1:]))
+        await settle()
+        self.assertTrue(self.reports[-1].lists_all_ends)
+        self.assertEqual(self.reports[-1].running, ())
+
     async def test_closed_agent_reports_no_renew_call_number(self):
         """A replacing agent numbers its own renew calls from the start."""
         self.agent.stop(StopRun("u", TASK, 7))
