End inherited leases one lease after an upstream's first answer

The same field held the leases of executors that this leader has lost; losing one for an unseen upstream even replaced the longer time by a shorter one, which could have run a task twice.

Change: leases of earlier leaders' executors (inherited) and those of lost executors of this leader (orphaned) are two times. The first ends one lease after the first answer, at the leader, at the executor and in the assignment that the store names; an executor of this leader renews nothing before that answer, and its loss touches the second time only.

Tests that read the one field now read the one that they are about.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -46,7 +46,7 @@
             self.epoch * RUNS_PER_EPOCH + self._last_assignment,
             instance,
             process,
-            upstream.orphaned_leases_until,
+            upstream.leases_until,
         )
         upstream.recorded = False
 
--- a/packages/almondspread/almondspread/jobs/lease_renewal.py
+++ b/packages/almondspread/almondspread/jobs/lease_renewal.py
@@ -9,7 +9,9 @@
     """The leases that an agent has renewed, and may renew, by the local clock.
 
     ``expiry`` is when all of them have certainly expired. An earlier agent may have
-    renewed them just before this one began, and others for ``left``.
+    renewed them just before this one began, and others for ``left``. Once the upstream
+    has answered, of the others only the leases of ``orphaned_left`` can be longer than
+    one from then, where that is known.
 
     >>> leases = LeaseRenewal(timedelta(seconds=6), timedelta(seconds=100))
     >>> leases.set_limit(timedelta(seconds=107))
@@ -18,9 +20,14 @@
     """
 
     def __init__(
-        self, lease: timedelta, now: timedelta, left: timedelta = timedelta(0)
+        self,
+        lease: timedelta,
+        now: timedelta,
+        left: timedelta = timedelta(0),
+        orphaned_left: timedelta | None = None,
     ) -> None:
         self._lease = lease
+        self._orphaned_until = None if orphaned_left is None else now + orphaned_left
         self._limit: timedelta | None = None
         self.expiry = max(self._compute_expiry(now, lease), now + left)
 
@@ -40,6 +47,12 @@
         left = min(self._lease, self._limit - now)
         return left if left > timedelta(0) else None
 
+    def record_first_answer(self, now: timedelta) -> None:
+        """Record the first answer: the upstream refuses earlier leaders from now on."""
+        if self._orphaned_until is not None:
+            expiry = self._compute_expiry(now, self._lease)
+            self.expiry = max(expiry, self._orphaned_until)
+
     def record_renewal(self, now: timedelta) -> None:
         """Record that a call is sent that renews the leases, as far as is allowed."""
         lease = self.choose_lease(now)
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -113,8 +113,10 @@
     higher than those of all earlier assignments of upstreams to executors; a leader of
     an earlier release sends 0. If the leader ``knows_runs``, it has bound the
     ``confirmed_runs`` and the ``unconfirmed_runs`` to the upstream, and no others.
-    Leases that others have renewed may last for ``leases_left``. Before the store names
-    the assignment, the executor only asks for runs and ``renews`` no lease.
+    Leases that others have renewed may last for ``leases_left``; from the upstream's
+    first answer on, only those of executors of the same leader, for ``orphaned_left``.
+    A leader of an earlier release does not tell the latter. Before the store names the
+    assignment, the executor only asks for runs and ``renews`` no lease.
     """
 
     upstream: str
@@ -127,6 +129,7 @@
     unconfirmed_runs: tuple[RunId, ...] = ()
     leases_left: timedelta = timedelta(0)
     renews: bool = True
+    orphaned_left: timedelta | None = None
 
     def is_same_assignment(self, other: "WatchUpstream") -> bool:
         """Return whether both orders are for one assignment, under the same token."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -62,7 +62,7 @@
     that must not run twice waits while it may run on an upstream that is unseen. Where
     it is not known what that upstream may run, or while some jobs are not loaded, all
     such tasks of these jobs wait. An upstream is unseen until it reports or its leases
-    expire, which last ``max_lease`` at the most.
+    expire, which last ``max_lease`` at the most. Executors renew one ``lease``.
     The scheduler starts a job stored later only once the store records that this leader
     may do so, because the next leader relies on that record to know which jobs may be
     running.
@@ -75,6 +75,7 @@
         inherited_version: int = 0,
         max_entry_age: timedelta = MAX_ENTRY_AGE,
         max_lease: timedelta = DEFAULT_MAX_LEASE,
+        lease: timedelta = DEFAULT_MAX_LEASE,
     ) -> None:
         self.epoch = epoch
         self.inherited_version = inherited_version
@@ -86,7 +87,11 @@
         self._job_table = JobTable(configuration, self._control.stop_runs)
         self._control.job_table = self._job_table
         self._upstream_tracker = UpstreamTracker(
-            self.cell_state, self._control, CrashTracker(self._job_table), max_lease
+            self.cell_state,
+            self._control,
+            CrashTracker(self._job_table),
+            max_lease,
+            lease,
         )
         self.changes = ChangeQueue(self._job_table, self._upstream_tracker)
         self._planner = StartPlanner(self.cell_state, self._control, max_entry_age)
@@ -422,7 +427,7 @@
             upstream = self.cell_state.upstreams.get(name)
             if upstream is None:
                 continue
-            until = upstream.lapse_at or upstream.orphaned_leases_until
+            until = upstream.lapse_at or upstream.inherited_leases_until
             found[name] = max(0.0, (until - now).total_seconds())
         return found
 
--- a/packages/almondspread/almondspread/jobs/tests/test_remembered_leases.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_remembered_leases.py
@@ -43,9 +43,7 @@
         self.cell.stored_assignments.clear()
         self.cell.take_over(lapse_in=8 * SECOND)
         self.tell(0, 0 * SECOND)
-        self.assertEqual(
-            self.find_state().orphaned_leases_until, self.cell.now + 8 * SECOND
-        )
+        self.assertEqual(self.find_state().leases_until, self.cell.now + 8 * SECOND)
         self.cell.add_upstream("u9")
         self.cell.run_for(4 * SECOND)
         self.assertEqual(self.cell.history.starts, 8)
@@ -68,12 +66,10 @@
         until = self.cell.now + 8 * SECOND
         self.cell.scheduler.abandon_upstreams({"u0"}, until, self.cell.now)
         self.tell(self.assignment, SECOND)
-        self.assertEqual(self.find_state().orphaned_leases_until, until)
+        self.assertEqual(self.find_state().leases_until, until)
 
     def check_lapse_is_as_told(self):
-        self.assertEqual(
-            self.find_state().orphaned_leases_until, self.cell.now + 3 * SECOND
-        )
+        self.assertEqual(self.find_state().leases_until, self.cell.now + 3 * SECOND)
 
     def test_told_time_counts_for_an_upstream_that_was_loaded_before(self):
         self.cell.memories.runs.clear()
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover_chains.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover_chains.py
@@ -89,11 +89,11 @@
         self.cell.silent.add(name)
         self.cell.step()
         state = self.cell.scheduler.cell_state.upstreams[name]
-        before = state.orphaned_leases_until
+        before = state.inherited_leases_until
         self.assertGreater(before, self.cell.now + 10 * SECOND)
         message = RunsRemembered("u7", 77, (), 2 * SECOND)
         self.cell.scheduler.handle_report(message, self.cell.now)
-        self.assertEqual(state.orphaned_leases_until, before)
+        self.assertEqual(state.inherited_leases_until, before)
 
     def test_leases_of_a_later_incarnation_outlast_the_process_of_the_executor(self):
         """A start that reached it late holds the longest lease there is."""
@@ -109,9 +109,9 @@
         self.cell.silent.add(name)
         self.cell.step()
         state = self.cell.scheduler.cell_state.upstreams[name]
-        before = state.orphaned_leases_until
+        before = state.inherited_leases_until
         self.cell.scheduler.record_process("entry-2", "new", 6 * SECOND, self.cell.now)
-        self.assertEqual(state.orphaned_leases_until, before)
+        self.assertEqual(state.inherited_leases_until, before)
 
 
 class UnreadJobTest(CellTest):
@@ -148,7 +148,7 @@
         message = RunsRemembered("u0", stored.number, (), SECOND)
         self.cell.scheduler.handle_report(message, self.cell.now)
         state = self.cell.scheduler.cell_state.upstreams["u0"]
-        self.assertEqual(state.orphaned_leases_until, until)
+        self.assertEqual(state.leases_until, until)
 
 
 if __name__ == "__main__":
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -54,14 +54,15 @@
 
     ``unseen`` upstreams may run tasks of an earlier leader: they have not reported
     yet, and their leases have not expired. ``max_lease`` is the longest lease that an
-    upstream grants. ``_remembered`` has what executors have told, by the number of the
-    assignment.
+    upstream grants, and ``lease`` the longest that an executor renews. ``_remembered``
+    has what executors have told, by the number of the assignment.
     """
 
     cell_state: CellState
     control: RunControl
     crashes: CrashTracker
     max_lease: timedelta = DEFAULT_MAX_LEASE
+    lease: timedelta = DEFAULT_MAX_LEASE
     unseen: set[str] = field(factory=set)
     _remembered: dict[int, RememberedRuns] = field(factory=dict)
     _acknowledged: dict[str, int] = field(factory=dict)
@@ -98,7 +99,7 @@
         and nobody else has renewed its leases.
         """
         upstream = Upstream(entry, listed=False)
-        upstream.orphaned_leases_until = lapse
+        upstream.inherited_leases_until = lapse
         upstream.inherited_assignment = assignment
         self.cell_state.add_upstream(upstream)
         self.unseen.add(entry.name)
@@ -128,7 +129,7 @@
         if remembered is None or upstream.heard_at:
             return
         if remembered.upstream == upstream.name:
-            upstream.orphaned_leases_until = remembered.lapse_at
+            upstream.inherited_leases_until = remembered.lapse_at
 
     def find_possible_tasks(self, name: str) -> frozenset[TaskId] | None:
         """Return which tasks an unseen upstream may run, ``None`` if it may be any."""
@@ -157,8 +158,8 @@
             if not executor.process or upstream.heard_at:
                 continue
             if executor.instance == instance and executor.process != process:
-                upstream.orphaned_leases_until = min(
-                    upstream.orphaned_leases_until, max(expiry, executor.until)
+                upstream.inherited_leases_until = min(
+                    upstream.inherited_leases_until, max(expiry, executor.until)
                 )
 
     def find_stored_assignment(self, upstream: Upstream) -> Assignment:
@@ -184,7 +185,7 @@
             if upstream is None:
                 continue
             upstream.executor_lost_at = now
-            upstream.orphaned_leases_until = until
+            upstream.extend_orphaned_leases(until)
             upstream.has_reported = False
             for run in self.cell_state.list_runs(name):
                 run.knows_pace = False
@@ -216,12 +217,11 @@
         if successor is None:
             return
         lapse = max(
-            upstream.orphaned_leases_until,
-            now + compute_longest_lease_time(self.max_lease),
+            upstream.leases_until, now + compute_longest_lease_time(self.max_lease)
         )
         if name in self.unseen:
             self.unseen.add(successor.name)
-            successor.orphaned_leases_until = lapse
+            successor.inherited_leases_until = lapse
             # The end of the executor's process tells nothing of a late start's lease.
             successor.inherited_assignment = evolve(
                 upstream.inherited_assignment, process=""
@@ -229,7 +229,7 @@
         doubtful = self._list_doubtful(upstream)
         if not doubtful:
             return
-        successor.orphaned_leases_until = lapse
+        successor.extend_orphaned_leases(lapse)
         self.crashes.record_loss(upstream, doubtful, now)
         for run in doubtful:
             progress = self.control.job_table.find_step(run)
@@ -296,9 +296,11 @@
             )
             runs = self.cell_state.list_runs(upstream.name)
             self.crashes.record_silence(upstream, runs, now)
-        upstream.lapse_at = upstream.orphaned_leases_until
-        if upstream.name not in self.unseen or upstream.heard_at:
-            upstream.lapse_at = max(now + silence.lapse_in, upstream.lapse_at)
+        if upstream.name in self.unseen and not upstream.heard_at:
+            # Executors of this leader renew nothing before the first answer.
+            upstream.lapse_at = upstream.inherited_leases_until
+            return
+        upstream.lapse_at = max(now + silence.lapse_in, upstream.leases_until)
 
     def handle_restart(self, restart: UpstreamRestarted, now: timedelta) -> None:
         """Record that another incarnation of an upstream answers.
@@ -326,8 +328,7 @@
         lost = [run for run in runs if run not in doubtful]
         self._record_lost_runs(lost, upstream.name, now)
         upstream.lapse_at = max(
-            now + compute_longest_lease_time(self.max_lease),
-            upstream.orphaned_leases_until,
+            now + compute_longest_lease_time(self.max_lease), upstream.leases_until
         )
 
     def handle_report(self, report: UpstreamReport, now: timedelta) -> None:
@@ -339,7 +340,7 @@
         upstream = self.cell_state.upstreams.get(report.upstream)
         if upstream is None or report.epoch != self.cell_state.epoch:
             return
-        upstream.last_observed_at = upstream.heard_at = now
+        upstream.record_answer(now, compute_longest_lease_time(self.lease))
         if self._mentions_unread_job(report, now):
             # For unknown jobs, neither the size of their runs nor their ends can be
             # applied yet. The upstream reports both again.
@@ -398,8 +399,9 @@
             self._knows_runs(upstream),
             tuple(confirmed),
             tuple(unconfirmed),
-            max(timedelta(0), upstream.orphaned_leases_until - now),
+            max(timedelta(0), upstream.leases_until - now),
             upstream.recorded,
+            max(timedelta(0), upstream.orphaned_leases_until - now),
         )
 
     def _record_answer(self, upstream: Upstream) -> None:
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -3,7 +3,7 @@
 from collections import deque
 from datetime import timedelta
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from almondspread.jobs.messages import NO_ASSIGNMENT, Assignment, UpstreamEntry
 from almondspread.jobs.submissions import TaskId
@@ -41,9 +41,10 @@
     their fencing tokens apart.
 
     While the upstream does not answer, ``lapse_at`` is the time at which its leases
-    have certainly expired. Until ``orphaned_leases_until`` an executor that the leader
-    has lost, or one of an earlier leader, may still renew them. The machine of the
-    upstream may be taken down for maintenance from ``leaves_at`` on.
+    have certainly expired. Those that executors of earlier leaders have renewed last
+    until ``inherited_leases_until``, and those of executors that this leader has lost
+    until ``orphaned_leases_until``. The machine of the upstream may be taken down for
+    maintenance from ``leaves_at`` on.
 
     ``listed_at`` is when the read began that last showed its entry, so that the entry
     is at least as new. ``heard_at`` is when a report of the upstream last arrived.
@@ -77,6 +78,7 @@
     unlisted_at: timedelta | None = None
     lapse_at: timedelta | None = None
     executor_lost_at: timedelta | None = None
+    inherited_leases_until: timedelta = timedelta(0)
     orphaned_leases_until: timedelta = timedelta(0)
     leaves_at: timedelta | None = None
     ends_seen: int = 0
@@ -182,10 +184,28 @@
             return False
         return self.lapse_at is None and not self.is_leaving
 
+    @property
+    def leases_until(self) -> timedelta:
+        """When all leases have expired that others than its executor have renewed."""
+        return max(self.inherited_leases_until, self.orphaned_leases_until)
+
     def extend_orphaned_leases(self, until: timedelta) -> None:
         """Record that an earlier executor may renew the leases until a time."""
         self.orphaned_leases_until = max(self.orphaned_leases_until, until)
 
+    def record_answer(self, now: timedelta, lease_time: timedelta) -> None:
+        """Record an answer to this leader, ``lease_time`` bounds any lease from now on.
+
+        From its first answer on, the upstream refuses the executors of earlier leaders,
+        since it has seen a higher token.
+        """
+        if not self.heard_at:
+            last = min(self.inherited_leases_until, now + lease_time)
+            self.inherited_leases_until = last
+            until = min(self.assignment.until, self.leases_until)
+            self.assignment = evolve(self.assignment, until=until)
+        self.last_observed_at = self.heard_at = now
+
     def mark_unlisted(self, now: timedelta) -> None:
         """Record that the directory no longer lists the upstream."""
         if self.listed:
--- a/packages/almondspread/almondspread/jobs/wait_survey.py
+++ b/packages/almondspread/almondspread/jobs/wait_survey.py
@@ -30,7 +30,7 @@
         if upstream.lapse_at is not None:
             found[upstream.name] = upstream.lapse_at
         elif upstream.executor_lost_at is not None:
-            found[upstream.name] = upstream.orphaned_leases_until
+            found[upstream.name] = upstream.leases_until
     return found
 
 
--- a/packages/almondspread/almondspread/testing/executor_memories.py
+++ b/packages/almondspread/almondspread/testing/executor_memories.py
@@ -31,6 +31,7 @@
     runs: dict[int, PossibleRuns] = field(factory=dict)
     leases: dict[int, LeaseRenewal] = field(factory=dict)
     _upstreams: dict[int, str] = field(factory=dict)
+    _answered: set[int] = field(factory=set)
 
     def watch(self, order: WatchUpstream, now: timedelta) -> None:
         """Begin an assignment with what its order tells, or apply a later order."""
@@ -41,7 +42,7 @@
                 memory.adopt(order.confirmed_runs, order.unconfirmed_runs)
             self.runs[order.assignment] = memory
             self._upstreams[order.assignment] = order.upstream
-            leases = LeaseRenewal(LEASE, now, order.leases_left)
+            leases = LeaseRenewal(LEASE, now, order.leases_left, order.orphaned_left)
             leases.set_limit(now)
             self.leases[order.assignment] = leases
         if order.renews:
@@ -72,8 +73,13 @@
         """Return in what time the leases have expired that an executor knows of."""
         return max(timedelta(0), self.leases[assignment].expiry - now)
 
-    def record_answer(self, assignment: int, answer: RenewAnswer) -> None:
+    def record_answer(
+        self, assignment: int, answer: RenewAnswer, now: timedelta
+    ) -> None:
         """Record an answer of the upstream to its present executor."""
+        if assignment in self.leases and assignment not in self._answered:
+            self._answered.add(assignment)
+            self.leases[assignment].record_first_answer(now)
         if assignment in self.runs:
             self.runs[assignment].record_answer(answer)
 
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -101,7 +101,7 @@
     _restarts: dict[str, timedelta] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.scheduler = Scheduler(1, self.configuration)
+        self.scheduler = Scheduler(1, self.configuration, lease=LEASE)
 
     def add_upstream(self, name: str, cpu_millis: int = 4_000) -> FakeUpstream:
         """Add an upstream with one MiB of memory for each thousandth of a core."""
@@ -232,7 +232,7 @@
         if answer is None:
             self.check_fenced(name)
             return
-        self.memories.record_answer(assignment, answer)
+        self.memories.record_answer(assignment, answer, self.now)
         after = self._forwarded.get(name, 0)
         ends = tuple(end for end in answer.ends if end.number > after)
         for end in ends:
@@ -456,7 +456,10 @@
                 upstream.name, NO_ASSIGNMENT
             )
         self.scheduler = Scheduler(
-            self.scheduler.epoch + 1, self.configuration, self.started_version
+            self.scheduler.epoch + 1,
+            self.configuration,
+            self.started_version,
+            lease=LEASE,
         )
         self.scheduler.allow_starts(self.started_version)
         self._acknowledged.clear()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -87,7 +87,7 @@
         self._client = client
         self._clock = clock
         now = clock.monotonic()
-        self.leases = LeaseRenewal(lease, now, watch.leases_left)
+        self.leases = LeaseRenewal(lease, now, watch.leases_left, watch.orphaned_left)
         if not watch.renews:
             self.leases.set_limit(now)
         self._metrics = metrics
@@ -95,6 +95,7 @@
         self._last_acknowledged_end = 0
         self._last_forwarded_end = 0
         self._is_confirmed = False
+        self._has_answered = False
         self._acknowledgement = asyncio.Event()
         self._upstream_clock = UpstreamClock(clock)
         self._last_answered = clock.monotonic()
@@ -277,6 +278,9 @@
         now = self._clock.monotonic()
         self._last_answered = now
         self._is_silent = False
+        if not self._has_answered:
+            self._has_answered = True
+            self.leases.record_first_answer(now)
         is_stale = not self._upstream_clock.observe(answer.clock)
         after = self._last_forwarded_end
         ends = tuple(end for end in answer.ends if end.number > after)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -96,6 +96,7 @@
             ANY_VERSION,
             settings.max_entry_age,
             settings.upstream_max_lease,
+            settings.lease,
         )
         self._scheduler.allow_starts(row.started_version)
         self._committer = Committer(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_earlier_release.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_earlier_release.py
@@ -57,7 +57,7 @@
         service = LinkService("one", clock, mock.Mock(), lambda: session, lambda: None)
         await service.serve(link)
         now = self.parts.clock.monotonic()
-        waited = scheduler.cell_state.upstreams["u"].orphaned_leases_until - now
+        waited = scheduler.cell_state.upstreams["u"].leases_until - now
         lease = timedelta(seconds=6) * MAX_CLOCK_DRIFT_FACTOR
         renewed = LINK_FAILURE_DETECTION_TIME + EXECUTOR_GRACE + lease
         self.assertGreaterEqual(waited, renewed)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_ended_executors.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_ended_executors.py
@@ -39,7 +39,7 @@
 
     def read_wait(self):
         upstream = self.scheduler.cell_state.upstreams["u"]
-        return upstream.orphaned_leases_until - self.clock.monotonic()
+        return upstream.leases_until - self.clock.monotonic()
 
     def test_leases_end_soon_after_the_instance_has_started_again(self):
         self.inherit()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
@@ -30,6 +30,23 @@
         leases.record_renewal(NOW + SECOND / 2)
         self.assertEqual(leases.expiry, expiry)
 
+    def test_first_answer_ends_what_executors_of_earlier_leaders_may_renew(self):
+        """A silent upstream kept its tasks for 15 s, although it had answered."""
+        leases = LeaseRenewal(LEASE, NOW, 17 * SECOND, timedelta(0))
+        leases.record_first_answer(NOW + SECOND)
+        self.assertLess(leases.expiry, NOW + 8 * SECOND)
+        self.assertGreater(leases.expiry, NOW + SECOND + LEASE)
+
+    def test_first_answer_does_not_end_leases_of_executors_of_the_same_leader(self):
+        leases = LeaseRenewal(LEASE, NOW, 17 * SECOND, 12 * SECOND)
+        leases.record_first_answer(NOW + SECOND)
+        self.assertEqual(leases.expiry, NOW + 12 * SECOND)
+
+    def test_first_answer_under_a_leader_of_an_earlier_release_ends_nothing(self):
+        leases = LeaseRenewal(LEASE, NOW, 17 * SECOND)
+        leases.record_first_answer(NOW + SECOND)
+        self.assertEqual(leases.expiry, NOW + 17 * SECOND)
+
     def test_expiry_counts_a_lease_that_an_earlier_agent_has_just_renewed(self):
         earlier = LeaseRenewal(LEASE, NOW - LEASE)
         earlier.record_renewal(NOW)
