Renew leases under the leader's own lease only

Cause: a leader goes on for 6 s without the store, and executors went on renewing leases for as long, and one lease more. Where none of them is left to tell, its successor granted them all of that: 16.92 s from its claim, although the leases were over 6.12 s after the loss.

Change: an executor renews leases up to one lease beyond the leader's own lease, which it learns from heartbeats, by the leader's clock, with each conversion on the early side. The leader's row therefore tells its successor when all leases of its epoch and of earlier ones have expired: 7.62 s after its last renewal. Members that are silent for 0.7 s are told of no longer lease, so that a failure domain that is lost without the leader stays within the bound too. Starts, which grant a lease, are refused where they would grant more. Rows and messages of the release before are understood and count as before. While the store takes no renewal, tasks run on for 7.2 s from the last, by the constants; before 13 s.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -16,6 +16,15 @@
 RUNS_PER_EPOCH = 10_000_000
 
 
+def find_epoch(number: int) -> int:
+    """Return the epoch in which a run or an assignment was numbered, 0 if in none.
+
+    >>> find_epoch(3 * RUNS_PER_EPOCH + 17)
+    3
+    """
+    return number // RUNS_PER_EPOCH
+
+
 @define(eq=False)
 class CellState:
     """Binds runs to upstreams until they are known to have ended.
--- a/packages/almondspread/almondspread/jobs/lease_renewal.py
+++ b/packages/almondspread/almondspread/jobs/lease_renewal.py
@@ -11,7 +11,9 @@
     ``expiry`` is when all of them have certainly expired. An earlier agent may have
     renewed them just before this one began, and others for ``left``. Once the upstream
     has answered, of the others only the leases of ``orphaned_left`` can be longer than
-    one from then, where that is known.
+    one from then, where that is known. None is renewed beyond ``renewable_until``,
+    which moves on with the leader's own lease; it is ``None`` under a leader that does
+    not tell.
 
     >>> leases = LeaseRenewal(timedelta(seconds=6), timedelta(seconds=100))
     >>> leases.set_limit(timedelta(seconds=107))
@@ -25,8 +27,10 @@
         now: timedelta,
         left: timedelta = timedelta(0),
         orphaned_left: timedelta | None = None,
+        renewable_until: timedelta | None = None,
     ) -> None:
         self._lease = lease
+        self._renewable_until = renewable_until
         self._orphaned_until = None if orphaned_left is None else now + orphaned_left
         self._limit: timedelta | None = None
         self.expiry = max(self._compute_expiry(now, lease), now + left)
@@ -40,13 +44,23 @@
         """Renew leases without a limit again."""
         self._limit = None
 
+    def extend(self, renewable_until: timedelta) -> None:
+        """Renew leases up to a time, as the leader's own lease lasts until later."""
+        if self._renewable_until is not None:
+            self._renewable_until = max(self._renewable_until, renewable_until)
+
     def choose_lease(self, now: timedelta) -> timedelta | None:
         """Return for how long to renew the leases, ``None`` beyond the limit."""
-        if self._limit is None:
-            return self._lease
-        left = min(self._lease, self._limit - now)
+        left = self._lease
+        for limit in (self._limit, self._renewable_until):
+            if limit is not None:
+                left = min(left, limit - now)
         return left if left > timedelta(0) else None
 
+    def may_grant(self, now: timedelta, lease: timedelta) -> bool:
+        """Tell whether a start may grant a lease now, as the leader's own lasts."""
+        return self._renewable_until is None or now + lease <= self._renewable_until
+
     def record_first_answer(self, now: timedelta) -> None:
         """Record the first answer: the upstream refuses earlier leaders from now on."""
         if self._orphaned_until is not None:
--- a/packages/almondspread/almondspread/jobs/leases.py
+++ b/packages/almondspread/almondspread/jobs/leases.py
@@ -32,6 +32,10 @@
     releases its leadership sets ``released``; a leader that resigns writes nothing. No
     leader has started a task of a job that was stored after version
     ``started_version``.
+
+    If it ``bounds_leases``, all its executors renew leases at full length only as long
+    as its own lease holds. Those that were renewed in earlier epochs have expired at
+    ``inherited_leases_until``, in seconds of the store's clock, where that is not 0.
     """
 
     epoch: int
@@ -42,6 +46,8 @@
     renewal: int = 0
     released: bool = False
     started_version: int = 0
+    bounds_leases: bool = False
+    inherited_leases_until: float = 0.0
 
 
 def is_expired(row: LeaderRow | None, store_time: timedelta) -> bool:
@@ -85,14 +91,37 @@
 
 
 def compute_inherited_lease_time(lease: timedelta) -> timedelta:
-    """Return how long after a claim unreported runs of the earlier leader may live.
+    """Return how long after a claim leases of a leader may last that bounds none.
 
-    The earlier leader may continue for its grace time, and then its executors, of
-    which nothing is known, for theirs.
+    It may continue for its grace time, and then its executors, of which nothing is
+    known, for theirs.
     """
     return LEADER_GRACE + compute_orphaned_lease_time(lease, is_limited=False)
 
 
+def compute_inherited_expiry(
+    row: LeaderRow | None, version: int, store_time: timedelta, lease: timedelta
+) -> timedelta:
+    """Return when all leases have expired that leaders up to that of a row left.
+
+    Both times are of the store's clock; ``store_time`` is that of the next claim. There
+    was no leader before if the row's ``version`` is 0; a row that cannot be read is
+    ``None`` as well, and tells nothing.
+
+    >>> row = LeaderRow(1, "entry-1", "a", "10.0.0.1:7000", 10.0, bounds_leases=True)
+    >>> lease = timedelta(seconds=6)
+    >>> compute_inherited_expiry(row, 7, timedelta(seconds=12), lease).total_seconds()
+    17.62
+    """
+    if version == 0:
+        return store_time
+    if row is None or not row.bounds_leases:
+        return store_time + compute_inherited_lease_time(lease)
+    earlier = timedelta(seconds=row.inherited_leases_until)
+    last_renewal = timedelta(seconds=row.renewed) + LEADER_LEASE
+    return max(earlier, last_renewal + compute_longest_lease_time(lease))
+
+
 def compute_longest_lease_time(max_lease: timedelta) -> timedelta:
     """Return how long the longest lease may last that an upstream has just granted."""
     return max_lease * MAX_CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN
--- a/packages/almondspread/almondspread/jobs/messages.py
+++ b/packages/almondspread/almondspread/jobs/messages.py
@@ -30,6 +30,12 @@
 UNKNOWN = "unknown"
 FENCED = "fenced"
 
+# Why a start was refused, where the reason does not lie with the upstream: its ticket,
+# its run number or its time have expired, or the executor may not renew its lease.
+TICKET_REASON = "ticket"
+LEASE_REASON = "lease"
+REASONS_WITHOUT_FAULT = frozenset({TICKET_REASON, LEASE_REASON, "old", "late"})
+
 
 @define(frozen=True)
 class UpstreamEntry:
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -14,7 +14,9 @@
     DONE,
     FAILED,
     FENCED,
+    REASONS_WITHOUT_FAULT,
     STARTED,
+    TICKET_REASON,
     UNKNOWN,
     AskPermits,
     RunEnd,
@@ -106,10 +108,10 @@
         progress = self.job_table.find_step(run)
         self.cell_state.remove_run(progress, run)
         progress.not_before = now + REFUSED_START_DELAY
-        if reason == "ticket":
+        if reason == TICKET_REASON:
             progress.permits.discard_tickets()
         upstream = self.cell_state.upstreams.get(run.upstream)
-        if upstream is not None and reason not in ("ticket", "old", "late"):
+        if upstream is not None and reason not in REASONS_WITHOUT_FAULT:
             upstream.suspend(now)
         self.stop_other_members(progress, run, now)
         self.job_table.update_readiness(progress)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/agents.py
@@ -12,6 +12,7 @@
 from almondspread.jobs.lease_renewal import LeaseRenewal
 from almondspread.jobs.messages import (
     FENCED,
+    LEASE_REASON,
     REFUSED,
     STARTED,
     UNKNOWN,
@@ -82,12 +83,15 @@
         lease: timedelta,
         metrics: JobMetrics,
         report: SendReport,
+        renewable_until: timedelta | None = None,
     ) -> None:
         self.watch = watch
         self._client = client
         self._clock = clock
         now = clock.monotonic()
-        self.leases = LeaseRenewal(lease, now, watch.leases_left, watch.orphaned_left)
+        self.leases = LeaseRenewal(
+            lease, now, watch.leases_left, watch.orphaned_left, renewable_until
+        )
         if not watch.renews:
             self.leases.set_limit(now)
         self._metrics = metrics
@@ -125,6 +129,10 @@
         """Renew no lease beyond a time, as the leader of this epoch is lost."""
         self.leases.set_limit(limit)
 
+    def extend_leases(self, renewable_until: timedelta) -> None:
+        """Renew leases up to a time, as the leader's own lease lasts until later."""
+        self.leases.extend(renewable_until)
+
     def allow_renewals(self) -> None:
         """Renew the leases from now on, without a limit."""
         self.leases.lift_limit()
@@ -252,9 +260,11 @@
 
     def _choose_wait(self, until: timedelta | None, now: timedelta) -> timedelta:
         """Return how long the next renew call waits for runs to end."""
-        if until is not None:
-            return self._renew_wait
-        if self.leases.choose_lease(now) is None and not self._is_silent:
+        lease = self.leases.choose_lease(now)
+        if until is not None and lease is not None:
+            # A lease that must not be renewed at full length ends before long.
+            return min(self._renew_wait, max(FORBIDDEN_RENEWAL_WAIT, lease / 2))
+        if lease is None and not self._is_silent:
             # The leader may allow renewals at any time.
             return min(self._renew_wait, FORBIDDEN_RENEWAL_WAIT)
         return timedelta(0)
@@ -368,6 +378,10 @@
             self.possible_runs.record_refusal(run)
             self._report_start(order, REFUSED, "unreachable")
             return
+        if not self.leases.may_grant(self._clock.monotonic(), START_EXPIRY):
+            self.possible_runs.record_refusal(run)
+            self._report_start(order, REFUSED, LEASE_REASON)
+            return
         self.possible_runs.record_expiry(run, upstream_time + START_EXPIRY)
         call = StartCall(
             self.watch.fencing_token,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -6,7 +6,10 @@
 from loguru import logger
 
 from almondspread.clock import Clock
-from almondspread.jobs.leases import compute_orphaned_lease_time
+from almondspread.jobs.leases import (
+    compute_longest_lease_time,
+    compute_orphaned_lease_time,
+)
 from almondspread.jobs.messages import (
     AskPermits,
     PermitsAnswered,
@@ -25,6 +28,11 @@
 UPSTREAM_REPORT_TIMEOUT = timedelta(seconds=4)
 
 
+def is_unresponsive(member: Member, now: timedelta) -> bool:
+    """Tell whether a member misses heartbeats; the leader has no link to its own."""
+    return not member.leads and now - member.last_heard > MEMBER_SILENCE_THRESHOLD
+
+
 class Assignments:
     """Assigns the upstreams to members and sends members the scheduler's orders.
 
@@ -102,7 +110,7 @@
         """
         now = self._clock.monotonic()
         released = self.members.remove(member)
-        until = now + self._compute_lease_time(member)
+        until = self._compute_lease_expiry(member)
         self._scheduler.abandon_upstreams(released, until, now)
         for request in member.advice_requests:
             self._report_unanswered(request)
@@ -116,10 +124,7 @@
         now = self._clock.monotonic()
         unresponsive: set[str] = set()
         for member in self.members.members.values():
-            if (
-                member.instance != own
-                and now - member.last_heard > MEMBER_SILENCE_THRESHOLD
-            ):
+            if member.instance != own and is_unresponsive(member, now):
                 unresponsive |= member.upstreams
         self._scheduler.update_unresponsive(unresponsive)
 
@@ -203,11 +208,15 @@
                 owner.send(UnwatchUpstream(name))
             self._begin_watch(name, member, owner)
 
-    def _compute_lease_time(self, member: Member) -> timedelta:
-        """Return how long leases may last that a member renews which hears no more."""
-        return compute_orphaned_lease_time(
-            self._settings.lease, is_limited=member.limits_leases
+    def _compute_lease_expiry(self, member: Member) -> timedelta:
+        """Return when leases have expired that a member renews which hears no more."""
+        lease = self._settings.lease
+        expiry = self._clock.monotonic() + compute_orphaned_lease_time(
+            lease, is_limited=member.limits_leases
         )
+        if not member.bounds_leases:
+            return expiry
+        return min(expiry, member.lease_told_until + compute_longest_lease_time(lease))
 
     def _begin_watch(
         self, name: str, member: Member, owner: Member | None = None
@@ -218,7 +227,7 @@
         """
         leases_until = timedelta(0)
         if owner is not None and not owner.leads:
-            leases_until = self._clock.monotonic() + self._compute_lease_time(owner)
+            leases_until = self._compute_lease_expiry(owner)
         self._scheduler.begin_assignment(
             name, member.instance, member.incarnation, leases_until
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/candidacy.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/candidacy.py
@@ -5,7 +5,7 @@
 from almondspread.clock import Clock
 from almondspread.jobs.leases import LeaderRow, is_expired
 from almondspread_daemon.jobs.links import Released
-from almondspread_daemon.jobs.store_clock import StoreClock
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 
 # Other instances wait this long for the claim of the successor that a leader named.
 SUCCESSOR_CLAIM_TIME = timedelta(milliseconds=1_500)
@@ -20,7 +20,7 @@
     """
 
     def __init__(
-        self, instance: str, incarnation: str, clock: Clock, store_clock: StoreClock
+        self, instance: str, incarnation: str, clock: Clock, store_clock: RemoteClock
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/commits.py
@@ -29,6 +29,7 @@
 from almondspread_daemon.jobs.commit_draft import CommitDraft
 from almondspread_daemon.jobs.commit_pace import CommitPace
 from almondspread_daemon.jobs.progress_rows import encode_progress
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.row_chunks import RowChange, StoredChunks
 from almondspread_daemon.jobs.rows import (
     LEADER_ROW,
@@ -39,7 +40,6 @@
     make_progress_name,
 )
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 
 # An older refusal does not show that the store still refuses commits.
 REFUSAL_MAX_AGE = timedelta(seconds=1)
@@ -85,7 +85,7 @@
         version: int,
         scheduler: Scheduler,
         store: StoreAccess,
-        store_clock: StoreClock,
+        store_clock: RemoteClock,
         clock: Clock,
         limits: StoreLimits,
     ) -> None:
@@ -102,6 +102,7 @@
         self._max_jobs = limits.call_entries
         self._chunks = StoredChunks()
         self._lease_expires_at = clock.monotonic() + LEADER_LEASE
+        self._stored_renewal = timedelta(seconds=row.renewed)
         self._refused_at: timedelta | None = None
         self._watched: tuple[WatchedUpstream, ...] | None = None
         self._watched_values: list[bytes] = []
@@ -125,6 +126,20 @@
         """Whether the last stored commit still keeps the leader lease valid."""
         return self._clock.monotonic() < self._lease_expires_at
 
+    @property
+    def lease_until(self) -> timedelta:
+        """Until when the lease lasts that the store has, on the local clock.
+
+        The next leader knows the renewal by the store's clock. An answer that took long
+        leaves open what that shows here, and the earlier time counts.
+        """
+        renewed = self._store_clock.to_earliest_local(self._stored_renewal)
+        return renewed + LEADER_LEASE
+
+    def record_unbounded_leases(self) -> None:
+        """Record that executors renew leases without regard to the leader's lease."""
+        self.row = evolve(self.row, bounds_leases=False)
+
     @property
     def is_grace_over(self) -> bool:
         """Whether the lease expired so long ago that the leader must stop.
@@ -167,9 +182,10 @@
         while True:
             attempt = self._prepare(released)
             transaction = attempt.draft.make_transaction()
+            sent_at = self._clock.monotonic()
             outcome = await self._store.transact(transaction)
             if outcome.is_ok():
-                self._store_clock.observe(outcome.ok.store_time)
+                self._store_clock.observe(outcome.ok.store_time, sent_at)
                 self._record_stored(attempt, outcome.ok.version)
                 return True
             if isinstance(outcome.error, ConditionsFailed):
@@ -295,6 +311,7 @@
         self._max_jobs = min(self._limits.call_entries, 2 * self._max_jobs + 1)
         self._pace.record_commit(version, attempt.sent_at, self._clock.monotonic())
         self._lease_expires_at = attempt.sent_at + LEADER_LEASE
+        self._stored_renewal = timedelta(seconds=attempt.row.renewed)
         for change in attempt.draft.changes:
             self._chunks.record_stored(change)
         self._record_watched(attempt.watched)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -63,15 +63,37 @@
         self._advice_lock = asyncio.Lock()
         self._advice_pace = AdvicePace()
         self._expiry_task: asyncio.Task[None] | None = None
+        self._renewable_until: timedelta | None = None
 
-    def attach_leader(self, report: SendReport, epoch: int) -> None:
-        """Send reports to the leader of an epoch, and keep renewing leases."""
+    def attach_leader(
+        self, report: SendReport, epoch: int, *, is_bounded: bool = False
+    ) -> None:
+        """Send reports to the leader of an epoch, and keep renewing leases.
+
+        Where it ``is_bounded``, the leader tells how long its own lease lasts, and
+        nothing is renewed for it before it does. Others renew leases without that.
+        """
         self._report = report
         self._leader_epoch = epoch
+        self._renewable_until = self._clock.monotonic() if is_bounded else None
         if self._expiry_task is not None:
             self._expiry_task.cancel()
             self._expiry_task = None
 
+    def extend_leases(self, lease_until: timedelta) -> None:
+        """Renew leases as long as the leader's own lasts, and one lease beyond.
+
+        A leader that cannot renew its lease may have been replaced. Its successor
+        counts the leases of its executors from the last renewal of its own.
+        """
+        if self._renewable_until is None:
+            return
+        until = max(self._renewable_until, lease_until + self._lease)
+        self._renewable_until = until
+        for agent in self._agents.values():
+            if agent.watch.epoch == self._leader_epoch:
+                agent.extend_leases(until)
+
     def report_remembered(self, report: SendReport, epoch: int) -> None:
         """Tell the leader of an epoch what upstreams may run by orders of earlier ones.
 
@@ -169,6 +191,7 @@
             self._lease,
             self._metrics,
             self.send_report,
+            self._renewable_until,
         )
 
     def _forward_order(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/follower.py
@@ -26,8 +26,8 @@
     StoreReached,
     Welcome,
 )
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.settings import JobSettings
-from almondspread_daemon.jobs.store_clock import StoreClock
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 LEADER_TIMEOUT = timedelta(milliseconds=1_000)
@@ -49,7 +49,7 @@
         dispatcher: LeaderMessageDispatcher,
         candidacy: Candidacy,
         leader_rows: LeaderRowAccess,
-        store_clock: StoreClock,
+        store_clock: RemoteClock,
         clock: Clock,
         stamp: Callable[[Beat], Beat],
     ) -> None:
@@ -103,10 +103,10 @@
         ended a link on which it was followed, or because the link has fallen silent.
         That attempt tells at once whether the leader's process has ended.
         """
-        link = await self._connect(row)
-        if link is None:
+        leader = await self._connect(row)
+        if leader is None:
             return False
-        leader = LeaderLink(link, self._clock.monotonic())
+        link = leader.link
         watchdog = asyncio.create_task(self._run_heartbeat(leader, row))
         try:
             async for message in link.receive_messages():
@@ -130,7 +130,7 @@
             self._end_following(row, link)
         return broke_off or leader.is_silent
 
-    async def _connect(self, row: LeaderRow) -> Link | None:
+    async def _connect(self, row: LeaderRow) -> LeaderLink | None:
         """Open a link to a leader, ``None`` if it cannot be reached."""
         try:
             host, port = parse_destination(row.address)
@@ -144,8 +144,8 @@
                 # ended. Epoch fencing makes a wrong guess harmless.
                 self._candidacy.record_ended(row.incarnation)
             return None
-        link = Link(stream)
-        link.send(
+        leader = LeaderLink(Link(stream), self._clock.monotonic())
+        leader.link.send(
             Hello(
                 self._settings.instance,
                 self._incarnation,
@@ -155,9 +155,10 @@
                 (self._clock.monotonic() - self._started).total_seconds(),
                 self._settings.peer_address,
                 limits_leases=True,
+                bounds_leases=True,
             )
         )
-        return link
+        return leader
 
     def _begin_following(
         self, row: LeaderRow, leader: LeaderLink, welcome: Welcome
@@ -188,6 +189,7 @@
             silence = timedelta(0)
             while silence <= LEADER_TIMEOUT and not leader.is_silent:
                 leader.link.send(self._make_heartbeat())
+                self._dispatcher.ask_clock(leader.link)
                 await self._clock.sleep(HEARTBEAT_INTERVAL)
                 leader.is_silent = await check.find_silent()
                 silence = self._clock.monotonic() - leader.last_heard
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
@@ -1,11 +1,13 @@
 """The heartbeats of a leader to its members."""
 
+from attrs import evolve
+
 from almondspread.clock import Clock
 from almondspread.jobs.scheduler import Scheduler
-from almondspread_daemon.jobs.assignments import Assignments
+from almondspread_daemon.jobs.assignments import Assignments, is_unresponsive
 from almondspread_daemon.jobs.commits import Committer
 from almondspread_daemon.jobs.intake import JobIntake
-from almondspread_daemon.jobs.links import Beat, QueueLoads
+from almondspread_daemon.jobs.links import Beat, QueueLoads, SharedMessage
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.store_access import StoreAccess
 
@@ -33,12 +35,23 @@
 
     def send(self) -> None:
         """Send all members a heartbeat."""
-        self._assignments.broadcast(self._make())
+        beat = self._make()
+        shared = SharedMessage(beat)
+        shared_without_lease = SharedMessage(evolve(beat, lease_until=None))
+        now = self._clock.monotonic()
+        for member in self._assignments.members.members.values():
+            if is_unresponsive(member, now):
+                # Should it be lost, its leases end sooner if it is told no more.
+                member.send(shared_without_lease)
+                continue
+            member.lease_told_until = self._committer.lease_until
+            member.send(shared)
 
     def send_to(self, instance: str) -> None:
         """Send one member a heartbeat."""
         member = self._assignments.members.members.get(instance)
         if member is not None:
+            member.lease_told_until = self._committer.lease_until
             member.send(self._make())
 
     def _make(self) -> Beat:
@@ -48,6 +61,7 @@
             self._intake.is_caught_up(),
             self._store.is_unavailable,
             member_address=self._assignments.members.name_next_address(),
+            lease_until=self._committer.lease_until.total_seconds(),
         )
         return self._exchange.stamp(beat)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -8,7 +8,7 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.leases import LeaderRow
+from almondspread.jobs.leases import LeaderRow, compute_inherited_expiry
 from almondspread.jobs.messages import ExecutorReport
 from almondspread.jobs.ports import (
     AdviceClient,
@@ -40,12 +40,12 @@
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.published_input import PublishedInput
 from almondspread_daemon.jobs.relay import RowRelay
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.retention import SWEEP_INTERVAL
 from almondspread_daemon.jobs.row_writer import RowWriter
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.state_cache import JobStateCache
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 
 POLL_INTERVAL = timedelta(milliseconds=100)
 # Instances that detect a leader's failure at the same time claim after random delays.
@@ -73,7 +73,7 @@
     ) -> None:
         self.settings = settings
         self.state_cache = JobStateCache()
-        self.store_clock = StoreClock(clock)
+        self.store_clock = RemoteClock(clock)
         self._relay = RowRelay(clock)
         self._writer = RowWriter(
             store, clock, settings.instance, self._relay, settings.store_limits
@@ -130,7 +130,7 @@
         self._candidacy = Candidacy(
             settings.instance, incarnation, clock, self.store_clock
         )
-        self._leader_rows = LeaderRowAccess(store, self.store_clock)
+        self._leader_rows = LeaderRowAccess(store, self.store_clock, clock)
         self._dispatcher = LeaderMessageDispatcher(
             self.state_cache,
             self._executor,
@@ -138,6 +138,7 @@
             self._candidacy,
             self._exchange,
             self._inquiry.remember,
+            clock,
         )
         self._follower = Follower(
             settings,
@@ -305,19 +306,27 @@
     async def _claim(self, row: LeaderRow | None, version: int) -> None:
         """Try to store a claim to leadership, and lead if that succeeds."""
         assert self.job_service.configuration is not None
+        store_time = self.store_clock.now()
+        inherited_until = compute_inherited_expiry(
+            row, version, store_time, self.settings.lease
+        )
         claim = LeaderRow(
             (row.epoch if row is not None else 0) + 1,
             self.settings.instance,
             self._incarnation,
             self.settings.peer_address,
-            self.store_clock.now().total_seconds(),
+            store_time.total_seconds(),
             started_version=row.started_version if row is not None else 0,
+            bounds_leases=True,
+            inherited_leases_until=inherited_until.total_seconds(),
         )
         claimed = await self._leader_rows.claim(claim, version)
         if claimed is not None:
-            await self._lead(claim, claimed)
+            await self._lead(claim, claimed, row)
 
-    async def _lead(self, claim: LeaderRow, version: int) -> None:
+    async def _lead(
+        self, claim: LeaderRow, version: int, previous: LeaderRow | None = None
+    ) -> None:
         """Lead under a stored claim, with this instance as the first member."""
         assert self.job_service.configuration is not None
         self._candidacy.record_leadership(claim.epoch)
@@ -333,6 +342,7 @@
             self._writer,
             self._machines,
             self._exchange,
+            previous,
         )
         session.set_waves(self._waves)
 
@@ -357,7 +367,7 @@
 
         self._session = session
         self._executor.report_remembered(report, claim.epoch)
-        self._executor.attach_leader(report, claim.epoch)
+        self._executor.attach_leader(report, claim.epoch, is_bounded=True)
         session.add_member(member)
         try:
             await session.run()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/intake.py
@@ -5,12 +5,14 @@
 from loguru import logger
 
 from almondspread.clock import Clock
+from almondspread.jobs.cell_state import find_epoch
 from almondspread.jobs.job_records import TERMINAL_STATES, JobRecord
-from almondspread.jobs.leases import compute_inherited_lease_time
+from almondspread.jobs.leases import LeaderRow, compute_inherited_lease_time
 from almondspread.jobs.messages import Assignment
 from almondspread.jobs.ports import HistoryGone, StoredRow
 from almondspread.jobs.scheduler import Scheduler
 from almondspread_daemon.jobs.commits import Committer
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.retention import SubmissionRows
 from almondspread_daemon.jobs.rows import (
     CANCEL_PREFIX,
@@ -24,7 +26,6 @@
 )
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.jobs.stored_cell import StoredCell
 from almondspread_daemon.jobs.wall_time import NO_OCCURRENCE_DUE
 
@@ -46,8 +47,9 @@
         committer: Committer,
         settings: JobSettings,
         store: StoreAccess,
-        store_clock: StoreClock,
+        store_clock: RemoteClock,
         clock: Clock,
+        previous: LeaderRow | None = None,
     ) -> None:
         self.is_loaded = False
         self._claim_version = claim_version
@@ -58,6 +60,7 @@
         self._store = store
         self._store_clock = store_clock
         self._clock = clock
+        self._previous = previous
         self._records: dict[str, JobRecord] = {}
         self.rows = SubmissionRows(followed_version=claim_version)
         self._missing_partitions: list[str] = []
@@ -119,9 +122,8 @@
         A lease expiry that an earlier leader stored may be sooner than the general
         bound, and is then used instead.
         """
-        lease_time = compute_inherited_lease_time(self._settings.lease)
         for upstream in cell.watched:
-            lease_expiry = self._clock.monotonic() + lease_time
+            lease_expiry = self._compute_lease_expiry(upstream)
             if upstream.lapse:
                 stored_expiry = timedelta(seconds=upstream.lapse)
                 lease_expiry = min(
@@ -133,6 +135,22 @@
                 self._make_assignment(upstream),
             )
 
+    def _compute_lease_expiry(self, upstream: WatchedUpstream) -> timedelta:
+        """Return when the leases have expired that earlier leaders' executors renewed.
+
+        An upstream whose assignment is older than the epoch before this one has not
+        answered in that epoch, so that no lease was renewed there since.
+        """
+        expiry = self._committer.row.inherited_leases_until
+        previous = self._previous
+        if previous is not None and previous.inherited_leases_until:
+            if 0 < find_epoch(upstream.assignment) < previous.epoch:
+                expiry = previous.inherited_leases_until
+        if not expiry:
+            lease_time = compute_inherited_lease_time(self._settings.lease)
+            return self._clock.monotonic() + lease_time
+        return self._store_clock.to_local(timedelta(seconds=expiry))
+
     def _make_assignment(self, upstream: WatchedUpstream) -> Assignment:
         """Return the assignment that a row names, with its time on the local clock."""
         until = timedelta(0)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
@@ -27,6 +27,7 @@
 )
 from almondspread.jobs.submissions import Submission, check_submission
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.row_writer import RowWriter
 from almondspread_daemon.jobs.rows import (
     CancelRow,
@@ -38,7 +39,6 @@
 )
 from almondspread_daemon.jobs.state_cache import JobStateCache
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
 # A caller that learns early that the outcome is unknown can still retry at another
@@ -60,7 +60,7 @@
         self,
         store: StoreAccess,
         writer: RowWriter,
-        store_clock: StoreClock,
+        store_clock: RemoteClock,
         clock: Clock,
         state_cache: JobStateCache,
         metrics: JobMetrics,
@@ -216,13 +216,14 @@
         self, name: RowName
     ) -> Result[StoredRow | None, StoreUnavailable]:
         """Return one row, ``None`` if it does not exist."""
+        asked_at = self._clock.monotonic()
         # Keys of this system contain no byte below the space character.
         page = await self._store.read(
             name.table, name.partition, name.key, name.key + "\x01"
         )
         if page.is_error():
             return Error(page.error)
-        self._store_clock.observe(page.ok.store_time)
+        self._store_clock.observe(page.ok.store_time, asked_at)
         return Ok(page.ok.rows[0] if page.ok.rows else None)
 
     def _record_outcome(self, job: str, outcome: str, **inputs: object) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -29,7 +29,9 @@
 from almondspread_daemon.jobs.intake import STORE_RETRY_DELAY, JobIntake
 from almondspread_daemon.jobs.lasting import run_lasting
 from almondspread_daemon.jobs.links import (
+    AskClock,
     Beat,
+    ClockTold,
     JobCancelled,
     Leaving,
     Link,
@@ -46,13 +48,13 @@
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.pass_loop import PassLoop
 from almondspread_daemon.jobs.relay_service import RelayService
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.resignation import Resignation
 from almondspread_daemon.jobs.retention import Retention
 from almondspread_daemon.jobs.row_writer import RowWriter
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.start_marks import StartMarks, StartPermission
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 from almondspread_daemon.jobs.upstream_list import UpstreamList
 from almondspread_daemon.jobs.wait_log import WaitLog
 from almondspread_daemon.jobs.wall_time import measure_offset
@@ -66,7 +68,7 @@
     """Runs the scheduler of one epoch, stores its decisions and sends them to members.
 
     A member is an instance that carries out this leader's orders. The leader's own
-    instance is one of them.
+    instance is one of them. ``previous`` is the row before the claim, if it is known.
     """
 
     def __init__(
@@ -76,12 +78,13 @@
         settings: JobSettings,
         configuration: Configuration,
         store: StoreAccess,
-        store_clock: StoreClock,
+        store_clock: RemoteClock,
         clock: Clock,
         metrics: JobMetrics,
         writer: RowWriter,
         machines: MachineClient | None,
         exchange: OperatorExchange,
+        previous: LeaderRow | None = None,
     ) -> None:
         self.epoch = row.epoch
         self._exchange = exchange
@@ -116,6 +119,7 @@
             store,
             store_clock,
             clock,
+            previous,
         )
         self._start_permission = StartPermission(
             StartMarks(row.epoch, row.started_version, store),
@@ -278,12 +282,16 @@
 
     def add_member(self, member: Member) -> None:
         """Add a member and assign it a share of the upstreams."""
+        if not member.bounds_leases:
+            self._committer.record_unbounded_leases()
         self._assignments.add_member(member)
 
     async def serve_member(self, member: Member, link: Link) -> None:
         """Add a member; handle its messages until its link closes or the epoch ends."""
-        self._assignments.add_member(member)
-        link.send(Welcome(self.epoch, asks_runs=True))
+        self.add_member(member)
+        clock = self._clock.monotonic().total_seconds()
+        link.send(Welcome(self.epoch, asks_runs=True, clock=clock))
+        self._heartbeats.send_to(member.instance)
         link.send(self._announcer.describe_all())
         try:
             async for message in link.receive_messages():
@@ -319,13 +327,19 @@
                 self._resignation.handle_store_reached(member.instance)
             case Leaving():
                 self._assignments.drain_member(member)
-            case Beat():
-                member.wall_offset = measure_offset(
-                    message.unix_seconds, self._clock.monotonic()
-                )
+            case Beat() | AskClock():
+                self._handle_clock(member, message)
                 return
         self._passes.request()
 
+    def _handle_clock(self, member: Member, message: Beat | AskClock) -> None:
+        """Note a member's time of day, or tell it this leader's monotonic time."""
+        now = self._clock.monotonic()
+        if isinstance(message, AskClock):
+            member.send(ClockTold(message.asked_at, now.total_seconds()))
+            return
+        member.wall_offset = measure_offset(message.unix_seconds, now)
+
     def _handle_report(self, report: ExecutorReport) -> None:
         """Pass an executor's report to the scheduler; store ended runs soon."""
         self._scheduler.handle_report(report, self._clock.monotonic())
@@ -365,8 +379,12 @@
             except TimeoutError:
                 pass
             self._commit_wanted.clear()
+            held = self._committer.lease_holds
             if await self._committer.commit():
                 self._passes.request()
+                if not held:
+                    # Members renew leases again as soon as they are told.
+                    self._heartbeats.send()
             else:
                 self._commit_wanted.set()
                 if await self._start_permission.mark_if_refused():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/link_service.py
@@ -80,5 +80,6 @@
             address=hello.address,
             incarnation=hello.incarnation,
             limits_leases=hello.limits_leases,
+            bounds_leases=hello.bounds_leases,
         )
         await session.serve_member(member, link)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -42,7 +42,8 @@
     ``strength`` is the machine's suitability to lead, from 0 to 1. ``age`` is the
     uptime of the sender's process in seconds. Other instances reach it at ``address``,
     which is empty from instances of an earlier release. Its executor ``limits_leases``
-    once it has lost its leader; one of an earlier release does not.
+    once it has lost its leader, and ``bounds_leases`` by the leader's own lease; one of
+    an earlier release does not.
     """
 
     instance: str
@@ -53,6 +54,7 @@
     age: float
     address: str = ""
     limits_leases: bool = False
+    bounds_leases: bool = False
 
 
 @define(frozen=True)
@@ -61,10 +63,31 @@
 
     If the leader ``asks_runs``, the member sends what the upstreams may run that it has
     been assigned lately; a leader of an earlier release does not understand that.
+    ``clock`` is the leader's monotonic time in seconds. Its heartbeats tell by it until
+    when leases may be renewed; those of a leader that does not send it tell nothing.
     """
 
     epoch: int
     asks_runs: bool = False
+    clock: float | None = None
+
+
+@define(frozen=True)
+class AskClock:
+    """Asks the leader for its monotonic time; the question was sent ``asked_at``.
+
+    Both are in seconds, each of the sender's own clock.
+    """
+
+    asked_at: float
+
+
+@define(frozen=True)
+class ClockTold:
+    """The leader's monotonic time as it answered the question sent ``asked_at``."""
+
+    asked_at: float
+    clock: float
 
 
 @define(frozen=True)
@@ -89,7 +112,8 @@
     newest version of a row of operators that the sender knows, and ``operator_age`` how
     many seconds ago it knew of no newer one; instances of an earlier release send
     neither. ``member_address`` is where one member can be reached, another in each
-    heartbeat of a leader.
+    heartbeat of a leader. The leader's own lease lasts ``lease_until``, in seconds of
+    its monotonic clock; as long may members renew leases at full length.
     """
 
     lease_holds: bool = True
@@ -99,6 +123,7 @@
     operator_revision: int = 0
     operator_age: float | None = None
     member_address: str = ""
+    lease_until: float | None = None
 
 
 @define(frozen=True)
@@ -222,11 +247,13 @@
 LINK_CODEC = TaggedCodec(
     (
         AcknowledgeEnds,
+        AskClock,
         AskLeader,
         AskLink,
         AskOperatorRows,
         AskPermits,
         Beat,
+        ClockTold,
         EpochFenced,
         Hello,
         JobCancelled,
@@ -349,12 +376,14 @@
 class LeaderLink:
     """A link to the leader, with the time of the last message from the leader.
 
-    ``is_silent`` is set once the leader is known to answer on other links only.
+    This instance has introduced itself at ``greeted_at`` or later. ``is_silent`` is set
+    once the leader is known to answer on other links only.
     """
 
-    def __init__(self, link: Link, last_heard: timedelta) -> None:
+    def __init__(self, link: Link, greeted_at: timedelta) -> None:
         self.link = link
-        self.last_heard = last_heard
+        self.greeted_at = greeted_at
+        self.last_heard = greeted_at
         self.is_silent = False
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -25,6 +25,7 @@
     WaveRecord,
 )
 from almondspread_daemon.jobs.commits import Committer
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.row_chunks import (
     StoredChunks,
     pack_chunks,
@@ -33,7 +34,6 @@
 from almondspread_daemon.jobs.rows import MAINTENANCE_ROW, MaintenanceRow, decode_row
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 
 STEP_INTERVAL = timedelta(milliseconds=300)
 CALL_TIMEOUT = timedelta(seconds=2)
@@ -57,7 +57,7 @@
         scheduler: Scheduler,
         settings: JobSettings,
         store: StoreAccess,
-        store_clock: StoreClock,
+        store_clock: RemoteClock,
         machines: MachineClient,
         clock: Clock,
     ) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -28,7 +28,8 @@
     is not known. The instance that ``leads`` keeps upstreams only of failure domains
     without another member, so that its loss is seldom also that of an executor. A
     member that ``limits_leases`` renews none beyond one lease after it has lost its
-    leader.
+    leader, and one that ``bounds_leases`` none beyond one lease after the time that it
+    was told last, ``lease_told_until``.
     """
 
     instance: str
@@ -46,6 +47,8 @@
     leads: bool = False
     incarnation: str = ""
     limits_leases: bool = True
+    bounds_leases: bool = True
+    lease_told_until: timedelta = timedelta(0)
 
     def is_same_process(self, other: "Member") -> bool:
         """Return whether both are one process; its ``incarnation`` may be unknown."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -12,9 +12,9 @@
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.published_input import PublishedInput
+from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.settings import JobSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
-from almondspread_daemon.jobs.store_clock import StoreClock
 
 SECOND = timedelta(seconds=1)
 
@@ -41,7 +41,7 @@
         self.store = MemoryRecordStore()
         self.metrics = JobMetrics("entry-1", "umea")
         self.access = StoreAccess(self.store, None, self.clock, self.metrics)
-        self.store_clock = StoreClock(self.clock)
+        self.store_clock = RemoteClock(self.clock)
         self.store_clock.observe(self.store.store_time)
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_asked_executors.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_asked_executors.py
@@ -32,7 +32,8 @@
         member = Member("entry-2", "umea", 1.0, link.send, now)
         await session.serve_member(member, link)
         welcomes = [each for each in link.sent if isinstance(each, Welcome)]
-        self.assertEqual(welcomes, [Welcome(2, asks_runs=True)])
+        clock = self.parts.clock.monotonic().total_seconds()
+        self.assertEqual(welcomes, [Welcome(2, asks_runs=True, clock=clock)])
         self.assertEqual(reports, [REMEMBERED])
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_hold_bounds.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_hold_bounds.py
@@ -9,7 +9,7 @@
 from almondspread.jobs.configuration import AdviceTiming
 from almondspread.jobs.crashes import LASTING_PATIENCE
 from almondspread.jobs.holds import HoldCause
-from almondspread.jobs.leases import compute_longest_lease_time
+from almondspread.jobs.leases import LEADER_LEASE, compute_longest_lease_time
 from almondspread.jobs.permit_requests import (
     MAX_UPSTREAMS_PER_REQUEST,
     estimate_request_time,
@@ -31,6 +31,7 @@
     RETRY_DELAY,
 )
 from almondspread_daemon.jobs.assignments import (
+    MEMBER_SILENCE_THRESHOLD,
     MEMBER_TIMEOUT,
     UPSTREAM_REPORT_TIMEOUT,
 )
@@ -66,6 +67,10 @@
 HOLDS = {
     "lease of a silent upstream": LOSS_KNOWN,
     HoldCause.LOST_UPSTREAMS: LOSS_KNOWN + LASTING_PATIENCE + POLL_INTERVAL,
+    HoldCause.UNSEEN_UPSTREAM: LEADER_LEASE + LOSS_KNOWN,
+    "executor lost with its upstream": (
+        MEMBER_SILENCE_THRESHOLD + LEADER_LEASE + LOSS_KNOWN
+    ),
     "suspension": LOSS_KNOWN + LAST_RESORT_DELAY,
     "trial": LOSS_KNOWN + LAST_RESORT_DELAY,
     "reservation": LOSS_KNOWN + LAST_RESORT_DELAY + RESERVATION_INTERVAL,
@@ -91,8 +96,6 @@
         END_KNOWN + 2 * FEED_POLL_TIMEOUT + RUNNING_WAIT + 2 * CALL_TIMEOUT
     ),
 }
-# What a leader does not know of its predecessor's runs has a test of its own.
-MEASURED_APART = {HoldCause.UNSEEN_UPSTREAM}
 
 
 class HoldBoundsTest(unittest.TestCase):
@@ -104,7 +107,7 @@
                 self.assertLess(over + STARTED, LASTING_TASK_GAP)
 
     def test_each_cause_of_a_hold_has_a_bound(self):
-        self.assertEqual(set(HoldCause) - set(HOLDS), MEASURED_APART)
+        self.assertEqual(set(HoldCause) - set(HOLDS), set())
 
 
 if __name__ == "__main__":
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_lease_renewal.py
@@ -47,6 +47,28 @@
         leases.record_first_answer(NOW + SECOND)
         self.assertEqual(leases.expiry, NOW + 17 * SECOND)
 
+    def test_no_lease_outlasts_that_of_the_leader_by_more_than_one(self):
+        """The next leader counts from the last renewal of the leader's own lease."""
+        leases = LeaseRenewal(LEASE, NOW, renewable_until=NOW)
+        self.assertIsNone(leases.choose_lease(NOW))
+        leases.extend(NOW + SECOND + LEASE)
+        self.assertEqual(leases.choose_lease(NOW), LEASE)
+        self.assertEqual(leases.choose_lease(NOW + SECOND), LEASE)
+        self.assertEqual(leases.choose_lease(NOW + 3 * SECOND), LEASE - 2 * SECOND)
+        self.assertIsNone(leases.choose_lease(NOW + SECOND + LEASE))
+
+    def test_leader_that_tells_of_no_lease_bounds_none(self):
+        leases = LeaseRenewal(LEASE, NOW)
+        leases.extend(NOW + SECOND)
+        self.assertEqual(leases.choose_lease(NOW + 60 * SECOND), LEASE)
+        self.assertTrue(leases.may_grant(NOW + 60 * SECOND, 2 * SECOND))
+
+    def test_older_heartbeat_takes_nothing_back(self):
+        leases = LeaseRenewal(LEASE, NOW, renewable_until=NOW)
+        leases.extend(NOW + LEASE)
+        leases.extend(NOW + SECOND)
+        self.assertEqual(leases.choose_lease(NOW), LEASE)
+
     def test_expiry_counts_a_lease_that_an_earlier_agent_has_just_renewed(self):
         earlier = LeaseRenewal(LEASE, NOW - LEASE)
         earlier.record_renewal(NOW)
