Take no machine for empty of which it is not known what runs there

Cause: count_runs answered 0 for an upstream that had not reported to the leader, and the planner took 0 for an empty machine.

Change: count_runs returns None where it is not known what runs; such a machine stays up, and its evacuation begins last. The type checker refuses None as a number.

--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -24,6 +24,8 @@
 
 # Time for runs to end or move before the machine is taken down.
 EVACUATION_TIME = timedelta(seconds=3)
+# How many runs an upstream has, ``None`` where that is not known.
+CountRuns = Callable[[str], int | None]
 # The planner aims to complete a wave within this share of its time.
 TARGET_TIME_SHARE = 0.7
 
@@ -120,19 +122,20 @@
     def plan_orders(
         self,
         now: timedelta,
-        count_runs: Callable[[str], int],
+        count_runs: CountRuns,
         may_stop: Callable[[str, Collection[str]], bool],
     ) -> list[MaintenanceOrder]:
         """Return the orders to send once the records are stored.
 
         ``count_runs`` returns how many runs an upstream has, and ``may_stop`` whether
-        all of them may be stopped while other upstreams may be taken down.
+        all of them may be stopped while other upstreams may be taken down. An upstream
+        stays up while it is not known what it runs.
         """
         going_down = self._list_upstreams_going_down(now)
 
         def may_leave(upstream: str) -> bool:
             others = going_down - {upstream}
-            return not count_runs(upstream) or may_stop(upstream, others)
+            return _may_leave(count_runs(upstream), lambda: may_stop(upstream, others))
 
         due_orders = []
         for progress in self._waves.values():
@@ -140,7 +143,7 @@
             for name, since in list(progress.evacuating.items()):
                 machine = self.machines[name]
                 is_overdue = now - since >= EVACUATION_TIME
-                is_empty = not count_runs(machine.upstream)
+                is_empty = count_runs(machine.upstream) == 0
                 if machine.state is not MachineState.UP:
                     continue
                 if is_empty or (is_overdue and may_leave(machine.upstream)):
@@ -158,13 +161,13 @@
         self,
         order: MaintenanceOrder,
         now: timedelta,
-        count_runs: Callable[[str], int],
+        count_runs: CountRuns,
         may_stop: Callable[[str, Collection[str]], bool],
     ) -> bool:
         """Tell whether a planned order may still be sent; otherwise it stays due."""
         upstream = self._waves[order.wave].orders[order.machine].upstream
         others = self._list_upstreams_going_down(now) - {upstream}
-        return not count_runs(upstream) or may_stop(upstream, others)
+        return _may_leave(count_runs(upstream), lambda: may_stop(upstream, others))
 
     def _log_held_orders(
         self,
@@ -201,15 +204,18 @@
         self,
         progress: WaveProgress,
         now: timedelta,
-        count_runs: Callable[[str], int],
+        count_runs: CountRuns,
     ) -> None:
-        """Begin to evacuate machines, those with the fewest runs first."""
+        """Begin to evacuate machines, those with the fewest runs first.
+
+        Those of which it is not known what they run come last.
+        """
         ready = []
         for name in progress.list_waiting():
             machine = self.machines.get(name)
             if machine is not None and machine.state is MachineState.UP:
                 ready.append(machine)
-        ready.sort(key=lambda machine: count_runs(machine.upstream))
+        ready.sort(key=lambda machine: _rank_runs(count_runs(machine.upstream)))
         count = max(0, progress.count_machines_to_begin(self.cycle, now))
         for machine in ready[:count]:
             progress.evacuating[machine.name] = now
@@ -262,3 +268,15 @@
         for number, progress in self._waves.items():
             records[number] = progress.make_record()
         return tuple(records[number] for number in sorted(records))
+
+
+def _may_leave(runs: int | None, may_stop: Callable[[], bool]) -> bool:
+    """Tell whether a machine may go down with the runs of its upstream."""
+    if runs is None:
+        return False
+    return runs == 0 or may_stop()
+
+
+def _rank_runs(runs: int | None) -> tuple[bool, int]:
+    """Return the rank of an upstream by its runs, the highest if they are unknown."""
+    return (runs is None, runs or 0)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -226,9 +226,18 @@
         for name, upstream in self.cell_state.upstreams.items():
             upstream.leaves_at = leaving.get(name)
 
-    def count_runs(self, upstream: str) -> int:
-        """Return the number of runs bound to an upstream."""
-        return len(self.cell_state.list_runs(upstream))
+    def count_runs(self, upstream: str) -> int | None:
+        """Return how many runs an upstream has, ``None`` if that is not known.
+
+        It is not known of an upstream that may run tasks of an earlier leader, or runs
+        something of which the leader knows neither the job nor the size.
+        """
+        known = self.cell_state.upstreams.get(upstream)
+        if known is None:
+            return 0
+        if known.has_unknown_runs or upstream in self._upstream_tracker.unseen:
+            return None
+        return len(known.bound)
 
     def may_stop_all(self, upstream: str, others: Collection[str] = ()) -> bool:
         """Return whether all runs of an upstream may be ended at once.
--- a/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
@@ -168,6 +168,28 @@
         self.assertEqual(len(self.machines.maintained), 6)
         self.assertEqual(self.machines.most_down, 1)
 
+    def test_machine_whose_runs_are_not_known_is_not_empty(self):
+        """A new leader took down two machines that it could not reach, at once."""
+        self.add_wave(limit=6, within=9 * SECOND)
+        for name in self.machines.incarnations:
+            upstream = self.machines.make_upstream_name(name)
+            self.runs[upstream] = None
+            self.protected.add(upstream)
+        self.run_for(10 * SECOND)
+        self.assertEqual(self.machines.maintained, {})
+        self.assertEqual(len(self.planner.find_leaving_upstreams()), 6)
+        self.runs.clear()
+        self.run_for(30 * SECOND)
+        self.assertEqual(len(self.machines.maintained), 6)
+
+    def test_machine_whose_runs_are_not_known_comes_last(self):
+        self.add_wave(limit=1)
+        for name in list(self.machines.incarnations)[:-1]:
+            self.runs[self.machines.make_upstream_name(name)] = None
+        self.runs["m5-life-0"] = 7
+        self.step()
+        self.assertEqual(list(self.planner.find_leaving_upstreams()), ["m5-life-0"])
+
     def test_completed_wave_is_not_begun_again_by_the_next_leader(self):
         self.add_wave(names=("m0",))
         self.run_for(20 * SECOND)
