Book the answer to a maintenance order on no upstream that joined since

Cause: the record of an order does not tell which upstream was on the machine. The next leader filled in the one that it found there.

Change: the answer to an inherited order ends no upstream; one's own ends the upstream that was there before the order was first sent. A start which that one has not shown may have reached its next incarnation under the same identity, and counts on.

--- a/packages/almondspread/almondspread/jobs/maintenance.py
+++ b/packages/almondspread/almondspread/jobs/maintenance.py
@@ -247,7 +247,10 @@
     ) -> str:
         """Record the outcome of an order, and return the upstream that has ended.
 
-        The result is empty if no upstream has ended or its name is not known.
+        The result is empty if no upstream has ended or its name is not known. An order
+        that is done already is answered like one that has just been carried out, so
+        that it ends the upstream that was there before the order was first sent, and no
+        other. For an order of an earlier leader, nobody knows which that was.
         A refused order stays recorded as sent, because an earlier copy of it may still
         be carried out.
         """
@@ -260,7 +263,7 @@
         if outcome is not OrderOutcome.TAKEN:
             return ""
         state.taken = now
-        return state.upstream
+        return "" if state.inherited is not None else state.upstream
 
     def list_records(self) -> tuple[WaveRecord, ...]:
         """Return the records of all waves to store, in order of the wave numbers."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -239,6 +239,10 @@
             return None
         return len(known.bound)
 
+    def record_machine_down(self, upstream: str, now: timedelta) -> None:
+        """Record that the machine of an upstream was taken down, which has ended it."""
+        self._upstream_tracker.record_machine_down(upstream, now)
+
     def may_stop_all(self, upstream: str, others: Collection[str] = ()) -> bool:
         """Return whether all runs of an upstream may be ended at once.
 
--- a/packages/almondspread/almondspread/jobs/tests/test_machines_down.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_machines_down.py
@@ -1,14 +1,48 @@
-"""What the leader knows of an upstream whose machine it may take down."""
+"""What the leader knows of an upstream whose machine it has taken down, or may not."""
 
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import (
+    MILLISECOND,
     SECOND,
     CellTest,
+    RestartCellTest,
     make_job,
     make_step,
 )
 
 
+class MachineDownTest(RestartCellTest):
+    """Upstreams may start again under their identity, also after a maintenance."""
+
+    def test_run_that_was_shown_is_lost_with_its_machine(self):
+        name = self.submit_long()
+        self.cell.run_for(500 * MILLISECOND)
+        self.cell.restart_upstream(name)
+        self.cell.scheduler.record_machine_down(name, self.cell.now)
+        self.assertEqual(self.cell.scheduler.jobs["j"].list_runs(), [])
+        self.cell.run_for(5 * SECOND)
+        self.assert_completed("j")
+
+    def test_start_that_may_have_reached_the_next_incarnation_is_not_made_again(self):
+        """The answer to the order is heard before the upstream's next start is."""
+        self.hold_back_start()
+        name = self.submit_long()
+        self.cell.hears_restarts = self.cell.directory_is_up = False
+        self.cell.restart_upstream(name)
+        self.cell.hold_back = lambda _: False
+        self.deliver_held_start()
+        self.assertEqual(self.cell.history.starts, 1)
+        self.cell.scheduler.record_machine_down(name, self.cell.now)
+        self.cell.hears_restarts = self.cell.directory_is_up = True
+        self.cell.run_for(5 * SECOND)
+        self.assertEqual(self.cell.history.starts, 1)
+        self.assert_completed("j")
+
+    def test_unknown_upstream_is_ignored(self):
+        self.cell.scheduler.record_machine_down("x", self.cell.now)
+        self.assertNotIn("x", self.cell.scheduler.cell_state.upstreams)
+
+
 class KnownRunsTest(CellTest):
     """Guards against machines that are taken for empty because nothing is known."""
 
--- a/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_maintenance.py
@@ -168,6 +168,37 @@
         self.assertEqual(len(self.machines.maintained), 6)
         self.assertEqual(self.machines.most_down, 1)
 
+    def lose_answers(self):
+        """Have a machine go through its maintenance without an answer to the order."""
+        [order] = self.step(OrderOutcome.UNKNOWN)
+        end = self.now + DURATION
+        while self.now < end:
+            self.step(OrderOutcome.UNKNOWN)
+        return order
+
+    def test_answer_to_an_inherited_order_does_not_tell_which_upstream_has_ended(self):
+        """An answer "already done" counted for the upstream that had joined since.
+
+        Its tasks ran twice. The record does not tell which upstream was there before.
+        """
+        self.add_wave(limit=1)
+        order = self.lose_answers()
+        records = self.planner.list_records()
+        self.planner = MaintenancePlanner(DURATION)
+        self.planner.restore_records(records)
+        self.planner.add_wave(self.wave, self.now, self.now)
+        self.planner.update_machines(self.machines.list(self.now), self.now)
+        self.planner.record_sent(order, self.now)
+        ended = self.planner.handle_order_outcome(order, OrderOutcome.TAKEN, self.now)
+        self.assertEqual(ended, "")
+
+    def test_answer_to_an_own_order_tells_the_upstream_that_was_there_before(self):
+        self.add_wave(limit=1)
+        order = self.lose_answers()
+        before = f"{order.machine}-life-0"
+        ended = self.planner.handle_order_outcome(order, OrderOutcome.TAKEN, self.now)
+        self.assertEqual(ended, before)
+
     def test_machine_whose_runs_are_not_known_is_not_empty(self):
         """A new leader took down two machines that it could not reach, at once."""
         self.add_wave(limit=6, within=9 * SECOND)
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -302,6 +302,27 @@
             return
         upstream.lapse_at = max(now + silence.lapse_in, upstream.leases_until)
 
+    def record_machine_down(self, name: str, now: timedelta) -> None:
+        """Record that an upstream has ended with its machine.
+
+        A start that it has not shown may have reached the next incarnation, under the
+        same identity; such a run counts until an executor hears more.
+        """
+        upstream = self.cell_state.upstreams.get(name)
+        if upstream is None:
+            return
+        doubtful = self._list_doubtful(upstream)
+        if not doubtful:
+            upstream.has_reported = False
+            upstream.lapse_at = now
+            self._mark_upstream_lost(name, now, "maintenance")
+            return
+        runs = self.cell_state.list_runs(name)
+        lost = [run for run in runs if run not in doubtful]
+        log_loss(name, upstream, lost, "maintenance")
+        self.crashes.record_loss(upstream, lost, now)
+        self._record_lost_runs(lost, name, now)
+
     def handle_restart(self, restart: UpstreamRestarted, now: timedelta) -> None:
         """Record that another incarnation of an upstream answers.
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/maintenance.py
@@ -8,7 +8,6 @@
 from almondspread.clock import Clock
 from almondspread.codec import encode_message
 from almondspread.jobs.maintenance import MaintenancePlanner
-from almondspread.jobs.messages import UpstreamSilent
 from almondspread.jobs.ports import (
     CallFailed,
     ConditionsFailed,
@@ -248,12 +247,7 @@
             order, outcome, self._clock.monotonic()
         )
         if ended_upstream:
-            self._scheduler.handle_report(
-                UpstreamSilent(
-                    ended_upstream, self._scheduler.epoch, timedelta(0), replaced=True
-                ),
-                self._clock.monotonic(),
-            )
+            self._scheduler.record_machine_down(ended_upstream, self._clock.monotonic())
 
 
 def _classify_failure(failure: CallFailed) -> OrderOutcome:
