--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -188,7 +188,7 @@
         If the upstream does not report, its leases count as expired at ``lapse``. The
         store names its last ``assignment`` to an executor.
         """
-        self._upstream_tracker.inherit_upstream(entry, lapse, assignment)
+        self._upstream_tracker.unseen.inherit(entry, lapse, assignment)
 
     def begin_assignment(
         self,
@@ -209,11 +209,11 @@
         self, instance: str, process: str, lease: timedelta, now: timedelta
     ) -> None:
         """Record which process of an instance runs now; each renews one ``lease``."""
-        self._upstream_tracker.record_process(instance, process, lease, now)
+        self._upstream_tracker.unseen.record_process(instance, process, lease, now)
 
     def find_stored_assignment(self, upstream: Upstream) -> Assignment:
         """Return the assignment that the store has to name for the next leader."""
-        return self._upstream_tracker.find_stored_assignment(upstream)
+        return self._upstream_tracker.unseen.find_stored_assignment(upstream)
 
     # Maintenance of machines
 
@@ -235,13 +235,13 @@
         known = self.cell_state.upstreams.get(upstream)
         if known is None:
             return 0
-        if known.has_unknown_runs or upstream in self._upstream_tracker.unseen:
+        if known.has_unknown_runs or upstream in self._upstream_tracker.unseen.names:
             return None
         return len(known.bound)
 
     def record_machine_down(self, upstream: str, now: timedelta) -> None:
         """Record that the machine of an upstream was taken down, which has ended it."""
-        self._upstream_tracker.record_machine_down(upstream, now)
+        self._upstream_tracker.losses.record_machine_down(upstream, now)
 
     def may_stop_all(self, upstream: str, others: Collection[str] = ()) -> bool:
         """Return whether all runs of an upstream may be ended at once.
@@ -273,7 +273,7 @@
             case UpstreamSilent():
                 self._upstream_tracker.handle_silence(report, now)
             case UpstreamRestarted():
-                self._upstream_tracker.handle_restart(report, now)
+                self._upstream_tracker.losses.handle_restart(report, now)
             case StartSettled():
                 self._control.handle_start_outcome(report, now)
             case StopSettled():
@@ -281,7 +281,7 @@
             case PermitsAnswered():
                 self._planner.handle_permits_answer(report, now)
             case RunsRemembered():
-                self._upstream_tracker.record_remembered(report, now)
+                self._upstream_tracker.unseen.record_remembered(report, now)
 
     def is_superseded_by(self, fenced: EpochFenced) -> bool:
         """Return whether a fenced call shows that another leader has taken over.
@@ -373,7 +373,7 @@
 
     def _compute_holds(self) -> StartHolds:
         """Return which jobs and which tasks may not start yet."""
-        unseen = self._upstream_tracker.unseen
+        unseen = self._upstream_tracker.unseen.names
         tasks = self._find_possible_tasks()
         held_version = NO_VERSION
         if not self.is_complete:
@@ -392,8 +392,8 @@
     def _find_possible_tasks(self) -> frozenset[TaskId] | None:
         """Return which tasks any unseen upstream may run, ``None`` if it may be any."""
         found: set[TaskId] = set()
-        for name in self._upstream_tracker.unseen:
-            tasks = self._upstream_tracker.find_possible_tasks(name)
+        for name in self._upstream_tracker.unseen.names:
+            tasks = self._upstream_tracker.unseen.find_possible_tasks(name)
             if tasks is None:
                 return None
             found |= tasks
@@ -424,7 +424,7 @@
         return measure_load(
             steps,
             self.cell_state.upstreams.values(),
-            len(self._upstream_tracker.unseen),
+            len(self._upstream_tracker.unseen.names),
             now,
             self._job_table.count_suspects(),
             count_held_tasks(steps, self._compute_holds(), now),
@@ -436,7 +436,7 @@
         The times are in seconds, from now until the leases have certainly expired.
         """
         found = {}
-        for name in self._upstream_tracker.unseen:
+        for name in self._upstream_tracker.unseen.names:
             upstream = self.cell_state.upstreams.get(name)
             if upstream is None:
                 continue
@@ -449,7 +449,7 @@
         unseen = []
         for name, seconds in self.list_unseen(now).items():
             until = now + timedelta(seconds=seconds)
-            tasks = self._upstream_tracker.find_possible_tasks(name)
+            tasks = self._upstream_tracker.unseen.find_possible_tasks(name)
             unseen.append(UnseenUpstream(name, until, tasks))
         bounds = HoldBounds(
             tuple(unseen),
--- a/packages/almondspread/almondspread/jobs/tests/test_remembered_leases.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_remembered_leases.py
@@ -123,7 +123,7 @@
             scheduler.find_stored_assignment(state).number, self.stored.number
         )
         tracker = scheduler._upstream_tracker
-        self.assertEqual(tracker.find_possible_tasks(name), possible)
+        self.assertEqual(tracker.unseen.find_possible_tasks(name), possible)
 
 
 if __name__ == "__main__":
--- a/packages/almondspread/almondspread/jobs/upstream_tracker.py
+++ b/packages/almondspread/almondspread/jobs/upstream_tracker.py
@@ -7,55 +7,37 @@
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
-from attrs import define, evolve, field
+from attrs import define, field
 from loguru import logger
 
-from almondspread.jobs.bound_runs import Run, RunPhase
+from almondspread.jobs.bound_runs import RunPhase
 from almondspread.jobs.cell_state import CellState
-from almondspread.jobs.crashes import CrashTracker, log_loss
+from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE, compute_longest_lease_time
 from almondspread.jobs.messages import (
-    LOST,
     AcknowledgeEnds,
-    Assignment,
     RunEnd,
     RunId,
     RunSighting,
-    RunsRemembered,
-    UnwatchUpstream,
     UpstreamEntry,
     UpstreamReport,
-    UpstreamRestarted,
     UpstreamSilent,
     WatchUpstream,
 )
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.sightings import RunSightings
-from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.trials import end_trials
+from almondspread.jobs.unseen_upstreams import UnseenUpstreams
+from almondspread.jobs.upstream_losses import UpstreamLosses
 from almondspread.jobs.upstreams import Upstream
 
 
-@define(frozen=True)
-class RememberedRuns:
-    """The tasks that an upstream may run, and when its leases have expired.
-
-    The leases are those of the incarnation ``upstream``; a later one may have others.
-    """
-
-    upstream: str
-    tasks: frozenset[TaskId]
-    lapse_at: timedelta
-
-
 @define(eq=False)
 class UpstreamTracker:
     """Updates the upstreams and runs of the cell state from reports.
 
-    ``unseen`` upstreams may run tasks of an earlier leader: they have not reported
-    yet, and their leases have not expired. ``max_lease`` is the longest lease that an
-    upstream grants, and ``lease`` the longest that an executor renews. ``_remembered``
-    has what executors have told, by the number of the assignment.
+    ``unseen`` upstreams may run tasks of an earlier leader. The longest lease that an
+    upstream grants is ``max_lease``, and the longest that an executor renews ``lease``.
     """
 
     cell_state: CellState
@@ -63,12 +45,15 @@
     crashes: CrashTracker
     max_lease: timedelta = DEFAULT_MAX_LEASE
     lease: timedelta = DEFAULT_MAX_LEASE
-    unseen: set[str] = field(factory=set)
-    _remembered: dict[int, RememberedRuns] = field(factory=dict)
-    _acknowledged: dict[str, int] = field(factory=dict)
+    unseen: UnseenUpstreams = field(init=False)
+    losses: UpstreamLosses = field(init=False)
     _sightings: RunSightings = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.unseen = UnseenUpstreams(self.cell_state)
+        self.losses = UpstreamLosses(
+            self.cell_state, self.control, self.crashes, self.unseen, self.max_lease
+        )
         self._sightings = RunSightings(self.cell_state, self.control, self.crashes)
 
     def update_upstreams(
@@ -78,100 +63,17 @@
         entries = self.cell_state.choose_entries(entries, now)
         added, restarted = self.cell_state.update_upstreams(entries, now, read_at)
         for name in restarted:
-            self._hand_over_runs(name, now)
-            self._mark_upstream_lost(name, now, "replaced")
+            self.losses.hand_over_runs(name, now)
+            self.losses.mark_lost(name, now, "replaced")
         for name, upstream in list(self.cell_state.upstreams.items()):
-            if upstream.listed or upstream.bound or name in self.unseen:
+            if upstream.listed or upstream.bound or name in self.unseen.names:
                 continue
             if upstream.is_usable(now):
                 continue
-            self._remove_upstream(name)
+            self.losses.remove(name)
         self.crashes.resolve(entries, now)
         return added
 
-    def inherit_upstream(
-        self, entry: UpstreamEntry, lapse: timedelta, assignment: Assignment
-    ) -> None:
-        """Add an upstream on which an earlier leader may have started runs.
-
-        Unless the upstream reports, its leases expire at ``lapse``. All starts that it
-        may have got since it last reported went through the executor of ``assignment``,
-        and nobody else has renewed its leases.
-        """
-        upstream = Upstream(entry, listed=False)
-        upstream.inherited_leases_until = lapse
-        upstream.inherited_assignment = assignment
-        self.cell_state.add_upstream(upstream)
-        self.unseen.add(entry.name)
-        self._apply_remembered(upstream)
-
-    def record_remembered(self, message: RunsRemembered, now: timedelta) -> None:
-        """Record what an executor remembers of an assignment.
-
-        It counts for each unseen upstream that was assigned so when the earlier leader
-        ended; the leader may not have loaded these yet.
-        """
-        if not message.assignment:
-            return
-        self._remembered[message.assignment] = RememberedRuns(
-            message.upstream, frozenset(message.tasks), now + message.lapse_in
-        )
-        for name in self.unseen:
-            self._apply_remembered(self.cell_state.upstreams[name])
-
-    def _apply_remembered(self, upstream: Upstream) -> None:
-        """Let the leases of an unseen upstream expire when its executor says so.
-
-        No other executor has renewed them since: the store names the last one, and
-        those of this leader renew none before the upstream has answered.
-        """
-        remembered = self._find_remembered(upstream.name)
-        if remembered is None or upstream.heard_at:
-            return
-        if remembered.upstream == upstream.name:
-            upstream.inherited_leases_until = remembered.lapse_at
-
-    def find_possible_tasks(self, name: str) -> frozenset[TaskId] | None:
-        """Return which tasks an unseen upstream may run, ``None`` if it may be any."""
-        remembered = self._find_remembered(name)
-        return remembered.tasks if remembered is not None else None
-
-    def _find_remembered(self, name: str) -> RememberedRuns | None:
-        """Return what the last executor of an unseen upstream remembers of it."""
-        upstream = self.cell_state.upstreams.get(name)
-        if upstream is None or name not in self.unseen:
-            return None
-        return self._remembered.get(upstream.inherited_assignment.number)
-
-    def record_process(
-        self, instance: str, process: str, lease: timedelta, now: timedelta
-    ) -> None:
-        """Record which process of an instance runs now.
-
-        An earlier one has ended, so that it renews no lease any more. The last
-        ``lease`` that it renewed for an unseen upstream is over soon.
-        """
-        expiry = now + compute_longest_lease_time(lease)
-        for name in self.unseen:
-            upstream = self.cell_state.upstreams[name]
-            executor = upstream.inherited_assignment
-            if not executor.process or upstream.heard_at:
-                continue
-            if executor.instance == instance and executor.process != process:
-                upstream.inherited_leases_until = min(
-                    upstream.inherited_leases_until, max(expiry, executor.until)
-                )
-
-    def find_stored_assignment(self, upstream: Upstream) -> Assignment:
-        """Return the assignment that the store has to name for the next leader.
-
-        As long as an unseen upstream has not answered, nothing has been started or
-        renewed there under this leader. Its first answer may not be applied yet.
-        """
-        if upstream.name in self.unseen and not upstream.heard_at:
-            return upstream.inherited_assignment
-        return upstream.assignment
-
     def abandon_upstreams(
         self, names: set[str], until: timedelta, now: timedelta
     ) -> None:
@@ -203,83 +105,16 @@
         An end that is not acknowledged may not be stored, so that only its upstream
         would tell the next leader of it.
         """
-        kept = self.unseen | self.find_unacknowledged_ends().keys()
+        kept = self.unseen.names | self.find_unacknowledged_ends().keys()
         return self.cell_state.list_watched(kept)
 
-    def _hand_over_runs(self, name: str, now: timedelta) -> None:
-        """Have the next incarnation of an upstream show which runs have reached it.
-
-        A start may have arrived there instead, as it has the same identity. An
-        upstream with another identity would have refused it.
-        """
-        upstream = self.cell_state.upstreams[name]
-        successor = self.cell_state.find_successor(upstream)
-        if successor is None:
-            return
-        lapse = max(
-            upstream.leases_until, now + compute_longest_lease_time(self.max_lease)
-        )
-        if name in self.unseen:
-            self.unseen.add(successor.name)
-            successor.inherited_leases_until = lapse
-            # The end of the executor's process tells nothing of a late start's lease.
-            successor.inherited_assignment = evolve(
-                upstream.inherited_assignment, process=""
-            )
-        doubtful = self._list_doubtful(upstream)
-        if not doubtful:
-            return
-        successor.extend_orphaned_leases(lapse)
-        self.crashes.record_loss(upstream, doubtful, now)
-        for run in doubtful:
-            progress = self.control.job_table.find_step(run)
-            self.cell_state.move_run(progress, run, successor, now)
-            if run.phase is RunPhase.STOPPING:
-                self.control.stop(run, now)
-
-    def _list_doubtful(self, upstream: Upstream) -> list[Run]:
-        """Return the runs that another incarnation of an upstream may have.
-
-        Where the start of the upstream was not known, it may be the same incarnation.
-        """
-        doubtful = []
-        for run in self.cell_state.list_runs(upstream.name):
-            if run.may_be_elsewhere or upstream.entry.started_at is None:
-                doubtful.append(run)
-        return doubtful
-
-    def _mark_upstream_lost(self, name: str, now: timedelta, reason: str) -> None:
-        """Record all runs of an upstream as lost; none of them can still run."""
-        runs = self.cell_state.list_runs(name)
-        if runs or name in self.unseen:
-            log_loss(name, self.cell_state.upstreams.get(name), runs, reason)
-        self.unseen.discard(name)
-        upstream = self.cell_state.upstreams.get(name)
-        if upstream is not None:
-            self.crashes.record_loss(upstream, runs, now)
-        self._record_lost_runs(runs, name, now)
-        if upstream is not None and not upstream.listed:
-            self._remove_upstream(name)
-
-    def _record_lost_runs(self, runs: list[Run], name: str, now: timedelta) -> None:
-        """Record runs as lost with their upstream."""
-        for run in runs:
-            self.control.record_end(RunEnd(0, run.task, run.number, LOST), name, now)
-
-    def _remove_upstream(self, name: str) -> None:
-        """Remove an upstream, and have its executor stop watching it."""
-        self.cell_state.upstreams.pop(name, None)
-        self.unseen.discard(name)
-        self._acknowledged.pop(name, None)
-        self.control.orders.append(UnwatchUpstream(name))
-
     def handle_silence(self, silence: UpstreamSilent, now: timedelta) -> None:
         """Record that an upstream does not answer, and when its leases have expired."""
         upstream = self.cell_state.upstreams.get(silence.upstream)
         if silence.epoch != self.cell_state.epoch:
             return
         if silence.replaced:
-            self._mark_upstream_lost(silence.upstream, now, "replaced")
+            self.losses.mark_lost(silence.upstream, now, "replaced")
             if upstream is not None:
                 upstream.has_reported = False
                 upstream.lapse_at = now
@@ -296,62 +131,12 @@
             )
             runs = self.cell_state.list_runs(upstream.name)
             self.crashes.record_silence(upstream, runs, now)
-        if upstream.name in self.unseen and not upstream.heard_at:
+        if upstream.name in self.unseen.names and not upstream.heard_at:
             # Executors of this leader renew nothing before the first answer.
             upstream.lapse_at = upstream.inherited_leases_until
             return
         upstream.lapse_at = max(now + silence.lapse_in, upstream.leases_until)
 
-    def record_machine_down(self, name: str, now: timedelta) -> None:
-        """Record that an upstream has ended with its machine.
-
-        A start that it has not shown may have reached the next incarnation, under the
-        same identity; such a run counts until an executor hears more.
-        """
-        upstream = self.cell_state.upstreams.get(name)
-        if upstream is None:
-            return
-        doubtful = self._list_doubtful(upstream)
-        if not doubtful:
-            upstream.has_reported = False
-            upstream.lapse_at = now
-            self._mark_upstream_lost(name, now, "maintenance")
-            return
-        runs = self.cell_state.list_runs(name)
-        lost = [run for run in runs if run not in doubtful]
-        log_loss(name, upstream, lost, "maintenance")
-        self.crashes.record_loss(upstream, lost, now)
-        self._record_lost_runs(lost, name, now)
-
-    def handle_restart(self, restart: UpstreamRestarted, now: timedelta) -> None:
-        """Record that another incarnation of an upstream answers.
-
-        The runs that the earlier one has shown are lost. The others may have reached
-        the later one, which takes them over as soon as it is listed; otherwise they
-        count until its leases have certainly expired.
-        """
-        upstream = self.cell_state.upstreams.get(restart.upstream)
-        if upstream is None or restart.epoch != self.cell_state.epoch:
-            return
-        upstream.last_observed_at = now
-        if upstream.has_restarted:
-            return
-        upstream.has_restarted = True
-        upstream.has_reported = False
-        # Its executor has fenced what answers now under the next token.
-        upstream.generation = self.cell_state.incarnations.begin_generation(
-            upstream.entry.identity
-        )
-        runs = self.cell_state.list_runs(upstream.name)
-        log_loss(upstream.name, upstream, runs, "restarted")
-        self.crashes.record_loss(upstream, runs, now)
-        doubtful = self._list_doubtful(upstream)
-        lost = [run for run in runs if run not in doubtful]
-        self._record_lost_runs(lost, upstream.name, now)
-        upstream.lapse_at = max(
-            now + compute_longest_lease_time(self.max_lease), upstream.leases_until
-        )
-
     def handle_report(self, report: UpstreamReport, now: timedelta) -> None:
         """Update the state of an upstream and its runs from a report.
 
@@ -372,9 +157,9 @@
         if upstream.lapse_at is not None:
             self._record_answer(upstream)
         for end in report.ends:
-            if end.number <= self._acknowledged.get(upstream.name, 0):
+            if end.number <= upstream.ends_acknowledged:
                 # The acknowledgement has been lost, perhaps with its executor.
-                self._acknowledged[upstream.name] = end.number - 1
+                upstream.ends_acknowledged = end.number - 1
             if end.number <= upstream.ends_seen:
                 continue
             upstream.ends_seen = end.number
@@ -397,9 +182,9 @@
 
         An end that is not acknowledged may not be stored, and has no bound run.
         """
-        if upstream.name in self.unseen:
+        if upstream.name in self.unseen.names:
             return False
-        return upstream.ends_seen <= self._acknowledged.get(upstream.name, 0)
+        return upstream.ends_seen <= upstream.ends_acknowledged
 
     def make_watch_order(self, upstream: Upstream, now: timedelta) -> WatchUpstream:
         """Return the order to watch an upstream, with the runs bound to it."""
@@ -453,7 +238,7 @@
             self._sightings.end_absent_runs(upstream, running, report.number, now)
         if report.lists_all_ends and not upstream.has_reported:
             upstream.has_reported = True
-            self.unseen.discard(upstream.name)
+            self.unseen.names.discard(upstream.name)
             logger.info(
                 "upstream reported its runs",
                 upstream=upstream.name,
@@ -517,20 +302,21 @@
         for name, upstream in list(self.cell_state.upstreams.items()):
             if upstream.lapse_at is None or now < upstream.lapse_at:
                 continue
-            if upstream.bound or name in self.unseen:
-                self._mark_upstream_lost(name, now, "lapsed")
+            if upstream.bound or name in self.unseen.names:
+                self.losses.mark_lost(name, now, "lapsed")
 
     def find_unacknowledged_ends(self) -> dict[str, int]:
         """Return the number of the newest unacknowledged end of each upstream."""
         ends: dict[str, int] = {}
         for name, upstream in self.cell_state.upstreams.items():
-            if upstream.ends_seen > self._acknowledged.get(name, 0):
+            if upstream.ends_seen > upstream.ends_acknowledged:
                 ends[name] = upstream.ends_seen
         return ends
 
     def acknowledge_ends(self, ends: dict[str, int]) -> None:
         """Acknowledge to each upstream its ends up to a number, which are stored."""
         for name, number in ends.items():
-            if name in self.cell_state.upstreams:
-                self._acknowledged[name] = number
+            upstream = self.cell_state.upstreams.get(name)
+            if upstream is not None:
+                upstream.ends_acknowledged = number
                 self.control.orders.append(AcknowledgeEnds(name, number))
--- a/packages/almondspread/almondspread/jobs/upstreams.py
+++ b/packages/almondspread/almondspread/jobs/upstreams.py
@@ -56,7 +56,9 @@
 
     ``bound`` has the capacity of every run that may still run on the upstream, and
     ``free`` is what remains. A run is only bound if it fits in ``free``. ``ends_seen``
-    is the number of the newest run end that the leader has applied.
+    is the number of the newest run end that the leader has applied, and
+    ``ends_acknowledged`` that of the newest one of which the upstream was told that it
+    is stored.
     """
 
     entry: UpstreamEntry
@@ -82,6 +84,7 @@
     orphaned_leases_until: timedelta = timedelta(0)
     leaves_at: timedelta | None = None
     ends_seen: int = 0
+    ends_acknowledged: int = 0
     suspended_at: timedelta = timedelta(0)
     suspended_until: timedelta = timedelta(0)
     next_suspension: timedelta = INITIAL_SUSPENSION
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_stored_assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_stored_assignments.py
@@ -93,7 +93,7 @@
         await self.intake.load()
         self.report(RunsRemembered("u", ASSIGNMENT, (TASK,), timedelta(0)))
         tracker = self.scheduler._upstream_tracker
-        self.assertEqual(tracker.find_possible_tasks("u"), {TASK})
+        self.assertEqual(tracker.unseen.find_possible_tasks("u"), {TASK})
         await self.committer.commit()
         self.assertEqual(self.read_watched().assignment, ASSIGNMENT)
 
