Guard against maintenance orders that end an upstream under its id

That the users saw this very sequence is only suspected.

The test of the controller fails with the guard taken out: 'm0@2500' counts as ended.

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_maintenance.py
@@ -161,6 +161,48 @@
         upstream = self.scheduler.cell_state.upstreams["m0@1500"]
         self.assertTrue(upstream.is_leaving)
 
+    async def list_ended(self, controller, steps):
+        """Return the upstreams that a controller takes for ended in some steps."""
+        ended = []
+        with patch.object(
+            self.scheduler, "record_machine_down", lambda name, _: ended.append(name)
+        ):
+            await self.run_steps(controller, steps)
+        return ended
+
+    async def test_upstream_that_started_again_under_its_id_has_not_ended(self):
+        """Guards against TWICE on arci-sched: its tasks ran on while others began.
+
+        A leader was lost in a maintenance, and its order was given again: done already.
+        """
+        first = await self.lead()
+        await self.run_steps(first, 1)
+        [(order, _, _)] = self.machines.orders
+        self.parts.clock.advance(2 * SECOND)
+        second = await self.lead(2, "two")
+        second._machines = KeptIdentityMachines(self.store, self.parts.clock)
+        second._machines.return_times[order.machine] = self.parts.clock.monotonic()
+        entry = UpstreamEntry(
+            f"{order.machine}@2500",
+            "service",
+            "10.0.0.1:1",
+            "umea",
+            Capacity(1, 1),
+            identity=order.machine,
+        )
+        self.scheduler.update_upstreams([entry], self.parts.clock.monotonic())
+        ended = await self.list_ended(second, 10)
+        self.assertIn(
+            order.machine, [each[0].machine for each in second._machines.orders]
+        )
+        self.assertNotIn(entry.name, ended)
+
+    async def test_upstream_ends_with_the_first_answer_to_an_own_order(self):
+        controller = await self.lead()
+        ended = await self.list_ended(controller, 1)
+        [(order, _, _)] = self.machines.orders
+        self.assertEqual(ended, [f"{order.machine}-False"])
+
     async def test_tasks_are_kept_off_inherited_machines_before_the_handover_is_over(
         self,
     ):
