--- a/packages/almondspread_standin/almondspread_standin/soak/command.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/command.py
@@ -41,6 +41,11 @@
     is_flag=True,
     help="Lose leaders together with upstreams, in series, beside tasks that last.",
 )
+@click.option(
+    "--foreign-entries",
+    is_flag=True,
+    help="Have entries of another writer at the addresses of cut off upstreams.",
+)
 @click.option(
     "--logs",
     default=None,
@@ -59,6 +64,7 @@
     configurations: bool,
     silences: bool,
     takeovers: bool,
+    foreign_entries: bool,
     logs: Path | None,
 ) -> None:
     """Run real processes under random faults, and check their guarantees."""
@@ -81,6 +87,7 @@
             configurations,
             silences,
             takeovers,
+            foreign_entries,
         )
         result = _run_one(plan, logs)
         failed_seeds += bool(result["violations"])
--- a/packages/almondspread_standin/almondspread_standin/soak/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/faults.py
@@ -12,6 +12,7 @@
 
 from almondspread.testing.record_store import MemoryRecordStore
 from almondspread_standin.soak.calm import Disturbance
+from almondspread_standin.soak.foreign_entries import ForeignEntries
 from almondspread_standin.soak.instances import Instance, Instances
 from almondspread_standin.soak.pool import PoolMember, UpstreamPool
 from almondspread_standin.soak.proxy import LinkState, Proxy
@@ -69,6 +70,7 @@
 # Beside these, a configuration has to be in force in time.
 HARMLESS_FAULTS = (*CONFIGURATION_TROUBLES, *SILENCES)
 CONFIGURATION_FAULTS = (*CONFIGURATION_TROUBLES, "kill", "terminate")
+FOREIGN_ENTRY_FAULTS = ("foreign entry", "crash upstream", "cut upstream", "kill")
 SILENCE_FAULTS = (*SILENCES, "kill", "terminate", "crash upstream", "forget history")
 # This share of the takeovers have another fault beside them.
 OVERLAP_SHARE = 0.3
@@ -106,6 +108,7 @@
     _troubles: StoreTroubles = field(init=False)
     _silences: Silences = field(init=False)
     _takeovers: Takeovers = field(init=False)
+    _foreign_entries: ForeignEntries = field(init=False)
     _faults: dict[str, Callable[[], Awaitable[None]]] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -113,6 +116,7 @@
             self.instances, self.store, self.store_faults, self.rng
         )
         self._silences = Silences(self.instances, self.pool, self.rng)
+        self._foreign_entries = ForeignEntries(self.pool, self.store, self.rng)
         self._takeovers = Takeovers(
             self.instances, self.pool, self.store, self.store_faults, self.rng
         )
@@ -157,6 +161,7 @@
             "silence upstreams": self._silences.silence_upstreams,
             "silence all": self._silences.silence_all,
             "take over": self._takeovers.take_over,
+            "foreign entry": self._foreign_entries.write,
         }
 
     def is_store_reached(self) -> bool:
--- a/packages/almondspread_standin/almondspread_standin/soak/pool.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/pool.py
@@ -39,8 +39,8 @@
     """One upstream address, whose current incarnation may crash and be replaced.
 
     ``incarnation`` numbers the incarnations, ``id_number`` the ids, and ``sequence``
-    the heartbeats. While its machine is ``down``, or ``dark`` and out of reach, no
-    incarnation writes an entry.
+    the heartbeats. While its machine is ``down``, ``dark`` and out of reach, or
+    ``cut_off`` from the store alone, no incarnation writes an entry.
     """
 
     number: int
@@ -51,6 +51,7 @@
     draining: bool = False
     down: bool = False
     dark: bool = False
+    cut_off: bool = False
     incarnation: int = 1
     id_number: int = 1
     sequence: int = 0
@@ -140,6 +141,12 @@
         counts = [count for task, count in self.crashes.items() if task.job == job]
         return max(counts, default=0)
 
+    def cut_off(self, member: PoolMember) -> None:
+        """Cut an upstream off from the store, so that its entry expires."""
+        member.cut_off = True
+        name = self._find_entry_name(member)
+        self._expiries[name] = asyncio.get_running_loop().time() + EXPIRY_SECONDS
+
     def darken(self, member: PoolMember) -> None:
         """Lose an upstream with all its runs, without a trace on its connections."""
         member.dark = True
@@ -193,7 +200,7 @@
         """Advance all upstreams and renew their entries until cancelled."""
         while True:
             for member in self.members:
-                if member.down or member.dark:
+                if member.down or member.dark or member.cut_off:
                     continue
                 member.sequence += 1
                 member.endpoint.upstream.advance(member.endpoint.read_clock())
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -27,6 +27,7 @@
 from almondspread_standin.soak.configuration_probe import ConfigurationProbe
 from almondspread_standin.soak.faults import (
     CONFIGURATION_FAULTS,
+    FOREIGN_ENTRY_FAULTS,
     SILENCE_FAULTS,
     FaultInjector,
 )
@@ -77,8 +78,10 @@
     also go to a queue that comes and goes. With ``configurations``, the faults are
     those beside which a configuration has to be in force in time; with ``silences``,
     connections fall silent for good, again and again; with ``takeovers``, leaders are
-    lost in series together with upstreams, and many tasks last. ``kept_id_share`` is
-    the share of the crashed upstreams that start again under their id.
+    lost in series together with upstreams, and many tasks last; with
+    ``foreign_entries``, entries of another writer have the addresses of upstreams that
+    are cut off from the store. ``kept_id_share`` is the share of the crashed upstreams
+    that start again under their id.
     """
 
     seed: int
@@ -91,6 +94,7 @@
     configurations: bool = False
     silences: bool = False
     takeovers: bool = False
+    foreign_entries: bool = False
     kept_id_share: float = KEPT_ID_SHARE
 
 
@@ -175,6 +179,8 @@
         )
         if plan.configurations:
             self._fault_injector.kinds = CONFIGURATION_FAULTS
+        elif plan.foreign_entries:
+            self._fault_injector.kinds = FOREIGN_ENTRY_FAULTS
         elif plan.silences:
             self._fault_injector.kinds = SILENCE_FAULTS
         self._lasting_watch = LastingWatch(
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -11,6 +11,7 @@
 TIMEOUT_SECONDS = 300.0
 CONFIGURATION_SEED = 1
 TAKEOVER_SEED, LEADER_SEED, OUTAGE_SEED = 2, 9, 66
+FOREIGN_ENTRY_SEED = 9_101
 # Seeds that once caused a violation, with the unit test of each cause.
 REGRESSION_SEEDS = {
     # A new leader was allowed to start jobs beyond its last commit.
@@ -82,6 +83,12 @@
         result = self.run_soak(OUTAGE_SEED, 10.0, instances=2, takeovers=True)
         self.assertEqual(result.violations, [])
 
+    def test_entries_of_another_writer_cause_no_violation(self):
+        """Guards against tasks that run twice beside an entry at their address."""
+        result = self.run_soak(FOREIGN_ENTRY_SEED, 12.0, foreign_entries=True)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.completed, 0)
+
     def test_regression_seeds_cause_no_violation(self):
         for seed in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
