Bound leases also where orders come before the leader's welcome

Cause, found by reading the diff: a leader sent a new member its orders to watch upstreams before it welcomed it. The agents of a process that had had no leader yet were created without a bound, and renewed leases whether the leader's lease held or not; under a leader of an earlier release, agents could stay bounded for good. And a member's told time was replaced by an earlier one after a slow answer of the store, while the member goes by the latest.

Change: the welcome comes first; an executor that attaches to a leader gives the agents of that epoch its bound, or takes it from them; the told time only grows.

--- a/packages/almondspread/almondspread/jobs/lease_renewal.py
+++ b/packages/almondspread/almondspread/jobs/lease_renewal.py
@@ -44,6 +44,15 @@
         """Renew leases without a limit again."""
         self._limit = None
 
+    def begin_bound(self, now: timedelta) -> None:
+        """Renew nothing before the leader tells how long its lease lasts."""
+        if self._renewable_until is None:
+            self._renewable_until = now
+
+    def end_bound(self) -> None:
+        """Renew leases without regard to that of the leader, which does not tell it."""
+        self._renewable_until = None
+
     def extend(self, renewable_until: timedelta) -> None:
         """Renew leases up to a time, as the leader's own lease lasts until later."""
         if self._renewable_until is not None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/assignments.py
@@ -116,15 +116,12 @@
             self._report_unanswered(request)
         return released
 
-    def update_unresponsive_upstreams(self, own: str) -> None:
-        """Tell the scheduler the upstreams whose members send no heartbeats.
-
-        ``own`` is the leader's own instance, which has no link to itself.
-        """
+    def update_unresponsive_upstreams(self) -> None:
+        """Tell the scheduler the upstreams whose members send no heartbeats."""
         now = self._clock.monotonic()
         unresponsive: set[str] = set()
         for member in self.members.members.values():
-            if member.instance != own and is_unresponsive(member, now):
+            if is_unresponsive(member, now):
                 unresponsive |= member.upstreams
         self._scheduler.update_unresponsive(unresponsive)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/executor.py
@@ -75,7 +75,14 @@
         """
         self._report = report
         self._leader_epoch = epoch
-        self._renewable_until = self._clock.monotonic() if is_bounded else None
+        now = self._clock.monotonic()
+        self._renewable_until = now if is_bounded else None
+        for agent in self._agents.values():
+            # Orders of the leader may arrive before it has accepted this instance.
+            if agent.watch.epoch == epoch and is_bounded:
+                agent.leases.begin_bound(now)
+            elif agent.watch.epoch == epoch:
+                agent.leases.end_bound()
         if self._expiry_task is not None:
             self._expiry_task.cancel()
             self._expiry_task = None
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
@@ -44,14 +44,14 @@
                 # Should it be lost, its leases end sooner if it is told no more.
                 member.send(shared_without_lease)
                 continue
-            member.lease_told_until = self._committer.lease_until
+            member.record_told(self._committer.lease_until)
             member.send(shared)
 
     def send_to(self, instance: str) -> None:
         """Send one member a heartbeat."""
         member = self._assignments.members.members.get(instance)
         if member is not None:
-            member.lease_told_until = self._committer.lease_until
+            member.record_told(self._committer.lease_until)
             member.send(self._make())
 
     def _make(self) -> Beat:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -288,9 +288,9 @@
 
     async def serve_member(self, member: Member, link: Link) -> None:
         """Add a member; handle its messages until its link closes or the epoch ends."""
-        self.add_member(member)
         clock = self._clock.monotonic().total_seconds()
         link.send(Welcome(self.epoch, asks_runs=True, clock=clock))
+        self.add_member(member)
         self._heartbeats.send_to(member.instance)
         link.send(self._announcer.describe_all())
         try:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/members.py
@@ -28,8 +28,8 @@
     is not known. The instance that ``leads`` keeps upstreams only of failure domains
     without another member, so that its loss is seldom also that of an executor. A
     member that ``limits_leases`` renews none beyond one lease after it has lost its
-    leader, and one that ``bounds_leases`` none beyond one lease after the time that it
-    was told last, ``lease_told_until``.
+    leader, and one that ``bounds_leases`` none beyond one lease after the latest time
+    that it was told, ``lease_told_until``.
     """
 
     instance: str
@@ -50,6 +50,13 @@
     bounds_leases: bool = True
     lease_told_until: timedelta = timedelta(0)
 
+    def record_told(self, lease_until: timedelta) -> None:
+        """Record until when the leader's lease lasts, as the member is told.
+
+        The leader may take an earlier time for it later; the member goes by the latest.
+        """
+        self.lease_told_until = max(self.lease_told_until, lease_until)
+
     def is_same_process(self, other: "Member") -> bool:
         """Return whether both are one process; its ``incarnation`` may be unknown."""
         return bool(self.incarnation) and self.incarnation == other.incarnation
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/pass_loop.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/pass_loop.py
@@ -68,7 +68,7 @@
         """Run one scheduler pass and send its orders."""
         members = self._assignments.members
         now = self._clock.monotonic()
-        self._assignments.update_unresponsive_upstreams(self._instance)
+        self._assignments.update_unresponsive_upstreams()
         wall = estimate_wall_time(
             members.members.values(), self._instance, self._clock, now - self._began
         )
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_bounded_leases.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_bounded_leases.py
@@ -22,10 +22,12 @@
     StartRun,
     StartSettled,
     UpstreamEntry,
+    WatchUpstream,
 )
 from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.agents import START_EXPIRY
 from almondspread_daemon.jobs.assignments import MEMBER_SILENCE_THRESHOLD
+from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.intake import JobIntake
 from almondspread_daemon.jobs.links import (
     AskClock,
@@ -35,6 +37,7 @@
     Welcome,
 )
 from almondspread_daemon.jobs.members import Member
+from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.rows import WATCHED_ROW, WatchedRow, WatchedUpstream
 from almondspread_daemon.jobs.stored_cell import StoredCell
 from almondspread_daemon.jobs.tests.executor_case import (
@@ -106,6 +109,27 @@
         settled = [each for each in self.reports if isinstance(each, StartSettled)]
         self.assertEqual(settled, [StartSettled("u", TASK, 7, REFUSED, LEASE_REASON)])
 
+    async def test_order_before_the_welcome_is_bounded_as_well(self):
+        """A process that has had no leader yet renewed its leases without an end."""
+        self.executor = Executor(
+            self.client, None, self.clock, LEASE, JobMetrics("entry-1", "umea")
+        )
+        await self.order(make_watch())
+        self.executor.attach_leader(self.reports.append, 1, is_bounded=True)
+        await self.renew(1)
+        self.assertIsNone(await self.renew(2))
+        self.executor.extend_leases(self.clock.monotonic() + SECOND)
+        self.assertGreater(await self.renew(3), LEASE - SECOND / 10)
+        self.clock.pause = 8 * SECOND
+        await self.renew(4)
+        self.assertIsNone(await self.renew(5))
+
+    async def test_order_before_the_welcome_of_an_earlier_release_is_not_bounded(self):
+        """Its heartbeats tell nothing, so that no lease would ever be renewed."""
+        await self.order(make_watch(epoch=2))
+        self.executor.attach_leader(self.reports.append, 2)
+        self.assertGreater(await self.renew(1), LEASE - SECOND / 10)
+
     async def test_leader_of_an_earlier_release_bounds_nothing(self):
         self.executor.attach_leader(self.reports.append, 1)
         await self.order(make_watch())
@@ -278,6 +302,25 @@
         lease_time = compute_longest_lease_time(make_settings().lease)
         self.assertEqual(upstream.orphaned_leases_until, told + lease_time)
 
+    async def test_member_goes_by_the_latest_time_that_it_was_told(self):
+        """A slow answer of the store lets the leader take an earlier one afterwards."""
+        member = self.join()
+        told = timedelta(seconds=self.beat().lease_until)
+        clock = self.parts.clock
+        self.parts.store_clock.observe(50 * SECOND, clock.monotonic() - SECOND)
+        self.assertLess(timedelta(seconds=self.beat().lease_until), told)
+        self.assertEqual(member.lease_told_until, told)
+
+    async def test_member_is_welcomed_before_it_gets_orders(self):
+        """Only then does it know how its leases are bounded."""
+        link = FakeLink()
+        now = self.parts.clock.monotonic()
+        member = Member("entry-2", "umea", 1.0, link.send, now)
+        await self.session.serve_member(member, link)
+        self.assertIsInstance(link.sent[0], Welcome)
+        kinds = [type(each) for each in link.sent]
+        self.assertIn(WatchUpstream, kinds)
+
     async def test_row_of_a_leader_with_a_member_of_the_release_before_bounds_none(
         self,
     ):
