--- a/packages/almondspread_standin/almondspread_standin/soak/command.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/command.py
@@ -41,6 +41,11 @@
     is_flag=True,
     help="Lose leaders together with upstreams, in series, beside tasks that last.",
 )
+@click.option(
+    "--loses-domain",
+    is_flag=True,
+    help="Lose one failure domain for good, beside tasks that last.",
+)
 @click.option(
     "--foreign-entries",
     is_flag=True,
@@ -64,6 +69,7 @@
     configurations: bool,
     silences: bool,
     takeovers: bool,
+    loses_domain: bool,
     foreign_entries: bool,
     logs: Path | None,
 ) -> None:
@@ -88,6 +94,7 @@
             silences,
             takeovers,
             foreign_entries,
+            loses_domain,
         )
         result = _run_one(plan, logs)
         failed_seeds += bool(result["violations"])
--- a/packages/almondspread_standin/almondspread_standin/soak/faults.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/faults.py
@@ -78,6 +78,7 @@
 SERIES_PAUSE = (0.5, 5.0)
 CALM_SHARE = 0.6
 CALM_PAUSE = (9.0, 14.0)
+DOMAIN_LOSS_DELAY = (4.0, 6.0)
 # Neither an instance, nor the store, a link or an upstream fails.
 CALM_FAULTS = ("hang up", "odd entries")
 SECOND = timedelta(seconds=1)
@@ -161,6 +162,7 @@
             "silence upstreams": self._silences.silence_upstreams,
             "silence all": self._silences.silence_all,
             "take over": self._takeovers.take_over,
+            "lose domain": self._takeovers.lose_domain,
             "foreign entry": self._foreign_entries.write,
         }
 
@@ -187,6 +189,12 @@
             await asyncio.sleep(self.rng.uniform(0.2, 2.5))
             self._start(self.rng.choice(sorted(self.kinds)))
 
+    async def run_domain_loss(self) -> None:
+        """Lose one failure domain, once tasks have begun; runs until cancelled."""
+        await asyncio.sleep(self.rng.uniform(*DOMAIN_LOSS_DELAY))
+        self._start("lose domain")
+        await asyncio.Event().wait()
+
     async def run_takeovers(self) -> None:
         """Have one takeover after another, in series with pauses, until cancelled."""
         while True:
--- a/packages/almondspread_standin/almondspread_standin/soak/soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/soak.py
@@ -79,6 +79,7 @@
     those beside which a configuration has to be in force in time; with ``silences``,
     connections fall silent for good, again and again; with ``takeovers``, leaders are
     lost in series together with upstreams, and many tasks last; with
+    ``loses_domain``, one failure domain is lost for good beside such tasks; with
     ``foreign_entries``, entries of another writer have the addresses of upstreams that
     are cut off from the store. ``kept_id_share`` is the share of the crashed upstreams
     that start again under their id.
@@ -95,6 +96,7 @@
     silences: bool = False
     takeovers: bool = False
     foreign_entries: bool = False
+    loses_domain: bool = False
     kept_id_share: float = KEPT_ID_SHARE
 
 
@@ -158,7 +160,7 @@
         if plan.variety:
             self._clients.behaviour = behaviour
             self._clients.status_seconds = SHORT_STATUS_SECONDS
-        if plan.takeovers:
+        if plan.takeovers or plan.loses_domain:
             self._clients.behaviour = behaviour
             self._clients.kinds = LASTING_KINDS
         self._clients.read_stored_state = self._read_stored_state
@@ -235,7 +237,9 @@
         Raises the exception of any task that fails in the meantime.
         """
         run_faults = self._fault_injector.run
-        if self._plan.takeovers:
+        if self._plan.loses_domain:
+            run_faults = self._fault_injector.run_domain_loss
+        elif self._plan.takeovers:
             run_faults = self._fault_injector.run_takeovers
         temporary_tasks = [asyncio.create_task(run_faults())]
         for _ in range(CLIENT_COUNT):
--- a/packages/almondspread_standin/almondspread_standin/soak/takeovers.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/takeovers.py
@@ -28,6 +28,7 @@
 GONE_SHARE = 0.5
 EXECUTOR_SHARE = 0.4
 STORE_SHARE = 0.35
+LEADER_DOMAIN_SHARE = 0.7
 MIN_RETURN_SECONDS, MAX_RETURN_SECONDS = 4.0, 20.0
 MIN_SECONDS, MAX_SECONDS = 0.5, 3.0
 MIN_CUT_SECONDS, MAX_CUT_SECONDS = 2.0, 9.0
@@ -65,6 +66,21 @@
             losses.append(self._lose_store())
         await asyncio.gather(*losses)
 
+    async def lose_domain(self) -> None:
+        """Lose a failure domain for good, mostly the leader's."""
+        domain = self.find_leader().domain
+        if self.rng.random() >= LEADER_DOMAIN_SHARE:
+            domain = self.rng.choice([each.domain for each in self.pool.members])
+        logger.info("failure domain lost", domain=domain)
+        for member in self.pool.members:
+            if member.domain == domain and not member.dark:
+                self.pool.darken(member)
+        ends = []
+        for instance in self.instances.instances:
+            if instance.domain == domain:
+                ends.append(self.instances.end(instance, signal.SIGKILL))
+        await asyncio.gather(*ends)
+
     def find_leader(self) -> Instance:
         """Return the instance that leads, or any other one where none does."""
         row = self.store.rows.get(LEADER)
--- a/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
+++ b/packages/almondspread_standin/almondspread_standin/soak/tests/test_soak.py
@@ -11,7 +11,7 @@
 TIMEOUT_SECONDS = 300.0
 CONFIGURATION_SEED = 1
 TAKEOVER_SEED, LEADER_SEED, OUTAGE_SEED = 2, 9, 66
-FOREIGN_ENTRY_SEED = 9_101
+FOREIGN_ENTRY_SEED, DOMAIN_SEED = 9_101, 9_201
 # Seeds that once caused a violation, with the unit test of each cause.
 REGRESSION_SEEDS = {
     # A new leader was allowed to start jobs beyond its last commit.
@@ -83,6 +83,14 @@
         result = self.run_soak(OUTAGE_SEED, 10.0, instances=2, takeovers=True)
         self.assertEqual(result.violations, [])
 
+    def test_tasks_that_last_run_again_in_time_after_a_failure_domain_was_lost(self):
+        """Guards against a wait of 17 s for executors that are lost for good."""
+        result = self.run_soak(
+            DOMAIN_SEED, 17.0, instances=6, upstreams=6, loses_domain=True
+        )
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.completed, 0)
+
     def test_entries_of_another_writer_cause_no_violation(self):
         """Guards against tasks that run twice beside an entry at their address."""
         result = self.run_soak(FOREIGN_ENTRY_SEED, 12.0, foreign_entries=True)
