Have the test of doubtful starts fail without their guard

Cause, found by taking protections out one at a time on a scratch copy: the test of a start that may have reached the next incarnation held with the guard taken out, as the list of upstreams led to the same end by another way.

Change: it also asserts that the run is still bound right after the order's answer.

Result: without the guard the test fails now; the six tests of the module pass with it. Six other protections taken out alone were each found by their tests. No product code is changed.

--- a/packages/almondspread/almondspread/jobs/tests/test_machines_down.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_machines_down.py
@@ -33,6 +33,7 @@
         self.deliver_held_start()
         self.assertEqual(self.cell.history.starts, 1)
         self.cell.scheduler.record_machine_down(name, self.cell.now)
+        self.assertEqual(self.find_upstream(), name)
         self.cell.hears_restarts = self.cell.directory_is_up = True
         self.cell.run_for(5 * SECOND)
         self.assertEqual(self.cell.history.starts, 1)
