Read workspaces from the configuration, and count what each has running

Cause: callers of some cells belong to workspaces with keys, weights and limits; the job scheduler knew none of it. The configuration has workspaces (only digests of their keys), queues may be public, a job keeps the workspace that it came from, and the cell state sums the sizes of the bound runs by workspace. Nothing decides by it yet. Without workspaces in the configuration rows and messages are as before.

--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -10,6 +10,7 @@
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
+from almondspread.jobs.workspace_usage import WorkspaceUsage
 
 # Numbers of runs and of assignments of one epoch must stay below those of the next.
 # They start at a multiple of this bound.
@@ -30,13 +31,15 @@
     """Binds runs to upstreams until they are known to have ended.
 
     A bound run takes up capacity of its upstream. ``runs`` holds all bound runs by task
-    and run number, ``upstreams`` all upstreams by name.
+    and run number, ``upstreams`` all upstreams by name. ``usage`` has the sizes of the
+    bound runs by workspace.
     """
 
     epoch: int
     upstreams: dict[str, Upstream] = field(factory=dict)
     runs: dict[tuple[TaskId, int], Run] = field(factory=dict)
     incarnations: Incarnations = field(factory=Incarnations)
+    usage: WorkspaceUsage = field(factory=WorkspaceUsage)
     _last_number: int = 0
     _last_assignment: int = 0
 
@@ -64,6 +67,8 @@
     ) -> None:
         """Bind a run of a task to an upstream."""
         progress.add_run(run)
+        if (run.task, run.number) not in self.runs:
+            self.usage.add(progress.job.submission.workspace, progress.step.size)
         self.runs[run.task, run.number] = run
         upstream.bind(run.task, run.number, progress.step.claim)
 
@@ -101,7 +106,8 @@
 
     def remove_run(self, progress: StepProgress, run: Run) -> None:
         """Release a run that is known to have ended, or never to have started."""
-        self.runs.pop((run.task, run.number), None)
+        if self.runs.pop((run.task, run.number), None) is not None:
+            self.usage.remove(progress.job.submission.workspace, progress.step.size)
         progress.remove_run(run)
         upstream = self.upstreams.get(run.upstream)
         if upstream is not None:
--- a/packages/almondspread/almondspread/jobs/configuration.py
+++ b/packages/almondspread/almondspread/jobs/configuration.py
@@ -5,6 +5,8 @@
 
 from attrs import define, field
 
+from almondspread.jobs.workspaces import Workspace
+
 
 @define(frozen=True)
 class AdviceTiming:
@@ -23,7 +25,8 @@
     """A route on which callers submit jobs, which run on upstreams of ``service``.
 
     ``priority`` 0 is the highest. A job meets its target if it ends within ``stretch``
-    times the length of its critical path plus ``target_latency``.
+    times the length of its critical path plus ``target_latency``. On a ``public`` queue
+    callers need no key.
     """
 
     name: str
@@ -36,6 +39,7 @@
     target_latency: timedelta = timedelta(0)
     timeout: timedelta = timedelta(0)
     advice: AdviceTiming | None = None
+    public: bool = False
 
 
 @define(frozen=True)
@@ -63,12 +67,16 @@
 
 @define(frozen=True)
 class Configuration:
-    """One complete version of the configuration."""
+    """One complete version of the configuration.
+
+    ``workspaces`` is ``None`` in a cell whose callers need no keys.
+    """
 
     version: int
     queues: Mapping[str, Queue] = field(factory=dict)
     services: Mapping[str, Service] = field(factory=dict)
     limits: CallerLimits = CallerLimits()
+    workspaces: Mapping[str, Workspace] | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path`` at ``host``.
--- a/packages/almondspread/almondspread/jobs/submissions.py
+++ b/packages/almondspread/almondspread/jobs/submissions.py
@@ -85,6 +85,7 @@
 
     ``accepted_queue`` is the queue as it was when the job was accepted, by which the
     job goes on if the queue is removed. Jobs accepted by an earlier release lack it.
+    ``workspace`` names the workspace whose key came with the job, if any.
     """
 
     job: str
@@ -93,6 +94,7 @@
     steps: tuple[Step, ...]
     repetition: Repetition | None = None
     accepted_queue: Queue | None = None
+    workspace: str = ""
 
     def find_queue(self, configuration: Configuration) -> Queue | None:
         """Return the queue as it is now, or as it was where it has been removed."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/rows.py
@@ -74,7 +74,7 @@
 
     ``accepted`` is in seconds of the store's clock. The times of a repetition are in
     milliseconds, that of the first occurrence since 1970. ``terms`` are those of the
-    queue; an earlier release stored none.
+    queue; an earlier release stored none. ``workspace`` is empty without one.
     """
 
     job: str
@@ -86,6 +86,7 @@
     interval_ms: int = 0
     occurrences: int = 0
     terms: QueueRow | None = None
+    workspace: str = ""
 
 
 @define(frozen=True)
@@ -261,6 +262,7 @@
         accepted.total_seconds(),
         tuple(steps),
         terms=make_queue_row(submission.accepted_queue),
+        workspace=submission.workspace,
     )
     repetition = submission.repetition
     if repetition is not None:
@@ -309,6 +311,7 @@
         tuple(steps),
         repetition,
         decode_queue(row.queue, row.terms),
+        row.workspace,
     )
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -19,6 +19,18 @@
 START_DELIVERY_TIME = timedelta(milliseconds=500)
 
 
+@define(frozen=True)
+class KeyCheckSettings:
+    """How callers' keys are checked while the configuration may be out of date.
+
+    With ``fail_closed``, requests that need a key are refused once the configuration
+    has not been known to be the newest for ``revoke_time``.
+    """
+
+    fail_closed: bool = False
+    revoke_time: timedelta = timedelta(seconds=5)
+
+
 @define(frozen=True)
 class JobSettings:
     """Identity, addresses, size and time limits of one instance.
@@ -53,6 +65,7 @@
     store_limits: StoreLimits = DEFAULT_LIMITS
     apply_budget: ApplyBudget = ApplyBudget()
     contacts: tuple[str, ...] = ()
+    key_check: KeyCheckSettings = KeyCheckSettings()
 
     @property
     def strength(self) -> float:
