--- a/packages/almondspread/almondspread/jobs/operator_rows.py
+++ b/packages/almondspread/almondspread/jobs/operator_rows.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from attrs import define
+from attrs import define, field
 
 
 @define(frozen=True)
@@ -15,12 +15,13 @@
     """One state of a row; ``value`` is ``None`` where the row does not exist.
 
     The row took this state at ``version`` of the store, or before it where a row is
-    known only to be missing at that version.
+    known only to be missing at that version. The value may hold callers' keys, so that
+    it is left out of the representation, which logs and errors may show.
     """
 
     key: str
     version: int
-    value: bytes | None
+    value: bytes | None = field(repr=False)
 
 
 @define(frozen=True)
@@ -38,7 +39,7 @@
     >>> rows.merge([OperatorRow("config", 7, b"new"), OperatorRow("config", 3, b"old")])
     True
     >>> rows.list_rows()
-    (OperatorRow(key='config', version=7, value=b'new'),)
+    (OperatorRow(key='config', version=7),)
     >>> rows.revision
     7
     """
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/operator_exchange.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/operator_exchange.py
@@ -160,4 +160,8 @@
         raise ValueError(f"the rows are not compressed: {error}") from error
     if not unpacker.eof:
         raise ValueError(f"the rows are cut off or exceed {MAX_ROW_BYTES} bytes")
-    return decode_message(data, _PackedRows).rows
+    try:
+        return decode_message(data, _PackedRows).rows
+    except ValueError:
+        # The error may quote the rows, which hold callers' keys.
+        raise ValueError("the rows cannot be decoded") from None
