Check callers' keys, and refuse jobs of other workspaces

Cause: a cell may have workspaces with keys; requests were served without any. Change: jobs/access.py decides by the configuration in force, the queue and the key; KeyCheck of the daemon counts and logs refusals, at most one line a second for each outcome. The HTTP interface reads the header once and checks it after the queue and before path and body. A job's workspace goes into its stored submission and progress and into its first announcement, by which other workspaces get 403. With fail_closed, keys are refused once the configuration has not been confirmed for revoke_ms. Metrics: outcomes unauthenticated, forbidden and outdated, and workspace_requests, which names at most 64 workspaces. Without workspaces in the configuration, answers, rows and messages are as before.

--- a/packages/almondspread/almondspread/jobs/job_records.py
+++ b/packages/almondspread/almondspread/jobs/job_records.py
@@ -43,7 +43,7 @@
 
     All occurrences before ``first_open`` are finished. ``finished`` is a little-endian
     bitmap, from ``first_open`` on, of those that are finished as well. ``steps`` has
-    the steps of the others.
+    the steps of the others. ``workspace`` is empty for a job that belongs to none.
     """
 
     job: str
@@ -52,3 +52,4 @@
     steps: tuple[StepRecord, ...] = ()
     first_open: int = 0
     finished: bytes = b""
+    workspace: str = ""
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -20,11 +20,16 @@
 
 @define(frozen=True)
 class Announcement:
-    """The state of a job, sent to all instances for their callers."""
+    """The state of a job, sent to all instances for their callers.
+
+    ``workspace`` is that of the job. It is empty for a job of none, and where the
+    receivers know it from an earlier announcement.
+    """
 
     job: str
     queue: str
     state: str
+    workspace: str = ""
 
 
 @define(eq=False)
@@ -38,7 +43,8 @@
     which an upstream was lost. The progress of ``changed`` jobs has
     to be stored. ``forgotten`` jobs are removed from the table, and their stored
     progress is still to be deleted. ``_first_mentions`` tells when upstreams first
-    mentioned jobs that were unknown then.
+    mentioned jobs that were unknown then. ``_unannounced`` jobs have a state that is to
+    be sent; the value tells whether it is the first one of the job.
     """
 
     configuration: Configuration
@@ -54,7 +60,7 @@
     _services: dict[str, str] = field(factory=dict)
     _cancelled_early: dict[str, timedelta] = field(factory=dict)
     _repeating: set[str] = field(factory=set)
-    _unannounced: dict[str, None] = field(factory=dict)
+    _unannounced: dict[str, bool] = field(factory=dict)
     _first_mentions: dict[str, timedelta] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -97,7 +103,7 @@
             return
         job = JobProgress(submission, accepted, version)
         self.jobs[submission.job] = job
-        self._unannounced[submission.job] = None
+        self._unannounced[submission.job] = True
         if record is not None:
             job.restore(record)
         if job.ended is not None:
@@ -177,7 +183,7 @@
         name = job.submission.job
         self._repeating.discard(name)
         self.changed.add(name)
-        self._unannounced[name] = None
+        self._unannounced.setdefault(name, False)
         for progress in job.steps.values():
             self.ready_steps.pop(progress.key, None)
         self.stop_runs(job.list_runs(), now)
@@ -187,7 +193,7 @@
         job = self.jobs.get(name)
         if job is not None and not job.end_stored:
             job.end_stored = True
-            self._unannounced[name] = None
+            self._unannounced.setdefault(name, False)
 
     def end_if_finished(self, job: JobProgress, now: timedelta) -> None:
         """End a job that is complete, has used up its attempts or crashes upstreams."""
@@ -322,7 +328,7 @@
             return
         job.has_started = True
         self.changed.add(job.submission.job)
-        self._unannounced[job.submission.job] = None
+        self._unannounced.setdefault(job.submission.job, False)
 
     @property
     def has_announcements(self) -> bool:
@@ -332,17 +338,18 @@
     def take_announcements(self) -> list[Announcement]:
         """Return the job states that have changed since the last call."""
         names, self._unannounced = self._unannounced, {}
-        return [self._announce(name) for name in names]
+        return [self._announce(name, is_first) for name, is_first in names.items()]
 
     def list_unfinished_states(self) -> list[Announcement]:
         """Return the state of every job whose end is not stored yet."""
         found = []
         for name, job in self.jobs.items():
             if not job.end_stored:
-                found.append(self._announce(name))
+                found.append(self._announce(name, is_first=True))
         return found
 
-    def _announce(self, name: str) -> Announcement:
-        """Return the state of one job."""
+    def _announce(self, name: str, is_first: bool) -> Announcement:
+        """Return the state of one job, with its workspace if it is the first one."""
         job = self.jobs[name]
-        return Announcement(name, job.submission.queue, str(job.shown_state))
+        workspace = job.submission.workspace if is_first else ""
+        return Announcement(name, job.submission.queue, str(job.shown_state), workspace)
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -167,7 +167,12 @@
         """Return the record to store, which for an ended job holds only its state."""
         submission = self.submission
         if self.ended is not None:
-            return JobRecord(submission.job, submission.queue, str(self.state))
+            return JobRecord(
+                submission.job,
+                submission.queue,
+                str(self.state),
+                workspace=submission.workspace,
+            )
         steps = tuple(
             progress.make_record()
             for progress in self.steps.values()
@@ -182,6 +187,7 @@
             steps,
             self.occurrences.first_open,
             self.occurrences.encode_finished(),
+            submission.workspace,
         )
 
     def restore(self, record: JobRecord) -> None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -22,6 +22,7 @@
 from almondspread_daemon.jobs.executor import Executor
 from almondspread_daemon.jobs.follower import Follower
 from almondspread_daemon.jobs.job_service import JobService
+from almondspread_daemon.jobs.key_check import KeyCheck
 from almondspread_daemon.jobs.lasting import run_lasting
 from almondspread_daemon.jobs.leader import LeaderSession
 from almondspread_daemon.jobs.leader_inquiry import LeaderInquiry
@@ -78,6 +79,9 @@
         self._writer = RowWriter(
             store, clock, settings.instance, self._relay, settings.store_limits
         )
+        self._published = PublishedInput(
+            store.decode_operator_rows, self._apply_operations, clock, metrics
+        )
         self.job_service = JobService(
             store,
             self._writer,
@@ -87,15 +91,19 @@
             metrics,
             self._notify_leader_of_cancel,
             self._is_configuration_current,
+            KeyCheck(
+                settings.key_check,
+                clock,
+                metrics,
+                self._is_configuration_current,
+                lambda: self._published.age,
+            ),
         )
         self._incarnation = incarnation
         self._store = store
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
-        self._published = PublishedInput(
-            store.decode_operator_rows, self._apply_operations, clock, metrics
-        )
         self._operations = OperationsFeed(
             store,
             clock,
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
@@ -16,6 +16,7 @@
     Problem,
     Unavailable,
 )
+from almondspread.jobs.access import Allowed
 from almondspread.jobs.admission import decide_admission
 from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.jobs.job_records import TERMINAL_STATES, JobRecord, JobState
@@ -26,6 +27,7 @@
     StoreUnavailable,
 )
 from almondspread.jobs.submissions import Submission, check_submission
+from almondspread_daemon.jobs.key_check import KeyCheck
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.remote_clock import RemoteClock
 from almondspread_daemon.jobs.row_writer import RowWriter
@@ -66,6 +68,7 @@
         metrics: JobMetrics,
         announce_cancel: Callable[[str], None],
         is_configuration_current: Callable[[], bool],
+        key_check: KeyCheck,
     ) -> None:
         self.configuration: Configuration | None = None
         self._is_configuration_current = is_configuration_current
@@ -76,18 +79,12 @@
         self._state_cache = state_cache
         self._metrics = metrics
         self._announce_cancel = announce_cancel
+        self._key_check = key_check
 
     def find_queue(self, host: str, path: str) -> Result[Queue, Problem]:
         """Return the queue with the longest path prefix that matches a request."""
         if self.configuration is None:
-            return Error(
-                Unavailable(
-                    "this instance has no configuration yet",
-                    "send the request again",
-                    not_run=True,
-                    retry_after_seconds=DEFAULT_RETRY_AFTER.total_seconds(),
-                )
-            )
+            return Error(_make_unconfigured())
         queue = self.configuration.find_queue(host, path)
         if queue is None and not self._is_configuration_current():
             # The queue may have been added since.
@@ -104,17 +101,33 @@
             return Error(NotFound("no queue has this host and path", "check both"))
         return Ok(queue)
 
+    def check_key(self, queue: Queue, key: str) -> Result[Allowed, Problem]:
+        """Return as whom a caller may use a queue; the key is empty if it sent none."""
+        if self.configuration is None:
+            return Error(_make_unconfigured())
+        return self._key_check.check_key(self.configuration, queue, key)
+
+    def _check_owner(self, caller: Allowed, job: str, owner: str) -> Problem | None:
+        """Return why a caller may not ask about a job of a workspace, if it may not."""
+        return self._key_check.check_owner(self.configuration, caller, job, owner)
+
     async def submit(
-        self, queue: Queue, submission: Submission, timeout: timedelta
+        self, queue: Queue, submission: Submission, timeout: timedelta, caller: Allowed
     ) -> Result[JobState, Problem]:
         """Store a job; the scheduler will run a job that is stored.
 
         Submitting is idempotent: a job that is submitted repeatedly is stored once. The
-        problem tells whether the job certainly has not been stored.
+        problem tells whether the job certainly has not been stored. The job belongs to
+        the workspace of the caller.
         """
+        submission = evolve(submission, workspace=caller.workspace)
         checked = check_submission(submission)
         if checked.is_error():
             return Error(checked.error)
+        owner = self._state_cache.find_workspace(submission.job)
+        problem = self._check_owner(caller, submission.job, owner)
+        if problem is not None:
+            return Error(evolve(problem, not_run=True))
         known = self._state_cache.find_state(submission.job)
         if known is not None:
             return Ok(known)
@@ -141,10 +154,17 @@
         if written.is_error():
             self._record_outcome(submission.job, "unknown", reason=written.error.reason)
             return Error(_make_submit_unknown())
+        if not written.ok and not owner:
+            # The job was stored before, maybe by another workspace.
+            problem = await self._check_stored_owner(caller, submission.job)
+            if problem is not None:
+                return Error(evolve(problem, not_run=True))
         self._record_outcome(
             submission.job, "accepted", queue=queue.name, version=written.ok
         )
-        self._state_cache.add_queued(submission.job, queue.name)
+        self._state_cache.add_queued(
+            submission.job, queue.name, submission.workspace if written.ok else ""
+        )
         return Ok(JobState.QUEUED)
 
     def _reject(self, job: str, failure: StoreUnavailable) -> Problem:
@@ -152,41 +172,68 @@
         self._record_outcome(job, "refused", reason=failure.reason)
         return _make_store_unavailable(failure, self._store.suggest_retry_after())
 
-    async def read_state(self, job: str) -> Result[JobState, Problem]:
+    async def read_state(self, job: str, caller: Allowed) -> Result[JobState, Problem]:
         """Return the state of a job.
 
         If the cache does not know the current state, the stored progress of the job
         tells the state.
         """
+        owner = self._state_cache.find_workspace(job)
+        problem = self._check_owner(caller, job, owner)
+        if problem is not None:
+            return Error(problem)
         known = self._state_cache.find_state(job)
         if known is not None and (
             self._state_cache.is_current or known in TERMINAL_STATES
         ):
             return Ok(known)
         knows_all = self._state_cache.knows_all
-        row = await self._read_one(make_progress_name(job))
-        record = None
-        if row.is_ok() and row.ok is not None:
-            record = decode_row(row.ok, JobRecord)
+        read = await self._read_record(job)
+        record = read.ok if read.is_ok() else None
         if record is not None:
-            state = JobState(record.state)
-            if state in TERMINAL_STATES:
-                self._state_cache.update(
-                    (Announcement(job, record.queue, record.state),)
-                )
-            return Ok(state)
+            state = self._remember_record(record)
+            problem = self._check_owner(caller, job, record.workspace)
+            return Ok(state) if problem is None else Error(problem)
         if known is not None:
             return Ok(known)
-        if row.is_ok() and knows_all:
+        if read.is_ok() and knows_all:
             self._record_outcome(job, "not found")
             return Error(NotFound(f"there is no job {job}", "submit it"))
         return Error(_make_leader_unreachable())
 
-    async def cancel(self, job: str) -> Result[JobState, Problem]:
+    def _remember_record(self, record: JobRecord) -> JobState:
+        """Return the state in a stored record, and keep a final one in the cache."""
+        state = JobState(record.state)
+        if state in TERMINAL_STATES:
+            ended = Announcement(
+                record.job, record.queue, record.state, record.workspace
+            )
+            self._state_cache.update((ended,))
+        return state
+
+    async def _check_stored_owner(self, caller: Allowed, job: str) -> Problem | None:
+        """Return why a caller may not ask about a job, by its stored progress.
+
+        A job of which nothing is stored or can be read is not refused.
+        """
+        if not caller.checks_owner:
+            return None
+        read = await self._read_record(job)
+        if read.is_error() or read.ok is None:
+            return None
+        return self._check_owner(caller, job, read.ok.workspace)
+
+    async def cancel(self, job: str, caller: Allowed) -> Result[JobState, Problem]:
         """Store the cancellation of a job, unless the job has ended.
 
         The job may be one whose submission is not known to this instance yet.
         """
+        owner = self._state_cache.find_workspace(job)
+        problem = self._check_owner(caller, job, owner)
+        if problem is None and not owner:
+            problem = await self._check_stored_owner(caller, job)
+        if problem is not None:
+            return Error(problem)
         known = self._state_cache.find_state(job)
         if known is not None and known in TERMINAL_STATES:
             return Ok(known)
@@ -212,6 +259,15 @@
             return Error(_make_leader_unreachable())
         return Ok(self._state_cache.count_queued(queue.name))
 
+    async def _read_record(
+        self, job: str
+    ) -> Result[JobRecord | None, StoreUnavailable]:
+        """Return the stored progress of a job, ``None`` if there is none."""
+        read = await self._read_one(make_progress_name(job))
+        if read.is_error():
+            return Error(read.error)
+        return Ok(decode_row(read.ok, JobRecord) if read.ok is not None else None)
+
     async def _read_one(
         self, name: RowName
     ) -> Result[StoredRow | None, StoreUnavailable]:
@@ -235,6 +291,16 @@
         )
 
 
+def _make_unconfigured() -> Problem:
+    """Return the problem of an instance that has no configuration yet."""
+    return Unavailable(
+        "this instance has no configuration yet",
+        "send the request again",
+        not_run=True,
+        retry_after_seconds=DEFAULT_RETRY_AFTER.total_seconds(),
+    )
+
+
 def _make_too_large(size: int, limit: int) -> Problem:
     """Return the problem of a job that does not fit into a row of the store."""
     return InvalidInput(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -12,6 +12,7 @@
 
 from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import NO_LOAD, Load
+from almondspread_daemon.jobs.workspace_labels import WorkspaceLabels
 
 METER_NAME = "almondspread.jobs"
 # Calls take milliseconds as a rule, and seconds during outages.
@@ -37,6 +38,10 @@
         self._requests = meter.create_counter(
             "job_requests", description="requests about jobs, by outcome"
         )
+        self._workspace_requests = meter.create_counter(
+            "workspace_requests", description="requests with a valid key, by workspace"
+        )
+        self._workspace_labels = WorkspaceLabels()
         self._store_calls = meter.create_histogram(
             "store_call_seconds",
             unit="s",
@@ -86,6 +91,11 @@
         """Count a caller's request by its outcome."""
         self._requests.add(1, {"outcome": outcome})
 
+    def count_workspace_request(self, workspace: str) -> None:
+        """Count a request that came with a valid key of a workspace."""
+        label = self._workspace_labels.choose(workspace)
+        self._workspace_requests.add(1, {"workspace": label})
+
     def record_store_call(self, latency: timedelta, outcome: str) -> None:
         """Record the latency of a call to the platform's store."""
         self._store_calls.record(latency.total_seconds(), {"outcome": outcome})
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/support.py
@@ -9,14 +9,16 @@
 from almondspread.resources.capacity import Capacity
 from almondspread.testing.record_store import MemoryRecordStore
 from almondspread_daemon.jobs.instance import JobInstance
+from almondspread_daemon.jobs.key_check import KeyCheck
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.published_input import PublishedInput
 from almondspread_daemon.jobs.remote_clock import RemoteClock
-from almondspread_daemon.jobs.settings import JobSettings
+from almondspread_daemon.jobs.settings import JobSettings, KeyCheckSettings
 from almondspread_daemon.jobs.store_access import StoreAccess
 
 SECOND = timedelta(seconds=1)
+OPEN = KeyCheckSettings(fail_closed=False)
 
 
 class YieldingClock(ManualClock):
@@ -84,6 +86,16 @@
     return PublishedInput(decode, apply, clock, JobMetrics("entry-1", "umea"))
 
 
+def make_key_check(
+    parts,
+    settings=OPEN,
+    is_current=lambda: True,
+    measure_age=lambda: timedelta(0),
+):
+    """Return a check of keys by a configuration that is the newest."""
+    return KeyCheck(settings, parts.clock, parts.metrics, is_current, measure_age)
+
+
 def make_exchange(clock, published=None, is_store_failing=lambda: False):
     return OperatorExchange(published or make_published(clock), clock, is_store_failing)
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
@@ -9,6 +9,7 @@
     Overloaded,
     Unavailable,
 )
+from almondspread.jobs.access import Allowed
 from almondspread.jobs.backlog import ServiceWait
 from almondspread.jobs.job_records import JobRecord, JobState
 from almondspread.jobs.job_table import Announcement
@@ -25,6 +26,7 @@
 from almondspread_daemon.jobs.tests.support import (
     SECOND,
     StoreParts,
+    make_key_check,
     make_submission,
 )
 
@@ -46,6 +48,7 @@
             self.parts.metrics,
             self.cancelled.append,
             lambda: self.is_current,
+            make_key_check(self.parts),
         )
         self.job_service.configuration = make_configuration()
         self.queue = self.job_service.configuration.queues[QUEUE]
@@ -55,7 +58,9 @@
         self.work.cancel()
 
     async def submit(self, submission):
-        return await self.job_service.submit(self.queue, submission, 3 * SECOND)
+        return await self.job_service.submit(
+            self.queue, submission, 3 * SECOND, Allowed()
+        )
 
     async def test_job_is_stored_with_its_queue(self):
         await self.submit(make_submission("j"))
@@ -80,7 +85,9 @@
             self.assertIs((await self.submit(make_submission("j"))).ok, JobState.QUEUED)
         self.assertEqual(len(self.store.rows), 1)
         self.state_cache.is_current = True
-        self.assertIs((await self.job_service.read_state("j")).ok, JobState.QUEUED)
+        self.assertIs(
+            (await self.job_service.read_state("j", Allowed())).ok, JobState.QUEUED
+        )
         self.assertEqual(self.job_service.count_queued(self.queue).ok, 1)
 
     async def test_invalid_job_is_refused_and_not_stored(self):
@@ -98,7 +105,7 @@
     async def test_unknown_outcome_is_never_reported_as_not_run(self):
         self.store.hangs = True
         unknown = await self.job_service.submit(
-            self.queue, make_submission("j"), SECOND / 5
+            self.queue, make_submission("j"), SECOND / 5, Allowed()
         )
         self.assertIsInstance(unknown.error, OutcomeUnknown)
         self.assertIsNone(unknown.error.not_run)
@@ -111,10 +118,10 @@
         self.assertEqual(self.store.rows, {})
 
     async def test_unknown_job_is_not_found_only_if_all_jobs_are_known(self):
-        unreachable = await self.job_service.read_state("j")
+        unreachable = await self.job_service.read_state("j", Allowed())
         self.assertIsInstance(unreachable.error, Unavailable)
         self.state_cache.knows_all = True
-        not_found = await self.job_service.read_state("j")
+        not_found = await self.job_service.read_state("j", Allowed())
         self.assertIsInstance(not_found.error, NotFound)
 
     async def test_job_that_ended_before_this_instance_began_is_found(self):
@@ -122,28 +129,40 @@
         record = encode_message(JobRecord("j", QUEUE, "completed"))
         put = RowPut(make_progress_name("j"), record)
         await self.store.transact(Transaction(puts=(put,)), SECOND)
-        self.assertIs((await self.job_service.read_state("j")).ok, JobState.COMPLETED)
+        self.assertIs(
+            (await self.job_service.read_state("j", Allowed())).ok, JobState.COMPLETED
+        )
         self.store.refuses = lambda _: True
-        self.assertIs((await self.job_service.read_state("j")).ok, JobState.COMPLETED)
-        unavailable = await self.job_service.read_state("k")
+        self.assertIs(
+            (await self.job_service.read_state("j", Allowed())).ok, JobState.COMPLETED
+        )
+        unavailable = await self.job_service.read_state("k", Allowed())
         self.assertIsInstance(unavailable.error, Unavailable)
 
     async def test_state_without_a_leader_comes_from_the_stored_progress(self):
         record = encode_message(JobRecord("j", QUEUE, "completed"))
         put = RowPut(make_progress_name("j"), record)
         await self.store.transact(Transaction(puts=(put,)), SECOND)
-        self.assertIs((await self.job_service.read_state("j")).ok, JobState.COMPLETED)
+        self.assertIs(
+            (await self.job_service.read_state("j", Allowed())).ok, JobState.COMPLETED
+        )
 
     async def test_cancellation_of_an_unknown_job_is_stored(self):
-        self.assertIs((await self.job_service.cancel("j")).ok, JobState.CANCELLED)
+        self.assertIs(
+            (await self.job_service.cancel("j", Allowed())).ok, JobState.CANCELLED
+        )
         self.assertEqual(self.cancelled, ["j"])
         self.assertEqual(len(self.store.rows), 1)
 
     async def test_ended_job_keeps_its_state(self):
         self.state_cache.replace((Announcement("j", QUEUE, "completed"),))
-        self.assertIs((await self.job_service.cancel("j")).ok, JobState.COMPLETED)
+        self.assertIs(
+            (await self.job_service.cancel("j", Allowed())).ok, JobState.COMPLETED
+        )
         self.state_cache.mark_stale()
-        self.assertIs((await self.job_service.read_state("j")).ok, JobState.COMPLETED)
+        self.assertIs(
+            (await self.job_service.read_state("j", Allowed())).ok, JobState.COMPLETED
+        )
         self.assertEqual(self.store.rows, {})
 
     async def test_host_and_longest_prefix_find_the_queue(self):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_write_limits.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_write_limits.py
@@ -4,6 +4,7 @@
 from attrs import evolve
 
 from almondspread.errors import InvalidInput
+from almondspread.jobs.access import Allowed
 from almondspread.jobs.ports import RowName, RowPut, Transaction
 from almondspread.jobs.store_limits import StoreLimits, find_excess
 from almondspread.testing.cell_input import QUEUE, make_configuration
@@ -12,6 +13,7 @@
 from almondspread_daemon.jobs.state_cache import JobStateCache
 from almondspread_daemon.jobs.tests.support import (
     SECOND,
+    make_key_check,
     make_submission,
     record_refusals,
 )
@@ -60,13 +62,14 @@
             self.parts.metrics,
             lambda _: None,
             lambda: True,
+            make_key_check(self.parts),
         )
         service.configuration = make_configuration()
         submission = make_submission("j", QUEUE)
         step = evolve(submission.steps[0], image="x" * LIMITS.row_bytes)
         large = evolve(submission, steps=(step,))
         queue = service.configuration.queues[QUEUE]
-        refused = await service.submit(queue, large, 3 * SECOND)
+        refused = await service.submit(queue, large, 3 * SECOND, Allowed())
         self.assertIsInstance(refused.error, InvalidInput)
         self.assertEqual(self.store.transactions, 0)
 
