Start no task beyond the limit of its workspace

A workspace had no bound on what it runs. A step now starts only as many tasks as its workspace's limit leaves: the limit less the sizes of its bound runs and of the runs that it may have on upstreams that have not reported to this leader.

Tasks held by the limit ask for no permits, reserve no room, and wait with the reason workspace_limit.

--- a/packages/almondspread/almondspread/jobs/holds.py
+++ b/packages/almondspread/almondspread/jobs/holds.py
@@ -1,5 +1,6 @@
 """Why waiting tasks may not start yet, although their step is ready."""
 
+import sys
 from collections.abc import Collection, Iterable, Mapping
 from datetime import timedelta
 from enum import StrEnum
@@ -9,6 +10,10 @@
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 
+# These lie below and above every version that the store assigns.
+NO_VERSION = -1
+ANY_VERSION = sys.maxsize
+
 # The job, the occurrence and the number of a step.
 StepKey = tuple[str, int, int]
 
--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -7,7 +7,7 @@
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Step
 from almondspread.jobs.upstreams import Upstream
-from almondspread.resources.capacity import Capacity
+from almondspread.resources.capacity import MAX_COUNT, Capacity
 
 
 @define(frozen=True)
@@ -63,19 +63,25 @@
     latency_sensitive: set[str],
     max_alone: int = 0,
     held: Collection[int] = (),
+    max_tasks: int = MAX_COUNT,
 ) -> list[Placement]:
     """Choose upstreams for as many waiting tasks of a step as fit.
 
     The function only plans and binds no runs. ``latency_sensitive`` names the upstreams
     that run tasks with a latency target. At most ``max_alone`` tasks are placed alone,
-    and those of ``held`` not at all. A gang is placed whole or not at all.
+    those of ``held`` not at all, and ``max_tasks`` in all. A gang is placed whole or
+    not at all.
     """
     step = progress.step
     if step.gang:
+        if max_tasks < len(progress.waiting):
+            return []
         return _place_gang(progress, candidates, latency_sensitive, max_alone)
     plan = _PlacementPlan(progress, candidates, latency_sensitive, max_alone)
-    placements = []
+    placements: list[Placement] = []
     for index in order_suspects_first(progress):
+        if len(placements) >= max_tasks:
+            break
         if index in held or progress.losses.must_wait(index, step.lasting):
             continue
         placement = plan.place(index)
--- a/packages/almondspread/almondspread/jobs/reservations.py
+++ b/packages/almondspread/almondspread/jobs/reservations.py
@@ -50,8 +50,12 @@
 
 @define(eq=False)
 class Reservations:
-    """The reservations of all services, by the name of the upstream."""
+    """The reservations of all services, by the name of the upstream.
 
+    ``count_startable`` tells for how many tasks of a step room is of any use.
+    """
+
+    count_startable: Callable[[StepProgress], int] = lambda step: len(step.waiting)
     _by_upstream: dict[str, Reservation] = field(factory=dict)
     _before: dict[str, Reservation] = field(factory=dict)
 
@@ -141,7 +145,7 @@
             ready = find_ready_time(upstream, claim, list_ends(upstream), now)
             if ready is not None and ready[0] - now <= MAX_RESERVED_TIME:
                 options.append((ready[0], upstream, ready[1].minus(claim)))
-        wanted = len(progress.waiting)
+        wanted = self.count_startable(progress)
         if progress.step.gang and min(len(options), limit) < wanted:
             return 0
         options.sort(key=lambda option: option[0])
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -5,7 +5,6 @@
 input or output, and gets the current time as an argument.
 """
 
-import sys
 from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
 
@@ -14,7 +13,12 @@
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
-from almondspread.jobs.holds import StartHolds, group_by_step
+from almondspread.jobs.holds import (
+    ANY_VERSION,
+    NO_VERSION,
+    StartHolds,
+    group_by_step,
+)
 from almondspread.jobs.job_records import JobRecord
 from almondspread.jobs.job_table import Announcement, JobTable
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
@@ -42,14 +46,13 @@
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.jobs.unseen_runs import UnseenRuns
 from almondspread.jobs.upstream_tracker import UpstreamTracker
 from almondspread.jobs.upstreams import Upstream
 from almondspread.jobs.wait_reasons import HoldBounds, UnseenUpstream, WaitReason
 from almondspread.jobs.wait_survey import explain_waits, find_silent
+from almondspread.jobs.workspace_limits import WorkspaceLimits
 
-# These lie below and above every version that the store assigns.
-NO_VERSION = -1
-ANY_VERSION = sys.maxsize
 # Events trigger many scheduling passes a second; the scan of all runs for stragglers,
 # evacuations and timeouts need not run in each of them.
 SWEEP_INTERVAL = timedelta(milliseconds=100)
@@ -94,7 +97,17 @@
             lease,
         )
         self.changes = ChangeQueue(self._job_table, self._upstream_tracker)
-        self._planner = StartPlanner(self.cell_state, self._control, max_entry_age)
+        unseen = UnseenRuns(
+            self.cell_state,
+            self._job_table,
+            self._upstream_tracker.unseen,
+            lambda: self.inherited_version,
+        )
+        self._limits = WorkspaceLimits(self.cell_state, self._job_table, unseen)
+        self._limits.configure(configuration)
+        self._planner = StartPlanner(
+            self.cell_state, self._control, self._limits, max_entry_age
+        )
 
     @property
     def configuration(self) -> Configuration:
@@ -122,6 +135,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; jobs of removed queues keep their service."""
         self._job_table.configure(configuration)
+        self._limits.configure(configuration)
 
     # Requests of callers and operators
 
@@ -456,8 +470,14 @@
             find_silent(self.cell_state.upstreams.values()),
             self._upstream_tracker.crashes.find_patience_ends(),
         )
+        self._limits.refresh(now)
         return explain_waits(
-            self._job_table, self.cell_state, self._compute_holds(), bounds, now
+            self._job_table,
+            self.cell_state,
+            self._compute_holds(),
+            bounds,
+            self._limits.count_startable,
+            now,
         )
 
     # State that the leader stores and announces
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -34,6 +34,7 @@
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import REQUEST_AHEAD_MARGIN, UpcomingSteps
 from almondspread.jobs.upstreams import LAST_RESORT_DELAY, Upstream
+from almondspread.jobs.workspace_limits import WorkspaceLimits, measure_earlier_runs
 from almondspread.resources.capacity import Capacity
 
 # Reservations need not follow each event, and it takes time to find them.
@@ -75,12 +76,16 @@
 
     cell_state: CellState
     control: RunControl
+    limits: WorkspaceLimits
     max_entry_age: timedelta = MAX_ENTRY_AGE
     _requester: PermitRequester = field(factory=PermitRequester)
-    _reservations: Reservations = field(factory=Reservations)
+    _reservations: Reservations = field(init=False)
     _reserved_at: timedelta = timedelta(0)
     _upcoming: UpcomingSteps = field(factory=UpcomingSteps)
 
+    def __attrs_post_init__(self) -> None:
+        self._reservations = Reservations(self.limits.count_startable)
+
     def handle_permits_answer(self, answer: PermitsAnswered, now: timedelta) -> None:
         """Store the permits for a step, if the advice service has granted any."""
         progress = self.control.job_table.find_known_step(
@@ -108,6 +113,7 @@
             if self._knows_capacity(upstream, now)
         ]
         usable = group_by_service(each for each in known if each.is_usable(now))
+        self.limits.refresh(now)
         steps = self._rank_steps(usable, holds, now)
         self._add_last_resorts(steps, known, now)
         max_permit_requests -= self._request_for_expiring(
@@ -118,9 +124,10 @@
                 self._start_tasks(step, now)
             if step.advice is None or not step.progress.waiting:
                 continue
-            if max_permit_requests > 0:
+            startable = self.limits.count_startable(step.progress)
+            if max_permit_requests > 0 and startable:
                 max_permit_requests -= self._request_permits(
-                    step, step.advice, len(step.progress.waiting), now
+                    step, step.advice, startable, now
                 )
         self._request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
@@ -144,6 +151,8 @@
         for progress in table.ready_steps.values():
             if holds.find_cause(progress, now) is not None:
                 continue
+            if not self.limits.count_startable(progress):
+                continue
             step = self._rank_step(progress, usable, now)
             step.held = holds.list_held(progress)
             found.append(step)
@@ -210,9 +219,10 @@
             step = self._rank_step(progress, usable, now)
             if step.advice is None or not progress.permits.is_unknown:
                 continue
-            limit -= self._request_permits(
-                step, step.advice, len(progress.waiting), now
-            )
+            freed = measure_earlier_runs(progress)
+            startable = self.limits.count_startable(progress, freed=freed)
+            if startable:
+                limit -= self._request_permits(step, step.advice, startable, now)
 
     def _request_for_expiring(
         self,
@@ -235,8 +245,9 @@
                 continue
             if tasks.progress.permits.has_ticket(tasks.at):
                 continue
-            count = len(tasks.progress.waiting) + tasks.count
-            ordered += self._request_permits(step, step.advice, count, now)
+            count = self.limits.count_startable(tasks.progress, tasks.count)
+            if count:
+                ordered += self._request_permits(step, step.advice, count, now)
         return ordered
 
     def _estimate_left(
@@ -254,8 +265,10 @@
         return progress.step.estimate * ratio
 
     def _start_tasks(self, step: _RankedStep, now: timedelta) -> None:
-        """Start as many waiting tasks of a step as find room."""
+        """Start as many waiting tasks of a step as find room within the limit."""
         progress = step.progress
+        if not self.limits.count_startable(progress):
+            return
         upstreams: Iterable[Upstream]
         if step.advice is None:
             upstreams = step.service.list_with_room(progress.step.claim)
@@ -318,6 +331,8 @@
         for step in steps:
             if not step.progress.waiting or step.rank[0] != FIRST_GROUP:
                 continue
+            if not self.limits.count_startable(step.progress):
+                continue
             considered += 1
             if considered > MAX_RESERVING_STEPS:
                 break
@@ -373,7 +388,12 @@
             upstreams = self.cell_state.upstreams.values()
             trials_left = count_trials_left(upstreams, service)
         placements = place_tasks(
-            progress, candidates, latency_sensitive, trials_left, step.held
+            progress,
+            candidates,
+            latency_sensitive,
+            trials_left,
+            step.held,
+            self.limits.count_startable(progress),
         )
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
--- a/packages/almondspread/almondspread/jobs/tests/test_placement.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_placement.py
@@ -42,6 +42,17 @@
         claim = Capacity(5_600, 11_000, 1)
         self.assertEqual(choose(claim, few, many), "few-accelerators")
 
+    def test_no_more_tasks_are_placed_than_may_start(self):
+        """Guards against a plan with more tasks than a limit lets start."""
+        for gang, most in ((False, 2), (True, 0)):
+            step = make_step(3, gang=gang)
+            job = JobProgress(make_job("j", step), SECOND)
+            progress = StepProgress(job, 0, 0, step, waiting=dict.fromkeys(range(3)))
+            upstream = make_upstream("u", PLAIN)
+            candidates = list_candidates(progress, [upstream], lambda each: each.free)
+            placed = place_tasks(progress, candidates, set(), max_tasks=2)
+            self.assertEqual(len(placed), most)
+
     def test_task_without_accelerators_leaves_them_free(self):
         accelerated = make_upstream("with", ACCELERATED, Capacity(32_000, 1_000, 0))
         plain = make_upstream("without", PLAIN)
--- a/packages/almondspread/almondspread/jobs/tests/test_reservations.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_reservations.py
@@ -3,7 +3,9 @@
 import attrs
 
 from almondspread.jobs.job_records import JobState
-from almondspread.jobs.reservations import find_ready_time
+from almondspread.jobs.progress import JobProgress
+from almondspread.jobs.reservations import Reservations, find_ready_time
+from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Submission, TaskId
 from almondspread.jobs.tests.cells import CORE, SECOND, CellTest, make_step
 from almondspread.jobs.upstreams import Upstream
@@ -52,6 +54,20 @@
     def read_state(self, job):
         return self.cell.read_state(job)
 
+    def test_no_more_upstreams_are_reserved_than_tasks_may_start(self):
+        """Guards against room kept for tasks that the limit of a workspace holds."""
+        step = make_step(3, size=LARGE)
+        job = JobProgress(Submission("j", URGENT, "", (step,)), SECOND)
+        progress = StepProgress(job, 0, 0, step, waiting=dict.fromkeys(range(3)))
+        upstreams = []
+        for number in range(9):
+            fake = FakeUpstream(f"u{number}", LARGE, History())
+            upstreams.append(Upstream(make_entry(fake, number)))
+        reservations = Reservations(lambda _: 1)
+        waiting = [((0, 0, SECOND), progress, upstreams)]
+        reservations.renew(waiting, 9, lambda _: [], SECOND)
+        self.assertEqual(len(reservations.list_older(SECOND)), 1)
+
     def test_large_task_starts_although_small_ones_keep_coming(self):
         """Whole upstreams of eight accelerators were never free for urgent tasks.
 
--- a/packages/almondspread/almondspread/jobs/tests/test_takeover.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_takeover.py
@@ -3,6 +3,7 @@
 
 import attrs
 
+from almondspread.jobs.holds import ANY_VERSION
 from almondspread.jobs.job_records import JobState
 from almondspread.jobs.messages import (
     AcknowledgeEnds,
@@ -11,7 +12,6 @@
     StartRun,
     UpstreamReport,
 )
-from almondspread.jobs.scheduler import ANY_VERSION
 from almondspread.jobs.submissions import Repetition, Submission, TaskId
 from almondspread.jobs.tests.cells import SECOND, CellTest, make_job, make_step
 from almondspread.testing.cell_input import QUEUE
--- a/packages/almondspread/almondspread/jobs/wait_reasons.py
+++ b/packages/almondspread/almondspread/jobs/wait_reasons.py
@@ -10,17 +10,21 @@
 from almondspread.jobs.holds import HoldCause, StartHolds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
+from almondspread.resources.capacity import MAX_COUNT
 
 
 class DelayCause(StrEnum):
     """What delays tasks that nothing of ``HoldCause`` keeps from starting.
 
-    Tasks on a ``SILENT_UPSTREAM`` have a run, which may have ended unheard.
+    With the tasks of a ``WORKSPACE_LIMIT``, more than the limit of their workspace
+    would be running, or might be on upstreams that have not reported. Tasks on a
+    ``SILENT_UPSTREAM`` have a run, which may have ended unheard.
     """
 
     NO_PERMITS = "no_permits"
     NO_ROOM = "no_room"
     SILENT_UPSTREAM = "silent_upstream"
+    WORKSPACE_LIMIT = "workspace_limit"
 
 
 WaitCause = HoldCause | DelayCause
@@ -114,11 +118,13 @@
     now: timedelta,
     needs_advice: bool = False,
     steps_before: int = 0,
+    startable: int = MAX_COUNT,
 ) -> list[WaitReason]:
     """Return why the waiting tasks of a ready step have not started.
 
-    The step starts only with permits if it ``needs_advice``. There are two reasons
-    where some tasks are held while others are not.
+    The step starts only with permits if it ``needs_advice``. The limit of its workspace
+    lets only ``startable`` tasks start. There are several reasons where some tasks are
+    held while others are not.
 
     >>> from almondspread.jobs.progress import JobProgress
     >>> from almondspread.jobs.submissions import Step, Submission
@@ -142,9 +148,13 @@
     found = []
     if hold.held:
         upstream, until = _find_last_unseen(progress, hold.held, bounds)
-        cause = HoldCause.UNSEEN_UPSTREAM
-        found.append(WaitReason(*progress.key, len(hold.held), cause, upstream, until))
+        unseen = HoldCause.UNSEEN_UPSTREAM
+        found.append(WaitReason(*progress.key, len(hold.held), unseen, upstream, until))
     others = len(progress.waiting) - len(hold.held)
+    if others > startable:
+        cause = DelayCause.WORKSPACE_LIMIT
+        found.append(WaitReason(*progress.key, others - startable, cause))
+        others = startable
     if not others:
         return found
     if needs_advice and not progress.permits.has_ticket(now):
--- a/packages/almondspread/almondspread/jobs/wait_survey.py
+++ b/packages/almondspread/almondspread/jobs/wait_survey.py
@@ -1,7 +1,7 @@
 """Finds out for all steps of a cell why tasks of theirs do not run."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from almondspread.jobs.cell_state import CellState
@@ -39,12 +39,14 @@
     cell_state: CellState,
     holds: StartHolds,
     bounds: HoldBounds,
+    count_startable: Callable[[StepProgress], int],
     now: timedelta,
 ) -> list[WaitReason]:
     """Return why tasks of steps do not run, for each step with such tasks.
 
-    A step may have tasks that wait for different reasons, and tasks with a run on a
-    silent upstream.
+    ``count_startable`` tells how many tasks of a step the limit of its workspace lets
+    start. A step may have tasks that wait for different reasons, and tasks with a run
+    on a silent upstream.
     """
     found: list[WaitReason] = []
     steps = []
@@ -55,7 +57,10 @@
         queue = progress.job.submission.find_queue(table.configuration)
         needs_advice = queue is not None and queue.advice is not None
         before = positions.get(progress.key, 0)
-        found += explain_step(progress, hold, bounds, now, needs_advice, before)
+        startable = count_startable(progress)
+        found += explain_step(
+            progress, hold, bounds, now, needs_advice, before, startable
+        )
     for progress in _list_steps_on(table, cell_state, bounds):
         silent = explain_silent_runs(progress, bounds)
         if silent is not None:
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -66,6 +66,8 @@
     cancellation of each job was acknowledged. ``failures`` counts the failed runs of
     each task whose ends were acknowledged; with ``max_attempts``, no task that does not
     last is started after so many.
+    ``limits`` has what each workspace may have running over all upstreams, where 0 sets
+    no limit.
     ``advance_all`` advances all upstreams before a start is checked: one whose leases
     have expired has forgotten the ends that nobody has acknowledged, also where nobody
     calls it.
@@ -82,6 +84,7 @@
     gangs: dict[tuple[str, int, int, int], GangRun] = field(factory=dict)
     starts: int = 0
     violations: list[str] = field(factory=list)
+    limits: dict[str, Capacity] = field(factory=dict)
     advance_all: Callable[[], None] = lambda: None
 
     def find_gang(self, task: TaskId, number: int) -> GangRun | None:
@@ -95,6 +98,25 @@
         """Return the capacity that a task claims."""
         return self.submissions[task.job].steps[task.step].claim
 
+    def measure_usage(self, workspace: str) -> Capacity:
+        """Return the sizes of all runs of a workspace over all upstreams."""
+        used = Capacity(0, 0, 0)
+        for task, count in self.running.items():
+            submission = self.submissions[task.job]
+            if count and submission.workspace == workspace:
+                used = used.plus(submission.steps[task.step].size.times(count))
+        return used
+
+    def check_limit(self, workspace: str) -> None:
+        """Record a violation if a workspace has more running than its limit."""
+        limit = self.limits.get(workspace)
+        if limit is None:
+            return
+        used = self.measure_usage(workspace)
+        for name in ("cpu_millis", "memory_mib", "accelerators"):
+            if 0 < getattr(limit, name) < getattr(used, name):
+                self.violations.append(f"{workspace} is over its limit of {name}")
+
 
 @define(eq=False)
 class FakeUpstream:
@@ -186,6 +208,7 @@
         if not used.fits_in(self.capacity):
             history.violations.append(f"{self.name} is over its capacity")
         history.running[task] = history.running.get(task, 0) + 1
+        history.check_limit(history.submissions[task.job].workspace)
 
     def stop(self, epoch: int, task: TaskId, number: int, now: timedelta) -> str:
         """Stop a run, or prevent it from starting; return the reason of a refusal."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -8,6 +8,7 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.configuration import Configuration
+from almondspread.jobs.holds import ANY_VERSION
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.messages import (
     AssignedReport,
@@ -20,7 +21,7 @@
     UpstreamRestarted,
 )
 from almondspread.jobs.ports import MachineClient
-from almondspread.jobs.scheduler import ANY_VERSION, Scheduler
+from almondspread.jobs.scheduler import Scheduler
 from almondspread.jobs.waves import MaintenanceWave
 from almondspread_daemon.jobs.announcer import StateAnnouncer
 from almondspread_daemon.jobs.assignments import Assignments
