Split the requests for permits and the ranks off the planner of starts

PermitPlanner now orders all requests for permits, and StepRanker tells a step's rank, the expected times of its runs and the room that it may use.

--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/ranked_steps.py
@@ -0,0 +1,85 @@
+"""Steps with waiting tasks, their place in the order, and where they may run."""
+
+from collections.abc import Collection, Mapping
+from datetime import timedelta
+
+from attrs import define
+
+from almondspread.jobs.bound_runs import Run
+from almondspread.jobs.configuration import AdviceTiming
+from almondspread.jobs.ordering import StepRank, rank_step
+from almondspread.jobs.reservations import Reservations
+from almondspread.jobs.runs import RunControl
+from almondspread.jobs.service_upstreams import ServiceUpstreams
+from almondspread.jobs.step_progress import StepProgress
+from almondspread.jobs.stragglers import estimate_time_left
+from almondspread.jobs.upstreams import Upstream
+from almondspread.resources.capacity import Capacity
+
+# A lasting task counts as ending beyond every reservation.
+LASTING_TIME = timedelta(days=1)
+NO_UPSTREAMS = ServiceUpstreams()
+
+
+@define(eq=False)
+class RankedStep:
+    """A step with waiting tasks, its place in the order, and where it may run.
+
+    A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
+    the step needs no permits. The tasks ``held`` may not start yet. Reservations of
+    ``unreserved`` upstreams do not hold for the step.
+    """
+
+    rank: StepRank
+    progress: StepProgress
+    service: ServiceUpstreams
+    ends_at: timedelta
+    advice: AdviceTiming | None
+    held: frozenset[int] = frozenset()
+    unreserved: Collection[str] = ()
+
+
+@define(eq=False)
+class StepRanker:
+    """Ranks steps, and tells how long their tasks run and what room they may use."""
+
+    control: RunControl
+    reservations: Reservations
+
+    def rank(
+        self,
+        progress: StepProgress,
+        usable: Mapping[str, ServiceUpstreams],
+        now: timedelta,
+    ) -> RankedStep:
+        """Return a step with its place in the order, and where it may run."""
+        table = self.control.job_table
+        submission = progress.job.submission
+        queue = submission.find_queue(table.configuration)
+        return RankedStep(
+            rank_step(progress, table.configuration, now),
+            progress,
+            usable.get(table.find_service(submission), NO_UPSTREAMS),
+            now + self._estimate_duration(progress),
+            queue.advice if queue is not None else None,
+        )
+
+    def estimate_left(
+        self, progress: StepProgress, run: Run, now: timedelta
+    ) -> timedelta:
+        """Return the expected remaining time of a run of a step."""
+        ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+        return estimate_time_left(progress.step, run, now, ratio)
+
+    def _estimate_duration(self, progress: StepProgress) -> timedelta:
+        """Return how long a task of a step is expected to run."""
+        if progress.step.lasting:
+            return LASTING_TIME
+        ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+        return progress.step.estimate * ratio
+
+    def find_free(self, step: RankedStep, upstream: Upstream) -> Capacity:
+        """Return what a step may use of an upstream, which may be reserved."""
+        if upstream.name in step.unreserved:
+            return upstream.free
+        return self.reservations.find_free(upstream, step.rank, step.ends_at)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -293,7 +293,7 @@
             case StopSettled():
                 self._control.handle_stop_answer(report, now)
             case PermitsAnswered():
-                self._planner.handle_permits_answer(report, now)
+                self._planner.permits.record_answer(report, now)
             case RunsRemembered():
                 self._upstream_tracker.unseen.record_remembered(report, now)
 
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -1,6 +1,6 @@
 """Starts waiting tasks: requests permits, places tasks, and orders their starts."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from datetime import timedelta
 from functools import partial
 
@@ -9,63 +9,37 @@
 
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
-from almondspread.jobs.configuration import AdviceTiming
-from almondspread.jobs.expiring import ExpiringTasks, list_expiring_tasks
+from almondspread.jobs.expiring import list_expiring_tasks
 from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.last_resorts import needs_last_resort
-from almondspread.jobs.messages import PermitsAnswered, StartRun
-from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
-from almondspread.jobs.permit_requests import (
-    MIN_UPSTREAMS_PER_REQUEST,
-    PermitRequester,
-    estimate_request_time,
-)
+from almondspread.jobs.messages import StartRun
+from almondspread.jobs.ordering import FIRST_GROUP, StepRank
+from almondspread.jobs.permit_planning import PermitPlanner
 from almondspread.jobs.placement import (
     Candidate,
     Placement,
     list_candidates,
     place_tasks,
 )
+from almondspread.jobs.ranked_steps import NO_UPSTREAMS, RankedStep, StepRanker
 from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
 from almondspread.jobs.step_progress import StepProgress
-from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
-from almondspread.jobs.upcoming import REQUEST_AHEAD_MARGIN, UpcomingSteps
+from almondspread.jobs.upcoming import UpcomingSteps
 from almondspread.jobs.upstreams import LAST_RESORT_DELAY, Upstream
-from almondspread.jobs.workspace_limits import WorkspaceLimits, measure_earlier_runs
+from almondspread.jobs.workspace_limits import WorkspaceLimits
 from almondspread.resources.capacity import Capacity
 
 # Reservations need not follow each event, and it takes time to find them.
 RESERVATION_INTERVAL = timedelta(milliseconds=100)
 # Only the first waiting steps may reserve room: the others hardly get it in time.
 MAX_RESERVING_STEPS = 16
-# A lasting task counts as ending beyond every reservation.
-LASTING_TIME = timedelta(days=1)
-NO_UPSTREAMS = ServiceUpstreams()
 # The capacity of an upstream may have shrunk since its entry was read.
 MAX_ENTRY_AGE = timedelta(milliseconds=2_500)
 
 
-@define(eq=False)
-class _RankedStep:
-    """A step with waiting tasks, its place in the order, and where it may run.
-
-    A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits. The tasks ``held`` may not start yet. Reservations of
-    ``unreserved`` upstreams do not hold for the step.
-    """
-
-    rank: StepRank
-    progress: StepProgress
-    service: ServiceUpstreams
-    ends_at: timedelta
-    advice: AdviceTiming | None
-    held: frozenset[int] = frozenset()
-    unreserved: Collection[str] = ()
-
-
 @define(eq=False)
 class StartPlanner:
     """Binds waiting tasks to upstreams, in order of the rank of their steps.
@@ -78,21 +52,16 @@
     control: RunControl
     limits: WorkspaceLimits
     max_entry_age: timedelta = MAX_ENTRY_AGE
-    _requester: PermitRequester = field(factory=PermitRequester)
+    permits: PermitPlanner = field(init=False)
+    _ranker: StepRanker = field(init=False)
     _reservations: Reservations = field(init=False)
     _reserved_at: timedelta = timedelta(0)
     _upcoming: UpcomingSteps = field(factory=UpcomingSteps)
 
     def __attrs_post_init__(self) -> None:
         self._reservations = Reservations(self.limits.count_startable)
-
-    def handle_permits_answer(self, answer: PermitsAnswered, now: timedelta) -> None:
-        """Store the permits for a step, if the advice service has granted any."""
-        progress = self.control.job_table.find_known_step(
-            answer.job, answer.occurrence, answer.step
-        )
-        if progress is not None:
-            self._requester.record_answer(progress, answer, now)
+        self._ranker = StepRanker(self.control, self._reservations)
+        self.permits = PermitPlanner(self._ranker, self.limits, self._upcoming)
 
     def start_waiting_tasks(
         self, now: timedelta, max_permit_requests: int, holds: StartHolds
@@ -116,7 +85,7 @@
         self.limits.refresh(now)
         steps = self._rank_steps(usable, holds, now)
         self._add_last_resorts(steps, known, now)
-        max_permit_requests -= self._request_for_expiring(
+        max_permit_requests -= self.permits.request_for_expiring(
             expiring, usable, max_permit_requests, now
         )
         for step in steps:
@@ -126,10 +95,10 @@
                 continue
             startable = self.limits.count_startable(step.progress)
             if max_permit_requests > 0 and startable:
-                max_permit_requests -= self._request_permits(
+                max_permit_requests -= self.permits.request(
                     step, step.advice, startable, now
                 )
-        self._request_ahead(usable, max_permit_requests, now)
+        self.permits.request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
             self._reserved_at = now
             self._renew_reservations(steps, usable, now)
@@ -144,7 +113,7 @@
 
     def _rank_steps(
         self, usable: dict[str, ServiceUpstreams], holds: StartHolds, now: timedelta
-    ) -> list[_RankedStep]:
+    ) -> list[RankedStep]:
         """Return the steps that may start tasks, in the order of their ranks."""
         table = self.control.job_table
         found = []
@@ -153,14 +122,14 @@
                 continue
             if not self.limits.count_startable(progress):
                 continue
-            step = self._rank_step(progress, usable, now)
+            step = self._ranker.rank(progress, usable, now)
             step.held = holds.list_held(progress)
             found.append(step)
         found.sort(key=lambda step: step.rank)
         return found
 
     def _add_last_resorts(
-        self, steps: list[_RankedStep], known: list[Upstream], now: timedelta
+        self, steps: list[RankedStep], known: list[Upstream], now: timedelta
     ) -> None:
         """Let lasting tasks that find no room use what is kept from them at first."""
         unreserved = self._reservations.list_older(now - LAST_RESORT_DELAY)
@@ -171,7 +140,7 @@
         extended: dict[str, ServiceUpstreams] = {}
         for step in steps if kept or unreserved else ():
             progress = step.progress
-            find_free = partial(self._find_free, step)
+            find_free = partial(self._ranker.find_free, step)
             if not needs_last_resort(progress, step.service, find_free):
                 continue
             step.unreserved = unreserved
@@ -180,91 +149,7 @@
                 extended[service] = step.service.extend(kept.get(service, ()))
             step.service = extended[service]
 
-    def _rank_step(
-        self,
-        progress: StepProgress,
-        usable: dict[str, ServiceUpstreams],
-        now: timedelta,
-    ) -> _RankedStep:
-        """Return a step with its place in the order, and where it may run."""
-        table = self.control.job_table
-        submission = progress.job.submission
-        queue = submission.find_queue(table.configuration)
-        return _RankedStep(
-            rank_step(progress, table.configuration, now),
-            progress,
-            usable.get(table.find_service(submission), NO_UPSTREAMS),
-            now + self._estimate_duration(progress),
-            queue.advice if queue is not None else None,
-        )
-
-    def _request_ahead(
-        self, usable: dict[str, ServiceUpstreams], limit: int, now: timedelta
-    ) -> None:
-        """Order up to ``limit`` requests for permits of steps that are soon ready."""
-        table = self.control.job_table
-
-        def find_time_ahead(progress: StepProgress) -> timedelta:
-            queue = progress.job.submission.find_queue(table.configuration)
-            if queue is None or queue.advice is None:
-                return timedelta.min
-            return estimate_request_time(queue.advice, MIN_UPSTREAMS_PER_REQUEST)
-
-        def estimate(progress: StepProgress, run: Run) -> timedelta:
-            return self._estimate_left(progress, run, now)
-
-        for progress in self._upcoming.list_due(find_time_ahead, estimate):
-            if limit <= 0:
-                return
-            step = self._rank_step(progress, usable, now)
-            if step.advice is None or not progress.permits.is_unknown:
-                continue
-            freed = measure_earlier_runs(progress)
-            startable = self.limits.count_startable(progress, freed=freed)
-            if startable:
-                limit -= self._request_permits(step, step.advice, startable, now)
-
-    def _request_for_expiring(
-        self,
-        expiring: list[ExpiringTasks],
-        usable: dict[str, ServiceUpstreams],
-        limit: int,
-        now: timedelta,
-    ) -> int:
-        """Order up to ``limit`` requests for tasks whose runs are about to be lost.
-
-        Return the number of requests. The answers arrive just before the loss.
-        """
-        ordered = 0
-        for tasks in expiring:
-            step = self._rank_step(tasks.progress, usable, now)
-            if step.advice is None or ordered >= limit:
-                continue
-            ahead = estimate_request_time(step.advice, MIN_UPSTREAMS_PER_REQUEST)
-            if tasks.at - now > ahead + REQUEST_AHEAD_MARGIN:
-                continue
-            if tasks.progress.permits.has_ticket(tasks.at):
-                continue
-            count = self.limits.count_startable(tasks.progress, tasks.count)
-            if count:
-                ordered += self._request_permits(step, step.advice, count, now)
-        return ordered
-
-    def _estimate_left(
-        self, progress: StepProgress, run: Run, now: timedelta
-    ) -> timedelta:
-        """Return the expected remaining time of a run of a step."""
-        ratio = self.control.ratios.find_mean(progress.job.submission.queue)
-        return estimate_time_left(progress.step, run, now, ratio)
-
-    def _estimate_duration(self, progress: StepProgress) -> timedelta:
-        """Return how long a task of a step is expected to run."""
-        if progress.step.lasting:
-            return LASTING_TIME
-        ratio = self.control.ratios.find_mean(progress.job.submission.queue)
-        return progress.step.estimate * ratio
-
-    def _start_tasks(self, step: _RankedStep, now: timedelta) -> None:
+    def _start_tasks(self, step: RankedStep, now: timedelta) -> None:
         """Start as many waiting tasks of a step as find room within the limit."""
         progress = step.progress
         if not self.limits.count_startable(progress):
@@ -283,43 +168,14 @@
             if not upstream.trying or upstream.is_last_resort(now)
         )
         candidates = list_candidates(
-            progress, open_to_tasks, partial(self._find_free, step)
+            progress, open_to_tasks, partial(self._ranker.find_free, step)
         )
         if candidates:
             self._place_tasks(step, candidates, now)
 
-    def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
-        """Return what a step may use of an upstream, which may be reserved."""
-        if upstream.name in step.unreserved:
-            return upstream.free
-        return self._reservations.find_free(upstream, step.rank, step.ends_at)
-
-    def _request_permits(
-        self, step: _RankedStep, advice: AdviceTiming, tasks: int, now: timedelta
-    ) -> bool:
-        """Order a request for permits for some tasks; return whether one is due."""
-        ready_at = self._reservations.find_ready_time(step.progress)
-        if ready_at is not None:
-            asked = len(step.progress.permits.allowed)
-            if ready_at - now > estimate_request_time(advice, asked):
-                ready_at = None
-        request = self._requester.request(
-            step.progress,
-            step.service,
-            lambda upstream: self._find_free(step, upstream),
-            advice,
-            tasks,
-            ready_at,
-            now,
-        )
-        if request is None:
-            return False
-        self.control.orders.append(request)
-        return True
-
     def _renew_reservations(
         self,
-        steps: list[_RankedStep],
+        steps: list[RankedStep],
         usable: dict[str, ServiceUpstreams],
         now: timedelta,
     ) -> None:
@@ -345,7 +201,7 @@
                 rows, size, lambda upstream: self._list_ends(upstream, now), now
             )
 
-    def _list_allowed(self, step: _RankedStep) -> list[Upstream]:
+    def _list_allowed(self, step: RankedStep) -> list[Upstream]:
         """Return the upstreams that are known to be allowed to run a step's tasks."""
         progress = step.progress
         limit = progress.step.spread_limit
@@ -370,12 +226,12 @@
             progress = self.control.job_table.find_step(run)
             if progress.step.lasting and run.phase is not RunPhase.STOPPING:
                 continue
-            left = self._estimate_left(progress, run, now)
+            left = self._ranker.estimate_left(progress, run, now)
             ends.append((now + left, progress.step.claim))
         return ends
 
     def _place_tasks(
-        self, step: _RankedStep, candidates: list[Candidate], now: timedelta
+        self, step: RankedStep, candidates: list[Candidate], now: timedelta
     ) -> None:
         """Bind waiting tasks of a step to candidates and order their starts."""
         progress = step.progress
@@ -404,7 +260,7 @@
         self.control.job_table.update_readiness(progress)
 
     def _start_run(
-        self, step: _RankedStep, placement: Placement, number: int, now: timedelta
+        self, step: RankedStep, placement: Placement, number: int, now: timedelta
     ) -> None:
         """Bind one task to an upstream and order its start."""
         progress = step.progress
