--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -21,6 +21,7 @@
 )
 from almondspread.jobs.job_records import JobRecord
 from almondspread.jobs.job_table import Announcement, JobTable
+from almondspread.jobs.known_workspaces import KnownWorkspaces
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
 from almondspread.jobs.loads import Load, count_held_tasks, measure_load
 from almondspread.jobs.messages import (
@@ -103,8 +104,9 @@
             self._upstream_tracker.unseen,
             lambda: self.inherited_version,
         )
-        self._limits = WorkspaceLimits(self.cell_state, self._job_table, unseen)
-        self._limits.configure(configuration)
+        self._workspaces = KnownWorkspaces()
+        self._workspaces.configure(configuration)
+        self._limits = WorkspaceLimits(self.cell_state, unseen, self._workspaces)
         self._planner = StartPlanner(
             self.cell_state, self._control, self._limits, max_entry_age
         )
@@ -135,7 +137,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; jobs of removed queues keep their service."""
         self._job_table.configure(configuration)
-        self._limits.configure(configuration)
+        self._workspaces.configure(configuration)
 
     # Requests of callers and operators
 
--- a/packages/almondspread/almondspread/jobs/workspace_limits.py
+++ b/packages/almondspread/almondspread/jobs/workspace_limits.py
@@ -2,11 +2,10 @@
 
 from datetime import timedelta
 
-from attrs import define, field
+from attrs import define
 
 from almondspread.jobs.cell_state import CellState
-from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.job_table import JobTable
+from almondspread.jobs.known_workspaces import KnownWorkspaces
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.unseen_runs import UnseenRuns
 from almondspread.jobs.workspace_usage import NOTHING
@@ -27,23 +26,18 @@
     """
 
     cell_state: CellState
-    job_table: JobTable
     unseen: UnseenRuns
-    _limits: dict[str, Capacity] = field(factory=dict)
-
-    def configure(self, configuration: Configuration) -> None:
-        """Apply the limits of a configuration."""
-        for workspace in (configuration.workspaces or {}).values():
-            self._limits[workspace.name] = workspace.limit
+    workspaces: KnownWorkspaces
 
     def find_limit(self, workspace: str) -> Capacity | None:
         """Return the limit of a workspace, ``None`` if that is not known.
 
         An amount of 0 sets no limit.
         """
-        if self.job_table.configuration.workspaces is None:
-            return self._limits.get(workspace, NOTHING)
-        return self._limits.get(workspace)
+        known = self.workspaces.find(workspace)
+        if known is not None:
+            return known.limit
+        return None if self.workspaces.has_any else NOTHING
 
     def refresh(self, now: timedelta) -> None:
         """Have the runs on unseen upstreams counted again as they are now."""
