Learn the speeds of upstreams, and place urgent tasks by them

Cause: upstreams of one cell differ in speed by kind, and some turn slow for seconds. Placement, stragglers, reservations and the ratios of queues took them all as alike. Change: jobs/speeds.py learns speeds by kind and by single upstream from ended runs. Urgent steps (jobs/urgency.py) prefer faster upstreams, a run on a slow kind is no straggler for that alone, ratios of queues are those at the reference speed, and the remaining time of a run counts the speed of its upstream.

--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -1,6 +1,6 @@
 """Placement of waiting tasks: which upstream each task is to run on."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from attrs import define
 
@@ -9,6 +9,10 @@
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
 
+# The score of an upstream for a task.
+Score = tuple[int, int, int, int, int]
+NO_DIFFERENCES: Mapping[str, int] = {}
+
 
 @define(frozen=True)
 class Placement:
@@ -63,17 +67,21 @@
     latency_sensitive: set[str],
     max_alone: int = 0,
     held: Collection[int] = (),
+    slowness: Mapping[str, int] = NO_DIFFERENCES,
 ) -> list[Placement]:
     """Choose upstreams for as many waiting tasks of a step as fit.
 
     The function only plans and binds no runs. ``latency_sensitive`` names the upstreams
     that run tasks with a latency target. At most ``max_alone`` tasks are placed alone,
     and those of ``held`` not at all. A gang is placed whole or not at all.
+    ``slowness`` ranks the upstreams by speed for a step that prefers the fastest.
     """
     step = progress.step
     if step.gang:
-        return _place_gang(progress, candidates, latency_sensitive, max_alone)
-    plan = _PlacementPlan(progress, candidates, latency_sensitive, max_alone)
+        return _place_gang(progress, candidates, latency_sensitive, max_alone, slowness)
+    plan = _PlacementPlan(
+        progress, candidates, latency_sensitive, max_alone, slowness=slowness
+    )
     placements = []
     for index in order_suspects_first(progress):
         if index in held or progress.losses.must_wait(index, step.lasting):
@@ -100,6 +108,7 @@
     candidates: list[Candidate],
     latency_sensitive: set[str],
     max_alone: int,
+    slowness: Mapping[str, int],
 ) -> list[Placement]:
     """Choose upstreams for all tasks of a gang, or for none.
 
@@ -115,7 +124,7 @@
     for separates in (True, False) if progress.losses else (False,):
         for group in groups:
             plan = _PlacementPlan(
-                progress, group, latency_sensitive, max_alone, separates
+                progress, group, latency_sensitive, max_alone, separates, slowness
             )
             placements = plan.place_all()
             if placements:
@@ -137,6 +146,7 @@
         latency_sensitive: set[str],
         max_alone: int,
         separates: bool = True,
+        slowness: Mapping[str, int] = NO_DIFFERENCES,
     ) -> None:
         self._progress = progress
         self._separates = separates
@@ -144,6 +154,7 @@
         self._max_alone = max_alone
         self._candidates = [candidate.upstream for candidate in candidates]
         self._latency_sensitive = latency_sensitive
+        self._slowness = slowness
         self._free = {
             candidate.upstream.name: candidate.free for candidate in candidates
         }
@@ -209,7 +220,7 @@
     def reserve(self, avoided: set[str]) -> Upstream | None:
         """Reserve capacity for one task on the best upstream, ``None`` if none fits."""
         best = None
-        best_score: tuple[int, int, int, int] | None = None
+        best_score: Score | None = None
         for upstream in self._candidates:
             name = upstream.name
             if name in avoided or name in self._apart or not self._fits(upstream):
@@ -221,13 +232,14 @@
             self._take(best)
         return best
 
-    def _score(self, upstream: Upstream) -> tuple[int, int, int, int]:
+    def _score(self, upstream: Upstream) -> Score:
         """Return the score of an upstream for a task; the lowest is the best.
 
         Data locality counts first. Then opportunistic tasks are kept apart from
         latency-sensitive ones, and tasks that need no accelerators from free ones. Then
-        the tightest fit wins, because it leaves the large blocks of free capacity for
-        large tasks.
+        tasks that prefer fast upstreams go where they are expected to end first. Of
+        equally fast upstreams the tightest fit wins, because it leaves the large blocks
+        of free capacity for large tasks.
         """
         step = self._step
         remote = int(bool(step.preferred_rack) and step.preferred_rack != upstream.rack)
@@ -237,12 +249,13 @@
         free = self._free[upstream.name]
         if step.opportunistic:
             # Opportunistic tasks use idle processors, so they go where most are free.
-            return (remote, interferes, 0, -free.cpu_millis)
+            return (remote, interferes, 0, 0, -free.cpu_millis)
         wasted = 0 if step.claim.accelerators else free.accelerators
         return (
             remote,
             interferes,
             wasted,
+            self._slowness.get(upstream.name, 0),
             measure_scarcest(step.claim, upstream, free),
         )
 
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -25,6 +25,7 @@
     StopSettled,
     UpstreamOrder,
 )
+from almondspread.jobs.speeds import UpstreamSpeeds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import extrapolate_duration
 
@@ -42,13 +43,14 @@
 class RunControl:
     """Tracks each bound run until it ends, and collects ``orders`` to be sent.
 
-    ``ratios`` learns from the runs that are done.
+    ``ratios`` and ``speeds`` learn from the runs that are done.
     """
 
     cell_state: CellState
     job_table: JobTable = field(init=False)
     orders: list[UpstreamOrder | AskPermits] = field(factory=list)
     ratios: DurationRatios = field(factory=DurationRatios)
+    speeds: UpstreamSpeeds = field(factory=UpstreamSpeeds)
 
     def stop_runs(self, runs: list[Run], now: timedelta) -> None:
         """Order several runs to stop."""
@@ -211,11 +213,23 @@
     def _learn_duration(
         self, progress: StepProgress, run: Run, end: RunEnd, now: timedelta
     ) -> None:
-        """Record how long a run took that has done all the work of its task."""
-        if end.outcome != DONE or not run.is_whole or progress.step.is_paced:
+        """Record how long a run took that has done all the work of its task.
+
+        The ratios of a queue are those at the reference speed, so that they don't
+        depend on where its tasks happen to run.
+        """
+        if end.outcome != DONE or progress.step.is_paced:
             return
-        queue = progress.job.submission.queue
-        self.ratios.record(queue, progress.step.estimate, now - run.started_at)
+        upstream = self.cell_state.upstreams.get(run.upstream)
+        if run.is_whole:
+            duration = now - run.started_at
+            speed = self.speeds.find_speed(upstream) if upstream is not None else 1.0
+            queue = progress.job.submission.queue
+            self.ratios.record(queue, progress.step.estimate, duration * speed)
+            if upstream is not None:
+                self.speeds.record(progress, upstream, duration, now)
+        if progress.is_complete:
+            self.speeds.close_step(progress, now)
 
     def _record_upstream_outcome(self, end: RunEnd, name: str, now: timedelta) -> None:
         """Record whether a run on an upstream succeeded, and log a suspension."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -364,8 +364,13 @@
         self._last_sweep = now
         find_step = self._job_table.find_step
         self._control.expire_unanswered(now)
+        self._control.speeds.refresh(self.cell_state.upstreams.values(), now)
         for run in choose_stragglers(
-            find_step, self.cell_state, self._control.ratios, now
+            find_step,
+            self.cell_state,
+            self._control.ratios,
+            self._control.speeds,
+            now,
         ):
             self._control.replace_straggler(run, now)
         evacuated = choose_evacuations(find_step, self.cell_state, now)
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -34,6 +34,7 @@
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import REQUEST_AHEAD_MARGIN, UpcomingSteps
 from almondspread.jobs.upstreams import LAST_RESORT_DELAY, Upstream
+from almondspread.jobs.urgency import find_slowness
 from almondspread.resources.capacity import Capacity
 
 # Reservations need not follow each event, and it takes time to find them.
@@ -51,7 +52,8 @@
 class _RankedStep:
     """A step with waiting tasks, its place in the order, and where it may run.
 
-    A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
+    A task that starts at ``ranked_at``, which is now, is expected to end at ``ends_at``
+    on an upstream of the reference speed. ``advice`` is ``None`` if
     the step needs no permits. The tasks ``held`` may not start yet. Reservations of
     ``unreserved`` upstreams do not hold for the step.
     """
@@ -59,6 +61,7 @@
     rank: StepRank
     progress: StepProgress
     service: ServiceUpstreams
+    ranked_at: timedelta
     ends_at: timedelta
     advice: AdviceTiming | None
     held: frozenset[int] = frozenset()
@@ -185,6 +188,7 @@
             rank_step(progress, table.configuration, now),
             progress,
             usable.get(table.find_service(submission), NO_UPSTREAMS),
+            now,
             now + self._estimate_duration(progress),
             queue.advice if queue is not None else None,
         )
@@ -244,6 +248,9 @@
     ) -> timedelta:
         """Return the expected remaining time of a run of a step."""
         ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+        upstream = self.cell_state.upstreams.get(run.upstream)
+        if upstream is not None:
+            ratio /= self.control.speeds.find_speed(upstream)
         return estimate_time_left(progress.step, run, now, ratio)
 
     def _estimate_duration(self, progress: StepProgress) -> timedelta:
@@ -279,7 +286,14 @@
         """Return what a step may use of an upstream, which may be reserved."""
         if upstream.name in step.unreserved:
             return upstream.free
-        return self._reservations.find_free(upstream, step.rank, step.ends_at)
+        return self._reservations.find_free(
+            upstream, step.rank, self._find_end(step, upstream)
+        )
+
+    def _find_end(self, step: _RankedStep, upstream: Upstream) -> timedelta:
+        """Return when a task that starts now on an upstream is expected to end."""
+        speed = self.control.speeds.find_speed(upstream)
+        return step.ranked_at + (step.ends_at - step.ranked_at) / speed
 
     def _request_permits(
         self, step: _RankedStep, advice: AdviceTiming, tasks: int, now: timedelta
@@ -372,8 +386,9 @@
             service = candidates[0].upstream.entry.service
             upstreams = self.cell_state.upstreams.values()
             trials_left = count_trials_left(upstreams, service)
+        slowness = find_slowness(progress, step.rank, self.control.speeds, now)
         placements = place_tasks(
-            progress, candidates, latency_sensitive, trials_left, step.held
+            progress, candidates, latency_sensitive, trials_left, step.held, slowness
         )
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
@@ -399,7 +414,7 @@
             upstream.begin_trial(task, number, now)
             run.trial_time = PROOF_TIME if progress.step.lasting else TRIAL_TIME
         self._reservations.record_start(
-            upstream, step.rank, step.ends_at, progress.step.claim
+            upstream, step.rank, self._find_end(step, upstream), progress.step.claim
         )
         ticket = ""
         if step.advice is not None:
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -6,6 +6,7 @@
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.durations import DurationRatios
+from almondspread.jobs.speeds import UpstreamSpeeds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Step
 
@@ -27,6 +28,7 @@
     find_step: Callable[[Run], StepProgress],
     cell_state: CellState,
     ratios: DurationRatios,
+    speeds: UpstreamSpeeds,
     now: timedelta,
 ) -> list[Run]:
     """Return the runs that should be replaced by runs on other upstreams.
@@ -52,7 +54,7 @@
         if run.phase is not RunPhase.RUNNING:
             continue
         if now - run.seen_at > MAX_SIGHTING_AGE or not _is_straggling(
-            progress, run, ratios, now
+            progress, run, ratios, speeds.find_kind_speed(upstream), now
         ):
             continue
         if now >= upstream.suspended_until:
@@ -64,9 +66,17 @@
 
 
 def _is_straggling(
-    progress: StepProgress, run: Run, ratios: DurationRatios, now: timedelta
+    progress: StepProgress,
+    run: Run,
+    ratios: DurationRatios,
+    speed: float,
+    now: timedelta,
 ) -> bool:
-    """Return whether a run will take far longer than a newly started one."""
+    """Return whether a run will take far longer than a newly started one.
+
+    ``speed`` is that of the kind of upstream it runs on. Runs on a slow kind take
+    longer, and a new run is taken to be at the reference speed.
+    """
     step = progress.step
     if step.lasting:
         return (
@@ -78,12 +88,14 @@
     if run.pace < 100 or step.opportunistic or elapsed < MIN_RUN_TIME:
         return False
     upper = ratios.find_upper(progress.job.submission.queue)
+    usual_time = step.estimate * (upper / speed) + RESTART_COST
     restart_time = step.estimate * upper + RESTART_COST
     # A task that is slow on every upstream has a wrong estimate.
     observed = progress.observed_durations.get(run.task.index)
     if observed is not None:
+        usual_time = max(usual_time, observed)
         restart_time = max(restart_time, observed)
-    if elapsed < restart_time:
+    if elapsed < usual_time:
         return False
     return _extrapolate_time_left(run, elapsed) > restart_time * GAIN_FACTOR
 
--- a/packages/almondspread/almondspread/testing/cell_input.py
+++ b/packages/almondspread/almondspread/testing/cell_input.py
@@ -41,7 +41,7 @@
         f"10.0.0.{number}:80",
         "umea",
         upstream.capacity,
-        ("a", f"r{number % 2}"),
+        (upstream.kind, f"r{number % 2}"),
         draining,
         DRAIN_TIME if draining else None,
         upstream.identity,
--- a/packages/almondspread/almondspread/testing/fake_upstream.py
+++ b/packages/almondspread/almondspread/testing/fake_upstream.py
@@ -102,7 +102,8 @@
 
     ``born`` is when it was started, in Unix milliseconds, ``None`` where it does not
     tell this. Its ``identity``, the name up to an ``@``, is that of all incarnations.
-    One answer has no more than ``listed_ends``.
+    One answer has no more than ``listed_ends``. It is of a ``kind``, which its entry
+    has as label, and runs tasks at a ``speed``, where 1.0 is usual.
     """
 
     name: str
@@ -117,6 +118,8 @@
     runs: dict[TaskId, FakeRun] = field(factory=dict)
     ends: list[RunEnd] = field(factory=list)
     listed_ends: int = LISTED_ENDS
+    kind: str = "a"
+    speed: float = 1.0
     _last_end: int = 0
     _highest: dict[TaskId, int] = field(factory=dict)
 
@@ -146,7 +149,7 @@
         self._highest[task] = number
         self.started.append(number)
         self._check_start(task, now)
-        duration = self.durations.get(task, timedelta(seconds=1))
+        duration = self.durations.get(task, timedelta(seconds=1)) / self.speed
         self.runs[task] = FakeRun(task, number, now, duration)
         gang = self.history.find_gang(task, number)
         if gang is not None:
