--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -39,6 +39,7 @@
 from almondspread.jobs.pending_changes import ChangeQueue
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.runs import RunControl
+from almondspread.jobs.speeds import KindSpeed
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission, TaskId
@@ -435,6 +436,10 @@
             count_held_tasks(steps, self._compute_holds(), now),
         )
 
+    def list_kind_speeds(self) -> list[KindSpeed]:
+        """Return the learnt speeds by kind, those with the most samples first."""
+        return self._control.speeds.list_kinds()
+
     def list_unseen(self, now: timedelta) -> dict[str, float]:
         """Return the upstreams that may run tasks unseen, and for how long at most.
 
--- a/packages/almondspread/almondspread/jobs/speeds.py
+++ b/packages/almondspread/almondspread/jobs/speeds.py
@@ -60,11 +60,18 @@
 
 @define(frozen=True)
 class Kind:
-    """The service of an upstream and its labels before the rack label."""
+    """The service of an upstream and its labels before the rack label.
+
+    >>> str(Kind("render", ("large", "new")))
+    'render/large/new'
+    """
 
     service: str
     labels: tuple[str, ...]
 
+    def __str__(self) -> str:
+        return "/".join((self.service, *self.labels))
+
 
 @define(frozen=True)
 class KindSpeed:
--- a/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
@@ -45,7 +45,7 @@
             self.cell.run_for(1_600 * MILLISECOND)
         return {
             each.kind.labels[0]: each.speed
-            for each in self.cell.scheduler._control.speeds.list_kinds()
+            for each in self.cell.scheduler.list_kind_speeds()
         }
 
     def list_kinds_of(self, job):
@@ -174,7 +174,7 @@
         for number in range(30):
             self.cell.submit(make_job(f"again{number}", make_step(48)))
             self.cell.run_for(1_600 * MILLISECOND)
-        kinds = self.cell.scheduler._control.speeds.list_kinds()
+        kinds = self.cell.scheduler.list_kind_speeds()
         return {each.kind.labels[0]: each.speed for each in kinds}
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -379,6 +379,7 @@
         finally:
             self._session = None
             self._metrics.set_load(0)
+            self._metrics.set_kind_speeds()
             self._dispatcher.detach()
 
     def _find_leader_row(self) -> LeaderRow | None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
@@ -6,8 +6,9 @@
 
 from almondspread.clock import Clock
 from almondspread.jobs.scheduler import Scheduler
+from almondspread.jobs.speeds import REFERENCE_SPEED, KindSpeed
 from almondspread_daemon.jobs.assignments import Assignments
-from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.metrics import MAX_LABELLED_KINDS, JobMetrics
 
 LOAD_INTERVAL = timedelta(seconds=1)
 MAX_LOGGED_UPSTREAMS = 8
@@ -34,6 +35,7 @@
         while True:
             now = self._clock.monotonic()
             load = self._scheduler.measure_load(now)
+            speeds = self._scheduler.list_kind_speeds()
             logger.info(
                 "load",
                 epoch=epoch,
@@ -46,12 +48,23 @@
                 suspected_tasks=load.suspected_tasks,
                 held_tasks=load.held_tasks,
                 unseen=_describe_unseen(self._scheduler.list_unseen(now)),
+                speeds=_describe_speeds(speeds),
                 question_slots=self._assignments.members.count_advice_slots(),
             )
             self._metrics.set_load(epoch, load)
+            self._metrics.set_kind_speeds(speeds)
             await self._clock.sleep(LOAD_INTERVAL)
 
 
+def _describe_speeds(speeds: list[KindSpeed]) -> dict[str, float]:
+    """Return the kinds for a log line whose speed differs from the usual one."""
+    found = {}
+    for each in speeds[:MAX_LABELLED_KINDS]:
+        if each.speed != REFERENCE_SPEED:
+            found[str(each.kind)] = round(each.speed, 2)
+    return found
+
+
 def _describe_unseen(unseen: dict[str, float]) -> dict[str, float]:
     """Return the upstreams for a log line: those that hold back tasks the longest."""
     names = sorted(unseen, key=lambda name: -unseen[name])
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -12,10 +12,13 @@
 
 from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import NO_LOAD, Load
+from almondspread.jobs.speeds import KindSpeed
 
 METER_NAME = "almondspread.jobs"
 # Calls take milliseconds as a rule, and seconds during outages.
 LATENCY_BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+# The kinds with the most ended runs are labelled.
+MAX_LABELLED_KINDS = 16
 
 
 class JobMetrics:
@@ -61,6 +64,12 @@
         self._suspected_tasks = meter.create_gauge(
             "suspected_tasks", description="tasks under which upstreams crash"
         )
+        self._kind_speeds: tuple[KindSpeed, ...] = ()
+        meter.create_observable_gauge(
+            "upstream_speed",
+            [self._observe_kind_speeds],
+            description="learnt speeds by kind of upstream, at the leader",
+        )
         self._epoch = meter.create_gauge(
             "leader_epoch", description="the epoch that this instance leads, 0 for none"
         )
@@ -103,6 +112,17 @@
         self._used_millis.set(load.used_millis)
         self._suspected_tasks.set(load.suspected_tasks)
 
+    def set_kind_speeds(self, speeds: Iterable[KindSpeed] = ()) -> None:
+        """Set the speeds in use by kind, those with the most samples first."""
+        self._kind_speeds = tuple(speeds)[:MAX_LABELLED_KINDS]
+
+    def _observe_kind_speeds(self, _: CallbackOptions) -> Iterable[Observation]:
+        """Return the speeds by kind, which only a leader knows."""
+        return [
+            Observation(each.speed, {"kind": str(each.kind)})
+            for each in self._kind_speeds
+        ]
+
     def set_configuration_version(self, version: int) -> None:
         """Set the gauge of the configuration version in force."""
         self._version.set(version)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import Load
+from almondspread.jobs.speeds import Kind, KindSpeed
 from almondspread_daemon.jobs.metrics import JobMetrics
 
 
@@ -28,6 +29,17 @@
         metrics.set_load(0)
         self.assertEqual(self.read_gauge(metrics), expected)
 
+    def test_speeds_are_labelled_by_a_bounded_number_of_kinds(self):
+        """Labels of single upstreams would make one series of each."""
+        metrics = JobMetrics("entry-1", "umea")
+        speeds = [KindSpeed(Kind("s", (f"k{n}",)), 0.7, 50) for n in range(40)]
+        metrics.set_kind_speeds(speeds)
+        text = metrics.render().decode()
+        self.assertEqual(text.count("upstream_speed{"), 16)
+        self.assertIn('kind="s/k0"', text)
+        metrics.set_kind_speeds()
+        self.assertNotIn("upstream_speed{", metrics.render().decode())
+
 
 if __name__ == "__main__":
     unittest.main()
