Let tasks wait for a place near their data while that pays

Cause: a task whose data is on a full rack started elsewhere at once, and took up to three times as long there; a gang that asks for one rack was spread at once. Far runs count by it in ratios, time left and stragglers. near_waits counts the outcomes.

--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -9,6 +9,7 @@
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.job_table import JobTable
+from almondspread.jobs.locality import is_far
 from almondspread.jobs.messages import (
     BROKEN,
     DONE,
@@ -28,6 +29,7 @@
 from almondspread.jobs.speeds import UpstreamSpeeds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import extrapolate_duration
+from almondspread.jobs.upstreams import Upstream
 
 # A run whose start had no clear outcome may show up in a report within this time.
 # After that it is stopped.
@@ -43,10 +45,12 @@
 class RunControl:
     """Tracks each bound run until it ends, and collects ``orders`` to be sent.
 
-    ``ratios`` and ``speeds`` learn from the runs that are done.
+    ``ratios`` and ``speeds`` learn from the runs that are done. Tasks take
+    ``remote_factor`` times as long on another rack than that of their data.
     """
 
     cell_state: CellState
+    remote_factor: float = 1.0
     job_table: JobTable = field(init=False)
     orders: list[UpstreamOrder | AskPermits] = field(factory=list)
     ratios: DurationRatios = field(factory=DurationRatios)
@@ -223,7 +227,9 @@
         upstream = self.cell_state.upstreams.get(run.upstream)
         if run.is_whole:
             duration = now - run.started_at
-            speed = self.speeds.find_speed(upstream) if upstream is not None else 1.0
+            speed = 1.0
+            if upstream is not None:
+                speed = self.find_speed(progress, upstream)
             queue = progress.job.submission.queue
             self.ratios.record(queue, progress.step.estimate, duration * speed)
             if upstream is not None:
@@ -231,6 +237,22 @@
         if progress.is_complete:
             self.speeds.close_step(progress, now)
 
+    def find_speed(self, progress: StepProgress, upstream: Upstream) -> float:
+        """Return how fast a step's tasks run on an upstream, far from their data too.
+
+        1.0 is the speed near their data on an upstream of the reference speed.
+        """
+        return self.speeds.find_speed(upstream) / self._find_factor(progress, upstream)
+
+    def find_usual_speed(self, progress: StepProgress, upstream: Upstream) -> float:
+        """Return how fast a step's tasks run on upstreams of a kind as a rule."""
+        factor = self._find_factor(progress, upstream)
+        return self.speeds.find_kind_speed(upstream) / factor
+
+    def _find_factor(self, progress: StepProgress, upstream: Upstream) -> float:
+        """Return how many times as long tasks run on an upstream as near their data."""
+        return self.remote_factor if is_far(progress.step, upstream) else 1.0
+
     def _record_upstream_outcome(self, end: RunEnd, name: str, now: timedelta) -> None:
         """Record whether a run on an upstream succeeded, and log a suspension."""
         upstream = self.cell_state.upstreams.get(name)
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -66,7 +66,7 @@
     expire, which last ``max_lease`` at the most. Executors renew one ``lease``.
     The scheduler starts a job stored later only once the store records that this leader
     may do so, because the next leader relies on that record to know which jobs may be
-    running.
+    running. Tasks take ``remote_factor`` times as long far from their data.
     """
 
     def __init__(
@@ -77,6 +77,7 @@
         max_entry_age: timedelta = MAX_ENTRY_AGE,
         max_lease: timedelta = DEFAULT_MAX_LEASE,
         lease: timedelta = DEFAULT_MAX_LEASE,
+        remote_factor: float = 1.0,
     ) -> None:
         self.epoch = epoch
         self.inherited_version = inherited_version
@@ -84,7 +85,7 @@
         self._last_sweep = timedelta(0)
         self._lease_holds = True
         self.cell_state = CellState(epoch)
-        self._control = RunControl(self.cell_state)
+        self._control = RunControl(self.cell_state, remote_factor)
         self._job_table = JobTable(configuration, self._control.stop_runs)
         self._control.job_table = self._job_table
         self._upstream_tracker = UpstreamTracker(
@@ -370,7 +371,7 @@
             find_step,
             self.cell_state,
             self._control.ratios,
-            self._control.speeds,
+            self._control.find_usual_speed,
             now,
         ):
             self._control.replace_straggler(run, now)
@@ -440,6 +441,11 @@
         """Return the learnt speeds by kind, those with the most samples first."""
         return self._control.speeds.list_kinds()
 
+    def count_near_waits(self) -> dict[str, int]:
+        """Return how many waits for a near place have ended, by their outcome."""
+        counts = self._planner.locality.counts
+        return {str(outcome): count for outcome, count in counts.items()}
+
     def list_unseen(self, now: timedelta) -> dict[str, float]:
         """Return the upstreams that may run tasks unseen, and for how long at most.
 
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -13,6 +13,7 @@
 from almondspread.jobs.expiring import ExpiringTasks, list_expiring_tasks
 from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.last_resorts import needs_last_resort
+from almondspread.jobs.locality import LocalityWaits, LocalStep
 from almondspread.jobs.messages import PermitsAnswered, StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank, rank_step
 from almondspread.jobs.permit_requests import (
@@ -83,6 +84,12 @@
     _reservations: Reservations = field(factory=Reservations)
     _reserved_at: timedelta = timedelta(0)
     _upcoming: UpcomingSteps = field(factory=UpcomingSteps)
+    locality: LocalityWaits = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.locality = LocalityWaits(
+            self.control.speeds, self._list_ends, self.control.remote_factor
+        )
 
     def handle_permits_answer(self, answer: PermitsAnswered, now: timedelta) -> None:
         """Store the permits for a step, if the advice service has granted any."""
@@ -116,6 +123,7 @@
         max_permit_requests -= self._request_for_expiring(
             expiring, usable, max_permit_requests, now
         )
+        self.locality.begin_pass(now)
         for step in steps:
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
@@ -125,6 +133,11 @@
                 max_permit_requests -= self._request_permits(
                     step, step.advice, len(step.progress.waiting), now
                 )
+        self.locality.end_pass(
+            (step.progress, table.find_service(step.progress.job.submission))
+            for step in steps
+            if step.progress.waiting
+        )
         self._request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
             self._reserved_at = now
@@ -250,7 +263,7 @@
         ratio = self.control.ratios.find_mean(progress.job.submission.queue)
         upstream = self.cell_state.upstreams.get(run.upstream)
         if upstream is not None:
-            ratio /= self.control.speeds.find_speed(upstream)
+            ratio /= self.control.find_speed(progress, upstream)
         return estimate_time_left(progress.step, run, now, ratio)
 
     def _estimate_duration(self, progress: StepProgress) -> timedelta:
@@ -270,6 +283,10 @@
             upstreams = step.service.list_named_with_room(
                 progress.permits.list_usable(now), progress.step.claim
             )
+        local = None
+        if self.locality.concerns(progress):
+            local = self._describe_local_step(step, now)
+            upstreams = self.locality.narrow(local, upstreams, now)
         # Some may have been put on trial since the upstreams of the step were chosen.
         open_to_tasks = (
             upstream
@@ -279,9 +296,29 @@
         candidates = list_candidates(
             progress, open_to_tasks, partial(self._find_free, step)
         )
+        if local is not None:
+            step.held |= self.locality.choose_held(local, candidates, now)
+            if progress.step.gang and step.held:
+                return
         if candidates:
             self._place_tasks(step, candidates, now)
 
+    def _describe_local_step(self, step: _RankedStep, now: timedelta) -> LocalStep:
+        """Return what decides how long a step waits for a near place."""
+        progress = step.progress
+        permitted = None
+        if step.advice is not None:
+            permitted = progress.permits.list_usable(now)
+        return LocalStep(
+            progress,
+            step.rank,
+            self.control.job_table.find_service(progress.job.submission),
+            step.ends_at - step.ranked_at,
+            step.service.by_name,
+            permitted,
+            step.held,
+        )
+
     def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
         if upstream.name in step.unreserved:
@@ -292,7 +329,7 @@
 
     def _find_end(self, step: _RankedStep, upstream: Upstream) -> timedelta:
         """Return when a task that starts now on an upstream is expected to end."""
-        speed = self.control.speeds.find_speed(upstream)
+        speed = self.control.find_speed(step.progress, upstream)
         return step.ranked_at + (step.ends_at - step.ranked_at) / speed
 
     def _request_permits(
@@ -332,6 +369,8 @@
         for step in steps:
             if not step.progress.waiting or step.rank[0] != FIRST_GROUP:
                 continue
+            if self.locality.is_waiting(step.progress):
+                continue
             considered += 1
             if considered > MAX_RESERVING_STEPS:
                 break
@@ -394,6 +433,7 @@
         for placement in placements:
             number = gang_number or self.cell_state.allocate_run_number()
             self._start_run(step, placement, number, now)
+        self.locality.record_placements(progress, placements)
         self._log_placements(progress, placements, now)
         self._upcoming.add_dependents(progress)
         self.control.job_table.update_readiness(progress)
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -6,9 +6,9 @@
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.durations import DurationRatios
-from almondspread.jobs.speeds import UpstreamSpeeds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Step
+from almondspread.jobs.upstreams import Upstream
 
 # Upstreams report progress about once a second, and progress starts at zero.
 MIN_RUN_TIME = timedelta(seconds=2)
@@ -28,14 +28,15 @@
     find_step: Callable[[Run], StepProgress],
     cell_state: CellState,
     ratios: DurationRatios,
-    speeds: UpstreamSpeeds,
+    find_speed: Callable[[StepProgress, Upstream], float],
     now: timedelta,
 ) -> list[Run]:
     """Return the runs that should be replaced by runs on other upstreams.
 
     These are runs that are slow or make no progress. For tasks that may run twice,
     runs on upstreams that do not answer, or whose executor does not, are included. The
-    upstream of a slow run is suspended, since it is the likely cause.
+    upstream of a slow run is suspended, since it is the likely cause. ``find_speed``
+    tells how fast a step's tasks usually run on an upstream.
     """
     chosen: list[Run] = []
     for run in cell_state.runs.values():
@@ -54,7 +55,7 @@
         if run.phase is not RunPhase.RUNNING:
             continue
         if now - run.seen_at > MAX_SIGHTING_AGE or not _is_straggling(
-            progress, run, ratios, speeds.find_kind_speed(upstream), now
+            progress, run, ratios, find_speed(progress, upstream), now
         ):
             continue
         if now >= upstream.suspended_until:
@@ -74,8 +75,8 @@
 ) -> bool:
     """Return whether a run will take far longer than a newly started one.
 
-    ``speed`` is that of the kind of upstream it runs on. Runs on a slow kind take
-    longer, and a new run is taken to be at the reference speed.
+    ``speed`` is what the kind of upstream and the place of its data let expect. Runs
+    on a slow kind take longer, and a new run is taken to be at the reference speed.
     """
     step = progress.step
     if step.lasting:
--- a/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
@@ -25,6 +25,10 @@
             self.cell.submit(make_job(f"j{number}", make_step(4)))
         # The first request of a step may name upstreams without room.
         self.cell.run_for(SECOND / 2)
+        return self.count_pass()
+
+    def count_pass(self):
+        """Return the comparisons of a pass that follows the last one at once."""
         fits_in = Capacity.fits_in
         calls = []
 
@@ -43,6 +47,23 @@
             with self.subTest(advice=advice):
                 self.assertLess(self.count_comparisons(60, 40, advice), 60 + 40)
 
+    def test_step_that_waits_for_a_near_place_does_not_look_at_far_ones(self):
+        """Each step that waited for a hot rack looked at all upstreams with room."""
+        self.cell = FakeCell(remote_factor=3.0)
+        self.add_upstreams(60)
+        self.cell.run_for(SECOND)
+        self.cell.submit(
+            make_job("full", make_step(120, estimate=0.9 * SECOND, preferred_rack="r0"))
+        )
+        self.cell.step()
+        for number in range(40):
+            step = make_step(estimate=3 * SECOND, preferred_rack="r0")
+            self.cell.submit(make_job(f"j{number}", step))
+        self.cell.step()
+        self.assertEqual(self.cell.scheduler._planner.locality.waiting, 40)
+        # Of the 60 upstreams 30 are on the rack; each step looks at none but these.
+        self.assertLess(self.count_pass(), 60 + 40)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
@@ -150,13 +150,12 @@
         run.phase = RunPhase.RUNNING
         run.percent = 10
         now = run.seen_at = run.started_at + seconds * SECOND
-        speeds = UpstreamSpeeds()
         with patch.object(UpstreamSpeeds, "find_kind_speed", lambda *_: speed):
             chosen = choose_stragglers(
                 scheduler._job_table.find_step,
                 scheduler.cell_state,
                 DurationRatios(),
-                speeds,
+                scheduler._control.find_usual_speed,
                 now,
             )
         return run in chosen
--- a/packages/almondspread/almondspread/testing/fake_cell.py
+++ b/packages/almondspread/almondspread/testing/fake_cell.py
@@ -65,7 +65,8 @@
     A task of ``crashing`` crashes each upstream that starts it, and ``crashes`` counts
     these. Such an upstream is back, as a new incarnation, after ``restart_time``, and
     ``keeps_identity`` or has a new one. ``hears_restarts`` tells whether calls for an
-    earlier incarnation find out that another one answers.
+    earlier incarnation find out that another one answers. Leaders take tasks to last
+    ``remote_factor`` times as long far from their data.
     """
 
     history: History = field(factory=History)
@@ -84,6 +85,7 @@
     crashing: set[TaskId] = field(factory=set)
     crashes: dict[TaskId, int] = field(factory=dict)
     restart_time: timedelta = timedelta(seconds=3)
+    remote_factor: float = 1.0
     keeps_identity: bool = False
     hears_restarts: bool = True
     permit_requests: list[AskPermits] = field(factory=list)
@@ -101,7 +103,9 @@
     _restarts: dict[str, timedelta] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.scheduler = Scheduler(1, self.configuration, lease=LEASE)
+        self.scheduler = Scheduler(
+            1, self.configuration, lease=LEASE, remote_factor=self.remote_factor
+        )
 
     def add_upstream(self, name: str, cpu_millis: int = 4_000) -> FakeUpstream:
         """Add an upstream with one MiB of memory for each thousandth of a core."""
@@ -460,6 +464,7 @@
             self.configuration,
             self.started_version,
             lease=LEASE,
+            remote_factor=self.remote_factor,
         )
         self.scheduler.allow_starts(self.started_version)
         self._acknowledged.clear()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -380,6 +380,7 @@
             self._session = None
             self._metrics.set_load(0)
             self._metrics.set_kind_speeds()
+            self._metrics.set_near_waits()
             self._dispatcher.detach()
 
     def _find_leader_row(self) -> LeaderRow | None:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader.py
@@ -100,6 +100,7 @@
             settings.max_entry_age,
             settings.upstream_max_lease,
             settings.lease,
+            settings.remote_factor,
         )
         self._scheduler.allow_starts(row.started_version)
         self._committer = Committer(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/load_log.py
@@ -36,6 +36,7 @@
             now = self._clock.monotonic()
             load = self._scheduler.measure_load(now)
             speeds = self._scheduler.list_kind_speeds()
+            near_waits = self._scheduler.count_near_waits()
             logger.info(
                 "load",
                 epoch=epoch,
@@ -49,10 +50,12 @@
                 held_tasks=load.held_tasks,
                 unseen=_describe_unseen(self._scheduler.list_unseen(now)),
                 speeds=_describe_speeds(speeds),
+                near_waits=near_waits,
                 question_slots=self._assignments.members.count_advice_slots(),
             )
             self._metrics.set_load(epoch, load)
             self._metrics.set_kind_speeds(speeds)
+            self._metrics.set_near_waits(near_waits)
             await self._clock.sleep(LOAD_INTERVAL)
 
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -70,6 +70,12 @@
             [self._observe_kind_speeds],
             description="learnt speeds by kind of upstream, at the leader",
         )
+        self._near_waits: dict[str, int] = {}
+        meter.create_observable_counter(
+            "near_waits",
+            [self._observe_near_waits],
+            description="waits for a near place that have ended, by outcome",
+        )
         self._epoch = meter.create_gauge(
             "leader_epoch", description="the epoch that this instance leads, 0 for none"
         )
@@ -123,6 +129,17 @@
             for each in self._kind_speeds
         ]
 
+    def set_near_waits(self, counts: dict[str, int] | None = None) -> None:
+        """Set how many waits for a near place have ended under this leader."""
+        self._near_waits = counts or {}
+
+    def _observe_near_waits(self, _: CallbackOptions) -> Iterable[Observation]:
+        """Return the waits by outcome, which only a leader knows."""
+        return [
+            Observation(count, {"outcome": outcome})
+            for outcome, count in self._near_waits.items()
+        ]
+
     def set_configuration_version(self, version: int) -> None:
         """Set the gauge of the configuration version in force."""
         self._version.set(version)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/settings.py
@@ -44,7 +44,9 @@
     ``handover_delay``. Starts must follow a change of an upstream's entry within
     ``entry_notice``. The store takes rows and calls within ``store_limits``.
     ``apply_budget`` bounds the time until a configuration is in force. ``contacts`` are
-    peer addresses of other instances, which may be out of date.
+    peer addresses of other instances, which may be out of date. Tasks take
+    ``remote_factor`` times as long on another rack than that of their data, where 1
+    makes no task wait for a near place.
     """
 
     instance: str
@@ -66,6 +68,7 @@
     apply_budget: ApplyBudget = ApplyBudget()
     contacts: tuple[str, ...] = ()
     key_check: KeyCheckSettings = KeyCheckSettings()
+    remote_factor: float = 1.0
 
     @property
     def strength(self) -> float:
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
@@ -40,6 +40,16 @@
         metrics.set_kind_speeds()
         self.assertNotIn("upstream_speed{", metrics.render().decode())
 
+    def test_waits_for_near_places_are_counted_by_outcome(self):
+        """An operator could not see whether waiting for near places is worthwhile."""
+        metrics = JobMetrics("entry-1", "umea")
+        metrics.set_near_waits({"near": 5, "far": 2})
+        text = metrics.render().decode()
+        self.assertRegex(text, r'near_waits_total{.*outcome="near"} 5\.0')
+        self.assertRegex(text, r'near_waits_total{.*outcome="far"} 2\.0')
+        metrics.set_near_waits()
+        self.assertNotIn("near_waits_total{", metrics.render().decode())
+
 
 if __name__ == "__main__":
     unittest.main()
