--- a/packages/almondspread/almondspread/jobs/tests/test_locality.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_locality.py
@@ -47,9 +47,9 @@
         )
         self.cell.submit(make_job(name, step))
 
-    def fill(self, seconds, real=None):
+    def fill(self, seconds, real=None, count=4):
         """Fill the rack r0 with tasks of an estimate, which take another time."""
-        step = make_step(4, estimate=seconds * SECOND, preferred_rack="r0")
+        step = make_step(count, estimate=seconds * SECOND, preferred_rack="r0")
         for name in NEAR:
             for index in range(4):
                 task = TaskId("full", 0, 0, index)
@@ -96,6 +96,28 @@
         started = [self.is_started(f"j{number}") for number in range(8)]
         self.assertEqual(started, [False] * 4 + [True] * 4)
 
+    def test_step_that_comes_later_leaves_the_places_to_those_that_wait(self):
+        """Steps that were not looked at again lost their places to a new one."""
+        self.fill(0.8)
+        for number in range(4):
+            self.submit(f"j{number}", near=True)
+        self.cell.step()
+        self.submit("late", near=True)
+        self.cell.step(SECOND / 20)
+        self.assertTrue(self.is_started("late"))
+        self.assertFalse(self.is_started("j0"))
+
+    def test_ends_of_new_runs_count_at_once(self):
+        """A place taken since the ends were listed was not expected to be free."""
+        self.fill(0.5, count=3)
+        self.submit("a", 2, seconds=0.8, near=True)
+        self.cell.step()
+        self.assertEqual(len(self.find_upstreams("a")), 1)
+        for name in "bcd":
+            self.submit(name, near=True)
+        self.cell.step(SECOND / 20)
+        self.assertEqual([self.is_started(name) for name in "bcd"], [False] * 3)
+
     def test_wait_ends_where_the_estimate_was_wrong(self):
         """A place that is always about to be free would hold a task back for ever."""
         self.cell = FakeCell(remote_factor=1.25)
@@ -194,13 +216,17 @@
         self.submit("j", near=True)
         self.cell.step()
         self.assertTrue(self.is_started("j"))
+        locality = self.cell.scheduler._planner.locality
+        progress = self.cell.scheduler.jobs["j"].steps[0, 0]
+        self.assertFalse(locality.concerns(progress))
 
 
 class GangTest(LocalityCase):
     def test_gang_waits_for_one_rack(self):
         """The gang was spread over racks at once, and took three times as long."""
-        self.fill(0.8)
-        self.submit("one", seconds=0.8)
+        for rack in ("r0", "r1"):
+            step = make_step(2, estimate=0.8 * SECOND, preferred_rack=rack)
+            self.cell.submit(make_job(rack, step))
         self.cell.step()
         self.submit("gang", 4, gang=True, same_rack=True)
         self.cell.run_for(SECOND / 2)
