--- a/packages/almondspread/almondspread/jobs/ranked_steps.py
+++ b/packages/almondspread/almondspread/jobs/ranked_steps.py
@@ -25,14 +25,16 @@
 class RankedStep:
     """A step with waiting tasks, its place in the order, and where it may run.
 
-    A task that starts now is expected to end at ``ends_at``. ``advice`` is ``None`` if
-    the step needs no permits. The tasks ``held`` may not start yet. Reservations of
+    A task that starts at ``ranked_at``, which is now, is expected to end at ``ends_at``
+    on an upstream of the reference speed. ``advice`` is ``None`` if the step needs no
+    permits. The tasks ``held`` may not start yet. Reservations of
     ``unreserved`` upstreams do not hold for the step.
     """
 
     rank: StepRank
     progress: StepProgress
     service: ServiceUpstreams
+    ranked_at: timedelta
     ends_at: timedelta
     advice: AdviceTiming | None
     held: frozenset[int] = frozenset()
@@ -60,6 +62,7 @@
             rank_step(progress, table.configuration, now),
             progress,
             usable.get(table.find_service(submission), NO_UPSTREAMS),
+            now,
             now + self._estimate_duration(progress),
             queue.advice if queue is not None else None,
         )
@@ -69,6 +72,9 @@
     ) -> timedelta:
         """Return the expected remaining time of a run of a step."""
         ratio = self.control.ratios.find_mean(progress.job.submission.queue)
+        upstream = self.control.cell_state.upstreams.get(run.upstream)
+        if upstream is not None:
+            ratio /= self.control.find_speed(progress, upstream)
         return estimate_time_left(progress.step, run, now, ratio)
 
     def _estimate_duration(self, progress: StepProgress) -> timedelta:
@@ -82,4 +88,11 @@
         """Return what a step may use of an upstream, which may be reserved."""
         if upstream.name in step.unreserved:
             return upstream.free
-        return self.reservations.find_free(upstream, step.rank, step.ends_at)
+        return self.reservations.find_free(
+            upstream, step.rank, self.find_end(step, upstream)
+        )
+
+    def find_end(self, step: RankedStep, upstream: Upstream) -> timedelta:
+        """Return when a task that starts now on an upstream is expected to end."""
+        speed = self.control.find_speed(step.progress, upstream)
+        return step.ranked_at + (step.ends_at - step.ranked_at) / speed
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -9,6 +9,7 @@
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.job_table import JobTable
+from almondspread.jobs.locality import is_far
 from almondspread.jobs.messages import (
     BROKEN,
     DONE,
@@ -25,8 +26,10 @@
     StopSettled,
     UpstreamOrder,
 )
+from almondspread.jobs.speeds import UpstreamSpeeds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import extrapolate_duration
+from almondspread.jobs.upstreams import Upstream
 
 # A run whose start had no clear outcome may show up in a report within this time.
 # After that it is stopped.
@@ -42,13 +45,16 @@
 class RunControl:
     """Tracks each bound run until it ends, and collects ``orders`` to be sent.
 
-    ``ratios`` learns from the runs that are done.
+    ``ratios`` and ``speeds`` learn from the runs that are done. Tasks take
+    ``remote_factor`` times as long on another rack than that of their data.
     """
 
     cell_state: CellState
+    remote_factor: float = 1.0
     job_table: JobTable = field(init=False)
     orders: list[UpstreamOrder | AskPermits] = field(factory=list)
     ratios: DurationRatios = field(factory=DurationRatios)
+    speeds: UpstreamSpeeds = field(factory=UpstreamSpeeds)
 
     def stop_runs(self, runs: list[Run], now: timedelta) -> None:
         """Order several runs to stop."""
@@ -211,11 +217,41 @@
     def _learn_duration(
         self, progress: StepProgress, run: Run, end: RunEnd, now: timedelta
     ) -> None:
-        """Record how long a run took that has done all the work of its task."""
-        if end.outcome != DONE or not run.is_whole or progress.step.is_paced:
+        """Record how long a run took that has done all the work of its task.
+
+        The ratios of a queue are those at the reference speed, so that they don't
+        depend on where its tasks happen to run.
+        """
+        if end.outcome != DONE or progress.step.is_paced:
             return
-        queue = progress.job.submission.queue
-        self.ratios.record(queue, progress.step.estimate, now - run.started_at)
+        upstream = self.cell_state.upstreams.get(run.upstream)
+        if run.is_whole:
+            duration = now - run.started_at
+            speed = 1.0
+            if upstream is not None:
+                speed = self.find_speed(progress, upstream)
+            queue = progress.job.submission.queue
+            self.ratios.record(queue, progress.step.estimate, duration * speed)
+            if upstream is not None:
+                self.speeds.record(progress, upstream, duration, now)
+        if progress.is_complete:
+            self.speeds.close_step(progress, now)
+
+    def find_speed(self, progress: StepProgress, upstream: Upstream) -> float:
+        """Return how fast a step's tasks run on an upstream, far from their data too.
+
+        1.0 is the speed near their data on an upstream of the reference speed.
+        """
+        return self.speeds.find_speed(upstream) / self._find_factor(progress, upstream)
+
+    def find_usual_speed(self, progress: StepProgress, upstream: Upstream) -> float:
+        """Return how fast a step's tasks run on upstreams of a kind as a rule."""
+        factor = self._find_factor(progress, upstream)
+        return self.speeds.find_kind_speed(upstream) / factor
+
+    def _find_factor(self, progress: StepProgress, upstream: Upstream) -> float:
+        """Return how many times as long tasks run on an upstream as near their data."""
+        return self.remote_factor if is_far(progress.step, upstream) else 1.0
 
     def _record_upstream_outcome(self, end: RunEnd, name: str, now: timedelta) -> None:
         """Record whether a run on an upstream succeeded, and log a suspension."""
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -44,6 +44,7 @@
 from almondspread.jobs.pending_changes import ChangeQueue
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.runs import RunControl
+from almondspread.jobs.speeds import KindSpeed
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission, TaskId
@@ -69,7 +70,7 @@
     expire, which last ``max_lease`` at the most. Executors renew one ``lease``.
     The scheduler starts a job stored later only once the store records that this leader
     may do so, because the next leader relies on that record to know which jobs may be
-    running.
+    running. Tasks take ``remote_factor`` times as long far from their data.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         max_entry_age: timedelta = MAX_ENTRY_AGE,
         max_lease: timedelta = DEFAULT_MAX_LEASE,
         lease: timedelta = DEFAULT_MAX_LEASE,
+        remote_factor: float = 1.0,
     ) -> None:
         self.epoch = epoch
         self.inherited_version = inherited_version
@@ -87,7 +89,7 @@
         self._last_sweep = timedelta(0)
         self._lease_holds = True
         self.cell_state = CellState(epoch)
-        self._control = RunControl(self.cell_state)
+        self._control = RunControl(self.cell_state, remote_factor)
         self._job_table = JobTable(configuration, self._control.stop_runs)
         self._control.job_table = self._job_table
         self._upstream_tracker = UpstreamTracker(
@@ -380,8 +382,13 @@
         self._last_sweep = now
         find_step = self._job_table.find_step
         self._control.expire_unanswered(now)
+        self._control.speeds.refresh(self.cell_state.upstreams.values(), now)
         for run in choose_stragglers(
-            find_step, self.cell_state, self._control.ratios, now
+            find_step,
+            self.cell_state,
+            self._control.ratios,
+            self._control.find_usual_speed,
+            now,
         ):
             self._control.replace_straggler(run, now)
         evacuated = choose_evacuations(find_step, self.cell_state, now)
@@ -446,6 +453,15 @@
             count_held_tasks(steps, self._compute_holds(), now),
         )
 
+    def list_kind_speeds(self) -> list[KindSpeed]:
+        """Return the learnt speeds by kind, those with the most samples first."""
+        return self._control.speeds.list_kinds()
+
+    def count_near_waits(self) -> dict[str, int]:
+        """Return how many waits for a near place have ended, by their outcome."""
+        counts = self._planner.locality.counts
+        return {str(outcome): count for outcome, count in counts.items()}
+
     def list_unseen(self, now: timedelta) -> dict[str, float]:
         """Return the upstreams that may run tasks unseen, and for how long at most.
 
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -12,6 +12,7 @@
 from almondspread.jobs.expiring import list_expiring_tasks
 from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.last_resorts import needs_last_resort
+from almondspread.jobs.locality import LocalityWaits, LocalStep
 from almondspread.jobs.messages import StartRun
 from almondspread.jobs.ordering import FIRST_GROUP, StepRank
 from almondspread.jobs.permit_planning import PermitPlanner
@@ -29,6 +30,7 @@
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import UpcomingSteps
 from almondspread.jobs.upstreams import LAST_RESORT_DELAY, Upstream
+from almondspread.jobs.urgency import find_slowness
 from almondspread.jobs.workspace_limits import WorkspaceLimits
 from almondspread.resources.capacity import Capacity
 
@@ -57,11 +59,15 @@
     _reservations: Reservations = field(init=False)
     _reserved_at: timedelta = timedelta(0)
     _upcoming: UpcomingSteps = field(factory=UpcomingSteps)
+    locality: LocalityWaits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._reservations = Reservations(self.limits.count_startable)
         self._ranker = StepRanker(self.control, self._reservations)
         self.permits = PermitPlanner(self._ranker, self.limits, self._upcoming)
+        self.locality = LocalityWaits(
+            self.control.speeds, self._list_ends, self.control.remote_factor
+        )
 
     def start_waiting_tasks(
         self, now: timedelta, max_permit_requests: int, holds: StartHolds
@@ -88,6 +94,7 @@
         max_permit_requests -= self.permits.request_for_expiring(
             expiring, usable, max_permit_requests, now
         )
+        self.locality.begin_pass(now)
         for step in steps:
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
@@ -98,6 +105,11 @@
                 max_permit_requests -= self.permits.request(
                     step, step.advice, startable, now
                 )
+        self.locality.end_pass(
+            (step.progress, table.find_service(step.progress.job.submission))
+            for step in steps
+            if step.progress.waiting
+        )
         self.permits.request_ahead(usable, max_permit_requests, now)
         if now - self._reserved_at >= RESERVATION_INTERVAL:
             self._reserved_at = now
@@ -161,6 +173,10 @@
             upstreams = step.service.list_named_with_room(
                 progress.permits.list_usable(now), progress.step.claim
             )
+        local = None
+        if self.locality.concerns(progress):
+            local = self._describe_local_step(step, now)
+            upstreams = self.locality.narrow(local, upstreams, now)
         # Some may have been put on trial since the upstreams of the step were chosen.
         open_to_tasks = (
             upstream
@@ -170,9 +186,29 @@
         candidates = list_candidates(
             progress, open_to_tasks, partial(self._ranker.find_free, step)
         )
+        if local is not None:
+            step.held |= self.locality.choose_held(local, candidates, now)
+            if progress.step.gang and step.held:
+                return
         if candidates:
             self._place_tasks(step, candidates, now)
 
+    def _describe_local_step(self, step: RankedStep, now: timedelta) -> LocalStep:
+        """Return what decides how long a step waits for a near place."""
+        progress = step.progress
+        permitted = None
+        if step.advice is not None:
+            permitted = progress.permits.list_usable(now)
+        return LocalStep(
+            progress,
+            step.rank,
+            self.control.job_table.find_service(progress.job.submission),
+            step.ends_at - step.ranked_at,
+            step.service.by_name,
+            permitted,
+            step.held,
+        )
+
     def _renew_reservations(
         self,
         steps: list[RankedStep],
@@ -189,6 +225,8 @@
                 continue
             if not self.limits.count_startable(step.progress):
                 continue
+            if self.locality.is_waiting(step.progress):
+                continue
             considered += 1
             if considered > MAX_RESERVING_STEPS:
                 break
@@ -243,6 +281,7 @@
             service = candidates[0].upstream.entry.service
             upstreams = self.cell_state.upstreams.values()
             trials_left = count_trials_left(upstreams, service)
+        slowness = find_slowness(progress, step.rank, self.control.speeds, now)
         placements = place_tasks(
             progress,
             candidates,
@@ -250,11 +289,13 @@
             trials_left,
             step.held,
             self.limits.count_startable(progress),
+            slowness,
         )
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
             number = gang_number or self.cell_state.allocate_run_number()
             self._start_run(step, placement, number, now)
+        self.locality.record_placements(progress, placements)
         self._log_placements(progress, placements, now)
         self._upcoming.add_dependents(progress)
         self.control.job_table.update_readiness(progress)
@@ -275,7 +316,10 @@
             upstream.begin_trial(task, number, now)
             run.trial_time = PROOF_TIME if progress.step.lasting else TRIAL_TIME
         self._reservations.record_start(
-            upstream, step.rank, step.ends_at, progress.step.claim
+            upstream,
+            step.rank,
+            self._ranker.find_end(step, upstream),
+            progress.step.claim,
         )
         ticket = ""
         if step.advice is not None:
--- a/packages/almondspread/almondspread/jobs/stragglers.py
+++ b/packages/almondspread/almondspread/jobs/stragglers.py
@@ -8,6 +8,7 @@
 from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import Step
+from almondspread.jobs.upstreams import Upstream
 
 # Upstreams report progress about once a second, and progress starts at zero.
 MIN_RUN_TIME = timedelta(seconds=2)
@@ -27,13 +28,15 @@
     find_step: Callable[[Run], StepProgress],
     cell_state: CellState,
     ratios: DurationRatios,
+    find_speed: Callable[[StepProgress, Upstream], float],
     now: timedelta,
 ) -> list[Run]:
     """Return the runs that should be replaced by runs on other upstreams.
 
     These are runs that are slow or make no progress. For tasks that may run twice,
     runs on upstreams that do not answer, or whose executor does not, are included. The
-    upstream of a slow run is suspended, since it is the likely cause.
+    upstream of a slow run is suspended, since it is the likely cause. ``find_speed``
+    tells how fast a step's tasks usually run on an upstream.
     """
     chosen: list[Run] = []
     for run in cell_state.runs.values():
@@ -52,7 +55,7 @@
         if run.phase is not RunPhase.RUNNING:
             continue
         if now - run.seen_at > MAX_SIGHTING_AGE or not _is_straggling(
-            progress, run, ratios, now
+            progress, run, ratios, find_speed(progress, upstream), now
         ):
             continue
         if now >= upstream.suspended_until:
@@ -64,9 +67,17 @@
 
 
 def _is_straggling(
-    progress: StepProgress, run: Run, ratios: DurationRatios, now: timedelta
+    progress: StepProgress,
+    run: Run,
+    ratios: DurationRatios,
+    speed: float,
+    now: timedelta,
 ) -> bool:
-    """Return whether a run will take far longer than a newly started one."""
+    """Return whether a run will take far longer than a newly started one.
+
+    ``speed`` is what the kind of upstream and the place of its data let expect. Runs
+    on a slow kind take longer, and a new run is taken to be at the reference speed.
+    """
     step = progress.step
     if step.lasting:
         return (
@@ -78,12 +89,14 @@
     if run.pace < 100 or step.opportunistic or elapsed < MIN_RUN_TIME:
         return False
     upper = ratios.find_upper(progress.job.submission.queue)
+    usual_time = step.estimate * (upper / speed) + RESTART_COST
     restart_time = step.estimate * upper + RESTART_COST
     # A task that is slow on every upstream has a wrong estimate.
     observed = progress.observed_durations.get(run.task.index)
     if observed is not None:
+        usual_time = max(usual_time, observed)
         restart_time = max(restart_time, observed)
-    if elapsed < restart_time:
+    if elapsed < usual_time:
         return False
     return _extrapolate_time_left(run, elapsed) > restart_time * GAIN_FACTOR
 
