Estimate waits from all accepted work, and shed surplus jobs first

Cause: the leader's estimate counted only the waiting tasks that were ready, so that bursts of jobs with wide later steps were admitted and all ended late; room held by lasting tasks counted as free, and each instance admitted the same room again until the next estimate. One workspace far above its rate made the jobs of all others late. Change: the leader adds up running, waiting and later tasks over time (expected_work, demand, backlog) by service, priority and the time until jobs are due, separately for accelerators, and sends it with the room of each busy service and the workspaces beyond their rate. AdmissionControl at each instance adds what it has admitted itself, and decides: jobs that would be on time pass, late ones as long as late work still gets its turn, surplus ones only with a short wait, and jobs over their workspace's limit never. Retry-After spreads returns by the job's id. Refusals, the estimate and its age are counted, and the line of a refused request has its inputs.

--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -1,88 +1,261 @@
 """Estimate of how long a job that is accepted now would wait for capacity.
 
-The wait is that for the scarcest resource: where tasks need many accelerators, these
+A new job runs only when the work that goes before it leaves room, so that it waits
+for as long as this work uses up a resource. Where tasks need many accelerators, these
 are taken long before the processors are.
 """
 
+from collections.abc import Iterable
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, field
 
-from almondspread.jobs.configuration import Configuration, Queue
-from almondspread.jobs.durations import DurationRatios
-from almondspread.jobs.ordering import FIRST_GROUP, rank_step
-from almondspread.jobs.step_progress import StepProgress
+from almondspread.jobs.configuration import Configuration
+from almondspread.jobs.demand import NOT_BUSY, BusyTime, Demand
+from almondspread.jobs.expected_work import CLASS_BOUNDS, ExpectedWork, ResourceRates
 from almondspread.jobs.upstreams import Upstream
-from almondspread.resources.capacity import Capacity
 
-# Longer waits make no difference to any job, and must not overflow.
-MAX_WAIT = timedelta(days=1)
+# A service of which less is in use is sent to nobody: each instance may fill it.
+TOLD_PART = 0.5
+# Waits of two classes that differ less are sent as one, and shorter ones not at all.
+MIN_DIFFERENCE_SECONDS = 0.05
+# Waiting lasting tasks may not find room, so that they never count for all of it.
+MIN_CAPACITY_PART = 0.05
 
 
 @define(frozen=True)
 class ServiceWait:
     """How many seconds a job would wait whose queue has this service and priority.
 
-    Waits depend on nothing else, while there may be thousands of queues.
+    Waits depend on nothing else but the ``size_class``, while there may be thousands of
+    queues. A class that is not named waits like the next lower one that is, and not at
+    all if there is none. The wait begins ``starts_in`` some seconds, after which only
+    longer jobs are under way. With ``accelerated``, it holds for jobs that need
+    accelerators.
     """
 
     service: str
     priority: int
     seconds: float
+    size_class: int = 0
+    starts_in: float = 0.0
+    accelerated: bool = False
 
 
-def estimate_wait(
-    queue: Queue,
-    configuration: Configuration,
-    waiting: list[StepProgress],
-    upstreams: list[Upstream],
-    ratios: DurationRatios,
-    now: timedelta,
-) -> timedelta:
-    """Return how long the work ahead of a new job of the queue will take.
-
-    The work ahead consists of the waiting tasks that would be placed before those of
-    the new job. All usable upstreams of the service share it. ``ratios`` corrects the
-    estimates of each queue. Without usable upstreams, the estimate is zero.
+@define(frozen=True)
+class ServiceRoom:
+    """The capacity of a service for tasks that end, and how much of it is not claimed.
+
+    Amounts are in thousandths of a core, MiB and accelerators. After ``late_seconds``,
+    also the work is done that can no longer be on time but still has value.
     """
-    capacity = Capacity(0, 0, 0)
+
+    service: str
+    cpu_millis: float
+    memory_mib: float
+    accelerators: float = 0.0
+    free_cpu_millis: float = 0.0
+    free_memory_mib: float = 0.0
+    free_accelerators: float = 0.0
+    late_seconds: float = 0.0
+
+
+@define(frozen=True)
+class Backlog:
+    """The waits and the room of all services that are not nearly idle."""
+
+    waits: tuple[ServiceWait, ...] = ()
+    rooms: tuple[ServiceRoom, ...] = ()
+
+
+@define(eq=False)
+class _Demands:
+    """The demand for each resource of a service."""
+
+    processor: Demand = field(factory=Demand)
+    memory: Demand = field(factory=Demand)
+    accelerators: Demand = field(factory=Demand)
+
+    def add(self, work: ExpectedWork) -> None:
+        """Add some work."""
+        rates = work.rates
+        self.processor.add(work.starts_in, work.seconds, rates.processor)
+        self.memory.add(work.starts_in, work.seconds, rates.memory)
+        self.accelerators.add(work.starts_in, work.seconds, rates.accelerators)
+
+    def find_busy_times(self, capacity: ResourceRates) -> tuple[BusyTime, BusyTime]:
+        """Return when jobs without accelerators have no room, and when others."""
+        processor = self.processor.find_busy_time(capacity.processor)
+        memory = self.memory.find_busy_time(capacity.memory)
+        plain = max((processor, memory), key=lambda busy: busy.seconds)
+        accelerators = self.accelerators.find_busy_time(capacity.accelerators)
+        return plain, max((plain, accelerators), key=lambda busy: busy.seconds)
+
+
+def is_counted(upstream: Upstream, now: timedelta) -> bool:
+    """Return whether the capacity of an upstream counts.
+
+    One that has not reported to a new leader yet does: otherwise every change of the
+    leader would look like an overload.
+    """
+    if upstream.is_usable(now):
+        return True
+    if upstream.has_reported or not upstream.listed:
+        return False
+    return upstream.lapse_at is None and not upstream.is_leaving
+
+
+def sum_capacities(
+    upstreams: Iterable[Upstream], works: Iterable[ExpectedWork], now: timedelta
+) -> dict[str, ResourceRates]:
+    """Return the capacity of each service without what lasting tasks hold or need."""
+    whole: dict[str, list[float]] = {}
     for upstream in upstreams:
-        if upstream.entry.service == queue.service and upstream.is_usable(now):
-            capacity = capacity.plus(upstream.entry.capacity)
-    if not capacity.cpu_millis:
-        return timedelta(0)
-    processor = memory = accelerators = 0.0
-    for progress in waiting:
-        if not _is_ahead(progress, queue, configuration, now):
+        if not is_counted(upstream, now):
             continue
-        name = progress.job.submission.queue
-        claim = progress.step.claim
-        seconds = progress.step.estimate.total_seconds() * ratios.find_mean(name)
-        seconds *= len(progress.waiting)
-        processor += seconds * claim.cpu_millis
-        memory += seconds * claim.memory_mib
-        accelerators += seconds * claim.accelerators
-    wait = max(
-        processor / capacity.cpu_millis,
-        memory / max(capacity.memory_mib, 1),
-        accelerators / max(capacity.accelerators, 1),
-    )
-    return timedelta(seconds=min(wait, MAX_WAIT.total_seconds()))
+        amounts = whole.setdefault(upstream.entry.service, [0.0, 0.0, 0.0])
+        capacity = upstream.entry.capacity
+        amounts[0] += capacity.cpu_millis
+        amounts[1] += capacity.memory_mib
+        amounts[2] += capacity.accelerators
+    sums = {service: list(amounts) for service, amounts in whole.items()}
+    for work in works:
+        if not work.is_lasting or work.service not in sums:
+            continue
+        amounts = sums[work.service]
+        amounts[0] -= work.rates.processor
+        amounts[1] -= work.rates.memory
+        amounts[2] -= work.rates.accelerators
+    found: dict[str, ResourceRates] = {}
+    for service, amounts in sums.items():
+        least = [amount * MIN_CAPACITY_PART for amount in whole[service]]
+        found[service] = ResourceRates(*map(max, amounts, least))
+    return found
 
 
-def _is_ahead(
-    progress: StepProgress, queue: Queue, configuration: Configuration, now: timedelta
-) -> bool:
-    """Return whether a step's waiting tasks are placed before a new job of the queue.
+def estimate_backlog(
+    configuration: Configuration,
+    works: list[ExpectedWork],
+    capacities: dict[str, ResourceRates],
+) -> Backlog:
+    """Return how long new jobs wait, by service, priority and size class.
 
-    Jobs that are late already stand behind new ones, and tasks that no upstream may run
-    take room from nobody.
+    Each service's work is added up once, in the order in which it is placed: what runs,
+    then by priority and class, then what is late. All counted upstreams of the service
+    share it. Services without capacity are left out.
     """
-    other = progress.job.submission.find_queue(configuration)
-    if other is None or other.service != queue.service:
-        return False
-    if other.priority > queue.priority or progress.step.lasting:
-        return False
-    if progress.permits.denied and not progress.permits.allowed:
-        return False
-    return rank_step(progress, configuration, now)[0] == FIRST_GROUP
+    priorities: dict[str, set[int]] = {}
+    for queue in configuration.queues.values():
+        priorities.setdefault(queue.service, set()).add(queue.priority)
+    ended: dict[str, list[ExpectedWork]] = {}
+    for work in works:
+        if not work.is_lasting:
+            ended.setdefault(work.service, []).append(work)
+    waits: list[ServiceWait] = []
+    rooms: list[ServiceRoom] = []
+    for service, capacity in capacities.items():
+        own = ended.get(service, [])
+        if not own or not capacity.processor:
+            continue
+        demands = _Demands()
+        waits.extend(
+            _estimate_waits(
+                service, sorted(priorities.get(service, ())), own, capacity, demands
+            )
+        )
+        room = _measure_room(service, own, capacity, demands)
+        if room is not None:
+            rooms.append(room)
+    return Backlog(tuple(waits), tuple(rooms))
+
+
+def _estimate_waits(
+    service: str,
+    priorities: list[int],
+    works: list[ExpectedWork],
+    capacity: ResourceRates,
+    demands: _Demands,
+) -> list[ServiceWait]:
+    """Return the waits of one service, and add its work that is not late."""
+    by_place: dict[tuple[int, int], list[ExpectedWork]] = {}
+    for work in works:
+        if work.is_running:
+            demands.add(work)
+        elif not work.is_late:
+            by_place.setdefault((work.priority, work.size_class), []).append(work)
+    places = [
+        (priority, size_class)
+        for priority in sorted({*priorities, *(place[0] for place in by_place)})
+        for size_class in range(len(CLASS_BOUNDS) + 1)
+    ]
+    waits: list[ServiceWait] = []
+    busy_times = demands.find_busy_times(capacity)
+    told: dict[tuple[int, bool], BusyTime] = {}
+    for place in places:
+        if place in by_place:
+            for work in by_place[place]:
+                demands.add(work)
+            busy_times = demands.find_busy_times(capacity)
+        for accelerated, busy in enumerate(busy_times):
+            key = (place[0], bool(accelerated))
+            last = told.get(key, NOT_BUSY)
+            if place[0] not in priorities or not _differs(busy, last):
+                continue
+            told[key] = busy
+            waits.append(
+                ServiceWait(
+                    service,
+                    place[0],
+                    round(busy.seconds, 2),
+                    place[1],
+                    round(busy.starts_in, 2),
+                    bool(accelerated),
+                )
+            )
+    return waits
+
+
+def _differs(busy: BusyTime, other: BusyTime) -> bool:
+    """Return whether a busy time is worth sending beside another."""
+    return (
+        abs(busy.seconds - other.seconds) > MIN_DIFFERENCE_SECONDS
+        or abs(busy.starts_in - other.starts_in) > MIN_DIFFERENCE_SECONDS
+    )
+
+
+def _measure_room(
+    service: str,
+    works: list[ExpectedWork],
+    capacity: ResourceRates,
+    demands: _Demands,
+) -> ServiceRoom | None:
+    """Add a service's late work; return its room, ``None`` if it is nearly idle."""
+    free = ResourceRates(
+        max(0.0, capacity.processor - demands.processor.present),
+        max(0.0, capacity.memory - demands.memory.present),
+        max(0.0, capacity.accelerators - demands.accelerators.present),
+    )
+    parts = [
+        (free.processor, capacity.processor),
+        (free.memory, capacity.memory),
+        (free.accelerators, capacity.accelerators),
+    ]
+    has_late = False
+    for work in works:
+        if work.is_late:
+            demands.add(work)
+            has_late = True
+    is_idle = all(left >= (1.0 - TOLD_PART) * whole for left, whole in parts)
+    if is_idle and not has_late:
+        return None
+    _, late = demands.find_busy_times(capacity)
+    return ServiceRoom(
+        service,
+        round(capacity.processor),
+        round(capacity.memory),
+        round(capacity.accelerators),
+        round(free.processor),
+        round(free.memory),
+        round(free.accelerators),
+        round(late.seconds, 2),
+    )
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/expected_work.py
@@ -0,0 +1,169 @@
+"""The work that accepted jobs still have to do, by when it starts and is due."""
+
+from collections.abc import Collection, Iterable
+from datetime import timedelta
+
+from attrs import define
+
+from almondspread.jobs.configuration import Configuration, Queue
+from almondspread.jobs.durations import DurationRatios
+from almondspread.jobs.ordering import FIRST_GROUP, LAST_GROUP, rank_step
+from almondspread.jobs.progress import JobProgress
+from almondspread.jobs.step_progress import StepProgress
+
+# Seconds until the due time; jobs of one class are taken to wait alike. Jobs that are
+# due sooner are placed first, so that a burst of large jobs does not delay small ones.
+CLASS_BOUNDS = (2.0, 8.0, 32.0, 128.0)
+# Seconds that a task is expected to run on, at the least.
+MIN_LEFT = 0.1
+# A run that exceeds its expected duration goes on for about this part of it.
+OVERRUN_PART = 0.1
+
+
+@define(frozen=True)
+class ResourceRates:
+    """Amounts of each resource that are held at the same time."""
+
+    processor: float = 0.0
+    memory: float = 0.0
+    accelerators: float = 0.0
+
+
+@define(frozen=True)
+class ExpectedWork:
+    """What tasks of one step will hold, from ``starts_in`` on for ``seconds``.
+
+    ``service`` and ``priority`` are those of the job's queue. Tasks that already run
+    are ahead of all others. Otherwise ``size_class`` tells how soon the job is due, and
+    it ``is_late`` if it can no longer be on time. Lasting tasks never end.
+    """
+
+    service: str
+    priority: int
+    size_class: int
+    starts_in: float
+    seconds: float
+    rates: ResourceRates
+    is_running: bool = False
+    is_late: bool = False
+    is_lasting: bool = False
+
+
+def find_class(seconds: float) -> int:
+    """Return the size class of a job that is due in so many seconds.
+
+    >>> find_class(0.5), find_class(10.0), find_class(1_000.0)
+    (0, 2, 4)
+    """
+    for number, bound in enumerate(CLASS_BOUNDS):
+        if seconds <= bound:
+            return number
+    return len(CLASS_BOUNDS)
+
+
+def list_expected_work(
+    jobs: Iterable[JobProgress],
+    counted_upstreams: Collection[str],
+    configuration: Configuration,
+    ratios: DurationRatios,
+    now: timedelta,
+) -> list[ExpectedWork]:
+    """Return the work of all jobs that have not ended.
+
+    It includes steps that are not ready yet, from when they are expected to be. Runs
+    count only on ``counted_upstreams``. ``ratios`` corrects the declared estimates.
+    Tasks that no upstream may run and results without value take room from nobody.
+    """
+    found: list[ExpectedWork] = []
+    for job in jobs:
+        if job.ended is not None:
+            continue
+        queue = job.submission.find_queue(configuration)
+        if queue is None:
+            continue
+        ratio = ratios.find_mean(job.submission.queue)
+        ends: dict[tuple[int, int], float] = {}
+        for key, progress in job.steps.items():
+            starts_in = 0.0
+            for number in progress.step.after:
+                starts_in = max(starts_in, ends.get((key[0], number), 0.0))
+            ends[key] = starts_in
+            running = _expect_runs(progress, queue, counted_upstreams, ratio, now)
+            if running is not None:
+                found.append(running)
+                ends[key] = running.seconds
+            waiting = _expect_waiting(
+                progress, queue, configuration, starts_in, ratio, now
+            )
+            if waiting is not None:
+                found.append(waiting)
+                ends[key] = max(ends[key], starts_in + waiting.seconds)
+    return found
+
+
+def _scale(progress: StepProgress, count: int) -> ResourceRates:
+    """Return what a number of tasks of a step hold together."""
+    claim = progress.step.claim
+    return ResourceRates(
+        claim.cpu_millis * count, claim.memory_mib * count, claim.accelerators * count
+    )
+
+
+def _expect_runs(
+    progress: StepProgress,
+    queue: Queue,
+    counted_upstreams: Collection[str],
+    ratio: float,
+    now: timedelta,
+) -> ExpectedWork | None:
+    """Return what the running tasks of a step still hold."""
+    count = 0
+    elapsed = 0.0
+    for runs in progress.runs.values():
+        for run in runs:
+            if run.upstream in counted_upstreams:
+                count += 1
+                elapsed += (now - run.started_at).total_seconds()
+    if not count:
+        return None
+    expected = progress.step.estimate.total_seconds() * ratio
+    left = max(expected - elapsed / count, OVERRUN_PART * expected, MIN_LEFT)
+    return ExpectedWork(
+        queue.service,
+        queue.priority,
+        0,
+        0.0,
+        left,
+        _scale(progress, count),
+        is_running=True,
+        is_lasting=progress.step.lasting,
+    )
+
+
+def _expect_waiting(
+    progress: StepProgress,
+    queue: Queue,
+    configuration: Configuration,
+    starts_in: float,
+    ratio: float,
+    now: timedelta,
+) -> ExpectedWork | None:
+    """Return what the waiting tasks of a step will hold, if they have any value."""
+    if not progress.waiting:
+        return None
+    if progress.permits.denied and not progress.permits.allowed:
+        return None
+    group, priority, due = rank_step(progress, configuration, now)
+    if group == LAST_GROUP:
+        return None
+    seconds = progress.step.estimate.total_seconds() * ratio
+    return ExpectedWork(
+        queue.service,
+        priority,
+        find_class((due - now).total_seconds()),
+        starts_in,
+        max(seconds, MIN_LEFT),
+        _scale(progress, len(progress.waiting)),
+        is_late=group != FIRST_GROUP,
+        is_lasting=progress.step.lasting,
+    )
--- /dev/null
+++ b/packages/almondspread/almondspread/jobs/load_estimate.py
@@ -0,0 +1,73 @@
+"""The newest estimate of the leader, as an entry instance looks things up in it."""
+
+from datetime import timedelta
+
+from attrs import define, field
+
+from almondspread.jobs.backlog import ServiceRoom, ServiceWait
+from almondspread.jobs.demand import NOT_BUSY, BusyTime
+from almondspread.jobs.expected_work import CLASS_BOUNDS
+
+# An older estimate says nothing any more about how long a job would wait.
+MAX_AGE = timedelta(seconds=2)
+
+_Key = tuple[str, int, bool]
+
+
+@define(frozen=True)
+class Loads:
+    """What the leader tells of the load, in its own message.
+
+    ``exceeded`` names the workspaces that submit more than their rate. As many
+    ``instances`` accept jobs.
+    """
+
+    waits: tuple[ServiceWait, ...] = ()
+    rooms: tuple[ServiceRoom, ...] = ()
+    exceeded: tuple[str, ...] = ()
+    instances: int = 1
+
+
+@define(eq=False)
+class LoadEstimate:
+    """An estimate that has arrived ``at`` a time, ``None`` where none has."""
+
+    loads: Loads = Loads()
+    at: timedelta | None = None
+    exceeded: frozenset[str] = frozenset()
+    _busy_times: dict[_Key, list[BusyTime]] = field(factory=dict)
+    _rooms: dict[str, ServiceRoom] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.exceeded = frozenset(self.loads.exceeded)
+        self._rooms = {room.service: room for room in self.loads.rooms}
+        for wait in self.loads.waits:
+            key = (wait.service, wait.priority, wait.accelerated)
+            classes = self._busy_times.setdefault(
+                key, [NOT_BUSY] * (len(CLASS_BOUNDS) + 1)
+            )
+            busy = BusyTime(wait.starts_in, wait.seconds)
+            for number in range(max(wait.size_class, 0), len(classes)):
+                classes[number] = busy
+
+    def is_fresh(self, now: timedelta) -> bool:
+        """Return whether the estimate still tells how long a job would wait."""
+        return self.at is not None and now - self.at <= MAX_AGE
+
+    def find_busy_time(
+        self, service: str, priority: int, size_class: int, accelerated: bool
+    ) -> BusyTime:
+        """Return when a service is all used by what goes before a new job."""
+        classes = self._busy_times.get((service, priority, accelerated))
+        return classes[size_class] if classes is not None else NOT_BUSY
+
+    def find_room(self, service: str) -> ServiceRoom | None:
+        """Return the room of a service, ``None`` where more than half is free."""
+        return self._rooms.get(service)
+
+    def list_longest_waits(self) -> dict[str, float]:
+        """Return the longest wait of a new job in seconds, by service with a wait."""
+        longest: dict[str, float] = {}
+        for wait in self.loads.waits:
+            longest[wait.service] = max(longest.get(wait.service, 0.0), wait.seconds)
+        return longest
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -9,15 +9,17 @@
 from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
 
-from almondspread.jobs.backlog import ServiceWait, estimate_wait
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
+from almondspread.jobs.exceeded_rates import ExceededRates
 from almondspread.jobs.holds import StartHolds, group_by_step
 from almondspread.jobs.job_records import JobRecord
 from almondspread.jobs.job_table import Announcement, JobTable
+from almondspread.jobs.leader_loads import estimate_loads
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
+from almondspread.jobs.load_estimate import Loads
 from almondspread.jobs.loads import Load, count_held_tasks, measure_load
 from almondspread.jobs.messages import (
     NO_ASSIGNMENT,
@@ -94,6 +96,7 @@
             lease,
         )
         self.changes = ChangeQueue(self._job_table, self._upstream_tracker)
+        self._exceeded_rates = ExceededRates()
         self._planner = StartPlanner(self.cell_state, self._control, max_entry_age)
 
     @property
@@ -139,6 +142,10 @@
         The call is idempotent: repeating it can only lower the job's known version.
         ``record`` is the progress that an earlier leader stored, if any.
         """
+        workspaces = self.configuration.workspaces or {}
+        workspace = workspaces.get(submission.workspace)
+        if workspace is not None and submission.job not in self.jobs:
+            self._exceeded_rates.record(workspace, accepted)
         self._job_table.accept_job(
             submission, accepted, wall, version=version, record=record
         )
@@ -399,24 +406,17 @@
             found |= tasks
         return frozenset(found)
 
-    def estimate_waits(self, now: timedelta) -> tuple[ServiceWait, ...]:
-        """Return how long a job accepted now would wait, by service and priority."""
-        waits: dict[tuple[str, int], ServiceWait] = {}
-        upstreams = list(self.cell_state.upstreams.values())
-        steps = list(self._job_table.ready_steps.values())
-        for queue in self.configuration.queues.values():
-            key = (queue.service, queue.priority)
-            if key not in waits:
-                wait = estimate_wait(
-                    queue,
-                    self.configuration,
-                    steps,
-                    upstreams,
-                    self._control.ratios,
-                    now,
-                )
-                waits[key] = ServiceWait(*key, wait.total_seconds())
-        return tuple(waits.values())
+    def estimate_loads(self, now: timedelta, instances: int = 1) -> Loads:
+        """Return what to expect of the load, while ``instances`` accept jobs."""
+        return estimate_loads(
+            self.jobs,
+            self.cell_state.upstreams,
+            self.configuration,
+            self._control.ratios,
+            self._exceeded_rates,
+            now,
+            instances,
+        )
 
     def measure_load(self, now: timedelta) -> Load:
         """Return the current backlog and the utilization of the usable upstreams."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
@@ -67,6 +67,8 @@
 
     def send_with_loads(self) -> None:
         """Send all members a heartbeat and the waits that new jobs have to expect."""
-        loads = QueueLoads(self._scheduler.estimate_waits(self._clock.monotonic()))
+        instances = max(1, len(self._assignments.members.members))
+        loads = self._scheduler.estimate_loads(self._clock.monotonic(), instances)
+        message = QueueLoads(loads.waits, loads.rooms, loads.exceeded, loads.instances)
         self.send()
-        self._assignments.broadcast(loads)
+        self._assignments.broadcast(message)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/instance.py
@@ -73,6 +73,11 @@
     ) -> None:
         self.settings = settings
         self.state_cache = JobStateCache()
+        admission = self.state_cache.admission
+        metrics.observe_load(
+            lambda: admission.measure_age(clock.monotonic()),
+            lambda: admission.estimate.list_longest_waits(),
+        )
         self.store_clock = RemoteClock(clock)
         self._relay = RowRelay(clock)
         self._writer = RowWriter(
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/job_service.py
@@ -16,7 +16,6 @@
     Problem,
     Unavailable,
 )
-from almondspread.jobs.admission import decide_admission
 from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.jobs.job_records import TERMINAL_STATES, JobRecord, JobState
 from almondspread.jobs.job_table import Announcement
@@ -118,11 +117,9 @@
         known = self._state_cache.find_state(submission.job)
         if known is not None:
             return Ok(known)
-        wait = self._state_cache.find_wait(queue)
-        admission = decide_admission(queue, submission, timedelta(seconds=wait))
-        if admission is not None:
-            self._record_outcome(submission.job, "refused", queue=queue.name, wait=wait)
-            return Error(admission)
+        refusal = self._decide_admission(queue, submission)
+        if refusal is not None:
+            return Error(refusal)
         time_left = min(timeout - ANSWER_MARGIN, MAX_STORE_WAIT)
         if time_left < MIN_STORE_WAIT:
             failure = StoreUnavailable(
@@ -147,6 +144,29 @@
         self._state_cache.add_queued(submission.job, queue.name)
         return Ok(JobState.QUEUED)
 
+    def _decide_admission(self, queue: Queue, submission: Submission) -> Problem | None:
+        """Return the problem of a job that is not admitted, and record the refusal."""
+        if self.configuration is None:
+            return None
+        now = self._clock.monotonic()
+        admission = self._state_cache.admission
+        refusal = admission.decide(queue, submission, self.configuration, now)
+        if refusal is None:
+            return None
+        self._metrics.count_refusal(refusal.reason, submission.workspace)
+        self._record_outcome(
+            submission.job,
+            "refused",
+            queue=queue.name,
+            workspace=submission.workspace,
+            reason=str(refusal.reason),
+            wait=round(refusal.outlook.wait_seconds, 2),
+            late_wait=round(refusal.outlook.late_seconds, 2),
+            estimate_age=admission.measure_age(now),
+            retry_after=refusal.problem.retry_after_seconds,
+        )
+        return refusal.problem
+
     def _reject(self, job: str, failure: StoreUnavailable) -> Problem:
         """Record and return the problem of a job that certainly is not stored."""
         self._record_outcome(job, "refused", reason=failure.reason)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from almondspread.clock import Clock
+from almondspread.jobs.load_estimate import Loads
 from almondspread.jobs.messages import AskPermits, UpstreamOrder
 from almondspread_daemon.jobs.candidacy import Candidacy
 from almondspread_daemon.jobs.executor import Executor
@@ -134,7 +135,10 @@
             case StatesChanged():
                 self._state_cache.update(message.states)
             case QueueLoads():
-                self._state_cache.set_waits(message.waits)
+                loads = Loads(
+                    message.waits, message.rooms, message.exceeded, message.instances
+                )
+                self._state_cache.admission.update(loads, self._clock.monotonic())
             case Beat():
                 self._handle_heartbeat(message)
             case ClockTold():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -10,7 +10,7 @@
 from tornado.tcpserver import TCPServer
 
 from almondspread.codec import TaggedCodec
-from almondspread.jobs.backlog import ServiceWait
+from almondspread.jobs.backlog import ServiceRoom, ServiceWait
 from almondspread.jobs.job_table import Announcement
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.messages import (
@@ -206,9 +206,17 @@
 
 @define(frozen=True)
 class QueueLoads:
-    """Estimated waits until a job that is accepted now would start."""
+    """Estimated waits until a job that is accepted now would start.
+
+    ``rooms`` tells how much of each service is in use, ``exceeded`` names workspaces
+    that are beyond their rate, and as many ``instances`` accept jobs. One of an earlier
+    release sends only the waits.
+    """
 
     waits: tuple[ServiceWait, ...]
+    rooms: tuple[ServiceRoom, ...] = ()
+    exceeded: tuple[str, ...] = ()
+    instances: int = 1
 
 
 @define(frozen=True)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -16,6 +16,9 @@
 METER_NAME = "almondspread.jobs"
 # Calls take milliseconds as a rule, and seconds during outages.
 LATENCY_BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+# Workspaces with labels of their own; more would make the metrics large.
+MAX_WORKSPACE_LABELS = 64
+OTHER_WORKSPACES = "other"
 
 
 class JobMetrics:
@@ -37,6 +40,10 @@
         self._requests = meter.create_counter(
             "job_requests", description="requests about jobs, by outcome"
         )
+        self._refusals = meter.create_counter(
+            "job_refusals", description="jobs not admitted, by reason and workspace"
+        )
+        self._labelled_workspaces: set[str] = set()
         self._store_calls = meter.create_histogram(
             "store_call_seconds",
             unit="s",
@@ -86,6 +93,20 @@
         """Count a caller's request by its outcome."""
         self._requests.add(1, {"outcome": outcome})
 
+    def count_refusal(self, reason: str, workspace: str) -> None:
+        """Count a job that was not admitted, by the reason and its workspace."""
+        label = self._label_workspace(workspace)
+        self._refusals.add(1, {"reason": str(reason), "workspace": label})
+
+    def _label_workspace(self, workspace: str) -> str:
+        """Return a workspace's name, or ``other`` if many have one of their own."""
+        if workspace in self._labelled_workspaces:
+            return workspace
+        if len(self._labelled_workspaces) >= MAX_WORKSPACE_LABELS:
+            return OTHER_WORKSPACES
+        self._labelled_workspaces.add(workspace)
+        return workspace
+
     def record_store_call(self, latency: timedelta, outcome: str) -> None:
         """Record the latency of a call to the platform's store."""
         self._store_calls.record(latency.total_seconds(), {"outcome": outcome})
@@ -123,6 +144,34 @@
             description="since the configuration was known to be the newest",
         )
 
+    def observe_load(
+        self,
+        measure_age: Callable[[], float | None],
+        list_waits: Callable[[], dict[str, float]],
+    ) -> None:
+        """Export the age of the leader's estimate, and the longest wait by service."""
+
+        def observe_age(_: CallbackOptions) -> Iterable[Observation]:
+            seconds = measure_age()
+            return () if seconds is None else (Observation(seconds),)
+
+        def observe_waits(_: CallbackOptions) -> Iterable[Observation]:
+            for service, seconds in list_waits().items():
+                yield Observation(seconds, {"service": service})
+
+        self._meter.create_observable_gauge(
+            "load_estimate_age_seconds",
+            [observe_age],
+            unit="s",
+            description="since the leader's last estimate of the load arrived",
+        )
+        self._meter.create_observable_gauge(
+            "estimated_wait_seconds",
+            [observe_waits],
+            unit="s",
+            description="longest wait that a new job has to expect, by service",
+        )
+
     def count_row_change(self, source: str) -> None:
         """Count a change of operators' rows, by whether the store or a member told."""
         self._row_changes.add(1, {"source": source})
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/state_cache.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/state_cache.py
@@ -4,8 +4,7 @@
 
 from attrs import define, field
 
-from almondspread.jobs.backlog import ServiceWait
-from almondspread.jobs.configuration import Queue
+from almondspread.jobs.admission_control import AdmissionControl
 from almondspread.jobs.job_records import TERMINAL_STATES, JobState
 from almondspread.jobs.job_table import Announcement
 
@@ -16,12 +15,12 @@
 
     ``is_current`` is true while a leader keeps the states up to date. While
     ``knows_all`` is true, a job that is not in the cache does not exist or its end is
-    stored.
+    stored. ``admission`` holds the leader's estimate of the load.
     """
 
     is_current: bool = False
     knows_all: bool = False
-    _waits: dict[tuple[str, int], float] = field(factory=dict)
+    admission: AdmissionControl = field(factory=AdmissionControl)
     _states: dict[str, Announcement] = field(factory=dict)
     _queued: dict[str, set[str]] = field(factory=dict)
     _ended_at: dict[str, timedelta] = field(factory=dict)
@@ -36,14 +35,6 @@
         self.is_current = True
         self.knows_all = False
 
-    def set_waits(self, waits: tuple[ServiceWait, ...]) -> None:
-        """Replace the estimated waits until a job that is accepted now would start."""
-        self._waits = {(wait.service, wait.priority): wait.seconds for wait in waits}
-
-    def find_wait(self, queue: Queue) -> float:
-        """Return in how many seconds a job of a queue would start, 0 if unknown."""
-        return self._waits.get((queue.service, queue.priority), 0.0)
-
     def mark_stale(self) -> None:
         """Note that no leader keeps the states up to date."""
         self.is_current = False
