--- a/packages/almondspread/almondspread/jobs/admission.py
+++ b/packages/almondspread/almondspread/jobs/admission.py
@@ -9,9 +9,9 @@
 
 from attrs import define
 
-from almondspread.jobs.configuration import Queue
+from almondspread.jobs.load_estimate import JobShape
 from almondspread.jobs.ordering import LATE_FACTOR
-from almondspread.jobs.submissions import Submission, compute_critical_paths
+from almondspread.jobs.submissions import Submission
 from almondspread.resources.capacity import Capacity
 
 # The estimate is up to this old, and tasks end in steps rather than evenly, so that
@@ -60,16 +60,6 @@
     seconds: float
 
 
-def find_path(submission: Submission) -> float:
-    """Return the length of a job's critical path in seconds."""
-    return max(compute_critical_paths(submission)).total_seconds()
-
-
-def compute_objective(queue: Queue, path: float) -> float:
-    """Return in how many seconds a job with a critical path is to end."""
-    return queue.stretch * path + queue.target_latency.total_seconds()
-
-
 def is_refused_by_load(submission: Submission) -> bool:
     """Return whether a job may be refused because of load.
 
@@ -80,14 +70,13 @@
     return not any(step.lasting for step in submission.steps)
 
 
-def find_excess(queue: Queue, path: float, outlook: Outlook) -> Excess | None:
-    """Return why a job with a critical path of some seconds is refused, if it is.
+def find_excess(job: JobShape, outlook: Outlook) -> Excess | None:
+    """Return why a job is refused because of load, ``None`` if it is admitted.
 
     All bounds are relative to the job's own target, so that large jobs are not refused
     more often than small ones.
     """
-    objective = compute_objective(queue, path)
-    slack = objective - path - outlook.elapsed_seconds
+    slack = job.slack - outlook.elapsed_seconds
     strictness = REOPENING_PART if outlook.is_refusing else 1.0
     wait = outlook.wait_seconds
     if outlook.is_surplus and wait > 0.0:
@@ -98,7 +87,7 @@
     if wait <= max(0.0, slack * strictness) + TOLERANCE_SECONDS:
         return None
     late_wait = wait + max(0.0, outlook.late_seconds - wait) / LATE_SHARE
-    bound = LATE_FACTOR * objective - path - outlook.elapsed_seconds
+    bound = LATE_FACTOR * job.objective - job.path - outlook.elapsed_seconds
     if late_wait <= bound * strictness:
         return None
     return Excess(RefusalReason.LOAD, late_wait - bound * strictness)
--- a/packages/almondspread/almondspread/jobs/admitted_work.py
+++ b/packages/almondspread/almondspread/jobs/admitted_work.py
@@ -6,7 +6,8 @@
 from attrs import define, field
 
 from almondspread.jobs.backlog import ServiceRoom
-from almondspread.jobs.expected_work import ResourceRates
+from almondspread.jobs.demand import ResourceRates
+from almondspread.jobs.load_estimate import MAX_AGE
 from almondspread.jobs.submissions import Submission
 
 # A job counts until an estimate arrives this long after its admission: storing it and
@@ -14,7 +15,8 @@
 INTAKE_TIME = timedelta(milliseconds=300)
 # The rate at which this instance admits work is taken over this time.
 RATE_TIME = timedelta(seconds=1)
-NO_RATES = ResourceRates()
+# No job counts for longer than an estimate may be old, and the time before it.
+MAX_TIME = MAX_AGE + INTAKE_TIME
 
 
 # The priority of a job's queue, and its size class.
@@ -49,18 +51,15 @@
     def add(
         self, service: str, place: Place, submission: Submission, now: timedelta
     ) -> None:
-        """Add a job that was just admitted."""
+        """Add a job that was just admitted, and forget those that count no more."""
+        while self._jobs and self._jobs[0].at < now - MAX_TIME:
+            self._jobs.popleft()
         held, work = _measure(submission)
         self._jobs.append(_Admitted(now, service, place, held, work))
 
-    def forget(self, before: timedelta) -> None:
-        """Forget jobs that were admitted before a time."""
-        while self._jobs and self._jobs[0].at < before:
-            self._jobs.popleft()
-
     def estimate_wait(
         self,
-        room: ServiceRoom | None,
+        room: ServiceRoom,
         place: Place,
         instances: int,
         accelerated: bool,
@@ -72,8 +71,6 @@
         Only jobs count that are placed before it or with it.
         There is no wait while all of it fits into the ``room`` that was free.
         """
-        if room is None:
-            return 0.0
         unknown_since = estimated_at - INTAKE_TIME
         others = (instances - 1) * ((now - unknown_since) / RATE_TIME)
         held = [0.0, 0.0, 0.0]
--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -8,12 +8,21 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from attrs import define, field
+from attrs import define
 
 from almondspread.jobs.configuration import Configuration
-from almondspread.jobs.demand import NOT_BUSY, BusyTime, Demand
-from almondspread.jobs.expected_work import CLASS_BOUNDS, ExpectedWork, ResourceRates
+from almondspread.jobs.demand import (
+    ACCELERATORS,
+    MEMORY,
+    NOT_BUSY,
+    PROCESSOR,
+    BusyTime,
+    Demand,
+    ResourceRates,
+)
+from almondspread.jobs.expected_work import CLASS_BOUNDS, ExpectedWork
 from almondspread.jobs.upstreams import Upstream
+from almondspread.resources.capacity import Capacity
 
 # A service of which less is in use is sent to nobody: each instance may fill it.
 TOLD_PART = 0.5
@@ -30,8 +39,8 @@
     Waits depend on nothing else but the ``size_class``, while there may be thousands of
     queues. A class that is not named waits like the next lower one that is, and not at
     all if there is none. The wait begins ``starts_in`` some seconds, after which only
-    longer jobs are under way. With ``accelerated``, it holds for jobs that need
-    accelerators.
+    longer jobs are under way. With ``accelerated``, jobs that need accelerators wait
+    so long for these, or as long as all other jobs if that is more.
     """
 
     service: str
@@ -60,6 +69,16 @@
     late_seconds: float = 0.0
 
 
+@define(frozen=True)
+class ServiceSize:
+    """The largest amount of each resource that any known upstream of a service has."""
+
+    service: str
+    cpu_millis: int
+    memory_mib: int
+    accelerators: int = 0
+
+
 @define(frozen=True)
 class Backlog:
     """The waits and the room of all services that are not nearly idle."""
@@ -68,28 +87,16 @@
     rooms: tuple[ServiceRoom, ...] = ()
 
 
-@define(eq=False)
-class _Demands:
-    """The demand for each resource of a service."""
+# When processor or memory is all used, and when the accelerators are.
+BusyTimes = tuple[BusyTime, BusyTime]
 
-    processor: Demand = field(factory=Demand)
-    memory: Demand = field(factory=Demand)
-    accelerators: Demand = field(factory=Demand)
 
-    def add(self, work: ExpectedWork) -> None:
-        """Add some work."""
-        rates = work.rates
-        self.processor.add(work.starts_in, work.seconds, rates.processor)
-        self.memory.add(work.starts_in, work.seconds, rates.memory)
-        self.accelerators.add(work.starts_in, work.seconds, rates.accelerators)
-
-    def find_busy_times(self, capacity: ResourceRates) -> tuple[BusyTime, BusyTime]:
-        """Return when jobs without accelerators have no room, and when others."""
-        processor = self.processor.find_busy_time(capacity.processor)
-        memory = self.memory.find_busy_time(capacity.memory)
-        plain = max((processor, memory), key=lambda busy: busy.seconds)
-        accelerators = self.accelerators.find_busy_time(capacity.accelerators)
-        return plain, max((plain, accelerators), key=lambda busy: busy.seconds)
+def _find_busy_times(demand: Demand, capacity: ResourceRates) -> BusyTimes:
+    """Return when the resources are all used by a demand."""
+    processor = demand.find_busy_time(PROCESSOR, capacity.processor)
+    memory = demand.find_busy_time(MEMORY, capacity.memory)
+    plain = max((processor, memory), key=lambda busy: busy.seconds)
+    return plain, demand.find_busy_time(ACCELERATORS, capacity.accelerators)
 
 
 def is_counted(upstream: Upstream, now: timedelta) -> bool:
@@ -133,6 +140,19 @@
     return found
 
 
+def list_sizes(upstreams: Iterable[Upstream]) -> tuple[ServiceSize, ...]:
+    """Return the sizes of all services, also by upstreams that cannot be used now."""
+    largest: dict[str, Capacity] = {}
+    for upstream in upstreams:
+        entry = upstream.entry
+        known = largest.get(entry.service, entry.capacity)
+        largest[entry.service] = known.take_larger(entry.capacity)
+    return tuple(
+        ServiceSize(name, size.cpu_millis, size.memory_mib, size.accelerators)
+        for name, size in largest.items()
+    )
+
+
 def estimate_backlog(
     configuration: Configuration,
     works: list[ExpectedWork],
@@ -157,13 +177,13 @@
         own = ended.get(service, [])
         if not own or not capacity.processor:
             continue
-        demands = _Demands()
+        demand = Demand()
         waits.extend(
             _estimate_waits(
-                service, sorted(priorities.get(service, ())), own, capacity, demands
+                service, sorted(priorities.get(service, ())), own, capacity, demand
             )
         )
-        room = _measure_room(service, own, capacity, demands)
+        room = _measure_room(service, own, capacity, demand)
         if room is not None:
             rooms.append(room)
     return Backlog(tuple(waits), tuple(rooms))
@@ -174,13 +194,13 @@
     priorities: list[int],
     works: list[ExpectedWork],
     capacity: ResourceRates,
-    demands: _Demands,
+    demand: Demand,
 ) -> list[ServiceWait]:
     """Return the waits of one service, and add its work that is not late."""
     by_place: dict[tuple[int, int], list[ExpectedWork]] = {}
     for work in works:
         if work.is_running:
-            demands.add(work)
+            demand.add(work.starts_in, work.seconds, work.rates)
         elif not work.is_late:
             by_place.setdefault((work.priority, work.size_class), []).append(work)
     places = [
@@ -189,13 +209,13 @@
         for size_class in range(len(CLASS_BOUNDS) + 1)
     ]
     waits: list[ServiceWait] = []
-    busy_times = demands.find_busy_times(capacity)
+    busy_times = _find_busy_times(demand, capacity)
     told: dict[tuple[int, bool], BusyTime] = {}
     for place in places:
         if place in by_place:
             for work in by_place[place]:
-                demands.add(work)
-            busy_times = demands.find_busy_times(capacity)
+                demand.add(work.starts_in, work.seconds, work.rates)
+            busy_times = _find_busy_times(demand, capacity)
         for accelerated, busy in enumerate(busy_times):
             key = (place[0], bool(accelerated))
             last = told.get(key, NOT_BUSY)
@@ -227,13 +247,13 @@
     service: str,
     works: list[ExpectedWork],
     capacity: ResourceRates,
-    demands: _Demands,
+    demand: Demand,
 ) -> ServiceRoom | None:
     """Add a service's late work; return its room, ``None`` if it is nearly idle."""
     free = ResourceRates(
-        max(0.0, capacity.processor - demands.processor.present),
-        max(0.0, capacity.memory - demands.memory.present),
-        max(0.0, capacity.accelerators - demands.accelerators.present),
+        max(0.0, capacity.processor - demand.present[PROCESSOR]),
+        max(0.0, capacity.memory - demand.present[MEMORY]),
+        max(0.0, capacity.accelerators - demand.present[ACCELERATORS]),
     )
     parts = [
         (free.processor, capacity.processor),
@@ -243,12 +263,12 @@
     has_late = False
     for work in works:
         if work.is_late:
-            demands.add(work)
+            demand.add(work.starts_in, work.seconds, work.rates)
             has_late = True
     is_idle = all(left >= (1.0 - TOLD_PART) * whole for left, whole in parts)
     if is_idle and not has_late:
         return None
-    _, late = demands.find_busy_times(capacity)
+    plain, accelerated = _find_busy_times(demand, capacity)
     return ServiceRoom(
         service,
         round(capacity.processor),
@@ -257,5 +277,5 @@
         round(free.processor),
         round(free.memory),
         round(free.accelerators),
-        round(late.seconds, 2),
+        round(max(plain.seconds, accelerated.seconds), 2),
     )
--- a/packages/almondspread/almondspread/jobs/demand.py
+++ b/packages/almondspread/almondspread/jobs/demand.py
@@ -1,4 +1,4 @@
-"""How one resource of a service will be demanded over time, and when it is all used."""
+"""How the resources of a service will be used over time, and when one is all used."""
 
 from attrs import define, field
 
@@ -8,6 +8,8 @@
 HORIZON = 608.0
 # Demand that fills a resource up to this part of it leaves no room for further tasks.
 FULL_PART = 0.999
+# The places of the resources in lists of amounts.
+PROCESSOR, MEMORY, ACCELERATORS = range(3)
 
 
 @define(frozen=True)
@@ -48,45 +50,65 @@
     return HORIZON, HORIZON, 0.0
 
 
+@define(frozen=True)
+class ResourceRates:
+    """Amounts of each resource that are held at the same time.
+
+    Units are thousandths of a core, MiB and accelerators.
+    """
+
+    processor: float = 0.0
+    memory: float = 0.0
+    accelerators: float = 0.0
+
+
 @define(eq=False)
 class Demand:
-    """The demand for one resource over time, if nothing had to wait.
+    """The demand for the resources of a service over time, if nothing had to wait.
 
-    ``add`` takes the amount that is held from one time until another.
+    ``present`` sums what is held from the beginning on.
 
     >>> demand = Demand()
-    >>> demand.add(0.0, 4.0, 5.0)
-    >>> demand.find_busy_time(1.0)
+    >>> demand.add(0.0, 4.0, ResourceRates(processor=5.0))
+    >>> demand.find_busy_time(PROCESSOR, 1.0)
     BusyTime(starts_in=0.0, seconds=20.0)
     """
 
-    present: float = 0.0
-    _changes: dict[float, float] = field(factory=dict)
+    present: list[float] = field(factory=lambda: [0.0, 0.0, 0.0])
+    _changes: dict[float, list[float]] = field(factory=dict)
 
-    def add(self, starts_in: float, seconds: float, amount: float) -> None:
-        """Add an amount that is held for some seconds from a time on."""
-        if not amount:
-            return
-        self._change(starts_in, amount)
-        self._change(starts_in + seconds, -amount)
+    def add(self, starts_in: float, seconds: float, rates: ResourceRates) -> None:
+        """Add amounts that are held for some seconds from a time on."""
+        amounts = (rates.processor, rates.memory, rates.accelerators)
+        self._change(starts_in, amounts, 1.0)
+        self._change(starts_in + seconds, amounts, -1.0)
         if starts_in <= 0.0:
-            self.present += amount
+            _add(self.present, amounts, 1.0)
 
-    def _change(self, at: float, amount: float) -> None:
-        """Change the demand by an amount around a time."""
+    def _change(
+        self, at: float, amounts: tuple[float, float, float], sign: float
+    ) -> None:
+        """Raise or lower the demand around a time."""
         earlier, later, part = split_time(at)
-        self._changes[earlier] = self._changes.get(earlier, 0.0) + amount * (1 - part)
+        _add(self._find_changes(earlier), amounts, sign * (1.0 - part))
         if part:
-            self._changes[later] = self._changes.get(later, 0.0) + amount * part
+            _add(self._find_changes(later), amounts, sign * part)
+
+    def _find_changes(self, at: float) -> list[float]:
+        """Return the changes at a time of the grid."""
+        found = self._changes.get(at)
+        if found is None:
+            found = self._changes[at] = [0.0, 0.0, 0.0]
+        return found
 
-    def find_busy_time(self, capacity: float) -> BusyTime:
+    def find_busy_time(self, resource: int, capacity: float) -> BusyTime:
         """Return when no room is left for work that everything here goes before."""
         full = capacity * FULL_PART
         if full <= 0.0:
             return NOT_BUSY
         backlog = rate = at = busy = 0.0
         starts_in: float | None = None
-        for time in (*sorted(self._changes), HORIZON):
+        for time in sorted(self._changes):
             length = time - at
             if length > 0.0 and (backlog > 0.0 or rate >= full):
                 starts_in = at if starts_in is None else starts_in
@@ -97,6 +119,13 @@
                     busy += backlog / (capacity - rate)
                 backlog = max(0.0, left)
             at = time
-            rate += self._changes.get(time, 0.0)
+            rate += self._changes[time][resource]
         busy += backlog / capacity
         return BusyTime(starts_in or 0.0, busy)
+
+
+def _add(sums: list[float], amounts: tuple[float, float, float], weight: float) -> None:
+    """Add amounts, times a weight, to the sums of all resources."""
+    sums[PROCESSOR] += amounts[PROCESSOR] * weight
+    sums[MEMORY] += amounts[MEMORY] * weight
+    sums[ACCELERATORS] += amounts[ACCELERATORS] * weight
--- a/packages/almondspread/almondspread/jobs/expected_work.py
+++ b/packages/almondspread/almondspread/jobs/expected_work.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from almondspread.jobs.configuration import Configuration, Queue
+from almondspread.jobs.demand import ResourceRates
 from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.ordering import FIRST_GROUP, LAST_GROUP, rank_step
 from almondspread.jobs.progress import JobProgress
@@ -20,15 +21,6 @@
 OVERRUN_PART = 0.1
 
 
-@define(frozen=True)
-class ResourceRates:
-    """Amounts of each resource that are held at the same time."""
-
-    processor: float = 0.0
-    memory: float = 0.0
-    accelerators: float = 0.0
-
-
 @define(frozen=True)
 class ExpectedWork:
     """What tasks of one step will hold, from ``starts_in`` on for ``seconds``.
--- a/packages/almondspread/almondspread/jobs/leader_loads.py
+++ b/packages/almondspread/almondspread/jobs/leader_loads.py
@@ -3,7 +3,12 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from almondspread.jobs.backlog import estimate_backlog, is_counted, sum_capacities
+from almondspread.jobs.backlog import (
+    estimate_backlog,
+    is_counted,
+    list_sizes,
+    sum_capacities,
+)
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.durations import DurationRatios
 from almondspread.jobs.exceeded_rates import ExceededRates
@@ -21,6 +26,7 @@
     exceeded_rates: ExceededRates,
     now: timedelta,
     instances: int = 1,
+    with_sizes: bool = False,
 ) -> Loads:
     """Return how long a job accepted now would wait, and who exceeds their rate.
 
@@ -31,4 +37,5 @@
     capacities = sum_capacities(upstreams.values(), works, now)
     backlog = estimate_backlog(configuration, works, capacities)
     exceeded = exceeded_rates.list_exceeded(configuration.workspaces, now)
-    return Loads(backlog.waits, backlog.rooms, exceeded, instances)
+    sizes = list_sizes(upstreams.values()) if with_sizes else ()
+    return Loads(backlog.waits, backlog.rooms, exceeded, instances, sizes)
--- a/packages/almondspread/almondspread/jobs/load_estimate.py
+++ b/packages/almondspread/almondspread/jobs/load_estimate.py
@@ -4,9 +4,11 @@
 
 from attrs import define, field
 
-from almondspread.jobs.backlog import ServiceRoom, ServiceWait
+from almondspread.jobs.backlog import ServiceRoom, ServiceSize, ServiceWait
+from almondspread.jobs.configuration import Queue
 from almondspread.jobs.demand import NOT_BUSY, BusyTime
-from almondspread.jobs.expected_work import CLASS_BOUNDS
+from almondspread.jobs.expected_work import CLASS_BOUNDS, find_class
+from almondspread.jobs.submissions import Submission, compute_critical_paths
 
 # An older estimate says nothing any more about how long a job would wait.
 MAX_AGE = timedelta(seconds=2)
@@ -14,18 +16,49 @@
 _Key = tuple[str, int, bool]
 
 
+@define(frozen=True)
+class JobShape:
+    """What the wait of a job depends on, beside its queue.
+
+    ``path`` is the length of its critical path, and ``objective`` the time in which it
+    is to end, both in seconds. It ``is_accelerated`` if a task needs accelerators.
+    """
+
+    path: float
+    objective: float
+    is_accelerated: bool = False
+
+    @property
+    def slack(self) -> float:
+        """How many seconds it may wait and still be on time."""
+        return self.objective - self.path
+
+
+def measure_shape(queue: Queue, submission: Submission) -> JobShape:
+    """Return what the wait of a job depends on."""
+    path = max(compute_critical_paths(submission))
+    objective = queue.stretch * path + queue.target_latency
+    return JobShape(
+        path.total_seconds(),
+        objective.total_seconds(),
+        any(step.size.accelerators for step in submission.steps),
+    )
+
+
 @define(frozen=True)
 class Loads:
     """What the leader tells of the load, in its own message.
 
     ``exceeded`` names the workspaces that submit more than their rate. As many
-    ``instances`` accept jobs.
+    ``instances`` accept jobs. The ``sizes`` of services hardly ever change, and are
+    left out of most messages.
     """
 
     waits: tuple[ServiceWait, ...] = ()
     rooms: tuple[ServiceRoom, ...] = ()
     exceeded: tuple[str, ...] = ()
     instances: int = 1
+    sizes: tuple[ServiceSize, ...] = ()
 
 
 @define(eq=False)
@@ -54,12 +87,16 @@
         """Return whether the estimate still tells how long a job would wait."""
         return self.at is not None and now - self.at <= MAX_AGE
 
-    def find_busy_time(
-        self, service: str, priority: int, size_class: int, accelerated: bool
-    ) -> BusyTime:
-        """Return when a service is all used by what goes before a new job."""
-        classes = self._busy_times.get((service, priority, accelerated))
-        return classes[size_class] if classes is not None else NOT_BUSY
+    def find_delay(self, queue: Queue, job: JobShape) -> float:
+        """Return for how many seconds the work before a new job delays it."""
+        size_class = find_class(job.objective)
+        delay = 0.0
+        for accelerated in (False, True) if job.is_accelerated else (False,):
+            key = (queue.service, queue.priority, accelerated)
+            classes = self._busy_times.get(key)
+            if classes is not None:
+                delay = max(delay, classes[size_class].find_delay(job.path))
+        return delay
 
     def find_room(self, service: str) -> ServiceRoom | None:
         """Return the room of a service, ``None`` where more than half is free."""
--- a/packages/almondspread/almondspread/jobs/retry_times.py
+++ b/packages/almondspread/almondspread/jobs/retry_times.py
@@ -14,10 +14,16 @@
 # factor, and not before the seconds below.
 LATE_SPREAD_FACTOR = 4.0
 MIN_LATE_SECONDS = 10.0
+# Jobs of a kind count as being refused for this long after the last one was.
+REFUSING_TIME = timedelta(seconds=1)
 # Jobs whose refusal is remembered, the oldest of which are forgotten first.
 MAX_REFUSED_JOBS = 4_096
 
 
+# The service, the priority, and whether jobs are surplus.
+RefusalKind = tuple[str, int, bool]
+
+
 @define(eq=False)
 class Attempts:
     """When a job was first refused here, and how often it has been."""
@@ -51,6 +57,40 @@
         return (now - attempts.first_at).total_seconds() if attempts else 0.0
 
 
+@define(eq=False)
+class _Period:
+    """Since when jobs are refused, and when the last one was."""
+
+    since: timedelta
+    last_at: timedelta
+
+
+@define(eq=False)
+class RefusingKinds:
+    """The kinds of jobs of which some are refused now.
+
+    >>> kinds = RefusingKinds()
+    >>> second = timedelta(seconds=1)
+    >>> [kinds.record(("s", 0, False), at * second) for at in (1, 2, 5)]
+    [0.0, 1.0, 0.0]
+    """
+
+    _periods: dict[RefusalKind, _Period] = field(factory=dict)
+
+    def is_refusing(self, kind: RefusalKind, now: timedelta) -> bool:
+        """Return whether a job of a kind was refused a moment ago."""
+        period = self._periods.get(kind)
+        return period is not None and now - period.last_at <= REFUSING_TIME
+
+    def record(self, kind: RefusalKind, now: timedelta) -> float:
+        """Record a refusal; return for how many seconds there have been some."""
+        if not self.is_refusing(kind, now):
+            self._periods[kind] = _Period(now, now)
+        period = self._periods[kind]
+        period.last_at = now
+        return (now - period.since).total_seconds()
+
+
 def choose_retry_seconds(
     job: str, attempts: int, excess: float, drain: float, time_left: float
 ) -> float:
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -406,7 +406,9 @@
             found |= tasks
         return frozenset(found)
 
-    def estimate_loads(self, now: timedelta, instances: int = 1) -> Loads:
+    def estimate_loads(
+        self, now: timedelta, instances: int = 1, with_sizes: bool = False
+    ) -> Loads:
         """Return what to expect of the load, while ``instances`` accept jobs."""
         return estimate_loads(
             self.jobs,
@@ -416,6 +418,7 @@
             self._exceeded_rates,
             now,
             instances,
+            with_sizes,
         )
 
     def measure_load(self, now: timedelta) -> Load:
--- a/packages/almondspread/almondspread/jobs/tests/test_backlog.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_backlog.py
@@ -7,21 +7,15 @@
 from almondspread.jobs.bound_runs import Run, RunPhase
 from almondspread.jobs.durations import MIN_RUNS, DurationRatios
 from almondspread.jobs.exceeded_rates import ExceededRates
-from almondspread.jobs.expected_work import find_class
 from almondspread.jobs.leader_loads import estimate_loads
-from almondspread.jobs.load_estimate import LoadEstimate
+from almondspread.jobs.load_estimate import JobShape, LoadEstimate
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.tests.cells import CORE, SECOND, make_job, make_step
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import Capacity
-from almondspread.testing.cell_input import (
-    QUEUE,
-    SERVICE,
-    make_configuration,
-    make_entry,
-)
+from almondspread.testing.cell_input import QUEUE, make_configuration, make_entry
 from almondspread.testing.fake_upstream import FakeUpstream, History
 
 UPSTREAM = Capacity(64_000, 131_072, 8)
@@ -65,9 +59,8 @@
     def find_wait(self, now=SECOND, accelerated=True, due=MANY, path=1.0):
         """Return the estimated wait of a new job that is due in some seconds."""
         estimate = LoadEstimate(self.estimate_loads(now), now)
-        size_class = find_class(due)
-        busy = estimate.find_busy_time(SERVICE, 0, size_class, accelerated)
-        return busy.find_delay(path)
+        queue = self.configuration.queues[QUEUE]
+        return estimate.find_delay(queue, JobShape(path, due, accelerated))
 
     def test_scarcest_resource_decides(self):
         """Jobs were accepted whose accelerators were taken for the next 20 s."""
@@ -178,7 +171,7 @@
         case.configuration = attrs.evolve(case.configuration, queues=queues)
         case.add_job(make_step(256, size=CORE, estimate=timedelta(seconds=4)))
         loads = case.estimate_loads()
-        self.assertEqual(len(loads.waits), 2)
+        self.assertEqual(len(loads.waits), 1)
         self.assertEqual(len(loads.rooms), 1)
 
 
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -5,7 +5,7 @@
 
 from almondspread.jobs.expected_work import CLASS_BOUNDS
 from almondspread.jobs.job_records import JobState
-from almondspread.jobs.load_estimate import LoadEstimate
+from almondspread.jobs.load_estimate import JobShape, LoadEstimate
 from almondspread.jobs.messages import (
     FAILED,
     RunEnd,
@@ -40,12 +40,19 @@
             cell.submit(job)
         cell.run_for(SECOND / 5)
         loads = cell.scheduler.estimate_loads(cell.now)
+        places = [(wait.service, wait.priority) for wait in loads.waits]
+        self.assertEqual(set(places), {(SERVICE, priority) for priority in range(3)})
+        self.assertLessEqual(len(places), 3 * (len(CLASS_BOUNDS) + 1))
         estimate = LoadEstimate(loads, cell.now)
-        self.assertLessEqual(len(loads.waits), 2 * len(CLASS_BOUNDS) * 3)
         waits = {}
-        for priority in range(3):
-            busy = estimate.find_busy_time(SERVICE, priority, 1, False)
-            waits[SERVICE, priority] = busy.seconds
+        for name, queue in queues.items():
+            wait = estimate.find_delay(queue, JobShape(1.0, 8.0))
+            waits.setdefault((SERVICE, queue.priority), wait)
+            self.assertEqual(waits[SERVICE, queue.priority], wait, name)
+        # Of each priority, two jobs with two tasks of a second wait for the only core,
+        # and one task has been running for a moment.
+        for priority, ahead in enumerate((4.0, 8.0, 12.0)):
+            self.assertAlmostEqual(waits[SERVICE, priority], ahead, delta=0.25)
         self.assertGreater(waits[SERVICE, 2], waits[SERVICE, 1])
         self.assertGreater(waits[SERVICE, 1], waits[SERVICE, 0])
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/heartbeats.py
@@ -11,6 +11,9 @@
 from almondspread_daemon.jobs.operator_exchange import OperatorExchange
 from almondspread_daemon.jobs.store_access import StoreAccess
 
+# One in so many messages tells the sizes of services, which hardly ever change.
+SIZES_EVERY = 10
+
 
 class LeaderHeartbeats:
     """Tells the members what the leader of one epoch can do and knows."""
@@ -32,6 +35,7 @@
         self._store = store
         self._exchange = exchange
         self._clock = clock
+        self._sent = 0
 
     def send(self) -> None:
         """Send all members a heartbeat."""
@@ -67,8 +71,14 @@
 
     def send_with_loads(self) -> None:
         """Send all members a heartbeat and the waits that new jobs have to expect."""
-        instances = max(1, len(self._assignments.members.members))
-        loads = self._scheduler.estimate_loads(self._clock.monotonic(), instances)
-        message = QueueLoads(loads.waits, loads.rooms, loads.exceeded, loads.instances)
+        loads = self._scheduler.estimate_loads(
+            self._clock.monotonic(),
+            max(1, len(self._assignments.members.members)),
+            with_sizes=self._sent % SIZES_EVERY == 0,
+        )
+        self._sent += 1
+        message = QueueLoads(
+            loads.waits, loads.rooms, loads.exceeded, loads.instances, loads.sizes
+        )
         self.send()
         self._assignments.broadcast(message)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/leader_messages.py
@@ -136,7 +136,11 @@
                 self._state_cache.update(message.states)
             case QueueLoads():
                 loads = Loads(
-                    message.waits, message.rooms, message.exceeded, message.instances
+                    message.waits,
+                    message.rooms,
+                    message.exceeded,
+                    message.instances,
+                    message.sizes,
                 )
                 self._state_cache.admission.update(loads, self._clock.monotonic())
             case Beat():
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/links.py
@@ -10,7 +10,7 @@
 from tornado.tcpserver import TCPServer
 
 from almondspread.codec import TaggedCodec
-from almondspread.jobs.backlog import ServiceRoom, ServiceWait
+from almondspread.jobs.backlog import ServiceRoom, ServiceSize, ServiceWait
 from almondspread.jobs.job_table import Announcement
 from almondspread.jobs.leases import LeaderRow
 from almondspread.jobs.messages import (
@@ -208,15 +208,17 @@
 class QueueLoads:
     """Estimated waits until a job that is accepted now would start.
 
-    ``rooms`` tells how much of each service is in use, ``exceeded`` names workspaces
-    that are beyond their rate, and as many ``instances`` accept jobs. One of an earlier
-    release sends only the waits.
+    ``rooms`` tells how much of each service is in use, and ``exceeded`` names the
+    workspaces that are beyond their rate. As many ``instances`` accept jobs. Only some
+    messages have the ``sizes`` of services, and those of a leader of an earlier release
+    have nothing but the waits.
     """
 
     waits: tuple[ServiceWait, ...]
     rooms: tuple[ServiceRoom, ...] = ()
     exceeded: tuple[str, ...] = ()
     instances: int = 1
+    sizes: tuple[ServiceSize, ...] = ()
 
 
 @define(frozen=True)
