--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -186,7 +186,9 @@
         room = _measure_room(service, own, capacity, demand)
         if room is not None:
             rooms.append(room)
-    return Backlog(tuple(waits), tuple(rooms))
+    # An instance of an earlier release keeps the last wait of a service and priority,
+    # and should rather admit too many jobs.
+    return Backlog(tuple(reversed(waits)), tuple(rooms))
 
 
 def _estimate_waits(
--- a/packages/almondspread/almondspread/jobs/expected_work.py
+++ b/packages/almondspread/almondspread/jobs/expected_work.py
@@ -67,13 +67,17 @@
     Tasks that no upstream may run and results without value take room from nobody.
     """
     found: list[ExpectedWork] = []
+    means: dict[str, float] = {}
     for job in jobs:
         if job.ended is not None:
             continue
         queue = job.submission.find_queue(configuration)
         if queue is None:
             continue
-        ratio = ratios.find_mean(job.submission.queue)
+        name = job.submission.queue
+        if name not in means:
+            means[name] = ratios.find_mean(name)
+        ratio = means[name]
         ends: dict[tuple[int, int], float] = {}
         for key, progress in job.steps.items():
             starts_in = 0.0
@@ -109,17 +113,20 @@
     now: timedelta,
 ) -> ExpectedWork | None:
     """Return what the running tasks of a step still hold."""
+    if not progress.runs:
+        return None
     count = 0
-    elapsed = 0.0
+    started = timedelta(0)
     for runs in progress.runs.values():
         for run in runs:
             if run.upstream in counted_upstreams:
                 count += 1
-                elapsed += (now - run.started_at).total_seconds()
+                started += run.started_at
     if not count:
         return None
     expected = progress.step.estimate.total_seconds() * ratio
-    left = max(expected - elapsed / count, OVERRUN_PART * expected, MIN_LEFT)
+    elapsed = (now - started / count).total_seconds()
+    left = max(expected - elapsed, OVERRUN_PART * expected, MIN_LEFT)
     return ExpectedWork(
         queue.service,
         queue.priority,
--- a/packages/almondspread/almondspread/jobs/load_estimate.py
+++ b/packages/almondspread/almondspread/jobs/load_estimate.py
@@ -74,7 +74,7 @@
     def __attrs_post_init__(self) -> None:
         self.exceeded = frozenset(self.loads.exceeded)
         self._rooms = {room.service: room for room in self.loads.rooms}
-        for wait in self.loads.waits:
+        for wait in sorted(self.loads.waits, key=lambda wait: wait.size_class):
             key = (wait.service, wait.priority, wait.accelerated)
             classes = self._busy_times.setdefault(
                 key, [NOT_BUSY] * (len(CLASS_BOUNDS) + 1)
--- a/packages/almondspread/almondspread/jobs/tests/test_backlog.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_backlog.py
@@ -155,6 +155,14 @@
         self.upstream.mark_unlisted(SECOND)
         self.assertEqual(self.estimate_loads().rooms, ())
 
+    def test_last_wait_of_a_priority_is_the_shortest(self):
+        """Instances of the release before keep the last one, and refused small jobs."""
+        self.add_job(make_step(256, size=CORE, estimate=10 * SECOND), name="large")
+        self.add_job(make_step(256, size=CORE, estimate=SECOND / 2), name="small")
+        seconds = [wait.seconds for wait in self.estimate_loads().waits]
+        self.assertEqual(seconds, sorted(seconds, reverse=True))
+        self.assertGreater(len(seconds), 1)
+
 
 class MessageSizeTest(unittest.TestCase):
     def test_idle_services_and_equal_classes_are_not_sent(self):
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_earlier_release.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_earlier_release.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from unittest import mock
 
+from almondspread.jobs.backlog import ServiceWait
 from almondspread.jobs.leases import (
     EXECUTOR_GRACE,
     LINK_FAILURE_DETECTION_TIME,
@@ -13,7 +14,7 @@
 from almondspread.jobs.messages import UpstreamEntry
 from almondspread.resources.capacity import Capacity
 from almondspread_daemon.jobs.link_service import LinkService
-from almondspread_daemon.jobs.links import LINK_CODEC
+from almondspread_daemon.jobs.links import LINK_CODEC, QueueLoads
 from almondspread_daemon.jobs.tests.leader_case import LeaderTestCase
 from almondspread_daemon.jobs.tests.support import SECOND
 
@@ -32,6 +33,16 @@
 ]
 
 
+class EarlierLoadsTest(unittest.TestCase):
+    def test_loads_of_a_leader_of_the_release_before_are_understood(self):
+        """Its message has nothing but the waits, one for each service and priority."""
+        waits = [{"service": "s", "priority": 1, "seconds": 9.0}]
+        loads = LINK_CODEC.from_plain(["QueueLoads", {"waits": waits}])
+        self.assertEqual(loads, QueueLoads((ServiceWait("s", 1, 9.0),)))
+        # What it does not need stays out of the message of this release, too.
+        self.assertEqual(LINK_CODEC.to_plain(loads)[1], {"waits": waits})
+
+
 class EarlierReleaseTest(LeaderTestCase):
     async def test_runs_of_a_lost_member_of_the_release_before_are_waited_for(self):
         """It renews leases at full length for its grace after the leader is lost."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+from loguru import logger
+
 from almondspread.codec import decode_message, encode_message
 from almondspread.errors import (
     InvalidInput,
@@ -113,6 +115,23 @@
         self.assertGreater(refused.retry_after_seconds, 50)
         self.assertEqual(self.store.rows, {})
 
+    async def test_refusal_is_logged_with_what_decided_it(self):
+        """An operator could not tell for whom and why a job was refused."""
+        loads = Loads((ServiceWait(SERVICE, 0, 60.0),))
+        self.state_cache.admission.update(loads, self.parts.clock.monotonic())
+        lines = []
+        sink = logger.add(lambda message: lines.append(message.record))
+        self.addCleanup(logger.remove, sink)
+        await self.submit(make_submission("j"))
+        (extra,) = (line["extra"] for line in lines if line["message"] == "request")
+        self.assertEqual(extra["outcome"], "refused")
+        self.assertEqual(extra["reason"], "load")
+        self.assertEqual(extra["wait"], 60.0)
+        self.assertLess(extra["estimate_age"], 1.0)
+        self.assertGreater(extra["retry_after"], 50)
+        text = self.parts.metrics.render().decode()
+        self.assertRegex(text, 'job_refusals_total{[^}]*reason="load"')
+
     async def test_unknown_job_is_not_found_only_if_all_jobs_are_known(self):
         unreachable = await self.job_service.read_state("j")
         self.assertIsInstance(unreachable.error, Unavailable)
