--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -8,11 +8,11 @@
 from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
 
-from almondspread.jobs.backlog import ServiceWait, estimate_wait
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.configuration import Configuration
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
+from almondspread.jobs.exceeded_rates import ExceededRates
 from almondspread.jobs.holds import (
     ANY_VERSION,
     NO_VERSION,
@@ -22,7 +22,9 @@
 from almondspread.jobs.job_records import JobRecord
 from almondspread.jobs.job_table import Announcement, JobTable
 from almondspread.jobs.known_workspaces import KnownWorkspaces
+from almondspread.jobs.leader_loads import estimate_loads
 from almondspread.jobs.leases import DEFAULT_MAX_LEASE
+from almondspread.jobs.load_estimate import Loads
 from almondspread.jobs.loads import Load, count_held_tasks, measure_load
 from almondspread.jobs.messages import (
     NO_ASSIGNMENT,
@@ -100,6 +102,7 @@
             lease,
         )
         self.changes = ChangeQueue(self._job_table, self._upstream_tracker)
+        self._exceeded_rates = ExceededRates()
         unseen = UnseenRuns(
             self.cell_state,
             self._job_table,
@@ -157,6 +160,10 @@
         The call is idempotent: repeating it can only lower the job's known version.
         ``record`` is the progress that an earlier leader stored, if any.
         """
+        workspaces = self.configuration.workspaces or {}
+        workspace = workspaces.get(submission.workspace)
+        if workspace is not None and submission.job not in self.jobs:
+            self._exceeded_rates.record(workspace, accepted)
         self._job_table.accept_job(
             submission, accepted, wall, version=version, record=record
         )
@@ -422,24 +429,20 @@
             found |= tasks
         return frozenset(found)
 
-    def estimate_waits(self, now: timedelta) -> tuple[ServiceWait, ...]:
-        """Return how long a job accepted now would wait, by service and priority."""
-        waits: dict[tuple[str, int], ServiceWait] = {}
-        upstreams = list(self.cell_state.upstreams.values())
-        steps = list(self._job_table.ready_steps.values())
-        for queue in self.configuration.queues.values():
-            key = (queue.service, queue.priority)
-            if key not in waits:
-                wait = estimate_wait(
-                    queue,
-                    self.configuration,
-                    steps,
-                    upstreams,
-                    self._control.ratios,
-                    now,
-                )
-                waits[key] = ServiceWait(*key, wait.total_seconds())
-        return tuple(waits.values())
+    def estimate_loads(
+        self, now: timedelta, instances: int = 1, with_sizes: bool = False
+    ) -> Loads:
+        """Return what to expect of the load, while ``instances`` accept jobs."""
+        return estimate_loads(
+            self.jobs,
+            self.cell_state.upstreams,
+            self.configuration,
+            self._control.ratios,
+            self._exceeded_rates,
+            now,
+            instances,
+            with_sizes,
+        )
 
     def measure_load(self, now: timedelta) -> Load:
         """Return the current backlog and the utilization of the usable upstreams."""
--- a/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_scheduler.py
@@ -3,9 +3,9 @@
 
 import attrs
 
-from almondspread.jobs.backlog import estimate_wait
-from almondspread.jobs.durations import DurationRatios
+from almondspread.jobs.expected_work import CLASS_BOUNDS
 from almondspread.jobs.job_records import JobState
+from almondspread.jobs.load_estimate import JobShape, LoadEstimate
 from almondspread.jobs.messages import (
     FAILED,
     RunEnd,
@@ -39,24 +39,20 @@
             job = Submission(f"j{number}", f"q{number}", "", (make_step(2),))
             cell.submit(job)
         cell.run_for(SECOND / 5)
-        waits = {
-            (wait.service, wait.priority): wait.seconds
-            for wait in cell.scheduler.estimate_waits(cell.now)
-        }
-        self.assertEqual(set(waits), {(SERVICE, priority) for priority in range(3)})
-        steps = list(cell.scheduler._job_table.ready_steps.values())
-        upstreams = list(cell.scheduler.cell_state.upstreams.values())
-        for queue in queues.values():
-            wait = estimate_wait(
-                queue,
-                cell.configuration,
-                steps,
-                upstreams,
-                DurationRatios(),
-                cell.now,
-            )
-            key = (queue.service, queue.priority)
-            self.assertEqual(waits[key], wait.total_seconds())
+        loads = cell.scheduler.estimate_loads(cell.now)
+        places = [(wait.service, wait.priority) for wait in loads.waits]
+        self.assertEqual(set(places), {(SERVICE, priority) for priority in range(3)})
+        self.assertLessEqual(len(places), 3 * (len(CLASS_BOUNDS) + 1))
+        estimate = LoadEstimate(loads, cell.now)
+        waits = {}
+        for name, queue in queues.items():
+            wait = estimate.find_delay(queue, JobShape(1.0, 8.0))
+            waits.setdefault((SERVICE, queue.priority), wait)
+            self.assertEqual(waits[SERVICE, queue.priority], wait, name)
+        # Of each priority, two jobs with two tasks of a second wait for the only core,
+        # and one task has been running for a moment.
+        for priority, ahead in enumerate((4.0, 8.0, 12.0)):
+            self.assertAlmostEqual(waits[SERVICE, priority], ahead, delta=0.25)
         self.assertGreater(waits[SERVICE, 2], waits[SERVICE, 1])
         self.assertGreater(waits[SERVICE, 1], waits[SERVICE, 0])
 
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -45,6 +45,9 @@
             "workspace_requests", description="requests with a valid key, by workspace"
         )
         self._workspace_labels = WorkspaceLabels()
+        self._refusals = meter.create_counter(
+            "job_refusals", description="jobs not admitted, by reason and workspace"
+        )
         self._store_calls = meter.create_histogram(
             "store_call_seconds",
             unit="s",
@@ -111,6 +114,11 @@
         label = self._workspace_labels.choose(workspace)
         self._workspace_requests.add(1, {"workspace": label})
 
+    def count_refusal(self, reason: str, workspace: str) -> None:
+        """Count a job that was not admitted, by the reason and its workspace."""
+        label = self._workspace_labels.choose(workspace)
+        self._refusals.add(1, {"reason": str(reason), "workspace": label})
+
     def record_store_call(self, latency: timedelta, outcome: str) -> None:
         """Record the latency of a call to the platform's store."""
         self._store_calls.record(latency.total_seconds(), {"outcome": outcome})
@@ -170,6 +178,34 @@
             description="since the configuration was known to be the newest",
         )
 
+    def observe_load(
+        self,
+        measure_age: Callable[[], float | None],
+        list_waits: Callable[[], dict[str, float]],
+    ) -> None:
+        """Export the age of the leader's estimate, and the longest wait by service."""
+
+        def observe_age(_: CallbackOptions) -> Iterable[Observation]:
+            seconds = measure_age()
+            return () if seconds is None else (Observation(seconds),)
+
+        def observe_waits(_: CallbackOptions) -> Iterable[Observation]:
+            for service, seconds in list_waits().items():
+                yield Observation(seconds, {"service": service})
+
+        self._meter.create_observable_gauge(
+            "load_estimate_age_seconds",
+            [observe_age],
+            unit="s",
+            description="since the leader's last estimate of the load arrived",
+        )
+        self._meter.create_observable_gauge(
+            "estimated_wait_seconds",
+            [observe_waits],
+            unit="s",
+            description="longest wait that a new job has to expect, by service",
+        )
+
     def count_row_change(self, source: str) -> None:
         """Count a change of operators' rows, by whether the store or a member told."""
         self._row_changes.add(1, {"source": source})
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_job_service.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+from loguru import logger
+
 from almondspread.codec import decode_message, encode_message
 from almondspread.errors import (
     InvalidInput,
@@ -13,6 +15,7 @@
 from almondspread.jobs.backlog import ServiceWait
 from almondspread.jobs.job_records import JobRecord, JobState
 from almondspread.jobs.job_table import Announcement
+from almondspread.jobs.load_estimate import Loads
 from almondspread.jobs.ports import RowPut, Transaction
 from almondspread.testing.cell_input import QUEUE, SERVICE, make_configuration
 from almondspread_daemon.jobs.job_service import JobService
@@ -111,12 +114,31 @@
         self.assertIsNone(unknown.error.not_run)
 
     async def test_job_with_too_long_a_queue_wait_is_refused_at_once(self):
-        self.state_cache.set_waits((ServiceWait(SERVICE, 0, 60.0),))
+        self.state_cache.admission.update(
+            Loads((ServiceWait(SERVICE, 0, 60.0),)), self.parts.clock.monotonic()
+        )
         refused = (await self.submit(make_submission("j"))).error
         self.assertIsInstance(refused, Overloaded)
         self.assertGreater(refused.retry_after_seconds, 50)
         self.assertEqual(self.store.rows, {})
 
+    async def test_refusal_is_logged_with_what_decided_it(self):
+        """An operator could not tell for whom and why a job was refused."""
+        loads = Loads((ServiceWait(SERVICE, 0, 60.0),))
+        self.state_cache.admission.update(loads, self.parts.clock.monotonic())
+        lines = []
+        sink = logger.add(lambda message: lines.append(message.record))
+        self.addCleanup(logger.remove, sink)
+        await self.submit(make_submission("j"))
+        (extra,) = (line["extra"] for line in lines if line["message"] == "request")
+        self.assertEqual(extra["outcome"], "refused")
+        self.assertEqual(extra["reason"], "load")
+        self.assertEqual(extra["wait"], 60.0)
+        self.assertLess(extra["estimate_age"], 1.0)
+        self.assertGreater(extra["retry_after"], 50)
+        text = self.parts.metrics.render().decode()
+        self.assertRegex(text, 'job_refusals_total{[^}]*reason="load"')
+
     async def test_unknown_job_is_not_found_only_if_all_jobs_are_known(self):
         unreachable = await self.job_service.read_state("j", Allowed())
         self.assertIsInstance(unreachable.error, Unavailable)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
@@ -4,6 +4,7 @@
 from almondspread.jobs.loads import Load
 from almondspread.jobs.speeds import Kind, KindSpeed
 from almondspread_daemon.jobs.metrics import JobMetrics
+from almondspread_daemon.jobs.workspace_labels import MAX_LABELLED_WORKSPACES
 
 
 class HeldTasksGaugeTest(unittest.TestCase):
@@ -51,5 +52,25 @@
         self.assertNotIn("near_waits_total{", metrics.render().decode())
 
 
+class AdmissionMetricsTest(unittest.TestCase):
+    def test_labels_of_workspaces_are_bounded(self):
+        """Guards against metrics that grow with the number of workspaces."""
+        metrics = JobMetrics("entry-1", "umea")
+        for number in range(500):
+            metrics.count_refusal("surplus", f"w{number}")
+        text = metrics.render().decode()
+        lines = [line for line in text.splitlines() if "job_refusals_total{" in line]
+        self.assertEqual(len(lines), MAX_LABELLED_WORKSPACES + 1)
+        (other,) = (line for line in lines if 'workspace="other"' in line)
+        self.assertEqual(float(other.rpartition(" ")[2]), 500 - MAX_LABELLED_WORKSPACES)
+
+    def test_estimate_and_its_age_are_exported(self):
+        metrics = JobMetrics("entry-1", "umea")
+        metrics.observe_load(lambda: 0.25, lambda: {"s": 12.0})
+        text = metrics.render().decode()
+        self.assertRegex(text, "load_estimate_age_seconds{[^}]*} 0.25")
+        self.assertRegex(text, 'estimated_wait_seconds{[^}]*service="s"[^}]*} 12.0')
+
+
 if __name__ == "__main__":
     unittest.main()
