Place workspaces by their fair share, and surplus jobs last

In a full service the workspace with the earliest due times took all capacity. Steps that can be on time now rank by whether their workspace has its share of the service: a weighted max-min share by dominant resource, among the workspaces with running or waiting work. Within one pass a workspace starts tasks up to its share first, and others before the rest of its tasks. What nobody wants is lent, and nothing is preempted.

Jobs beyond their workspace's rate come after late jobs whose results still have value. The rate is decided once, in order of acceptance, so that jobs which a new leader loads do not look like a burst. Without workspaces all ranks stay as they were.

--- a/packages/almondspread/almondspread/jobs/bound_runs.py
+++ b/packages/almondspread/almondspread/jobs/bound_runs.py
@@ -36,7 +36,7 @@
     upstream has confirmed the start. Once a stop is answered,
     ``conclusive_report`` is the number of a report: if the run is absent from this
     report or a later one, it never started. Where it runs alone on trial, the trial
-    lasts for ``trial_time``.
+    lasts for ``trial_time``. ``service`` is that of the upstream.
     """
 
     task: TaskId
@@ -56,6 +56,7 @@
     stop_requested_at: timedelta | None = None
     conclusive_report: int | None = None
     trial_time: timedelta = timedelta(0)
+    service: str = ""
 
     @property
     def may_be_elsewhere(self) -> bool:
--- a/packages/almondspread/almondspread/jobs/cell_state.py
+++ b/packages/almondspread/almondspread/jobs/cell_state.py
@@ -10,7 +10,7 @@
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.submissions import TaskId
 from almondspread.jobs.upstreams import Upstream
-from almondspread.jobs.workspace_usage import WorkspaceUsage
+from almondspread.jobs.workspace_usage import ServiceUsage, WorkspaceUsage
 
 # Numbers of runs and of assignments of one epoch must stay below those of the next.
 # They start at a multiple of this bound.
@@ -32,7 +32,7 @@
 
     A bound run takes up capacity of its upstream. ``runs`` holds all bound runs by task
     and run number, ``upstreams`` all upstreams by name. ``usage`` has the sizes of the
-    bound runs by workspace.
+    bound runs by workspace, and ``service_usage`` what they reserve of each service.
     """
 
     epoch: int
@@ -40,6 +40,7 @@
     runs: dict[tuple[TaskId, int], Run] = field(factory=dict)
     incarnations: Incarnations = field(factory=Incarnations)
     usage: WorkspaceUsage = field(factory=WorkspaceUsage)
+    service_usage: ServiceUsage = field(factory=ServiceUsage)
     _last_number: int = 0
     _last_assignment: int = 0
 
@@ -68,7 +69,10 @@
         """Bind a run of a task to an upstream."""
         progress.add_run(run)
         if (run.task, run.number) not in self.runs:
-            self.usage.add(progress.job.submission.workspace, progress.step.size)
+            run.service = upstream.entry.service
+            workspace = progress.job.submission.workspace
+            self.usage.add(workspace, progress.step.size)
+            self.service_usage.add(run.service, workspace, progress.step.claim)
         self.runs[run.task, run.number] = run
         upstream.bind(run.task, run.number, progress.step.claim)
 
@@ -101,13 +105,20 @@
         if old is not None:
             old.release(run.task, run.number)
         run.upstream = upstream.name
+        workspace = progress.job.submission.workspace
+        self.service_usage.remove(run.service, workspace, progress.step.claim)
+        run.service = upstream.entry.service
+        self.service_usage.add(run.service, workspace, progress.step.claim)
         run.forget_answers(now)
         upstream.bind(run.task, run.number, progress.step.claim)
 
     def remove_run(self, progress: StepProgress, run: Run) -> None:
         """Release a run that is known to have ended, or never to have started."""
-        if self.runs.pop((run.task, run.number), None) is not None:
-            self.usage.remove(progress.job.submission.workspace, progress.step.size)
+        bound = self.runs.pop((run.task, run.number), None)
+        if bound is not None:
+            workspace = progress.job.submission.workspace
+            self.usage.remove(workspace, progress.step.size)
+            self.service_usage.remove(bound.service, workspace, progress.step.claim)
         progress.remove_run(run)
         upstream = self.upstreams.get(run.upstream)
         if upstream is not None:
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -35,10 +35,11 @@
     ``is_complete`` is false while some jobs are not loaded. All jobs stored before
     ``read_until`` are known, unless they were deleted. ``ready_steps`` have
     waiting tasks and no incomplete dependencies, ``_steps_with_losses`` tasks under
-    which an upstream was lost. The progress of ``changed`` jobs has
-    to be stored. ``forgotten`` jobs are removed from the table, and their stored
-    progress is still to be deleted. ``_first_mentions`` tells when upstreams first
-    mentioned jobs that were unknown then.
+    which an upstream was lost. The progress of ``changed`` jobs has to be stored.
+    ``unrated`` are the jobs of workspaces that were added, until somebody has looked at
+    their rate. ``forgotten`` jobs are removed from the table, and their stored progress
+    is still to be deleted. ``_first_mentions`` tells when upstreams first mentioned
+    jobs that were unknown then.
     """
 
     configuration: Configuration
@@ -50,6 +51,7 @@
     _steps_with_losses: dict[tuple[str, int, int], StepProgress] = field(factory=dict)
     changed: set[str] = field(factory=set)
     forgotten: set[str] = field(factory=set)
+    unrated: list[str] = field(factory=list)
     newest_version: int = 0
     _services: dict[str, str] = field(factory=dict)
     _cancelled_early: dict[str, timedelta] = field(factory=dict)
@@ -98,6 +100,8 @@
         job = JobProgress(submission, accepted, version)
         self.jobs[submission.job] = job
         self._unannounced[submission.job] = None
+        if submission.workspace:
+            self.unrated.append(submission.job)
         if record is not None:
             job.restore(record)
         if job.ended is not None:
--- a/packages/almondspread/almondspread/jobs/progress.py
+++ b/packages/almondspread/almondspread/jobs/progress.py
@@ -26,7 +26,8 @@
 
     ``accepted`` is the monotonic time at which the job was accepted. ``version`` is the
     first store version that contains the job. ``end_stored`` tells whether the store
-    has the final state. ``records`` holds stored progress of occurrences that are not
+    has the final state. The job ``is_surplus`` if it is beyond the rate of its
+    workspace. ``records`` holds stored progress of occurrences that are not
     due yet.
     """
 
@@ -34,6 +35,7 @@
     accepted: timedelta
     version: int = 0
     has_started: bool = False
+    is_surplus: bool = False
     ended: JobState | None = None
     ended_at: timedelta | None = None
     end_stored: bool = False
--- a/packages/almondspread/almondspread/jobs/ranked_steps.py
+++ b/packages/almondspread/almondspread/jobs/ranked_steps.py
@@ -7,10 +7,11 @@
 
 from almondspread.jobs.bound_runs import Run
 from almondspread.jobs.configuration import AdviceTiming
-from almondspread.jobs.ordering import StepRank, rank_step
+from almondspread.jobs.ordering import OVER_SHARE, StepRank, rank_step
 from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.service_upstreams import ServiceUpstreams
+from almondspread.jobs.share_tracker import ShareTracker
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.stragglers import estimate_time_left
 from almondspread.jobs.upstreams import Upstream
@@ -38,6 +39,11 @@
     held: frozenset[int] = frozenset()
     unreserved: Collection[str] = ()
 
+    @property
+    def is_over_share(self) -> bool:
+        """Whether the step's workspace has its share of the service."""
+        return self.rank[1] == OVER_SHARE
+
 
 @define(eq=False)
 class StepRanker:
@@ -45,6 +51,7 @@
 
     control: RunControl
     reservations: Reservations
+    shares: ShareTracker
 
     def rank(
         self,
@@ -57,7 +64,12 @@
         submission = progress.job.submission
         queue = submission.find_queue(table.configuration)
         return RankedStep(
-            rank_step(progress, table.configuration, now),
+            rank_step(
+                progress,
+                table.configuration,
+                now,
+                self.shares.find_place(progress),
+            ),
             progress,
             usable.get(table.find_service(submission), NO_UPSTREAMS),
             now + self._estimate_duration(progress),
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -44,9 +44,11 @@
 from almondspread.jobs.pending_changes import ChangeQueue
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.runs import RunControl
+from almondspread.jobs.share_tracker import ShareTracker
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.jobs.surplus_jobs import SurplusJobs
 from almondspread.jobs.unseen_runs import UnseenRuns
 from almondspread.jobs.upstream_tracker import UpstreamTracker
 from almondspread.jobs.upstreams import Upstream
@@ -107,8 +109,12 @@
         self._workspaces = KnownWorkspaces()
         self._workspaces.configure(configuration)
         self._limits = WorkspaceLimits(self.cell_state, unseen, self._workspaces)
+        self._shares = ShareTracker(
+            self.cell_state, self._job_table, self._workspaces, self._limits
+        )
+        self._surplus = SurplusJobs(self._job_table, self._workspaces)
         self._planner = StartPlanner(
-            self.cell_state, self._control, self._limits, max_entry_age
+            self.cell_state, self._control, self._limits, self._shares, max_entry_age
         )
 
     @property
@@ -363,6 +369,7 @@
         self._job_table.create_due_occurrences(wall)
         self._upstream_tracker.expire_leases(now)
         self._lease_holds = lease_holds
+        self._surplus.mark_new()
         self._planner.start_waiting_tasks(
             now, max_permit_requests, self._compute_holds()
         )
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -1,8 +1,9 @@
 """Starts waiting tasks: requests permits, places tasks, and orders their starts."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from functools import partial
+from heapq import heapify, heappop, heappush
 
 from attrs import define, field
 from loguru import logger
@@ -13,7 +14,7 @@
 from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.last_resorts import needs_last_resort
 from almondspread.jobs.messages import StartRun
-from almondspread.jobs.ordering import FIRST_GROUP, StepRank
+from almondspread.jobs.ordering import FIRST_GROUP, OVER_SHARE, UNDER_SHARE, StepRank
 from almondspread.jobs.permit_planning import PermitPlanner
 from almondspread.jobs.placement import (
     Candidate,
@@ -25,6 +26,7 @@
 from almondspread.jobs.reservations import Reservations
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
+from almondspread.jobs.share_tracker import ShareTracker
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import UpcomingSteps
@@ -51,6 +53,7 @@
     cell_state: CellState
     control: RunControl
     limits: WorkspaceLimits
+    shares: ShareTracker
     max_entry_age: timedelta = MAX_ENTRY_AGE
     permits: PermitPlanner = field(init=False)
     _ranker: StepRanker = field(init=False)
@@ -60,7 +63,7 @@
 
     def __attrs_post_init__(self) -> None:
         self._reservations = Reservations(self.limits.count_startable)
-        self._ranker = StepRanker(self.control, self._reservations)
+        self._ranker = StepRanker(self.control, self._reservations, self.shares)
         self.permits = PermitPlanner(self._ranker, self.limits, self._upcoming)
 
     def start_waiting_tasks(
@@ -83,12 +86,13 @@
         ]
         usable = group_by_service(each for each in known if each.is_usable(now))
         self.limits.refresh(now)
+        self.shares.refresh(now)
         steps = self._rank_steps(usable, holds, now)
         self._add_last_resorts(steps, known, now)
         max_permit_requests -= self.permits.request_for_expiring(
             expiring, usable, max_permit_requests, now
         )
-        for step in steps:
+        for step in self._defer_over_share(steps, now):
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
             if step.advice is None or not step.progress.waiting:
@@ -103,6 +107,29 @@
             self._reserved_at = now
             self._renew_reservations(steps, usable, now)
 
+    def _defer_over_share(
+        self, steps: list[RankedStep], now: timedelta
+    ) -> Iterator[RankedStep]:
+        """Yield steps in the order of their ranks, which change as tasks start.
+
+        A step comes a second time with its remaining tasks, after those of workspaces
+        with less, once its workspace has its share.
+        """
+        left = [(step.rank, number, step) for number, step in enumerate(steps)]
+        heapify(left)
+        while left:
+            rank, number, step = heappop(left)
+            if step.is_over_share or rank[0] != FIRST_GROUP:
+                yield step
+                continue
+            if self.shares.find_place(step.progress) == UNDER_SHARE:
+                yield step
+            if not step.progress.waiting:
+                continue
+            if self.shares.find_place(step.progress) == OVER_SHARE:
+                step.rank = (rank[0], OVER_SHARE, *rank[2:])
+                heappush(left, (step.rank, number, step))
+
     def _knows_capacity(self, upstream: Upstream, now: timedelta) -> bool:
         """Return whether an upstream's capacity is known, or enforced by itself."""
         if now - upstream.listed_at <= self.max_entry_age:
@@ -249,7 +276,7 @@
             latency_sensitive,
             trials_left,
             step.held,
-            self.limits.count_startable(progress),
+            self._count_placeable(step),
         )
         gang_number = self.cell_state.allocate_run_number() if progress.step.gang else 0
         for placement in placements:
@@ -259,6 +286,13 @@
         self._upcoming.add_dependents(progress)
         self.control.job_table.update_readiness(progress)
 
+    def _count_placeable(self, step: RankedStep) -> int:
+        """Return how many tasks of a step may start in its present place."""
+        startable = self.limits.count_startable(step.progress)
+        if step.rank[0] != FIRST_GROUP or step.is_over_share or step.progress.step.gang:
+            return startable
+        return min(startable, self.shares.count_within_share(step.progress))
+
     def _start_run(
         self, step: RankedStep, placement: Placement, number: int, now: timedelta
     ) -> None:
--- a/packages/almondspread/almondspread/jobs/tests/test_reservations.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_reservations.py
@@ -64,7 +64,7 @@
             fake = FakeUpstream(f"u{number}", LARGE, History())
             upstreams.append(Upstream(make_entry(fake, number)))
         reservations = Reservations(lambda _: 1)
-        waiting = [((0, 0, SECOND), progress, upstreams)]
+        waiting = [((0, 0, 0, SECOND), progress, upstreams)]
         reservations.renew(waiting, 9, lambda _: [], SECOND)
         self.assertEqual(len(reservations.list_older(SECOND)), 1)
 
--- a/packages/almondspread/almondspread/jobs/tests/workspace_cells.py
+++ b/packages/almondspread/almondspread/jobs/tests/workspace_cells.py
@@ -7,8 +7,6 @@
 from almondspread.jobs.workspaces import Workspace
 from almondspread.resources.capacity import Capacity
 
-NO_LIMIT = Capacity(0, 0, 0)
-
 
 class WorkspaceCellTest(CellTest):
     """Checks at each start that no workspace has more running than its limit."""
--- a/packages/almondspread/almondspread/jobs/workspace_usage.py
+++ b/packages/almondspread/almondspread/jobs/workspace_usage.py
@@ -7,6 +7,36 @@
 NOTHING = Capacity(0, 0, 0)
 
 
+@define(eq=False)
+class ServiceUsage:
+    """What the bound runs of each workspace reserve of the upstreams of each service.
+
+    Runs without a workspace count under the empty name.
+    """
+
+    _amounts: dict[tuple[str, str], Capacity] = field(factory=dict)
+
+    def add(self, service: str, workspace: str, claim: Capacity) -> None:
+        """Add a run."""
+        self._amounts[service, workspace] = self.find(service, workspace).plus(claim)
+
+    def remove(self, service: str, workspace: str, claim: Capacity) -> None:
+        """Remove a run that ``add`` has counted."""
+        left = self.find(service, workspace).minus(claim)
+        if left == NOTHING:
+            self._amounts.pop((service, workspace), None)
+        else:
+            self._amounts[service, workspace] = left
+
+    def find(self, service: str, workspace: str) -> Capacity:
+        """Return what a workspace reserves of a service."""
+        return self._amounts.get((service, workspace), NOTHING)
+
+    def list_users(self) -> list[tuple[str, str]]:
+        """Return the services and the workspaces that reserve anything of them."""
+        return list(self._amounts)
+
+
 @define(eq=False)
 class WorkspaceUsage:
     """The sum of the sizes of the bound runs of each workspace.
