Tell the load of workspaces and the waits for their shares

Operators could not see which workspace uses its limit, or why a step of one waits in a full service. Waits for room behind workspaces with less than their share, or behind jobs within the rates, now have the reason workspace_share.

--- a/packages/almondspread/almondspread/jobs/loads.py
+++ b/packages/almondspread/almondspread/jobs/loads.py
@@ -9,6 +9,7 @@
 from almondspread.jobs.holds import HoldCause, StartHolds
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
+from almondspread.jobs.workspace_loads import WorkspaceLoad
 
 
 @define(frozen=True)
@@ -29,6 +30,7 @@
     usable_millis: int
     suspected_tasks: int = 0
     held_tasks: dict[str, int] = field(factory=dict)
+    workspaces: tuple[WorkspaceLoad, ...] = ()
 
 
 NO_LOAD = Load(0, 0, 0, 0, 0, 0)
@@ -41,6 +43,7 @@
     now: timedelta,
     suspected: int = 0,
     held: dict[str, int] | None = None,
+    workspaces: tuple[WorkspaceLoad, ...] = (),
 ) -> Load:
     """Return the load of steps with waiting tasks on upstreams.
 
@@ -59,7 +62,15 @@
             usable += upstream.entry.capacity.cpu_millis
             used += upstream.entry.capacity.cpu_millis - upstream.free.cpu_millis
     return Load(
-        steps, unseen, tasks, without_permits, used, usable, suspected, held or {}
+        steps,
+        unseen,
+        tasks,
+        without_permits,
+        used,
+        usable,
+        suspected,
+        held or {},
+        workspaces,
     )
 
 
--- a/packages/almondspread/almondspread/jobs/long_waits.py
+++ b/packages/almondspread/almondspread/jobs/long_waits.py
@@ -11,7 +11,12 @@
 WAIT_THRESHOLD = timedelta(seconds=2)
 REPEAT_INTERVAL = timedelta(seconds=5)
 MAX_TOLD_AT_ONCE = 8
-COMMON_CAUSES = (DelayCause.NO_PERMITS, DelayCause.NO_ROOM)
+COMMON_CAUSES = (
+    DelayCause.NO_PERMITS,
+    DelayCause.NO_ROOM,
+    DelayCause.WORKSPACE_LIMIT,
+    DelayCause.WORKSPACE_SHARE,
+)
 
 StepKey = tuple[str, int, int]
 
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -55,6 +55,7 @@
 from almondspread.jobs.wait_reasons import HoldBounds, UnseenUpstream, WaitReason
 from almondspread.jobs.wait_survey import explain_waits, find_silent
 from almondspread.jobs.workspace_limits import WorkspaceLimits
+from almondspread.jobs.workspace_loads import measure_workspaces
 
 # Events trigger many scheduling passes a second; the scan of all runs for stragglers,
 # evacuations and timeouts need not run in each of them.
@@ -451,6 +452,7 @@
             now,
             self._job_table.count_suspects(),
             count_held_tasks(steps, self._compute_holds(), now),
+            measure_workspaces(self._job_table, self.cell_state.usage, self._limits),
         )
 
     def list_unseen(self, now: timedelta) -> dict[str, float]:
@@ -486,6 +488,7 @@
             self._compute_holds(),
             bounds,
             self._limits.count_startable,
+            self._shares.find_place,
             now,
         )
 
--- a/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
@@ -83,6 +83,21 @@
         self.cell.run_for(SECOND)
         self.assertEqual(self.count_all("w", "x", "y"), [4, 1, 3])
 
+    def test_wait_for_the_share_is_told(self):
+        """Guards against a wait for room whose reason is a workspace's share."""
+        self.add_upstreams(2)
+        self.share(w=9.0, x=9.0, y=9.0)
+        self.submit("j", make_step(9), duration=HOUR)
+        self.submit("k", make_step(9), duration=HOUR, workspace="x")
+        self.cell.run_for(SECOND)
+        self.submit("l", make_step(2), duration=HOUR, workspace="y")
+        self.cell.run_for(SECOND)
+        reasons = self.list_reasons()
+        self.assertEqual(reasons["l"], {"no_room": 2})
+        self.assertEqual(reasons["j"], {"workspace_share": 5})
+        loads = self.cell.scheduler.measure_load(self.cell.now).workspaces
+        self.assertEqual([load.waiting_tasks for load in loads], [5, 5, 2])
+
     def test_nothing_is_preempted(self):
         """Guards against runs stopped for a workspace under its share."""
         self.add_upstreams(1)
--- a/packages/almondspread/almondspread/jobs/wait_reasons.py
+++ b/packages/almondspread/almondspread/jobs/wait_reasons.py
@@ -17,7 +17,9 @@
     """What delays tasks that nothing of ``HoldCause`` keeps from starting.
 
     With the tasks of a ``WORKSPACE_LIMIT``, more than the limit of their workspace
-    would be running, or might be on upstreams that have not reported. Tasks on a
+    would be running, or might be on upstreams that have not reported. Tasks of a
+    ``WORKSPACE_SHARE`` wait for room after those of workspaces that have less than
+    their share of a service, or after the jobs within the rates. Tasks on a
     ``SILENT_UPSTREAM`` have a run, which may have ended unheard.
     """
 
@@ -25,6 +27,7 @@
     NO_ROOM = "no_room"
     SILENT_UPSTREAM = "silent_upstream"
     WORKSPACE_LIMIT = "workspace_limit"
+    WORKSPACE_SHARE = "workspace_share"
 
 
 WaitCause = HoldCause | DelayCause
@@ -119,12 +122,14 @@
     needs_advice: bool = False,
     steps_before: int = 0,
     startable: int = MAX_COUNT,
+    yields: bool = False,
 ) -> list[WaitReason]:
     """Return why the waiting tasks of a ready step have not started.
 
     The step starts only with permits if it ``needs_advice``. The limit of its workspace
-    lets only ``startable`` tasks start. There are several reasons where some tasks are
-    held while others are not.
+    lets only ``startable`` tasks start, and it ``yields`` room to workspaces with less
+    than their share, or to jobs within the rates. There are several reasons where some
+    tasks are held while others are not.
 
     >>> from almondspread.jobs.progress import JobProgress
     >>> from almondspread.jobs.submissions import Step, Submission
@@ -160,7 +165,8 @@
     if needs_advice and not progress.permits.has_ticket(now):
         found.append(WaitReason(*progress.key, others, DelayCause.NO_PERMITS))
     else:
-        reason = WaitReason(*progress.key, others, DelayCause.NO_ROOM)
+        delay = DelayCause.WORKSPACE_SHARE if yields else DelayCause.NO_ROOM
+        reason = WaitReason(*progress.key, others, delay)
         found.append(evolve(reason, steps_before=steps_before))
     return found
 
--- a/packages/almondspread/almondspread/jobs/wait_survey.py
+++ b/packages/almondspread/almondspread/jobs/wait_survey.py
@@ -7,7 +7,7 @@
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.holds import StartHolds
 from almondspread.jobs.job_table import JobTable
-from almondspread.jobs.ordering import rank_step
+from almondspread.jobs.ordering import OVER_SHARE, rank_step
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.upstreams import Upstream
 from almondspread.jobs.wait_reasons import (
@@ -40,26 +40,34 @@
     holds: StartHolds,
     bounds: HoldBounds,
     count_startable: Callable[[StepProgress], int],
+    find_place: Callable[[StepProgress], int],
     now: timedelta,
 ) -> list[WaitReason]:
     """Return why tasks of steps do not run, for each step with such tasks.
 
     ``count_startable`` tells how many tasks of a step the limit of its workspace lets
-    start. A step may have tasks that wait for different reasons, and tasks with a run
-    on a silent upstream.
+    start, and ``find_place`` its place by the share of its workspace. A step may have
+    tasks that wait for different reasons, and tasks with a run on a silent upstream.
     """
     found: list[WaitReason] = []
     steps = []
     for progress in table.ready_steps.values():
         steps.append((progress, find_hold(progress, holds, now)))
-    positions = _count_steps_before(table, steps, now)
+    positions = _count_steps_before(table, steps, find_place, now)
     for progress, hold in steps:
         queue = progress.job.submission.find_queue(table.configuration)
         needs_advice = queue is not None and queue.advice is not None
         before = positions.get(progress.key, 0)
         startable = count_startable(progress)
         found += explain_step(
-            progress, hold, bounds, now, needs_advice, before, startable
+            progress,
+            hold,
+            bounds,
+            now,
+            needs_advice,
+            before,
+            startable,
+            before > 0 and _yields(progress, find_place),
         )
     for progress in _list_steps_on(table, cell_state, bounds):
         silent = explain_silent_runs(progress, bounds)
@@ -68,8 +76,18 @@
     return found
 
 
+def _yields(progress: StepProgress, find_place: Callable[[StepProgress], int]) -> bool:
+    """Return whether a step comes last because of its workspace's share or rate."""
+    if progress.job.is_surplus and not progress.step.lasting:
+        return True
+    return find_place(progress) == OVER_SHARE
+
+
 def _count_steps_before(
-    table: JobTable, steps: list[tuple[StepProgress, StepHold]], now: timedelta
+    table: JobTable,
+    steps: list[tuple[StepProgress, StepHold]],
+    find_place: Callable[[StepProgress], int],
+    now: timedelta,
 ) -> dict[tuple[str, int, int], int]:
     """Return how many steps for the same service are placed before each step.
 
@@ -78,7 +96,9 @@
     ranked = []
     for progress, hold in steps:
         if hold.cause is None:
-            ranked.append((rank_step(progress, table.configuration, now), progress))
+            place = find_place(progress)
+            rank = rank_step(progress, table.configuration, now, place)
+            ranked.append((rank, progress))
     ranked.sort(key=lambda row: row[0])
     positions = {}
     placed: Counter[str] = Counter()
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -12,6 +12,7 @@
 
 from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import NO_LOAD, Load
+from almondspread_daemon.jobs.workspace_gauges import WorkspaceGauges
 
 METER_NAME = "almondspread.jobs"
 # Calls take milliseconds as a rule, and seconds during outages.
@@ -61,6 +62,7 @@
         self._suspected_tasks = meter.create_gauge(
             "suspected_tasks", description="tasks under which upstreams crash"
         )
+        self._workspaces = WorkspaceGauges(meter)
         self._epoch = meter.create_gauge(
             "leader_epoch", description="the epoch that this instance leads, 0 for none"
         )
@@ -102,6 +104,7 @@
             self._held_tasks.set(load.held_tasks.get(cause, 0), {"cause": str(cause)})
         self._used_millis.set(load.used_millis)
         self._suspected_tasks.set(load.suspected_tasks)
+        self._workspaces.set(load.workspaces)
 
     def set_configuration_version(self, version: int) -> None:
         """Set the gauge of the configuration version in force."""
