--- a/packages/almondspread/almondspread/jobs/expected_work.py
+++ b/packages/almondspread/almondspread/jobs/expected_work.py
@@ -152,7 +152,7 @@
         return None
     if progress.permits.denied and not progress.permits.allowed:
         return None
-    group, priority, due = rank_step(progress, configuration, now)
+    group, _, priority, due = rank_step(progress, configuration, now)
     if group == LAST_GROUP:
         return None
     seconds = progress.step.estimate.total_seconds() * ratio
--- a/packages/almondspread/almondspread/jobs/locality.py
+++ b/packages/almondspread/almondspread/jobs/locality.py
@@ -330,7 +330,7 @@
             saved += max(far_time - near_time, timedelta(0))
         if ready_at - since >= saved:
             return False
-        group, _, due = step.rank
+        group, _, _, due = step.rank
         path = step.progress.job.critical_paths[step.progress.number]
         return group == FIRST_GROUP and ready_at + path <= due
 
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -46,16 +46,19 @@
 from almondspread.jobs.pending_changes import ChangeQueue
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.runs import RunControl
+from almondspread.jobs.share_tracker import ShareTracker
 from almondspread.jobs.speeds import KindSpeed
 from almondspread.jobs.starts import MAX_ENTRY_AGE, StartPlanner
 from almondspread.jobs.stragglers import choose_stragglers
 from almondspread.jobs.submissions import Submission, TaskId
+from almondspread.jobs.surplus_jobs import SurplusJobs
 from almondspread.jobs.unseen_runs import UnseenRuns
 from almondspread.jobs.upstream_tracker import UpstreamTracker
 from almondspread.jobs.upstreams import Upstream
 from almondspread.jobs.wait_reasons import HoldBounds, UnseenUpstream, WaitReason
 from almondspread.jobs.wait_survey import explain_waits, find_silent
 from almondspread.jobs.workspace_limits import WorkspaceLimits
+from almondspread.jobs.workspace_loads import measure_workspaces
 
 # Events trigger many scheduling passes a second; the scan of all runs for stragglers,
 # evacuations and timeouts need not run in each of them.
@@ -112,8 +115,12 @@
         self._workspaces = KnownWorkspaces()
         self._workspaces.configure(configuration)
         self._limits = WorkspaceLimits(self.cell_state, unseen, self._workspaces)
+        self._shares = ShareTracker(
+            self.cell_state, self._job_table, self._workspaces, self._limits
+        )
+        self._surplus = SurplusJobs(self._job_table, self._workspaces)
         self._planner = StartPlanner(
-            self.cell_state, self._control, self._limits, max_entry_age
+            self.cell_state, self._control, self._limits, self._shares, max_entry_age
         )
 
     @property
@@ -372,6 +379,7 @@
         self._job_table.create_due_occurrences(wall)
         self._upstream_tracker.expire_leases(now)
         self._lease_holds = lease_holds
+        self._surplus.mark_new()
         self._planner.start_waiting_tasks(
             now, max_permit_requests, self._compute_holds()
         )
@@ -454,6 +462,7 @@
             now,
             self._job_table.count_suspects(),
             count_held_tasks(steps, self._compute_holds(), now),
+            measure_workspaces(self._job_table, self.cell_state.usage, self._limits),
         )
 
     def list_kind_speeds(self) -> list[KindSpeed]:
@@ -498,6 +507,7 @@
             self._compute_holds(),
             bounds,
             self._limits.count_startable,
+            self._shares.find_place,
             now,
         )
 
--- a/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
@@ -189,7 +189,7 @@
     def test_only_the_longest_chain_is_urgent(self):
         """A short branch took a fast upstream from the branch that decides the end."""
         job = self.make(make_step(estimate=9 * SECOND), make_step())
-        rank = (0, 0, 60 * SECOND)
+        rank = (0, 0, 0, 60 * SECOND)
         self.assertTrue(is_urgent(job.steps[0, 0], rank, SECOND))
         self.assertFalse(is_urgent(job.steps[0, 1], rank, SECOND))
         job.steps[0, 0].done.add(0)
@@ -198,7 +198,7 @@
     def test_nearly_late_step_is_urgent_and_a_late_one_is_not(self):
         job = self.make(make_step(estimate=9 * SECOND), make_step())
         short = job.steps[0, 1]
-        self.assertTrue(is_urgent(short, (0, 0, SECOND * 3.2), 2 * SECOND))
+        self.assertTrue(is_urgent(short, (0, 0, 0, SECOND * 3.2), 2 * SECOND))
         self.assertFalse(is_urgent(short, (1, 0, SECOND * 2.2), 2 * SECOND))
 
 
--- a/packages/almondspread/almondspread/jobs/urgency.py
+++ b/packages/almondspread/almondspread/jobs/urgency.py
@@ -19,7 +19,7 @@
     It should if the longest chain of the job's incomplete steps begins with it, or if
     its job is nearly late.
     """
-    group, _, due = rank
+    group, _, _, due = rank
     step = progress.step
     if group != FIRST_GROUP or step.lasting or step.opportunistic:
         return False
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -13,6 +13,7 @@
 from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import NO_LOAD, Load
 from almondspread.jobs.speeds import KindSpeed
+from almondspread_daemon.jobs.workspace_gauges import WorkspaceGauges
 from almondspread_daemon.jobs.workspace_labels import WorkspaceLabels
 
 METER_NAME = "almondspread.jobs"
@@ -84,6 +85,7 @@
             [self._observe_near_waits],
             description="waits for a near place that have ended, by outcome",
         )
+        self._workspaces = WorkspaceGauges(meter)
         self._epoch = meter.create_gauge(
             "leader_epoch", description="the epoch that this instance leads, 0 for none"
         )
@@ -135,6 +137,7 @@
             self._held_tasks.set(load.held_tasks.get(cause, 0), {"cause": str(cause)})
         self._used_millis.set(load.used_millis)
         self._suspected_tasks.set(load.suspected_tasks)
+        self._workspaces.set(load.workspaces)
 
     def set_kind_speeds(self, speeds: Iterable[KindSpeed] = ()) -> None:
         """Set the speeds in use by kind, those with the most samples first."""
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from almondspread.jobs.holds import HoldCause
 from almondspread.jobs.loads import Load
 from almondspread.jobs.speeds import Kind, KindSpeed
+from almondspread.jobs.workspace_loads import WorkspaceLoad
 from almondspread_daemon.jobs.metrics import JobMetrics
 from almondspread_daemon.jobs.workspace_labels import MAX_LABELLED_WORKSPACES
 
@@ -72,5 +73,33 @@
         self.assertRegex(text, 'estimated_wait_seconds{[^}]*service="s"[^}]*} 12.0')
 
 
+class WorkspaceGaugesTest(unittest.TestCase):
+    def read_waiting(self, metrics):
+        found = {}
+        for line in metrics.render().decode().splitlines():
+            if line.startswith("workspace_waiting_tasks{"):
+                labels, _, number = line.rpartition(" ")
+                name = labels.partition('workspace="')[2].partition('"')[0]
+                found[name] = float(number)
+        return found
+
+    def test_number_of_labels_is_bounded(self):
+        """Guards against a time series for each of very many workspaces."""
+        metrics = JobMetrics("entry-1", "umea")
+        loads = [WorkspaceLoad(f"w{number}", 0.5, 2, 0) for number in range(100)]
+        metrics.set_load(3, Load(0, 0, 0, 0, 0, 0, workspaces=tuple(loads)))
+        found = self.read_waiting(metrics)
+        self.assertEqual(len(found), 64 + 1)
+        self.assertEqual(found["other"], 2 * 36)
+
+    def test_workspace_without_load_is_exported_as_zero(self):
+        """Guards against a gauge that keeps the number of work that is done."""
+        metrics = JobMetrics("entry-1", "umea")
+        load = WorkspaceLoad("w", 0.5, 2, 0)
+        metrics.set_load(3, Load(0, 0, 0, 0, 0, 0, workspaces=(load,)))
+        metrics.set_load(0)
+        self.assertEqual(self.read_waiting(metrics), {"w": 0.0})
+
+
 if __name__ == "__main__":
     unittest.main()
