--- a/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
@@ -199,7 +199,7 @@
         job = self.make(make_step(estimate=9 * SECOND), make_step())
         short = job.steps[0, 1]
         self.assertTrue(is_urgent(short, (0, 0, 0, SECOND * 3.2), 2 * SECOND))
-        self.assertFalse(is_urgent(short, (1, 0, SECOND * 2.2), 2 * SECOND))
+        self.assertFalse(is_urgent(short, (1, 0, 0, SECOND * 2.2), 2 * SECOND))
 
 
 if __name__ == "__main__":
