Count an upstream as slow only by half its speed and four runs

Change: a single upstream counts from a factor of two and four runs on, of twelve seconds; its samples end after six seconds without a run.

--- a/packages/almondspread/almondspread/jobs/speeds.py
+++ b/packages/almondspread/almondspread/jobs/speeds.py
@@ -28,14 +28,16 @@
 MIN_SINGLE_SPEED = 0.1
 MIN_KIND_SAMPLES = 24
 MAX_KIND_SAMPLES = 256
-# A slow upstream ends about one run a second, and is to be known within seconds.
-MIN_SINGLE_SAMPLES = 3
+# Of three samples, two often lie in the long tail of the same job.
+MIN_SINGLE_SAMPLES = 4
 MAX_SINGLE_SAMPLES = 6
-# A slow upstream is given fewer runs, so that its recovery shows by old samples ending.
-MAX_SINGLE_AGE = timedelta(seconds=6)
+# A slow upstream ends less than one run a second.
+MAX_SINGLE_AGE = timedelta(seconds=12)
+# A slow upstream may be given no more runs that would show its recovery.
+MAX_SINGLE_SILENCE = timedelta(seconds=6)
 # Smaller differences matter less than how tightly a task fits.
 MIN_KIND_DIFFERENCE = log(1.1)
-MIN_SINGLE_DIFFERENCE = log(1.4)
+MIN_SINGLE_DIFFERENCE = log(2.0)
 # A difference counts from this many standard errors on.
 CLEAR_ERRORS = 3.0
 # The standard deviation of normal noise is this multiple of the median deviation, and
@@ -119,6 +121,8 @@
 
     def update(self, known: _KindSamples, now: timedelta) -> None:
         """Set the factor from the samples that are new enough."""
+        if self.samples and now - self.samples[-1][0] > MAX_SINGLE_SILENCE:
+            self.samples.clear()
         while self.samples and now - self.samples[0][0] > MAX_SINGLE_AGE:
             self.samples.popleft()
         self.factor = 1.0
@@ -126,7 +130,10 @@
             return
         if len(known.residuals) < MIN_KIND_SAMPLES:
             return
-        middle = median([value for _, value in self.samples])
+        values = sorted(value for _, value in self.samples)
+        middles = (values[(len(values) - 1) // 2], values[len(values) // 2])
+        # Between two middle samples, that which differs less counts.
+        middle = min(middles, key=abs)
         error = MEDIAN_ERROR * known.spread / sqrt(len(self.samples))
         if abs(middle) >= max(MIN_SINGLE_DIFFERENCE, CLEAR_ERRORS * error):
             self.factor = exp(middle)
@@ -296,7 +303,9 @@
             self._refresh_service(service)
         self._changed.clear()
         for name, single in list(self._singles.items()):
-            if now - single.samples[0][0] <= MAX_SINGLE_AGE:
+            age = now - single.samples[0][0]
+            silence = now - single.samples[-1][0]
+            if age <= MAX_SINGLE_AGE and silence <= MAX_SINGLE_SILENCE:
                 continue
             single.update(self._kinds[single.kind], now)
             if not single.samples:
