Compute the end of a task only on upstreams that are reserved

Cause: the expected end by speed was computed for each candidate of each step. Change: upstreams without a reservation are answered first. Result: test_unlike_upstreams passes.

--- a/packages/almondspread/almondspread/jobs/reservations.py
+++ b/packages/almondspread/almondspread/jobs/reservations.py
@@ -63,6 +63,10 @@
                 older.add(name)
         return older
 
+    def is_reserved(self, upstream: Upstream) -> bool:
+        """Return whether room on an upstream is reserved."""
+        return upstream.name in self._by_upstream
+
     def find_free(
         self, upstream: Upstream, rank: StepRank, ends_at: timedelta
     ) -> Capacity:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -321,6 +321,8 @@
 
     def _find_free(self, step: _RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
+        if not self._reservations.is_reserved(upstream):
+            return upstream.free
         if upstream.name in step.unreserved:
             return upstream.free
         return self._reservations.find_free(
