Score an upstream again only after a task was placed on it

Cause: each task of a step scored all upstreams with room. Change: the scores of upstreams that did not change are kept for the next task.

--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -163,6 +163,8 @@
             for upstream in self._candidates
         }
         self._apart: set[str] = set()
+        # The scores, ``None`` without room, of upstreams that have not changed since.
+        self._scores: dict[str, Score | None] = {}
 
     def place_all(self) -> list[Placement]:
         """Reserve capacity for all tasks of the step, or return an empty list."""
@@ -216,6 +218,7 @@
         name = upstream.name
         self._free[name] = self._free[name].minus(self._step.claim)
         self._counts[name] += 1
+        self._scores.pop(name, None)
 
     def reserve(self, avoided: set[str]) -> Upstream | None:
         """Reserve capacity for one task on the best upstream, ``None`` if none fits."""
@@ -223,9 +226,14 @@
         best_score: Score | None = None
         for upstream in self._candidates:
             name = upstream.name
-            if name in avoided or name in self._apart or not self._fits(upstream):
+            if name in avoided or name in self._apart:
+                continue
+            if name not in self._scores:
+                fits = self._fits(upstream)
+                self._scores[name] = self._score(upstream) if fits else None
+            score = self._scores[name]
+            if score is None:
                 continue
-            score = self._score(upstream)
             if best_score is None or score < best_score:
                 best, best_score = upstream, score
         if best is not None:
--- a/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_pass_cost.py
@@ -64,6 +64,14 @@
         # Of the 60 upstreams 30 are on the rack; each step looks at none but these.
         self.assertLess(self.count_pass(), 60 + 40)
 
+    def test_tasks_of_a_step_do_not_each_look_at_all_upstreams(self):
+        """Each of many tasks of a step compared all upstreams with room anew."""
+        self.add_upstreams(60)
+        self.cell.run_for(SECOND)
+        self.cell.submit(make_job("j", make_step(40)))
+        # A step looks at each upstream three times, and each task at the one it takes.
+        self.assertLess(self.count_pass(), 3 * 60 + 2 * 40)
+
 
 if __name__ == "__main__":
     unittest.main()
