--- a/packages/almondspread/almondspread/jobs/ranked_steps.py
+++ b/packages/almondspread/almondspread/jobs/ranked_steps.py
@@ -98,6 +98,8 @@
 
     def find_free(self, step: RankedStep, upstream: Upstream) -> Capacity:
         """Return what a step may use of an upstream, which may be reserved."""
+        if not self.reservations.is_reserved(upstream):
+            return upstream.free
         if upstream.name in step.unreserved:
             return upstream.free
         return self.reservations.find_free(
