Bound the bytes and the connections of untrusted clients

Each connection could hold a whole unfinished body, and the platform's listener had no limit on connections, so that clients which stopped short of their end took all memory and descriptors of a process.

All listeners of a process share a budget for the bytes of requests that are not answered yet. With the budget used up, new bodies get 503 and Retry-After, and the incomplete request that has held the most for the longest time without progress is refused first. Bodies over the limit get 413, announced ones at once and chunked ones as soon as they exceed it; bodies below the minimum rate get 408. Requests that are being handled are never closed.

The handler that answered 413 on the product's listener is gone with its name TooLargeHandler: the listener itself answers, and counts refused clients by reason.

--- a/packages/almondspread/almondspread/errors/__init__.py
+++ b/packages/almondspread/almondspread/errors/__init__.py
@@ -10,6 +10,7 @@
     Overloaded,
     Problem,
     TooLarge,
+    TooSlow,
     Unauthenticated,
     Unavailable,
 )
@@ -24,6 +25,7 @@
     "Overloaded",
     "Problem",
     "TooLarge",
+    "TooSlow",
     "Unauthenticated",
     "Unavailable",
 ]
--- a/packages/almondspread/almondspread/errors/problems.py
+++ b/packages/almondspread/almondspread/errors/problems.py
@@ -63,6 +63,15 @@
     not_run: bool | None = True
 
 
+@define(frozen=True)
+class TooSlow(Problem):
+    """A body did not arrive in time; nothing of it was kept."""
+
+    code: ClassVar[str] = "too_slow"
+    http_status: ClassVar[int] = 408
+    not_run: bool | None = True
+
+
 @define(frozen=True)
 class Unauthenticated(Problem):
     """No valid credentials came with the request."""
--- a/packages/almondspread_daemon/almondspread_daemon/entry.py
+++ b/packages/almondspread_daemon/almondspread_daemon/entry.py
@@ -18,7 +18,7 @@
 from almondspread_daemon.background import start_task
 from almondspread_daemon.following import ChangeFollower
 from almondspread_daemon.following.watches import WatchTracker
-from almondspread_daemon.http import make_application
+from almondspread_daemon.http.application import make_application
 from almondspread_daemon.http.server import make_server
 from almondspread_daemon.membership import Neighbours
 from almondspread_daemon.membership.directory import (
@@ -194,7 +194,11 @@
         )
         self.credentials.on_peer_change = self._replace_peer_contexts
         self.http_server = make_server(
-            make_application(self), settings.http, self.credentials.http
+            make_application(self),
+            settings.http,
+            self.credentials.http,
+            clock,
+            self._count_refused_client,
         )
         register_gauges(
             self.telemetry.metrics,
@@ -321,6 +325,10 @@
         # Sending what is queued may take a while; the event loop does not wait.
         await asyncio.to_thread(self.telemetry.close)
 
+    def _count_refused_client(self, reason: str) -> None:
+        """Count a client that was refused before its request was handled."""
+        self.telemetry.instruments.refused_clients.add(1, {"reason": reason})
+
     def _announce(self) -> None:
         """Tell those who follow the change log of a step."""
         self.follower.notify_change()
--- a/packages/almondspread_daemon/almondspread_daemon/http/__init__.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/__init__.py
@@ -1,5 +1,4 @@
-"""The HTTP API of an entry instance."""
+"""The HTTP API of an entry instance, and the limits on clients of any listener.
 
-from almondspread_daemon.http.application import make_application
-
-__all__ = ["make_application"]
+The package imports nothing, since the platform's program uses only the limits.
+"""
--- a/packages/almondspread_daemon/almondspread_daemon/http/application.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/application.py
@@ -2,11 +2,9 @@
 
 from typing import TYPE_CHECKING, Any
 
-from tornado.routing import Rule
 from tornado.web import Application
 
 from almondspread_daemon.http.base import UnknownRoute
-from almondspread_daemon.http.body_limit import BodyOverLimit, TooLargeHandler
 from almondspread_daemon.http.metrics import MetricsHandler
 from almondspread_daemon.http.requests import KeyHandler, RequestHandler
 from almondspread_daemon.http.resources import (
@@ -48,13 +46,7 @@
 
 def make_application(entry: "Entry") -> Application:
     """Return the tornado application that serves an entry's routes."""
-    rules: list[Any] = [
-        Rule(
-            BodyOverLimit(entry.settings.http.max_body_bytes),
-            TooLargeHandler,
-            {"entry": entry, "access": Access.PUBLIC},
-        )
-    ]
+    rules: list[Any] = []
     for path, handler, access in ROUTES:
         rules.append((path, handler, {"entry": entry, "access": access}))
     return Application(
--- /dev/null
+++ b/packages/almondspread_daemon/almondspread_daemon/http/client_guard.py
@@ -0,0 +1,94 @@
+"""Applies the decisions on clients' connections and bytes at one listener."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from almondspread.clock import Clock
+from almondspread_daemon.http.buffer_budget import (
+    BufferBudget,
+    ClientConnections,
+    Connection,
+    Phase,
+    Refusal,
+    RequestLimits,
+)
+from almondspread_daemon.http.client_refusals import RefusalLog
+
+CHECK_INTERVAL = timedelta(milliseconds=500)
+
+
+class ClientGuard:
+    """Closes or refuses the clients of one listener that its limits do not allow.
+
+    ``read_limits`` returns the limits that apply to a connection's next request.
+    """
+
+    def __init__(
+        self,
+        clients: ClientConnections,
+        read_limits: Callable[[], RequestLimits],
+        clock: Clock,
+        log: RefusalLog,
+    ) -> None:
+        self.clients = clients
+        self.read_limits = read_limits
+        self.clock = clock
+        self.log = log
+        self._timer: asyncio.TimerHandle | None = None
+
+    def make_room(self) -> bool:
+        """Close a connection for a new one if need be; false to refuse the new one."""
+        if not self.clients.is_full:
+            return True
+        victim = self.clients.find_closable(self.clock.monotonic())
+        if victim is None:
+            self.log.record(Refusal.CONNECTIONS_FULL)
+            return False
+        is_idle = victim.phase == Phase.IDLE
+        self.log.record(Refusal.IDLE_CLOSED if is_idle else Refusal.CONNECTIONS_FULL)
+        victim.exchange.close()
+        return True
+
+    def open(self, exchange: Any) -> Connection:
+        """Add a connection, and start the checks of slow clients."""
+        now = self.clock.monotonic()
+        if self._timer is None:
+            self._set_timer()
+        return self.clients.open(exchange, self.read_limits(), now)
+
+    def admit_body(self) -> bool:
+        """Tell whether a body may begin, after closing stalled ones if need be."""
+        budget = self.clients.budget
+        if budget.admits_body():
+            return True
+        for victim in budget.list_stalled(self.clock.monotonic()):
+            victim.exchange.refuse(Refusal.BUFFERS_FULL)
+        return budget.admits_body()
+
+    def enforce_budget(self) -> None:
+        """Refuse the requests that hold the most while the budget is exceeded."""
+        budget: BufferBudget = self.clients.budget
+        if budget.total <= budget.limit:
+            return
+        for victim in budget.list_excess(self.clock.monotonic()):
+            victim.exchange.refuse(Refusal.BUFFERS_FULL)
+
+    def _set_timer(self) -> None:
+        """Check the connections after a while."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(CHECK_INTERVAL.total_seconds(), self._check)
+
+    def _check(self) -> None:
+        """Refuse slow clients, until there are no more connections."""
+        self._timer = None
+        for connection, refusal in self.clients.list_overdue(self.clock.monotonic()):
+            if refusal is None:
+                connection.exchange.close()
+                continue
+            connection.exchange.refuse(refusal)
+        # Headers are charged as they arrive, but do not enforce the budget themselves.
+        self.enforce_budget()
+        if self.clients.count:
+            self._set_timer()
--- a/packages/almondspread_daemon/almondspread_daemon/http/server.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/server.py
@@ -1,52 +1,51 @@
-"""The HTTP server, with timeouts for slow clients and a limit on connections."""
+"""The server of an entry instance, with the limits of its settings."""
 
+import resource
 import ssl
-from typing import Any
+from collections.abc import Callable
 
-from loguru import logger
-from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
 from tornado.web import Application
 
+from almondspread.clock import Clock
+from almondspread_daemon.http.buffer_budget import (
+    MIN_BUFFER_BYTES,
+    BufferBudget,
+    ClientConnections,
+    RequestLimits,
+    count_callers,
+)
+from almondspread_daemon.http.client_guard import ClientGuard
+from almondspread_daemon.http.client_refusals import RefusalLog
+from almondspread_daemon.http.limited_server import LimitedServer, make_limited_server
 from almondspread_daemon.settings import HttpSettings
 
-
-class LimitedServer(HTTPServer):
-    """An HTTP server that closes new connections over ``max_connections`` at once."""
-
-    max_connections = 0
-    _open_connections = 0
-
-    def handle_stream(self, stream: IOStream, address: Any) -> None:
-        """Serve a connection unless the limit is reached."""
-        if self._open_connections >= self.max_connections:
-            logger.warning(
-                "closed the connection from {}: too many connections are open", address
-            )
-            stream.close()
-            return
-        self._open_connections += 1
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        """Remove a closed connection from the count of open ones."""
-        self._open_connections -= 1
-        super().on_close(server_conn)
+# How many of the largest bodies the default of the settings has room for.
+BUFFERED_BODIES = 16
 
 
 def make_server(
-    application: Application, settings: HttpSettings, context: ssl.SSLContext | None
+    application: Application,
+    settings: HttpSettings,
+    context: ssl.SSLContext | None,
+    clock: Clock,
+    count_refusal: Callable[[str], None],
 ) -> LimitedServer:
     """Return a server for the application with the limits from the settings."""
-    idle_seconds = settings.idle_timeout.total_seconds()
-    server = LimitedServer(
-        application,
-        ssl_options=context,
-        max_body_size=settings.max_body_bytes,
-        max_header_size=settings.max_header_bytes,
-        idle_connection_timeout=idle_seconds,
-        body_timeout=idle_seconds,
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limits = RequestLimits(
+        settings.max_body_bytes,
+        settings.max_header_bytes,
+        settings.header_timeout,
+        settings.idle_timeout,
+        settings.min_body_bytes_per_second,
+        settings.body_span,
+    )
+    default_bytes = max(MIN_BUFFER_BYTES, BUFFERED_BODIES * settings.max_body_bytes)
+    clients = ClientConnections(
+        BufferBudget(settings.max_buffered_bytes or default_bytes),
+        min(settings.max_connections, count_callers(soft_limit)),
     )
-    assert isinstance(server, LimitedServer)
-    server.max_connections = settings.max_connections
-    return server
+    log = RefusalLog(clock, count_refusal)
+    guard = ClientGuard(clients, lambda: limits, clock, log)
+    idle_seconds = settings.idle_timeout.total_seconds()
+    return make_limited_server(application, guard, context, idle_seconds)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/metrics.py
@@ -74,6 +74,10 @@
             "connections_given_up",
             description="times that connections were taken for silent, by callee",
         )
+        self._refused_clients = meter.create_counter(
+            "refused_clients",
+            description="clients refused or closed by the listeners, by reason",
+        )
         self._loop_errors = meter.create_counter(
             "loop_errors", description="unexpected errors in lasting loops, by loop"
         )
@@ -131,6 +135,10 @@
         """Count that the idle connections to an address of a callee are not trusted."""
         self._given_up.add(1, {"callee": callee})
 
+    def count_refused_client(self, reason: str) -> None:
+        """Count a client that was refused before its request was handled."""
+        self._refused_clients.add(1, {"reason": reason})
+
     def count_loop_error(self, loop: str) -> None:
         """Count an unexpected error in a lasting loop."""
         self._loop_errors.add(1, {"loop": loop})
--- a/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
+++ b/packages/almondspread_daemon/almondspread_daemon/settings/sections.py
@@ -33,13 +33,22 @@
 
 @define(frozen=True)
 class HttpSettings:
-    """The listener for callers and operators, and the limits of its connections."""
+    """The listener for callers and operators, and the limits of its connections.
+
+    Requests that are not answered yet hold at most ``max_buffered_bytes``; 0 stands for
+    sixteen of the largest bodies, and at least 4 MiB. A body must arrive with
+    ``min_body_bytes_per_second`` on average over each ``body_span_seconds``.
+    """
 
     listen: Annotated[str, ADDRESS] = "127.0.0.1:8101"
     max_body_bytes: Bytes = 4 * MIB
     max_header_bytes: Bytes = 64 * KIB
+    max_buffered_bytes: Annotated[int, Range(0, 4 * KIB * MIB, "bytes")] = 0
     max_connections: Count = 4_096
     idle_timeout_seconds: Seconds = 75.0
+    header_timeout_seconds: Seconds = 10.0
+    min_body_bytes_per_second: Annotated[int, Range(0, MIB)] = KIB
+    body_span_seconds: Seconds = 10.0
     certificate: File = ""
     key: File = ""
 
@@ -48,6 +57,16 @@
         """How long a connection without a request stays open."""
         return timedelta(seconds=self.idle_timeout_seconds)
 
+    @property
+    def header_timeout(self) -> timedelta:
+        """How long the headers of a request may take to arrive."""
+        return timedelta(seconds=self.header_timeout_seconds)
+
+    @property
+    def body_span(self) -> timedelta:
+        """The time over which the rate of a body is measured."""
+        return timedelta(seconds=self.body_span_seconds)
+
 
 @define(frozen=True)
 class PeerSettings:
--- a/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
+++ b/packages/almondspread_daemon/almondspread_daemon/telemetry/instruments.py
@@ -31,6 +31,7 @@
 
     requests: Counter
     request_duration: Histogram
+    refused_clients: Counter
     table_rows: Counter
     table_calls: Counter
     commits: Counter
@@ -51,6 +52,11 @@
                 description="From a request's arrival to its answer",
                 explicit_bucket_boundaries_advisory=REQUEST_BUCKET_SECONDS,
             ),
+            refused_clients=meter.create_counter(
+                "almondspread.refused.clients",
+                unit="{client}",
+                description="Clients refused or closed by the listener, by reason",
+            ),
             table_rows=meter.create_counter(
                 "almondspread.table.rows",
                 unit="{row}",
