Apply the limits of the newest configuration to open connections

Refused connections have a list of their own, so that a new connection at the limit needs no search.

--- a/packages/almondspread_daemon/almondspread_daemon/http/buffer_budget.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/buffer_budget.py
@@ -193,8 +193,8 @@
 class ClientConnections:
     """The open connections of one listener, of which there are at most ``limit``.
 
-    ``idle`` has the longest idle one first, and ``active`` those whose client is to
-    send more, or was refused.
+    ``idle`` has the longest idle one first, ``active`` those whose request is not whole
+    yet, and ``refused`` those that may still send for a while after a refusal.
     """
 
     budget: BufferBudget
@@ -202,6 +202,7 @@
     count: int = 0
     idle: dict[Connection, None] = field(factory=dict)
     active: dict[Connection, None] = field(factory=dict)
+    refused: dict[Connection, None] = field(factory=dict)
 
     @property
     def is_full(self) -> bool:
@@ -211,19 +212,16 @@
     def find_closable(self, now: timedelta) -> Connection | None:
         """Return the connection to close for a new one, ``None`` to refuse the new one.
 
-        It is one that was refused, else the longest idle one, else the one that has
-        been without progress for the longest time. Requests that are being handled are
-        left alone.
+        It is one that was refused, else the longest idle one, else the oldest one
+        without progress. Requests that are being handled are left alone.
         """
-        stalled = None
+        closable = next(iter(self.refused), None) or next(iter(self.idle), None)
+        if closable is not None:
+            return closable
         for connection in self.active:
-            if connection.phase == Phase.REFUSED:
+            if now - connection.progress >= STALL_TIME:
                 return connection
-            if now - connection.progress < STALL_TIME:
-                continue
-            if stalled is None or connection.progress < stalled.progress:
-                stalled = connection
-        return next(iter(self.idle), stalled)
+        return None
 
     def open(self, exchange: Any, limits: RequestLimits, now: timedelta) -> Connection:
         """Add a new connection, and return it."""
@@ -240,6 +238,7 @@
         self.budget.release(connection)
         self.idle.pop(connection, None)
         self.active.pop(connection, None)
+        self.refused.pop(connection, None)
         self.count -= 1
 
     def begin_idling(self, connection: Connection, now: timedelta) -> None:
@@ -290,9 +289,9 @@
     def refuse(self, connection: Connection, now: timedelta) -> None:
         """Note that a request was refused, and that its bytes are no longer held."""
         self.budget.release(connection)
-        self.idle.pop(connection, None)
+        self.active.pop(connection, None)
         self._enter(connection, Phase.REFUSED, now)
-        self.active[connection] = None
+        self.refused[connection] = None
 
     def list_overdue(self, now: timedelta) -> list[tuple[Connection, Refusal | None]]:
         """Return the connections to close, with the reason unless already refused.
@@ -301,16 +300,17 @@
         clients keep them for later requests.
         """
         overdue: list[tuple[Connection, Refusal | None]] = []
+        for connection in self.refused:
+            if now - connection.phase_began < REFUSED_TIME:
+                break
+            overdue.append((connection, None))
         for connection in self.active:
-            waited = now - connection.phase_began
-            if connection.phase == Phase.REFUSED:
-                if waited >= REFUSED_TIME:
-                    overdue.append((connection, None))
-            elif connection.phase == Phase.HEADER:
-                if waited >= connection.limits.header_timeout:
-                    overdue.append((connection, Refusal.HEADER_SLOW))
-            elif _is_body_slow(connection, now):
-                overdue.append((connection, Refusal.BODY_SLOW))
+            if connection.phase == Phase.BODY:
+                if _is_body_slow(connection, now):
+                    overdue.append((connection, Refusal.BODY_SLOW))
+                continue
+            if now - connection.phase_began >= connection.limits.header_timeout:
+                overdue.append((connection, Refusal.HEADER_SLOW))
         excess = self.count - self.limit // 2
         for connection in self.idle:
             waited = now - connection.phase_began
--- a/packages/almondspread_daemon/almondspread_daemon/http/client_exchange.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/client_exchange.py
@@ -49,7 +49,6 @@
             self.close()
             return
         self._application = application
-        self.connection.limits = self._guard.read_limits()
         if self.connection.phase != Phase.IDLE:
             self._clients.begin_idling(self.connection, self._guard.clock.monotonic())
 
@@ -77,6 +76,7 @@
             return self._pass_on(start_line, headers)
         header_bytes = sum(len(name) + len(text) for name, text in headers.get_all())
         now = self._guard.clock.monotonic()
+        self.connection.limits = self._guard.read_limits()
         self._clients.begin_body(self.connection, header_bytes, now)
         if _is_longer(length, self.connection.limits.max_body_bytes):
             self.refuse(Refusal.BODY_TOO_LARGE)
--- a/packages/almondspread_daemon/almondspread_daemon/http/tests/test_buffer_budget.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/tests/test_buffer_budget.py
@@ -172,6 +172,10 @@
         self.clients.close(connection)
         self.assertEqual(connection.phase, Phase.CLOSED)
         self.assertEqual((self.clients.active, self.clients.idle), ({}, {}))
+        refused = self.open_body("b", 100)
+        self.clients.refuse(refused, START)
+        self.clients.close(refused)
+        self.assertEqual((self.clients.active, self.clients.refused), ({}, {}))
 
 
 class ProcessLimitsTest(unittest.TestCase):
