Keep five eighths of few descriptors back from callers

The tests of idle connections saw up to 61 of 64 descriptors open, since a process has some connections of its own that come and go. With fewer than 1,024 descriptors, five eighths are now kept back and not half; with more, 640 as before.

--- a/packages/almondspread_daemon/almondspread_daemon/http/buffer_budget.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/buffer_budget.py
@@ -95,12 +95,12 @@
 
 
 def count_callers(descriptors: int) -> int:
-    """Return how many descriptors callers may use; at least half are kept back.
+    """Return how many descriptors callers may use.
 
     >>> count_callers(1_638), count_callers(64)
-    (998, 32)
+    (998, 24)
     """
-    return descriptors - min(RESERVED_DESCRIPTORS, descriptors // 2)
+    return descriptors - min(RESERVED_DESCRIPTORS, descriptors * 5 // 8)
 
 
 @define(eq=False)
