Let lasting tasks and jobs without a workspace wait for no share

Cause: lasting tasks of a workspace over its share were placed behind all others, though they must run again within seconds; jobs of public queues counted as one workspace of weight 1, and waited behind those of every workspace. Found by reading. Change: both are bound by no share, and what jobs without a workspace run is not shared. Result: two tests of test_workspace_order, which fail without the change; all 14 pass.

--- a/packages/almondspread/almondspread/jobs/share_tracker.py
+++ b/packages/almondspread/almondspread/jobs/share_tracker.py
@@ -18,8 +18,9 @@
 
 # Shares follow what all steps wait for, which takes time to add up.
 SHARE_INTERVAL = timedelta(milliseconds=100)
-# The weight of jobs without a workspace, and of workspaces that are not known.
+# The weight of workspaces that are not known.
 DEFAULT_WEIGHT = 1.0
+NO_WORKSPACE = ""
 
 
 @define(frozen=True)
@@ -35,8 +36,10 @@
     """Tells where each step stands by the share of its workspace.
 
     Only workspaces with running or waiting tasks have a share. Those without a bound
-    may use all that is free, which they are lent. Jobs without a workspace share like
-    one. In a cell without workspaces nothing is shared.
+    may use all that is free, which they are lent. Jobs without a workspace have no
+    bound, and what they run is not shared. Lasting tasks don't wait for a share either:
+    they must not be without a run for long. In a cell without workspaces nothing is
+    shared.
     """
 
     cell_state: CellState
@@ -56,7 +59,9 @@
         capacities = self._measure_services(now)
         self._by_service = {}
         for service, demands in self._list_demands().items():
-            capacity = capacities.get(service, NOTHING)
+            capacity = capacities.get(service, NOTHING).minus(
+                self.cell_state.service_usage.find(service, NO_WORKSPACE)
+            )
             shares = compute_shares(capacity, demands)
             if shares:
                 self._by_service[service] = ServiceShares(capacity, shares)
@@ -70,6 +75,8 @@
         if not self._by_service:
             return MAX_COUNT
         submission = progress.job.submission
+        if progress.step.lasting or not submission.workspace:
+            return MAX_COUNT
         service = self.job_table.find_service(submission)
         known = self._by_service.get(service)
         if known is None:
@@ -94,6 +101,8 @@
         wanted: dict[tuple[str, str], Capacity] = {}
         usage = self.cell_state.service_usage
         for service, workspace in usage.list_users():
+            if workspace == NO_WORKSPACE:
+                continue
             wanted[service, workspace] = usage.find(service, workspace)
         for key, claim in self._list_waiting():
             wanted[key] = wanted.get(key, NOTHING).plus(claim)
@@ -107,6 +116,8 @@
         """Yield what each ready step waits for that its limit lets start."""
         for progress in self.job_table.ready_steps.values():
             submission = progress.job.submission
+            if not submission.workspace:
+                continue
             key = (self.job_table.find_service(submission), submission.workspace)
             count = self.limits.count_startable(progress)
             yield key, progress.step.claim.times(count)
--- a/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
@@ -98,6 +98,30 @@
         loads = self.cell.scheduler.measure_load(self.cell.now).workspaces
         self.assertEqual([load.waiting_tasks for load in loads], [5, 5, 2])
 
+    def test_lasting_task_does_not_wait_for_the_share_of_its_workspace(self):
+        """A lasting task that lost its run waited behind all other workspaces."""
+        self.add_upstreams(1)
+        self.share(w=1.0, x=9.0)
+        self.submit("j", make_step(2, lasting=True), duration=HOUR)
+        self.cell.run_for(SECOND)
+        self.submit("k", make_step(4), duration=2 * SECOND, workspace="x")
+        self.submit("l", make_step(2, lasting=True), duration=HOUR)
+        self.submit("m", make_step(4), duration=HOUR, workspace="x")
+        self.cell.run_for(7 * SECOND)
+        self.assertEqual(self.count_all("w"), [4])
+
+    def test_jobs_without_a_workspace_have_no_share(self):
+        """Jobs of public queues waited behind those of every workspace."""
+        self.add_upstreams(2)
+        self.share(w=9.0, x=9.0)
+        self.submit("j", make_step(4), duration=2 * SECOND, workspace="")
+        self.submit("k", make_step(8), duration=2 * SECOND)
+        self.cell.run_for(SECOND)
+        self.submit("l", make_step(4), duration=HOUR, workspace="")
+        self.submit("m", make_step(40), duration=HOUR)
+        self.cell.run_for(4 * SECOND)
+        self.assertEqual(len(self.cell.scheduler.jobs["l"].list_runs()), 4)
+
     def test_nothing_is_preempted(self):
         """Guards against runs stopped for a workspace under its share."""
         self.add_upstreams(1)
