Place the next task of a starved workspace first

A workspace that is over a small share, or whose jobs are late or surplus, could wait without end behind workspaces that keep sending jobs. The test fails without this.

--- a/packages/almondspread/almondspread/jobs/ranked_steps.py
+++ b/packages/almondspread/almondspread/jobs/ranked_steps.py
@@ -38,6 +38,7 @@
     advice: AdviceTiming | None
     held: frozenset[int] = frozenset()
     unreserved: Collection[str] = ()
+    usual_rank: StepRank | None = None
 
     @property
     def is_over_share(self) -> bool:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -27,6 +27,7 @@
 from almondspread.jobs.runs import RunControl
 from almondspread.jobs.service_upstreams import ServiceUpstreams, group_by_service
 from almondspread.jobs.share_tracker import ShareTracker
+from almondspread.jobs.starved_workspaces import StarvedWorkspaces
 from almondspread.jobs.step_progress import StepProgress
 from almondspread.jobs.trials import PROOF_TIME, TRIAL_TIME, count_trials_left
 from almondspread.jobs.upcoming import UpcomingSteps
@@ -38,6 +39,8 @@
 RESERVATION_INTERVAL = timedelta(milliseconds=100)
 # Only the first waiting steps may reserve room: the others hardly get it in time.
 MAX_RESERVING_STEPS = 16
+# Before every priority of a queue.
+STARVED_PRIORITY = -(2**31)
 # The capacity of an upstream may have shrunk since its entry was read.
 MAX_ENTRY_AGE = timedelta(milliseconds=2_500)
 
@@ -57,6 +60,7 @@
     max_entry_age: timedelta = MAX_ENTRY_AGE
     permits: PermitPlanner = field(init=False)
     _ranker: StepRanker = field(init=False)
+    _starved: StarvedWorkspaces = field(init=False)
     _reservations: Reservations = field(init=False)
     _reserved_at: timedelta = timedelta(0)
     _upcoming: UpcomingSteps = field(factory=UpcomingSteps)
@@ -64,6 +68,7 @@
     def __attrs_post_init__(self) -> None:
         self._reservations = Reservations(self.limits.count_startable)
         self._ranker = StepRanker(self.control, self._reservations, self.shares)
+        self._starved = StarvedWorkspaces(self.cell_state, self.limits)
         self.permits = PermitPlanner(self._ranker, self.limits, self._upcoming)
 
     def start_waiting_tasks(
@@ -119,6 +124,14 @@
         heapify(left)
         while left:
             rank, number, step = heappop(left)
+            if step.usual_rank is not None:
+                workspace = step.progress.job.submission.workspace
+                if self._starved.is_starved(workspace, now):
+                    yield step
+                step.rank, step.usual_rank = step.usual_rank, None
+                if step.progress.waiting:
+                    heappush(left, (step.rank, number, step))
+                continue
             if step.is_over_share or rank[0] != FIRST_GROUP:
                 yield step
                 continue
@@ -153,8 +166,21 @@
             step.held = holds.list_held(progress)
             found.append(step)
         found.sort(key=lambda step: step.rank)
+        if self.shares.workspaces.has_any:
+            self._promote_starved(found, now)
         return found
 
+    def _promote_starved(self, steps: list[RankedStep], now: timedelta) -> None:
+        """Put the steps of starved workspaces first, in the order of their ranks."""
+        names = [step.progress.job.submission.workspace for step in steps]
+        self._starved.update(names, now)
+        for position, step in enumerate(steps):
+            if self._starved.is_starved(names[position], now):
+                priority = STARVED_PRIORITY + position
+                step.usual_rank = step.rank
+                step.rank = (FIRST_GROUP, UNDER_SHARE, priority, step.rank[-1])
+        steps.sort(key=lambda step: step.rank)
+
     def _add_last_resorts(
         self, steps: list[RankedStep], known: list[Upstream], now: timedelta
     ) -> None:
@@ -291,6 +317,8 @@
         startable = self.limits.count_startable(step.progress)
         if step.rank[0] != FIRST_GROUP or step.is_over_share or step.progress.step.gang:
             return startable
+        if step.usual_rank is not None:
+            return 1
         return min(startable, self.shares.count_within_share(step.progress))
 
     def _start_run(
@@ -304,6 +332,7 @@
         run = Run(task, number, upstream.name, RunPhase.STARTING, now, now)
         run.is_whole = not checkpoint
         self.cell_state.add_run(progress, placement.index, upstream, run)
+        self._starved.record_start(progress.job.submission.workspace, now)
         upstream.last_start_at = now
         if placement.alone:
             upstream.begin_trial(task, number, now)
--- a/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
@@ -98,6 +98,23 @@
         loads = self.cell.scheduler.measure_load(self.cell.now).workspaces
         self.assertEqual([load.waiting_tasks for load in loads], [5, 5, 2])
 
+    def test_workspace_far_below_its_limit_gets_a_task_started(self):
+        """Guards against a workspace over a small share that gets nothing for long."""
+        self.add_upstreams(1)
+        self.set_workspaces(
+            Workspace("w", 100.0), Workspace("x", 0.01, Capacity(4_000, 0))
+        )
+        self.cell.run_for(SECOND)
+        self.submit("k", make_step(4), duration=HOUR, workspace="x")
+        for number in range(20):
+            self.submit(f"j{number}", make_step(4), duration=2 * SECOND)
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.count_all("w", "x"), [3, 1])
+        self.cell.run_for(3 * SECOND)
+        self.assertEqual(self.count_all("w", "x"), [2, 2])
+        self.cell.run_for(6 * SECOND)
+        self.assertEqual(self.count_all("w", "x"), [2, 2])
+
     def test_nothing_is_preempted(self):
         """Guards against runs stopped for a workspace under its share."""
         self.add_upstreams(1)
--- a/packages/almondspread/almondspread/jobs/workspace_loads.py
+++ b/packages/almondspread/almondspread/jobs/workspace_loads.py
@@ -39,15 +39,15 @@
     names = {*waiting, *surplus, *usage.list_workspaces()} - {""}
     found = []
     for name in sorted(names, key=lambda each: (-waiting[each], each)):
-        share = _find_share(usage.find(name), limits.find_limit(name))
+        share = find_limit_share(usage.find(name), limits.find_limit(name))
         found.append(WorkspaceLoad(name, share, waiting[name], surplus[name]))
     return tuple(found)
 
 
-def _find_share(used: Capacity, limit: Capacity | None) -> float:
+def find_limit_share(used: Capacity, limit: Capacity | None) -> float:
     """Return the largest share of a limit that is used; an amount of 0 is no limit.
 
-    >>> _find_share(Capacity(500, 900), Capacity(1000, 0))
+    >>> find_limit_share(Capacity(500, 900), Capacity(1000, 0))
     0.5
     """
     if limit is None or limit == NOTHING:
