Submit the two jobs of a test of shares one after the other

Cause: both were due at the same time, so that their order was left to chance once starved workspaces are placed first; the test is about who waits for a share. Result: passes, and still fails without the protection.

--- a/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
@@ -118,6 +118,7 @@
         self.submit("k", make_step(8), duration=2 * SECOND)
         self.cell.run_for(SECOND)
         self.submit("l", make_step(4), duration=HOUR, workspace="")
+        self.cell.run_for(SECOND / 10)
         self.submit("m", make_step(40), duration=HOUR)
         self.cell.run_for(4 * SECOND)
         self.assertEqual(len(self.cell.scheduler.jobs["l"].list_runs()), 4)
