--- a/packages/almondspread/almondspread/jobs/locality.py
+++ b/packages/almondspread/almondspread/jobs/locality.py
@@ -32,7 +32,6 @@
 # A gang looks at the racks with the most room, since all racks are too many for a pass.
 MAX_GANG_RACKS = 4
 NO_ONE: frozenset[int] = frozenset()
-NOTHING = Capacity(0, 0, 0)
 
 # The time at which a place is free, and how long a task runs there.
 Slot = tuple[timedelta, timedelta]
@@ -166,7 +165,10 @@
             return False
         if progress.interrupted or progress.losses or progress.failed_runs:
             return False
-        if progress.avoided_upstreams or step.claim == NOTHING:
+        if progress.avoided_upstreams or step.claim == Capacity(0, 0, 0):
+            return False
+        # An earlier leader has seen the tasks with a checkpoint interrupted.
+        if not progress.checkpoints.keys().isdisjoint(progress.waiting):
             return False
         return step.same_rack if step.gang else bool(step.preferred_rack)
 
@@ -185,11 +187,9 @@
         rack = self._find_rack(step, progress.step.preferred_rack, now)
         key = (step.service, progress.step.preferred_rack, progress.step.claim)
         self._taken[key] = self._taken.get(key, 0) + len(progress.waiting)
-        near = []
-        for upstream in self._list_with_room(step, rack):
-            if step.permitted is None or upstream.name in step.permitted:
-                near.append(upstream)
-        return near
+        near = self._list_with_room(step, rack)
+        names = step.permitted
+        return [each for each in near if names is None or each.name in names]
 
     def _list_with_room(self, step: LocalStep, rack: _Rack) -> list[Upstream]:
         """Return the upstreams of a rack that have room for a task of a step.
@@ -199,9 +199,7 @@
         """
         claim = step.progress.step.claim
         key = (step.service, step.progress.step.preferred_rack, claim)
-        before = self._with_room.get(key)
-        if before is None:
-            before = [row.upstream for row in rack.rows]
+        before = self._with_room.get(key, [row.upstream for row in rack.rows])
         found = []
         for upstream in before:
             usable = step.upstreams.get(upstream.name) is upstream
@@ -323,11 +321,11 @@
         Where others wait for room, they lose the time that a far run takes longer.
         """
         ready_at, near_time = slot
-        fastest = max(self.speeds.find_speed(upstream) for upstream in far)
+        fastest = max(map(self.speeds.find_speed, far))
         far_time = step.duration * (self.remote_factor / fastest)
         saved = far_time - near_time
         if step.service in self.crowded:
-            saved += max(far_time - near_time, timedelta(0))
+            saved *= 2
         if ready_at - since >= saved:
             return False
         group, _, due = step.rank
--- a/packages/almondspread/almondspread/jobs/speeds.py
+++ b/packages/almondspread/almondspread/jobs/speeds.py
@@ -126,9 +126,8 @@
         while self.samples and now - self.samples[0][0] > MAX_SINGLE_AGE:
             self.samples.popleft()
         self.factor = 1.0
-        if len(self.samples) < MIN_SINGLE_SAMPLES:
-            return
-        if len(known.residuals) < MIN_KIND_SAMPLES:
+        is_known = len(known.residuals) >= MIN_KIND_SAMPLES
+        if len(self.samples) < MIN_SINGLE_SAMPLES or not is_known:
             return
         values = sorted(value for _, value in self.samples)
         middles = (values[(len(values) - 1) // 2], values[len(values) // 2])
@@ -291,8 +290,7 @@
 
     def _find_raw(self, kind: Kind) -> float:
         """Return by how much a kind is faster, 0 of an unknown kind."""
-        known = self._kinds.get(kind)
-        return known.raw if known is not None else 0.0
+        return self._kinds[kind].raw if kind in self._kinds else 0.0
 
     def refresh(self, upstreams: Iterable[Upstream], now: timedelta) -> None:
         """Update the speeds in use, at most once per ``REFRESH_INTERVAL``."""
--- a/packages/almondspread/almondspread/jobs/tests/test_locality.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_locality.py
@@ -144,7 +144,10 @@
         self.submit("stopped", near=True)
         progress = self.cell.scheduler.jobs["stopped"].steps[0, 0]
         progress.interrupted.add(0)
+        self.submit("resumed", near=True)
+        self.cell.scheduler.jobs["resumed"].steps[0, 0].checkpoints[0] = "half"
         self.cell.step()
+        self.assertTrue(self.is_started("resumed"))
         self.assertTrue(self.is_started("lasting"))
         self.assertTrue(self.is_started("stopped"))
 
--- a/packages/almondspread/almondspread/jobs/tests/test_placement.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_placement.py
@@ -52,6 +52,12 @@
         other = make_upstream("few-processors", PLAIN, Capacity(40_000, 1_000, 0))
         self.assertEqual(choose(Capacity(1_000, 20_000), full, other), "little-memory")
 
+    def test_small_task_fills_a_small_upstream_first(self):
+        """Small tasks in large upstreams left no room for large tasks."""
+        large = make_upstream("large", Capacity(32_000, 65_536, 0))
+        small = make_upstream("small", Capacity(16_000, 32_768, 0))
+        self.assertEqual(choose(Capacity(1_000, 1_000), large, small), "small")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_unlike_upstreams.py
@@ -82,6 +82,32 @@
         with patch("almondspread.jobs.starts.find_slowness", lambda *_: {}):
             self.assertGreater(self.run_chains(), 3.5 * SECOND)
 
+    def test_upstream_that_turns_slow_gets_no_urgent_tasks_until_it_recovers(self):
+        """Urgent tasks went to an upstream that was slow for some seconds."""
+        self.learn()
+        slow = self.cell.upstreams["fast0"]
+        slow.speed = SPEEDS["fast"] / 4
+        self.run_steps("slow", 6)
+        self.assertNotIn("fast0", self.list_urgent_upstreams("during"))
+        slow.speed = SPEEDS["fast"]
+        self.run_steps("again", 6)
+        self.assertIn("fast0", self.list_urgent_upstreams("after"))
+
+    def run_steps(self, name, count):
+        """Run short steps that fill the cell, one after the other."""
+        for number in range(count):
+            self.cell.submit(make_job(f"{name}{number}", make_step(48)))
+            self.cell.run_for(1_600 * MILLISECOND)
+        self.cell.run_for(3 * SECOND)
+
+    def list_urgent_upstreams(self, name):
+        """Return where the tasks of a job go that would fill the fast upstreams."""
+        self.cell.submit(make_job(name, make_step(24)))
+        self.cell.run_for(200 * MILLISECOND)
+        found = {run.upstream for run in self.cell.scheduler.jobs[name].list_runs()}
+        self.cell.run_for(4 * SECOND)
+        return found
+
     def test_both_kinds_are_learnt(self):
         speeds = self.learn()
         self.assertAlmostEqual(speeds["fast"] / speeds["slow"], 1.7 / 0.7, delta=0.3)
