Tell when a missing key isn't refused

The doc comment of decide_key said that a missing key is refused also by an old configuration. An instance that must not accept keys any more answers that the configuration is too old, before it looks at the key. The comment now tells both.

--- a/packages/almondspread/almondspread/jobs/access.py
+++ b/packages/almondspread/almondspread/jobs/access.py
@@ -71,8 +71,9 @@
 ) -> KeyDecision:
     """Decide whether a request with ``key``, empty for none, may use a queue.
 
-    A missing key is refused for good also by an old configuration: no later version
-    makes it valid.
+    Where the configuration is too old for any key, no key is checked. Otherwise a
+    missing key is refused at once, also where a newer version may exist: no key that is
+    added since makes the request valid.
 
     >>> workspace = Workspace("w", key_digests=frozenset({digest_key("k-1")}))
     >>> configuration = Configuration(1, workspaces={"w": workspace})
