Tell how steps of starved workspaces are ordered

The generator that yields the steps of a pass was named after the shares alone, while it also puts the steps of starved workspaces first and back in their usual place, and the usual rank of a step was not described.

--- a/packages/almondspread/almondspread/jobs/ranked_steps.py
+++ b/packages/almondspread/almondspread/jobs/ranked_steps.py
@@ -29,7 +29,8 @@
     A task that starts at ``ranked_at``, which is now, is expected to end at ``ends_at``
     on an upstream of the reference speed. ``advice`` is ``None`` if the step needs no
     permits. The tasks ``held`` may not start yet. Reservations of
-    ``unreserved`` upstreams do not hold for the step.
+    ``unreserved`` upstreams do not hold for the step. While a step of a starved
+    workspace is placed first, ``usual_rank`` is the rank that it has otherwise.
     """
 
     rank: StepRank
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -104,7 +104,7 @@
             expiring, usable, max_permit_requests, now
         )
         self.locality.begin_pass(now)
-        for step in self._defer_over_share(steps, now):
+        for step in self._take_in_order(steps, now):
             if not holds.lacks_start_record(step.progress):
                 self._start_tasks(step, now)
             if step.advice is None or not step.progress.waiting:
@@ -124,25 +124,27 @@
             self._reserved_at = now
             self._renew_reservations(steps, usable, now)
 
-    def _defer_over_share(
+    def _take_in_order(
         self, steps: list[RankedStep], now: timedelta
     ) -> Iterator[RankedStep]:
         """Yield steps in the order of their ranks, which change as tasks start.
 
-        A step comes a second time with its remaining tasks, after those of workspaces
-        with less, once its workspace has its share.
+        Once its workspace has its share, a step comes a second time with its remaining
+        tasks, after the steps of workspaces under their share. A step of a starved
+        workspace comes first, until a task of the workspace has started, and again in
+        its usual place.
         """
-        left = [(step.rank, number, step) for number, step in enumerate(steps)]
-        heapify(left)
-        while left:
-            rank, number, step = heappop(left)
+        remaining = [(step.rank, number, step) for number, step in enumerate(steps)]
+        heapify(remaining)
+        while remaining:
+            rank, number, step = heappop(remaining)
             if step.usual_rank is not None:
                 workspace = step.progress.job.submission.workspace
                 if self._starved.is_starved(workspace, now):
                     yield step
                 step.rank, step.usual_rank = step.usual_rank, None
                 if step.progress.waiting:
-                    heappush(left, (step.rank, number, step))
+                    heappush(remaining, (step.rank, number, step))
                 continue
             if step.is_over_share or rank[0] != FIRST_GROUP:
                 yield step
@@ -153,7 +155,7 @@
                 continue
             if self.shares.find_place(step.progress) == OVER_SHARE:
                 step.rank = (rank[0], OVER_SHARE, *rank[2:])
-                heappush(left, (step.rank, number, step))
+                heappush(remaining, (step.rank, number, step))
 
     def _knows_capacity(self, upstream: Upstream, now: timedelta) -> bool:
         """Return whether an upstream's capacity is known, or enforced by itself."""
@@ -354,7 +356,11 @@
         self.control.job_table.update_readiness(progress)
 
     def _count_placeable(self, step: RankedStep) -> int:
-        """Return how many tasks of a step may start in its present place."""
+        """Return how many tasks of a step may start in its present place.
+
+        Under the share of the workspace, these are the tasks until it has its share,
+        and of a starved workspace one. A gang starts whole in any place.
+        """
         startable = self.limits.count_startable(step.progress)
         if step.rank[0] != FIRST_GROUP or step.is_over_share or step.progress.step.gang:
             return startable
