Describe what surplus, starved and inherited work depend on

Comments left open who looks at unrated jobs, what becomes of jobs that a leader loads in several parts, how a workspace without a limit can be starved, and that the bound on copies of a task holds for one leader.

--- a/packages/almondspread/almondspread/jobs/inherited_tasks.py
+++ b/packages/almondspread/almondspread/jobs/inherited_tasks.py
@@ -11,7 +11,8 @@
 from almondspread.jobs.workspace_usage import NOTHING
 from almondspread.resources.capacity import Capacity
 
-# A task that may run twice has at most a straggling run and its replacement.
+# A task that may run twice has at most a straggling run and its replacement under one
+# leader.
 MAX_COPIES = 2
 
 
--- a/packages/almondspread/almondspread/jobs/job_table.py
+++ b/packages/almondspread/almondspread/jobs/job_table.py
@@ -41,11 +41,12 @@
     ``read_until`` are known, unless they were deleted. ``ready_steps`` have
     waiting tasks and no incomplete dependencies, ``_steps_with_losses`` tasks under
     which an upstream was lost. The progress of ``changed`` jobs has to be stored.
-    ``unrated`` are the jobs of workspaces that were added, until somebody has looked at
-    their rate. ``forgotten`` jobs are removed from the table, and their stored progress
-    is still to be deleted. ``_first_mentions`` tells when upstreams first mentioned
-    jobs that were unknown then. ``_unannounced`` jobs have a state that is to be sent;
-    the value tells whether it is the first one of the job.
+    ``unrated`` are the jobs of workspaces that were added since ``SurplusJobs`` last
+    compared them with the rates of their workspaces. ``forgotten`` jobs are removed
+    from the table, and their stored progress is still to be deleted.
+    ``_first_mentions`` tells when upstreams first mentioned jobs that were unknown
+    then. ``_unannounced`` jobs have a state that is to be sent; the value tells whether
+    it is the first one of the job.
     """
 
     configuration: Configuration
--- a/packages/almondspread/almondspread/jobs/starved_workspaces.py
+++ b/packages/almondspread/almondspread/jobs/starved_workspaces.py
@@ -35,7 +35,10 @@
             self._since[workspace] = now
 
     def is_starved(self, workspace: str, now: timedelta) -> bool:
-        """Return whether the next task of a workspace is to be placed first."""
+        """Return whether the next task of a workspace is to be placed first.
+
+        A workspace without a limit, or whose limit is not known, uses no part of it.
+        """
         since = self._since.get(workspace)
         if since is None or now - since < STARVATION_TIME:
             return False
--- a/packages/almondspread/almondspread/jobs/surplus_jobs.py
+++ b/packages/almondspread/almondspread/jobs/surplus_jobs.py
@@ -11,8 +11,9 @@
 class SurplusJobs:
     """Marks surplus jobs in the order in which callers sent them.
 
-    The jobs that a new leader loads come in any order, so that those that came at the
-    same time are sorted first.
+    A new leader loads jobs in any order, so the jobs since the last call are sorted by
+    the time of their acceptance. Jobs that a later call finds to be older than those of
+    an earlier one add no tokens to the bucket of their workspace.
     """
 
     job_table: JobTable
