Name the bound on labelled workspaces in one place

The gauges and the counters of workspaces each had a constant for the most labelled workspaces and one for the label of the others, with the same values. The gauges now use those of workspace_labels. test_metrics passes (7 tests).

--- a/packages/almondspread_daemon/almondspread_daemon/jobs/workspace_gauges.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/workspace_gauges.py
@@ -3,10 +3,10 @@
 from opentelemetry.metrics import Meter
 
 from almondspread.jobs.workspace_loads import WorkspaceLoad, merge_loads
-
-# Each label is a time series that the operators' monitoring keeps.
-MAX_LABELLED = 64
-OTHER = "other"
+from almondspread_daemon.jobs.workspace_labels import (
+    MAX_LABELLED_WORKSPACES,
+    OTHER_WORKSPACES,
+)
 
 
 class WorkspaceGauges:
@@ -31,17 +31,18 @@
         shown = {name: WorkspaceLoad(name, 0.0, 0, 0) for name in self._labelled}
         others = []
         for load in loads:
-            named = load.name != OTHER and (
-                load.name in shown or len(self._labelled - {OTHER}) < MAX_LABELLED
+            named = load.name != OTHER_WORKSPACES and (
+                load.name in shown
+                or len(self._labelled - {OTHER_WORKSPACES}) < MAX_LABELLED_WORKSPACES
             )
             if not named:
                 others.append(load)
                 continue
             self._labelled.add(load.name)
             shown[load.name] = load
-        if others or OTHER in self._labelled:
-            self._labelled.add(OTHER)
-            shown[OTHER] = merge_loads(OTHER, others)
+        if others or OTHER_WORKSPACES in self._labelled:
+            self._labelled.add(OTHER_WORKSPACES)
+            shown[OTHER_WORKSPACES] = merge_loads(OTHER_WORKSPACES, others)
         for name, load in shown.items():
             label = {"workspace": name}
             self._limit_share.set(load.limit_share, label)
--- a/packages/almondspread_daemon/almondspread_daemon/jobs/workspace_labels.py
+++ b/packages/almondspread_daemon/almondspread_daemon/jobs/workspace_labels.py
@@ -1,5 +1,6 @@
 """The names of workspaces as labels of metrics, of which there is a bounded number."""
 
+# Each label is a time series that the operators' monitoring keeps.
 MAX_LABELLED_WORKSPACES = 64
 OTHER_WORKSPACES = "other"
 
