Name the limit that limits nothing

An empty capacity stood both for nothing running and for no limit. Where it is a limit, it is now named NO_LIMIT. test_workspace_limits passes (31 tests).

--- a/packages/almondspread/almondspread/jobs/workspace_limits.py
+++ b/packages/almondspread/almondspread/jobs/workspace_limits.py
@@ -13,6 +13,8 @@
 
 # Stands for an amount without a limit; it is far above any sum of amounts.
 UNLIMITED_AMOUNT = 2**60
+# An amount of 0 in a limit sets none.
+NO_LIMIT = NOTHING
 
 
 @define(eq=False)
@@ -37,7 +39,7 @@
         known = self.workspaces.find(workspace)
         if known is not None:
             return known.limit
-        return None if self.workspaces.has_any else NOTHING
+        return None if self.workspaces.has_any else NO_LIMIT
 
     def refresh(self, now: timedelta) -> None:
         """Have the runs on unseen upstreams counted again as they are now."""
@@ -56,7 +58,7 @@
         if not workspace:
             return count
         limit = self.find_limit(workspace)
-        if limit == NOTHING:
+        if limit == NO_LIMIT:
             return count
         unseen = self.unseen.find(workspace)
         if unseen is None:
