Name the medians and the gain of a kind after what they are

The learnt speeds called medians "middles" and the median of a kind "raw", which did not tell that it is a logarithm and relative to the service. Private names and their doc comments only; the 14 tests of test_speeds pass.

--- a/packages/almondspread/almondspread/jobs/speeds.py
+++ b/packages/almondspread/almondspread/jobs/speeds.py
@@ -97,14 +97,14 @@
 class _KindSamples:
     """By how much steps were faster on a kind than elsewhere, as logarithms.
 
-    ``raw`` is the median, relative to all kinds of the service. ``residuals`` tell how
-    much single runs differ from what the kind lets expect, and ``spread`` is the
+    ``gain`` is their median, relative to all kinds of the service. ``residuals`` tell
+    how much single runs differ from what the kind lets expect, and ``spread`` is the
     standard deviation of these. ``speed`` is what decisions use.
     """
 
     samples: deque[float] = field(factory=lambda: deque(maxlen=MAX_KIND_SAMPLES))
     residuals: deque[float] = field(factory=lambda: deque(maxlen=MAX_KIND_SAMPLES))
-    raw: float = 0.0
+    gain: float = 0.0
     spread: float = MIN_SPREAD
     speed: float = REFERENCE_SPEED
 
@@ -261,14 +261,14 @@
         All kinds in the comparison count alike: the most frequent one is not the
         measure of the others. Runs of a single kind tell nothing of it.
         """
-        middles = _find_middles(runs, 1)
-        others = middles
-        if len(middles) < 2:
-            others = _find_middles(recent, MIN_QUEUE_RUNS_OF_KIND)
+        medians = _find_medians(runs, 1)
+        others = medians
+        if len(medians) < 2:
+            others = _find_medians(recent, MIN_QUEUE_RUNS_OF_KIND)
         if len(others) < 2:
             return
-        work = sum(middle + self._find_raw(kind) for kind, middle in others.items())
-        for kind, middle in middles.items():
+        work = sum(middle + self._find_gain(kind) for kind, middle in others.items())
+        for kind, middle in medians.items():
             known = self._kinds.setdefault(kind, _KindSamples())
             known.samples.append(work / len(others) - middle)
             self._changed.add(kind)
@@ -277,10 +277,10 @@
         self, runs: list[_EndedRun], others: Iterable[_EndedRun], now: timedelta
     ) -> None:
         """Add samples of single upstreams, by what ``others`` take on their kinds."""
-        work = median([each.log_ratio + self._find_raw(each.kind) for each in others])
+        work = median([each.log_ratio + self._find_gain(each.kind) for each in others])
         for run in runs:
             kind = self._kinds.setdefault(run.kind, _KindSamples())
-            faster = work - run.log_ratio - kind.raw
+            faster = work - run.log_ratio - kind.gain
             kind.residuals.append(faster)
             self._changed.add(run.kind)
             single = self._singles.get(run.upstream)
@@ -289,10 +289,10 @@
             single.samples.append((now, faster))
             single.update(kind, now)
 
-    def _find_raw(self, kind: Kind) -> float:
-        """Return by how much a kind is faster, 0 of an unknown kind."""
+    def _find_gain(self, kind: Kind) -> float:
+        """Return by how much a kind is faster, as a logarithm; 0 if it is unknown."""
         known = self._kinds.get(kind)
-        return known.raw if known is not None else 0.0
+        return known.gain if known is not None else 0.0
 
     def refresh(self, upstreams: Iterable[Upstream], now: timedelta) -> None:
         """Update the speeds in use, at most once per ``REFRESH_INTERVAL``."""
@@ -349,23 +349,23 @@
                 each.spread = _measure_spread(each.residuals, median(each.residuals))
             if len(each.samples) >= MIN_KIND_SAMPLES:
                 known.append(each)
-        middles = [median(each.samples) for each in known]
+        medians = [median(each.samples) for each in known]
         weights = [len(each.samples) for each in known]
         total = sum(weights)
         if not total:
             return
-        pairs = zip(middles, weights, strict=True)
+        pairs = zip(medians, weights, strict=True)
         mean = sum(middle * weight for middle, weight in pairs) / total
-        for each, middle in zip(known, middles, strict=True):
-            each.raw = middle - mean
+        for each, middle in zip(known, medians, strict=True):
+            each.gain = middle - mean
             spread = _measure_spread(each.samples, middle)
             error = MEDIAN_ERROR * spread / sqrt(len(each.samples))
             each.speed = REFERENCE_SPEED
-            if abs(each.raw) >= max(MIN_KIND_DIFFERENCE, CLEAR_ERRORS * error):
-                each.speed = min(max(exp(each.raw), MIN_SPEED), MAX_SPEED)
+            if abs(each.gain) >= max(MIN_KIND_DIFFERENCE, CLEAR_ERRORS * error):
+                each.speed = min(max(exp(each.gain), MIN_SPEED), MAX_SPEED)
 
 
-def _find_middles(runs: Iterable[_EndedRun], least: int) -> dict[Kind, float]:
+def _find_medians(runs: Iterable[_EndedRun], least: int) -> dict[Kind, float]:
     """Return the median of each kind that has at least that many of the runs."""
     values: dict[Kind, list[float]] = {}
     for run in runs:
