Describe how waits for near places narrow a pass

The doc comment of narrow said when it is of no use to look, and not what it returns; the counts of taken places were not described. Comments only; test_locality passes (19).

--- a/packages/almondspread/almondspread/jobs/locality.py
+++ b/packages/almondspread/almondspread/jobs/locality.py
@@ -110,7 +110,8 @@
     """Decides which tasks wait for a near place, and counts how the waits end.
 
     Nothing waits unless ``remote_factor`` is above 1. ``crowded`` names the services
-    in which other tasks found no room in the last pass.
+    in which other tasks found no room in the last pass. ``_taken`` counts the
+    ``_slots`` of a service, rack and claim that go to steps with a recent decision.
     """
 
     speeds: UpstreamSpeeds
@@ -173,9 +174,9 @@
     def narrow(
         self, step: LocalStep, upstreams: Iterable[Upstream], now: timedelta
     ) -> Iterable[Upstream]:
-        """Return the upstreams to look at for a step, which only waits as a rule.
+        """Return the upstreams to look at for a step.
 
-        Since its last decision is new, there is no use in looking at all far ones.
+        These are the near ones, or none for a gang, if all its tasks are to wait.
         """
         progress = step.progress
         if not self._is_decided(progress, now):
