Tell that surplus work counts as late in the estimate

Ranks have a group of surplus jobs after that of late ones, so that is_late holds for both, while the doc comments named late jobs only. Comments only; test_backlog passes (17).

--- a/packages/almondspread/almondspread/jobs/backlog.py
+++ b/packages/almondspread/almondspread/jobs/backlog.py
@@ -56,7 +56,7 @@
     """The capacity of a service for tasks that end, and how much of it is not claimed.
 
     Amounts are in thousandths of a core, MiB and accelerators. After ``late_seconds``,
-    also the work is done that can no longer be on time but still has value.
+    also the work is done that is placed after the first group but still has value.
     """
 
     service: str
--- a/packages/almondspread/almondspread/jobs/expected_work.py
+++ b/packages/almondspread/almondspread/jobs/expected_work.py
@@ -26,8 +26,9 @@
     """What tasks of one step will hold, from ``starts_in`` on for ``seconds``.
 
     ``service`` and ``priority`` are those of the job's queue. Tasks that already run
-    are ahead of all others. Otherwise ``size_class`` tells how soon the job is due, and
-    it ``is_late`` if it can no longer be on time. Lasting tasks never end.
+    are ahead of all others. Otherwise ``size_class`` tells how soon the job is due.
+    Work ``is_late`` if it is placed after the first group, as that of jobs which can no
+    longer be on time, and of surplus jobs. Lasting tasks never end.
     """
 
     service: str
