--- a/packages/almondspread/almondspread/jobs/admitted_work.py
+++ b/packages/almondspread/almondspread/jobs/admitted_work.py
@@ -15,10 +15,9 @@
 INTAKE_TIME = timedelta(milliseconds=300)
 # The rate at which this instance admits work is taken over this time.
 RATE_TIME = timedelta(seconds=1)
-# No job counts for longer than an estimate may be old, and the time before it.
+# Jobs older than this count with no estimate that is still in use.
 MAX_TIME = MAX_AGE + INTAKE_TIME
 
-
 # The priority of a job's queue, and its size class.
 Place = tuple[int, int]
 
@@ -68,8 +67,8 @@
     ) -> float:
         """Return how long a new job waits for what was admitted since, in seconds.
 
-        Only jobs count that are placed before it or with it.
-        There is no wait while all of it fits into the ``room`` that was free.
+        Only jobs count that are placed before it or with it. There is no wait while
+        all of them fit into what was free of the ``room``.
         """
         unknown_since = estimated_at - INTAKE_TIME
         others = (instances - 1) * ((now - unknown_since) / RATE_TIME)
--- a/packages/almondspread/almondspread/jobs/retry_times.py
+++ b/packages/almondspread/almondspread/jobs/retry_times.py
@@ -19,7 +19,6 @@
 # Jobs whose refusal is remembered, the oldest of which are forgotten first.
 MAX_REFUSED_JOBS = 4_096
 
-
 # The service, the priority, and whether jobs are surplus.
 RefusalKind = tuple[str, int, bool]
 
--- a/packages/almondspread/almondspread/jobs/runs.py
+++ b/packages/almondspread/almondspread/jobs/runs.py
@@ -238,9 +238,10 @@
             self.speeds.close_step(progress, now)
 
     def find_speed(self, progress: StepProgress, upstream: Upstream) -> float:
-        """Return how fast a step's tasks run on an upstream, far from their data too.
+        """Return how fast a step's tasks run on an upstream.
 
-        1.0 is the speed near their data on an upstream of the reference speed.
+        1.0 is the speed near their data on an upstream of the reference speed. Tasks
+        are slower on an upstream that is far from their data.
         """
         return self.speeds.find_speed(upstream) / self._find_factor(progress, upstream)
 
