--- a/packages/almondspread_daemon/almondspread_daemon/http/buffer_budget.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/buffer_budget.py
@@ -168,6 +168,7 @@
 
     @property
     def _admission_limit(self) -> int:
+        """The bytes beyond which no new body may begin."""
         return self.limit - self.limit // 4
 
     def _select(
--- a/packages/almondspread_daemon/almondspread_daemon/http/client_exchange.py
+++ b/packages/almondspread_daemon/almondspread_daemon/http/client_exchange.py
@@ -180,6 +180,7 @@
 
     def release(self) -> None:
         """Free what is kept for the connection, at the latest when it has closed."""
+        # The replaced method refers to this exchange, which refers to the stream.
         vars(self._stream).pop("read_from_fd", None)
         self._clients.close(self.connection)
 
