Keep limits over changed capacities and own copies, and restart lasting tasks

Cause, found by review: a lasting task waited for its limit as long as smaller tasks of its workspace came, and for ever where the workspace was removed and the leader changed; a workspace exceeded its limit where an unseen upstream had shrunk, and where the new leader had started copies of an inherited task itself. Change: what restarting lasting tasks need is kept from the other tasks of their workspace; without a known limit lasting tasks all start; unseen upstreams count as the largest of their service; only runs of earlier epochs count as inherited copies.

--- a/packages/almondspread/almondspread/jobs/inherited_tasks.py
+++ b/packages/almondspread/almondspread/jobs/inherited_tasks.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from almondspread.jobs.cell_state import find_epoch
 from almondspread.jobs.job_records import JobState
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.step_progress import StepProgress
@@ -39,12 +40,13 @@
 
 
 def count_inherited(
-    jobs: Iterable[JobProgress], inherited_version: int
+    jobs: Iterable[JobProgress], inherited_version: int, epoch: int
 ) -> dict[str, InheritedTasks]:
     """Return the inherited tasks of each workspace that has any.
 
     These are the tasks of jobs stored up to ``inherited_version``. An ended job counts
-    as well, since its last runs may still be stopping.
+    as well, since its last runs may still be stopping. Runs of ``epoch`` are this
+    leader's own.
     """
     found: dict[str, InheritedTasks] = {}
     for job in jobs:
@@ -57,20 +59,22 @@
         for number, step in enumerate(job.submission.steps):
             progress = job.steps.get((0, number))
             if progress is not None:
-                tasks.add(step, _count_unbound(progress))
+                tasks.add(step, _count_unbound(progress, epoch))
             else:
                 tasks.add(step, _count_of_ended(step, job.ended))
     return found
 
 
-def _count_unbound(progress: StepProgress) -> int:
-    """Return how many runs of a step there may be that are not bound.
+def _count_unbound(progress: StepProgress, epoch: int) -> int:
+    """Return how many inherited runs of a step there may be that are not bound.
 
     The other members of a gang that is done may still be running.
     """
     step = progress.step
     if step.duplicates:
-        bound = sum(len(runs) for runs in progress.runs.values())
+        bound = 0
+        for runs in progress.runs.values():
+            bound += sum(find_epoch(run.number) < epoch for run in runs)
         return max(0, MAX_COPIES * step.count - bound)
     without = set(progress.runs)
     if not step.gang:
--- a/packages/almondspread/almondspread/jobs/starts.py
+++ b/packages/almondspread/almondspread/jobs/starts.py
@@ -96,7 +96,7 @@
             if self._knows_capacity(upstream, now)
         ]
         usable = group_by_service(each for each in known if each.is_usable(now))
-        self.limits.refresh(now)
+        self.limits.refresh(table.ready_steps.values(), now)
         self.shares.refresh(now)
         steps = self._rank_steps(usable, holds, now)
         self._add_last_resorts(steps, known, now)
--- a/packages/almondspread/almondspread/jobs/step_progress.py
+++ b/packages/almondspread/almondspread/jobs/step_progress.py
@@ -23,7 +23,8 @@
     ``waiting`` holds, in order, the tasks that are to be started, and ``runs`` the
     bound runs of tasks. ``failed_runs`` has the numbers of the runs that failed, and
     ``losses`` the upstreams that were lost under a task.
-    ``interrupted`` has the tasks whose run was lost or stopped, until they start again.
+    ``interrupted`` has the tasks whose run was lost or stopped, until they start again,
+    and ``restarting`` the lasting tasks that had a run, however it ended.
     ``avoided_upstreams`` names upstreams on which a task has failed or straggled, and
     ``observed_durations`` tells how long its shortest straggling run would have taken.
     No task starts before the time ``not_before``.
@@ -39,6 +40,7 @@
     failed_runs: dict[int, set[int]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
     interrupted: set[int] = field(factory=set)
+    restarting: set[int] = field(factory=set)
     losses: TaskLosses = field(factory=TaskLosses)
     avoided_upstreams: dict[int, set[str]] = field(factory=dict)
     observed_durations: dict[int, timedelta] = field(factory=dict)
@@ -64,6 +66,7 @@
         self.runs.setdefault(run.task.index, []).append(run)
         self.waiting.pop(run.task.index, None)
         self.interrupted.discard(run.task.index)
+        self.restarting.discard(run.task.index)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run; its task waits again unless it is done or has another run."""
@@ -75,6 +78,8 @@
             self.runs.pop(index, None)
         if index not in self.done and index not in self.runs:
             self.waiting[index] = None
+            if self.step.lasting:
+                self.restarting.add(index)
 
     def record_end(self, end: RunEnd) -> None:
         """Apply the end of a run to its task; the call is idempotent."""
--- a/packages/almondspread/almondspread/jobs/tests/test_workspace_limits.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_workspace_limits.py
@@ -178,6 +178,24 @@
         self.assertEqual(running, [2, 2, 4])
 
 
+class LastingLimitTest(WorkspaceCellTest):
+    def test_lasting_tasks_of_a_removed_workspace_all_run_again(self):
+        """One task at a time never ends where tasks last."""
+        self.add_upstreams(4)
+        self.cell.run_for(SECOND)
+        limit = Capacity(8_000, 0)
+        self.set_workspaces(Workspace("w", limit=limit), Workspace("x", limit=limit))
+        self.submit("l", make_step(3, lasting=True), duration=HOUR)
+        self.cell.run_for(SECOND)
+        self.configure({"x": Workspace("x", limit=limit)})
+        self.cell.take_over()
+        self.cell.run_for(2 * SECOND)
+        run = self.cell.scheduler.jobs["l"].list_runs()[0]
+        self.cell.restart_upstream(run.upstream)
+        self.cell.run_for(8 * SECOND)
+        self.assertEqual(self.count_running(), 3)
+
+
 class LimitedAdviceTest(WorkspaceCellTest):
     def setUp(self):
         super().setUp()
@@ -239,6 +257,33 @@
         for name in ("n0", "n1", "n2"):
             self.cell.add_upstream(name)
 
+    def test_own_copies_of_a_task_do_not_hide_inherited_ones(self):
+        """Each copy that the new leader started made room for one task too many."""
+        self.add_upstreams(2)
+        self.set_limit(3_000)
+        self.submit("j", make_step(duplicates=True), duration=HOUR)
+        self.cell.run_for(8 * SECOND)
+        victims = {run.upstream for run in self.list_runs()}
+        self.cell.silent.update(victims)
+        self.cell.take_over(lapse_in=9 * SECOND, lost_executors=victims)
+        self.add_room()
+        self.submit("k", make_step(3), duration=HOUR)
+        self.cell.run_for(5 * SECOND)
+        self.assertLessEqual(self.count_running(), 3)
+
+    def test_unseen_upstream_that_has_shrunk_counts_with_its_former_size(self):
+        """Runs that were started before the entry shrank were not counted."""
+        self.start_all()
+        victims = {run.upstream for run in self.list_runs()}
+        self.cell.silent.update(victims)
+        self.cell.take_over(lapse_in=8 * SECOND, lost_executors=victims)
+        for name in victims:
+            self.cell.upstreams[name].capacity = Capacity(1_000, 1_000)
+        self.submit("k", make_step(4), duration=HOUR)
+        self.add_room()
+        self.cell.run_for(4 * SECOND)
+        self.assertLessEqual(self.count_running(), 8)
+
     def test_runs_on_a_silent_upstream_count_until_its_leases_expire(self):
         """Guards against silence taken for the end of runs."""
         self.start_all(12)
--- a/packages/almondspread/almondspread/jobs/unseen_runs.py
+++ b/packages/almondspread/almondspread/jobs/unseen_runs.py
@@ -162,14 +162,13 @@
     def _find_capacity(self, name: str) -> Capacity | None:
         """Return the capacity of an upstream, ``None`` if it is not known.
 
-        After a takeover an upstream that is no longer listed has the capacity 0. It
-        counts as the largest of its service.
+        Its entry may have shrunk since runs were started there, and after a takeover an
+        upstream that is no longer listed has the capacity 0. So it counts as the
+        largest of its service.
         """
         upstream = self.cell_state.upstreams.get(name)
         if upstream is None:
             return None
-        if upstream.entry.capacity != NOTHING:
-            return upstream.entry.capacity
         largest = NOTHING
         for other in self.cell_state.upstreams.values():
             if other.entry.service == upstream.entry.service:
@@ -181,7 +180,9 @@
         at = self._inherited_at
         if at is None or self._now - at >= INHERITED_INTERVAL:
             self._inherited = count_inherited(
-                self.job_table.jobs.values(), self.find_inherited_version()
+                self.job_table.jobs.values(),
+                self.find_inherited_version(),
+                self.cell_state.epoch,
             )
             self._inherited_at = self._now
         return self._inherited.get(workspace, InheritedTasks())
--- a/packages/almondspread/almondspread/jobs/workspace_limits.py
+++ b/packages/almondspread/almondspread/jobs/workspace_limits.py
@@ -1,8 +1,9 @@
 """What each workspace may still start within its limit."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, field
 
 from almondspread.jobs.cell_state import CellState
 from almondspread.jobs.known_workspaces import KnownWorkspaces
@@ -24,12 +25,17 @@
     What a workspace has running is at most the sizes of its bound runs and of the runs
     that it may have on upstreams without a report. A workspace that is removed from the
     configuration keeps its last limit. Where this leader has never seen it in a
-    configuration, its limit is not known, and it runs one task or gang at a time.
+    configuration, its limit is not known, and it runs one task or gang at a time, but
+    all its lasting tasks: they end by being cancelled only, so that none would follow.
+
+    Lasting tasks must run again within seconds. What they need is kept from the other
+    tasks of their workspace, which would else take each part of the limit that is free.
     """
 
     cell_state: CellState
     unseen: UnseenRuns
     workspaces: KnownWorkspaces
+    _kept: dict[str, Capacity] = field(factory=dict)
 
     def find_limit(self, workspace: str) -> Capacity | None:
         """Return the limit of a workspace, ``None`` if that is not known.
@@ -41,9 +47,21 @@
             return known.limit
         return None if self.workspaces.has_any else NO_LIMIT
 
-    def refresh(self, now: timedelta) -> None:
-        """Have the runs on unseen upstreams counted again as they are now."""
+    def refresh(self, ready: Iterable[StepProgress], now: timedelta) -> None:
+        """Have the runs on unseen upstreams counted again, and what steps keep.
+
+        The ``ready`` steps are those with waiting tasks.
+        """
         self.unseen.refresh(now)
+        self._kept.clear()
+        if not self.workspaces.has_any:
+            return
+        for progress in ready:
+            workspace = progress.job.submission.workspace
+            if not workspace or not progress.restarting:
+                continue
+            needed = progress.step.size.times(len(progress.restarting))
+            self._kept[workspace] = self._kept.get(workspace, NOTHING).plus(needed)
 
     def count_startable(
         self, progress: StepProgress, ending: int = 0, freed: Capacity = NOTHING
@@ -66,8 +84,13 @@
         size = progress.step.size
         used = self.cell_state.usage.find(workspace).plus(unseen)
         used = used.minus(freed).minus(size.times(ending))
+        is_lasting = progress.step.lasting
+        if not is_lasting:
+            used = used.plus(self._kept.get(workspace, NOTHING))
         if limit is not None:
             startable = size.count_in(_find_room(limit, used))
+        elif is_lasting:
+            startable = count
         else:
             at_once = count if progress.step.gang else 1
             startable = at_once if used == NOTHING else 0
@@ -75,6 +98,10 @@
             return 0
         return max(0, min(startable, count))
 
+    def count_startable_beside(self, progress: StepProgress, taken: Capacity) -> int:
+        """Return how many tasks could start beside what others have ``taken``."""
+        return self.count_startable(progress, freed=NOTHING.minus(taken))
+
 
 def measure_earlier_runs(progress: StepProgress) -> Capacity:
     """Return the sizes of the bound runs that end before a step becomes ready."""
