Refuse no job for work that is placed after it or that a limit holds

Cause, found by review: the wait of new jobs counted tasks that wait for the limit of their workspace, and those of workspaces over their share, so that jobs were refused beside idle upstreams; a backlog of surplus jobs counted for nobody and grew without bound; Retry-After grew as long as an overload lasted. Change: the estimate takes limits and shares into account, surplus jobs wait for all late work, and the length of an overload counts for 30 s at the most.

--- a/packages/almondspread/almondspread/jobs/admission.py
+++ b/packages/almondspread/almondspread/jobs/admission.py
@@ -80,6 +80,8 @@
     strictness = REOPENING_PART if outlook.is_refusing else 1.0
     wait = outlook.wait_seconds
     if outlook.is_surplus:
+        # Late work is placed before surplus, and other surplus as well.
+        wait = max(wait, outlook.late_seconds)
         bound = max(0.0, SURPLUS_PART * slack * strictness) + TOLERANCE_SECONDS
         if wait > bound:
             return Excess(RefusalReason.SURPLUS, wait - bound)
--- a/packages/almondspread/almondspread/jobs/admission_control.py
+++ b/packages/almondspread/almondspread/jobs/admission_control.py
@@ -36,6 +36,9 @@
 from almondspread.jobs.workspaces import Workspace
 from almondspread.resources.capacity import Capacity
 
+# However long an overload has lasted, callers are not sent away for longer because of
+# that: room may be free again at any time.
+MAX_EXPECTED_SECONDS = 30.0
 # Surplus jobs come back later than others, which then find room first.
 SURPLUS_DRAIN_FACTOR = 2.0
 
@@ -145,7 +148,11 @@
         refusing_for = self._refusing.record(kind, now)
         attempts = self._refused.record(submission.job, now)
         # An overload that has lasted for some time is expected to last as long again.
-        drain = max(outlook.wait_seconds, outlook.late_seconds, refusing_for)
+        drain = max(
+            outlook.wait_seconds,
+            outlook.late_seconds,
+            min(refusing_for, MAX_EXPECTED_SECONDS),
+        )
         if outlook.is_surplus:
             drain *= SURPLUS_DRAIN_FACTOR
         retry_after = choose_retry_seconds(
--- a/packages/almondspread/almondspread/jobs/expected_work.py
+++ b/packages/almondspread/almondspread/jobs/expected_work.py
@@ -1,9 +1,9 @@
 """The work that accepted jobs still have to do, by when it starts and is due."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, field
 
 from almondspread.jobs.configuration import Configuration, Queue
 from almondspread.jobs.demand import ResourceRates
@@ -11,6 +11,8 @@
 from almondspread.jobs.ordering import FIRST_GROUP, LAST_GROUP, rank_step
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.step_progress import StepProgress
+from almondspread.jobs.workspace_usage import NOTHING
+from almondspread.resources.capacity import Capacity
 
 # Seconds until the due time; jobs of one class are taken to wait alike. Jobs that are
 # due sooner are placed first, so that a burst of large jobs does not delay small ones.
@@ -28,7 +30,8 @@
     ``service`` and ``priority`` are those of the job's queue. Tasks that already run
     are ahead of all others. Otherwise ``size_class`` tells how soon the job is due.
     Work ``is_late`` if it is placed after the first group, as that of jobs which can no
-    longer be on time, and of surplus jobs. Lasting tasks never end.
+    longer be on time, of surplus jobs, and of workspaces over their share. Lasting
+    tasks never end.
     """
 
     service: str
@@ -42,6 +45,31 @@
     is_lasting: bool = False
 
 
+@define(eq=False)
+class WorkspaceBounds:
+    """What the limits and shares of workspaces mean for tasks that wait.
+
+    ``count_startable`` tells how many tasks of a step may start beside an amount that
+    others of its workspace take. Tasks that have to wait for the limit of their
+    workspace take room from nobody else. ``is_over_share`` tells of a step whose tasks
+    are placed after those of other workspaces.
+    """
+
+    count_startable: Callable[[StepProgress, Capacity], int]
+    is_over_share: Callable[[StepProgress], bool]
+    _taken: dict[str, Capacity] = field(factory=dict)
+
+    def take(self, progress: StepProgress) -> int:
+        """Return how many waiting tasks of a step fit beside those counted before."""
+        workspace = progress.job.submission.workspace
+        if not workspace:
+            return len(progress.waiting)
+        taken = self._taken.get(workspace, NOTHING)
+        count = self.count_startable(progress, taken)
+        self._taken[workspace] = taken.plus(progress.step.size.times(count))
+        return count
+
+
 def find_class(seconds: float) -> int:
     """Return the size class of a job that is due in so many seconds.
 
@@ -60,6 +88,7 @@
     configuration: Configuration,
     ratios: DurationRatios,
     now: timedelta,
+    bounds: WorkspaceBounds | None = None,
 ) -> list[ExpectedWork]:
     """Return the work of all jobs that have not ended.
 
@@ -90,7 +119,7 @@
                 found.append(running)
                 ends[key] = running.seconds
             waiting = _expect_waiting(
-                progress, queue, configuration, starts_in, ratio, now
+                progress, queue, configuration, starts_in, ratio, now, bounds
             )
             if waiting is not None:
                 found.append(waiting)
@@ -147,6 +176,7 @@
     starts_in: float,
     ratio: float,
     now: timedelta,
+    bounds: WorkspaceBounds | None,
 ) -> ExpectedWork | None:
     """Return what the waiting tasks of a step will hold, if they have any value."""
     if not progress.waiting:
@@ -156,6 +186,13 @@
     group, _, priority, due = rank_step(progress, configuration, now)
     if group == LAST_GROUP:
         return None
+    count = len(progress.waiting)
+    is_late = group != FIRST_GROUP
+    if bounds is not None:
+        count = bounds.take(progress)
+        is_late = is_late or bounds.is_over_share(progress)
+    if not count:
+        return None
     seconds = progress.step.estimate.total_seconds() * ratio
     return ExpectedWork(
         queue.service,
@@ -163,7 +200,7 @@
         find_class((due - now).total_seconds()),
         starts_in,
         max(seconds, MIN_LEFT),
-        _scale(progress, len(progress.waiting)),
-        is_late=group != FIRST_GROUP,
+        _scale(progress, count),
+        is_late=is_late,
         is_lasting=progress.step.lasting,
     )
--- a/packages/almondspread/almondspread/jobs/scheduler.py
+++ b/packages/almondspread/almondspread/jobs/scheduler.py
@@ -13,6 +13,7 @@
 from almondspread.jobs.crashes import CrashTracker
 from almondspread.jobs.evacuation import choose_evacuations, may_stop_all
 from almondspread.jobs.exceeded_rates import ExceededRates
+from almondspread.jobs.expected_work import WorkspaceBounds
 from almondspread.jobs.holds import (
     ANY_VERSION,
     NO_VERSION,
@@ -43,6 +44,7 @@
     UpstreamSilent,
     WatchUpstream,
 )
+from almondspread.jobs.ordering import OVER_SHARE
 from almondspread.jobs.pending_changes import ChangeQueue
 from almondspread.jobs.progress import JobProgress
 from almondspread.jobs.runs import RunControl
@@ -450,6 +452,17 @@
             now,
             instances,
             with_sizes,
+            self._make_workspace_bounds(),
+        )
+
+    def _make_workspace_bounds(self) -> WorkspaceBounds | None:
+        """Return what workspaces' limits and shares mean for tasks that wait."""
+        if self.configuration.workspaces is None:
+            return None
+        shares = self._planner.shares
+        return WorkspaceBounds(
+            self._limits.count_startable_beside,
+            lambda progress: shares.find_place(progress) == OVER_SHARE,
         )
 
     def measure_load(self, now: timedelta) -> Load:
@@ -500,7 +513,7 @@
             find_silent(self.cell_state.upstreams.values()),
             self._upstream_tracker.crashes.find_patience_ends(),
         )
-        self._limits.refresh(now)
+        self._limits.refresh(self._job_table.ready_steps.values(), now)
         return explain_waits(
             self._job_table,
             self.cell_state,
--- a/packages/almondspread/almondspread/jobs/tests/test_admission.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_admission.py
@@ -145,6 +145,22 @@
         least = other.retry_after_seconds + 30
         self.assertGreater(refusal.problem.retry_after_seconds, least)
 
+    def test_surplus_waits_for_late_work_and_other_surplus(self):
+        """A backlog of surplus grew without bound, since none of it counted."""
+        shape = JobShape(1.0, 4.0, False)
+        outlook = Outlook(0.0, late_seconds=200.0, is_surplus=True)
+        self.assertIs(find_excess(shape, outlook).reason, RefusalReason.SURPLUS)
+
+    def test_long_overload_does_not_send_callers_away_for_ever_longer(self):
+        """After half an hour of overload callers were sent away for two hours."""
+        delays = []
+        for second in range(1_800):
+            now = NOW + second * SECOND
+            self.update(MINUTE, rooms=(FULL,), at=now)
+            refusal = self.decide(at=now)
+            delays.append(refusal.problem.retry_after_seconds)
+        self.assertLessEqual(max(delays[60:]), 2 * max(delays[:60]))
+
     def test_surplus_passes_while_there_is_capacity(self):
         self.update(exceeded=("w",))
         self.assertEqual([self.decide(workspace="w") for _ in range(20)], [None] * 20)
--- a/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
+++ b/packages/almondspread/almondspread/jobs/tests/test_workspace_order.py
@@ -5,7 +5,8 @@
 
 from attrs import evolve
 
-from almondspread.jobs.tests.cells import SECOND, make_step
+from almondspread.jobs.submissions import TaskId
+from almondspread.jobs.tests.cells import SECOND, make_job, make_step
 from almondspread.jobs.tests.workspace_cells import WorkspaceCellTest
 from almondspread.jobs.workspaces import Workspace
 from almondspread.resources.capacity import Capacity
@@ -140,6 +141,45 @@
         self.cell.run_for(6 * SECOND)
         self.assertEqual(self.count_all("w", "x"), [2, 2])
 
+    def test_work_that_waits_for_a_limit_makes_nobody_else_wait(self):
+        """Jobs were refused beside idle upstreams for work that its limit held."""
+        self.add_upstreams(16)
+        self.set_workspaces(
+            Workspace("w", 9.0, Capacity(4_000, 0)), Workspace("x", 9.0)
+        )
+        self.submit("j", make_step(400, estimate=10 * SECOND), duration=HOUR)
+        self.cell.run_for(SECOND)
+        self.assertEqual(self.cell.scheduler.estimate_loads(self.cell.now).waits, ())
+
+    def test_work_beyond_a_share_makes_others_wait_no_longer(self):
+        """Jobs of a workspace with less were refused for work that is placed later."""
+        self.add_upstreams(4)
+        self.share(w=9.0, x=9.0)
+        self.submit("j", make_step(200, estimate=10 * SECOND), duration=10 * SECOND)
+        self.submit("k", make_step(1), duration=HOUR, workspace="x")
+        self.cell.run_for(SECOND)
+        waits = self.cell.scheduler.estimate_loads(self.cell.now).waits
+        self.assertLess(max((wait.seconds for wait in waits), default=0.0), 11.0)
+
+    def test_lasting_task_runs_again_beside_urgent_tasks_of_its_workspace(self):
+        """Small tasks took each freed core of the limit, for as long as they came."""
+        self.add_upstreams(4)
+        self.set_workspaces(Workspace("w", 1_000.0, Capacity(4_000, 0)))
+        self.cell.run_for(SECOND)
+        step = make_step(size=Capacity(3_000, 100), lasting=True)
+        self.submit("l", step, duration=HOUR)
+        self.cell.run_for(SECOND)
+        for number in range(80):
+            duration = SECOND * (0.6 + 0.1 * (number % 9))
+            for upstream in self.cell.upstreams.values():
+                upstream.durations[TaskId(f"j{number}", 0, 0, 0)] = duration
+            job = evolve(make_job(f"j{number}", make_step()), queue="urgent")
+            self.cell.submit(evolve(job, workspace="w"))
+        (run,) = self.cell.scheduler.jobs["l"].list_runs()
+        self.cell.restart_upstream(run.upstream)
+        self.cell.run_for(6 * SECOND)
+        self.assertEqual(len(self.cell.scheduler.jobs["l"].list_runs()), 1)
+
     def test_nothing_is_preempted(self):
         """Guards against runs stopped for a workspace under its share."""
         self.add_upstreams(1)
