--- a/packages/almondspread/almondspread/jobs/placement.py
+++ b/packages/almondspread/almondspread/jobs/placement.py
@@ -9,7 +9,7 @@
 from almondspread.jobs.upstreams import Upstream
 from almondspread.resources.capacity import MAX_COUNT, Capacity
 
-# The score of an upstream for a task.
+# The sort key of an upstream for a task; the lowest is the best.
 Score = tuple[int, int, int, int, int]
 NO_DIFFERENCES: Mapping[str, int] = {}
 
